Run the whole path, thin, over real sockets

A chat passes entry, placement and dispatch and is streamed back; plain services are routed by path. Configuration comes from a stand-in of the platform's object API by list and watch.

--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,31 @@
+//! `serve`: runs one router until it is told to stop.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use anyhow::{Context, Result};
+use gumdrop::Options;
+
+use super::Run;
+use crate::{config::Settings, serve::Running};
+
+#[derive(Debug, Options)]
+pub(crate) struct Serve {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, short = "c", help = "settings file")]
+    config: PathBuf,
+}
+
+impl Run for Serve {
+    fn run(&self) -> Result<ExitCode> {
+        let cfg = Settings::load(&self.config)?;
+        let rt = tokio::runtime::Runtime::new().context("could not start the runtime")?;
+        rt.block_on(async {
+            let running = Running::start(&cfg)?;
+            spdlog::info!("router {} serves on {}", cfg.name, running.addr());
+            tokio::signal::ctrl_c().await.context("could not wait for a signal")?;
+            running.close();
+            Ok(ExitCode::SUCCESS)
+        })
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,241 @@
+//! HTTP in, by xitca-web: one handler for all paths, bounded request bodies, streamed replies.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::{SocketAddr, TcpListener},
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    thread,
+    time::Duration,
+};
+
+use anyhow::{Context as _, Result};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use tokio::{runtime::Handle, sync::mpsc};
+use xitca_web::{
+    HttpServer,
+    body::{Body, BodyExt, BoxBody, Frame, RequestBody},
+    http::RequestExt,
+    service::fn_service,
+};
+
+use crate::error::Kind;
+
+/// Bytes of a streamed body; an error cuts the connection, so that a cut body never looks complete.
+pub type Chunk = Result<Bytes, Cut>;
+
+/// The body ended before its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("body was cut")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Body of a reply.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// Whole body.
+    Full(Bytes),
+    /// Chunks as they come; the sender sees a closed channel when the caller goes away.
+    Stream(mpsc::Receiver<Chunk>),
+}
+
+/// Reply to one request.
+#[derive(Debug)]
+pub struct Reply {
+    /// Status and headers.
+    pub head: Response<()>,
+    /// Body.
+    pub body: ReplyBody,
+}
+
+impl Reply {
+    /// Reply with a whole body.
+    pub fn full(status: u16, body: impl Into<Bytes>) -> Self {
+        let mut head = Response::new(());
+        *head.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        Self { head, body: ReplyBody::Full(body.into()) }
+    }
+
+    /// Reply with a JSON body.
+    pub fn json(status: u16, body: &impl serde::Serialize) -> Self {
+        let bytes = serde_json::to_vec(body).unwrap_or_default();
+        Self::full(status, bytes).with_header("content-type", "application/json")
+    }
+
+    /// Reply with a streamed body.
+    pub fn stream(status: u16, rx: mpsc::Receiver<Chunk>) -> Self {
+        let mut reply = Self::full(status, Bytes::new());
+        reply.body = ReplyBody::Stream(rx);
+        reply
+    }
+
+    /// Adds a header; a value that is no header value is left out.
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.head.headers_mut().insert(HeaderName::from_static(name), value);
+        }
+        self
+    }
+}
+
+/// What answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request whose body has been read.
+    fn handle(&self, req: Request<Bytes>, peer: SocketAddr) -> impl Future<Output = Reply> + Send;
+}
+
+/// Limits on request bodies.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    bytes: usize,
+    time: Duration,
+}
+
+impl Default for BodyLimits {
+    fn default() -> Self {
+        Self { bytes: 1 << 20, time: Duration::from_secs(10) }
+    }
+}
+
+impl BodyLimits {
+    /// Sets the largest body, in bytes.
+    pub fn with_bytes(self, bytes: usize) -> Self {
+        Self { bytes, ..self }
+    }
+
+    /// Sets the longest time for a body to arrive.
+    pub fn with_time(self, time: Duration) -> Self {
+        Self { time, ..self }
+    }
+}
+
+/// A running HTTP server.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    stop: xitca_server_handle::Stop,
+}
+
+mod xitca_server_handle {
+    //! Keeps the library's handle type out of signatures.
+
+    /// Stops the server when called.
+    pub(super) struct Stop(pub(super) Box<dyn Fn() + Send + Sync>);
+
+    impl std::fmt::Debug for Stop {
+        fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("Stop")
+        }
+    }
+}
+
+impl Server {
+    /// Serves `listener` with `threads` workers; handlers run on the current runtime.
+    ///
+    /// # Errors
+    /// When the listener can't be served.
+    pub fn start(
+        listener: TcpListener,
+        threads: usize,
+        limits: BodyLimits,
+        handler: Arc<impl Handler>,
+    ) -> Result<Self> {
+        let addr = listener.local_addr().context("could not read the address")?;
+        let rt = Handle::current();
+        let service = fn_service(async move |req: Request<RequestExt<RequestBody>>| {
+            Ok::<_, Infallible>(answer(req, limits, handler.clone(), &rt).await)
+        });
+        let mut server = HttpServer::serve(service)
+            .disable_signal()
+            .worker_threads(threads)
+            .listen(listener)
+            .context("could not listen")?
+            .run();
+        let handle = server.handle().context("could not start the server")?;
+        thread::Builder::new()
+            .name("http".into())
+            .spawn(move || server.wait())
+            .context("could not start a thread")?;
+        Ok(Self { addr, stop: xitca_server_handle::Stop(Box::new(move || handle.stop(true))) })
+    }
+
+    /// Address on which it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops accepting connections. Streams still open go on for the library's limit of 30 s.
+    pub fn close(self) {
+        (self.stop.0)();
+    }
+}
+
+async fn answer(
+    req: Request<RequestExt<RequestBody>>,
+    limits: BodyLimits,
+    handler: Arc<impl Handler>,
+    rt: &Handle,
+) -> Response<BoxBody> {
+    let (head, ext) = req.into_parts();
+    let peer = *ext.socket_addr();
+    let (_, body) = ext.replace_body(());
+    let body = match read(body, limits).await {
+        Ok(body) => body,
+        Err(kind) => return respond(kind.reply("the request body could not be read")),
+    };
+    let req = Request::from_parts(head, body);
+    let task = rt.spawn(async move { handler.handle(req, peer).await });
+    match task.await {
+        Ok(reply) => respond(reply),
+        Err(_) => respond(Kind::EngineFailed.reply("the request failed inside the router")),
+    }
+}
+
+async fn read(body: RequestBody, limits: BodyLimits) -> Result<Bytes, Kind> {
+    match tokio::time::timeout(limits.time, collect(body, limits.bytes)).await {
+        Ok(result) => result,
+        Err(_) => Err(Kind::BodyTimeout),
+    }
+}
+
+async fn collect(body: RequestBody, max: usize) -> Result<Bytes, Kind> {
+    let mut body = std::pin::pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.as_mut().frame().await {
+        let Ok(Frame::Data(data)) = frame else { return Err(Kind::BadRequest) };
+        if buf.len() + data.len() > max {
+            return Err(Kind::BodyTooLarge);
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+fn respond(reply: Reply) -> Response<BoxBody> {
+    let (parts, ()) = reply.head.into_parts();
+    let body = match reply.body {
+        ReplyBody::Full(bytes) => BoxBody::new(xitca_web::body::Full::new(bytes)),
+        ReplyBody::Stream(rx) => BoxBody::new(ChannelBody(rx)),
+    };
+    Response::from_parts(parts, body)
+}
+
+struct ChannelBody(mpsc::Receiver<Chunk>);
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        self.0.poll_recv(cx).map(|item| item.map(|chunk| chunk.map(Frame::Data)))
+    }
+}
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,5 @@
+//! Small stand-ins for the outside systems: the platform's object API, model engines and plain services.
+
+pub mod engine;
+pub mod platform;
+pub mod service;
