Add authenticated links between routers and the closed list of errors

The error table names every kind that the later parts refuse with. The schema's generator is a package of its own, because the main package does not compile while its generated code is out of date.

--- a/src/error.rs
+++ b/src/error.rs
@@ -43,14 +43,54 @@
     UnknownService,
     /// No routing policy matches.
     NoPolicy,
-    /// No eligible engine can take the request.
+    /// No eligible engine is live.
     NoEngine,
     /// The router has no configuration yet.
     NotReady,
-    /// No connection to the backend server could be made.
-    Connect,
-    /// The backend server broke off.
+    /// The router is shutting down and takes no new request.
+    Leaving,
+    /// The deadline would pass before an engine is free.
+    DeadlineUnmeetable,
+    /// The deadline passed while the request waited.
+    DeadlinePassed,
+    /// Too many requests wait already.
+    QueueFull,
+    /// The workspace has as many requests in progress as it may have.
+    WorkspaceLimit,
+    /// The workspace group has as many requests in progress as it may have.
+    GroupLimit,
+    /// A retry would exceed the budget of retries.
+    RetryBudget,
+    /// Every attempt that is allowed has been made.
+    AttemptLimit,
+    /// The same content has crashed backend servers.
+    Quarantined,
+    /// Content that may have crashed a backend server waits for another such run.
+    SuspectBusy,
+    /// No connection to a backend server could be made.
+    ConnectFailed,
+    /// The backend server broke off after the request may have reached it.
     EngineFailed,
+    /// The backend server refused the request before running it.
+    EngineRefused,
+    /// A non-idempotent request of this service needs an idempotency key.
+    KeyRequired,
+    /// The idempotency key was used with other content.
+    KeyConflict,
+    /// A request with this idempotency key is in progress.
+    KeyPending,
+    /// A request with this idempotency key may have run; its outcome is not known.
+    KeyUnknown,
+    /// The idempotency key is older than the horizon.
+    KeyExpired,
+    /// The claim on the idempotency key could not be recorded.
+    ClaimUnavailable,
+    /// The resume token is not valid.
+    ResumeUnknown,
+    /// The stream can no longer be resumed.
+    ResumeGone,
+    /// The router failed inside.
+    Internal,
 }
 
 /// How a kind is told to the caller.
@@ -68,7 +108,7 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 12] = [
+    pub const ALL: [Kind; 32] = [
         Kind::BadRequest,
         Kind::BodyTooLarge,
         Kind::BodyTimeout,
@@ -79,8 +119,28 @@
         Kind::NoPolicy,
         Kind::NoEngine,
         Kind::NotReady,
-        Kind::Connect,
+        Kind::Leaving,
+        Kind::DeadlineUnmeetable,
+        Kind::DeadlinePassed,
+        Kind::QueueFull,
+        Kind::WorkspaceLimit,
+        Kind::GroupLimit,
+        Kind::RetryBudget,
+        Kind::AttemptLimit,
+        Kind::Quarantined,
+        Kind::SuspectBusy,
+        Kind::ConnectFailed,
         Kind::EngineFailed,
+        Kind::EngineRefused,
+        Kind::KeyRequired,
+        Kind::KeyConflict,
+        Kind::KeyPending,
+        Kind::KeyUnknown,
+        Kind::KeyExpired,
+        Kind::ClaimUnavailable,
+        Kind::ResumeUnknown,
+        Kind::ResumeGone,
+        Kind::Internal,
     ];
 
     /// The table from kind to answer.
@@ -97,8 +157,28 @@
             Kind::NoPolicy => row(403, "no_policy", Ran::No, None),
             Kind::NoEngine => row(503, "no_engine", Ran::No, Some(2)),
             Kind::NotReady => row(503, "not_ready", Ran::No, Some(1)),
-            Kind::Connect => row(502, "connect_failed", Ran::No, Some(1)),
+            Kind::Leaving => row(503, "leaving", Ran::No, Some(0)),
+            Kind::DeadlineUnmeetable => row(503, "deadline_unmeetable", Ran::No, Some(1)),
+            Kind::DeadlinePassed => row(504, "deadline_passed", Ran::No, None),
+            Kind::QueueFull => row(503, "queue_full", Ran::No, Some(1)),
+            Kind::WorkspaceLimit => row(429, "workspace_limit", Ran::No, Some(1)),
+            Kind::GroupLimit => row(429, "group_limit", Ran::No, Some(1)),
+            Kind::RetryBudget => row(503, "retry_budget", Ran::No, Some(2)),
+            Kind::AttemptLimit => row(503, "attempt_limit", Ran::No, Some(2)),
+            Kind::Quarantined => row(422, "quarantined", Ran::No, None),
+            Kind::SuspectBusy => row(503, "suspect_busy", Ran::No, Some(2)),
+            Kind::ConnectFailed => row(502, "connect_failed", Ran::No, Some(1)),
             Kind::EngineFailed => row(502, "engine_failed", Ran::Unknown, None),
+            Kind::EngineRefused => row(503, "engine_refused", Ran::No, Some(1)),
+            Kind::KeyRequired => row(400, "key_required", Ran::No, None),
+            Kind::KeyConflict => row(409, "key_conflict", Ran::No, None),
+            Kind::KeyPending => row(409, "key_pending", Ran::Unknown, Some(1)),
+            Kind::KeyUnknown => row(409, "key_unknown", Ran::Unknown, None),
+            Kind::KeyExpired => row(410, "key_expired", Ran::Unknown, None),
+            Kind::ClaimUnavailable => row(503, "claim_unavailable", Ran::No, Some(2)),
+            Kind::ResumeUnknown => row(400, "resume_unknown", Ran::No, None),
+            Kind::ResumeGone => row(410, "resume_gone", Ran::Unknown, None),
+            Kind::Internal => row(500, "internal", Ran::Unknown, None),
         }
     }
 
@@ -115,3 +195,24 @@
         reply
     }
 }
+
+/// A refusal or failure with its message for the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Kind, from the closed list.
+    pub kind: Kind,
+    /// What the caller reads.
+    pub message: String,
+}
+
+impl Fault {
+    /// Fault of a kind.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Self { kind, message: message.into() }
+    }
+
+    /// The reply that tells it.
+    pub fn reply(&self) -> Reply {
+        self.kind.reply(&self.message)
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -196,7 +196,7 @@
     let task = rt.spawn(async move { handler.handle(req, peer).await });
     match task.await {
         Ok(reply) => respond(reply),
-        Err(_) => respond(Kind::EngineFailed.reply("the request failed inside the router")),
+        Err(_) => respond(Kind::Internal.reply("the request failed inside the router")),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod gateway;
 pub mod http;
+pub mod link;
 pub mod metrics;
 pub mod place;
 pub mod platform;
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -1,11 +1,11 @@
-//! Types generated from the files in `schema/`; `tests/schema.rs` keeps them current.
+//! Types generated from the files in `schema/`; `schema/gen` keeps them current.
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
-pub mod object;
+pub mod link;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
-pub mod peer;
+pub mod object;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod settings;
