--- a/src/schema.rs
+++ b/src/schema.rs
@@ -8,4 +8,7 @@
 pub mod object;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+pub mod placement;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod settings;
