End moved reservations at their former owner; walk in the decision logic

Cause: work made known to a new owner stayed on the former owner's account for ever and raised the mean.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -13,14 +13,18 @@
 const THREADS: usize = 3;
 
 fn main() {
-    let only_today = std::env::args().any(|a| a == "today");
-    let mut sizes = vec![Setup::today()];
-    if !only_today {
+    let has = |word: &str| std::env::args().any(|a| a == word);
+    let mut sizes = Vec::new();
+    if !has("target") {
+        sizes.push(Setup::today());
+    }
+    if !has("today") {
         sizes.push(Setup::target());
     }
+    let all: &[Policy] = if has("quick") { &[Policy::AllKnowing, Policy::Owners] } else { &Policy::ALL };
     for size in sizes {
-        table(&format!("{}: churn", size.name), &size, &Policy::ALL);
-        table(&format!("{}: surge", size.name), &size.clone().without_changes().with_surge(), &Policy::ALL);
+        table(&format!("{}: churn", size.name), &size, all);
+        table(&format!("{}: surge", size.name), &size.clone().without_changes().with_surge(), all);
         table(
             &format!("{}: surge and churn, callers at any router", size.name),
             &size.with_surge().with_named(0.0),
@@ -32,7 +36,7 @@
 fn table(title: &str, setup: &Setup, policies: &[Policy]) {
     println!("\n{title}: {} routers, {} engines, {} chats", setup.routers, setup.engines, setup.chats);
     println!(
-        "{:24} {:>8} {:>7} {:>7} {:>7} {:>7} {:>9} {:>8} {:>8} {:>8} {:>7} {:>6}",
+        "{:24} {:>8} {:>6} {:>6} {:>6} {:>6} {:>8} {:>6} {:>5} {:>6} {:>6} {:>7} {:>8} {:>8} {:>5}",
         "",
         "requests",
         "reuse",
@@ -40,7 +44,10 @@
         "worst",
         "usual",
         "over",
-        "messages",
+        "in use",
+        "over",
+        "msgs",
+        "asks",
         "scored",
         "failed",
         "refused",
@@ -53,7 +60,7 @@
         });
         for (policy, (o, seconds)) in chunk.iter().zip(runs) {
             println!(
-                "{:24} {:8} {:7.4} {:7.4} {:7.3} {:7.3} {:4}/{:4} {:8.3} {:8.1} {:8.5} {:7.5} {:6.1}",
+                "{:24} {:8} {:6.4} {:6.4} {:6.3} {:6.3} {:4}/{:3} {:6.3} {:5} {:6.3} {:6.3} {:7.1} {:8.5} {:8.5} {:5.1}",
                 policy.name(),
                 o.requests,
                 o.reuse,
@@ -62,7 +69,10 @@
                 o.usual,
                 o.over,
                 o.samples,
+                o.worst_in_use,
+                o.over_in_use,
                 o.messages,
+                o.asks,
                 o.scored,
                 o.failed,
                 o.refused,
--- a/benches/routing/model.rs
+++ b/benches/routing/model.rs
@@ -11,7 +11,7 @@
 use cranberrytally::{
     catalog::{AnyObject, Catalog, Id, Object},
     place::{
-        Placer, Refusal, Request,
+        Placer, Request,
         hint::{CachedCopy, Hint},
         ledger::HoldId,
         members::Member,
@@ -37,7 +37,7 @@
 const REPORT_PERIOD: Micros = SECOND / 2;
 /// Routers learn of a change at different times, up to this much apart.
 const LIST_LAG: f64 = 5.0;
-const RELEASE_PERIOD: Micros = SECOND / 4;
+const RELEASE_PERIOD: Micros = SECOND;
 const DIGEST_PERIOD: Micros = SECOND;
 const TOKEN_S: f64 = 0.034;
 const MEAN_OUTPUT: f64 = 282.0;
@@ -46,7 +46,6 @@
 /// A chat ends after this many turns, on average.
 const TURNS: f64 = 6.0;
 const MEAN_CONTEXT: f64 = 1_900.0;
-const MOST_ASKS: usize = 12;
 
 /// What a run gave.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -63,8 +62,13 @@
     /// Samples in which an engine stood above the bound.
     pub over: u64,
     pub samples: u64,
+    /// The worst sample and the samples above the bound, over engines in use only: without those held down.
+    pub worst_in_use: f64,
+    pub over_in_use: u64,
     /// Messages between routers for each request: reservations and their answers, releases.
     pub messages: f64,
+    /// Reservations asked for each request, this router's own included.
+    pub asks: f64,
     /// Engines scored for each request.
     pub scored: f64,
     /// Attempts at an engine that was not there, for each request.
@@ -179,12 +183,15 @@
     found: u64,
     moved: u64,
     messages: u64,
+    asks: u64,
     scored: u64,
     failed: u64,
     refused: u64,
     worst: f64,
     sum: f64,
     over: u64,
+    worst_in_use: f64,
+    over_in_use: u64,
     samples: u64,
 }
 
@@ -203,7 +210,10 @@
         usual: t.sum / t.samples.max(1) as f64,
         over: t.over,
         samples: t.samples,
+        worst_in_use: t.worst_in_use,
+        over_in_use: t.over_in_use,
         messages: per_request(t.messages),
+        asks: per_request(t.asks),
         scored: per_request(t.scored),
         failed: per_request(t.failed),
         refused: per_request(t.refused),
@@ -369,6 +379,7 @@
             let pool = self.pool_id();
             let req = Request { hold, engine: Some(id), pool, work, cached: false };
             self.routers[owner].placer.adopt(&req, now);
+            self.ended[r][old].push((hold.router, number));
             self.tally.messages += 2;
             if let Some(run) = self.running[slot].as_mut() {
                 run.owner = owner;
@@ -584,7 +595,7 @@
     fn release(&mut self, r: usize) {
         for owner in 0..self.routers.len() {
             if owner != r && !self.ended[r][owner].is_empty() {
-                self.tally.messages += 2;
+                self.tally.messages += if self.counting() { 2 } else { 0 };
                 self.release_to(r, owner);
             }
         }
@@ -640,24 +651,45 @@
 
     fn sample(&mut self) {
         self.at(self.now + SECOND, Event::Sample);
-        if (self.now as f64) < self.setup.warm * SECOND as f64 {
+        if !self.counting() {
             return;
         }
-        let live = self.engines.iter().filter(|e| e.alive && e.listed && !e.leaving);
-        let (mut busiest, mut sum, mut count) = (0, 0, 0);
-        for e in live {
-            busiest = busiest.max(e.work);
-            sum += e.work;
-            count += 1;
-        }
-        let ratio = busiest as f64 * f64::from(count) / sum.max(1) as f64;
+        let ratio = self.skew(|_| true);
+        let in_use: Vec<_> = (0..self.engines.len()).map(|e| self.in_use(e)).collect();
+        let ratio_in_use = self.skew(|e| in_use[e]);
         let t = &mut self.tally;
+        t.worst_in_use = t.worst_in_use.max(ratio_in_use);
+        t.over_in_use += u64::from(ratio_in_use > f64::from(self.setup.bound_milli) / 1_000.0);
         t.samples += 1;
         t.sum += ratio;
         t.worst = t.worst.max(ratio);
         t.over += u64::from(ratio > f64::from(self.setup.bound_milli) / 1_000.0);
     }
 
+    fn counting(&self) -> bool {
+        self.now as f64 >= self.setup.warm * SECOND as f64
+    }
+
+    /// Whether the engine's owner gives it work; a flapping engine is held down for a while.
+    fn in_use(&mut self, engine: usize) -> bool {
+        if self.policy != Policy::Owners {
+            return true;
+        }
+        let owner = self.owner(0, engine);
+        self.routers[owner].placer.health.in_use(self.engines[engine].id, self.instant())
+    }
+
+    /// Busiest over mean of the live engines that `count` takes in.
+    fn skew(&self, count: impl Fn(usize) -> bool) -> f64 {
+        let live = |at: &usize| {
+            let e = &self.engines[*at];
+            e.alive && e.listed && !e.leaving && count(*at)
+        };
+        let works = (0..self.engines.len()).filter(live).map(|e| self.engines[e].work);
+        let (n, sum, busiest) = works.fold((0u64, 0, 0), |(n, sum, max), w| (n + 1, sum + w, w.max(max)));
+        busiest as f64 * n as f64 / sum.max(1) as f64
+    }
+
     fn arrive(&mut self) {
         let Some(chat) = self.pick_chat() else { return };
         let c = &mut self.chats[chat as usize];
@@ -671,12 +703,13 @@
         let prompt = if c.turn == 0 { SYSTEM_PROMPT + USER_PROMPT } else { c.context + USER_PROMPT };
         let (context, returning) = (c.context, c.turn > 0);
         let work = u64::from(prompt) + MEAN_OUTPUT as u64;
-        let counted = self.now as f64 >= self.setup.warm * SECOND as f64;
-        let before = (self.tally.messages, self.tally.scored, self.tally.failed, self.tally.refused);
+        let counted = self.counting();
+        let t = &self.tally;
+        let before = (t.messages, t.asks, t.scored, t.failed, t.refused);
         let placed = self.place(router, chat, work);
         if !counted {
             let t = &mut self.tally;
-            (t.messages, t.scored, t.failed, t.refused) = before;
+            (t.messages, t.asks, t.scored, t.failed, t.refused) = before;
         }
         self.tally.requests += u64::from(counted);
         let Some((engine, owner, number)) = placed else { return };
--- a/benches/routing/policy.rs
+++ b/benches/routing/policy.rs
@@ -1,9 +1,9 @@
 //! The ways to place a chat: the server's own, and those it is compared with.
 
-use cranberrytally::{place::search::Candidate, util::hash};
+use cranberrytally::{place::search::Step, util::hash};
 use rand::Rng;
 
-use super::{HoldId, MOST_ASKS, News, Policy, Refusal, Request, Search, World};
+use super::{HoldId, News, Policy, Request, Search, World};
 
 /// Engine, owner of the reservation and its number.
 pub(super) type Place = (usize, usize, u64);
@@ -39,9 +39,8 @@
         let mut search = Search::new(&self.routers[r].placer, &cat, pool, &name, hint.as_deref(), []);
         self.chats[chat as usize].hint = hint;
         let mut found = None;
-        for _ in 0..MOST_ASKS {
-            let Some(candidate) = search.next(&self.routers[r].placer, &cat, pool, now) else { break };
-            let Some(place) = self.reserve(r, candidate, pool.id, work) else { continue };
+        while let Some(step) = search.next(&mut self.routers[r].placer, &cat, pool, now) {
+            let Some(place) = self.reserve(r, &step, pool.id, work) else { continue };
             if self.engines[place.0].alive {
                 found = Some(place);
                 break;
@@ -50,25 +49,24 @@
             self.ended[r][place.1].push((self.routers[r].id, place.2));
             self.release_to(r, place.1);
         }
-        self.tally.scored += search.scored as u64;
+        self.tally.scored += search.scored() as u64;
         self.tally.refused += u64::from(found.is_none());
         found
     }
 
-    fn reserve(&mut self, r: usize, c: Candidate, pool: super::Id, work: u64) -> Option<Place> {
-        let engine = self.by_id[&c.id];
-        let owner = self.owner(r, engine);
+    fn reserve(&mut self, r: usize, step: &Step, pool: super::Id, work: u64) -> Option<Place> {
+        let owner = step.owner.as_ref().map_or(r, |m| usize::from(m.peer.port()) - 1);
         let router = &mut self.routers[r];
         let number = router.next;
         router.next += 1;
         let hold = HoldId { router: router.id, number };
-        let req = Request { hold, engine: Some(c.id), pool, work, cached: c.cached > 0 };
+        let cached = step.engine.is_some_and(|c| c.cached > 0);
+        let req = Request { hold, engine: step.engine.map(|c| c.id), pool, work, cached };
+        self.tally.asks += 1;
         self.tally.messages += if owner == r { 0 } else { 2 };
         let (cat, now) = (self.routers[owner].cat.clone(), self.instant());
-        match self.routers[owner].placer.reserve(&cat, &req, now) {
-            Ok(_) => Some((engine, owner, number)),
-            Err(Refusal::AtBound | Refusal::NotInUse) => None,
-        }
+        let grant = self.routers[owner].placer.reserve(&cat, &req, now).ok()?;
+        Some((self.by_id[&grant.engine], owner, number))
     }
 
     /// Work of an engine as router `r` sees it: the last report and its own dispatches since.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -19,7 +19,7 @@
         hint::{CachedCopy, Hint, HintKey},
         ledger::HoldId,
         members::Member,
-        search::{Candidate, Search},
+        search::Search,
     },
     schema::{
         link::frame::Body,
@@ -32,15 +32,14 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long ended reservations wait to be told to their owner together.
-pub(crate) const RELEASE_PERIOD: Duration = Duration::from_millis(250);
-/// Engines asked for one request.
-const MOST_ASKS: usize = 12;
+pub(crate) const RELEASE_PERIOD: Duration = Duration::from_secs(1);
 const REFUSED_AT_BOUND: u32 = 0;
 const REFUSED_NOT_IN_USE: u32 = 1;
 
 /// Placement in a running router.
 #[derive(Debug)]
 pub(crate) struct Placement {
+    me: Id,
     placer: Mutex<Placer>,
     links: Links,
     hints: HintKey,
@@ -114,6 +113,7 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            me,
             placer: Mutex::new(Placer::new(me, data_centre.clone())),
             links,
             hints,
@@ -132,9 +132,7 @@
         match lock(&self.held).remove(&number) {
             Some(held) => lock(&self.ended).entry(held.owner).or_default().push(number),
             None => {
-                let mut placer = self.placer();
-                let me = placer.me();
-                placer.release(me, [number], now());
+                self.placer().release(self.me, [number], now());
             }
         }
     }
@@ -198,14 +196,10 @@
     pub(crate) async fn tell_ended(&self) {
         let ended = std::mem::take(&mut *lock(&self.ended));
         for (owner, numbers) in ended {
-            let (me, peer) = {
-                let placer = self.placer();
-                let peer = placer.members().list().iter().find(|m| m.id == owner).map(|m| m.peer);
-                (placer.me(), peer)
-            };
+            let peer = self.placer().members().list().iter().find(|m| m.id == owner).map(|m| m.peer);
             // An owner that has gone has forgotten its reservations.
             let Some(peer) = peer else { continue };
-            let body = Body::Release(Release { router: me.0, numbers: numbers.clone() });
+            let body = Body::Release(Release { router: self.me.0, numbers: numbers.clone() });
             if self.links.call(peer, body, RELEASE_TIMEOUT).await.is_err() {
                 lock(&self.ended).entry(owner).or_default().extend(numbers);
             }
@@ -227,7 +221,7 @@
             }
         }
         for (_, owner, req) in moved {
-            if owner.id == self.placer().me() {
+            if owner.id == self.me {
                 self.placer().adopt(&req, now());
                 lock(&self.held).remove(&req.hold.number);
                 continue;
@@ -249,37 +243,26 @@
         let place = &self.placement;
         let hint = ask.hint.as_deref().and_then(|text| place.hints.open(&ask.chat, text));
         let mut search = Search::new(&place.placer(), cat, pool, &ask.chat, hint.as_ref(), exclude);
-        for _ in 0..MOST_ASKS {
-            let next = search.next(&place.placer(), cat, pool, now());
-            let Some(candidate) = next else { break };
+        loop {
+            let step = search.next(&mut place.placer(), cat, pool, now());
+            let Some(step) = step else { break };
             // The slot exists before the owner is asked: a caller that goes away midway ends what was granted.
             let number = place.next.fetch_add(1, Ordering::Relaxed);
             let slot = Slot { placement: place.clone(), number, refused: false };
-            let (req, owner) = self.request(cat, pool, ask, candidate, number);
-            match place.reserve(cat, req, owner.as_ref()).await {
-                Ok(_) => return Ok(self.placed(cat, ask, &search, hint, candidate, slot)),
-                Err(_) => slot.refuse(),
+            let req = Request {
+                hold: HoldId { router: place.me, number },
+                engine: step.engine.map(|c| c.id),
+                pool: pool.id,
+                work: ask.work,
+                cached: step.engine.is_some_and(|c| c.cached > 0),
+            };
+            let reserved = place.reserve(cat, req, step.owner.as_ref()).await;
+            match reserved.ok().and_then(|id| pool.member(id)) {
+                Some(engine) => return Ok(self.placed(cat, ask, &search, hint, engine, slot)),
+                None => slot.refuse(),
             }
         }
-        if search.any_in_use { Err(Unplaced::AtBound) } else { Err(Unplaced::NoneInUse) }
-    }
-
-    fn request(
-        &self,
-        cat: &Catalog,
-        pool: &Pool,
-        ask: &Ask,
-        candidate: Candidate,
-        number: u64,
-    ) -> (Request, Option<Member>) {
-        let mut placer = self.placement.placer();
-        let me = placer.me();
-        let data_centre = &cat.engine(candidate.engine).data_centre;
-        let owner = placer.owner(candidate.id, data_centre).filter(|m| m.id != me).cloned();
-        let hold = HoldId { router: me, number };
-        let cached = candidate.cached > 0;
-        let req = Request { hold, engine: Some(candidate.id), pool: pool.id, work: ask.work, cached };
-        (req, owner)
+        if search.any_in_use() { Err(Unplaced::AtBound) } else { Err(Unplaced::NoneInUse) }
     }
 
     fn placed(
@@ -288,22 +271,22 @@
         ask: &Ask,
         search: &Search,
         hint: Option<Hint>,
-        found: Candidate,
+        key: EngineKey,
         slot: Slot,
     ) -> Placed {
         let mut placer = self.placement.placer();
-        let engine = cat.engine(found.engine);
-        placer.cache.note_start(found.id, search.chat());
+        let engine = cat.engine(key);
+        placer.cache.note_start(engine.id, search.chat());
         let copy = CachedCopy {
             engine: engine.name.clone(),
-            start: placer.health.start(found.id),
+            start: placer.health.start(engine.id),
             tokens: u32::try_from(ask.work).unwrap_or(u32::MAX),
         };
         let mut hint = hint.unwrap_or_default();
         hint.home = search.home().clone();
         let hint = self.placement.hints.seal(&ask.chat, &hint.with_copy(copy));
-        let router = placer.owner(found.id, &engine.data_centre).map(|m| m.addr);
-        Placed { engine: found.engine, slot, hint, router }
+        let router = placer.owner(engine.id, &engine.data_centre).map(|m| m.addr);
+        Placed { engine: key, slot, hint, router }
     }
 
     /// Notes what a router says of the load of its engines in a pool.
--- a/src/place/search.rs
+++ b/src/place/search.rs
@@ -2,12 +2,21 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use super::{hint::Hint, members::Distance, placer::Placer};
+use super::{
+    hint::Hint,
+    members::{Distance, Member},
+    placer::Placer,
+};
 use crate::{
     catalog::{Catalog, EngineKey, Id, Pool},
     util::{Instant, Set, hash},
 };
 
+/// Engines asked for by name before any engine with room will do.
+const NAMED_ASKS: u32 = 6;
+/// Owners asked for any of their engines.
+const ANY_ASKS: u32 = 3;
+
 /// An engine that may answer the chat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -19,6 +28,15 @@
     pub cached: u32,
 }
 
+/// The next thing to try for a chat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Router to ask; `None` for this one.
+    pub owner: Option<Member>,
+    /// Engine to reserve; `None` for any of the owner's with room.
+    pub engine: Option<Candidate>,
+}
+
 /// The walk. Data centres are ranked only when the walk reaches them.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -28,10 +46,10 @@
     /// Positions in the pool's list of data centres, nearest first.
     tiers: VecDeque<usize>,
     seen: Set<Id>,
-    /// Engines that were scored.
-    pub scored: usize,
-    /// Whether some engine was in use.
-    pub any_in_use: bool,
+    asked: u32,
+    any: u32,
+    scored: usize,
+    any_in_use: bool,
 }
 
 impl Search {
@@ -66,6 +84,8 @@
             tiers: tiers.into(),
             home,
             seen: exclude.into_iter().collect(),
+            asked: 0,
+            any: 0,
             scored: 0,
             any_in_use: false,
         }
@@ -81,20 +101,47 @@
         &self.home
     }
 
-    /// Engines met so far.
-    pub fn seen(&self) -> &Set<Id> {
-        &self.seen
+    /// Engines that were scored so far.
+    pub fn scored(&self) -> usize {
+        self.scored
+    }
+
+    /// Whether some engine met so far was in use.
+    pub fn any_in_use(&self) -> bool {
+        self.any_in_use
     }
 
-    /// The next engine in use; `None` when the walk is over.
-    pub fn next(&mut self, placer: &Placer, cat: &Catalog, pool: &Pool, now: Instant) -> Option<Candidate> {
+    /// The next thing to try; `None` when the walk is over.
+    ///
+    /// A chat whose first engines all stand at the bound has lost its cache already. It then takes any engine
+    /// with room: first one of this router's own, which costs no message, then those of two other owners.
+    pub fn next(&mut self, placer: &mut Placer, cat: &Catalog, pool: &Pool, now: Instant) -> Option<Step> {
+        if self.asked < NAMED_ASKS
+            && let Some(candidate) = self.candidate(placer, cat, pool, now)
+        {
+            self.asked += 1;
+            let data_centre = &cat.engine(candidate.engine).data_centre;
+            let me = placer.me();
+            let owner = placer.owner(candidate.id, data_centre).filter(|m| m.id != me).cloned();
+            return Some(Step { owner, engine: Some(candidate) });
+        }
+        if !self.any_in_use || self.any >= ANY_ASKS {
+            return None;
+        }
+        self.any += 1;
+        match self.any {
+            1 => Some(Step { owner: None, engine: None }),
+            n => self.other_owner(placer, n).map(|owner| Step { owner: Some(owner), engine: None }),
+        }
+    }
+
+    fn candidate(&mut self, placer: &Placer, cat: &Catalog, pool: &Pool, now: Instant) -> Option<Candidate> {
         loop {
             while let Some(candidate) = self.ready.pop_front() {
-                if !self.seen.insert(candidate.id) || !placer.health.in_use(candidate.id, now) {
-                    continue;
+                if self.seen.insert(candidate.id) && placer.health.in_use(candidate.id, now) {
+                    self.any_in_use = true;
+                    return Some(candidate);
                 }
-                self.any_in_use = true;
-                return Some(candidate);
             }
             let (_, ranking) = &pool.by_data_centre()[self.tiers.pop_front()?];
             self.scored += ranking.len();
@@ -104,8 +151,12 @@
         }
     }
 
-    /// Whether the walk has left the chat's own region.
-    pub fn is_far(&self, placer: &Placer, data_centre: &str) -> bool {
-        placer.members().distance(&self.home, data_centre) == Distance::Far
+    /// Another router of the region, a different one for each `n`, in the chat's own order.
+    fn other_owner(&self, placer: &Placer, n: u32) -> Option<Member> {
+        let members = placer.members();
+        let near = |m: &&Member| {
+            m.id != placer.me() && members.distance(&self.home, &m.data_centre) != Distance::Far
+        };
+        members.list().iter().filter(near).min_by_key(|m| hash((m.id.0, self.chat, n))).cloned()
     }
 }
