Take an engine that changes owner to carry the mean until its report; project digests

Cause: a new owner filled engines that were full, and a mean half a second old let them above the bound when a surge ended. Change: a new owner assumes the mean, a router that is not the owner refuses, digests carry on with their slope, work without a cached context goes to engines at or below the mean.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -22,6 +22,15 @@
         sizes.push(Setup::target());
     }
     let all: &[Policy] = if has("quick") { &[Policy::AllKnowing, Policy::Owners] } else { &Policy::ALL };
+    if has("trial") {
+        let mut mid = Setup::target();
+        (mid.engines, mid.routers, mid.chats, mid.warm, mid.seconds) = (200, 6, 246_000, 500.0, 1_000.0);
+        let own = &[Policy::Owners];
+        table("still", &mid.clone().without_changes(), own);
+        table("churn", &mid, own);
+        table("surge", &mid.clone().without_changes().with_surge(), own);
+        return;
+    }
     for size in sizes {
         table(&format!("{}: churn", size.name), &size, all);
         table(&format!("{}: surge", size.name), &size.clone().without_changes().with_surge(), all);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -35,6 +35,7 @@
 pub(crate) const RELEASE_PERIOD: Duration = Duration::from_secs(1);
 const REFUSED_AT_BOUND: u32 = 0;
 const REFUSED_NOT_IN_USE: u32 = 1;
+const REFUSED_NOT_OWNER: u32 = 2;
 
 /// Placement in a running router.
 #[derive(Debug)]
@@ -137,18 +138,17 @@
         }
     }
 
-    /// Reserves a candidate at its owner; an owner that can't be reached is passed by.
-    ///
-    /// Waiting for the owner would stop all chats of its engines while it restarts. This router then counts for
-    /// itself: what the engine reports beyond its own work keeps the bound within the reports' lag.
-    async fn reserve(&self, cat: &Catalog, req: Request, owner: Option<&Member>) -> Result<Id, Refusal> {
-        if let Some(owner) = owner {
-            match self.ask(req, owner).await {
-                Some(answer) => return answer,
-                None => self.metrics.retry("owner_unreachable"),
-            }
+    /// Reserves at the owner, which is this router or another.
+    async fn reserve(&self, cat: &Catalog, req: Request, owner: Option<&Member>) -> Option<Id> {
+        let Some(owner) = owner else {
+            return self.placer().reserve(cat, &req, now()).ok().map(|grant| grant.engine);
+        };
+        let answer = self.ask(req, owner).await;
+        if answer.is_none() {
+            self.metrics.retry("owner_unreachable");
+            self.placer().note_unreachable(owner.id, now());
         }
-        self.placer().reserve(cat, &req, now()).map(|grant| grant.engine)
+        answer?.ok()
     }
 
     async fn ask(&self, req: Request, owner: &Member) -> Option<Result<Id, Refusal>> {
@@ -160,7 +160,8 @@
                 lock(&self.held).remove(&number);
                 Some(Err(match refusal {
                     REFUSED_AT_BOUND => Refusal::AtBound,
-                    _ => Refusal::NotInUse,
+                    REFUSED_NOT_IN_USE => Refusal::NotInUse,
+                    _ => Refusal::NotOwner,
                 }))
             }
             Ok(Body::Reserved(Reserved { engine, .. })) => Some(Ok(Id(engine))),
@@ -182,8 +183,14 @@
         }
         match placer.reserve(cat, &req, now()) {
             Ok(grant) => Reserved { engine: grant.engine.0, refusal: 0 },
-            Err(Refusal::AtBound) => Reserved { engine: 0, refusal: REFUSED_AT_BOUND },
-            Err(Refusal::NotInUse) => Reserved { engine: 0, refusal: REFUSED_NOT_IN_USE },
+            Err(refusal) => Reserved {
+                engine: 0,
+                refusal: match refusal {
+                    Refusal::AtBound => REFUSED_AT_BOUND,
+                    Refusal::NotInUse => REFUSED_NOT_IN_USE,
+                    Refusal::NotOwner => REFUSED_NOT_OWNER,
+                },
+            },
         }
     }
 
@@ -257,7 +264,7 @@
                 cached: step.engine.is_some_and(|c| c.cached > 0),
             };
             let reserved = place.reserve(cat, req, step.owner.as_ref()).await;
-            match reserved.ok().and_then(|id| pool.member(id)) {
+            match reserved.and_then(|id| pool.member(id)) {
                 Some(engine) => return Ok(self.placed(cat, ask, &search, hint, engine, slot)),
                 None => slot.refuse(),
             }
--- a/src/place/bound.rs
+++ b/src/place/bound.rs
@@ -12,12 +12,16 @@
 
 /// A digest that was not renewed for this long is of a router that has gone.
 const DIGEST_LIFE: Duration = Duration::from_secs(5);
+/// Largest part of a digest's work by which it is projected.
+const MOST_CHANGE: f64 = 0.2;
+/// Digests that come closer together tell nothing of a slope.
+const LEAST_PERIOD_S: f64 = 0.2;
 /// Part of the room above the mean that is given out. The rest covers digests a second old, and requests of
 /// other engines that end while this engine's go on.
 const HEADROOM: f64 = 0.8;
-/// Part of that room which work without a cached context may use. It does as well elsewhere, and so leaves
-/// the room to chats that return to their cache.
-const UNCACHED_HEADROOM: f64 = 0.25;
+/// Part of that room which work without a cached context may use: none. It does as well on an engine at or
+/// below the mean, and so evens the load out and leaves the room to chats that return to their cache.
+const UNCACHED_HEADROOM: f64 = 0.0;
 
 /// Load of one owner's engines in one pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -69,33 +73,64 @@
     }
 }
 
+/// Two successive digests of one source.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    digest: Digest,
+    at: Instant,
+    /// Change of work a second between the two.
+    slope: f64,
+}
+
+impl Entry {
+    /// The digest as it probably is by now.
+    ///
+    /// While a surge ends, the work falls by a tenth each second. A mean that is half a second old then stands
+    /// above the true one, and would let engines through that are above the bound. The slope makes up for it.
+    fn projected(&self, now: Instant) -> Digest {
+        let change = self.slope * now.saturating_sub(self.at).as_secs_f64();
+        let work = self.digest.work as f64;
+        let most = work * MOST_CHANGE;
+        Digest { work: (work + change.clamp(-most, most)) as Work, ..self.digest }
+    }
+}
+
 /// Latest digests of the other owners.
 #[derive(Clone, Debug, Default)]
 pub struct Digests {
     /// By pool and source.
-    latest: Map<(Id, Id), (Digest, Instant)>,
+    latest: Map<(Id, Id), Entry>,
 }
 
 impl Digests {
     /// Notes what a source says of a pool.
     pub fn note(&mut self, source: Id, pool: Id, digest: Digest, now: Instant) {
-        self.latest.insert((pool, source), (digest, now));
+        let slope = self.latest.get(&(pool, source)).map_or(0.0, |old| {
+            let seconds = now.saturating_sub(old.at).as_secs_f64();
+            (digest.work as f64 - old.digest.work as f64) / seconds.max(LEAST_PERIOD_S)
+        });
+        self.latest.insert((pool, source), Entry { digest, at: now, slope });
     }
 
     /// Sum over the sources of a pool that are not out of date.
     pub fn total(&self, pool: Id, now: Instant) -> Digest {
         let mut total = Digest::default();
-        for ((of, _), (digest, at)) in &self.latest {
-            if *of == pool && now.saturating_sub(*at) < DIGEST_LIFE {
-                total.add(*digest);
+        for ((of, _), entry) in &self.latest {
+            if *of == pool && now.saturating_sub(entry.at) < DIGEST_LIFE {
+                total.add(entry.projected(now));
             }
         }
         total
     }
 
+    /// Forgets a source that has gone: its work was cut, or goes on at new owners.
+    pub fn remove(&mut self, source: Id) {
+        self.latest.retain(|(_, of), _| *of != source);
+    }
+
     /// Forgets what is out of date.
     pub fn expire(&mut self, now: Instant) {
-        self.latest.retain(|_, (_, at)| now.saturating_sub(*at) < DIGEST_LIFE);
+        self.latest.retain(|_, entry| now.saturating_sub(entry.at) < DIGEST_LIFE);
     }
 }
 
--- a/src/place/ledger.rs
+++ b/src/place/ledger.rs
@@ -10,8 +10,10 @@
 
 /// A reservation that nobody ended; no request runs this long.
 const LONGEST_HOLD: Duration = Duration::from_secs(900);
-/// Two buckets of this length span the lag of an engine's report.
-const PEAK_BUCKET: Duration = Duration::from_secs(3);
+/// Age that an engine's report may have; the load at that time is looked up in this span of the past.
+const REPORT_AGE: std::ops::Range<Duration> = Duration::from_secs(1)..Duration::from_secs(4);
+/// Time between two remembered loads.
+const PAST_STEP: Duration = Duration::from_millis(250);
 /// Releases remembered against reservations that arrive after them.
 const EARLY_RELEASES: usize = 1024;
 
@@ -28,42 +30,46 @@
 struct Hold {
     engine: Id,
     work: Work,
+    adopted: bool,
     since: Instant,
 }
 
 /// Load of one engine.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Account {
     /// Work reserved here.
     pub work: Work,
+    /// Part of it that was already running when this router became the owner.
+    pub adopted: Work,
     /// Requests reserved here.
     pub running: u32,
-    /// Requests that the engine reports beyond those reserved here.
-    pub foreign: u32,
-    peak: Peak,
+    /// Requests that the engine reports beyond those reserved here; `None` before the first report.
+    pub foreign: Option<u32>,
+    past: Past,
 }
 
-/// Most requests over the last one to two buckets of time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Peak {
-    since: Instant,
-    current: u32,
-    previous: u32,
+/// Requests reserved over the last seconds.
+#[derive(Clone, Debug, Default)]
+struct Past {
+    steps: VecDeque<(Instant, u32)>,
 }
 
-impl Peak {
+impl Past {
     fn note(&mut self, running: u32, now: Instant) {
-        if now.saturating_sub(self.since) >= PEAK_BUCKET {
-            let fresh = now.saturating_sub(self.since) < 2 * PEAK_BUCKET;
-            self.previous = if fresh { self.current } else { running };
-            self.current = running;
-            self.since = now;
+        match self.steps.back_mut() {
+            Some((at, most)) if now.saturating_sub(*at) < PAST_STEP => *most = running.max(*most),
+            _ => self.steps.push_back((now, running)),
+        }
+        // The last step before the span says what was reserved at its start.
+        while self.steps.get(1).is_some_and(|(at, _)| now.saturating_sub(*at) > REPORT_AGE.end) {
+            self.steps.pop_front();
         }
-        self.current = self.current.max(running);
     }
 
-    fn most(&self) -> u32 {
-        self.current.max(self.previous)
+    /// Most requests at any time that a report of now may speak of.
+    fn most(&self, now: Instant) -> u32 {
+        let old = |(at, _): &&(Instant, u32)| now.saturating_sub(*at) >= REPORT_AGE.start;
+        self.steps.iter().filter(old).map(|(_, most)| *most).max().unwrap_or(0)
     }
 }
 
@@ -78,8 +84,8 @@
 
 impl Ledger {
     /// Load of an engine.
-    pub fn account(&self, engine: Id) -> Account {
-        self.accounts.get(&engine).copied().unwrap_or_default()
+    pub fn account(&self, engine: Id) -> Option<&Account> {
+        self.accounts.get(&engine)
     }
 
     /// Engines with their load.
@@ -97,14 +103,24 @@
     /// A release can overtake its reservation when the caller gave up waiting for the answer. Counting the
     /// late reservation would load the engine until [`LONGEST_HOLD`] with work that never comes.
     pub fn add(&mut self, id: HoldId, engine: Id, work: Work, now: Instant) {
+        self.insert(id, Hold { engine, work, adopted: false, since: now }, now);
+    }
+
+    /// Counts work that was already running when this router became the engine's owner.
+    pub fn adopt(&mut self, id: HoldId, engine: Id, work: Work, now: Instant) {
+        self.insert(id, Hold { engine, work, adopted: true, since: now }, now);
+    }
+
+    fn insert(&mut self, id: HoldId, hold: Hold, now: Instant) {
         if self.early_set.contains(&id) || self.holds.contains_key(&id) {
             return;
         }
-        self.holds.insert(id, Hold { engine, work, since: now });
-        let account = self.accounts.entry(engine).or_default();
-        account.work += work;
+        self.holds.insert(id, hold);
+        let account = self.accounts.entry(hold.engine).or_default();
+        account.work += hold.work;
+        account.adopted += if hold.adopted { hold.work } else { 0 };
         account.running += 1;
-        account.peak.note(account.running, now);
+        account.past.note(account.running, now);
     }
 
     /// Ends a reservation.
@@ -117,9 +133,10 @@
 
     fn subtract(&mut self, hold: Hold, now: Instant) {
         if let Some(account) = self.accounts.get_mut(&hold.engine) {
-            account.peak.note(account.running, now);
             account.work = account.work.saturating_sub(hold.work);
+            account.adopted = account.adopted.saturating_sub(if hold.adopted { hold.work } else { 0 });
             account.running = account.running.saturating_sub(1);
+            account.past.note(account.running, now);
         }
     }
 
@@ -135,6 +152,13 @@
         }
     }
 
+    /// Forgets the reports of engines that another router owned until now.
+    pub fn forget_reports(&mut self, which: impl Fn(Id) -> bool) {
+        for (_, account) in self.accounts.iter_mut().filter(|(id, _)| which(**id)) {
+            account.foreign = None;
+        }
+    }
+
     /// Ends all reservations of a router that has gone.
     pub fn drop_router(&mut self, router: Id, now: Instant) {
         self.end(now, |id, _| id.router == router);
@@ -156,11 +180,11 @@
     /// Notes how many requests an engine says it runs, a few seconds ago.
     ///
     /// Two routers that both take themselves for the owner don't see each other's reservations. What the
-    /// engine reports beyond the most that was reserved here in that time is the other's, and counts against
+    /// engine reports beyond the most that was reserved here at that time is the other's, and counts against
     /// the bound. So is the work of a former owner, until its holders made it known here.
     pub fn note_report(&mut self, engine: Id, running: u32, now: Instant) {
         let account = self.accounts.entry(engine).or_default();
-        account.peak.note(account.running, now);
-        account.foreign = running.saturating_sub(account.peak.most());
+        account.past.note(account.running, now);
+        account.foreign = Some(running.saturating_sub(account.past.most(now)));
     }
 }
--- a/src/place/members.rs
+++ b/src/place/members.rs
@@ -67,6 +67,12 @@
         self.list.get(at)
     }
 
+    /// Engines whose owner was looked up and is `member`.
+    pub fn known_of(&self, member: Id) -> impl Iterator<Item = Id> {
+        let of = move |(&id, &at): (&Id, &usize)| (self.list.get(at)?.id == member).then_some(id);
+        self.owners.iter().filter_map(of)
+    }
+
     /// How far apart two data centres are.
     pub fn distance(&self, a: &str, b: &str) -> Distance {
         if a == b {
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -17,6 +17,11 @@
 
 /// How long a computed mean serves.
 const MEAN_LIFE: Duration = Duration::from_millis(50);
+/// How long a new owner without a report takes an engine to carry the mean. Reports come well within it; an
+/// engine that reports nothing must not stay half empty for ever.
+const UNSURE: Duration = Duration::from_secs(6);
+/// How long a router that did not answer is not asked again.
+const UNREACHABLE: Duration = Duration::from_secs(2);
 
 /// A wish to reserve work on one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +52,8 @@
     AtBound,
     /// It is down, leaving, held down or not in the pool.
     NotInUse,
+    /// The router that was asked does not take itself for the owner: the lists of routers differ.
+    NotOwner,
 }
 
 /// Engines of one pool that this router owns, as of one version of the configuration.
@@ -65,6 +72,10 @@
     digests: Digests,
     means: Map<Id, (Mean, Instant)>,
     owned: Map<Id, Owned>,
+    /// Engines that this router owned before the list of routers changed.
+    sure: Set<Id>,
+    unsure_until: Instant,
+    unreachable: Map<Id, Instant>,
     /// Health of engines.
     pub health: Health,
     /// Reservations granted by this router.
@@ -83,6 +94,9 @@
             digests: Digests::default(),
             means: Map::default(),
             owned: Map::default(),
+            sure: Set::default(),
+            unsure_until: Instant::ZERO,
+            unreachable: Map::default(),
             health: Health::default(),
             ledger: Ledger::default(),
             cache: CacheEvents::default(),
@@ -105,12 +119,37 @@
         for member in self.members.list().to_vec() {
             if !live.contains(&member.id) && member.id != self.me {
                 self.ledger.drop_router(member.id, now);
+                self.digests.remove(member.id);
             }
         }
+        self.take_over(list.len(), now);
         self.members = Members::new(list);
         self.owned.clear();
     }
 
+    fn take_over(&mut self, members: usize, now: Instant) {
+        let alone = self.members.list().is_empty() && members == 1;
+        if alone {
+            return;
+        }
+        let unsure = now < self.unsure_until;
+        let before: Set<Id> = self.members.known_of(self.me).collect();
+        self.sure = before.into_iter().filter(|id| !unsure || self.sure.contains(id)).collect();
+        self.unsure_until = now + UNSURE;
+        let sure = &self.sure;
+        self.ledger.forget_reports(|id| !sure.contains(&id));
+    }
+
+    /// Notes that a router did not answer in time.
+    pub fn note_unreachable(&mut self, router: Id, now: Instant) {
+        self.unreachable.insert(router, now + UNREACHABLE);
+    }
+
+    /// Whether a router may be asked.
+    pub fn reachable(&self, router: Id, now: Instant) -> bool {
+        self.unreachable.get(&router).is_none_or(|until| now >= *until)
+    }
+
     /// The router that owns an engine.
     pub fn owner(&mut self, engine: Id, data_centre: &str) -> Option<&Member> {
         self.members.owner(engine, data_centre)
@@ -155,7 +194,8 @@
     /// Reserves work on an engine as its owner; a repeat of a granted request is granted again, counted once.
     ///
     /// # Errors
-    /// When the engine is at the bound or not in use.
+    /// When the engine is at the bound, not in use or not owned by this router. Were a former owner to go on
+    /// granting for routers with an old list, two owners would fill the engine for as long as the lists differ.
     pub fn reserve(&mut self, cat: &Catalog, req: &Request, now: Instant) -> Result<Grant, Refusal> {
         if let Some(engine) = self.ledger.held(req.hold) {
             return Ok(Grant { engine });
@@ -170,9 +210,15 @@
         if !self.health.in_use(engine, now) {
             return Err(Refusal::NotInUse);
         }
+        let engine_of = cat.engine(key);
+        let owner = self.members.owner(engine, &engine_of.data_centre);
+        if owner.is_some_and(|m| m.id != self.me) {
+            return Err(Refusal::NotOwner);
+        }
         let any = req.engine.is_none();
-        let limit = mean.limit(cat.engine(key).capacity, pool.load_bound, req.work, req.cached || any);
-        if self.load(engine, mean) + req.work as f64 > limit {
+        let capacity = engine_of.capacity;
+        let limit = mean.limit(capacity, pool.load_bound, req.work, req.cached || any);
+        if self.load(engine, capacity, mean, now) + req.work as f64 > limit {
             return Err(Refusal::AtBound);
         }
         self.ledger.add(req.hold, engine, req.work, now);
@@ -182,7 +228,7 @@
     /// Counts work that already runs on an engine which this router now owns. It is never refused.
     pub fn adopt(&mut self, req: &Request, now: Instant) {
         if let Some(engine) = req.engine {
-            self.ledger.add(req.hold, engine, req.work, now);
+            self.ledger.adopt(req.hold, engine, req.work, now);
         }
     }
 
@@ -196,6 +242,7 @@
     /// Forgets what is out of date or no longer configured.
     pub fn expire(&mut self, cat: &Catalog, now: Instant) {
         self.digests.expire(now);
+        self.unreachable.retain(|_, until| now < *until);
         self.health.retain(|id| cat.key(id).is_some());
         self.ledger.expire(now, |id| cat.key(id).is_some());
     }
@@ -227,9 +274,20 @@
         engines
     }
 
-    fn load(&self, engine: Id, mean: Mean) -> f64 {
+    /// Load of an engine: what is reserved here, and what it reports beyond that.
+    ///
+    /// A new owner doesn't know yet what the former one granted, and would fill an engine that is full. Until
+    /// the first report it takes the engine to carry the mean, beside what it reserves itself. While a former
+    /// owner still grants up to the bound `b`, the new one thus adds at most `b - 1`: together `2b - 1` means.
+    fn load(&self, engine: Id, capacity: u32, mean: Mean, now: Instant) -> f64 {
         let account = self.ledger.account(engine);
-        account.work as f64 + f64::from(account.foreign) * mean.per_request
+        let (work, adopted) = account.map_or((0, 0), |a| (a.work, a.adopted));
+        let foreign = account.and_then(|a| a.foreign);
+        if foreign.is_none() && now < self.unsure_until && !self.sure.contains(&engine) {
+            let former = (mean.per_capacity * f64::from(capacity)).max(adopted as f64);
+            return former + (work - adopted) as f64;
+        }
+        work as f64 + f64::from(foreign.unwrap_or(0)) * mean.per_request
     }
 
     fn roomiest(&mut self, cat: &Catalog, pool: &Pool, now: Instant) -> Option<Id> {
@@ -239,7 +297,7 @@
             if !self.health.in_use(id, now) {
                 continue;
             }
-            let load = self.load(id, mean) / f64::from(capacity);
+            let load = self.load(id, capacity, mean, now) / f64::from(capacity);
             if best.is_none_or(|(least, _)| load < least) {
                 best = Some((load, id));
             }
--- a/src/place/search.rs
+++ b/src/place/search.rs
@@ -115,14 +115,20 @@
     ///
     /// A chat whose first engines all stand at the bound has lost its cache already. It then takes any engine
     /// with room: first one of this router's own, which costs no message, then those of two other owners.
+    ///
+    /// An engine whose owner does not answer is passed by. Were every router to count for itself meanwhile, they
+    /// would together fill it many times over; so its chats lose their cache until the lists agree.
     pub fn next(&mut self, placer: &mut Placer, cat: &Catalog, pool: &Pool, now: Instant) -> Option<Step> {
-        if self.asked < NAMED_ASKS
+        while self.asked < NAMED_ASKS
             && let Some(candidate) = self.candidate(placer, cat, pool, now)
         {
-            self.asked += 1;
             let data_centre = &cat.engine(candidate.engine).data_centre;
             let me = placer.me();
             let owner = placer.owner(candidate.id, data_centre).filter(|m| m.id != me).cloned();
+            if owner.as_ref().is_some_and(|m| !placer.reachable(m.id, now)) {
+                continue;
+            }
+            self.asked += 1;
             return Some(Step { owner, engine: Some(candidate) });
         }
         if !self.any_in_use || self.any >= ANY_ASKS {
@@ -131,7 +137,7 @@
         self.any += 1;
         match self.any {
             1 => Some(Step { owner: None, engine: None }),
-            n => self.other_owner(placer, n).map(|owner| Step { owner: Some(owner), engine: None }),
+            n => self.other_owner(placer, n, now).map(|owner| Step { owner: Some(owner), engine: None }),
         }
     }
 
@@ -152,10 +158,12 @@
     }
 
     /// Another router of the region, a different one for each `n`, in the chat's own order.
-    fn other_owner(&self, placer: &Placer, n: u32) -> Option<Member> {
+    fn other_owner(&self, placer: &Placer, n: u32, now: Instant) -> Option<Member> {
         let members = placer.members();
         let near = |m: &&Member| {
-            m.id != placer.me() && members.distance(&self.home, &m.data_centre) != Distance::Far
+            m.id != placer.me()
+                && placer.reachable(m.id, now)
+                && members.distance(&self.home, &m.data_centre) != Distance::Far
         };
         members.list().iter().filter(near).min_by_key(|m| hash((m.id.0, self.chat, n))).cloned()
     }
--- a/src/schema/placement.rs
+++ b/src/schema/placement.rs
@@ -60,7 +60,7 @@
     /// Engine reserved; 0 when refused.
     #[prost(uint64, tag = "1")]
     pub engine: u64,
-    /// Why it was refused: 0 at the bound, 1 not in use.
+    /// Why it was refused: 0 at the bound, 1 not in use, 2 not owned by the router asked.
     #[prost(uint32, tag = "2")]
     pub refusal: u32,
 }
