--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -13,6 +13,7 @@
 
 /// Runs at a time, so that the machine stays usable.
 const THREADS: usize = 3;
+const SEEDS: u64 = 20;
 
 fn main() {
     let has = |word: &str| std::env::args().any(|a| a == word);
@@ -28,6 +29,10 @@
         sizes.push(Setup::target());
     }
     let all: &[Policy] = if has("quick") { &[Policy::AllKnowing, Policy::Owners] } else { &Policy::ALL };
+    if !has("target") {
+        seeds("today: churn", &Setup::today());
+        seeds("today: surge", &Setup::today().without_changes().with_surge());
+    }
     for size in sizes {
         table(&format!("{}: churn", size.name), &size, all);
         table(&format!("{}: surge", size.name), &size.clone().without_changes().with_surge(), all);
@@ -88,6 +93,29 @@
     }
 }
 
+/// Small pools vary by chance: the same over many seeds.
+fn seeds(title: &str, setup: &Setup) {
+    println!("\n{title}, {SEEDS} seeds");
+    println!("{:24} {:>10} {:>6} {:>11} {:>6} {:>11}", "", "reuse/best", "worst", "over", "in use", "over");
+    let run = |policy| -> Vec<Outcome> {
+        (0..SEEDS).map(|seed| model::run(&Setup { seed, ..setup.clone() }, policy)).collect()
+    };
+    let best: f64 = run(Policy::AllKnowing).iter().map(|o| o.reuse).sum();
+    for policy in Policy::ALL {
+        let runs = run(policy);
+        let reuse: f64 = runs.iter().map(|o| o.reuse).sum();
+        let worst = runs.iter().map(|o| o.worst).fold(0.0, f64::max);
+        let in_use = runs.iter().map(|o| o.worst_in_use).fold(0.0, f64::max);
+        let (over, over_in_use) = runs.iter().fold((0, 0), |n, o| (n.0 + o.over, n.1 + o.over_in_use));
+        let samples: u64 = runs.iter().map(|o| o.samples).sum();
+        println!(
+            "{:24} {:10.4} {worst:6.3} {over:5}/{samples} {in_use:6.3} {over_in_use:5}/{samples}",
+            policy.name(),
+            reuse / best
+        );
+    }
+}
+
 fn timed(setup: &Setup, policy: Policy) -> (Outcome, f64) {
     let start = Instant::now();
     let outcome = model::run(setup, policy);
