Check settings against one table and show the same tables in the docs

Cause: the first settings reader stopped at the first error and gave no line. Change: a file is read as a tree with lines, checked against one table of key, unit, default and range, and every error is told at once. Logs by level, as text or JSON lines.

--- /dev/null
+++ b/examples/tables.rs
@@ -0,0 +1,25 @@
+//! Prints the tables of the documentation: `cargo run --example tables`.
+
+use cranberrytally::{
+    config::{FIELDS, Takes},
+    error::Kind,
+    metrics::Counter,
+};
+
+fn main() {
+    for f in FIELDS {
+        let unit = if matches!(f.takes, Takes::Number(..)) { format!(" {}", f.unit) } else { String::new() };
+        println!("| `{}` | {}{unit} | {} | {} |", f.key, f.default_text(), f.range_text(), f.about);
+    }
+    println!();
+    for kind in Kind::ALL {
+        let a = kind.answer();
+        let retry = a.retry_s.map_or("no".to_owned(), |s| format!("after {s} s"));
+        println!("| `{}` | {} | {} | {retry} | {} |", a.code, a.status, a.ran.as_str(), a.about);
+    }
+    println!();
+    for counter in Counter::ALL {
+        let shown = counter.shown();
+        println!("| `{}_total` | `{}` | {} |", shown.name, shown.label, shown.about);
+    }
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -1,6 +1,6 @@
 //! `demo`: a small fleet with stand-ins in one process, a set of returning chats, and a table of what came of them.
 
-use std::{net::TcpListener, process::ExitCode, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::TcpListener, process::ExitCode, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -13,7 +13,8 @@
     catalog::{AnyObject, Object},
     client::Client,
     config::Settings,
-    http::{BodyLimits, Server},
+    http::{Limits, Server},
+    metrics::Counter,
     schema::object::Meta,
     serve::Running,
     standin::{engine::EngineStandin, platform::PlatformStandin, service::ServiceStandin},
@@ -55,14 +56,14 @@
         let (mut engines, mut services) = (Vec::new(), Vec::new());
         for i in 0..ENGINES {
             let engine = Arc::new(EngineStandin::new(TOKENS, TOKEN_TIME, CACHE));
-            let server = Server::start(loopback()?, 1, BodyLimits::default(), engine.clone())?;
+            let server = Server::start(loopback()?, 1, Limits::default(), engine.clone())?;
             put(&platform, backend(&format!("engine-{i}"), "model", &server))?;
             servers.push(server);
             engines.push(engine);
         }
         for i in 0..SERVERS {
             let service = Arc::new(ServiceStandin::default());
-            let server = Server::start(loopback()?, 1, BodyLimits::default(), service.clone())?;
+            let server = Server::start(loopback()?, 1, Limits::default(), service.clone())?;
             put(&platform, backend(&format!("app-{i}"), "app", &server))?;
             servers.push(server);
             services.push(service);
@@ -70,7 +71,7 @@
         for obj in policy() {
             put(&platform, obj)?;
         }
-        let server = Server::start(loopback()?, 1, BodyLimits::default(), platform)?;
+        let server = Server::start(loopback()?, 1, Limits::default(), platform)?;
         let mut routers = Vec::new();
         for i in 0..ROUTERS {
             let listener = loopback()?;
@@ -198,13 +199,21 @@
     println!("broken or refused        {broken}");
     println!("cache reuse              {:.3}", hits as f64 / returns.max(1) as f64);
     println!("busiest engine over mean {:.2}", busiest as f64 / mean);
-    for r in &fleet.routers {
-        for ((counter, label), n) in r.metrics().totals() {
-            println!("{:24} {n}", format!("{counter} {label}"));
+    for counter in [Counter::Requests, Counter::Refusals, Counter::Retries, Counter::RetriesRefused] {
+        for (value, n) in sum(fleet, counter) {
+            println!("{:24} {n}", format!("{} {value}", counter.shown().name));
         }
     }
 }
 
+fn sum(fleet: &Fleet, counter: Counter) -> BTreeMap<String, u64> {
+    let mut totals = BTreeMap::new();
+    for (value, n) in fleet.routers.iter().flat_map(|r| r.metrics().totals(counter)) {
+        *totals.entry(value).or_default() += n;
+    }
+    totals
+}
+
 fn loopback() -> Result<TcpListener> {
     TcpListener::bind("127.0.0.1:0").context("could not listen on loopback")
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 
 use super::Run;
-use crate::{config::Settings, serve::Running};
+use crate::{config::Settings, logs, serve::Running};
 
 #[derive(Debug, Options)]
 pub(crate) struct Serve {
@@ -19,6 +19,7 @@
 impl Run for Serve {
     fn run(&self) -> Result<ExitCode> {
         let cfg = Settings::load(&self.config)?;
+        logs::start(&cfg.log_level, &cfg.log_format)?;
         let rt = tokio::runtime::Runtime::new().context("could not start the runtime")?;
         rt.block_on(async {
             let running = Running::start(&cfg)?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,4 +1,4 @@
-//! Settings of a router, read from YAML and checked.
+//! Settings of a router, read from YAML and checked against one table.
 
 use std::{fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
@@ -6,8 +6,12 @@
 
 use crate::schema::settings as raw;
 
-const BODY_BYTES: u64 = 1 << 20;
-const BODY_MS: u64 = 10_000;
+mod check;
+mod fields;
+mod tree;
+
+pub use check::Fault;
+pub use fields::{FIELDS, Field, Takes};
 
 /// Checked settings of one router.
 #[derive(Clone, Debug)]
@@ -28,17 +32,25 @@
     pub seeds: Vec<SocketAddr>,
     /// Key that authenticates routers to each other.
     pub shared_key: Arc<str>,
+    /// Workers of the HTTP server.
+    pub http_threads: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
     /// Longest time for a request body to arrive.
     pub body_time: Duration,
+    /// Longest time for a request head to arrive.
+    pub head_time: Duration,
+    /// Lowest level that is logged.
+    pub log_level: Arc<str>,
+    /// Form of a log line.
+    pub log_format: Arc<str>,
 }
 
 impl Settings {
     /// Reads and checks a file.
     ///
     /// # Errors
-    /// When the file can't be read or a field is wrong.
+    /// When the file can't be read, or names all that is wrong with it.
     pub fn load(path: &Path) -> Result<Self> {
         let text = fs::read_to_string(path).with_context(|| format!("could not read {}", path.display()))?;
         Self::parse(&text).with_context(|| format!("could not accept {}", path.display()))
@@ -47,32 +59,62 @@
     /// Parses and checks YAML text.
     ///
     /// # Errors
-    /// When a field is unknown, missing or wrong.
+    /// Names all that is wrong, each with its line and key.
     pub fn parse(text: &str) -> Result<Self> {
-        let raw: raw::Settings = serde_saphyr::from_str(text)?;
-        Self::check(raw)
+        let faults = faults(text)?;
+        if !faults.is_empty() {
+            let lines: Vec<_> = faults.iter().map(Fault::to_string).collect();
+            bail!("{} setting(s) are wrong\n  {}", lines.len(), lines.join("\n  "));
+        }
+        let raw: raw::Settings = serde_saphyr::from_str(text).context("could not read the settings")?;
+        Self::from_raw(raw)
     }
 
-    fn check(raw: raw::Settings) -> Result<Self> {
-        if raw.name.is_empty() {
-            bail!("`name` is missing");
-        }
+    fn from_raw(raw: raw::Settings) -> Result<Self> {
         let limits = raw.limits.unwrap_or_default();
+        let log = raw.log.unwrap_or_default();
         Ok(Self {
             name: raw.name.into(),
-            listen: address("listen", &raw.listen)?,
-            peer_listen: address("peer_listen", &raw.peer_listen)?,
+            listen: raw.listen.parse()?,
+            peer_listen: raw.peer_listen.parse()?,
             data_centre: raw.data_centre.into(),
             region: raw.region.into(),
-            platform: address("platform", &raw.platform)?,
-            seeds: raw.seeds.iter().map(|s| address("seeds", s)).collect::<Result<_>>()?,
+            platform: raw.platform.parse()?,
+            seeds: raw.seeds.iter().map(|s| s.parse()).collect::<Result<_, _>>()?,
             shared_key: raw.shared_key.into(),
-            body_bytes: limits.body_bytes.unwrap_or(BODY_BYTES) as usize,
-            body_time: Duration::from_millis(limits.body_ms.unwrap_or(BODY_MS)),
+            http_threads: number("http_threads", raw.http_threads) as usize,
+            body_bytes: number("limits.body_bytes", limits.body_bytes) as usize,
+            body_time: millis("limits.body_ms", limits.body_ms),
+            head_time: millis("limits.head_ms", limits.head_ms),
+            log_level: word("log.level", log.level),
+            log_format: word("log.format", log.format),
         })
     }
 }
 
-fn address(key: &str, text: &str) -> Result<SocketAddr> {
-    text.parse().with_context(|| format!("`{key}` is not an IP address and port: {text:?}"))
+/// Lists all that is wrong with YAML text.
+///
+/// # Errors
+/// When the text is no YAML mapping.
+pub fn faults(text: &str) -> Result<Vec<Fault>> {
+    let root: tree::Section = serde_saphyr::from_str(text).context("could not read the YAML")?;
+    Ok(check::check(root).1)
+}
+
+fn number(key: &str, given: Option<u64>) -> u64 {
+    match fields::find(key).map(|f| f.takes) {
+        Some(Takes::Number(default, ..)) => given.unwrap_or(default),
+        _ => unreachable!("{key} is no number in the table"),
+    }
+}
+
+fn millis(key: &str, given: Option<u64>) -> Duration {
+    Duration::from_millis(number(key, given))
+}
+
+fn word(key: &str, given: Option<String>) -> Arc<str> {
+    match fields::find(key).map(|f| f.takes) {
+        Some(Takes::OneOf(words)) => given.as_deref().unwrap_or(words[0]).into(),
+        _ => unreachable!("{key} is no word in the table"),
+    }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -104,6 +104,8 @@
     pub ran: Ran,
     /// Seconds after which a retry makes sense; `None` where it does not.
     pub retry_s: Option<u32>,
+    /// What it means.
+    pub about: &'static str,
 }
 
 impl Kind {
@@ -145,40 +147,130 @@
 
     /// The table from kind to answer.
     pub fn answer(self) -> Answer {
-        let row = |status, code, ran, retry_s| Answer { status, code, ran, retry_s };
+        let row = |status, code, ran, retry_s, about| Answer { status, code, ran, retry_s, about };
         match self {
-            Kind::BadRequest => row(400, "bad_request", Ran::No, None),
-            Kind::BodyTooLarge => row(413, "body_too_large", Ran::No, None),
-            Kind::BodyTimeout => row(408, "body_timeout", Ran::No, Some(0)),
-            Kind::NotFound => row(404, "not_found", Ran::No, None),
-            Kind::MethodNotAllowed => row(405, "method_not_allowed", Ran::No, None),
-            Kind::UnknownWorkspace => row(403, "unknown_workspace", Ran::No, None),
-            Kind::UnknownService => row(404, "unknown_service", Ran::No, None),
-            Kind::NoPolicy => row(403, "no_policy", Ran::No, None),
-            Kind::NoEngine => row(503, "no_engine", Ran::No, Some(2)),
-            Kind::NotReady => row(503, "not_ready", Ran::No, Some(1)),
-            Kind::Leaving => row(503, "leaving", Ran::No, Some(0)),
-            Kind::DeadlineUnmeetable => row(503, "deadline_unmeetable", Ran::No, Some(1)),
-            Kind::DeadlinePassed => row(504, "deadline_passed", Ran::No, None),
-            Kind::QueueFull => row(503, "queue_full", Ran::No, Some(1)),
-            Kind::WorkspaceLimit => row(429, "workspace_limit", Ran::No, Some(1)),
-            Kind::GroupLimit => row(429, "group_limit", Ran::No, Some(1)),
-            Kind::RetryBudget => row(503, "retry_budget", Ran::No, Some(2)),
-            Kind::AttemptLimit => row(503, "attempt_limit", Ran::No, Some(2)),
-            Kind::Quarantined => row(422, "quarantined", Ran::No, None),
-            Kind::SuspectBusy => row(503, "suspect_busy", Ran::No, Some(2)),
-            Kind::ConnectFailed => row(502, "connect_failed", Ran::No, Some(1)),
-            Kind::EngineFailed => row(502, "engine_failed", Ran::Unknown, None),
-            Kind::EngineRefused => row(503, "engine_refused", Ran::No, Some(1)),
-            Kind::KeyRequired => row(400, "key_required", Ran::No, None),
-            Kind::KeyConflict => row(409, "key_conflict", Ran::No, None),
-            Kind::KeyPending => row(409, "key_pending", Ran::Unknown, Some(1)),
-            Kind::KeyUnknown => row(409, "key_unknown", Ran::Unknown, None),
-            Kind::KeyExpired => row(410, "key_expired", Ran::Unknown, None),
-            Kind::ClaimUnavailable => row(503, "claim_unavailable", Ran::No, Some(2)),
-            Kind::ResumeUnknown => row(400, "resume_unknown", Ran::No, None),
-            Kind::ResumeGone => row(410, "resume_gone", Ran::Unknown, None),
-            Kind::Internal => row(500, "internal", Ran::Unknown, None),
+            Kind::BadRequest => row(400, "bad_request", Ran::No, None, "The request can't be understood"),
+            Kind::BodyTooLarge => row(413, "body_too_large", Ran::No, None, "The body exceeds the limit"),
+            Kind::BodyTimeout => {
+                row(408, "body_timeout", Ran::No, Some(0), "The body did not arrive in time")
+            }
+            Kind::NotFound => row(404, "not_found", Ran::No, None, "Nothing is at this path"),
+            Kind::MethodNotAllowed => {
+                row(405, "method_not_allowed", Ran::No, None, "The path does not take this method")
+            }
+            Kind::UnknownWorkspace => {
+                row(403, "unknown_workspace", Ran::No, None, "The workspace is not configured")
+            }
+            Kind::UnknownService => {
+                row(404, "unknown_service", Ran::No, None, "The service is not configured")
+            }
+            Kind::NoPolicy => row(403, "no_policy", Ran::No, None, "No routing policy matches"),
+            Kind::NoEngine => row(503, "no_engine", Ran::No, Some(2), "No eligible engine is live"),
+            Kind::NotReady => row(503, "not_ready", Ran::No, Some(1), "The router has no configuration yet"),
+            Kind::Leaving => {
+                row(503, "leaving", Ran::No, Some(0), "The router is shutting down and takes no new request")
+            }
+            Kind::DeadlineUnmeetable => row(
+                503,
+                "deadline_unmeetable",
+                Ran::No,
+                Some(1),
+                "The deadline would pass before an engine is free",
+            ),
+            Kind::DeadlinePassed => {
+                row(504, "deadline_passed", Ran::No, None, "The deadline passed while the request waited")
+            }
+            Kind::QueueFull => row(503, "queue_full", Ran::No, Some(1), "Too many requests wait already"),
+            Kind::WorkspaceLimit => row(
+                429,
+                "workspace_limit",
+                Ran::No,
+                Some(1),
+                "The workspace has as many requests in progress as it may have",
+            ),
+            Kind::GroupLimit => row(
+                429,
+                "group_limit",
+                Ran::No,
+                Some(1),
+                "The workspace group has as many requests in progress as it may have",
+            ),
+            Kind::RetryBudget => {
+                row(503, "retry_budget", Ran::No, Some(2), "A retry would exceed the budget of retries")
+            }
+            Kind::AttemptLimit => {
+                row(503, "attempt_limit", Ran::No, Some(2), "Every attempt that is allowed has been made")
+            }
+            Kind::Quarantined => {
+                row(422, "quarantined", Ran::No, None, "The same content has crashed backend servers")
+            }
+            Kind::SuspectBusy => row(
+                503,
+                "suspect_busy",
+                Ran::No,
+                Some(2),
+                "Content that may have crashed a backend server waits for another such run",
+            ),
+            Kind::ConnectFailed => row(
+                502,
+                "connect_failed",
+                Ran::No,
+                Some(1),
+                "No connection to a backend server could be made",
+            ),
+            Kind::EngineFailed => row(
+                502,
+                "engine_failed",
+                Ran::Unknown,
+                None,
+                "The backend server broke off after the request may have reached it",
+            ),
+            Kind::EngineRefused => row(
+                503,
+                "engine_refused",
+                Ran::No,
+                Some(1),
+                "The backend server refused the request before running it",
+            ),
+            Kind::KeyRequired => row(
+                400,
+                "key_required",
+                Ran::No,
+                None,
+                "A non-idempotent request of this service needs an idempotency key",
+            ),
+            Kind::KeyConflict => {
+                row(409, "key_conflict", Ran::No, None, "The idempotency key was used with other content")
+            }
+            Kind::KeyPending => row(
+                409,
+                "key_pending",
+                Ran::Unknown,
+                Some(1),
+                "A request with this idempotency key is in progress",
+            ),
+            Kind::KeyUnknown => row(
+                409,
+                "key_unknown",
+                Ran::Unknown,
+                None,
+                "A request with this idempotency key may have run; its outcome is not known",
+            ),
+            Kind::KeyExpired => {
+                row(410, "key_expired", Ran::Unknown, None, "The idempotency key is older than the horizon")
+            }
+            Kind::ClaimUnavailable => row(
+                503,
+                "claim_unavailable",
+                Ran::No,
+                Some(2),
+                "The claim on the idempotency key could not be recorded",
+            ),
+            Kind::ResumeUnknown => row(400, "resume_unknown", Ran::No, None, "The resume token is not valid"),
+            Kind::ResumeGone => {
+                row(410, "resume_gone", Ran::Unknown, None, "The stream can no longer be resumed")
+            }
+            Kind::Internal => row(500, "internal", Ran::Unknown, None, "The router failed inside"),
         }
     }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -93,20 +93,21 @@
     fn handle(&self, req: Request<Bytes>, peer: SocketAddr) -> impl Future<Output = Reply> + Send;
 }
 
-/// Limits on request bodies.
+/// Limits on what a caller may send.
 #[derive(Clone, Copy, Debug)]
-pub struct BodyLimits {
+pub struct Limits {
     bytes: usize,
     time: Duration,
+    head_time: Duration,
 }
 
-impl Default for BodyLimits {
+impl Default for Limits {
     fn default() -> Self {
-        Self { bytes: 1 << 20, time: Duration::from_secs(10) }
+        Self { bytes: 1 << 20, time: Duration::from_secs(10), head_time: Duration::from_secs(5) }
     }
 }
 
-impl BodyLimits {
+impl Limits {
     /// Sets the largest body, in bytes.
     pub fn with_bytes(self, bytes: usize) -> Self {
         Self { bytes, ..self }
@@ -116,6 +117,11 @@
     pub fn with_time(self, time: Duration) -> Self {
         Self { time, ..self }
     }
+
+    /// Sets the longest time for a request's head to arrive.
+    pub fn with_head_time(self, head_time: Duration) -> Self {
+        Self { head_time, ..self }
+    }
 }
 
 /// A running HTTP server.
@@ -146,7 +152,7 @@
     pub fn start(
         listener: TcpListener,
         threads: usize,
-        limits: BodyLimits,
+        limits: Limits,
         handler: Arc<impl Handler>,
     ) -> Result<Self> {
         let addr = listener.local_addr().context("could not read the address")?;
@@ -157,6 +163,7 @@
         let mut server = HttpServer::serve(service)
             .disable_signal()
             .worker_threads(threads)
+            .request_head_timeout(limits.head_time)
             .listen(listener)
             .context("could not listen")?
             .run();
@@ -181,7 +188,7 @@
 
 async fn answer(
     req: Request<RequestExt<RequestBody>>,
-    limits: BodyLimits,
+    limits: Limits,
     handler: Arc<impl Handler>,
     rt: &Handle,
 ) -> Response<BoxBody> {
@@ -200,7 +207,7 @@
     }
 }
 
-async fn read(body: RequestBody, limits: BodyLimits) -> Result<Bytes, Kind> {
+async fn read(body: RequestBody, limits: Limits) -> Result<Bytes, Kind> {
     match tokio::time::timeout(limits.time, collect(body, limits.bytes)).await {
         Ok(result) => result,
         Err(_) => Err(Kind::BodyTimeout),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gateway;
 pub mod http;
 pub mod link;
+mod logs;
 pub mod metrics;
 pub mod place;
 pub mod platform;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,21 +1,98 @@
 //! Counters by opentelemetry, shown in the Prometheus text format.
+//!
+//! Every counter stands in one table with its label; docs/METRICS.md shows the same table.
 
-use std::{collections::BTreeMap, sync::Mutex};
+use std::collections::BTreeMap;
 
 use anyhow::{Context, Result};
-use opentelemetry::{KeyValue, metrics::Counter, metrics::MeterProvider};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter as Instrument, MeterProvider},
+};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+/// A counter of the router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Counter {
+    /// Requests by what became of them.
+    Requests,
+    /// Refusals and failures by the code of their kind.
+    Refusals,
+    /// Retries by reason.
+    Retries,
+    /// Retries that were not made, by reason.
+    RetriesRefused,
+    /// Placements by how the engine was chosen.
+    Placements,
+    /// Events of answer streams.
+    Streams,
+    /// Claims on idempotency keys by result.
+    Claims,
+    /// Calls to the platform by class.
+    PlatformCalls,
+    /// Datagrams between routers that were dropped, by reason.
+    DatagramsDropped,
+    /// Bytes of control traffic by direction.
+    ControlBytes,
+    /// Orders to engines by result.
+    Orders,
+}
+
+/// How a counter is shown.
+#[derive(Clone, Copy, Debug)]
+pub struct Shown {
+    /// Name, without the `_total` that the exporter adds.
+    pub name: &'static str,
+    /// Name of its label.
+    pub label: &'static str,
+    /// What it counts.
+    pub about: &'static str,
+}
+
+impl Counter {
+    /// Every counter.
+    pub const ALL: [Counter; 11] = [
+        Counter::Requests,
+        Counter::Refusals,
+        Counter::Retries,
+        Counter::RetriesRefused,
+        Counter::Placements,
+        Counter::Streams,
+        Counter::Claims,
+        Counter::PlatformCalls,
+        Counter::DatagramsDropped,
+        Counter::ControlBytes,
+        Counter::Orders,
+    ];
+
+    /// The table of counters.
+    pub fn shown(self) -> Shown {
+        let row = |name, label, about| Shown { name, label, about };
+        match self {
+            Counter::Requests => row("requests", "outcome", "requests by what became of them"),
+            Counter::Refusals => row("refusals", "reason", "refusals and failures by error code"),
+            Counter::Retries => row("retries", "reason", "retries by reason"),
+            Counter::RetriesRefused => row("retries_refused", "reason", "retries not made, by reason"),
+            Counter::Placements => row("placements", "how", "placements by how the engine was chosen"),
+            Counter::Streams => row("streams", "event", "events of answer streams"),
+            Counter::Claims => row("claims", "result", "claims on idempotency keys by result"),
+            Counter::PlatformCalls => row("platform_calls", "class", "calls to the platform by class"),
+            Counter::DatagramsDropped => {
+                row("datagrams_dropped", "reason", "datagrams between routers dropped, by reason")
+            }
+            Counter::ControlBytes => row("control_bytes", "direction", "bytes of control traffic"),
+            Counter::Orders => row("orders", "result", "orders to engines by result"),
+        }
+    }
+}
+
 /// The counters of one router.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     provider: SdkMeterProvider,
-    requests: Counter<u64>,
-    refusals: Counter<u64>,
-    retries: Counter<u64>,
-    totals: Mutex<BTreeMap<(&'static str, &'static str), u64>>,
+    instruments: Vec<Instrument<u64>>,
 }
 
 impl Metrics {
@@ -27,41 +104,49 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
+            .without_target_info()
             .build()
             .context("could not build the exporter")?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("cranberrytally");
-        Ok(Self {
-            requests: meter.u64_counter("requests").build(),
-            refusals: meter.u64_counter("refusals").build(),
-            retries: meter.u64_counter("retries").build(),
-            registry,
-            provider,
-            totals: Mutex::default(),
-        })
+        let build = |c: &Counter| meter.u64_counter(c.shown().name).with_description(c.shown().about).build();
+        let instruments = Counter::ALL.iter().map(build).collect();
+        Ok(Self { registry, provider, instruments })
+    }
+
+    /// Adds `n` to a counter under a label's value.
+    pub fn add(&self, counter: Counter, value: &'static str, n: u64) {
+        self.instruments[counter as usize].add(n, &[KeyValue::new(counter.shown().label, value)]);
     }
 
     /// Counts a request by what became of it.
     pub fn request(&self, outcome: &'static str) {
-        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
-        self.count("requests", outcome);
+        self.add(Counter::Requests, outcome, 1);
     }
 
     /// Counts a refusal by its reason.
     pub fn refuse(&self, reason: &'static str) {
-        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
-        self.count("refusals", reason);
+        self.add(Counter::Refusals, reason, 1);
     }
 
     /// Counts a retry by its reason.
     pub fn retry(&self, reason: &'static str) {
-        self.retries.add(1, &[KeyValue::new("reason", reason)]);
-        self.count("retries", reason);
+        self.add(Counter::Retries, reason, 1);
     }
 
-    /// Totals by counter and label, for `demo` and `status`.
-    pub fn totals(&self) -> BTreeMap<(&'static str, &'static str), u64> {
-        self.totals.lock().unwrap_or_else(|e| e.into_inner()).clone()
+    /// Totals of a counter by label value.
+    pub fn totals(&self, counter: Counter) -> BTreeMap<String, u64> {
+        let shown = counter.shown();
+        let wanted = format!("{}_total", shown.name);
+        let mut totals = BTreeMap::new();
+        for family in self.registry.gather().iter().filter(|f| f.name() == wanted) {
+            for metric in family.get_metric() {
+                let value = metric.get_label().iter().find(|l| l.name() == shown.label);
+                let value = value.map(|l| l.value().to_owned()).unwrap_or_default();
+                totals.insert(value, metric.get_counter().get_value() as u64);
+            }
+        }
+        totals
     }
 
     /// All metrics in the Prometheus text format.
@@ -76,8 +161,4 @@
     pub fn close(self) {
         let _ = self.provider.shutdown();
     }
-
-    fn count(&self, counter: &'static str, label: &'static str) {
-        *self.totals.lock().unwrap_or_else(|e| e.into_inner()).entry((counter, label)).or_default() += 1;
-    }
 }
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -25,12 +25,18 @@
     /// Peer addresses of other routers, tried at start.
     #[prost(string, repeated, tag = "7")]
     pub seeds: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// Key that authenticates routers to each other and signs placement hints.
+    /// Key that authenticates routers to each other and signs hints and resume tokens.
     #[prost(string, tag = "8")]
     pub shared_key: ::prost::alloc::string::String,
+    /// Worker threads of the HTTP server.
+    #[prost(uint64, optional, tag = "9")]
+    pub http_threads: ::core::option::Option<u64>,
     /// Limits on what callers may send.
-    #[prost(message, optional, tag = "9")]
+    #[prost(message, optional, tag = "10")]
     pub limits: ::core::option::Option<Limits>,
+    /// What is logged and how.
+    #[prost(message, optional, tag = "11")]
+    pub log: ::core::option::Option<Log>,
 }
 /// Limits on what callers may send.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -43,4 +49,19 @@
     /// Longest time for a request body to arrive, in milliseconds.
     #[prost(uint64, optional, tag = "2")]
     pub body_ms: ::core::option::Option<u64>,
+    /// Longest time for a request head to arrive, in milliseconds.
+    #[prost(uint64, optional, tag = "3")]
+    pub head_ms: ::core::option::Option<u64>,
+}
+/// What is logged and how.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Log {
+    /// Lowest level that is logged.
+    #[prost(string, optional, tag = "1")]
+    pub level: ::core::option::Option<::prost::alloc::string::String>,
+    /// Form of a line.
+    #[prost(string, optional, tag = "2")]
+    pub format: ::core::option::Option<::prost::alloc::string::String>,
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -10,12 +10,11 @@
     config::Settings,
     entry::Router,
     gateway::Gateway,
-    http::{BodyLimits, Server},
+    http::{Limits, Server},
     metrics::Metrics,
     platform::{Event, Platform},
 };
 
-const HTTP_THREADS: usize = 2;
 const RECONNECT: Duration = Duration::from_millis(500);
 
 /// A router in this process.
@@ -51,8 +50,11 @@
         };
         let metrics = Arc::new(Metrics::new()?);
         let gateway = Arc::new(Gateway::new(me, metrics.clone()));
-        let limits = BodyLimits::default().with_bytes(cfg.body_bytes).with_time(cfg.body_time);
-        let server = Server::start(listener, HTTP_THREADS, limits, gateway.clone())?;
+        let limits = Limits::default()
+            .with_bytes(cfg.body_bytes)
+            .with_time(cfg.body_time)
+            .with_head_time(cfg.head_time);
+        let server = Server::start(listener, cfg.http_threads, limits, gateway.clone())?;
         let watch = tokio::spawn(follow(Platform::new(cfg.platform), gateway.clone()));
         Ok(Self { server, watch, gateway, metrics })
     }
