Count and limit the platform's calls and make its stand-in fail on request

Cause: the thin client had no delete, no limits and no counts, a write whose answer was lost ended as a conflict with somebody else, and leases would have raised the version that every router watches. Change: calls are counted by class and outcome and kept to a rate by class; a resolved write is sent again under the same nonce until its outcome is known; configuration and records are collections with a version each; a watch from too old a version says so. The stand-in can be late, down, lossy, lose answers after the effect, answer with old data, drop watches, limit rates and values. Conclusion: an error from put now means that the write certainly did not take effect; Unknown means that it may have.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,19 +1,86 @@
 //! Client of the platform's object API: get, list, create, conditional update, delete and watch.
+//!
+//! Objects live in two collections with a version each: configuration, which routers list and watch, and records
+//! (leases, claim shards), whose frequent writes must not reach every watch.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
 
-use anyhow::{Context, Result};
-use bytes::{Bytes, BytesMut};
-use http::{Method, Request};
-use http_body_util::{BodyExt, Full};
+use anyhow::{Context, Result, bail, ensure};
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use rand::Rng;
 
-use crate::{catalog::AnyObject, client::Client};
+use crate::{
+    catalog::AnyObject,
+    client::{Client, Failure},
+    util::now,
+};
 
-/// Version of an object or of the whole collection.
+pub mod backoff;
+pub mod bucket;
+pub mod calls;
+mod watch;
+mod write;
+
+use calls::{Class, Counts, Limiter, Outcome, Rates};
+pub use watch::{Watch, Watched};
+pub use write::{Step, Writing};
+
+/// Version of an object or of a collection.
 pub type Version = u64;
 
+/// Path under which the API is served.
+pub(crate) const PREFIX: &str = "/apis/cranberrytally/v1";
+/// Largest object that the platform takes, in bytes.
+pub const MAX_VALUE: usize = 1 << 20;
+
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const LIST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for our own rate limit before a call fails.
+const PATIENCE: Duration = Duration::from_secs(2);
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+const MAX_LIST: usize = 64 << 20;
+
+const WRITE_TRIES: u32 = 5;
+const WRITE_BACKOFF: Duration = Duration::from_millis(100);
+const WRITE_BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+/// Kinds that operators write; all others are records of the routers themselves.
+pub const CONFIGURATION_KINDS: [&str; 6] =
+    ["Engine", "EnginePool", "RoutingPolicy", "Service", "Workspace", "WorkspaceGroup"];
+
+/// Objects that share a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Collection {
+    /// What operators state.
+    Configuration,
+    /// Leases, claim shards and other records of the routers.
+    Records,
+}
+
+impl Collection {
+    /// Both collections.
+    pub const ALL: [Collection; 2] = [Collection::Configuration, Collection::Records];
+
+    /// Collection in which objects of this kind live.
+    pub fn of(kind: &str) -> Self {
+        if CONFIGURATION_KINDS.contains(&kind) { Collection::Configuration } else { Collection::Records }
+    }
+
+    /// Name in the API's paths.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Collection::Configuration => "configuration",
+            Collection::Records => "records",
+        }
+    }
+}
 
 /// What became of a conditional write.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,19 +89,12 @@
     Done(AnyObject),
     /// Another write came first; the object as it is now, if it exists.
     Conflict(Option<AnyObject>),
-    /// No answer came; the write may have taken effect.
+    /// No answer came; the write may have taken effect, or may still.
     Unknown,
 }
 
-/// Client of the platform.
-#[derive(Clone, Debug)]
-pub struct Platform {
-    client: Client,
-    base: String,
-}
-
 /// A list of objects with the collection's version.
-#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct List {
     /// Version of the collection.
     pub version: Version,
@@ -43,7 +103,7 @@
 }
 
 /// One change seen by a watch.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Event {
     /// Version of the collection after the change.
     pub version: Version,
@@ -53,10 +113,39 @@
     pub object: AnyObject,
 }
 
+/// Client of the platform; clones share the limits and the counts.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    client: Client,
+    base: String,
+    limiter: Arc<Mutex<Limiter>>,
+    counts: Arc<Counts>,
+}
+
 impl Platform {
     /// Client of the platform at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { client: Client::default(), base: format!("http://{addr}/apis/cranberrytally/v1") }
+        Self::with_rates(addr, Rates::default())
+    }
+
+    /// Client that keeps to `rates`.
+    pub fn with_rates(addr: SocketAddr, rates: Rates) -> Self {
+        Self {
+            client: Client::default(),
+            base: format!("http://{addr}{PREFIX}"),
+            limiter: Arc::new(Mutex::new(Limiter::new(rates))),
+            counts: Arc::default(),
+        }
+    }
+
+    /// Changes the limits, as when the fleet has grown.
+    pub fn set_rates(&self, rates: Rates) {
+        self.limiter().set_rates(now(), rates);
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
     }
 
     /// Lists the objects of all configuration kinds.
@@ -64,10 +153,21 @@
     /// # Errors
     /// When no answer came.
     pub async fn list(&self) -> Result<List> {
-        let (status, value) =
-            self.client.json(Method::GET, &format!("{}/objects", self.base), None, CALL_TIMEOUT).await?;
-        anyhow::ensure!(status == 200, "the platform answered {status}");
-        serde_json::from_value(value).context("could not parse the list")
+        self.list_at(&format!("{}/{}", self.base, Collection::Configuration.as_str())).await
+    }
+
+    /// Lists the objects of one kind.
+    ///
+    /// # Errors
+    /// When no answer came.
+    pub async fn list_kind(&self, kind: &str) -> Result<List> {
+        self.list_at(&format!("{}/{}/{kind}", self.base, Collection::of(kind).as_str())).await
+    }
+
+    async fn list_at(&self, url: &str) -> Result<List> {
+        let reply = self.call(Class::Read, Method::GET, url, Bytes::new(), LIST_TIMEOUT).await?;
+        ensure!(reply.status == 200, "the platform answered {}", reply.status);
+        serde_json::from_slice(&reply.body).context("could not parse the list")
     }
 
     /// Reads one object.
@@ -75,74 +175,208 @@
     /// # Errors
     /// When no answer came.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<AnyObject>> {
-        let url = format!("{}/objects/{kind}/{name}", self.base);
-        let (status, value) = self.client.json(Method::GET, &url, None, CALL_TIMEOUT).await?;
-        match status {
-            200 => Ok(Some(serde_json::from_value(value).context("could not parse the object")?)),
+        let url = self.object_url(kind, name);
+        let reply = self.call(Class::Read, Method::GET, &url, Bytes::new(), CALL_TIMEOUT).await?;
+        match reply.status {
+            200 => Ok(Some(serde_json::from_slice(&reply.body).context("could not parse the object")?)),
             404 => Ok(None),
-            _ => anyhow::bail!("the platform answered {status}"),
+            status => bail!("the platform answered {status}"),
         }
     }
 
     /// Writes an object if its version is still `obj.metadata.resource_version`; empty creates it.
     ///
     /// # Errors
-    /// When the platform refuses the object.
+    /// When the write certainly did not and will not take effect: the platform refused the object or could not be
+    /// reached, or a rate limit held the call back.
     pub async fn put(&self, obj: &AnyObject) -> Result<Write> {
-        let url = format!("{}/objects/{}/{}", self.base, obj.kind, obj.metadata.name);
-        let body = serde_json::to_value(obj)?;
-        let Ok((status, value)) = self.client.json(Method::PUT, &url, Some(&body), CALL_TIMEOUT).await else {
-            return Ok(Write::Unknown);
-        };
-        match status {
-            200 | 201 => {
-                Ok(Write::Done(serde_json::from_value(value).context("could not parse the object")?))
-            }
-            409 => Ok(Write::Conflict(serde_json::from_value(value).unwrap_or_default())),
-            500.. => Ok(Write::Unknown),
-            _ => anyhow::bail!("the platform refused the object: {value}"),
-        }
+        let url = self.object_url(&obj.kind, &obj.metadata.name);
+        let body = serde_json::to_vec(obj).context("could not encode the object")?;
+        ensure!(body.len() <= MAX_VALUE, "an object of {} bytes exceeds {MAX_VALUE}", body.len());
+        self.write(Method::PUT, &url, body.into(), Some(obj)).await
     }
 
-    /// Watches all changes after `version`.
+    /// Deletes an object if its version is still `obj.metadata.resource_version`.
     ///
     /// # Errors
-    /// When no watch could be opened, or the version is too old to watch from.
-    pub async fn watch(&self, version: Version) -> Result<Watch> {
-        let req =
-            Request::get(format!("{}/watch?from={version}", self.base)).body(Full::new(Bytes::new()))?;
-        let res = self.client.send(req).await.map_err(|e| anyhow::anyhow!("could not watch: {e:?}"))?;
-        anyhow::ensure!(res.status() == 200, "the platform answered {}", res.status());
-        Ok(Watch { body: res.into_body(), buf: BytesMut::new() })
+    /// As for [`Platform::put`].
+    pub async fn delete(&self, obj: &AnyObject) -> Result<Write> {
+        let url = self.object_url(&obj.kind, &obj.metadata.name);
+        let url = format!("{url}?version={}", obj.metadata.resource_version);
+        self.write(Method::DELETE, &url, Bytes::new(), Some(obj)).await
     }
-}
 
-/// An open watch.
-#[derive(Debug)]
-pub struct Watch {
-    body: Incoming,
-    buf: BytesMut,
-}
-
-impl Watch {
-    /// Next change; `None` when the watch has ended.
+    /// Writes an object and finds out what became of it even when answers are lost.
     ///
     /// # Errors
-    /// When a line can't be parsed.
-    pub async fn next(&mut self) -> Result<Option<Event>> {
+    /// As for [`Platform::put`].
+    pub async fn put_resolved(&self, obj: AnyObject, rng: &mut (impl Rng + Send)) -> Result<Write> {
+        let nonce = format!("{:016x}", rng.random::<u64>());
+        let mut writing = Writing::new(obj, nonce, WRITE_TRIES);
+        let mut backoff = backoff::Backoff::new(WRITE_BACKOFF, WRITE_BACKOFF_MAX);
+        let mut step = writing.start();
         loop {
-            if let Some(at) = self.buf.iter().position(|&b| b == b'\n') {
-                let line = self.buf.split_to(at + 1);
-                return Ok(Some(serde_json::from_slice(&line).context("could not parse an event")?));
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buf.extend_from_slice(&data);
+            match step {
+                Step::Send(obj) => {
+                    let answer = match self.put(&obj).await {
+                        Err(e) if !writing.was_unanswered() => return Err(e),
+                        // An earlier try may be in force, so a refusal of this one proves nothing.
+                        Err(_) => Write::Unknown,
+                        Ok(answer) => answer,
+                    };
+                    if answer == Write::Unknown {
+                        tokio::time::sleep(backoff.wait(rng)).await;
                     }
+                    step = writing.answered(answer);
                 }
-                _ => return Ok(None),
+                Step::Done(obj) => return Ok(Write::Done(obj)),
+                Step::Conflict(obj) => return Ok(Write::Conflict(obj)),
+                Step::Unknown => return Ok(Write::Unknown),
+            }
+        }
+    }
+
+    /// Watches all changes of the configuration after `version`.
+    ///
+    /// # Errors
+    /// When no watch could be opened.
+    pub async fn watch(&self, version: Version) -> Result<Watched> {
+        let url = format!("{}/watch/{}?from={version}", self.base, Collection::Configuration.as_str());
+        let res = self.send(Class::Watch, Method::GET, &url, Bytes::new(), CALL_TIMEOUT).await?;
+        match res.status().as_u16() {
+            200 => Ok(Watched::Open(Watch::new(res.into_body()))),
+            410 => Ok(Watched::TooOld),
+            status => bail!("the platform answered {status}"),
+        }
+    }
+
+    fn object_url(&self, kind: &str, name: &str) -> String {
+        format!("{}/{}/{kind}/{name}", self.base, Collection::of(kind).as_str())
+    }
+
+    async fn write(&self, method: Method, url: &str, body: Bytes, obj: Option<&AnyObject>) -> Result<Write> {
+        let reply = match self.call(Class::Write, method, url, body, CALL_TIMEOUT).await {
+            Ok(reply) => reply,
+            Err(e) if e.downcast_ref::<NotSent>().is_some() => return Err(e),
+            Err(_) => return Ok(Write::Unknown),
+        };
+        match reply.status {
+            200 | 201 => match serde_json::from_slice(&reply.body) {
+                Ok(obj) => Ok(Write::Done(obj)),
+                Err(_) => Ok(Write::Unknown),
+            },
+            404 => Ok(Write::Conflict(None)),
+            409 => Ok(Write::Conflict(serde_json::from_slice(&reply.body).unwrap_or_default())),
+            500.. => Ok(Write::Unknown),
+            429 => bail!("the platform's rate limit refused the write"),
+            _ => {
+                let name = obj.map_or("", |o| o.metadata.name.as_str());
+                bail!("the platform refused {name}: {}", String::from_utf8_lossy(&reply.body))
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        class: Class,
+        method: Method,
+        url: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Answer> {
+        let work = async {
+            let res = self.send(class, method, url, body, timeout).await?;
+            let status = res.status().as_u16();
+            let body = Limited::new(res.into_body(), MAX_LIST).collect().await;
+            let body = body.map_err(|e| anyhow::anyhow!("could not read the answer: {e}"))?.to_bytes();
+            Ok(Answer { status, body })
+        };
+        match tokio::time::timeout(timeout + PATIENCE, work).await {
+            Ok(answer) => answer,
+            Err(_) => bail!("no answer from the platform in time"),
+        }
+    }
+
+    async fn send(
+        &self,
+        class: Class,
+        method: Method,
+        url: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>> {
+        self.admit(class).await?;
+        let req = Request::builder()
+            .method(method)
+            .uri(url)
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .context(NotSent)?;
+        let res = match tokio::time::timeout(timeout, self.client.send(req)).await {
+            Ok(Ok(res)) => res,
+            Ok(Err(Failure::Connect)) => {
+                self.counts.add(class, Outcome::Failed);
+                return Err(anyhow::Error::new(NotSent).context("could not reach the platform"));
+            }
+            Ok(Err(Failure::Broken)) => {
+                self.counts.add(class, Outcome::Failed);
+                bail!("the platform broke the connection");
             }
+            Err(_) => {
+                self.counts.add(class, Outcome::Failed);
+                bail!("no answer from the platform in time");
+            }
+        };
+        self.note(class, &res);
+        Ok(res)
+    }
+
+    /// Waits until the class may make one call.
+    async fn admit(&self, class: Class) -> Result<()> {
+        let start = now();
+        loop {
+            let Err(wait) = self.limiter().take(now(), class) else { return Ok(()) };
+            if now() + wait > start + PATIENCE {
+                self.counts.add(class, Outcome::Held);
+                return Err(anyhow::Error::new(NotSent).context("our own rate limit held the call back"));
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    fn note(&self, class: Class, res: &Response<Incoming>) {
+        let outcome = match res.status().as_u16() {
+            409 => Outcome::Conflict,
+            429 => Outcome::Limited,
+            500.. => Outcome::Failed,
+            _ => Outcome::Answered,
+        };
+        self.counts.add(class, outcome);
+        if outcome == Outcome::Limited {
+            let asked = res.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+            let wait = asked.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs);
+            self.limiter().pause(now(), class, wait);
         }
     }
+
+    fn limiter(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+struct Answer {
+    status: u16,
+    body: Bytes,
 }
+
+/// No byte of the call can have reached the platform.
+#[derive(Clone, Copy, Debug)]
+struct NotSent;
+
+impl std::fmt::Display for NotSent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the call was not sent")
+    }
+}
+
+impl std::error::Error for NotSent {}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,7 +12,7 @@
     gateway::Gateway,
     http::{BodyLimits, Server},
     metrics::Metrics,
-    platform::{Event, Platform},
+    platform::{Event, Platform, Watched},
 };
 
 const HTTP_THREADS: usize = 2;
@@ -92,7 +92,7 @@
     let list = platform.list().await?;
     let mut objects = list.items;
     enforce(gateway, list.version, &objects);
-    let mut watch = platform.watch(list.version).await?;
+    let Watched::Open(mut watch) = platform.watch(list.version).await? else { return Ok(()) };
     while let Some(event) = watch.next().await? {
         let version = event.version;
         merge(&mut objects, event);
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -1,6 +1,12 @@
-//! Stand-in for the platform's object API.
+//! Stand-in for the platform's object API, which can be told to fail.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Mutex};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use bytes::Bytes;
 use http::{Method, Request};
@@ -9,29 +15,76 @@
 use crate::{
     catalog::AnyObject,
     http::{Chunk, Handler, Reply},
-    platform::{Event, Version},
+    platform::{Collection, Event, MAX_VALUE, PREFIX, Version},
+    util::now,
 };
 
-const PREFIX: &str = "/apis/cranberrytally/v1";
-const HISTORY: usize = 4096;
+mod faults;
+mod store;
+
+pub use faults::Faults;
+use faults::{Fate, Trouble, cut};
+use store::Store;
 
-/// The objects and their history.
+const WATCH_DEPTH: usize = 4096;
+
+/// The objects, their history and the faults to show.
 #[derive(Debug)]
 pub struct PlatformStandin {
     state: Mutex<State>,
-    tx: broadcast::Sender<Event>,
+    trouble: Mutex<Trouble>,
+    /// `None` ends the open watches.
+    tx: broadcast::Sender<Option<Event>>,
+    calls: [AtomicU64; 3],
 }
 
 #[derive(Debug, Default)]
 struct State {
-    version: Version,
-    objects: BTreeMap<(String, String), AnyObject>,
-    history: Vec<Event>,
+    configuration: Store,
+    records: Store,
+    /// What reads answer while the stand-in answers with old data.
+    old: Option<(Store, Store)>,
+}
+
+impl State {
+    fn real(&mut self, collection: Collection) -> &mut Store {
+        match collection {
+            Collection::Configuration => &mut self.configuration,
+            Collection::Records => &mut self.records,
+        }
+    }
+
+    fn shown(&self, collection: Collection) -> &Store {
+        let (configuration, records) = match &self.old {
+            Some((configuration, records)) => (configuration, records),
+            None => (&self.configuration, &self.records),
+        };
+        match collection {
+            Collection::Configuration => configuration,
+            Collection::Records => records,
+        }
+    }
+}
+
+/// Calls that reached the stand-in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Served {
+    /// Gets and lists.
+    pub reads: u64,
+    /// Creates, updates and deletes.
+    pub writes: u64,
+    /// Watches opened.
+    pub watches: u64,
 }
 
 impl Default for PlatformStandin {
     fn default() -> Self {
-        Self { state: Mutex::default(), tx: broadcast::channel(HISTORY).0 }
+        Self {
+            state: Mutex::default(),
+            trouble: Mutex::default(),
+            tx: broadcast::channel(WATCH_DEPTH).0,
+            calls: Default::default(),
+        }
     }
 }
 
@@ -40,50 +93,125 @@
     ///
     /// # Errors
     /// The object as it is now, when another write came first.
-    pub fn put(&self, mut obj: AnyObject) -> Result<AnyObject, Box<Option<AnyObject>>> {
-        let mut state = self.lock();
-        let key = (obj.kind.clone(), obj.metadata.name.clone());
-        let current = state.objects.get(&key);
-        let version = current.map_or("", |o| o.metadata.resource_version.as_str());
-        if version != obj.metadata.resource_version {
-            return Err(Box::new(current.cloned()));
+    pub fn put(&self, obj: AnyObject) -> Result<AnyObject, Box<Option<AnyObject>>> {
+        let collection = Collection::of(&obj.kind);
+        let mut state = self.state();
+        let event = state.real(collection).put(obj)?;
+        self.publish(&state, collection, &event);
+        Ok(event.object)
+    }
+
+    /// Sets the faults to show from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.trouble() = Trouble::new(faults);
+    }
+
+    /// Answers reads and watches with the state of this moment until [`PlatformStandin::thaw`].
+    pub fn freeze(&self) {
+        let mut state = self.state();
+        state.old = Some((state.configuration.clone(), state.records.clone()));
+    }
+
+    /// Answers with the real state again.
+    pub fn thaw(&self) {
+        self.state().old = None;
+    }
+
+    /// Ends all open watches.
+    pub fn drop_watches(&self) {
+        let _ = self.tx.send(None);
+    }
+
+    /// Forgets the history, so that watches from before are too old.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.configuration.forget();
+        state.records.forget();
+    }
+
+    /// Version of a collection.
+    pub fn version(&self, collection: Collection) -> Version {
+        self.state().real(collection).version
+    }
+
+    /// Calls so far.
+    pub fn served(&self) -> Served {
+        let [reads, writes, watches] = &self.calls;
+        let load = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        Served { reads: load(reads), writes: load(writes), watches: load(watches) }
+    }
+
+    fn answer(&self, collection: Collection, req: &Request<Bytes>, rest: &[&str]) -> Reply {
+        let field = |name: &str| {
+            let query = req.uri().query()?;
+            query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+        };
+        match (req.method(), rest) {
+            (&Method::GET, []) => Reply::json(200, &self.state().shown(collection).list(None)),
+            (&Method::GET, [kind]) => Reply::json(200, &self.state().shown(collection).list(Some(kind))),
+            (&Method::GET, [kind, name]) => match self.state().shown(collection).get(kind, name) {
+                Some(obj) => Reply::json(200, obj),
+                None => Reply::full(404, ""),
+            },
+            (&Method::PUT, [kind, name]) => self.answer_put(kind, name, req.body()),
+            (&Method::DELETE, [kind, name]) => {
+                self.answer_delete(collection, kind, name, &field("version").unwrap_or_default())
+            }
+            _ => Reply::full(404, ""),
         }
-        state.version += 1;
-        obj.metadata.resource_version = state.version.to_string();
-        state.objects.insert(key, obj.clone());
-        let event = Event { version: state.version, deleted: false, object: obj.clone() };
-        state.history.push(event.clone());
-        let _ = self.tx.send(event);
-        Ok(obj)
     }
 
-    fn list(&self) -> Reply {
-        let state = self.lock();
-        let items: Vec<_> = state.objects.values().collect();
-        Reply::json(200, &serde_json::json!({ "version": state.version, "items": items }))
+    fn answer_put(&self, kind: &str, name: &str, body: &[u8]) -> Reply {
+        if body.len() > MAX_VALUE {
+            return Reply::full(413, "the value is too long");
+        }
+        let obj: AnyObject = match serde_json::from_slice(body) {
+            Ok(obj) => obj,
+            Err(e) => return Reply::full(400, e.to_string()),
+        };
+        if obj.kind != kind || obj.metadata.name != name {
+            return Reply::full(400, "the path names another object");
+        }
+        match self.put(obj) {
+            Ok(obj) => Reply::json(200, &obj),
+            Err(current) => Reply::json(409, &current),
+        }
     }
 
-    fn get(&self, kind: &str, name: &str) -> Reply {
-        match self.lock().objects.get(&(kind.to_owned(), name.to_owned())) {
-            Some(obj) => Reply::json(200, obj),
-            None => Reply::full(404, ""),
+    fn answer_delete(&self, collection: Collection, kind: &str, name: &str, version: &str) -> Reply {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut state = self.state();
+        match state.real(collection).delete(&key, version) {
+            Ok(event) => {
+                self.publish(&state, collection, &event);
+                Reply::json(200, &event.object)
+            }
+            Err(current) if current.is_none() => Reply::full(404, ""),
+            Err(current) => Reply::json(409, &current),
         }
     }
 
     fn watch(&self, from: Version) -> Reply {
-        let (tx, rx) = mpsc::channel(HISTORY);
         let (old, mut live) = {
-            let state = self.lock();
-            let old: Vec<_> = state.history.iter().filter(|e| e.version > from).cloned().collect();
+            let state = self.state();
+            let Some(old) = state.shown(Collection::Configuration).since(from) else {
+                return Reply::full(410, "");
+            };
             (old, self.tx.subscribe())
         };
+        let (tx, rx) = mpsc::channel(WATCH_DEPTH);
         tokio::spawn(async move {
             for event in old {
                 if tx.send(line(&event)).await.is_err() {
                     return;
                 }
             }
-            while let Ok(event) = live.recv().await {
+            loop {
+                let event = tokio::select! {
+                    event = live.recv() => event,
+                    () = tx.closed() => return,
+                };
+                let Ok(Some(event)) = event else { return };
                 if tx.send(line(&event)).await.is_err() {
                     return;
                 }
@@ -92,9 +220,25 @@
         Reply::stream(200, rx)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+    /// Sends an event while the state is locked, so that watches see all events once and in order.
+    fn publish(&self, state: &State, collection: Collection, event: &Event) {
+        if state.old.is_none() && collection == Collection::Configuration {
+            let _ = self.tx.send(Some(event.clone()));
+        }
+    }
+
+    fn count(&self, req: &Request<Bytes>, watch: bool) {
+        let class = if watch { 2 } else { usize::from(req.method() != Method::GET) };
+        self.calls[class].fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
+
+    fn trouble(&self) -> MutexGuard<'_, Trouble> {
+        self.trouble.lock().unwrap_or_else(|e| e.into_inner())
+    }
 }
 
 fn line(event: &Event) -> Chunk {
@@ -103,25 +247,36 @@
     Ok(Bytes::from(bytes))
 }
 
+fn collection(name: &str) -> Option<Collection> {
+    Collection::ALL.into_iter().find(|c| c.as_str() == name)
+}
+
 impl Handler for PlatformStandin {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
         let Some(path) = req.uri().path().strip_prefix(PREFIX) else { return Reply::full(404, "") };
         let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
-        match (req.method(), parts.as_slice()) {
-            (&Method::GET, ["objects"]) => self.list(),
-            (&Method::GET, ["objects", kind, name]) => self.get(kind, name),
-            (&Method::GET, ["watch"]) => {
+        self.count(&req, parts[0] == "watch");
+        let writes = req.method() != Method::GET;
+        let (fate, late) = {
+            let mut trouble = self.trouble();
+            (trouble.draw(now(), writes), trouble.late())
+        };
+        if !late.is_zero() {
+            tokio::time::sleep(late).await;
+        }
+        match fate {
+            Fate::Lost => return cut(),
+            Fate::Limited => return Reply::full(429, "").with_header("retry-after", "1"),
+            Fate::Served | Fate::AnswerLost => {}
+        }
+        let reply = match (parts[0], collection(parts[0])) {
+            ("watch", _) => {
                 let from = req.uri().query().and_then(|q| q.strip_prefix("from=")?.parse().ok());
                 self.watch(from.unwrap_or(0))
             }
-            (&Method::PUT, ["objects", ..]) => match serde_json::from_slice(req.body()) {
-                Ok(obj) => match self.put(obj) {
-                    Ok(obj) => Reply::json(200, &obj),
-                    Err(current) => Reply::json(409, &current),
-                },
-                Err(e) => Reply::full(400, format!("{{\"error\":{:?}}}", e.to_string())),
-            },
+            (_, Some(collection)) => self.answer(collection, &req, &parts[1..]),
             _ => Reply::full(404, ""),
-        }
+        };
+        if fate == Fate::AnswerLost { cut() } else { reply }
     }
 }
--- /dev/null
+++ b/tests/platform_contract.rs
@@ -0,0 +1,185 @@
+//! Contract of the platform's object API: each file in `contract/platform` is a case of calls, faults and answers.
+
+use std::{net::TcpListener, path::Path, sync::Arc, time::Duration};
+
+use cranberrytally::{
+    catalog::{AnyObject, Object},
+    http::{BodyLimits, Server},
+    platform::{
+        Event, Platform, Version, Watched, Write,
+        calls::{Class, Outcome, Rate, Rates},
+    },
+    schema::object::Meta,
+    standin::platform::{Faults, PlatformStandin},
+};
+use rand::{SeedableRng, rngs::StdRng};
+use serde::Deserialize;
+
+const EVENT_WAIT: Duration = Duration::from_secs(5);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    #[allow(dead_code, reason = "for the reader of the file")]
+    story: String,
+    #[serde(default)]
+    reads_per_second: Option<f64>,
+    steps: Vec<Step>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Step {
+    call: String,
+    kind: String,
+    name: String,
+    version: String,
+    value: String,
+    /// Repeats `value` so often.
+    repeat: usize,
+    times: usize,
+    from: Version,
+    faults: Faults,
+    /// What the call shall give.
+    expect: String,
+    expect_value: Option<String>,
+    expect_names: Option<Vec<String>>,
+    expect_version: Option<Version>,
+}
+
+fn object(step: &Step) -> AnyObject {
+    let metadata =
+        Meta { name: step.name.clone(), resource_version: step.version.clone(), ..Meta::default() };
+    let value = step.value.repeat(step.repeat.max(1));
+    Object { kind: step.kind.clone(), metadata, spec: serde_json::json!({ "value": value }) }
+}
+
+fn check_object(step: &Step, obj: &AnyObject) {
+    if let Some(want) = &step.expect_value {
+        assert_eq!(obj.spec["value"].as_str(), Some(want.as_str()));
+    }
+    if let Some(want) = step.expect_version {
+        assert_eq!(obj.metadata.resource_version, want.to_string());
+    }
+}
+
+fn check_write(step: &Step, write: anyhow::Result<Write>) {
+    let got = match &write {
+        Ok(Write::Done(_)) => "done",
+        Ok(Write::Conflict(Some(_))) => "conflict",
+        Ok(Write::Conflict(None)) => "conflict with nothing",
+        Ok(Write::Unknown) => "unknown",
+        Err(_) => "not written",
+    };
+    assert_eq!(got, step.expect, "{write:?}");
+    if let Ok(Write::Done(obj) | Write::Conflict(Some(obj))) = &write {
+        check_object(step, obj);
+    }
+}
+
+async fn events(step: &Step, platform: &Platform) -> Option<Vec<Event>> {
+    let Watched::Open(mut watch) = platform.watch(step.from).await.unwrap() else { return None };
+    let want = step.expect_names.as_ref().map_or(0, Vec::len);
+    let mut events = Vec::new();
+    while events.len() < want {
+        let event = watch.next_within(EVENT_WAIT).await.unwrap();
+        events.push(event.expect("an event within the time"));
+    }
+    watch.close();
+    Some(events)
+}
+
+struct Bed {
+    platform: Platform,
+    standin: Arc<PlatformStandin>,
+    rng: StdRng,
+}
+
+impl Bed {
+    async fn run(&mut self, step: &Step) {
+        match step.call.as_str() {
+            "faults" => self.standin.set_faults(step.faults.clone()),
+            "freeze" => self.standin.freeze(),
+            "thaw" => self.standin.thaw(),
+            "forget history" => self.standin.forget_history(),
+            "put" => check_write(step, self.platform.put(&object(step)).await),
+            "put resolved" => {
+                check_write(step, self.platform.put_resolved(object(step), &mut self.rng).await);
+            }
+            "delete" => check_write(step, self.platform.delete(&object(step)).await),
+            "get" => self.get(step).await,
+            "list" => self.list(step).await,
+            "watch" => self.watch(step).await,
+            "count limited" => self.count(step, Outcome::Limited),
+            "count held" => self.count(step, Outcome::Held),
+            other => panic!("no such call: {other}"),
+        }
+    }
+
+    async fn get(&self, step: &Step) {
+        for _ in 0..step.times.max(1) {
+            let got = self.platform.get(&step.kind, &step.name).await;
+            let word = match &got {
+                Ok(Some(_)) => "found",
+                Ok(None) => "absent",
+                Err(_) => "no answer",
+            };
+            assert_eq!(word, step.expect, "{got:?}");
+            if let Ok(Some(obj)) = &got {
+                check_object(step, obj);
+            }
+        }
+    }
+
+    async fn list(&self, step: &Step) {
+        let list = match step.kind.as_str() {
+            "" => self.platform.list().await,
+            kind => self.platform.list_kind(kind).await,
+        };
+        let list = list.unwrap();
+        let names: Vec<_> = list.items.iter().map(|o| o.metadata.name.clone()).collect();
+        assert_eq!(Some(&names), step.expect_names.as_ref());
+        if let Some(want) = step.expect_version {
+            assert_eq!(list.version, want);
+        }
+    }
+
+    async fn watch(&self, step: &Step) {
+        let events = events(step, &self.platform).await;
+        let Some(events) = events else { return assert_eq!(step.expect, "too old") };
+        let mark = |e: &Event| format!("{}{}", if e.deleted { "-" } else { "+" }, e.object.metadata.name);
+        let names: Vec<_> = events.iter().map(mark).collect();
+        assert_eq!(Some(&names), step.expect_names.as_ref());
+        assert!(events.iter().is_sorted_by(|a, b| a.version < b.version));
+    }
+
+    fn count(&self, step: &Step, outcome: Outcome) {
+        let counts = self.platform.counts().all();
+        let n = counts.get(&(Class::Read, outcome)).copied().unwrap_or(0);
+        assert!(n >= step.times as u64, "{n} calls");
+    }
+}
+
+fn case(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = serde_saphyr::from_str(&std::fs::read_to_string(path)?)?;
+    tokio::runtime::Runtime::new()?.block_on(async {
+        let standin = Arc::new(PlatformStandin::default());
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let server = Server::start(listener, 1, BodyLimits::default().with_bytes(4 << 20), standin.clone())?;
+        let mut rates = Rates::default();
+        if let Some(rate) = case.reads_per_second {
+            rates = rates.with_reads(Rate { rate, burst: 1.0 });
+        }
+        let platform = Platform::with_rates(server.addr(), rates);
+        let mut bed = Bed { platform, standin, rng: StdRng::seed_from_u64(7) };
+        for step in &case.steps {
+            bed.run(step).await;
+        }
+        server.close();
+        Ok(())
+    })
+}
+
+datatest_stable::harness! {
+    { test = case, root = "tests/contract/platform", pattern = r"\.yaml$" },
+}
