Add the engine's interface: client, stand-in with faults, contract tests

Routers knew only one call of an engine. The interface now has streaming answers whose events carry request/offset identifiers, resume, cancel, load, cache events, KV export and import, and fenced orders. The stand-in can be late, cut, stall, cross, repeat or lose events, refuse, crash on one content, leave gaps and check fencing; a TCP gate before it refuses connections or holds bytes back.

The demo's check of a whole answer reads the last event's data line, since events now end with their identifier line; it is as strict as before.

--- a/schema/gen/tests/schema.rs
+++ b/schema/gen/tests/schema.rs
@@ -25,6 +25,7 @@
         .type_attribute(".", SERDE)
         .message_attribute(".settings", STRICT)
         .message_attribute(".object", "#[serde(deny_unknown_fields, default, rename_all = \"camelCase\")]")
+        .message_attribute(".engine", "#[serde(default)]")
         .out_dir(out)
         .compile_fds(set)
         .expect("code is generated");
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -172,7 +172,9 @@
 
 fn whole(text: &str, chat: usize) -> bool {
     let tokens = (0..TOKENS).all(|i| text.contains(&format!("\"chat-{chat}:{i} \"")));
-    tokens && text.ends_with("data: [DONE]\n\n") && text.matches("chat-").count() == TOKENS
+    let done = text.strip_suffix("\n\n").and_then(|t| t.rsplit("\n\n").next());
+    let complete = done.is_some_and(|event| event.starts_with("data: [DONE]\n"));
+    tokens && complete && text.matches("\"content\"").count() == TOKENS
 }
 
 async fn save(client: &Client, url: &str, key: &str) -> Result<()> {
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -1,5 +1,8 @@
 //! Types generated from the files in `schema/`; `schema/gen` keeps them current.
 
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod engine;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod link;
@@ -9,3 +12,6 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod settings;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod stream;
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the outside systems: the platform's object API, model engines and plain services.
 
 pub mod engine;
+pub mod gate;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/tests/engine.rs
@@ -0,0 +1,280 @@
+//! Contract of the engine's interface, client against stand-in, with the fault cases in tables.
+
+use std::{fs, net::TcpListener, path::Path, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cranberrytally::{
+    client::{Client, Failure},
+    engine::{ChatCall, EngineClient, Ordered, answer::Answer},
+    http::{BodyLimits, Server},
+    schema::engine::Order,
+    standin::{
+        engine::{EngineStandin, Faults},
+        gate::{Gate, Mode},
+    },
+    stream::{Step, Tracker},
+};
+use serde::{Deserialize, de::DeserializeOwned};
+
+const TOKENS: usize = 6;
+const EVENTS: u32 = 7;
+const STALL: Duration = Duration::from_millis(300);
+const REQUEST: &str = "request-1";
+
+type TestResult = datatest_stable::Result<()>;
+
+struct Fixture {
+    engine: Arc<EngineStandin>,
+    server: Server,
+    gate: Gate,
+    client: EngineClient,
+}
+
+impl Fixture {
+    async fn start(faults: Faults) -> Self {
+        let engine = Arc::new(EngineStandin::new(TOKENS, Duration::from_millis(1), 4));
+        engine.set_faults(faults);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = Server::start(listener, 1, BodyLimits::default(), engine.clone()).unwrap();
+        let gate = Gate::start(server.addr(), Some(engine.crashes())).await.unwrap();
+        let client = EngineClient::new(Client::default(), gate.addr());
+        Self { engine, server, gate, client }
+    }
+
+    async fn chat(&self) -> Result<http::Response<hyper::body::Incoming>, &'static str> {
+        let call = ChatCall {
+            request: REQUEST,
+            chat: "chat-1",
+            workspace: "phrasebook",
+            priority: 1,
+            body: Bytes::from_static(br#"{"messages":[{"role":"user","content":"hello"}]}"#),
+        };
+        match tokio::time::timeout(STALL, self.client.chat(&call)).await {
+            Err(_) => Err("stalled"),
+            Ok(Err(Failure::Connect)) => Err("connect"),
+            Ok(Err(Failure::Broken)) => Err("broken"),
+            Ok(Ok(res)) => Ok(res),
+        }
+    }
+
+    fn close(self) {
+        self.gate.close();
+        self.server.close();
+    }
+}
+
+/// What reading one connection came to.
+#[derive(Debug, Default, PartialEq)]
+struct Reading {
+    passed: u32,
+    dropped: Vec<&'static str>,
+    end: &'static str,
+}
+
+async fn read(res: http::Response<hyper::body::Incoming>, tracker: &mut Tracker) -> Reading {
+    let mut answer = Answer::new(res.into_body(), STALL);
+    let mut reading = Reading::default();
+    loop {
+        let event = match answer.next().await {
+            Ok(event) => event,
+            Err(broken) => {
+                reading.end = broken.as_str();
+                return reading;
+            }
+        };
+        match tracker.step(event.id.as_deref(), event.data.as_deref().unwrap_or("")) {
+            Step::Pass => reading.passed += 1,
+            Step::Drop(dropped) => reading.dropped.push(dropped.as_str()),
+            Step::Refetch => {
+                reading.end = "refetch";
+                return reading;
+            }
+            Step::Complete => {
+                reading.passed += 1;
+                reading.end = "complete";
+                return reading;
+            }
+        }
+    }
+}
+
+fn table<T: DeserializeOwned>(path: &Path) -> Vec<T> {
+    serde_saphyr::from_str(&fs::read_to_string(path).unwrap()).unwrap()
+}
+
+fn run(work: impl Future<Output = ()>) -> TestResult {
+    tokio::runtime::Runtime::new()?.block_on(work);
+    Ok(())
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AnswerCase {
+    name: String,
+    #[serde(default)]
+    faults: Faults,
+    #[serde(default = "open")]
+    mode: Mode,
+    head: serde_json::Value,
+    #[serde(default)]
+    passed: u32,
+    #[serde(default)]
+    dropped: Vec<String>,
+    #[serde(default)]
+    end: String,
+    #[serde(default = "one")]
+    runs: u32,
+}
+
+fn open() -> Mode {
+    Mode::Open
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn answers(path: &Path) -> TestResult {
+    run(async {
+        for case in table::<AnswerCase>(path) {
+            let fixture = Fixture::start(case.faults).await;
+            fixture.gate.set(case.mode).await.unwrap();
+
+            let res = fixture.chat().await;
+
+            let runs = fixture.engine.runs().get(REQUEST).copied().unwrap_or(0);
+            assert_eq!(runs, case.runs, "{}: runs", case.name);
+            let head = match &res {
+                Ok(res) => serde_json::json!(res.status().as_u16()),
+                Err(failure) => serde_json::json!(failure),
+            };
+            assert_eq!(head, case.head, "{}: head", case.name);
+            if let Ok(res) = res
+                && res.status() == 200
+            {
+                let reading = read(res, &mut Tracker::new(REQUEST, 0)).await;
+                assert_eq!(reading.passed, case.passed, "{}: passed", case.name);
+                assert_eq!(reading.dropped, case.dropped, "{}: dropped", case.name);
+                assert_eq!(reading.end, case.end, "{}: end", case.name);
+            }
+            fixture.close();
+        }
+    })
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ResumeCase {
+    name: String,
+    faults: Faults,
+    connections: u32,
+}
+
+fn resumes(path: &Path) -> TestResult {
+    run(async {
+        for case in table::<ResumeCase>(path) {
+            let fixture = Fixture::start(case.faults).await;
+            let mut tracker = Tracker::new(REQUEST, 0);
+            let mut passed = read(fixture.chat().await.unwrap(), &mut tracker).await.passed;
+            let mut connections = 1;
+
+            while !tracker.is_complete() && connections < 9 {
+                let res = fixture.client.resume(REQUEST, tracker.next()).await.unwrap();
+                passed += read(res, &mut tracker).await.passed;
+                connections += 1;
+            }
+
+            assert!(tracker.is_complete(), "{}: complete", case.name);
+            assert_eq!(passed, EVENTS, "{}: passed", case.name);
+            assert_eq!(connections, case.connections, "{}: connections", case.name);
+            assert_eq!(fixture.engine.runs()[REQUEST], 1, "{}: runs", case.name);
+            fixture.close();
+        }
+    })
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OrderCase {
+    name: String,
+    checks_fencing: bool,
+    given: Vec<u64>,
+    taken: Vec<u64>,
+}
+
+fn orders(path: &Path) -> TestResult {
+    run(async {
+        for case in table::<OrderCase>(path) {
+            let faults = Faults { checks_fencing: case.checks_fencing, ..Faults::default() };
+            let fixture = Fixture::start(faults).await;
+
+            for fencing in &case.given {
+                let order = Order { models: vec!["phrase-2".into()], ..Order::default() };
+                let ordered = fixture.client.order(&order, *fencing, STALL).await.unwrap();
+                let newest = fixture.engine.orders().last().map(|o| o.0);
+                assert!(ordered == Ordered::Stale || newest == Some(*fencing), "{}", case.name);
+            }
+
+            let taken: Vec<_> = fixture.engine.orders().into_iter().map(|o| o.0).collect();
+            assert_eq!(taken, case.taken, "{}", case.name);
+            assert_eq!(fixture.client.load().await.unwrap().models, ["phrase-2"], "{}", case.name);
+            fixture.close();
+        }
+    })
+}
+
+/// A caller goes away in the middle of an answer; the engine would go on to make tokens for nobody.
+fn cancels(_: &Path) -> TestResult {
+    run(async {
+        let fixture =
+            Fixture::start(Faults { stall_after: Some(1), connections: 1, ..Faults::default() }).await;
+        let res = fixture.chat().await.unwrap();
+
+        fixture.client.cancel(REQUEST).await.unwrap();
+
+        assert_eq!(fixture.engine.cancels(), 1);
+        assert_eq!(fixture.client.resume(REQUEST, 0).await.unwrap().status(), 404);
+        fixture.client.cancel(REQUEST).await.unwrap();
+        assert_eq!(fixture.engine.cancels(), 1, "a cancel of an unknown request does nothing");
+        drop(res);
+        fixture.close();
+    })
+}
+
+/// Cache events come with a gap; a reader must be able to see that one is missing.
+/// Then the engine crashes: its start changes, its cache is empty and positions begin anew.
+fn events_and_kv(_: &Path) -> TestResult {
+    run(async {
+        let fixture = Fixture::start(Faults { event_gap: 2, ..Faults::default() }).await;
+        for chat in ["a", "b", "c"] {
+            fixture.client.import_kv(chat, Bytes::from(format!("kv of {chat}"))).await.unwrap();
+        }
+
+        let events = fixture.client.events(0).await.unwrap();
+
+        let seqs: Vec<_> = events.events.iter().map(|e| e.seq).collect();
+        assert_eq!((seqs, events.last), (vec![1, 3], 3));
+        assert_eq!(fixture.client.events(1).await.unwrap().events.len(), 1);
+        assert_eq!(fixture.client.export_kv("b").await.unwrap().as_deref(), Some(&b"kv of b"[..]));
+        assert_eq!(fixture.client.export_kv("z").await.unwrap(), None);
+        assert!(fixture.client.import_kv("z", Bytes::from_static(b"torn")).await.is_err());
+        fixture.engine.crash();
+        let after = loop {
+            // A pooled connection may still be the one that the crash cuts.
+            if let Ok(after) = fixture.client.events(0).await {
+                break after;
+            }
+        };
+        assert_ne!(after.start, events.start);
+        assert_eq!(after.last, 0);
+        fixture.close();
+    })
+}
+
+datatest_stable::harness! {
+    { test = answers, root = "tests/engine", pattern = r"^answers\.yaml$" },
+    { test = resumes, root = "tests/engine", pattern = r"^resumes\.yaml$" },
+    { test = orders, root = "tests/engine", pattern = r"^orders\.yaml$" },
+    { test = cancels, root = "tests/engine", pattern = r"^answers\.yaml$" },
+    { test = events_and_kv, root = "tests/engine", pattern = r"^answers\.yaml$" },
+}
