--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -23,6 +23,8 @@
         let rt = tokio::runtime::Runtime::new().context("could not start the runtime")?;
         rt.block_on(async {
             let running = Running::start(&cfg)?;
+            // A script or a test that lets the system choose the ports reads them here.
+            println!("callers {} peers {}", running.addr(), running.peer_addr());
             spdlog::info!("router {} serves on {}", cfg.name, running.addr());
             tokio::signal::ctrl_c().await.context("could not wait for a signal")?;
             running.close();
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -20,6 +20,7 @@
 /// A router in this process.
 #[derive(Debug)]
 pub struct Running {
+    peer_addr: std::net::SocketAddr,
     server: Server,
     watch: JoinHandle<()>,
     gateway: Arc<Gateway>,
@@ -56,7 +57,7 @@
             .with_head_time(cfg.head_time);
         let server = Server::start(listener, cfg.http_threads, limits, gateway.clone())?;
         let watch = tokio::spawn(follow(Platform::new(cfg.platform), gateway.clone()));
-        Ok(Self { server, watch, gateway, metrics })
+        Ok(Self { peer_addr: cfg.peer_listen, server, watch, gateway, metrics })
     }
 
     /// The gateway.
@@ -74,6 +75,11 @@
         self.server.addr()
     }
 
+    /// Address for other routers.
+    pub fn peer_addr(&self) -> std::net::SocketAddr {
+        self.peer_addr
+    }
+
     /// Stops the router.
     pub fn close(self) {
         self.watch.abort();
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,54 @@
+//! Routers as processes, started from settings files on ports that the system chooses.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+};
+
+use cranberrytally::standin::outside::settings;
+
+/// A router process; dropping it kills it.
+pub struct Router {
+    pub addr: SocketAddr,
+    pub peer: SocketAddr,
+    file: PathBuf,
+    child: Child,
+}
+
+impl Router {
+    /// Starts a router and waits until it has told its addresses.
+    pub fn start(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let file = dir.join(format!("{name}-{}-{:x}.yaml", std::process::id(), platform.port()));
+        fs::write(&file, settings(name, any, any, platform, seeds)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cranberrytally"))
+            .args(["serve", "-c"])
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let mut addrs = line.split_whitespace().filter_map(|word| word.parse().ok());
+        let addr = addrs.next().unwrap_or_else(|| panic!("{name} told no address: {line:?}"));
+        let peer = addrs.next().unwrap_or_else(|| panic!("{name} told no peer address: {line:?}"));
+        Self { addr, peer, file, child }
+    }
+
+    /// Kills the process at once, as when its host fails.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = fs::remove_file(&self.file);
+    }
+}
