Add decision logic of admission, retries and crashing requests

Cause: requests met one thin loop with a fixed number of attempts; nothing queued, nothing was fair, and a request that crashed an engine was free to crash the next. Change: sans-IO modules admit (fair queue of a pool, limits), retry (attempt count, budget, back-off) and suspect (fingerprints, table, permits, digest).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decision modules (`entry`, `place`, `catalog`) take time, randomness and input as arguments and return what
 //! to do. The shell (`http`, `client`, `platform`, `gateway`, `serve`) turns I/O into inputs and outputs into I/O.
 
+pub mod admit;
 pub mod catalog;
 pub mod client;
 pub mod cmd;
@@ -15,7 +16,9 @@
 pub mod metrics;
 pub mod place;
 pub mod platform;
+pub mod retry;
 pub mod schema;
 pub mod serve;
 pub mod standin;
+pub mod suspect;
 pub mod util;
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -9,3 +9,6 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod settings;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod suspect;
--- /dev/null
+++ b/src/suspect/table.rs
@@ -0,0 +1,240 @@
+//! What this router knows of contents that were running when an engine crashed.
+
+use std::time::Duration;
+
+use super::{CrashId, Fingerprint, Standing};
+use crate::{
+    schema::suspect::{Digest, Entry as Wire},
+    util::{Instant, Map},
+};
+
+/// Crashes remembered a content; two convict it, the third is the one that a late report adds.
+const CRASHES: usize = 3;
+
+/// Bounds of the table.
+#[derive(Clone, Copy, Debug)]
+pub struct TableLimits {
+    entries: usize,
+    suspect: Duration,
+    quarantine: Duration,
+}
+
+impl Default for TableLimits {
+    fn default() -> Self {
+        Self { entries: 4096, suspect: Duration::from_secs(120), quarantine: Duration::from_secs(600) }
+    }
+}
+
+impl TableLimits {
+    /// Sets how many contents are remembered.
+    pub fn with_entries(self, entries: usize) -> Self {
+        Self { entries, ..self }
+    }
+
+    /// Sets how long a content stays suspect, and how long quarantined.
+    pub fn with_times(self, suspect: Duration, quarantine: Duration) -> Self {
+        Self { suspect, quarantine, ..self }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    epoch: u32,
+    standing: Standing,
+    until: Instant,
+    crashes: Vec<CrashId>,
+    told: u32,
+}
+
+/// Suspect, cleared and quarantined contents.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    limits: TableLimits,
+    entries: Map<Fingerprint, Entry>,
+}
+
+impl Table {
+    /// Empty table.
+    pub fn new(limits: TableLimits) -> Self {
+        Self { limits, entries: Map::default() }
+    }
+
+    /// Standing of a content; one never heard of is cleared.
+    pub fn standing(&self, now: Instant, content: Fingerprint) -> Standing {
+        match self.entries.get(&content) {
+            Some(e) if e.until > now => e.standing,
+            _ => Standing::Cleared,
+        }
+    }
+
+    /// Contents remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Makes contents suspects of a crash, unless another content is known to have caused it.
+    pub fn accuse(&mut self, now: Instant, contents: &[Fingerprint], crash: CrashId) {
+        if self.explained(now, crash) {
+            return;
+        }
+        for &content in contents {
+            self.accuse_one(now, content, crash);
+        }
+        self.shrink(now);
+    }
+
+    /// Quarantines a content that crashed an engine while alone among suspects, and clears the others that were
+    /// running at its crashes.
+    pub fn convict(&mut self, now: Instant, content: Fingerprint, crash: CrashId) {
+        self.accuse_one(now, content, crash);
+        let until = now + self.limits.quarantine;
+        let Some(entry) = self.entries.get_mut(&content) else { return };
+        (entry.standing, entry.until, entry.told) = (Standing::Quarantined, until, 0);
+        let crashes = entry.crashes.clone();
+        self.clear_others(&crashes);
+        self.shrink(now);
+    }
+
+    /// Clears a content that has completed.
+    pub fn clear(&mut self, content: Fingerprint) {
+        if let Some(entry) = self.entries.get_mut(&content).filter(|e| e.standing == Standing::Suspect) {
+            (entry.standing, entry.told) = (Standing::Cleared, 0);
+        }
+    }
+
+    /// Takes an accusation back: the engine is still in the same start, so only the connection broke.
+    pub fn withdraw(&mut self, crash: CrashId) {
+        for entry in self.entries.values_mut().filter(|e| e.crashes.contains(&crash)) {
+            entry.crashes.retain(|c| *c != crash);
+            if entry.crashes.is_empty() && entry.standing == Standing::Suspect {
+                (entry.standing, entry.told) = (Standing::Cleared, 0);
+            }
+        }
+    }
+
+    /// Part of the table for other routers, in at most `bytes` of postcard: what was told least goes first, and
+    /// quarantined contents before suspects.
+    pub fn digest(&mut self, now: Instant, bytes: usize) -> Digest {
+        self.entries.retain(|_, e| e.until > now);
+        let mut order: Vec<_> = self.entries.iter().collect();
+        order.sort_by_key(|(content, e)| (e.told, std::cmp::Reverse(e.standing), **content));
+        let mut digest = Digest { entries: Vec::new() };
+        // The list's length takes at most two bytes for as many entries as a datagram holds.
+        let mut size = 2;
+        for (content, entry) in order {
+            let wire = wire(now, *content, entry);
+            size += postcard::experimental::serialized_size(&wire).unwrap_or(usize::MAX / 2);
+            if size > bytes {
+                break;
+            }
+            digest.entries.push(wire);
+        }
+        for wire in &digest.entries {
+            if let Some(entry) = self.entries.get_mut(&Fingerprint(wire.fingerprint)) {
+                entry.told += 1;
+            }
+        }
+        digest
+    }
+
+    /// Takes in what another router told.
+    pub fn merge(&mut self, now: Instant, digest: &Digest) {
+        for wire in &digest.entries {
+            self.merge_one(now, wire);
+        }
+        self.shrink(now);
+    }
+
+    fn merge_one(&mut self, now: Instant, wire: &Wire) {
+        let longest = self.limits.suspect.max(self.limits.quarantine);
+        let until = now + Duration::from_millis(wire.ttl_ms.into()).min(longest);
+        let standing = wire.standing();
+        let known = self.entries.get(&Fingerprint(wire.fingerprint)).filter(|e| e.until > now);
+        if known.is_some_and(|e| (e.epoch, e.standing) >= (wire.epoch, standing)) {
+            return;
+        }
+        let mut crashes: Vec<_> = wire.crashes.iter().copied().map(CrashId).collect();
+        crashes.truncate(CRASHES);
+        if standing == Standing::Quarantined {
+            self.clear_others(&crashes);
+        } else if standing == Standing::Suspect && !crashes.is_empty() {
+            // News of a crash can arrive after the news of who caused it.
+            let unexplained = crashes.len() > 1 || !self.explained(now, crashes[0]);
+            if !unexplained {
+                return;
+            }
+        }
+        let entry = Entry { epoch: wire.epoch, standing, until, crashes, told: 0 };
+        self.entries.insert(Fingerprint(wire.fingerprint), entry);
+    }
+
+    fn accuse_one(&mut self, now: Instant, content: Fingerprint, crash: CrashId) {
+        let until = now + self.limits.suspect;
+        let entry = self.entries.entry(content).or_insert_with(|| Entry {
+            epoch: 0,
+            standing: Standing::Cleared,
+            until,
+            crashes: Vec::new(),
+            told: 0,
+        });
+        if entry.standing == Standing::Quarantined && entry.until > now {
+            return;
+        }
+        if entry.standing != Standing::Suspect || entry.until <= now {
+            entry.crashes.clear();
+            entry.epoch += 1;
+        }
+        if !entry.crashes.contains(&crash) && entry.crashes.len() < CRASHES {
+            entry.crashes.push(crash);
+        }
+        (entry.standing, entry.until, entry.told) = (Standing::Suspect, until, 0);
+    }
+
+    /// Clears the suspects whose only crash is one of these. One that was running at two crashes stays suspect:
+    /// it may be the true cause, run by a router that had not heard of the first crash.
+    fn clear_others(&mut self, crashes: &[CrashId]) {
+        for entry in self.entries.values_mut() {
+            let only = entry.crashes.len() == 1 && crashes.contains(&entry.crashes[0]);
+            if only && entry.standing == Standing::Suspect {
+                (entry.standing, entry.told) = (Standing::Cleared, 0);
+            }
+        }
+    }
+
+    fn explained(&self, now: Instant, crash: CrashId) -> bool {
+        let guilty = |e: &&Entry| e.standing == Standing::Quarantined && e.until > now;
+        self.entries.values().filter(guilty).any(|e| e.crashes.contains(&crash))
+    }
+
+    /// Keeps the table within its bound: expired and cleared contents go first, quarantined ones last.
+    fn shrink(&mut self, now: Instant) {
+        if self.entries.len() <= self.limits.entries {
+            return;
+        }
+        self.entries.retain(|_, e| e.until > now && e.standing != Standing::Cleared);
+        let excess = self.entries.len().saturating_sub(self.limits.entries);
+        if excess == 0 {
+            return;
+        }
+        let mut order: Vec<_> = self.entries.iter().map(|(c, e)| (e.standing, e.until, *c)).collect();
+        order.sort();
+        for (_, _, content) in order.into_iter().take(excess) {
+            self.entries.remove(&content);
+        }
+    }
+}
+
+fn wire(now: Instant, content: Fingerprint, entry: &Entry) -> Wire {
+    Wire {
+        fingerprint: content.0,
+        epoch: entry.epoch,
+        standing: entry.standing as i32,
+        ttl_ms: entry.until.saturating_sub(now).as_millis().min(u32::MAX.into()) as u32,
+        crashes: entry.crashes.iter().map(|c| c.0).collect(),
+    }
+}
