Measure admission, retries and crashing requests beside the ways that lost

Conclusion: classes within a bounded distance of the fair share; news at once and permits from one router.

--- /dev/null
+++ b/benches/admission.rs
@@ -0,0 +1,214 @@
+//! Admission, retries and crashing requests under virtual time, with fixed seeds.
+//!
+//! `cargo bench --bench admission` prints the tables of docs/DESIGN.md.
+
+use std::{hint::black_box, sync::Arc, time::Duration, time::Instant};
+
+use cranberrytally::{
+    admit::{Cap, Demand, Lane, LaneLimits, Offer, Priority, Scope, Usage},
+    retry::{Attempts, Budget, Policy, Reason},
+    suspect::{CrashId, Fingerprint, Permits, Table},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+#[path = "admission/crash.rs"]
+mod crash;
+#[path = "admission/storm.rs"]
+mod storm;
+#[path = "admission/surge.rs"]
+mod surge;
+
+use crash::{Guard, Scenario};
+use storm::Bound;
+use surge::{Group, Order, Trouble};
+
+const SEED: u64 = 7;
+const SURGE_SEEDS: std::ops::Range<u64> = 0..10;
+const CRASH_SEEDS: std::ops::Range<u64> = 0..20;
+const FLEET_SEEDS: std::ops::Range<u64> = 0..3;
+const ROUNDS: u32 = 200_000;
+
+fn main() {
+    surge_table("one workspace surges tenfold", Trouble::Surge);
+    surge_table("one workspace surges tenfold, all of it sent as high", Trouble::UrgentSurge);
+    surge_table("every workspace sends 2.2 times as much", Trouble::Overload);
+    crash_table();
+    storm_table();
+    cost_table();
+}
+
+fn surge_table(title: &str, trouble: Trouble) {
+    println!("\n{title}; worst seconds to the end of the answer, lost/sent, over 10 seeds");
+    println!(
+        "{:<26} {:>18} {:>18} {:>18} {:>18} {:>18}",
+        "order", "small, high", "small, normal", "others, high", "others, normal", "surging"
+    );
+    let orders = [
+        ("FIFO, unbounded", Order::Fifo),
+        ("FIFO, bounded", Order::BoundedFifo),
+        ("class first (strict)", Order::Lane(u32::MAX)),
+        ("fair, class inside only", Order::Lane(0)),
+        ("fair, class within 2048", Order::Lane(2048)),
+        ("fair, class within 8192", Order::Lane(8192)),
+    ];
+    for (name, order) in orders {
+        let f = surge::over(order, trouble, SURGE_SEEDS);
+        print!("{name:<26}");
+        for g in [f.small_high, f.small_normal, f.others_high, f.others_normal, f.loud] {
+            print!(" {:>18}", show(g));
+        }
+        println!();
+    }
+}
+
+fn show(g: Group) -> String {
+    format!("{:.2} {}/{}", g.worst.as_secs_f64(), g.lost, g.sent)
+}
+
+fn crash_table() {
+    println!(
+        "\none crashing content sent again and again to different routers, 60 s; worst of 20 seeds (3 at 730)"
+    );
+    println!(
+        "{:<44} {:>6} {:>5} {:>16} {:>5} {:>8} {:>7} {:>8}",
+        "guard", "sent", "lost", "answered/all", "hit", "wronged", "worst s", "bytes/s"
+    );
+    let base = Scenario::new;
+    let no_retry = |guard| Scenario { retry: false, gap: Duration::from_millis(12), ..base(guard) };
+    let dc = |guard| Scenario { routers: 22, engines: 730, innocents: 1500.0, ..base(guard) };
+    let rows = [
+        ("none", base(Guard::None)),
+        ("each router alone", base(Guard::Alone)),
+        ("gossip, own permits", base(Guard::Gossip)),
+        ("news at once, own permits", base(Guard::News)),
+        ("news at once, one router's permits", base(Guard::Full)),
+        ("caller only retries, 12 ms: none", no_retry(Guard::None)),
+        ("caller only retries, 12 ms: alone", no_retry(Guard::Alone)),
+        ("caller only retries, 12 ms: gossip", no_retry(Guard::Gossip)),
+        ("caller only retries, 12 ms: full", no_retry(Guard::Full)),
+        ("same, 20% of news lost", Scenario { lost: 0.2, ..no_retry(Guard::Full) }),
+        ("same, two routers give permits", Scenario { arbiters: 2, ..no_retry(Guard::Full) }),
+        ("full, two routers give permits", Scenario { arbiters: 2, ..base(Guard::Full) }),
+        ("three callers at once: none", Scenario { senders: 3, ..base(Guard::None) }),
+        ("three callers at once: news, own permits", Scenario { senders: 3, ..base(Guard::News) }),
+        ("three callers at once: full", Scenario { senders: 3, ..base(Guard::Full) }),
+        ("22 routers, 730 engines: none", dc(Guard::None)),
+        ("22 routers, 730 engines: gossip", dc(Guard::Gossip)),
+        ("22 routers, 730 engines: full", dc(Guard::Full)),
+    ];
+    for (name, cfg) in rows {
+        let seeds = if cfg.engines > 100 { FLEET_SEEDS } else { CRASH_SEEDS };
+        let runs = (seeds.end - seeds.start) as f64;
+        let f = crash::over(cfg, seeds);
+        println!(
+            "{name:<44} {:>6} {:>5} {:>16} {:>5} {:>8} {:>7.2} {:>8.0}",
+            f.sent,
+            f.crashes,
+            format!("{}/{}", f.answered, f.innocents),
+            f.hit,
+            f.wronged,
+            f.worst.as_secs_f64(),
+            f.bytes as f64 / runs / 60.0 / cfg.routers as f64
+        );
+    }
+}
+
+fn storm_table() {
+    println!("\n30% of the engines refuse; 100,000 fresh requests over {} routers", storm::ROUTERS);
+    println!("{:<28} {:>10} {:>8} {:>9} {:>6}", "bound", "extra", "ratio", "answered", "worst");
+    let bounds = [
+        ("unbounded", Bound::Unbounded),
+        ("limit of 3 at each hop", Bound::PerHop),
+        ("one count of 3", Bound::Count),
+        ("one count and budget 0.1", Bound::Budget),
+    ];
+    for (name, bound) in bounds {
+        let f = storm::run(bound, SEED);
+        let ratio = f.extra() as f64 / f.fresh as f64;
+        println!("{name:<28} {:>10} {ratio:>8.3} {:>9} {:>6}", f.extra(), f.answered, f.worst);
+    }
+}
+
+fn cost_table() {
+    println!("\ncost of a decision");
+    for waiting in [10, 256] {
+        let (demands, mut lane) = filled(waiting);
+        let mut now = Duration::ZERO;
+        let mut i = 0;
+        report(&format!("offer, grant, settle; {waiting} wait"), || {
+            now += Duration::from_micros(100);
+            i = (i + 1) % demands.len();
+            black_box(lane.offer(now, demands[i].clone()));
+            if let Some(ticket) = lane.grant() {
+                lane.settle(now, ticket, true);
+            }
+        });
+    }
+    let caps = [
+        Cap { scope: Scope::Workspace("workspace-1".into()), max: 100 },
+        Cap { scope: Scope::Group("group-1".into()), max: 400 },
+    ];
+    let mut usage = Usage::default();
+    report("limits of a workspace and a group", || {
+        let _ = black_box(usage.enter(&caps, 8));
+        usage.leave(&caps);
+    });
+    let (policy, mut budget) = (Policy::default(), Budget::default());
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    report("attempt and retry", || {
+        let deadline = Duration::from_secs(1);
+        if let Ok(mut a) = Attempts::arrive(&policy, &mut budget, 0, true, deadline) {
+            a.start();
+            let _ = black_box(a.fail(&policy, &mut budget, Duration::ZERO, Reason::ConnectFailed, &mut rng));
+        }
+    });
+    let body =
+        serde_json::json!({ "model": "m", "messages": [{ "role": "user", "content": "x".repeat(4096) }] });
+    let body = body.as_object().expect("an object");
+    report("fingerprint of a 4 KiB chat", || {
+        black_box(Fingerprint::chat(body));
+    });
+    let mut table = Table::default();
+    let contents: Vec<_> = (0..4096u32).map(|i| Fingerprint::call("/", &i.to_le_bytes())).collect();
+    table.accuse(Duration::ZERO, &contents, CrashId::new("engine", "1"));
+    let mut i = 0;
+    report("standing, table of 4096", || {
+        i = (i + 1) % contents.len();
+        black_box(table.standing(Duration::ZERO, contents[i]));
+    });
+    let mut permits = Permits::default();
+    let engine: Arc<str> = "engine".into();
+    report("permit asked and given back", || {
+        let _ = black_box(permits.ask(Duration::ZERO, contents[0], engine.clone(), Duration::from_secs(1)));
+        permits.release(contents[0], &engine);
+    });
+    let entry = postcard::to_stdvec(&table.digest(Duration::ZERO, 400)).map_or(0, |b| b.len());
+    println!("bytes: digest of 400 allowed {entry}");
+}
+
+fn filled(waiting: usize) -> (Vec<Demand>, Lane) {
+    let mut lane = Lane::new(LaneLimits::default().with_total(waiting + 1));
+    let demands: Vec<_> = (0..waiting)
+        .map(|i| Demand {
+            workspace: format!("workspace-{}", i % 10).into(),
+            priority: Priority::ALL[i % 3],
+            deadline: Duration::from_secs(1_000_000),
+            work: 300,
+        })
+        .collect();
+    for demand in &demands {
+        if let Offer::Refused(r) = lane.offer(Duration::ZERO, demand.clone()) {
+            println!("refused while filling: {r:?}");
+        }
+    }
+    (demands, lane)
+}
+
+fn report(name: &str, mut step: impl FnMut()) {
+    let began = Instant::now();
+    for _ in 0..ROUNDS {
+        step();
+    }
+    println!("{name:<40} {:>8.0} ns", began.elapsed().as_nanos() as f64 / f64::from(ROUNDS));
+}
--- /dev/null
+++ b/benches/admission/storm.rs
@@ -0,0 +1,116 @@
+//! A third of the fleet fails: extra attempts with and without the budget.
+
+use std::time::Duration;
+
+use cranberrytally::retry::{Attempts, Budget, Policy, Reason};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Routers that share the fleet.
+pub const ROUTERS: usize = 8;
+/// Share of fresh requests that the budget allows as retries.
+pub const RATIO: f64 = 0.1;
+/// Retries that a router may make at once.
+pub const BURST: u32 = 10;
+const ENGINES: usize = 20;
+const FAILING: usize = 6;
+const REQUESTS: usize = 100_000;
+/// How often a caller comes back with a refused request.
+const RETURNS: usize = 3;
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// How retries are bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bound {
+    /// Any engine again until one answers; callers come back too.
+    Unbounded,
+    /// An attempt limit at each hop, which starts anew when the caller comes back.
+    PerHop,
+    /// One attempt count over all hops, without a budget.
+    Count,
+    /// The policy: one count over all hops and the budget.
+    Budget,
+}
+
+/// Figures of one run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Fresh requests.
+    pub fresh: u64,
+    /// Attempts at engines.
+    pub attempts: u64,
+    /// Requests answered in the end.
+    pub answered: u64,
+    /// Most attempts that one request cost.
+    pub worst: u64,
+}
+
+impl Figures {
+    /// Attempts beyond one a request.
+    pub fn extra(&self) -> u64 {
+        self.attempts - self.fresh
+    }
+}
+
+/// Sends the requests while 30% of the engines refuse every connection and no router knows of it yet.
+pub fn run(bound: Bound, seed: u64) -> Figures {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut budgets = vec![Budget::new(RATIO, BURST); ROUTERS];
+    let mut figures = Figures::default();
+    for _ in 0..REQUESTS {
+        figures.fresh += 1;
+        let before = figures.attempts;
+        let mut made = 0;
+        for _ in 0..=RETURNS {
+            let router = rng.random_range(0..ROUTERS);
+            let carried = if bound == Bound::PerHop || bound == Bound::Unbounded { 0 } else { made };
+            if serve(bound, &mut budgets[router], carried, &mut made, &mut figures, &mut rng) {
+                figures.answered += 1;
+                break;
+            }
+        }
+        figures.worst = figures.worst.max(figures.attempts - before);
+        // Every request costs one attempt at least in the account, also one that was refused.
+        figures.attempts = figures.attempts.max(before + 1);
+    }
+    figures
+}
+
+fn serve(
+    bound: Bound,
+    budget: &mut Budget,
+    carried: u32,
+    made: &mut u32,
+    figures: &mut Figures,
+    rng: &mut ChaCha8Rng,
+) -> bool {
+    let mut endless = Budget::new(0.0, u32::MAX);
+    let budget = if bound == Bound::Budget { budget } else { &mut endless };
+    let limit = if bound == Bound::Unbounded { u32::MAX } else { 3 };
+    let policy = Policy::default().with_attempts(limit);
+    let Ok(mut attempts) = Attempts::arrive(&policy, budget, carried, true, DEADLINE) else { return false };
+    let mut tried = Vec::new();
+    loop {
+        let engine = pick(bound, &tried, rng);
+        tried.push(engine);
+        attempts.start();
+        figures.attempts += 1;
+        *made = attempts.made();
+        if engine >= FAILING {
+            return true;
+        }
+        let now = Duration::ZERO;
+        if attempts.fail(&policy, budget, now, Reason::ConnectFailed, rng).is_err() {
+            return false;
+        }
+    }
+}
+
+fn pick(bound: Bound, tried: &[usize], rng: &mut ChaCha8Rng) -> usize {
+    loop {
+        let engine = rng.random_range(0..ENGINES);
+        if bound == Bound::Unbounded || !tried.contains(&engine) {
+            return engine;
+        }
+    }
+}
