--- a/src/schema.rs
+++ b/src/schema.rs
@@ -15,3 +15,4 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod stream;
+pub mod suspect;
