--- a/src/schema.rs
+++ b/src/schema.rs
@@ -15,4 +15,6 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod stream;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod suspect;
