Set TCP_NODELAY on accepted connections

Cause: each token waited for the acknowledgement of the one before it, which the receiving host delays by 40 ms. Change: the listening socket has TCP_NODELAY, which accepted connections inherit.

--- a/src/http.rs
+++ b/src/http.rs
@@ -14,6 +14,7 @@
 use anyhow::{Context as _, Result};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use rustix::net::sockopt::set_tcp_nodelay;
 use tokio::{runtime::Handle, sync::mpsc};
 use xitca_web::{
     HttpServer,
@@ -156,6 +157,9 @@
         handler: Arc<impl Handler>,
     ) -> Result<Self> {
         let addr = listener.local_addr().context("could not read the address")?;
+        // Accepted connections inherit this. Without it each token waits for the acknowledgement of the one before,
+        // which the caller's host delays by 40 ms.
+        set_tcp_nodelay(&listener, true).context("could not set the socket up")?;
         let rt = Handle::current();
         let service = fn_service(async move |req: Request<RequestExt<RequestBody>>| {
             Ok::<_, Infallible>(answer(req, limits, handler.clone(), &rt).await)
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -1,5 +1,7 @@
 //! Routers as processes, started from settings files on ports that the system chooses.
 
+#![allow(dead_code, reason = "each test that includes this module uses a part of it")]
+
 use std::{
     fs,
     io::{BufRead, BufReader},
@@ -39,6 +41,11 @@
         Self { addr, peer, file, child }
     }
 
+    /// Process identifier.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once, as when its host fails.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
