Bound the figures of the admission bench by tests; tell the failures as tests

A content whose quarantine has ended is now a suspect for as long again: it costs one engine, not two.

--- a/benches/admission/crash.rs
+++ b/benches/admission/crash.rs
@@ -325,7 +325,7 @@
             return;
         }
         let (router, content) = (self.requests[id].router, self.requests[id].content);
-        self.routers[router].table.clear(content);
+        self.routers[router].table.clear(self.now, content);
         self.answer(id, true);
     }
 
--- a/benches/admission/storm.rs
+++ b/benches/admission/storm.rs
@@ -55,7 +55,7 @@
 /// Sends the requests while 30% of the engines refuse every connection and no router knows of it yet.
 pub fn run(bound: Bound, seed: u64) -> Figures {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut budgets = vec![Budget::new(RATIO, BURST); ROUTERS];
+    let mut budgets = [Budget::new(RATIO, BURST); ROUTERS];
     let mut figures = Figures::default();
     for _ in 0..REQUESTS {
         figures.fresh += 1;
--- a/benches/admission/surge.rs
+++ b/benches/admission/surge.rs
@@ -49,8 +49,8 @@
     pub lost: u32,
     /// Longest time from arrival to the end of the answer, or to the refusal.
     pub worst: Duration,
-    /// Longest time to a refusal.
-    pub worst_refusal: Duration,
+    /// Refused at the moment of arrival.
+    pub refused_on_arrival: u32,
 }
 
 /// Figures of one run.
@@ -102,7 +102,7 @@
         self.answered += other.answered;
         self.lost += other.lost;
         self.worst = self.worst.max(other.worst);
-        self.worst_refusal = self.worst_refusal.max(other.worst_refusal);
+        self.refused_on_arrival += other.refused_on_arrival;
     }
 }
 
@@ -180,9 +180,7 @@
     } else {
         g.lost += 1;
     }
-    if !answered {
-        g.worst_refusal = g.worst_refusal.max(took);
-    }
+    g.refused_on_arrival += u32::from(!answered && end == a.at);
 }
 
 fn runtime(a: &Arrival) -> Duration {
--- a/src/suspect/table.rs
+++ b/src/suspect/table.rs
@@ -31,7 +31,8 @@
         Self { entries, ..self }
     }
 
-    /// Sets how long a content stays suspect, and how long quarantined.
+    /// Sets how long a content stays suspect, and how long quarantined. After its quarantine it is a suspect for
+    /// as long again, so that one that still crashes engines costs one more, not two.
     pub fn with_times(self, suspect: Duration, quarantine: Duration) -> Self {
         Self { suspect, quarantine, ..self }
     }
@@ -61,9 +62,14 @@
 
     /// Standing of a content; one never heard of is cleared.
     pub fn standing(&self, now: Instant, content: Fingerprint) -> Standing {
-        match self.entries.get(&content) {
-            Some(e) if e.until > now => e.standing,
-            _ => Standing::Cleared,
+        self.entries.get(&content).map_or(Standing::Cleared, |e| self.standing_of(now, e))
+    }
+
+    fn standing_of(&self, now: Instant, entry: &Entry) -> Standing {
+        match entry.standing {
+            _ if entry.until <= now => Standing::Cleared,
+            Standing::Quarantined if entry.until <= now + self.limits.quarantine => Standing::Suspect,
+            standing => standing,
         }
     }
 
@@ -92,8 +98,11 @@
     /// running at its crashes.
     pub fn convict(&mut self, now: Instant, content: Fingerprint, crash: CrashId) {
         self.accuse_one(now, content, crash);
-        let until = now + self.limits.quarantine;
+        let until = now + self.limits.quarantine * 2;
         let Some(entry) = self.entries.get_mut(&content) else { return };
+        if entry.standing == Standing::Quarantined {
+            entry.epoch += 1;
+        }
         (entry.standing, entry.until, entry.told) = (Standing::Quarantined, until, 0);
         let crashes = entry.crashes.clone();
         self.clear_others(&crashes);
@@ -101,10 +110,15 @@
     }
 
     /// Clears a content that has completed.
-    pub fn clear(&mut self, content: Fingerprint) {
-        if let Some(entry) = self.entries.get_mut(&content).filter(|e| e.standing == Standing::Suspect) {
-            (entry.standing, entry.told) = (Standing::Cleared, 0);
+    pub fn clear(&mut self, now: Instant, content: Fingerprint) {
+        if self.standing(now, content) != Standing::Suspect {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&content) else { return };
+        if entry.standing == Standing::Quarantined {
+            entry.epoch += 1;
         }
+        (entry.standing, entry.told) = (Standing::Cleared, 0);
     }
 
     /// Takes an accusation back: the engine is still in the same start, so only the connection broke.
@@ -151,7 +165,7 @@
     }
 
     fn merge_one(&mut self, now: Instant, wire: &Wire) {
-        let longest = self.limits.suspect.max(self.limits.quarantine);
+        let longest = self.limits.suspect.max(self.limits.quarantine * 2);
         let until = now + Duration::from_millis(wire.ttl_ms.into()).min(longest);
         let standing = wire.standing();
         let known = self.entries.get(&Fingerprint(wire.fingerprint)).filter(|e| e.until > now);
--- /dev/null
+++ b/tests/admission_bounds.rs
@@ -0,0 +1,82 @@
+//! Regression bounds on the figures of the bench `admission`, by the same model code.
+
+use std::time::Duration;
+
+#[allow(dead_code)]
+#[path = "../benches/admission/crash.rs"]
+mod crash;
+#[allow(dead_code)]
+#[path = "../benches/admission/storm.rs"]
+mod storm;
+#[allow(dead_code)]
+#[path = "../benches/admission/surge.rs"]
+mod surge;
+
+use crash::{Guard, Scenario};
+use storm::Bound;
+use surge::{Order, Trouble};
+
+const SEEDS: std::ops::Range<u64> = 0..5;
+const BURST: u32 = 2048;
+
+/// A large workspace sends ten times as much; a traveller of a small one waits behind it at a counter.
+/// With one queue in order of arrival, the surge stands before everybody.
+#[test]
+fn a_surge_delays_the_workspace_that_surges() {
+    for trouble in [Trouble::Surge, Trouble::UrgentSurge] {
+        let ours = surge::over(Order::Lane(BURST), trouble, SEEDS);
+        let fifo = surge::over(Order::BoundedFifo, trouble, SEEDS);
+
+        assert!(ours.small_high.worst < Duration::from_millis(1300), "{trouble:?} {ours:?}");
+        assert!(ours.small_normal.worst < Duration::from_millis(3300), "{trouble:?} {ours:?}");
+        assert_eq!(ours.small_high.lost + ours.small_normal.lost, 0, "{trouble:?} {ours:?}");
+        assert_eq!(ours.others_high.lost + ours.others_normal.lost, 0, "{trouble:?} {ours:?}");
+        assert!(fifo.small_high.worst > ours.small_high.worst * 3, "{trouble:?} {fifo:?}");
+    }
+}
+
+/// All workspaces send too much at once: translations go before the dialogues of other workspaces too.
+#[test]
+fn translations_go_before_dialogues_under_general_overload() {
+    let ours = surge::over(Order::Lane(BURST), Trouble::Overload, SEEDS);
+
+    assert!(ours.others_high.worst < Duration::from_millis(1600), "{ours:?}");
+}
+
+/// A refused caller learns it at once, however long the queue.
+#[test]
+fn a_refusal_on_arrival_takes_no_time() {
+    let ours = surge::over(Order::Lane(BURST), Trouble::Surge, SEEDS);
+
+    assert!(ours.loud.refused_on_arrival > 1000, "{ours:?}");
+    assert_eq!(ours.small_high.refused_on_arrival, 0, "{ours:?}");
+}
+
+/// A content crashes each engine that runs it; its caller sends it again, each time to another router.
+/// Without quarantine the fleet is gone in seconds.
+#[test]
+fn a_crashing_content_costs_two_engines_at_most() {
+    let scenarios = [
+        Scenario::new(Guard::Full),
+        Scenario { retry: false, gap: Duration::from_millis(12), ..Scenario::new(Guard::Full) },
+    ];
+    for cfg in scenarios {
+        let f = crash::over(cfg, 0..20);
+
+        assert!(f.crashes <= 2, "{f:?}");
+        assert_eq!(f.answered, f.innocents, "{f:?}");
+        assert_eq!(f.wronged, 0, "{f:?}");
+    }
+    assert!(crash::over(Scenario::new(Guard::None), SEEDS).crashes > 20);
+}
+
+/// 30% of the engines refuse every connection and no router knows it yet: retries stay within their budget.
+#[test]
+fn extra_attempts_stay_within_the_budget() {
+    let f = storm::run(Bound::Budget, 7);
+    let most = f.fresh as f64 * storm::RATIO + f64::from(storm::BURST) * storm::ROUTERS as f64;
+
+    assert!(f.extra() as f64 <= most, "{f:?} {most}");
+    assert!(f.worst <= 3, "{f:?}");
+    assert!(storm::run(Bound::Unbounded, 7).extra() > 4 * f.extra());
+}
--- /dev/null
+++ b/tests/admit.rs
@@ -0,0 +1,225 @@
+//! The queue of a pool: order, fairness, refusals.
+
+use std::time::Duration;
+
+use cranberrytally::{
+    admit::{Cap, Demand, Lane, LaneLimits, Offer, Priority, Scope, Ticket, Usage},
+    error::Kind,
+};
+
+const LATE: Duration = Duration::from_secs(3600);
+
+fn demand(workspace: &str, priority: Priority, deadline: Duration) -> Demand {
+    Demand { workspace: workspace.into(), priority, deadline, work: 100 }
+}
+
+fn normal(workspace: &str) -> Demand {
+    demand(workspace, Priority::Normal, LATE)
+}
+
+fn wait(lane: &mut Lane, now: Duration, demand: Demand) -> Ticket {
+    match lane.offer(now, demand) {
+        Offer::Queued(ticket) => ticket,
+        other => panic!("not queued: {other:?}"),
+    }
+}
+
+fn refused(offer: Offer) -> Kind {
+    match offer {
+        Offer::Refused(r) => r.kind,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+fn next(lane: &mut Lane, now: Duration) -> Option<Ticket> {
+    let ticket = lane.grant()?;
+    lane.settle(now, ticket, true);
+    Some(ticket)
+}
+
+/// Lets the lane measure 400 units of work a second.
+fn measured(limits: LaneLimits) -> Lane {
+    let mut lane = Lane::new(limits);
+    for i in 0..20 {
+        wait(&mut lane, Duration::from_millis(i * 250), normal("a"));
+    }
+    for i in 0..8 {
+        next(&mut lane, Duration::from_millis(i * 250 + 250));
+    }
+    lane
+}
+
+#[test]
+fn a_workspace_is_served_by_class_then_deadline_then_arrival() {
+    let table = [
+        ("class", demand("a", Priority::Normal, LATE / 2), demand("a", Priority::High, LATE)),
+        ("deadline", demand("a", Priority::Low, LATE), demand("a", Priority::Low, LATE / 2)),
+    ];
+    for (case, later, sooner) in table {
+        let mut lane = Lane::default();
+        wait(&mut lane, Duration::ZERO, later);
+        let sooner = wait(&mut lane, Duration::ZERO, sooner);
+
+        let first = next(&mut lane, Duration::ZERO);
+
+        assert_eq!(first, Some(sooner), "{case}");
+    }
+    let mut lane = Lane::default();
+    let first = wait(&mut lane, Duration::ZERO, normal("a"));
+    wait(&mut lane, Duration::ZERO, normal("a"));
+    assert_eq!(next(&mut lane, Duration::ZERO), Some(first), "arrival");
+}
+
+/// A large workspace has queued fifty chats when a small one sends its first.
+/// In order of arrival the traveller would wait for all fifty; it must be among the next two.
+#[test]
+fn a_small_workspace_does_not_wait_behind_anothers_queue() {
+    let mut lane = Lane::default();
+    for _ in 0..50 {
+        wait(&mut lane, Duration::ZERO, normal("large"));
+    }
+    next(&mut lane, Duration::ZERO);
+    let small = wait(&mut lane, Duration::ZERO, normal("small"));
+
+    let turns = [next(&mut lane, Duration::ZERO), next(&mut lane, Duration::ZERO)];
+
+    assert!(turns.contains(&Some(small)));
+}
+
+/// Four workspaces surge and fill the whole queue; a fifth sends one translation and is told "queue full".
+/// The last request of the longest queue gives way instead, and is told at once.
+#[test]
+fn a_full_queue_still_takes_a_small_workspace() {
+    let mut lane = Lane::new(LaneLimits::default().with_total(8));
+    for name in ["a", "b", "b", "b", "c", "c", "d", "d"] {
+        wait(&mut lane, Duration::ZERO, normal(name));
+    }
+
+    let offer = lane.offer(Duration::ZERO, normal("small"));
+
+    let Offer::Displaced(_, victim, refusal) = offer else { panic!("not displaced: {offer:?}") };
+    assert_eq!(refusal.kind, Kind::QueueFull);
+    assert_eq!(lane.len(), 8);
+    lane.leave(victim);
+    assert_eq!(lane.len(), 8, "the victim was already out");
+}
+
+#[test]
+fn queues_are_bounded() {
+    let limits = LaneLimits::default().with_total(4).with_workspace(2);
+    let mut lane = Lane::new(limits);
+    for name in ["a", "a", "b", "b"] {
+        wait(&mut lane, Duration::ZERO, normal(name));
+    }
+
+    assert_eq!(refused(lane.offer(Duration::ZERO, normal("a"))), Kind::QueueFull, "of the workspace");
+    let offer = lane.offer(Duration::ZERO, normal("c"));
+    assert!(matches!(offer, Offer::Displaced(..)));
+    assert_eq!(lane.len(), 4);
+}
+
+/// Phrases shall be tagged within 500 ms while 12 chats wait before them and four start a second.
+/// Let in, they would be told after their deadline that they are late; told at once, they can come back.
+#[test]
+fn a_deadline_that_can_not_be_met_is_refused_at_once() {
+    let mut lane = measured(LaneLimits::default());
+    let now = Duration::from_millis(2250);
+
+    let tight = lane.offer(now, demand("a", Priority::Low, now + Duration::from_millis(500)));
+    let roomy = lane.offer(now, demand("a", Priority::Low, now + Duration::from_secs(60)));
+
+    let Offer::Refused(refusal) = tight else { panic!("not refused: {tight:?}") };
+    assert_eq!(refusal.kind, Kind::DeadlineUnmeetable);
+    assert!(refusal.retry_after >= Duration::from_secs(2), "{refusal:?}");
+    assert!(matches!(roomy, Offer::Queued(_)));
+}
+
+/// Every engine stalls for a while, so the measured rate falls to nothing; then they run again.
+/// A lane that refused on the old rate would keep all requests out for ever.
+#[test]
+fn an_empty_lane_lets_a_request_in_after_a_stall() {
+    let mut lane = Lane::default();
+    let ticket = wait(&mut lane, Duration::ZERO, normal("a"));
+    for i in 1..100 {
+        lane.expire(Duration::from_millis(i * 250));
+    }
+    lane.leave(ticket);
+    let now = Duration::from_secs(30);
+
+    let offer = lane.offer(now, demand("a", Priority::Normal, now + Duration::from_secs(1)));
+
+    assert!(matches!(offer, Offer::Queued(_)));
+}
+
+#[test]
+fn waiting_requests_leave_at_their_deadline() {
+    let mut lane = Lane::default();
+    let short = wait(&mut lane, Duration::ZERO, demand("a", Priority::High, Duration::from_secs(1)));
+    wait(&mut lane, Duration::ZERO, normal("a"));
+
+    let gone = lane.expire(Duration::from_secs(1) + Duration::from_millis(1));
+
+    assert_eq!(gone.iter().map(|(t, r)| (*t, r.kind)).collect::<Vec<_>>(), [(short, Kind::DeadlinePassed)]);
+    assert_eq!(lane.len(), 1);
+    let passed = lane.offer(Duration::from_secs(2), demand("a", Priority::High, Duration::from_secs(1)));
+    assert_eq!(refused(passed), Kind::DeadlinePassed);
+}
+
+/// A caller hangs up while its request has the turn. If the turn stayed taken, the lane would stop for good
+/// after a few such callers.
+#[test]
+fn a_caller_that_goes_away_frees_its_turn() {
+    let mut lane = Lane::new(LaneLimits::default().with_trying(1));
+    wait(&mut lane, Duration::ZERO, normal("a"));
+    let second = wait(&mut lane, Duration::ZERO, normal("a"));
+    let first = lane.grant().unwrap();
+    assert_eq!(lane.grant(), None, "one turn at a time");
+
+    lane.leave(first);
+
+    assert_eq!(lane.grant(), Some(second));
+}
+
+/// The engine that a turn was meant for was taken by another router in between.
+#[test]
+fn a_turn_without_an_engine_keeps_the_place() {
+    let mut lane = Lane::default();
+    let first = wait(&mut lane, Duration::ZERO, normal("a"));
+    wait(&mut lane, Duration::ZERO, normal("a"));
+    let ticket = lane.grant().unwrap();
+
+    lane.settle(Duration::ZERO, ticket, false);
+
+    assert_eq!(lane.grant(), Some(first));
+}
+
+#[test]
+fn limits_count_requests_in_progress() {
+    let caps = [
+        Cap { scope: Scope::Workspace("a".into()), max: 2 },
+        Cap { scope: Scope::Group("g".into()), max: 3 },
+    ];
+    let mut usage = Usage::default();
+    assert_eq!(usage.enter(&caps, 1), Ok(()));
+    assert_eq!(usage.enter(&caps, 1), Ok(()));
+
+    assert_eq!(usage.enter(&caps, 1), Err(Kind::WorkspaceLimit));
+    assert_eq!(usage.enter(&caps[1..], 1), Ok(()), "a refused request is not counted");
+    assert_eq!(usage.enter(&caps[1..], 1), Err(Kind::GroupLimit));
+    usage.leave(&caps);
+    usage.leave(&caps);
+    usage.leave(&caps[1..]);
+    assert!(usage.is_empty());
+}
+
+#[test]
+fn a_limit_is_shared_by_the_routers() {
+    let caps = [Cap { scope: Scope::Workspace("a".into()), max: 10 }];
+    for (routers, share) in [(1, 10), (3, 4), (20, 1)] {
+        let mut usage = Usage::default();
+
+        let entered = (0..100).take_while(|_| usage.enter(&caps, routers).is_ok()).count();
+
+        assert_eq!(entered, share, "{routers} routers");
+    }
+}
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,129 @@
+//! Retries: what may be tried again, how often, and what the caller is told.
+
+use std::time::Duration;
+
+use cranberrytally::{
+    error::{Kind, Ran},
+    retry::{Attempts, Budget, Policy, Reason, spread},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const DEADLINE: Duration = Duration::from_secs(10);
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
+fn arrive(made: u32, idempotent: bool) -> Attempts {
+    Attempts::arrive(&Policy::default(), &mut Budget::default(), made, idempotent, DEADLINE).unwrap()
+}
+
+fn fail(a: &mut Attempts, budget: &mut Budget, reason: Reason) -> Result<Duration, (Kind, Kind)> {
+    a.start();
+    a.fail(&Policy::default(), budget, Duration::ZERO, reason, &mut rng()).map_err(|d| (d.reason, d.answer))
+}
+
+#[test]
+fn only_what_did_not_run_or_is_idempotent_is_tried_again() {
+    let table = [
+        (Reason::ConnectFailed, false, true),
+        (Reason::EngineRefused, false, true),
+        (Reason::EngineFailed, false, false),
+        (Reason::ConnectFailed, true, true),
+        (Reason::EngineRefused, true, true),
+        (Reason::EngineFailed, true, true),
+    ];
+    for (reason, idempotent, again) in table {
+        let decided = fail(&mut arrive(0, idempotent), &mut Budget::default(), reason);
+
+        assert_eq!(decided.is_ok(), again, "{reason:?}, idempotent: {idempotent}");
+    }
+}
+
+/// A booking breaks off after it may have reached the backend server and then nothing else can be tried.
+/// "Not run" would make the caller book again.
+#[test]
+fn not_run_is_never_said_after_an_attempt_that_may_have_run() {
+    let mut a = arrive(0, true);
+    let mut budget = Budget::new(0.1, 1);
+    assert!(fail(&mut a, &mut budget, Reason::EngineFailed).is_ok());
+
+    let (reason, answer) = fail(&mut a, &mut budget, Reason::ConnectFailed).unwrap_err();
+
+    assert_eq!(reason, Kind::RetryBudget);
+    assert_ne!(answer.answer().ran, Ran::No);
+}
+
+/// A connection is refused after an earlier attempt that may have run: the request is not idempotent, so the
+/// proof that the second attempt did not run must not allow a third.
+#[test]
+fn a_later_proof_does_not_excuse_an_earlier_attempt() {
+    let mut a = arrive(0, false);
+    assert!(fail(&mut a, &mut Budget::default(), Reason::EngineFailed).is_err());
+
+    assert!(fail(&mut a, &mut Budget::default(), Reason::ConnectFailed).is_err());
+}
+
+/// A caller goes from router to router with a request that fails at each. Counted at each hop alone it would
+/// cost three attempts a router; the count that it carries ends it after three in all.
+#[test]
+fn attempts_count_over_all_hops() {
+    let mut a = arrive(0, true);
+    let mut budget = Budget::default();
+    assert!(fail(&mut a, &mut budget, Reason::ConnectFailed).is_ok());
+    assert!(fail(&mut a, &mut budget, Reason::ConnectFailed).is_ok());
+    assert_eq!(a.made(), 2);
+
+    let mut elsewhere = arrive(a.made(), true);
+    let (reason, _) = fail(&mut elsewhere, &mut Budget::default(), Reason::ConnectFailed).unwrap_err();
+    let again =
+        Attempts::arrive(&Policy::default(), &mut Budget::default(), elsewhere.made(), true, DEADLINE);
+
+    assert_eq!(reason, Kind::AttemptLimit);
+    assert_eq!(again.err(), Some(Kind::AttemptLimit));
+}
+
+#[test]
+fn the_budget_is_a_share_of_fresh_requests() {
+    let mut budget = Budget::new(0.1, 10);
+    assert_eq!((0..100).filter(|_| budget.spend()).count(), 10, "the burst");
+    for _ in 0..50 {
+        budget.earn();
+    }
+
+    assert_eq!((0..100).filter(|_| budget.spend()).count(), 5);
+}
+
+#[test]
+fn a_callers_own_retry_takes_from_the_budget() {
+    let mut budget = Budget::new(0.1, 1);
+    let policy = Policy::default();
+    assert!(Attempts::arrive(&policy, &mut budget, 1, true, DEADLINE).is_ok());
+
+    let refused = Attempts::arrive(&policy, &mut budget, 1, true, DEADLINE);
+
+    assert_eq!(refused.err(), Some(Kind::RetryBudget));
+}
+
+#[test]
+fn a_retry_that_would_start_after_the_deadline_is_not_made() {
+    let mut a = arrive(0, true);
+    a.start();
+
+    let denied =
+        a.fail(&Policy::default(), &mut Budget::default(), DEADLINE, Reason::ConnectFailed, &mut rng());
+
+    assert_eq!(denied.unwrap_err().reason, Kind::DeadlinePassed);
+}
+
+#[test]
+fn back_off_grows_within_its_bounds_and_differs() {
+    let most = Duration::from_millis(100);
+    let mut rng = rng();
+
+    let pauses: Vec<_> = (0..100).map(|_| spread(most, &mut rng)).collect();
+
+    assert!(pauses.iter().all(|p| *p >= most / 2 && *p <= most));
+    assert!(pauses.windows(2).any(|w| w[0] != w[1]));
+}
--- /dev/null
+++ b/tests/suspect.rs
@@ -0,0 +1,222 @@
+//! Requests that crash backend servers: suspects, permits, quarantine and what routers tell each other.
+
+use std::{sync::Arc, time::Duration};
+
+use cranberrytally::suspect::{
+    CrashId, Fingerprint, Permits, Running, Standing, Table, TableLimits, Verdict,
+};
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(1);
+const HOLD: Duration = Duration::from_secs(30);
+
+fn content(n: u32) -> Fingerprint {
+    Fingerprint::call("/", &n.to_le_bytes())
+}
+
+fn crash(n: u32) -> CrashId {
+    CrashId::new("engine", &n.to_string())
+}
+
+fn contents(range: std::ops::Range<u32>) -> Vec<Fingerprint> {
+    range.map(content).collect()
+}
+
+fn chat(body: &str) -> Fingerprint {
+    Fingerprint::chat(&serde_json::from_str(body).unwrap())
+}
+
+#[test]
+fn a_fingerprint_follows_the_content_alone() {
+    let base = chat(r#"{"model":"m","messages":[{"role":"user","content":"x"}]}"#);
+    let same = [
+        r#"{ "messages": [{"content":"x","role":"user"}], "model": "m" }"#,
+        r#"{"model":"m","messages":[{"role":"user","content":"x"}],"user":"u","metadata":{"id":"2"},"stream":true}"#,
+    ];
+    let other = [
+        r#"{"model":"m","messages":[{"role":"user","content":"y"}]}"#,
+        r#"{"model":"n","messages":[{"role":"user","content":"x"}]}"#,
+        r#"{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":9}"#,
+    ];
+
+    assert!(same.iter().all(|body| chat(body) == base));
+    assert!(other.iter().all(|body| chat(body) != base));
+}
+
+/// A chat crashes the engine that runs it and four neighbours; its caller sends it again.
+/// Only the chat that crashes a second engine while alone among suspects is kept out; the neighbours, which
+/// merely were nearby, are free again at once.
+#[test]
+fn the_second_crash_alone_quarantines_and_clears_the_neighbours() {
+    let mut table = Table::default();
+    table.accuse(NOW, &contents(0..5), crash(1));
+    assert!(contents(0..5).iter().all(|c| table.standing(NOW, *c) == Standing::Suspect));
+
+    table.convict(NOW, content(0), crash(2));
+
+    assert_eq!(table.standing(NOW, content(0)), Standing::Quarantined);
+    assert!(contents(1..5).iter().all(|c| table.standing(NOW, *c) == Standing::Cleared));
+}
+
+#[test]
+fn a_suspect_that_completes_is_cleared() {
+    let mut table = Table::default();
+    table.accuse(NOW, &contents(0..2), crash(1));
+
+    table.clear(NOW, content(0));
+
+    assert_eq!(table.standing(NOW, content(0)), Standing::Cleared);
+    assert_eq!(table.standing(NOW, content(1)), Standing::Suspect);
+}
+
+/// A switch drops a connection while the engine goes on. All its requests were made suspects as the
+/// connection broke, before the engine could be asked; the same start identifier takes that back.
+#[test]
+fn a_broken_connection_to_a_living_engine_accuses_nobody() {
+    let mut table = Table::default();
+    table.accuse(NOW, &contents(0..5), crash(1));
+
+    table.withdraw(crash(1));
+
+    assert!(contents(0..5).iter().all(|c| table.standing(NOW, *c) == Standing::Cleared));
+}
+
+/// Two routers ran requests on the engine of the second crash. The one with the permit convicts; the other
+/// hears of that first and only then sees its own connection break. Its requests were not the cause.
+#[test]
+fn a_crash_whose_cause_is_known_accuses_nobody_else() {
+    let (mut one, mut other) = (Table::default(), Table::default());
+    one.accuse(NOW, &[content(0)], crash(1));
+    one.convict(NOW, content(0), crash(2));
+    other.merge(NOW, &one.digest(NOW, 400));
+
+    other.accuse(NOW, &contents(5..9), crash(2));
+
+    assert_eq!(other.standing(NOW, content(0)), Standing::Quarantined);
+    assert!(contents(5..9).iter().all(|c| other.standing(NOW, *c) == Standing::Cleared));
+}
+
+/// A suspect that runs without a permit, at a router that had not heard of it, is on the engine when an innocent
+/// suspect with a permit is blamed for the second crash. It was running at both crashes and must stay suspect.
+#[test]
+fn one_that_was_running_at_two_crashes_is_not_cleared_by_anothers_guilt() {
+    let mut table = Table::default();
+    table.accuse(NOW, &[content(0), content(1), content(2)], crash(1));
+    table.accuse(NOW, &[content(1)], crash(2));
+
+    table.convict(NOW, content(0), crash(2));
+
+    assert_eq!(table.standing(NOW, content(1)), Standing::Suspect);
+    assert_eq!(table.standing(NOW, content(2)), Standing::Cleared);
+}
+
+/// After its quarantine the content comes again. Taken for new it would cost two engines each time; it comes
+/// back as a suspect, and one crash puts it away again, at every router.
+#[test]
+fn after_its_quarantine_a_content_is_a_suspect() {
+    let limits = TableLimits::default().with_times(HOLD, Duration::from_secs(600));
+    let (mut table, mut other) = (Table::new(limits), Table::new(limits));
+    table.accuse(NOW, &[content(0)], crash(1));
+    table.convict(NOW, content(0), crash(2));
+    other.merge(NOW, &table.digest(NOW, 400));
+    let later = NOW + Duration::from_secs(601);
+    assert_eq!(table.standing(later, content(0)), Standing::Suspect);
+
+    table.convict(later, content(0), crash(3));
+    other.merge(later, &table.digest(later, 400));
+
+    assert_eq!(other.standing(later, content(0)), Standing::Quarantined);
+    assert_eq!(table.standing(later + Duration::from_secs(1201), content(0)), Standing::Cleared);
+}
+
+/// Two suspects of one crash are sent by two routers to the same engine. If both ran there, the crash that one
+/// causes would be blamed on both.
+#[test]
+fn an_engine_runs_one_suspect_and_a_suspect_runs_once() {
+    let mut permits = Permits::default();
+    assert_eq!(permits.ask(NOW, content(0), "a", HOLD), Verdict::Granted);
+
+    assert_eq!(permits.ask(NOW, content(1), "a", HOLD), Verdict::EngineTaken);
+    assert_eq!(permits.ask(NOW, content(0), "b", HOLD), Verdict::ContentRunning);
+    permits.release(content(0), "a");
+    assert_eq!(permits.ask(NOW, content(1), "a", HOLD), Verdict::Granted);
+}
+
+/// A router dies with a permit. Its engine must not be closed to suspects for ever; and when the router was
+/// only paused, its late release must not free the permit that another holds by then.
+#[test]
+fn a_permit_lapses_and_a_late_release_frees_no_other() {
+    let mut permits = Permits::default();
+    permits.ask(NOW, content(0), "a", HOLD);
+    let later = NOW + HOLD;
+    assert_eq!(permits.ask(later, content(0), "b", HOLD), Verdict::Granted);
+
+    permits.release(content(0), "a");
+
+    assert_eq!(permits.ask(later, content(0), "c", HOLD), Verdict::ContentRunning);
+    assert_eq!(permits.ask(later, content(1), "b", HOLD), Verdict::EngineTaken);
+}
+
+#[test]
+fn running_contents_are_known_by_engine() {
+    let mut running = Running::default();
+    let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
+    let run = running.start(&a, content(0));
+    running.start(&a, content(1));
+    running.start(&b, content(2));
+
+    running.finish(&a, run);
+
+    assert_eq!(running.at("a"), [content(1)]);
+    assert_eq!(running.at("c"), []);
+}
+
+/// A whole data centre loses power with thousands of requests running. The table must not grow with it, and
+/// must not lose the quarantine that stands.
+#[test]
+fn the_table_is_bounded_and_keeps_quarantined_contents() {
+    let mut table = Table::new(TableLimits::default().with_entries(100));
+    table.accuse(NOW, &[content(0)], crash(0));
+    table.convict(NOW, content(0), crash(1));
+
+    table.accuse(NOW, &contents(1..5000), crash(2));
+
+    assert!(table.len() <= 100);
+    assert_eq!(table.standing(NOW, content(0)), Standing::Quarantined);
+}
+
+proptest! {
+    /// Routers hear of the same crashes in any order; after all has been told, none may take a quarantined
+    /// content for free or hold a completed one back.
+    #[test]
+    fn tables_agree_in_whatever_order_they_hear(order in Just((0..4usize).collect::<Vec<_>>()).prop_shuffle()) {
+        let mut source = Table::default();
+        let mut news = Vec::new();
+        source.accuse(NOW, &contents(0..5), crash(1));
+        news.push(source.digest(NOW, 400));
+        source.clear(NOW, content(3));
+        news.push(source.digest(NOW, 400));
+        source.convict(NOW, content(0), crash(2));
+        news.push(source.digest(NOW, 400));
+        news.push(source.digest(NOW, 400));
+        let mut table = Table::default();
+
+        for i in order {
+            table.merge(NOW, &news[i]);
+        }
+
+        for c in contents(0..5) {
+            prop_assert_eq!(table.standing(NOW, c), source.standing(NOW, c));
+        }
+    }
+
+    #[test]
+    fn a_digest_stays_within_its_bytes(bytes in 0usize..600, count in 0u32..200) {
+        let mut table = Table::default();
+        table.accuse(NOW, &contents(0..count), crash(1));
+
+        let digest = table.digest(NOW, bytes);
+
+        prop_assert!(digest.entries.is_empty() || postcard::to_stdvec(&digest).unwrap().len() <= bytes);
+    }
+}
