Place by hint, rendezvous and one owner an engine; add the routing bench (first cut)

Cause: placement looked at one router's own counts only, so several routers together had no bound. Change: sans-IO placement (rank, hint, health, ledger, bound, search) and a bench that runs it under virtual time.

--- /dev/null
+++ b/benches/routing.rs
@@ -0,0 +1,79 @@
+//! Tables of the routing policy: cache reuse through churn, skew under a surge, cost of a decision.
+//!
+//! `cargo bench --bench routing` prints all of them; `-- today` only those of the sizes of today.
+
+use std::{thread, time::Instant};
+
+#[path = "routing/model.rs"]
+mod model;
+
+use model::{Outcome, Policy, Setup};
+
+/// Runs at a time, so that the machine stays usable.
+const THREADS: usize = 3;
+
+fn main() {
+    let only_today = std::env::args().any(|a| a == "today");
+    let mut sizes = vec![Setup::today()];
+    if !only_today {
+        sizes.push(Setup::target());
+    }
+    for size in sizes {
+        table(&format!("{}: churn", size.name), &size, &Policy::ALL);
+        table(&format!("{}: surge", size.name), &size.clone().without_changes().with_surge(), &Policy::ALL);
+        table(
+            &format!("{}: surge and churn, callers at any router", size.name),
+            &size.with_surge().with_named(0.0),
+            &[Policy::AllKnowing, Policy::Scaled, Policy::Shares, Policy::Owners],
+        );
+    }
+}
+
+fn table(title: &str, setup: &Setup, policies: &[Policy]) {
+    println!("\n{title}: {} routers, {} engines, {} chats", setup.routers, setup.engines, setup.chats);
+    println!(
+        "{:24} {:>8} {:>7} {:>7} {:>7} {:>7} {:>9} {:>8} {:>8} {:>8} {:>7} {:>6}",
+        "",
+        "requests",
+        "reuse",
+        "+moved",
+        "worst",
+        "usual",
+        "over",
+        "messages",
+        "scored",
+        "failed",
+        "refused",
+        "s"
+    );
+    for chunk in policies.chunks(THREADS) {
+        let runs: Vec<_> = thread::scope(|scope| {
+            let tasks: Vec<_> = chunk.iter().map(|&p| scope.spawn(move || timed(setup, p))).collect();
+            tasks.into_iter().filter_map(|t| t.join().ok()).collect()
+        });
+        for (policy, (o, seconds)) in chunk.iter().zip(runs) {
+            println!(
+                "{:24} {:8} {:7.4} {:7.4} {:7.3} {:7.3} {:4}/{:4} {:8.3} {:8.1} {:8.5} {:7.5} {:6.1}",
+                policy.name(),
+                o.requests,
+                o.reuse,
+                o.reuse_moved,
+                o.worst,
+                o.usual,
+                o.over,
+                o.samples,
+                o.messages,
+                o.scored,
+                o.failed,
+                o.refused,
+                seconds
+            );
+        }
+    }
+}
+
+fn timed(setup: &Setup, policy: Policy) -> (Outcome, f64) {
+    let start = Instant::now();
+    let outcome = model::run(setup, policy);
+    (outcome, start.elapsed().as_secs_f64())
+}
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,20 +2,39 @@
 //!
 //! Selectors are evaluated once a configuration change; a request only looks things up.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
+use anyhow::{Context, Result, bail};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    schema::object::{self as raw, Selector},
-    util::Map,
+    place::rank::Ranking,
+    schema::object as raw,
+    util::{Map, hash},
 };
 
+mod selector;
+
+pub use selector::{matches, validate};
+
 new_key_type! {
-    /// Key of an engine in a [`Catalog`].
+    /// Key of an engine in one [`Catalog`]; keys of two catalogs don't mix.
     pub struct EngineKey;
 }
 
+/// Identifier made from a name; the same on every router and in every catalog.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Id(pub u64);
+
+impl Id {
+    /// Identifier of a name.
+    pub fn of(name: &str) -> Self {
+        Self(hash(name).max(1))
+    }
+}
+
 /// One stored object: kind, metadata and spec.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Object<S> {
@@ -36,6 +55,8 @@
 /// An engine as the configuration describes it.
 #[derive(Clone, Debug)]
 pub struct Engine {
+    /// Identifier made from the name.
+    pub id: Id,
     /// Name.
     pub name: Arc<str>,
     /// Where it listens.
@@ -50,12 +71,28 @@
 /// Engines that serve together.
 #[derive(Clone, Debug)]
 pub struct Pool {
+    /// Identifier made from the name.
+    pub id: Id,
     /// Name.
     pub name: Arc<str>,
     /// Members.
     pub engines: Vec<EngineKey>,
     /// Highest load of an engine as a multiple of the mean.
     pub load_bound: f64,
+    by_id: Map<Id, EngineKey>,
+    by_data_centre: Vec<(Arc<str>, Ranking)>,
+}
+
+impl Pool {
+    /// The member with this identifier; `None` for an engine that the pool does not select.
+    pub fn member(&self, id: Id) -> Option<EngineKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// Members of each data centre, ready to be ranked.
+    pub fn by_data_centre(&self) -> &[(Arc<str>, Ranking)] {
+        &self.by_data_centre
+    }
 }
 
 /// A plain service.
@@ -63,6 +100,8 @@
 pub struct Service {
     /// Backend servers.
     pub engines: Vec<EngineKey>,
+    /// Backend servers, ready to be ranked.
+    pub ranking: Ranking,
     /// Path prefixes whose calls may not be repeated.
     pub non_idempotent: Vec<Arc<str>>,
     /// Whether such a call needs an idempotency key.
@@ -71,7 +110,8 @@
 
 #[derive(Clone, Debug)]
 struct Policy {
-    workspaces: Selector,
+    name: Arc<str>,
+    workspaces: raw::Selector,
     model: Arc<str>,
     pool: Arc<str>,
     rank: u32,
@@ -84,7 +124,9 @@
     UnknownWorkspace,
     /// No policy routes this workspace and model.
     NoPolicy,
-    /// The policy's pool has no engine.
+    /// The policy names a pool that is not configured or was left out as faulty.
+    UnknownPool,
+    /// The labels of no engine match the pool's selector.
     EmptyPool,
 }
 
@@ -94,13 +136,19 @@
     /// Version of the platform's collection from which it was compiled.
     pub version: u64,
     engines: SlotMap<EngineKey, Engine>,
+    by_id: Map<Id, EngineKey>,
     pools: Map<Arc<str>, Pool>,
+    pools_by_id: Map<Id, Arc<str>>,
     policies: Vec<Policy>,
     workspaces: Map<Arc<str>, Labels>,
+    /// Policies that select the workspace, by position in `policies`, highest rank first.
+    routes: Map<Arc<str>, Vec<usize>>,
     services: Map<Arc<str>, Service>,
 }
 
 const DEFAULT_BOUND: f64 = 1.25;
+/// A bound of one mean or less can't be kept: some engine always stands above the mean.
+const LEAST_BOUND_MILLI: u32 = 1050;
 
 impl Catalog {
     /// Compiles `objects`; returns the catalog and what is wrong with objects that were left out.
@@ -117,22 +165,28 @@
                 faults.push(format!("{}/{}: {e:#}", obj.kind, obj.metadata.name));
             }
         }
-        cat.policies.sort_by_key(|p| std::cmp::Reverse(p.rank));
+        cat.route(&mut faults);
         (cat, faults)
     }
 
-    fn add_base(&mut self, obj: &AnyObject) -> anyhow::Result<()> {
+    fn add_base(&mut self, obj: &AnyObject) -> Result<()> {
         let name: Arc<str> = obj.metadata.name.as_str().into();
         match obj.kind.as_str() {
             "Engine" => {
                 let spec: raw::Engine = parse(obj)?;
-                self.engines.insert(Engine {
+                let id = Id::of(&name);
+                let addr = spec.address.parse().with_context(|| {
+                    format!("`address` is not an IP address and port: {:?}", spec.address)
+                })?;
+                let key = self.engines.insert(Engine {
+                    id,
                     name,
-                    addr: spec.address.parse()?,
+                    addr,
                     data_centre: spec.data_centre.into(),
                     capacity: spec.capacity.max(1),
                     labels: obj.metadata.labels.clone(),
                 });
+                self.by_id.insert(id, key);
             }
             "Workspace" => {
                 let _: raw::Workspace = parse(obj)?;
@@ -143,31 +197,27 @@
         Ok(())
     }
 
-    fn add_derived(&mut self, obj: &AnyObject) -> anyhow::Result<()> {
+    fn add_derived(&mut self, obj: &AnyObject) -> Result<()> {
         let name: Arc<str> = obj.metadata.name.as_str().into();
         match obj.kind.as_str() {
             "EnginePool" => {
-                let spec: raw::EnginePool = parse(obj)?;
-                let engines = self.select(&spec.engines.unwrap_or_default());
-                let load_bound = match spec.load_bound_milli {
-                    0 => DEFAULT_BOUND,
-                    milli => f64::from(milli) / 1000.0,
-                };
-                self.pools.insert(name.clone(), Pool { name, engines, load_bound });
+                let pool = self.pool_of(name.clone(), parse(obj)?)?;
+                self.pools_by_id.insert(pool.id, name.clone());
+                self.pools.insert(name, pool);
             }
             "RoutingPolicy" => {
                 let spec: raw::RoutingPolicy = parse(obj)?;
-                self.policies.push(Policy {
-                    workspaces: spec.workspaces.unwrap_or_default(),
-                    model: spec.model.into(),
-                    pool: spec.pool.into(),
-                    rank: spec.rank,
-                });
+                let workspaces = spec.workspaces.unwrap_or_default();
+                validate(&workspaces)?;
+                let (model, pool) = (spec.model.into(), spec.pool.into());
+                self.policies.push(Policy { name, workspaces, model, pool, rank: spec.rank });
             }
             "Service" => {
                 let spec: raw::Service = parse(obj)?;
+                let engines = self.select(&spec.engines.unwrap_or_default())?;
                 let service = Service {
-                    engines: self.select(&spec.engines.unwrap_or_default()),
+                    ranking: Ranking::new(engines.iter().map(|&key| (key, &self.engines[key]))),
+                    engines,
                     non_idempotent: spec.non_idempotent.into_iter().map(Into::into).collect(),
                     require_key: spec.require_key,
                 };
@@ -178,11 +228,45 @@
         Ok(())
     }
 
-    fn select(&self, selector: &Selector) -> Vec<EngineKey> {
+    fn pool_of(&self, name: Arc<str>, spec: raw::EnginePool) -> Result<Pool> {
+        let load_bound = match spec.load_bound_milli {
+            0 => DEFAULT_BOUND,
+            milli if milli < LEAST_BOUND_MILLI => {
+                bail!("`loadBoundMilli` is {milli}, but must be 0 or at least {LEAST_BOUND_MILLI}")
+            }
+            milli => f64::from(milli) / 1000.0,
+        };
+        let engines = self.select(&spec.engines.unwrap_or_default())?;
+        let by_id = engines.iter().map(|&key| (self.engines[key].id, key)).collect();
+        let mut split: BTreeMap<Arc<str>, Vec<EngineKey>> = BTreeMap::new();
+        for &key in &engines {
+            split.entry(self.engines[key].data_centre.clone()).or_default().push(key);
+        }
+        let ranking = |keys: Vec<EngineKey>| Ranking::new(keys.iter().map(|&key| (key, &self.engines[key])));
+        let by_data_centre = split.into_iter().map(|(dc, keys)| (dc, ranking(keys))).collect();
+        Ok(Pool { id: Id::of(&name), name, engines, load_bound, by_id, by_data_centre })
+    }
+
+    /// Policies of equal rank are ordered by name: objects arrive in another order on each router, and the
+    /// routers would otherwise send a workspace to different pools.
+    fn route(&mut self, faults: &mut Vec<String>) {
+        self.policies.sort_by(|a, b| (Reverse(a.rank), &a.name).cmp(&(Reverse(b.rank), &b.name)));
+        for policy in self.policies.iter().filter(|p| !self.pools.contains_key(&p.pool)) {
+            faults.push(format!("RoutingPolicy/{}: there is no pool {:?}", policy.name, policy.pool));
+        }
+        for (name, labels) in &self.workspaces {
+            let selected = |(at, p): (usize, &Policy)| matches(&p.workspaces, labels).then_some(at);
+            let route = self.policies.iter().enumerate().filter_map(selected).collect();
+            self.routes.insert(name.clone(), route);
+        }
+    }
+
+    fn select(&self, selector: &raw::Selector) -> Result<Vec<EngineKey>> {
+        validate(selector)?;
         let mut keys: Vec<_> =
             self.engines.iter().filter(|(_, e)| matches(selector, &e.labels)).map(|(k, _)| k).collect();
         keys.sort_by(|a, b| self.engines[*a].name.cmp(&self.engines[*b].name));
-        keys
+        Ok(keys)
     }
 
     /// The pool that serves chats of `workspace` with `model`.
@@ -190,19 +274,29 @@
     /// # Errors
     /// Never falls back to engines that the operator excluded.
     pub fn pool(&self, workspace: &str, model: &str) -> Result<&Pool, NoPool> {
-        let labels = self.workspaces.get(workspace).ok_or(NoPool::UnknownWorkspace)?;
-        let policy = self
-            .policies
+        let route = self.routes.get(workspace).ok_or(NoPool::UnknownWorkspace)?;
+        let policy = route
             .iter()
-            .find(|p| (p.model.is_empty() || &*p.model == model) && matches(&p.workspaces, labels))
+            .map(|&at| &self.policies[at])
+            .find(|p| p.model.is_empty() || &*p.model == model)
             .ok_or(NoPool::NoPolicy)?;
-        let pool = self.pools.get(&policy.pool).ok_or(NoPool::NoPolicy)?;
+        let pool = self.pools.get(&policy.pool).ok_or(NoPool::UnknownPool)?;
         if pool.engines.is_empty() {
             return Err(NoPool::EmptyPool);
         }
         Ok(pool)
     }
 
+    /// The pool with this identifier.
+    pub fn pool_by_id(&self, id: Id) -> Option<&Pool> {
+        self.pools.get(self.pools_by_id.get(&id)?)
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.values()
+    }
+
     /// The plain service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
@@ -218,29 +312,17 @@
         &self.engines[key]
     }
 
+    /// Key of the engine with this identifier.
+    pub fn key(&self, id: Id) -> Option<EngineKey> {
+        self.by_id.get(&id).copied()
+    }
+
     /// All engines.
     pub fn engines(&self) -> impl Iterator<Item = (EngineKey, &Engine)> {
         self.engines.iter()
     }
 }
 
-fn parse<T: serde::de::DeserializeOwned>(obj: &AnyObject) -> anyhow::Result<T> {
+fn parse<T: serde::de::DeserializeOwned>(obj: &AnyObject) -> Result<T> {
     Ok(serde_json::from_value(obj.spec.clone())?)
 }
-
-/// Whether `labels` meet every part of `selector`; an empty selector matches all.
-pub fn matches(selector: &Selector, labels: &Labels) -> bool {
-    let equal = selector.match_labels.iter().all(|(k, v)| labels.get(k) == Some(v));
-    equal && selector.match_expressions.iter().all(|r| meets(r, labels))
-}
-
-fn meets(req: &raw::Requirement, labels: &Labels) -> bool {
-    let value = labels.get(&req.key);
-    match req.operator.as_str() {
-        "In" => value.is_some_and(|v| req.values.contains(v)),
-        "NotIn" => value.is_none_or(|v| !req.values.contains(v)),
-        "Exists" => value.is_some(),
-        "DoesNotExist" => value.is_none(),
-        _ => false,
-    }
-}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,19 +11,23 @@
 use hyper::body::Incoming;
 
 use crate::{
-    catalog::{Catalog, Engine},
+    catalog::{Catalog, Engine, Id},
     client::{Client, Failure},
     entry::Router,
     error::{Fault, Kind},
     http::{Handler, Reply},
+    link::{LinkKey, Links},
     metrics::Metrics,
-    place::Loads,
+    place::hint::HintKey,
     util::random_id,
 };
 
+use place::Placement;
+
 mod ask;
 mod chat;
 mod entry;
+mod place;
 mod relay;
 mod service;
 
@@ -35,19 +39,22 @@
     me: Router,
     routers: RwLock<Vec<Router>>,
     catalog: RwLock<Arc<Catalog>>,
-    loads: Arc<Mutex<Loads>>,
+    placement: Arc<Placement>,
     client: Client,
     metrics: Arc<Metrics>,
 }
 
 impl Gateway {
-    /// Gateway of the router `me`.
-    pub fn new(me: Router, metrics: Arc<Metrics>) -> Self {
+    /// Gateway of the router `me` in the fleet of `shared_key`.
+    pub fn new(me: Router, shared_key: &str, metrics: Arc<Metrics>) -> Self {
+        let links = Links::new(LinkKey::new(shared_key));
+        let hints = HintKey::new(shared_key);
+        let placement = Placement::new(Id::of(&me.name), &me.data_centre, links, hints, metrics.clone());
         Self {
             routers: RwLock::new(vec![me.clone()]),
             me,
             catalog: RwLock::default(),
-            loads: Arc::default(),
+            placement: Arc::new(placement),
             client: Client::default(),
             metrics,
         }
--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     error::{Fault, Kind},
+    place::{bound::Work, work::Estimator},
     util::random_id,
 };
 
@@ -16,6 +17,8 @@
     pub(crate) chat: Arc<str>,
     pub(crate) model: Arc<str>,
     pub(crate) hint: Option<Arc<str>>,
+    /// Expected tokens, prompt and output.
+    pub(crate) work: Work,
 }
 
 impl Ask {
@@ -24,13 +27,16 @@
     /// # Errors
     /// When the body is no JSON object.
     pub(crate) fn chat(headers: &HeaderMap, body: &[u8]) -> Result<Self, Fault> {
+        let size = body.len();
         let body: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(body)
             .map_err(|e| Fault::new(Kind::BadRequest, format!("the body is no JSON object: {e}")))?;
+        let max_tokens = body.get("max_tokens").and_then(|n| n.as_u64()).map(|n| n as u32);
         Ok(Self {
             workspace: header(headers, "x-workspace").unwrap_or_default().into(),
             chat: header(headers, "x-chat").map_or_else(random_id, str::to_owned).into(),
             model: body.get("model").and_then(|m| m.as_str()).unwrap_or_default().into(),
             hint: header(headers, "x-placement-hint").map(Into::into),
+            work: Estimator::default().expect("", "", size, max_tokens),
         })
     }
 }
--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -3,18 +3,12 @@
 use bytes::Bytes;
 use http::Request;
 
-use super::{
-    ATTEMPTS, Gateway,
-    ask::Ask,
-    lock,
-    relay::{Slot, relay},
-};
+use super::{ATTEMPTS, Gateway, ask::Ask, relay::relay};
 use crate::{
-    catalog::{Catalog, EngineKey, NoPool, Pool},
+    catalog::NoPool,
     client::Failure,
     error::{Fault, Kind},
     http::Reply,
-    util::Set,
 };
 
 impl Gateway {
@@ -22,35 +16,25 @@
         let ask = Ask::chat(req.headers(), req.body())?;
         let cat = self.catalog();
         let pool = cat.pool(&ask.workspace, &ask.model).map_err(|e| no_pool(e, &ask))?;
-        let mut tried = Set::default();
+        let mut tried = Vec::new();
         for _ in 0..ATTEMPTS {
-            let Some(key) = self.start(&cat, pool, &ask, &tried) else { break };
-            let engine = cat.engine(key);
-            let slot = Slot::adopt(&self.loads, &engine.name);
+            let placed = self.place(&cat, pool, &ask, tried.iter().copied()).await;
+            let Ok(placed) = placed else { break };
+            let engine = cat.engine(placed.engine);
             match self.send(engine, "/v1/chat/completions", &req, &ask.chat).await {
-                Ok(res) => return Ok(relay(res, slot, engine).with_header("x-chat", &ask.chat)),
+                Ok(res) => {
+                    let reply = relay(res, Some(placed.slot)).with_header("x-chat", &ask.chat);
+                    return Ok(reply.with_header("x-placement-hint", &placed.hint));
+                }
                 Err(Failure::Connect) => {
                     self.metrics.retry("connect_failed");
-                    tried.insert(engine.name.clone());
+                    tried.push(engine.id);
                 }
                 Err(Failure::Broken) => return Err(Fault::new(Kind::EngineFailed, "the engine broke off")),
             }
         }
         Err(Fault::new(Kind::NoEngine, format!("no engine of pool {} can take the request", pool.name)))
     }
-
-    fn start(
-        &self,
-        cat: &Catalog,
-        pool: &Pool,
-        ask: &Ask,
-        tried: &Set<std::sync::Arc<str>>,
-    ) -> Option<EngineKey> {
-        let mut loads = lock(&self.loads);
-        let key = loads.choose(cat, pool, &ask.chat, ask.hint.as_deref(), tried)?;
-        loads.start(&cat.engine(key).name);
-        Some(key)
-    }
 }
 
 fn no_pool(e: NoPool, ask: &Ask) -> Fault {
@@ -60,6 +44,9 @@
         NoPool::NoPolicy => {
             Fault::new(Kind::NoPolicy, format!("no policy routes {workspace:?} with model {model:?}"))
         }
+        NoPool::UnknownPool => {
+            Fault::new(Kind::NoPolicy, format!("the pool for {workspace:?} is not configured"))
+        }
         NoPool::EmptyPool => Fault::new(Kind::NoEngine, format!("no engine is eligible for {workspace:?}")),
     }
 }
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,348 @@
+//! Finds an engine for a chat and holds work on it, over the routers that own the engines.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use super::{Gateway, ask::Ask, lock, read};
+use crate::{
+    catalog::{Catalog, EngineKey, Id, Pool},
+    link::Links,
+    metrics::Metrics,
+    place::{
+        Placer, Refusal, Request,
+        bound::Digest,
+        hint::{CachedCopy, Hint, HintKey},
+        ledger::HoldId,
+        members::Member,
+        search::{Candidate, Search},
+    },
+    schema::{
+        link::frame::Body,
+        placement::{Release, Reserve, Reserved},
+    },
+    util::{Instant, Map, now},
+};
+
+/// An owner that does not answer within this time is passed by.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long ended reservations wait to be told to their owner together.
+pub(crate) const RELEASE_PERIOD: Duration = Duration::from_millis(250);
+/// Engines asked for one request.
+const MOST_ASKS: usize = 12;
+const REFUSED_AT_BOUND: u32 = 0;
+const REFUSED_NOT_IN_USE: u32 = 1;
+
+/// Placement in a running router.
+#[derive(Debug)]
+pub(crate) struct Placement {
+    placer: Mutex<Placer>,
+    links: Links,
+    hints: HintKey,
+    metrics: Arc<Metrics>,
+    next: AtomicU64,
+    /// Reservations held at other routers.
+    held: Mutex<Map<u64, Held>>,
+    /// Ended reservations by owner, not yet told.
+    ended: Mutex<Map<Id, Vec<u64>>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    owner: Id,
+    req: Request,
+}
+
+/// Why no engine was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unplaced {
+    /// Every engine in use carries as much as the bound allows.
+    AtBound,
+    /// No engine of the pool is in use.
+    NoneInUse,
+}
+
+/// An engine found for a request, with work held on it until the slot is dropped.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    pub(crate) engine: EngineKey,
+    pub(crate) slot: Slot,
+    /// Hint to return with the answer.
+    pub(crate) hint: String,
+    /// Router that a later request of this chat does best to go to.
+    pub(crate) router: Option<std::net::SocketAddr>,
+}
+
+/// Work held on an engine; dropping it ends the reservation, also when a caller goes away midway.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    placement: Arc<Placement>,
+    number: u64,
+    refused: bool,
+}
+
+impl Slot {
+    /// Ends the work.
+    #[allow(dead_code, reason = "the request path drops its slots")]
+    pub(crate) fn close(self) {}
+
+    /// Gives up a slot whose reservation was refused.
+    fn refuse(mut self) {
+        self.refused = true;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.refused {
+            self.placement.end(self.number);
+        }
+    }
+}
+
+impl Placement {
+    pub(crate) fn new(
+        me: Id,
+        data_centre: &Arc<str>,
+        links: Links,
+        hints: HintKey,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            placer: Mutex::new(Placer::new(me, data_centre.clone())),
+            links,
+            hints,
+            metrics,
+            next: AtomicU64::new(rand::random::<u64>() >> 1),
+            held: Mutex::default(),
+            ended: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn placer(&self) -> std::sync::MutexGuard<'_, Placer> {
+        lock(&self.placer)
+    }
+
+    fn end(&self, number: u64) {
+        match lock(&self.held).remove(&number) {
+            Some(held) => lock(&self.ended).entry(held.owner).or_default().push(number),
+            None => {
+                let mut placer = self.placer();
+                let me = placer.me();
+                placer.release(me, [number], now());
+            }
+        }
+    }
+
+    /// Reserves a candidate at its owner; an owner that can't be reached is passed by.
+    ///
+    /// Waiting for the owner would stop all chats of its engines while it restarts. This router then counts for
+    /// itself: what the engine reports beyond its own work keeps the bound within the reports' lag.
+    async fn reserve(&self, cat: &Catalog, req: Request, owner: Option<&Member>) -> Result<Id, Refusal> {
+        if let Some(owner) = owner {
+            match self.ask(req, owner).await {
+                Some(answer) => return answer,
+                None => self.metrics.retry("owner_unreachable"),
+            }
+        }
+        self.placer().reserve(cat, &req, now()).map(|grant| grant.engine)
+    }
+
+    async fn ask(&self, req: Request, owner: &Member) -> Option<Result<Id, Refusal>> {
+        let number = req.hold.number;
+        lock(&self.held).insert(number, Held { owner: owner.id, req });
+        let body = Body::Reserve(to_wire(&req, false));
+        match self.links.call(owner.peer, body, RESERVE_TIMEOUT).await {
+            Ok(Body::Reserved(Reserved { engine, refusal })) if engine == 0 => {
+                lock(&self.held).remove(&number);
+                Some(Err(match refusal {
+                    REFUSED_AT_BOUND => Refusal::AtBound,
+                    _ => Refusal::NotInUse,
+                }))
+            }
+            Ok(Body::Reserved(Reserved { engine, .. })) => Some(Ok(Id(engine))),
+            // The reservation may have been made, and its answer lost: it is ended like one that was granted.
+            _ => {
+                self.end(number);
+                None
+            }
+        }
+    }
+
+    /// Answers another router's reservation.
+    pub(crate) fn serve_reserve(&self, cat: &Catalog, msg: &Reserve) -> Reserved {
+        let req = from_wire(msg);
+        let mut placer = self.placer();
+        if msg.running {
+            placer.adopt(&req, now());
+            return Reserved { engine: msg.engine, refusal: 0 };
+        }
+        match placer.reserve(cat, &req, now()) {
+            Ok(grant) => Reserved { engine: grant.engine.0, refusal: 0 },
+            Err(Refusal::AtBound) => Reserved { engine: 0, refusal: REFUSED_AT_BOUND },
+            Err(Refusal::NotInUse) => Reserved { engine: 0, refusal: REFUSED_NOT_IN_USE },
+        }
+    }
+
+    /// Ends reservations of another router.
+    pub(crate) fn serve_release(&self, msg: Release) {
+        self.placer().release(Id(msg.router), msg.numbers, now());
+    }
+
+    /// Tells owners of ended reservations; those that could not be told are told again.
+    pub(crate) async fn tell_ended(&self) {
+        let ended = std::mem::take(&mut *lock(&self.ended));
+        for (owner, numbers) in ended {
+            let (me, peer) = {
+                let placer = self.placer();
+                let peer = placer.members().list().iter().find(|m| m.id == owner).map(|m| m.peer);
+                (placer.me(), peer)
+            };
+            // An owner that has gone has forgotten its reservations.
+            let Some(peer) = peer else { continue };
+            let body = Body::Release(Release { router: me.0, numbers: numbers.clone() });
+            if self.links.call(peer, body, RELEASE_TIMEOUT).await.is_err() {
+                lock(&self.ended).entry(owner).or_default().extend(numbers);
+            }
+        }
+    }
+
+    /// Sets the routers, and makes work known to the new owners of its engines.
+    pub(crate) async fn set_members(&self, cat: &Catalog, list: Vec<Member>) {
+        self.placer().set_members(list, now());
+        let mut moved = Vec::new();
+        for (number, held) in lock(&self.held).iter_mut() {
+            let Some(id) = held.req.engine else { continue };
+            let Some(key) = cat.key(id) else { continue };
+            let mut placer = self.placer();
+            let Some(owner) = placer.owner(id, &cat.engine(key).data_centre) else { continue };
+            if owner.id != held.owner {
+                moved.push((*number, owner.clone(), held.req));
+                held.owner = owner.id;
+            }
+        }
+        for (_, owner, req) in moved {
+            if owner.id == self.placer().me() {
+                self.placer().adopt(&req, now());
+                lock(&self.held).remove(&req.hold.number);
+                continue;
+            }
+            let _ = self.links.call(owner.peer, Body::Reserve(to_wire(&req, true)), RESERVE_TIMEOUT).await;
+        }
+    }
+}
+
+impl Gateway {
+    /// Finds an engine for a chat and holds work on it.
+    pub(super) async fn place(
+        &self,
+        cat: &Catalog,
+        pool: &Pool,
+        ask: &Ask,
+        exclude: impl IntoIterator<Item = Id>,
+    ) -> Result<Placed, Unplaced> {
+        let place = &self.placement;
+        let hint = ask.hint.as_deref().and_then(|text| place.hints.open(&ask.chat, text));
+        let mut search = Search::new(&place.placer(), cat, pool, &ask.chat, hint.as_ref(), exclude);
+        for _ in 0..MOST_ASKS {
+            let next = search.next(&place.placer(), cat, pool, now());
+            let Some(candidate) = next else { break };
+            // The slot exists before the owner is asked: a caller that goes away midway ends what was granted.
+            let number = place.next.fetch_add(1, Ordering::Relaxed);
+            let slot = Slot { placement: place.clone(), number, refused: false };
+            let (req, owner) = self.request(cat, pool, ask, candidate, number);
+            match place.reserve(cat, req, owner.as_ref()).await {
+                Ok(_) => return Ok(self.placed(cat, ask, &search, hint, candidate, slot)),
+                Err(_) => slot.refuse(),
+            }
+        }
+        if search.any_in_use { Err(Unplaced::AtBound) } else { Err(Unplaced::NoneInUse) }
+    }
+
+    fn request(
+        &self,
+        cat: &Catalog,
+        pool: &Pool,
+        ask: &Ask,
+        candidate: Candidate,
+        number: u64,
+    ) -> (Request, Option<Member>) {
+        let mut placer = self.placement.placer();
+        let me = placer.me();
+        let data_centre = &cat.engine(candidate.engine).data_centre;
+        let owner = placer.owner(candidate.id, data_centre).filter(|m| m.id != me).cloned();
+        let hold = HoldId { router: me, number };
+        let cached = candidate.cached > 0;
+        let req = Request { hold, engine: Some(candidate.id), pool: pool.id, work: ask.work, cached };
+        (req, owner)
+    }
+
+    fn placed(
+        &self,
+        cat: &Catalog,
+        ask: &Ask,
+        search: &Search,
+        hint: Option<Hint>,
+        found: Candidate,
+        slot: Slot,
+    ) -> Placed {
+        let mut placer = self.placement.placer();
+        let engine = cat.engine(found.engine);
+        placer.cache.note_start(found.id, search.chat());
+        let copy = CachedCopy {
+            engine: engine.name.clone(),
+            start: placer.health.start(found.id),
+            tokens: u32::try_from(ask.work).unwrap_or(u32::MAX),
+        };
+        let mut hint = hint.unwrap_or_default();
+        hint.home = search.home().clone();
+        let hint = self.placement.hints.seal(&ask.chat, &hint.with_copy(copy));
+        let router = placer.owner(found.id, &engine.data_centre).map(|m| m.addr);
+        Placed { engine: found.engine, slot, hint, router }
+    }
+
+    /// Notes what a router says of the load of its engines in a pool.
+    pub fn note_digest(&self, source: Id, pool: Id, digest: Digest, at: Instant) {
+        self.placement.placer().note_digest(source, pool, digest, at);
+    }
+
+    /// Loads of this router's engines by pool, to be told to the other routers about once a second.
+    pub fn digests(&self) -> Vec<(Id, Digest)> {
+        let cat = self.catalog();
+        let mut placer = self.placement.placer();
+        cat.pools().map(|pool| (pool.id, placer.digest(&cat, pool, now()))).collect()
+    }
+
+    /// Sets the live routers, among which the engines are shared out.
+    pub async fn set_members(&self, list: Vec<Member>) {
+        let cat = read(&self.catalog).clone();
+        self.placement.set_members(&cat, list).await;
+    }
+}
+
+fn to_wire(req: &Request, running: bool) -> Reserve {
+    Reserve {
+        router: req.hold.router.0,
+        number: req.hold.number,
+        engine: req.engine.map_or(0, |id| id.0),
+        pool: req.pool.0,
+        work: req.work,
+        running,
+        cached: u32::from(req.cached),
+    }
+}
+
+fn from_wire(msg: &Reserve) -> Request {
+    Request {
+        hold: HoldId { router: Id(msg.router), number: msg.number },
+        engine: (msg.engine != 0).then_some(Id(msg.engine)),
+        pool: Id(msg.pool),
+        work: msg.work,
+        cached: msg.cached > 0,
+    }
+}
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -3,16 +3,11 @@
 use bytes::Bytes;
 use http::Request;
 
-use super::{
-    ATTEMPTS, Gateway, lock,
-    relay::{Slot, relay},
-};
+use super::{ATTEMPTS, Gateway, relay::relay};
 use crate::{
     client::Failure,
     error::{Fault, Kind},
     http::Reply,
-    place,
-    util::random_id,
 };
 
 impl Gateway {
@@ -23,12 +18,10 @@
         let service = cat
             .service(name)
             .ok_or_else(|| Fault::new(Kind::UnknownService, format!("no service {name:?}")))?;
-        for key in place::rank(&cat, &service.engines, &random_id()).into_iter().take(ATTEMPTS) {
+        for key in service.ranking.top(rand::random()).iter().take(ATTEMPTS) {
             let engine = cat.engine(key);
-            lock(&self.loads).start(&engine.name);
-            let slot = Slot::adopt(&self.loads, &engine.name);
             match self.send(engine, &format!("/{tail}"), &req, "").await {
-                Ok(res) => return Ok(relay(res, slot, engine)),
+                Ok(res) => return Ok(relay(res, None)),
                 Err(Failure::Connect) => self.metrics.retry("connect_failed"),
                 Err(Failure::Broken) => {
                     return Err(Fault::new(Kind::EngineFailed, "the backend server broke off"));
--- /dev/null
+++ b/src/place/bound.rs
@@ -0,0 +1,107 @@
+//! The load bound: how much work an engine may carry, as a multiple of the mean.
+
+use std::time::Duration;
+
+use crate::{
+    catalog::Id,
+    util::{Instant, Map},
+};
+
+/// Expected tokens, prompt and output.
+pub type Work = u64;
+
+/// A digest that was not renewed for this long is of a router that has gone.
+const DIGEST_LIFE: Duration = Duration::from_secs(5);
+/// Part of the room above the mean that is given out. The rest covers digests a second old, and requests of
+/// other engines that end while this engine's go on.
+const HEADROOM: f64 = 0.8;
+/// Part of that room which work without a cached context may use. It does as well elsewhere, and so leaves
+/// the room to chats that return to their cache.
+const UNCACHED_HEADROOM: f64 = 0.25;
+
+/// Load of one owner's engines in one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Digest {
+    /// Work of the requests in progress.
+    pub work: Work,
+    /// Requests in progress.
+    pub running: u32,
+    /// Sum of the capacities of the engines in use.
+    pub capacity: u64,
+}
+
+impl Digest {
+    fn add(&mut self, other: Digest) {
+        self.work += other.work;
+        self.running += other.running;
+        self.capacity += other.capacity;
+    }
+}
+
+/// Mean load of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mean {
+    /// Work a unit of capacity.
+    pub per_capacity: f64,
+    /// Work of one request.
+    pub per_request: f64,
+}
+
+impl Mean {
+    /// Mean of a pool with this load in total.
+    pub fn of(total: Digest) -> Self {
+        Self {
+            per_capacity: total.work as f64 / total.capacity.max(1) as f64,
+            per_request: total.work as f64 / f64::from(total.running.max(1)),
+        }
+    }
+
+    /// Work that an engine of `capacity` may carry once `work` is added.
+    ///
+    /// Under a small mean one request alone exceeds any multiple of it, and a strict bound would refuse
+    /// everything while engines stand idle. One request above the mean is therefore always within the bound:
+    /// some engine is at or below the mean, so that one can take the request.
+    pub fn limit(&self, capacity: u32, bound: f64, work: Work, cached: bool) -> f64 {
+        let share = self.per_capacity * f64::from(capacity);
+        let headroom = if cached { HEADROOM } else { UNCACHED_HEADROOM };
+        let aim = 1.0 + (bound - 1.0) * headroom;
+        (aim * share).max(share + self.per_request.max(work as f64))
+    }
+}
+
+/// Latest digests of the other owners.
+#[derive(Clone, Debug, Default)]
+pub struct Digests {
+    /// By pool and source.
+    latest: Map<(Id, Id), (Digest, Instant)>,
+}
+
+impl Digests {
+    /// Notes what a source says of a pool.
+    pub fn note(&mut self, source: Id, pool: Id, digest: Digest, now: Instant) {
+        self.latest.insert((pool, source), (digest, now));
+    }
+
+    /// Sum over the sources of a pool that are not out of date.
+    pub fn total(&self, pool: Id, now: Instant) -> Digest {
+        let mut total = Digest::default();
+        for ((of, _), (digest, at)) in &self.latest {
+            if *of == pool && now.saturating_sub(*at) < DIGEST_LIFE {
+                total.add(*digest);
+            }
+        }
+        total
+    }
+
+    /// Forgets what is out of date.
+    pub fn expire(&mut self, now: Instant) {
+        self.latest.retain(|_, (_, at)| now.saturating_sub(*at) < DIGEST_LIFE);
+    }
+}
+
+/// Sum of an owner's digest and those of the others.
+pub fn total(own: Digest, others: Digest) -> Digest {
+    let mut total = own;
+    total.add(others);
+    total
+}
--- /dev/null
+++ b/src/place/placer.rs
@@ -0,0 +1,249 @@
+//! Placement state of one router: what it knows of engines and routers, and the work reserved on its engines.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    bound::{Digest, Digests, Mean, Work, total},
+    cache::CacheEvents,
+    health::Health,
+    hint::Hint,
+    ledger::{HoldId, Ledger},
+    members::{Distance, Member, Members},
+};
+use crate::{
+    catalog::{Catalog, Id, Pool},
+    util::{Instant, Map, Set},
+};
+
+/// How long a computed mean serves.
+const MEAN_LIFE: Duration = Duration::from_millis(50);
+
+/// A wish to reserve work on one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Reservation.
+    pub hold: HoldId,
+    /// Engine; `None` for any engine of the owner with room.
+    pub engine: Option<Id>,
+    /// Pool whose bound applies.
+    pub pool: Id,
+    /// Expected tokens.
+    pub work: Work,
+    /// Whether the engine is believed to hold the chat's context.
+    pub cached: bool,
+}
+
+/// A granted reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Engine.
+    pub engine: Id,
+}
+
+/// Why an engine was not reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It carries as much as the bound allows.
+    AtBound,
+    /// It is down, leaving, held down or not in the pool.
+    NotInUse,
+}
+
+/// Engines of one pool that this router owns, as of one version of the configuration.
+#[derive(Clone, Debug)]
+struct Owned {
+    version: u64,
+    engines: Arc<[(Id, u32)]>,
+}
+
+/// Placement state of one router.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    me: Id,
+    data_centre: Arc<str>,
+    members: Members,
+    digests: Digests,
+    means: Map<Id, (Mean, Instant)>,
+    owned: Map<Id, Owned>,
+    /// Health of engines.
+    pub health: Health,
+    /// Reservations granted by this router.
+    pub ledger: Ledger,
+    /// Cache events of engines.
+    pub cache: CacheEvents,
+}
+
+impl Placer {
+    /// State of a router that knows nothing yet.
+    pub fn new(me: Id, data_centre: impl Into<Arc<str>>) -> Self {
+        Self {
+            me,
+            data_centre: data_centre.into(),
+            members: Members::default(),
+            digests: Digests::default(),
+            means: Map::default(),
+            owned: Map::default(),
+            health: Health::default(),
+            ledger: Ledger::default(),
+            cache: CacheEvents::default(),
+        }
+    }
+
+    /// Identifier of this router.
+    pub fn me(&self) -> Id {
+        self.me
+    }
+
+    /// The routers.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Sets the live routers; reservations of those that have gone end.
+    pub fn set_members(&mut self, list: Vec<Member>, now: Instant) {
+        let live: Set<Id> = list.iter().map(|m| m.id).collect();
+        for member in self.members.list().to_vec() {
+            if !live.contains(&member.id) && member.id != self.me {
+                self.ledger.drop_router(member.id, now);
+            }
+        }
+        self.members = Members::new(list);
+        self.owned.clear();
+    }
+
+    /// The router that owns an engine.
+    pub fn owner(&mut self, engine: Id, data_centre: &str) -> Option<&Member> {
+        self.members.owner(engine, data_centre)
+    }
+
+    /// Notes what another router says of a pool.
+    pub fn note_digest(&mut self, source: Id, pool: Id, digest: Digest, now: Instant) {
+        if source != self.me {
+            self.digests.note(source, pool, digest, now);
+        }
+    }
+
+    /// Load of this router's engines in a pool, to be told to the others.
+    pub fn digest(&mut self, cat: &Catalog, pool: &Pool, now: Instant) -> Digest {
+        let mut digest = Digest::default();
+        for (id, account) in self.ledger.accounts() {
+            if pool.member(id).is_some() {
+                digest.work += account.work;
+                digest.running += account.running;
+            }
+        }
+        for &(id, capacity) in self.owned(cat, pool).iter() {
+            if self.health.in_use(id, now) {
+                digest.capacity += u64::from(capacity);
+            }
+        }
+        digest
+    }
+
+    /// Mean load of a pool over all owners.
+    pub fn mean(&mut self, cat: &Catalog, pool: &Pool, now: Instant) -> Mean {
+        if let Some((mean, at)) = self.means.get(&pool.id)
+            && now.saturating_sub(*at) < MEAN_LIFE
+        {
+            return *mean;
+        }
+        let mean = Mean::of(total(self.digest(cat, pool, now), self.digests.total(pool.id, now)));
+        self.means.insert(pool.id, (mean, now));
+        mean
+    }
+
+    /// Reserves work on an engine as its owner; a repeat of a granted request is granted again, counted once.
+    ///
+    /// # Errors
+    /// When the engine is at the bound or not in use.
+    pub fn reserve(&mut self, cat: &Catalog, req: &Request, now: Instant) -> Result<Grant, Refusal> {
+        if let Some(engine) = self.ledger.held(req.hold) {
+            return Ok(Grant { engine });
+        }
+        let pool = cat.pool_by_id(req.pool).ok_or(Refusal::NotInUse)?;
+        let mean = self.mean(cat, pool, now);
+        let engine = match req.engine {
+            Some(id) => id,
+            None => self.roomiest(cat, pool, now).ok_or(Refusal::NotInUse)?,
+        };
+        let key = pool.member(engine).ok_or(Refusal::NotInUse)?;
+        if !self.health.in_use(engine, now) {
+            return Err(Refusal::NotInUse);
+        }
+        let any = req.engine.is_none();
+        let limit = mean.limit(cat.engine(key).capacity, pool.load_bound, req.work, req.cached || any);
+        if self.load(engine, mean) + req.work as f64 > limit {
+            return Err(Refusal::AtBound);
+        }
+        self.ledger.add(req.hold, engine, req.work, now);
+        Ok(Grant { engine })
+    }
+
+    /// Counts work that already runs on an engine which this router now owns. It is never refused.
+    pub fn adopt(&mut self, req: &Request, now: Instant) {
+        if let Some(engine) = req.engine {
+            self.ledger.add(req.hold, engine, req.work, now);
+        }
+    }
+
+    /// Ends reservations.
+    pub fn release(&mut self, router: Id, numbers: impl IntoIterator<Item = u64>, now: Instant) {
+        for number in numbers {
+            self.ledger.release(HoldId { router, number }, now);
+        }
+    }
+
+    /// Forgets what is out of date or no longer configured.
+    pub fn expire(&mut self, cat: &Catalog, now: Instant) {
+        self.digests.expire(now);
+        self.health.retain(|id| cat.key(id).is_some());
+        self.ledger.expire(now, |id| cat.key(id).is_some());
+    }
+
+    /// Data centre in which a chat's rank starts: its first one if that is in this region, else this one.
+    pub fn home(&self, hint: Option<&Hint>) -> Arc<str> {
+        match hint {
+            Some(h) if self.members.distance(&h.home, &self.data_centre) != Distance::Far => h.home.clone(),
+            _ => self.data_centre.clone(),
+        }
+    }
+
+    fn owned(&mut self, cat: &Catalog, pool: &Pool) -> Arc<[(Id, u32)]> {
+        if let Some(owned) = self.owned.get(&pool.id)
+            && owned.version == cat.version
+        {
+            return owned.engines.clone();
+        }
+        let mut engines = Vec::new();
+        for &key in &pool.engines {
+            let engine = cat.engine(key);
+            let owner = self.members.owner(engine.id, &engine.data_centre);
+            if owner.is_some_and(|m| m.id == self.me) {
+                engines.push((engine.id, engine.capacity));
+            }
+        }
+        let engines: Arc<[_]> = engines.into();
+        self.owned.insert(pool.id, Owned { version: cat.version, engines: engines.clone() });
+        engines
+    }
+
+    fn load(&self, engine: Id, mean: Mean) -> f64 {
+        let account = self.ledger.account(engine);
+        account.work as f64 + f64::from(account.foreign) * mean.per_request
+    }
+
+    fn roomiest(&mut self, cat: &Catalog, pool: &Pool, now: Instant) -> Option<Id> {
+        let mean = self.mean(cat, pool, now);
+        let mut best: Option<(f64, Id)> = None;
+        for &(id, capacity) in self.owned(cat, pool).iter() {
+            if !self.health.in_use(id, now) {
+                continue;
+            }
+            let load = self.load(id, mean) / f64::from(capacity);
+            if best.is_none_or(|(least, _)| load < least) {
+                best = Some((load, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+}
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -11,6 +11,9 @@
 pub mod object;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+pub mod placement;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod settings;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/src/schema/link.rs
+++ b/src/schema/link.rs
@@ -7,7 +7,7 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// What is asked or answered.
-    #[prost(oneof = "frame::Body", tags = "2, 3, 4")]
+    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 20, 21, 22, 23")]
     pub body: ::core::option::Option<frame::Body>,
 }
 /// Nested message and enum types in `Frame`.
@@ -25,6 +25,18 @@
         /// The peer can't answer this call.
         #[prost(message, tag = "4")]
         Refused(super::Refused),
+        /// Asks the owner of an engine to reserve work on it.
+        #[prost(message, tag = "20")]
+        Reserve(super::super::placement::Reserve),
+        /// Answers a reservation.
+        #[prost(message, tag = "21")]
+        Reserved(super::super::placement::Reserved),
+        /// Ends reservations.
+        #[prost(message, tag = "22")]
+        Release(super::super::placement::Release),
+        /// Answers a release.
+        #[prost(message, tag = "23")]
+        Released(super::super::placement::Released),
     }
 }
 /// Asks a peer whether it lives.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -50,7 +50,7 @@
             region: cfg.region.clone(),
         };
         let metrics = Arc::new(Metrics::new()?);
-        let gateway = Arc::new(Gateway::new(me, metrics.clone()));
+        let gateway = Arc::new(Gateway::new(me, &cfg.shared_key, metrics.clone()));
         let limits = Limits::default()
             .with_bytes(cfg.body_bytes)
             .with_time(cfg.body_time)
