Run requests through admission, one attempt loop and the guard against crashing requests

Cause: chats and services each had a thin loop of three attempts; nothing waited, no header but two was read. Change: ask reads and checks all headers; admit runs the queues; attempt is the one loop of both; suspects watches runs, judges broken ones and asks for permits. Limits of workspaces and groups come from the catalog (caps). Faults carry retry-after and the count of attempts.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
+    admit::{Cap, Scope},
     place::rank::Ranking,
     schema::object as raw,
     util::{Map, hash},
@@ -141,6 +142,7 @@
     pools_by_id: Map<Id, Arc<str>>,
     policies: Vec<Policy>,
     workspaces: Map<Arc<str>, Labels>,
+    caps: Map<Arc<str>, Arc<[Cap]>>,
     /// Policies that select the workspace, by position in `policies`, highest rank first.
     routes: Map<Arc<str>, Vec<usize>>,
     services: Map<Arc<str>, Service>,
@@ -169,6 +171,30 @@
         (cat, faults)
     }
 
+    /// Adds a limit to a workspace; 0 means that there is none.
+    fn limit(&mut self, workspace: &Arc<str>, scope: Scope, max: u32) {
+        if max > 0 {
+            let caps = self.caps.entry(workspace.clone()).or_default();
+            *caps = caps.iter().cloned().chain([Cap { scope, max }]).collect();
+        }
+    }
+
+    fn limit_group(&mut self, name: Arc<str>, spec: raw::WorkspaceGroup) -> Result<()> {
+        let selector = spec.workspaces.unwrap_or_default();
+        validate(&selector)?;
+        let members: Vec<_> =
+            self.workspaces.iter().filter(|(_, l)| matches(&selector, l)).map(|(n, _)| n.clone()).collect();
+        for workspace in members {
+            self.limit(&workspace, Scope::Group(name.clone()), spec.max_running);
+        }
+        Ok(())
+    }
+
+    /// Limits on the requests that a workspace has in progress, its own and those of its groups.
+    pub fn caps(&self, workspace: &str) -> Arc<[Cap]> {
+        self.caps.get(workspace).cloned().unwrap_or_default()
+    }
+
     fn add_base(&mut self, obj: &AnyObject) -> Result<()> {
         let name: Arc<str> = obj.metadata.name.as_str().into();
         match obj.kind.as_str() {
@@ -189,7 +215,8 @@
                 self.by_id.insert(id, key);
             }
             "Workspace" => {
-                let _: raw::Workspace = parse(obj)?;
+                let spec: raw::Workspace = parse(obj)?;
+                self.limit(&name, Scope::Workspace(name.clone()), spec.max_running);
                 self.workspaces.insert(name, obj.metadata.labels.clone());
             }
             _ => {}
@@ -212,6 +239,7 @@
                 let (model, pool) = (spec.model.into(), spec.pool.into());
                 self.policies.push(Policy { name, workspaces, model, pool, rank: spec.rank });
             }
+            "WorkspaceGroup" => self.limit_group(name, parse(obj)?)?,
             "Service" => {
                 let spec: raw::Service = parse(obj)?;
                 let engines = self.select(&spec.engines.unwrap_or_default())?;
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,5 +1,7 @@
 //! The closed list of error kinds and the table from kind to answer.
 
+use std::time::Duration;
+
 use crate::http::Reply;
 
 /// What is known about the run of a failed request.
@@ -301,16 +303,38 @@
     pub kind: Kind,
     /// What the caller reads.
     pub message: String,
+    /// When the caller should come back; the table's time where it is not known better.
+    pub retry_after: Option<Duration>,
+    /// Attempts at backend servers made so far, over all hops.
+    pub attempts: Option<u32>,
 }
 
 impl Fault {
     /// Fault of a kind.
     pub fn new(kind: Kind, message: impl Into<String>) -> Self {
-        Self { kind, message: message.into() }
+        Self { kind, message: message.into(), retry_after: None, attempts: None }
+    }
+
+    /// Sets when the caller should come back.
+    pub fn with_retry_after(self, time: Duration) -> Self {
+        Self { retry_after: Some(time), ..self }
+    }
+
+    /// Sets how many attempts have been made so far.
+    pub fn with_attempts(self, attempts: u32) -> Self {
+        Self { attempts: Some(attempts), ..self }
     }
 
     /// The reply that tells it.
     pub fn reply(&self) -> Reply {
-        self.kind.reply(&self.message)
+        let mut reply = self.kind.reply(&self.message);
+        if let Some(time) = self.retry_after {
+            let seconds = time.as_millis().div_ceil(1000);
+            reply = reply.with_header("retry-after", &seconds.to_string());
+        }
+        match self.attempts {
+            Some(n) => reply.with_header("x-attempt", &n.to_string()),
+            None => reply,
+        }
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,31 +7,38 @@
 
 use bytes::Bytes;
 use http::{Method, Request};
-use http_body_util::Full;
-use hyper::body::Incoming;
 
 use crate::{
-    catalog::{Catalog, Engine, Id},
-    client::{Client, Failure},
+    catalog::{Catalog, Id},
+    client::Client,
     entry::Router,
     error::{Fault, Kind},
     http::{Handler, Reply},
     link::{LinkKey, Links},
     metrics::Metrics,
     place::hint::HintKey,
+    retry::{Budget, Policy},
+    schema::{
+        link::frame::Body,
+        suspect::{Digest, Noted},
+    },
     util::random_id,
 };
 
+use admit::{Admission, Entered};
+use ask::Ask;
 use place::Placement;
+use suspects::Suspects;
 
+mod admit;
 mod ask;
+mod attempt;
 mod chat;
 mod entry;
 mod place;
 mod relay;
 mod service;
-
-const ATTEMPTS: usize = 3;
+mod suspects;
 
 /// State that all requests of one router share.
 #[derive(Debug)]
@@ -40,6 +47,10 @@
     routers: RwLock<Vec<Router>>,
     catalog: RwLock<Arc<Catalog>>,
     placement: Arc<Placement>,
+    admission: Admission,
+    suspects: Arc<Suspects>,
+    retry_policy: Policy,
+    budget: Mutex<Budget>,
     client: Client,
     metrics: Arc<Metrics>,
 }
@@ -50,12 +61,19 @@
         let links = Links::new(LinkKey::new(shared_key));
         let hints = HintKey::new(shared_key);
         let placement = Placement::new(Id::of(&me.name), &me.data_centre, links, hints, metrics.clone());
+        let placement = Arc::new(placement);
+        let client = Client::default();
+        let suspects = Suspects::new(me.region.clone(), placement.clone(), client.clone());
         Self {
             routers: RwLock::new(vec![me.clone()]),
             me,
             catalog: RwLock::default(),
-            placement: Arc::new(placement),
-            client: Client::default(),
+            placement,
+            admission: Admission::default(),
+            suspects: Arc::new(suspects),
+            retry_policy: Policy::default(),
+            budget: Mutex::default(),
+            client,
             metrics,
         }
     }
@@ -104,22 +122,36 @@
         Ok(Reply::full(200, text).with_header("content-type", "text/plain; version=0.0.4"))
     }
 
-    async fn send(
-        &self,
-        engine: &Engine,
-        path: &str,
-        req: &Request<Bytes>,
-        chat: &str,
-    ) -> Result<http::Response<Incoming>, Failure> {
-        let url = format!("http://{}{path}", engine.addr);
-        let mut builder = Request::builder().method(req.method()).uri(url).header("x-chat", chat);
-        for name in ["content-type", "x-workspace", "idempotency-key"] {
-            if let Some(value) = req.headers().get(name) {
-                builder = builder.header(name, value);
+    /// Counts a request against the limits of its workspace, of which each router keeps its share.
+    fn enter(&self, cat: &Catalog, ask: &Ask) -> Result<Entered, Fault> {
+        let routers = u32::try_from(read(&self.routers).len()).unwrap_or(u32::MAX);
+        self.admission.enter(cat.caps(&ask.workspace), routers, ask)
+    }
+
+    /// What is known of crashing requests, for gossip, in at most `bytes` of postcard.
+    pub fn suspects(&self, bytes: usize) -> Digest {
+        self.suspects.digest(bytes)
+    }
+
+    /// Takes in what another router knows of crashing requests.
+    pub fn note_suspects(&self, digest: &Digest) {
+        self.suspects.note(digest);
+    }
+
+    /// Answers another router's call about suspects; `None` for a call that is about something else.
+    pub fn serve_suspects(&self, body: &Body) -> Option<Body> {
+        match body {
+            Body::Permit(wanted) => Some(Body::PermitAnswer(self.suspects.serve_permit(wanted))),
+            Body::PermitRelease(msg) => {
+                self.suspects.serve_release(msg);
+                Some(Body::Noted(Noted {}))
+            }
+            Body::Suspects(digest) => {
+                self.suspects.note(digest);
+                Some(Body::Noted(Noted {}))
             }
+            _ => None,
         }
-        let out = builder.body(Full::new(req.body().clone())).map_err(|_| Failure::Connect)?;
-        self.client.send(out).await
     }
 }
 
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,254 @@
+//! The attempts of one request: find an engine, send, and decide what a failure means. One loop for chats and
+//! calls to plain services.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use http::Response;
+use hyper::body::Incoming;
+
+use super::{
+    Gateway,
+    admit::{NoRoom, Queue},
+    ask::{Ask, header},
+    lock,
+    place::Slot,
+    suspects::{Permit, Run},
+};
+use crate::{
+    catalog::{Catalog, Engine, EngineKey, Id},
+    client::Failure,
+    engine::OUTCOME,
+    error::{Fault, Kind, Ran},
+    metrics::Counter,
+    retry::{Attempts, Denied, Reason, spread},
+    suspect::{Standing, Verdict},
+    util::{now, random_id},
+};
+
+/// Pause before a suspect looks again for an engine without another suspect.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The backend servers that may serve a request.
+pub(super) trait Backends: Sync {
+    /// Finds one with room that is not among `exclude`, and holds work on it.
+    fn find(&self, exclude: &[Id]) -> impl Future<Output = Result<Found, Unfound>> + Send;
+
+    /// Sends the request; `request` names this attempt.
+    fn send(
+        &self,
+        engine: &Engine,
+        request: &str,
+    ) -> impl Future<Output = Result<Response<Incoming>, Failure>> + Send;
+
+    /// Whether the request may run twice.
+    fn idempotent(&self) -> bool;
+}
+
+/// A backend server found for a request.
+#[derive(Debug)]
+pub(super) struct Found {
+    pub(super) engine: EngineKey,
+    /// Work held on it, where work is counted.
+    pub(super) slot: Option<Slot>,
+    /// Hint to return with the answer.
+    pub(super) hint: Option<String>,
+}
+
+/// Why no backend server was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unfound {
+    /// Those in use stand at their bound.
+    AtBound,
+    /// None is in use.
+    NoneInUse,
+}
+
+/// A request that a backend server has begun to answer.
+#[derive(Debug)]
+pub(super) struct Started {
+    pub(super) res: Response<Incoming>,
+    pub(super) found: Found,
+    /// Ends with [`Run::complete`] or [`Run::broke`].
+    pub(super) run: Run,
+    /// Name of the attempt, under which the engine knows it.
+    #[allow(dead_code, reason = "read when a stream is resumed")]
+    pub(super) request: String,
+    /// Attempts made so far, over all hops.
+    pub(super) attempts: u32,
+}
+
+impl Gateway {
+    /// Makes attempts until a backend server answers or a bound is reached.
+    pub(super) async fn attempt(
+        &self,
+        cat: &Catalog,
+        ask: &Ask,
+        queue: &Arc<Queue>,
+        to: &impl Backends,
+    ) -> Result<Started, Fault> {
+        let mut attempts = self.arrive(ask, to.idempotent())?;
+        let mut tried = Vec::new();
+        loop {
+            let placed = self.find(cat, ask, queue, to, &mut tried).await;
+            let (found, permit) = placed.map_err(|f| self.final_answer(&attempts, f))?;
+            let engine = cat.engine(found.engine);
+            tried.push(engine.id);
+            let run = self.suspects.start(engine, ask, queue, permit);
+            let request = random_id();
+            attempts.start();
+            let left = ask.deadline.saturating_sub(now());
+            let reason = match tokio::time::timeout(left, to.send(engine, &request)).await {
+                Ok(Ok(res)) if proves_not_run(&res) => Reason::EngineRefused,
+                Ok(Ok(res)) => return Ok(Started { res, found, run, request, attempts: attempts.made() }),
+                Ok(Err(Failure::Connect)) => Reason::ConnectFailed,
+                Ok(Err(Failure::Broken)) => {
+                    run.broke().await;
+                    Reason::EngineFailed
+                }
+                Err(_) => Reason::EngineFailed,
+            };
+            drop(found);
+            self.back_off(&mut attempts, reason).await?;
+        }
+    }
+
+    fn arrive(&self, ask: &Ask, idempotent: bool) -> Result<Attempts, Fault> {
+        let mut budget = lock(&self.budget);
+        let arrived =
+            Attempts::arrive(&self.retry_policy, &mut budget, ask.attempts, idempotent, ask.deadline);
+        match arrived {
+            Ok(attempts) if ask.attempts > 0 => {
+                self.metrics.retry(Reason::Caller.as_str());
+                Ok(attempts)
+            }
+            Ok(attempts) => Ok(attempts),
+            Err(kind) => {
+                self.metrics.add(Counter::RetriesRefused, kind.answer().code, 1);
+                Err(Fault::new(kind, kind.answer().about).with_attempts(ask.attempts))
+            }
+        }
+    }
+
+    /// Waits before the next attempt, or ends with the final answer at once.
+    async fn back_off(&self, attempts: &mut Attempts, reason: Reason) -> Result<(), Fault> {
+        let decided =
+            attempts.fail(&self.retry_policy, &mut lock(&self.budget), now(), reason, &mut rand::rng());
+        match decided {
+            Ok(pause) => {
+                self.metrics.retry(reason.as_str());
+                tokio::time::sleep(pause).await;
+                Ok(())
+            }
+            Err(denied) => {
+                self.metrics.add(Counter::RetriesRefused, denied.reason.answer().code, 1);
+                Err(denied_fault(denied, attempts.made()))
+            }
+        }
+    }
+
+    /// A fault between attempts. After an attempt that may have run, none may say "not run".
+    fn final_answer(&self, attempts: &Attempts, fault: Fault) -> Fault {
+        let denied = attempts.denied(fault.kind);
+        if denied.answer == fault.kind {
+            return fault.with_attempts(attempts.made());
+        }
+        self.metrics.add(Counter::RetriesRefused, denied.reason.answer().code, 1);
+        denied_fault(denied, attempts.made())
+    }
+
+    async fn find(
+        &self,
+        cat: &Catalog,
+        ask: &Ask,
+        queue: &Arc<Queue>,
+        to: &impl Backends,
+        tried: &mut Vec<Id>,
+    ) -> Result<(Found, Option<Permit>), Fault> {
+        match self.suspects.standing(ask.content) {
+            Standing::Quarantined => Err(quarantined()),
+            Standing::Suspect => self.find_apart(cat, ask, to, tried).await,
+            Standing::Cleared => {
+                let exclude: Vec<_> = tried.clone();
+                let find = || async { to.find(&exclude).await.map_err(no_room) };
+                let found = queue.admit(ask, find).await;
+                match found {
+                    // Every other engine is out of use: the one that failed may be back after the pause.
+                    Err(f) if f.kind == Kind::NoEngine && !tried.is_empty() => {
+                        tried.clear();
+                        let find = || async { to.find(&[]).await.map_err(no_room) };
+                        Ok((queue.admit(ask, find).await?, None))
+                    }
+                    found => Ok((found?, None)),
+                }
+            }
+        }
+    }
+
+    /// Finds an engine on which no other suspect runs. Suspects don't wait in the queue: one that has the turn
+    /// and gets no permit would hold up all behind it.
+    async fn find_apart(
+        &self,
+        cat: &Catalog,
+        ask: &Ask,
+        to: &impl Backends,
+        tried: &[Id],
+    ) -> Result<(Found, Option<Permit>), Fault> {
+        let mut exclude = tried.to_vec();
+        while now() < ask.deadline {
+            match to.find(&exclude).await {
+                Ok(found) => {
+                    let engine = cat.engine(found.engine);
+                    match self.suspects.permit(ask, engine).await {
+                        Ok(permit) => return Ok((found, Some(permit))),
+                        Err(Verdict::ContentQuarantined) => return Err(quarantined()),
+                        Err(Verdict::EngineTaken) => {
+                            exclude.push(engine.id);
+                            continue;
+                        }
+                        Err(_) => {}
+                    }
+                }
+                Err(Unfound::NoneInUse) if exclude.is_empty() => return Err(no_engine()),
+                // Tried engines come back into question as well, once no other is left.
+                Err(Unfound::NoneInUse) => {}
+                Err(Unfound::AtBound) => {}
+            }
+            exclude.clear();
+            let pause = spread(SUSPECT_PAUSE, &mut rand::rng());
+            tokio::time::sleep(pause).await;
+            if self.suspects.standing(ask.content) == Standing::Quarantined {
+                return Err(quarantined());
+            }
+        }
+        Err(Fault::new(Kind::SuspectBusy, Kind::SuspectBusy.answer().about))
+    }
+}
+
+/// Whether a backend server says that it did not run the request.
+fn proves_not_run(res: &Response<Incoming>) -> bool {
+    res.status().as_u16() >= 500 && header(res.headers(), OUTCOME) == Some(Ran::No.as_str())
+}
+
+fn denied_fault(denied: Denied, attempts: u32) -> Fault {
+    let (answer, reason) = (denied.answer.answer(), denied.reason.answer());
+    let message = match denied.answer == denied.reason {
+        true => answer.about.to_owned(),
+        false => format!("{}; no further attempt: {}", answer.about, reason.about),
+    };
+    Fault::new(denied.answer, message).with_attempts(attempts)
+}
+
+fn no_room(unfound: Unfound) -> NoRoom {
+    match unfound {
+        Unfound::AtBound => NoRoom::Full,
+        Unfound::NoneInUse => NoRoom::Fault(no_engine()),
+    }
+}
+
+fn no_engine() -> Fault {
+    Fault::new(Kind::NoEngine, Kind::NoEngine.answer().about)
+}
+
+fn quarantined() -> Fault {
+    Fault::new(Kind::Quarantined, Kind::Quarantined.answer().about)
+}
--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -1,39 +1,73 @@
-//! `POST /v1/chat/completions`: places a chat and relays its answer.
+//! `POST /v1/chat/completions`: admits, places and sends a chat, and relays its answer.
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, Response};
+use hyper::body::Incoming;
 
-use super::{ATTEMPTS, Gateway, ask::Ask, relay::relay};
+use super::{
+    Gateway,
+    ask::Ask,
+    attempt::{Backends, Found, Unfound},
+    place::Unplaced,
+    relay::relay,
+};
 use crate::{
-    catalog::NoPool,
+    catalog::{Catalog, Engine, Id, NoPool, Pool},
     client::Failure,
+    engine::{ChatCall, EngineClient},
     error::{Fault, Kind},
     http::Reply,
+    util::now,
 };
 
 impl Gateway {
     pub(super) async fn chat(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
-        let ask = Ask::chat(req.headers(), req.body())?;
+        let ask = Ask::chat(req.headers(), req.body(), now())?;
         let cat = self.catalog();
         let pool = cat.pool(&ask.workspace, &ask.model).map_err(|e| no_pool(e, &ask))?;
-        let mut tried = Vec::new();
-        for _ in 0..ATTEMPTS {
-            let placed = self.place(&cat, pool, &ask, tried.iter().copied()).await;
-            let Ok(placed) = placed else { break };
-            let engine = cat.engine(placed.engine);
-            match self.send(engine, "/v1/chat/completions", &req, &ask.chat).await {
-                Ok(res) => {
-                    let reply = relay(res, Some(placed.slot)).with_header("x-chat", &ask.chat);
-                    return Ok(reply.with_header("x-placement-hint", &placed.hint));
-                }
-                Err(Failure::Connect) => {
-                    self.metrics.retry("connect_failed");
-                    tried.push(engine.id);
-                }
-                Err(Failure::Broken) => return Err(Fault::new(Kind::EngineFailed, "the engine broke off")),
-            }
+        let entered = self.enter(&cat, &ask)?;
+        let queue = self.admission.queue(&pool.name);
+        let engines = Engines { gateway: self, cat: &cat, pool, ask: &ask, body: req.body() };
+        let started = self.attempt(&cat, &ask, &queue, &engines).await?;
+        let hint = started.found.hint.clone().unwrap_or_default();
+        Ok(relay(started, entered).with_header("x-chat", &ask.chat).with_header("x-placement-hint", &hint))
+    }
+}
+
+/// The engines of a pool, for one chat.
+struct Engines<'a> {
+    gateway: &'a Gateway,
+    cat: &'a Catalog,
+    pool: &'a Pool,
+    ask: &'a Ask,
+    body: &'a Bytes,
+}
+
+impl Backends for Engines<'_> {
+    async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
+        let placed = self.gateway.place(self.cat, self.pool, self.ask, exclude.iter().copied()).await;
+        match placed {
+            Ok(p) => Ok(Found { engine: p.engine, slot: Some(p.slot), hint: Some(p.hint) }),
+            Err(Unplaced::AtBound) => Err(Unfound::AtBound),
+            Err(Unplaced::NoneInUse) => Err(Unfound::NoneInUse),
         }
-        Err(Fault::new(Kind::NoEngine, format!("no engine of pool {} can take the request", pool.name)))
+    }
+
+    async fn send(&self, engine: &Engine, request: &str) -> Result<Response<Incoming>, Failure> {
+        let call = ChatCall {
+            request,
+            chat: &self.ask.chat,
+            workspace: &self.ask.workspace,
+            priority: self.ask.priority as u16,
+            body: self.body.clone(),
+        };
+        EngineClient::new(self.gateway.client.clone(), engine.addr).chat(&call).await
+    }
+
+    /// A model engine keeps nothing of a chat but its cache: an answer of which nothing was passed on may be
+    /// made again.
+    fn idempotent(&self) -> bool {
+        true
     }
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -124,6 +124,10 @@
         }
     }
 
+    pub(crate) fn links(&self) -> &Links {
+        &self.links
+    }
+
     pub(crate) fn placer(&self) -> std::sync::MutexGuard<'_, Placer> {
         lock(&self.placer)
     }
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -1,33 +1,91 @@
 //! `/services/<name>/…`: routes a call to a plain service.
 
 use bytes::Bytes;
-use http::Request;
+use http::{Method, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
 
-use super::{ATTEMPTS, Gateway, relay::relay};
+use super::{
+    Gateway,
+    ask::Ask,
+    attempt::{Backends, Found, Unfound},
+    relay::relay,
+};
 use crate::{
+    catalog::{Catalog, Engine, Id, Service},
     client::Failure,
     error::{Fault, Kind},
     http::Reply,
+    util::now,
 };
 
+/// Headers of the caller that a backend server gets.
+const FORWARDED: [&str; 4] = ["accept", "content-type", "idempotency-key", "x-workspace"];
+
 impl Gateway {
     pub(super) async fn service(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
-        let rest = req.uri().path().trim_start_matches("/services/").to_owned();
-        let (name, tail) = rest.split_once('/').unwrap_or((&rest, ""));
+        let rest = req.uri().path().trim_start_matches("/services/");
+        let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
         let cat = self.catalog();
         let service = cat
             .service(name)
             .ok_or_else(|| Fault::new(Kind::UnknownService, format!("no service {name:?}")))?;
-        for key in service.ranking.top(rand::random()).iter().take(ATTEMPTS) {
-            let engine = cat.engine(key);
-            match self.send(engine, &format!("/{tail}"), &req, "").await {
-                Ok(res) => return Ok(relay(res, None)),
-                Err(Failure::Connect) => self.metrics.retry("connect_failed"),
-                Err(Failure::Broken) => {
-                    return Err(Fault::new(Kind::EngineFailed, "the backend server broke off"));
-                }
+        let path = match req.uri().query() {
+            Some(query) => format!("/{tail}?{query}"),
+            None => format!("/{tail}"),
+        };
+        let ask = Ask::call(req.headers(), &path, req.body(), now())?;
+        if !cat.has_workspace(&ask.workspace) {
+            return Err(Fault::new(Kind::UnknownWorkspace, format!("no workspace {:?}", ask.workspace)));
+        }
+        let entered = self.enter(&cat, &ask)?;
+        let queue = self.admission.queue(&format!("service/{name}"));
+        let idempotent = may_repeat(service, req.method(), &format!("/{tail}"));
+        let servers = Servers { gateway: self, cat: &cat, service, req: &req, path: &path, idempotent };
+        let started = self.attempt(&cat, &ask, &queue, &servers).await?;
+        Ok(relay(started, entered))
+    }
+}
+
+/// Whether a call may run twice. A path that a backend server may read differently than it stands here, such
+/// as an escaped one, could hide a call that may not be repeated, and is not repeated either.
+fn may_repeat(service: &Service, method: &Method, path: &str) -> bool {
+    let plain = !path.contains('%') && !path.contains("//") && !path.contains("/.");
+    let listed = service.non_idempotent.iter().any(|prefix| path.starts_with(&**prefix));
+    !listed && (plain || *method == Method::GET || *method == Method::HEAD)
+}
+
+/// The backend servers of a service, for one call.
+struct Servers<'a> {
+    gateway: &'a Gateway,
+    cat: &'a Catalog,
+    service: &'a Service,
+    req: &'a Request<Bytes>,
+    path: &'a str,
+    idempotent: bool,
+}
+
+impl Backends for Servers<'_> {
+    async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
+        let top = self.service.ranking.top(rand::random());
+        let engine = top.iter().find(|key| !exclude.contains(&self.cat.engine(*key).id));
+        engine.map(|engine| Found { engine, slot: None, hint: None }).ok_or(Unfound::NoneInUse)
+    }
+
+    async fn send(&self, engine: &Engine, request: &str) -> Result<Response<Incoming>, Failure> {
+        let url = format!("http://{}{}", engine.addr, self.path);
+        let mut builder =
+            Request::builder().method(self.req.method()).uri(url).header("x-request-id", request);
+        for name in FORWARDED {
+            if let Some(value) = self.req.headers().get(name) {
+                builder = builder.header(name, value);
             }
         }
-        Err(Fault::new(Kind::NoEngine, format!("no backend server of {name} can take the request")))
+        let out = builder.body(Full::new(self.req.body().clone())).map_err(|_| Failure::Connect)?;
+        self.gateway.client.send(out).await
+    }
+
+    fn idempotent(&self) -> bool {
+        self.idempotent
     }
 }
--- /dev/null
+++ b/src/gateway/suspects.rs
@@ -0,0 +1,327 @@
+//! Guards engines against requests that crash them: watches runs, judges broken ones, asks for permits and
+//! tells the other routers.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::net::TcpStream;
+
+use super::{admit::Queue, ask::Ask, lock, place::Placement};
+use crate::{
+    admit::Work,
+    catalog::{Engine, Id},
+    client::Client,
+    engine::EngineClient,
+    link::Links,
+    place::members::Member,
+    schema::{
+        link::frame::Body,
+        suspect::{Digest, Permit as Wanted, PermitAnswer, Release},
+    },
+    suspect::{self, CrashId, Fingerprint, Permits, Running, Standing, Table, Verdict},
+    util::{Instant, now, wall_ms},
+};
+
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
+const TELL_TIMEOUT: Duration = Duration::from_secs(2);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Added to a request's deadline: a permit outlives the run it is for, unless its holder has died.
+const PERMIT_MARGIN: Duration = Duration::from_secs(10);
+/// Routers that are asked for a permit, should the first not answer.
+const MOST_ARBITERS: usize = 2;
+/// Bytes of one message of news.
+pub(crate) const NEWS: usize = 400;
+/// Breaks of an engine of unknown start within this time count as one crash.
+const UNKNOWN_START_MS: u64 = 5_000;
+
+/// What one router knows and does about crashing requests.
+#[derive(Debug)]
+pub(crate) struct Suspects {
+    region: Arc<str>,
+    placement: Arc<Placement>,
+    client: Client,
+    table: Mutex<Table>,
+    running: Mutex<Running>,
+    permits: Mutex<Permits>,
+}
+
+/// What became of a broken run's engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    SameStart,
+    Crashed,
+    Unknown,
+}
+
+impl Suspects {
+    pub(crate) fn new(region: Arc<str>, placement: Arc<Placement>, client: Client) -> Self {
+        Self {
+            region,
+            placement,
+            client,
+            table: Mutex::default(),
+            running: Mutex::default(),
+            permits: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn standing(&self, content: Fingerprint) -> Standing {
+        lock(&self.table).standing(now(), content)
+    }
+
+    /// Notes a run that starts.
+    pub(crate) fn start(
+        self: &Arc<Self>,
+        engine: &Engine,
+        ask: &Ask,
+        queue: &Arc<Queue>,
+        permit: Option<Permit>,
+    ) -> Run {
+        let key = lock(&self.running).start(&engine.name, ask.content);
+        Run {
+            suspects: self.clone(),
+            queue: queue.clone(),
+            engine: Seen { id: engine.id, name: engine.name.clone(), addr: engine.addr },
+            content: ask.content,
+            key,
+            permit,
+            began: now(),
+            work: u32::try_from(ask.work).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Asks for the permit to run a suspect on an engine.
+    ///
+    /// A router that can't be reached is passed by once. Two routers may then both give permits until the
+    /// member lists agree; that can cost one engine more, while waiting would leave innocents unanswered.
+    pub(crate) async fn permit(self: &Arc<Self>, ask: &Ask, engine: &Engine) -> Result<Permit, Verdict> {
+        let hold = ask.deadline.saturating_sub(now()) + PERMIT_MARGIN;
+        for arbiter in self.arbiters().into_iter().take(MOST_ARBITERS) {
+            let peer = arbiter.map(|m| m.peer);
+            let verdict = match peer {
+                None => Some(self.decide(ask.content, &engine.name, hold)),
+                Some(peer) => self.ask(peer, ask.content, &engine.name, hold).await,
+            };
+            match verdict {
+                Some(Verdict::Granted) => return Ok(self.hold(ask.content, engine, peer).await),
+                Some(verdict) => return Err(verdict),
+                None => {}
+            }
+        }
+        Err(Verdict::ContentRunning)
+    }
+
+    /// Notes the engine's start as well: the verdict on the suspect rests on whether it has changed.
+    async fn hold(
+        self: &Arc<Self>,
+        content: Fingerprint,
+        engine: &Engine,
+        peer: Option<SocketAddr>,
+    ) -> Permit {
+        let suspects = self.clone();
+        let mut permit = Permit { suspects, content, engine: engine.name.clone(), peer, start: 0 };
+        let load = EngineClient::new(self.client.clone(), engine.addr).load().await;
+        permit.start = load.map_or(0, |load| load.start);
+        permit
+    }
+
+    /// Routers of the region in the order in which they are asked; `None` stands for this one.
+    fn arbiters(&self) -> Vec<Option<Member>> {
+        let placer = self.placement.placer();
+        let me = placer.me();
+        let list = placer.members().list().iter();
+        let mut peers: Vec<_> =
+            list.filter(|m| m.region == self.region && m.id != me).cloned().map(Some).collect();
+        peers.push(None);
+        suspect::order(&mut peers, |m| m.as_ref().map_or(me.0, |m| m.id.0));
+        peers
+    }
+
+    fn decide(&self, content: Fingerprint, engine: &str, hold: Duration) -> Verdict {
+        match self.standing(content) {
+            Standing::Quarantined => Verdict::ContentQuarantined,
+            _ => lock(&self.permits).ask(now(), content, engine, hold),
+        }
+    }
+
+    async fn ask(
+        &self,
+        peer: SocketAddr,
+        content: Fingerprint,
+        engine: &str,
+        hold: Duration,
+    ) -> Option<Verdict> {
+        let hold_ms = u32::try_from(hold.as_millis()).unwrap_or(u32::MAX);
+        let wanted = Wanted { fingerprint: content.0, engine: engine.to_owned(), hold_ms };
+        match self.links().call(peer, Body::Permit(wanted), PERMIT_TIMEOUT).await {
+            Ok(Body::PermitAnswer(answer)) => Some(answer.verdict()),
+            _ => None,
+        }
+    }
+
+    /// Answers another router's request for a permit.
+    pub(crate) fn serve_permit(&self, wanted: &Wanted) -> PermitAnswer {
+        let hold = Duration::from_millis(wanted.hold_ms.into());
+        let verdict = self.decide(Fingerprint(wanted.fingerprint), &wanted.engine, hold);
+        PermitAnswer { verdict: verdict as i32 }
+    }
+
+    /// Takes a permit back that another router held.
+    pub(crate) fn serve_release(&self, msg: &Release) {
+        lock(&self.permits).release(Fingerprint(msg.fingerprint), &msg.engine);
+    }
+
+    /// Takes in what another router told.
+    pub(crate) fn note(&self, digest: &Digest) {
+        lock(&self.table).merge(now(), digest);
+    }
+
+    /// Part of the table for gossip, in at most `bytes` of postcard.
+    pub(crate) fn digest(&self, bytes: usize) -> Digest {
+        lock(&self.table).digest(now(), bytes)
+    }
+
+    fn links(&self) -> &Links {
+        self.placement.links()
+    }
+
+    /// Tells the other routers of the region at once: the caller of a crashing request may send it to another
+    /// router within milliseconds, and gossip takes a second.
+    fn tell(self: &Arc<Self>) {
+        let digest = self.digest(NEWS);
+        if digest.entries.is_empty() {
+            return;
+        }
+        for peer in self.arbiters().into_iter().flatten() {
+            let (suspects, digest) = (self.clone(), digest.clone());
+            tokio::spawn(async move {
+                let _ = suspects.links().call(peer.peer, Body::Suspects(digest), TELL_TIMEOUT).await;
+            });
+        }
+    }
+
+    /// Makes all that this router runs on an engine suspects; returns the crash that they are suspects of.
+    ///
+    /// Before the engine has been asked whether it crashed: the retries of what broke start now, and a crash
+    /// that shows a second later would find them on other engines.
+    fn accuse(self: &Arc<Self>, engine: &Seen) -> CrashId {
+        let crash = self.crash_id(engine);
+        let contents = lock(&self.running).at(&engine.name);
+        lock(&self.table).accuse(now(), &contents, crash);
+        crash
+    }
+
+    fn crash_id(&self, engine: &Seen) -> CrashId {
+        match self.start_of(engine) {
+            0 => CrashId::new(&engine.name, &format!("about {}", wall_ms() / UNKNOWN_START_MS)),
+            start => CrashId::new(&engine.name, &start.to_string()),
+        }
+    }
+
+    fn start_of(&self, engine: &Seen) -> u64 {
+        self.placement.placer().health.start(engine.id)
+    }
+
+    /// Asks the engine whether it is still in the start that `before` names; 0 stands for an unknown one.
+    async fn probe(&self, engine: &Seen, before: u64) -> Probe {
+        let load = EngineClient::new(self.client.clone(), engine.addr).load().await;
+        match load {
+            Ok(_) if before == 0 => Probe::Unknown,
+            Ok(load) if load.start == before => Probe::SameStart,
+            Ok(_) => Probe::Crashed,
+            // A plain service has no load report; one that still takes connections has not crashed.
+            Err(_) if before == 0 && self.connects(engine).await => Probe::SameStart,
+            Err(_) => Probe::Crashed,
+        }
+    }
+
+    async fn connects(&self, engine: &Seen) -> bool {
+        let connect = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(engine.addr)).await;
+        matches!(connect, Ok(Ok(_)))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    id: Id,
+    name: Arc<str>,
+    addr: SocketAddr,
+}
+
+/// The permit to run a suspect; dropping it gives it back.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    suspects: Arc<Suspects>,
+    content: Fingerprint,
+    engine: Arc<str>,
+    peer: Option<SocketAddr>,
+    start: u64,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let release = Release { fingerprint: self.content.0, engine: self.engine.to_string() };
+        let Some(peer) = self.peer else { return self.suspects.serve_release(&release) };
+        let suspects = self.suspects.clone();
+        tokio::spawn(async move {
+            let _ = suspects.links().call(peer, Body::PermitRelease(release), TELL_TIMEOUT).await;
+        });
+    }
+}
+
+/// One run at an engine. Dropping it, as when the caller goes away, says nothing of the content.
+#[derive(Debug)]
+pub(crate) struct Run {
+    suspects: Arc<Suspects>,
+    queue: Arc<Queue>,
+    engine: Seen,
+    content: Fingerprint,
+    key: suspect::Run,
+    permit: Option<Permit>,
+    began: Instant,
+    work: Work,
+}
+
+impl Run {
+    /// Ends a run whose answer is whole; its content is no suspect any more.
+    pub(crate) fn complete(self) {
+        lock(&self.suspects.table).clear(now(), self.content);
+    }
+
+    /// Ends a run whose connection broke after the request may have been sent.
+    pub(crate) async fn broke(self) {
+        if let Some(start) = self.permit.as_ref().map(|p| p.start) {
+            return self.judge(start).await;
+        }
+        let before = self.suspects.start_of(&self.engine);
+        let crash = self.suspects.accuse(&self.engine);
+        self.suspects.tell();
+        let (suspects, engine) = (self.suspects.clone(), self.engine.clone());
+        drop(self);
+        tokio::spawn(async move {
+            if suspects.probe(&engine, before).await == Probe::SameStart {
+                lock(&suspects.table).withdraw(crash);
+                suspects.tell();
+            }
+        });
+    }
+
+    /// Decides on a suspect that ran alone; it keeps its permit until then, so that it runs nowhere else.
+    async fn judge(self, before: u64) {
+        let crash = self.suspects.crash_id(&self.engine);
+        if self.suspects.probe(&self.engine, before).await == Probe::Crashed {
+            lock(&self.suspects.table).convict(now(), self.content, crash);
+            self.suspects.tell();
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        lock(&self.suspects.running).finish(&self.engine.name, self.key);
+        self.queue.note_end(now().saturating_sub(self.began), self.work);
+    }
+}
--- a/src/schema/suspect.rs
+++ b/src/schema/suspect.rs
@@ -60,6 +60,10 @@
     #[prost(string, tag = "2")]
     pub engine: ::prost::alloc::string::String,
 }
+/// Notes what was told.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Noted {}
 /// Standing of a content.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/src/suspect/permit.rs
+++ b/src/suspect/permit.rs
@@ -91,6 +91,6 @@
 ///
 /// One router decides for the whole region: suspects are rare, and two locks, content and engine, can't be
 /// taken at two places without one of them waiting for the other.
-pub fn order<T>(routers: &mut [T], name: impl Fn(&T) -> &str) {
-    routers.sort_by_key(|r| std::cmp::Reverse(hash(("suspects", name(r)))));
+pub fn order<T>(routers: &mut [T], id: impl Fn(&T) -> u64) {
+    routers.sort_by_key(|r| std::cmp::Reverse(hash(("suspects", id(r)))));
 }
