Follow the configuration from peers and let operators apply, get, label, drain and see the status

Cause: each running router listed and watched on its own and served nothing after a restart in an outage; operators had no command. Change: the shell of the follower replaces the watch loop; routers answer fetches over links; the settings' seeds are asked for their version until the membership tells the other routers. apply, get, label, status and drain with exit codes; GET /v1/status and POST /v1/drain on routers, the latter with a token derived from the shared key. Conclusion: drain stops the process; the graceful life cycle is not part of this change.

--- a/benches/configuration/model.rs
+++ b/benches/configuration/model.rs
@@ -455,6 +455,9 @@
     fn serve(&mut self, i: usize, peer: usize, fetch: &Fetch) {
         let Some(follower) = &self.nodes[i].follower else { return };
         let clock = Clock::now();
+        if follower.serving() == 0 {
+            return;
+        }
         let delta = follower.store().delta(fetch.since, fetch.cursor, fetch.whole, PAGE);
         self.cpu += clock.elapsed();
         let delay = self.latency(i, peer);
@@ -463,7 +466,7 @@
 
     fn gossip(&mut self, i: usize) {
         self.send(i, self.setup.gossip_period, Input::Gossip);
-        let version = self.nodes[i].follower.as_ref().map_or(0, Follower::version);
+        let version = self.nodes[i].follower.as_ref().map_or(0, Follower::serving);
         for _ in 0..self.setup.fanout {
             let to = self.rng.random_range(0..self.nodes.len());
             let lost = self.rng.random_bool(self.setup.loss);
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,7 +2,7 @@
 //!
 //! Selectors are evaluated once a configuration change; a request only looks things up.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{borrow::Borrow, cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use anyhow::{Context, Result, bail};
 use slotmap::{SlotMap, new_key_type};
@@ -152,15 +152,15 @@
 
 impl Catalog {
     /// Compiles `objects`; returns the catalog and what is wrong with objects that were left out.
-    pub fn compile(version: u64, objects: &[AnyObject]) -> (Self, Vec<String>) {
+    pub fn compile(version: u64, objects: &[impl Borrow<AnyObject>]) -> (Self, Vec<String>) {
         let mut cat = Self { version, ..Self::default() };
         let mut faults = Vec::new();
-        for obj in objects {
+        for obj in objects.iter().map(Borrow::borrow) {
             if let Err(e) = cat.add_base(obj) {
                 faults.push(format!("{}/{}: {e:#}", obj.kind, obj.metadata.name));
             }
         }
-        for obj in objects {
+        for obj in objects.iter().map(Borrow::borrow) {
             if let Err(e) = cat.add_derived(obj) {
                 faults.push(format!("{}/{}: {e:#}", obj.kind, obj.metadata.name));
             }
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -5,9 +5,15 @@
 use anyhow::{Result, bail};
 use gumdrop::Options;
 
+mod apply;
 mod check;
 mod demo;
+mod drain;
+mod get;
+mod label;
+mod remote;
 mod serve;
+mod status;
 
 /// A subcommand.
 pub(crate) trait Run {
@@ -36,6 +42,16 @@
     Check(check::Check),
     #[options(help = "run a small fleet with stand-ins in one process")]
     Demo(demo::Demo),
+    #[options(help = "write objects from a file into the platform")]
+    Apply(apply::Apply),
+    #[options(help = "show objects as the platform has them")]
+    Get(get::Get),
+    #[options(help = "set and remove labels of an object")]
+    Label(label::Label),
+    #[options(help = "show the routers and the versions that they have in force")]
+    Status(status::Status),
+    #[options(help = "shut one router down gracefully")]
+    Drain(drain::Drain),
 }
 
 /// Parses the arguments and runs the subcommand.
@@ -52,6 +68,11 @@
         Some(Cmd::Serve(cmd)) => cmd.run(),
         Some(Cmd::Check(cmd)) => cmd.run(),
         Some(Cmd::Demo(cmd)) => cmd.run(),
+        Some(Cmd::Apply(cmd)) => cmd.run(),
+        Some(Cmd::Get(cmd)) => cmd.run(),
+        Some(Cmd::Label(cmd)) => cmd.run(),
+        Some(Cmd::Status(cmd)) => cmd.run(),
+        Some(Cmd::Drain(cmd)) => cmd.run(),
         None => bail!("no command given; see --help"),
     }
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -26,7 +26,10 @@
             // A script or a test that lets the system choose the ports reads them here.
             println!("callers {} peers {}", running.addr(), running.peer_addr());
             spdlog::info!("router {} serves on {}", cfg.name, running.addr());
-            tokio::signal::ctrl_c().await.context("could not wait for a signal")?;
+            tokio::select! {
+                signal = tokio::signal::ctrl_c() => signal.context("could not wait for a signal")?,
+                () = running.drained() => {}
+            }
             running.close();
             Ok(ExitCode::SUCCESS)
         })
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,81 @@
+//! `status`: shows which routers live, which version each has in force, and objects that are not valid.
+
+use std::{collections::BTreeMap, net::SocketAddr, process::ExitCode};
+
+use anyhow::{Result, bail};
+use gumdrop::Options;
+
+use super::{
+    Run,
+    remote::{self, Asked},
+};
+use crate::client::Client;
+
+#[derive(Debug, Options)]
+pub(crate) struct Status {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(short = "o", meta = "FORMAT", help = "json; a table without it")]
+    output: String,
+    #[options(no_short, meta = "ADDR", help = "a router, to find all others; may be given several times")]
+    router: Vec<String>,
+}
+
+impl Run for Status {
+    fn run(&self) -> Result<ExitCode> {
+        let routers = remote::routers(&self.router)?;
+        let asked = remote::block_on(async { Ok(remote::ask_all(&Client::default(), &routers).await) })?;
+        match self.output.as_str() {
+            "" => print!("{}", table(&asked)),
+            "json" => println!("{}", serde_json::to_string_pretty(&json(&asked))?),
+            other => bail!("`{other}` is not json"),
+        }
+        if asked.values().all(|a| a.status.is_err()) {
+            bail!("no router answered");
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn table(asked: &BTreeMap<SocketAddr, Asked>) -> String {
+    let mut text = format!(
+        "{:<16} {:<12} {:<22} {:>8} {:<6} {:<6} {}\n",
+        "ROUTER", "DATA CENTRE", "ADDRESS", "VERSION", "READY", "WATCH", "STATE"
+    );
+    for (addr, a) in asked {
+        let line = match &a.status {
+            Err(e) => format!("{:<16} {:<12} {addr:<22} no answer: {e:#}\n", a.name, ""),
+            Ok(s) => {
+                let c = &s.configuration;
+                let state = if s.router.leaving { "leaving" } else { "" };
+                format!(
+                    "{:<16} {:<12} {addr:<22} {:>8} {:<6} {:<6} {state}\n",
+                    a.name, s.router.data_centre, c.version, c.ready, c.holds_watch
+                )
+            }
+        };
+        text += &line;
+    }
+    text + &bad(asked)
+}
+
+/// Objects that are not valid, each once.
+fn bad(asked: &BTreeMap<SocketAddr, Asked>) -> String {
+    let all = asked.values().filter_map(|a| a.status.as_ref().ok()).flat_map(|s| &s.bad);
+    let by_name: BTreeMap<_, _> = all.map(|b| ((&b.kind, &b.name, b.version), b)).collect();
+    let mut text = String::new();
+    for b in by_name.values() {
+        let kept = b.in_force.map_or("nothing".into(), |v| format!("version {v}"));
+        text += &format!("{}/{} version {} is not valid, {kept} stays in force\n", b.kind, b.name, b.version);
+        b.problems.iter().for_each(|p| text += &format!("  {p}\n"));
+    }
+    text
+}
+
+fn json(asked: &BTreeMap<SocketAddr, Asked>) -> serde_json::Value {
+    let row = |(addr, a): (&SocketAddr, &Asked)| match &a.status {
+        Ok(status) => serde_json::json!({ "address": addr, "name": a.name, "status": status }),
+        Err(e) => serde_json::json!({ "address": addr, "name": a.name, "error": format!("{e:#}") }),
+    };
+    serde_json::json!({ "routers": asked.iter().map(row).collect::<Vec<_>>() })
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -39,6 +39,8 @@
     NotFound,
     /// The path does not take this method.
     MethodNotAllowed,
+    /// Only operators may ask this.
+    Forbidden,
     /// The workspace is not configured.
     UnknownWorkspace,
     /// The service is not configured.
@@ -112,13 +114,14 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 33] = [
+    pub const ALL: [Kind; 34] = [
         Kind::BadRequest,
         Kind::BodyTooLarge,
         Kind::BodyTimeout,
         Kind::LengthRequired,
         Kind::NotFound,
         Kind::MethodNotAllowed,
+        Kind::Forbidden,
         Kind::UnknownWorkspace,
         Kind::UnknownService,
         Kind::NoPolicy,
@@ -164,6 +167,7 @@
             Kind::MethodNotAllowed => {
                 row(405, "method_not_allowed", Ran::No, None, "The path does not take this method")
             }
+            Kind::Forbidden => row(403, "forbidden", Ran::No, None, "Only operators may ask this"),
             Kind::UnknownWorkspace => {
                 row(403, "unknown_workspace", Ran::No, None, "The workspace is not configured")
             }
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,332 @@
+//! Carries out what the configuration's follower decides: calls to the platform and to peers, and the catalog.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rand::{SeedableRng, rngs::StdRng};
+use tokio::{sync::Notify, task::JoinHandle};
+
+use crate::{
+    catalog::{AnyObject, Catalog},
+    config::Settings,
+    gateway::Gateway,
+    link::Links,
+    platform::{Platform, Version, Watched, calls::Rates},
+    revision::{Action, Bad, Follower, Member, State},
+    schema::{
+        configuration::{Delta, Fetch},
+        link::frame::Body,
+    },
+    util::{Instant, Map, now},
+};
+
+mod seeds;
+
+const TICK: Duration = Duration::from_millis(100);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// A watch on which nothing came for so long is opened anew, as its connection may have died without a packet.
+const WATCH_IDLE: Duration = Duration::from_secs(120);
+const PAGE: usize = 1 << 20;
+
+/// Another router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name.
+    pub name: Arc<str>,
+    /// Data centre in which it stands.
+    pub data_centre: Arc<str>,
+    /// Where callers and operators reach it, if that is known.
+    pub addr: Option<SocketAddr>,
+    /// Where routers reach it.
+    pub peer_addr: SocketAddr,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// The configuration of a running router.
+#[derive(Debug)]
+pub struct Follow {
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+/// What the tasks of one follower share; the handle for other modules.
+#[derive(Debug)]
+pub struct Shared {
+    me: Member,
+    state: Mutex<Decisions>,
+    watch: Mutex<Option<JoinHandle<()>>>,
+    platform: Platform,
+    links: Arc<Links>,
+    gateway: Arc<Gateway>,
+    wake: Notify,
+}
+
+#[derive(Debug)]
+struct Decisions {
+    follower: Follower,
+    rng: StdRng,
+    peers: Map<Arc<str>, Peer>,
+    /// Whether the peers come from the membership rather than from the seeds.
+    has_members: bool,
+    enforced: Version,
+    behind_before: bool,
+}
+
+impl Follow {
+    /// Starts to follow; `own_peer_addr` is left out of the seeds.
+    pub fn start(
+        cfg: &Settings,
+        own_peer_addr: SocketAddr,
+        platform: Platform,
+        links: Arc<Links>,
+        gateway: Arc<Gateway>,
+    ) -> Self {
+        let me = Member { name: cfg.name.clone(), data_centre: cfg.data_centre.clone() };
+        let seeds: Vec<_> = cfg.seeds.iter().copied().filter(|s| *s != own_peer_addr).collect();
+        let mut rng = StdRng::from_os_rng();
+        let follower = Follower::new(me.clone(), !seeds.is_empty(), now(), &mut rng);
+        let state = Decisions {
+            follower,
+            rng,
+            peers: Map::default(),
+            has_members: false,
+            enforced: 0,
+            behind_before: false,
+        };
+        let shared = Arc::new(Shared {
+            me,
+            state: Mutex::new(state),
+            watch: Mutex::default(),
+            platform,
+            links,
+            gateway,
+            wake: Notify::new(),
+        });
+        let (seeking, running) = (shared.clone(), shared.clone());
+        let task = tokio::spawn(async move {
+            tokio::join!(seeds::ask(seeking, seeds), run(running));
+        });
+        Self { shared, task }
+    }
+
+    /// Handle for other modules.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops following.
+    pub fn close(self) {
+        self.task.abort();
+        self.shared.stop_watch();
+    }
+}
+
+async fn run(shared: Arc<Shared>) {
+    loop {
+        let actions = {
+            let mut state = shared.state();
+            let Decisions { follower, rng, .. } = &mut *state;
+            follower.tick(now(), rng)
+        };
+        shared.perform(actions);
+        shared.enforce();
+        let _ = tokio::time::timeout(TICK, shared.wake.notified()).await;
+    }
+}
+
+impl Shared {
+    /// Sets the other live routers, as the membership sees them.
+    pub fn set_peers(&self, peers: Vec<Peer>) {
+        let mut state = self.state();
+        state.has_members = true;
+        self.take_peers(&mut state, peers);
+    }
+
+    fn take_peers(&self, state: &mut Decisions, peers: Vec<Peer>) {
+        let member = |p: &Peer| Member { name: p.name.clone(), data_centre: p.data_centre.clone() };
+        let staying = peers.iter().filter(|p| !p.leaving).map(member);
+        let members: Vec<_> = std::iter::once(self.me.clone()).chain(staying).collect();
+        self.platform.set_rates(Rates::share(members.len()));
+        state.follower.set_members(members);
+        state.peers = peers.into_iter().map(|p| (p.name.clone(), p)).collect();
+    }
+
+    /// Notes the version that a peer has in force.
+    pub fn note_version(&self, peer: &Arc<str>, version: Version) {
+        self.state().follower.note_version(now(), peer, version);
+        self.wake.notify_one();
+    }
+
+    /// Notes a version that some router is known to have, as told by a third one.
+    pub fn note_newest(&self, version: Version) {
+        self.state().follower.note_newest(now(), version);
+    }
+
+    /// Version that serves, for gossip; 0 before the router may serve.
+    pub fn version(&self) -> Version {
+        self.state().follower.serving()
+    }
+
+    /// What `status` shows.
+    pub fn status(&self) -> (State, Vec<Bad>) {
+        let state = self.state();
+        (state.follower.state(), state.follower.store().bad())
+    }
+
+    /// The other routers.
+    pub fn peers(&self) -> Vec<Peer> {
+        let mut peers: Vec<_> = self.state().peers.values().cloned().collect();
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        peers
+    }
+
+    /// Objects in force.
+    pub fn objects(&self) -> Vec<Arc<AnyObject>> {
+        self.state().follower.store().in_force()
+    }
+
+    /// Answers a peer's fetch; version 0 as long as this router may not serve itself.
+    pub fn serve_fetch(&self, fetch: &Fetch) -> Delta {
+        let state = self.state();
+        if state.follower.serving() == 0 {
+            return Delta::default();
+        }
+        state.follower.store().delta(fetch.since, fetch.cursor, fetch.whole, PAGE)
+    }
+
+    /// Lets the follower take an input and carries out what it decides.
+    fn with(self: &Arc<Self>, input: impl FnOnce(&mut Follower, Instant, &mut StdRng) -> Vec<Action>) {
+        let actions = {
+            let mut state = self.state();
+            let Decisions { follower, rng, .. } = &mut *state;
+            input(follower, now(), rng)
+        };
+        self.perform(actions);
+        self.wake.notify_one();
+    }
+
+    /// Lets the follower take an input that decides nothing at once.
+    fn note(self: &Arc<Self>, input: impl FnOnce(&mut Follower, Instant, &mut StdRng)) {
+        self.with(|f, now, rng| {
+            input(f, now, rng);
+            Vec::new()
+        });
+    }
+
+    fn perform(self: &Arc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::List => drop(tokio::spawn(list(self.clone()))),
+                Action::Watch { from } => {
+                    self.stop_watch();
+                    *self.watch_task() = Some(tokio::spawn(watch(self.clone(), from)));
+                }
+                Action::CloseWatch => self.stop_watch(),
+                Action::Fetch { peer, fetch } => drop(tokio::spawn(fetch_from(self.clone(), peer, fetch))),
+                // Changes that come close together are compiled together, by `enforce`.
+                Action::Install { .. } => {}
+            }
+        }
+    }
+
+    /// Puts the objects in force once the router has at least the fleet's version.
+    fn enforce(&self) {
+        let (version, objects) = {
+            let mut state = self.state();
+            self.report(&mut state);
+            let version = state.follower.version();
+            if !state.follower.is_ready() || version <= state.enforced {
+                return;
+            }
+            state.enforced = version;
+            (version, state.follower.store().in_force())
+        };
+        let (cat, faults) = Catalog::compile(version, &objects);
+        for fault in faults {
+            spdlog::error!("configuration object left out: {fault}");
+        }
+        self.gateway.set_catalog(cat);
+        spdlog::info!("configuration version {version} is in force");
+    }
+
+    fn report(&self, state: &mut Decisions) {
+        let behind = state.follower.state().platform_behind;
+        if behind && !state.behind_before {
+            spdlog::warn!("the platform answers with data older than what is in force");
+        }
+        state.behind_before = behind;
+    }
+
+    fn stop_watch(&self) {
+        if let Some(task) = self.watch_task().take() {
+            task.abort();
+        }
+    }
+
+    fn watch_task(&self) -> MutexGuard<'_, Option<JoinHandle<()>>> {
+        self.watch.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn state(&self) -> MutexGuard<'_, Decisions> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+async fn list(shared: Arc<Shared>) {
+    let list = match shared.platform.list().await {
+        Ok(list) => Some(list),
+        Err(e) => {
+            spdlog::warn!("could not list the configuration: {e:#}");
+            None
+        }
+    };
+    shared.with(|f, now, rng| f.listed(now, list, rng));
+}
+
+async fn watch(shared: Arc<Shared>, from: Version) {
+    let mut open = match shared.platform.watch(from).await {
+        Ok(Watched::Open(open)) => open,
+        Ok(Watched::TooOld) => return shared.note(|f, now, _| f.watch_too_old(now)),
+        Err(e) => {
+            spdlog::warn!("could not watch the configuration: {e:#}");
+            return shared.note(|f, now, rng| f.watch_ended(now, rng));
+        }
+    };
+    shared.note(|f, now, _| f.watch_opened(now));
+    loop {
+        match open.next_within(WATCH_IDLE).await {
+            Ok(Some(event)) => shared.with(|f, now, _| f.event(now, event)),
+            Ok(None) => break,
+            Err(e) => {
+                spdlog::warn!("the configuration watch broke: {e:#}");
+                break;
+            }
+        }
+    }
+    open.close();
+    shared.note(|f, now, rng| f.watch_ended(now, rng));
+}
+
+async fn fetch_from(shared: Arc<Shared>, peer: Arc<str>, fetch: Fetch) {
+    let addr = shared.state().peers.get(&peer).map(|p| p.peer_addr);
+    let delta = match addr {
+        Some(addr) => call(&shared.links, addr, fetch).await,
+        None => None,
+    };
+    shared.with(|f, now, rng| f.fetched(now, &peer, delta, rng));
+}
+
+async fn call(links: &Links, addr: SocketAddr, fetch: Fetch) -> Option<Delta> {
+    match links.call(addr, Body::Fetch(fetch), FETCH_TIMEOUT).await {
+        Ok(Body::Delta(delta)) => Some(delta),
+        Ok(_) => None,
+        Err(e) => {
+            spdlog::debug!("could not fetch the configuration: {e:#}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/follow/seeds.rs
@@ -0,0 +1,48 @@
+//! Asks the settings' seeds for their versions until the membership knows the other routers.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+
+use super::{Peer, Shared, call};
+use crate::schema::configuration::Fetch;
+
+const PERIOD: Duration = Duration::from_secs(1);
+/// A fetch from here on gives a version without any object.
+const NOTHING: u64 = u64::MAX;
+
+/// Asks all seeds, again and again, until [`Shared::set_peers`] is called.
+///
+/// Guards against a restart while the platform is down: gossip takes a while to tell who is there, and an answer of one
+/// seed tells the fleet's version at once.
+pub(super) async fn ask(shared: Arc<Shared>, seeds: Vec<SocketAddr>) {
+    while !seeds.is_empty() && !shared.state().has_members {
+        let answers = join_all(seeds.iter().map(|seed| version_of(&shared, *seed))).await;
+        let answered: Vec<_> = answers.into_iter().flatten().collect();
+        let peers = answered.iter().map(|(peer, _)| peer.clone()).collect();
+        {
+            let mut state = shared.state();
+            if state.has_members {
+                return;
+            }
+            shared.take_peers(&mut state, peers);
+        }
+        for (peer, version) in answered {
+            shared.note_version(&peer.name, version);
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+async fn version_of(shared: &Shared, seed: SocketAddr) -> Option<(Peer, u64)> {
+    let fetch = Fetch { since: NOTHING, cursor: NOTHING, whole: false };
+    let delta = call(&shared.links, seed, fetch).await?;
+    let peer = Peer {
+        name: seed.to_string().into(),
+        data_centre: shared.me.data_centre.clone(),
+        addr: None,
+        peer_addr: seed,
+        leaving: false,
+    };
+    Some((peer, delta.version))
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -19,6 +19,7 @@
 use crate::{
     catalog::AnyObject,
     client::{Client, Failure},
+    metrics::Metrics,
     util::now,
 };
 
@@ -138,6 +139,11 @@
         }
     }
 
+    /// Shows the calls among a router's metrics.
+    pub fn with_metrics(self, metrics: Arc<Metrics>) -> Self {
+        Self { counts: Arc::new(Counts::new(metrics)), ..self }
+    }
+
     /// Changes the limits, as when the fleet has grown.
     pub fn set_rates(&self, rates: Rates) {
         self.limiter().set_rates(now(), rates);
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -2,12 +2,15 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use super::bucket::Bucket;
-use crate::util::Instant;
+use crate::{
+    metrics::{Counter, Metrics},
+    util::Instant,
+};
 
 /// Classes of call that the platform limits separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,19 +49,6 @@
     Held,
 }
 
-impl Outcome {
-    /// Label in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Outcome::Answered => "answered",
-            Outcome::Conflict => "conflict",
-            Outcome::Failed => "failed",
-            Outcome::Limited => "limited",
-            Outcome::Held => "held",
-        }
-    }
-}
-
 /// Limits of one class.
 #[derive(Clone, Copy, Debug)]
 pub struct Rate {
@@ -163,14 +153,42 @@
     }
 }
 
+/// Label of a call in metrics.
+fn label(class: Class, outcome: Outcome) -> &'static str {
+    match (class, outcome) {
+        (_, Outcome::Answered) => class.as_str(),
+        (_, Outcome::Conflict) => "write_conflict",
+        (Class::Read, Outcome::Failed) => "read_failed",
+        (Class::Read, Outcome::Limited) => "read_limited",
+        (Class::Read, Outcome::Held) => "read_held",
+        (Class::Write, Outcome::Failed) => "write_failed",
+        (Class::Write, Outcome::Limited) => "write_limited",
+        (Class::Write, Outcome::Held) => "write_held",
+        (Class::Watch, Outcome::Failed) => "watch_failed",
+        (Class::Watch, Outcome::Limited) => "watch_limited",
+        (Class::Watch, Outcome::Held) => "watch_held",
+    }
+}
+
 /// Calls by class and outcome.
 #[derive(Debug, Default)]
-pub struct Counts(Mutex<BTreeMap<(Class, Outcome), u64>>);
+pub struct Counts {
+    calls: Mutex<BTreeMap<(Class, Outcome), u64>>,
+    metrics: Option<Arc<Metrics>>,
+}
 
 impl Counts {
+    /// Counts that are shown among a router's metrics too.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self { calls: Mutex::default(), metrics: Some(metrics) }
+    }
+
     /// Counts one call.
     pub fn add(&self, class: Class, outcome: Outcome) {
         *self.lock().entry((class, outcome)).or_default() += 1;
+        if let Some(metrics) = &self.metrics {
+            metrics.add(Counter::PlatformCalls, label(class, outcome), 1);
+        }
     }
 
     /// All counts.
@@ -184,6 +202,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<(Class, Outcome), u64>> {
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
+        self.calls.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
--- a/src/revision/follower.rs
+++ b/src/revision/follower.rs
@@ -24,13 +24,13 @@
 /// A holder gives peers this long to tell the fleet's version before it lists.
 const FIRST_LIST: Duration = Duration::from_millis(500);
 /// A router without a watch lists on its own after this time without any configuration, plus as much jitter.
-const FALLBACK: Duration = Duration::from_secs(4);
+const FALLBACK: Duration = Duration::from_secs(6);
 /// A router that knows of a newer version, but gets it from no peer for so long, lists on its own.
 const STUCK: Duration = Duration::from_secs(6);
 /// A watch stays this long after its router is no longer among the holders, so that a flapping member moves nothing.
 const LINGER: Duration = Duration::from_secs(10);
 /// A router that hears no peer for so long serves what the platform gave.
-const ALONE: Duration = Duration::from_secs(3);
+const ALONE: Duration = Duration::from_secs(5);
 /// With at least one peer heard, this long is enough to have heard of a newer version by gossip.
 const SETTLE: Duration = Duration::from_secs(2);
 /// As many informed peers are believed at once.
@@ -178,11 +178,18 @@
         &self.store
     }
 
-    /// Version in force, for gossip.
+    /// Version of the store.
     pub fn version(&self) -> Version {
         self.store.version()
     }
 
+    /// Version that serves, for gossip; 0 before the router may serve.
+    ///
+    /// Routers that restart together while the platform answers with old data would otherwise confirm each other.
+    pub fn serving(&self) -> Version {
+        if self.ready { self.version() } else { 0 }
+    }
+
     /// Whether the router may serve: it has at least the fleet's version.
     pub fn is_ready(&self) -> bool {
         self.ready
@@ -214,6 +221,11 @@
             return;
         }
         self.heard.insert(peer.clone(), version);
+        self.note_newest(now, version);
+    }
+
+    /// Notes a version that some router is known to have, as told by a third one.
+    pub fn note_newest(&mut self, now: Instant, version: Version) {
         self.newest = self.newest.max(version);
         if self.newest > self.version() {
             self.behind_since.get_or_insert(now);
--- a/src/revision/store.rs
+++ b/src/revision/store.rs
@@ -181,7 +181,7 @@
         let mut delta =
             Delta { since, version: self.version, whole, digest: self.digest, ..Delta::default() };
         let (mut bytes, mut last) = (0, 0);
-        for (version, key) in self.order.range((first + 1, Key::least())..) {
+        for (version, key) in self.order.range((first.saturating_add(1), Key::least())..) {
             let entry = &self.entries[key];
             // A first page of all objects needs no deletions; later ones do, since an object of an earlier page
             // may have been deleted in between.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,28 +1,33 @@
 //! A running router: sockets, the configuration watch and the gateway.
 
-use std::{net::TcpListener, sync::Arc, time::Duration};
+use std::{net::TcpListener, sync::Arc};
 
 use anyhow::{Context, Result};
-use tokio::task::JoinHandle;
 
 use crate::{
-    catalog::{AnyObject, Catalog},
     config::Settings,
     entry::Router,
+    follow::Follow,
     gateway::Gateway,
     http::{Limits, Server},
+    link::{LinkKey, LinkServer, Links},
     metrics::Metrics,
-    platform::{Event, Platform, Watched},
+    operate::Operate,
+    platform::Platform,
 };
 
-const RECONNECT: Duration = Duration::from_millis(500);
+mod calls;
+
+use calls::Calls;
 
 /// A router in this process.
 #[derive(Debug)]
 pub struct Running {
     peer_addr: std::net::SocketAddr,
     server: Server,
-    watch: JoinHandle<()>,
+    follow: Follow,
+    link_server: LinkServer,
+    operate: Arc<Operate>,
     gateway: Arc<Gateway>,
     metrics: Arc<Metrics>,
 }
@@ -50,14 +55,22 @@
             region: cfg.region.clone(),
         };
         let metrics = Arc::new(Metrics::new()?);
-        let gateway = Arc::new(Gateway::new(me, &cfg.shared_key, metrics.clone()));
+        let gateway = Arc::new(Gateway::new(me.clone(), &cfg.shared_key, metrics.clone()));
         let limits = Limits::default()
             .with_bytes(cfg.body_bytes)
             .with_time(cfg.body_time)
             .with_head_time(cfg.head_time);
-        let server = Server::start(listener, cfg.http_threads, limits, gateway.clone())?;
-        let watch = tokio::spawn(follow(Platform::new(cfg.platform), gateway.clone()));
-        Ok(Self { peer_addr: cfg.peer_listen, server, watch, gateway, metrics })
+        let (peer_listener, peer_addr) = listen_for_peers(cfg)?;
+        let key = LinkKey::new(&cfg.shared_key);
+        let links = Arc::new(Links::new(key.clone()));
+        let platform = Platform::new(cfg.platform).with_metrics(metrics.clone());
+        let follow = Follow::start(cfg, peer_addr, platform, links, gateway.clone());
+        let calls = Calls { name: cfg.name.clone(), follow: follow.shared().clone() };
+        let link_server = LinkServer::start(peer_listener, key, Arc::new(calls));
+        let operate = Operate::new(me, &cfg.shared_key, follow.shared().clone(), gateway.clone());
+        let operate = Arc::new(operate);
+        let server = Server::start(listener, cfg.http_threads, limits, operate.clone())?;
+        Ok(Self { peer_addr, server, follow, link_server, operate, gateway, metrics })
     }
 
     /// The gateway.
@@ -80,46 +93,28 @@
         self.peer_addr
     }
 
-    /// Stops the router.
-    pub fn close(self) {
-        self.watch.abort();
-        self.server.close();
+    /// The configuration.
+    pub fn follow(&self) -> &Follow {
+        &self.follow
     }
-}
 
-async fn follow(platform: Platform, gateway: Arc<Gateway>) {
-    loop {
-        if let Err(e) = follow_once(&platform, &gateway).await {
-            spdlog::warn!("configuration watch ended: {e:#}");
-        }
-        tokio::time::sleep(RECONNECT).await;
+    /// Waits until an operator drains this router.
+    pub async fn drained(&self) {
+        self.operate.drained().await;
     }
-}
 
-async fn follow_once(platform: &Platform, gateway: &Gateway) -> Result<()> {
-    let list = platform.list().await?;
-    let mut objects = list.items;
-    enforce(gateway, list.version, &objects);
-    let Watched::Open(mut watch) = platform.watch(list.version).await? else { return Ok(()) };
-    while let Some(event) = watch.next().await? {
-        let version = event.version;
-        merge(&mut objects, event);
-        enforce(gateway, version, &objects);
-    }
-    Ok(())
-}
-
-fn merge(objects: &mut Vec<AnyObject>, event: Event) {
-    objects.retain(|o| o.kind != event.object.kind || o.metadata.name != event.object.metadata.name);
-    if !event.deleted {
-        objects.push(event.object);
+    /// Stops the router.
+    pub fn close(self) {
+        self.follow.close();
+        self.link_server.close();
+        self.server.close();
     }
 }
 
-fn enforce(gateway: &Gateway, version: u64, objects: &[AnyObject]) {
-    let (cat, faults) = Catalog::compile(version, objects);
-    for fault in faults {
-        spdlog::error!("configuration object left out: {fault}");
-    }
-    gateway.set_catalog(cat);
+fn listen_for_peers(cfg: &Settings) -> Result<(tokio::net::TcpListener, std::net::SocketAddr)> {
+    let at = cfg.peer_listen;
+    let listener = TcpListener::bind(at).with_context(|| format!("could not listen on {at}"))?;
+    listener.set_nonblocking(true).context("could not set the socket up")?;
+    let addr = listener.local_addr().context("could not read the address")?;
+    Ok((tokio::net::TcpListener::from_std(listener).context("could not listen")?, addr))
 }
--- /dev/null
+++ b/src/serve/calls.rs
@@ -0,0 +1,25 @@
+//! Answers calls of other routers.
+
+use std::sync::Arc;
+
+use crate::{
+    follow,
+    link::Serve,
+    schema::link::{Pong, Refused, frame::Body},
+};
+
+/// What answers calls of other routers.
+pub(super) struct Calls {
+    pub(super) name: Arc<str>,
+    pub(super) follow: Arc<follow::Shared>,
+}
+
+impl Serve for Calls {
+    async fn serve(&self, body: Body) -> Body {
+        match body {
+            Body::Ping(_) => Body::Pong(Pong { name: self.name.to_string() }),
+            Body::Fetch(fetch) => Body::Delta(self.follow.serve_fetch(&fetch)),
+            _ => Body::Refused(Refused { reason: "no such call".into() }),
+        }
+    }
+}
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -110,6 +110,32 @@
     check(&model);
 }
 
+/// The same, with most of the fleet restarting in one moment. The restarted routers have all got the same old state from
+/// the platform; if they took that for the fleet's version, they would confirm each other against those that run on.
+#[test]
+fn most_routers_restart_while_the_platform_answers_with_old_data() {
+    for seed in 0..20 {
+        let mut model = Model::new(Setup { seed, ..Setup::of(8) });
+        model.write("EnginePool", "pool-2", pool(1));
+        model.settle(MINUTE).expect("the fleet starts");
+        let old = model.snapshot();
+        let version = model.write("EnginePool", "pool-2", pool(60));
+        model.settle(IN_FORCE).expect("in force");
+        model.answer_old(Some(old));
+
+        for i in 0..6 {
+            model.kill(i);
+        }
+        model.run(Duration::from_secs(1));
+        for i in 0..6 {
+            model.start(i);
+        }
+
+        assert!(model.settle(AGREE).is_some(), "seed {seed}: not at {version}");
+        check(&model);
+    }
+}
+
 /// The platform itself goes back: it was restored from an older copy, and a list has a lower version than routers have.
 /// Routers must keep what is in force and show that the platform is behind.
 #[test]
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -53,6 +53,19 @@
     }
 }
 
+#[allow(dead_code, reason = "not every test that uses routers uses these")]
+impl Router {
+    /// Path of the settings file.
+    pub fn settings(&self) -> &str {
+        self.file.to_str().unwrap()
+    }
+
+    /// Waits until the process ends by itself; returns whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+}
+
 impl Drop for Router {
     fn drop(&mut self) {
         self.kill();
