--- a/src/schema.rs
+++ b/src/schema.rs
@@ -1,10 +1,16 @@
 //! Types generated from the files in `schema/`; `schema/gen` keeps them current.
 
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod configuration;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod engine;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+pub mod lease;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod link;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
