--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod catalog;
+pub mod claim;
 pub mod client;
 pub mod cmd;
 pub mod config;
@@ -20,6 +21,7 @@
 pub mod metrics;
 pub mod operate;
 pub mod order;
+pub mod outcome;
 pub mod place;
 pub mod platform;
 pub mod retry;
--- a/src/schema/link.rs
+++ b/src/schema/link.rs
@@ -9,7 +9,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "frame::Body",
-        tags = "2, 3, 4, 20, 21, 22, 23, 30, 31, 32, 33, 34, 40, 41"
+        tags = "2, 3, 4, 20, 21, 22, 23, 30, 31, 32, 33, 34, 40, 41, 50, 51"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -61,6 +61,12 @@
         /// Changes of the configuration.
         #[prost(message, tag = "41")]
         Delta(super::super::configuration::Delta),
+        /// A call about a claim on an idempotency key.
+        #[prost(message, tag = "50")]
+        Claim(super::super::claim::ClaimCall),
+        /// Answers a call about a claim.
+        #[prost(message, tag = "51")]
+        ClaimAnswer(super::super::claim::ClaimAnswer),
     }
 }
 /// Asks a peer whether it lives.
