--- a/src/standin/engine/answers.rs
+++ b/src/standin/engine/answers.rs
@@ -64,7 +64,10 @@
         tokio::time::sleep(late).await;
         for made in 1..=self.last {
             if made < self.last {
-                tokio::time::sleep(pause).await;
+                // The timer rounds up to a millisecond; no pause means none.
+                if !pause.is_zero() {
+                    tokio::time::sleep(pause).await;
+                }
             }
             self.made.send_replace(made);
         }
