Blame a crash on a suspect only where the engine was steady, and let the blame move

Change: suspects keep away from engines that crashed lately; a crash on such an engine blames nobody before the third; what ran beside a blamed suspect is suspect too until it completes; when another content is blamed for the same crash, the earlier one becomes a suspect again.

--- a/benches/admission.rs
+++ b/benches/admission.rs
@@ -77,6 +77,8 @@
     let base = Scenario::new;
     let no_retry = |guard| Scenario { retry: false, gap: Duration::from_millis(12), ..base(guard) };
     let dc = |guard| Scenario { routers: 22, engines: 730, innocents: 1500.0, ..base(guard) };
+    let flaps =
+        |flapping, senders, steady_only| Scenario { flapping, senders, steady_only, ..base(Guard::Full) };
     let rows = [
         ("none", base(Guard::None)),
         ("each router alone", base(Guard::Alone)),
@@ -90,6 +92,10 @@
         ("same, 20% of news lost", Scenario { lost: 0.2, ..no_retry(Guard::Full) }),
         ("same, two routers give permits", Scenario { arbiters: 2, ..no_retry(Guard::Full) }),
         ("full, two routers give permits", Scenario { arbiters: 2, ..base(Guard::Full) }),
+        ("none sent, 2 engines flap: any engine", flaps(2, 0, false)),
+        ("none sent, 2 engines flap: full", flaps(2, 0, true)),
+        ("none sent, 4 engines flap: full", flaps(4, 0, true)),
+        ("sent, 2 engines flap: full", flaps(2, 1, true)),
         ("three callers at once: none", Scenario { senders: 3, ..base(Guard::None) }),
         ("three callers at once: news, own permits", Scenario { senders: 3, ..base(Guard::News) }),
         ("three callers at once: full", Scenario { senders: 3, ..base(Guard::Full) }),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -194,6 +194,7 @@
         tried: &[Id],
     ) -> Result<(Found, Option<Permit>), Fault> {
         let mut exclude = tried.to_vec();
+        exclude.extend(self.suspects.unsteady(cat.engines().map(|(_, e)| (e.id, e.name.clone()))));
         while now() < ask.deadline {
             match to.find(&exclude).await {
                 Ok(found) => {
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -21,7 +21,7 @@
         link::frame::Body,
         suspect::{Digest, Permit as Wanted, PermitAnswer, Release},
     },
-    suspect::{self, CrashId, Fingerprint, Permits, Running, Standing, Table, Verdict},
+    suspect::{self, CrashId, EngineTag, Fingerprint, Permits, Running, Standing, Table, Verdict},
     util::{Instant, now, wall_ms},
 };
 
@@ -72,6 +72,13 @@
         lock(&self.table).standing(now(), content)
     }
 
+    /// Engines on which a suspect should not run, since they broke lately.
+    pub(crate) fn unsteady(&self, engines: impl IntoIterator<Item = (Id, Arc<str>)>) -> Vec<Id> {
+        let unsteady = lock(&self.table).unsteady(now());
+        let listed = |name: &str| unsteady.contains(&EngineTag::new(name));
+        engines.into_iter().filter(|(_, name)| listed(name)).map(|(id, _)| id).collect()
+    }
+
     /// Notes a run that starts.
     pub(crate) fn start(
         self: &Arc<Self>,
@@ -313,7 +320,8 @@
     async fn judge(self, before: u64) {
         let crash = self.suspects.crash_id(&self.engine);
         if self.suspects.probe(&self.engine, before).await == Probe::Crashed {
-            lock(&self.suspects.table).convict(now(), self.content, crash);
+            let contents = lock(&self.suspects.running).at(&self.engine.name);
+            lock(&self.suspects.table).judge(now(), self.content, &contents, crash);
             self.suspects.tell();
         }
     }
--- a/src/suspect.rs
+++ b/src/suspect.rs
@@ -1,10 +1,11 @@
 //! Requests that crash backend servers.
 //!
 //! A crash makes all that the engine was running suspects ([`Running`], [`Table`]). A suspect runs again only
-//! under a permit ([`Permits`]), of which there is one an engine and one a content. A content that crashes an
-//! engine under its permit is quarantined, and the other suspects of both crashes are cleared. Routers tell
+//! under a permit ([`Permits`]), of which there is one an engine and one a content. A content that crashes a
+//! steady engine under its permit is quarantined; a suspect that completes is cleared. Routers tell
 //! each other by [`crate::schema::suspect::Digest`], at once after a crash and then by gossip.
 
+mod breaks;
 mod fingerprint;
 mod permit;
 mod running;
@@ -17,6 +18,19 @@
 
 pub use crate::schema::suspect::{Standing, Verdict};
 
+use crate::util::hash;
+
+/// Names an engine inside a [`CrashId`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EngineTag(u32);
+
+impl EngineTag {
+    /// Tag of the engine with this name.
+    pub fn new(engine: &str) -> Self {
+        Self(hash(engine) as u32)
+    }
+}
+
 /// Identifies one crash of one engine, the same at every router that saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CrashId(u64);
@@ -24,6 +38,12 @@
 impl CrashId {
     /// The crash that ended the start `start` of an engine.
     pub fn new(engine: &str, start: &str) -> Self {
-        Self(crate::util::hash((engine, start)))
+        let EngineTag(tag) = EngineTag::new(engine);
+        Self(u64::from(tag) << 32 | u64::from(hash((engine, start)) as u32))
+    }
+
+    /// The engine that crashed.
+    pub fn engine(self) -> EngineTag {
+        EngineTag((self.0 >> 32) as u32)
     }
 }
--- /dev/null
+++ b/src/suspect/breaks.rs
@@ -0,0 +1,52 @@
+//! Which engines crashed lately.
+
+use std::time::Duration;
+
+use super::{CrashId, EngineTag};
+use crate::util::{Instant, Map, Set};
+
+/// Crashes remembered; beyond them the oldest is forgotten.
+const MOST: usize = 1024;
+/// Crashes of one engine that make it unsteady even if each is blamed on some content.
+const FLAPPING: usize = 2;
+
+/// Crashes of engines, each remembered for a while.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Breaks {
+    until: Map<CrashId, Instant>,
+}
+
+impl Breaks {
+    pub(super) fn note(&mut self, now: Instant, crash: CrashId, keep: Duration) {
+        self.until.entry(crash).or_insert(now + keep);
+        if self.until.len() <= MOST {
+            return;
+        }
+        self.until.retain(|_, until| *until > now);
+        let oldest = self.until.iter().min_by_key(|(_, until)| **until).map(|(crash, _)| *crash);
+        if let Some(oldest) = oldest.filter(|_| self.until.len() > MOST) {
+            self.until.remove(&oldest);
+        }
+    }
+
+    pub(super) fn withdraw(&mut self, crash: CrashId) {
+        self.until.remove(&crash);
+    }
+
+    /// Engines with a crash that no content is known to have caused, or with several crashes; `except` does not
+    /// count.
+    pub(super) fn unsteady(
+        &self,
+        now: Instant,
+        explained: &Set<CrashId>,
+        except: Option<CrashId>,
+    ) -> Set<EngineTag> {
+        let mut crashes: Map<EngineTag, usize> = Map::default();
+        let recent = self.until.iter().filter(|(c, until)| **until > now && Some(**c) != except);
+        for (crash, _) in recent {
+            let weight = if explained.contains(crash) { 1 } else { FLAPPING };
+            *crashes.entry(crash.engine()).or_default() += weight;
+        }
+        crashes.into_iter().filter(|(_, n)| *n >= FLAPPING).map(|(engine, _)| engine).collect()
+    }
+}
--- a/src/suspect/table.rs
+++ b/src/suspect/table.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::{CrashId, Fingerprint, Standing};
+use super::{CrashId, EngineTag, Fingerprint, Standing, breaks::Breaks};
 use crate::{
     schema::suspect::{Digest, Entry as Wire},
-    util::{Instant, Map},
+    util::{Instant, Map, Set},
 };
 
-/// Crashes remembered a content; two convict it, the third is the one that a late report adds.
+/// Crashes remembered a content; the last of them convicts it wherever it happened.
 const CRASHES: usize = 3;
 
 /// Bounds of the table.
@@ -52,12 +52,13 @@
 pub struct Table {
     limits: TableLimits,
     entries: Map<Fingerprint, Entry>,
+    breaks: Breaks,
 }
 
 impl Table {
     /// Empty table.
     pub fn new(limits: TableLimits) -> Self {
-        Self { limits, entries: Map::default() }
+        Self { limits, ..Self::default() }
     }
 
     /// Standing of a content; one never heard of is cleared.
@@ -83,21 +84,53 @@
         self.entries.is_empty()
     }
 
-    /// Makes contents suspects of a crash, unless another content is known to have caused it.
+    /// Makes contents suspects of a crash, also when another content is blamed for it: the blame may be wrong, and
+    /// an innocent only runs apart from other suspects until it completes.
     pub fn accuse(&mut self, now: Instant, contents: &[Fingerprint], crash: CrashId) {
-        if self.explained(now, crash) {
-            return;
-        }
+        self.breaks.note(now, crash, self.limits.suspect);
         for &content in contents {
             self.accuse_one(now, content, crash);
         }
         self.shrink(now);
     }
 
-    /// Quarantines a content that crashed an engine while alone among suspects, and clears the others that were
-    /// running at its crashes.
-    pub fn convict(&mut self, now: Instant, content: Fingerprint, crash: CrashId) {
+    /// Judges a content whose engine crashed while it was alone among suspects; `contents` is all that this
+    /// router was running there. Returns the content's standing.
+    ///
+    /// A flapping engine breaks what it runs without any content's doing, and an innocent could meet two flaps
+    /// in a row. So the crash is blamed on the content only where the engine was steady, or at its third crash.
+    pub fn judge(
+        &mut self,
+        now: Instant,
+        content: Fingerprint,
+        contents: &[Fingerprint],
+        crash: CrashId,
+    ) -> Standing {
+        let unsteady = self.breaks.unsteady(now, &self.explained(now), Some(crash));
+        self.accuse(now, contents, crash);
         self.accuse_one(now, content, crash);
+        let crashes = self.entries.get(&content).map_or(0, |e| e.crashes.len());
+        if !unsteady.contains(&crash.engine()) || crashes >= CRASHES {
+            self.convict(now, content);
+        }
+        self.shrink(now);
+        self.standing(now, content)
+    }
+
+    /// Engines that crash lately without a known cause. Suspects should not run there.
+    pub fn unsteady(&self, now: Instant) -> Set<EngineTag> {
+        self.breaks.unsteady(now, &self.explained(now), None)
+    }
+
+    /// Crashes that are blamed on a quarantined content.
+    fn explained(&self, now: Instant) -> Set<CrashId> {
+        let guilty = |e: &&Entry| e.standing == Standing::Quarantined && e.until > now;
+        self.entries.values().filter(guilty).flat_map(|e| e.crashes.iter().copied()).collect()
+    }
+
+    /// Quarantines a content. One that was blamed for the same crash before becomes a suspect again: only one of
+    /// the two caused it, and the one that did will show itself.
+    fn convict(&mut self, now: Instant, content: Fingerprint) {
         let until = now + self.limits.quarantine * 2;
         let Some(entry) = self.entries.get_mut(&content) else { return };
         if entry.standing == Standing::Quarantined {
@@ -105,8 +138,19 @@
         }
         (entry.standing, entry.until, entry.told) = (Standing::Quarantined, until, 0);
         let crashes = entry.crashes.clone();
-        self.clear_others(&crashes);
-        self.shrink(now);
+        self.doubt_others(now, content, &crashes);
+    }
+
+    fn doubt_others(&mut self, now: Instant, content: Fingerprint, crashes: &[CrashId]) {
+        let until = now + self.limits.suspect;
+        for (other, entry) in &mut self.entries {
+            let shares = entry.crashes.iter().any(|c| crashes.contains(c));
+            if *other != content && shares && entry.standing == Standing::Quarantined {
+                entry.epoch += 1;
+                entry.crashes.retain(|c| !crashes.contains(c));
+                (entry.standing, entry.until, entry.told) = (Standing::Suspect, until, 0);
+            }
+        }
     }
 
     /// Clears a content that has completed.
@@ -123,6 +167,7 @@
 
     /// Takes an accusation back: the engine is still in the same start, so only the connection broke.
     pub fn withdraw(&mut self, crash: CrashId) {
+        self.breaks.withdraw(crash);
         for entry in self.entries.values_mut().filter(|e| e.crashes.contains(&crash)) {
             entry.crashes.retain(|c| *c != crash);
             if entry.crashes.is_empty() && entry.standing == Standing::Suspect {
@@ -174,14 +219,8 @@
         }
         let mut crashes: Vec<_> = wire.crashes.iter().copied().map(CrashId).collect();
         crashes.truncate(CRASHES);
-        if standing == Standing::Quarantined {
-            self.clear_others(&crashes);
-        } else if standing == Standing::Suspect && !crashes.is_empty() {
-            // News of a crash can arrive after the news of who caused it.
-            let unexplained = crashes.len() > 1 || !self.explained(now, crashes[0]);
-            if !unexplained {
-                return;
-            }
+        for &crash in &crashes {
+            self.breaks.note(now, crash, self.limits.suspect);
         }
         let entry = Entry { epoch: wire.epoch, standing, until, crashes, told: 0 };
         self.entries.insert(Fingerprint(wire.fingerprint), entry);
@@ -197,6 +236,9 @@
             told: 0,
         });
         if entry.standing == Standing::Quarantined && entry.until > now {
+            if !entry.crashes.contains(&crash) && entry.crashes.len() < CRASHES {
+                entry.crashes.push(crash);
+            }
             return;
         }
         if entry.standing != Standing::Suspect || entry.until <= now {
@@ -209,22 +251,6 @@
         (entry.standing, entry.until, entry.told) = (Standing::Suspect, until, 0);
     }
 
-    /// Clears the suspects whose only crash is one of these. One that was running at two crashes stays suspect:
-    /// it may be the true cause, run by a router that had not heard of the first crash.
-    fn clear_others(&mut self, crashes: &[CrashId]) {
-        for entry in self.entries.values_mut() {
-            let only = entry.crashes.len() == 1 && crashes.contains(&entry.crashes[0]);
-            if only && entry.standing == Standing::Suspect {
-                (entry.standing, entry.told) = (Standing::Cleared, 0);
-            }
-        }
-    }
-
-    fn explained(&self, now: Instant, crash: CrashId) -> bool {
-        let guilty = |e: &&Entry| e.standing == Standing::Quarantined && e.until > now;
-        self.entries.values().filter(guilty).any(|e| e.crashes.contains(&crash))
-    }
-
     /// Keeps the table within its bound: expired and cleared contents go first, quarantined ones last.
     fn shrink(&mut self, now: Instant) {
         if self.entries.len() <= self.limits.entries {
