Give orders to engines from the router that holds a pool's lease

Cause: what engine pools state was kept and reported nowhere but brought about by nobody. Change: two routers a pool, by rendezvous hashing, try to hold its lease; the holder reads its engines' reports and sends one step at a time; orders.loads_per_minute is the weight store's rate for the whole fleet, divided by engines. A router that stops gives its leases back. Conclusion: takes effect with pools that state models, adapters or a role; others are left alone.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -30,7 +30,7 @@
                 signal = tokio::signal::ctrl_c() => signal.context("could not wait for a signal")?,
                 () = running.drained() => {}
             }
-            running.close();
+            running.stop().await;
             Ok(ExitCode::SUCCESS)
         })
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -44,6 +44,8 @@
     pub log_level: Arc<str>,
     /// Form of a log line.
     pub log_format: Arc<str>,
+    /// Models and adapters that the fleet may load from the weight store in a minute.
+    pub loads_per_minute: u64,
 }
 
 impl Settings {
@@ -73,6 +75,7 @@
     fn from_raw(raw: raw::Settings) -> Result<Self> {
         let limits = raw.limits.unwrap_or_default();
         let log = raw.log.unwrap_or_default();
+        let orders = raw.orders.unwrap_or_default();
         Ok(Self {
             name: raw.name.into(),
             listen: raw.listen.parse()?,
@@ -88,6 +91,7 @@
             head_time: millis("limits.head_ms", limits.head_ms),
             log_level: word("log.level", log.level),
             log_format: word("log.format", log.format),
+            loads_per_minute: number("orders.loads_per_minute", orders.loads_per_minute),
         })
     }
 }
--- a/src/config/fields.rs
+++ b/src/config/fields.rs
@@ -59,6 +59,12 @@
         "lowest level that is logged",
     ),
     field("log.format", "", Takes::OneOf(&["text", "json"]), "form of a log line"),
+    field(
+        "orders.loads_per_minute",
+        "loads",
+        Takes::Number(30, 1, 100_000),
+        "models and adapters that the fleet may load from the weight store in a minute",
+    ),
 ];
 
 const fn field(key: &'static str, unit: &'static str, takes: Takes, about: &'static str) -> Field {
--- a/src/lease/keeper.rs
+++ b/src/lease/keeper.rs
@@ -1,6 +1,6 @@
 //! Drives a lease through its states and says what to read and write.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rand::Rng;
 
@@ -26,6 +26,7 @@
 /// One lease of one process.
 #[derive(Debug)]
 pub struct Keeper {
+    name: Arc<str>,
     state: State,
     period: Duration,
     next: Instant,
@@ -36,7 +37,13 @@
     /// Candidate that looks at once.
     pub fn new(terms: Terms, now: Instant) -> Self {
         let period = terms.period();
-        Self { state: State::Candidate(Candidate::new(terms)), period, next: now, busy: false }
+        let name = terms.name.clone();
+        Self { name, state: State::Candidate(Candidate::new(terms)), period, next: now, busy: false }
+    }
+
+    /// Name of the lease.
+    pub fn name(&self) -> &str {
+        &self.name
     }
 
     /// What to do now, if anything.
--- a/src/order.rs
+++ b/src/order.rs
@@ -6,6 +6,9 @@
 
 mod guard;
 mod planner;
+pub mod pools;
+mod run;
 
 pub use guard::{Guard, ORDER_TIME, Sealed};
 pub use planner::{Command, Intent, Planner, Report};
+pub(crate) use run::Orders;
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -37,6 +37,9 @@
     /// What is logged and how.
     #[prost(message, optional, tag = "11")]
     pub log: ::core::option::Option<Log>,
+    /// Orders to engines.
+    #[prost(message, optional, tag = "30")]
+    pub orders: ::core::option::Option<Orders>,
 }
 /// Limits on what callers may send.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -65,3 +68,12 @@
     #[prost(string, optional, tag = "2")]
     pub format: ::core::option::Option<::prost::alloc::string::String>,
 }
+/// Orders to engines.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Orders {
+    /// Models and adapters that the whole fleet may load from the weight store in a minute.
+    #[prost(uint64, optional, tag = "1")]
+    pub loads_per_minute: ::core::option::Option<u64>,
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,6 +13,7 @@
     link::{LinkKey, LinkServer, Links},
     metrics::Metrics,
     operate::Operate,
+    order::Orders,
     platform::Platform,
 };
 
@@ -26,6 +27,7 @@
     peer_addr: std::net::SocketAddr,
     server: Server,
     follow: Follow,
+    orders: Option<Orders>,
     link_server: LinkServer,
     operate: Arc<Operate>,
     gateway: Arc<Gateway>,
@@ -64,13 +66,15 @@
         let key = LinkKey::new(&cfg.shared_key);
         let links = Arc::new(Links::new(key.clone()));
         let platform = Platform::new(cfg.platform).with_metrics(metrics.clone());
-        let follow = Follow::start(cfg, peer_addr, platform, links, gateway.clone());
+        let follow = Follow::start(cfg, peer_addr, platform.clone(), links, gateway.clone());
+        let rate = cfg.loads_per_minute as f64;
+        let orders = Orders::start(&cfg.name, follow.shared().clone(), platform, metrics.clone(), rate);
         let calls = Calls { name: cfg.name.clone(), follow: follow.shared().clone() };
         let link_server = LinkServer::start(peer_listener, key, Arc::new(calls));
         let operate = Operate::new(me, &cfg.shared_key, follow.shared().clone(), gateway.clone());
         let operate = Arc::new(operate);
         let server = Server::start(listener, cfg.http_threads, limits, operate.clone())?;
-        Ok(Self { peer_addr, server, follow, link_server, operate, gateway, metrics })
+        Ok(Self { peer_addr, server, follow, orders: Some(orders), link_server, operate, gateway, metrics })
     }
 
     /// The gateway.
@@ -103,7 +107,15 @@
         self.operate.drained().await;
     }
 
-    /// Stops the router.
+    /// Gives the leases back and stops the router.
+    pub async fn stop(mut self) {
+        if let Some(orders) = self.orders.take() {
+            orders.close().await;
+        }
+        self.close();
+    }
+
+    /// Stops the router at once; its leases lapse.
     pub fn close(self) {
         self.follow.close();
         self.link_server.close();
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -73,6 +73,7 @@
         http_threads: Some(1),
         limits: Some(raw::Limits { body_bytes: Some(1), body_ms: Some(1), head_ms: Some(1) }),
         log: Some(raw::Log { level: Some("info".into()), format: Some("text".into()) }),
+        orders: Some(raw::Orders { loads_per_minute: Some(1) }),
         ..Default::default()
     };
 
--- /dev/null
+++ b/tests/orders_given.rs
@@ -0,0 +1,77 @@
+//! Running routers bring about what engine pools state, on stand-ins of the platform and of engines.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use cranberrytally::{
+    catalog::AnyObject,
+    config::Settings,
+    platform::Platform,
+    serve::Running,
+    standin::{
+        engine::{EngineStandin, Faults},
+        outside::{Outside, Plan, loopback, settings},
+    },
+};
+
+const PATIENCE: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(50);
+
+fn router(outside: &Outside, name: &str) -> Running {
+    let listener = loopback().unwrap();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let addr = listener.local_addr().unwrap();
+    let text = settings(name, addr, any, outside.platform_addr(), &[]) + "orders: {loads_per_minute: 6000}\n";
+    Running::start_on(&Settings::parse(&text).unwrap(), listener).unwrap()
+}
+
+/// Changes what the pool states.
+async fn state(outside: &Outside, models: &[&str]) {
+    let platform = Platform::new(outside.platform_addr());
+    let mut pool: AnyObject = platform.get("EnginePool", "models").await.unwrap().unwrap();
+    pool.spec["models"] = serde_json::json!(models);
+    pool.spec["checksFencing"] = serde_json::json!(true);
+    outside.platform.put(pool).unwrap();
+}
+
+async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let waiting = async {
+        while !done() {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    assert!(tokio::time::timeout(PATIENCE, waiting).await.is_ok(), "{what} in time");
+}
+
+fn all_hold(outside: &Outside, models: &[&str]) -> bool {
+    let last = |e: &Arc<EngineStandin>| e.orders().last().map(|(_, order)| order.models.clone());
+    outside.engines.iter().all(|e| last(e).is_some_and(|have| have == models))
+}
+
+/// An operator states a model; the engines get it from one router. That router stops and another takes over: it holds a
+/// higher fencing number, so that engines which check refuse whatever of the first is still on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_pool_is_brought_to_its_state_over_a_change_of_holder() {
+    let outside = Outside::start(Plan::default().with_engines(2)).await.unwrap();
+    for engine in &outside.engines {
+        engine.set_faults(Faults { checks_fencing: true, ..Faults::default() });
+    }
+    let first = router(&outside, "first");
+
+    state(&outside, &["m@1"]).await;
+    until("the first version is ordered", || all_hold(&outside, &["m@1"])).await;
+    first.stop().await;
+    let second = router(&outside, "second");
+    state(&outside, &["m@2"]).await;
+    until("the second version is ordered", || all_hold(&outside, &["m@2"])).await;
+
+    for engine in &outside.engines {
+        let orders = engine.orders();
+        let numbers: BTreeSet<_> = orders.iter().map(|(fencing, _)| *fencing).collect();
+        assert_eq!(numbers.len(), 2, "{orders:?}");
+        assert!(orders.iter().is_sorted_by_key(|(fencing, _)| *fencing), "{orders:?}");
+        let models: Vec<_> = orders.iter().map(|(_, order)| order.models.len()).collect();
+        assert_eq!(models, [1, 2, 1], "the old version goes after the new one is there: {orders:?}");
+    }
+    second.close();
+    outside.close();
+}
