Measure what distributing the configuration costs

Cause: no figure told whether changes and starts stay within the platform's rates and the control budget.

--- a/benches/configuration/model.rs
+++ b/benches/configuration/model.rs
@@ -101,6 +101,8 @@
     pub served: Version,
     pub watching: bool,
     pub bytes_in: u64,
+    /// Versions in force with the time since when.
+    installed: BTreeMap<Version, Instant>,
 }
 
 /// Calls that the platform saw.
@@ -169,6 +171,7 @@
             served: 0,
             watching: false,
             bytes_in: 0,
+            installed: BTreeMap::new(),
         };
         let mut model = Self {
             now: Duration::from_secs(1000),
@@ -316,6 +319,15 @@
         self.nodes.iter().filter_map(|n| n.follower.as_ref()).all(has)
     }
 
+    /// Seconds from a version's write until all live routers had it or a later one in force.
+    pub fn everywhere(&self, version: Version) -> Option<f64> {
+        let written = *self.written.get(&version)?;
+        let since = |n: &Node| n.installed.range(version..).map(|(_, at)| *at).min();
+        let live = self.nodes.iter().filter(|n| n.follower.is_some());
+        let last = live.map(since).collect::<Option<Vec<_>>>()?.into_iter().max()?;
+        Some((last - written).as_secs_f64())
+    }
+
     /// Routers that hold a watch.
     pub fn watching(&self) -> usize {
         self.nodes.iter().filter(|n| n.watching).count()
@@ -424,6 +436,7 @@
                 let written = self.written.range(..=version).next_back().map(|(_, at)| *at);
                 let delay = self.now.saturating_sub(written.unwrap_or(self.now));
                 self.delays.entry(version).or_default().push(delay.as_secs_f64());
+                self.nodes[i].installed.insert(version, self.now);
             }
         }
     }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -216,3 +216,52 @@
     assert!(digests.iter().all(|d| *d == digests[0]), "{digests:?}");
     check(&model);
 }
+
+struct Cost {
+    lists: u64,
+    watching: usize,
+    /// Lists and watches opened while changes went on.
+    calls: u64,
+    bytes_per_change: u64,
+    worst: f64,
+}
+
+fn cost(routers: usize) -> Cost {
+    let mut model = Model::new(Setup::of(routers));
+    model.write("EnginePool", "a", pool(1));
+    model.settle(MINUTE).expect("the fleet starts");
+    model.run(MINUTE);
+    let before = model.platform.calls;
+    model.nodes.iter_mut().for_each(|n| n.bytes_in = 0);
+    let mut worst = 0.0_f64;
+    for n in 0..20 {
+        let version = model.write("EnginePool", "a", pool(10 + n));
+        model.run(Duration::from_secs(10));
+        worst = worst.max(model.everywhere(version).expect("in force"));
+    }
+    check(&model);
+    let after = model.platform.calls;
+    let bytes: u64 = model.nodes.iter().map(|n| n.bytes_in).sum();
+    Cost {
+        lists: before.lists,
+        watching: model.watching(),
+        calls: after.lists + after.watches - before.lists - before.watches,
+        bytes_per_change: bytes / (20 * routers as u64),
+        worst,
+    }
+}
+
+/// Bounds on what the bench measures, on counts that are the same in each run.
+#[test]
+fn the_cost_grows_more_slowly_than_the_fleet() {
+    let (small, large) = (cost(22), cost(110));
+
+    for c in [&small, &large] {
+        assert!(c.bytes_per_change <= 600, "{} bytes", c.bytes_per_change);
+        assert_eq!(c.calls, 0, "changes cost the platform no call but the watches");
+        assert!(c.worst <= IN_FORCE.as_secs_f64(), "{} s", c.worst);
+    }
+    assert!(large.watching * 22 < small.watching * 110, "{} watches of {}", large.watching, small.watching);
+    assert!(large.lists * 22 < small.lists * 110, "{} lists of {}", large.lists, small.lists);
+    assert!(large.watching <= 10, "{}", large.watching);
+}
