--- a/src/schema.rs
+++ b/src/schema.rs
@@ -17,6 +17,9 @@
 pub mod link;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+pub mod membership;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod object;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
