--- a/src/serve.rs
+++ b/src/serve.rs
@@ -57,7 +57,9 @@
             region: cfg.region.clone(),
         };
         let metrics = Arc::new(Metrics::new()?);
-        let gateway = Arc::new(Gateway::new(me.clone(), &cfg.shared_key, metrics.clone()));
+        let platform = Platform::new(cfg.platform).with_metrics(metrics.clone());
+        let gateway = Gateway::new(me.clone(), &cfg.shared_key, &platform, metrics.clone());
+        let gateway = Arc::new(gateway);
         let limits = Limits::default()
             .with_bytes(cfg.body_bytes)
             .with_time(cfg.body_time)
@@ -65,7 +67,6 @@
         let (peer_listener, peer_addr) = listen_for_peers(cfg)?;
         let key = LinkKey::new(&cfg.shared_key);
         let links = Arc::new(Links::new(key.clone()));
-        let platform = Platform::new(cfg.platform).with_metrics(metrics.clone());
         let follow = Follow::start(cfg, peer_addr, platform.clone(), links, gateway.clone());
         let rate = cfg.loads_per_minute as f64;
         let orders = Orders::start(&cfg.name, follow.shared().clone(), platform, metrics.clone(), rate);
