--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
     schema::{
         claim::{ClaimAnswer, ClaimCall},
         link::frame::Body,
+        placement::Released,
         suspect::{Digest, Noted},
     },
     stream::token::TokenKey,
@@ -163,6 +164,26 @@
         self.suspects.note(digest);
     }
 
+    /// Answers another router's call about placement; `None` for a call that is about something else.
+    pub fn serve_placement(&self, body: &Body) -> Option<Body> {
+        match body {
+            Body::Reserve(msg) => Some(Body::Reserved(self.placement.serve_reserve(&self.catalog(), msg))),
+            Body::Release(msg) => {
+                self.placement.serve_release(msg);
+                Some(Body::Released(Released {}))
+            }
+            _ => None,
+        }
+    }
+
+    /// Tells the owners of engines which reservations have ended, until aborted.
+    pub async fn tell_ended(&self) {
+        loop {
+            tokio::time::sleep(place::RELEASE_PERIOD).await;
+            self.placement.tell_ended().await;
+        }
+    }
+
     /// Answers another router's call about suspects; `None` for a call that is about something else.
     pub fn serve_suspects(&self, body: &Body) -> Option<Body> {
         match body {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -48,10 +48,13 @@
 #[derive(Debug)]
 pub(super) struct Found {
     pub(super) engine: EngineKey,
-    /// Work held on it, where work is counted.
+    /// Work held on it, where work is counted; held until dropped.
+    #[expect(dead_code, reason = "ends the reservation when it is dropped")]
     pub(super) slot: Option<Slot>,
     /// Hint to return with the answer.
     pub(super) hint: Option<String>,
+    /// Router that a later request of this chat does best to go to.
+    pub(super) router: Option<std::net::SocketAddr>,
 }
 
 /// Why no backend server was found.
--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -34,8 +34,10 @@
         let addr = cat.engine(started.found.engine).addr;
         let token = self.resume_token(&started.request, addr, &ask.workspace);
         let engine = EngineClient::new(self.client.clone(), addr);
+        let router = started.found.router.map(|addr| addr.to_string()).unwrap_or_default();
         Ok(relay_events(started, entered, engine, &self.metrics)
             .with_header("x-chat", &ask.chat)
+            .with_header("x-next-router", &router)
             .with_header("x-placement-hint", &hint)
             .with_header(RESUME_TOKEN, &token))
     }
@@ -54,7 +56,7 @@
     async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
         let placed = self.gateway.place(self.cat, self.pool, self.ask, exclude.iter().copied()).await;
         match placed {
-            Ok(p) => Ok(Found { engine: p.engine, slot: Some(p.slot), hint: Some(p.hint) }),
+            Ok(p) => Ok(Found { engine: p.engine, slot: Some(p.slot), hint: Some(p.hint), router: p.router }),
             Err(Unplaced::AtBound) => Err(Unfound::AtBound),
             Err(Unplaced::NoneInUse) => Err(Unfound::NoneInUse),
         }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -160,7 +160,7 @@
         lock(&self.held).insert(number, Held { owner: owner.id, req });
         let body = Body::Reserve(to_wire(&req, false));
         match self.links.call(owner.peer, body, RESERVE_TIMEOUT).await {
-            Ok(Body::Reserved(Reserved { engine, refusal })) if engine == 0 => {
+            Ok(Body::Reserved(Reserved { engine: 0, refusal })) => {
                 lock(&self.held).remove(&number);
                 Some(Err(match refusal {
                     REFUSED_AT_BOUND => Refusal::AtBound,
@@ -199,8 +199,8 @@
     }
 
     /// Ends reservations of another router.
-    pub(crate) fn serve_release(&self, msg: Release) {
-        self.placer().release(Id(msg.router), msg.numbers, now());
+    pub(crate) fn serve_release(&self, msg: &Release) {
+        self.placer().release(Id(msg.router), msg.numbers.iter().copied(), now());
     }
 
     /// Tells owners of ended reservations; those that could not be told are told again.
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -94,7 +94,7 @@
     async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
         let top = self.service.ranking.top(rand::random());
         let engine = top.iter().find(|key| !exclude.contains(&self.cat.engine(*key).id));
-        engine.map(|engine| Found { engine, slot: None, hint: None }).ok_or(Unfound::NoneInUse)
+        engine.map(|engine| Found { engine, slot: None, hint: None, router: None }).ok_or(Unfound::NoneInUse)
     }
 
     async fn send(&self, engine: &Engine, request: &str) -> Result<Response<Incoming>, Failure> {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,6 +3,7 @@
 use std::{net::TcpListener, sync::Arc};
 
 use anyhow::{Context, Result};
+use tokio::task::JoinHandle;
 
 use crate::{
     config::Settings,
@@ -29,6 +30,7 @@
     follow: Follow,
     orders: Option<Orders>,
     link_server: LinkServer,
+    releases: JoinHandle<()>,
     operate: Arc<Operate>,
     gateway: Arc<Gateway>,
     metrics: Arc<Metrics>,
@@ -73,10 +75,22 @@
         let calls =
             Calls { name: cfg.name.clone(), follow: follow.shared().clone(), gateway: gateway.clone() };
         let link_server = LinkServer::start(peer_listener, key, Arc::new(calls));
+        let told = gateway.clone();
+        let releases = tokio::spawn(async move { told.tell_ended().await });
         let operate = Operate::new(me, &cfg.shared_key, follow.shared().clone(), gateway.clone());
         let operate = Arc::new(operate);
         let server = Server::start(listener, cfg.http_threads, limits, operate.clone())?;
-        Ok(Self { peer_addr, server, follow, orders: Some(orders), link_server, operate, gateway, metrics })
+        Ok(Self {
+            peer_addr,
+            server,
+            follow,
+            orders: Some(orders),
+            link_server,
+            releases,
+            operate,
+            gateway,
+            metrics,
+        })
     }
 
     /// The gateway.
@@ -120,6 +134,7 @@
     /// Stops the router at once; its leases lapse.
     pub fn close(self) {
         self.follow.close();
+        self.releases.abort();
         self.link_server.close();
         self.server.close();
     }
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -22,7 +22,11 @@
             Body::Ping(_) => Body::Pong(Pong { name: self.name.to_string() }),
             Body::Fetch(fetch) => Body::Delta(self.follow.serve_fetch(&fetch)),
             Body::Claim(call) => Body::ClaimAnswer(self.gateway.serve_claim(call).await),
-            body => self.gateway.serve_suspects(&body).unwrap_or_else(no_such_call),
+            body => self
+                .gateway
+                .serve_placement(&body)
+                .or_else(|| self.gateway.serve_suspects(&body))
+                .unwrap_or_else(no_such_call),
         }
     }
 }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -20,7 +20,7 @@
     standin::{
         engine::Faults,
         gate::Mode,
-        outside::{MODEL, Outside, Plan, SERVICE, WORKSPACES, loopback, object, settings},
+        outside::{MODEL, Outside, Plan, WORKSPACES, loopback, object, settings},
     },
 };
 use http::{HeaderMap, Request};
