Split the follower, the platform's client and the shell into smaller modules; measure the ways weighed

Change: moved code only, no change of behaviour; the bench also runs a watch at each router, other gossip and one lease.

--- a/benches/configuration.rs
+++ b/benches/configuration.rs
@@ -20,6 +20,11 @@
 #[path = "configuration/model.rs"]
 mod model;
 
+#[allow(dead_code, reason = "the tests use the rest")]
+#[path = "../tests/support/leases.rs"]
+mod leases;
+
+use leases::{Process, Shelf, TTL};
 use model::{Model, Setup, pool};
 
 const SIZES: [usize; 4] = [8, 22, 100, 330];
@@ -30,8 +35,8 @@
 /// Engines, workspaces and others at the target size.
 const TARGET_OBJECTS: u64 = 13_500;
 
-fn started(routers: usize) -> (Model, Option<Duration>) {
-    let mut model = Model::new(Setup::of(routers));
+fn started(setup: Setup) -> (Model, Option<Duration>) {
+    let mut model = Model::new(setup);
     for n in 0..OBJECTS {
         model.write("EnginePool", &format!("pool-{n}"), pool(n));
     }
@@ -48,7 +53,7 @@
     println!("\nstart of the whole fleet at once, {OBJECTS} objects");
     println!("routers  serve after s  lists  watches opened  most calls in one s  watches held");
     for routers in SIZES {
-        let (mut model, took) = started(routers);
+        let (mut model, took) = started(Setup::of(routers));
         let calls = model.platform.calls;
         model.run(Duration::from_secs(60));
         let took = took.map_or("never".into(), |t| format!("{:.1}", t.as_secs_f64()));
@@ -69,7 +74,7 @@
          bytes/change/router  control B/s/router  reads/s  watches/s  cpu us/change/router  cpu % of a core"
     );
     for routers in SIZES {
-        let (mut model, _) = started(routers);
+        let (mut model, _) = started(Setup::of(routers));
         model.run(Duration::from_secs(30));
         model.delays.clear();
         model.nodes.iter_mut().for_each(|n| n.bytes_in = 0);
@@ -104,11 +109,58 @@
     }
 }
 
+/// Ways that were weighed against few watches and three messages of gossip.
+fn other_ways() {
+    println!("\nother ways at 330 routers, 20 changes");
+    println!(
+        "way                                  lists at start  most calls in one s  watches held  worst s"
+    );
+    let usual = Setup::of(330);
+    let ways = [
+        ("chosen: few watches, 3 messages", usual),
+        ("each router watches", Setup { centres: 330, ..usual }),
+        ("1 message a period", Setup { fanout: 1, ..usual }),
+        ("6 messages a period", Setup { fanout: 6, ..usual }),
+        ("2 s period", Setup { gossip_period: Duration::from_secs(2), ..usual }),
+        ("30% of the messages lost", Setup { loss: 0.3, ..usual }),
+    ];
+    for (name, setup) in ways {
+        let (mut model, _) = started(setup);
+        let calls = model.platform.calls;
+        model.run(Duration::from_secs(30));
+        let mut worst = 0.0_f64;
+        for n in 0..20 {
+            let version = model.write("EnginePool", "pool-0", pool(5000 + n));
+            model.run(Duration::from_secs(15));
+            worst = worst.max(model.everywhere(version).unwrap_or(f64::INFINITY));
+        }
+        let watching = model.watching();
+        println!("{name:<35}  {:>14}  {:>19}  {watching:>12}  {worst:>7.2}", calls.lists, calls.peak);
+    }
+}
+
+fn lease_calls() {
+    let hour = Duration::from_secs(3600);
+    let step = Duration::from_millis(100);
+    let start = Duration::from_secs(100);
+    let mut shelf = Shelf::default();
+    let mut both = [Process::new("a", 1, start), Process::new("b", 2, start)];
+    for i in 0..(hour.as_millis() / step.as_millis()) as u32 {
+        both.iter_mut().for_each(|p| p.step(start + step * i, &mut shelf, step, 0.0));
+    }
+    let lives = hour.as_secs_f64() / TTL.as_secs_f64();
+    let (reads, writes) = shelf.calls;
+    println!(
+        "\nplatform calls of one lease with a holder and one candidate, for each time that a write holds"
+    );
+    println!("reads {:.2}, writes {:.2}", reads as f64 / lives, writes as f64 / lives);
+}
+
 fn rolling_restart() {
     println!("\nevery router restarted once, one each 30 s");
     println!("routers  lists a restart  watches a restart  worst s until it serves");
     for routers in [8, 22] {
-        let (mut model, _) = started(routers);
+        let (mut model, _) = started(Setup::of(routers));
         let calls = model.platform.calls;
         let mut worst = 0.0_f64;
         for i in 0..routers {
@@ -196,5 +248,7 @@
     one_store();
     start_up();
     changes();
+    other_ways();
     rolling_restart();
+    lease_calls();
 }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -14,21 +14,16 @@
     config::Settings,
     gateway::Gateway,
     link::Links,
-    platform::{Platform, Version, Watched, calls::Rates},
+    platform::{Platform, Version, calls::Rates},
     revision::{Action, Bad, Follower, Member, State},
-    schema::{
-        configuration::{Delta, Fetch},
-        link::frame::Body,
-    },
+    schema::configuration::{Delta, Fetch},
     util::{Instant, Map, now},
 };
 
 mod seeds;
+mod tasks;
 
 const TICK: Duration = Duration::from_millis(100);
-const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// A watch on which nothing came for so long is opened anew, as its connection may have died without a packet.
-const WATCH_IDLE: Duration = Duration::from_secs(120);
 const PAGE: usize = 1 << 20;
 
 /// Another router.
@@ -220,13 +215,15 @@
     fn perform(self: &Arc<Self>, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::List => drop(tokio::spawn(list(self.clone()))),
+                Action::List => drop(tokio::spawn(tasks::list(self.clone()))),
                 Action::Watch { from } => {
                     self.stop_watch();
-                    *self.watch_task() = Some(tokio::spawn(watch(self.clone(), from)));
+                    *self.watch_task() = Some(tokio::spawn(tasks::watch(self.clone(), from)));
                 }
                 Action::CloseWatch => self.stop_watch(),
-                Action::Fetch { peer, fetch } => drop(tokio::spawn(fetch_from(self.clone(), peer, fetch))),
+                Action::Fetch { peer, fetch } => {
+                    drop(tokio::spawn(tasks::fetch_from(self.clone(), peer, fetch)))
+                }
                 // Changes that come close together are compiled together, by `enforce`.
                 Action::Install { .. } => {}
             }
@@ -275,58 +272,3 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
-
-async fn list(shared: Arc<Shared>) {
-    let list = match shared.platform.list().await {
-        Ok(list) => Some(list),
-        Err(e) => {
-            spdlog::warn!("could not list the configuration: {e:#}");
-            None
-        }
-    };
-    shared.with(|f, now, rng| f.listed(now, list, rng));
-}
-
-async fn watch(shared: Arc<Shared>, from: Version) {
-    let mut open = match shared.platform.watch(from).await {
-        Ok(Watched::Open(open)) => open,
-        Ok(Watched::TooOld) => return shared.note(|f, now, _| f.watch_too_old(now)),
-        Err(e) => {
-            spdlog::warn!("could not watch the configuration: {e:#}");
-            return shared.note(|f, now, rng| f.watch_ended(now, rng));
-        }
-    };
-    shared.note(|f, now, _| f.watch_opened(now));
-    loop {
-        match open.next_within(WATCH_IDLE).await {
-            Ok(Some(event)) => shared.with(|f, now, _| f.event(now, event)),
-            Ok(None) => break,
-            Err(e) => {
-                spdlog::warn!("the configuration watch broke: {e:#}");
-                break;
-            }
-        }
-    }
-    open.close();
-    shared.note(|f, now, rng| f.watch_ended(now, rng));
-}
-
-async fn fetch_from(shared: Arc<Shared>, peer: Arc<str>, fetch: Fetch) {
-    let addr = shared.state().peers.get(&peer).map(|p| p.peer_addr);
-    let delta = match addr {
-        Some(addr) => call(&shared.links, addr, fetch).await,
-        None => None,
-    };
-    shared.with(|f, now, rng| f.fetched(now, &peer, delta, rng));
-}
-
-async fn call(links: &Links, addr: SocketAddr, fetch: Fetch) -> Option<Delta> {
-    match links.call(addr, Body::Fetch(fetch), FETCH_TIMEOUT).await {
-        Ok(Body::Delta(delta)) => Some(delta),
-        Ok(_) => None,
-        Err(e) => {
-            spdlog::debug!("could not fetch the configuration: {e:#}");
-            None
-        }
-    }
-}
--- a/src/follow/seeds.rs
+++ b/src/follow/seeds.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 
-use super::{Peer, Shared, call};
+use super::{Peer, Shared, tasks::call};
 use crate::schema::configuration::Fetch;
 
 const PERIOD: Duration = Duration::from_secs(1);
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -11,25 +11,20 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use bytes::Bytes;
-use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http::Method;
 use rand::Rng;
 
-use crate::{
-    catalog::AnyObject,
-    client::{Client, Failure},
-    metrics::Metrics,
-    util::now,
-};
+use crate::{catalog::AnyObject, client::Client, metrics::Metrics, util::now};
 
 pub mod backoff;
 pub mod bucket;
 pub mod calls;
+mod transport;
 mod watch;
 mod write;
 
-use calls::{Class, Counts, Limiter, Outcome, Rates};
+use calls::{Class, Counts, Limiter, Rates};
+use transport::NotSent;
 pub use watch::{Watch, Watched};
 pub use write::{Step, Writing};
 
@@ -43,10 +38,6 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const LIST_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest wait for our own rate limit before a call fails.
-const PATIENCE: Duration = Duration::from_secs(2);
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-const MAX_LIST: usize = 64 << 20;
 
 const WRITE_TRIES: u32 = 5;
 const WRITE_BACKOFF: Duration = Duration::from_millis(100);
@@ -282,107 +273,7 @@
         }
     }
 
-    async fn call(
-        &self,
-        class: Class,
-        method: Method,
-        url: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Result<Answer> {
-        let work = async {
-            let res = self.send(class, method, url, body, timeout).await?;
-            let status = res.status().as_u16();
-            let body = Limited::new(res.into_body(), MAX_LIST).collect().await;
-            let body = body.map_err(|e| anyhow::anyhow!("could not read the answer: {e}"))?.to_bytes();
-            Ok(Answer { status, body })
-        };
-        match tokio::time::timeout(timeout + PATIENCE, work).await {
-            Ok(answer) => answer,
-            Err(_) => bail!("no answer from the platform in time"),
-        }
-    }
-
-    async fn send(
-        &self,
-        class: Class,
-        method: Method,
-        url: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Result<Response<Incoming>> {
-        self.admit(class).await?;
-        let req = Request::builder()
-            .method(method)
-            .uri(url)
-            .header("content-type", "application/json")
-            .body(Full::new(body))
-            .context(NotSent)?;
-        let res = match tokio::time::timeout(timeout, self.client.send(req)).await {
-            Ok(Ok(res)) => res,
-            Ok(Err(Failure::Connect)) => {
-                self.counts.add(class, Outcome::Failed);
-                return Err(anyhow::Error::new(NotSent).context("could not reach the platform"));
-            }
-            Ok(Err(Failure::Broken)) => {
-                self.counts.add(class, Outcome::Failed);
-                bail!("the platform broke the connection");
-            }
-            Err(_) => {
-                self.counts.add(class, Outcome::Failed);
-                bail!("no answer from the platform in time");
-            }
-        };
-        self.note(class, &res);
-        Ok(res)
-    }
-
-    /// Waits until the class may make one call.
-    async fn admit(&self, class: Class) -> Result<()> {
-        let start = now();
-        loop {
-            let Err(wait) = self.limiter().take(now(), class) else { return Ok(()) };
-            if now() + wait > start + PATIENCE {
-                self.counts.add(class, Outcome::Held);
-                return Err(anyhow::Error::new(NotSent).context("our own rate limit held the call back"));
-            }
-            tokio::time::sleep(wait).await;
-        }
-    }
-
-    fn note(&self, class: Class, res: &Response<Incoming>) {
-        let outcome = match res.status().as_u16() {
-            409 => Outcome::Conflict,
-            429 => Outcome::Limited,
-            500.. => Outcome::Failed,
-            _ => Outcome::Answered,
-        };
-        self.counts.add(class, outcome);
-        if outcome == Outcome::Limited {
-            let asked = res.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
-            let wait = asked.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs);
-            self.limiter().pause(now(), class, wait);
-        }
-    }
-
     fn limiter(&self) -> MutexGuard<'_, Limiter> {
         self.limiter.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
-
-struct Answer {
-    status: u16,
-    body: Bytes,
-}
-
-/// No byte of the call can have reached the platform.
-#[derive(Clone, Copy, Debug)]
-struct NotSent;
-
-impl std::fmt::Display for NotSent {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the call was not sent")
-    }
-}
-
-impl std::error::Error for NotSent {}
--- a/src/revision/follower.rs
+++ b/src/revision/follower.rs
@@ -2,33 +2,24 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rand::{Rng, seq::IndexedRandom};
+use rand::Rng;
 
-use super::{
-    holder,
-    store::{Rejected, Store},
-};
+use super::store::Store;
 use crate::{
-    platform::{Event, List, Version, backoff::Backoff},
+    platform::{Version, backoff::Backoff},
     schema::configuration::{Delta, Fetch},
     util::{Instant, Map},
 };
 
+mod peers;
+mod platform;
+
 const RETRY: Duration = Duration::from_millis(500);
 const RETRY_MAX: Duration = Duration::from_secs(15);
 const FETCH_RETRY: Duration = Duration::from_millis(100);
 const FETCH_RETRY_MAX: Duration = Duration::from_secs(2);
-const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long a peer that did not answer a fetch is left out.
-const AVOID: Duration = Duration::from_secs(5);
 /// A holder gives peers this long to tell the fleet's version before it lists.
 const FIRST_LIST: Duration = Duration::from_millis(500);
-/// A router without a watch lists on its own after this time without any configuration, plus as much jitter.
-const FALLBACK: Duration = Duration::from_secs(6);
-/// A router that knows of a newer version, but gets it from no peer for so long, lists on its own.
-const STUCK: Duration = Duration::from_secs(6);
-/// A watch stays this long after its router is no longer among the holders, so that a flapping member moves nothing.
-const LINGER: Duration = Duration::from_secs(10);
 /// A router that hears no peer for so long serves what the platform gave.
 const ALONE: Duration = Duration::from_secs(5);
 /// With at least one peer heard, this long is enough to have heard of a newer version by gossip.
@@ -37,8 +28,6 @@
 const QUORUM: usize = 3;
 /// Mean time between comparisons with a random peer, against a change that a watch dropped unseen.
 const COMPARE: Duration = Duration::from_secs(90);
-/// Shortest time between two lists that a difference from a peer calls for.
-const RESOLVE: Duration = Duration::from_secs(60);
 
 /// A live router.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -241,230 +230,6 @@
         actions
     }
 
-    fn follow_platform(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<Action>) {
-        let holds = self.holds(now);
-        let resolves = self.differs && now >= self.resolve_at;
-        if (!holds || resolves) && self.watch == Watch::Open {
-            self.watch = Watch::Closed;
-            actions.push(Action::CloseWatch);
-        }
-        if self.watch != Watch::Closed {
-            return;
-        }
-        if resolves {
-            self.resolve_at = now + RESOLVE.mul_f64(1.0 + rng.random::<f64>());
-            return self.list(actions);
-        }
-        if holds && now >= self.watch_at && !self.waits_for_peers(now) {
-            if self.version() == 0 || self.must_list {
-                return self.list(actions);
-            }
-            self.watch = Watch::Opening;
-            return actions.push(Action::Watch { from: self.version() });
-        }
-        if !holds && self.is_stranded(now, rng) {
-            self.list(actions);
-        }
-    }
-
-    fn list(&mut self, actions: &mut Vec<Action>) {
-        self.watch = Watch::Listing;
-        actions.push(Action::List);
-    }
-
-    /// Whether this router shall hold a watch now.
-    fn holds(&mut self, now: Instant) -> bool {
-        // Right after the start no member is known yet, and every router would take itself for the only one.
-        if self.expects_peers && self.members.len() == 1 && now < self.started + FALLBACK {
-            return false;
-        }
-        let names = self.members.iter().filter(|m| m.data_centre == self.me.data_centre).map(|m| &*m.name);
-        if holder::holds(&self.me.name, names) {
-            self.holder_until = now + LINGER;
-            return true;
-        }
-        self.watch == Watch::Open && now < self.holder_until
-    }
-
-    /// A peer that has the configuration is cheaper to ask than the platform.
-    fn waits_for_peers(&self, now: Instant) -> bool {
-        self.version() == 0 && self.newest > 0 && !self.is_stuck(now)
-    }
-
-    fn is_stuck(&self, now: Instant) -> bool {
-        self.behind_since.is_some_and(|since| now >= since + STUCK)
-    }
-
-    /// Whether a router without a watch must ask the platform itself; all that are stranded together spread out.
-    fn is_stranded(&mut self, now: Instant, rng: &mut impl Rng) -> bool {
-        let empty = self.version() == 0 && self.newest == 0 && now >= self.started + FALLBACK;
-        if !empty && !self.is_stuck(now) {
-            self.list_at = None;
-            return false;
-        }
-        let at = *self.list_at.get_or_insert_with(|| now + FALLBACK.mul_f64(rng.random::<f64>()));
-        now >= at
-    }
-
-    /// Takes the answer to [`Action::List`]; `None` when none came.
-    pub fn listed(&mut self, now: Instant, list: Option<List>, rng: &mut impl Rng) -> Vec<Action> {
-        self.watch = Watch::Closed;
-        let Some(list) = list else {
-            self.retry_platform(now, rng);
-            return Vec::new();
-        };
-        self.platform_behind = list.version < self.version().max(self.newest);
-        self.newest = self.newest.max(list.version);
-        match self.store.take_list(list) {
-            Ok(()) => {
-                self.must_list = false;
-                self.differs = false;
-            }
-            // The platform answered with old data. Taking it would take back changes that are in force.
-            Err(_) => {
-                self.rejected_old += 1;
-                self.retry_platform(now, rng);
-                return Vec::new();
-            }
-        }
-        self.watch_backoff.reset();
-        self.watch_at = now;
-        self.list_at = None;
-        self.installed(now)
-    }
-
-    fn retry_platform(&mut self, now: Instant, rng: &mut impl Rng) {
-        self.watch_at = now + self.watch_backoff.wait(rng);
-        self.list_at = Some(self.watch_at);
-    }
-
-    /// Notes that the watch is open.
-    pub fn watch_opened(&mut self, now: Instant) {
-        self.watch = Watch::Open;
-        self.watch_opened_at = now;
-    }
-
-    /// Notes that the platform no longer has the changes since the version asked for.
-    pub fn watch_too_old(&mut self, now: Instant) {
-        self.watch = Watch::Closed;
-        self.must_list = true;
-        self.watch_at = now;
-    }
-
-    /// Notes that the watch ended or could not be opened.
-    pub fn watch_ended(&mut self, now: Instant, rng: &mut impl Rng) {
-        if self.watch != Watch::Listing {
-            // A watch that lasted for a while is no failure.
-            if self.watch == Watch::Open && now >= self.watch_opened_at + RETRY_MAX {
-                self.watch_backoff.reset();
-            }
-            self.watch = Watch::Closed;
-            self.watch_at = now + self.watch_backoff.wait(rng);
-        }
-    }
-
-    /// Takes a change seen by the watch.
-    pub fn event(&mut self, now: Instant, event: Event) -> Vec<Action> {
-        self.watch_backoff.reset();
-        self.newest = self.newest.max(event.version);
-        if self.store.take_event(event).is_err() {
-            self.rejected_old += 1;
-            return Vec::new();
-        }
-        self.platform_behind = false;
-        self.installed(now)
-    }
-
-    fn follow_peers(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<Action>) {
-        if self.fetching.as_ref().is_some_and(|f| now >= f.deadline) {
-            self.fetch_failed(now, rng);
-        }
-        let compares = now >= self.compare_at && self.version() > 0;
-        let wanted = self.newest > self.version() || compares;
-        if !wanted || self.fetching.is_some() || now < self.fetch_at {
-            return;
-        }
-        let Some(peer) = self.choose_peer(now, rng) else { return };
-        if compares {
-            self.compare_at = now + COMPARE.mul_f64(0.5 + rng.random::<f64>());
-        }
-        let since = self.version();
-        let fetch = Fetch { since, cursor: since, whole: false };
-        let deadline = now + FETCH_TIMEOUT;
-        self.fetching = Some(Fetching { peer: peer.clone(), deadline, parts: Delta::default() });
-        actions.push(Action::Fetch { peer, fetch });
-    }
-
-    /// A peer that is ahead, or, to compare with, at least not behind; one of the own data centre if there is one.
-    fn choose_peer(&mut self, now: Instant, rng: &mut impl Rng) -> Option<Arc<str>> {
-        self.avoid.retain(|_, until| now < *until);
-        let least = if self.newest > self.version() { self.version() + 1 } else { self.version() };
-        let able = |m: &&Member| {
-            self.heard.get(&m.name).is_some_and(|v| *v >= least) && !self.avoid.contains_key(&m.name)
-        };
-        let able: Vec<_> = self.members.iter().filter(able).collect();
-        let near: Vec<_> = able.iter().copied().filter(|m| m.data_centre == self.me.data_centre).collect();
-        let from = if near.is_empty() { &able } else { &near };
-        from.choose(rng).map(|m| m.name.clone())
-    }
-
-    /// Takes one page of a peer's answer; `None` when none came.
-    pub fn fetched(
-        &mut self,
-        now: Instant,
-        peer: &Arc<str>,
-        delta: Option<Delta>,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
-        // A late answer of a peer that was given up is dropped.
-        let Some(mut fetching) = self.fetching.take().filter(|f| f.peer == *peer) else { return Vec::new() };
-        let first = fetching.parts.version == 0;
-        let Some(delta) = delta.filter(|d| first || d.whole == fetching.parts.whole) else {
-            self.fetching = Some(fetching);
-            self.fetch_failed(now, rng);
-            return Vec::new();
-        };
-        let more = delta.more;
-        join(&mut fetching.parts, delta);
-        if more {
-            fetching.deadline = now + FETCH_TIMEOUT;
-            let cursor = fetching.parts.items.last().map_or(0, |i| i.version);
-            let whole = fetching.parts.whole;
-            let fetch = Fetch { since: fetching.parts.since, cursor, whole };
-            self.fetching = Some(fetching);
-            return vec![Action::Fetch { peer: peer.clone(), fetch }];
-        }
-        self.take(now, peer, fetching.parts, rng)
-    }
-
-    fn take(&mut self, now: Instant, peer: &Arc<str>, delta: Delta, rng: &mut impl Rng) -> Vec<Action> {
-        let before = self.version();
-        match self.store.take_delta(delta) {
-            Ok(()) => {}
-            Err(Rejected::Mismatch) => {
-                self.mismatches += 1;
-                self.differs = true;
-            }
-            Err(e @ (Rejected::Old | Rejected::Gap | Rejected::Malformed)) => {
-                self.rejected_old += u64::from(e == Rejected::Old);
-                self.avoid.insert(peer.clone(), now + AVOID);
-                self.fetch_at = now + self.fetch_backoff.wait(rng);
-            }
-        }
-        if self.version() == before {
-            return Vec::new();
-        }
-        self.fetch_backoff.reset();
-        self.fetch_at = now;
-        self.installed(now)
-    }
-
-    fn fetch_failed(&mut self, now: Instant, rng: &mut impl Rng) {
-        let Some(fetching) = self.fetching.take() else { return };
-        self.avoid.insert(fetching.peer, now + AVOID);
-        self.fetch_at = now + self.fetch_backoff.wait(rng);
-    }
-
     fn installed(&mut self, now: Instant) -> Vec<Action> {
         if self.version() >= self.newest {
             self.behind_since = None;
@@ -490,12 +255,3 @@
             || waited >= ALONE;
     }
 }
-
-/// Adds a page to the pages before it.
-fn join(parts: &mut Delta, page: Delta) {
-    let mut items = std::mem::take(&mut parts.items);
-    let since = if items.is_empty() { page.since } else { parts.since };
-    let Delta { version, whole, digest, .. } = page;
-    items.extend(page.items);
-    *parts = Delta { since, version, whole, items, digest, more: false };
-}
--- a/tests/support/leases.rs
+++ b/tests/support/leases.rs
@@ -15,6 +15,8 @@
 /// The lease's object.
 #[derive(Default)]
 pub struct Shelf {
+    /// Reads and writes so far.
+    pub calls: (u64, u64),
     version: u64,
     object: Option<AnyObject>,
 }
@@ -25,6 +27,7 @@
     }
 
     pub fn put(&mut self, mut obj: AnyObject) -> Write {
+        self.calls.1 += 1;
         let have = self.object.as_ref().map_or("", |o| o.metadata.resource_version.as_str());
         if have != obj.metadata.resource_version {
             return Write::Conflict(self.object.clone());
@@ -99,7 +102,10 @@
         let back = now + slow.mul_f64(self.rng.random());
         let lost = self.rng.random_bool(loss);
         self.call = Some(match action {
-            Action::Read => Call::Read(back, (!lost).then(|| shelf.get())),
+            Action::Read => {
+                shelf.calls.0 += 1;
+                Call::Read(back, (!lost).then(|| shelf.get()))
+            }
             Action::Write(obj) => {
                 let write = shelf.put(obj);
                 Call::Written(back, if lost { Write::Unknown } else { write })
