Limit claims apart from other writes, name seeds as they name themselves, and prove a cut-off region

Change: writes of claims have a rate of their own, 10 a second for each shard that a router may own; a pong tells name, data centre and address; the model can cut routers off.

--- a/src/follow/seeds.rs
+++ b/src/follow/seeds.rs
@@ -5,7 +5,10 @@
 use futures_util::future::join_all;
 
 use super::{Peer, Shared, tasks::call};
-use crate::schema::configuration::Fetch;
+use crate::schema::{
+    configuration::Fetch,
+    link::{Ping, frame::Body},
+};
 
 const PERIOD: Duration = Duration::from_secs(1);
 /// A fetch from here on gives a version without any object.
@@ -34,13 +37,17 @@
     }
 }
 
+/// Who answers at a seed's address, and the version that it serves.
 async fn version_of(shared: &Shared, seed: SocketAddr) -> Option<(Peer, u64)> {
+    let Ok(Body::Pong(pong)) = shared.links.call(seed, Body::Ping(Ping {}), PERIOD).await else {
+        return None;
+    };
     let fetch = Fetch { since: NOTHING, cursor: NOTHING, whole: false };
     let delta = call(&shared.links, seed, fetch).await?;
     let peer = Peer {
-        name: seed.to_string().into(),
-        data_centre: shared.me.data_centre.clone(),
-        addr: None,
+        name: pong.name.into(),
+        data_centre: pong.data_centre.into(),
+        addr: pong.address.parse().ok(),
         peer_addr: seed,
         leaving: false,
     };
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -190,7 +190,7 @@
         let url = self.object_url(&obj.kind, &obj.metadata.name);
         let body = serde_json::to_vec(obj).context("could not encode the object")?;
         ensure!(body.len() <= MAX_VALUE, "an object of {} bytes exceeds {MAX_VALUE}", body.len());
-        self.write(Method::PUT, &url, body.into(), Some(obj)).await
+        self.write(Method::PUT, &url, body.into(), obj).await
     }
 
     /// Deletes an object if its version is still `obj.metadata.resource_version`.
@@ -200,7 +200,7 @@
     pub async fn delete(&self, obj: &AnyObject) -> Result<Write> {
         let url = self.object_url(&obj.kind, &obj.metadata.name);
         let url = format!("{url}?version={}", obj.metadata.resource_version);
-        self.write(Method::DELETE, &url, Bytes::new(), Some(obj)).await
+        self.write(Method::DELETE, &url, Bytes::new(), obj).await
     }
 
     /// Writes an object and finds out what became of it even when answers are lost.
@@ -251,8 +251,8 @@
         format!("{}/{}/{kind}/{name}", self.base, Collection::of(kind).as_str())
     }
 
-    async fn write(&self, method: Method, url: &str, body: Bytes, obj: Option<&AnyObject>) -> Result<Write> {
-        let reply = match self.call(Class::Write, method, url, body, CALL_TIMEOUT).await {
+    async fn write(&self, method: Method, url: &str, body: Bytes, obj: &AnyObject) -> Result<Write> {
+        let reply = match self.call(Class::of_write(&obj.kind), method, url, body, CALL_TIMEOUT).await {
             Ok(reply) => reply,
             Err(e) if e.downcast_ref::<NotSent>().is_some() => return Err(e),
             Err(_) => return Ok(Write::Unknown),
@@ -267,7 +267,7 @@
             500.. => Ok(Write::Unknown),
             429 => bail!("the platform's rate limit refused the write"),
             _ => {
-                let name = obj.map_or("", |o| o.metadata.name.as_str());
+                let name = &obj.metadata.name;
                 bail!("the platform refused {name}: {}", String::from_utf8_lossy(&reply.body))
             }
         }
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -8,6 +8,7 @@
 
 use super::bucket::Bucket;
 use crate::{
+    claim::SHARDS,
     metrics::{Counter, Metrics},
     util::Instant,
 };
@@ -17,18 +18,26 @@
 pub enum Class {
     /// Get and list.
     Read,
-    /// Create, conditional update and delete.
+    /// Create, conditional update and delete, but for claims.
     Write,
+    /// Writes of claim shards, whose owners are few and need more than an equal share.
+    Claim,
     /// Opening a watch; while it waits it is one call.
     Watch,
 }
 
 impl Class {
+    /// Class of a write of an object of this kind.
+    pub fn of_write(kind: &str) -> Self {
+        if kind.starts_with("Claim") { Class::Claim } else { Class::Write }
+    }
+
     /// Label in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
             Class::Read => "read",
             Class::Write => "write",
+            Class::Claim => "claim",
             Class::Watch => "watch",
         }
     }
@@ -63,12 +72,15 @@
 pub struct Rates {
     read: Rate,
     write: Rate,
+    claim: Rate,
     watch: Rate,
 }
 
 /// What the whole fleet may spend, in calls a second; under the platform's own limits of 2,000 and some hundreds.
 const FLEET_READS: f64 = 1_200.0;
-const FLEET_WRITES: f64 = 240.0;
+const FLEET_WRITES: f64 = 80.0;
+/// Claims: a few writes a second for each shard, however large the fleet.
+const SHARD_WRITES: f64 = 10.0;
 const FLEET_WATCHES: f64 = 60.0;
 const DEFAULT_MEMBERS: usize = 8;
 const MAX_BURST: f64 = 40.0;
@@ -81,10 +93,14 @@
 
 impl Rates {
     /// One router's share in a fleet of `members`; bursts of all at once stay within one second's rate.
+    ///
+    /// Claims are limited by the shards that a router may own, one more than its share.
     pub fn share(members: usize) -> Self {
         let n = members.max(1) as f64;
         let rate = |total: f64| Rate { rate: total / n, burst: (total / n).clamp(1.0, MAX_BURST) };
-        Self { read: rate(FLEET_READS), write: rate(FLEET_WRITES), watch: rate(FLEET_WATCHES) }
+        let shards = (f64::from(SHARDS) / n).ceil() + 1.0;
+        let claim = Rate { rate: SHARD_WRITES * shards, burst: SHARD_WRITES * shards };
+        Self { read: rate(FLEET_READS), write: rate(FLEET_WRITES), claim, watch: rate(FLEET_WATCHES) }
     }
 
     /// Sets the limit of reads.
@@ -106,6 +122,7 @@
         match class {
             Class::Read => self.read,
             Class::Write => self.write,
+            Class::Claim => self.claim,
             Class::Watch => self.watch,
         }
     }
@@ -114,7 +131,7 @@
 /// Buckets by class.
 #[derive(Debug)]
 pub struct Limiter {
-    buckets: [(Class, Bucket); 3],
+    buckets: [(Class, Bucket); 4],
 }
 
 impl Limiter {
@@ -124,7 +141,7 @@
             let Rate { rate, burst } = rates.of(class);
             (class, Bucket::new(rate, burst))
         };
-        Self { buckets: [Class::Read, Class::Write, Class::Watch].map(bucket) }
+        Self { buckets: [Class::Read, Class::Write, Class::Claim, Class::Watch].map(bucket) }
     }
 
     /// Takes leave for one call.
@@ -157,6 +174,7 @@
 fn label(class: Class, outcome: Outcome) -> &'static str {
     match (class, outcome) {
         (_, Outcome::Answered) => class.as_str(),
+        (Class::Claim, Outcome::Conflict) => "claim_conflict",
         (_, Outcome::Conflict) => "write_conflict",
         (Class::Read, Outcome::Failed) => "read_failed",
         (Class::Read, Outcome::Limited) => "read_limited",
@@ -164,6 +182,9 @@
         (Class::Write, Outcome::Failed) => "write_failed",
         (Class::Write, Outcome::Limited) => "write_limited",
         (Class::Write, Outcome::Held) => "write_held",
+        (Class::Claim, Outcome::Failed) => "claim_failed",
+        (Class::Claim, Outcome::Limited) => "claim_limited",
+        (Class::Claim, Outcome::Held) => "claim_held",
         (Class::Watch, Outcome::Failed) => "watch_failed",
         (Class::Watch, Outcome::Limited) => "watch_limited",
         (Class::Watch, Outcome::Held) => "watch_held",
--- a/src/schema/link.rs
+++ b/src/schema/link.rs
@@ -80,6 +80,12 @@
     /// Name of the answering router.
     #[prost(string, tag = "1")]
     pub name: ::prost::alloc::string::String,
+    /// Data centre in which it stands.
+    #[prost(string, tag = "2")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// IP address and port for callers and operators.
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
 }
 /// Why a call was not answered.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -70,8 +70,7 @@
         let follow = Follow::start(cfg, peer_addr, platform.clone(), links, gateway.clone());
         let rate = cfg.loads_per_minute as f64;
         let orders = Orders::start(&cfg.name, follow.shared().clone(), platform, metrics.clone(), rate);
-        let calls =
-            Calls { name: cfg.name.clone(), follow: follow.shared().clone(), gateway: gateway.clone() };
+        let calls = Calls { me: me.clone(), follow: follow.shared().clone(), gateway: gateway.clone() };
         let link_server = LinkServer::start(peer_listener, key, Arc::new(calls));
         let operate = Operate::new(me, &cfg.shared_key, follow.shared().clone(), gateway.clone());
         let operate = Arc::new(operate);
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
+    entry::Router,
     follow,
     gateway::Gateway,
     link::Serve,
@@ -11,7 +12,7 @@
 
 /// What answers calls of other routers.
 pub(super) struct Calls {
-    pub(super) name: Arc<str>,
+    pub(super) me: Router,
     pub(super) follow: Arc<follow::Shared>,
     pub(super) gateway: Arc<Gateway>,
 }
@@ -19,7 +20,7 @@
 impl Serve for Calls {
     async fn serve(&self, body: Body) -> Body {
         match body {
-            Body::Ping(_) => Body::Pong(Pong { name: self.name.to_string() }),
+            Body::Ping(_) => Body::Pong(self.pong()),
             Body::Fetch(fetch) => Body::Delta(self.follow.serve_fetch(&fetch)),
             Body::Claim(call) => Body::ClaimAnswer(self.gateway.serve_claim(call).await),
             body => self.gateway.serve_suspects(&body).unwrap_or_else(no_such_call),
@@ -30,3 +31,13 @@
 fn no_such_call() -> Body {
     Body::Refused(Refused { reason: "no such call".into() })
 }
+
+impl Calls {
+    fn pong(&self) -> Pong {
+        Pong {
+            name: self.me.name.to_string(),
+            data_centre: self.me.data_centre.to_string(),
+            address: self.me.addr.to_string(),
+        }
+    }
+}
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -171,6 +171,31 @@
     check(&model);
 }
 
+/// A region loses the platform and the other regions for an hour. Operators go on changing the configuration, and routers
+/// on both sides are replaced. The cut-off side keeps what it has; afterwards all must agree, without any going back.
+#[test]
+fn a_region_is_cut_off_for_an_hour() {
+    let mut model = fleet(12);
+    let region: Vec<_> = (0..12).filter(|i| i % 3 == 0).collect();
+    let before = model.platform.version;
+
+    model.set_cut_off(region.clone(), true);
+    model.write("EnginePool", "pool-1", pool(50));
+    model.run(Duration::from_secs(1800));
+    roll(&mut model, 3);
+    roll(&mut model, 1);
+    model.delete("EnginePool", "pool-2");
+    model.run(Duration::from_secs(1800));
+
+    for &i in &region {
+        let follower = model.nodes[i].follower.as_ref().expect("it runs");
+        assert!(follower.is_ready() && follower.version() == before, "router {i}");
+    }
+    model.set_cut_off(region, false);
+    assert!(model.settle(AGREE).is_some());
+    check(&model);
+}
+
 /// A tool that bypasses the checks writes an object that no router can understand.
 /// The last good one of that object stays in force, all others go on changing, and `status` names the fault.
 /// A router that starts only now must get the last good one too.
