--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 
 use super::Run;
-use crate::{config::Settings, serve::Running};
+use crate::{config::Settings, logs, serve::Running};
 
 #[derive(Debug, Options)]
 pub(crate) struct Serve {
@@ -19,12 +19,18 @@
 impl Run for Serve {
     fn run(&self) -> Result<ExitCode> {
         let cfg = Settings::load(&self.config)?;
+        logs::start(&cfg.log_level, &cfg.log_format)?;
         let rt = tokio::runtime::Runtime::new().context("could not start the runtime")?;
         rt.block_on(async {
             let running = Running::start(&cfg)?;
+            // A script or a test that lets the system choose the ports reads them here.
+            println!("callers {} peers {}", running.addr(), running.peer_addr());
             spdlog::info!("router {} serves on {}", cfg.name, running.addr());
-            tokio::signal::ctrl_c().await.context("could not wait for a signal")?;
-            running.close();
+            tokio::select! {
+                signal = tokio::signal::ctrl_c() => signal.context("could not wait for a signal")?,
+                () = running.drained() => {}
+            }
+            running.stop().await;
             Ok(ExitCode::SUCCESS)
         })
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,5 +1,7 @@
 //! The closed list of error kinds and the table from kind to answer.
 
+use std::time::Duration;
+
 use crate::http::Reply;
 
 /// What is known about the run of a failed request.
@@ -33,10 +35,14 @@
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyTimeout,
+    /// The body's length is not stated in the head.
+    LengthRequired,
     /// Nothing is at this path.
     NotFound,
     /// The path does not take this method.
     MethodNotAllowed,
+    /// Only operators may ask this.
+    Forbidden,
     /// The workspace is not configured.
     UnknownWorkspace,
     /// The service is not configured.
@@ -83,6 +89,8 @@
     KeyUnknown,
     /// The idempotency key is older than the horizon.
     KeyExpired,
+    /// A request with this idempotency key ran; its answer was too large to keep.
+    KeyAnswered,
     /// The claim on the idempotency key could not be recorded.
     ClaimUnavailable,
     /// The resume token is not valid.
@@ -104,16 +112,20 @@
     pub ran: Ran,
     /// Seconds after which a retry makes sense; `None` where it does not.
     pub retry_s: Option<u32>,
+    /// What it means.
+    pub about: &'static str,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 32] = [
+    pub const ALL: [Kind; 35] = [
         Kind::BadRequest,
         Kind::BodyTooLarge,
         Kind::BodyTimeout,
+        Kind::LengthRequired,
         Kind::NotFound,
         Kind::MethodNotAllowed,
+        Kind::Forbidden,
         Kind::UnknownWorkspace,
         Kind::UnknownService,
         Kind::NoPolicy,
@@ -137,6 +149,7 @@
         Kind::KeyPending,
         Kind::KeyUnknown,
         Kind::KeyExpired,
+        Kind::KeyAnswered,
         Kind::ClaimUnavailable,
         Kind::ResumeUnknown,
         Kind::ResumeGone,
@@ -145,50 +158,156 @@
 
     /// The table from kind to answer.
     pub fn answer(self) -> Answer {
-        let row = |status, code, ran, retry_s| Answer { status, code, ran, retry_s };
+        let row = |status, code, ran, retry_s, about| Answer { status, code, ran, retry_s, about };
         match self {
-            Kind::BadRequest => row(400, "bad_request", Ran::No, None),
-            Kind::BodyTooLarge => row(413, "body_too_large", Ran::No, None),
-            Kind::BodyTimeout => row(408, "body_timeout", Ran::No, Some(0)),
-            Kind::NotFound => row(404, "not_found", Ran::No, None),
-            Kind::MethodNotAllowed => row(405, "method_not_allowed", Ran::No, None),
-            Kind::UnknownWorkspace => row(403, "unknown_workspace", Ran::No, None),
-            Kind::UnknownService => row(404, "unknown_service", Ran::No, None),
-            Kind::NoPolicy => row(403, "no_policy", Ran::No, None),
-            Kind::NoEngine => row(503, "no_engine", Ran::No, Some(2)),
-            Kind::NotReady => row(503, "not_ready", Ran::No, Some(1)),
-            Kind::Leaving => row(503, "leaving", Ran::No, Some(0)),
-            Kind::DeadlineUnmeetable => row(503, "deadline_unmeetable", Ran::No, Some(1)),
-            Kind::DeadlinePassed => row(504, "deadline_passed", Ran::No, None),
-            Kind::QueueFull => row(503, "queue_full", Ran::No, Some(1)),
-            Kind::WorkspaceLimit => row(429, "workspace_limit", Ran::No, Some(1)),
-            Kind::GroupLimit => row(429, "group_limit", Ran::No, Some(1)),
-            Kind::RetryBudget => row(503, "retry_budget", Ran::No, Some(2)),
-            Kind::AttemptLimit => row(503, "attempt_limit", Ran::No, Some(2)),
-            Kind::Quarantined => row(422, "quarantined", Ran::No, None),
-            Kind::SuspectBusy => row(503, "suspect_busy", Ran::No, Some(2)),
-            Kind::ConnectFailed => row(502, "connect_failed", Ran::No, Some(1)),
-            Kind::EngineFailed => row(502, "engine_failed", Ran::Unknown, None),
-            Kind::EngineRefused => row(503, "engine_refused", Ran::No, Some(1)),
-            Kind::KeyRequired => row(400, "key_required", Ran::No, None),
-            Kind::KeyConflict => row(409, "key_conflict", Ran::No, None),
-            Kind::KeyPending => row(409, "key_pending", Ran::Unknown, Some(1)),
-            Kind::KeyUnknown => row(409, "key_unknown", Ran::Unknown, None),
-            Kind::KeyExpired => row(410, "key_expired", Ran::Unknown, None),
-            Kind::ClaimUnavailable => row(503, "claim_unavailable", Ran::No, Some(2)),
-            Kind::ResumeUnknown => row(400, "resume_unknown", Ran::No, None),
-            Kind::ResumeGone => row(410, "resume_gone", Ran::Unknown, None),
-            Kind::Internal => row(500, "internal", Ran::Unknown, None),
+            Kind::BadRequest => row(400, "bad_request", Ran::No, None, "The request can't be understood"),
+            Kind::BodyTooLarge => row(413, "body_too_large", Ran::No, None, "The body exceeds the limit"),
+            Kind::BodyTimeout => {
+                row(408, "body_timeout", Ran::No, Some(0), "The body did not arrive in time")
+            }
+            Kind::LengthRequired => {
+                row(411, "length_required", Ran::No, None, "The body's length is not stated in the head")
+            }
+            Kind::NotFound => row(404, "not_found", Ran::No, None, "Nothing is at this path"),
+            Kind::MethodNotAllowed => {
+                row(405, "method_not_allowed", Ran::No, None, "The path does not take this method")
+            }
+            Kind::Forbidden => row(403, "forbidden", Ran::No, None, "Only operators may ask this"),
+            Kind::UnknownWorkspace => {
+                row(403, "unknown_workspace", Ran::No, None, "The workspace is not configured")
+            }
+            Kind::UnknownService => {
+                row(404, "unknown_service", Ran::No, None, "The service is not configured")
+            }
+            Kind::NoPolicy => row(403, "no_policy", Ran::No, None, "No routing policy matches"),
+            Kind::NoEngine => row(503, "no_engine", Ran::No, Some(2), "No eligible engine is live"),
+            Kind::NotReady => row(503, "not_ready", Ran::No, Some(1), "The router has no configuration yet"),
+            Kind::Leaving => {
+                row(503, "leaving", Ran::No, Some(0), "The router is shutting down and takes no new request")
+            }
+            Kind::DeadlineUnmeetable => row(
+                503,
+                "deadline_unmeetable",
+                Ran::No,
+                Some(1),
+                "The deadline would pass before an engine is free",
+            ),
+            Kind::DeadlinePassed => {
+                row(504, "deadline_passed", Ran::No, None, "The deadline passed while the request waited")
+            }
+            Kind::QueueFull => row(503, "queue_full", Ran::No, Some(1), "Too many requests wait already"),
+            Kind::WorkspaceLimit => row(
+                429,
+                "workspace_limit",
+                Ran::No,
+                Some(1),
+                "The workspace has as many requests in progress as it may have",
+            ),
+            Kind::GroupLimit => row(
+                429,
+                "group_limit",
+                Ran::No,
+                Some(1),
+                "The workspace group has as many requests in progress as it may have",
+            ),
+            Kind::RetryBudget => {
+                row(503, "retry_budget", Ran::No, Some(2), "A retry would exceed the budget of retries")
+            }
+            Kind::AttemptLimit => {
+                row(503, "attempt_limit", Ran::No, Some(2), "Every attempt that is allowed has been made")
+            }
+            Kind::Quarantined => {
+                row(422, "quarantined", Ran::No, None, "The same content has crashed backend servers")
+            }
+            Kind::SuspectBusy => row(
+                503,
+                "suspect_busy",
+                Ran::No,
+                Some(2),
+                "Content that may have crashed a backend server waits for another such run",
+            ),
+            Kind::ConnectFailed => row(
+                502,
+                "connect_failed",
+                Ran::No,
+                Some(1),
+                "No connection to a backend server could be made",
+            ),
+            Kind::EngineFailed => row(
+                502,
+                "engine_failed",
+                Ran::Unknown,
+                None,
+                "The backend server broke off after the request may have reached it",
+            ),
+            Kind::EngineRefused => row(
+                503,
+                "engine_refused",
+                Ran::No,
+                Some(1),
+                "The backend server refused the request before running it",
+            ),
+            Kind::KeyRequired => row(
+                400,
+                "key_required",
+                Ran::No,
+                None,
+                "A non-idempotent request of this service needs an idempotency key",
+            ),
+            Kind::KeyConflict => {
+                row(409, "key_conflict", Ran::No, None, "The idempotency key was used with other content")
+            }
+            Kind::KeyPending => row(
+                409,
+                "key_pending",
+                Ran::Unknown,
+                Some(1),
+                "A request with this idempotency key is in progress",
+            ),
+            Kind::KeyUnknown => row(
+                409,
+                "key_unknown",
+                Ran::Unknown,
+                None,
+                "A request with this idempotency key may have run; its outcome is not known",
+            ),
+            Kind::KeyExpired => {
+                row(410, "key_expired", Ran::Unknown, None, "The idempotency key is older than the horizon")
+            }
+            Kind::KeyAnswered => row(
+                409,
+                "key_answered",
+                Ran::Yes,
+                None,
+                "A request with this idempotency key ran; its answer was too large to keep",
+            ),
+            Kind::ClaimUnavailable => row(
+                503,
+                "claim_unavailable",
+                Ran::No,
+                Some(2),
+                "The claim on the idempotency key could not be recorded",
+            ),
+            Kind::ResumeUnknown => row(400, "resume_unknown", Ran::No, None, "The resume token is not valid"),
+            Kind::ResumeGone => {
+                row(410, "resume_gone", Ran::Unknown, None, "The stream can no longer be resumed")
+            }
+            Kind::Internal => row(500, "internal", Ran::Unknown, None, "The router failed inside"),
         }
     }
 
     /// The reply for this kind.
     pub fn reply(self, message: impl std::fmt::Display) -> Reply {
+        self.reply_as(self.answer().ran, message)
+    }
+
+    /// The reply for this kind, where less is known of the run than the table says.
+    fn reply_as(self, ran: Ran, message: impl std::fmt::Display) -> Reply {
         let a = self.answer();
         let body = serde_json::json!({
-            "error": { "code": a.code, "message": message.to_string(), "outcome": a.ran.as_str() }
+            "error": { "code": a.code, "message": message.to_string(), "outcome": ran.as_str() }
         });
-        let mut reply = Reply::json(a.status, &body).with_header("x-outcome", a.ran.as_str());
+        let mut reply = Reply::json(a.status, &body).with_header("x-outcome", ran.as_str());
         if let Some(s) = a.retry_s {
             reply = reply.with_header("retry-after", &s.to_string());
         }
@@ -203,16 +322,54 @@
     pub kind: Kind,
     /// What the caller reads.
     pub message: String,
+    /// When the caller should come back; the table's time where it is not known better.
+    pub retry_after: Option<Duration>,
+    /// Attempts at backend servers made so far, over all hops.
+    pub attempts: Option<u32>,
 }
 
 impl Fault {
     /// Fault of a kind.
     pub fn new(kind: Kind, message: impl Into<String>) -> Self {
-        Self { kind, message: message.into() }
+        Self { kind, message: message.into(), retry_after: None, attempts: None }
+    }
+
+    /// Sets when the caller should come back.
+    pub fn with_retry_after(self, time: Duration) -> Self {
+        Self { retry_after: Some(time), ..self }
+    }
+
+    /// Sets how many attempts have been made so far.
+    pub fn with_attempts(self, attempts: u32) -> Self {
+        Self { attempts: Some(attempts), ..self }
     }
 
     /// The reply that tells it.
     pub fn reply(&self) -> Reply {
-        self.kind.reply(&self.message)
+        self.finish_reply(self.kind.reply(&self.message))
+    }
+
+    /// The reply for an attempt that may not have been the first with its idempotency key: this attempt did not
+    /// run, but "not run" would be read as the key's outcome.
+    pub fn reply_to_repeat(&self) -> Reply {
+        let ran = match (self.kind, self.kind.answer().ran) {
+            // No attempt with this content can have run under the key.
+            (Kind::KeyConflict, ran) => ran,
+            (_, Ran::No) => Ran::Unknown,
+            (_, ran) => ran,
+        };
+        self.finish_reply(self.kind.reply_as(ran, &self.message))
+    }
+
+    fn finish_reply(&self, reply: Reply) -> Reply {
+        let mut reply = reply;
+        if let Some(time) = self.retry_after {
+            let seconds = time.as_millis().div_ceil(1000);
+            reply = reply.with_header("retry-after", &seconds.to_string());
+        }
+        match self.attempts {
+            Some(n) => reply.with_header("x-attempt", &n.to_string()),
+            None => reply,
+        }
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,31 +7,46 @@
 
 use bytes::Bytes;
 use http::{Method, Request};
-use http_body_util::Full;
-use hyper::body::Incoming;
 
 use crate::{
-    catalog::{Catalog, Engine, Id},
-    client::{Client, Failure},
+    catalog::{Catalog, Id},
+    claim::ticket::TICKET_USE,
+    client::Client,
     entry::Router,
     error::{Fault, Kind},
     http::{Handler, Reply},
     link::{LinkKey, Links},
     metrics::Metrics,
     place::hint::HintKey,
+    platform::Platform,
+    retry::{Budget, Policy},
+    schema::{
+        claim::{ClaimAnswer, ClaimCall},
+        link::frame::Body,
+        placement::Released,
+        suspect::{Digest, Noted},
+    },
+    stream::token::TokenKey,
     util::random_id,
 };
 
+use admit::{Admission, Entered};
+use ask::{Ask, header};
+use claim::Claims;
 use place::Placement;
+use suspects::Suspects;
 
+mod admit;
 mod ask;
+mod attempt;
 mod chat;
+mod claim;
 mod entry;
 mod place;
 mod relay;
+mod resume;
 mod service;
-
-const ATTEMPTS: usize = 3;
+mod suspects;
 
 /// State that all requests of one router share.
 #[derive(Debug)]
@@ -40,22 +55,38 @@
     routers: RwLock<Vec<Router>>,
     catalog: RwLock<Arc<Catalog>>,
     placement: Arc<Placement>,
+    admission: Admission,
+    claims: Arc<Claims>,
+    resume_key: TokenKey,
+    suspects: Arc<Suspects>,
+    retry_policy: Policy,
+    budget: Mutex<Budget>,
     client: Client,
     metrics: Arc<Metrics>,
 }
 
 impl Gateway {
     /// Gateway of the router `me` in the fleet of `shared_key`.
-    pub fn new(me: Router, shared_key: &str, metrics: Arc<Metrics>) -> Self {
+    pub fn new(me: Router, shared_key: &str, platform: &Platform, metrics: Arc<Metrics>) -> Self {
         let links = Links::new(LinkKey::new(shared_key));
         let hints = HintKey::new(shared_key);
         let placement = Placement::new(Id::of(&me.name), &me.data_centre, links, hints, metrics.clone());
+        let placement = Arc::new(placement);
+        let client = Client::default();
+        let claims = Claims::new(me.name.clone(), shared_key, placement.clone(), platform, metrics.clone());
+        let suspects = Suspects::new(me.region.clone(), placement.clone(), client.clone());
         Self {
             routers: RwLock::new(vec![me.clone()]),
             me,
             catalog: RwLock::default(),
-            placement: Arc::new(placement),
-            client: Client::default(),
+            placement,
+            admission: Admission::default(),
+            claims: Arc::new(claims),
+            resume_key: TokenKey::new(shared_key),
+            suspects: Arc::new(suspects),
+            retry_policy: Policy::default(),
+            budget: Mutex::default(),
+            client,
             metrics,
         }
     }
@@ -89,6 +120,8 @@
             (&Method::GET, "/readyz") if self.ready() => Ok(Reply::full(200, "ready\n")),
             (&Method::GET, "/metrics") => self.show_metrics(),
             _ if !self.ready() => Err(Fault::new(Kind::NotReady, "no configuration yet")),
+            (&Method::GET | &Method::POST, "/v1/resume") => self.resume(req).await,
+            (&Method::GET, "/v1/key-ticket") => Ok(self.key_ticket()),
             (&Method::GET, "/v1/entry") => Ok(self.entry(req.uri().query().unwrap_or(""))),
             (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
             (method, "/v1/entry" | "/v1/chat/completions" | "/healthz" | "/readyz" | "/metrics") => {
@@ -104,28 +137,74 @@
         Ok(Reply::full(200, text).with_header("content-type", "text/plain; version=0.0.4"))
     }
 
-    async fn send(
-        &self,
-        engine: &Engine,
-        path: &str,
-        req: &Request<Bytes>,
-        chat: &str,
-    ) -> Result<http::Response<Incoming>, Failure> {
-        let url = format!("http://{}{path}", engine.addr);
-        let mut builder = Request::builder().method(req.method()).uri(url).header("x-chat", chat);
-        for name in ["content-type", "x-workspace", "idempotency-key"] {
-            if let Some(value) = req.headers().get(name) {
-                builder = builder.header(name, value);
+    /// Counts a request against the limits of its workspace, of which each router keeps its share.
+    fn enter(&self, cat: &Catalog, ask: &Ask) -> Result<Entered, Fault> {
+        let routers = u32::try_from(read(&self.routers).len()).unwrap_or(u32::MAX);
+        self.admission.enter(cat.caps(&ask.workspace), routers, ask)
+    }
+
+    /// A ticket under which a caller may make idempotency keys that stay usable while the platform is out.
+    fn key_ticket(&self) -> Reply {
+        let ticket = serde_json::json!({ "ticket": self.claims.ticket(), "keep_s": TICKET_USE.as_secs() });
+        Reply::json(200, &ticket)
+    }
+
+    /// Answers another router's call about a claim.
+    pub async fn serve_claim(&self, call: ClaimCall) -> ClaimAnswer {
+        self.claims.serve(call).await
+    }
+
+    /// What is known of crashing requests, for gossip, in at most `bytes` of postcard.
+    pub fn suspects(&self, bytes: usize) -> Digest {
+        self.suspects.digest(bytes)
+    }
+
+    /// Takes in what another router knows of crashing requests.
+    pub fn note_suspects(&self, digest: &Digest) {
+        self.suspects.note(digest);
+    }
+
+    /// Answers another router's call about placement; `None` for a call that is about something else.
+    pub fn serve_placement(&self, body: &Body) -> Option<Body> {
+        match body {
+            Body::Reserve(msg) => Some(Body::Reserved(self.placement.serve_reserve(&self.catalog(), msg))),
+            Body::Release(msg) => {
+                self.placement.serve_release(msg);
+                Some(Body::Released(Released {}))
             }
+            _ => None,
+        }
+    }
+
+    /// Tells the owners of engines which reservations have ended, until aborted.
+    pub async fn tell_ended(&self) {
+        loop {
+            tokio::time::sleep(place::RELEASE_PERIOD).await;
+            self.placement.tell_ended().await;
+        }
+    }
+
+    /// Answers another router's call about suspects; `None` for a call that is about something else.
+    pub fn serve_suspects(&self, body: &Body) -> Option<Body> {
+        match body {
+            Body::Permit(wanted) => Some(Body::PermitAnswer(self.suspects.serve_permit(wanted))),
+            Body::PermitRelease(msg) => {
+                self.suspects.serve_release(msg);
+                Some(Body::Noted(Noted {}))
+            }
+            Body::Suspects(digest) => {
+                self.suspects.note(digest);
+                Some(Body::Noted(Noted {}))
+            }
+            _ => None,
         }
-        let out = builder.body(Full::new(req.body().clone())).map_err(|_| Failure::Connect)?;
-        self.client.send(out).await
     }
 }
 
 impl Handler for Gateway {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
         let id = random_id();
+        let repeat = may_be_repeat(&req);
         let reply = match self.route(req).await {
             Ok(reply) => {
                 self.metrics.request("answered");
@@ -134,13 +213,22 @@
             Err(fault) => {
                 self.metrics.request("refused");
                 self.metrics.refuse(fault.kind.answer().code);
-                fault.reply()
+                if repeat { fault.reply_to_repeat() } else { fault.reply() }
             }
         };
         reply.with_header("x-request-id", &id)
     }
 }
 
+/// Whether an earlier attempt with the same idempotency key may have run, as far as this router can tell.
+///
+/// A refusal of a resent booking would be read as "the booking was not made", though the attempt before may have
+/// made it. Only the caller knows that there was none, or that each was answered "not run", and says so.
+fn may_be_repeat(req: &Request<Bytes>) -> bool {
+    let first = header(req.headers(), "x-first-attempt") == Some("true");
+    req.headers().contains_key("idempotency-key") && !first
+}
+
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -125,6 +125,10 @@
         }
     }
 
+    pub(crate) fn links(&self) -> &Links {
+        &self.links
+    }
+
     pub(crate) fn placer(&self) -> std::sync::MutexGuard<'_, Placer> {
         lock(&self.placer)
     }
@@ -156,7 +160,7 @@
         lock(&self.held).insert(number, Held { owner: owner.id, req });
         let body = Body::Reserve(to_wire(&req, false));
         match self.links.call(owner.peer, body, RESERVE_TIMEOUT).await {
-            Ok(Body::Reserved(Reserved { engine, refusal })) if engine == 0 => {
+            Ok(Body::Reserved(Reserved { engine: 0, refusal })) => {
                 lock(&self.held).remove(&number);
                 Some(Err(match refusal {
                     REFUSED_AT_BOUND => Refusal::AtBound,
@@ -195,8 +199,8 @@
     }
 
     /// Ends reservations of another router.
-    pub(crate) fn serve_release(&self, msg: Release) {
-        self.placer().release(Id(msg.router), msg.numbers, now());
+    pub(crate) fn serve_release(&self, msg: &Release) {
+        self.placer().release(Id(msg.router), msg.numbers.iter().copied(), now());
     }
 
     /// Tells owners of ended reservations; those that could not be told are told again.
@@ -265,6 +269,9 @@
             };
             let reserved = place.reserve(cat, req, step.owner.as_ref()).await;
             match reserved.and_then(|id| pool.member(id)) {
+                // An owner that chooses for itself does not know which engines have failed this request. The slot
+                // is dropped here, which ends the reservation.
+                Some(engine) if search.excludes(cat.engine(engine).id) => {}
                 Some(engine) => return Ok(self.placed(cat, ask, &search, hint, engine, slot)),
                 None => slot.refuse(),
             }
--- a/src/http.rs
+++ b/src/http.rs
@@ -14,10 +14,11 @@
 use anyhow::{Context as _, Result};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use rustix::net::sockopt::set_tcp_nodelay;
 use tokio::{runtime::Handle, sync::mpsc};
 use xitca_web::{
     HttpServer,
-    body::{Body, BodyExt, BoxBody, Frame, RequestBody},
+    body::{Body, BodyExt, BoxBody, Frame, RequestBody, SizeHint},
     http::RequestExt,
     service::fn_service,
 };
@@ -93,20 +94,21 @@
     fn handle(&self, req: Request<Bytes>, peer: SocketAddr) -> impl Future<Output = Reply> + Send;
 }
 
-/// Limits on request bodies.
+/// Limits on what a caller may send.
 #[derive(Clone, Copy, Debug)]
-pub struct BodyLimits {
+pub struct Limits {
     bytes: usize,
     time: Duration,
+    head_time: Duration,
 }
 
-impl Default for BodyLimits {
+impl Default for Limits {
     fn default() -> Self {
-        Self { bytes: 1 << 20, time: Duration::from_secs(10) }
+        Self { bytes: 1 << 20, time: Duration::from_secs(10), head_time: Duration::from_secs(5) }
     }
 }
 
-impl BodyLimits {
+impl Limits {
     /// Sets the largest body, in bytes.
     pub fn with_bytes(self, bytes: usize) -> Self {
         Self { bytes, ..self }
@@ -116,6 +118,11 @@
     pub fn with_time(self, time: Duration) -> Self {
         Self { time, ..self }
     }
+
+    /// Sets the longest time for a request's head to arrive.
+    pub fn with_head_time(self, head_time: Duration) -> Self {
+        Self { head_time, ..self }
+    }
 }
 
 /// A running HTTP server.
@@ -146,10 +153,13 @@
     pub fn start(
         listener: TcpListener,
         threads: usize,
-        limits: BodyLimits,
+        limits: Limits,
         handler: Arc<impl Handler>,
     ) -> Result<Self> {
         let addr = listener.local_addr().context("could not read the address")?;
+        // Accepted connections inherit this. Without it each token waits for the acknowledgement of the one before,
+        // which the caller's host delays by 40 ms.
+        set_tcp_nodelay(&listener, true).context("could not set the socket up")?;
         let rt = Handle::current();
         let service = fn_service(async move |req: Request<RequestExt<RequestBody>>| {
             Ok::<_, Infallible>(answer(req, limits, handler.clone(), &rt).await)
@@ -157,6 +167,7 @@
         let mut server = HttpServer::serve(service)
             .disable_signal()
             .worker_threads(threads)
+            .request_head_timeout(limits.head_time)
             .listen(listener)
             .context("could not listen")?
             .run();
@@ -181,7 +192,7 @@
 
 async fn answer(
     req: Request<RequestExt<RequestBody>>,
-    limits: BodyLimits,
+    limits: Limits,
     handler: Arc<impl Handler>,
     rt: &Handle,
 ) -> Response<BoxBody> {
@@ -200,24 +211,33 @@
     }
 }
 
-async fn read(body: RequestBody, limits: BodyLimits) -> Result<Bytes, Kind> {
+async fn read(body: RequestBody, limits: Limits) -> Result<Bytes, Kind> {
     match tokio::time::timeout(limits.time, collect(body, limits.bytes)).await {
         Ok(result) => result,
         Err(_) => Err(Kind::BodyTimeout),
     }
 }
 
+/// Collects a body of stated length.
+///
+/// When a connection closes early, the library ends the body as if it were complete, so that half a save would
+/// run. The stated length tells the two apart; a chunked body states none and is refused.
 async fn collect(body: RequestBody, max: usize) -> Result<Bytes, Kind> {
+    let stated = match body.size_hint() {
+        SizeHint::Exact(len) => len,
+        SizeHint::None => 0,
+        SizeHint::Unknown => return Err(Kind::LengthRequired),
+    };
+    if stated > max as u64 {
+        return Err(Kind::BodyTooLarge);
+    }
     let mut body = std::pin::pin!(body);
     let mut buf = BytesMut::new();
     while let Some(frame) = body.as_mut().frame().await {
         let Ok(Frame::Data(data)) = frame else { return Err(Kind::BadRequest) };
-        if buf.len() + data.len() > max {
-            return Err(Kind::BodyTooLarge);
-        }
         buf.extend_from_slice(&data);
     }
-    Ok(buf.freeze())
+    if buf.len() as u64 != stated { Err(Kind::BadRequest) } else { Ok(buf.freeze()) }
 }
 
 fn respond(reply: Reply) -> Response<BoxBody> {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,28 +1,37 @@
 //! A running router: sockets, the configuration watch and the gateway.
 
-use std::{net::TcpListener, sync::Arc, time::Duration};
+use std::{net::TcpListener, sync::Arc};
 
 use anyhow::{Context, Result};
 use tokio::task::JoinHandle;
 
 use crate::{
-    catalog::{AnyObject, Catalog},
     config::Settings,
     entry::Router,
+    follow::Follow,
     gateway::Gateway,
-    http::{BodyLimits, Server},
+    http::{Limits, Server},
+    link::{LinkKey, LinkServer, Links},
     metrics::Metrics,
-    platform::{Event, Platform},
+    operate::Operate,
+    order::Orders,
+    platform::Platform,
 };
 
-const HTTP_THREADS: usize = 2;
-const RECONNECT: Duration = Duration::from_millis(500);
+mod calls;
+
+use calls::Calls;
 
 /// A router in this process.
 #[derive(Debug)]
 pub struct Running {
+    peer_addr: std::net::SocketAddr,
     server: Server,
-    watch: JoinHandle<()>,
+    follow: Follow,
+    orders: Option<Orders>,
+    link_server: LinkServer,
+    releases: JoinHandle<()>,
+    operate: Arc<Operate>,
     gateway: Arc<Gateway>,
     metrics: Arc<Metrics>,
 }
@@ -50,11 +59,37 @@
             region: cfg.region.clone(),
         };
         let metrics = Arc::new(Metrics::new()?);
-        let gateway = Arc::new(Gateway::new(me, &cfg.shared_key, metrics.clone()));
-        let limits = BodyLimits::default().with_bytes(cfg.body_bytes).with_time(cfg.body_time);
-        let server = Server::start(listener, HTTP_THREADS, limits, gateway.clone())?;
-        let watch = tokio::spawn(follow(Platform::new(cfg.platform), gateway.clone()));
-        Ok(Self { server, watch, gateway, metrics })
+        let platform = Platform::new(cfg.platform).with_metrics(metrics.clone());
+        let gateway = Gateway::new(me.clone(), &cfg.shared_key, &platform, metrics.clone());
+        let gateway = Arc::new(gateway);
+        let limits = Limits::default()
+            .with_bytes(cfg.body_bytes)
+            .with_time(cfg.body_time)
+            .with_head_time(cfg.head_time);
+        let (peer_listener, peer_addr) = listen_for_peers(cfg)?;
+        let key = LinkKey::new(&cfg.shared_key);
+        let links = Arc::new(Links::new(key.clone()));
+        let follow = Follow::start(cfg, peer_addr, platform.clone(), links, gateway.clone());
+        let rate = cfg.loads_per_minute as f64;
+        let orders = Orders::start(&cfg.name, follow.shared().clone(), platform, metrics.clone(), rate);
+        let calls = Calls { me: me.clone(), follow: follow.shared().clone(), gateway: gateway.clone() };
+        let link_server = LinkServer::start(peer_listener, key, Arc::new(calls));
+        let told = gateway.clone();
+        let releases = tokio::spawn(async move { told.tell_ended().await });
+        let operate = Operate::new(me, &cfg.shared_key, follow.shared().clone(), gateway.clone());
+        let operate = Arc::new(operate);
+        let server = Server::start(listener, cfg.http_threads, limits, operate.clone())?;
+        Ok(Self {
+            peer_addr,
+            server,
+            follow,
+            orders: Some(orders),
+            link_server,
+            releases,
+            operate,
+            gateway,
+            metrics,
+        })
     }
 
     /// The gateway.
@@ -72,46 +107,42 @@
         self.server.addr()
     }
 
-    /// Stops the router.
-    pub fn close(self) {
-        self.watch.abort();
-        self.server.close();
+    /// Address for other routers.
+    pub fn peer_addr(&self) -> std::net::SocketAddr {
+        self.peer_addr
     }
-}
 
-async fn follow(platform: Platform, gateway: Arc<Gateway>) {
-    loop {
-        if let Err(e) = follow_once(&platform, &gateway).await {
-            spdlog::warn!("configuration watch ended: {e:#}");
-        }
-        tokio::time::sleep(RECONNECT).await;
+    /// The configuration.
+    pub fn follow(&self) -> &Follow {
+        &self.follow
     }
-}
 
-async fn follow_once(platform: &Platform, gateway: &Gateway) -> Result<()> {
-    let list = platform.list().await?;
-    let mut objects = list.items;
-    enforce(gateway, list.version, &objects);
-    let mut watch = platform.watch(list.version).await?;
-    while let Some(event) = watch.next().await? {
-        let version = event.version;
-        merge(&mut objects, event);
-        enforce(gateway, version, &objects);
+    /// Waits until an operator drains this router.
+    pub async fn drained(&self) {
+        self.operate.drained().await;
     }
-    Ok(())
-}
 
-fn merge(objects: &mut Vec<AnyObject>, event: Event) {
-    objects.retain(|o| o.kind != event.object.kind || o.metadata.name != event.object.metadata.name);
-    if !event.deleted {
-        objects.push(event.object);
+    /// Gives the leases back and stops the router.
+    pub async fn stop(mut self) {
+        if let Some(orders) = self.orders.take() {
+            orders.close().await;
+        }
+        self.close();
     }
-}
 
-fn enforce(gateway: &Gateway, version: u64, objects: &[AnyObject]) {
-    let (cat, faults) = Catalog::compile(version, objects);
-    for fault in faults {
-        spdlog::error!("configuration object left out: {fault}");
+    /// Stops the router at once; its leases lapse.
+    pub fn close(self) {
+        self.follow.close();
+        self.releases.abort();
+        self.link_server.close();
+        self.server.close();
     }
-    gateway.set_catalog(cat);
+}
+
+fn listen_for_peers(cfg: &Settings) -> Result<(tokio::net::TcpListener, std::net::SocketAddr)> {
+    let at = cfg.peer_listen;
+    let listener = TcpListener::bind(at).with_context(|| format!("could not listen on {at}"))?;
+    listener.set_nonblocking(true).context("could not set the socket up")?;
+    let addr = listener.local_addr().context("could not read the address")?;
+    Ok((tokio::net::TcpListener::from_std(listener).context("could not listen")?, addr))
 }
