--- a/benches/routing/cost.rs
+++ b/benches/routing/cost.rs
@@ -95,7 +95,7 @@
         let all: Vec<_> = pool.engines.clone();
         let sort = per_round(|n| drop(black_box(sorted(&cat, &all, n))));
         let ranking = &pool.by_data_centre()[0].1;
-        let rank = per_round(|n| drop(black_box(ranking.top(n))));
+        let rank = per_round(|n| _ = black_box(ranking.top(n)));
         let keys = HintKey::new("key");
         let new = per_round(|n| decide(&mut placer, &cat, &keys, n, "chat", None));
         let copy = CachedCopy { engine: Arc::from("engine-3"), start: 0, tokens: 1_000 };
