--- /dev/null
+++ b/tests/place.rs
@@ -0,0 +1,229 @@
+//! Pieces of placement: rank, hint, health, cache events, transfer, bound.
+
+use std::{sync::Arc, time::Duration};
+
+use cranberrytally::{
+    catalog::{AnyObject, Catalog, Id, Object},
+    place::{
+        bound::{Digest, Mean},
+        cache::{CacheEvents, Event},
+        health::Health,
+        hint::{COPIES, CachedCopy, Hint, HintKey},
+        transfer::Costs,
+    },
+    schema::object::Meta,
+};
+
+const CHATS: u64 = 4_000;
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn object(kind: &str, name: &str, spec: serde_json::Value) -> AnyObject {
+    Object { kind: kind.into(), metadata: Meta { name: name.into(), ..Meta::default() }, spec }
+}
+
+/// A pool of engines with these capacities.
+fn catalog(capacities: &[u32]) -> Catalog {
+    let mut objects = vec![object("EnginePool", "pool", serde_json::json!({}))];
+    for (at, capacity) in capacities.iter().enumerate() {
+        let spec =
+            serde_json::json!({ "address": "127.0.0.1:9", "dataCentre": "poa-a", "capacity": capacity });
+        objects.push(object("Engine", &format!("engine-{at}"), spec));
+    }
+    let (cat, faults) = Catalog::compile(1, &objects);
+    assert!(faults.is_empty(), "{faults:?}");
+    cat
+}
+
+fn ranked(cat: &Catalog, chat: u64) -> Vec<Arc<str>> {
+    let pool = cat.pool_by_id(Id::of("pool")).unwrap();
+    pool.by_data_centre()[0].1.top(chat).iter().map(|key| cat.engine(key).name.clone()).collect()
+}
+
+fn hint() -> Hint {
+    let copy = CachedCopy { engine: "engine-1".into(), start: 7, tokens: 900 };
+    Hint { home: "poa-a".into(), copies: vec![copy] }
+}
+
+/// An engine leaves and one joins. Only the chats of the one that left, and those that the new one wins, may
+/// change their first choice; any other chat that moved would find a cold cache for nothing.
+#[test]
+fn only_the_chats_of_engines_that_differ_move() {
+    let all = catalog(&[8; 12]);
+    let fewer = catalog(&[8; 11]);
+
+    let moved = (0..CHATS).filter(|&c| ranked(&all, c)[0] != ranked(&fewer, c)[0]);
+    let wrong = moved.clone().filter(|&c| &*ranked(&all, c)[0] != "engine-11").count();
+
+    assert_eq!(wrong, 0);
+    assert!((CHATS / 16..CHATS / 8).contains(&(moved.count() as u64)));
+}
+
+#[test]
+fn the_second_choice_is_the_first_without_the_first() {
+    let all = catalog(&[8; 12]);
+    let fewer = catalog(&[8; 11]);
+
+    for chat in 0..CHATS {
+        let ranked_all = ranked(&all, chat);
+        if &*ranked_all[0] == "engine-11" {
+            assert_eq!(ranked_all[1], ranked(&fewer, chat)[0]);
+        }
+    }
+}
+
+#[test]
+fn an_engine_wins_chats_in_proportion_to_its_capacity() {
+    let cat = catalog(&[8, 8, 16, 32]);
+
+    let wins = |name: &str| (0..CHATS).filter(|&c| &*ranked(&cat, c)[0] == name).count() as f64;
+
+    for (name, share) in [("engine-0", 0.125), ("engine-2", 0.25), ("engine-3", 0.5)] {
+        let won = wins(name) / CHATS as f64;
+        assert!((won - share).abs() < 0.03, "{name} won {won:.3}");
+    }
+}
+
+#[test]
+fn a_hint_is_read_back() {
+    let key = HintKey::new("k");
+
+    let opened = key.open("chat", &key.seal("chat", &hint()));
+
+    assert_eq!(opened, Some(hint()));
+}
+
+/// A caller alters its hint, takes another chat's, one of another fleet, or makes one up, to reach an engine of
+/// its choice. Each is dropped; the chat is placed as if it had none.
+#[test]
+fn a_wrong_hint_is_dropped() {
+    let key = HintKey::new("k");
+    let good = key.seal("chat", &hint());
+    let mut altered = good.clone().into_bytes();
+    altered[4] ^= 1;
+    let altered = String::from_utf8_lossy(&altered).into_owned();
+    let long = "A".repeat(100_000);
+    let cases = [
+        ("another chat's", "other", good.as_str()),
+        ("altered", "chat", altered.as_str()),
+        ("cut short", "chat", &good[..good.len() - 4]),
+        ("empty", "chat", ""),
+        ("a name in plain text", "chat", "engine-1"),
+        ("too long", "chat", long.as_str()),
+    ];
+
+    for (what, chat, text) in cases {
+        assert_eq!(key.open(chat, text), None, "{what}");
+    }
+    assert_eq!(HintKey::new("other").open("chat", &good), None, "another fleet's");
+}
+
+#[test]
+fn a_hint_keeps_the_newest_copies() {
+    let copy = |engine: &str| CachedCopy { engine: engine.into(), start: 1, tokens: 10 };
+
+    let hint = ["a", "b", "c", "b"].into_iter().fold(Hint::default(), |h, e| h.with_copy(copy(e)));
+
+    let names: Vec<_> = hint.copies.iter().map(|c| &*c.engine).collect();
+    assert_eq!(names, ["b", "c"]);
+    assert_eq!(hint.copies.len(), COPIES);
+}
+
+/// An engine's network comes and goes. After the first failure its chats return at once; from the second on it
+/// stays out of use for a time that doubles, or its chats would move there and back and find no cache warm.
+#[test]
+fn a_flapping_engine_is_held_down_longer_each_time() {
+    let mut health = Health::default();
+    let engine = Id::of("engine");
+    let mut held = Vec::new();
+
+    for flap in 0..6 {
+        let at = s(100 * flap);
+        health.note_down(engine, at);
+        assert!(!health.in_use(engine, at));
+        health.note_up(engine, at + s(1));
+        held.push((0..100).find(|&t| health.in_use(engine, at + s(1 + t))).unwrap());
+    }
+
+    assert_eq!(held, [0, 5, 10, 20, 40, 40]);
+}
+
+#[test]
+fn a_leaving_engine_stays_out_until_it_starts_anew() {
+    let mut health = Health::default();
+    let engine = Id::of("engine");
+    health.note_start(engine, 1);
+
+    health.note_leaving(engine);
+    health.note_start(engine, 1);
+    health.note_up(engine, s(1));
+    assert!(!health.in_use(engine, s(60)));
+
+    health.note_start(engine, 2);
+    assert!(health.in_use(engine, s(60)));
+}
+
+/// Events are lost: after a gap the chat may have been stored again unseen, so the eviction is forgotten and
+/// the chat is sent to the engine as its hint says.
+#[test]
+fn an_eviction_counts_until_a_gap() {
+    let engine = Id::of("engine");
+    let mut cache = CacheEvents::default();
+
+    cache.note(engine, 1, Event::Evicted(7));
+    assert!(cache.evicted(engine, 7));
+    cache.note(engine, 1, Event::Stored(7));
+    assert!(cache.evicted(engine, 7), "an old event counts for nothing");
+    cache.note(engine, 5, Event::Evicted(8));
+    assert!(!cache.evicted(engine, 7), "the gap may hide a store");
+    assert!(cache.evicted(engine, 8));
+    cache.note_start(engine, 8);
+    assert!(!cache.evicted(engine, 8), "a request stores it anew");
+}
+
+#[test]
+fn evictions_take_bounded_memory() {
+    let engine = Id::of("engine");
+    let mut cache = CacheEvents::default();
+
+    (1..=10_000).for_each(|n| cache.note(engine, n, Event::Evicted(n)));
+
+    assert!(!cache.evicted(engine, 1));
+    assert!(cache.evicted(engine, 10_000));
+}
+
+#[test]
+fn a_long_context_is_moved_and_a_short_one_computed_again() {
+    let costs = Costs::default();
+
+    let cases = [(0, false), (100, false), (1_000, true), (30_000, true)];
+
+    for (tokens, moved) in cases {
+        assert_eq!(costs.worth_moving(tokens), moved, "{tokens} tokens");
+    }
+}
+
+/// The first requests of the day arrive at idle engines. Any multiple of a mean near zero is below one request;
+/// a strict bound would refuse them all while every engine stands idle.
+#[test]
+fn a_small_mean_lets_one_request_through() {
+    let pool = |work, running| Mean::of(Digest { work, running, capacity: 9 * 8 });
+
+    // Work in the pool, requests, work on the engine, what is asked, whether it fits.
+    let cases = [
+        (0, 0, 0, 500, true),
+        (500, 1, 0, 500, true),
+        (500, 1, 500, 500, false),
+        (4_500, 9, 500, 500, true),
+        (4_500, 9, 1_000, 500, false),
+        (450_000, 900, 50_000, 500, true),
+        (450_000, 900, 62_400, 500, false),
+    ];
+
+    for (work, running, load, asked, fits) in cases {
+        let limit = pool(work, running).limit(8, 1.25, asked, true);
+        assert_eq!((load + asked) as f64 <= limit, fits, "{work} in {running}, {load} + {asked}: {limit}");
+    }
+}
