Move contexts between engines, hand work over to new owners, take in load reports and cache events

Cause: after the list of routers changed, the former owner counted moved work for ever and work granted by the owner to itself was never made known to the new one; a grant for an engine outside the pool was never ended. Change: every reservation is held with its owner; a change ends it at one and makes it known at the other. A chat that lands on another engine has its context exported and imported where that is quicker than computing it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -180,6 +180,7 @@
     pub async fn tell_ended(&self) {
         loop {
             tokio::time::sleep(place::RELEASE_PERIOD).await;
+            self.placement.expire(&self.catalog());
             self.placement.tell_ended().await;
         }
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -8,11 +8,14 @@
     time::Duration,
 };
 
+use futures_util::future::join_all;
+
 use super::{Gateway, ask::Ask, lock, read};
 use crate::{
     catalog::{Catalog, EngineKey, Id, Pool},
+    engine::EngineClient,
     link::Links,
-    metrics::Metrics,
+    metrics::{Counter, Metrics},
     place::{
         Placer, Refusal, Request,
         bound::Digest,
@@ -20,8 +23,10 @@
         ledger::HoldId,
         members::Member,
         search::Search,
+        transfer::Costs,
     },
     schema::{
+        engine::{CacheEvents, Load},
         link::frame::Body,
         placement::{Release, Reserve, Reserved},
     },
@@ -46,7 +51,7 @@
     hints: HintKey,
     metrics: Arc<Metrics>,
     next: AtomicU64,
-    /// Reservations held at other routers.
+    /// Reservations of this router, here and at other owners.
     held: Mutex<Map<u64, Held>>,
     /// Ended reservations by owner, not yet told.
     ended: Mutex<Map<Id, Vec<u64>>>,
@@ -134,18 +139,24 @@
     }
 
     fn end(&self, number: u64) {
-        match lock(&self.held).remove(&number) {
-            Some(held) => lock(&self.ended).entry(held.owner).or_default().push(number),
-            None => {
-                self.placer().release(self.me, [number], now());
-            }
+        let Some(held) = lock(&self.held).remove(&number) else { return };
+        if held.owner == self.me {
+            self.placer().release(self.me, [number], now());
+        } else {
+            lock(&self.ended).entry(held.owner).or_default().push(number);
         }
     }
 
+    fn hold(&self, owner: Id, req: Request) {
+        lock(&self.held).insert(req.hold.number, Held { owner, req });
+    }
+
     /// Reserves at the owner, which is this router or another.
     async fn reserve(&self, cat: &Catalog, req: Request, owner: Option<&Member>) -> Option<Id> {
         let Some(owner) = owner else {
-            return self.placer().reserve(cat, &req, now()).ok().map(|grant| grant.engine);
+            let grant = self.placer().reserve(cat, &req, now()).ok()?;
+            self.hold(self.me, Request { engine: Some(grant.engine), ..req });
+            return Some(grant.engine);
         };
         let answer = self.ask(req, owner).await;
         if answer.is_none() {
@@ -157,7 +168,7 @@
 
     async fn ask(&self, req: Request, owner: &Member) -> Option<Result<Id, Refusal>> {
         let number = req.hold.number;
-        lock(&self.held).insert(number, Held { owner: owner.id, req });
+        self.hold(owner.id, req);
         let body = Body::Reserve(to_wire(&req, false));
         match self.links.call(owner.peer, body, RESERVE_TIMEOUT).await {
             Ok(Body::Reserved(Reserved { engine: 0, refusal })) => {
@@ -168,7 +179,10 @@
                     _ => Refusal::NotOwner,
                 }))
             }
-            Ok(Body::Reserved(Reserved { engine, .. })) => Some(Ok(Id(engine))),
+            Ok(Body::Reserved(Reserved { engine, .. })) => {
+                self.hold(owner.id, Request { engine: Some(Id(engine)), ..req });
+                Some(Ok(Id(engine)))
+            }
             // The reservation may have been made, and its answer lost: it is ended like one that was granted.
             _ => {
                 self.end(number);
@@ -217,28 +231,49 @@
         }
     }
 
-    /// Sets the routers, and makes work known to the new owners of its engines.
+    /// Sets the routers, makes work known to the new owners of its engines and ends it at the former ones.
     pub(crate) async fn set_members(&self, cat: &Catalog, list: Vec<Member>) {
         self.placer().set_members(list, now());
-        let mut moved = Vec::new();
-        for (number, held) in lock(&self.held).iter_mut() {
-            let Some(id) = held.req.engine else { continue };
-            let Some(key) = cat.key(id) else { continue };
-            let mut placer = self.placer();
-            let Some(owner) = placer.owner(id, &cat.engine(key).data_centre) else { continue };
-            if owner.id != held.owner {
-                moved.push((*number, owner.clone(), held.req));
-                held.owner = owner.id;
-            }
-        }
-        for (_, owner, req) in moved {
+        let moved = self.moved(cat);
+        let told = moved.into_iter().map(|(owner, req)| async move {
             if owner.id == self.me {
                 self.placer().adopt(&req, now());
-                lock(&self.held).remove(&req.hold.number);
+                return;
+            }
+            let body = Body::Reserve(to_wire(&req, true));
+            if self.links.call(owner.peer, body, RESERVE_TIMEOUT).await.is_err() {
+                spdlog::debug!("a new owner could not be told of work that runs");
+            }
+        });
+        join_all(told).await;
+    }
+
+    /// Work whose engine has a new owner. The former owner is told of its end, or it would count it for ever.
+    fn moved(&self, cat: &Catalog) -> Vec<(Member, Request)> {
+        let mut moved = Vec::new();
+        let mut held = lock(&self.held);
+        let mut placer = self.placer();
+        for held in held.values_mut() {
+            let Some((id, key)) = held.req.engine.and_then(|id| Some((id, cat.key(id)?))) else { continue };
+            let Some(owner) = placer.owner(id, &cat.engine(key).data_centre).cloned() else { continue };
+            if owner.id == held.owner {
                 continue;
             }
-            let _ = self.links.call(owner.peer, Body::Reserve(to_wire(&req, true)), RESERVE_TIMEOUT).await;
+            let number = held.req.hold.number;
+            if held.owner == self.me {
+                placer.release(self.me, [number], now());
+            } else {
+                lock(&self.ended).entry(held.owner).or_default().push(number);
+            }
+            held.owner = owner.id;
+            moved.push((owner, held.req));
         }
+        moved
+    }
+
+    /// Forgets what is out of date.
+    pub(crate) fn expire(&self, cat: &Catalog) {
+        self.placer().expire(cat, now());
     }
 }
 
@@ -267,14 +302,19 @@
                 work: ask.work,
                 cached: step.engine.is_some_and(|c| c.cached > 0),
             };
-            let reserved = place.reserve(cat, req, step.owner.as_ref()).await;
-            match reserved.and_then(|id| pool.member(id)) {
-                // An owner that chooses for itself does not know which engines have failed this request. The slot
-                // is dropped here, which ends the reservation.
-                Some(engine) if search.excludes(cat.engine(engine).id) => {}
-                Some(engine) => return Ok(self.placed(cat, ask, &search, hint, engine, slot)),
-                None => slot.refuse(),
+            let Some(granted) = place.reserve(cat, req, step.owner.as_ref()).await else {
+                slot.refuse();
+                continue;
+            };
+            // An owner that chooses for itself knows neither which engines have failed this request nor, where its
+            // configuration is newer, the pool as it is here. The slot is dropped, which ends the reservation.
+            let Some(engine) = pool.member(granted).filter(|_| !search.excludes(granted)) else { continue };
+            let placed = self.placed(cat, ask, &search, hint, engine, slot);
+            let source = search.source(&place.placer(), pool, engine);
+            if let Some((from, tokens)) = source {
+                self.move_context(cat, &ask.chat, from, engine, tokens).await;
             }
+            return Ok(placed);
         }
         if search.any_in_use() { Err(Unplaced::AtBound) } else { Err(Unplaced::NoneInUse) }
     }
@@ -303,6 +343,48 @@
         Placed { engine: key, slot, hint, router }
     }
 
+    /// Moves a chat's cached context to the engine that answers next, unless computing it again is quicker.
+    async fn move_context(&self, cat: &Catalog, chat: &str, from: EngineKey, to: EngineKey, tokens: u32) {
+        let costs = Costs::default();
+        if !costs.worth_moving(tokens) {
+            return;
+        }
+        let client = |key| EngineClient::new(self.client.clone(), cat.engine(key).addr);
+        let transfer = async {
+            let Some(kv) = client(from).export_kv(chat).await? else { return Ok(false) };
+            client(to).import_kv(chat, kv).await?;
+            anyhow::Ok(true)
+        };
+        // Beyond the time that computing takes, the transfer gains nothing; the request then goes on without.
+        let how = match tokio::time::timeout(costs.recompute(tokens), transfer).await {
+            Ok(Ok(true)) => "kv_moved",
+            Ok(Ok(false)) => "kv_gone",
+            Ok(Err(_)) => "kv_failed",
+            Err(_) => "kv_late",
+        };
+        self.metrics.add(Counter::Placements, how, 1);
+    }
+
+    /// Notes that an engine can't be reached.
+    pub fn note_engine_down(&self, engine: &str) {
+        self.placement.placer().health.note_down(Id::of(engine), now());
+    }
+
+    /// Notes that an engine is leaving, from whatever source; it gets no new work from now on.
+    pub fn note_engine_leaving(&self, engine: &str) {
+        self.placement.placer().health.note_leaving(Id::of(engine));
+    }
+
+    /// Notes an engine's load report, which also says that it lives.
+    pub fn note_engine_load(&self, engine: &str, load: &Load) {
+        self.placement.placer().note_load(Id::of(engine), load, now());
+    }
+
+    /// Notes an engine's cache events.
+    pub fn note_cache_events(&self, engine: &str, events: &CacheEvents) {
+        self.placement.placer().note_cache_events(Id::of(engine), events);
+    }
+
     /// Notes what a router says of the load of its engines in a pool.
     pub fn note_digest(&self, source: Id, pool: Id, digest: Digest, at: Instant) {
         self.placement.placer().note_digest(source, pool, digest, at);
--- a/src/place/health.rs
+++ b/src/place/health.rs
@@ -85,6 +85,11 @@
         self.engines.get(&engine).is_none_or(|s| !s.down && !s.leaving && now >= s.held_until)
     }
 
+    /// Whether an engine can't be reached.
+    pub fn down(&self, engine: Id) -> bool {
+        self.engines.get(&engine).is_some_and(|s| s.down)
+    }
+
     /// Whether an engine is leaving.
     pub fn leaving(&self, engine: Id) -> bool {
         self.engines.get(&engine).is_some_and(|s| s.leaving)
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -4,7 +4,7 @@
 
 use super::{
     bound::{Digest, Digests, Mean, Work, total},
-    cache::CacheEvents,
+    cache::{CacheEvents as CacheNews, Event},
     health::Health,
     hint::Hint,
     ledger::{HoldId, Ledger},
@@ -12,7 +12,8 @@
 };
 use crate::{
     catalog::{Catalog, Id, Pool},
-    util::{Instant, Map, Set},
+    schema::engine::{CacheEvents, Load},
+    util::{Instant, Map, Set, hash},
 };
 
 /// How long a computed mean serves.
@@ -81,7 +82,7 @@
     /// Reservations granted by this router.
     pub ledger: Ledger,
     /// Cache events of engines.
-    pub cache: CacheEvents,
+    pub cache: CacheNews,
 }
 
 impl Placer {
@@ -99,7 +100,7 @@
             unreachable: Map::default(),
             health: Health::default(),
             ledger: Ledger::default(),
-            cache: CacheEvents::default(),
+            cache: CacheNews::default(),
         }
     }
 
@@ -239,6 +240,31 @@
         }
     }
 
+    /// Notes an engine's load report, which also says that it lives.
+    pub fn note_load(&mut self, engine: Id, load: &Load, now: Instant) {
+        if self.health.start(engine) != load.start {
+            self.cache.remove(engine);
+        }
+        self.health.note_start(engine, load.start);
+        self.health.note_up(engine, now);
+        if load.leaving {
+            self.health.note_leaving(engine);
+        }
+        self.ledger.note_report(engine, load.running + load.waiting, now);
+    }
+
+    /// Notes an engine's cache events; those of an earlier start are of a cache that is gone.
+    pub fn note_cache_events(&mut self, engine: Id, events: &CacheEvents) {
+        if events.start != self.health.start(engine) {
+            return;
+        }
+        for event in &events.events {
+            let chat = hash(event.chat.as_str());
+            let what = if event.evicted { Event::Evicted(chat) } else { Event::Stored(chat) };
+            self.cache.note(engine, event.seq, what);
+        }
+    }
+
     /// Forgets what is out of date or no longer configured.
     pub fn expire(&mut self, cat: &Catalog, now: Instant) {
         self.digests.expire(now);
--- a/src/place/search.rs
+++ b/src/place/search.rs
@@ -42,6 +42,8 @@
 pub struct Search {
     chat: u64,
     home: Arc<str>,
+    /// Copies that the hint names and that are not known to be lost.
+    copies: Vec<(Id, u32)>,
     ready: VecDeque<Candidate>,
     /// Positions in the pool's list of data centres, nearest first.
     tiers: VecDeque<usize>,
@@ -80,9 +82,11 @@
             let lost = start != 0 && start != copy.start || placer.cache.evicted(id, chat);
             (!lost && cat.engine(engine).id == id).then_some(Candidate { engine, id, cached: copy.tokens })
         });
+        let ready: VecDeque<Candidate> = ready.collect();
         Self {
             chat,
-            ready: ready.collect(),
+            copies: ready.iter().map(|c| (c.id, c.cached)).collect(),
+            ready,
             tiers: tiers.into(),
             home,
             seen: excluded.iter().copied().collect(),
@@ -119,6 +123,15 @@
         self.any_in_use
     }
 
+    /// Engine with the fullest copy of the chat, and its tokens, if the chat is placed on another one.
+    ///
+    /// A leaving engine and one at its bound still export; one that is down does not.
+    pub fn source(&self, placer: &Placer, pool: &Pool, to: EngineKey) -> Option<(EngineKey, u32)> {
+        let (id, tokens) = self.copies.iter().copied().max_by_key(|(_, tokens)| *tokens)?;
+        let from = pool.member(id)?;
+        (from != to && !placer.health.down(id)).then_some((from, tokens))
+    }
+
     /// The next thing to try; `None` when the walk is over.
     ///
     /// A chat whose first engines all stand at the bound has lost its cache already. It then takes any engine
