--- a/tests/order.rs
+++ b/tests/order.rs
@@ -8,7 +8,7 @@
     schema::engine::Order,
     util::Instant,
 };
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 #[allow(dead_code, reason = "the lease tests use the rest")]
 #[path = "support/leases.rs"]
@@ -172,6 +172,52 @@
     assert!(*last + ORDER_TIME <= now + TTL, "{last:?}");
 }
 
+/// Three routers race for ten minutes; calls to the platform are slow and lost, processes pause for up to 30 s, and an
+/// order leaves up to 2 s after the check of the lease and takes up to 3 s more. At an engine that ignores fencing numbers
+/// nothing but the guard keeps an old holder's order from arriving after a new holder's.
+#[test]
+fn orders_of_two_holders_never_cross_at_an_engine_that_ignores_the_number() {
+    let guard = Guard::new(false);
+    let (mut orders, mut holders) = (0, 0);
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut shelf = Shelf::default();
+        let start = Duration::from_secs(1000);
+        let mut all: Vec<_> =
+            (0..3).map(|i| Process::new(&format!("router-{i}"), seed * 10 + i, start)).collect();
+        for p in &mut all {
+            p.speed = rng.random_range(0.98..1.02);
+        }
+        let (mut under_way, mut engine) = (Vec::new(), Engine::default());
+        for step in 0..6000 {
+            let now = start + STEP * step;
+            for p in &mut all {
+                if rng.random_bool(0.002) {
+                    p.paused_until = now + SECOND * rng.random_range(1..30);
+                }
+                p.step(now, &mut shelf, SECOND, 0.1);
+                if p.paused_until <= now
+                    && let Some((fencing, order)) = seal(p, guard, now, "x")
+                {
+                    let latest = SECOND * 2 + ORDER_TIME;
+                    under_way.push((now + latest.mul_f64(rng.random()), fencing, order));
+                }
+            }
+            under_way.retain(|(at, fencing, order)| {
+                if *at <= now {
+                    engine.order(order, *fencing);
+                }
+                *at > now
+            });
+        }
+        let crossed = engine.taken.windows(2).find(|w| w[0] > w[1]);
+        assert_eq!(crossed, None, "seed {seed}");
+        orders += engine.taken.len();
+        holders += engine.taken.windows(2).filter(|w| w[0] != w[1]).count();
+    }
+    assert!(orders > 50_000 && holders > 60, "{orders} orders, {holders} changes of holder");
+}
+
 struct Pool {
     planner: Planner,
     engines: BTreeMap<String, Engine>,
--- a/tests/platform_contract.rs
+++ b/tests/platform_contract.rs
@@ -110,6 +110,7 @@
             "get" => self.get(step).await,
             "list" => self.list(step).await,
             "watch" => self.watch(step).await,
+            "dropped watch" => self.dropped_watch().await,
             "count limited" => self.count(step, Outcome::Limited),
             "count held" => self.count(step, Outcome::Held),
             other => panic!("no such call: {other}"),
@@ -153,6 +154,13 @@
         assert!(events.iter().is_sorted_by(|a, b| a.version < b.version));
     }
 
+    async fn dropped_watch(&self) {
+        let from = self.platform.list().await.unwrap().version;
+        let Watched::Open(mut watch) = self.platform.watch(from).await.unwrap() else { panic!("too old") };
+        self.standin.drop_watches();
+        assert_eq!(watch.next_within(EVENT_WAIT).await.unwrap(), None);
+    }
+
     fn count(&self, step: &Step, outcome: Outcome) {
         let counts = self.platform.counts().all();
         let n = counts.get(&(Class::Read, outcome)).copied().unwrap_or(0);
