Keep long work on the configuration off the threads that serve answers

Cause: at the target size a compile of the catalog takes 20 to 29 ms and a whole list 52 ms; on a thread that serves streams, tokens would stand still for that long. Orders read all engines' objects anew after each change. Change: both run on blocking threads; orders take a pool's engines from the compiled catalog.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -128,7 +128,7 @@
             follower.tick(now(), rng)
         };
         shared.perform(actions);
-        shared.enforce();
+        shared.enforce().await;
         let _ = tokio::time::timeout(TICK, shared.wake.notified()).await;
     }
 }
@@ -179,18 +179,28 @@
         peers
     }
 
+    /// The compiled configuration.
+    pub fn catalog(&self) -> Arc<Catalog> {
+        self.gateway.catalog()
+    }
+
     /// Objects in force.
     pub fn objects(&self) -> Vec<Arc<AnyObject>> {
         self.state().follower.store().in_force()
     }
 
     /// Answers a peer's fetch; version 0 as long as this router may not serve itself.
-    pub fn serve_fetch(&self, fetch: &Fetch) -> Delta {
-        let state = self.state();
-        if state.follower.serving() == 0 {
-            return Delta::default();
-        }
-        state.follower.store().delta(fetch.since, fetch.cursor, fetch.whole, PAGE)
+    pub async fn serve_fetch(self: &Arc<Self>, fetch: Fetch) -> Delta {
+        let shared = self.clone();
+        // A page of a megabyte takes milliseconds to encode.
+        let answer = move || {
+            let state = shared.state();
+            if state.follower.serving() == 0 {
+                return Delta::default();
+            }
+            state.follower.store().delta(fetch.since, fetch.cursor, fetch.whole, PAGE)
+        };
+        tokio::task::spawn_blocking(answer).await.unwrap_or_default()
     }
 
     /// Lets the follower take an input and carries out what it decides.
@@ -231,7 +241,7 @@
     }
 
     /// Puts the objects in force once the router has at least the fleet's version.
-    fn enforce(&self) {
+    async fn enforce(&self) {
         let (version, objects) = {
             let mut state = self.state();
             self.report(&mut state);
@@ -242,7 +252,9 @@
             state.enforced = version;
             (version, state.follower.store().in_force())
         };
-        let (cat, faults) = Catalog::compile(version, &objects);
+        // Compiling takes tens of milliseconds in a large fleet, in which no answer may stand still.
+        let compile = tokio::task::spawn_blocking(move || Catalog::compile(version, &objects));
+        let Ok((cat, faults)) = compile.await else { return };
         for fault in faults {
             spdlog::error!("configuration object left out: {fault}");
         }
--- a/src/follow/tasks.rs
+++ b/src/follow/tasks.rs
@@ -24,7 +24,9 @@
             None
         }
     };
-    shared.with(|f, now, rng| f.listed(now, list, rng));
+    // Taking a whole list takes tens of milliseconds in a large fleet, as may the changes of a peer.
+    let take = move || shared.with(|f, now, rng| f.listed(now, list, rng));
+    let _ = tokio::task::spawn_blocking(take).await;
 }
 
 pub(super) async fn watch(shared: Arc<Shared>, from: Version) {
@@ -57,7 +59,8 @@
         Some(addr) => call(&shared.links, addr, fetch).await,
         None => None,
     };
-    shared.with(|f, now, rng| f.fetched(now, &peer, delta, rng));
+    let take = move || shared.with(|f, now, rng| f.fetched(now, &peer, delta, rng));
+    let _ = tokio::task::spawn_blocking(take).await;
 }
 
 pub(super) async fn call(links: &Links, addr: SocketAddr, fetch: Fetch) -> Option<Delta> {
--- a/src/order/pools.rs
+++ b/src/order/pools.rs
@@ -4,8 +4,8 @@
 
 use super::Intent;
 use crate::{
-    catalog::{AnyObject, matches},
-    schema::object::{Engine, EnginePool},
+    catalog::{AnyObject, Catalog, Id},
+    schema::object::EnginePool,
     util::hash,
 };
 
@@ -25,33 +25,26 @@
     pub share: f64,
 }
 
-/// The pools that state models, adapters or a role, by name.
-pub fn pools(objects: &[Arc<AnyObject>]) -> BTreeMap<Arc<str>, Pool> {
-    let engines: Vec<_> =
-        objects.iter().filter_map(|obj| Some((obj, parse::<Engine>(obj, "Engine")?))).collect();
-    let mut pools = BTreeMap::new();
-    for obj in objects {
-        let Some(spec) = parse::<EnginePool>(obj, "EnginePool") else { continue };
-        if spec.models.is_empty() && spec.adapters.is_empty() && spec.role.is_empty() {
-            continue;
-        }
-        let selector = spec.engines.clone().unwrap_or_default();
-        let members = engines.iter().filter(|(obj, _)| matches(&selector, &obj.metadata.labels));
-        let address = |(obj, engine): &(&Arc<AnyObject>, Engine)| {
-            Some((Arc::from(obj.metadata.name.as_str()), engine.address.parse().ok()?))
-        };
-        let pool = Pool {
-            intent: Intent::from(&spec),
-            engines: members.filter_map(address).collect(),
-            checks_fencing: spec.checks_fencing,
-            share: 0.0,
-        };
-        pools.insert(Arc::from(obj.metadata.name.as_str()), pool);
-    }
+/// The pools that state models, adapters or a role, by name; their engines are those of the compiled catalog.
+pub fn pools(objects: &[Arc<AnyObject>], cat: &Catalog) -> BTreeMap<Arc<str>, Pool> {
+    let stated = objects.iter().filter(|obj| obj.kind == "EnginePool").filter_map(|obj| pool(obj, cat));
+    let mut pools: BTreeMap<_, _> = stated.collect();
     share_out(&mut pools);
     pools
 }
 
+fn pool(obj: &AnyObject, cat: &Catalog) -> Option<(Arc<str>, Pool)> {
+    let spec: EnginePool = serde_json::from_value(obj.spec.clone()).ok()?;
+    if spec.models.is_empty() && spec.adapters.is_empty() && spec.role.is_empty() {
+        return None;
+    }
+    let name: Arc<str> = obj.metadata.name.as_str().into();
+    let members = &cat.pool_by_id(Id::of(&name))?.engines;
+    let engines = members.iter().map(|key| cat.engine(*key)).map(|e| (e.name.clone(), e.addr)).collect();
+    let intent = Intent::from(&spec);
+    Some((name, Pool { intent, engines, checks_fencing: spec.checks_fencing, share: 0.0 }))
+}
+
 /// Divides the weight store's rate by the number of engines.
 fn share_out(pools: &mut BTreeMap<Arc<str>, Pool>) {
     let total: usize = pools.values().map(|p| p.engines.len()).sum();
@@ -60,13 +53,6 @@
     }
 }
 
-fn parse<T: serde::de::DeserializeOwned>(obj: &AnyObject, kind: &str) -> Option<T> {
-    if obj.kind != kind {
-        return None;
-    }
-    serde_json::from_value(obj.spec.clone()).ok()
-}
-
 impl From<&EnginePool> for Intent {
     fn from(spec: &EnginePool) -> Self {
         let names = |list: &[String]| list.iter().map(|s| s.as_str().into()).collect();
--- a/src/order/run.rs
+++ b/src/order/run.rs
@@ -76,9 +76,10 @@
     let mut tasks = Tasks::new();
     let (mut version, mut all) = (0, BTreeMap::new());
     while !*stopped.borrow() {
-        if follow.version() != version {
-            version = follow.version();
-            all = pools::pools(&follow.objects());
+        let cat = follow.catalog();
+        if cat.version != version {
+            version = cat.version;
+            all = pools::pools(&follow.objects(), &cat);
         }
         let peers = follow.peers();
         let members = || std::iter::once(&*me).chain(peers.iter().map(|p| &*p.name));
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -21,7 +21,7 @@
     async fn serve(&self, body: Body) -> Body {
         match body {
             Body::Ping(_) => Body::Pong(self.pong()),
-            Body::Fetch(fetch) => Body::Delta(self.follow.serve_fetch(&fetch)),
+            Body::Fetch(fetch) => Body::Delta(self.follow.serve_fetch(fetch).await),
             Body::Claim(call) => Body::ClaimAnswer(self.gateway.serve_claim(call).await),
             body => self
                 .gateway
