Let a whole fleet start at once within the byte budget

Cause: at 100 routers every record was news to everybody and the news crowded out pings and acks: 1,029 false suspicions a minute, and the tables never met. Change: pings and acks keep 30% of the budget; tables are compared by hashes of data centres and then of members, so that only what is lacking travels; what a comparison brings is not spread again; a new router is referred to random members and asks seeds less and less often.

--- a/src/member.rs
+++ b/src/member.rs
@@ -157,6 +157,7 @@
     last_summary: (Instant, u64, u32),
     last_listed: (Instant, Vec<(u32, u32)>),
     tell_reporter: bool,
+    differs: bool,
     joined: Instant,
     ticks: u64,
     out: Output,
@@ -209,6 +210,7 @@
             last_summary: (Instant::ZERO, 0, 0),
             last_listed: (Instant::ZERO, Vec::new()),
             tell_reporter: false,
+            differs: false,
             joined: now,
             ticks: 0,
             out: Output::default(),
@@ -216,7 +218,7 @@
             me: me.clone(),
         };
         this.table.merge(now, me.clone());
-        this.spread(me.name);
+        this.spread(me.name, this.sends());
         this
     }
 
@@ -370,7 +372,7 @@
 
     /// Times that a piece of news is sent on by each router: enough to reach all with high probability.
     fn sends(&self) -> u32 {
-        2 * (self.table.live() as u32 + 1).ilog2() + 4
+        (self.table.live() as u32 + 1).ilog2() + 4
     }
 
     /// Digests come anew every few seconds, so that a lost one does little harm; fewer sends do.
@@ -378,8 +380,7 @@
         SUMMARY_SENDS
     }
 
-    fn spread(&mut self, name: Arc<str>) {
-        let sends = self.sends();
+    fn spread(&mut self, name: Arc<str>, sends: u32) {
         self.news.retain(|(n, _)| *n != name);
         self.news.push_back((name, sends));
     }
@@ -388,7 +389,7 @@
         change(&mut self.me);
         self.me.incarnation += 1;
         self.table.merge(now, self.me.clone());
-        self.spread(self.me.name.clone());
+        self.spread(self.me.name.clone(), self.sends());
         self.out.events.push(Event::Routers);
     }
 
--- a/src/member/budget.rs
+++ b/src/member/budget.rs
@@ -23,13 +23,16 @@
 
 impl Priority {
     /// Part of the budget, in hundredths, that this and all more important classes may use together.
+    ///
+    /// What is kept for pings and acks exceeds what they need. Where news may crowd them out, members look dead,
+    /// each false suspicion makes more news, and the fleet never settles.
     fn share(self) -> usize {
         match self {
             Priority::Liveness => 100,
-            Priority::Members => 95,
-            Priority::Config => 90,
-            Priority::Engines => 75,
-            Priority::Other => 60,
+            Priority::Members => 70,
+            Priority::Config => 60,
+            Priority::Engines => 55,
+            Priority::Other => 45,
         }
     }
 }
--- a/src/member/compose.rs
+++ b/src/member/compose.rs
@@ -10,12 +10,14 @@
     packet::{MAC, size},
 };
 use crate::{
-    schema::membership::{Bucket, Datagram},
-    util::Instant,
+    schema::membership::{Bucket, Datagram, Detail},
+    util::{Instant, Set},
 };
 
 /// Bytes kept free for the length prefixes of lists, which grow with them.
 const SLACK: usize = 16;
+/// Longer lists of hashes give way to the records themselves.
+const MAX_DETAIL: usize = 700;
 /// Less room than this is not worth a report.
 const LEAST_REPORT: usize = 64;
 
@@ -28,8 +30,10 @@
     pub(super) report: Option<u64>,
     /// Members that the receiver knows wrongly.
     pub(super) corrections: Vec<Arc<str>>,
-    /// Data centres whose members the receiver may lack.
+    /// Data centres whose members the two know differently.
     pub(super) differing: Vec<Arc<str>>,
+    /// What the receiver has of some data centres; it is sent what it lacks.
+    pub(super) theirs: Vec<Detail>,
 }
 
 /// Room left in one datagram, by class.
@@ -115,7 +119,7 @@
         let first = accused.map(|m| m.record.clone()).into_iter();
         let wrong = extras.corrections.iter().filter_map(|n| self.table.get(n)).map(|m| m.record.clone());
         for record in first.chain(wrong).collect::<Vec<_>>() {
-            filling.add(Priority::Members, &mut d.records, record.to_raw());
+            filling.add(Priority::Members, &mut d.lacking, record.to_raw());
         }
         self.news.make_contiguous().sort_by_key(|(_, left)| std::cmp::Reverse(*left));
         for (name, left) in &mut self.news {
@@ -190,24 +194,45 @@
                 filling.add(Priority::Other, &mut d.buckets, bucket);
             }
         }
+        for theirs in &extras.theirs {
+            self.fill_lacking(filling, d, near, theirs);
+        }
         for centre in &extras.differing {
-            let live = self.table.centre(centre).filter(|m| !m.record.status.gone());
-            let mut records: Vec<_> = live.filter_map(|m| for_receiver(&m.record, near)).collect();
-            if records.is_empty() {
-                continue;
+            let detail = self.detail(centre);
+            if size(&detail) > MAX_DETAIL {
+                let nothing = Detail { data_centre: centre.to_string(), records: Vec::new() };
+                self.fill_lacking(filling, d, near, &nothing);
+            } else {
+                filling.add(Priority::Other, &mut d.details, detail);
             }
-            records.sort_by(|a, b| a.name.cmp(&b.name));
-            // Another start each time: what did not fit today's datagram comes with the next.
-            let start = self.rng.random_range(0..records.len());
-            records.rotate_left(start);
-            for record in records {
-                if !filling.add(Priority::Other, &mut d.records, record.to_raw()) {
-                    break;
-                }
+        }
+    }
+
+    fn fill_lacking(&mut self, filling: &mut Filling, d: &mut Datagram, near: bool, theirs: &Detail) {
+        let has: Set<u32> = theirs.records.iter().copied().collect();
+        let lacking = |r: &Record| !r.status.gone() && !has.contains(&r.digest());
+        let members = self.table.centre(&theirs.data_centre).filter(|m| lacking(&m.record));
+        let mut records: Vec<_> = members.filter_map(|m| for_receiver(&m.record, near)).collect();
+        if records.is_empty() {
+            return;
+        }
+        records.sort_by(|a, b| a.name.cmp(&b.name));
+        // Another start each time: what did not fit this datagram comes with a later one.
+        let start = self.rng.random_range(0..records.len());
+        records.rotate_left(start);
+        for record in records {
+            if !filling.add(Priority::Other, &mut d.lacking, record.to_raw()) {
+                return;
             }
         }
     }
 
+    /// The live members of a data centre as hashes.
+    pub(super) fn detail(&self, centre: &str) -> Detail {
+        let live = self.table.centre(centre).filter(|m| !m.record.status.gone());
+        Detail { data_centre: centre.into(), records: live.map(|m| m.record.digest()).collect() }
+    }
+
     pub(super) fn buckets(&self) -> Vec<Bucket> {
         let mut names: Vec<_> = self.table.centres().cloned().collect();
         names.sort();
--- a/src/member/detect.rs
+++ b/src/member/detect.rs
@@ -23,6 +23,10 @@
 const CROSS: u64 = 4;
 /// One in so many pings across goes to a dead member or a seed, so that two halves of a healed fleet meet.
 const REVIVE: u32 = 8;
+/// While no other is known, one tick in so many asks a seed; the number doubles every [`ALONE_TICKS`].
+const ALONE: u32 = 4;
+const ALONE_TICKS: u64 = 12;
+const ALONE_DOUBLINGS: u64 = 3;
 /// How long without any ack before this router doubts itself instead of the others.
 const DEAF: Duration = Duration::from_secs(3);
 
@@ -100,6 +104,11 @@
         let mine = self.me.data_centre.clone();
         let revive = self.rng.random_ratio(1, REVIVE);
         let alone = self.table.live() < 2;
+        // Asked less and less often: seeds that a whole starting fleet asks could answer nobody in time.
+        let patience = (self.ticks / ALONE_TICKS).min(ALONE_DOUBLINGS) as u32;
+        if alone && !self.rng.random_ratio(1, ALONE << patience) {
+            return None;
+        }
         if revive || alone {
             let dead = self.others(|m| m.record.status == Status::Dead);
             let seeds = self.cfg.seeds.iter().filter(|s| **s != self.me.peer);
@@ -131,7 +140,9 @@
             member.is_some_and(|m| m.record.data_centre == self.me.data_centre && !m.record.status.gone());
         let (incarnation, acked) = member.map_or((0, 0), |m| (m.record.incarnation, m.acked));
         let joining = self.joined + JOIN_TIME > now;
-        let sync = joining || self.ticks.is_multiple_of(SYNC_TICKS) || self.ticks % SYNC_TICKS == 3;
+        // Every third tick is odd and even in turn, so that both near and far members are compared with.
+        let every = if self.differs || joining { 3 } else { SYNC_TICKS / 2 + 1 };
+        let sync = self.ticks.is_multiple_of(every);
         let extras = Extras { sync, report: watched.then_some(acked), ..Extras::default() };
         let known = !target.is_empty();
         let sent = self.send(now, known.then_some(&*target), addr, Some(Body::Ping(Ping { nonce })), extras);
@@ -200,7 +211,7 @@
         }
         let record = Record { status: Status::Suspect, ..m.record.clone() };
         self.counts.suspicions += 1;
-        self.learn(now, record);
+        self.learn(now, record, true);
     }
 
     pub(super) fn expire_suspects(&mut self, now: Instant) {
@@ -215,7 +226,7 @@
         }
         for record in late {
             self.counts.deaths += 1;
-            self.learn(now, Record { status: Status::Dead, ..record });
+            self.learn(now, Record { status: Status::Dead, ..record }, true);
         }
     }
 
--- a/src/member/merge.rs
+++ b/src/member/merge.rs
@@ -2,15 +2,24 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Body, Event, Membership, Record, Reject, Status, Topic, compose::Extras, detect::Relay};
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::{
+    Body, Event, JOIN_TIME, Membership, Record, Reject, Status, Topic, compose::Extras, detect::Relay,
+};
 use crate::{
-    schema::membership::{Ack, Bucket, Datagram, Ping},
+    schema::membership::{Ack, Bucket, Datagram, Detail, Ping},
     util::{Instant, Map, Set},
 };
 
 /// Shortest time between two refutations; two routers set up with one name would otherwise outbid each other.
 const REFUTE_SPACING: Duration = Duration::from_millis(500);
 
+/// Times that a router sends on what it learnt by comparing tables.
+const OLD_NEWS_SENDS: u32 = 1;
+/// Members named to one that lacks some.
+const REFERRALS: usize = 4;
+
 impl Membership {
     pub(super) fn merge(&mut self, now: Instant, from: SocketAddr, d: Datagram) -> Result<(), Reject> {
         if *d.from == *self.me.name {
@@ -21,22 +30,36 @@
             self.newest = d.newest;
             self.out.events.push(Event::Newest(d.newest));
         }
+        let stranger = self.table.get(&d.from).is_none();
         let trusted = self.table.get(&d.from).is_none_or(|m| m.record.status <= Status::Leaving);
         let mut corrections = Vec::new();
-        for raw in &d.records {
+        let news = d.records.iter().map(|r| (r, true));
+        for (raw, fresh) in news.chain(d.lacking.iter().map(|r| (r, false))) {
             let record = Record::from_raw(raw).ok_or(Reject::Garbage)?;
             // A member that is itself suspect may be hearing nobody; its accusations prove nothing.
             let accusation = matches!(record.status, Status::Suspect | Status::Dead);
             if accusation && !trusted && record.name != self.me.name {
                 continue;
             }
-            corrections.extend(self.learn(now, record));
+            corrections.extend(self.learn(now, record, fresh));
         }
         self.merge_sender(&d);
         self.merge_news(now, &d);
         let differing = self.differing(&d.buckets);
-        let extras = Extras { corrections, differing, ..Extras::default() };
-        self.answer(now, from, d, extras);
+        if !d.buckets.is_empty() {
+            self.differs = !differing.is_empty();
+        }
+        let asked = matches!(d.body, Some(Body::Ping(_) | Body::Ack(_)));
+        let mut extras = Extras { corrections, differing, theirs: d.details.clone(), ..Extras::default() };
+        if asked {
+            // Only an answer to a ping or an ack asks back, so that two members never go on asking each other.
+            extras.differing.extend(self.lacking(&d.details));
+        }
+        if stranger {
+            // A seed that a whole starting fleet asks at once must spend few bytes on each.
+            extras = Extras { corrections: self.referrals(), ..Extras::default() };
+        }
+        self.answer(now, from, d, extras, stranger);
         Ok(())
     }
 
@@ -107,7 +130,7 @@
     }
 
     /// Takes a record in. Returns the member's name when the sender has an old state of a member that is gone.
-    pub(super) fn learn(&mut self, now: Instant, record: Record) -> Option<Arc<str>> {
+    pub(super) fn learn(&mut self, now: Instant, record: Record, fresh: bool) -> Option<Arc<str>> {
         if record.name == self.me.name {
             self.refute(now, &record);
             return None;
@@ -123,9 +146,12 @@
         {
             m.suspect_until = Some(now + self.cfg.suspicion);
         }
-        self.spread(name.clone());
+        // What came from a comparison of tables is old; spread on like news it would go round many times, and after
+        // a start of the whole fleet at once the budget would carry little else.
+        let sends = if fresh || status != Status::Alive { self.sends() } else { OLD_NEWS_SENDS };
+        self.spread(name.clone(), sends);
         if let Some(loser) = self.table.superseded(&name) {
-            self.learn(now, loser);
+            self.learn(now, loser, true);
         }
         self.engines.set_probers(now, self.near());
         self.out.events.push(Event::Routers);
@@ -146,23 +172,37 @@
         self.announce(now, |_| {});
     }
 
-    fn differing(&self, theirs: &[Bucket]) -> Vec<Arc<str>> {
+    fn differing(&mut self, theirs: &[Bucket]) -> Vec<Arc<str>> {
         if theirs.is_empty() {
             return Vec::new();
         }
         let theirs: Map<&str, u32> = theirs.iter().map(|b| (b.data_centre.as_str(), b.hash)).collect();
-        let mine = self.table.centres().cloned().collect::<Set<_>>();
-        let mut names: Vec<_> =
-            mine.into_iter().filter(|n| theirs.get(&**n) != Some(&self.table.hash(n))).collect();
+        let differs = |n: &&Arc<str>| theirs.get(&***n) != Some(&self.table.hash(n));
+        let mut names: Vec<_> = self.table.centres().filter(differs).cloned().collect();
+        names.extend(theirs.keys().filter(|n| !self.table.has_centre(n)).map(|n| Arc::from(*n)));
         names.sort();
+        // In another order each time: with one order, a datagram's room would go to the first data centre for ever.
+        names.shuffle(&mut self.rng);
         names
     }
 
-    fn answer(&mut self, now: Instant, from: SocketAddr, d: Datagram, mut extras: Extras) {
+    /// Data centres of which the sender has members that are not known here.
+    fn lacking(&self, details: &[Detail]) -> Vec<Arc<str>> {
+        let mut names = Vec::new();
+        for theirs in details {
+            let mine: Set<u32> = self.detail(&theirs.data_centre).records.into_iter().collect();
+            if theirs.records.iter().any(|r| !mine.contains(r)) {
+                names.push(theirs.data_centre.as_str().into());
+            }
+        }
+        names
+    }
+
+    fn answer(&mut self, now: Instant, from: SocketAddr, d: Datagram, mut extras: Extras, stranger: bool) {
         let sender = d.from.clone();
         match d.body {
             Some(Body::Ping(ping)) => {
-                extras.sync = !d.buckets.is_empty() && self.table_differs(&d.buckets);
+                extras.sync = !stranger && !d.buckets.is_empty() && self.table_differs(&d.buckets);
                 let ack = Ack { nonce: ping.nonce, subject: String::new() };
                 self.send(now, Some(&sender), from, Some(Body::Ack(ack)), extras);
                 return;
@@ -179,11 +219,19 @@
             }
             None => {}
         }
-        if !extras.corrections.is_empty() || !extras.differing.is_empty() {
+        if !extras.corrections.is_empty() || !extras.differing.is_empty() || !extras.theirs.is_empty() {
             self.send(now, Some(&sender), from, None, extras);
         }
     }
 
+    /// A few random members for one that is new: it goes on to these, so that the few seeds, which every settings
+    /// file names, need not answer everybody all the time.
+    fn referrals(&mut self) -> Vec<Arc<str>> {
+        let live = self.others(|m| m.record.status <= Status::Leaving);
+        let names: Vec<_> = live.into_iter().map(|(name, _)| name).collect();
+        names.choose_multiple(&mut self.rng, REFERRALS).cloned().collect()
+    }
+
     fn table_differs(&self, theirs: &[Bucket]) -> bool {
         let mut mine = self.buckets();
         let mut theirs = theirs.to_vec();
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -53,6 +53,11 @@
         self.centres.keys()
     }
 
+    /// Whether any member of the data centre is known.
+    pub fn has_centre(&self, data_centre: &str) -> bool {
+        self.centres.contains_key(data_centre)
+    }
+
     /// Members that are not gone.
     pub fn live(&self) -> usize {
         self.iter().filter(|m| !m.record.status.gone()).count()
--- a/src/schema/membership.rs
+++ b/src/schema/membership.rs
@@ -27,6 +27,12 @@
     /// Hashes of the sender's member table, by data centre.
     #[prost(message, repeated, tag = "11")]
     pub buckets: ::prost::alloc::vec::Vec<Bucket>,
+    /// Members that the receiver lacked when tables were compared; no news to others.
+    #[prost(message, repeated, tag = "16")]
+    pub lacking: ::prost::alloc::vec::Vec<Record>,
+    /// Members that the sender has, of data centres where the hashes differ.
+    #[prost(message, repeated, tag = "15")]
+    pub details: ::prost::alloc::vec::Vec<Detail>,
     /// Changes of engines, spread urgently.
     #[prost(message, repeated, tag = "12")]
     pub events: ::prost::alloc::vec::Vec<EngineEvent>,
@@ -150,6 +156,17 @@
     #[prost(uint32, tag = "2")]
     pub hash: u32,
 }
+/// The live members of one data centre, as hashes of their records.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Detail {
+    /// Data centre.
+    #[prost(string, tag = "1")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Hashes.
+    #[prost(uint32, repeated, tag = "2")]
+    pub records: ::prost::alloc::vec::Vec<u32>,
+}
 /// One router's finding about one engine.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
