Keep bytes for each class of news and test membership under failures

Cause: the least important class was cut off at a fixed share of the whole, so pings and acks alone left nothing for comparing tables; a restarted router lacked another for more than 60 s, and at 3,000 bytes/s lost acks made a storm of false suspicions. Change: each class has a part kept for it, what is left over goes to whoever asks, and the time between pings grows with a small budget. Found by the tests: a router whose clock went back, and a seed's answer that hid the comparison from a router without any table.

--- a/benches/membership/fleet.rs
+++ b/benches/membership/fleet.rs
@@ -215,6 +215,8 @@
         m.engines.set_engines(self.now, self.engines.iter().map(|e| e.spec.clone()));
         self.by_addr.insert(m.me().peer, i);
         self.nodes[i].m = Some(m);
+        // The budget is one process's; here a new one starts in the same instant in which the old one ended.
+        self.nodes[i].window.clear();
     }
 
     pub fn kill(&mut self, i: usize) {
@@ -400,10 +402,10 @@
         }
     }
 
-    /// Whether every running node holds `status` of member `name` to be as `test` says.
+    /// Whether the state of member `name` passes `test` at every running node that knows it.
     pub fn all_hold(&self, name: &str, test: impl Fn(&Record) -> bool) -> bool {
         self.running().all(|(_, m)| {
-            *m.me().name == *name || m.table().get(name).is_some_and(|member| test(&member.record))
+            *m.me().name == *name || m.table().get(name).is_none_or(|member| test(&member.record))
         })
     }
 
@@ -414,6 +416,21 @@
         self.running().all(|(_, m)| alive(m) == live && m.table().live() == live)
     }
 
+    /// What keeps the nodes from agreeing, for the message of a failed test.
+    pub fn disagreements(&self) -> Vec<String> {
+        let mut list = Vec::new();
+        for (_, m) in self.running() {
+            for (_, other) in self.running() {
+                let held = m.table().get(&other.me().name).map(|x| &x.record);
+                if held != Some(other.me()) {
+                    let held = held.map(|r| (r.incarnation, r.status, r.ready));
+                    list.push(format!("{} holds {held:?} of {:?}", m.me().name, other.me()));
+                }
+            }
+        }
+        list
+    }
+
     /// Whether every running node has `version` in force or newer.
     pub fn all_in_force(&self, version: u64) -> bool {
         self.running().all(|(_, m)| m.table().get(&m.me().name).is_some_and(|x| x.in_force >= version))
--- a/src/member.rs
+++ b/src/member.rs
@@ -25,7 +25,7 @@
 mod table;
 mod topic;
 
-pub use budget::{Budget, Priority};
+pub use budget::{Budget, Priority, Usage};
 use detect::{Relay, Trial};
 pub use packet::{GossipKey, HEAD_BYTES, MAX_BYTES, Reject};
 pub use record::{Member, NAME_BYTES, Record, Status};
@@ -158,6 +158,8 @@
     last_listed: (Instant, Vec<(u32, u32)>),
     tell_reporter: bool,
     differs: bool,
+    /// Address of a router that called and is not in the table.
+    caller: Option<SocketAddr>,
     joined: Instant,
     ticks: u64,
     out: Output,
@@ -211,6 +213,7 @@
             last_listed: (Instant::ZERO, Vec::new()),
             tell_reporter: false,
             differs: false,
+            caller: None,
             joined: now,
             ticks: 0,
             out: Output::default(),
--- a/src/member/budget.rs
+++ b/src/member/budget.rs
@@ -21,21 +21,21 @@
     Other,
 }
 
-impl Priority {
-    /// Part of the budget, in hundredths, that this and all more important classes may use together.
-    ///
-    /// What is kept for pings and acks exceeds what they need. Where news may crowd them out, members look dead,
-    /// each false suspicion makes more news, and the fleet never settles.
-    fn share(self) -> usize {
-        match self {
-            Priority::Liveness => 100,
-            Priority::Members => 70,
-            Priority::Config => 60,
-            Priority::Engines => 55,
-            Priority::Other => 45,
-        }
-    }
-}
+/// Number of classes.
+const CLASSES: usize = 5;
+
+/// Part of the budget, in hundredths, that is kept for each class until it has used it.
+///
+/// What is kept for pings and acks exceeds what they need. Where news may crowd them out, members look dead, each
+/// false suspicion makes more news, and the fleet never settles. What a class leaves unused over its part, and all
+/// of the rest, goes to whoever asks.
+const KEPT: [usize; CLASSES] = [40, 20, 8, 7, 0];
+
+/// Part of the budget, in hundredths, up to which a router starts pings of its own; acks may go on to the whole.
+const PINGS: usize = 25;
+
+/// Bytes by class.
+pub type Usage = [usize; CLASSES];
 
 /// Sliding window over the bytes sent.
 ///
@@ -43,31 +43,49 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     rate: usize,
-    sent: VecDeque<(Instant, usize)>,
-    total: usize,
+    sent: VecDeque<(Instant, Usage)>,
+    spent: Usage,
 }
 
 impl Budget {
     /// Budget of `rate` bytes a second.
     pub fn new(rate: usize) -> Self {
-        Self { rate, sent: VecDeque::new(), total: 0 }
+        Self { rate, sent: VecDeque::new(), spent: Usage::default() }
     }
 
-    /// Bytes that a class may still add now.
-    pub fn room(&mut self, now: Instant, class: Priority) -> usize {
-        while let Some(&(at, bytes)) = self.sent.front() {
+    /// Bytes that a class may still add now, on top of `pending` ones that are not yet spent.
+    pub fn room(&mut self, now: Instant, class: Priority, pending: &Usage) -> usize {
+        self.slide(now);
+        let used: Usage = std::array::from_fn(|c| self.spent[c] + pending[c]);
+        let kept = (0..class as usize).map(|c| (self.rate * KEPT[c] / 100).saturating_sub(used[c]));
+        let taken = used.iter().sum::<usize>() + kept.sum::<usize>();
+        self.rate.saturating_sub(taken)
+    }
+
+    /// Whether pings may go on at their usual rate. With a small budget the time between pings grows instead of
+    /// acks going missing, which others would take for death.
+    pub(super) fn may_ping(&mut self, now: Instant) -> bool {
+        self.slide(now);
+        self.spent[Priority::Liveness as usize] < self.rate * PINGS / 100
+    }
+
+    /// Notes bytes sent.
+    pub fn spend(&mut self, now: Instant, usage: Usage) {
+        for (spent, bytes) in self.spent.iter_mut().zip(usage) {
+            *spent += bytes;
+        }
+        self.sent.push_back((now, usage));
+    }
+
+    fn slide(&mut self, now: Instant) {
+        while let Some((at, usage)) = self.sent.front().copied() {
             if at + WINDOW > now {
-                break;
+                return;
+            }
+            for (spent, bytes) in self.spent.iter_mut().zip(usage) {
+                *spent -= bytes;
             }
-            self.total -= bytes;
             self.sent.pop_front();
         }
-        (self.rate * class.share() / 100).saturating_sub(self.total)
-    }
-
-    /// Notes bytes sent.
-    pub fn spend(&mut self, now: Instant, bytes: usize) {
-        self.total += bytes;
-        self.sent.push_back((now, bytes));
     }
 }
--- a/src/member/compose.rs
+++ b/src/member/compose.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::{
-    Body, HEAD_BYTES, MAX_BYTES, Membership, Outgoing, Priority, Record, Status, Topic,
+    Body, HEAD_BYTES, MAX_BYTES, Membership, Outgoing, Priority, Record, Status, Topic, Usage,
     packet::{MAC, size},
 };
 use crate::{
@@ -38,16 +38,16 @@
 
 /// Room left in one datagram, by class.
 struct Filling<'a> {
-    used: usize,
-    membership: &'a mut super::Budget,
+    used: Usage,
+    budget: &'a mut super::Budget,
     now: Instant,
     deferred: u64,
 }
 
 impl Filling<'_> {
     fn room(&mut self, class: Priority) -> usize {
-        let budget = self.membership.room(self.now, class);
-        budget.min(MAX_BYTES + HEAD_BYTES).saturating_sub(self.used)
+        let size = (MAX_BYTES + HEAD_BYTES).saturating_sub(self.used.iter().sum());
+        size.min(self.budget.room(self.now, class, &self.used))
     }
 
     fn add<T: Serialize>(&mut self, class: Priority, list: &mut Vec<T>, part: T) -> bool {
@@ -56,7 +56,7 @@
             self.deferred += 1;
             return false;
         }
-        self.used += bytes;
+        self.used[class as usize] += bytes;
         list.push(part);
         true
     }
@@ -82,7 +82,7 @@
             ..Datagram::default()
         };
         let used = size(&d) + MAC + HEAD_BYTES + SLACK;
-        if used > self.budget.room(now, Priority::Liveness) {
+        if used > self.budget.room(now, Priority::Liveness, &Usage::default()) {
             self.counts.withheld += 1;
             return None;
         }
@@ -90,7 +90,7 @@
         let near =
             to.and_then(|n| self.table.get(n)).is_some_and(|m| m.record.data_centre == self.me.data_centre);
         let mut budget = std::mem::replace(&mut self.budget, super::Budget::new(0));
-        let mut filling = Filling { used, membership: &mut budget, now, deferred: 0 };
+        let mut filling = Filling { used: [used, 0, 0, 0, 0], budget: &mut budget, now, deferred: 0 };
         self.fill_members(&mut filling, &mut d, to, near, &extras);
         self.fill_config(&mut filling, &mut d);
         let upto = self.fill_engines(&mut filling, &mut d, near, &extras);
@@ -98,7 +98,8 @@
         self.counts.deferred += filling.deferred;
         let bytes = self.key.seal(&d);
         debug_assert!(bytes.len() <= MAX_BYTES);
-        budget.spend(now, bytes.len() + HEAD_BYTES);
+        let usage = filling.used;
+        budget.spend(now, usage);
         self.budget = budget;
         self.counts.sent += 1;
         self.counts.sent_bytes += (bytes.len() + HEAD_BYTES) as u64;
@@ -170,7 +171,7 @@
         if let Some(acked) = extras.report.filter(|_| room > LEAST_REPORT)
             && let Some(report) = self.engines.report(acked, room)
         {
-            filling.used += size(&report);
+            filling.used[Priority::Engines as usize] += size(&report);
             upto = Some(report.upto);
             d.report = Some(report);
         }
--- a/src/member/detect.rs
+++ b/src/member/detect.rs
@@ -62,10 +62,12 @@
         {
             self.ping(now, name, addr);
         }
-        let (name, addr) = match self.next_target() {
-            Some(target) => target,
-            None => return,
-        };
+        if !self.budget.may_ping(now) {
+            return;
+        }
+        let stranger = self.caller.take_if(|_| self.ticks.is_multiple_of(2));
+        let target = stranger.map(|addr| ("".into(), addr)).or_else(|| self.next_target());
+        let Some((name, addr)) = target else { return };
         self.ping(now, name, addr);
     }
 
@@ -142,7 +144,7 @@
         let joining = self.joined + JOIN_TIME > now;
         // Every third tick is odd and even in turn, so that both near and far members are compared with.
         let every = if self.differs || joining { 3 } else { SYNC_TICKS / 2 + 1 };
-        let sync = self.ticks.is_multiple_of(every);
+        let sync = target.is_empty() || self.ticks.is_multiple_of(every);
         let extras = Extras { sync, report: watched.then_some(acked), ..Extras::default() };
         let known = !target.is_empty();
         let sent = self.send(now, known.then_some(&*target), addr, Some(Body::Ping(Ping { nonce })), extras);
--- a/src/member/merge.rs
+++ b/src/member/merge.rs
@@ -4,9 +4,7 @@
 
 use rand::seq::{IndexedRandom, SliceRandom};
 
-use super::{
-    Body, Event, JOIN_TIME, Membership, Record, Reject, Status, Topic, compose::Extras, detect::Relay,
-};
+use super::{Body, Event, Membership, Record, Reject, Status, Topic, compose::Extras, detect::Relay};
 use crate::{
     schema::membership::{Ack, Bucket, Datagram, Detail, Ping},
     util::{Instant, Map, Set},
@@ -43,6 +41,9 @@
             }
             corrections.extend(self.learn(now, record, fresh));
         }
+        if self.table.get(&d.from).is_none() {
+            self.caller = Some(from);
+        }
         self.merge_sender(&d);
         self.merge_news(now, &d);
         let differing = self.differing(&d.buckets);
@@ -55,7 +56,7 @@
             // Only an answer to a ping or an ack asks back, so that two members never go on asking each other.
             extras.differing.extend(self.lacking(&d.details));
         }
-        if stranger {
+        if stranger && matches!(d.body, Some(Body::Ping(_))) {
             // A seed that a whole starting fleet asks at once must spend few bytes on each.
             extras = Extras { corrections: self.referrals(), ..Extras::default() };
         }
--- a/src/probe/schedule.rs
+++ b/src/probe/schedule.rs
@@ -1,7 +1,10 @@
 //! Which probes to make now, within the byte budget.
 
 use super::{Engines, PROBE_BYTES, Probe};
-use crate::{member::Priority, util::Instant};
+use crate::{
+    member::{Priority, Usage},
+    util::Instant,
+};
 
 impl Engines {
     /// Probes that are due and that the budget allows; those that wait longest go first.
@@ -17,11 +20,11 @@
         due.sort_unstable();
         let mut probes = Vec::new();
         for (_, id, _) in due {
-            if self.budget.room(now, Priority::Liveness) < PROBE_BYTES {
+            if self.budget.room(now, Priority::Liveness, &Usage::default()) < PROBE_BYTES {
                 break;
             }
             let Some(e) = self.entries.get_mut(&id) else { continue };
-            self.budget.spend(now, PROBE_BYTES);
+            self.budget.spend(now, [PROBE_BYTES, 0, 0, 0, 0]);
             e.waiting = true;
             probes.push(Probe { engine: e.spec.name.clone(), addr: e.spec.addr });
         }
