Take the blame back when a broken engine is seen in its old start

Change: the router learns an engine's start with its first run, watches a broken engine for half a minute, and withdraws a crash whose engine answers in its old start, also from a quarantine. A verdict needs two crashes that stand.

--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -36,6 +36,8 @@
     pub(crate) attempts: u32,
     pub(crate) key: Option<Arc<str>>,
     pub(crate) content: Fingerprint,
+    /// Whether it goes to a model engine, not to a plain service.
+    pub(crate) is_chat: bool,
 }
 
 impl Ask {
@@ -55,7 +57,7 @@
         let max_tokens = body.get("max_tokens").and_then(|n| n.as_u64());
         let max_tokens = max_tokens.map(|n| u32::try_from(n).unwrap_or(u32::MAX));
         let work = Estimator::default().expect("", "", size, max_tokens);
-        Self::read(headers, now, model.into(), work, Fingerprint::chat(&body))
+        Ok(Self { is_chat: true, ..Self::read(headers, now, model.into(), work, Fingerprint::chat(&body))? })
     }
 
     /// Reads the head of a call to a plain service.
@@ -87,6 +89,7 @@
             attempts: number(headers, "x-attempt", 0..=MOST_ATTEMPTS)?.unwrap_or(0) as u32,
             key: text(headers, "idempotency-key", MOST_ID)?.map(Into::into),
             content,
+            is_chat: false,
         })
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -167,7 +167,7 @@
         tried: &mut Vec<Id>,
     ) -> Result<(Found, Option<Permit>), Fault> {
         match self.suspects.standing(ask.content) {
-            Standing::Quarantined => Err(quarantined()),
+            Standing::Quarantined => Err(self.suspects.refuse(ask.content)),
             Standing::Suspect => self.find_apart(cat, ask, to, tried).await,
             Standing::Cleared => {
                 let exclude: Vec<_> = tried.clone();
@@ -208,7 +208,7 @@
             let pause = spread(SUSPECT_PAUSE, &mut rand::rng());
             tokio::time::sleep(pause).await;
             if self.suspects.standing(ask.content) == Standing::Quarantined {
-                return Err(quarantined());
+                return Err(self.suspects.refuse(ask.content));
             }
         }
         Err(Fault::new(Kind::SuspectBusy, Kind::SuspectBusy.answer().about))
@@ -233,7 +233,7 @@
             let engine = cat.engine(found.engine);
             match self.suspects.permit(ask, engine).await {
                 Ok(permit) => return Ok(Permitted::Found(found, permit)),
-                Err(Verdict::ContentQuarantined) => return Err(quarantined()),
+                Err(Verdict::ContentQuarantined) => return Err(self.suspects.refuse(ask.content)),
                 Err(Verdict::EngineTaken) => exclude.push(engine.id),
                 Err(_) => return Ok(Permitted::NotNow),
             }
@@ -274,7 +274,3 @@
 fn no_engine() -> Fault {
     Fault::new(Kind::NoEngine, Kind::NoEngine.answer().about)
 }
-
-fn quarantined() -> Fault {
-    Fault::new(Kind::Quarantined, Kind::Quarantined.answer().about)
-}
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -15,6 +15,7 @@
     catalog::{Engine, Id},
     client::Client,
     engine::EngineClient,
+    error::{Fault, Kind},
     link::Links,
     place::members::Member,
     schema::{
@@ -22,12 +23,16 @@
         suspect::{Digest, Permit as Wanted, PermitAnswer, Release},
     },
     suspect::{self, CrashId, EngineTag, Fingerprint, Permits, Running, Standing, Table, Verdict},
-    util::{Instant, now, wall_ms},
+    util::{Instant, Map, now, wall_ms},
 };
 
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
 const TELL_TIMEOUT: Duration = Duration::from_secs(2);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// First and last pause between two looks at a broken engine, and how many there are: half a minute in all.
+const FIRST_FOLLOW_UP: Duration = Duration::from_millis(50);
+const LAST_FOLLOW_UP: Duration = Duration::from_secs(2);
+const FOLLOW_UPS: u32 = 20;
 /// Added to a request's deadline: a permit outlives the run it is for, unless its holder has died.
 const PERMIT_MARGIN: Duration = Duration::from_secs(10);
 /// Routers that are asked for a permit, should the first not answer.
@@ -46,13 +51,15 @@
     table: Mutex<Table>,
     running: Mutex<Running>,
     permits: Mutex<Permits>,
+    starts: Mutex<Map<Id, u64>>,
 }
 
 /// What became of a broken run's engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Probe {
     SameStart,
-    Crashed,
+    OtherStart,
+    Unreachable,
     Unknown,
 }
 
@@ -65,6 +72,7 @@
             table: Mutex::default(),
             running: Mutex::default(),
             permits: Mutex::default(),
+            starts: Mutex::default(),
         }
     }
 
@@ -72,6 +80,13 @@
         lock(&self.table).standing(now(), content)
     }
 
+    /// The answer for a quarantined content.
+    pub(crate) fn refuse(&self, content: Fingerprint) -> Fault {
+        let provisional = lock(&self.table).is_provisional(now(), content);
+        let kind = if provisional { Kind::SuspectBusy } else { Kind::Quarantined };
+        Fault::new(kind, kind.answer().about)
+    }
+
     /// Engines on which a suspect should not run, since they broke lately.
     pub(crate) fn unsteady(&self, engines: impl IntoIterator<Item = (Id, Arc<str>)>) -> Vec<Id> {
         let unsteady = lock(&self.table).unsteady(now());
@@ -87,11 +102,13 @@
         queue: &Arc<Queue>,
         permit: Option<Permit>,
     ) -> Run {
+        let seen = Seen { id: engine.id, name: engine.name.clone(), addr: engine.addr, reports: ask.is_chat };
+        self.learn_start(&seen);
         let key = lock(&self.running).start(&engine.name, ask.content);
         Run {
             suspects: self.clone(),
             queue: queue.clone(),
-            engine: Seen { id: engine.id, name: engine.name.clone(), addr: engine.addr },
+            engine: seen,
             content: ask.content,
             key,
             permit,
@@ -210,34 +227,73 @@
         }
     }
 
-    /// Makes all that this router runs on an engine suspects; returns the crash that they are suspects of.
+    /// Makes all that this router runs on an engine suspects.
     ///
     /// Before the engine has been asked whether it crashed: the retries of what broke start now, and a crash
     /// that shows a second later would find them on other engines.
-    fn accuse(self: &Arc<Self>, engine: &Seen) -> CrashId {
-        let crash = crash_id(engine, self.start_of(engine));
+    fn accuse(self: &Arc<Self>, engine: &Seen) {
+        let before = self.start_of(engine);
+        let crash = crash_id(engine, before);
         let contents = lock(&self.running).at(&engine.name);
         if lock(&self.table).accuse(now(), &contents, crash) {
             let (name, n) = (&engine.name, contents.len());
             spdlog::warn!("connection to {name} broke; {n} requests are suspects of a crash");
+            tokio::spawn(self.clone().follow_up(engine.clone(), before, crash));
         }
-        crash
     }
 
     fn start_of(&self, engine: &Seen) -> u64 {
-        self.placement.placer().health.start(engine.id)
+        match self.placement.placer().health.start(engine.id) {
+            0 => lock(&self.starts).get(&engine.id).copied().unwrap_or(0),
+            start => start,
+        }
+    }
+
+    /// Reads the start of an engine of which no report has come yet: without it a broken connection could not be
+    /// told from a crash.
+    fn learn_start(self: &Arc<Self>, engine: &Seen) {
+        if !engine.reports || self.start_of(engine) != 0 {
+            return;
+        }
+        // The entry keeps the other runs of this engine from asking as well.
+        if lock(&self.starts).insert(engine.id, 0).is_some() {
+            return;
+        }
+        let (suspects, engine) = (self.clone(), engine.clone());
+        tokio::spawn(async move { suspects.probe(&engine, 0).await });
     }
 
     /// Asks the engine whether it is still in the start that `before` names; 0 stands for an unknown one.
     async fn probe(&self, engine: &Seen, before: u64) -> Probe {
-        let load = EngineClient::new(self.client.clone(), engine.addr).load().await;
-        match load {
-            Ok(_) if before == 0 => Probe::Unknown,
-            Ok(load) if load.start == before => Probe::SameStart,
-            Ok(_) => Probe::Crashed,
+        if !engine.reports {
             // A plain service has no load report; one that still takes connections has not crashed.
-            Err(_) if before == 0 && self.connects(engine).await => Probe::SameStart,
-            Err(_) => Probe::Crashed,
+            let connects = self.connects(engine).await;
+            return if connects { Probe::SameStart } else { Probe::Unreachable };
+        }
+        let client = EngineClient::new(self.client.clone(), engine.addr);
+        let Ok(load) = client.load().await else { return Probe::Unreachable };
+        lock(&self.starts).insert(engine.id, load.start);
+        match before {
+            0 => Probe::Unknown,
+            start if start == load.start => Probe::SameStart,
+            _ => Probe::OtherStart,
+        }
+    }
+
+    /// Watches a broken engine until it answers. One that is still in its old start did not crash, and what was
+    /// held against its requests is taken back.
+    async fn follow_up(self: Arc<Self>, engine: Seen, before: u64, crash: CrashId) {
+        let mut pause = FIRST_FOLLOW_UP;
+        for _ in 0..FOLLOW_UPS {
+            match self.probe(&engine, before).await {
+                Probe::SameStart => {
+                    lock(&self.table).withdraw(now(), crash);
+                    return self.tell();
+                }
+                Probe::OtherStart | Probe::Unknown => return,
+                Probe::Unreachable => tokio::time::sleep(pause).await,
+            }
+            pause = (pause * 2).min(LAST_FOLLOW_UP);
         }
     }
 
@@ -259,6 +315,8 @@
     id: Id,
     name: Arc<str>,
     addr: SocketAddr,
+    /// Whether it reports its load, as model engines do.
+    reports: bool,
 }
 
 /// The permit to run a suspect; dropping it gives it back.
@@ -306,31 +364,25 @@
         if let Some(start) = self.permit.as_ref().map(|p| p.start) {
             return self.judge(start).await;
         }
-        let before = self.suspects.start_of(&self.engine);
-        let crash = self.suspects.accuse(&self.engine);
+        self.suspects.accuse(&self.engine);
         self.suspects.tell();
-        let (suspects, engine) = (self.suspects.clone(), self.engine.clone());
-        drop(self);
-        tokio::spawn(async move {
-            if suspects.probe(&engine, before).await == Probe::SameStart {
-                lock(&suspects.table).withdraw(crash);
-                suspects.tell();
-            }
-        });
     }
 
     /// Decides on a suspect that ran alone; it keeps its permit until then, so that it runs nowhere else.
     async fn judge(self, before: u64) {
         let crash = crash_id(&self.engine, before);
-        if self.suspects.probe(&self.engine, before).await == Probe::Crashed {
-            let contents = lock(&self.suspects.running).at(&self.engine.name);
-            let standing = lock(&self.suspects.table).judge(now(), self.content, &contents, crash);
-            let (engine, Fingerprint(content)) = (&self.engine.name, self.content);
-            spdlog::warn!(
-                "{engine} crashed while it ran suspect {content:016x} alone: {}",
-                standing.as_str_name()
-            );
-            self.suspects.tell();
+        let probe = self.suspects.probe(&self.engine, before).await;
+        if matches!(probe, Probe::SameStart | Probe::Unknown) {
+            return;
+        }
+        let contents = lock(&self.suspects.running).at(&self.engine.name);
+        let standing = lock(&self.suspects.table).judge(now(), self.content, &contents, crash);
+        let (engine, Fingerprint(content)) = (&self.engine.name, self.content);
+        let standing = standing.as_str_name();
+        spdlog::warn!("{engine} crashed while it ran suspect {content:016x} alone: {standing}");
+        self.suspects.tell();
+        if probe == Probe::Unreachable {
+            tokio::spawn(self.suspects.clone().follow_up(self.engine.clone(), before, crash));
         }
     }
 }
--- a/src/suspect/breaks.rs
+++ b/src/suspect/breaks.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Breaks {
     until: Map<CrashId, Instant>,
+    /// Engines whose connections broke while they went on.
+    cut: Map<EngineTag, Instant>,
 }
 
 impl Breaks {
@@ -34,12 +36,15 @@
         }
     }
 
-    pub(super) fn withdraw(&mut self, crash: CrashId) {
+    /// Turns a crash into a mere cut of connections.
+    pub(super) fn withdraw(&mut self, now: Instant, crash: CrashId, keep: Duration) {
         self.until.remove(&crash);
+        self.cut.retain(|_, until| *until > now);
+        self.cut.insert(crash.engine(), now + keep);
     }
 
-    /// Engines with a crash that no content is known to have caused, or with several crashes; `except` does not
-    /// count.
+    /// Engines with a crash that no content is known to have caused, with several crashes or with cut
+    /// connections; `except` does not count.
     pub(super) fn unsteady(
         &self,
         now: Instant,
@@ -52,6 +57,8 @@
             let weight = if explained.contains(crash) { 1 } else { FLAPPING };
             *crashes.entry(crash.engine()).or_default() += weight;
         }
-        crashes.into_iter().filter(|(_, n)| *n >= FLAPPING).map(|(engine, _)| engine).collect()
+        let cut = self.cut.iter().filter(|(_, until)| **until > now).map(|(engine, _)| *engine);
+        let crashed = crashes.into_iter().filter(|(_, n)| *n >= FLAPPING).map(|(engine, _)| engine);
+        crashed.chain(cut).collect()
     }
 }
--- a/src/suspect/table.rs
+++ b/src/suspect/table.rs
@@ -11,6 +11,9 @@
 /// Crashes remembered a content; the last of them convicts it wherever it happened.
 const CRASHES: usize = 3;
 
+/// Time in which a broken engine mostly answers again.
+const PROVISIONAL: Duration = Duration::from_secs(10);
+
 /// Bounds of the table.
 #[derive(Clone, Copy, Debug)]
 pub struct TableLimits {
@@ -66,6 +69,14 @@
         self.entries.get(&content).map_or(Standing::Cleared, |e| self.standing_of(now, e))
     }
 
+    /// Whether a content was quarantined a moment ago, so that the engines that it is blamed for may yet be seen
+    /// in their old start and the blame be taken back. It is not run, but its caller should come back.
+    pub fn is_provisional(&self, now: Instant, content: Fingerprint) -> bool {
+        let settled = self.limits.quarantine * 2 - PROVISIONAL.min(self.limits.quarantine);
+        let entry = self.entries.get(&content).filter(|e| e.standing == Standing::Quarantined);
+        entry.is_some_and(|e| e.until > now + settled)
+    }
+
     fn standing_of(&self, now: Instant, entry: &Entry) -> Standing {
         match entry.standing {
             _ if entry.until <= now => Standing::Cleared,
@@ -111,7 +122,8 @@
         self.accuse(now, contents, crash);
         self.accuse_one(now, content, crash);
         let crashes = self.entries.get(&content).map_or(0, |e| e.crashes.len());
-        if !unsteady.contains(&crash.engine()) || crashes >= CRASHES {
+        let twice = crashes >= 2 && !unsteady.contains(&crash.engine());
+        if twice || crashes >= CRASHES {
             self.convict(now, content);
         }
         self.shrink(now);
@@ -166,14 +178,19 @@
         (entry.standing, entry.told) = (Standing::Cleared, 0);
     }
 
-    /// Takes an accusation back: the engine is still in the same start, so only the connection broke.
-    pub fn withdraw(&mut self, crash: CrashId) {
-        self.breaks.withdraw(crash);
+    /// Takes an accusation back: the engine is still in the same start, so only the connection broke. A content
+    /// that was quarantined for it is a suspect of what remains.
+    pub fn withdraw(&mut self, now: Instant, crash: CrashId) {
+        self.breaks.withdraw(now, crash, self.limits.suspect);
         for entry in self.entries.values_mut().filter(|e| e.crashes.contains(&crash)) {
             entry.crashes.retain(|c| *c != crash);
-            if entry.crashes.is_empty() && entry.standing == Standing::Suspect {
-                (entry.standing, entry.told) = (Standing::Cleared, 0);
+            if entry.standing == Standing::Quarantined {
+                entry.epoch += 1;
+                entry.until = now + self.limits.suspect;
             }
+            let innocent = entry.crashes.is_empty() || entry.standing == Standing::Cleared;
+            entry.standing = if innocent { Standing::Cleared } else { Standing::Suspect };
+            entry.told = 0;
         }
     }
 
