--- /dev/null
+++ b/tests/place_links.rs
@@ -0,0 +1,151 @@
+//! Reservations over sockets: work is counted once, by the owner of its engine, through changes of owner.
+
+use std::{future::Future, time::Duration};
+
+use bytes::Bytes;
+use cranberrytally::{
+    catalog::Id,
+    client::Client,
+    config::Settings,
+    metrics::Counter,
+    place::members::Member,
+    serve::Running,
+    standin::outside::{MODEL, Outside, Plan, WORKSPACES, loopback, settings},
+};
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use tokio::task::JoinSet;
+
+const READY_TIME: Duration = Duration::from_secs(20);
+const CHATS: u32 = 12;
+
+async fn until(mut met: impl FnMut() -> bool) {
+    let waiting = async {
+        while !met() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(READY_TIME, waiting).await.expect("not met in time");
+}
+
+fn router(i: usize, outside: &Outside) -> Running {
+    let listener = loopback().unwrap();
+    let addr = listener.local_addr().unwrap();
+    let peer = "127.0.0.1:0".parse().unwrap();
+    let text = settings(&format!("router-{i}"), addr, peer, outside.platform_addr(), &[]);
+    Running::start_on(&Settings::parse(&text).unwrap(), listener).unwrap()
+}
+
+fn members(routers: &[Running]) -> Vec<Member> {
+    let member = |(i, r): (usize, &Running)| Member {
+        id: Id::of(&format!("router-{i}")),
+        data_centre: "poa-a".into(),
+        region: "poa".into(),
+        peer: r.peer_addr(),
+        addr: r.addr(),
+    };
+    routers.iter().enumerate().map(member).collect()
+}
+
+async fn start(count: usize, plan: Plan) -> (Outside, Vec<Running>) {
+    let outside = Outside::start(plan).await.unwrap();
+    let routers: Vec<_> = (0..count).map(|i| router(i, &outside)).collect();
+    until(|| routers.iter().all(|r| r.gateway().catalog().has_workspace(WORKSPACES[2]))).await;
+    (outside, routers)
+}
+
+fn close(outside: Outside, routers: Vec<Running>) {
+    routers.into_iter().for_each(Running::close);
+    outside.close();
+}
+
+/// Requests that a router counts on the engines it owns.
+fn counted(router: &Running) -> u32 {
+    router.gateway().digests().iter().map(|(_, digest)| digest.running).sum()
+}
+
+/// Asks for an answer; returns the hint and the router named in it once the answer has ended.
+fn ask(router: &Running, chat: &str, hint: &str) -> impl Future<Output = (u16, String, String)> + use<> {
+    let content = "a long sentence that was said before ".repeat(400);
+    let body = serde_json::json!({
+        "model": MODEL, "stream": true, "messages": [{ "role": "user", "content": content }, { "role": "user", "content": "and now" }]
+    });
+    let req = Request::post(format!("http://{}/v1/chat/completions", router.addr()))
+        .header("content-type", "application/json")
+        .header("x-workspace", WORKSPACES[0])
+        .header("x-chat", chat)
+        .header("x-placement-hint", hint)
+        .body(Full::new(Bytes::from(body.to_string())))
+        .unwrap();
+    async move {
+        let (head, body) = Client::default().send(req).await.unwrap().into_parts();
+        let header = |name: &str| head.headers[name].to_str().unwrap().to_owned();
+        let named = (header("x-placement-hint"), header("x-next-router"));
+        body.collect().await.unwrap();
+        (head.status.as_u16(), named.0, named.1)
+    }
+}
+
+/// A router joins while answers stream. The engines that it now owns carry work which others granted: were it
+/// not told, it would fill them again; were the former owner not told, it would count that work for ever. When
+/// the callers hang up, nothing may stay behind.
+#[tokio::test]
+async fn work_that_runs_is_counted_once_through_a_change_of_owner() {
+    let plan = Plan::default().with_tokens(1_000, Duration::from_millis(20));
+    let (outside, routers) = start(3, plan).await;
+    for r in &routers[..2] {
+        r.gateway().set_members(members(&routers[..2])).await;
+    }
+    let mut streams = JoinSet::new();
+    for chat in 0..CHATS {
+        streams.spawn(ask(&routers[chat as usize % 2], &format!("chat-{chat}"), ""));
+    }
+    until(|| routers.iter().map(counted).sum::<u32>() == CHATS).await;
+    assert_eq!(counted(&routers[2]), 0);
+
+    for r in &routers {
+        r.gateway().set_members(members(&routers)).await;
+    }
+
+    until(|| counted(&routers[2]) > 0 && routers.iter().map(counted).sum::<u32>() == CHATS).await;
+    streams.shutdown().await;
+    until(|| routers.iter().all(|r| counted(r) == 0)).await;
+    close(outside, routers);
+}
+
+/// A chat returns while its engine is leaving. It must move, and its context of some thousand tokens is quicker
+/// to move than to compute.
+#[tokio::test]
+async fn a_chat_takes_its_context_along() {
+    let (outside, routers) = start(1, Plan::default()).await;
+    let (status, hint, _) = ask(&routers[0], "chat", "").await;
+    assert_eq!(status, 200);
+    let first = outside.engines.iter().position(|e| e.counts().0 == 1).unwrap();
+
+    routers[0].gateway().note_engine_leaving(&format!("engine-{first}"));
+    let (status, _, _) = ask(&routers[0], "chat", &hint).await;
+
+    assert_eq!(status, 200);
+    assert_eq!(outside.engines[first].counts().0, 1, "a leaving engine gets no new work");
+    assert_eq!(routers[0].metrics().totals(Counter::Placements).get("kv_moved"), Some(&1));
+    let second = outside.engines.iter().map(|e| e.counts()).find(|c| c.0 == 1 && c.2 == 1);
+    assert!(second.is_some(), "the second engine found the context");
+    close(outside, routers);
+}
+
+/// An owner does not answer: its process is gone and the lists don't know yet. The chat is answered by an engine
+/// of another owner.
+#[tokio::test]
+async fn a_chat_is_answered_while_an_owner_is_gone() {
+    let (outside, routers) = start(1, Plan::default()).await;
+    let mut list = members(&routers);
+    let gone = loopback().unwrap().local_addr().unwrap();
+    list.push(Member { id: Id::of("gone"), peer: gone, addr: gone, ..list[0].clone() });
+    routers[0].gateway().set_members(list).await;
+
+    for chat in 0..CHATS {
+        let (status, _, next) = ask(&routers[0], &format!("chat-{chat}"), "").await;
+        assert_eq!((status, next), (200, routers[0].addr().to_string()));
+    }
+    close(outside, routers);
+}
