--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -18,6 +18,7 @@
 fn main() {
     let has = |word: &str| std::env::args().any(|a| a == word);
     cost::table();
+    cost::messages();
     if has("cost") {
         return;
     }
--- a/benches/routing/cost.rs
+++ b/benches/routing/cost.rs
@@ -11,6 +11,10 @@
         members::Member,
         search::Search,
     },
+    schema::{
+        link::{Frame, frame::Body},
+        placement::{Digest, Release, Released, Reserve, Reserved},
+    },
     util::{Instant as Time, hash},
 };
 
@@ -82,6 +86,27 @@
     }
 }
 
+/// Bytes of a message between routers: its frame, the length before it and the MAC.
+fn bytes(body: Body) -> usize {
+    const LENGTH_AND_MAC: usize = 4 + 16;
+    postcard::to_stdvec(&Frame { call: 10_000, body: Some(body) }).map_or(0, |f| f.len() + LENGTH_AND_MAC)
+}
+
+/// Prints the size of each message.
+pub fn messages() {
+    let number = HoldId::first_number(1_800_000_000_000);
+    let (router, engine, pool) = (Id::of("router").0, Id::of("engine").0, Id::of("pool").0);
+    let reserve = Reserve { router, number, engine, pool, work: 1_500, running: false, cached: 1 };
+    let numbers = (0..10).map(|n| number + n).collect();
+    println!("\nbytes of a message with its length and MAC, without TCP and IP");
+    println!("reserve {}", bytes(Body::Reserve(reserve)));
+    println!("reserved {}", bytes(Body::Reserved(Reserved { engine, refusal: 0 })));
+    println!("release of ten {}", bytes(Body::Release(Release { router, numbers })));
+    println!("released {}", bytes(Body::Released(Released {})));
+    let digest = Digest { pool, work: 1_000_000, running: 1_000, capacity: 1_056 };
+    println!("digest of a pool, in gossip {}", postcard::to_stdvec(&digest).map_or(0, |d| d.len()));
+}
+
 /// Prints the table.
 pub fn table() {
     println!("\ncost of a decision, one core, all engines owned by one router");
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -30,7 +30,7 @@
         link::frame::Body,
         placement::{Release, Reserve, Reserved},
     },
-    util::{Instant, Map, now},
+    util::{Instant, Map, now, wall_ms},
 };
 
 /// An owner that does not answer within this time is passed by.
@@ -124,7 +124,7 @@
             links,
             hints,
             metrics,
-            next: AtomicU64::new(rand::random::<u64>() >> 1),
+            next: AtomicU64::new(HoldId::first_number(wall_ms())),
             held: Mutex::default(),
             ended: Mutex::default(),
         }
--- a/src/place/ledger.rs
+++ b/src/place/ledger.rs
@@ -22,10 +22,26 @@
 pub struct HoldId {
     /// Router.
     pub router: Id,
-    /// Number, unique for the router's run.
+    /// Number; the upper bits tell the runs of a router that restarts apart.
     pub number: u64,
 }
 
+/// Bits of a number that count within one run.
+const RUN_SHIFT: u32 = 30;
+/// Part of a second that tells two runs apart.
+const RUN_MS: u64 = 250;
+
+impl HoldId {
+    /// First number of a run that starts at this wall clock time, in milliseconds.
+    pub fn first_number(wall_ms: u64) -> u64 {
+        (wall_ms / RUN_MS) << RUN_SHIFT
+    }
+
+    fn run(self) -> u64 {
+        self.number >> RUN_SHIFT
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     engine: Id,
@@ -80,6 +96,8 @@
     holds: Map<HoldId, Hold>,
     early: VecDeque<HoldId>,
     early_set: Set<HoldId>,
+    /// Latest run of each router.
+    runs: Map<Id, u64>,
 }
 
 impl Ledger {
@@ -127,6 +145,7 @@
         if self.early_set.contains(&id) || self.holds.contains_key(&id) {
             return;
         }
+        self.end_former_run(id, now);
         self.holds.insert(id, hold);
         let account = self.accounts.entry(hold.engine).or_default();
         account.work += hold.work;
@@ -135,6 +154,16 @@
         account.past.note(account.running, now);
     }
 
+    /// A router that crashes and is back before any list lacks it never ends what it held. Its engines would
+    /// seem full for as long as [`LONGEST_HOLD`]; a number of a later run shows that the former one is over.
+    fn end_former_run(&mut self, id: HoldId, now: Instant) {
+        let latest = self.runs.entry(id.router).or_insert(id.run());
+        if id.run() > *latest {
+            *latest = id.run();
+            self.end(now, |old, _| old.router == id.router && old.run() < id.run());
+        }
+    }
+
     /// Ends a reservation.
     pub fn release(&mut self, id: HoldId, now: Instant) {
         match self.holds.remove(&id) {
@@ -174,6 +203,7 @@
     /// Ends all reservations of a router that has gone.
     pub fn drop_router(&mut self, router: Id, now: Instant) {
         self.end(now, |id, _| id.router == router);
+        self.runs.remove(&router);
     }
 
     /// Ends reservations that outlived every request, and forgets engines that are no longer configured.
--- a/tests/place_owners.rs
+++ b/tests/place_owners.rs
@@ -206,6 +206,26 @@
     assert_eq!(a.ledger.account(engine).unwrap().work, 0);
 }
 
+/// A router crashes and is back at once, before any list lacks it. What its former run held must end, or the
+/// engines would seem full for a quarter of an hour.
+#[test]
+fn the_reservations_of_a_former_run_end() {
+    let cat = catalog(2);
+    let mut a = router("a", &["a"]);
+    let engine = Id::of("engine-0");
+    let of_run =
+        |wall_ms: u64, n: u64| HoldId { router: Id::of("b"), number: HoldId::first_number(wall_ms) + n };
+    let req = |hold| Request { hold, ..request(&router("a", &["a"]), 1, engine) };
+    assert!(a.reserve(&cat, &req(of_run(1_000_000, 1)), s(1)).is_ok());
+    a.ledger.add(of_run(1_000_000, 2), engine, WORK, s(1));
+
+    a.ledger.add(of_run(1_001_000, 1), engine, WORK, s(2));
+
+    assert_eq!(a.ledger.account(engine).unwrap().work, WORK);
+    a.ledger.add(of_run(1_000_000, 3), engine, WORK, s(3));
+    assert_eq!(a.ledger.account(engine).unwrap().running, 2, "a late number of the former run ends nothing");
+}
+
 /// Two routers hold different lists for some seconds: one grants as the owner of an engine while the other
 /// takes it over and fills it too. The new owner assumes that the engine carries the mean and adds at most the
 /// room above it, so that both together stay within twice the bound less one.
