Prove streams through routers; tell waiting callers a comment a second

A caller who went away while the engine was slow was never noticed: the server learns of it only by writing, and the request ran on for nobody (the test for it hung). A waiting caller now gets a comment each second.

--- a/src/gateway/relay/events.rs
+++ b/src/gateway/relay/events.rs
@@ -25,6 +25,10 @@
 pub(in crate::gateway) const STREAM_DEPTH: usize = 8;
 /// Longest time between two events, the first included, before the connection is given up.
 const STALL: Duration = Duration::from_secs(20);
+/// How often a caller who waits gets a comment. A server learns that a caller has gone only when it writes to them,
+/// so that an engine which is slow to answer would go on for nobody.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+const COMMENT: &[u8] = b": waiting\n\n";
 /// Connections without any new event before the stream is given up.
 const MOST_FRUITLESS: u32 = 3;
 const PAUSE: Duration = Duration::from_millis(100);
@@ -128,10 +132,7 @@
         }
         let mut answer = Answer::new(res.into_body(), STALL);
         loop {
-            let event = tokio::select! {
-                event = answer.next() => event,
-                () = self.tx.closed() => return Stop::Ended(Ended::Cancelled),
-            };
+            let Some(event) = self.next(&mut answer).await else { return Stop::Ended(Ended::Cancelled) };
             let event = match event {
                 Ok(event) => event,
                 Err(broken) => {
@@ -158,6 +159,21 @@
         }
     }
 
+    /// Next event; `None` when the caller has gone away.
+    async fn next(&self, answer: &mut Answer) -> Option<Result<Sse, Broken>> {
+        let mut next = std::pin::pin!(answer.next());
+        loop {
+            tokio::select! {
+                event = &mut next => return Some(event),
+                () = self.tx.closed() => return None,
+                () = tokio::time::sleep(KEEP_ALIVE) => {
+                    // A full channel means that the caller has events to read.
+                    let _ = self.tx.try_send(Ok(Bytes::from_static(COMMENT)));
+                }
+            }
+        }
+    }
+
     /// Waits for a slow caller, which holds the engine's connection back.
     async fn send(&self, event: Sse) -> Result<(), Cut> {
         let bytes: Bytes = event.encode().map_err(|_| Cut)?;
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -1,16 +1,15 @@
 //! Calls that may not be repeated, over real sockets: three routers, a platform and a backend server that keeps a
 //! record of its runs.
 
-use std::{net::TcpListener, sync::Arc};
+#[path = "fixture/routers.rs"]
+mod fixture;
+
+use std::sync::Arc;
 
 use bytes::Bytes;
 use cranberrytally::{
-    catalog::{AnyObject, Id, Object},
     client::Client,
-    config::Settings,
     http::{Limits, Server},
-    place::members::Member,
-    schema::object::Meta,
     serve::Running,
     standin::{
         gate::{Gate, Mode},
@@ -18,6 +17,7 @@
         service::{Faults, ServiceStandin},
     },
 };
+use fixture::{loopback, object};
 use http::Request;
 use http_body_util::{BodyExt, Full};
 
@@ -40,71 +40,22 @@
     text: String,
 }
 
-fn object(kind: &str, name: &str, role: &str, spec: serde_json::Value) -> AnyObject {
-    let labels = [("role".to_owned(), role.to_owned())].into();
-    Object { kind: kind.into(), metadata: Meta { name: name.into(), labels, ..Meta::default() }, spec }
-}
-
-fn loopback() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").unwrap()
-}
-
 impl Fleet {
     async fn start() -> Self {
         let service = Arc::new(ServiceStandin::default());
         let backend = Server::start(loopback(), 1, Limits::default(), service.clone()).unwrap();
         let gate = Gate::start(backend.addr(), None).await.unwrap();
-        let platform = Arc::new(PlatformStandin::default());
         let select = serde_json::json!({ "matchLabels": { "role": "app" } });
-        let engine =
-            serde_json::json!({ "address": gate.addr().to_string(), "dataCentre": "akl-a", "capacity": 8 });
         let calls =
             |key| serde_json::json!({ "engines": select, "nonIdempotent": ["/hold"], "requireKey": key });
-        for obj in [
+        let (platform, store) = fixture::platform([
             object("Workspace", "excursions", "", serde_json::json!({})),
-            object("Engine", "booking-1", "app", engine),
+            fixture::backend("booking-1", "app", gate.addr()),
             object("Service", "bookings", "", calls(false)),
             object("Service", "payments", "", calls(true)),
-        ] {
-            platform.put(obj).unwrap();
-        }
-        let store = Server::start(loopback(), 2, Limits::default(), platform.clone()).unwrap();
-        let mut routers = Vec::new();
-        for i in 0..ROUTERS {
-            let listener = loopback();
-            let text = format!(
-                "name: router-{i}\nlisten: {}\npeer_listen: 127.0.0.1:0\ndata_centre: akl-a\nregion: nz-north\nplatform: {}\nshared_key: a-key-for-tests-only\n",
-                listener.local_addr().unwrap(),
-                store.addr()
-            );
-            routers.push(Running::start_on(&Settings::parse(&text).unwrap(), listener).unwrap());
-        }
-        let fleet = Self {
-            platform,
-            service,
-            gate,
-            routers,
-            servers: vec![backend, store],
-            client: Client::default(),
-        };
-        for r in &fleet.routers {
-            while r.gateway().catalog().version < 4 {
-                tokio::task::yield_now().await;
-            }
-            r.gateway().set_members(fleet.members()).await;
-        }
-        fleet
-    }
-
-    fn members(&self) -> Vec<Member> {
-        let member = |(i, r): (usize, &Running)| Member {
-            id: Id::of(&format!("router-{i}")),
-            data_centre: "akl-a".into(),
-            region: "nz-north".into(),
-            peer: r.peer_addr(),
-            addr: r.addr(),
-        };
-        self.routers.iter().enumerate().map(member).collect()
+        ]);
+        let routers = fixture::routers(ROUTERS, &store, 4).await;
+        Self { platform, service, gate, routers, servers: vec![backend, store], client: Client::default() }
     }
 
     async fn hold(&self, router: usize, key: &str, content: &'static str) -> Reply {
@@ -141,13 +92,14 @@
 
     /// Asks again while the claim is pending.
     async fn settled(&self, router: usize, key: &str, content: &'static str) -> Reply {
-        loop {
+        for _ in 0..1000 {
             let reply = self.hold(router, key, content).await;
             if reply.code != "key_pending" {
                 return reply;
             }
-            tokio::task::yield_now().await;
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
         }
+        panic!("{key} stays pending");
     }
 
     async fn ticket_key(&self, router: usize, rest: &str) -> String {
--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,250 @@
+//! Event streams through routers: the whole answer to the right caller, or a connection that is visibly cut.
+
+#[path = "fixture/routers.rs"]
+mod fixture;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cranberrytally::{
+    client::Client,
+    http::{Limits, Server},
+    metrics::Counter,
+    serve::Running,
+    standin::{
+        engine::{EngineStandin, Faults},
+        gate::Gate,
+    },
+};
+use fixture::{loopback, object};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+const TOKENS: usize = 20;
+
+struct Fleet {
+    engine: Arc<EngineStandin>,
+    gate: Gate,
+    routers: Vec<Running>,
+    servers: Vec<Server>,
+    client: Client,
+}
+
+/// What a caller has read.
+#[derive(Debug, Default)]
+struct Read {
+    text: String,
+    cut: bool,
+}
+
+impl Read {
+    fn tokens(&self) -> Vec<usize> {
+        let of = |part: &str| part.split(" \"").next()?.parse().ok();
+        self.text.split("\"content\":\"chat-1:").skip(1).filter_map(of).collect()
+    }
+
+    fn is_whole(&self) -> bool {
+        !self.cut && self.tokens() == (0..TOKENS).collect::<Vec<_>>() && self.done() == 1
+    }
+
+    fn done(&self) -> usize {
+        self.text.matches("data: [DONE]").count()
+    }
+
+    fn last_id(&self) -> String {
+        let ids = self.text.lines().filter_map(|l| l.strip_prefix("id: "));
+        ids.last().unwrap_or_default().to_owned()
+    }
+}
+
+impl Fleet {
+    async fn start(faults: Faults) -> Self {
+        let engine = Arc::new(EngineStandin::new(TOKENS, Duration::from_millis(1), 8));
+        engine.set_faults(faults);
+        let server = Server::start(loopback(), 1, Limits::default(), engine.clone()).unwrap();
+        let gate = Gate::start(server.addr(), Some(engine.crashes())).await.unwrap();
+        let select = serde_json::json!({ "matchLabels": { "role": "model" } });
+        let (_, store) = fixture::platform([
+            object("Workspace", "phrasebook", "", serde_json::json!({})),
+            fixture::backend("engine-1", "model", gate.addr()),
+            object("EnginePool", "models", "", serde_json::json!({ "engines": select })),
+            object("RoutingPolicy", "all", "", serde_json::json!({ "pool": "models" })),
+        ]);
+        let routers = fixture::routers(2, &store, 4).await;
+        Self { engine, gate, routers, servers: vec![server, store], client: Client::default() }
+    }
+
+    async fn chat(&self) -> Response<Incoming> {
+        let url = format!("http://{}/v1/chat/completions", self.routers[0].addr());
+        let req = Request::post(url)
+            .header("x-workspace", "phrasebook")
+            .header("x-chat", "chat-1")
+            .body(Full::from(r#"{"model":"m","stream":true,"messages":[{"content":"hello"}]}"#))
+            .unwrap();
+        self.client.send(req).await.unwrap()
+    }
+
+    async fn resume(&self, token: &str, last: &str, workspace: &str) -> Response<Incoming> {
+        let url = format!("http://{}/v1/resume", self.routers[1].addr());
+        let mut req = Request::get(url).header("x-workspace", workspace).header("x-resume-token", token);
+        if !last.is_empty() {
+            req = req.header("last-event-id", last);
+        }
+        self.client.send(req.body(Full::<Bytes>::default()).unwrap()).await.unwrap()
+    }
+
+    fn count(&self, event: &str) -> u64 {
+        let total = |r: &Running| r.metrics().totals(Counter::Streams).get(event).copied().unwrap_or(0);
+        self.routers.iter().map(total).sum()
+    }
+
+    fn close(self) {
+        self.routers.into_iter().for_each(Running::close);
+        self.gate.close();
+        self.servers.into_iter().for_each(Server::close);
+    }
+}
+
+fn token(res: &Response<Incoming>) -> String {
+    res.headers()["x-resume-token"].to_str().unwrap().to_owned()
+}
+
+async fn read(mut res: Response<Incoming>, events: usize) -> (Read, Response<Incoming>) {
+    let mut read = Read::default();
+    while read.text.matches("\nid: ").count() < events {
+        match res.body_mut().frame().await {
+            None => break,
+            Some(Err(_)) => {
+                read.cut = true;
+                break;
+            }
+            Some(Ok(frame)) => read.text.push_str(std::str::from_utf8(frame.data_ref().unwrap()).unwrap()),
+        }
+    }
+    (read, res)
+}
+
+async fn read_all(res: Response<Incoming>) -> Read {
+    read(res, usize::MAX).await.0
+}
+
+/// The connection between router and engine breaks in the middle of a translation, three times. The traveller
+/// reads every word once: the router goes on at the offset reached.
+#[tokio::test]
+async fn a_broken_connection_is_resumed() {
+    let fleet = Fleet::start(Faults { cut_after: Some(4), connections: 3, ..Faults::default() }).await;
+
+    let answer = read_all(fleet.chat().await).await;
+
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(fleet.count("resumed"), 3);
+    assert_eq!(fleet.engine.runs().len(), 1);
+    fleet.close();
+}
+
+/// The engine ends its answer in the ordinary way, but too early, as after a fault of its own. Passed on as it
+/// is, half a translation would look whole.
+#[tokio::test]
+async fn an_early_end_is_not_taken_for_the_end() {
+    let fleet = Fleet::start(Faults { end_after: Some(7), connections: 1, ..Faults::default() }).await;
+
+    let answer = read_all(fleet.chat().await).await;
+
+    assert!(answer.is_whole(), "{answer:?}");
+    fleet.close();
+}
+
+/// The engine sends events of another request, some events twice, and loses one. The caller must read nothing of
+/// the other answer, and each word once.
+#[tokio::test]
+async fn crossed_and_repeated_events_are_dropped() {
+    let faults = Faults { cross: true, repeat: true, skip: true, connections: 1, ..Faults::default() };
+    let fleet = Fleet::start(faults).await;
+
+    let answer = read_all(fleet.chat().await).await;
+
+    assert!(answer.is_whole(), "{answer:?}");
+    assert!(!answer.text.contains("another"));
+    assert!(fleet.count("crossed") > 0 && fleet.count("repeated") > 0 && fleet.count("refetch") > 0);
+    fleet.close();
+}
+
+/// The engine crashes in the middle: the stream is lost with it. The caller must see a cut connection, neither an
+/// ordinary end nor the final marker.
+#[tokio::test]
+async fn a_lost_stream_is_cut() {
+    let fleet = Fleet::start(Faults { stall_after: Some(5), connections: 1, ..Faults::default() }).await;
+    let (begun, res) = read(fleet.chat().await, 5).await;
+
+    fleet.engine.crash();
+    let rest = read_all(res).await;
+
+    assert_eq!(begun.tokens().len(), 5);
+    assert!(rest.cut, "{rest:?}");
+    assert_eq!((rest.done(), fleet.count("cut")), (0, 1));
+    fleet.close();
+}
+
+/// The traveller closes the app in the middle of a dialogue. The engine must learn of it, or it makes tokens for
+/// nobody while others wait.
+#[tokio::test]
+async fn a_caller_that_goes_away_cancels_the_request() {
+    let fleet = Fleet::start(Faults { stall_after: Some(5), connections: 1, ..Faults::default() }).await;
+    let (_, res) = read(fleet.chat().await, 5).await;
+
+    drop(res);
+
+    let cancelled = async {
+        while fleet.engine.cancels() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(30), cancelled).await.expect("the engine learns of it");
+    assert_eq!(fleet.engine.running(), 0);
+    fleet.close();
+}
+
+/// The router dies in the middle of an answer. The caller goes on at another router with the token from the
+/// answer's headers and the last event they have: no word twice and none missing.
+#[tokio::test]
+async fn a_caller_goes_on_at_another_router() {
+    let fleet = Fleet::start(Faults { stall_after: Some(6), connections: 1, ..Faults::default() }).await;
+    let res = fleet.chat().await;
+    let token = token(&res);
+    let (begun, held) = read(res, 6).await;
+
+    let rest = read_all(fleet.resume(&token, &begun.last_id(), "phrasebook").await).await;
+
+    let whole = Read { text: format!("{}{}", begun.text, rest.text), cut: begun.cut || rest.cut };
+    assert!(whole.is_whole(), "{whole:?}");
+    assert_eq!(fleet.engine.runs().len(), 1);
+    drop(held);
+    fleet.close();
+}
+
+/// A token is no way into other people's answers: neither a changed token, nor another workspace, nor an event of
+/// another stream is taken.
+#[tokio::test]
+async fn a_token_opens_only_its_own_stream() {
+    let fleet = Fleet::start(Faults::default()).await;
+    let res = fleet.chat().await;
+    let token = token(&res);
+    read_all(res).await;
+    let other = if token.starts_with('A') { 'B' } else { 'A' };
+    let changed = format!("{other}{}", &token[1..]);
+    let cases = [
+        (changed.as_str(), "", "phrasebook"),
+        (&token, "", "another"),
+        (&token, "another-request/3", "phrasebook"),
+        ("", "", "phrasebook"),
+    ];
+
+    for (token, last, workspace) in cases {
+        let status = fleet.resume(token, last, workspace).await.status().as_u16();
+
+        assert_eq!(status, 400, "{token:?} {last:?} {workspace:?}");
+    }
+    assert!(read_all(fleet.resume(&token, "", "phrasebook").await).await.is_whole());
+    fleet.close();
+}
