--- a/benches/claims/world.rs
+++ b/benches/claims/world.rs
@@ -378,11 +378,24 @@
         id
     }
 
+    /// The caller sends the request again, to `router`, without waiting for an answer.
+    pub fn send_at(&mut self, at: Ms, caller: usize, router: usize) {
+        self.at(at, Event::Send { caller, router });
+    }
+
     pub fn outage(&mut self, from: Ms, to: Ms) {
         self.at(from, Event::Outage { on: true });
         self.at(to, Event::Outage { on: false });
     }
 
+    pub fn crash_at(&mut self, at: Ms, router: usize) {
+        self.at(at, Event::Crash { router });
+    }
+
+    pub fn pause_at(&mut self, at: Ms, router: usize, ms: Ms) {
+        self.at(at, Event::Pause { router, ms });
+    }
+
     /// Crashes, pauses and changes of the owner in everybody's view, at random times until `until`.
     pub fn disturb(&mut self, until: Ms) {
         for _ in 0..3 {
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -53,8 +53,8 @@
     }
 
     fn last_id(&self) -> String {
-        let ids = self.text.lines().filter_map(|l| l.strip_prefix("id: "));
-        ids.last().unwrap_or_default().to_owned()
+        let mut ids = self.text.lines().rev().filter_map(|l| l.strip_prefix("id: "));
+        ids.next().unwrap_or_default().to_owned()
     }
 }
 
