--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cranberrytally::{
-    client::Client,
+    client::{Client, Failure},
     http::{Limits, Server},
     serve::Running,
     standin::{
@@ -28,6 +28,7 @@
     service: Arc<ServiceStandin>,
     gate: Gate,
     routers: Vec<Running>,
+    addrs: Vec<std::net::SocketAddr>,
     servers: Vec<Server>,
     client: Client,
 }
@@ -55,7 +56,9 @@
             object("Service", "payments", "", calls(true)),
         ]);
         let routers = fixture::routers(ROUTERS, &store, 4).await;
-        Self { platform, service, gate, routers, servers: vec![backend, store], client: Client::default() }
+        let addrs = routers.iter().map(Running::addr).collect();
+        let servers = vec![backend, store];
+        Self { platform, service, gate, routers, addrs, servers, client: Client::default() }
     }
 
     async fn hold(&self, router: usize, key: &str, content: &'static str) -> Reply {
@@ -70,7 +73,19 @@
         content: &'static str,
         first: bool,
     ) -> Reply {
-        let url = format!("http://{}/services/{service}/hold", self.routers[router].addr());
+        self.try_call(router, service, key, content, first).await.expect("a connection")
+    }
+
+    /// `None` when no connection could be made.
+    async fn try_call(
+        &self,
+        router: usize,
+        service: &str,
+        key: &str,
+        content: &'static str,
+        first: bool,
+    ) -> Option<Reply> {
+        let url = format!("http://{}/services/{service}/hold", self.addrs[router]);
         let mut req = Request::post(url).header("x-workspace", "excursions");
         if !key.is_empty() {
             req = req.header("idempotency-key", key);
@@ -78,7 +93,14 @@
         if first {
             req = req.header("x-first-attempt", "true");
         }
-        let res = self.client.send(req.body(Full::from(content)).unwrap()).await.unwrap();
+        let res = match self.client.send(req.body(Full::from(content)).unwrap()).await {
+            Ok(res) => res,
+            Err(Failure::Connect) => return None,
+            Err(Failure::Broken) => {
+                let (outcome, code) = ("unknown".to_owned(), String::new());
+                return Some(Reply { status: 0, outcome, code, text: "cut".to_owned() });
+            }
+        };
         let status = res.status().as_u16();
         let outcome = res.headers().get("x-outcome").map_or("", |v| v.to_str().unwrap()).to_owned();
         let text = match res.into_body().collect().await {
@@ -87,7 +109,7 @@
         };
         let body: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
         let code = body["error"]["code"].as_str().unwrap_or("").to_owned();
-        Reply { status, outcome, code, text }
+        Some(Reply { status, outcome, code, text })
     }
 
     /// Asks again while the claim is pending.
@@ -102,6 +124,27 @@
         panic!("{key} stays pending");
     }
 
+    /// Sends a booking until it is answered or known to have been made, as a patient client does; returns the last
+    /// outcome that it was told.
+    async fn book(&self, n: usize, key: String) -> (String, String) {
+        let (mut first, mut last) = (true, String::new());
+        for attempt in 0..40 {
+            let router = (n + attempt) % ROUTERS;
+            match self.try_call(router, "bookings", &key, "tour", first).await {
+                Some(reply) => {
+                    first &= reply.outcome == "not-run";
+                    last = if reply.text == "cut" { "unknown".to_owned() } else { reply.outcome };
+                    if last == "ran" || reply.code == "key_unknown" {
+                        break;
+                    }
+                }
+                None => last = if first { "not-run".to_owned() } else { "unknown".to_owned() },
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+        (key, last)
+    }
+
     async fn ticket_key(&self, router: usize, rest: &str) -> String {
         let url = format!("http://{}/v1/key-ticket", self.routers[router].addr());
         let res = self.client.send(Request::get(url).body(Full::<Bytes>::default()).unwrap()).await.unwrap();
@@ -267,3 +310,48 @@
     assert_eq!(fleet.runs("k5"), 1);
     fleet.close();
 }
+
+/// A bad afternoon: the platform goes down and comes back several times and loses answers, the booking application
+/// breaks some connections after booking, and one router is gone halfway. Every booking is sent until it is settled.
+/// By the application's own record none may run twice, and none that ran may have been told "not run" at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_afternoon_doubles_no_booking() {
+    let mut fleet = Fleet::start().await;
+    let mut gone = fleet.routers.pop();
+    let fleet = Arc::new(fleet);
+    fleet.service.set_faults(Faults { late_ms: 5, cut_answers: 5, ..Faults::default() });
+    let mut tasks = Vec::new();
+    for n in 0..60 {
+        let (fleet, ticket) = (fleet.clone(), n % 2 == 0);
+        let key = if ticket { fleet.ticket_key(n % 2, &n.to_string()).await } else { format!("own-{n}") };
+        tasks.push(tokio::spawn(async move {
+            tokio::time::sleep(std::time::Duration::from_millis(20 * n as u64)).await;
+            fleet.book(n, key).await
+        }));
+    }
+
+    for round in 0..4 {
+        tokio::time::sleep(std::time::Duration::from_millis(250)).await;
+        fleet.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
+        tokio::time::sleep(std::time::Duration::from_millis(250)).await;
+        fleet.platform.set_faults(PlatformFaults { lose_answers: 3, ..PlatformFaults::default() });
+        if round == 1
+            && let Some(router) = gone.take()
+        {
+            router.close();
+        }
+    }
+    let mut told = Vec::new();
+    for task in tasks {
+        told.push(task.await.unwrap());
+    }
+
+    let ran = told.iter().filter(|(_, outcome)| outcome == "ran").count();
+    for (key, outcome) in &told {
+        let runs = fleet.runs(key);
+        assert!(runs <= 1, "{key} ran {runs} times");
+        assert!(outcome != "not-run" || runs == 0, "{key} was told not-run and ran");
+        assert!(outcome != "ran" || runs == 1, "{key} was told ran and did not run");
+    }
+    assert!(ran >= 40, "{ran} of 60 were settled as made: {told:?}");
+}
--- a/tests/claim_costs.rs
+++ b/tests/claim_costs.rs
@@ -1,6 +1,7 @@
 //! Bounds on what claims cost, on the cases that `cargo bench --bench claims` prints. All counts are of virtual time.
 
 #[path = "../benches/claims/cases.rs"]
+#[allow(dead_code)]
 mod cases;
 #[path = "../benches/claims/world.rs"]
 #[allow(dead_code)]
