Tell callers sooner in an outage that a claim can't be recorded

Each attempt with a key of the caller's own waited 1.5 s through the whole outage before it was refused. After four calls in a row without an answer the wait is 0.2 s.

--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -64,7 +64,7 @@
         for rate in [1, 10, 100] {
             let o = cases::outage(ticket, 8, rate);
             println!(
-                "{name:12} {rate:8} {:7} {:9} {:6.3} {:8} {:8} {:11} {:10} {:15.1} {:9}",
+                "{name:12} {rate:8} {:7} {:9} {:6.3} {:8} {:8} {:11} {:10} {:15.1} {:9} {:15} {:15}",
                 o.asked,
                 o.answered,
                 f64::from(o.answered) / f64::from(o.asked),
@@ -73,7 +73,9 @@
                 o.violations,
                 o.largest,
                 o.writes_after_s,
-                o.recorded
+                o.recorded,
+                o.granted_p99_ms,
+                o.refused_p99_ms
             );
         }
     }
--- a/benches/claims/cases.rs
+++ b/benches/claims/cases.rs
@@ -28,13 +28,10 @@
         world.call(i * 1000 / rate, router, false, 1, false);
     }
     world.run(seconds * 1000);
-    let mut waits = world.stats.granted_ms.clone();
-    waits.sort_unstable();
-    let at = |part: usize| waits.get((waits.len().max(1) - 1) * part / 100).copied().unwrap_or(0);
     let per_second = |n: u64| n as f64 / seconds as f64;
     Cost {
-        p50_ms: at(50),
-        p99_ms: at(99),
+        p50_ms: part(&world.stats.granted_ms, 50),
+        p99_ms: part(&world.stats.granted_ms, 99),
         writes_s: per_second(world.stats.writes),
         reads_s: per_second(world.stats.reads),
         frames_s: per_second(world.stats.frames),
@@ -43,6 +40,13 @@
     }
 }
 
+/// The wait that `percent` of all do not exceed.
+fn part(waits: &[Ms], percent: usize) -> Ms {
+    let mut waits = waits.to_vec();
+    waits.sort_unstable();
+    waits.get((waits.len().max(1) - 1) * percent / 100).copied().unwrap_or(0)
+}
+
 /// First attempts through an outage.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outage {
@@ -54,6 +58,8 @@
     pub largest: usize,
     pub writes_after_s: f64,
     pub recorded: usize,
+    pub granted_p99_ms: Ms,
+    pub refused_p99_ms: Ms,
 }
 
 const BEFORE: Ms = 30_000;
@@ -86,6 +92,8 @@
         violations: world.violations().total(),
         largest: world.stats.largest,
         recorded: world.recorded(),
+        granted_p99_ms: part(&world.stats.granted_ms, 99),
+        refused_p99_ms: part(&world.stats.refused_ms, 99),
         writes_after_s: (world.stats.writes - writes) as f64 / ((AFTER + 10_000) / 1000) as f64,
     }
 }
--- a/benches/claims/world.rs
+++ b/benches/claims/world.rs
@@ -288,6 +288,8 @@
     pub frames: u64,
     pub largest: usize,
     pub granted_ms: Vec<Ms>,
+    /// Waits of attempts that were told "not run".
+    pub refused_ms: Vec<Ms>,
     pub answered: u64,
     pub repeated: u64,
     pub not_run: u64,
@@ -667,7 +669,10 @@
                         let run = answered.body.as_deref().and_then(|b| b.try_into().ok());
                         self.told_ran(caller, run.map_or(u64::MAX, u64::from_le_bytes), true);
                     }
-                    Verdict::Unavailable | Verdict::Conflict => self.told_not_run(caller, attempt),
+                    Verdict::Unavailable | Verdict::Conflict => {
+                        self.stats.refused_ms.push(self.now - since);
+                        self.told_not_run(caller, attempt);
+                    }
                     _ => self.told_unknown(caller),
                 }
             }
--- a/src/claim/book.rs
+++ b/src/claim/book.rs
@@ -27,6 +27,8 @@
     pub record_delay: Duration,
     /// Longest time that an ask waits.
     pub ask_timeout: Duration,
+    /// Longest time that an ask waits while the platform is known not to answer.
+    pub outage_timeout: Duration,
     /// How long a claim is kept.
     pub horizon: Duration,
     /// Size of the shard's object above which its older claims move to an archive, in bytes.
@@ -41,6 +43,7 @@
             interval: Duration::from_millis(100),
             record_delay: Duration::from_secs(1),
             ask_timeout: Duration::from_millis(1500),
+            outage_timeout: Duration::from_millis(200),
             horizon: Duration::from_secs(24 * 3600),
             hot_bytes: 96 << 10,
             max_waiting: 10_000,
@@ -145,6 +148,8 @@
 
 /// How long an attempt that was given back is remembered, against its own ask arriving late.
 const REFUSED_KEEP: Duration = Duration::from_secs(120);
+/// Calls in a row without an answer after which the platform counts as out.
+const OUTAGE_FAILURES: u32 = 4;
 /// Records that wait for the object to be read.
 const MAX_RECORDS: usize = 1000;
 /// Age of what was last read beyond which an undecided claim of another attempt is read anew.
@@ -215,7 +220,7 @@
     /// Gives up asks that have waited too long.
     pub fn expire(&mut self, clock: Clock) -> Vec<(WaiterId, Verdict)> {
         self.refused.retain(|_, at| clock.now < *at + REFUSED_KEEP);
-        let timeout = self.cfg.ask_timeout;
+        let timeout = self.patience();
         let (late, waiting) =
             std::mem::take(&mut self.waiting).into_iter().partition(|w| clock.now >= w.since + timeout);
         self.waiting = waiting;
@@ -223,6 +228,11 @@
         late.into_iter().map(|w| (w.id, self.give_up(clock, &w.ask))).collect()
     }
 
+    /// How long an ask may wait now: a caller whose claim has little chance is told so early.
+    fn patience(&self) -> Duration {
+        if self.failures < OUTAGE_FAILURES { self.cfg.ask_timeout } else { self.cfg.outage_timeout }
+    }
+
     /// Whether asks wait or changes have not been written.
     pub fn is_idle(&self) -> bool {
         self.waiting.is_empty() && self.dirty.is_empty() && self.flight.is_none()
--- a/src/claim/book/plan.rs
+++ b/src/claim/book/plan.rs
@@ -35,7 +35,7 @@
 
     /// When [`Book::next_op`] or [`Book::expire`] should be called next, if nothing else happens.
     pub fn wake_at(&self) -> Option<Instant> {
-        let expiry = self.waiting.iter().map(|w| w.since + self.cfg.ask_timeout).min();
+        let expiry = self.waiting.iter().map(|w| w.since + self.patience()).min();
         let wanted = self.want_read || self.base.is_none() || self.unloaded().is_some();
         let op = match self.write_at() {
             _ if self.flight.is_some() => None,
