--- /dev/null
+++ b/benches/claims/store.rs
@@ -0,0 +1,86 @@
+//! The platform, as the books' calls reach it.
+
+use super::*;
+
+impl World {
+    pub(super) fn call_platform(&mut self, router: usize, start: Start, book: u64, op: Op) {
+        let (least, most) = self.faults.platform_ms;
+        let ms = self.rng.random_range(least..=most) / 2;
+        let unanswered = |op: &Op| match op {
+            Op::Write(_) | Op::Delete(_) => Done::Write(Write::Unknown),
+            _ => Done::Failed,
+        };
+        if self.outage || self.chance(self.faults.lose_call) {
+            let done = unanswered(&op);
+            return self.after(2 * ms + 50, Event::Stored { router, start, book, done });
+        }
+        if self.chance(self.faults.late_effect) {
+            let done = unanswered(&op);
+            self.after(2 * ms + 50, Event::Stored { router, start, book, done });
+            let late = self.rng.random_range(20..1500);
+            return self.after(late, Event::Store { router, start, book, op, tell: false });
+        }
+        self.after(ms, Event::Store { router, start, book, op, tell: true });
+    }
+
+    pub(super) fn store(&mut self, router: usize, start: Start, book: u64, op: Op, tell: bool) {
+        let written = matches!(op, Op::Write(_));
+        let shown = op.clone();
+        let mut done = match op {
+            Op::Read => self.read(SHARD_KIND, &format!("claims-{book}")),
+            Op::ReadArchive(name) => self.read("ClaimArchive", &name),
+            Op::Write(obj) => self.write(obj),
+            Op::Delete(obj) => {
+                self.stats.writes += 1;
+                self.objects.remove(&(obj.kind, obj.metadata.name));
+                Done::Write(Write::Conflict(None))
+            }
+        };
+        if !tell {
+            return;
+        }
+        if written && self.chance(self.faults.lose_answer) {
+            done = Done::Write(Write::Unknown);
+        }
+        if self.weak == Weak::LostIsDone
+            && done == Done::Write(Write::Unknown)
+            && let Op::Write(obj) = shown
+        {
+            done = Done::Write(Write::Done(obj));
+        }
+        let (least, most) = self.faults.platform_ms;
+        let ms = self.rng.random_range(least..=most) / 2;
+        self.after(ms, Event::Stored { router, start, book, done });
+    }
+
+    pub(super) fn read(&mut self, kind: &str, name: &str) -> Done {
+        self.stats.reads += 1;
+        let mut obj = self.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        if self.weak == Weak::ClaimsRunOut
+            && kind == SHARD_KIND
+            && let Some(o) = &mut obj
+            && let Ok(mut shard) = Shard::read(Some(o))
+        {
+            let oldest = WALL + self.now.saturating_sub(RUN_OUT_MS);
+            shard.entries.retain(|(_, e)| e.record.is_some() || e.at_ms > oldest);
+            *o = shard.object(name, "");
+        }
+        Done::Read(obj)
+    }
+
+    pub(super) fn write(&mut self, mut obj: AnyObject) -> Done {
+        self.stats.writes += 1;
+        let size = serde_json::to_vec(&obj).map_or(0, |b| b.len());
+        self.stats.largest = self.stats.largest.max(size);
+        let key = (obj.kind.clone(), obj.metadata.name.clone());
+        let current = self.objects.get(&key);
+        let version = current.map_or("", |o| o.metadata.resource_version.as_str());
+        if version != obj.metadata.resource_version && self.weak != Weak::Unconditional {
+            return Done::Write(Write::Conflict(current.cloned()));
+        }
+        self.version += 1;
+        obj.metadata.resource_version = self.version.to_string();
+        self.objects.insert(key, obj.clone());
+        Done::Write(Write::Done(obj))
+    }
+}
