--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -69,6 +69,16 @@
     labels: Labels,
 }
 
+/// Label by which an operator takes an engine out of use, with the value `true`.
+pub const LEAVING_LABEL: &str = "leaving";
+
+impl Engine {
+    /// Whether an operator's label takes it out of use.
+    pub fn labelled_leaving(&self) -> bool {
+        self.labels.get(LEAVING_LABEL).is_some_and(|v| v == "true")
+    }
+}
+
 /// Engines that serve together.
 #[derive(Clone, Debug)]
 pub struct Pool {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result};
 use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
 use super::Run;
 use crate::{config::Settings, logs, serve::Running};
@@ -26,11 +27,19 @@
             // A script or a test that lets the system choose the ports reads them here.
             println!("callers {} peers {}", running.addr(), running.peer_addr());
             spdlog::info!("router {} serves on {}", cfg.name, running.addr());
+            let mut terminate = signal(SignalKind::terminate()).context("could not wait for a signal")?;
+            let mut interrupt = signal(SignalKind::interrupt()).context("could not wait for a signal")?;
             tokio::select! {
-                signal = tokio::signal::ctrl_c() => signal.context("could not wait for a signal")?,
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
                 () = running.drained() => {}
             }
-            running.stop().await;
+            spdlog::info!("router {} is leaving", cfg.name);
+            tokio::select! {
+                cut = running.shut_down() => spdlog::info!("router {} stopped, {cut} requests cut", cfg.name),
+                // A second interrupt is an operator at a terminal who won't wait.
+                _ = interrupt.recv() => spdlog::warn!("router {} stopped at once", cfg.name),
+            }
             Ok(ExitCode::SUCCESS)
         })
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -44,6 +44,14 @@
     pub log_level: Arc<str>,
     /// Form of a log line.
     pub log_format: Arc<str>,
+    /// Bytes that gossip may send in any one second.
+    pub gossip_bytes: u64,
+    /// Bytes that probes of engines may cost in any one second.
+    pub probe_bytes: u64,
+    /// How long callers keep an entry answer.
+    pub answer_keep: Duration,
+    /// Longest time for requests in progress once no entry answer names the router any more.
+    pub drain_longest: Duration,
     /// Models and adapters that the fleet may load from the weight store in a minute.
     pub loads_per_minute: u64,
 }
@@ -76,6 +84,8 @@
         let limits = raw.limits.unwrap_or_default();
         let log = raw.log.unwrap_or_default();
         let orders = raw.orders.unwrap_or_default();
+        let gossip = raw.gossip.unwrap_or_default();
+        let drain = raw.drain.unwrap_or_default();
         Ok(Self {
             name: raw.name.into(),
             listen: raw.listen.parse()?,
@@ -91,6 +101,10 @@
             head_time: millis("limits.head_ms", limits.head_ms),
             log_level: word("log.level", log.level),
             log_format: word("log.format", log.format),
+            gossip_bytes: number("gossip.bytes_per_second", gossip.bytes_per_second),
+            probe_bytes: number("gossip.probe_bytes_per_second", gossip.probe_bytes_per_second),
+            answer_keep: millis("drain.answer_keep_ms", drain.answer_keep_ms),
+            drain_longest: millis("drain.longest_ms", drain.longest_ms),
             loads_per_minute: number("orders.loads_per_minute", orders.loads_per_minute),
         })
     }
--- a/src/config/fields.rs
+++ b/src/config/fields.rs
@@ -59,6 +59,30 @@
         "lowest level that is logged",
     ),
     field("log.format", "", Takes::OneOf(&["text", "json"]), "form of a log line"),
+    field(
+        "gossip.bytes_per_second",
+        "bytes/s",
+        Takes::Number(5_000, 1_500, 1 << 20),
+        "bytes that gossip may send in any one second, headers included",
+    ),
+    field(
+        "gossip.probe_bytes_per_second",
+        "bytes/s",
+        Takes::Number(8_000, 1_000, 1 << 20),
+        "bytes that probes of engines may cost in any one second, both ways",
+    ),
+    field(
+        "drain.answer_keep_ms",
+        "ms",
+        Takes::Number(30_000, 1_000, 600_000),
+        "how long callers keep an entry answer; a router that leaves serves for so long",
+    ),
+    field(
+        "drain.longest_ms",
+        "ms",
+        Takes::Number(600_000, 0, 86_400_000),
+        "longest time for requests in progress once no entry answer names the router any more",
+    ),
     field(
         "orders.loads_per_minute",
         "loads",
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,6 +4,17 @@
 
 use crate::util::hash;
 
+mod directory;
+mod query;
+
+pub use directory::{Candidate, Directory, HOLD};
+pub use query::{BadQuery, Query};
+
+/// Most routers in one answer.
+pub const MOST: usize = 8;
+/// Last places of an answer that are kept for another data centre, should the nearest one be lost as a whole.
+const ELSEWHERE: usize = 2;
+
 /// A router that may be handed out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Router {
@@ -17,24 +28,18 @@
     pub region: Arc<str>,
 }
 
-/// What a caller asks.
-#[derive(Clone, Debug, Default)]
-pub struct Query {
-    /// Caller's data centre; empty for the answering router's.
-    pub data_centre: Arc<str>,
-    /// Caller's region; empty for the answering router's.
-    pub region: Arc<str>,
-    /// Chat or workspace that shall meet the same router again.
-    pub key: Option<Arc<str>>,
-    /// Spreads callers without a key.
-    pub salt: u64,
-}
-
 /// Orders `routers` for one caller: nearest first, then by rendezvous hashing of the key.
+///
+/// A router that comes or goes moves only the keys that are its own.
 pub fn order(routers: &[Router], query: &Query, most: usize) -> Vec<Router> {
     let key = query.key.as_deref().map_or(query.salt, hash);
     let mut list: Vec<_> = routers.to_vec();
     list.sort_by_cached_key(|r| (distance(r, query), hash((&*r.name, key))));
+    let near = list.iter().take_while(|r| r.data_centre == query.data_centre).count();
+    let kept = most.saturating_sub(ELSEWHERE);
+    if near > kept && list.len() > near {
+        list.drain(kept..near);
+    }
     list.truncate(most);
     list
 }
--- /dev/null
+++ b/src/entry/query.rs
@@ -0,0 +1,81 @@
+//! What a caller asks of `GET /v1/entry`.
+
+use std::{fmt, sync::Arc};
+
+use super::Router;
+
+const LONGEST_KEY: usize = 256;
+
+/// What a caller asks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Query {
+    /// Caller's data centre; the answering router's if not given.
+    pub data_centre: Arc<str>,
+    /// Caller's region; the answering router's if not given.
+    pub region: Arc<str>,
+    /// Chat or workspace that shall meet the same router again.
+    pub key: Option<Arc<str>>,
+    /// Spreads callers without a key.
+    pub salt: u64,
+}
+
+/// Why a query can't be answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BadQuery {
+    /// A field that does not exist.
+    Unknown(String),
+    /// A field that stands there twice.
+    Twice(String),
+    /// A field without a value.
+    Empty(String),
+    /// A key that is too long.
+    KeyTooLong,
+}
+
+impl fmt::Display for BadQuery {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BadQuery::Unknown(name) => {
+                write!(f, "there is no field {name:?}; the fields are key, data_centre and region")
+            }
+            BadQuery::Twice(name) => write!(f, "the field {name:?} is given twice"),
+            BadQuery::Empty(name) => write!(f, "the field {name:?} has no value"),
+            BadQuery::KeyTooLong => write!(f, "the key has more than {LONGEST_KEY} bytes"),
+        }
+    }
+}
+
+impl std::error::Error for BadQuery {}
+
+impl Query {
+    /// Parses a query string; `me` is the answering router.
+    ///
+    /// # Errors
+    /// Says which field is wrong.
+    pub fn parse(text: &str, me: &Router, salt: u64) -> Result<Self, BadQuery> {
+        let (mut key, mut data_centre, mut region) = (None, None, None);
+        for (name, value) in form_urlencoded::parse(text.as_bytes()) {
+            let slot = match &*name {
+                "key" => &mut key,
+                "data_centre" => &mut data_centre,
+                "region" => &mut region,
+                _ => return Err(BadQuery::Unknown(name.into_owned())),
+            };
+            if value.is_empty() {
+                return Err(BadQuery::Empty(name.into_owned()));
+            }
+            if slot.replace(Arc::<str>::from(&*value)).is_some() {
+                return Err(BadQuery::Twice(name.into_owned()));
+            }
+        }
+        if key.as_ref().is_some_and(|k| k.len() > LONGEST_KEY) {
+            return Err(BadQuery::KeyTooLong);
+        }
+        Ok(Self {
+            data_centre: data_centre.unwrap_or_else(|| me.data_centre.clone()),
+            region: region.unwrap_or_else(|| me.region.clone()),
+            key,
+            salt,
+        })
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
     metrics::Metrics,
     place::hint::HintKey,
     platform::Platform,
+    probe::{EngineView, State},
     retry::{Budget, Policy},
     schema::{
         claim::{ClaimAnswer, ClaimCall},
@@ -27,7 +29,7 @@
         suspect::{Digest, Noted},
     },
     stream::token::TokenKey,
-    util::random_id,
+    util::{now, random_id},
 };
 
 use admit::{Admission, Entered};
@@ -48,11 +50,15 @@
 mod service;
 mod suspects;
 
+/// How long callers keep an entry answer unless the settings say otherwise.
+const ENTRY_KEEP: Duration = Duration::from_secs(30);
+
 /// State that all requests of one router share.
 #[derive(Debug)]
 pub struct Gateway {
     me: Router,
     routers: RwLock<Vec<Router>>,
+    entry_keep: Duration,
     catalog: RwLock<Arc<Catalog>>,
     placement: Arc<Placement>,
     admission: Admission,
@@ -77,6 +83,7 @@
         let suspects = Suspects::new(me.region.clone(), placement.clone(), client.clone());
         Self {
             routers: RwLock::new(vec![me.clone()]),
+            entry_keep: ENTRY_KEEP,
             me,
             catalog: RwLock::default(),
             placement,
@@ -91,6 +98,26 @@
         }
     }
 
+    /// Sets how long callers may keep an entry answer.
+    pub fn with_entry_keep(self, entry_keep: Duration) -> Self {
+        Self { entry_keep, ..self }
+    }
+
+    /// Notes what the probes know of an engine.
+    pub fn note_engine(&self, view: &EngineView) {
+        let id = Id::of(&view.name);
+        let (mut placer, now) = (self.placement.placer(), now());
+        if view.start != 0 {
+            placer.health.note_start(id, view.start);
+        }
+        placer.health.set_leaving(id, view.state == State::Leaving);
+        if view.state == State::Down || !view.reachable {
+            placer.health.note_down(id, now);
+        } else {
+            placer.health.note_up(id, now);
+        }
+    }
+
     /// Puts a catalog in force unless a newer one already is.
     pub fn set_catalog(&self, cat: Catalog) {
         let mut current = self.catalog.write().unwrap_or_else(|e| e.into_inner());
@@ -122,7 +149,7 @@
             _ if !self.ready() => Err(Fault::new(Kind::NotReady, "no configuration yet")),
             (&Method::GET | &Method::POST, "/v1/resume") => self.resume(req).await,
             (&Method::GET, "/v1/key-ticket") => Ok(self.key_ticket()),
-            (&Method::GET, "/v1/entry") => Ok(self.entry(req.uri().query().unwrap_or(""))),
+            (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
             (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
             (method, "/v1/entry" | "/v1/chat/completions" | "/healthz" | "/readyz" | "/metrics") => {
                 Err(Fault::new(Kind::MethodNotAllowed, format!("{method} is not for {path}")))
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -2,24 +2,18 @@
 
 use super::{Gateway, read};
 use crate::{
-    entry::{self, Query},
+    entry::{self, MOST, Query},
+    error::{Fault, Kind},
     http::Reply,
 };
 
-const KEEP_S: u32 = 30;
-const MOST: usize = 8;
-
 impl Gateway {
-    pub(super) fn entry(&self, text: &str) -> Reply {
-        let field = |name: &str| text.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
-        let query = Query {
-            data_centre: field("data_centre").map_or(self.me.data_centre.clone(), Into::into),
-            region: field("region").map_or(self.me.region.clone(), Into::into),
-            key: field("key").map(Into::into),
-            salt: rand::random(),
-        };
+    pub(super) fn entry(&self, text: &str) -> Result<Reply, Fault> {
+        let query = Query::parse(text, &self.me, rand::random())
+            .map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
         let list = entry::order(&read(&self.routers), &query, MOST);
         let addresses: Vec<_> = list.iter().map(|r| r.addr.to_string()).collect();
-        Reply::json(200, &serde_json::json!({ "addresses": addresses, "keep_s": KEEP_S }))
+        let keep_s = self.entry_keep.as_secs();
+        Ok(Reply::json(200, &serde_json::json!({ "addresses": addresses, "keep_s": keep_s })))
     }
 }
--- /dev/null
+++ b/src/gossip/probes.rs
@@ -0,0 +1,43 @@
+//! Probes of engines over HTTP.
+
+use std::{sync::Arc, time::Duration};
+
+use http::Method;
+
+use super::Shared;
+use crate::{
+    catalog::Engine,
+    probe::{EngineSpec, Probe, Seen},
+    schema::engine::Load,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks an engine for its load.
+pub(super) async fn probe(shared: Arc<Shared>, probe: Probe) {
+    let url = format!("http://{}/load", probe.addr);
+    let seen = match shared.client.json(Method::GET, &url, None, TIMEOUT).await {
+        Ok((status, _)) if status >= 500 => Seen::Unreachable,
+        Ok((200, body)) => match serde_json::from_value::<Load>(body) {
+            Ok(load) => Seen::Answer { start: load.start, running: load.running, leaving: load.leaving },
+            Err(_) => UNREPORTED,
+        },
+        Ok(_) => UNREPORTED,
+        Err(_) => Seen::Unreachable,
+    };
+    shared.probed(&probe, seen);
+}
+
+/// A backend server of a plain service answers, but knows no load report.
+const UNREPORTED: Seen = Seen::Answer { start: 0, running: 0, leaving: false };
+
+impl From<&Engine> for EngineSpec {
+    fn from(e: &Engine) -> Self {
+        Self {
+            name: e.name.clone(),
+            addr: e.addr,
+            data_centre: e.data_centre.clone(),
+            leaving: e.labelled_leaving(),
+        }
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,10 @@
     future::Future,
     net::{SocketAddr, TcpListener},
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll},
     thread,
     time::Duration,
@@ -129,6 +132,7 @@
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
+    running: Arc<AtomicUsize>,
     stop: xitca_server_handle::Stop,
 }
 
@@ -161,8 +165,11 @@
         // which the caller's host delays by 40 ms.
         set_tcp_nodelay(&listener, true).context("could not set the socket up")?;
         let rt = Handle::current();
+        let running = Arc::new(AtomicUsize::new(0));
+        let counter = running.clone();
         let service = fn_service(async move |req: Request<RequestExt<RequestBody>>| {
-            Ok::<_, Infallible>(answer(req, limits, handler.clone(), &rt).await)
+            let count = Count::new(&counter);
+            Ok::<_, Infallible>(answer(req, limits, handler.clone(), &rt, count).await)
         });
         let mut server = HttpServer::serve(service)
             .disable_signal()
@@ -176,7 +183,7 @@
             .name("http".into())
             .spawn(move || server.wait())
             .context("could not start a thread")?;
-        Ok(Self { addr, stop: xitca_server_handle::Stop(Box::new(move || handle.stop(true))) })
+        Ok(Self { addr, running, stop: xitca_server_handle::Stop(Box::new(move || handle.stop(true))) })
     }
 
     /// Address on which it listens.
@@ -184,30 +191,52 @@
         self.addr
     }
 
+    /// Requests whose answer has not been handed to the connection whole.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
     /// Stops accepting connections. Streams still open go on for the library's limit of 30 s.
     pub fn close(self) {
         (self.stop.0)();
     }
 }
 
+/// One request in progress, until its answer has been handed to the connection or the connection is gone.
+struct Count(Arc<AtomicUsize>);
+
+impl Count {
+    fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::AcqRel);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 async fn answer(
     req: Request<RequestExt<RequestBody>>,
     limits: Limits,
     handler: Arc<impl Handler>,
     rt: &Handle,
+    count: Count,
 ) -> Response<BoxBody> {
     let (head, ext) = req.into_parts();
     let peer = *ext.socket_addr();
     let (_, body) = ext.replace_body(());
     let body = match read(body, limits).await {
         Ok(body) => body,
-        Err(kind) => return respond(kind.reply("the request body could not be read")),
+        Err(kind) => return respond(kind.reply("the request body could not be read"), count),
     };
     let req = Request::from_parts(head, body);
     let task = rt.spawn(async move { handler.handle(req, peer).await });
     match task.await {
-        Ok(reply) => respond(reply),
-        Err(_) => respond(Kind::Internal.reply("the request failed inside the router")),
+        Ok(reply) => respond(reply, count),
+        Err(_) => respond(Kind::Internal.reply("the request failed inside the router"), count),
     }
 }
 
@@ -240,22 +269,25 @@
     if buf.len() as u64 != stated { Err(Kind::BadRequest) } else { Ok(buf.freeze()) }
 }
 
-fn respond(reply: Reply) -> Response<BoxBody> {
+fn respond(reply: Reply, count: Count) -> Response<BoxBody> {
     let (parts, ()) = reply.head.into_parts();
     let body = match reply.body {
         ReplyBody::Full(bytes) => BoxBody::new(xitca_web::body::Full::new(bytes)),
-        ReplyBody::Stream(rx) => BoxBody::new(ChannelBody(rx)),
+        ReplyBody::Stream(rx) => BoxBody::new(ChannelBody { rx, _count: count }),
     };
     Response::from_parts(parts, body)
 }
 
-struct ChannelBody(mpsc::Receiver<Chunk>);
+struct ChannelBody {
+    rx: mpsc::Receiver<Chunk>,
+    _count: Count,
+}
 
 impl Body for ChannelBody {
     type Data = Bytes;
     type Error = Cut;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.0.poll_recv(cx).map(|item| item.map(|chunk| chunk.map(Frame::Data)))
+        self.rx.poll_recv(cx).map(|item| item.map(|chunk| chunk.map(Frame::Data)))
     }
 }
--- a/src/member/compose.rs
+++ b/src/member/compose.rs
@@ -175,7 +175,11 @@
             upto = Some(report.upto);
             d.report = Some(report);
         }
-        self.fill_notes(filling, d, Topic::Load);
+        if extras.report.is_some()
+            && let Some(note) = self.notes.get(Topic::Load, &self.me.name)
+        {
+            filling.add(Priority::Engines, &mut d.notes, note.clone());
+        }
         upto
     }
 
--- a/src/member/topic.rs
+++ b/src/member/topic.rs
@@ -16,7 +16,7 @@
 pub enum Topic {
     /// Engines of a data centre that are not up, by its reporter.
     Engines,
-    /// Load of workspaces or pools, for placement.
+    /// Load of a router's engines by pool, for placement; told to each router of the data centre, not sent on.
     Load,
     /// Content that crashed backend servers, for quarantine.
     Suspects,
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Whether a note goes from its origin to each router of the data centre instead of from one to the next. A
+    /// load is old by the time it has made the round, and every copy would cost its bytes again.
+    pub(super) fn direct(self) -> bool {
+        self == Topic::Load
+    }
+
     pub(super) fn from_raw(n: u32) -> Option<Self> {
         Self::ALL.into_iter().find(|t| *t as u32 == n)
     }
@@ -79,6 +85,7 @@
         if !self.held.get(&key).is_none_or(newer) {
             return None;
         }
+        let sends = if topic.direct() { 0 } else { sends };
         self.held.insert(key, Held { note: note.clone(), sends, seen: now });
         Some(topic)
     }
@@ -91,6 +98,11 @@
         list
     }
 
+    /// The newest note of one origin.
+    pub(super) fn get(&self, topic: Topic, origin: &Arc<str>) -> Option<&raw::Note> {
+        self.held.get(&(topic, origin.clone())).map(|h| &h.note)
+    }
+
     /// Drops notes that have not been renewed since `oldest`.
     pub(super) fn forget(&mut self, oldest: Instant) {
         self.held.retain(|_, h| h.seen >= oldest);
--- a/src/place/health.rs
+++ b/src/place/health.rs
@@ -66,6 +66,11 @@
         self.engines.entry(engine).or_default().leaving = true;
     }
 
+    /// Sets whether an engine is leaving, as all that is known of it says now.
+    pub fn set_leaving(&mut self, engine: Id, leaving: bool) {
+        self.engines.entry(engine).or_default().leaving = leaving;
+    }
+
     /// Notes the number that an engine drew when it started; a new one ends an earlier leave.
     pub fn note_start(&mut self, engine: Id, start: u64) {
         let state = self.engines.entry(engine).or_default();
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -321,6 +321,21 @@
         self.entries.values().map(move |e| e.view(now, &self.me))
     }
 
+    /// Engines that this router sees otherwise than at the last call.
+    pub fn take_changed(&mut self, now: Instant) -> Vec<EngineView> {
+        let mut changed = Vec::new();
+        for e in self.entries.values_mut() {
+            e.settle(now, &self.me, &self.data_centre);
+            let view = e.view(now, &self.me);
+            let told = Some((view.state, view.reachable, view.start));
+            if e.told != told {
+                e.told = told;
+                changed.push(view);
+            }
+        }
+        changed
+    }
+
     /// Engines that this router probes.
     pub fn assigned(&self) -> usize {
         self.mine.len()
--- a/src/probe/entry.rs
+++ b/src/probe/entry.rs
@@ -5,11 +5,6 @@
 use super::{EngineSpec, Finding, SIGN_TIME, State};
 use crate::util::{Instant, Map};
 
-/// Downs within [`FLAP_WINDOW`] that make an engine a flapping one.
-const FLAP_DOWNS: usize = 3;
-const FLAP_WINDOW: Duration = Duration::from_secs(60);
-/// How long a flapping engine must stay up until it counts as steady again.
-const HOLD_DOWN: Duration = Duration::from_secs(30);
 /// How long a router that can't reach an engine avoids it though it is up for the others.
 const AVOID_TIME: Duration = Duration::from_secs(10);
 
@@ -22,8 +17,6 @@
     pub state: State,
     /// Whether this router itself reached it when it last tried.
     pub reachable: bool,
-    /// Whether it goes up and down too often to be given chats.
-    pub flapping: bool,
     /// Identifies its start; 0 when not known.
     pub start: u64,
     /// Requests in progress, as last heard.
@@ -35,7 +28,7 @@
 impl EngineView {
     /// Whether this router may give it new work.
     pub fn takes_work(&self) -> bool {
-        self.state == State::Up && self.reachable && !self.flapping
+        self.state == State::Up && self.reachable
     }
 }
 
@@ -46,8 +39,7 @@
     pub(super) findings: Map<Arc<str>, Finding>,
     pub(super) remote: Option<State>,
     pub(super) state: State,
-    downs: Vec<Instant>,
-    hold_until: Instant,
+    pub(super) told: Option<(State, bool, u64)>,
     pub(super) mine: bool,
     pub(super) next: Instant,
     pub(super) waiting: bool,
@@ -64,8 +56,7 @@
             findings: Map::default(),
             remote: None,
             state: State::Up,
-            downs: Vec::new(),
-            hold_until: Instant::ZERO,
+            told: None,
             mine: false,
             next: Instant::ZERO,
             waiting: false,
@@ -113,17 +104,9 @@
         seen.max_by_key(|f| f.at).map_or(0, |f| f.start)
     }
 
-    /// Draws the state from the findings and notes each time the engine goes down.
+    /// Draws the state from the findings.
     pub(super) fn settle(&mut self, now: Instant, me: &str, data_centre: &str) {
-        let state = self.judge(now, me, data_centre);
-        if state == State::Down && self.state != State::Down {
-            self.downs.retain(|&at| at + FLAP_WINDOW > now);
-            self.downs.push(now);
-        }
-        if state == State::Up && self.state == State::Down && self.downs.len() >= FLAP_DOWNS {
-            self.hold_until = now + HOLD_DOWN;
-        }
-        self.state = state;
+        self.state = self.judge(now, me, data_centre);
     }
 
     fn judge(&self, now: Instant, me: &str, data_centre: &str) -> State {
@@ -165,7 +148,6 @@
             name: self.spec.name.clone(),
             state: self.state,
             reachable: !own_down,
-            flapping: self.hold_until > now,
             start: self.start(),
             running: load.map_or(0, |f| f.running),
             heard: load.map(|f| f.at),
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -37,6 +37,12 @@
     /// What is logged and how.
     #[prost(message, optional, tag = "11")]
     pub log: ::core::option::Option<Log>,
+    /// Gossip among routers and probes of engines.
+    #[prost(message, optional, tag = "20")]
+    pub gossip: ::core::option::Option<Gossip>,
+    /// Entry answers and graceful shutdown.
+    #[prost(message, optional, tag = "21")]
+    pub drain: ::core::option::Option<Drain>,
     /// Orders to engines.
     #[prost(message, optional, tag = "30")]
     pub orders: ::core::option::Option<Orders>,
@@ -77,3 +83,27 @@
     #[prost(uint64, optional, tag = "1")]
     pub loads_per_minute: ::core::option::Option<u64>,
 }
+/// Gossip among routers and probes of engines.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Gossip {
+    /// Bytes that gossip may send in any one second.
+    #[prost(uint64, optional, tag = "1")]
+    pub bytes_per_second: ::core::option::Option<u64>,
+    /// Bytes that probes of engines may cost in any one second.
+    #[prost(uint64, optional, tag = "2")]
+    pub probe_bytes_per_second: ::core::option::Option<u64>,
+}
+/// Entry answers and graceful shutdown.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Drain {
+    /// How long callers keep an entry answer, in milliseconds.
+    #[prost(uint64, optional, tag = "1")]
+    pub answer_keep_ms: ::core::option::Option<u64>,
+    /// Longest time for requests in progress once no answer names the router any more, in milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    pub longest_ms: ::core::option::Option<u64>,
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,10 @@
 //! A running router: sockets, the configuration watch and the gateway.
 
-use std::{net::TcpListener, sync::Arc};
+use std::{
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::{Context, Result};
 use tokio::task::JoinHandle;
@@ -10,24 +14,35 @@
     entry::Router,
     follow::Follow,
     gateway::Gateway,
+    gossip::Gossip,
     http::{Limits, Server},
+    lifecycle::{self, DrainConfig},
     link::{LinkKey, LinkServer, Links},
     metrics::Metrics,
     operate::Operate,
     order::Orders,
     platform::Platform,
+    util::now,
 };
 
 mod calls;
 
 use calls::Calls;
 
+/// How long other routers may hand out one that leaves until they have heard of it; see docs/design/membership.md.
+const LEAVE_SPREAD: Duration = Duration::from_secs(5);
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Tries to find a port that is free for TCP and for UDP, where the settings leave the choice to the system.
+const PORT_TRIES: usize = 16;
+
 /// A router in this process.
 #[derive(Debug)]
 pub struct Running {
-    peer_addr: std::net::SocketAddr,
+    peer_addr: SocketAddr,
     server: Server,
     follow: Follow,
+    gossip: Gossip,
+    drain: DrainConfig,
     orders: Option<Orders>,
     link_server: LinkServer,
     releases: JoinHandle<()>,
@@ -61,12 +76,12 @@
         let metrics = Arc::new(Metrics::new()?);
         let platform = Platform::new(cfg.platform).with_metrics(metrics.clone());
         let gateway = Gateway::new(me.clone(), &cfg.shared_key, &platform, metrics.clone());
-        let gateway = Arc::new(gateway);
+        let gateway = Arc::new(gateway.with_entry_keep(cfg.answer_keep));
         let limits = Limits::default()
             .with_bytes(cfg.body_bytes)
             .with_time(cfg.body_time)
             .with_head_time(cfg.head_time);
-        let (peer_listener, peer_addr) = listen_for_peers(cfg)?;
+        let (peer_listener, socket, peer_addr) = listen_for_peers(cfg)?;
         let key = LinkKey::new(&cfg.shared_key);
         let links = Arc::new(Links::new(key.clone()));
         let follow = Follow::start(cfg, peer_addr, platform.clone(), links, gateway.clone());
@@ -74,6 +89,10 @@
         let orders = Orders::start(&cfg.name, follow.shared().clone(), platform, metrics.clone(), rate);
         let calls = Calls { me: me.clone(), follow: follow.shared().clone(), gateway: gateway.clone() };
         let link_server = LinkServer::start(peer_listener, key, Arc::new(calls));
+        let (following, answering) = (follow.shared().clone(), gateway.clone());
+        let gossip = Gossip::start(cfg, &me, peer_addr, socket, following, answering, metrics.clone())?;
+        let drain =
+            DrainConfig { answer_keep: cfg.answer_keep, spread: LEAVE_SPREAD, longest: cfg.drain_longest };
         let told = gateway.clone();
         let releases = tokio::spawn(async move { told.tell_ended().await });
         let operate = Operate::new(me, &cfg.shared_key, follow.shared().clone(), gateway.clone());
@@ -83,6 +102,8 @@
             peer_addr,
             server,
             follow,
+            gossip,
+            drain,
             orders: Some(orders),
             link_server,
             releases,
@@ -103,12 +124,12 @@
     }
 
     /// Address for callers.
-    pub fn addr(&self) -> std::net::SocketAddr {
+    pub fn addr(&self) -> SocketAddr {
         self.server.addr()
     }
 
     /// Address for other routers.
-    pub fn peer_addr(&self) -> std::net::SocketAddr {
+    pub fn peer_addr(&self) -> SocketAddr {
         self.peer_addr
     }
 
@@ -122,6 +143,28 @@
         self.operate.drained().await;
     }
 
+    /// Shuts down gracefully: no answer names this router any more, and it goes on until the answers that do have
+    /// expired and no request is in progress, or until the drain's time limit. Returns the number of requests cut.
+    ///
+    /// The HTTP library ends open streams some time after it is told to stop, so it is told only then.
+    pub async fn shut_down(self) -> usize {
+        self.operate.set_leaving();
+        self.gossip.leave();
+        let mut cut = 0;
+        if let Ok(serving) = lifecycle::Router::default().serve(self.gateway.catalog().version) {
+            let mut leaving = serving.leave(now(), self.drain);
+            cut = loop {
+                match leaving.stop(now(), self.server.running()) {
+                    Ok(stopped) => break stopped.close(),
+                    Err(on) => leaving = on,
+                }
+                tokio::time::sleep(DRAIN_CHECK).await;
+            };
+        }
+        self.stop().await;
+        cut
+    }
+
     /// Gives the leases back and stops the router.
     pub async fn stop(mut self) {
         if let Some(orders) = self.orders.take() {
@@ -132,6 +175,7 @@
 
     /// Stops the router at once; its leases lapse.
     pub fn close(self) {
+        self.gossip.close();
         self.follow.close();
         self.releases.abort();
         self.link_server.close();
@@ -139,10 +183,22 @@
     }
 }
 
-fn listen_for_peers(cfg: &Settings) -> Result<(tokio::net::TcpListener, std::net::SocketAddr)> {
+/// Binds the address between routers for TCP and for UDP.
+fn listen_for_peers(cfg: &Settings) -> Result<(tokio::net::TcpListener, UdpSocket, SocketAddr)> {
     let at = cfg.peer_listen;
-    let listener = TcpListener::bind(at).with_context(|| format!("could not listen on {at}"))?;
-    listener.set_nonblocking(true).context("could not set the socket up")?;
-    let addr = listener.local_addr().context("could not read the address")?;
-    Ok((tokio::net::TcpListener::from_std(listener).context("could not listen")?, addr))
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let listener = TcpListener::bind(at).with_context(|| format!("could not listen on {at}"))?;
+        let addr = listener.local_addr().context("could not read the address")?;
+        let socket = match UdpSocket::bind(addr) {
+            Ok(socket) => socket,
+            // The system chose a port that is free for TCP only.
+            Err(_) if at.port() == 0 && tries < PORT_TRIES => continue,
+            Err(e) => return Err(e).with_context(|| format!("could not use {addr} for datagrams")),
+        };
+        listener.set_nonblocking(true).context("could not set the socket up")?;
+        let listener = tokio::net::TcpListener::from_std(listener).context("could not listen")?;
+        return Ok((listener, socket, addr));
+    }
 }
