--- a/src/probe.rs
+++ b/src/probe.rs
@@ -265,16 +265,21 @@
     /// Takes in a change that another router found; returns whether it was news.
     pub fn merge_event(&mut self, now: Instant, event: &EngineEvent) -> bool {
         let Some(state) = State::from_raw(event.state) else { return false };
-        let Some(e) = self.entries.get_mut(&event.engine) else { return false };
         if *event.origin == *self.me {
             return false;
         }
         let new = Finding { state, start: event.start, running: 0, at: now, seq: event.seq };
-        if !e.merge(event.origin.as_str().into(), new) {
+        self.merge_finding(now, event.engine, event.origin.as_str().into(), new)
+    }
+
+    fn merge_finding(&mut self, now: Instant, id: u32, origin: Arc<str>, new: Finding) -> bool {
+        let Some(e) = self.entries.get_mut(&id) else { return false };
+        if !e.merge(origin, new) {
             return false;
         }
         // A second opinion at once: an engine is down for all only when most of its probers say so.
-        if state != State::Up && e.mine && e.findings.get(&self.me).is_none_or(|f| f.state != state) {
+        let agrees = e.findings.get(&self.me).is_some_and(|f| f.state == new.state);
+        if new.state != State::Up && e.mine && !agrees {
             e.next = e.next.min(now);
         }
         e.settle(now, &self.me, &self.data_centre);
--- a/src/probe/report.rs
+++ b/src/probe/report.rs
@@ -53,11 +53,8 @@
     pub fn merge_report(&mut self, now: Instant, origin: &Arc<str>, report: &Report) {
         for s in &report.states {
             let Some(state) = State::from_raw(s.state) else { continue };
-            let Some(e) = self.entries.get_mut(&s.engine) else { continue };
             let new = Finding { state, start: s.start, running: 0, at: now, seq: s.seq };
-            if e.merge(origin.clone(), new) {
-                e.settle(now, &self.me, &self.data_centre);
-            }
+            self.merge_finding(now, s.engine, origin.clone(), new);
         }
         let mut id = 0u32;
         for l in &report.loads {
--- /dev/null
+++ b/tests/entry.rs
@@ -0,0 +1,167 @@
+//! Entry answers: near, spread evenly, stable by key, and right while the answering router is cut off.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use cranberrytally::entry::{BadQuery, Candidate, Directory, HOLD, MOST, Query, Router, order};
+
+const fn s(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn router(i: usize, centres: usize) -> Router {
+    Router {
+        name: format!("router-{i}").into(),
+        addr: SocketAddr::from(([10, 0, 0, i as u8], 80)),
+        data_centre: format!("dc-{}", i % centres).into(),
+        region: format!("region-{}", i % centres / 2).into(),
+    }
+}
+
+fn routers(n: usize, centres: usize) -> Vec<Router> {
+    (0..n).map(|i| router(i, centres)).collect()
+}
+
+fn query(key: Option<&str>, salt: u64) -> Query {
+    Query { data_centre: "dc-1".into(), region: "region-0".into(), key: key.map(Arc::from), salt }
+}
+
+fn serving(routers: &[Router]) -> Vec<Candidate> {
+    routers.iter().map(|r| Candidate { router: r.clone(), serves: true, leaving: false }).collect()
+}
+
+fn names(routers: &[Router]) -> Vec<&str> {
+    routers.iter().map(|r| &*r.name).collect()
+}
+
+#[test]
+fn the_nearest_come_first_and_the_last_places_go_elsewhere() {
+    let all = routers(40, 4);
+
+    let list = order(&all, &query(Some("chat"), 0), MOST);
+
+    let centres: Vec<_> = list.iter().map(|r| &*r.data_centre).collect();
+    assert_eq!(centres[..6], ["dc-1"; 6]);
+    assert_eq!(centres[6..], ["dc-0"; 2]);
+}
+
+#[test]
+fn a_key_keeps_its_first_router_when_others_come_and_go() {
+    let all = routers(40, 4);
+    let first = |list: &[Router], key: &str| order(list, &query(Some(key), 9), MOST)[0].name.clone();
+    let keys: Vec<_> = (0..200).map(|k| format!("chat-{k}")).collect();
+    let gone = all[5].name.clone();
+    let fewer: Vec<_> = all.iter().filter(|r| r.name != gone).cloned().collect();
+
+    let moved = keys.iter().filter(|k| first(&all, k) != first(&fewer, k));
+
+    assert!(moved.clone().all(|k| first(&all, k) == gone), "only the keys of the lost router may move");
+    assert!(moved.count() > 0);
+}
+
+#[test]
+fn callers_without_a_key_are_spread_evenly() {
+    let all = routers(40, 4);
+    let mut counts = BTreeMap::<Arc<str>, u32>::new();
+
+    for salt in 0..10_000 {
+        *counts.entry(order(&all, &query(None, salt), MOST)[0].name.clone()).or_default() += 1;
+    }
+
+    assert_eq!(counts.len(), 10, "all routers of the data centre take callers");
+    assert!(counts.values().all(|n| (850..1150).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn queries_are_parsed_and_bad_ones_are_named() {
+    let me = router(0, 4);
+    let cases = [
+        ("key=a%26b+c&data_centre=dc-3&region=r", Ok((Some("a&b c"), "dc-3", "r"))),
+        ("", Ok((None, "dc-0", "region-0"))),
+        ("chat=1", Err(BadQuery::Unknown("chat".into()))),
+        ("key=1&key=2", Err(BadQuery::Twice("key".into()))),
+        ("region=", Err(BadQuery::Empty("region".into()))),
+    ];
+    for (text, want) in cases {
+        let want = want.map(|(key, data_centre, region)| Query {
+            key: key.map(Arc::from),
+            data_centre: data_centre.into(),
+            region: region.into(),
+            salt: 5,
+        });
+
+        assert_eq!(Query::parse(text, &me, 5), want, "{text}");
+    }
+    assert_eq!(Query::parse(&format!("key={}", "k".repeat(257)), &me, 5), Err(BadQuery::KeyTooLong));
+}
+
+/// A router that leaves, or that has no configuration yet, must not be named from the moment the membership says so.
+#[test]
+fn leaving_and_unready_routers_are_not_handed_out() {
+    let all = routers(6, 2);
+    let mut dir = Directory::default();
+    dir.update(s(1), serving(&all));
+    let mut next = serving(&all);
+    next[2].leaving = true;
+    next[3].serves = false;
+
+    dir.update(s(2), next);
+
+    assert_eq!(names(&dir.routers()), ["router-0", "router-1", "router-4", "router-5"]);
+}
+
+/// A switch cuts one router off from most of the fleet. Its suspicions time out one after the other, and it would soon
+/// name only itself: every caller that asks it would crowd onto one host. It goes on naming the others, but not one
+/// that had said it leaves, and only for so long.
+#[test]
+fn a_router_that_is_cut_off_goes_on_naming_the_others() {
+    let all = routers(9, 3);
+    let mut dir = Directory::default();
+    let mut next = serving(&all);
+    next[8].leaving = true;
+    dir.update(s(0), serving(&all));
+    dir.update(s(1), next.clone());
+    for i in 2..8u64 {
+        next[i as usize].serves = false;
+        dir.update(s(i), next.clone());
+    }
+
+    let held = dir.routers();
+    dir.update(s(8) + HOLD, next.clone());
+    let later = dir.routers();
+
+    assert!(dir.cut_off() || names(&later).len() == 2);
+    assert_eq!(held.len(), 8, "all but the one that leaves: {:?}", names(&held));
+    assert_eq!(names(&later), ["router-0", "router-1"]);
+}
+
+/// A few routers die one after the other, as on any day. They must not be held, or callers would be sent to them.
+#[test]
+fn a_minority_that_dies_is_not_held() {
+    let all = routers(9, 3);
+    let mut dir = Directory::default();
+    let mut next = serving(&all);
+    dir.update(s(0), next.clone());
+    for i in 0..3 {
+        next[i].serves = false;
+        dir.update(s(1 + i as u64), next.clone());
+    }
+
+    assert!(!dir.cut_off());
+    assert_eq!(dir.routers().len(), 6);
+}
+
+/// Routers that were held come back: the hold ends and what is lost later counts anew.
+#[test]
+fn a_hold_ends_when_the_others_are_heard_again() {
+    let all = routers(9, 3);
+    let mut dir = Directory::default();
+    dir.update(s(0), serving(&all));
+    dir.update(s(1), serving(&all[..2]));
+    let held = dir.cut_off();
+
+    dir.update(s(2), serving(&all));
+
+    assert!(held);
+    assert!(!dir.cut_off());
+    assert_eq!(dir.routers().len(), 9);
+}
