Let requests wait once a pool runs what its engines run well

Cause: the load bound is a multiple of the mean, which a surge raises, so no pool was ever full and the fair queues were never used: 48 chats sent to two engines of 8 places each ran at once. Change: a pool whose owners count as many requests as its engines' capacity is full; chats then wait for a turn. Two tests over sockets: a surge of 48 with a small workspace's chat behind it, and a deadline that passes in the queue. Both fail without the change (tried).

--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -54,6 +54,9 @@
 
 impl Backends for Engines<'_> {
     async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
+        if self.gateway.placement.placer().is_full(self.cat, self.pool, now()) {
+            return Err(Unfound::AtBound);
+        }
         let placed = self.gateway.place(self.cat, self.pool, self.ask, exclude.iter().copied()).await;
         match placed {
             Ok(p) => Ok(Found { engine: p.engine, slot: Some(p.slot), hint: Some(p.hint), router: p.router }),
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -192,6 +192,15 @@
         mean
     }
 
+    /// Whether a pool's engines run as many requests as they run well at once.
+    ///
+    /// The bound keeps engines near the mean, however high that is: a surge would raise the mean, and every
+    /// request would run slowly on engines that all are too full. Requests wait in fair queues instead.
+    pub fn is_full(&mut self, cat: &Catalog, pool: &Pool, now: Instant) -> bool {
+        let all = total(self.digest(cat, pool, now), self.digests.total(pool.id, now));
+        all.capacity > 0 && u64::from(all.running) >= all.capacity
+    }
+
     /// Reserves work on an engine as its owner; a repeat of a granted request is granted again, counted once.
     ///
     /// # Errors
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -185,6 +185,80 @@
     fleet.close();
 }
 
+/// A large workspace sends three times what the engines run at once, then a small one sends its first chat.
+/// The engines get no more than they run well, nobody is refused, and the small workspace's chat does not wait
+/// for all that came before it.
+#[tokio::test]
+async fn a_full_pool_queues_and_a_small_workspace_goes_first() {
+    const PLACES: u32 = 16;
+    const SURGE: u32 = 48;
+    let plan = Plan::default().with_engines(2).with_tokens(10, Duration::from_millis(100));
+    let fleet = Arc::new(Fleet::start(1, plan).await);
+    let done = Arc::new(AtomicU32::new(0));
+    let surge: Vec<_> = (0..SURGE)
+        .map(|i| {
+            let (fleet, done) = (fleet.clone(), done.clone());
+            tokio::spawn(async move {
+                let seen = fleet.chat(0, &format!("text {i}"), &[]).await;
+                done.fetch_add(1, Ordering::SeqCst);
+                seen.whole()
+            })
+        })
+        .collect();
+    while fleet.outside.engines.iter().map(|e| e.running()).sum::<u32>() < PLACES {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let most = tokio::spawn(most_running(fleet.clone(), done.clone(), SURGE));
+
+    let small = fleet.chat(0, "mine", &[("x-workspace", WORKSPACES[1])]).await;
+    let before = done.load(Ordering::SeqCst);
+
+    assert!(small.whole(), "{small:?}");
+    assert!(before <= 2 * PLACES + 2, "{before} of the surge came first");
+    for task in surge {
+        assert!(task.await.unwrap(), "a chat of the surge was not answered");
+    }
+    // One more may start while the end of another is still being noted.
+    assert!(most.await.unwrap() <= PLACES + 1);
+}
+
+async fn most_running(fleet: Arc<Fleet>, done: Arc<AtomicU32>, all: u32) -> u32 {
+    let mut most = 0;
+    while done.load(Ordering::SeqCst) < all {
+        most = most.max(fleet.outside.engines.iter().map(|e| e.running()).sum());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    most
+}
+
+/// Every place is taken for a second when a chat comes that must be answered in 300 ms. It is told at once, and
+/// when to come back, while one with time to spare waits and is answered.
+#[tokio::test]
+async fn a_deadline_that_passes_in_the_queue_is_told() {
+    let plan = Plan::default().with_engines(1).with_tokens(20, Duration::from_millis(50));
+    let fleet = Arc::new(Fleet::start(1, plan).await);
+    let running: Vec<_> = (0..8)
+        .map(|i| {
+            let fleet = fleet.clone();
+            tokio::spawn(async move { fleet.chat(0, &format!("text {i}"), &[]).await.whole() })
+        })
+        .collect();
+    while fleet.outside.engines[0].running() < 8 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    let hasty = fleet.chat(0, "hasty", &[("x-deadline-ms", "300")]).await;
+    let patient = fleet.chat(0, "patient", &[("x-deadline-ms", "30000")]).await;
+
+    assert!(["deadline_passed", "deadline_unmeetable"].contains(&hasty.code().as_str()), "{hasty:?}");
+    assert_eq!(hasty.header("x-outcome"), "not-run");
+    assert!(!hasty.header("retry-after").is_empty());
+    assert!(patient.whole(), "{patient:?}");
+    for task in running {
+        assert!(task.await.unwrap());
+    }
+}
+
 /// An engine is gone, and every router still believes in it. The chat is answered by another engine, the answer
 /// tells how many attempts were made, and a caller that carries a used-up count is refused.
 #[tokio::test]
