Tell news of a crash whole, and only what is new

Cause: a message of 400 bytes held 15 contents, filled up with what was told before; an engine can run more than that for one router, and the crashing content could be among those left out.

--- a/benches/admission.rs
+++ b/benches/admission.rs
@@ -189,8 +189,11 @@
         let _ = black_box(permits.ask(Duration::ZERO, contents[0], engine.clone(), Duration::from_secs(1)));
         permits.release(contents[0], &engine);
     });
-    let entry = postcard::to_stdvec(&table.digest(Duration::ZERO, 400)).map_or(0, |b| b.len());
-    println!("bytes: digest of 400 allowed {entry}");
+    for allowed in [256, 4096] {
+        let digest = table.digest(Duration::ZERO, allowed);
+        let bytes = postcard::to_stdvec(&digest).map_or(0, |b| b.len());
+        println!("digest of {allowed} bytes allowed: {} contents in {bytes} bytes", digest.entries.len());
+    }
 }
 
 fn filled(waiting: usize) -> (Vec<Demand>, Lane) {
--- a/benches/admission/crash.rs
+++ b/benches/admission/crash.rs
@@ -16,7 +16,8 @@
 const RUN: Duration = Duration::from_secs(2);
 const GOSSIP: Duration = Duration::from_secs(1);
 const FANOUT: usize = 3;
-const DIGEST: usize = 400;
+const DIGEST: usize = 256;
+const NEWS: usize = 4096;
 const PAUSE: Duration = Duration::from_millis(50);
 const ONE_WAY: Duration = Duration::from_millis(2);
 const FLAP: Duration = Duration::from_secs(3);
@@ -412,13 +413,13 @@
             }
             if matches!(self.cfg.guard, Guard::News | Guard::Full) {
                 let all = (0..self.cfg.routers).filter(|&r| r != router).collect::<Vec<_>>();
-                self.tell(router, &all);
+                let news = self.routers[router].table.news(self.now, NEWS);
+                self.tell(news, &all);
             }
         }
     }
 
-    fn tell(&mut self, from: usize, to: &[usize]) {
-        let digest = self.routers[from].table.digest(self.now, DIGEST);
+    fn tell(&mut self, digest: Digest, to: &[usize]) {
         if digest.entries.is_empty() {
             return;
         }
@@ -443,7 +444,8 @@
         }
         for from in 0..self.cfg.routers {
             let to: Vec<_> = (0..FANOUT).map(|_| self.rng.random_range(0..self.cfg.routers)).collect();
-            self.tell(from, &to);
+            let digest = self.routers[from].table.digest(self.now, DIGEST);
+            self.tell(digest, &to);
         }
     }
 
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -37,8 +37,8 @@
 const PERMIT_MARGIN: Duration = Duration::from_secs(10);
 /// Routers that are asked for a permit, should the first not answer.
 const MOST_ARBITERS: usize = 2;
-/// Bytes of one message of news.
-pub(crate) const NEWS: usize = 400;
+/// Bytes of one message of news: all that one router runs on an engine, at most 200 contents or so.
+const NEWS: usize = 4096;
 /// Breaks of an engine of unknown start within this time count as one crash.
 const UNKNOWN_START_MS: u64 = 5_000;
 
@@ -215,7 +215,7 @@
     /// Tells the other routers of the region at once: the caller of a crashing request may send it to another
     /// router within milliseconds, and gossip takes a second.
     fn tell(self: &Arc<Self>) {
-        let digest = self.digest(NEWS);
+        let digest = lock(&self.table).news(now(), NEWS);
         if digest.entries.is_empty() {
             return;
         }
--- a/src/schema/suspect.rs
+++ b/src/schema/suspect.rs
@@ -7,7 +7,7 @@
     #[prost(message, repeated, tag = "1")]
     pub entries: ::prost::alloc::vec::Vec<Entry>,
 }
-/// What is known of one content. 17 to 40 bytes in postcard.
+/// What is known of one content. About 25 bytes in postcard.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Entry {
--- a/src/suspect/table.rs
+++ b/src/suspect/table.rs
@@ -197,11 +197,20 @@
     /// Part of the table for other routers, in at most `bytes` of postcard: what was told least goes first, and
     /// quarantined contents before suspects.
     pub fn digest(&mut self, now: Instant, bytes: usize) -> Digest {
+        self.pick(now, bytes, u32::MAX)
+    }
+
+    /// What has been told to nobody yet, in at most `bytes` of postcard.
+    pub fn news(&mut self, now: Instant, bytes: usize) -> Digest {
+        self.pick(now, bytes, 0)
+    }
+
+    fn pick(&mut self, now: Instant, bytes: usize, most_told: u32) -> Digest {
         self.entries.retain(|_, e| e.until > now);
-        let mut order: Vec<_> = self.entries.iter().collect();
+        let mut order: Vec<_> = self.entries.iter().filter(|(_, e)| e.told <= most_told).collect();
         order.sort_by_key(|(content, e)| (e.told, std::cmp::Reverse(e.standing), **content));
         let mut digest = Digest { entries: Vec::new() };
-        // The list's length takes at most two bytes for as many entries as a datagram holds.
+        // The list's length takes at most two bytes for as many entries as a message holds.
         let mut size = 2;
         for (content, entry) in order {
             let wire = wire(now, *content, entry);
@@ -213,7 +222,7 @@
         }
         for wire in &digest.entries {
             if let Some(entry) = self.entries.get_mut(&Fingerprint(wire.fingerprint)) {
-                entry.told += 1;
+                entry.told = entry.told.saturating_add(1);
             }
         }
         digest
--- a/tests/suspect.rs
+++ b/tests/suspect.rs
@@ -256,6 +256,21 @@
     assert_eq!(table.standing(NOW, content(0)), Standing::Quarantined);
 }
 
+/// The second crash follows the first within milliseconds. News that repeats what was told would crowd out the
+/// content that crashes engines.
+#[test]
+fn news_tells_each_change_once() {
+    let mut table = Table::default();
+    table.accuse(NOW, &contents(0..10), crash(1));
+    assert_eq!(table.news(NOW, 4096).entries.len(), 10);
+    assert!(table.news(NOW, 4096).entries.is_empty());
+
+    table.judge(NOW, content(0), &[], crash(2));
+
+    assert_eq!(table.news(NOW, 4096).entries.len(), 1);
+    assert_eq!(table.digest(NOW, 4096).entries.len(), 10, "gossip repeats");
+}
+
 proptest! {
     /// Routers hear of the same crashes in any order; after all has been told, none may take a quarantined
     /// content for free or hold a completed one back.
