Refuse a load bound that would take its pool out of force

The check took bounds from 1000 thousandths, the catalog only from 1050: a pool with a bound between was accepted, then left out, and its chats were refused with no_policy. The new test fails without the change.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -150,7 +150,7 @@
 
 const DEFAULT_BOUND: f64 = 1.25;
 /// A bound of one mean or less can't be kept: some engine always stands above the mean.
-const LEAST_BOUND_MILLI: u32 = 1050;
+pub(crate) const LEAST_BOUND_MILLI: u32 = 1050;
 
 impl Catalog {
     /// Compiles `objects`; returns the catalog and what is wrong with objects that were left out.
--- a/tests/validation.rs
+++ b/tests/validation.rs
@@ -1,6 +1,6 @@
 //! Validation of objects: every mistake of a document is reported at once, with its place.
 
-use cranberrytally::revision::check;
+use cranberrytally::{catalog::Catalog, revision::check};
 
 fn problems(doc: &str) -> Vec<String> {
     let doc: serde_json::Value = serde_saphyr::from_str(doc).expect("YAML");
@@ -98,3 +98,18 @@
 
     assert_eq!(found.len(), 8, "{found:#?}");
 }
+
+/// An operator lowers a pool's bound to 1.02 times the mean; `apply` takes it, and every chat of the pool is refused with
+/// `no_policy`. The check let a bound pass that the compiler of the catalog then left out with its pool.
+#[test]
+fn a_bound_that_is_accepted_keeps_its_pool() {
+    for bound in [0, 1, 999, 1000, 1049, 1050, 10_000, 10_001] {
+        let doc = format!("{{kind: EnginePool, metadata: {{name: p}}, spec: {{loadBoundMilli: {bound}}}}}");
+        let parsed = check::parse(&serde_saphyr::from_str(&doc).expect("YAML"));
+
+        let faults = parsed.as_ref().map(|pool| Catalog::compile(1, &[pool.clone()]).1);
+
+        assert_eq!(parsed.is_ok(), [0, 1050, 10_000].contains(&bound), "{bound}");
+        assert!(faults.is_err() || faults == Ok(Vec::new()), "{bound}: {faults:?}");
+    }
+}
