--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -1,8 +1,8 @@
 //! The command line.
 
-use std::process::ExitCode;
+use std::{ffi::OsString, process::ExitCode};
 
-use anyhow::{Result, bail};
+use anyhow::Result;
 use gumdrop::Options;
 
 mod apply;
@@ -15,6 +15,10 @@
 mod serve;
 mod status;
 
+use remote::Exit;
+
+const NAME: &str = "cranberrytally";
+
 /// A subcommand.
 pub(crate) trait Run {
     /// Runs it to its end.
@@ -24,6 +28,19 @@
     fn run(&self) -> Result<ExitCode>;
 }
 
+/// The arguments are not those of the command.
+#[derive(Debug)]
+pub(crate) struct Usage(String);
+
+impl std::fmt::Display for Usage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Usage {}
+
+/// Routes returning chats to model engines, and calls to plain services.
 #[derive(Debug, Options)]
 struct Args {
     #[options(help = "print this help")]
@@ -38,7 +55,7 @@
 enum Cmd {
     #[options(help = "run a router")]
     Serve(serve::Serve),
-    #[options(help = "check a settings file")]
+    #[options(help = "check settings files")]
     Check(check::Check),
     #[options(help = "run a small fleet with stand-ins in one process")]
     Demo(demo::Demo),
@@ -54,14 +71,53 @@
     Drain(drain::Drain),
 }
 
-/// Parses the arguments and runs the subcommand.
+/// Parses the arguments and runs the subcommand; returns the exit code that docs/OPERATORS.md lists.
 ///
 /// # Errors
 /// What the subcommand reports.
 pub fn run() -> Result<ExitCode> {
-    let args = Args::parse_args_default_or_exit();
+    match parse().and_then(run_args) {
+        Err(e) if e.is::<Usage>() => {
+            eprintln!("{NAME}: {e}; see --help");
+            Ok(Exit::Invalid.into())
+        }
+        result => result,
+    }
+}
+
+fn parse() -> Result<Args> {
+    let words: Vec<_> = std::env::args_os().skip(1).collect();
+    let words = words.into_iter().map(|word| word.into_string().map_err(not_unicode));
+    let words = words.collect::<Result<Vec<_>>>()?;
+    Args::parse_args_default(&words).map_err(|e| Usage(e.to_string()).into())
+}
+
+fn not_unicode(word: OsString) -> anyhow::Error {
+    Usage(format!("{word:?} is no text")).into()
+}
+
+/// Help of the command that was named, or of the program.
+fn help(args: &Args) -> String {
+    let mut last: &dyn Options = args;
+    let mut usage = format!("Usage: {NAME}");
+    while let Some(command) = last.command() {
+        usage += &format!(" {}", command.command_name().unwrap_or_default());
+        last = command;
+    }
+    let mut text = format!("{usage} [OPTIONS]\n\n{}\n", last.self_usage());
+    if let Some(list) = last.self_command_list() {
+        text += &format!("\nAvailable commands:\n{list}\n");
+    }
+    text
+}
+
+fn run_args(args: Args) -> Result<ExitCode> {
+    if args.help_requested() {
+        print!("{}", help(&args));
+        return Ok(ExitCode::SUCCESS);
+    }
     if args.version {
-        println!("cranberrytally {}", env!("CARGO_PKG_VERSION"));
+        println!("{NAME} {}", env!("CARGO_PKG_VERSION"));
         return Ok(ExitCode::SUCCESS);
     }
     match args.cmd {
@@ -73,6 +129,6 @@
         Some(Cmd::Label(cmd)) => cmd.run(),
         Some(Cmd::Status(cmd)) => cmd.run(),
         Some(Cmd::Drain(cmd)) => cmd.run(),
-        None => bail!("no command given; see --help"),
+        None => Err(Usage("no command given".into()).into()),
     }
 }
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result};
 use gumdrop::Options;
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -25,6 +25,7 @@
 
 const POLL: Duration = Duration::from_millis(200);
 
+/// Writes objects from a file into the platform, and can wait until all routers have them in force.
 #[derive(Debug, Options)]
 pub(crate) struct Apply {
     #[options(help = "print this help")]
@@ -67,10 +68,12 @@
 /// Reads the objects of a file; the inner error lists all that is wrong with them.
 fn read(file: &Path) -> Result<Result<Vec<AnyObject>, Vec<String>>> {
     let text = std::fs::read_to_string(file).with_context(|| format!("could not read {}", file.display()))?;
-    let docs: Vec<serde_json::Value> =
-        serde_saphyr::from_multiple(&text).context("could not read the YAML")?;
+    let docs: Vec<serde_json::Value> = match serde_saphyr::from_multiple(&text) {
+        Ok(docs) => docs,
+        Err(e) => return Ok(Err(vec![format!("could not read the YAML: {e}")])),
+    };
     if docs.is_empty() {
-        bail!("{} holds no object", file.display());
+        return Ok(Err(vec!["there is no object in it".into()]));
     }
     let (mut objects, mut problems, mut names) = (Vec::new(), Vec::new(), BTreeSet::new());
     for (i, doc) in docs.iter().enumerate() {
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -33,6 +33,7 @@
 const READY_TIME: Duration = Duration::from_secs(10);
 const READY_POLL: Duration = Duration::from_millis(20);
 
+/// Runs a small fleet with stand-ins in one process; fails when a promise was broken.
 #[derive(Debug, Options)]
 pub(crate) struct Demo {
     #[options(help = "print this help")]
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -13,6 +13,7 @@
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Tells one router to shut down.
 #[derive(Debug, Options)]
 pub(crate) struct Drain {
     #[options(help = "print this help")]
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -5,9 +5,10 @@
 use anyhow::{Context, Result, bail, ensure};
 use gumdrop::Options;
 
-use super::{Run, remote};
+use super::{Run, Usage, remote};
 use crate::{catalog::AnyObject, platform::CONFIGURATION_KINDS};
 
+/// Shows objects as the platform has them.
 #[derive(Debug, Options)]
 pub(crate) struct Get {
     #[options(help = "print this help")]
@@ -25,7 +26,7 @@
         let (kind, name) = match self.words.as_slice() {
             [kind] => (kind, None),
             [kind, name] => (kind, Some(name)),
-            _ => bail!("expected KIND [NAME]"),
+            _ => return Err(Usage("expected KIND [NAME]".into()).into()),
         };
         known_kind(kind)?;
         let platform = remote::platform(&self.platform)?;
--- a/src/cmd/label.rs
+++ b/src/cmd/label.rs
@@ -7,11 +7,12 @@
 use rand::{SeedableRng, rngs::StdRng};
 
 use super::{
-    Run, apply, get,
+    Run, Usage, apply, get,
     remote::{self, Exit},
 };
 use crate::{catalog::Labels, revision::check};
 
+/// Sets and removes labels of one object.
 #[derive(Debug, Options)]
 pub(crate) struct Label {
     #[options(help = "print this help")]
@@ -25,11 +26,11 @@
 impl Run for Label {
     fn run(&self) -> Result<ExitCode> {
         let [kind, name, changes @ ..] = self.words.as_slice() else {
-            bail!("expected KIND NAME LABEL=VALUE... LABEL-...");
+            return Err(Usage("expected KIND NAME LABEL=VALUE... LABEL-...".into()).into());
         };
         get::known_kind(kind)?;
         if changes.is_empty() {
-            bail!("expected at least one LABEL=VALUE or LABEL-");
+            return Err(Usage("expected at least one LABEL=VALUE or LABEL-".into()).into());
         }
         let platform = remote::platform(&self.platform)?;
         remote::block_on(async {
--- a/src/cmd/remote.rs
+++ b/src/cmd/remote.rs
@@ -7,11 +7,13 @@
 
 use crate::{client::Client, operate::Status, platform::Platform};
 
-/// Exit codes of operators' commands; 0 is success and 1 any failure that has no code of its own.
+/// Exit codes of commands, from the best to the worst outcome; docs/OPERATORS.md lists them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Exit {
     /// All was done.
     Done = 0,
+    /// It failed in a way that has no code of its own.
+    Failed = 1,
     /// The input is wrong; nothing was written.
     Invalid = 2,
     /// Another write came first.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -8,6 +8,7 @@
 use super::Run;
 use crate::{config::Settings, logs, serve::Running};
 
+/// Runs one router until it is drained or interrupted.
 #[derive(Debug, Options)]
 pub(crate) struct Serve {
     #[options(help = "print this help")]
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -11,6 +11,7 @@
 };
 use crate::client::Client;
 
+/// Shows the live routers, the version that each has in force, and objects that are not valid.
 #[derive(Debug, Options)]
 pub(crate) struct Status {
     #[options(help = "print this help")]
