--- a/tests/validation.rs
+++ b/tests/validation.rs
@@ -107,7 +107,7 @@
         let doc = format!("{{kind: EnginePool, metadata: {{name: p}}, spec: {{loadBoundMilli: {bound}}}}}");
         let parsed = check::parse(&serde_saphyr::from_str(&doc).expect("YAML"));
 
-        let faults = parsed.as_ref().map(|pool| Catalog::compile(1, &[pool.clone()]).1);
+        let faults = parsed.as_ref().map(|pool| Catalog::compile(1, std::slice::from_ref(pool)).1);
 
         assert_eq!(parsed.is_ok(), [0, 1050, 10_000].contains(&bound), "{bound}");
         assert!(faults.is_err() || faults == Ok(Vec::new()), "{bound}: {faults:?}");
