Split the guard's shell; let a suspect pass a full pool's queue

A suspect whose pool is full was turned away each time it asked, since it does not wait in the queue and its turn never came. Change: runs and the watch of broken engines stand in files of their own; a suspect asks for an engine also when the pool is full, within the load bound.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,7 +31,7 @@
 /// The backend servers that may serve a request.
 pub(super) trait Backends: Sync {
     /// Finds one with room that is not among `exclude`, and holds work on it.
-    fn find(&self, exclude: &[Id]) -> impl Future<Output = Result<Found, Unfound>> + Send;
+    fn find(&self, exclude: &[Id], queue: Queued) -> impl Future<Output = Result<Found, Unfound>> + Send;
 
     /// Sends the request; `request` names this attempt.
     fn send(
@@ -44,6 +44,14 @@
     fn idempotent(&self) -> bool;
 }
 
+/// Whether a request waits in the queue while its pool is full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Queued {
+    Yes,
+    /// A suspect: the queue would pass it by again and again, and few there are.
+    No,
+}
+
 /// A backend server found for a request.
 #[derive(Debug)]
 pub(super) struct Found {
@@ -171,13 +179,13 @@
             Standing::Suspect => self.find_apart(cat, ask, to, tried).await,
             Standing::Cleared => {
                 let exclude: Vec<_> = tried.clone();
-                let find = || async { to.find(&exclude).await.map_err(no_room) };
+                let find = || async { to.find(&exclude, Queued::Yes).await.map_err(no_room) };
                 let found = queue.admit(ask, find).await;
                 match found {
                     // Every other engine is out of use: the one that failed may be back after the pause.
                     Err(f) if f.kind == Kind::NoEngine && !tried.is_empty() => {
                         tried.clear();
-                        let find = || async { to.find(&[]).await.map_err(no_room) };
+                        let find = || async { to.find(&[], Queued::Yes).await.map_err(no_room) };
                         Ok((queue.admit(ask, find).await?, None))
                     }
                     found => Ok((found?, None)),
@@ -224,7 +232,7 @@
     ) -> Result<Permitted, Fault> {
         let mut exclude = avoid.to_vec();
         loop {
-            let found = match to.find(&exclude).await {
+            let found = match to.find(&exclude, Queued::No).await {
                 Ok(found) => found,
                 Err(Unfound::NoneInUse) if exclude.is_empty() => return Err(no_engine()),
                 Err(Unfound::NoneInUse) if exclude.len() == avoid.len() => return Ok(Permitted::OnlyAvoided),
--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -7,7 +7,7 @@
 use super::{
     Gateway,
     ask::Ask,
-    attempt::{Backends, Found, Unfound},
+    attempt::{Backends, Found, Queued, Unfound},
     place::Unplaced,
     relay::relay_events,
     resume::RESUME_TOKEN,
@@ -53,8 +53,8 @@
 }
 
 impl Backends for Engines<'_> {
-    async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
-        if self.gateway.placement.placer().is_full(self.cat, self.pool, now()) {
+    async fn find(&self, exclude: &[Id], queue: Queued) -> Result<Found, Unfound> {
+        if queue == Queued::Yes && self.gateway.placement.placer().is_full(self.cat, self.pool, now()) {
             return Err(Unfound::AtBound);
         }
         let placed = self.gateway.place(self.cat, self.pool, self.ask, exclude.iter().copied()).await;
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -8,7 +8,7 @@
 use super::{
     Gateway,
     ask::Ask,
-    attempt::{Backends, Found, Unfound},
+    attempt::{Backends, Found, Queued, Unfound},
     claim::call::{Answer, Claim},
     relay::relay,
 };
@@ -91,7 +91,7 @@
 }
 
 impl Backends for Servers<'_> {
-    async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
+    async fn find(&self, exclude: &[Id], _: Queued) -> Result<Found, Unfound> {
         let top = self.service.ranking.top(rand::random());
         let engine = top.iter().find(|key| !exclude.contains(&self.cat.engine(*key).id));
         engine.map(|engine| Found { engine, slot: None, hint: None, router: None }).ok_or(Unfound::NoneInUse)
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -7,11 +7,8 @@
     time::Duration,
 };
 
-use tokio::net::TcpStream;
-
 use super::{admit::Queue, ask::Ask, lock, place::Placement};
 use crate::{
-    admit::Work,
     catalog::{Engine, Id},
     client::Client,
     engine::EngineClient,
@@ -22,25 +19,24 @@
         link::frame::Body,
         suspect::{Digest, Permit as Wanted, PermitAnswer, Release},
     },
-    suspect::{self, CrashId, EngineTag, Fingerprint, Permits, Running, Standing, Table, Verdict},
-    util::{Instant, Map, now, wall_ms},
+    suspect::{self, EngineTag, Fingerprint, Permits, Running, Standing, Table, Verdict},
+    util::{Map, now},
 };
 
+mod run;
+mod watch;
+
+pub(crate) use run::{Permit, Run};
+use watch::{Seen, crash_id};
+
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
 const TELL_TIMEOUT: Duration = Duration::from_secs(2);
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// First and last pause between two looks at a broken engine, and how many there are: half a minute in all.
-const FIRST_FOLLOW_UP: Duration = Duration::from_millis(50);
-const LAST_FOLLOW_UP: Duration = Duration::from_secs(2);
-const FOLLOW_UPS: u32 = 20;
 /// Added to a request's deadline: a permit outlives the run it is for, unless its holder has died.
 const PERMIT_MARGIN: Duration = Duration::from_secs(10);
 /// Routers that are asked for a permit, should the first not answer.
 const MOST_ARBITERS: usize = 2;
 /// Bytes of one message of news: all that one router runs on an engine, at most 200 contents or so.
 const NEWS: usize = 4096;
-/// Breaks of an engine of unknown start within this time count as one crash.
-const UNKNOWN_START_MS: u64 = 5_000;
 
 /// What one router knows and does about crashing requests.
 #[derive(Debug)]
@@ -54,15 +50,6 @@
     starts: Mutex<Map<Id, u64>>,
 }
 
-/// What became of a broken run's engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Probe {
-    SameStart,
-    OtherStart,
-    Unreachable,
-    Unknown,
-}
-
 impl Suspects {
     pub(crate) fn new(region: Arc<str>, placement: Arc<Placement>, client: Client) -> Self {
         Self {
@@ -241,155 +228,4 @@
             tokio::spawn(self.clone().follow_up(engine.clone(), before, crash));
         }
     }
-
-    fn start_of(&self, engine: &Seen) -> u64 {
-        match self.placement.placer().health.start(engine.id) {
-            0 => lock(&self.starts).get(&engine.id).copied().unwrap_or(0),
-            start => start,
-        }
-    }
-
-    /// Reads the start of an engine of which no report has come yet: without it a broken connection could not be
-    /// told from a crash.
-    fn learn_start(self: &Arc<Self>, engine: &Seen) {
-        if !engine.reports || self.start_of(engine) != 0 {
-            return;
-        }
-        // The entry keeps the other runs of this engine from asking as well.
-        if lock(&self.starts).insert(engine.id, 0).is_some() {
-            return;
-        }
-        let (suspects, engine) = (self.clone(), engine.clone());
-        tokio::spawn(async move { suspects.probe(&engine, 0).await });
-    }
-
-    /// Asks the engine whether it is still in the start that `before` names; 0 stands for an unknown one.
-    async fn probe(&self, engine: &Seen, before: u64) -> Probe {
-        if !engine.reports {
-            // A plain service has no load report; one that still takes connections has not crashed.
-            let connects = self.connects(engine).await;
-            return if connects { Probe::SameStart } else { Probe::Unreachable };
-        }
-        let client = EngineClient::new(self.client.clone(), engine.addr);
-        let Ok(load) = client.load().await else { return Probe::Unreachable };
-        lock(&self.starts).insert(engine.id, load.start);
-        match before {
-            0 => Probe::Unknown,
-            start if start == load.start => Probe::SameStart,
-            _ => Probe::OtherStart,
-        }
-    }
-
-    /// Watches a broken engine until it answers. One that is still in its old start did not crash, and what was
-    /// held against its requests is taken back.
-    async fn follow_up(self: Arc<Self>, engine: Seen, before: u64, crash: CrashId) {
-        let mut pause = FIRST_FOLLOW_UP;
-        for _ in 0..FOLLOW_UPS {
-            match self.probe(&engine, before).await {
-                Probe::SameStart => {
-                    lock(&self.table).withdraw(now(), crash);
-                    return self.tell();
-                }
-                Probe::OtherStart | Probe::Unknown => return,
-                Probe::Unreachable => tokio::time::sleep(pause).await,
-            }
-            pause = (pause * 2).min(LAST_FOLLOW_UP);
-        }
-    }
-
-    async fn connects(&self, engine: &Seen) -> bool {
-        let connect = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(engine.addr)).await;
-        matches!(connect, Ok(Ok(_)))
-    }
-}
-
-fn crash_id(engine: &Seen, start: u64) -> CrashId {
-    match start {
-        0 => CrashId::new(&engine.name, &format!("about {}", wall_ms() / UNKNOWN_START_MS)),
-        start => CrashId::new(&engine.name, &start.to_string()),
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Seen {
-    id: Id,
-    name: Arc<str>,
-    addr: SocketAddr,
-    /// Whether it reports its load, as model engines do.
-    reports: bool,
-}
-
-/// The permit to run a suspect; dropping it gives it back.
-#[derive(Debug)]
-pub(crate) struct Permit {
-    suspects: Arc<Suspects>,
-    content: Fingerprint,
-    engine: Arc<str>,
-    peer: Option<SocketAddr>,
-    start: u64,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let release = Release { fingerprint: self.content.0, engine: self.engine.to_string() };
-        let Some(peer) = self.peer else { return self.suspects.serve_release(&release) };
-        let suspects = self.suspects.clone();
-        tokio::spawn(async move {
-            let _ = suspects.links().call(peer, Body::PermitRelease(release), TELL_TIMEOUT).await;
-        });
-    }
-}
-
-/// One run at an engine. Dropping it, as when the caller goes away, says nothing of the content.
-#[derive(Debug)]
-pub(crate) struct Run {
-    suspects: Arc<Suspects>,
-    queue: Arc<Queue>,
-    engine: Seen,
-    content: Fingerprint,
-    key: suspect::Run,
-    permit: Option<Permit>,
-    began: Instant,
-    work: Work,
-}
-
-impl Run {
-    /// Ends a run whose answer is whole; its content is no suspect any more.
-    pub(crate) fn complete(self) {
-        lock(&self.suspects.table).clear(now(), self.content);
-    }
-
-    /// Ends a run whose connection broke after the request may have been sent.
-    pub(crate) async fn broke(self) {
-        if let Some(start) = self.permit.as_ref().map(|p| p.start) {
-            return self.judge(start).await;
-        }
-        self.suspects.accuse(&self.engine);
-        self.suspects.tell();
-    }
-
-    /// Decides on a suspect that ran alone; it keeps its permit until then, so that it runs nowhere else.
-    async fn judge(self, before: u64) {
-        let crash = crash_id(&self.engine, before);
-        let probe = self.suspects.probe(&self.engine, before).await;
-        if matches!(probe, Probe::SameStart | Probe::Unknown) {
-            return;
-        }
-        let contents = lock(&self.suspects.running).at(&self.engine.name);
-        let standing = lock(&self.suspects.table).judge(now(), self.content, &contents, crash);
-        let (engine, Fingerprint(content)) = (&self.engine.name, self.content);
-        let standing = standing.as_str_name();
-        spdlog::warn!("{engine} crashed while it ran suspect {content:016x} alone: {standing}");
-        self.suspects.tell();
-        if probe == Probe::Unreachable {
-            tokio::spawn(self.suspects.clone().follow_up(self.engine.clone(), before, crash));
-        }
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        lock(&self.suspects.running).finish(&self.engine.name, self.key);
-        self.queue.note_end(now().saturating_sub(self.began), self.work);
-    }
 }
