--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -28,8 +28,10 @@
 const ROUTERS: usize = 3;
 const TURNS: usize = 6;
 const TRIES: usize = 8;
-const TURN_PAUSE: Duration = Duration::from_millis(60);
-const CHURN_PAUSE: Duration = Duration::from_millis(120);
+const TOKENS: usize = 30;
+const TOKEN_TIME: Duration = Duration::from_millis(15);
+const TURN_PAUSE: Duration = Duration::from_millis(300);
+const CHURN_PAUSE: Duration = Duration::from_millis(700);
 const READY_TIME: Duration = Duration::from_secs(10);
 const READY_POLL: Duration = Duration::from_millis(20);
 
@@ -75,7 +77,7 @@
 
 async fn demo(chats: usize) -> Result<ExitCode> {
     say(&format!("starting {ROUTERS} routers, 9 engines, 3 backend servers of a plain service\n"));
-    let mut outside = Outside::start(Plan::default()).await?;
+    let mut outside = Outside::start(Plan::default().with_tokens(TOKENS, TOKEN_TIME)).await?;
     let routers = start_routers(&outside)?;
     ready(&routers).await?;
     say(&format!(
@@ -183,7 +185,14 @@
     row("saves that ran twice", doubled.to_string());
     row("cache reuse of returning chats", format!("{reuse:.3}"));
     row("requests of the busiest engine over the mean", format!("{skew:.2}"));
-    for counter in [Counter::Refusals, Counter::Retries, Counter::RetriesRefused] {
+    for counter in [
+        Counter::Refusals,
+        Counter::Retries,
+        Counter::RetriesRefused,
+        Counter::Placements,
+        Counter::Streams,
+        Counter::Claims,
+    ] {
         for (value, n) in sum(routers, counter) {
             row(&format!("{} {value}", counter.shown().name), n.to_string());
         }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -22,7 +22,7 @@
         hint::{CachedCopy, Hint, HintKey},
         ledger::HoldId,
         members::Member,
-        search::Search,
+        search::{Candidate, Search},
         transfer::Costs,
     },
     schema::{
@@ -303,12 +303,16 @@
                 cached: step.engine.is_some_and(|c| c.cached > 0),
             };
             let Some(granted) = place.reserve(cat, req, step.owner.as_ref()).await else {
+                if req.cached {
+                    self.metrics.add(Counter::Placements, "cached_refused", 1);
+                }
                 slot.refuse();
                 continue;
             };
             // An owner that chooses for itself knows neither which engines have failed this request nor, where its
             // configuration is newer, the pool as it is here. The slot is dropped, which ends the reservation.
             let Some(engine) = pool.member(granted).filter(|_| !search.excludes(granted)) else { continue };
+            self.metrics.add(Counter::Placements, how(step.engine), 1);
             let placed = self.placed(cat, ask, &search, hint, engine, slot);
             let source = search.source(&place.placer(), pool, engine);
             if let Some((from, tokens)) = source {
@@ -404,6 +408,15 @@
     }
 }
 
+/// Label of a placement: on an engine believed to cache the chat, by rank, or on any with room.
+fn how(engine: Option<Candidate>) -> &'static str {
+    match engine {
+        Some(candidate) if candidate.cached > 0 => "cached",
+        Some(_) => "ranked",
+        None => "any",
+    }
+}
+
 fn to_wire(req: &Request, running: bool) -> Reserve {
     Reserve {
         router: req.hold.router.0,
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -68,6 +68,10 @@
 
 impl Handler for ServiceStandin {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
+        // A router's probe is no run.
+        if req.uri().path() == "/load" {
+            return Reply::full(404, "");
+        }
         let faults = self.take_faults();
         if faults.refuse {
             return Reply::full(503, "").with_header(OUTCOME, "not-run");
