Count refused bodies and keep them from saying too much

A body that was too large, too slow or of no stated length was refused before the gateway saw the request: no counter showed it, no request identifier went out, and a repeated call under an idempotency key read not-run, which its caller may take for the outcome of the key. The handler now answers it. tests/refused_bodies.rs failed before the change.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,7 +15,7 @@
     client::Client,
     entry::Router,
     error::{Fault, Kind},
-    http::{Handler, Reply},
+    http::{Handler, Reply, UNREAD_BODY},
     link::{LinkKey, Links},
     metrics::Metrics,
     place::hint::HintKey,
@@ -159,6 +159,13 @@
         }
     }
 
+    /// Counts a refusal and answers it.
+    fn refuse(&self, fault: &Fault, repeat: bool) -> Reply {
+        self.metrics.request("refused");
+        self.metrics.refuse(fault.kind.answer().code);
+        if repeat { fault.reply_to_repeat() } else { fault.reply() }
+    }
+
     fn show_metrics(&self) -> Result<Reply, Fault> {
         let text = self.metrics.text().map_err(|e| Fault::new(Kind::Internal, format!("{e:#}")))?;
         Ok(Reply::full(200, text).with_header("content-type", "text/plain; version=0.0.4"))
@@ -238,21 +245,22 @@
                 self.metrics.request("answered");
                 reply
             }
-            Err(fault) => {
-                self.metrics.request("refused");
-                self.metrics.refuse(fault.kind.answer().code);
-                if repeat { fault.reply_to_repeat() } else { fault.reply() }
-            }
+            Err(fault) => self.refuse(&fault, repeat),
         };
         reply.with_header("x-request-id", &id)
     }
+
+    fn refuse_body(&self, head: &Request<()>, kind: Kind) -> Reply {
+        let fault = Fault::new(kind, UNREAD_BODY);
+        self.refuse(&fault, may_be_repeat(head)).with_header("x-request-id", &random_id())
+    }
 }
 
 /// Whether an earlier attempt with the same idempotency key may have run, as far as this router can tell.
 ///
 /// A refusal of a resent booking would be read as "the booking was not made", though the attempt before may have
 /// made it. Only the caller knows that there was none, or that each was answered "not run", and says so.
-fn may_be_repeat(req: &Request<Bytes>) -> bool {
+fn may_be_repeat<B>(req: &Request<B>) -> bool {
     let first = header(req.headers(), "x-first-attempt") == Some("true");
     req.headers().contains_key("idempotency-key") && !first
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -91,10 +91,19 @@
     }
 }
 
+/// Message for a request whose body was not taken.
+pub(crate) const UNREAD_BODY: &str = "the request body could not be read";
+
 /// What answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request whose body has been read.
     fn handle(&self, req: Request<Bytes>, peer: SocketAddr) -> impl Future<Output = Reply> + Send;
+
+    /// Answers a request with this head whose body was not taken.
+    fn refuse_body(&self, head: &Request<()>, kind: Kind) -> Reply {
+        let _ = head;
+        kind.reply(UNREAD_BODY)
+    }
 }
 
 /// Limits on what a caller may send.
@@ -230,7 +239,7 @@
     let (_, body) = ext.replace_body(());
     let body = match read(body, limits).await {
         Ok(body) => body,
-        Err(kind) => return respond(kind.reply("the request body could not be read"), count),
+        Err(kind) => return respond(handler.refuse_body(&Request::from_parts(head, ()), kind), count),
     };
     let req = Request::from_parts(head, body);
     let task = rt.spawn(async move { handler.handle(req, peer).await });
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -90,4 +90,8 @@
             _ => self.gateway.handle(req, peer).await,
         }
     }
+
+    fn refuse_body(&self, head: &Request<()>, kind: Kind) -> Reply {
+        self.gateway.refuse_body(head, kind)
+    }
 }
--- /dev/null
+++ b/tests/refused_bodies.rs
@@ -0,0 +1,79 @@
+//! Requests whose body the server refuses before a router has seen them: counted and answered like any other refusal.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use cranberrytally::{
+    config::Settings,
+    metrics::Counter,
+    serve::Running,
+    standin::outside::{Outside, Plan, loopback, settings},
+};
+
+const READY_TIME: Duration = Duration::from_secs(20);
+
+async fn router(outside: &Outside) -> Running {
+    let listener = loopback().unwrap();
+    let peer: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let text = settings("router-0", listener.local_addr().unwrap(), peer, outside.platform_addr(), &[]);
+    let router = Running::start_on(&Settings::parse(&text).unwrap(), listener).unwrap();
+    let waiting = async {
+        while router.gateway().catalog().version == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(READY_TIME, waiting).await.unwrap();
+    router
+}
+
+/// Sends a save with these headers and no body; returns the whole answer.
+async fn save(addr: SocketAddr, headers: &str) -> String {
+    let head = format!(
+        "POST /services/lessons/progress HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-workspace: phrasebook\r\n{headers}\r\n"
+    );
+    let talk = move || {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(READY_TIME)).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    };
+    tokio::task::spawn_blocking(talk).await.unwrap()
+}
+
+/// A traveller saves progress and the answer is lost, though the save ran. Their app sends it again under the same key,
+/// with a body that the server refuses. It must not read "not-run", which would be taken for the save's outcome; and the
+/// operator must find the refusal in the counters. Cause: the body was refused before the gateway saw the key.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_body_is_counted_and_says_no_more_than_is_known() {
+    let outside = Outside::start(Plan::default().with_engines(1)).await.unwrap();
+    let router = router(&outside).await;
+    let chunked = "transfer-encoding: chunked\r\n";
+    let large = "content-length: 99999999\r\n";
+    let (key, first) = ("idempotency-key: save-1\r\n", "x-first-attempt: true\r\n");
+    let table = [
+        ("411", "length_required", chunked.to_owned(), "not-run"),
+        ("411", "length_required", format!("{chunked}{key}"), "unknown"),
+        ("411", "length_required", format!("{chunked}{key}{first}"), "not-run"),
+        ("413", "body_too_large", format!("{large}{key}"), "unknown"),
+    ];
+
+    for (status, code, headers, outcome) in &table {
+        let answer = save(router.addr(), headers).await;
+
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{headers:?}: {answer}");
+        assert!(answer.contains(&format!("\"code\":\"{code}\"")), "{headers:?}: {answer}");
+        assert!(answer.contains(&format!("x-outcome: {outcome}\r\n")), "{headers:?}: {answer}");
+        assert!(answer.contains("x-request-id: "), "{headers:?}: {answer}");
+    }
+    let refusals = router.metrics().totals(Counter::Refusals);
+
+    assert_eq!(refusals.get("length_required"), Some(&3), "{refusals:?}");
+    assert_eq!(refusals.get("body_too_large"), Some(&1), "{refusals:?}");
+    router.close();
+    outside.close();
+}
