--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,6 +52,9 @@
 
 /// How long callers keep an entry answer unless the settings say otherwise.
 const ENTRY_KEEP: Duration = Duration::from_secs(30);
+/// Paths that take some methods only.
+const PATHS: [&str; 7] =
+    ["/healthz", "/metrics", "/readyz", "/v1/chat/completions", "/v1/entry", "/v1/key-ticket", "/v1/resume"];
 
 /// State that all requests of one router share.
 #[derive(Debug)]
@@ -151,7 +154,7 @@
             (&Method::GET, "/v1/key-ticket") => Ok(self.key_ticket()),
             (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
             (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
-            (method, "/v1/entry" | "/v1/chat/completions" | "/healthz" | "/readyz" | "/metrics") => {
+            (method, path) if PATHS.contains(&path) => {
                 Err(Fault::new(Kind::MethodNotAllowed, format!("{method} is not for {path}")))
             }
             (_, p) if p.starts_with("/services/") => self.service(req).await,
--- a/tests/refused_bodies.rs
+++ b/tests/refused.rs
@@ -1,4 +1,4 @@
-//! Requests whose body the server refuses before a router has seen them: counted and answered like any other refusal.
+//! Requests that are refused before they are asked what they want: by method, or by their body.
 
 use std::{
     io::{Read, Write},
@@ -7,6 +7,7 @@
 };
 
 use cranberrytally::{
+    client::Client,
     config::Settings,
     metrics::Counter,
     serve::Running,
@@ -45,6 +46,34 @@
     tokio::task::spawn_blocking(talk).await.unwrap()
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_path_refuses_a_wrong_method() {
+    let outside = Outside::start(Plan::default().with_engines(1)).await.unwrap();
+    let router = router(&outside).await;
+    let table = [
+        ("POST", "/v1/entry"),
+        ("POST", "/v1/key-ticket"),
+        ("DELETE", "/v1/resume"),
+        ("GET", "/v1/chat/completions"),
+        ("PUT", "/healthz"),
+        ("DELETE", "/readyz"),
+        ("POST", "/metrics"),
+        ("POST", "/v1/status"),
+        ("GET", "/v1/drain"),
+    ];
+
+    for (method, path) in table {
+        let url = format!("http://{}{path}", router.addr());
+        let method = method.parse().unwrap();
+        let (status, body) = Client::default().json(method, &url, None, READY_TIME).await.unwrap();
+
+        let code = body["error"]["code"].as_str();
+        assert_eq!((status, code), (405, Some("method_not_allowed")), "{url}");
+    }
+    router.close();
+    outside.close();
+}
+
 /// A traveller saves progress and the answer is lost, though the save ran. Their app sends it again under the same key,
 /// with a body that the server refuses. It must not read "not-run", which would be taken for the save's outcome; and the
 /// operator must find the refusal in the counters. Cause: the body was refused before the gateway saw the key.
