Log each refusal with its request identifier, code and workspace

An operator could not find a caller's request: the identifier stood in the answer only, and no line of the log held it. The new test starts a router and looks the identifier of a refusal up in its JSON log.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request};
+use spdlog::Level;
 
 use crate::{
     catalog::{Catalog, Id},
@@ -162,11 +163,20 @@
         }
     }
 
-    /// Counts a refusal and answers it.
-    fn refuse(&self, fault: &Fault, repeat: bool) -> Reply {
+    /// Counts a refusal, logs it and answers it.
+    fn refuse(&self, fault: &Fault, origin: &Origin) -> Reply {
+        let code = fault.kind.answer().code;
         self.metrics.request("refused");
-        self.metrics.refuse(fault.kind.answer().code);
-        if repeat { fault.reply_to_repeat() } else { fault.reply() }
+        self.metrics.refuse(code);
+        // In a surge most refusals are the system at work, and a line for each would add to its load.
+        let level = match fault.kind {
+            Kind::Internal => Level::Error,
+            Kind::Quarantined | Kind::EngineFailed => Level::Warn,
+            _ => Level::Debug,
+        };
+        let (request, workspace) = (origin.id.as_str(), origin.workspace.as_str());
+        spdlog::log!(level, "refused: {}", fault.message, kv: { request, code, workspace });
+        if origin.repeat { fault.reply_to_repeat() } else { fault.reply() }
     }
 
     fn show_metrics(&self) -> Result<Reply, Fault> {
@@ -241,21 +251,34 @@
 
 impl Handler for Gateway {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
-        let id = random_id();
-        let repeat = may_be_repeat(&req);
+        let origin = Origin::of(&req);
         let reply = match self.route(req).await {
             Ok(reply) => {
                 self.metrics.request("answered");
                 reply
             }
-            Err(fault) => self.refuse(&fault, repeat),
+            Err(fault) => self.refuse(&fault, &origin),
         };
-        reply.with_header("x-request-id", &id)
+        reply.with_header("x-request-id", &origin.id)
     }
 
     fn refuse_body(&self, head: &Request<()>, kind: Kind) -> Reply {
-        let fault = Fault::new(kind, UNREAD_BODY);
-        self.refuse(&fault, may_be_repeat(head)).with_header("x-request-id", &random_id())
+        let origin = Origin::of(head);
+        self.refuse(&Fault::new(kind, UNREAD_BODY), &origin).with_header("x-request-id", &origin.id)
+    }
+}
+
+/// What the answer to a request and the log need to know of it, whatever becomes of it.
+struct Origin {
+    id: String,
+    workspace: String,
+    repeat: bool,
+}
+
+impl Origin {
+    fn of<B>(req: &Request<B>) -> Self {
+        let workspace = header(req.headers(), "x-workspace").unwrap_or_default().to_owned();
+        Self { id: random_id(), workspace, repeat: may_be_repeat(req) }
     }
 }
 
--- a/tests/refused.rs
+++ b/tests/refused.rs
@@ -1,8 +1,11 @@
 //! Requests that are refused before they are asked what they want: by method, or by their body.
 
 use std::{
-    io::{Read, Write},
+    fs,
+    io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    process::{Command, Stdio},
     time::Duration,
 };
 
@@ -74,6 +77,39 @@
     outside.close();
 }
 
+/// A caller reports a refusal by its request identifier. The operator must find it in the log with the reason and the
+/// workspace; the identifier stood in the answer only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_is_found_in_the_log_by_its_identifier() {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let text = settings("logged", any, any, nowhere, &[]) + "log: { level: debug, format: json }\n";
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("logged-{}.yaml", std::process::id()));
+    fs::write(&file, text).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cranberrytally"))
+        .args(["serve", "-c", file.to_str().unwrap()])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let addr = line.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap();
+
+    let answer = save(addr, "content-length: 0\r\n").await;
+    let id = answer.split_once("x-request-id: ").and_then(|(_, rest)| rest.lines().next()).unwrap();
+    child.kill().unwrap();
+    let mut log = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    child.wait().unwrap();
+
+    let line = log.lines().find(|l| l.contains(id)).unwrap_or_else(|| panic!("{id} is not in {log}"));
+    let line: serde_json::Value = serde_json::from_str(line).unwrap();
+    assert_eq!(line["kv"]["request"], id, "{line}");
+    assert_eq!(line["kv"]["code"], "not_ready", "{line}");
+    assert_eq!(line["kv"]["workspace"], "phrasebook", "{line}");
+}
+
 /// A traveller saves progress and the answer is lost, though the save ran. Their app sends it again under the same key,
 /// with a body that the server refuses. It must not read "not-run", which would be taken for the save's outcome; and the
 /// operator must find the refusal in the counters. Cause: the body was refused before the gateway saw the key.
