--- a/src/claim.rs
+++ b/src/claim.rs
@@ -11,15 +11,13 @@
 pub mod attempt;
 pub mod book;
 pub mod local;
+pub mod messages;
 pub mod shard;
 pub mod ticket;
 
 use std::time::Duration;
 
-use crate::{
-    schema::claim::{self as wire, ClaimAnswer, Decision},
-    util::Instant,
-};
+use crate::util::Instant;
 
 const KEY_CONTEXT: &str = "cranberrytally idempotency key 1";
 const CONTENT_CONTEXT: &str = "cranberrytally request content 1";
@@ -174,76 +172,3 @@
         }
     }
 }
-
-/// A message does not have the form that it must have.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Malformed;
-
-pub(crate) fn bytes16(bytes: &[u8]) -> Result<[u8; DIGEST], Malformed> {
-    bytes.try_into().map_err(|_| Malformed)
-}
-
-impl From<&Record> for wire::ClaimRecord {
-    fn from(record: &Record) -> Self {
-        match record {
-            Record::Unknown => Self::default(),
-            Record::Ran(a) => Self {
-                known: true,
-                status: a.status.into(),
-                content_type: a.content_type.clone(),
-                body: a.body.clone(),
-            },
-        }
-    }
-}
-
-impl TryFrom<wire::ClaimRecord> for Record {
-    type Error = Malformed;
-
-    fn try_from(raw: wire::ClaimRecord) -> Result<Self, Malformed> {
-        if !raw.known {
-            return Ok(Record::Unknown);
-        }
-        let status = raw.status.try_into().map_err(|_| Malformed)?;
-        Ok(Record::Ran(Answered { status, content_type: raw.content_type, body: raw.body }))
-    }
-}
-
-impl From<&Verdict> for ClaimAnswer {
-    fn from(verdict: &Verdict) -> Self {
-        let decision = match verdict {
-            Verdict::Granted => Decision::Granted,
-            Verdict::Recorded(_) => Decision::Recorded,
-            Verdict::Pending => Decision::Pending,
-            Verdict::Unknown => Decision::Unknown,
-            Verdict::Conflict => Decision::Conflict,
-            Verdict::Expired => Decision::Expired,
-            Verdict::Unavailable => Decision::Unavailable,
-        };
-        let record = match verdict {
-            Verdict::Recorded(answered) => Some((&Record::Ran(answered.clone())).into()),
-            _ => None,
-        };
-        Self { decision: decision.into(), record }
-    }
-}
-
-impl TryFrom<ClaimAnswer> for Verdict {
-    type Error = Malformed;
-
-    fn try_from(raw: ClaimAnswer) -> Result<Self, Malformed> {
-        match Decision::try_from(raw.decision).map_err(|_| Malformed)? {
-            Decision::Granted => Ok(Verdict::Granted),
-            Decision::Pending => Ok(Verdict::Pending),
-            Decision::Unknown => Ok(Verdict::Unknown),
-            Decision::Conflict => Ok(Verdict::Conflict),
-            Decision::Expired => Ok(Verdict::Expired),
-            Decision::Unavailable => Ok(Verdict::Unavailable),
-            Decision::Noted => Err(Malformed),
-            Decision::Recorded => match raw.record.ok_or(Malformed)?.try_into()? {
-                Record::Ran(answered) => Ok(Verdict::Recorded(answered)),
-                Record::Unknown => Err(Malformed),
-            },
-        }
-    }
-}
--- /dev/null
+++ b/src/claim/messages.rs
@@ -0,0 +1,103 @@
+//! Claims in the messages between routers.
+
+use super::{Answered, Ask, AttemptId, ContentDigest, DIGEST, KeyDigest, Record, Verdict};
+use crate::schema::claim::{self as wire, ClaimAnswer, ClaimAsk, Decision};
+
+/// A message does not have the form that it must have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+pub(crate) fn bytes16(bytes: &[u8]) -> Result<[u8; DIGEST], Malformed> {
+    bytes.try_into().map_err(|_| Malformed)
+}
+
+impl From<&Record> for wire::ClaimRecord {
+    fn from(record: &Record) -> Self {
+        match record {
+            Record::Unknown => Self::default(),
+            Record::Ran(a) => Self {
+                known: true,
+                status: a.status.into(),
+                content_type: a.content_type.clone(),
+                body: a.body.clone(),
+            },
+        }
+    }
+}
+
+impl TryFrom<wire::ClaimRecord> for Record {
+    type Error = Malformed;
+
+    fn try_from(raw: wire::ClaimRecord) -> Result<Self, Malformed> {
+        if !raw.known {
+            return Ok(Record::Unknown);
+        }
+        let status = raw.status.try_into().map_err(|_| Malformed)?;
+        Ok(Record::Ran(Answered { status, content_type: raw.content_type, body: raw.body }))
+    }
+}
+
+impl From<&Verdict> for ClaimAnswer {
+    fn from(verdict: &Verdict) -> Self {
+        let decision = match verdict {
+            Verdict::Granted => Decision::Granted,
+            Verdict::Recorded(_) => Decision::Recorded,
+            Verdict::Pending => Decision::Pending,
+            Verdict::Unknown => Decision::Unknown,
+            Verdict::Conflict => Decision::Conflict,
+            Verdict::Expired => Decision::Expired,
+            Verdict::Unavailable => Decision::Unavailable,
+        };
+        let record = match verdict {
+            Verdict::Recorded(answered) => Some((&Record::Ran(answered.clone())).into()),
+            _ => None,
+        };
+        Self { decision: decision.into(), record }
+    }
+}
+
+impl TryFrom<ClaimAnswer> for Verdict {
+    type Error = Malformed;
+
+    fn try_from(raw: ClaimAnswer) -> Result<Self, Malformed> {
+        match Decision::try_from(raw.decision).map_err(|_| Malformed)? {
+            Decision::Granted => Ok(Verdict::Granted),
+            Decision::Pending => Ok(Verdict::Pending),
+            Decision::Unknown => Ok(Verdict::Unknown),
+            Decision::Conflict => Ok(Verdict::Conflict),
+            Decision::Expired => Ok(Verdict::Expired),
+            Decision::Unavailable => Ok(Verdict::Unavailable),
+            Decision::Noted => Err(Malformed),
+            Decision::Recorded => match raw.record.ok_or(Malformed)?.try_into()? {
+                Record::Ran(answered) => Ok(Verdict::Recorded(answered)),
+                Record::Unknown => Err(Malformed),
+            },
+        }
+    }
+}
+
+impl Ask {
+    /// The message that asks; `ticket` is empty for a key of the caller's own.
+    pub fn message(&self, ticket: String) -> ClaimAsk {
+        ClaimAsk {
+            key: self.key.0.to_vec(),
+            content: self.content.0.to_vec(),
+            attempt: self.attempt.0.to_vec(),
+            look: self.look,
+            ticket,
+        }
+    }
+
+    /// Reads the digests of a message.
+    ///
+    /// # Errors
+    /// When one of them does not have the length that it must have.
+    pub fn read(key: &[u8], content: &[u8], attempt: &[u8], look: bool) -> Result<Self, Malformed> {
+        Ok(Self {
+            key: KeyDigest(bytes16(key)?),
+            content: ContentDigest(bytes16(content)?),
+            attempt: AttemptId(bytes16(attempt)?),
+            look,
+        })
+    }
+}
--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -2,7 +2,10 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD_NO_PAD};
 
-use super::{AttemptId, ContentDigest, Entry, KeyDigest, Malformed, bytes16};
+use super::{
+    AttemptId, ContentDigest, Entry, KeyDigest,
+    messages::{Malformed, bytes16},
+};
 use crate::{
     catalog::{AnyObject, Object},
     schema::{
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use super::{
     Gateway,
     admit::{NoRoom, Queue},
-    ask::{Ask, header},
+    ask::Ask,
     lock,
     place::Slot,
     suspects::{Permit, Run},
@@ -17,9 +17,9 @@
 use crate::{
     catalog::{Catalog, Engine, EngineKey, Id},
     client::Failure,
-    engine::OUTCOME,
-    error::{Fault, Kind, Ran},
+    error::{Fault, Kind},
     metrics::Counter,
+    outcome::Unsent,
     retry::{Attempts, Denied, Reason, spread},
     suspect::{Standing, Verdict},
     util::{now, random_id},
@@ -108,7 +108,7 @@
             attempts.start();
             let left = ask.deadline.saturating_sub(now());
             let reason = match tokio::time::timeout(left, to.send(engine, &request)).await {
-                Ok(Ok(res)) if proves_not_run(&res) => Reason::EngineRefused,
+                Ok(Ok(res)) if Unsent::from_head(&res).is_some() => Reason::EngineRefused,
                 Ok(Ok(res)) => return Ok(Started { res, found, run, request, attempts: attempts.made() }),
                 Ok(Err(Failure::Connect)) => Reason::ConnectFailed,
                 Ok(Err(Failure::Broken)) => {
@@ -258,11 +258,6 @@
     OnlyAvoided,
 }
 
-/// Whether a backend server says that it did not run the request.
-fn proves_not_run(res: &Response<Incoming>) -> bool {
-    res.status().as_u16() >= 500 && header(res.headers(), OUTCOME) == Some(Ran::No.as_str())
-}
-
 fn denied_fault(denied: Denied, attempts: u32) -> Fault {
     let (answer, reason) = (denied.answer.answer(), denied.reason.answer());
     let message = match denied.answer == denied.reason {
--- a/src/gateway/claim.rs
+++ b/src/gateway/claim.rs
@@ -12,20 +12,17 @@
 use crate::{
     catalog::Id,
     claim::{
-        Ask, AttemptId, Clock, ContentDigest, KeyDigest, Malformed, Record, SHARDS, Verdict,
+        Ask, AttemptId, Clock, KeyDigest, Record, SHARDS, Verdict,
         attempt::{Finish, Release},
-        bytes16,
         local::{Local, Step},
+        messages::{Malformed, bytes16},
         ticket::{TicketKey, is_fresh},
     },
     metrics::{Counter, Metrics},
     place::members::Member,
     platform::Platform,
     schema::{
-        claim::{
-            ClaimAnswer, ClaimAsk, ClaimCall, ClaimFinish, ClaimRelease, Decision, KeyTicket,
-            claim_call::Call,
-        },
+        claim::{ClaimAnswer, ClaimCall, ClaimFinish, ClaimRelease, Decision, KeyTicket, claim_call::Call},
         link::frame::Body,
     },
     util::{hash, now},
@@ -141,12 +138,7 @@
         let noted = ClaimAnswer { decision: Decision::Noted.into(), record: None };
         match call.call.ok_or(Malformed)? {
             Call::Ask(msg) => {
-                let ask = Ask {
-                    key: KeyDigest(bytes16(&msg.key)?),
-                    content: ContentDigest(bytes16(&msg.content)?),
-                    attempt: AttemptId(bytes16(&msg.attempt)?),
-                    look: msg.look,
-                };
+                let ask = Ask::read(&msg.key, &msg.content, &msg.attempt, msg.look)?;
                 let verdict = match self.keeper(&msg.ticket) {
                     Keeper::Me(ticket) => self.decide(ask, &ticket).await,
                     Keeper::Other(_) => self.look(ask).await,
@@ -155,12 +147,7 @@
                 Ok((&verdict).into())
             }
             Call::Finish(msg) => {
-                let ask = Ask {
-                    key: KeyDigest(bytes16(&msg.key)?),
-                    content: ContentDigest(bytes16(&msg.content)?),
-                    attempt: AttemptId(bytes16(&msg.attempt)?),
-                    look: false,
-                };
+                let ask = Ask::read(&msg.key, &msg.content, &msg.attempt, false)?;
                 let record: Record = msg.record.ok_or(Malformed)?.try_into()?;
                 let mine = matches!(self.keeper(&msg.ticket), Keeper::Me(_));
                 if mine {
@@ -220,7 +207,7 @@
         let id = Id::of(&ticket.router);
         let peer = self.member(|m| m.id == id && *ticket.router != *self.name);
         if let Some(member) = peer {
-            let call = Call::Ask(wire(&ask, key.to_owned()));
+            let call = Call::Ask(ask.message(key.to_owned()));
             if let Ok(verdict) = self.call(&member, call).await {
                 return verdict;
             }
@@ -243,7 +230,7 @@
     async fn ask_owner(&self, ask: Ask) -> Verdict {
         for owner in self.owners(ask.key).into_iter().take(MOST_OWNERS) {
             let Some(member) = owner else { return self.desk(ask.key).ask(ask).await };
-            let call = Call::Ask(wire(&ask, String::new()));
+            let call = Call::Ask(ask.message(String::new()));
             if let Ok(verdict) = self.call(&member, call).await {
                 return verdict;
             }
@@ -319,16 +306,6 @@
     }
 }
 
-fn wire(ask: &Ask, ticket: String) -> ClaimAsk {
-    ClaimAsk {
-        key: ask.key.0.to_vec(),
-        content: ask.content.0.to_vec(),
-        attempt: ask.attempt.0.to_vec(),
-        look: ask.look,
-        ticket,
-    }
-}
-
 /// Label for the counter.
 fn label(verdict: &Verdict) -> &'static str {
     match verdict {
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -63,7 +63,7 @@
     /// A backend server states in a header of its refusal that it did not run the request.
     pub fn from_head<B>(head: &Response<B>) -> Option<Self> {
         let stated = head.headers().get(OUTCOME).is_some_and(|v| v == Ran::No.as_str());
-        (stated && !head.status().is_success()).then_some(Self(()))
+        (stated && head.status().is_server_error()).then_some(Self(()))
     }
 }
 
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -42,6 +42,7 @@
     returns: AtomicU64,
     requests: AtomicU64,
     cancels: AtomicU64,
+    sent: Arc<AtomicU64>,
 }
 
 #[derive(Debug)]
@@ -101,6 +102,7 @@
             returns: AtomicU64::new(0),
             requests: AtomicU64::new(0),
             cancels: AtomicU64::new(0),
+            sent: Arc::default(),
         }
     }
 
@@ -125,6 +127,11 @@
         self.cancels.load(Ordering::Relaxed)
     }
 
+    /// Events handed to connections.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Requests that run now.
     pub fn running(&self) -> u32 {
         self.running.load(Ordering::Relaxed)
@@ -178,7 +185,7 @@
             self.hits.fetch_add(u64::from(cached), Ordering::Relaxed);
         }
         let (answer, maker) = Answer::start(&request, &chat, self.tokens);
-        let rx = answer.connect(0, faults.clone(), self.crashes.subscribe());
+        let rx = answer.connect(0, faults.clone(), self.crashes.subscribe(), self.sent.clone());
         let (pause, count) = (self.token_time, Count::start(&self.running));
         let task = tokio::spawn(async move {
             maker.run(faults.late(), pause).await;
@@ -198,7 +205,7 @@
         let mut state = self.lock();
         let faults = state.faults.for_connection();
         let Some(running) = state.answers.get(request) else { return Reply::full(404, "") };
-        let rx = running.answer.connect(from, faults, self.crashes.subscribe());
+        let rx = running.answer.connect(from, faults, self.crashes.subscribe(), self.sent.clone());
         Reply::stream(200, rx)
             .with_header("content-type", "text/event-stream")
             .with_header(REQUEST_ID, request)
--- a/src/standin/engine/answers.rs
+++ b/src/standin/engine/answers.rs
@@ -1,6 +1,12 @@
 //! The answers that a stand-in engine keeps, and the connections that read them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use sse_stream::Sse;
@@ -45,9 +51,10 @@
         from: Offset,
         faults: Faults,
         crashed: watch::Receiver<u64>,
+        count: Arc<AtomicU64>,
     ) -> mpsc::Receiver<Chunk> {
         let (tx, rx) = mpsc::channel(DEPTH);
-        let conn = Connection { answer: self.clone(), faults, crashed, tx, sent: 0 };
+        let conn = Connection { answer: self.clone(), faults, crashed, tx, sent: 0, count };
         tokio::spawn(conn.run(from));
         rx
     }
@@ -80,6 +87,7 @@
     crashed: watch::Receiver<u64>,
     tx: mpsc::Sender<Chunk>,
     sent: u64,
+    count: Arc<AtomicU64>,
 }
 
 /// The connection is over.
@@ -139,6 +147,8 @@
 
     async fn put(&self, id: &EventId, data: &str) -> Result<(), Over> {
         let bytes = Sse::default().id(id.to_string()).data(data).encode().unwrap_or_else(|_| Bytes::new());
-        self.tx.send(Ok(bytes)).await.map_err(|_| Over)
+        self.tx.send(Ok(bytes)).await.map_err(|_| Over)?;
+        self.count.fetch_add(1, Ordering::Relaxed);
+        Ok(())
     }
 }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -60,7 +60,11 @@
 
 impl Fleet {
     async fn start(faults: Faults) -> Self {
-        let engine = Arc::new(EngineStandin::new(TOKENS, Duration::from_millis(1), 8));
+        Self::start_with(EngineStandin::new(TOKENS, Duration::from_millis(1), 8), faults).await
+    }
+
+    async fn start_with(engine: EngineStandin, faults: Faults) -> Self {
+        let engine = Arc::new(engine);
         engine.set_faults(faults);
         let server = Server::start(loopback(), 1, Limits::default(), engine.clone()).unwrap();
         let gate = Gate::start(server.addr(), Some(engine.crashes())).await.unwrap();
@@ -76,10 +80,14 @@
     }
 
     async fn chat(&self) -> Response<Incoming> {
+        self.chat_as("chat-1").await
+    }
+
+    async fn chat_as(&self, chat: &str) -> Response<Incoming> {
         let url = format!("http://{}/v1/chat/completions", self.routers[0].addr());
         let req = Request::post(url)
             .header("x-workspace", "phrasebook")
-            .header("x-chat", "chat-1")
+            .header("x-chat", chat)
             .body(Full::from(r#"{"model":"m","stream":true,"messages":[{"content":"hello"}]}"#))
             .unwrap();
         self.client.send(req).await.unwrap()
@@ -248,3 +256,30 @@
     assert!(read_all(fleet.resume(&token, "", "phrasebook").await).await.is_whole());
     fleet.close();
 }
+
+/// A traveller's phone stops reading in a tunnel while the engine makes a very long answer. The router must hold the
+/// engine back rather than keep the answer: once the sockets between them are full, the engine sends nothing more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_does_not_read_holds_the_engine_back() {
+    const EVENTS: usize = 150_000;
+    let chat = "c".repeat(250);
+    let fleet = Fleet::start_with(EngineStandin::new(EVENTS, Duration::ZERO, 8), Faults::default()).await;
+
+    let res = fleet.chat_as(&chat).await;
+
+    let held = async {
+        let mut before = 0;
+        loop {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let sent = fleet.engine.sent();
+            if sent > 0 && sent == before {
+                return sent;
+            }
+            before = sent;
+        }
+    };
+    let sent = tokio::time::timeout(Duration::from_secs(60), held).await.expect("the engine comes to rest");
+    assert!(sent < EVENTS as u64 * 9 / 10, "{sent} of {EVENTS} events were taken");
+    drop(res);
+    fleet.close();
+}
