Hand the keys of a router's tickets over at a planned stop, and have records written before it

A router that was stopped left its last records unwritten, and every key of its tickets, new ones too, read as unknown elsewhere. Before the stop it now has its records told and written; if it never granted from memory, it says in the platform that its tickets' keys may be decided by their shards. A ticket names the router's peer address, since the members do not list a router that is leaving. A claim is granted from memory after 0.5 s (0.15 s before), so that a slow write alone does not bring it about.

--- a/src/claim/book.rs
+++ b/src/claim/book.rs
@@ -233,6 +233,11 @@
         if self.failures < OUTAGE_FAILURES { self.cfg.ask_timeout } else { self.cfg.outage_timeout }
     }
 
+    /// Writes records without waiting for company, before a planned stop.
+    pub fn hurry(&mut self) {
+        self.cfg.record_delay = Duration::ZERO;
+    }
+
     /// Whether asks wait or changes have not been written.
     pub fn is_idle(&self) -> bool {
         self.waiting.is_empty() && self.dirty.is_empty() && self.flight.is_none()
--- a/src/claim/local.rs
+++ b/src/claim/local.rs
@@ -37,6 +37,8 @@
 pub struct Local {
     slots: Map<KeyDigest, Slot>,
     refused: Map<AttemptId, Instant>,
+    from_memory: u64,
+    closed: bool,
 }
 
 impl Local {
@@ -61,16 +63,34 @@
         }
     }
 
-    /// Verdict after the shard was asked to record the claim, whatever it said: a claim that could not be recorded
-    /// is granted from memory, because no other router can have granted the key or ever will.
-    pub fn recorded(&mut self, ask: &Ask) -> Verdict {
-        match self.slots.get_mut(&ask.key) {
-            Some(slot) if slot.entry.attempt == ask.attempt && slot.entry.record.is_none() => {
-                slot.granted = true;
-                Verdict::Granted
+    /// Verdict after the shard was asked to record the claim and said `shard`: a claim that could not be recorded is
+    /// granted from memory, because no other router can have granted the key or ever will.
+    pub fn recorded(&mut self, ask: &Ask, shard: Verdict) -> Verdict {
+        let Some(slot) = self.slots.get_mut(&ask.key) else { return Verdict::Unavailable };
+        if slot.entry.attempt != ask.attempt || slot.entry.record.is_some() {
+            return Verdict::Unavailable;
+        }
+        if shard != Verdict::Granted {
+            if self.closed {
+                self.slots.remove(&ask.key);
+                return shard;
             }
-            _ => Verdict::Unavailable,
+            self.from_memory += 1;
         }
+        slot.granted = true;
+        Verdict::Granted
+    }
+
+    /// Stops granting from memory, before a planned stop. Returns whether this start never did: then each key that it
+    /// granted is in its shard, and any router may decide on its tickets' keys as on callers' own.
+    pub fn close(&mut self) -> bool {
+        self.closed = true;
+        self.from_memory == 0
+    }
+
+    /// Claims granted from memory so far.
+    pub fn from_memory(&self) -> u64 {
+        self.from_memory
     }
 
     /// Keeps what became of a granted attempt.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -53,6 +53,9 @@
 /// How long callers keep an entry answer unless the settings say otherwise.
 const ENTRY_KEEP: Duration = Duration::from_secs(30);
 
+/// Longest wait for claims to be written before a planned stop.
+const CLAIMS_CLOSE: Duration = Duration::from_secs(10);
+
 /// State that all requests of one router share.
 #[derive(Debug)]
 pub struct Gateway {
@@ -176,6 +179,18 @@
         Reply::json(200, &ticket)
     }
 
+    /// Sets where other routers reach this one.
+    pub fn set_peer_addr(&self, addr: SocketAddr) {
+        let _ = self.claims.peer.set(addr);
+    }
+
+    /// Before a planned stop, once no request is in progress: has what is known of claims written to the platform.
+    pub async fn close_claims(&self) {
+        if tokio::time::timeout(CLAIMS_CLOSE, self.claims.close()).await.is_err() {
+            spdlog::warn!("not all claims were written before the stop; the rest reads as unknown");
+        }
+    }
+
     /// Answers another router's call about a claim.
     pub async fn serve_claim(&self, call: ClaimCall) -> ClaimAnswer {
         self.claims.serve(call).await
--- a/src/gateway/claim.rs
+++ b/src/gateway/claim.rs
@@ -2,15 +2,19 @@
 //! the run.
 
 use std::{
-    sync::{Arc, Mutex},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
+use closed::Closed;
 use desk::Desk;
 
 use super::{lock, place::Placement};
 use crate::{
-    catalog::Id,
     claim::{
         Ask, AttemptId, Clock, KeyDigest, Record, SHARDS, Verdict,
         attempt::{Finish, Release},
@@ -19,7 +23,6 @@
         ticket::{TicketKey, is_fresh},
     },
     metrics::{Counter, Metrics},
-    place::members::Member,
     platform::Platform,
     schema::{
         claim::{ClaimAnswer, ClaimCall, ClaimFinish, ClaimRelease, Decision, KeyTicket, claim_call::Call},
@@ -29,16 +32,19 @@
 };
 
 pub(super) mod call;
+mod closed;
 mod desk;
 
 /// Longest wait for another router's verdict; longer than a book lets an ask wait.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Longest wait for a ticket's claim to be recorded before it is granted from memory.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(150);
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 const TELL_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often a record or release is told again before it is left to read as unknown.
 const TELL_TRIES: u32 = 8;
 const TELL_PAUSE: Duration = Duration::from_millis(200);
+/// How often messages that are still being told are counted before a planned stop.
+const SETTLE_CHECK: Duration = Duration::from_millis(20);
 /// Routers that are asked for one claim, should the first not answer.
 const MOST_OWNERS: usize = 2;
 
@@ -51,6 +57,11 @@
     desks: Vec<Arc<Desk>>,
     local: Mutex<Local>,
     tickets: TicketKey,
+    closed: Closed,
+    /// Where other routers reach this one.
+    pub(super) peer: OnceLock<SocketAddr>,
+    /// Messages about records and releases that are still being told.
+    telling: AtomicUsize,
     metrics: Arc<Metrics>,
 }
 
@@ -76,13 +87,41 @@
         let writer = format!("{name}-{start:016x}");
         let desks = (0..SHARDS).map(|shard| Desk::new(shard, &writer, platform.clone())).collect();
         let tickets = TicketKey::new(shared_key);
-        Self { name, start, placement, desks, local: Mutex::default(), tickets, metrics }
+        let closed = Closed::new(platform.clone());
+        let (local, telling) = (Mutex::default(), AtomicUsize::new(0));
+        Self {
+            name,
+            start,
+            placement,
+            desks,
+            local,
+            tickets,
+            closed,
+            peer: OnceLock::new(),
+            telling,
+            metrics,
+        }
+    }
+
+    /// Before a planned stop: has all records written, and hands the keys of this start's tickets over to their shards.
+    pub(crate) async fn close(&self) {
+        let clean = lock(&self.local).close();
+        while self.telling.load(Ordering::Acquire) > 0 {
+            tokio::time::sleep(SETTLE_CHECK).await;
+        }
+        for desk in &self.desks {
+            desk.settle().await;
+        }
+        if clean {
+            self.closed.tell(&self.name, self.start).await;
+        }
     }
 
     /// A ticket under which a caller may make keys that this router alone runs.
     pub(crate) fn ticket(&self) -> String {
         let made_ms = now().as_millis() as u64;
-        self.tickets.sign(&KeyTicket { router: self.name.to_string(), start: self.start, made_ms })
+        let peer = self.peer.get().map(SocketAddr::to_string).unwrap_or_default();
+        self.tickets.sign(&KeyTicket { router: self.name.to_string(), start: self.start, made_ms, peer })
     }
 
     /// Asks for the right to run.
@@ -141,7 +180,7 @@
                 let ask = Ask::read(&msg.key, &msg.content, &msg.attempt, msg.look)?;
                 let verdict = match self.keeper(&msg.ticket) {
                     Keeper::Me(ticket) => self.decide(ask, &ticket).await,
-                    Keeper::Other(_) => self.look(ask).await,
+                    Keeper::Other(ticket) => self.decide_for_gone(ask, &ticket).await,
                     Keeper::Shard => self.desk(ask.key).ask(ask).await,
                 };
                 Ok((&verdict).into())
@@ -193,10 +232,12 @@
             Step::Look => self.ask_owner(Ask { look: true, ..ask }).await,
             Step::Record => {
                 let recorded = tokio::time::timeout(RECORD_TIMEOUT, self.ask_owner(ask)).await;
-                if !matches!(recorded, Ok(Verdict::Granted)) {
-                    self.metrics.add(Counter::Claims, "from_memory", 1);
-                }
-                lock(&self.local).recorded(&ask)
+                let recorded = recorded.unwrap_or(Verdict::Unavailable);
+                let mut local = lock(&self.local);
+                let before = local.from_memory();
+                let verdict = local.recorded(&ask, recorded);
+                self.metrics.add(Counter::Claims, "from_memory", local.from_memory() - before);
+                verdict
             }
         }
     }
@@ -204,16 +245,26 @@
     /// Asks the router that a ticket names. Nobody else may grant the key; when that router is gone, all that can
     /// be told is what the key's shard has recorded.
     async fn ask_authority(self: &Arc<Self>, ask: Ask, key: &str, ticket: &KeyTicket) -> Verdict {
-        let id = Id::of(&ticket.router);
-        let peer = self.member(|m| m.id == id && *ticket.router != *self.name);
-        if let Some(member) = peer {
+        // The members don't list a router that is leaving, but its tickets' keys are still its own.
+        if let Ok(peer) = ticket.peer.parse() {
             let call = Call::Ask(ask.message(key.to_owned()));
-            if let Ok(verdict) = self.call(&member, call).await {
+            if let Ok(verdict) = self.call(peer, call).await {
                 return verdict;
             }
-            // The grant may be on its way; this attempt will not use it.
+        }
+        let verdict = self.decide_for_gone(ask, ticket).await;
+        if verdict != Verdict::Granted {
+            // The authority's grant may be on its way; this attempt will not use it.
             self.release(Release { key: ask.key, attempt: ask.attempt }, key);
         }
+        verdict
+    }
+
+    /// Decides on a key whose authority can't be asked. One that has handed its keys over is not needed any more.
+    async fn decide_for_gone(&self, ask: Ask, ticket: &KeyTicket) -> Verdict {
+        if self.closed.takes_keys(&ticket.router, ticket.start).await {
+            return self.ask_owner(ask).await;
+        }
         self.look(ask).await
     }
 
@@ -229,32 +280,29 @@
     /// same attempt: the attempt's number in the shard's object grants it, whoever wrote it there.
     async fn ask_owner(&self, ask: Ask) -> Verdict {
         for owner in self.owners(ask.key).into_iter().take(MOST_OWNERS) {
-            let Some(member) = owner else { return self.desk(ask.key).ask(ask).await };
+            let Some(peer) = owner else { return self.desk(ask.key).ask(ask).await };
             let call = Call::Ask(ask.message(String::new()));
-            if let Ok(verdict) = self.call(&member, call).await {
+            if let Ok(verdict) = self.call(peer, call).await {
                 return verdict;
             }
         }
         Verdict::Unavailable
     }
 
-    async fn call(&self, member: &Member, call: Call) -> Result<Verdict, Malformed> {
+    async fn call(&self, peer: SocketAddr, call: Call) -> Result<Verdict, Malformed> {
         let body = Body::Claim(ClaimCall { call: Some(call) });
-        match self.placement.links().call(member.peer, body, ASK_TIMEOUT).await {
+        match self.placement.links().call(peer, body, ASK_TIMEOUT).await {
             Ok(Body::ClaimAnswer(answer)) => answer.try_into(),
             _ => Err(Malformed),
         }
     }
 
-    /// Routers that decide on a ticket's key besides its shard's owner; `None` stands for this one.
-    fn authority(&self, key: &str) -> Option<Option<Member>> {
+    /// The router that decides on a ticket's key besides its shard's owner; `None` inside stands for this one.
+    fn authority(&self, key: &str) -> Option<Option<SocketAddr>> {
         match self.keeper(key) {
             Keeper::Shard => None,
             Keeper::Me(_) => Some(None),
-            Keeper::Other(t) => {
-                let id = Id::of(&t.router);
-                self.member(|m| m.id == id).map(Some)
-            }
+            Keeper::Other(t) => t.peer.parse().ok().map(Some),
         }
     }
 
@@ -264,17 +312,18 @@
     }
 
     /// Tells one of `peers`, the first that can be reached; again after a pause when none can.
-    async fn tell_first(self: Arc<Self>, peers: Vec<Option<Member>>, call: Call) {
+    async fn tell_first(self: Arc<Self>, peers: Vec<Option<SocketAddr>>, call: Call) {
+        let _telling = Telling::start(&self.telling);
         let call = ClaimCall { call: Some(call) };
         let mut pause = TELL_PAUSE;
         for _ in 0..TELL_TRIES {
             for peer in &peers {
-                let Some(member) = peer else {
+                let Some(peer) = *peer else {
                     self.serve(call.clone()).await;
                     return;
                 };
                 let body = Body::Claim(call.clone());
-                if self.placement.links().call(member.peer, body, TELL_TIMEOUT).await.is_ok() {
+                if self.placement.links().call(peer, body, TELL_TIMEOUT).await.is_ok() {
                     return;
                 }
             }
@@ -288,21 +337,31 @@
         &self.desks[usize::from(key.shard())]
     }
 
-    fn member(&self, which: impl Fn(&Member) -> bool) -> Option<Member> {
-        self.placement.placer().members().list().iter().find(|m| which(m)).cloned()
-    }
-
     /// Routers in the order in which they are asked about a key's shard; `None` stands for this one.
-    fn owners(&self, key: KeyDigest) -> Vec<Option<Member>> {
+    fn owners(&self, key: KeyDigest) -> Vec<Option<SocketAddr>> {
         let placer = self.placement.placer();
         let me = placer.me();
-        let mut list: Vec<_> = placer.members().list().iter().filter(|m| m.id != me).cloned().collect();
-        list.sort_by_cached_key(|m| hash((key.shard(), m.id.0)));
-        let mine = hash((key.shard(), me.0));
-        let at = list.partition_point(|m| hash((key.shard(), m.id.0)) < mine);
-        let mut owners: Vec<_> = list.into_iter().map(Some).collect();
-        owners.insert(at, None);
-        owners
+        let others = placer.members().list().iter().filter(|m| m.id != me);
+        let mut list: Vec<_> = others.map(|m| (m.id, Some(m.peer))).collect();
+        list.push((me, None));
+        list.sort_by_cached_key(|(id, _)| hash((key.shard(), id.0)));
+        list.into_iter().map(|(_, peer)| peer).collect()
+    }
+}
+
+/// Counts a message that is being told; dropping it ends the count.
+struct Telling<'a>(&'a AtomicUsize);
+
+impl<'a> Telling<'a> {
+    fn start(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for Telling<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
--- a/src/gateway/claim/desk.rs
+++ b/src/gateway/claim/desk.rs
@@ -21,6 +21,9 @@
 /// How often a book without anything to do is looked at, to forget what is old.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// How often a book that is being settled is looked at.
+const SETTLE_CHECK: Duration = Duration::from_millis(20);
+
 /// The book of one shard.
 #[derive(Debug)]
 pub(super) struct Desk {
@@ -73,6 +76,18 @@
         self.drive();
     }
 
+    /// Waits until all is written that is known here.
+    pub(super) async fn settle(self: &Arc<Self>) {
+        if !lock(&self.state).driven {
+            return;
+        }
+        lock(&self.state).book.hurry();
+        self.drive();
+        while !lock(&self.state).book.is_idle() {
+            tokio::time::sleep(SETTLE_CHECK).await;
+        }
+    }
+
     /// Starts the task that calls the platform, with the first use of the shard.
     fn drive(self: &Arc<Self>) {
         self.changed.notify_one();
--- a/src/schema/claim.rs
+++ b/src/schema/claim.rs
@@ -183,6 +183,18 @@
     /// When it was made, on the router's own monotonic clock, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub made_ms: u64,
+    /// IP address and port at which other routers reach it, also while it is leaving.
+    #[prost(string, tag = "4")]
+    pub peer: ::prost::alloc::string::String,
+}
+/// Object of kind `ClaimTicket`: a start of a router has stopped as planned, and each key that it granted under its
+/// tickets is in its shard.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ClaimTicket {
+    /// When it stopped, wall clock in milliseconds since 1970.
+    #[prost(uint64, tag = "1")]
+    pub closed_ms: u64,
 }
 /// What a router decides on a claim.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -82,6 +82,7 @@
             .with_time(cfg.body_time)
             .with_head_time(cfg.head_time);
         let (peer_listener, socket, peer_addr) = listen_for_peers(cfg)?;
+        gateway.set_peer_addr(peer_addr);
         let key = LinkKey::new(&cfg.shared_key);
         let links = Arc::new(Links::new(key.clone()));
         let follow = Follow::start(cfg, peer_addr, platform.clone(), links, gateway.clone());
@@ -167,6 +168,7 @@
 
     /// Gives the leases back and stops the router.
     pub async fn stop(mut self) {
+        self.gateway.close_claims().await;
         if let Some(orders) = self.orders.take() {
             orders.close().await;
         }
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -355,3 +355,21 @@
     }
     assert!(ran >= 40, "{ran} of 60 were settled as made: {told:?}");
 }
+
+/// A router is stopped as planned. A guest's tablet still makes keys under its ticket: one booking was made before the
+/// stop, one is new. Without a word from the router both would read as unknown for good.
+#[tokio::test]
+async fn a_planned_stop_hands_its_tickets_over() {
+    let mut fleet = Fleet::start().await;
+    let (old, new) = (fleet.ticket_key(2, "old").await, fleet.ticket_key(2, "new").await);
+    let before = fleet.hold(2, &old, "tour").await;
+
+    fleet.routers.pop().unwrap().stop().await;
+    let repeat = fleet.settled(0, &old, "tour").await;
+    let fresh = fleet.settled(1, &new, "tour").await;
+
+    assert_eq!(repeat, before);
+    assert_eq!(fresh.status, 200, "{fresh:?}");
+    assert_eq!((fleet.runs(&old), fleet.runs(&new)), (1, 1));
+    fleet.close();
+}
