Hand tickets over before the records are written

A router that goes on owning a busy shard may not come to rest within the stop's limit; what it granted is in the shards all the same, so that the hand-over need not wait.

--- a/src/gateway/claim.rs
+++ b/src/gateway/claim.rs
@@ -106,15 +106,16 @@
     /// Before a planned stop: has all records written, and hands the keys of this start's tickets over to their shards.
     pub(crate) async fn close(&self) {
         let clean = lock(&self.local).close();
+        // What was granted is in the shards already; records may follow.
+        if clean {
+            self.closed.tell(&self.name, self.start).await;
+        }
         while self.telling.load(Ordering::Acquire) > 0 {
             tokio::time::sleep(SETTLE_CHECK).await;
         }
         for desk in &self.desks {
             desk.settle().await;
         }
-        if clean {
-            self.closed.tell(&self.name, self.start).await;
-        }
     }
 
     /// A ticket under which a caller may make keys that this router alone runs.
