Keep away from engines that could not be reached, and measure the queue's speed by starts

A window without a start counts only after 2 s, and not before any start. A request whose content becomes a suspect while it waits asks for a permit before it runs.

--- a/benches/admission/storm.rs
+++ b/benches/admission/storm.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cranberrytally::retry::{Attempts, Budget, Policy, Reason};
+use cranberrytally::{
+    catalog::Id,
+    retry::{Attempts, Avoid, Budget, Policy, Reason},
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -17,6 +20,8 @@
 const REQUESTS: usize = 100_000;
 /// How often a caller comes back with a refused request.
 const RETURNS: usize = 3;
+/// Time between two requests.
+const PERIOD: Duration = Duration::from_millis(2);
 const DEADLINE: Duration = Duration::from_secs(10);
 
 /// How retries are bounded.
@@ -28,8 +33,10 @@
     PerHop,
     /// One attempt count over all hops, without a budget.
     Count,
-    /// The policy: one count over all hops and the budget.
+    /// One count over all hops and the budget.
     Budget,
+    /// The policy: these, and a router keeps away from engines that it could not reach.
+    Avoid,
 }
 
 /// Figures of one run.
@@ -56,15 +63,18 @@
 pub fn run(bound: Bound, seed: u64) -> Figures {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut budgets = [Budget::new(RATIO, BURST); ROUTERS];
+    let mut avoids = vec![Avoid::default(); ROUTERS];
     let mut figures = Figures::default();
-    for _ in 0..REQUESTS {
+    for i in 0..REQUESTS {
+        let now = PERIOD * i as u32;
         figures.fresh += 1;
         let before = figures.attempts;
         let mut made = 0;
         for _ in 0..=RETURNS {
             let router = rng.random_range(0..ROUTERS);
             let carried = if bound == Bound::PerHop || bound == Bound::Unbounded { 0 } else { made };
-            if serve(bound, &mut budgets[router], carried, &mut made, &mut figures, &mut rng) {
+            let mut at = Router { bound, now, budget: &mut budgets[router], avoid: &mut avoids[router] };
+            if at.serve(carried, &mut made, &mut figures, &mut rng) {
                 figures.answered += 1;
                 break;
             }
@@ -76,40 +86,53 @@
     figures
 }
 
-fn serve(
+struct Router<'a> {
     bound: Bound,
-    budget: &mut Budget,
-    carried: u32,
-    made: &mut u32,
-    figures: &mut Figures,
-    rng: &mut ChaCha8Rng,
-) -> bool {
-    let mut endless = Budget::new(0.0, u32::MAX);
-    let budget = if bound == Bound::Budget { budget } else { &mut endless };
-    let limit = if bound == Bound::Unbounded { u32::MAX } else { 3 };
-    let policy = Policy::default().with_attempts(limit);
-    let Ok(mut attempts) = Attempts::arrive(&policy, budget, carried, true, DEADLINE) else { return false };
-    let mut tried = Vec::new();
-    loop {
-        let engine = pick(bound, &tried, rng);
-        tried.push(engine);
-        attempts.start();
-        figures.attempts += 1;
-        *made = attempts.made();
-        if engine >= FAILING {
-            return true;
-        }
-        let now = Duration::ZERO;
-        if attempts.fail(&policy, budget, now, Reason::ConnectFailed, rng).is_err() {
+    now: Duration,
+    budget: &'a mut Budget,
+    avoid: &'a mut Avoid,
+}
+
+impl Router<'_> {
+    fn serve(&mut self, carried: u32, made: &mut u32, figures: &mut Figures, rng: &mut ChaCha8Rng) -> bool {
+        let mut endless = Budget::new(0.0, u32::MAX);
+        let bounded = matches!(self.bound, Bound::Budget | Bound::Avoid);
+        let budget = if bounded { &mut *self.budget } else { &mut endless };
+        let limit = if self.bound == Bound::Unbounded { u32::MAX } else { 3 };
+        let policy = Policy::default().with_attempts(limit);
+        let deadline = self.now + DEADLINE;
+        let Ok(mut attempts) = Attempts::arrive(&policy, budget, carried, true, deadline) else {
             return false;
+        };
+        let mut tried = Vec::new();
+        loop {
+            let avoid = if self.bound == Bound::Avoid { self.avoid.list(self.now) } else { Vec::new() };
+            let engine = pick(self.bound, &tried, &avoid, rng);
+            tried.push(engine);
+            attempts.start();
+            figures.attempts += 1;
+            *made = attempts.made();
+            if engine >= FAILING {
+                self.avoid.answer(id(engine));
+                return true;
+            }
+            self.avoid.fail(self.now, id(engine));
+            if attempts.fail(&policy, budget, self.now, Reason::ConnectFailed, rng).is_err() {
+                return false;
+            }
         }
     }
 }
 
-fn pick(bound: Bound, tried: &[usize], rng: &mut ChaCha8Rng) -> usize {
+fn id(engine: usize) -> Id {
+    Id(engine as u64 + 1)
+}
+
+fn pick(bound: Bound, tried: &[usize], avoid: &[Id], rng: &mut ChaCha8Rng) -> usize {
     loop {
         let engine = rng.random_range(0..ENGINES);
-        if bound == Bound::Unbounded || !tried.contains(&engine) {
+        let free = !tried.contains(&engine) && !avoid.contains(&id(engine));
+        if bound == Bound::Unbounded || free {
             return engine;
         }
     }
--- a/src/admit/rate.rs
+++ b/src/admit/rate.rs
@@ -6,6 +6,9 @@
 use crate::util::Instant;
 
 const WINDOW: Duration = Duration::from_millis(250);
+/// A window without any start is closed only after this time. Starts come in bursts, and a few empty windows in a
+/// row would pass for a lane that never moves and refuse even requests with a minute to spare.
+const STALL: Duration = Duration::from_secs(2);
 const WEIGHT: f64 = 0.3;
 
 /// Moving averages of one lane.
@@ -40,11 +43,14 @@
     pub(super) fn tick(&mut self, now: Instant) {
         let Some(since) = self.since else { return };
         let elapsed = now.saturating_sub(since);
-        if elapsed < WINDOW {
+        if elapsed < WINDOW || (self.work == 0 && elapsed < STALL) {
             return;
         }
         let sample = self.work as f64 / elapsed.as_secs_f64();
-        self.per_second = Some(mix(self.per_second, sample));
+        // A lane that has never started anything has no rate yet, not one of zero.
+        if self.work > 0 || self.per_second.is_some() {
+            self.per_second = Some(mix(self.per_second, sample));
+        }
         (self.since, self.work) = (Some(now), 0);
     }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,7 +21,7 @@
     place::hint::HintKey,
     platform::Platform,
     probe::{EngineView, State},
-    retry::{Budget, Policy},
+    retry::{Avoid, Budget, Policy},
     schema::{
         claim::{ClaimAnswer, ClaimCall},
         link::frame::Body,
@@ -67,6 +67,7 @@
     suspects: Arc<Suspects>,
     retry_policy: Policy,
     budget: Mutex<Budget>,
+    avoid: Mutex<Avoid>,
     client: Client,
     metrics: Arc<Metrics>,
 }
@@ -93,6 +94,7 @@
             suspects: Arc::new(suspects),
             retry_policy: Policy::default(),
             budget: Mutex::default(),
+            avoid: Mutex::default(),
             client,
             metrics,
         }
@@ -122,6 +124,7 @@
     pub fn set_catalog(&self, cat: Catalog) {
         let mut current = self.catalog.write().unwrap_or_else(|e| e.into_inner());
         if cat.version >= current.version {
+            lock(&self.avoid).retain(|id| cat.key(id).is_some());
             *current = Arc::new(cat);
         }
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -99,7 +99,7 @@
         let mut attempts = self.arrive(ask, to.idempotent())?;
         let mut tried = Vec::new();
         loop {
-            let placed = self.find(cat, ask, queue, to, &mut tried).await;
+            let placed = self.find(cat, ask, queue, to, &tried).await;
             let (found, permit) = placed.map_err(|f| self.final_answer(&attempts, f))?;
             let engine = cat.engine(found.engine);
             tried.push(engine.id);
@@ -109,8 +109,14 @@
             let left = ask.deadline.saturating_sub(now());
             let reason = match tokio::time::timeout(left, to.send(engine, &request)).await {
                 Ok(Ok(res)) if proves_not_run(&res) => Reason::EngineRefused,
-                Ok(Ok(res)) => return Ok(Started { res, found, run, request, attempts: attempts.made() }),
-                Ok(Err(Failure::Connect)) => Reason::ConnectFailed,
+                Ok(Ok(res)) => {
+                    lock(&self.avoid).answer(engine.id);
+                    return Ok(Started { res, found, run, request, attempts: attempts.made() });
+                }
+                Ok(Err(Failure::Connect)) => {
+                    lock(&self.avoid).fail(now(), engine.id);
+                    Reason::ConnectFailed
+                }
                 Ok(Err(Failure::Broken)) => {
                     run.broke().await;
                     Reason::EngineFailed
@@ -172,26 +178,41 @@
         ask: &Ask,
         queue: &Arc<Queue>,
         to: &impl Backends,
-        tried: &mut Vec<Id>,
+        tried: &[Id],
     ) -> Result<(Found, Option<Permit>), Fault> {
-        match self.suspects.standing(ask.content) {
-            Standing::Quarantined => Err(self.suspects.refuse(ask.content)),
-            Standing::Suspect => self.find_apart(cat, ask, to, tried).await,
-            Standing::Cleared => {
-                let exclude: Vec<_> = tried.clone();
-                let find = || async { to.find(&exclude, Queued::Yes).await.map_err(no_room) };
-                let found = queue.admit(ask, find).await;
-                match found {
-                    // Every other engine is out of use: the one that failed may be back after the pause.
-                    Err(f) if f.kind == Kind::NoEngine && !tried.is_empty() => {
-                        tried.clear();
-                        let find = || async { to.find(&[], Queued::Yes).await.map_err(no_room) };
-                        Ok((queue.admit(ask, find).await?, None))
-                    }
-                    found => Ok((found?, None)),
-                }
+        loop {
+            match self.suspects.standing(ask.content) {
+                Standing::Quarantined => return Err(self.suspects.refuse(ask.content)),
+                Standing::Suspect => return self.find_apart(cat, ask, to, tried).await,
+                Standing::Cleared => {}
+            }
+            let found = self.find_in_turn(ask, queue, to, tried).await?;
+            // The wait may have been long, and the content may have become a suspect meanwhile.
+            if self.suspects.standing(ask.content) == Standing::Cleared {
+                return Ok((found, None));
+            }
+        }
+    }
+
+    /// Finds an engine, first without those that failed this request or could not be reached lately, then
+    /// without the former, then any.
+    async fn find_in_turn(
+        &self,
+        ask: &Ask,
+        queue: &Arc<Queue>,
+        to: &impl Backends,
+        tried: &[Id],
+    ) -> Result<Found, Fault> {
+        let avoid = lock(&self.avoid).list(now());
+        let mut last = no_engine();
+        for exclude in [&[tried, &avoid].concat()[..], tried, &[]] {
+            let find = || async { to.find(exclude, Queued::Yes).await.map_err(no_room) };
+            match queue.admit(ask, find).await {
+                Err(f) if f.kind == Kind::NoEngine => last = f,
+                found => return found,
             }
         }
+        Err(last)
     }
 
     /// Finds an engine on which no other suspect runs. Suspects don't wait in the queue: one that has the turn
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -12,8 +12,10 @@
     util::Instant,
 };
 
+pub mod avoid;
 pub mod budget;
 
+pub use avoid::Avoid;
 pub use budget::Budget;
 
 /// Why an attempt failed.
--- a/tests/admission_bounds.rs
+++ b/tests/admission_bounds.rs
@@ -73,10 +73,21 @@
 /// 30% of the engines refuse every connection and no router knows it yet: retries stay within their budget.
 #[test]
 fn extra_attempts_stay_within_the_budget() {
-    let f = storm::run(Bound::Budget, 7);
-    let most = f.fresh as f64 * storm::RATIO + f64::from(storm::BURST) * storm::ROUTERS as f64;
+    for bound in [Bound::Budget, Bound::Avoid] {
+        let f = storm::run(bound, 7);
+        let most = f.fresh as f64 * storm::RATIO + f64::from(storm::BURST) * storm::ROUTERS as f64;
 
-    assert!(f.extra() as f64 <= most, "{f:?} {most}");
-    assert!(f.worst <= 3, "{f:?}");
-    assert!(storm::run(Bound::Unbounded, 7).extra() > 4 * f.extra());
+        assert!(f.extra() as f64 <= most, "{bound:?} {f:?} {most}");
+        assert!(f.worst <= 3, "{bound:?} {f:?}");
+        assert!(storm::run(Bound::Unbounded, 7).extra() > 4 * f.extra(), "{bound:?} {f:?}");
+    }
+}
+
+/// The same, as a router serves: it keeps away from engines that it could not reach, so that the budget is not
+/// used up and hardly a caller is refused.
+#[test]
+fn hardly_a_request_is_lost_while_a_third_of_the_fleet_fails() {
+    let f = storm::run(Bound::Avoid, 7);
+
+    assert!(f.answered as f64 >= 0.99 * f.fresh as f64, "{f:?}");
 }
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -151,6 +151,22 @@
     assert!(matches!(offer, Offer::Queued(_)));
 }
 
+/// A flapping engine holds all turns up for a second just as the first requests begin to wait. Taken for the
+/// lane's speed, that would refuse everybody who comes with a minute to spare.
+#[test]
+fn a_second_without_a_start_refuses_nobody_with_a_minute() {
+    let mut lane = Lane::default();
+    wait(&mut lane, Duration::ZERO, normal("a"));
+    for i in 1..5 {
+        lane.expire(Duration::from_millis(i * 250));
+    }
+    let now = Duration::from_secs(1);
+
+    let offer = lane.offer(now, demand("b", Priority::Normal, now + Duration::from_secs(60)));
+
+    assert!(matches!(offer, Offer::Queued(_)), "{offer:?}");
+}
+
 #[test]
 fn waiting_requests_leave_at_their_deadline() {
     let mut lane = Lane::default();
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use cranberrytally::{
+    catalog::Id,
     error::{Kind, Ran},
-    retry::{Attempts, Budget, Policy, Reason, spread},
+    retry::{Attempts, Avoid, Budget, Policy, Reason, spread},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -127,3 +128,22 @@
     assert!(pauses.iter().all(|p| *p >= most / 2 && *p <= most));
     assert!(pauses.windows(2).any(|w| w[0] != w[1]));
 }
+
+/// Ten requests meet an engine that is gone, all at once: it is left alone for one second, not for the longest
+/// time; each further failure doubles that, and an answer ends it.
+#[test]
+fn an_engine_that_can_not_be_reached_is_avoided_for_a_while() {
+    let (mut avoid, engine) = (Avoid::default(), Id::of("engine-0"));
+    let second = Duration::from_secs(1);
+    for _ in 0..10 {
+        avoid.fail(Duration::ZERO, engine);
+    }
+    assert_eq!(avoid.list(second / 2), [engine]);
+    assert!(avoid.list(second).is_empty());
+
+    avoid.fail(second, engine);
+
+    assert_eq!(avoid.list(second * 5 / 2), [engine]);
+    avoid.answer(engine);
+    assert!(avoid.list(second).is_empty());
+}
