--- a/src/serve.rs
+++ b/src/serve.rs
@@ -133,6 +133,11 @@
         self.peer_addr
     }
 
+    /// Requests in progress.
+    pub fn running(&self) -> usize {
+        self.server.running()
+    }
+
     /// The configuration.
     pub fn follow(&self) -> &Follow {
         &self.follow
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,72 @@
+//! Routers that find each other over real sockets, hand each other out, and leave without cutting a request.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cranberrytally::{
+    client::Client,
+    config::Settings,
+    serve::Running,
+    standin::{
+        caller::Caller,
+        outside::{Outside, Plan, WORKSPACES, settings},
+    },
+};
+use http::Method;
+
+const TOKENS: usize = 700;
+const TOKEN_TIME: Duration = Duration::from_millis(10);
+const CHECK: Duration = Duration::from_millis(20);
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn start(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Running {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    Running::start(&Settings::parse(&settings(name, any, any, platform, seeds)).unwrap()).unwrap()
+}
+
+/// Addresses that a router names to callers.
+async fn named(router: SocketAddr) -> Vec<SocketAddr> {
+    let url = format!("http://{router}/v1/entry");
+    let Ok((200, answer)) = Client::default().json(Method::GET, &url, None, LIMIT).await else {
+        return Vec::new();
+    };
+    let list = answer["addresses"].as_array().cloned().unwrap_or_default();
+    list.iter().filter_map(|a| a.as_str()?.parse().ok()).collect()
+}
+
+async fn wait(what: &str, done: impl AsyncFn() -> bool) {
+    let work = async {
+        while !done().await {
+            tokio::time::sleep(CHECK).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, work).await.unwrap_or_else(|_| panic!("{what} did not come about"));
+}
+
+/// An operator replaces a host while a guest's answer streams through its router. The router leaves: the others stop
+/// naming it, whoever still comes is served, and the stream, which lasts longer than the entry answers, is whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_router_is_no_longer_named_and_cuts_nothing() {
+    let outside = Outside::start(Plan::default().with_tokens(TOKENS, TOKEN_TIME)).await.unwrap();
+    let first = start("r0", outside.platform_addr(), &[]);
+    let second = start("r1", outside.platform_addr(), &[first.peer_addr()]);
+    let (leaving, stays) = (first.addr(), second.addr());
+    wait("a fleet of two", async || named(stays).await.len() == 2 && named(leaving).await.len() == 2).await;
+    let turn = |chat: &'static str| async move {
+        let mut caller = Caller::new(WORKSPACES[0], chat, vec![leaving]);
+        let answer = caller.turn(1).await.unwrap();
+        caller.whole(&answer, TOKENS)
+    };
+    let early = tokio::spawn(turn("early"));
+    wait("a running request", async || first.running() > 0).await;
+
+    let shut_down = tokio::spawn(first.shut_down());
+    wait("its leaving", async || named(stays).await == [stays]).await;
+    let late = tokio::spawn(turn("late"));
+    let cut = shut_down.await.unwrap();
+
+    assert_eq!(cut, 0);
+    assert!(early.await.unwrap(), "the stream that ran was cut");
+    assert!(late.await.unwrap(), "a caller that came with an old answer was not served");
+    second.close();
+    outside.close();
+}
