Tell the reporter of a new version without asking for an ack

Cause: at each change of configuration all 21 others of a data centre pinged its reporter at the same moment; its acks used up the budget, the next pings to it went unanswered and it was suspected: 115 false suspicions in 62 s at 330 routers.

--- a/src/member/detect.rs
+++ b/src/member/detect.rs
@@ -60,7 +60,9 @@
         if std::mem::take(&mut self.tell_reporter)
             && let Some((name, addr)) = self.reporter().filter(|(n, _)| *n != self.me.name)
         {
-            self.ping(now, name, addr);
+            // No ping: all members tell the reporter at the same moment, and its acks to all would use up its budget,
+            // so that it seemed dead to those who ping it then.
+            self.send(now, Some(&name), addr, None, Extras::default());
         }
         if !self.budget.may_ping(now) {
             return;
