Count what a probe really costs, and let dispatches tell the probes

Change: a GET without a body names no content type, the answer's segment acknowledges the request and is not counted twice, 440 bytes are counted, the period is 7 s. A dispatch that can't connect makes the engine's probers look at once; probes hand their load reports to placement; a backend server's life is held by its typestate.

--- a/benches/membership/fleet.rs
+++ b/benches/membership/fleet.rs
@@ -64,6 +64,7 @@
     pub received: u64,
     pub received_bytes: u64,
     pub probes: u64,
+    ticks: u64,
     pub rejected: BTreeMap<&'static str, u64>,
     /// Bytes sent in each second of virtual time.
     pub per_second: Vec<usize>,
@@ -192,6 +193,7 @@
             received: 0,
             received_bytes: 0,
             probes: 0,
+            ticks: 0,
             rejected: BTreeMap::new(),
             per_second: Vec::new(),
             window: VecDeque::new(),
@@ -369,7 +371,16 @@
 
     fn tick(&mut self, i: usize) {
         let now = self.now;
-        let Some((out, probes)) = self.timed(i, |m| (m.tick(now), m.engines.due(now))) else { return };
+        self.nodes[i].ticks += 1;
+        // The shell asks for changed engines once a second, over all engines; its cost belongs to the CPU figure.
+        let refresh = self.nodes[i].ticks.is_multiple_of(4);
+        let step = |m: &mut Membership| {
+            if refresh {
+                m.engines.take_changed(now);
+            }
+            (m.tick(now), m.engines.due(now))
+        };
+        let Some((out, probes)) = self.timed(i, step) else { return };
         self.send_all(i, out);
         for probe in probes {
             self.probe(i, &probe);
--- a/src/client.rs
+++ b/src/client.rs
@@ -60,12 +60,11 @@
         timeout: Duration,
     ) -> Result<(u16, serde_json::Value)> {
         let bytes = body.map(serde_json::to_vec).transpose()?.unwrap_or_default();
-        let req = Request::builder()
-            .method(method)
-            .uri(url)
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(bytes)))
-            .context("could not build the request")?;
+        let mut req = Request::builder().method(method).uri(url);
+        if body.is_some() {
+            req = req.header("content-type", "application/json");
+        }
+        let req = req.body(Full::new(Bytes::from(bytes))).context("could not build the request")?;
         let work = async {
             let res = match self.send(req).await {
                 Ok(res) => res,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -67,6 +67,8 @@
     suspects: Arc<Suspects>,
     retry_policy: Policy,
     budget: Mutex<Budget>,
+    /// Engines to which dispatches could not connect, until the probes are told.
+    unreached: Mutex<Vec<Arc<str>>>,
     client: Client,
     metrics: Arc<Metrics>,
 }
@@ -93,6 +95,7 @@
             suspects: Arc::new(suspects),
             retry_policy: Policy::default(),
             budget: Mutex::default(),
+            unreached: Mutex::default(),
             client,
             metrics,
         }
@@ -103,6 +106,11 @@
         Self { entry_keep, ..self }
     }
 
+    /// Engines to which dispatches could not connect since the last call.
+    pub fn take_unreached(&self) -> Vec<Arc<str>> {
+        std::mem::take(&mut lock(&self.unreached))
+    }
+
     /// Notes what the probes know of an engine.
     pub fn note_engine(&self, view: &EngineView) {
         let id = Id::of(&view.name);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -110,7 +110,10 @@
             let reason = match tokio::time::timeout(left, to.send(engine, &request)).await {
                 Ok(Ok(res)) if proves_not_run(&res) => Reason::EngineRefused,
                 Ok(Ok(res)) => return Ok(Started { res, found, run, request, attempts: attempts.made() }),
-                Ok(Err(Failure::Connect)) => Reason::ConnectFailed,
+                Ok(Err(Failure::Connect)) => {
+                    lock(&self.unreached).push(engine.name.clone());
+                    Reason::ConnectFailed
+                }
                 Ok(Err(Failure::Broken)) => {
                     run.broke().await;
                     Reason::EngineFailed
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -17,7 +17,7 @@
     gateway::Gateway,
     member::{Event, GossipKey, HEAD_BYTES, MAX_BYTES, MemberConfig, Membership, Output, Record, Status},
     metrics::{Counter, Metrics},
-    probe::{EngineSpec, Probe, ProbeConfig},
+    probe::{EngineSpec, PROBE_BYTES, Probe, ProbeConfig, Seen},
     util::{now, wall_ms},
 };
 
@@ -135,16 +135,20 @@
         ticks += 1;
         shared.configure(&mut configured);
         let version = shared.follow.version();
+        let unreached = shared.gateway.take_unreached();
         let step = shared.with(|m| {
             if version > 0 {
                 m.set_in_force(now(), version);
             }
+            for engine in &unreached {
+                m.engines.dispatched(now(), engine, Seen::Unreachable);
+            }
             (m.tick(now()), m.engines.due(now()))
         });
         let Some((out, due)) = step else { return };
         shared.carry_out(out);
         for probe in due {
-            shared.metrics.add(Counter::ControlBytes, "probes", crate::probe::PROBE_BYTES as u64);
+            shared.metrics.add(Counter::ControlBytes, "probes", PROBE_BYTES as u64);
             tokio::spawn(probes::probe(shared.clone(), probe));
         }
         if ticks.is_multiple_of(REFRESH_TICKS) {
@@ -201,7 +205,7 @@
         self.with(|m| m.engines.set_engines(now(), specs));
     }
 
-    fn probed(&self, probe: &Probe, seen: crate::probe::Seen) {
+    fn probed(&self, probe: &Probe, seen: Seen) {
         self.with(|m| m.engines.probed(now(), &probe.engine, seen));
     }
 }
--- a/src/gossip/probes.rs
+++ b/src/gossip/probes.rs
@@ -19,7 +19,10 @@
     let seen = match shared.client.json(Method::GET, &url, None, TIMEOUT).await {
         Ok((status, _)) if status >= 500 => Seen::Unreachable,
         Ok((200, body)) => match serde_json::from_value::<Load>(body) {
-            Ok(load) => Seen::Answer { start: load.start, running: load.running, leaving: load.leaving },
+            Ok(load) => {
+                shared.gateway.note_engine_load(&probe.engine, &load);
+                Seen::Answer { start: load.start, running: load.running, leaving: load.leaving }
+            }
             Err(_) => UNREPORTED,
         },
         Ok(_) => UNREPORTED,
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -138,6 +138,11 @@
     pub fn answer(self, start: u64) -> Backend<Live> {
         Backend { state: Live { start } }
     }
+
+    /// It does not answer.
+    pub fn lose(self) -> Backend<Gone> {
+        Backend { state: Gone(()) }
+    }
 }
 
 impl Backend<Live> {
@@ -164,6 +169,11 @@
         Ok(Backend { state: Live { start } })
     }
 
+    /// Nobody says any more that it leaves, as when an operator takes a label away.
+    pub fn stay(self) -> Backend<Live> {
+        Backend { state: Live { start: self.state.start } }
+    }
+
     /// It does not answer any more.
     pub fn lose(self) -> Backend<Gone> {
         Backend { state: Gone(()) }
@@ -176,3 +186,52 @@
         Backend { state: Live { start } }
     }
 }
+
+/// A backend server in whatever state, for tables that hold many.
+#[derive(Clone, Copy, Debug)]
+pub enum AnyBackend {
+    /// Has not answered yet.
+    Joining(Backend<Joining>),
+    /// Takes work.
+    Live(Backend<Live>),
+    /// Takes no new work.
+    Draining(Backend<Draining>),
+    /// Does not answer.
+    Gone(Backend<Gone>),
+}
+
+impl Default for AnyBackend {
+    fn default() -> Self {
+        AnyBackend::Joining(Backend::default())
+    }
+}
+
+impl AnyBackend {
+    /// It answers, from this start.
+    pub fn answer(self, start: u64) -> Self {
+        AnyBackend::Live(match self {
+            AnyBackend::Joining(b) => b.answer(start),
+            AnyBackend::Live(_) => Backend { state: Live { start } },
+            AnyBackend::Draining(b) => b.restart(start).unwrap_or_else(Backend::stay),
+            AnyBackend::Gone(b) => b.answer(start),
+        })
+    }
+
+    /// It takes no new work.
+    pub fn leave(self, start: u64) -> Self {
+        match self.answer(start) {
+            AnyBackend::Live(b) => AnyBackend::Draining(b.leave()),
+            other => other,
+        }
+    }
+
+    /// It does not answer.
+    pub fn lose(self) -> Self {
+        AnyBackend::Gone(match self {
+            AnyBackend::Joining(b) => b.lose(),
+            AnyBackend::Live(b) => b.lose(),
+            AnyBackend::Draining(b) => b.lose(),
+            AnyBackend::Gone(b) => b,
+        })
+    }
+}
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -21,8 +21,8 @@
 
 /// Routers that probe one engine: two of three outvote one that can't reach it.
 pub const PROBERS: usize = 3;
-/// Bytes of one probe on the wire, headers of TCP and IP included; the bench and `tests/probe.rs` check it.
-pub const PROBE_BYTES: usize = 420;
+/// Bytes of one probe on the wire, headers of TCP and IP included; `tests/probe.rs` checks it.
+pub const PROBE_BYTES: usize = 440;
 /// How long a sign of leaving from a router that doesn't probe the engine counts.
 const SIGN_TIME: Duration = Duration::from_secs(30);
 
@@ -71,7 +71,7 @@
 impl Default for ProbeConfig {
     fn default() -> Self {
         Self {
-            period: Duration::from_secs(6),
+            period: Duration::from_secs(7),
             retry: Duration::from_millis(500),
             failures: 2,
             bytes_per_second: 8_000,
@@ -303,8 +303,8 @@
         let mut list: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, e)| e.spec.data_centre == self.data_centre && e.state != State::Up)
-            .map(|(&id, e)| (id, e.state as u32))
+            .filter(|(_, e)| e.spec.data_centre == self.data_centre && e.state() != State::Up)
+            .map(|(&id, e)| (id, e.state() as u32))
             .collect();
         list.sort_by_key(|&(id, state)| (std::cmp::Reverse(state), id));
         list
--- a/src/probe/entry.rs
+++ b/src/probe/entry.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{EngineSpec, Finding, SIGN_TIME, State};
-use crate::util::{Instant, Map};
+use crate::{
+    lifecycle::AnyBackend,
+    util::{Instant, Map},
+};
 
 /// How long a router that can't reach an engine avoids it though it is up for the others.
 const AVOID_TIME: Duration = Duration::from_secs(10);
@@ -38,7 +41,7 @@
     pub(super) probers: Vec<Arc<str>>,
     pub(super) findings: Map<Arc<str>, Finding>,
     pub(super) remote: Option<State>,
-    pub(super) state: State,
+    life: AnyBackend,
     pub(super) told: Option<(State, bool, u64)>,
     pub(super) mine: bool,
     pub(super) next: Instant,
@@ -55,7 +58,7 @@
             probers: Vec::new(),
             findings: Map::default(),
             remote: None,
-            state: State::Up,
+            life: AnyBackend::default(),
             told: None,
             mine: false,
             next: Instant::ZERO,
@@ -106,7 +109,22 @@
 
     /// Draws the state from the findings.
     pub(super) fn settle(&mut self, now: Instant, me: &str, data_centre: &str) {
-        self.state = self.judge(now, me, data_centre);
+        self.life = match self.judge(now, me, data_centre) {
+            State::Up if self.findings.is_empty() && matches!(self.life, AnyBackend::Joining(_)) => return,
+            State::Up => self.life.answer(self.start()),
+            State::Leaving => self.life.leave(self.start()),
+            State::Down => self.life.lose(),
+        };
+    }
+
+    /// State as the last [`Entry::settle`] found it. An engine that has not been probed yet gets work: after a start of
+    /// the router every one is in this state, and dispatches find out by themselves.
+    pub(super) fn state(&self) -> State {
+        match self.life {
+            AnyBackend::Joining(_) | AnyBackend::Live(_) => State::Up,
+            AnyBackend::Draining(_) => State::Leaving,
+            AnyBackend::Gone(_) => State::Down,
+        }
     }
 
     fn judge(&self, now: Instant, me: &str, data_centre: &str) -> State {
@@ -146,7 +164,7 @@
         let load = self.findings.values().filter(|f| f.state != State::Down).max_by_key(|f| f.at);
         EngineView {
             name: self.spec.name.clone(),
-            state: self.state,
+            state: self.state(),
             reachable: !own_down,
             start: self.start(),
             running: load.map_or(0, |f| f.running),
--- a/tests/probe.rs
+++ b/tests/probe.rs
@@ -3,9 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cranberrytally::{
-    probe::{EngineSpec, Engines, PROBERS, ProbeConfig, Seen, State},
+    client::Client,
+    http::{Limits, Server},
+    probe::{EngineSpec, Engines, PROBE_BYTES, PROBERS, ProbeConfig, Seen, State},
+    standin::{engine::EngineStandin, outside::loopback},
     util::Instant,
 };
+use http::Method;
 
 #[path = "../benches/membership/fleet.rs"]
 mod fleet;
@@ -207,3 +211,33 @@
 
     assert!(known.is_some());
 }
+
+/// The probes' budget counts a fixed number of bytes for each. A probe of the stand-in engine over a kept connection is
+/// measured here with what TCP and IP add: 52 bytes with timestamps, for the request, for the answer, which acknowledges
+/// it, and for the acknowledgement of the answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_probe_costs_no_more_bytes_than_the_budget_counts() {
+    let engine = Arc::new(EngineStandin::new(1, Duration::ZERO, 1));
+    let server = Server::start(loopback().unwrap(), 1, Limits::default(), engine).unwrap();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let front = listener.local_addr().unwrap();
+    let target = server.addr();
+    let passed = tokio::spawn(async move {
+        let (mut caller, _) = listener.accept().await.unwrap();
+        let mut engine = tokio::net::TcpStream::connect(target).await.unwrap();
+        let (up, down) = tokio::io::copy_bidirectional(&mut caller, &mut engine).await.unwrap();
+        (up + down) as usize
+    });
+    let client = Client::default();
+
+    for _ in 0..10 {
+        let url = format!("http://{front}/load");
+        client.json(Method::GET, &url, None, s(5)).await.unwrap();
+    }
+    drop(client);
+    let bytes = passed.await.unwrap() / 10 + 3 * 52;
+
+    assert!(bytes <= PROBE_BYTES, "{bytes} bytes");
+    assert!(bytes * 2 > PROBE_BYTES, "{bytes} bytes; the budget counts far too many");
+    server.close();
+}
