--- a/src/gossip/views.rs
+++ b/src/gossip/views.rs
@@ -18,7 +18,8 @@
         let Some((candidates, peers, engines)) = self.with(|m| {
             let now = now();
             let candidates: Vec<_> = m.table().iter().map(|x| candidate(m, x)).collect();
-            (candidates, peers(m), m.engines.take_changed(now))
+            let peers = if m.settled(now) { peers(m) } else { Vec::new() };
+            (candidates, peers, m.engines.take_changed(now))
         }) else {
             return;
         };
--- a/src/member.rs
+++ b/src/member.rs
@@ -369,6 +369,12 @@
         !r.status.gone() && (near || self.summaries.fresh(now, &r.data_centre))
     }
 
+    /// Whether this router has had time to learn of the others since it started or woke up. Before that its table holds
+    /// some of them, and whoever took it for the fleet would leave out the rest.
+    pub fn settled(&self, now: Instant) -> bool {
+        self.joined + JOIN_TIME <= now
+    }
+
     /// Live routers of this data centre that are not leaving, by name.
     pub fn near(&self) -> Vec<Arc<str>> {
         let stays = |m: &&Member| !m.record.status.gone() && m.record.status != Status::Leaving;
