--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -75,6 +75,8 @@
     retry_policy: Policy,
     budget: Mutex<Budget>,
     avoid: Mutex<Avoid>,
+    /// Engines to which dispatches could not connect, until the probes are told.
+    unreached: Mutex<Vec<Arc<str>>>,
     client: Client,
     metrics: Arc<Metrics>,
 }
@@ -102,6 +104,7 @@
             retry_policy: Policy::default(),
             budget: Mutex::default(),
             avoid: Mutex::default(),
+            unreached: Mutex::default(),
             client,
             metrics,
         }
@@ -112,6 +115,11 @@
         Self { entry_keep, ..self }
     }
 
+    /// Engines to which dispatches could not connect since the last call.
+    pub fn take_unreached(&self) -> Vec<Arc<str>> {
+        std::mem::take(&mut lock(&self.unreached))
+    }
+
     /// Notes what the probes know of an engine.
     pub fn note_engine(&self, view: &EngineView) {
         let id = Id::of(&view.name);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -115,6 +115,7 @@
                 }
                 Ok(Err(Failure::Connect)) => {
                     lock(&self.avoid).fail(now(), engine.id);
+                    lock(&self.unreached).push(engine.name.clone());
                     Reason::ConnectFailed
                 }
                 Ok(Err(Failure::Broken)) => {
--- a/src/gossip/views.rs
+++ b/src/gossip/views.rs
@@ -1,5 +1,7 @@
 //! Tells the other modules which routers and engines there are.
 
+use std::sync::atomic::Ordering;
+
 use super::{Shared, lock};
 use crate::{
     catalog::Id,
@@ -16,7 +18,8 @@
         let Some((candidates, peers, engines)) = self.with(|m| {
             let now = now();
             let candidates: Vec<_> = m.table().iter().map(|x| candidate(m, x)).collect();
-            (candidates, peers(m), m.engines.take_changed(now))
+            let peers = if m.settled(now) { peers(m) } else { Vec::new() };
+            (candidates, peers, m.engines.take_changed(now))
         }) else {
             return;
         };
@@ -58,6 +61,11 @@
         }) else {
             return;
         };
+        // A router that has met no other owns every engine anyway; its list says nothing about the fleet yet.
+        if list.len() < 2 && !self.met_others.load(Ordering::Relaxed) {
+            return;
+        }
+        self.met_others.store(true, Ordering::Relaxed);
         self.gateway.set_members(list).await;
     }
 }
