--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -69,6 +69,16 @@
     labels: Labels,
 }
 
+/// Label by which an operator takes an engine out of use, with the value `true`.
+pub const LEAVING_LABEL: &str = "leaving";
+
+impl Engine {
+    /// Whether an operator's label takes it out of use.
+    pub fn labelled_leaving(&self) -> bool {
+        self.labels.get(LEAVING_LABEL).is_some_and(|v| v == "true")
+    }
+}
+
 /// Engines that serve together.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -150,7 +160,7 @@
 
 const DEFAULT_BOUND: f64 = 1.25;
 /// A bound of one mean or less can't be kept: some engine always stands above the mean.
-const LEAST_BOUND_MILLI: u32 = 1050;
+pub(crate) const LEAST_BOUND_MILLI: u32 = 1050;
 
 impl Catalog {
     /// Compiles `objects`; returns the catalog and what is wrong with objects that were left out.
--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -7,7 +7,7 @@
 use super::{
     Gateway,
     ask::Ask,
-    attempt::{Backends, Found, Unfound},
+    attempt::{Backends, Found, Queued, Unfound},
     place::Unplaced,
     relay::relay_events,
     resume::RESUME_TOKEN,
@@ -53,7 +53,10 @@
 }
 
 impl Backends for Engines<'_> {
-    async fn find(&self, exclude: &[Id]) -> Result<Found, Unfound> {
+    async fn find(&self, exclude: &[Id], queue: Queued) -> Result<Found, Unfound> {
+        if queue == Queued::Yes && self.gateway.placement.placer().is_full(self.cat, self.pool, now()) {
+            return Err(Unfound::AtBound);
+        }
         let placed = self.gateway.place(self.cat, self.pool, self.ask, exclude.iter().copied()).await;
         match placed {
             Ok(p) => Ok(Found { engine: p.engine, slot: Some(p.slot), hint: Some(p.hint), router: p.router }),
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -7,35 +7,36 @@
     time::Duration,
 };
 
-use tokio::net::TcpStream;
-
 use super::{admit::Queue, ask::Ask, lock, place::Placement};
 use crate::{
-    admit::Work,
     catalog::{Engine, Id},
     client::Client,
     engine::EngineClient,
+    error::{Fault, Kind},
     link::Links,
     place::members::Member,
     schema::{
         link::frame::Body,
         suspect::{Digest, Permit as Wanted, PermitAnswer, Release},
     },
-    suspect::{self, CrashId, EngineTag, Fingerprint, Permits, Running, Standing, Table, Verdict},
-    util::{Instant, now, wall_ms},
+    suspect::{self, EngineTag, Fingerprint, Permits, Running, Standing, Table, Verdict},
+    util::{Map, now},
 };
 
+mod run;
+mod watch;
+
+pub(crate) use run::{Permit, Run};
+use watch::{Seen, crash_id};
+
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
 const TELL_TIMEOUT: Duration = Duration::from_secs(2);
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Added to a request's deadline: a permit outlives the run it is for, unless its holder has died.
 const PERMIT_MARGIN: Duration = Duration::from_secs(10);
 /// Routers that are asked for a permit, should the first not answer.
 const MOST_ARBITERS: usize = 2;
-/// Bytes of one message of news.
-pub(crate) const NEWS: usize = 400;
-/// Breaks of an engine of unknown start within this time count as one crash.
-const UNKNOWN_START_MS: u64 = 5_000;
+/// Bytes of one message of news: all that one router runs on an engine, at most 200 contents or so.
+const NEWS: usize = 4096;
 
 /// What one router knows and does about crashing requests.
 #[derive(Debug)]
@@ -46,14 +47,7 @@
     table: Mutex<Table>,
     running: Mutex<Running>,
     permits: Mutex<Permits>,
-}
-
-/// What became of a broken run's engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Probe {
-    SameStart,
-    Crashed,
-    Unknown,
+    starts: Mutex<Map<Id, u64>>,
 }
 
 impl Suspects {
@@ -65,6 +59,7 @@
             table: Mutex::default(),
             running: Mutex::default(),
             permits: Mutex::default(),
+            starts: Mutex::default(),
         }
     }
 
@@ -72,6 +67,13 @@
         lock(&self.table).standing(now(), content)
     }
 
+    /// The answer for a quarantined content.
+    pub(crate) fn refuse(&self, content: Fingerprint) -> Fault {
+        let provisional = lock(&self.table).is_provisional(now(), content);
+        let kind = if provisional { Kind::SuspectBusy } else { Kind::Quarantined };
+        Fault::new(kind, kind.answer().about)
+    }
+
     /// Engines on which a suspect should not run, since they broke lately.
     pub(crate) fn unsteady(&self, engines: impl IntoIterator<Item = (Id, Arc<str>)>) -> Vec<Id> {
         let unsteady = lock(&self.table).unsteady(now());
@@ -87,11 +89,13 @@
         queue: &Arc<Queue>,
         permit: Option<Permit>,
     ) -> Run {
+        let seen = Seen { id: engine.id, name: engine.name.clone(), addr: engine.addr, reports: ask.is_chat };
+        self.learn_start(&seen);
         let key = lock(&self.running).start(&engine.name, ask.content);
         Run {
             suspects: self.clone(),
             queue: queue.clone(),
-            engine: Seen { id: engine.id, name: engine.name.clone(), addr: engine.addr },
+            engine: seen,
             content: ask.content,
             key,
             permit,
@@ -198,7 +202,7 @@
     /// Tells the other routers of the region at once: the caller of a crashing request may send it to another
     /// router within milliseconds, and gossip takes a second.
     fn tell(self: &Arc<Self>) {
-        let digest = self.digest(NEWS);
+        let digest = lock(&self.table).news(now(), NEWS);
         if digest.entries.is_empty() {
             return;
         }
@@ -210,134 +214,18 @@
         }
     }
 
-    /// Makes all that this router runs on an engine suspects; returns the crash that they are suspects of.
+    /// Makes all that this router runs on an engine suspects.
     ///
     /// Before the engine has been asked whether it crashed: the retries of what broke start now, and a crash
     /// that shows a second later would find them on other engines.
-    fn accuse(self: &Arc<Self>, engine: &Seen) -> CrashId {
-        let crash = crash_id(engine, self.start_of(engine));
+    fn accuse(self: &Arc<Self>, engine: &Seen) {
+        let before = self.start_of(engine);
+        let crash = crash_id(engine, before);
         let contents = lock(&self.running).at(&engine.name);
         if lock(&self.table).accuse(now(), &contents, crash) {
             let (name, n) = (&engine.name, contents.len());
             spdlog::warn!("connection to {name} broke; {n} requests are suspects of a crash");
+            tokio::spawn(self.clone().follow_up(engine.clone(), before, crash));
         }
-        crash
-    }
-
-    fn start_of(&self, engine: &Seen) -> u64 {
-        self.placement.placer().health.start(engine.id)
-    }
-
-    /// Asks the engine whether it is still in the start that `before` names; 0 stands for an unknown one.
-    async fn probe(&self, engine: &Seen, before: u64) -> Probe {
-        let load = EngineClient::new(self.client.clone(), engine.addr).load().await;
-        match load {
-            Ok(_) if before == 0 => Probe::Unknown,
-            Ok(load) if load.start == before => Probe::SameStart,
-            Ok(_) => Probe::Crashed,
-            // A plain service has no load report; one that still takes connections has not crashed.
-            Err(_) if before == 0 && self.connects(engine).await => Probe::SameStart,
-            Err(_) => Probe::Crashed,
-        }
-    }
-
-    async fn connects(&self, engine: &Seen) -> bool {
-        let connect = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(engine.addr)).await;
-        matches!(connect, Ok(Ok(_)))
-    }
-}
-
-fn crash_id(engine: &Seen, start: u64) -> CrashId {
-    match start {
-        0 => CrashId::new(&engine.name, &format!("about {}", wall_ms() / UNKNOWN_START_MS)),
-        start => CrashId::new(&engine.name, &start.to_string()),
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Seen {
-    id: Id,
-    name: Arc<str>,
-    addr: SocketAddr,
-}
-
-/// The permit to run a suspect; dropping it gives it back.
-#[derive(Debug)]
-pub(crate) struct Permit {
-    suspects: Arc<Suspects>,
-    content: Fingerprint,
-    engine: Arc<str>,
-    peer: Option<SocketAddr>,
-    start: u64,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let release = Release { fingerprint: self.content.0, engine: self.engine.to_string() };
-        let Some(peer) = self.peer else { return self.suspects.serve_release(&release) };
-        let suspects = self.suspects.clone();
-        tokio::spawn(async move {
-            let _ = suspects.links().call(peer, Body::PermitRelease(release), TELL_TIMEOUT).await;
-        });
-    }
-}
-
-/// One run at an engine. Dropping it, as when the caller goes away, says nothing of the content.
-#[derive(Debug)]
-pub(crate) struct Run {
-    suspects: Arc<Suspects>,
-    queue: Arc<Queue>,
-    engine: Seen,
-    content: Fingerprint,
-    key: suspect::Run,
-    permit: Option<Permit>,
-    began: Instant,
-    work: Work,
-}
-
-impl Run {
-    /// Ends a run whose answer is whole; its content is no suspect any more.
-    pub(crate) fn complete(self) {
-        lock(&self.suspects.table).clear(now(), self.content);
-    }
-
-    /// Ends a run whose connection broke after the request may have been sent.
-    pub(crate) async fn broke(self) {
-        if let Some(start) = self.permit.as_ref().map(|p| p.start) {
-            return self.judge(start).await;
-        }
-        let before = self.suspects.start_of(&self.engine);
-        let crash = self.suspects.accuse(&self.engine);
-        self.suspects.tell();
-        let (suspects, engine) = (self.suspects.clone(), self.engine.clone());
-        drop(self);
-        tokio::spawn(async move {
-            if suspects.probe(&engine, before).await == Probe::SameStart {
-                lock(&suspects.table).withdraw(crash);
-                suspects.tell();
-            }
-        });
-    }
-
-    /// Decides on a suspect that ran alone; it keeps its permit until then, so that it runs nowhere else.
-    async fn judge(self, before: u64) {
-        let crash = crash_id(&self.engine, before);
-        if self.suspects.probe(&self.engine, before).await == Probe::Crashed {
-            let contents = lock(&self.suspects.running).at(&self.engine.name);
-            let standing = lock(&self.suspects.table).judge(now(), self.content, &contents, crash);
-            let (engine, Fingerprint(content)) = (&self.engine.name, self.content);
-            spdlog::warn!(
-                "{engine} crashed while it ran suspect {content:016x} alone: {}",
-                standing.as_str_name()
-            );
-            self.suspects.tell();
-        }
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        lock(&self.suspects.running).finish(&self.engine.name, self.key);
-        self.queue.note_end(now().saturating_sub(self.began), self.work);
     }
 }
--- a/src/member/compose.rs
+++ b/src/member/compose.rs
@@ -6,16 +6,18 @@
 use serde::Serialize;
 
 use super::{
-    Body, HEAD_BYTES, MAX_BYTES, Membership, Outgoing, Priority, Record, Status, Topic,
+    Body, HEAD_BYTES, MAX_BYTES, Membership, Outgoing, Priority, Reach, Record, Status, Topic, Usage,
     packet::{MAC, size},
 };
 use crate::{
-    schema::membership::{Bucket, Datagram},
-    util::Instant,
+    schema::membership::{Bucket, Datagram, Detail},
+    util::{Instant, Set},
 };
 
 /// Bytes kept free for the length prefixes of lists, which grow with them.
 const SLACK: usize = 16;
+/// Longer lists of hashes give way to the records themselves.
+const MAX_DETAIL: usize = 700;
 /// Less room than this is not worth a report.
 const LEAST_REPORT: usize = 64;
 
@@ -28,22 +30,24 @@
     pub(super) report: Option<u64>,
     /// Members that the receiver knows wrongly.
     pub(super) corrections: Vec<Arc<str>>,
-    /// Data centres whose members the receiver may lack.
+    /// Data centres whose members the two know differently.
     pub(super) differing: Vec<Arc<str>>,
+    /// What the receiver has of some data centres; it is sent what it lacks.
+    pub(super) theirs: Vec<Detail>,
 }
 
 /// Room left in one datagram, by class.
 struct Filling<'a> {
-    used: usize,
-    membership: &'a mut super::Budget,
+    used: Usage,
+    budget: &'a mut super::Budget,
     now: Instant,
     deferred: u64,
 }
 
 impl Filling<'_> {
     fn room(&mut self, class: Priority) -> usize {
-        let budget = self.membership.room(self.now, class);
-        budget.min(MAX_BYTES + HEAD_BYTES).saturating_sub(self.used)
+        let size = (MAX_BYTES + HEAD_BYTES).saturating_sub(self.used.iter().sum());
+        size.min(self.budget.room(self.now, class, &self.used))
     }
 
     fn add<T: Serialize>(&mut self, class: Priority, list: &mut Vec<T>, part: T) -> bool {
@@ -52,7 +56,7 @@
             self.deferred += 1;
             return false;
         }
-        self.used += bytes;
+        self.used[class as usize] += bytes;
         list.push(part);
         true
     }
@@ -77,8 +81,10 @@
             body,
             ..Datagram::default()
         };
-        let used = size(&d) + MAC + HEAD_BYTES + SLACK;
-        if used > self.budget.room(now, Priority::Liveness) {
+        let class = if d.body.is_some() { Priority::Liveness } else { Priority::Config };
+        let mut used = Usage::default();
+        used[class as usize] = size(&d) + MAC + HEAD_BYTES + SLACK;
+        if used[class as usize] > self.budget.room(now, class, &Usage::default()) {
             self.counts.withheld += 1;
             return None;
         }
@@ -86,15 +92,17 @@
         let near =
             to.and_then(|n| self.table.get(n)).is_some_and(|m| m.record.data_centre == self.me.data_centre);
         let mut budget = std::mem::replace(&mut self.budget, super::Budget::new(0));
-        let mut filling = Filling { used, membership: &mut budget, now, deferred: 0 };
+        let mut filling = Filling { used, budget: &mut budget, now, deferred: 0 };
         self.fill_members(&mut filling, &mut d, to, near, &extras);
         self.fill_config(&mut filling, &mut d);
+        self.fill_comparison(&mut filling, &mut d, near, &extras);
         let upto = self.fill_engines(&mut filling, &mut d, near, &extras);
-        self.fill_other(&mut filling, &mut d, near, &extras);
+        self.fill_notes(&mut filling, &mut d, Topic::Suspects);
         self.counts.deferred += filling.deferred;
         let bytes = self.key.seal(&d);
         debug_assert!(bytes.len() <= MAX_BYTES);
-        budget.spend(now, bytes.len() + HEAD_BYTES);
+        let usage = filling.used;
+        budget.spend(now, usage);
         self.budget = budget;
         self.counts.sent += 1;
         self.counts.sent_bytes += (bytes.len() + HEAD_BYTES) as u64;
@@ -115,21 +123,24 @@
         let first = accused.map(|m| m.record.clone()).into_iter();
         let wrong = extras.corrections.iter().filter_map(|n| self.table.get(n)).map(|m| m.record.clone());
         for record in first.chain(wrong).collect::<Vec<_>>() {
-            filling.add(Priority::Members, &mut d.records, record.to_raw());
+            filling.add(Priority::Members, &mut d.lacking, record.to_raw());
         }
-        self.news.make_contiguous().sort_by_key(|(_, left)| std::cmp::Reverse(*left));
-        for (name, left) in &mut self.news {
-            let Some(m) = self.table.get(name) else {
-                *left = 0;
+        self.news.make_contiguous().sort_by_key(|n| (n.reach == Reach::All, std::cmp::Reverse(n.sends)));
+        for n in &mut self.news {
+            let Some(m) = self.table.get(&n.name) else {
+                n.sends = 0;
                 continue;
             };
+            if n.reach == Reach::Near && !near {
+                continue;
+            }
             let Some(record) = for_receiver(&m.record, near) else { continue };
             if !filling.add(Priority::Members, &mut d.records, record.to_raw()) {
                 break;
             }
-            *left -= 1;
+            n.sends -= 1;
         }
-        self.news.retain(|(_, left)| *left > 0);
+        self.news.retain(|n| n.sends > 0);
     }
 
     fn fill_config(&mut self, filling: &mut Filling, d: &mut Datagram) {
@@ -166,11 +177,15 @@
         if let Some(acked) = extras.report.filter(|_| room > LEAST_REPORT)
             && let Some(report) = self.engines.report(acked, room)
         {
-            filling.used += size(&report);
+            filling.used[Priority::Engines as usize] += size(&report);
             upto = Some(report.upto);
             d.report = Some(report);
         }
-        self.fill_notes(filling, d, Topic::Load);
+        if extras.report.is_some()
+            && let Some(note) = self.notes.get(Topic::Load, &self.me.name)
+        {
+            filling.add(Priority::Engines, &mut d.notes, note.clone());
+        }
         upto
     }
 
@@ -183,31 +198,51 @@
         }
     }
 
-    fn fill_other(&mut self, filling: &mut Filling, d: &mut Datagram, near: bool, extras: &Extras) {
-        self.fill_notes(filling, d, Topic::Suspects);
+    fn fill_comparison(&mut self, filling: &mut Filling, d: &mut Datagram, near: bool, extras: &Extras) {
         if extras.sync {
             for bucket in self.buckets() {
-                filling.add(Priority::Other, &mut d.buckets, bucket);
+                filling.add(Priority::Config, &mut d.buckets, bucket);
             }
         }
+        for theirs in &extras.theirs {
+            self.fill_lacking(filling, d, near, theirs);
+        }
         for centre in &extras.differing {
-            let live = self.table.centre(centre).filter(|m| !m.record.status.gone());
-            let mut records: Vec<_> = live.filter_map(|m| for_receiver(&m.record, near)).collect();
-            if records.is_empty() {
-                continue;
+            let detail = self.detail(centre);
+            if size(&detail) > MAX_DETAIL {
+                let nothing = Detail { data_centre: centre.to_string(), records: Vec::new() };
+                self.fill_lacking(filling, d, near, &nothing);
+            } else {
+                filling.add(Priority::Config, &mut d.details, detail);
             }
-            records.sort_by(|a, b| a.name.cmp(&b.name));
-            // Another start each time: what did not fit today's datagram comes with the next.
-            let start = self.rng.random_range(0..records.len());
-            records.rotate_left(start);
-            for record in records {
-                if !filling.add(Priority::Other, &mut d.records, record.to_raw()) {
-                    break;
-                }
+        }
+    }
+
+    fn fill_lacking(&mut self, filling: &mut Filling, d: &mut Datagram, near: bool, theirs: &Detail) {
+        let has: Set<u32> = theirs.records.iter().copied().collect();
+        let lacking = |r: &Record| !r.status.gone() && !has.contains(&r.digest());
+        let members = self.table.centre(&theirs.data_centre).filter(|m| lacking(&m.record));
+        let mut records: Vec<_> = members.filter_map(|m| for_receiver(&m.record, near)).collect();
+        if records.is_empty() {
+            return;
+        }
+        records.sort_by(|a, b| a.name.cmp(&b.name));
+        // Another start each time: what did not fit this datagram comes with a later one.
+        let start = self.rng.random_range(0..records.len());
+        records.rotate_left(start);
+        for record in records {
+            if !filling.add(Priority::Config, &mut d.lacking, record.to_raw()) {
+                return;
             }
         }
     }
 
+    /// The live members of a data centre as hashes.
+    pub(super) fn detail(&self, centre: &str) -> Detail {
+        let live = self.table.centre(centre).filter(|m| !m.record.status.gone());
+        Detail { data_centre: centre.into(), records: live.map(|m| m.record.digest()).collect() }
+    }
+
     pub(super) fn buckets(&self) -> Vec<Bucket> {
         let mut names: Vec<_> = self.table.centres().cloned().collect();
         names.sort();
