--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -303,7 +303,7 @@
                 above_mean: step.above_mean,
             };
             let Some(granted) = place.reserve(cat, req, step.owner.as_ref()).await else {
-                if req.cached {
+                if step.engine.is_some_and(|c| c.cached > 0) {
                     self.metrics.add(Counter::Placements, "cached_refused", 1);
                 }
                 slot.refuse();
