--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,6 +1,6 @@
 //! Routers that find each other over real sockets, hand each other out, and leave without cutting a request.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, process::Command, time::Duration};
 
 use cranberrytally::{
     client::Client,
@@ -13,6 +13,9 @@
 };
 use http::Method;
 
+#[path = "support/process.rs"]
+mod process;
+
 const TOKENS: usize = 700;
 const TOKEN_TIME: Duration = Duration::from_millis(10);
 const CHECK: Duration = Duration::from_millis(20);
@@ -71,3 +74,27 @@
     second.close();
     outside.close();
 }
+
+/// The host's supervisor sends SIGTERM to a router in the middle of a guest's answer. The process must end by itself,
+/// well, and only after the answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_terminated_process_finishes_its_answer_and_ends_well() {
+    let outside = Outside::start(Plan::default().with_tokens(TOKENS, TOKEN_TIME)).await.unwrap();
+    let mut router = process::Router::start("term", outside.platform_addr(), &[]);
+    let addr = router.addr;
+    wait("a router that names itself", async || named(addr).await == [addr]).await;
+    let turn = tokio::spawn(async move {
+        let mut caller = Caller::new(WORKSPACES[0], "chat", vec![addr]);
+        let answer = caller.turn(1).await.unwrap();
+        caller.whole(&answer, TOKENS)
+    });
+    wait("a running request", async || outside.engines.iter().any(|e| e.running() > 0)).await;
+
+    let sent = Command::new("kill").args(["-TERM", &router.pid().to_string()]).status().unwrap();
+    let ended = tokio::task::spawn_blocking(move || router.wait());
+
+    assert!(sent.success());
+    assert!(turn.await.unwrap(), "the answer was cut");
+    assert!(ended.await.unwrap(), "the process ended badly");
+    outside.close();
+}
