Ask engines that change owner for their load; bound what a short stall says

(1) After a change of the routers a new owner takes an engine to carry the mean until it has reported, and probes come every 7 s: right after a start each engine took one request. (2) A report taken while work was handed over counted that work twice until the next. (3) The measured rate of an old stall refused new requests. Excluded: the gap of the digests (unchanged) and hints (each refused request had a valid one). Change: owners ask such engines at once and each second until nothing is unexplained; a rate is trusted for 20 times as long as it has been measured without a break. Callers of the demo come at different times, not in step.

--- a/src/admit/lane.rs
+++ b/src/admit/lane.rs
@@ -76,16 +76,16 @@
     /// Lets a request wait, or says why not.
     pub fn offer(&mut self, now: Instant, demand: Demand) -> Offer {
         if demand.deadline <= now {
-            return Offer::Refused(self.refusal(Kind::DeadlinePassed));
+            return Offer::Refused(self.refusal(now, Kind::DeadlinePassed));
         }
         let rank = Rank { priority: demand.priority, deadline: demand.deadline, seq: self.seq };
-        let due = now + self.estimate(&demand, rank) + self.rate.run(demand.work);
+        let due = now + self.estimate(now, &demand, rank) + self.rate.run(demand.work);
         if due > demand.deadline {
-            return Offer::Refused(self.refusal(Kind::DeadlineUnmeetable));
+            return Offer::Refused(self.refusal(now, Kind::DeadlineUnmeetable));
         }
         let own = self.flows.get(&demand.workspace).map_or(0, Flow::len);
         if own >= self.limits.workspace {
-            return Offer::Refused(self.refusal(Kind::QueueFull));
+            return Offer::Refused(self.refusal(now, Kind::QueueFull));
         }
         if self.tickets.len() < self.limits.total {
             return Offer::Queued(self.insert(now, demand, rank));
@@ -95,10 +95,10 @@
         match self.flows.values().max_by_key(|f| f.len()).filter(|f| f.len() > own + 1).and_then(Flow::last) {
             Some(victim) => {
                 self.remove(victim);
-                let refusal = self.refusal(Kind::QueueFull);
+                let refusal = self.refusal(now, Kind::QueueFull);
                 Offer::Displaced(self.insert(now, demand, rank), victim, refusal)
             }
-            None => Offer::Refused(self.refusal(Kind::QueueFull)),
+            None => Offer::Refused(self.refusal(now, Kind::QueueFull)),
         }
     }
 
@@ -152,7 +152,7 @@
             .map(|(ticket, passed)| {
                 self.remove(ticket);
                 let kind = if passed { Kind::DeadlinePassed } else { Kind::DeadlineUnmeetable };
-                (ticket, self.refusal(kind))
+                (ticket, self.refusal(now, kind))
             })
             .collect()
     }
@@ -163,9 +163,9 @@
     }
 
     /// Refusal of this kind, with the time in which the queue drains.
-    pub fn refusal(&self, kind: Kind) -> Refusal {
+    pub fn refusal(&self, now: Instant, kind: Kind) -> Refusal {
         let backlog = self.flows.values().map(|f| f.backlog(super::Priority::Low)).sum();
-        let drained = self.rate.wait(backlog).unwrap_or(LEAST_RETRY);
+        let drained = self.rate.wait(now, backlog).unwrap_or(LEAST_RETRY);
         Refusal { kind, retry_after: drained.clamp(LEAST_RETRY, MOST_RETRY) }
     }
 
@@ -173,7 +173,7 @@
     ///
     /// An empty lane estimates nothing: after a stall its measured rate is near zero, and refusing on that
     /// would keep out the very request that shows that engines are free again.
-    fn estimate(&self, demand: &Demand, rank: Rank) -> Duration {
+    fn estimate(&self, now: Instant, demand: &Demand, rank: Rank) -> Duration {
         if self.tickets.is_empty() {
             return Duration::ZERO;
         }
@@ -185,7 +185,7 @@
             .filter(|(name, _)| **name != demand.workspace)
             .map(|(_, f)| f.backlog(demand.priority).min(share))
             .sum();
-        self.rate.wait(own + others).unwrap_or_default()
+        self.rate.wait(now, own + others).unwrap_or_default()
     }
 
     fn insert(&mut self, now: Instant, demand: Demand, rank: Rank) -> Ticket {
--- a/src/admit/rate.rs
+++ b/src/admit/rate.rs
@@ -10,10 +10,13 @@
 /// row would pass for a lane that never moves and refuse even requests with a minute to spare.
 const STALL: Duration = Duration::from_secs(2);
 const WEIGHT: f64 = 0.3;
+/// A rate that was measured for some time is trusted for this many times as long.
+const TRUST: u32 = 20;
 
 /// Moving averages of one lane.
 #[derive(Debug, Default)]
 pub(super) struct Rate {
+    opened: Option<Instant>,
     since: Option<Instant>,
     work: u64,
     per_second: Option<f64>,
@@ -25,12 +28,13 @@
     pub(super) fn open(&mut self, now: Instant) {
         if self.since.is_none() {
             (self.since, self.work) = (Some(now), 0);
+            self.opened = Some(now);
         }
     }
 
     /// Nobody waits any more: a window in which the lane was not always full says nothing of its speed.
     pub(super) fn shut(&mut self) {
-        self.since = None;
+        (self.since, self.opened) = (None, None);
     }
 
     /// Notes work that left the queue for an engine.
@@ -61,9 +65,14 @@
     }
 
     /// Time to start `work`; `None` until it has been measured.
-    pub(super) fn wait(&self, work: u64) -> Option<Duration> {
+    ///
+    /// A quarter of a second in which no engine had room, as when engines change owner, shows a rate near zero. By
+    /// that rate alone a request with a minute left would be refused; so the time is bounded by how long the lane
+    /// has been measured without a break.
+    pub(super) fn wait(&self, now: Instant, work: u64) -> Option<Duration> {
         let rate = self.per_second?.max(1.0);
-        Some(Duration::from_secs_f64(work as f64 / rate))
+        let measured = now.saturating_sub(self.opened.unwrap_or(now));
+        Some(Duration::from_secs_f64(work as f64 / rate).min(measured * TRUST))
     }
 
     /// Time that a run of `work` takes; zero until it has been measured.
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -23,14 +23,17 @@
         gate::Mode,
         outside::{Outside, Plan, WORKSPACES, loopback, settings},
     },
+    util::hash,
 };
 
 const ROUTERS: usize = 3;
-const TURNS: usize = 6;
+const TURNS: usize = 8;
 const TRIES: usize = 8;
+const CAPACITY: u32 = 32;
 const TOKENS: usize = 30;
 const TOKEN_TIME: Duration = Duration::from_millis(15);
-const TURN_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause of a caller between two turns.
+const TURN_PAUSE_MS: u64 = 800;
 const CHURN_PAUSE: Duration = Duration::from_millis(700);
 const READY_TIME: Duration = Duration::from_secs(10);
 const READY_POLL: Duration = Duration::from_millis(20);
@@ -40,7 +43,7 @@
 pub(crate) struct Demo {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "number of chats", default = "60")]
+    #[options(help = "number of chats", default = "150")]
     chats: usize,
 }
 
@@ -77,7 +80,8 @@
 
 async fn demo(chats: usize) -> Result<ExitCode> {
     say(&format!("starting {ROUTERS} routers, 9 engines, 3 backend servers of a plain service\n"));
-    let mut outside = Outside::start(Plan::default().with_tokens(TOKENS, TOKEN_TIME)).await?;
+    let mut outside =
+        Outside::start(Plan::default().with_tokens(TOKENS, TOKEN_TIME).with_capacity(CAPACITY)).await?;
     let routers = start_routers(&outside)?;
     ready(&routers).await?;
     say(&format!(
@@ -143,6 +147,7 @@
         seen.failed += 1;
         return (seen, refused);
     }
+    tokio::time::sleep(pause(i, TURNS)).await;
     for turn in 0..TURNS {
         match caller.turn(TRIES).await {
             Ok(answer) if caller.whole(&answer, tokens) => seen.answered += 1,
@@ -153,11 +158,16 @@
             }
         }
         save(&caller, &format!("save-{i}-{turn}"), &mut seen, &mut refused).await;
-        tokio::time::sleep(TURN_PAUSE).await;
+        tokio::time::sleep(pause(i, turn)).await;
     }
     (seen, refused)
 }
 
+/// Callers come at different times, the same in every run.
+fn pause(chat: usize, turn: usize) -> Duration {
+    Duration::from_millis(hash((chat, turn)) % TURN_PAUSE_MS)
+}
+
 async fn save(caller: &Caller, key: &str, seen: &mut Seen, refused: &mut Vec<String>) {
     match caller.save(caller.addresses()[0], key).await {
         Ok(answer) if answer.status == 200 => seen.saved += 1,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use spdlog::Level;
+use tokio::task::JoinHandle;
 
 use crate::{
     catalog::{Catalog, Id},
@@ -77,6 +78,8 @@
     avoid: Mutex<Avoid>,
     /// Engines to which dispatches could not connect, until the probes are told.
     unreached: Mutex<Vec<Arc<str>>>,
+    /// Asks engines that changed owner for their load.
+    asking_loads: Mutex<Option<JoinHandle<()>>>,
     client: Client,
     metrics: Arc<Metrics>,
 }
@@ -105,6 +108,7 @@
             budget: Mutex::default(),
             avoid: Mutex::default(),
             unreached: Mutex::default(),
+            asking_loads: Mutex::default(),
             client,
             metrics,
         }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -10,9 +10,12 @@
 
 use futures_util::future::join_all;
 
+use futures_util::StreamExt;
+
 use super::{Gateway, ask::Ask, lock, read};
 use crate::{
-    catalog::{Catalog, EngineKey, Id, Pool},
+    catalog::{Catalog, Engine, EngineKey, Id, Pool},
+    client::Client,
     engine::EngineClient,
     link::Links,
     metrics::{Counter, Metrics},
@@ -35,6 +38,10 @@
 
 /// An owner that does not answer within this time is passed by.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Engines asked for their load at the same time.
+const LOAD_ASKS: usize = 16;
+/// Pause before engines whose load is not settled are asked again.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long ended reservations wait to be told to their owner together.
 pub(crate) const RELEASE_PERIOD: Duration = Duration::from_millis(250);
@@ -231,6 +238,21 @@
         }
     }
 
+    async fn ask_loads(&self, client: &Client, engines: impl Iterator<Item = &Engine>) {
+        let asks: Vec<_> = engines
+            .map(|engine| {
+                let (id, engine) = (engine.id, EngineClient::new(client.clone(), engine.addr));
+                async move { (id, engine.load().await) }
+            })
+            .collect();
+        let mut answers = futures_util::stream::iter(asks).buffer_unordered(LOAD_ASKS);
+        while let Some((id, load)) = answers.next().await {
+            if let Ok(load) = load {
+                self.placer().note_load(id, &load, now());
+            }
+        }
+    }
+
     /// Sets the routers, makes work known to the new owners of its engines and ends it at the former ones.
     pub(crate) async fn set_members(&self, cat: &Catalog, list: Vec<Member>) {
         self.placer().set_members(list, now());
@@ -405,6 +427,29 @@
     pub async fn set_members(&self, list: Vec<Member>) {
         let cat = read(&self.catalog).clone();
         self.placement.set_members(&cat, list).await;
+        self.ask_loads(&cat);
+    }
+
+    /// Asks the engines that this router has come to own for their load, in the background.
+    ///
+    /// Until an engine has reported, its new owner takes it to carry the mean already. Probes come only every few
+    /// seconds; after a start of the whole fleet, every engine would stand at its bound with one request until then.
+    fn ask_loads(&self, cat: &Arc<Catalog>) {
+        let mut asking = lock(&self.asking_loads);
+        if asking.as_ref().is_some_and(|task| !task.is_finished()) {
+            return;
+        }
+        let (placement, client, cat) = (self.placement.clone(), self.client.clone(), cat.clone());
+        *asking = Some(tokio::spawn(async move {
+            loop {
+                let keys = placement.placer().unsettled_loads(&cat, now());
+                if keys.is_empty() {
+                    return;
+                }
+                placement.ask_loads(&client, keys.iter().map(|&key| cat.engine(key))).await;
+                tokio::time::sleep(LOAD_PERIOD).await;
+            }
+        }));
     }
 }
 
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -11,7 +11,7 @@
     members::{Distance, Member, Members},
 };
 use crate::{
-    catalog::{Catalog, Id, Pool},
+    catalog::{Catalog, Engine, EngineKey, Id, Pool},
     schema::engine::{CacheEvents, Load},
     util::{Instant, Map, Set, hash},
 };
@@ -142,6 +142,21 @@
         self.ledger.forget_reports(|id| !sure.contains(&id));
     }
 
+    /// Engines that this router has come to own and whose load it does not know yet, or which then ran work that
+    /// this router had not granted: that ends, and the next report says when.
+    pub fn unsettled_loads(&mut self, cat: &Catalog, now: Instant) -> Vec<EngineKey> {
+        if now >= self.unsure_until {
+            return Vec::new();
+        }
+        let owned = |(key, engine): (EngineKey, &Engine)| {
+            let owner = self.members.owner(engine.id, &engine.data_centre).map(|m| m.id);
+            let known = self.sure.contains(&engine.id)
+                || self.ledger.account(engine.id).is_some_and(|a| a.foreign == Some(0));
+            (owner == Some(self.me) && !known).then_some(key)
+        };
+        cat.engines().filter_map(owned).collect()
+    }
+
     /// Notes that a router did not answer in time.
     pub fn note_unreachable(&mut self, router: Id, now: Instant) {
         self.unreachable.insert(router, now + UNREACHABLE);
--- a/src/standin/outside.rs
+++ b/src/standin/outside.rs
@@ -31,11 +31,19 @@
     tokens: usize,
     token_time: Duration,
     cache: usize,
+    capacity: u32,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { engines: 9, services: 3, tokens: 12, token_time: Duration::from_millis(3), cache: 64 }
+        Self {
+            engines: 9,
+            services: 3,
+            tokens: 12,
+            token_time: Duration::from_millis(3),
+            cache: 64,
+            capacity: 8,
+        }
     }
 }
 
@@ -45,6 +53,11 @@
         Self { engines, ..self }
     }
 
+    /// Sets how many requests each backend server runs well at once.
+    pub fn with_capacity(self, capacity: u32) -> Self {
+        Self { capacity, ..self }
+    }
+
     /// Sets the tokens of an answer and the time between two of them.
     pub fn with_tokens(self, tokens: usize, token_time: Duration) -> Self {
         Self { tokens, token_time, ..self }
@@ -115,7 +128,7 @@
         let engine = Arc::new(EngineStandin::new(self.plan.tokens, self.plan.token_time, self.plan.cache));
         let server = Server::start(loopback()?, 1, Limits::default(), engine.clone())?;
         let gate = Gate::start(server.addr(), Some(engine.crashes())).await?;
-        self.put(backend(&format!("engine-{i}"), "model", i, gate.addr()))?;
+        self.put(backend(&format!("engine-{i}"), "model", i, gate.addr(), self.plan.capacity))?;
         self.servers.push(server);
         self.gates.push(gate);
         self.engines.push(engine);
@@ -126,7 +139,7 @@
         let i = self.services.len();
         let service = Arc::new(ServiceStandin::default());
         let server = Server::start(loopback()?, 1, Limits::default(), service.clone())?;
-        self.put(backend(&format!("app-{i}"), "app", i, server.addr()))?;
+        self.put(backend(&format!("app-{i}"), "app", i, server.addr(), self.plan.capacity))?;
         self.servers.push(server);
         self.services.push(service);
         Ok(())
@@ -201,9 +214,10 @@
     Object { kind: kind.into(), metadata: Meta { name: name.into(), labels, ..Meta::default() }, spec }
 }
 
-fn backend(name: &str, role: &str, i: usize, addr: SocketAddr) -> AnyObject {
+fn backend(name: &str, role: &str, i: usize, addr: SocketAddr, capacity: u32) -> AnyObject {
     let data_centre = DATA_CENTRES[i % DATA_CENTRES.len()];
-    let spec = serde_json::json!({ "address": addr.to_string(), "dataCentre": data_centre, "capacity": 8 });
+    let spec =
+        serde_json::json!({ "address": addr.to_string(), "dataCentre": data_centre, "capacity": capacity });
     object("Engine", name, &[("role", role)], spec)
 }
 
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -239,3 +239,29 @@
         assert_eq!(entered, share, "{routers} routers");
     }
 }
+
+/// The pool stood still for a minute, all callers gave up, and now requests wait again for a fifth of a second. By
+/// the rate of that minute a traveller with a minute left would be refused; one that waits in a stall of some
+/// seconds is.
+#[test]
+fn an_old_stall_refuses_no_long_deadline() {
+    let mut lane = Lane::default();
+    let tickets = [0, 1, 2, 3].map(|i| wait(&mut lane, Duration::ZERO, normal(&format!("w{i}"))));
+    next(&mut lane, Duration::from_millis(250));
+    for i in 1..30 {
+        lane.expire(Duration::from_secs(2 * i) + Duration::from_millis(250));
+    }
+    tickets.into_iter().for_each(|t| lane.leave(t));
+    let start = Duration::from_secs(100);
+    wait(&mut lane, start, normal("a"));
+    let offer = |lane: &mut Lane, now: Duration| {
+        let deadline = now + Duration::from_secs(60);
+        lane.offer(now, demand("late", Priority::Normal, deadline))
+    };
+
+    let soon = offer(&mut lane, start + Duration::from_millis(200));
+    let later = offer(&mut lane, start + Duration::from_secs(10));
+
+    assert!(matches!(soon, Offer::Queued(_)), "{soon:?}");
+    assert_eq!(refused(later), Kind::DeadlineUnmeetable);
+}
--- a/tests/place_owners.rs
+++ b/tests/place_owners.rs
@@ -343,3 +343,25 @@
     let most = a.ledger.accounts().map(|(_, account)| account.work).max();
     assert!(most <= Some(11 * WORK), "{most:?}");
 }
+
+/// The whole fleet restarts, and every engine has a new owner that takes it to carry the mean. Without its load
+/// asked for, each would take one request until the next probe, seconds later. What a report leaves unexplained is
+/// asked for again.
+#[test]
+fn a_new_owner_knows_which_loads_to_ask_for() {
+    let cat = catalog(2);
+    let mut a = router("a", &["a"]);
+    a.set_members(vec![member("a"), member("b")], s(1));
+    a.set_members(vec![member("a")], s(2));
+    let engine = Id::of("engine-0");
+    let asked = |a: &mut Placer| a.unsettled_loads(&cat, s(2)).iter().any(|&k| cat.engine(k).id == engine);
+
+    let unknown = asked(&mut a);
+    a.ledger.note_report(engine, 3, s(2));
+    let foreign = asked(&mut a);
+    a.ledger.note_report(engine, 0, s(2));
+    let settled = asked(&mut a);
+
+    assert_eq!((unknown, foreign, settled), (true, true, false));
+    assert!(a.unsettled_loads(&cat, s(60)).is_empty());
+}
