Keep cached context apart by workspace, and chat names out of URLs

Cause: the engine client put the caller's name of a chat into the path of KV calls, so that slashes, dots and question marks changed the call; and the chat's name alone was the key of KV, of hints, of cache events and of the stand-in's prefix cache, so that two workspaces with one name for a chat met in each other's context. Excluded: escaping the name in the path; engines that decode differently would differ on which context is meant. Change: ChatId is workspace and chat. KV calls go to /kv with x-workspace and x-chat, hints are sealed to the pair, placement hashes the pair, cache events carry the workspace, the stand-in is keyed by both. The walk over engines takes the chat's hash, so the benches' chats keep theirs. Before: both new tests of tests/engine.rs failed (an import for a/b was answered 404; the second workspace's turn found the first one's prefix). Conclusion: the same chat name in two workspaces names two contexts.

--- a/benches/routing/cost.rs
+++ b/benches/routing/cost.rs
@@ -4,6 +4,7 @@
 
 use cranberrytally::{
     catalog::{Catalog, EngineKey, Id},
+    engine::ChatId,
     place::{
         Placer, Request,
         hint::{CachedCopy, Hint, HintKey},
@@ -22,6 +23,7 @@
 
 const ROUNDS: u64 = 20_000;
 const RUNNING: u64 = 32;
+const CHAT: ChatId<'_> = ChatId { workspace: "workspace", chat: "chat" };
 
 /// One router that owns `engines` engines of a pool, each with some requests.
 fn router(engines: usize) -> (Placer, Catalog) {
@@ -68,11 +70,18 @@
     scored.into_iter().map(|(_, key)| key).collect()
 }
 
-fn decide(placer: &mut Placer, cat: &Catalog, keys: &HintKey, number: u64, chat: &str, hint: Option<&str>) {
+fn decide(
+    placer: &mut Placer,
+    cat: &Catalog,
+    keys: &HintKey,
+    number: u64,
+    chat: ChatId<'_>,
+    hint: Option<&str>,
+) {
     let Ok(pool) = cat.pool("workspace", "model") else { return };
     let now = Time::from_micros(number);
     let hint = hint.and_then(|text| keys.open(chat, text));
-    let mut search = Search::new(placer, cat, pool, chat, hint.as_ref(), []);
+    let mut search = Search::new(placer, cat, pool, chat.hash(), hint.as_ref(), []);
     while let Some(step) = search.next(placer, cat, pool, now) {
         let hold = HoldId { router: placer.me(), number: (1 << 40) + number };
         let engine = step.engine.map(|c| c.id);
@@ -121,10 +130,10 @@
         let ranking = &pool.by_data_centre()[0].1;
         let rank = per_round(|n| _ = black_box(ranking.top(n)));
         let keys = HintKey::new("key");
-        let new = per_round(|n| decide(&mut placer, &cat, &keys, n, "chat", None));
+        let new = per_round(|n| decide(&mut placer, &cat, &keys, n, CHAT, None));
         let copy = CachedCopy { engine: Arc::from("engine-3"), start: 0, tokens: 1_000 };
-        let text = keys.seal("chat", &Hint { home: "dc".into(), copies: vec![copy] });
-        let hinted = per_round(|n| decide(&mut placer, &cat, &keys, n, "chat", Some(&text)));
+        let text = keys.seal(CHAT, &Hint { home: "dc".into(), copies: vec![copy] });
+        let hinted = per_round(|n| decide(&mut placer, &cat, &keys, n, CHAT, Some(&text)));
         let (account, hold) = placer.ledger.bytes();
         println!("{engines:8} {sort:12.0} {rank:12.0} {new:12.0} {hinted:12.0} {account:14} {hold:12}");
     }
--- a/benches/routing/policy.rs
+++ b/benches/routing/policy.rs
@@ -36,7 +36,7 @@
         let hint = self.chats[chat as usize].hint.take();
         let name = self.chat_key(chat).to_string();
         let now = self.instant();
-        let mut search = Search::new(&self.routers[r].placer, &cat, pool, &name, hint.as_deref(), []);
+        let mut search = Search::new(&self.routers[r].placer, &cat, pool, hash(&*name), hint.as_deref(), []);
         self.chats[chat as usize].hint = hint;
         let mut found = None;
         while let Some(step) = search.next(&mut self.routers[r].placer, &cat, pool, now) {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -13,6 +13,7 @@
     client::{Client, Failure},
     schema::engine::{CacheEvents, Load, Order},
     stream::Offset,
+    util::hash,
 };
 
 pub mod answer;
@@ -24,6 +25,10 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// Header by which a backend server proves that it did not run a request.
 pub const OUTCOME: &str = "x-outcome";
+/// Header with the name of a chat.
+pub const CHAT: &str = "x-chat";
+/// Header with the workspace of a chat.
+pub const WORKSPACE: &str = "x-workspace";
 /// Header with the fencing number of an order.
 pub const FENCING: &str = "x-fencing";
 
@@ -31,6 +36,23 @@
 const KV_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_KV: usize = 64 << 20;
 
+/// Identity of a chat. Callers name their chats freely, so that two workspaces may use the same name; cached
+/// context belongs to the pair.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ChatId<'a> {
+    /// Workspace whose chat it is.
+    pub workspace: &'a str,
+    /// Name that the caller gave it.
+    pub chat: &'a str,
+}
+
+impl ChatId<'_> {
+    /// Hash by which the chat is placed, the same on every router.
+    pub fn hash(&self) -> u64 {
+        hash((self.workspace, self.chat))
+    }
+}
+
 /// A request to a model engine.
 #[derive(Clone, Debug)]
 pub struct ChatCall<'a> {
@@ -76,8 +98,8 @@
         let req = Request::post(format!("{}/v1/chat/completions", self.base))
             .header("content-type", "application/json")
             .header(REQUEST_ID, call.request)
-            .header("x-chat", call.chat)
-            .header("x-workspace", call.workspace)
+            .header(CHAT, call.chat)
+            .header(WORKSPACE, call.workspace)
             .header("x-priority", call.priority)
             .body(Full::new(call.body.clone()))
             .map_err(|_| Failure::Connect)?;
@@ -135,8 +157,8 @@
     ///
     /// # Errors
     /// When no answer came in time or the cache is too large to move.
-    pub async fn export_kv(&self, chat: &str) -> Result<Option<Bytes>> {
-        let req = Request::get(self.kv_url(chat)).body(Full::default())?;
+    pub async fn export_kv(&self, chat: ChatId<'_>) -> Result<Option<Bytes>> {
+        let req = self.kv(Method::GET, chat).body(Full::default())?;
         match self.bytes(req).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
@@ -148,8 +170,8 @@
     ///
     /// # Errors
     /// When the engine did not take it.
-    pub async fn import_kv(&self, chat: &str, kv: Bytes) -> Result<()> {
-        let req = Request::put(self.kv_url(chat)).body(Full::new(kv))?;
+    pub async fn import_kv(&self, chat: ChatId<'_>, kv: Bytes) -> Result<()> {
+        let req = self.kv(Method::PUT, chat).body(Full::new(kv))?;
         match self.bytes(req).await? {
             (200 | 201 | 204, _) => Ok(()),
             (status, _) => bail!("the engine answered {status} to an import"),
@@ -175,8 +197,11 @@
         }
     }
 
-    fn kv_url(&self, chat: &str) -> String {
-        format!("{}/kv/{chat}", self.base)
+    /// A caller's name of a chat may hold slashes and dots. In the path it could reach anything else that the engine
+    /// serves, or another chat's context; a header's value can't.
+    fn kv(&self, method: Method, chat: ChatId<'_>) -> http::request::Builder {
+        let builder = Request::builder().method(method).uri(format!("{}/kv", self.base));
+        builder.header(WORKSPACE, chat.workspace).header(CHAT, chat.chat)
     }
 
     async fn call(&self, method: Method, url: &str) -> Result<(u16, serde_json::Value)> {
--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     admit::{Demand, Priority},
+    engine::ChatId,
     error::{Fault, Kind},
     place::{bound::Work, work::Estimator},
     suspect::Fingerprint,
@@ -93,6 +94,11 @@
         })
     }
 
+    /// Whose chat it is, and which.
+    pub(crate) fn chat_id(&self) -> ChatId<'_> {
+        ChatId { workspace: &self.workspace, chat: &self.chat }
+    }
+
     /// What admission needs to know.
     pub(crate) fn demand(&self) -> Demand {
         Demand {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -13,7 +13,7 @@
 use super::{Gateway, ask::Ask, lock, read};
 use crate::{
     catalog::{Catalog, EngineKey, Id, Pool},
-    engine::EngineClient,
+    engine::{ChatId, EngineClient},
     link::Links,
     metrics::{Counter, Metrics},
     place::{
@@ -287,8 +287,9 @@
         exclude: impl IntoIterator<Item = Id>,
     ) -> Result<Placed, Unplaced> {
         let place = &self.placement;
-        let hint = ask.hint.as_deref().and_then(|text| place.hints.open(&ask.chat, text));
-        let mut search = Search::new(&place.placer(), cat, pool, &ask.chat, hint.as_ref(), exclude);
+        let hint = ask.hint.as_deref().and_then(|text| place.hints.open(ask.chat_id(), text));
+        let mut search =
+            Search::new(&place.placer(), cat, pool, ask.chat_id().hash(), hint.as_ref(), exclude);
         loop {
             let step = search.next(&mut place.placer(), cat, pool, now());
             let Some(step) = step else { break };
@@ -316,7 +317,7 @@
             let placed = self.placed(cat, ask, &search, hint, engine, slot);
             let source = search.source(&place.placer(), pool, engine);
             if let Some((from, tokens)) = source {
-                self.move_context(cat, &ask.chat, from, engine, tokens).await;
+                self.move_context(cat, ask.chat_id(), from, engine, tokens).await;
             }
             return Ok(placed);
         }
@@ -342,13 +343,20 @@
         };
         let mut hint = hint.unwrap_or_default();
         hint.home = search.home().clone();
-        let hint = self.placement.hints.seal(&ask.chat, &hint.with_copy(copy));
+        let hint = self.placement.hints.seal(ask.chat_id(), &hint.with_copy(copy));
         let router = placer.owner(engine.id, &engine.data_centre).map(|m| m.addr);
         Placed { engine: key, slot, hint, router }
     }
 
     /// Moves a chat's cached context to the engine that answers next, unless computing it again is quicker.
-    async fn move_context(&self, cat: &Catalog, chat: &str, from: EngineKey, to: EngineKey, tokens: u32) {
+    async fn move_context(
+        &self,
+        cat: &Catalog,
+        chat: ChatId<'_>,
+        from: EngineKey,
+        to: EngineKey,
+        tokens: u32,
+    ) {
         let costs = Costs::default();
         if !costs.worth_moving(tokens) {
             return;
--- a/src/place/hint.rs
+++ b/src/place/hint.rs
@@ -6,7 +6,7 @@
 
 use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD};
 
-use crate::schema::placement as raw;
+use crate::{engine::ChatId, schema::placement as raw};
 
 const KEY_CONTEXT: &str = "cranberrytally placement hint 1";
 const VERSION: u32 = 1;
@@ -63,7 +63,7 @@
     }
 
     /// Encodes a hint for `chat`.
-    pub fn seal(&self, chat: &str, hint: &Hint) -> String {
+    pub fn seal(&self, chat: ChatId<'_>, hint: &Hint) -> String {
         let copies = hint.copies.iter().map(|c| raw::Copy {
             engine: c.engine.to_string(),
             start: c.start,
@@ -76,8 +76,8 @@
         URL_SAFE_NO_PAD.encode(buf)
     }
 
-    /// Decodes a hint of `chat`; `None` when it is forged, of another version or of another chat.
-    pub fn open(&self, chat: &str, text: &str) -> Option<Hint> {
+    /// Decodes a hint of `chat`; `None` when it is forged, of another version or of another chat or workspace.
+    pub fn open(&self, chat: ChatId<'_>, text: &str) -> Option<Hint> {
         if text.len() > MAX_TEXT {
             return None;
         }
@@ -99,9 +99,13 @@
         Some(Hint { home: raw.home.into(), copies: copies.collect() })
     }
 
-    fn mac(&self, chat: &str, body: &[u8]) -> blake3::Hash {
+    fn mac(&self, id: ChatId<'_>, body: &[u8]) -> blake3::Hash {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        hasher.update(&(chat.len() as u64).to_le_bytes()).update(chat.as_bytes()).update(body);
+        // With its length before each, no two pairs of names make the same bytes.
+        for name in [id.workspace, id.chat] {
+            hasher.update(&(name.len() as u64).to_le_bytes()).update(name.as_bytes());
+        }
+        hasher.update(body);
         hasher.finalize()
     }
 }
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -12,8 +12,9 @@
 };
 use crate::{
     catalog::{Catalog, Id, Pool},
+    engine::ChatId,
     schema::engine::{CacheEvents, Load},
-    util::{Instant, Map, Set, hash},
+    util::{Instant, Map, Set},
 };
 
 /// How long a computed mean serves.
@@ -274,7 +275,7 @@
             return;
         }
         for event in &events.events {
-            let chat = hash(event.chat.as_str());
+            let chat = ChatId { workspace: &event.workspace, chat: &event.chat }.hash();
             let what = if event.evicted { Event::Evicted(chat) } else { Event::Stored(chat) };
             self.cache.note(engine, event.seq, what);
         }
--- a/src/place/search.rs
+++ b/src/place/search.rs
@@ -61,17 +61,16 @@
 }
 
 impl Search {
-    /// Starts the walk of a chat; `exclude` are engines that failed this request already.
+    /// Starts the walk of the chat with this hash; `exclude` are engines that failed this request already.
     pub fn new(
         placer: &Placer,
         cat: &Catalog,
         pool: &Pool,
-        chat: &str,
+        chat: u64,
         hint: Option<&Hint>,
         exclude: impl IntoIterator<Item = Id>,
     ) -> Self {
         let excluded: Vec<_> = exclude.into_iter().collect();
-        let chat = hash(chat);
         let home = placer.home(hint);
         let order = |at: &usize| {
             let name = &pool.by_data_centre()[*at].0;
--- a/src/schema/engine.rs
+++ b/src/schema/engine.rs
@@ -46,6 +46,9 @@
     /// Length of the prefix, in tokens.
     #[prost(uint32, tag = "4")]
     pub tokens: u32,
+    /// Workspace of the chat.
+    #[prost(string, tag = "5")]
+    pub workspace: ::prost::alloc::string::String,
 }
 /// Cache events after a position.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    engine::{FENCING, Fencing, OUTCOME, REQUEST_ID},
+    engine::{CHAT, FENCING, Fencing, OUTCOME, REQUEST_ID, WORKSPACE},
     http::{Handler, Reply, body_channel},
     schema::engine::{Load, Order},
     util::random_id,
@@ -28,7 +28,7 @@
 pub use faults::Faults;
 
 use answers::Answer;
-use cache::Cache;
+use cache::{Cache, Chat};
 
 /// A model engine with a bounded prefix cache.
 #[derive(Debug)]
@@ -160,7 +160,7 @@
     }
 
     fn chat(&self, req: &Request<Bytes>) -> Reply {
-        let chat = header(req, "x-chat").to_owned();
+        let chat = chat_of(req);
         let request = Some(header(req, REQUEST_ID)).filter(|id| !id.is_empty());
         let request = request.map_or_else(random_id, str::to_owned);
         let Ok(body) = serde_json::from_slice::<serde_json::Value>(req.body()) else {
@@ -184,7 +184,7 @@
             self.returns.fetch_add(1, Ordering::Relaxed);
             self.hits.fetch_add(u64::from(cached), Ordering::Relaxed);
         }
-        let (answer, maker) = Answer::start(&request, &chat, self.tokens);
+        let (answer, maker) = Answer::start(&request, &chat.1, self.tokens);
         let rx = answer.connect(0, faults.clone(), self.crashes.subscribe(), self.sent.clone());
         let (pause, count) = (self.token_time, Count::start(&self.running));
         let task = tokio::spawn(async move {
@@ -242,16 +242,12 @@
         Reply::json(200, &state.cache.events(state.start, since, state.faults.event_gap))
     }
 
-    fn export(&self, chat: &str) -> Reply {
-        if self.lock().cache.holds(chat) {
-            Reply::full(200, format!("kv of {chat}"))
-        } else {
-            Reply::full(404, "")
-        }
+    fn export(&self, chat: &Chat) -> Reply {
+        if self.lock().cache.holds(chat) { Reply::full(200, kv_of(chat)) } else { Reply::full(404, "") }
     }
 
-    fn import(&self, chat: &str, kv: &Bytes) -> Reply {
-        if *kv != format!("kv of {chat}") {
+    fn import(&self, chat: &Chat, kv: &Bytes) -> Reply {
+        if *kv != kv_of(chat) {
             return Reply::full(400, "");
         }
         self.lock().cache.touch(chat);
@@ -279,6 +275,14 @@
     }
 }
 
+fn chat_of(req: &Request<Bytes>) -> Chat {
+    (header(req, WORKSPACE).to_owned(), header(req, CHAT).to_owned())
+}
+
+fn kv_of((workspace, chat): &Chat) -> String {
+    format!("kv of {chat} in {workspace}")
+}
+
 fn header<'a>(req: &'a Request<Bytes>, name: &str) -> &'a str {
     req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
 }
@@ -300,8 +304,8 @@
             (&Method::DELETE, ["v1", "streams", id]) => self.cancel(id),
             (&Method::GET, ["load"]) => self.load(),
             (&Method::GET, ["events"]) => self.events(query),
-            (&Method::GET, ["kv", chat]) => self.export(chat),
-            (&Method::PUT, ["kv", chat]) => self.import(chat, req.body()),
+            (&Method::GET, ["kv"]) => self.export(&chat_of(&req)),
+            (&Method::PUT, ["kv"]) => self.import(&chat_of(&req), req.body()),
             (&Method::POST, ["orders"]) => self.order(&req),
             _ => Reply::full(404, ""),
         }
--- a/src/standin/engine/cache.rs
+++ b/src/standin/engine/cache.rs
@@ -7,10 +7,13 @@
 const HISTORY: usize = 4096;
 const PREFIX_TOKENS: u32 = 256;
 
+/// Workspace and name of a chat.
+pub(super) type Chat = (String, String);
+
 /// Chats whose prefixes are cached, oldest first, and what changed.
 #[derive(Debug)]
 pub(super) struct Cache {
-    chats: VecDeque<String>,
+    chats: VecDeque<Chat>,
     size: usize,
     last: u64,
     history: VecDeque<CacheEvent>,
@@ -21,19 +24,19 @@
         Self { chats: VecDeque::new(), size, last: 0, history: VecDeque::new() }
     }
 
-    pub(super) fn holds(&self, chat: &str) -> bool {
+    pub(super) fn holds(&self, chat: &Chat) -> bool {
         self.chats.iter().any(|c| c == chat)
     }
 
     /// Makes the chat the newest; tells whether it was cached.
-    pub(super) fn touch(&mut self, chat: &str) -> bool {
+    pub(super) fn touch(&mut self, chat: &Chat) -> bool {
         let at = self.chats.iter().position(|c| c == chat);
         if let Some(at) = at {
             self.chats.remove(at);
         } else {
             self.record(chat, false);
         }
-        self.chats.push_back(chat.to_owned());
+        self.chats.push_back(chat.clone());
         if self.chats.len() > self.size
             && let Some(old) = self.chats.pop_front()
         {
@@ -53,9 +56,15 @@
         CacheEvents { start, last: self.last, events: self.history.iter().filter(kept).cloned().collect() }
     }
 
-    fn record(&mut self, chat: &str, evicted: bool) {
+    fn record(&mut self, chat: &Chat, evicted: bool) {
         self.last += 1;
-        let event = CacheEvent { seq: self.last, chat: chat.to_owned(), evicted, tokens: PREFIX_TOKENS };
+        let event = CacheEvent {
+            seq: self.last,
+            workspace: chat.0.clone(),
+            chat: chat.1.clone(),
+            evicted,
+            tokens: PREFIX_TOKENS,
+        };
         self.history.push_back(event);
         if self.history.len() > HISTORY {
             self.history.pop_front();
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cranberrytally::{
     client::{Client, Failure},
-    engine::{ChatCall, EngineClient, Ordered, answer::Answer},
+    engine::{ChatCall, ChatId, EngineClient, Ordered, answer::Answer},
     http::{Limits, Server},
     schema::engine::Order,
     standin::{
@@ -63,6 +63,14 @@
     }
 }
 
+fn id(chat: &str) -> ChatId<'_> {
+    ChatId { workspace: "phrasebook", chat }
+}
+
+fn kv(chat: &str) -> Bytes {
+    Bytes::from(format!("kv of {chat} in phrasebook"))
+}
+
 /// What reading one connection came to.
 #[derive(Debug, Default, PartialEq)]
 struct Reading {
@@ -247,7 +255,7 @@
     run(async {
         let fixture = Fixture::start(Faults { event_gap: 2, ..Faults::default() }).await;
         for chat in ["a", "b", "c"] {
-            fixture.client.import_kv(chat, Bytes::from(format!("kv of {chat}"))).await.unwrap();
+            fixture.client.import_kv(id(chat), kv(chat)).await.unwrap();
         }
 
         let events = fixture.client.events(0).await.unwrap();
@@ -255,9 +263,9 @@
         let seqs: Vec<_> = events.events.iter().map(|e| e.seq).collect();
         assert_eq!((seqs, events.last), (vec![1, 3], 3));
         assert_eq!(fixture.client.events(1).await.unwrap().events.len(), 1);
-        assert_eq!(fixture.client.export_kv("b").await.unwrap().as_deref(), Some(&b"kv of b"[..]));
-        assert_eq!(fixture.client.export_kv("z").await.unwrap(), None);
-        assert!(fixture.client.import_kv("z", Bytes::from_static(b"torn")).await.is_err());
+        assert_eq!(fixture.client.export_kv(id("b")).await.unwrap(), Some(kv("b")));
+        assert_eq!(fixture.client.export_kv(id("z")).await.unwrap(), None);
+        assert!(fixture.client.import_kv(id("z"), Bytes::from_static(b"torn")).await.is_err());
         fixture.engine.crash();
         let after = loop {
             // A pooled connection may still be the one that the crash cuts.
@@ -271,7 +279,48 @@
     })
 }
 
+/// Names of chats come from callers. One with a slash, a question mark or dots must name a cached context and
+/// nothing else of the engine, or a chat `a?b` would be answered from the context of `a`.
+fn any_chat_name_names_its_own_context(_: &Path) -> TestResult {
+    run(async {
+        let fixture = Fixture::start(Faults::default()).await;
+        for chat in ["a", "a/b", "a?b", "..", "../load", "a b", "%61", "#"] {
+            assert_eq!(fixture.client.export_kv(id(chat)).await.ok(), Some(None), "{chat} before");
+
+            fixture.client.import_kv(id(chat), kv(chat)).await.unwrap();
+
+            let exported = fixture.client.export_kv(id(chat)).await.unwrap();
+            assert_eq!(exported.as_deref(), Some(&*kv(chat)), "{chat}");
+            let other = ChatId { workspace: "excursions", chat };
+            assert_eq!(fixture.client.export_kv(other).await.unwrap(), None, "{chat} of another workspace");
+        }
+        fixture.close();
+    })
+}
+
+/// Both our companies call a chat `chat-1`. The second company's guest must not be answered from the context of
+/// the first one's traveller, though both chats run on the same engine.
+fn workspaces_share_no_context(_: &Path) -> TestResult {
+    run(async {
+        let fixture = Fixture::start(Faults::default()).await;
+        let body = Bytes::from(r#"{"messages":[{"content":"a"},{"content":"b"}]}"#);
+        let turns = [("phrasebook", 0), ("excursions", 0), ("phrasebook", 1), ("excursions", 2)];
+        for (i, (workspace, hits)) in turns.into_iter().enumerate() {
+            let request = format!("request-{i}");
+            let call =
+                ChatCall { request: &request, chat: "chat-1", workspace, priority: 0, body: body.clone() };
+
+            drop(fixture.client.chat(&call).await);
+
+            assert_eq!(fixture.engine.counts(), (i as u64 + 1, i as u64 + 1, hits), "turn {i}");
+        }
+        fixture.close();
+    })
+}
+
 datatest_stable::harness! {
+    { test = any_chat_name_names_its_own_context, root = "tests/engine", pattern = r"^answers\.yaml$" },
+    { test = workspaces_share_no_context, root = "tests/engine", pattern = r"^answers\.yaml$" },
     { test = answers, root = "tests/engine", pattern = r"^answers\.yaml$" },
     { test = resumes, root = "tests/engine", pattern = r"^resumes\.yaml$" },
     { test = orders, root = "tests/engine", pattern = r"^orders\.yaml$" },
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -4,6 +4,7 @@
 
 use cranberrytally::{
     catalog::{AnyObject, Catalog, Id, Object},
+    engine::ChatId,
     place::{
         bound::{Digest, Mean},
         cache::{CacheEvents, Event},
@@ -15,6 +16,7 @@
 };
 
 const CHATS: u64 = 4_000;
+const CHAT: ChatId<'_> = ChatId { workspace: "phrasebook", chat: "chat" };
 
 fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -90,7 +92,7 @@
 fn a_hint_is_read_back() {
     let key = HintKey::new("k");
 
-    let opened = key.open("chat", &key.seal("chat", &hint()));
+    let opened = key.open(CHAT, &key.seal(CHAT, &hint()));
 
     assert_eq!(opened, Some(hint()));
 }
@@ -100,24 +102,26 @@
 #[test]
 fn a_wrong_hint_is_dropped() {
     let key = HintKey::new("k");
-    let good = key.seal("chat", &hint());
+    let good = key.seal(CHAT, &hint());
     let mut altered = good.clone().into_bytes();
     altered[4] ^= 1;
     let altered = String::from_utf8_lossy(&altered).into_owned();
     let long = "A".repeat(100_000);
     let cases = [
-        ("another chat's", "other", good.as_str()),
-        ("altered", "chat", altered.as_str()),
-        ("cut short", "chat", &good[..good.len() - 4]),
-        ("empty", "chat", ""),
-        ("a name in plain text", "chat", "engine-1"),
-        ("too long", "chat", long.as_str()),
+        ("another chat's", ChatId { chat: "other", ..CHAT }, good.as_str()),
+        ("another workspace's", ChatId { workspace: "excursions", ..CHAT }, good.as_str()),
+        ("names that join alike", ChatId { workspace: "phrasebookc", chat: "hat" }, good.as_str()),
+        ("altered", CHAT, altered.as_str()),
+        ("cut short", CHAT, &good[..good.len() - 4]),
+        ("empty", CHAT, ""),
+        ("a name in plain text", CHAT, "engine-1"),
+        ("too long", CHAT, long.as_str()),
     ];
 
     for (what, chat, text) in cases {
         assert_eq!(key.open(chat, text), None, "{what}");
     }
-    assert_eq!(HintKey::new("other").open("chat", &good), None, "another fleet's");
+    assert_eq!(HintKey::new("other").open(CHAT, &good), None, "another fleet's");
 }
 
 #[test]
--- a/tests/place_owners.rs
+++ b/tests/place_owners.rs
@@ -13,6 +13,7 @@
         search::{Search, Step},
     },
     schema::object::Meta,
+    util::hash,
 };
 
 const WORK: u64 = 100;
@@ -65,7 +66,7 @@
 /// The steps of a walk in which every engine refuses.
 fn steps(placer: &mut Placer, cat: &Catalog, chat: &str, hint: Option<&Hint>, now: Duration) -> Vec<Step> {
     let pool = cat.pool_by_id(Id::of("pool")).unwrap();
-    let mut search = Search::new(placer, cat, pool, chat, hint, []);
+    let mut search = Search::new(placer, cat, pool, hash(chat), hint, []);
     std::iter::from_fn(|| search.next(placer, cat, pool, now)).collect()
 }
 
