Take the prefix of a service's path off once

Cause: trim_start_matches strips every repeat of /services/, so /services//services/lessons was no path of its own but another spelling of a service's. Change: strip_prefix. Before: the new test in tests/refused.rs failed (403 unknown_workspace for a GET without a workspace, so the service had been found). After: 404 unknown_service; refused 4 passed. Conclusion: a service has one path.

--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -26,7 +26,8 @@
 
 impl Gateway {
     pub(super) async fn service(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
-        let rest = req.uri().path().trim_start_matches("/services/");
+        let path = req.uri().path();
+        let rest = path.strip_prefix("/services/").unwrap_or(path);
         let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
         let cat = self.catalog();
         let service = cat
--- a/tests/refused.rs
+++ b/tests/refused.rs
@@ -77,6 +77,27 @@
     outside.close();
 }
 
+/// An app joins its base address and a path with one slash too many. The call must not reach a service that its path
+/// doesn't name, past whatever else reads the path.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_path_names_its_service_once() {
+    let outside = Outside::start(Plan::default().with_engines(1)).await.unwrap();
+    let router = router(&outside).await;
+    for path in
+        ["/services//services/lessons/cards", "/services/services/lessons/cards", "/services//lessons/cards"]
+    {
+        let url = format!("http://{}{path}", router.addr());
+
+        let (status, body) =
+            Client::default().json("GET".parse().unwrap(), &url, None, READY_TIME).await.unwrap();
+
+        let code = body["error"]["code"].as_str();
+        assert_eq!((status, code), (404, Some("unknown_service")), "{path}");
+    }
+    router.close();
+    outside.close();
+}
+
 /// A caller reports a refusal by its request identifier. The operator must find it in the log with the reason and the
 /// workspace; the identifier stood in the answer only.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
