Repeat a POST or PATCH only where the service allows it

Cause: a call to a plain service was repeatable unless nonIdempotent listed its path, whatever its method. A booking on a path that nobody had listed was sent up to three times when its connection broke. Change: GET, HEAD, OPTIONS, PUT and DELETE outside nonIdempotent may be repeated; POST and PATCH only at or under a path of the new field idempotent; other methods never. A path in both lists is an error; where both match, nonIdempotent holds. On paths that a backend server may read differently only GET, HEAD and OPTIONS are repeated. The test's row for a POST to /cards expected three attempts with no list naming the path; it keeps the three, and the service now lists the path. The stand-in of the test counts every call that names a workspace, not POST only. Conclusion: what nobody has listed runs at most once.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -113,9 +113,11 @@
     pub engines: Vec<EngineKey>,
     /// Backend servers, ready to be ranked.
     pub ranking: Ranking,
-    /// Path prefixes whose calls may not be repeated.
+    /// Path prefixes whose calls may not be repeated, whatever their method.
     pub non_idempotent: Vec<Arc<str>>,
-    /// Whether such a call needs an idempotency key.
+    /// Paths, with all that lies under them, whose `POST` and `PATCH` calls may be repeated.
+    pub idempotent: Vec<Arc<str>>,
+    /// Whether a call that may not be repeated needs an idempotency key.
     pub require_key: bool,
 }
 
@@ -257,6 +259,7 @@
                     ranking: Ranking::new(engines.iter().map(|&key| (key, &self.engines[key]))),
                     engines,
                     non_idempotent: spec.non_idempotent.into_iter().map(Into::into).collect(),
+                    idempotent: spec.idempotent.into_iter().map(Into::into).collect(),
                     require_key: spec.require_key,
                 };
                 self.services.insert(name, service);
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -73,12 +73,29 @@
     }
 }
 
-/// Whether a call may run twice. A path that a backend server may read differently than it stands here, such
-/// as an escaped one, could hide a call that may not be repeated, and is not repeated either.
+/// Whether a call may run twice.
+///
+/// A booking on a path that nobody has listed would otherwise be made twice when its connection breaks, so a method
+/// that is not idempotent by its definition is repeated only where the service's configuration allows it. A path
+/// that a backend server may read differently than it stands here, such as an escaped one, could hide a call that may
+/// not be repeated, and is not repeated either.
 fn may_repeat(service: &Service, method: &Method, path: &str) -> bool {
+    if service.non_idempotent.iter().any(|prefix| path.starts_with(&**prefix)) {
+        return false;
+    }
     let plain = !path.contains('%') && !path.contains("//") && !path.contains("/.");
-    let listed = service.non_idempotent.iter().any(|prefix| path.starts_with(&**prefix));
-    !listed && (plain || *method == Method::GET || *method == Method::HEAD)
+    match *method {
+        Method::GET | Method::HEAD | Method::OPTIONS => true,
+        Method::PUT | Method::DELETE => plain,
+        Method::POST | Method::PATCH => plain && service.idempotent.iter().any(|root| lies_under(path, root)),
+        _ => false,
+    }
+}
+
+/// Whether `path` is `root` or lies under it. A permission for `/cards` is none for `/cardsets`.
+fn lies_under(path: &str, root: &str) -> bool {
+    let rest = path.strip_prefix(root.trim_end_matches('/'));
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
 /// The backend servers of a service, for one call.
--- a/src/revision/check.rs
+++ b/src/revision/check.rs
@@ -198,9 +198,21 @@
 
     fn service(&mut self, spec: &Value) {
         let service: Service = self.fields(spec, "spec", Some("engines"));
-        for (i, prefix) in service.non_idempotent.iter().enumerate() {
+        self.prefixes(&service.non_idempotent, "spec.nonIdempotent");
+        self.prefixes(&service.idempotent, "spec.idempotent");
+        let root = |prefix: &str| prefix.trim_end_matches('/').to_owned();
+        let listed: Vec<_> = service.non_idempotent.iter().map(|prefix| root(prefix)).collect();
+        for (i, prefix) in service.idempotent.iter().enumerate() {
+            if listed.contains(&root(prefix)) {
+                self.add(format!("spec.idempotent[{i}]"), format!("`{prefix}` is in spec.nonIdempotent too"));
+            }
+        }
+    }
+
+    fn prefixes(&mut self, prefixes: &[String], path: &str) {
+        for (i, prefix) in prefixes.iter().enumerate() {
             if !prefix.starts_with('/') {
-                self.add(format!("spec.nonIdempotent[{i}]"), format!("`{prefix}` does not start with `/`"));
+                self.add(format!("{path}[{i}]"), format!("`{prefix}` does not start with `/`"));
             }
         }
     }
--- a/src/schema/object.rs
+++ b/src/schema/object.rs
@@ -115,12 +115,15 @@
     /// Backend servers that serve it.
     #[prost(message, optional, tag = "1")]
     pub engines: ::core::option::Option<Selector>,
-    /// Path prefixes below the service whose calls may not be repeated.
+    /// Path prefixes below the service whose calls may not be repeated, whatever their method.
     #[prost(string, repeated, tag = "2")]
     pub non_idempotent: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Whether a non-idempotent call without an idempotency key is refused.
     #[prost(bool, tag = "3")]
     pub require_key: bool,
+    /// Paths below the service, with all that lies under them, whose POST and PATCH calls may be repeated.
+    #[prost(string, repeated, tag = "4")]
+    pub idempotent: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// A workspace, the unit of fairness and limits.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -378,31 +378,65 @@
 }
 
 /// A save breaks off after it has reached its backend server. A second attempt would save twice, whichever way
-/// the path was spelled; the caller must hear that the outcome is not known. A call that may run twice does.
+/// the path was spelled, with a key or without; the caller must hear that the outcome is not known. The same holds for
+/// a POST that no list names. A call that may run twice does.
 #[tokio::test]
 async fn a_call_that_may_not_be_repeated_is_sent_once() {
-    let fleet = Fleet::start(1, Plan::default().with_engines(1)).await;
+    const ROUTERS: usize = 4;
+    let fleet = Fleet::start(ROUTERS, Plan::default().with_engines(1)).await;
     let breaking = Breaking::start().await;
     fleet.outside.put(breaking.engine()).unwrap();
     let select = serde_json::json!({ "matchLabels": { "role": "breaking" } });
-    let spec = serde_json::json!({ "engines": select, "nonIdempotent": ["/progress"] });
+    let spec = serde_json::json!({ "engines": select, "nonIdempotent": ["/progress", "/cards/progress"], "idempotent": ["/cards"] });
     fleet.outside.put(object("Service", "breaking", &[], spec)).unwrap();
     let known = async {
-        while fleet.routers[0].gateway().catalog().service("breaking").is_none() {
+        while fleet.routers.iter().any(|r| r.gateway().catalog().service("breaking").is_none()) {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
     tokio::time::timeout(READY_TIME, known).await.unwrap();
-    for (path, sent) in [("/progress/1", 1), ("/%70rogress/1", 1), ("/x/../progress", 1), ("/cards", 3)] {
-        breaking.calls.store(0, Ordering::Relaxed);
-        let url = format!("http://{}/services/breaking{path}", fleet.routers[0].addr());
-        let req = Request::post(url).header("x-workspace", WORKSPACES[0]);
-        let req = req.header("idempotency-key", path).body(Full::new(Bytes::from_static(b"{}"))).unwrap();
+    let table = [
+        ("POST", "/progress/1", 1),
+        ("POST", "/%70rogress/1", 1),
+        ("POST", "/x/../progress", 1),
+        ("PUT", "/progress/1", 1),
+        ("GET", "/progress/1", 1),
+        ("POST", "/notes", 1),
+        ("PATCH", "/notes", 1),
+        ("GET", "/notes", 3),
+        ("GET", "/%6eotes", 3),
+        ("PUT", "/notes", 3),
+        ("DELETE", "/notes", 3),
+        ("OPTIONS", "/notes", 3),
+        ("DELETE", "/%6eotes", 1),
+        ("POST", "/cards", 3),
+        ("PATCH", "/cards/find", 3),
+        ("POST", "/cards?page=2", 3),
+        ("POST", "/cardsets", 1),
+        ("POST", "/cards/../notes", 1),
+        ("POST", "/cards/%2e%2e/notes", 1),
+        ("POST", "/cards/progress", 1),
+    ];
+    let mut repeated = 0;
+    for (row, (method, path, sent)) in table.into_iter().enumerate() {
+        for key in ["", "idempotency-key"] {
+            breaking.calls.store(0, Ordering::Relaxed);
+            // No router's budget of retries is to run out.
+            repeated += usize::from(sent > 1);
+            let router = &fleet.routers[repeated % ROUTERS];
+            let url = format!("http://{}/services/breaking{path}", router.addr());
+            let mut req = Request::builder().method(method).uri(url).header("x-workspace", WORKSPACES[0]);
+            if !key.is_empty() {
+                req = req.header(key, format!("{row}"));
+            }
+            // Another body each time: content that breaks its server is soon a suspect.
+            let body = Bytes::from(format!("{row}{key}"));
 
-        let seen = fleet.send(req).await;
+            let seen = fleet.send(req.body(Full::new(body)).unwrap()).await;
 
-        assert_eq!(breaking.calls.load(Ordering::Relaxed), sent, "{path}");
-        assert_eq!(seen.header("x-outcome"), "unknown", "{path}: {seen:?}");
+            assert_eq!(breaking.calls.load(Ordering::Relaxed), sent, "{method} {path} {key}: {seen:?}");
+            assert_eq!(seen.header("x-outcome"), "unknown", "{method} {path}: {seen:?}");
+        }
     }
     fleet.close();
 }
@@ -422,8 +456,9 @@
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 let mut buf = [0; 4096];
-                // The router also connects without sending, to see whether the server lives.
-                if matches!(stream.read(&mut buf).await, Ok(n) if buf[..n].starts_with(b"POST")) {
+                // The router also connects to see whether the server lives; only calls name a workspace.
+                let read = stream.read(&mut buf).await.unwrap_or(0);
+                if String::from_utf8_lossy(&buf[..read]).contains("x-workspace") {
                     count.fetch_add(1, Ordering::Relaxed);
                 }
             }
--- a/tests/validation.rs
+++ b/tests/validation.rs
@@ -18,6 +18,7 @@
         "{kind: EnginePool, metadata: {name: p}, spec: {engines: {matchLabels: {role: model}}, loadBoundMilli: 1250, models: [m@1]}}",
         "{kind: RoutingPolicy, metadata: {name: r}, spec: {pool: p, workspaces: {matchExpressions: [{key: tier, operator: In, values: [a]}]}}}",
         "{kind: Service, metadata: {name: s}, spec: {nonIdempotent: [/progress], requireKey: true}}",
+        "{kind: Service, metadata: {name: s}, spec: {nonIdempotent: [/cards/progress], idempotent: [/cards]}}",
         "{kind: WorkspaceGroup, metadata: {name: g}, spec: {workspaces: {matchExpressions: [{key: t, operator: Exists}]}, maxRunning: 3}}",
     ];
 
@@ -57,6 +58,14 @@
             "{kind: Service, metadata: {name: a}, spec: {nonIdempotent: [x]}}",
             "spec.nonIdempotent[0]: `x` does not start",
         ),
+        (
+            "{kind: Service, metadata: {name: a}, spec: {idempotent: [/y, x]}}",
+            "spec.idempotent[1]: `x` does not start",
+        ),
+        (
+            "{kind: Service, metadata: {name: a}, spec: {nonIdempotent: [/x], idempotent: [/y, /x/]}}",
+            "spec.idempotent[1]: `/x/` is in spec.nonIdempotent too",
+        ),
         (
             "{kind: Service, metadata: {name: a}, spec: {engines: {matchExpressions: [{key: k, operator: Is}]}}}",
             "spec.engines.matchExpressions[0].operator: `Is` is not one of",
