Name an attempt by the answer's request identifier and its number

Cause: each attempt drew a random name, so that the identifier in a caller's hands was found neither at the engine nor at a plain service, and the logs of router and backend server could not be joined. Change: the attempt's name is the request's random identifier, a dash and the attempt's number over all hops. It stays the attempt's own: identifiers are random for each request, numbers grow within it. Conclusion: an answer leads to its run.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -158,7 +158,7 @@
         self.catalog().version > 0
     }
 
-    async fn route(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
+    async fn route(&self, req: Request<Bytes>, id: &str) -> Result<Reply, Fault> {
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
             (&Method::GET, "/healthz") => Ok(Reply::full(200, "ok\n")),
@@ -168,11 +168,11 @@
             (&Method::GET | &Method::POST, "/v1/resume") => self.resume(req).await,
             (&Method::GET, "/v1/key-ticket") => Ok(self.key_ticket()),
             (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
-            (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
+            (&Method::POST, "/v1/chat/completions") => self.chat(req, id).await,
             (method, path) if PATHS.contains(&path) => {
                 Err(Fault::new(Kind::MethodNotAllowed, format!("{method} is not for {path}")))
             }
-            (_, p) if p.starts_with("/services/") => self.service(req).await,
+            (_, p) if p.starts_with("/services/") => self.service(req, id).await,
             _ => Err(Fault::new(Kind::NotFound, format!("there is nothing at {path}"))),
         }
     }
@@ -278,7 +278,7 @@
 impl Handler for Gateway {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
         let origin = Origin::of(&req);
-        let reply = match self.route(req).await {
+        let reply = match self.route(req, &origin.id).await {
             Ok(reply) => {
                 self.metrics.request("answered");
                 reply
--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -23,6 +23,8 @@
 /// The fields of a request that the request path needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
+    /// Name of the request, random and so its own; the answer carries it.
+    pub(crate) id: Arc<str>,
     pub(crate) workspace: Arc<str>,
     pub(crate) chat: Arc<str>,
     /// Model; empty for a call to a plain service.
@@ -46,7 +48,7 @@
     ///
     /// # Errors
     /// When a header has no allowed value or the body is no JSON object.
-    pub(crate) fn chat(headers: &HeaderMap, body: &[u8], now: Instant) -> Result<Self, Fault> {
+    pub(crate) fn chat(id: &str, headers: &HeaderMap, body: &[u8], now: Instant) -> Result<Self, Fault> {
         let size = body.len();
         let body: serde_json::Map<String, serde_json::Value> =
             serde_json::from_slice(body).map_err(|e| bad(format!("the body is no JSON object: {e}")))?;
@@ -58,19 +60,29 @@
         let max_tokens = body.get("max_tokens").and_then(|n| n.as_u64());
         let max_tokens = max_tokens.map(|n| u32::try_from(n).unwrap_or(u32::MAX));
         let work = Estimator::default().expect("", "", size, max_tokens);
-        Ok(Self { is_chat: true, ..Self::read(headers, now, model.into(), work, Fingerprint::chat(&body))? })
+        Ok(Self {
+            is_chat: true,
+            ..Self::read(id, headers, now, model.into(), work, Fingerprint::chat(&body))?
+        })
     }
 
     /// Reads the head of a call to a plain service.
     ///
     /// # Errors
     /// When a header has no allowed value.
-    pub(crate) fn call(headers: &HeaderMap, path: &str, body: &[u8], now: Instant) -> Result<Self, Fault> {
+    pub(crate) fn call(
+        id: &str,
+        headers: &HeaderMap,
+        path: &str,
+        body: &[u8],
+        now: Instant,
+    ) -> Result<Self, Fault> {
         let work = Estimator::default().expect("", "", body.len(), None);
-        Self::read(headers, now, "".into(), work, Fingerprint::call(path, body))
+        Self::read(id, headers, now, "".into(), work, Fingerprint::call(path, body))
     }
 
     fn read(
+        id: &str,
         headers: &HeaderMap,
         now: Instant,
         model: Arc<str>,
@@ -80,6 +92,7 @@
         let deadline = number(headers, "x-deadline-ms", 1..=MOST_DEADLINE_MS)?;
         let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         Ok(Self {
+            id: id.into(),
             workspace: text(headers, "x-workspace", MOST_ID)?.unwrap_or_default().into(),
             chat: text(headers, "x-chat", MOST_ID)?.map_or_else(random_id, str::to_owned).into(),
             model,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
     outcome::Unsent,
     retry::{Attempts, Denied, Reason, spread},
     suspect::{Standing, Verdict},
-    util::{now, random_id},
+    util::now,
 };
 
 /// Pause before a suspect looks again for an engine without another suspect.
@@ -104,8 +104,10 @@
             let engine = cat.engine(found.engine);
             tried.push(engine.id);
             let run = self.suspects.start(engine, ask, queue, permit);
-            let request = random_id();
             attempts.start();
+            // An answer, a line of the log and a run at the engine are joined by this name. It is the attempt's own: a
+            // late event of an earlier attempt must not pass for one of this.
+            let request = format!("{}-{}", ask.id, attempts.made());
             let left = ask.deadline.saturating_sub(now());
             let reason = match tokio::time::timeout(left, to.send(engine, &request)).await {
                 Ok(Ok(res)) if Unsent::from_head(&res).is_some() => Reason::EngineRefused,
--- a/src/gateway/chat.rs
+++ b/src/gateway/chat.rs
@@ -22,8 +22,8 @@
 };
 
 impl Gateway {
-    pub(super) async fn chat(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
-        let ask = Ask::chat(req.headers(), req.body(), now())?;
+    pub(super) async fn chat(&self, req: Request<Bytes>, id: &str) -> Result<Reply, Fault> {
+        let ask = Ask::chat(id, req.headers(), req.body(), now())?;
         let cat = self.catalog();
         let pool = cat.pool(&ask.workspace, &ask.model).map_err(|e| no_pool(e, &ask))?;
         let entered = self.enter(&cat, &ask)?;
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -25,7 +25,7 @@
 const FORWARDED: [&str; 4] = ["accept", "content-type", "idempotency-key", "x-workspace"];
 
 impl Gateway {
-    pub(super) async fn service(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
+    pub(super) async fn service(&self, req: Request<Bytes>, id: &str) -> Result<Reply, Fault> {
         let path = req.uri().path();
         let rest = path.strip_prefix("/services/").unwrap_or(path);
         let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
@@ -37,7 +37,7 @@
             Some(query) => format!("/{tail}?{query}"),
             None => format!("/{tail}"),
         };
-        let ask = Ask::call(req.headers(), &path, req.body(), now())?;
+        let ask = Ask::call(id, req.headers(), &path, req.body(), now())?;
         if !cat.has_workspace(&ask.workspace) {
             return Err(Fault::new(Kind::UnknownWorkspace, format!("no workspace {:?}", ask.workspace)));
         }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -84,10 +84,16 @@
     }
 
     async fn chat_as(&self, chat: &str) -> Response<Incoming> {
+        self.chat_after(chat, 0).await
+    }
+
+    /// A chat that the caller has sent before, `made` times.
+    async fn chat_after(&self, chat: &str, made: u32) -> Response<Incoming> {
         let url = format!("http://{}/v1/chat/completions", self.routers[0].addr());
         let req = Request::post(url)
             .header("x-workspace", "phrasebook")
             .header("x-chat", chat)
+            .header("x-attempt", made)
             .body(Full::from(r#"{"model":"m","stream":true,"messages":[{"content":"hello"}]}"#))
             .unwrap();
         self.client.send(req).await.unwrap()
@@ -257,6 +263,23 @@
     fleet.close();
 }
 
+/// A guest reports a strange answer by its `x-request-id`. The operator must find the run in the engine's own log: the
+/// engine knew it under a name that stood in no answer.
+#[tokio::test]
+async fn the_engine_knows_an_attempt_by_the_request_identifier() {
+    for (made, attempt) in [(0, 1), (1, 2)] {
+        let fleet = Fleet::start(Faults { cut_after: Some(4), connections: 1, ..Faults::default() }).await;
+
+        let res = fleet.chat_after("chat-1", made).await;
+
+        let id = res.headers()["x-request-id"].to_str().unwrap().to_owned();
+        assert!(read_all(res).await.is_whole());
+        let runs: Vec<_> = fleet.engine.runs().into_keys().collect();
+        assert_eq!(runs, [format!("{id}-{attempt}")]);
+        fleet.close();
+    }
+}
+
 /// A traveller's phone stops reading in a tunnel while the engine makes a very long answer. The router must hold the
 /// engine back rather than keep the answer: once the sockets between them are full, the engine sends nothing more.
 #[tokio::test(flavor = "multi_thread")]
