Send callers on once the answers that named a leaving router expired

Cause: the kind leaving was in the closed list and the callers' page, but no path answered it. A leaving router served whoever came until no request was in progress. Callers that keep their connections and ask on kept it busy until drain.longest_ms, where what ran was cut, in a planned stop. Excluded: removing the kind; the page already tells callers what to do on it, and here they need it. Change: once the last entry answer that named it has expired, the router refuses all but the entry question with leaving, not-run, and finishes what runs. Conclusion: a planned stop ends in the time of the longest answer, and cuts nothing that came before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard},
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -66,6 +69,8 @@
     me: Router,
     routers: RwLock<Vec<Router>>,
     entry_keep: Duration,
+    /// Whether the router is shutting down and takes no new request.
+    closed: AtomicBool,
     catalog: RwLock<Arc<Catalog>>,
     placement: Arc<Placement>,
     admission: Admission,
@@ -94,6 +99,7 @@
         Self {
             routers: RwLock::new(vec![me.clone()]),
             entry_keep: ENTRY_KEEP,
+            closed: AtomicBool::new(false),
             me,
             catalog: RwLock::default(),
             placement,
@@ -115,6 +121,11 @@
         Self { entry_keep, ..self }
     }
 
+    /// From now on refuses new requests, all but the question which routers to use.
+    pub fn refuse_new(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
     /// Engines to which dispatches could not connect since the last call.
     pub fn take_unreached(&self) -> Vec<Arc<str>> {
         std::mem::take(&mut lock(&self.unreached))
@@ -165,9 +176,12 @@
             (&Method::GET, "/readyz") if self.ready() => Ok(Reply::full(200, "ready\n")),
             (&Method::GET, "/metrics") => self.show_metrics(),
             _ if !self.ready() => Err(Fault::new(Kind::NotReady, "no configuration yet")),
+            (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
+            _ if self.closed.load(Ordering::Acquire) => {
+                Err(Fault::new(Kind::Leaving, Kind::Leaving.answer().about))
+            }
             (&Method::GET | &Method::POST, "/v1/resume") => self.resume(req).await,
             (&Method::GET, "/v1/key-ticket") => Ok(self.key_ticket()),
-            (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
             (&Method::POST, "/v1/chat/completions") => self.chat(req, id).await,
             (method, path) if PATHS.contains(&path) => {
                 Err(Fault::new(Kind::MethodNotAllowed, format!("{method} is not for {path}")))
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Serving(());
 
-/// A router that is no longer handed out and still serves whoever comes.
+/// A router that is no longer handed out. It serves whoever comes until the last answer that names it has expired.
 #[derive(Clone, Copy, Debug)]
 pub struct Leaving {
     /// When the last answer that names it has expired.
@@ -78,6 +78,14 @@
 }
 
 impl Router<Leaving> {
+    /// Whether it still takes new requests.
+    ///
+    /// Callers that keep their connections and ask on would otherwise keep it busy until the deadline, where their
+    /// last requests were cut.
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        now < self.state.answers_until
+    }
+
     /// Stops when no caller may come any more and none is being served, or at the deadline.
     ///
     /// A router that only waited for its requests to end would stop between two of them, and the callers that still
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -23,7 +23,8 @@
 
 fn start(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Running {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    let text = settings(name, any, any, platform, seeds) + "drain: { answer_keep_ms: 1000 }\n";
+    let text =
+        settings(name, any, any, platform, seeds) + "drain: { answer_keep_ms: 1000, longest_ms: 20000 }\n";
     Running::start(&Settings::parse(&text).unwrap()).unwrap()
 }
 
@@ -98,3 +99,35 @@
     assert!(ended.await.unwrap(), "the process ended badly");
     outside.close();
 }
+
+/// Guests' apps keep their connections and send one question after the other, long after the entry answer that named the
+/// router has expired. A router that went on serving them would never be done, and would cut them at its time limit; it
+/// must finish what runs and send them on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_router_sends_callers_with_expired_answers_on() {
+    const CALLERS: [&str; 3] = ["one", "two", "three"];
+    let outside = Outside::start(Plan::default().with_tokens(TOKENS, TOKEN_TIME)).await.unwrap();
+    let router = start("r0", outside.platform_addr(), &[]);
+    let addr = router.addr();
+    wait("a configuration", async || router.gateway().catalog().has_workspace(WORKSPACES[0])).await;
+    let ask_on = |chat: &'static str| async move {
+        let mut caller = Caller::new(WORKSPACES[0], chat, vec![addr]);
+        loop {
+            match caller.turn(1).await {
+                Ok(answer) => assert!(caller.whole(&answer, TOKENS), "{answer:?}"),
+                Err(e) => return e.to_string(),
+            }
+        }
+    };
+    let callers = CALLERS.map(|chat| tokio::spawn(ask_on(chat)));
+    wait("a running request", async || router.running() > 0).await;
+
+    let cut = router.shut_down().await;
+
+    assert_eq!(cut, 0);
+    for caller in callers {
+        let last = caller.await.unwrap();
+        assert!(last.contains("503") && last.contains("leaving") && last.contains("not-run"), "{last}");
+    }
+    outside.close();
+}
