--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard},
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -67,6 +70,8 @@
     me: Router,
     routers: RwLock<Vec<Router>>,
     entry_keep: Duration,
+    /// Whether the router is shutting down and takes no new request.
+    closed: AtomicBool,
     catalog: RwLock<Arc<Catalog>>,
     placement: Arc<Placement>,
     admission: Admission,
@@ -97,6 +102,7 @@
         Self {
             routers: RwLock::new(vec![me.clone()]),
             entry_keep: ENTRY_KEEP,
+            closed: AtomicBool::new(false),
             me,
             catalog: RwLock::default(),
             placement,
@@ -119,6 +125,11 @@
         Self { entry_keep, ..self }
     }
 
+    /// From now on refuses new requests, all but the question which routers to use.
+    pub fn refuse_new(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
     /// Engines to which dispatches could not connect since the last call.
     pub fn take_unreached(&self) -> Vec<Arc<str>> {
         std::mem::take(&mut lock(&self.unreached))
@@ -162,21 +173,24 @@
         self.catalog().version > 0
     }
 
-    async fn route(&self, req: Request<Bytes>) -> Result<Reply, Fault> {
+    async fn route(&self, req: Request<Bytes>, id: &str) -> Result<Reply, Fault> {
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
             (&Method::GET, "/healthz") => Ok(Reply::full(200, "ok\n")),
             (&Method::GET, "/readyz") if self.ready() => Ok(Reply::full(200, "ready\n")),
             (&Method::GET, "/metrics") => self.show_metrics(),
             _ if !self.ready() => Err(Fault::new(Kind::NotReady, "no configuration yet")),
+            (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
+            _ if self.closed.load(Ordering::Acquire) => {
+                Err(Fault::new(Kind::Leaving, Kind::Leaving.answer().about))
+            }
             (&Method::GET | &Method::POST, "/v1/resume") => self.resume(req).await,
             (&Method::GET, "/v1/key-ticket") => Ok(self.key_ticket()),
-            (&Method::GET, "/v1/entry") => self.entry(req.uri().query().unwrap_or("")),
-            (&Method::POST, "/v1/chat/completions") => self.chat(req).await,
+            (&Method::POST, "/v1/chat/completions") => self.chat(req, id).await,
             (method, path) if PATHS.contains(&path) => {
                 Err(Fault::new(Kind::MethodNotAllowed, format!("{method} is not for {path}")))
             }
-            (_, p) if p.starts_with("/services/") => self.service(req).await,
+            (_, p) if p.starts_with("/services/") => self.service(req, id).await,
             _ => Err(Fault::new(Kind::NotFound, format!("there is nothing at {path}"))),
         }
     }
@@ -282,7 +296,7 @@
 impl Handler for Gateway {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
         let origin = Origin::of(&req);
-        let reply = match self.route(req).await {
+        let reply = match self.route(req, &origin.id).await {
             Ok(reply) => {
                 self.metrics.request("answered");
                 reply
