Name the owner of a new chat's engine in entry answers

Cause: reservations between routers do not fit the control budget; most are of new chats, which go to any router. Change: an entry query with chat and workspace puts the router first that owns the engine on which the chat starts. Over sockets (tests/place_links.rs) at least 48 of 60 chats are sent to the owner named in their answer; with the change taken out the test fails.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -40,9 +40,14 @@
         table(&format!("{}: surge", size.name), &size.clone().without_changes().with_surge(), all);
         table(
             &format!("{}: surge and churn, callers at any router", size.name),
-            &size.with_surge().with_named(0.0),
+            &size.clone().with_surge().with_named(0.0),
             &[Policy::AllKnowing, Policy::Scaled, Policy::Shares, Policy::Owners],
         );
+        table(
+            &format!("{}: churn, entry answers name the owner for a chat", size.name),
+            &size.with_entered(0.9),
+            &[Policy::Owners],
+        );
     }
 }
 
--- a/benches/routing/model.rs
+++ b/benches/routing/model.rs
@@ -712,7 +712,12 @@
         let output = -MEAN_OUTPUT * self.rng.random_range(f64::MIN_POSITIVE..1.0).ln();
         let output = output.clamp(8.0, 2_000.0) as u32;
         let named = c.turn > 0 && self.rng.random_bool(self.setup.named);
-        let router = if named { usize::from(c.router) } else { self.rng.random_range(0..self.routers.len()) };
+        let (first, chosen) = (c.turn == 0, usize::from(c.router));
+        let mut router = if named { chosen } else { self.rng.random_range(0..self.routers.len()) };
+        if first && self.setup.entered > 0.0 && self.rng.random_bool(self.setup.entered) {
+            router = self.entry(router, chat);
+        }
+        let c = &self.chats[chat as usize];
         let prompt = if c.turn == 0 { SYSTEM_PROMPT + USER_PROMPT } else { c.context + USER_PROMPT };
         let (context, returning) = (c.context, c.turn > 0);
         let work = u64::from(prompt) + MEAN_OUTPUT as u64;
--- a/benches/routing/policy.rs
+++ b/benches/routing/policy.rs
@@ -1,6 +1,9 @@
 //! The ways to place a chat: the server's own, and those it is compared with.
 
-use cranberrytally::{place::search::Step, util::hash};
+use cranberrytally::{
+    place::search::{Step, first_owner},
+    util::hash,
+};
 use rand::Rng;
 
 use super::{HoldId, News, Policy, Request, Search, World};
@@ -30,6 +33,15 @@
         self.learn(r, engine, News::Down);
     }
 
+    /// Router that the entry answer of `r` names first for a chat.
+    pub(super) fn entry(&mut self, r: usize, chat: u32) -> usize {
+        let cat = self.routers[r].cat.clone();
+        let Ok(pool) = cat.pool("workspace", "model") else { return r };
+        let (name, now) = (self.chat_key(chat).to_string(), self.instant());
+        let owner = first_owner(&mut self.routers[r].placer, &cat, pool, hash(&*name), now);
+        owner.map_or(r, |m| usize::from(m.peer.port()) - 1)
+    }
+
     fn search(&mut self, r: usize, chat: u32, work: u64) -> Option<Place> {
         let cat = self.routers[r].cat.clone();
         let pool = cat.pool("workspace", "model").ok()?;
--- a/benches/routing/setup.rs
+++ b/benches/routing/setup.rs
@@ -32,6 +32,8 @@
     pub restart: bool,
     /// Share of requests whose caller goes to the router that the last answer named.
     pub named: f64,
+    /// Share of new chats whose caller goes to the router that the entry answer for the chat names first.
+    pub entered: f64,
     /// Whether engines publish their evictions, late and with gaps.
     pub cache_events: bool,
     pub bound_milli: u32,
@@ -57,6 +59,7 @@
             flapping: 0.25,
             restart: true,
             named: 0.9,
+            entered: 0.0,
             cache_events: true,
             bound_milli: 1_250,
             seed: 7,
@@ -98,6 +101,11 @@
         self
     }
 
+    pub fn with_entered(mut self, entered: f64) -> Self {
+        self.entered = entered;
+        self
+    }
+
     /// Share of the arrivals of each workspace: three large ones of ten today, falling by rank at the target.
     pub fn weights(&self) -> Vec<f64> {
         match self.workspaces {
--- a/src/entry/query.rs
+++ b/src/entry/query.rs
@@ -15,6 +15,10 @@
     pub region: Arc<str>,
     /// Chat or workspace that shall meet the same router again.
     pub key: Option<Arc<str>>,
+    /// Workspace of the chat that `key` names; with it the owner of the chat's first engine comes first.
+    pub workspace: Option<Arc<str>>,
+    /// Model that the chat asks for.
+    pub model: Option<Arc<str>>,
     /// Spreads callers without a key.
     pub salt: u64,
 }
@@ -36,7 +40,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             BadQuery::Unknown(name) => {
-                write!(f, "there is no field {name:?}; the fields are key, data_centre and region")
+                write!(
+                    f,
+                    "there is no field {name:?}; the fields are key, workspace, model, data_centre and region"
+                )
             }
             BadQuery::Twice(name) => write!(f, "the field {name:?} is given twice"),
             BadQuery::Empty(name) => write!(f, "the field {name:?} has no value"),
@@ -54,9 +61,12 @@
     /// Says which field is wrong.
     pub fn parse(text: &str, me: &Router, salt: u64) -> Result<Self, BadQuery> {
         let (mut key, mut data_centre, mut region) = (None, None, None);
+        let (mut workspace, mut model) = (None, None);
         for (name, value) in form_urlencoded::parse(text.as_bytes()) {
             let slot = match &*name {
                 "key" => &mut key,
+                "workspace" => &mut workspace,
+                "model" => &mut model,
                 "data_centre" => &mut data_centre,
                 "region" => &mut region,
                 _ => return Err(BadQuery::Unknown(name.into_owned())),
@@ -75,6 +85,8 @@
             data_centre: data_centre.unwrap_or_else(|| me.data_centre.clone()),
             region: region.unwrap_or_else(|| me.region.clone()),
             key,
+            workspace,
+            model,
             salt,
         })
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -1,19 +1,43 @@
 //! `GET /v1/entry`: which routers a caller should use.
 
+use std::net::SocketAddr;
+
 use super::{Gateway, read};
 use crate::{
+    engine::ChatId,
     entry::{self, MOST, Query},
     error::{Fault, Kind},
     http::Reply,
+    place::search,
+    util::now,
 };
 
 impl Gateway {
     pub(super) fn entry(&self, text: &str) -> Result<Reply, Fault> {
         let query = Query::parse(text, &self.me, rand::random())
             .map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
-        let list = entry::order(&read(&self.routers), &query, MOST);
+        let mut list = entry::order(&read(&self.routers), &query, MOST);
+        let owner = self.first_owner(&query);
+        if let Some(at) = list.iter().position(|r| Some(r.addr) == owner) {
+            list[..=at].rotate_right(1);
+        }
         let addresses: Vec<_> = list.iter().map(|r| r.addr.to_string()).collect();
         let keep_s = self.entry_keep.as_secs();
         Ok(Reply::json(200, &serde_json::json!({ "addresses": addresses, "keep_s": keep_s })))
     }
+
+    /// Where the owner of the engine listens on which a chat of the query starts. A caller that goes there spares its
+    /// first request the reservation at another router.
+    fn first_owner(&self, query: &Query) -> Option<SocketAddr> {
+        if query.data_centre != self.me.data_centre {
+            return None;
+        }
+        let chat = ChatId { workspace: query.workspace.as_deref()?, chat: query.key.as_deref()? };
+        let cat = self.catalog();
+        let pool = cat.pool(chat.workspace, query.model.as_deref().unwrap_or_default()).ok()?;
+        let mut placer = self.placement.placer();
+        search::first_owner(&mut placer, &cat, pool, chat.hash(), now())
+            .map(|m| m.addr)
+            .or(Some(self.me.addr))
+    }
 }
--- a/src/place/search.rs
+++ b/src/place/search.rs
@@ -41,6 +41,17 @@
     pub above_mean: bool,
 }
 
+/// Owner of the engine on which a new chat starts, where it is another router: who goes there spares it a message.
+pub fn first_owner(
+    placer: &mut Placer,
+    cat: &Catalog,
+    pool: &Pool,
+    chat: u64,
+    now: Instant,
+) -> Option<Member> {
+    Search::new(placer, cat, pool, chat, None, []).next(placer, cat, pool, now)?.owner
+}
+
 /// The walk. Data centres are ranked only when the walk reaches them.
 #[derive(Clone, Debug)]
 pub struct Search {
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -55,7 +55,10 @@
     /// When no known router answers.
     pub async fn enter(&mut self) -> Result<()> {
         for addr in self.addresses.clone() {
-            let url = format!("http://{addr}/v1/entry?key={}", self.chat);
+            let url = format!(
+                "http://{addr}/v1/entry?key={}&workspace={}&model={MODEL}",
+                self.chat, self.workspace
+            );
             let Ok((200, value)) = self.client.json(Method::GET, &url, None, TIMEOUT).await else { continue };
             let list = value["addresses"].as_array().context("an entry answer without addresses")?;
             self.addresses =
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -22,7 +22,8 @@
 }
 
 fn query(key: Option<&str>, salt: u64) -> Query {
-    Query { data_centre: "dc-1".into(), region: "region-0".into(), key: key.map(Arc::from), salt }
+    let (data_centre, region) = ("dc-1".into(), "region-0".into());
+    Query { data_centre, region, key: key.map(Arc::from), salt, ..Query::default() }
 }
 
 fn serving(routers: &[Router]) -> Vec<Candidate> {
@@ -87,6 +88,7 @@
             data_centre: data_centre.into(),
             region: region.into(),
             salt: 5,
+            ..Query::default()
         });
 
         assert_eq!(Query::parse(text, &me, 5), want, "{text}");
--- a/tests/place_links.rs
+++ b/tests/place_links.rs
@@ -18,6 +18,7 @@
 
 const READY_TIME: Duration = Duration::from_secs(20);
 const CHATS: u32 = 12;
+const NEW_CHATS: u32 = 60;
 
 async fn until(mut met: impl FnMut() -> bool) {
     let waiting = async {
@@ -149,3 +150,44 @@
     }
     close(outside, routers);
 }
+
+/// A new chat asks any router where to go. Sent to the owner of the engine on which it will start, its first request
+/// costs no message between routers; sent elsewhere, each new chat would cost a reservation.
+#[tokio::test]
+async fn an_entry_answer_for_a_chat_names_the_owner_of_its_engine() {
+    let plan = Plan::default().with_engines(18).with_tokens(2, Duration::ZERO);
+    let (outside, mut routers) = start(1, plan).await;
+    let seeds = [routers[0].peer_addr()];
+    let listener = loopback().unwrap();
+    let peer = "127.0.0.1:0".parse().unwrap();
+    let text = settings("router-1", listener.local_addr().unwrap(), peer, outside.platform_addr(), &seeds);
+    routers.push(Running::start_on(&Settings::parse(&text).unwrap(), listener).unwrap());
+    until(|| routers[1].gateway().catalog().has_workspace(WORKSPACES[2])).await;
+    let first = async |from: &Running, chat: &str| {
+        let url =
+            format!("http://{}/v1/entry?key={chat}&workspace={}&model={MODEL}", from.addr(), WORKSPACES[0]);
+        let (_, answer) = Client::default().json(http::Method::GET, &url, None, READY_TIME).await.unwrap();
+        answer["addresses"][0].as_str().unwrap_or_default().to_owned()
+    };
+    // An engine that stands above the mean passes a new chat on, also to one of another owner.
+    let agreed = async {
+        loop {
+            let (mut same, mut owned) = (0, 0);
+            for chat in (0..NEW_CHATS).map(|i| format!("chat-{i}")) {
+                let told = first(&routers[0], &chat).await;
+                let (_, _, owner) = ask(&routers[1], &chat, "").await;
+                same += u32::from(told == first(&routers[1], &chat).await);
+                owned += u32::from(told == owner);
+            }
+            if same == NEW_CHATS && owned * 10 >= NEW_CHATS * 8 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+
+    let met = tokio::time::timeout(READY_TIME, agreed).await;
+
+    assert!(met.is_ok(), "entry answers and owners did not come to agree");
+    close(outside, routers);
+}
