Prove over processes that a save runs at most once while routers die and the platform flaps

Twelve callers save without pause, under keys of their own and under tickets, and resend to the next router whatever does not read as run. Three times over, a router is killed and comes back under its name, the services lose answers after the run, and the platform loses answers after writing and goes down until some save was refused for good. The backend servers' records must show no key twice, none that was told not-run at the end, and each told ran.

--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -23,6 +23,7 @@
     hint: String,
     turns: usize,
     addresses: Vec<SocketAddr>,
+    timeout: Duration,
 }
 
 /// A caller's view of one answer.
@@ -46,9 +47,20 @@
             hint: String::new(),
             turns: 0,
             addresses,
+            timeout: TIMEOUT,
         }
     }
 
+    /// Sets the longest time from a request to the end of its answer.
+    pub fn with_timeout(self, timeout: Duration) -> Self {
+        Self { timeout, ..self }
+    }
+
+    /// Uses these addresses from now on.
+    pub fn set_addresses(&mut self, addresses: Vec<SocketAddr>) {
+        self.addresses = addresses;
+    }
+
     /// Asks the first router that answers which addresses to use.
     ///
     /// # Errors
@@ -108,11 +120,22 @@
     /// # Errors
     /// When no whole answer came, so that the outcome is not known.
     pub async fn save(&self, addr: SocketAddr, key: &str) -> Result<Answer> {
-        let req = Request::post(format!("http://{addr}/services/{SERVICE}/progress"))
+        self.try_save(addr, key, false).await
+    }
+
+    /// Like [`Caller::save`]; `first` states that no earlier attempt under the key may have run.
+    ///
+    /// # Errors
+    /// When no whole answer came, so that the outcome is not known.
+    pub async fn try_save(&self, addr: SocketAddr, key: &str, first: bool) -> Result<Answer> {
+        let mut req = Request::post(format!("http://{addr}/services/{SERVICE}/progress"))
             .header("content-type", "application/json")
             .header("x-workspace", &self.workspace)
-            .header("idempotency-key", key)
-            .body(Full::new(Bytes::from(format!("{{\"save\":{key:?}}}"))))?;
+            .header("idempotency-key", key);
+        if first {
+            req = req.header("x-first-attempt", "true");
+        }
+        let req = req.body(Full::new(Bytes::from(format!("{{\"save\":{key:?}}}"))))?;
         Ok(self.send(req).await?.1)
     }
 
@@ -139,6 +162,6 @@
             let answer = Answer { status: head.status.as_u16(), outcome, body };
             Ok((head, answer))
         };
-        tokio::time::timeout(TIMEOUT, work).await.context("no answer in time")?
+        tokio::time::timeout(self.timeout, work).await.context("no answer in time")?
     }
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -232,6 +232,6 @@
 
     assert!(out.status.success(), "{}", text(&out.stderr));
     let routers = &mut fleet.routers;
-    assert!(routers[0].wait(), "it ends by itself without an error");
+    assert_eq!(routers[0].wait(), Some(0), "it ends by itself without an error");
     fleet.outside.close();
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,12 +1,26 @@
 //! Real router processes on loopback, before stand-ins of the outside systems.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use cranberrytally::standin::{
-    caller::{Answer, Caller},
-    outside::{Outside, Plan, WORKSPACES},
+use cranberrytally::{
+    client::Client,
+    standin::{
+        caller::{Answer, Caller},
+        outside::{Outside, Plan, WORKSPACES},
+        platform::Faults,
+        service,
+    },
 };
-use tokio::sync::watch;
+use http::Method;
+use tokio::{sync::watch, task::JoinSet};
 
 #[path = "support/process.rs"]
 mod process;
@@ -16,6 +30,14 @@
 const CHATS: usize = 24;
 const TURNS: usize = 4;
 const TRIES: usize = 200;
+/// A guard that ends a test which hangs; nothing is measured by it.
+const PATIENCE: Duration = Duration::from_secs(120);
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for a save's answer; a router asks two others for a claim before it refuses.
+const SAVE_TIME: Duration = Duration::from_secs(6);
+/// Callers that save, and attempts of theirs between two faults.
+const SAVERS: usize = 12;
+const ATTEMPTS: usize = 60;
 
 fn start_three(platform: SocketAddr) -> Vec<Router> {
     let first = Router::start("r0", platform, &[]);
@@ -24,11 +46,194 @@
     std::iter::once(first).chain(rest.collect::<Vec<_>>()).collect()
 }
 
+fn addresses(routers: &[Router]) -> Vec<SocketAddr> {
+    routers.iter().map(|r| r.addr).collect()
+}
+
+/// Addresses that a router names to callers.
+async fn named(router: SocketAddr) -> Vec<SocketAddr> {
+    let mut asker = Caller::new(WORKSPACES[0], "asker", vec![router]).with_timeout(PATIENCE);
+    match asker.enter().await {
+        Ok(()) => asker.addresses()[..asker.addresses().len() - 1].to_vec(),
+        Err(_) => Vec::new(),
+    }
+}
+
+async fn until(what: &str, done: impl AsyncFn() -> bool) {
+    let work = async {
+        while !done().await {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, work).await.unwrap_or_else(|_| panic!("{what} did not come about"));
+}
+
+/// Waits until each router names all.
+async fn until_met(routers: &[Router]) {
+    for r in routers {
+        until("a fleet that has met", async || named(r.addr).await.len() == routers.len()).await;
+    }
+}
+
 /// One answer of a chat, whole and its own, however many routers it took.
 async fn turn(caller: &mut Caller) -> Answer {
     caller.turn(TRIES).await.unwrap()
 }
 
+/// Callers that save under one new key after another, from the first answer on until they are told to stop.
+struct Savers {
+    tasks: JoinSet<BTreeMap<String, String>>,
+    attempts: Arc<AtomicUsize>,
+    not_run: Arc<AtomicUsize>,
+    stop: watch::Sender<bool>,
+    addresses: watch::Sender<Vec<SocketAddr>>,
+}
+
+impl Savers {
+    fn start(routers: &[Router]) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let (addresses, known) = watch::channel(addresses(routers));
+        let (attempts, not_run) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let mut tasks = JoinSet::new();
+        for n in 0..SAVERS {
+            let (stopped, known) = (stopped.clone(), known.clone());
+            let (attempts, not_run) = (attempts.clone(), not_run.clone());
+            tasks.spawn(async move {
+                let mut told = BTreeMap::new();
+                while !*stopped.borrow() {
+                    let own = format!("own-{n}-{}", told.len());
+                    let key = if n % 2 == 0 { own } else { ticketed(&known, n, own).await };
+                    let outcome = settle(n, &known, &attempts, &key).await;
+                    not_run.fetch_add(usize::from(outcome == "not-run"), Ordering::Relaxed);
+                    told.insert(key, outcome);
+                }
+                told
+            });
+        }
+        Self { tasks, attempts, not_run, stop, addresses }
+    }
+
+    /// Waits until some more attempts were answered or given up.
+    async fn go_on(&self) {
+        let from = self.attempts.load(Ordering::Relaxed);
+        until("more attempts", async || self.attempts.load(Ordering::Relaxed) >= from + ATTEMPTS).await;
+    }
+
+    /// Waits until one more save was told "not run" for good.
+    async fn refused(&self) {
+        let from = self.not_run.load(Ordering::Relaxed);
+        until("a refused save", async || self.not_run.load(Ordering::Relaxed) > from).await;
+    }
+
+    /// Final outcome of each key.
+    async fn finish(self) -> BTreeMap<String, String> {
+        self.stop.send(true).unwrap();
+        let all = tokio::time::timeout(PATIENCE, self.tasks.join_all()).await.expect("the callers end");
+        all.into_iter().flatten().collect()
+    }
+}
+
+/// A key under a router's ticket, or the caller's own when no router answers.
+async fn ticketed(known: &watch::Receiver<Vec<SocketAddr>>, n: usize, own: String) -> String {
+    let addrs = known.borrow().clone();
+    let url = format!("http://{}/v1/key-ticket", addrs[n % addrs.len()]);
+    match Client::default().json(Method::GET, &url, None, Duration::from_secs(3)).await {
+        Ok((200, body)) => format!("{}.{own}", body["ticket"].as_str().unwrap()),
+        _ => own,
+    }
+}
+
+/// Sends one save to one router after another until it is settled; returns the last outcome told. Every third caller
+/// takes a first "not run" as final.
+async fn settle(
+    n: usize,
+    known: &watch::Receiver<Vec<SocketAddr>>,
+    attempts: &AtomicUsize,
+    key: &str,
+) -> String {
+    let caller = Caller::new(WORKSPACES[0], "saver", Vec::new()).with_timeout(SAVE_TIME);
+    let (mut first, mut last) = (true, String::new());
+    for i in 0..TRIES {
+        let addrs = known.borrow().clone();
+        let answer = caller.try_save(addrs[(n + i) % addrs.len()], key, first).await;
+        attempts.fetch_add(1, Ordering::Relaxed);
+        let body = answer.as_ref().map_or("", |a| a.body.as_str());
+        let settled = body.contains("key_unknown") || body.contains("key_expired");
+        last = answer.as_ref().map_or("unknown", |a| a.outcome.as_str()).to_owned();
+        first &= last == "not-run";
+        if last == "ran" || settled || (first && n.is_multiple_of(3)) {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    last
+}
+
+/// Has the services lose some answers after the run, and answer late enough that a fault meets saves which have run.
+fn trouble_services(outside: &Outside) {
+    for s in &outside.services {
+        s.set_faults(service::Faults { late_ms: 30, cut_answers: 3, ..service::Faults::default() });
+    }
+}
+
+/// Holds the callers' last words against the backend servers' records.
+fn assert_at_most_once(outside: &Outside, told: &BTreeMap<String, String>) {
+    let count = |outcome: &str| told.values().filter(|o| *o == outcome).count();
+    println!(
+        "{} keys: {} ran, {} not-run, {} unknown",
+        told.len(),
+        count("ran"),
+        count("not-run"),
+        count("unknown")
+    );
+    assert_eq!(outside.doubled(), [""; 0]);
+    let ran: BTreeSet<_> = outside.services.iter().flat_map(|s| s.runs().into_keys()).collect();
+    let told_wrong = |(key, outcome): &(&String, &String)| match outcome.as_str() {
+        "not-run" => ran.contains(*key),
+        "ran" => !ran.contains(*key),
+        _ => false,
+    };
+    assert_eq!(told.iter().find(told_wrong), None);
+    assert!(count("ran") > SAVERS, "{told:?}");
+}
+
+/// Travellers' streaks are saved on a bad day: routers die and come back one after the other, and the platform goes
+/// down and loses answers after writing. Order: a kill or a flap after each few dozen attempts, callers resend to other
+/// routers whatever reads unknown. Cause of a double save: a claim that a dead or ill-informed router didn't share.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_save_runs_at_most_once_while_routers_die_and_the_platform_flaps() {
+    let outside = Outside::start(Plan::default().with_engines(1)).await.unwrap();
+    let platform = outside.platform_addr();
+    let mut routers = start_three(platform);
+    until_met(&routers).await;
+    let savers = Savers::start(&routers);
+
+    for round in 0..3 {
+        trouble_services(&outside);
+        savers.go_on().await;
+        outside.platform.set_faults(Faults { lose_answers: 5, ..Faults::default() });
+        savers.go_on().await;
+        routers[round].kill();
+        savers.go_on().await;
+        let seeds: Vec<_> = routers.iter().map(|r| r.peer).collect();
+        routers[round] = Router::start(&format!("r{round}"), platform, &seeds);
+        savers.addresses.send_replace(addresses(&routers));
+        savers.go_on().await;
+        outside.platform.set_faults(Faults { down: true, ..Faults::default() });
+        outside.platform.drop_watches();
+        savers.go_on().await;
+        savers.refused().await;
+        outside.platform.set_faults(Faults { lose_answers: 5, ..Faults::default() });
+        savers.go_on().await;
+    }
+    let told = savers.finish().await;
+
+    assert_at_most_once(&outside, &told);
+    assert!(told.values().any(|o| o == "not-run"), "nobody was told not-run: {told:?}");
+    drop(routers);
+    outside.close();
+}
+
 /// A traveller's chat goes on while the host of its router fails: the stream is cut, the caller asks the next
 /// address, and gets the whole answer there. Order: every chat has had its first answer, one of three routers is
 /// killed, the chats go on. Cause: a host lost without warning.
@@ -37,7 +242,7 @@
     let plan = Plan::default().with_tokens(8, Duration::from_millis(2));
     let outside = Outside::start(plan).await.unwrap();
     let mut routers = start_three(outside.platform_addr());
-    let addresses: Vec<_> = routers.iter().map(|r| r.addr).collect();
+    let addresses = addresses(&routers);
     let (warm, mut warmed) = tokio::sync::mpsc::channel(CHATS);
     let (go, gone) = watch::channel(false);
     let chats: Vec<_> = (0..CHATS)
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -7,9 +7,11 @@
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, Output, Stdio},
 };
 
+use rustix::process::{Pid, Signal, kill_process};
+
 use cranberrytally::standin::outside::settings;
 
 /// A router process; dropping it kills it.
@@ -48,6 +50,12 @@
         self.child.id()
     }
 
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).unwrap();
+    }
+
     /// Kills the process at once, as when its host fails.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -62,9 +70,9 @@
         self.file.to_str().unwrap()
     }
 
-    /// Waits until the process ends by itself; returns whether it ended well.
-    pub fn wait(&mut self) -> bool {
-        self.child.wait().unwrap().success()
+    /// Waits until the process ends by itself; returns its exit code, `None` when a signal ended it.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
     }
 }
 
@@ -74,3 +82,8 @@
         let _ = fs::remove_file(&self.file);
     }
 }
+
+/// Runs an operator's command to its end.
+pub fn command(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_cranberrytally")).args(args).output().unwrap()
+}
