Prove over processes that routers leave under load and cut nothing

Nine chats stream answers of seven seconds through three routers, one try a turn; one router gets SIGTERM, another the drain command. Each stream is whole, no turn is refused, the others stop naming the one that leaves, exit code 0.

Nine chats and not 24, the first arrangement, because of a fault that is open: with 24 long chats on nine engines of capacity 8 a returning chat is refused its cached engine again and again (cached_refused rises by some five a second at one router) and waits until its deadline, so that a router that leaves does not end for a minute and the turn gets deadline_unmeetable.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -20,6 +20,7 @@
     },
 };
 use http::Method;
+use rustix::process::Signal;
 use tokio::{sync::watch, task::JoinSet};
 
 #[path = "support/process.rs"]
@@ -28,6 +29,8 @@
 use process::Router;
 
 const CHATS: usize = 24;
+/// Chats that stream at the same time while a router or an engine leaves; one an engine.
+const STREAMS: usize = 9;
 const TURNS: usize = 4;
 const TRIES: usize = 200;
 /// A guard that ends a test which hangs; nothing is measured by it.
@@ -38,6 +41,8 @@
 /// Callers that save, and attempts of theirs between two faults.
 const SAVERS: usize = 12;
 const ATTEMPTS: usize = 60;
+/// Answers that last longer than a router that leaves waits for callers with old addresses.
+const LONG: usize = 700;
 
 fn start_three(platform: SocketAddr) -> Vec<Router> {
     let first = Router::start("r0", platform, &[]);
@@ -234,6 +239,91 @@
     outside.close();
 }
 
+/// Chats that go on, asking for addresses before each turn and trying once, until it is told to stop.
+struct Chats {
+    tasks: JoinSet<usize>,
+    answered: Arc<AtomicUsize>,
+    stop: watch::Sender<bool>,
+}
+
+impl Chats {
+    fn start(tokens: usize, routers: &[Router]) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let answered = Arc::new(AtomicUsize::new(0));
+        let mut tasks = JoinSet::new();
+        for i in 0..STREAMS {
+            let mut addrs = addresses(routers);
+            addrs.rotate_left(i % routers.len());
+            let (stopped, answered) = (stopped.clone(), answered.clone());
+            tasks.spawn(async move {
+                let mut caller =
+                    Caller::new(WORKSPACES[0], &format!("chat-{i}"), addrs).with_timeout(PATIENCE);
+                let mut turns = 0;
+                while !*stopped.borrow() {
+                    caller.enter().await.unwrap();
+                    let answer = caller.turn(1).await.unwrap();
+                    assert!(caller.whole(&answer, tokens), "{answer:?}");
+                    answered.fetch_add(1, Ordering::Relaxed);
+                    turns += 1;
+                }
+                turns
+            });
+        }
+        Self { tasks, answered, stop }
+    }
+
+    /// Waits until as many more answers were read as there are chats.
+    async fn go_on(&self) {
+        let from = self.answered.load(Ordering::Relaxed);
+        until("more answers", async || self.answered.load(Ordering::Relaxed) >= from + STREAMS).await;
+    }
+
+    /// Fails when a chat did.
+    async fn finish(self) -> usize {
+        self.stop.send(true).unwrap();
+        self.tasks.join_all().await.into_iter().sum()
+    }
+}
+
+/// Waits until the others don't name a router that leaves, and until it has ended by itself; returns its exit code.
+async fn left(mut leaving: Router, others: &[Router]) -> Option<i32> {
+    for r in others {
+        until("its leaving", async || !named(r.addr).await.contains(&leaving.addr)).await;
+    }
+    let ended = tokio::task::spawn_blocking(move || leaving.wait());
+    tokio::time::timeout(PATIENCE, ended).await.expect("it ends by itself").unwrap()
+}
+
+/// Hosts are replaced at noon, first by a signal, then by an operator's command, while chats stream through all
+/// routers. A guest must not see a cut stream or a refusal. Cause of one: a router that ends while an answer streams,
+/// or while other routers or callers' kept answers still name it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn routers_leave_under_load_and_cut_nothing() {
+    let plan = Plan::default().with_tokens(LONG, Duration::from_millis(10));
+    let outside = Outside::start(plan).await.unwrap();
+    let mut routers = start_three(outside.platform_addr());
+    until_met(&routers).await;
+    let chats = Chats::start(LONG, &routers);
+
+    chats.go_on().await;
+    let terminated = routers.remove(1);
+    terminated.signal(Signal::TERM);
+    let by_signal = left(terminated, &routers).await;
+    chats.go_on().await;
+    let drained = routers.remove(1);
+    let (addr, settings) = (drained.addr.to_string(), drained.settings().to_owned());
+    let told = tokio::task::spawn_blocking(move || process::command(&["drain", &addr, "-c", &settings]));
+    assert!(told.await.unwrap().status.success());
+    let by_command = left(drained, &routers).await;
+    chats.go_on().await;
+
+    let answered = chats.finish().await;
+    println!("{answered} answers, all whole");
+    assert_eq!((by_signal, by_command), (Some(0), Some(0)));
+    drop(routers);
+    outside.close();
+}
+
 /// A traveller's chat goes on while the host of its router fails: the stream is cut, the caller asks the next
 /// address, and gets the whole answer there. Order: every chat has had its first answer, one of three routers is
 /// killed, the chats go on. Cause: a host lost without warning.
