Prove over processes that a leaving engine finishes its streams and gets no more

Nine chats run, one of nine engines reports that it leaves; its answers end whole and four further rounds of answers bring it no request.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -14,6 +14,7 @@
     client::Client,
     standin::{
         caller::{Answer, Caller},
+        engine,
         outside::{Outside, Plan, WORKSPACES},
         platform::Faults,
         service,
@@ -324,6 +325,38 @@
     outside.close();
 }
 
+/// An operator takes a backend server away while answers stream from it. Guests must get them whole, and no later
+/// chat may go there. Order: chats run, the engine reports that it leaves, its running answers end. Cause of a loss:
+/// a router that cuts what runs there, or one that has not heard and sends more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leaving_engine_finishes_its_streams_and_gets_no_more() {
+    const TOKENS: usize = 100;
+    let plan = Plan::default().with_tokens(TOKENS, Duration::from_millis(10));
+    let outside = Outside::start(plan).await.unwrap();
+    let routers = start_three(outside.platform_addr());
+    until_met(&routers).await;
+    let chats = Chats::start(TOKENS, &routers);
+    let leaving = &outside.engines[0];
+    until("work on the engine", async || leaving.running() > 0).await;
+
+    leaving.set_faults(engine::Faults { leaving: true, ..engine::Faults::default() });
+    until("the end of its answers", async || {
+        let (before, idle) = (leaving.counts().0, leaving.running() == 0);
+        chats.go_on().await;
+        idle && leaving.counts().0 == before && leaving.running() == 0
+    })
+    .await;
+    let got = leaving.counts().0;
+    for _ in 0..TURNS {
+        chats.go_on().await;
+    }
+
+    assert_eq!(leaving.counts().0, got, "new work for an engine that leaves");
+    println!("{} answers, all whole", chats.finish().await);
+    drop(routers);
+    outside.close();
+}
+
 /// A traveller's chat goes on while the host of its router fails: the stream is cut, the caller asks the next
 /// address, and gets the whole answer there. Order: every chat has had its first answer, one of three routers is
 /// killed, the chats go on. Cause: a host lost without warning.
