Prove over processes that a frozen router wakes up and does no harm

The router that gives the orders is stopped by SIGSTOP until another has taken its lease over and changed the models, then goes on, while callers save without pause. No key ran twice, and no engine, none of which checks, saw a lower fencing number after a higher one.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -12,6 +12,7 @@
 
 use cranberrytally::{
     client::Client,
+    platform::Platform,
     standin::{
         caller::{Answer, Caller},
         engine,
@@ -357,6 +358,64 @@
     outside.close();
 }
 
+/// States the model that the pool's engines shall hold.
+async fn state(outside: &Outside, model: &str) {
+    let mut pool = Platform::new(outside.platform_addr()).get("EnginePool", "models").await.unwrap().unwrap();
+    pool.spec["models"] = serde_json::json!([model]);
+    outside.platform.put(pool).unwrap();
+}
+
+/// Waits until each engine was last told to hold just this model.
+async fn until_ordered(outside: &Outside, model: &str) {
+    until("the orders for a model", async || {
+        outside.engines.iter().all(|e| e.orders().last().is_some_and(|(_, order)| order.models == [model]))
+    })
+    .await;
+}
+
+/// The router that gives the orders, by the lease in the platform.
+async fn holder(outside: &Outside) -> usize {
+    let lease = Platform::new(outside.platform_addr()).get("Lease", "pool-models").await.unwrap().unwrap();
+    let name = lease.spec["holder"].as_str().unwrap().split('/').next().unwrap().to_owned();
+    name.trim_start_matches('r').parse().unwrap()
+}
+
+/// A host stands still for longer than its lease and then goes on, unaware. Callers resent their saves elsewhere, and
+/// another router changed the engines' models. Cause of a double save or of models that go back: the woken process acts
+/// on the requests in its sockets, the claims and the lease that it had. These engines don't check fencing numbers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_frozen_router_wakes_up_and_does_no_harm() {
+    let outside = Outside::start(Plan::default().with_engines(3)).await.unwrap();
+    let routers = start_three(outside.platform_addr());
+    until_met(&routers).await;
+    state(&outside, "m@1").await;
+    until_ordered(&outside, "m@1").await;
+    trouble_services(&outside);
+    let savers = Savers::start(&routers);
+    savers.go_on().await;
+
+    let frozen = holder(&outside).await;
+    routers[frozen].signal(Signal::STOP);
+    state(&outside, "m@2").await;
+    until_ordered(&outside, "m@2").await;
+    assert_ne!(holder(&outside).await, frozen);
+    savers.go_on().await;
+    routers[frozen].signal(Signal::CONT);
+    savers.go_on().await;
+    state(&outside, "m@3").await;
+    until_ordered(&outside, "m@3").await;
+    savers.go_on().await;
+    let told = savers.finish().await;
+
+    assert_at_most_once(&outside, &told);
+    for engine in &outside.engines {
+        let orders = engine.orders();
+        assert!(orders.is_sorted_by_key(|(fencing, _)| *fencing), "{orders:?}");
+    }
+    drop(routers);
+    outside.close();
+}
+
 /// A traveller's chat goes on while the host of its router fails: the stream is cut, the caller asks the next
 /// address, and gets the whole answer there. Order: every chat has had its first answer, one of three routers is
 /// killed, the chats go on. Cause: a host lost without warning.
