--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -96,7 +96,7 @@
 
     assert!(sent.success());
     assert!(turn.await.unwrap(), "the answer was cut");
-    assert!(ended.await.unwrap(), "the process ended badly");
+    assert_eq!(ended.await.unwrap(), Some(0), "the process ended badly");
     outside.close();
 }
 
