Keep a seed listed that answered once, until the membership knows the routers

By reading: a seed that is late in one round of pings was left out of the peers, while the others don't list anybody yet, so that nobody named it.

--- a/src/follow/seeds.rs
+++ b/src/follow/seeds.rs
@@ -1,6 +1,6 @@
 //! Asks the settings' seeds for their versions until the membership knows the other routers.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 
@@ -17,12 +17,15 @@
 /// Asks all seeds, again and again, until [`Shared::set_peers`] is called.
 ///
 /// Guards against a restart while the platform is down: gossip takes a while to tell who is there, and an answer of one
-/// seed tells the fleet's version at once.
+/// seed tells the fleet's version at once. A seed that answered once stays listed: were one that is late this time left
+/// out, `apply --wait` would for a moment not wait for it and still report success.
 pub(super) async fn ask(shared: Arc<Shared>, seeds: Vec<SocketAddr>) {
+    let mut known = BTreeMap::new();
     while !seeds.is_empty() && !shared.state().has_members {
         let answers = join_all(seeds.iter().map(|seed| version_of(&shared, *seed))).await;
         let answered: Vec<_> = answers.into_iter().flatten().collect();
-        let peers = answered.iter().map(|(peer, _)| peer.clone()).collect();
+        known.extend(answered.iter().map(|(peer, _)| (peer.name.clone(), peer.clone())));
+        let peers = known.values().cloned().collect();
         {
             let mut state = shared.state();
             if state.has_members {
