--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -16,6 +16,7 @@
 use super::Run;
 use crate::{
     config::Settings,
+    logs,
     metrics::Counter,
     serve::Running,
     standin::{
@@ -49,6 +50,7 @@
 
 impl Run for Demo {
     fn run(&self) -> Result<ExitCode> {
+        logs::start("error", "text")?;
         let rt = tokio::runtime::Runtime::new().context("could not start the runtime")?;
         rt.block_on(demo(self.chats))
     }
