Drain under a load that fills the engines

Cause: the proof of routers that leave under load used 9 chats, since 24 chats of 7 s on 9 engines stalled: returning chats were refused their engine over and over and a leaving router still waited 40 s after SIGTERM. Excluded: the drain itself. Change: the proof uses 24 chats, so that it pins the fault.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -32,7 +32,7 @@
 
 const CHATS: usize = 24;
 /// Chats that stream at the same time while a router or an engine leaves; one an engine.
-const STREAMS: usize = 9;
+const STREAMS: usize = 24;
 const TURNS: usize = 4;
 const TRIES: usize = 200;
 /// A guard that ends a test which hangs; nothing is measured by it.
