--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -31,7 +31,7 @@
 use process::Router;
 
 const CHATS: usize = 24;
-/// Chats that stream at the same time while a router or an engine leaves; one an engine.
+/// Chats that stream at the same time while a router or an engine leaves; nearly three an engine.
 const STREAMS: usize = 24;
 const TURNS: usize = 4;
 const TRIES: usize = 200;
