Lock in one way

Cause: the same lock that outlives a panicked thread stood as a function in four files and written out in five more. Change: util::lock and util::read serve all of them.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -17,7 +17,7 @@
     platform::{Platform, Version, calls::Rates},
     revision::{Action, Bad, Follower, Member, State},
     schema::configuration::{Delta, Fetch},
-    util::{Instant, Map, now},
+    util::{Instant, Map, lock, now},
 };
 
 mod seeds;
@@ -277,10 +277,10 @@
     }
 
     fn watch_task(&self) -> MutexGuard<'_, Option<JoinHandle<()>>> {
-        self.watch.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.watch)
     }
 
     fn state(&self) -> MutexGuard<'_, Decisions> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.state)
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard,
+        Arc, Mutex, RwLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -34,7 +34,7 @@
         suspect::{Digest, Noted},
     },
     stream::token::TokenKey,
-    util::{now, random_id},
+    util::{lock, now, random_id, read},
 };
 
 use admit::{Admission, Entered};
@@ -334,11 +334,3 @@
     let first = header(req.headers(), "x-first-attempt") == Some("true");
     req.headers().contains_key("idempotency-key") && !first
 }
-
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
-
-fn read<T>(m: &RwLock<T>) -> RwLockReadGuard<'_, T> {
-    m.read().unwrap_or_else(|e| e.into_inner())
-}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{SocketAddr, UdpSocket as StdSocket},
-    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
+    sync::{Arc, Mutex, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -18,7 +18,7 @@
     member::{Event, GossipKey, HEAD_BYTES, MAX_BYTES, MemberConfig, Membership, Output, Record, Status},
     metrics::{Counter, Metrics},
     probe::{EngineSpec, PROBE_BYTES, Probe, ProbeConfig, Seen},
-    util::{now, wall_ms},
+    util::{lock, now, wall_ms},
 };
 
 mod notes;
@@ -211,7 +211,3 @@
         self.with(|m| m.engines.probed(now(), &probe.engine, seen));
     }
 }
-
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
--- a/src/link.rs
+++ b/src/link.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     schema::link::{Frame, Refused, frame::Body},
-    util::Map,
+    util::{Map, lock},
 };
 
 const MAX_FRAME: usize = 4 << 20;
@@ -221,10 +221,6 @@
     }
 }
 
-fn lock<T>(m: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Side {
     Opener,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -14,7 +14,12 @@
 use http::Method;
 use rand::Rng;
 
-use crate::{catalog::AnyObject, client::Client, metrics::Metrics, util::now};
+use crate::{
+    catalog::AnyObject,
+    client::Client,
+    metrics::Metrics,
+    util::{lock, now},
+};
 
 pub mod backoff;
 pub mod bucket;
@@ -274,6 +279,6 @@
     }
 
     fn limiter(&self) -> MutexGuard<'_, Limiter> {
-        self.limiter.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.limiter)
     }
 }
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -10,7 +10,7 @@
 use crate::{
     claim::SHARDS,
     metrics::{Counter, Metrics},
-    util::Instant,
+    util::{Instant, lock},
 };
 
 /// Classes of call that the platform limits separately.
@@ -223,6 +223,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<(Class, Outcome), u64>> {
-        self.calls.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.calls)
     }
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -18,7 +18,7 @@
     engine::{CHAT, FENCING, Fencing, OUTCOME, REQUEST_ID, WORKSPACE},
     http::{Handler, Reply, body_channel},
     schema::engine::{Load, Order},
-    util::random_id,
+    util::{lock, random_id},
 };
 
 mod answers;
@@ -271,7 +271,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.state)
     }
 }
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -16,7 +16,7 @@
     catalog::AnyObject,
     http::{Handler, Reply, body_channel},
     platform::{Collection, Event, MAX_VALUE, PREFIX, Version},
-    util::now,
+    util::{lock, now},
 };
 
 mod faults;
@@ -233,11 +233,11 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.state)
     }
 
     fn trouble(&self) -> MutexGuard<'_, Trouble> {
-        self.trouble.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.trouble)
     }
 }
 
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -1,11 +1,6 @@
 //! Stand-in for a plain service that records every run by idempotency key, and fails as told.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::{Mutex, MutexGuard},
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Mutex, time::Duration};
 
 use bytes::Bytes;
 use http::Request;
@@ -13,6 +8,7 @@
 use crate::{
     engine::OUTCOME,
     http::{Handler, Reply, body_channel},
+    util::lock,
 };
 
 /// What a service can be told to do wrong; the default does nothing wrong.
@@ -62,10 +58,6 @@
     }
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 impl Handler for ServiceStandin {
     async fn handle(&self, req: Request<Bytes>, _peer: SocketAddr) -> Reply {
         // A router's probe is no run.
--- a/src/util.rs
+++ b/src/util.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     hash::{BuildHasher, Hash},
+    sync::{Mutex, MutexGuard, RwLock, RwLockReadGuard},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -39,3 +40,13 @@
 pub fn random_id() -> String {
     format!("{:016x}", rand::random::<u64>())
 }
+
+/// Locks; a thread that panicked while it held the lock stops nobody else.
+pub(crate) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Locks for reading, as [`lock`] does.
+pub(crate) fn read<T>(m: &RwLock<T>) -> RwLockReadGuard<'_, T> {
+    m.read().unwrap_or_else(|e| e.into_inner())
+}
