Move the client of the object API out of src/platform

Cause: src/platform is the folder of the adapter to the users' platform; the client of our own object API is generic. Change: src/platform moves to src/objects, imports follow.

--- a/benches/claims/world.rs
+++ b/benches/claims/world.rs
@@ -17,8 +17,8 @@
         shard::{SHARD_KIND, Shard, read_archive},
     },
     client::Failure,
+    objects::Write,
     outcome::{AfterDispatch, Undispatched, Unsent},
-    platform::Write,
 };
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
--- a/benches/configuration.rs
+++ b/benches/configuration.rs
@@ -11,7 +11,7 @@
 
 use cranberrytally::{
     catalog::{AnyObject, Catalog, Object},
-    platform::{Event, List},
+    objects::{Event, List},
     revision::{Store, check, holder},
     schema::object::Meta,
 };
--- a/benches/configuration/model.rs
+++ b/benches/configuration/model.rs
@@ -12,7 +12,7 @@
 
 use cranberrytally::{
     catalog::{AnyObject, Object},
-    platform::{Event, List, Version},
+    objects::{Event, List, Version},
     revision::{Action, Follower, Member},
     schema::{
         configuration::{Delta, Fetch},
--- a/src/claim/book.rs
+++ b/src/claim/book.rs
@@ -10,7 +10,7 @@
     Ask, AttemptId, Clock, Entry, KeyDigest, Record, Verdict, WallMs,
     shard::{self, Shard},
 };
-use crate::{catalog::AnyObject, platform::Write, schema::claim::ClaimArchiveRef, util::Instant, util::Map};
+use crate::{catalog::AnyObject, objects::Write, schema::claim::ClaimArchiveRef, util::Instant, util::Map};
 
 mod merge;
 mod plan;
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -19,7 +19,7 @@
 use crate::{
     catalog::AnyObject,
     client::Client,
-    platform::{Platform, Version, Write},
+    objects::{Platform, Version, Write},
     revision::check,
 };
 
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 
 use super::{Run, Usage, remote};
-use crate::{catalog::AnyObject, platform::CONFIGURATION_KINDS};
+use crate::{catalog::AnyObject, objects::CONFIGURATION_KINDS};
 
 /// Shows objects as the platform has them.
 #[derive(Debug, Options)]
--- a/src/cmd/remote.rs
+++ b/src/cmd/remote.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, Result, bail, ensure};
 use http::Method;
 
-use crate::{client::Client, operate::Status, platform::Platform};
+use crate::{client::Client, objects::Platform, operate::Status};
 
 /// Exit codes of commands, from the best to the worst outcome; docs/OPERATORS.md lists them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -14,7 +14,7 @@
     config::Settings,
     gateway::Gateway,
     link::Links,
-    platform::{Platform, Version, calls::Rates},
+    objects::{Platform, Version, calls::Rates},
     revision::{Action, Bad, Follower, Member, State},
     schema::configuration::{Delta, Fetch},
     util::{Instant, Map, lock, now},
--- a/src/follow/tasks.rs
+++ b/src/follow/tasks.rs
@@ -5,7 +5,7 @@
 use super::Shared;
 use crate::{
     link::Links,
-    platform::{Version, Watched},
+    objects::{Version, Watched},
     schema::{
         configuration::{Delta, Fetch},
         link::frame::Body,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,8 +23,8 @@
     http::{Handler, Reply, UNREAD_BODY},
     link::{LinkKey, Links},
     metrics::Metrics,
+    objects::Platform,
     place::hint::HintKey,
-    platform::Platform,
     probe::{EngineView, State},
     retry::{Avoid, Budget, Policy},
     schema::{
--- a/src/gateway/claim.rs
+++ b/src/gateway/claim.rs
@@ -23,7 +23,7 @@
         ticket::{TicketKey, is_fresh},
     },
     metrics::{Counter, Metrics},
-    platform::Platform,
+    objects::Platform,
     schema::{
         claim::{ClaimAnswer, ClaimCall, ClaimFinish, ClaimRelease, Decision, KeyTicket, claim_call::Call},
         link::frame::Body,
--- a/src/gateway/claim/closed.rs
+++ b/src/gateway/claim/closed.rs
@@ -7,7 +7,7 @@
     catalog::Object,
     claim::ticket::TICKET_USE,
     gateway::lock,
-    platform::Platform,
+    objects::Platform,
     schema::{claim::ClaimTicket, object::Meta},
     util::{Instant, Map, now, wall_ms},
 };
--- a/src/gateway/claim/desk.rs
+++ b/src/gateway/claim/desk.rs
@@ -14,7 +14,7 @@
         shard::{ARCHIVE_KIND, SHARD_KIND},
     },
     gateway::lock,
-    platform::Platform,
+    objects::Platform,
     util::Map,
 };
 
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     catalog::{AnyObject, Object},
-    platform::Version,
+    objects::Version,
     schema::{lease::LeaseSpec, object::Meta},
 };
 
--- a/src/lease/acquiring.rs
+++ b/src/lease/acquiring.rs
@@ -1,7 +1,7 @@
 //! Takes a lease by one conditional write whose answer may be lost.
 
 use super::{Candidate, Held, Terms, version_of};
-use crate::{catalog::AnyObject, platform::Write, util::Instant};
+use crate::{catalog::AnyObject, objects::Write, util::Instant};
 
 /// Has decided to take the lease; the write may be on its way.
 #[derive(Clone, Debug)]
--- a/src/lease/held.rs
+++ b/src/lease/held.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Candidate, Fencing, Terms};
-use crate::{catalog::AnyObject, platform::Write, util::Instant};
+use crate::{catalog::AnyObject, objects::Write, util::Instant};
 
 /// Holds the lease, as long as [`Held::check`] says so.
 #[derive(Clone, Debug)]
--- a/src/lease/keeper.rs
+++ b/src/lease/keeper.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::{Acquired, Acquiring, Candidate, Fencing, Held, Observed, Renewed, Terms};
-use crate::{catalog::AnyObject, platform::Write, util::Instant};
+use crate::{catalog::AnyObject, objects::Write, util::Instant};
 
 /// What the shell shall do about a lease; one action is under way at a time.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/order/planner.rs
+++ b/src/order/planner.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::{
-    platform::{backoff::Backoff, bucket::Bucket},
+    objects::{backoff::Backoff, bucket::Bucket},
     schema::engine::{Load, Order},
     util::{Instant, Map},
 };
--- a/src/order/run.rs
+++ b/src/order/run.rs
@@ -13,7 +13,7 @@
     follow,
     lease::{Action, Keeper, Terms},
     metrics::{Counter, Metrics},
-    platform::{Platform, Write},
+    objects::{Platform, Write},
     util::{Instant, now},
 };
 
--- a/src/revision/check.rs
+++ b/src/revision/check.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     catalog::{AnyObject, LEAST_BOUND_MILLI},
-    platform::{CONFIGURATION_KINDS, MAX_VALUE},
+    objects::{CONFIGURATION_KINDS, MAX_VALUE},
     schema::object::{
         Engine, EnginePool, Meta, Requirement, RoutingPolicy, Selector, Service, Workspace, WorkspaceGroup,
     },
--- a/src/revision/follower.rs
+++ b/src/revision/follower.rs
@@ -6,7 +6,7 @@
 
 use super::store::Store;
 use crate::{
-    platform::{Version, backoff::Backoff},
+    objects::{Version, backoff::Backoff},
     schema::configuration::{Delta, Fetch},
     util::{Instant, Map},
 };
--- a/src/revision/follower/platform.rs
+++ b/src/revision/follower/platform.rs
@@ -6,7 +6,7 @@
 
 use super::{Action, Follower, RETRY_MAX, Watch};
 use crate::{
-    platform::{Event, List},
+    objects::{Event, List},
     revision::holder,
     util::Instant,
 };
--- a/src/revision/store.rs
+++ b/src/revision/store.rs
@@ -5,7 +5,7 @@
 use super::check::{Problem, check};
 use crate::{
     catalog::AnyObject,
-    platform::{Event, List, Version},
+    objects::{Event, List, Version},
     schema::configuration::{Delta, Item},
     util::Map,
 };
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -19,9 +19,9 @@
     lifecycle::{self, DrainConfig},
     link::{LinkKey, LinkServer, Links},
     metrics::Metrics,
+    objects::Platform,
     operate::Operate,
     order::Orders,
-    platform::Platform,
     util::now,
 };
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -15,7 +15,7 @@
 use crate::{
     catalog::AnyObject,
     http::{Handler, Reply, body_channel},
-    platform::{Collection, Event, MAX_VALUE, PREFIX, Version},
+    objects::{Collection, Event, MAX_VALUE, PREFIX, Version},
     util::{lock, now},
 };
 
--- a/src/standin/platform/faults.rs
+++ b/src/standin/platform/faults.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::{http::Reply, platform::bucket::Bucket, util::Instant};
+use crate::{http::Reply, objects::bucket::Bucket, util::Instant};
 
 /// What the stand-in shall do wrong.
 #[derive(Clone, Debug, Default, serde::Deserialize)]
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     catalog::AnyObject,
-    platform::{Event, List, Version},
+    objects::{Event, List, Version},
 };
 
 type Key = (String, String);
--- a/tests/claim_book.rs
+++ b/tests/claim_book.rs
@@ -10,7 +10,7 @@
         local::{Local, Step},
         shard::{ARCHIVE_KIND, SHARD_KIND},
     },
-    platform::Write,
+    objects::Write,
 };
 
 const HOUR: Duration = Duration::from_secs(3600);
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -141,7 +141,7 @@
 #[test]
 fn an_old_list_is_not_taken() {
     let mut model = fleet(3);
-    let list = cranberrytally::platform::List { version: 2, items: Vec::new() };
+    let list = cranberrytally::objects::List { version: 2, items: Vec::new() };
     let mut follower = model.nodes[0].follower.take().expect("it runs");
     let before = follower.version();
     let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,7 +4,7 @@
 
 use cranberrytally::{
     lease::{Acquired, Acquiring, Candidate, Held, Observed, Renewed, Terms},
-    platform::Write,
+    objects::Write,
     util::Instant,
 };
 use rand::Rng;
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -10,8 +10,8 @@
 
 use cranberrytally::{
     client::Client,
+    objects::Collection,
     operate::Status,
-    platform::Collection,
     standin::{
         outside::{Outside, Plan},
         platform::Faults,
--- a/tests/operators_page.rs
+++ b/tests/operators_page.rs
@@ -12,7 +12,7 @@
     config::Settings,
     error::Kind,
     metrics::Counter,
-    platform::CONFIGURATION_KINDS,
+    objects::CONFIGURATION_KINDS,
     retry::Reason,
     standin::platform::PlatformStandin,
 };
@@ -26,7 +26,7 @@
     ("src/gateway/claim.rs", Counter::Claims),
     ("src/gateway/place.rs", Counter::Placements),
     ("src/order/run.rs", Counter::Orders),
-    ("src/platform/calls.rs", Counter::PlatformCalls),
+    ("src/objects/calls.rs", Counter::PlatformCalls),
     ("src/gossip.rs", Counter::ControlBytes),
     ("src/member/packet.rs", Counter::DatagramsDropped),
 ];
--- a/tests/orders_given.rs
+++ b/tests/orders_given.rs
@@ -5,7 +5,7 @@
 use cranberrytally::{
     catalog::AnyObject,
     config::Settings,
-    platform::Platform,
+    objects::Platform,
     serve::Running,
     standin::{
         engine::{EngineStandin, Faults},
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use cranberrytally::{
     catalog::{AnyObject, Object},
-    platform::{
+    objects::{
         Step, Write, Writing,
         backoff::Backoff,
         bucket::Bucket,
--- a/tests/platform_contract.rs
+++ b/tests/platform_contract.rs
@@ -5,7 +5,7 @@
 use cranberrytally::{
     catalog::{AnyObject, Object},
     http::{Limits, Server},
-    platform::{
+    objects::{
         Event, Platform, Version, Watched, Write,
         calls::{Class, Outcome, Rate, Rates},
     },
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -12,7 +12,7 @@
 
 use cranberrytally::{
     client::Client,
-    platform::Platform,
+    objects::Platform,
     standin::{
         caller::{Answer, Caller},
         engine,
--- a/tests/support/leases.rs
+++ b/tests/support/leases.rs
@@ -5,7 +5,7 @@
 use cranberrytally::{
     catalog::AnyObject,
     lease::{Action, Fencing, Keeper, Terms},
-    platform::Write,
+    objects::Write,
     util::Instant,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
