--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod get;
 mod label;
+mod relay;
 mod remote;
 mod serve;
 mod status;
@@ -55,6 +56,8 @@
 enum Cmd {
     #[options(help = "run a router")]
     Serve(serve::Serve),
+    #[options(help = "serve on the users' platform")]
+    Relay(relay::RelayCmd),
     #[options(help = "check settings files")]
     Check(check::Check),
     #[options(help = "run a small fleet with stand-ins in one process")]
@@ -122,6 +125,7 @@
     }
     match args.cmd {
         Some(Cmd::Serve(cmd)) => cmd.run(),
+        Some(Cmd::Relay(cmd)) => cmd.run(),
         Some(Cmd::Check(cmd)) => cmd.run(),
         Some(Cmd::Demo(cmd)) => cmd.run(),
         Some(Cmd::Apply(cmd)) => cmd.run(),
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,5 +1,7 @@
 //! Logs by spdlog-rs: levels, text or JSON lines on stderr.
 
+pub mod lines;
+
 use std::sync::Arc;
 
 use anyhow::{Context, Result, anyhow};
--- a/src/objects/bucket.rs
+++ b/src/objects/bucket.rs
@@ -38,6 +38,16 @@
         Err(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
     }
 
+    /// Takes `n` tokens if there are as many.
+    pub fn take_many(&mut self, now: Instant, n: f64) -> bool {
+        self.fill(now);
+        let enough = self.tokens >= n && now >= self.closed_until;
+        if enough {
+            self.tokens -= n;
+        }
+        enough
+    }
+
     /// Changes the rate and the burst; tokens beyond the new burst are lost.
     pub fn set_rate(&mut self, now: Instant, rate: f64, burst: f64) {
         self.fill(now);
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,169 @@
+//! Adapter to the users' platform: it translates settings, requests, backend servers' answers and the store's objects
+//! into the product's types and back, and decides nothing. No name of the platform's interfaces stands elsewhere.
+
+use std::{convert::Infallible, path::Path, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{SignalKind, signal},
+};
+
+use crate::{
+    logs::lines::{self, Weight, line},
+    relay::{Relay, door, follow, mesh},
+};
+
+mod names;
+pub mod settings;
+mod store;
+mod wire;
+
+use settings::Settings;
+use store::StoreClient;
+pub use wire::PlatformWire;
+
+/// How long callers keep an answer with addresses: short, so that they leave a host within seconds, and long enough
+/// that asking costs little. Some keep it three times as long.
+const KEEP_S: f64 = 1.0;
+/// Time limit of a connection that asks for addresses or readiness and sends nothing.
+const SMALL_IDLE: Duration = Duration::from_secs(10);
+/// Pause between two checks whether a leaving host may stop.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Serves on the platform with the settings file at `path` until it is told to stop.
+///
+/// # Errors
+/// When the settings can't be read or an address can't be bound.
+pub async fn serve(path: &Path) -> Result<()> {
+    let settings = Settings::load(path)?;
+    lines::start_stdout(lines::DEFAULT_BYTES_PER_SECOND)?;
+    line(Weight::Notable, "start", |l| {
+        let l = l.text("version", env!("CARGO_PKG_VERSION")).text("host", &settings.name);
+        l.text("data_centre", &settings.data_centre).text("callers", &settings.callers.to_string())
+    });
+    let relay = Arc::new(Relay::new(settings.relay(), PlatformWire));
+    start(&settings, &relay).await?;
+    wait_for_stop(&settings, path, &relay).await
+}
+
+async fn start(settings: &Settings, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
+    let peer_addr = relay_peer_addr(settings);
+    let socket = UdpSocket::bind(peer_addr).await.with_context(|| format!("could not use {peer_addr}"))?;
+    let socket = Arc::new(socket);
+    tokio::spawn(door::accept(relay.clone(), door::listen(settings.callers).await?));
+    tokio::spawn(answer_small(relay.clone(), door::listen(settings.ready).await?));
+    if let Some(directory) = settings.directory {
+        tokio::spawn(answer_small(relay.clone(), door::listen(directory).await?));
+    }
+    tokio::spawn(mesh::serve_fetches(relay.clone(), door::listen(peer_addr).await?));
+    tokio::spawn(mesh::hear_beats(relay.clone(), socket.clone()));
+    tokio::spawn(mesh::send_beats(relay.clone(), socket));
+    tokio::spawn(mesh::keep_up(relay.clone()));
+    tokio::spawn(follow::follow_configuration(relay.clone(), StoreClient::new(settings.store)));
+    tokio::spawn(follow::follow_backends(relay.clone(), StoreClient::new(settings.store)));
+    Ok(())
+}
+
+fn relay_peer_addr(settings: &Settings) -> std::net::SocketAddr {
+    settings.relay().peer_addr
+}
+
+async fn wait_for_stop(settings: &Settings, path: &Path, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("could not wait for a signal")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("could not wait for a signal")?;
+    let mut hangup = signal(SignalKind::hangup()).context("could not wait for a signal")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(settings, path),
+        }
+    }
+    relay.leave();
+    while !relay.may_stop() {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+    line(Weight::Notable, "stop", |l| l);
+    // The thread that writes lines gets its turn before the process ends.
+    tokio::time::sleep(STOP_CHECK).await;
+    Ok(())
+}
+
+/// Reads the settings again; what can change while a process runs is its seeds, which other hosts tell as well.
+fn reload(old: &Settings, path: &Path) {
+    match Settings::load(path) {
+        Ok(new) => line(Weight::Notable, "reload", |l| l.flag("changed", new != *old)),
+        Err(e) => line(Weight::Notable, "reload_failed", |l| l.text("why", &format!("{e:#}"))),
+    }
+}
+
+/// Serves the small calls: where to connect, and whether this host is ready.
+async fn answer_small(relay: Arc<Relay<PlatformWire>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(STOP_CHECK).await;
+            continue;
+        };
+        let relay = relay.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|req| {
+                let res = small(&relay, &req);
+                async move { Ok::<_, Infallible>(res) }
+            });
+            let conn = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(SMALL_IDLE)
+                .auto_date_header(false)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = conn.await {
+                spdlog::debug!("a small call ended: {e}");
+            }
+        });
+    }
+}
+
+/// Answer with addresses.
+#[derive(Serialize)]
+struct Resolved {
+    /// Addresses at which callers are served.
+    addresses: Vec<String>,
+    /// Seconds for which the answer may be kept.
+    #[serde(rename = "ttlS")]
+    ttl_s: f64,
+}
+
+fn small(relay: &Relay<PlatformWire>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match req.uri().path() {
+        names::READY_PATH if relay.is_ready() => status(StatusCode::OK),
+        names::READY_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
+        names::RESOLVE_PATH => resolve(relay, req.uri().query().unwrap_or_default()),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn resolve(relay: &Relay<PlatformWire>, query: &str) -> Response<Full<Bytes>> {
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    let zone = pairs.find(|(key, _)| key == names::ZONE_QUERY).map(|(_, zone)| zone);
+    let mut addresses = relay.addresses(zone.as_deref());
+    if addresses.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    addresses.truncate(names::MOST_ADDRESSES);
+    let body = serde_json::to_vec(&Resolved { addresses, ttl_s: KEEP_S }).unwrap_or_default();
+    let mut res = Response::new(Full::new(body.into()));
+    res.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    res
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,126 @@
+//! The platform's settings file: JSON in the platform's own form, of which only what is needed is read.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use anyhow::{Context, Result};
+use serde::Deserialize;
+
+use crate::{
+    relay::{RelayConfig, budget::BudgetConfig, leave::LeaveConfig, place::Bound},
+    schema::fleet::Member,
+};
+
+/// Time after which callers have moved away from a host that is not handed out any more.
+const OUTLIVE: Duration = Duration::from_millis(3_300);
+
+/// Settings of one process, in the product's terms.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this host.
+    pub name: String,
+    /// Data centre in which it stands.
+    pub data_centre: String,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Where callers ask for addresses, if it answers that.
+    pub directory: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    peer_port: u16,
+    seeds: Vec<SocketAddr>,
+    budget: BudgetConfig,
+    grace: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Raw {
+    node: String,
+    zone: String,
+    listen: RawListen,
+    internal_port_range: (u16, u16),
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    bounds: RawBounds,
+    #[serde(rename = "platformConfig")]
+    store: RawStore,
+}
+
+#[derive(Deserialize)]
+struct RawListen {
+    front: SocketAddr,
+    ready: SocketAddr,
+    directory: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawBounds {
+    grace_s: f64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    /// Retries in a window beside the ratio, for all hosts together.
+    retry_budget_extra: f64,
+}
+
+#[derive(Deserialize)]
+struct RawStore {
+    address: SocketAddr,
+}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// When it can't be read, or lacks a field that is needed; fields that are not known are ignored.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = fs::read_to_string(path).with_context(|| format!("could not read {}", path.display()))?;
+        Self::parse(&text).with_context(|| format!("could not accept {}", path.display()))
+    }
+
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    /// When it is no JSON, or lacks a field that is needed.
+    pub fn parse(text: &str) -> Result<Self> {
+        let raw: Raw = serde_json::from_str(text).context("could not read the settings")?;
+        Ok(Self {
+            name: raw.node,
+            data_centre: raw.zone,
+            callers: raw.listen.front,
+            ready: raw.listen.ready,
+            directory: raw.listen.directory,
+            store: raw.store.address,
+            peer_port: raw.internal_port_range.0,
+            seeds: raw.seeds,
+            budget: BudgetConfig {
+                ratio: raw.bounds.retry_budget_ratio,
+                extra: raw.bounds.retry_budget_extra,
+                window: Duration::from_secs_f64(raw.bounds.budget_window_s.clamp(1.0, 3_600.0)),
+            },
+            grace: Duration::from_secs_f64(raw.bounds.grace_s.clamp(1.0, 3_600.0)),
+        })
+    }
+
+    /// What the product needs to know.
+    pub fn relay(&self) -> RelayConfig {
+        // The ports are the same on all hosts, so that a seed's address tells where it hears its peers.
+        let peer = |addr: &SocketAddr| SocketAddr::new(addr.ip(), self.peer_port);
+        let peer_addr = peer(&self.callers);
+        RelayConfig {
+            me: Member {
+                name: self.name.clone(),
+                callers: self.callers.to_string(),
+                peers: peer_addr.to_string(),
+                data_centre: self.data_centre.clone(),
+            },
+            peer_addr,
+            seeds: self.seeds.iter().map(peer).collect(),
+            budget: self.budget,
+            bound: Bound::default(),
+            leave: LeaveConfig { grace: self.grace, outlive: OUTLIVE },
+        }
+    }
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,403 @@
+//! Relays requests from callers to backend servers, in the order in which a request passes:
+//!
+//! 1. [`routes`]: host name and path to route, key to workspace; [`request`] is what the interface makes of it.
+//! 2. [`run`]: the attempts of one request; it asks [`place`] for a server, [`pool`] for a connection, and
+//!    [`verdict`] after a failure whether another attempt may follow.
+//! 3. [`answer`] and [`stream`]: the answer on its way back.
+//!
+//! What is decided lies in modules without I/O: [`routes`], [`backends`], [`place`], [`holders`], [`health`],
+//! [`budget`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`pool`], [`run`], [`stream`], [`follow`]
+//! and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter translates.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
+
+use crate::{
+    logs::lines::{Line, Weight, line},
+    schema::fleet::{Beat, Configuration, Held, InProgress, Member},
+    util::{Instant, lock, now, wall_ms},
+};
+
+pub mod answer;
+pub mod backends;
+pub mod budget;
+pub mod door;
+pub mod events;
+pub mod follow;
+pub mod health;
+pub mod holders;
+pub mod leave;
+pub mod mesh;
+pub mod peers;
+pub mod place;
+pub mod pool;
+pub mod request;
+pub mod routes;
+pub mod run;
+pub mod stream;
+pub mod suspects;
+pub mod verdict;
+mod wire;
+
+use backends::{BackendKey, Backends, Change, Revision};
+use budget::{BudgetConfig, FleetBudget};
+use health::Health;
+use holders::Holders;
+use leave::Leaving;
+use peers::{Own, Peers};
+use place::{Candidate, Choice, Placer};
+use pool::Pool;
+use request::Request;
+use routes::Routes;
+use suspects::Suspects;
+pub use wire::{Read, Refusal, Sending, Wire};
+
+/// Settings of a relaying host.
+#[derive(Clone, Debug)]
+pub struct RelayConfig {
+    /// This host as the others know it.
+    pub me: Member,
+    /// Where it reaches other hosts, and they reach it.
+    pub peer_addr: SocketAddr,
+    /// Addresses at which other hosts may be.
+    pub seeds: Vec<SocketAddr>,
+    /// Bounds on retries.
+    pub budget: BudgetConfig,
+    /// Load bound of placement.
+    pub bound: place::Bound,
+    /// How long a stop may take.
+    pub leave: leave::LeaveConfig,
+}
+
+/// What a host knows and has in progress, under one lock: each decision reads several parts at once.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) routes: Option<Arc<Routes>>,
+    pub(crate) backends: Backends,
+    pub(crate) health: Health,
+    pub(crate) holders: Holders,
+    pub(crate) budget: FleetBudget,
+    pub(crate) peers: Peers,
+    pub(crate) suspects: Suspects,
+    pub(crate) leaving: Option<Leaving>,
+    /// Since when the store has not answered.
+    pub(crate) store_lost: Option<Instant>,
+    pub(crate) listed: bool,
+    /// Parts read at servers where the other hosts don't expect them, for the next beats.
+    news: Vec<Held>,
+    in_progress: usize,
+    rng: SmallRng,
+}
+
+/// A relaying host.
+#[derive(Debug)]
+pub struct Relay<W> {
+    pub(crate) cfg: RelayConfig,
+    pub(crate) wire: W,
+    pub(crate) pool: Pool,
+    /// Wakes the sender of beats when something must be told at once.
+    pub(crate) tell: Notify,
+    start: u64,
+    state: Mutex<State>,
+}
+
+/// Parts told in one beat; the rest follows in the next ones.
+const MOST_NEWS: usize = 32;
+
+impl<W: Wire> Relay<W> {
+    /// A host that knows nothing yet.
+    pub fn new(cfg: RelayConfig, wire: W) -> Self {
+        let state = State {
+            routes: None,
+            backends: Backends::default(),
+            health: Health::default(),
+            holders: Holders::default(),
+            budget: FleetBudget::new(cfg.budget),
+            peers: Peers::new(cfg.peer_addr, &cfg.seeds),
+            suspects: Suspects::default(),
+            leaving: None,
+            store_lost: None,
+            listed: false,
+            news: Vec::new(),
+            in_progress: 0,
+            rng: SmallRng::from_os_rng(),
+        };
+        let (pool, tell) = (Pool::default(), Notify::new());
+        Self { cfg, wire, pool, tell, start: wall_ms(), state: Mutex::new(state) }
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn routes(&self) -> Option<Arc<Routes>> {
+        self.state().routes.clone()
+    }
+
+    /// Whether what is known may be old: the store does not answer.
+    pub fn is_stale(&self) -> bool {
+        self.state().store_lost.is_some()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.state().is_ready()
+    }
+
+    /// A number in `0..1` for a draw by weight.
+    pub fn draw(&self) -> f64 {
+        self.state().rng.random()
+    }
+
+    /// Addresses for callers of a data centre: hosts of their own first, as long as there are two.
+    pub fn addresses(&self, _data_centre: Option<&str>) -> Vec<String> {
+        let state = self.state();
+        let own = state.is_ready().then_some(&self.cfg.me);
+        let mut all: Vec<_> = own.into_iter().chain(state.peers.ready()).map(|m| m.callers.clone()).collect();
+        if all.is_empty() && state.leaving.is_none() {
+            all.push(self.cfg.me.callers.clone());
+        }
+        all.sort();
+        all
+    }
+
+    /// Puts a configuration in force, if it is newer than the one known. Returns whether it was.
+    pub fn set_configuration(&self, cfg: Configuration, from: &str) -> bool {
+        let mut state = self.state();
+        if state.routes.as_ref().is_some_and(|r| r.version() >= cfg.version) {
+            return false;
+        }
+        line(Weight::Notable, "configuration", |l| {
+            let l = l.number("version", cfg.version).text("from", from);
+            l.number("routes", cfg.routes.len() as u64).number("workspaces", cfg.workspaces.len() as u64)
+        });
+        state.routes = Some(Arc::new(Routes::new(Arc::new(cfg))));
+        drop(state);
+        self.tell.notify_one();
+        true
+    }
+
+    /// Takes in changes of the backend servers.
+    pub(crate) fn note_changes(&self, state: &mut State, changes: &[(BackendKey, Change)], from: &str) {
+        for (key, change) in changes {
+            let Some(backend) = state.backends.get(*key) else { continue };
+            line(Weight::Notable, "backend", |l| {
+                let l = l.text("backend", &backend.id).text("change", change.as_str()).text("from", from);
+                let l = l.text("service", &backend.service).number("revision", state.backends.revision());
+                l.text("address", &backend.addr.to_string())
+            });
+        }
+        if !changes.is_empty() {
+            self.tell.notify_one();
+        }
+    }
+
+    /// Chooses a server for a request, none of `tried`.
+    pub(crate) fn choose(&self, req: &Request, tried: &[BackendKey]) -> Option<Choice> {
+        let now = now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let service: Vec<_> = state.backends.of(&req.service).map(|(key, _)| key).collect();
+        let candidates = service.iter().filter(|key| !tried.contains(key));
+        let candidates: Vec<_> = candidates
+            .filter_map(|key| {
+                let b = state.backends.get(*key)?;
+                let near = *b.data_centre == *self.cfg.me.data_centre;
+                let load = f64::from(b.in_progress + state.peers.load(b.tag));
+                let unsound = state.health.unsound(now, *key, &service);
+                Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
+            })
+            .collect();
+        let placer = Placer::default().with_bound(self.cfg.bound);
+        let mut choice = placer.choose(&candidates, &req.parts, &state.holders, &mut state.rng)?;
+        let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
+        let reaches =
+            |key: &BackendKey| state.backends.get(*key).is_some() && !state.health.paused(now, *key);
+        choice.fetch_from = choice.fetch_from.filter(|key| caches && reaches(key));
+        Some(choice)
+    }
+
+    /// Notes that a server has read a request's prompt.
+    pub(crate) fn note_read(&self, req: &Request, key: BackendKey) {
+        let now = now();
+        let mut state = self.state();
+        let Some(tag) = state.backends.get(key).map(|b| b.tag) else { return };
+        for part in place::shared(&req.parts) {
+            if state.holders.note(now, part.id, key) {
+                state.news.push(Held { part: part.id, backend: tag });
+            }
+        }
+    }
+
+    /// Composes the next beat.
+    pub(crate) fn beat(&self, full: bool) -> Beat {
+        let now = now();
+        let mut state = self.state();
+        let own = state.own();
+        let at = state.backends.iter().filter(|(_, b)| b.in_progress > 0);
+        let in_progress = at.map(|(_, b)| InProgress { backend: b.tag, requests: b.in_progress }).collect();
+        let service: Vec<_> = state.backends.iter().map(|(key, _)| key).collect();
+        let paused = service.iter().filter(|key| state.health.paused(now, **key));
+        let avoided = paused.filter_map(|key| state.backends.get(*key)).map(|b| b.tag).collect();
+        let told = state.news.len().min(MOST_NEWS);
+        let mut beat = Beat {
+            start: self.start,
+            ready: state.is_ready(),
+            configuration: own.configuration,
+            backends: own.backends,
+            backends_digest: own.digest,
+            follows_store: state.store_lost.is_none() && state.listed,
+            in_progress,
+            held: state.news.drain(..told).collect(),
+            avoided,
+            suspects: state.suspects.told(now),
+            ..Beat::default()
+        };
+        state.peers.number(&mut beat, &self.cfg.me, full);
+        beat
+    }
+
+    /// Takes a beat of another host in; returns whether it wants a full one.
+    pub(crate) fn hear(&self, from: SocketAddr, beat: &Beat) -> bool {
+        let now = now();
+        let mut state = self.state();
+        let own = state.own();
+        let heard = state.peers.hear(now, from, beat, own);
+        let hosts = state.peers.hosts();
+        state.budget.set_hosts(hosts);
+        for held in &beat.held {
+            if let Some(key) = state.backends.by_tag(held.backend) {
+                state.holders.note(now, held.part, key);
+            }
+        }
+        state.suspects.hear(now, &beat.suspects);
+        if heard.joined {
+            line(Weight::Notable, "peer", |l| {
+                let l = l.text("peer", &from.to_string()).text("change", "heard");
+                l.flag("ready", beat.ready).number("hosts", hosts as u64)
+            });
+        }
+        heard.answer
+    }
+
+    /// Housekeeping: expires peers and servers, closes idle connections.
+    pub(crate) fn tick(&self) {
+        let now = now();
+        let mut state = self.state();
+        for lost in state.peers.expire(now) {
+            line(Weight::Notable, "peer", |l| l.text("peer", &lost.to_string()).text("change", "lost"));
+        }
+        let changes = state.backends.expire(now);
+        self.note_changes(&mut state, &changes, "grace over");
+        let gone: Vec<_> = changes.iter().map(|(key, _)| *key).collect();
+        for key in gone {
+            state.health.forget(key);
+            state.holders.forget(key);
+        }
+        self.pool.sweep(|key| state.backends.get(key).is_some_and(|b| b.takes_work()));
+    }
+
+    /// Counts a server as gone, as when another one answers at its address.
+    pub(crate) fn lose(&self, key: BackendKey, why: &str) {
+        let mut state = self.state();
+        if let Some(change) = state.backends.lose(key) {
+            self.note_changes(&mut state, &[change], why);
+        }
+    }
+
+    /// Starts to leave: no new callers are sent here.
+    pub fn leave(&self) {
+        let mut state = self.state();
+        if state.leaving.is_none() {
+            state.leaving = Some(Leaving::new(now(), self.cfg.leave));
+            let in_progress = state.in_progress as u64;
+            line(Weight::Notable, "leaving", |l| l.number("in_progress", in_progress));
+        }
+        drop(state);
+        self.tell.notify_one();
+    }
+
+    /// Whether a request that ends at `deadline` can still be taken.
+    pub fn takes(&self, deadline: Instant) -> bool {
+        self.state().leaving.is_none_or(|l| l.takes(now(), deadline))
+    }
+
+    /// Whether this host is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.state().leaving.is_some()
+    }
+
+    /// Whether a leaving host may stop now.
+    pub fn may_stop(&self) -> bool {
+        let state = self.state();
+        state.leaving.is_some_and(|l| l.may_stop(now(), state.in_progress))
+    }
+
+    /// Counts a request in progress until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> Entered<W> {
+        self.state().in_progress += 1;
+        Entered(self.clone())
+    }
+
+    /// Writes a line about one request.
+    pub(crate) fn note(&self, weight: Weight, event: &str, req: &Request, fill: impl FnOnce(Line) -> Line) {
+        line(weight, event, |l| fill(l.text("request", &req.id).text("route", &req.route.route.name)));
+    }
+
+    /// Retries may not wait for shared budgets; takes one.
+    pub(crate) fn spend(&self, req: &Request) -> bool {
+        self.state().budget.spend(now(), &req.service)
+    }
+}
+
+impl State {
+    fn is_ready(&self) -> bool {
+        self.leaving.is_none() && self.routes.is_some() && self.listed
+    }
+
+    pub(crate) fn own(&self) -> Own {
+        let configuration = self.routes.as_ref().map_or(0, |r| r.version());
+        let backends: Revision = if self.listed { self.backends.revision() } else { 0 };
+        Own { configuration, backends, digest: self.backends.digest() }
+    }
+}
+
+/// A request in progress at this host.
+#[derive(Debug)]
+pub struct Entered<W: Wire>(Arc<Relay<W>>);
+
+impl<W: Wire> Drop for Entered<W> {
+    fn drop(&mut self) {
+        self.0.state().in_progress -= 1;
+    }
+}
+
+/// A request in progress at a backend server.
+#[derive(Debug)]
+pub(crate) struct Work<W: Wire> {
+    relay: Arc<Relay<W>>,
+    pub(crate) key: BackendKey,
+}
+
+impl<W: Wire> Work<W> {
+    pub(crate) fn start(relay: &Arc<Relay<W>>, key: BackendKey) -> Self {
+        relay.state().backends.start(key);
+        Self { relay: relay.clone(), key }
+    }
+}
+
+impl<W: Wire> Drop for Work<W> {
+    fn drop(&mut self) {
+        self.relay.state().backends.end(self.key);
+    }
+}
+
+/// Time between two runs of the housekeeping.
+pub(crate) const TICK: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/src/relay/answer.rs
@@ -0,0 +1,69 @@
+//! The body of an answer to a caller.
+
+use std::{
+    fmt,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body::{Body, Frame, SizeHint};
+
+/// The answer ends before it is complete; the caller's connection is broken off, so that this shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer is cut")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Events of a stream as they arrive.
+pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>;
+
+/// Body of an answer.
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Events as they arrive.
+    Events(EventStream),
+}
+
+impl fmt::Debug for AnswerBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AnswerBody::Whole(bytes) => write!(f, "Whole({} bytes)", bytes.len()),
+            AnswerBody::Events(_) => f.write_str("Events"),
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            AnswerBody::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            AnswerBody::Events(events) => {
+                events.as_mut().poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            AnswerBody::Events(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/backends.rs
@@ -0,0 +1,288 @@
+//! Backend servers that are known, each start of a server under a key of its own.
+//!
+//! The store's list is the source; a server that leaves stays in the arena until its last request is done, so that
+//! a key is never used for another server.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    schema::fleet,
+    util::{Instant, Map, hash},
+};
+
+/// Revision of the store.
+pub type Revision = u64;
+/// Names a backend server in messages between hosts.
+pub type Tag = u32;
+
+new_key_type! {
+    /// Names one start of a backend server in this process.
+    pub struct BackendKey;
+}
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It is leaving: requests in progress end, nothing new is sent.
+    Leaving,
+    /// Its entry is missing since the store came back; it takes work until that is settled.
+    Missing {
+        /// When it counts as gone.
+        until: Instant,
+    },
+}
+
+/// One start of a backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Identifier of this start.
+    pub id: Arc<str>,
+    /// Tag of the identifier.
+    pub tag: Tag,
+    /// Service that it runs.
+    pub service: Arc<str>,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Data centre in which it stands.
+    pub data_centre: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// When it was first listed.
+    pub since: Instant,
+    /// Requests of this process in progress there.
+    pub in_progress: u32,
+}
+
+impl Backend {
+    /// Whether it takes new work.
+    pub fn takes_work(&self) -> bool {
+        self.state != State::Leaving
+    }
+}
+
+/// A change of what is known of one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Listed for the first time.
+    Seen,
+    /// Takes no new work from now on.
+    Left,
+    /// Its entry is missing since the store came back.
+    Missing,
+}
+
+impl Change {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Change::Seen => "seen",
+            Change::Left => "leaving",
+            Change::Missing => "missing",
+        }
+    }
+}
+
+/// Tag of a backend server's identifier.
+pub fn tag(id: &str) -> Tag {
+    hash(id) as Tag
+}
+
+/// All backend servers that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Backends {
+    arena: SlotMap<BackendKey, Backend>,
+    by_id: Map<Arc<str>, BackendKey>,
+    by_tag: Map<Tag, BackendKey>,
+    revision: Revision,
+}
+
+impl Backends {
+    /// Revision up to which the list is known.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Takes a whole list as of `revision`; an older one than known changes nothing.
+    ///
+    /// `grace` is set for a while after the store's return: entries that lapsed while it was away come back only
+    /// when their servers have written again, so that a missing one counts as gone only then.
+    pub fn list(
+        &mut self,
+        now: Instant,
+        list: &fleet::Backends,
+        grace: Option<Duration>,
+    ) -> Vec<(BackendKey, Change)> {
+        if list.revision < self.revision {
+            return Vec::new();
+        }
+        self.revision = list.revision;
+        let mut changes: Vec<_> = list.items.iter().filter_map(|item| self.put(now, item)).collect();
+        let listed: crate::util::Set<&str> = list.items.iter().map(|i| i.id.as_str()).collect();
+        let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
+        changes.extend(missing.iter().filter_map(|id| self.remove(now, id, grace)));
+        changes
+    }
+
+    /// Takes changes that lead to `revision`; those of an older revision than known change nothing.
+    pub fn change(
+        &mut self,
+        now: Instant,
+        revision: Revision,
+        puts: &[fleet::Backend],
+        removed: &[String],
+        grace: Option<Duration>,
+    ) -> Vec<(BackendKey, Change)> {
+        if revision < self.revision {
+            return Vec::new();
+        }
+        self.revision = revision;
+        let mut changes: Vec<_> = puts.iter().filter_map(|item| self.put(now, item)).collect();
+        changes.extend(removed.iter().filter_map(|id| self.remove(now, id, grace)));
+        changes
+    }
+
+    fn put(&mut self, now: Instant, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
+        let Some(&key) = self.by_id.get(item.id.as_str()) else { return self.add(now, item) };
+        let known = &mut self.arena[key];
+        match (known.state, item.leaving) {
+            // A start that has left never takes work again: its next start has another identifier.
+            (State::Leaving, _) => None,
+            (_, true) => {
+                known.state = State::Leaving;
+                Some((key, Change::Left))
+            }
+            (State::Missing { .. }, false) => {
+                known.state = State::Ready;
+                Some((key, Change::Seen))
+            }
+            (State::Ready, false) => None,
+        }
+    }
+
+    fn add(&mut self, now: Instant, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
+        let Ok(addr) = item.addr.parse() else {
+            spdlog::warn!("backend server {} has no usable address: {:?}", item.id, item.addr);
+            return None;
+        };
+        let id: Arc<str> = item.id.as_str().into();
+        let tag = tag(&id);
+        let state = if item.leaving { State::Leaving } else { State::Ready };
+        let key = self.arena.insert(Backend {
+            id: id.clone(),
+            tag,
+            service: item.service.as_str().into(),
+            addr,
+            data_centre: item.data_centre.as_str().into(),
+            slots: item.slots,
+            state,
+            since: now,
+            in_progress: 0,
+        });
+        self.by_id.insert(id, key);
+        self.by_tag.insert(tag, key);
+        Some((key, Change::Seen))
+    }
+
+    fn remove(&mut self, now: Instant, id: &str, grace: Option<Duration>) -> Option<(BackendKey, Change)> {
+        let key = *self.by_id.get(id)?;
+        let known = &mut self.arena[key];
+        match (known.state, grace) {
+            (State::Ready, Some(grace)) => {
+                known.state = State::Missing { until: now + grace };
+                Some((key, Change::Missing))
+            }
+            (State::Missing { .. }, Some(_)) => None,
+            _ => self.drop_entry(key),
+        }
+    }
+
+    /// Counts a backend server as gone, as when another one answers at its address.
+    pub fn lose(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
+        let known = self.arena.get_mut(key)?;
+        let news = known.takes_work();
+        known.state = State::Leaving;
+        news.then_some((key, Change::Left))
+    }
+
+    fn drop_entry(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
+        let known = &mut self.arena[key];
+        let news = known.takes_work();
+        known.state = State::Leaving;
+        let (id, tag) = (known.id.clone(), known.tag);
+        self.by_id.remove(&id);
+        if self.by_tag.get(&tag) == Some(&key) {
+            self.by_tag.remove(&tag);
+        }
+        news.then_some((key, Change::Left))
+    }
+
+    /// Settles entries whose grace is over, and forgets servers that are gone and have no request in progress.
+    pub fn expire(&mut self, now: Instant) -> Vec<(BackendKey, Change)> {
+        let over = |b: &Backend| matches!(b.state, State::Missing { until } if until <= now);
+        let over: Vec<_> = self.arena.iter().filter(|(_, b)| over(b)).map(|(key, _)| key).collect();
+        let changes = over.into_iter().filter_map(|key| self.drop_entry(key)).collect();
+        let by_id = &self.by_id;
+        self.arena.retain(|key, b| b.in_progress > 0 || by_id.get(&b.id) == Some(&key));
+        changes
+    }
+
+    /// One backend server, unless it is gone and forgotten.
+    pub fn get(&self, key: BackendKey) -> Option<&Backend> {
+        self.arena.get(key)
+    }
+
+    /// The backend server with a tag.
+    pub fn by_tag(&self, tag: Tag) -> Option<BackendKey> {
+        self.by_tag.get(&tag).copied()
+    }
+
+    /// Counts a request that starts at a backend server.
+    pub fn start(&mut self, key: BackendKey) {
+        if let Some(b) = self.arena.get_mut(key) {
+            b.in_progress += 1;
+        }
+    }
+
+    /// Counts a request that ends at a backend server.
+    pub fn end(&mut self, key: BackendKey) {
+        if let Some(b) = self.arena.get_mut(key) {
+            b.in_progress = b.in_progress.saturating_sub(1);
+        }
+    }
+
+    /// All backend servers, those that leave included.
+    pub fn iter(&self) -> impl Iterator<Item = (BackendKey, &Backend)> {
+        self.arena.iter()
+    }
+
+    /// Backend servers of a service that take new work.
+    pub fn of(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Backend)> {
+        self.arena.iter().filter(move |(_, b)| &*b.service == service && b.takes_work())
+    }
+
+    /// Digest of the list; the same at hosts that know the same.
+    pub fn digest(&self) -> u32 {
+        let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
+        listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.takes_work())) as u32)
+    }
+
+    /// The list for another host.
+    pub fn snapshot(&self) -> fleet::Backends {
+        let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
+        let items = listed.map(|(_, b)| fleet::Backend {
+            id: b.id.to_string(),
+            service: b.service.to_string(),
+            addr: b.addr.to_string(),
+            data_centre: b.data_centre.to_string(),
+            slots: b.slots,
+            leaving: !b.takes_work(),
+        });
+        fleet::Backends { revision: self.revision, items: items.collect() }
+    }
+}
--- /dev/null
+++ b/src/relay/door.rs
@@ -0,0 +1,187 @@
+//! Where callers connect: reads a request, checks it against the configuration, and hands it to [`super::run`].
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http::{HeaderValue, Request as HttpRequest, Response, header, request};
+use http_body_util::{BodyExt, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{
+    Refusal, Relay, Wire,
+    answer::AnswerBody,
+    pool,
+    request::{EventNumber, Part, Request},
+    routes::{Caller, CompiledRoute, Routes},
+    run,
+};
+use crate::{
+    error::{Kind, Ran},
+    logs::lines::{Weight, line},
+    schema::fleet::CallerLimits,
+    util::now,
+};
+
+/// Pause after a failed accept, as when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// When a caller should come back who is refused by a host that leaves or knows too little: others serve already.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Longest time for a body to arrive; callers on weak links need some seconds.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the head of a request says, as an adapter reads it.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Identifier of the attempt.
+    pub id: Arc<str>,
+    /// Host name that the caller gives.
+    pub host: Arc<str>,
+    /// Key, if it gives one.
+    pub key: Option<Arc<str>>,
+    /// How long the caller waits.
+    pub waits: Option<Duration>,
+    /// Parts of the prompt.
+    pub parts: Vec<Part>,
+    /// Event after which a stream shall go on.
+    pub after: Option<EventNumber>,
+}
+
+/// Accepts callers until the task is ended.
+pub async fn accept<W: Wire>(relay: Arc<Relay<W>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                tokio::spawn(serve(relay.clone(), stream, from));
+            }
+            Err(e) => {
+                line(Weight::Notable, "accept_failed", |l| l.text("why", &e.to_string()));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Binds an address of this host.
+///
+/// # Errors
+/// When it can't be bound.
+pub async fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.with_context(|| format!("could not listen on {addr}"))
+}
+
+async fn serve<W: Wire>(relay: Arc<Relay<W>>, stream: TcpStream, from: SocketAddr) {
+    pool::set_up(&stream);
+    let limits = relay.routes().map(|r| r.limits()).unwrap_or_else(|| Routes::default().limits());
+    let service = service_fn(|req| {
+        let relay = relay.clone();
+        async move { Ok::<_, Infallible>(answer(relay, req, limits).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms.into()))
+        .max_header_size(limits.head_bytes as usize)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = conn.await {
+        spdlog::debug!("connection of {from} ended: {e}");
+    }
+}
+
+async fn answer<W: Wire>(
+    relay: Arc<Relay<W>>,
+    req: HttpRequest<Incoming>,
+    limits: CallerLimits,
+) -> Response<AnswerBody> {
+    let mut response = match admit(&relay, req, limits).await {
+        Ok(req) => {
+            let _entered = relay.enter();
+            run::run(relay.clone(), req).await
+        }
+        Err((id, kind)) => {
+            line(Weight::Notable, "refused", |l| l.text("request", &id).text("kind", kind.answer().code));
+            relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after: retry_after(kind) })
+        }
+    };
+    if relay.is_leaving() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn retry_after(kind: Kind) -> Option<Duration> {
+    kind.answer().retry_s.is_some().then_some(ELSEWHERE)
+}
+
+/// Reads and checks a request.
+async fn admit<W: Wire>(
+    relay: &Relay<W>,
+    req: HttpRequest<Incoming>,
+    limits: CallerLimits,
+) -> Result<Request, (Arc<str>, Kind)> {
+    let arrived = now();
+    let (head, body) = req.into_parts();
+    let ask = relay.wire.ask(&head);
+    let id = ask.id.clone();
+    let checked = check(relay, &ask, &head);
+    let body = read_body(body, &head, limits).await.map_err(|kind| (id.clone(), kind))?;
+    let (route, caller) = checked.map_err(|kind| (id.clone(), kind))?;
+    let Some(service) = route.service(relay.draw()) else { return Err((id, Kind::NoEngine)) };
+    let timeout = Duration::from_millis(route.route.timeout_ms.into());
+    let deadline = arrived + ask.waits.map_or(timeout, |waits| waits.min(timeout));
+    if !relay.takes(deadline) {
+        return Err((id, Kind::Leaving));
+    }
+    let request = Request {
+        id,
+        service: service.into(),
+        caller,
+        method: head.method.clone(),
+        target: head.uri.clone(),
+        headers: relay.wire.forwarded(head.headers),
+        body,
+        parts: if route.route.prompts { ask.parts } else { Vec::new() },
+        after: if route.stream { ask.after } else { None },
+        route,
+        arrived,
+        deadline,
+    };
+    Ok(request)
+}
+
+/// Finds the route and the caller. A host that may have missed a change refuses, provably not run, what it does not
+/// know, rather than telling a caller that it does not exist.
+fn check<W: Wire>(
+    relay: &Relay<W>,
+    ask: &Ask,
+    head: &request::Parts,
+) -> Result<(Arc<CompiledRoute>, Option<Arc<Caller>>), Kind> {
+    let Some(routes) = relay.routes() else { return Err(Kind::NotReady) };
+    let or_stale = |kind| if relay.is_stale() { Kind::NotReady } else { kind };
+    let Some(route) = routes.find(&ask.host, head.uri.path()) else { return Err(or_stale(Kind::NotFound)) };
+    if route.route.open || !routes.needs_keys() {
+        return Ok((route.clone(), None));
+    }
+    let caller = ask.key.as_deref().and_then(|key| routes.caller(key));
+    match caller {
+        Some(caller) => Ok((route.clone(), Some(caller.clone()))),
+        None => Err(or_stale(Kind::UnknownWorkspace)),
+    }
+}
+
+async fn read_body(body: Incoming, head: &request::Parts, limits: CallerLimits) -> Result<Bytes, Kind> {
+    let most = limits.body_bytes as usize;
+    let length =
+        head.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+    if length.is_some_and(|n| n > most) {
+        return Err(Kind::BodyTooLarge);
+    }
+    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Kind::BodyTooLarge),
+        Ok(Err(_)) => Err(Kind::BadRequest),
+        Err(_) => Err(Kind::BodyTimeout),
+    }
+}
--- /dev/null
+++ b/src/relay/health.rs
@@ -0,0 +1,93 @@
+//! Which backend servers fail requests lately, whatever their health answers say.
+//!
+//! Each answer or failure moves a server's failure ratio. A server is unsound while its ratio is well above that of
+//! the other servers of its service, so that a service that fails as a whole keeps all of them; one that could not
+//! be connected to is left alone for a pause that doubles.
+
+use std::time::Duration;
+
+use super::backends::BackendKey;
+use crate::util::{Instant, Map};
+
+/// Weight of the newest result in the failure ratio: about the last ten results count.
+const WEIGHT: f64 = 0.12;
+/// Failure ratio above the service's mean from which a server is unsound.
+const MARGIN: f64 = 0.25;
+/// First pause after a failed connection.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause.
+const MOST_PAUSE: Duration = Duration::from_secs(4);
+/// Time in which the failure ratio of a server without requests halves, so that it is tried again.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Entry {
+    ratio: f64,
+    seen: Instant,
+    pause: Duration,
+    until: Instant,
+}
+
+impl Entry {
+    fn ratio(&self, now: Instant) -> f64 {
+        let idle = now.saturating_sub(self.seen).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.ratio * 0.5f64.powf(idle)
+    }
+}
+
+/// Results of the backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    servers: Map<BackendKey, Entry>,
+}
+
+impl Health {
+    /// Notes an answer that was whole and no failure of the server.
+    pub fn succeed(&mut self, now: Instant, key: BackendKey) {
+        let entry = self.servers.entry(key).or_default();
+        *entry = Entry { ratio: entry.ratio(now) * (1.0 - WEIGHT), seen: now, ..Entry::default() };
+    }
+
+    /// Notes a failure of a request that had been sent.
+    pub fn fail(&mut self, now: Instant, key: BackendKey) {
+        let entry = self.servers.entry(key).or_default();
+        entry.ratio = entry.ratio(now) * (1.0 - WEIGHT) + WEIGHT;
+        entry.seen = now;
+    }
+
+    /// Notes that no connection could be made, or that a server with requests in progress fell silent.
+    pub fn lose(&mut self, now: Instant, key: BackendKey) {
+        self.fail(now, key);
+        let entry = self.servers.entry(key).or_default();
+        if entry.until <= now {
+            entry.pause = (entry.pause * 2).clamp(FIRST_PAUSE, MOST_PAUSE);
+            entry.until = now + entry.pause;
+        }
+    }
+
+    /// Whether a server is left alone at the moment, given the servers of its service.
+    pub fn unsound(&self, now: Instant, key: BackendKey, service: &[BackendKey]) -> bool {
+        let Some(entry) = self.servers.get(&key) else { return false };
+        if entry.until > now {
+            return true;
+        }
+        let ratio = |k: &BackendKey| self.servers.get(k).map_or(0.0, |e| e.ratio(now));
+        let others = service.iter().filter(|k| **k != key);
+        let n = service.len().saturating_sub(1);
+        if n == 0 {
+            return false;
+        }
+        let mean = others.map(ratio).sum::<f64>() / n as f64;
+        entry.ratio(now) > mean + MARGIN
+    }
+
+    /// Whether a server is paused after a failed connection.
+    pub fn paused(&self, now: Instant, key: BackendKey) -> bool {
+        self.servers.get(&key).is_some_and(|e| e.until > now)
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&mut self, key: BackendKey) {
+        self.servers.remove(&key);
+    }
+}
--- /dev/null
+++ b/src/relay/place.rs
@@ -0,0 +1,184 @@
+//! Chooses a backend server for one request.
+//!
+//! Requests with prompt parts go where the longest chain of their shared parts has been read, as long as the load
+//! there stays under the bound; without a known holder, to the part's place by rendezvous, the same on every host.
+//! All others go to the least loaded server, preferring the own data centre.
+
+use rand::Rng;
+
+use super::{
+    backends::{BackendKey, Tag},
+    holders::Holders,
+    request::Part,
+};
+use crate::util::hash;
+
+/// Load bound as a multiple of the mean load and a constant, in requests in progress.
+///
+/// The fleet's limit is twice the mean and three more. A tighter bound moves prompts more often (1.1 and 1 costs 0.02
+/// to 0.03 of the day's credit against 1.3 and 4), a looser one comes near the limit while views lag.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Multiple of the mean.
+    pub factor: f64,
+    /// Constant.
+    pub extra: f64,
+}
+
+impl Default for Bound {
+    fn default() -> Self {
+        Self { factor: 1.5, extra: 2.5 }
+    }
+}
+
+/// Load in requests that a server in another data centre must be below one in the own to be preferred.
+const CROSS_PENALTY: f64 = 0.7;
+/// Load in requests that an unsound server counts as having more.
+const UNSOUND_PENALTY: f64 = 1_000.0;
+
+/// A backend server that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The server.
+    pub key: BackendKey,
+    /// Its tag, on which rendezvous hashing works.
+    pub tag: Tag,
+    /// Whether it stands in the own data centre.
+    pub near: bool,
+    /// Requests in progress there, of all hosts, as far as known.
+    pub load: f64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it fails lately and is left alone if others can do the work.
+    pub unsound: bool,
+}
+
+/// Why a server was chosen; a label in logs and counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Why {
+    /// It holds shared parts of the prompt.
+    Holder,
+    /// It is the parts' place by rendezvous.
+    Home,
+    /// The holders and the home are at the load bound, or unsound.
+    Spilled,
+    /// It has the least load.
+    LeastLoad,
+}
+
+impl Why {
+    /// Every reason.
+    pub const ALL: [Why; 4] = [Why::Holder, Why::Home, Why::Spilled, Why::LeastLoad];
+
+    /// Name in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Why::Holder => "holder",
+            Why::Home => "home",
+            Why::Spilled => "spilled",
+            Why::LeastLoad => "least_load",
+        }
+    }
+}
+
+/// A chosen server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub key: BackendKey,
+    /// Why.
+    pub why: Why,
+    /// Its load when it was chosen, in requests in progress.
+    pub load: f64,
+    /// The bound that held, in requests in progress.
+    pub bound: f64,
+    /// Server from which it can fetch shared parts that it has not read.
+    pub fetch_from: Option<BackendKey>,
+}
+
+/// Places requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Placer {
+    bound: Bound,
+}
+
+impl Placer {
+    /// Sets the load bound.
+    pub fn with_bound(self, bound: Bound) -> Self {
+        Self { bound }
+    }
+
+    /// Chooses among the candidates; `None` where there are none.
+    pub fn choose(
+        &self,
+        candidates: &[Candidate],
+        parts: &[Part],
+        holders: &Holders,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let mean = candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len().max(1) as f64;
+        let bound = self.bound.factor * mean + self.bound.extra;
+        let shared = shared(parts);
+        match shared.last() {
+            Some(last) => self.by_parts(candidates, shared, *last, holders, bound),
+            None => least_load(candidates, bound, rng),
+        }
+    }
+
+    fn by_parts(
+        &self,
+        candidates: &[Candidate],
+        shared: &[Part],
+        last: Part,
+        holders: &Holders,
+        bound: f64,
+    ) -> Option<Choice> {
+        let home = candidates.iter().max_by_key(|c| hash((last.id, c.tag)))?;
+        let held = |c: &Candidate| holders.tokens(shared, c.key);
+        let open = |c: &&Candidate| !c.unsound && c.load + 1.0 <= bound;
+        let source = holders.best(shared);
+        let best = candidates.iter().filter(open).filter(|c| held(c) > 0).max_by(|a, b| {
+            let by_tokens = held(a).cmp(&held(b));
+            by_tokens.then(cost(b).total_cmp(&cost(a)))
+        });
+        let whole: u32 = shared.iter().map(|p| p.tokens).sum();
+        let choice = |c: &Candidate, why| {
+            let fetch_from = source.filter(|s| *s != c.key && held(c) < whole);
+            Choice { key: c.key, why, load: c.load, bound, fetch_from }
+        };
+        if let Some(best) = best.filter(|c| held(c) == whole) {
+            return Some(choice(best, Why::Holder));
+        }
+        if open(&home) && source.is_none() {
+            return Some(choice(home, Why::Home));
+        }
+        // Every host spills a part to the same servers in the same order, so that it is read at few of them.
+        let spill = candidates.iter().filter(open).max_by_key(|c| hash((last.id, c.tag)));
+        let least = || candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let chosen = spill.or_else(least)?;
+        let why = if chosen.key == home.key { Why::Home } else { Why::Spilled };
+        Some(choice(chosen, why))
+    }
+}
+
+/// Parts that other requests share: all but the last, which is the request's or its session's own.
+pub fn shared(parts: &[Part]) -> &[Part] {
+    match parts {
+        [] => &[],
+        [one] => std::slice::from_ref(one),
+        [shared @ .., _] => shared,
+    }
+}
+
+fn cost(c: &Candidate) -> f64 {
+    let far = if c.near { 0.0 } else { CROSS_PENALTY };
+    let unsound = if c.unsound { UNSOUND_PENALTY } else { 0.0 };
+    c.load + far + unsound
+}
+
+fn least_load(candidates: &[Candidate], bound: f64, rng: &mut impl Rng) -> Option<Choice> {
+    // The draw spreads requests of equal cost, so that hosts with the same view don't pick the same server.
+    let drawn = candidates.iter().map(|c| (cost(c) + rng.random::<f64>() * 0.1, c));
+    let (_, c) = drawn.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Choice { key: c.key, why: Why::LeastLoad, load: c.load, bound, fetch_from: None })
+}
--- /dev/null
+++ b/src/relay/pool.rs
@@ -0,0 +1,155 @@
+//! Connections to backend servers: one request at a time on each, kept while idle for less than the server does.
+//!
+//! hyper's connection is used without its pool, since a pool sends a request again by itself when a kept connection
+//! turns out to be closed; whether a request may be sent again is decided in [`super::verdict`].
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+use super::{backends::BackendKey, verdict::Failure};
+use crate::util::{Instant, Map, lock, now};
+
+/// Time to connect: a round trip within a region takes 3 ms, a lost first packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Unacknowledged bytes end a connection after this time, so that a server that lost its power shows.
+const USER_TIMEOUT_MS: u32 = 2_000;
+/// Idle time of a connection whose server does not say how long it keeps it.
+const DEFAULT_IDLE: Duration = Duration::from_millis(900);
+/// Part of the server's idle time after which a connection is not used any more: requests on their way and clocks
+/// that run apart would meet the server's close.
+const IDLE_PART: f64 = 0.6;
+/// Idle connections kept to one server.
+const MOST_IDLE: usize = 16;
+
+/// A connection that serves one request.
+#[derive(Debug)]
+pub struct Conn {
+    tx: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    /// Whether it has served a request before.
+    pub reused: bool,
+}
+
+impl Conn {
+    /// Connects to a backend server.
+    ///
+    /// # Errors
+    /// When no connection was made, so that nothing was sent.
+    pub async fn connect(addr: SocketAddr, most: Duration) -> Result<Self, Failure> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(most), TcpStream::connect(addr));
+        let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
+        set_up(&stream);
+        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let Ok((tx, conn)) = handshake else { return Err(Failure::Connect) };
+        let task = tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                spdlog::debug!("connection to {addr} ended: {e}");
+            }
+        });
+        Ok(Self { tx, task: task.abort_handle(), reused: false })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// [`Failure::Unsent`] with the request only where no byte of it was written.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)> {
+        match self.tx.try_send_request(req).await {
+            Ok(res) => Ok(res),
+            Err(mut e) => match e.take_message() {
+                Some(req) => Err((Failure::Unsent, Some(req))),
+                None if e.error().is_parse() => Err((Failure::Garbled, None)),
+                None => Err((Failure::Broken, None)),
+            },
+        }
+    }
+
+    /// Whether it can take a request now.
+    pub fn is_usable(&self) -> bool {
+        self.tx.is_ready() && !self.task.is_finished()
+    }
+
+    /// Ends the connection at once, so that the server stops working on its request.
+    pub fn close(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sets a socket up: small writes go out at once, and a peer without power shows.
+pub(crate) fn set_up(stream: &TcpStream) {
+    if let Err(e) = stream.set_nodelay(true) {
+        spdlog::warn!("could not set a socket to send at once: {e}");
+    }
+    if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MS) {
+        spdlog::warn!("could not set a socket's time limit: {e}");
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    conn: Conn,
+    until: Instant,
+}
+
+/// Idle connections by backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    idle: Arc<Mutex<Map<BackendKey, Vec<Idle>>>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last.
+    pub fn take(&self, key: BackendKey) -> Option<Conn> {
+        let mut idle = lock(&self.idle);
+        let conns = idle.get_mut(&key)?;
+        let now = now();
+        while let Some(idle) = conns.pop() {
+            if idle.until > now && idle.conn.is_usable() {
+                return Some(idle.conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer has been read whole, for a part of the time that its server keeps it.
+    pub fn put(&self, key: BackendKey, mut conn: Conn, keeps: Option<Duration>) {
+        conn.reused = true;
+        let keep = keeps.map_or(DEFAULT_IDLE, |k| k.mul_f64(IDLE_PART));
+        let mut idle = lock(&self.idle);
+        let conns = idle.entry(key).or_default();
+        if conns.len() < MOST_IDLE {
+            conns.push(Idle { conn, until: now() + keep });
+        }
+    }
+
+    /// Closes connections that were idle for too long, and those to servers that are not `kept` any more.
+    pub fn sweep(&self, kept: impl Fn(BackendKey) -> bool) {
+        let now = now();
+        lock(&self.idle).retain(|key, conns| {
+            conns.retain(|idle| idle.until > now && !idle.conn.task.is_finished());
+            !conns.is_empty() && kept(*key)
+        });
+    }
+}
--- /dev/null
+++ b/src/relay/routes.rs
@@ -0,0 +1,144 @@
+//! The configuration compiled for look-ups: host name and path to route, key to workspace.
+
+use std::sync::Arc;
+
+use crate::{
+    schema::fleet::{CallerLimits, Configuration, Repeat, Route},
+    util::Map,
+};
+
+/// Version of a configuration; rises with each change.
+pub type Version = u64;
+
+/// Head limit until a configuration gives one, in bytes; the smallest that common clients stay within.
+const HEAD_BYTES: u32 = 16 << 10;
+/// Body limit until a configuration gives one, in bytes.
+const BODY_BYTES: u32 = 1 << 20;
+/// Time limit of a head until a configuration gives one, in milliseconds.
+const HEAD_MS: u32 = 3_000;
+/// Idle limit until a configuration gives one, in milliseconds.
+const IDLE_MS: u32 = 15_000;
+
+/// A route as requests use it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CompiledRoute {
+    /// The route as configured.
+    pub route: Route,
+    /// Whether an attempt may be repeated after it may have run.
+    pub repeatable: bool,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+}
+
+/// Who sends a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    /// Name of the workspace.
+    pub workspace: Arc<str>,
+    /// Rank of the workspace's requests, before the route's.
+    pub rank: Option<u32>,
+}
+
+/// A compiled configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    source: Arc<Configuration>,
+    /// By host name, longest prefix first.
+    hosts: Map<Arc<str>, Vec<Arc<CompiledRoute>>>,
+    callers: Map<Arc<str>, Arc<Caller>>,
+    caching: Vec<Arc<str>>,
+}
+
+impl Routes {
+    /// Compiles a configuration.
+    pub fn new(source: Arc<Configuration>) -> Self {
+        let mut hosts: Map<Arc<str>, Vec<_>> = Map::default();
+        for route in &source.routes {
+            hosts.entry(route.host.to_ascii_lowercase().into()).or_default().push(Arc::new(compile(route)));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.route.prefix.len()));
+        }
+        let mut callers = Map::default();
+        for workspace in &source.workspaces {
+            let caller = Arc::new(Caller { workspace: workspace.name.as_str().into(), rank: workspace.rank });
+            for key in &workspace.keys {
+                callers.insert(key.as_str().into(), caller.clone());
+            }
+        }
+        let caching = source.services.iter().filter(|s| s.caches_prompts);
+        let caching = caching.map(|s| s.name.as_str().into()).collect();
+        Self { source, hosts, callers, caching }
+    }
+
+    /// The configuration from which this was compiled.
+    pub fn source(&self) -> &Arc<Configuration> {
+        &self.source
+    }
+
+    /// Version in force.
+    pub fn version(&self) -> Version {
+        self.source.version
+    }
+
+    /// The route of a request: the one with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<CompiledRoute>> {
+        let name = host.split(':').next().unwrap_or(host);
+        let routes = self.hosts.get(name).or_else(|| self.hosts.get(name.to_ascii_lowercase().as_str()))?;
+        routes.iter().find(|r| path.starts_with(&r.route.prefix))
+    }
+
+    /// Whether callers need keys at all.
+    pub fn needs_keys(&self) -> bool {
+        !self.source.workspaces.is_empty()
+    }
+
+    /// The caller that holds a key.
+    pub fn caller(&self, key: &str) -> Option<&Arc<Caller>> {
+        self.callers.get(key)
+    }
+
+    /// Whether a service's backend servers cache prompts and can fetch them from each other.
+    pub fn caches_prompts(&self, service: &str) -> bool {
+        self.caching.iter().any(|s| &**s == service)
+    }
+
+    /// Connections that one backend server of a service accepts, if a limit is known.
+    pub fn connections(&self, service: &str) -> Option<u32> {
+        let service = self.source.services.iter().find(|s| s.name == service)?;
+        (service.connections > 0).then_some(service.connections)
+    }
+
+    /// Limits on what callers send.
+    pub fn limits(&self) -> CallerLimits {
+        let given = self.source.limits.unwrap_or_default();
+        let or = |value, default| if value == 0 { default } else { value };
+        CallerLimits {
+            head_bytes: or(given.head_bytes, HEAD_BYTES),
+            body_bytes: or(given.body_bytes, BODY_BYTES),
+            head_ms: or(given.head_ms, HEAD_MS),
+            idle_ms: or(given.idle_ms, IDLE_MS),
+        }
+    }
+}
+
+fn compile(route: &Route) -> CompiledRoute {
+    let stream = route.repeat() == Repeat::Stream;
+    let repeatable = route.repeat() == Repeat::Idempotent || (stream && route.resumable);
+    CompiledRoute { route: route.clone(), repeatable, stream }
+}
+
+impl CompiledRoute {
+    /// The service of one request, drawn by weight with `draw` in `0..1`.
+    pub fn service(&self, draw: f64) -> Option<&str> {
+        let total: u64 = self.route.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut at = (draw * total as f64) as u64;
+        for share in self.route.shares.iter().filter(|s| s.weight > 0) {
+            match at.checked_sub(share.weight.into()) {
+                None => return Some(&share.service),
+                Some(rest) => at = rest,
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/relay/run.rs
@@ -0,0 +1,302 @@
+//! The attempts of one request, until it has its answer or is given up.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::{
+    Read, Refusal, Relay, Sending, Wire, Work,
+    answer::AnswerBody,
+    backends::BackendKey,
+    place::Choice,
+    pool::Conn,
+    request::{EventNumber, Request},
+    stream,
+    verdict::{Failure, Stop, Tries},
+};
+use crate::{
+    error::{Kind, Ran},
+    logs::lines::Weight,
+    util::now,
+};
+
+/// Largest answer that is read whole before it is passed on, in bytes.
+const MOST_WHOLE: usize = 4 << 20;
+/// Multiple of the objective after which a silent server is given up for a request that may be repeated.
+const PATIENCE_FACTOR: u32 = 2;
+/// Bounds on that time: below, slow answers would be repeated; above, the caller has left.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(1_300));
+/// Kept connections that turn out closed before the request is written; then a new one is made.
+const MOST_STALE: usize = 3;
+/// When a caller should come back after a refusal: engines that join or come back are seen within this time.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Wait before a refused service is tried again while nothing else can be done.
+const REFUSED_PAUSE: Duration = Duration::from_millis(30);
+
+/// The head of an answer, its body and what it holds.
+pub(crate) struct Answered<W: Wire> {
+    pub(crate) head: response::Parts,
+    pub(crate) read: Read,
+    pub(crate) body: Incoming,
+    pub(crate) conn: Conn,
+    pub(crate) work: Work<W>,
+}
+
+/// A request with the attempts it has made.
+pub(crate) struct Run<W: Wire> {
+    pub(crate) relay: Arc<Relay<W>>,
+    pub(crate) req: Arc<Request>,
+    pub(crate) tries: Tries,
+    pub(crate) tried: Vec<BackendKey>,
+}
+
+/// Runs a request to its answer.
+pub async fn run<W: Wire>(relay: Arc<Relay<W>>, req: Request) -> Response<AnswerBody> {
+    let req = Arc::new(req);
+    let tries = Tries::new(req.route.repeatable, req.route.route.attempts, req.deadline);
+    relay.state().budget.request(now(), &req.service);
+    Run { relay, req, tries, tried: Vec::new() }.answer().await
+}
+
+impl<W: Wire> Run<W> {
+    async fn answer(mut self) -> Response<AnswerBody> {
+        loop {
+            let (failure, key) = match self.attempt(self.req.after).await {
+                Ok(answered) if is_stream(&self.req, &answered.head) => {
+                    match stream::start(&mut self, answered).await {
+                        Ok((head, first, run)) => return stream::respond(self, head, first, run),
+                        Err(failed) => failed,
+                    }
+                }
+                Ok(answered) => match self.whole(answered).await {
+                    Ok(response) => return response,
+                    Err(failed) => failed,
+                },
+                Err(Some(failed)) => failed,
+                Err(None) => return self.give_up(Kind::NoEngine, None),
+            };
+            if let Err(stop) = self.fail(failure, key).await {
+                return self.give_up(kind(failure, stop), Some(failure));
+            }
+        }
+    }
+
+    /// Notes a failed attempt and decides whether another may follow.
+    pub(crate) async fn fail(&mut self, failure: Failure, key: BackendKey) -> Result<(), Stop> {
+        self.note_failure(failure, key);
+        let (relay, req) = (self.relay.clone(), self.req.clone());
+        let next = self.tries.fail(now(), failure, || relay.spend(&req));
+        let backend = relay.state().backends.get(key).map(|b| b.id.clone());
+        relay.note(Weight::Notable, "attempt_failed", &req, |l| {
+            let l = l.text("failure", failure.as_str()).text("backend", backend.as_deref().unwrap_or("gone"));
+            let l = l.number("attempt", self.tries.made()).ms("after_ms", now() - req.arrived);
+            l.text("next", next.as_ref().err().map_or("once more", |stop| stop.as_str()))
+        });
+        next?;
+        let all_tried = relay.state().backends.of(&req.service).all(|(k, _)| self.tried.contains(&k));
+        if all_tried {
+            // Nobody else can run it: those that refused may have room again in a moment.
+            self.tried.clear();
+            tokio::time::sleep(REFUSED_PAUSE.min(req.left(now()))).await;
+        }
+        Ok(())
+    }
+
+    fn note_failure(&mut self, failure: Failure, key: BackendKey) {
+        self.tried.push(key);
+        let now = now();
+        match failure {
+            Failure::Moved => self.relay.lose(key, "another server answers at its address"),
+            Failure::Connect | Failure::Silent => self.relay.state().health.lose(now, key),
+            Failure::Unsent => {}
+            Failure::Refused | Failure::Broken | Failure::Garbled | Failure::Errored => {
+                self.relay.state().health.fail(now, key);
+            }
+        }
+    }
+
+    /// Makes one attempt, up to the head of the answer. `Err(None)`: there is no server to send it to.
+    pub(crate) async fn attempt(
+        &mut self,
+        after: Option<EventNumber>,
+    ) -> Result<Answered<W>, Option<(Failure, BackendKey)>> {
+        let Some(choice) = self.relay.choose(&self.req, &self.tried) else { return Err(None) };
+        let key = choice.key;
+        let work = Work::start(&self.relay, key);
+        let (mut conn, result) = self.send(&choice, after).await.map_err(|f| Some((f, key)))?;
+        let (head, body) = match result {
+            Ok(response) => response.into_parts(),
+            Err(failure) => {
+                conn.close();
+                return Err(Some((failure, key)));
+            }
+        };
+        let read = self.relay.wire.read(&self.req, &head);
+        if let Some(failure) = read.failure {
+            if matches!(failure, Failure::Refused | Failure::Moved) && !read.closes {
+                self.recycle(body, conn, key, read.keeps).await;
+            }
+            return Err(Some((failure, key)));
+        }
+        conn.reused = true;
+        self.relay.note_read(&self.req, key);
+        Ok(Answered { head, read, body, conn, work })
+    }
+
+    /// Keeps the connection of a refusal once its body is read.
+    async fn recycle(&self, body: Incoming, conn: Conn, key: BackendKey, keeps: Option<Duration>) {
+        let read = Limited::new(body, MOST_WHOLE).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(REFUSED_PAUSE, read).await {
+            self.relay.pool.put(key, conn, keeps);
+        }
+    }
+
+    async fn send(
+        &mut self,
+        choice: &Choice,
+        after: Option<EventNumber>,
+    ) -> Result<(Conn, Result<Response<Incoming>, Failure>), Failure> {
+        for stale in 0.. {
+            let (id, addr, from) = {
+                let state = self.relay.state();
+                let Some(b) = state.backends.get(choice.key) else { return Err(Failure::Connect) };
+                let from = choice.fetch_from.and_then(|key| state.backends.get(key)).map(|b| b.addr);
+                (b.id.clone(), b.addr, from)
+            };
+            let kept = if stale < MOST_STALE { self.relay.pool.take(choice.key) } else { None };
+            let mut conn = match kept {
+                Some(conn) => conn,
+                None => Conn::connect(addr, self.req.left(now())).await?,
+            };
+            let left = self.req.left(now());
+            if left.is_zero() {
+                return Err(Failure::Unsent);
+            }
+            let sending = Sending { backend: &id, left, after, fetch_from: from };
+            let req = self.relay.wire.attempt(&self.req, &sending);
+            self.note_sent(choice, &id, stale);
+            let reused = conn.reused;
+            let result = self.wait(&mut conn, req).await;
+            if reused && matches!(result, Err(Failure::Unsent)) {
+                continue;
+            }
+            return Ok((conn, result));
+        }
+        unreachable!("a new connection ends the loop")
+    }
+
+    fn note_sent(&self, choice: &Choice, id: &str, stale: usize) {
+        self.relay.note(Weight::Routine, "sent", &self.req, |l| {
+            let l = l.text("backend", id).text("why", choice.why.as_str());
+            let l = l.decimal("load", choice.load).decimal("bound", choice.bound);
+            let l = l.flag("fetches", choice.fetch_from.is_some()).number("stale", stale as u64);
+            l.ms("after_ms", now() - self.req.arrived).number("attempt", self.tries.made())
+        });
+    }
+
+    /// Waits for the head of the answer: until the deadline, or where the request may be repeated and another server
+    /// could run it, for a few times its objective.
+    async fn wait(
+        &mut self,
+        conn: &mut Conn,
+        req: http::Request<http_body_util::Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let head = conn.send(req);
+        tokio::pin!(head);
+        let patience = self.patience();
+        let limit = patience.unwrap_or(Duration::MAX).min(self.req.left(now()));
+        match tokio::time::timeout(limit, &mut head).await {
+            Ok(result) => result.map_err(|(failure, _)| failure),
+            Err(_) => Err(Failure::Silent),
+        }
+    }
+
+    /// How long to wait for a server that says nothing; `None`: until the deadline.
+    pub(crate) fn patience(&self) -> Option<Duration> {
+        let others = self.relay.state().backends.of(&self.req.service).count() > self.tried.len() + 1;
+        let may =
+            self.req.route.repeatable && others && self.tries.made() + 1 < self.req.route.route.attempts;
+        let objective = Duration::from_millis(self.req.route.route.objective_ms.into());
+        may.then(|| (objective * PATIENCE_FACTOR).clamp(PATIENCE.0, PATIENCE.1))
+    }
+
+    /// Reads an answer whole and passes it on.
+    async fn whole(&mut self, answered: Answered<W>) -> Result<Response<AnswerBody>, (Failure, BackendKey)> {
+        let Answered { head, read, body, conn, work } = answered;
+        let key = work.key;
+        let reading = Limited::new(body, MOST_WHOLE).collect();
+        let bytes = match tokio::time::timeout(self.req.left(now()), reading).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(e)) => {
+                spdlog::debug!("answer to {} broke off: {e}", self.req.id);
+                return Err((Failure::Broken, key));
+            }
+            Err(_) => return Err((Failure::Silent, key)),
+        };
+        if !read.closes {
+            self.relay.pool.put(key, conn, read.keeps);
+        }
+        drop(work);
+        if head.status.is_server_error() && self.may_repeat_error() {
+            self.note_failure(Failure::Errored, key);
+            let (relay, req) = (self.relay.clone(), self.req.clone());
+            if self.tries.fail(now(), Failure::Errored, || relay.spend(&req)).is_ok() {
+                relay.note(Weight::Notable, "attempt_failed", &req, |l| {
+                    l.text("failure", "errored")
+                        .number("status", head.status.as_u16())
+                        .text("next", "once more")
+                });
+                return match Box::pin(self.attempt(req.after)).await {
+                    Ok(answered) => {
+                        Box::pin(self.whole(answered)).await.or_else(|_| Ok(self.deliver(head, bytes)))
+                    }
+                    Err(_) => Ok(self.deliver(head, bytes)),
+                };
+            }
+        } else if head.status.is_success() {
+            self.relay.state().health.succeed(now(), key);
+        }
+        Ok(self.deliver(head, bytes))
+    }
+
+    fn may_repeat_error(&self) -> bool {
+        self.req.route.repeatable && !self.req.route.stream
+    }
+
+    fn deliver(&self, head: response::Parts, bytes: Bytes) -> Response<AnswerBody> {
+        self.relay.note(Weight::Routine, "answered", &self.req, |l| {
+            let l = l.number("status", head.status.as_u16()).number("bytes", bytes.len() as u64);
+            l.ms("after_ms", now() - self.req.arrived).number("attempts", self.tries.made() + 1)
+        });
+        self.relay.wire.pass(head, AnswerBody::Whole(bytes))
+    }
+
+    /// The final answer to a request that is given up.
+    pub(crate) fn give_up(&self, kind: Kind, last: Option<Failure>) -> Response<AnswerBody> {
+        let ran = if self.tries.is_unrun() { Ran::No } else { Ran::Unknown };
+        let refusal = Refusal { kind, ran, retry_after: (ran == Ran::No).then_some(RETRY_AFTER) };
+        self.relay.note(Weight::Notable, "given_up", &self.req, |l| {
+            let l = l.text("kind", kind.answer().code).text("ran", ran.as_str());
+            let l = l.text("last", last.map_or("none", Failure::as_str));
+            l.ms("after_ms", now() - self.req.arrived).number("attempts", self.tries.made())
+        });
+        self.relay.wire.refuse(&refusal)
+    }
+}
+
+fn is_stream(req: &Request, head: &response::Parts) -> bool {
+    req.route.stream && head.status.is_success()
+}
+
+fn kind(failure: Failure, stop: Stop) -> Kind {
+    match (stop, failure) {
+        (Stop::Deadline, _) => Kind::DeadlinePassed,
+        (Stop::Budget, _) => Kind::RetryBudget,
+        (Stop::Attempts, Failure::Connect | Failure::Unsent) => Kind::ConnectFailed,
+        (Stop::Attempts, Failure::Refused | Failure::Moved) => Kind::EngineRefused,
+        (Stop::Attempts | Stop::NotRepeatable, _) => Kind::EngineFailed,
+    }
+}
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,188 @@
+//! A stream of events on its way back: whole events as they arrive, resumed at another server where that is allowed.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http::{Response, response};
+use http_body_util::BodyExt;
+
+use super::{
+    Wire,
+    answer::{AnswerBody, Cut},
+    backends::BackendKey,
+    events::{Splitter, Whole},
+    request::EventNumber,
+    run::{Answered, Run},
+    verdict::Failure,
+};
+use crate::{logs::lines::Weight, util::now};
+
+/// Pause between events after which a server counts as silent, where the stream can go on elsewhere. Callers give a
+/// stream up after two seconds without an event; a preempted request goes on within a second.
+const PAUSE: Duration = Duration::from_millis(1_200);
+
+/// A stream that has begun.
+pub(crate) struct Events<W: Wire> {
+    answered: Option<Answered<W>>,
+    splitter: Splitter,
+    last: Option<EventNumber>,
+    /// Whether the next event must follow the last one, since another server goes on.
+    resumed: bool,
+    ended: bool,
+}
+
+/// What came next.
+enum Next {
+    Events(Bytes),
+    End,
+}
+
+/// Reads up to the first event, so that a server that fails before it costs the caller nothing.
+pub(crate) async fn start<W: Wire>(
+    run: &mut Run<W>,
+    answered: Answered<W>,
+) -> Result<(response::Parts, Option<Bytes>, Events<W>), (Failure, BackendKey)> {
+    let key = answered.work.key;
+    let head = answered.head.clone();
+    let mut events = Events {
+        answered: Some(answered),
+        splitter: Splitter::default(),
+        last: run.req.after,
+        resumed: false,
+        ended: false,
+    };
+    let limit = run.patience().unwrap_or(Duration::MAX).min(run.req.left(now()));
+    match events.read(run, limit).await {
+        Ok(Next::Events(bytes)) => {
+            run.relay.note(Weight::Routine, "first_event", &run.req, |l| {
+                l.ms("after_ms", now() - run.req.arrived)
+            });
+            Ok((head, Some(bytes), events))
+        }
+        Ok(Next::End) => Ok((head, None, events)),
+        Err(failure) => Err((failure, key)),
+    }
+}
+
+/// The answer whose body goes on with the stream.
+pub(crate) fn respond<W: Wire>(
+    run: Run<W>,
+    head: response::Parts,
+    first: Option<Bytes>,
+    events: Events<W>,
+) -> Response<AnswerBody> {
+    let relay = run.relay.clone();
+    let guard = relay.enter();
+    let body = unfold((run, events, first, guard), |(mut run, mut events, first, guard)| async move {
+        if let Some(bytes) = first {
+            return Some((Ok(bytes), (run, events, None, guard)));
+        }
+        let item = events.next(&mut run).await?;
+        Some((item, (run, events, None, guard)))
+    });
+    relay.wire.pass(head, AnswerBody::Events(Box::pin(body)))
+}
+
+impl<W: Wire> Events<W> {
+    async fn next(&mut self, run: &mut Run<W>) -> Option<Result<Bytes, Cut>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let pause = run.req.route.repeatable.then_some(PAUSE);
+            let limit = pause.unwrap_or(Duration::MAX).min(run.req.left(now()));
+            let failure = match self.read(run, limit).await {
+                Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
+                Ok(Next::End) => return None,
+                Err(failure) => failure,
+            };
+            if !self.resume(run, failure).await {
+                self.ended = true;
+                run.relay.note(Weight::Notable, "stream_cut", &run.req, |l| {
+                    let l = l.text("failure", failure.as_str()).number("events", self.last.unwrap_or(0));
+                    l.ms("after_ms", now() - run.req.arrived)
+                });
+                return Some(Err(Cut));
+            }
+        }
+    }
+
+    /// Goes on at another server after the last whole event; returns whether one took it.
+    async fn resume(&mut self, run: &mut Run<W>, mut failure: Failure) -> bool {
+        let mut key = match self.answered.take() {
+            Some(answered) => answered.work.key,
+            None => return false,
+        };
+        self.splitter.clear();
+        while run.fail(failure, key).await.is_ok() {
+            match run.attempt(self.last).await {
+                Ok(answered) if answered.head.status.is_success() => {
+                    run.relay.note(Weight::Notable, "stream_resumed", &run.req, |l| {
+                        l.number("events", self.last.unwrap_or(0)).ms("after_ms", now() - run.req.arrived)
+                    });
+                    self.answered = Some(answered);
+                    self.resumed = true;
+                    return true;
+                }
+                Ok(answered) => (failure, key) = (Failure::Errored, answered.work.key),
+                Err(Some(failed)) => (failure, key) = failed,
+                Err(None) => return false,
+            }
+        }
+        false
+    }
+
+    async fn read(&mut self, run: &mut Run<W>, limit: Duration) -> Result<Next, Failure> {
+        let deadline = tokio::time::Instant::now() + limit.min(Duration::from_secs(3_600));
+        loop {
+            let Some(answered) = &mut self.answered else { return Err(Failure::Broken) };
+            let frame = match tokio::time::timeout_at(deadline, answered.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => {
+                    spdlog::debug!("stream of {} broke off: {e}", run.req.id);
+                    return Err(Failure::Broken);
+                }
+                Ok(None) => return self.end(run),
+                Err(_) => return Err(Failure::Silent),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if let Some(whole) = self.splitter.push(data) {
+                return self.accept(whole).map(Next::Events);
+            }
+            if self.splitter.is_too_long() {
+                return Err(Failure::Garbled);
+            }
+        }
+    }
+
+    /// Guards against a server that goes on at another event than asked: the caller would miss events or read some
+    /// twice.
+    fn accept(&mut self, whole: Whole) -> Result<Bytes, Failure> {
+        if std::mem::take(&mut self.resumed) && self.last.is_some() && whole.first != self.last.map(|n| n + 1)
+        {
+            return Err(Failure::Garbled);
+        }
+        self.last = whole.last.or(self.last);
+        Ok(whole.bytes)
+    }
+
+    fn end(&mut self, run: &Run<W>) -> Result<Next, Failure> {
+        if !self.splitter.is_empty() {
+            return Err(Failure::Broken);
+        }
+        self.ended = true;
+        if let Some(answered) = self.answered.take() {
+            let key = answered.work.key;
+            run.relay.state().health.succeed(now(), key);
+            if !answered.read.closes {
+                run.relay.pool.put(key, answered.conn, answered.read.keeps);
+            }
+        }
+        run.relay.note(Weight::Routine, "answered", &run.req, |l| {
+            let l = l.number("events", self.last.unwrap_or(0)).number("attempts", run.tries.made() + 1);
+            l.ms("after_ms", now() - run.req.arrived)
+        });
+        Ok(Next::End)
+    }
+}
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -11,6 +11,9 @@
 pub mod engine;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+pub mod fleet;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod lease;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
