List again after an outage of the store

Cause: after an outage both followers went back to a waiting watch, which answers only at the next change. Excluded: the peers' news (they were on time), the watch itself (its answer came 5 ms after the change). Change: the contact with the store is logic of its own (relay/contact.rs); after an outage the follower lists, so that the grace of lapsed entries starts at the store's return; it is 1.7 s, under the 2 s in which no new work may come. Tests: tests/relay_contact.rs.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -6,7 +6,7 @@
 //! 3. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`pool`], [`run`], [`stream`], [`follow`]
+//! [`budget`], [`contact`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`pool`], [`run`], [`stream`], [`follow`]
 //! and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter translates.
 
 use std::{
@@ -27,6 +27,7 @@
 pub mod answer;
 pub mod backends;
 pub mod budget;
+pub mod contact;
 pub mod door;
 pub mod events;
 pub mod follow;
--- /dev/null
+++ b/src/relay/contact.rs
@@ -0,0 +1,66 @@
+//! Contact of one follower with the store: when to call again, and what an outage means for entries that lapse.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{objects::backoff::Backoff, util::Instant};
+
+/// First and longest wait after a failed call. A call costs, also one that is refused; a second is well within the
+/// time in which a change must be in force.
+const WAITS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_000));
+/// How long entries that are missing after the store's return still count: live servers write again within two
+/// seconds, and a server that left must get no new work two seconds after the store said so.
+const GRACE: Duration = Duration::from_millis(1_700);
+/// An outage shorter than this lets no entry lapse.
+const SHORT_OUTAGE: Duration = Duration::from_millis(500);
+
+/// A failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// Whether it is the first since the last answer.
+    pub first: bool,
+    /// Wait before the next call.
+    pub wait: Duration,
+}
+
+/// Contact of one follower.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    what: &'static str,
+    lost: Option<Instant>,
+    back: Option<Instant>,
+    backoff: Backoff,
+}
+
+impl Contact {
+    /// A follower of `what` that has not called yet.
+    pub fn new(what: &'static str) -> Self {
+        Self { what, lost: None, back: None, backoff: Backoff::new(WAITS.0, WAITS.1) }
+    }
+
+    /// What is followed.
+    pub fn what(&self) -> &'static str {
+        self.what
+    }
+
+    /// Notes an answer; returns how long the store was away, and while entries that lapsed in an outage may come
+    /// back, how long they still count.
+    pub fn answered(&mut self, now: Instant) -> (Option<Duration>, Option<Duration>) {
+        let away = self.lost.take().map(|lost| now.saturating_sub(lost));
+        if away.is_some_and(|away| away > SHORT_OUTAGE) {
+            self.back = Some(now);
+        }
+        self.backoff.reset();
+        let over = self.back.map(|back| now.saturating_sub(back));
+        let grace = over.and_then(|over| GRACE.checked_sub(over)).filter(|left| !left.is_zero());
+        (away, grace)
+    }
+
+    /// Notes a call without an answer.
+    pub fn failed(&mut self, now: Instant, rng: &mut impl Rng) -> Lost {
+        let first = self.lost.is_none();
+        self.lost.get_or_insert(now);
+        Lost { first, wait: self.backoff.wait(rng) }
+    }
+}
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -4,24 +4,13 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use rand::{SeedableRng, rngs::SmallRng};
-
-use super::{Relay, Wire, backends::Revision};
+use super::{Relay, Wire, backends::Revision, contact::Contact};
 use crate::{
     logs::lines::{Weight, line},
-    objects::backoff::Backoff,
     schema::fleet::{Backend, Backends, Configuration},
-    util::{Instant, now},
+    util::now,
 };
 
-/// First and longest wait after a failed call. A call costs, also one that is refused; a second is well within the
-/// time in which a change must be in force.
-const WAITS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_000));
-/// How long entries that are missing after the store's return still count: live servers write again within two seconds.
-const GRACE: Duration = Duration::from_millis(2_000);
-/// An outage shorter than this lets no entry lapse.
-const SHORT_OUTAGE: Duration = Duration::from_millis(500);
-
 /// Why a call to the store gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
@@ -71,7 +60,7 @@
     loop {
         match store.configuration(after).await {
             Ok((revision, cfg)) => {
-                contact.answered();
+                regain(&mut contact);
                 after = after.max(Some(revision));
                 if let Some(cfg) = cfg {
                     relay.set_configuration(cfg, "store");
@@ -81,7 +70,10 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "configuration"));
                 after = None;
             }
-            Err(e) => contact.failed(&e).await,
+            Err(e) => {
+                after = None;
+                lose(&mut contact, &e).await;
+            }
         }
     }
 }
@@ -95,7 +87,7 @@
         match store.backends(after).await {
             Ok(update) => {
                 list = false;
-                let grace = contact.answered();
+                let grace = regain(&mut contact);
                 relay.update_backends(update, grace, "store");
                 relay.state().store_lost = None;
             }
@@ -104,8 +96,10 @@
                 list = true;
             }
             Err(e) => {
+                // A watch would answer only at the next change, and what lapsed meanwhile would count from then on.
+                list = true;
                 relay.state().store_lost.get_or_insert_with(now);
-                contact.failed(&e).await;
+                lose(&mut contact, &e).await;
             }
         }
     }
@@ -127,40 +121,22 @@
     }
 }
 
-/// Contact of one follower with the store.
-struct Contact {
-    what: &'static str,
-    lost: Option<Instant>,
-    back: Option<Instant>,
-    backoff: Backoff,
-    rng: SmallRng,
-}
-
-impl Contact {
-    fn new(what: &'static str) -> Self {
-        let backoff = Backoff::new(WAITS.0, WAITS.1);
-        Self { what, lost: None, back: None, backoff, rng: SmallRng::from_os_rng() }
-    }
-
-    /// Notes an answer. While entries that lapsed in an outage may come back, returns how long they still count.
-    fn answered(&mut self) -> Option<Duration> {
-        let now = now();
-        if let Some(lost) = self.lost.take() {
-            line(Weight::Notable, "store_back", |l| l.text("kind", self.what).ms("away_ms", now - lost));
-            if lost + SHORT_OUTAGE < now {
-                self.back = Some(now);
-            }
-        }
-        self.backoff.reset();
-        let over = now.saturating_sub(self.back?);
-        GRACE.checked_sub(over).filter(|left| !left.is_zero())
+/// Notes an answer; returns how long entries that may have lapsed still count.
+fn regain(contact: &mut Contact) -> Option<Duration> {
+    let now = now();
+    let (away, grace) = contact.answered(now);
+    if let Some(away) = away {
+        line(Weight::Notable, "store_back", |l| l.text("kind", contact.what()).ms("away_ms", away));
     }
+    grace
+}
 
-    async fn failed(&mut self, e: &StoreError) {
-        if self.lost.is_none() {
-            self.lost = Some(now());
-            line(Weight::Notable, "store_lost", |l| l.text("kind", self.what).text("why", &format!("{e:?}")));
-        }
-        tokio::time::sleep(self.backoff.wait(&mut self.rng)).await;
+async fn lose(contact: &mut Contact, e: &StoreError) {
+    let lost = contact.failed(now(), &mut rand::rng());
+    if lost.first {
+        line(Weight::Notable, "store_lost", |l| {
+            l.text("kind", contact.what()).text("why", &format!("{e:?}"))
+        });
     }
+    tokio::time::sleep(lost.wait).await;
 }
--- /dev/null
+++ b/tests/relay_contact.rs
@@ -0,0 +1,111 @@
+//! What an outage of the store means for backend servers whose entries are missing.
+
+use std::{future::pending, sync::Arc, time::Duration};
+
+use cranberrytally::{
+    platform::PlatformWire,
+    relay::{
+        Relay,
+        backends::{Backends, Change, Revision},
+        contact::Contact,
+        follow::{self, BackendsUpdate, Store, StoreError},
+    },
+    schema::fleet,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+#[path = "support/relay.rs"]
+mod relay_support;
+use relay_support::relay_config;
+
+const fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn listed(id: &str) -> fleet::Backend {
+    let (service, addr) = ("app".into(), "10.0.0.1:80".into());
+    fleet::Backend { id: id.into(), service, addr, data_centre: "a".into(), slots: 6, leaving: false }
+}
+
+fn list(revision: Revision, ids: &[&str]) -> fleet::Backends {
+    fleet::Backends { revision, items: ids.iter().map(|id| listed(id)).collect() }
+}
+
+/// A host loses the store for eight seconds. Entries that lapsed while it was away come back within two seconds if
+/// their servers live, so the host goes on using them for that long after the store's return, and no longer.
+#[test]
+fn entries_that_lapsed_count_until_their_servers_could_have_written_again() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut contact = Contact::new("backends");
+    let mut backends = Backends::default();
+    backends.list(s(0), &list(5, &["lives", "gone"]), None);
+    contact.failed(s(1), &mut rng);
+
+    let (away, grace) = contact.answered(s(9));
+    let changes = backends.list(s(9), &list(9, &["lives"]), grace);
+
+    assert_eq!(away, Some(s(8)));
+    assert_eq!(changes.iter().map(|(_, c)| *c).collect::<Vec<_>>(), [Change::Missing]);
+    assert_eq!(backends.of("app").count(), 2);
+    assert_eq!(backends.expire(s(9) + Duration::from_millis(1_600)), []);
+    assert_eq!(backends.expire(s(11)).len(), 1);
+    assert_eq!(backends.of("app").count(), 1);
+}
+
+/// Four seconds after the store came back, a server leaves by having its entry removed. That is no lapse any more:
+/// the server gets no new work from then on. Seen as requests that reached servers 2.1 s after they had left.
+#[test]
+fn an_entry_that_is_removed_later_counts_as_gone_at_once() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut contact = Contact::new("backends");
+    let mut backends = Backends::default();
+    backends.list(s(0), &list(5, &["a", "b"]), None);
+    contact.failed(s(1), &mut rng);
+    contact.answered(s(9));
+
+    let (_, grace) = contact.answered(s(13));
+    let changes = backends.change(s(13), 12, &[], &["b".into()], grace);
+
+    assert_eq!(changes.iter().map(|(_, c)| *c).collect::<Vec<_>>(), [Change::Left]);
+    assert_eq!(backends.of("app").count(), 1);
+}
+
+/// A store that fails once and then answers; it tells with which revision it is asked.
+struct Flaky {
+    asked: UnboundedSender<Option<Revision>>,
+    calls: usize,
+}
+
+impl Store for Flaky {
+    async fn configuration(
+        &mut self,
+        _: Option<Revision>,
+    ) -> Result<(Revision, Option<fleet::Configuration>), StoreError> {
+        pending().await
+    }
+
+    async fn backends(&mut self, after: Option<Revision>) -> Result<BackendsUpdate, StoreError> {
+        self.asked.send(after).unwrap();
+        self.calls += 1;
+        match self.calls {
+            1 | 3 => Ok(BackendsUpdate::List(list(5, &["a"]))),
+            2 => Err(StoreError::Unavailable("reset".into())),
+            _ => pending().await,
+        }
+    }
+}
+
+/// After an outage the store answers again, but a waiting watch would show that only at the next change, seconds
+/// later, and a server that leaves then would be taken for one whose entry had lapsed. So the host lists first.
+#[tokio::test]
+async fn a_host_lists_again_after_an_outage() {
+    let relay = Arc::new(Relay::new(relay_config("host-1"), PlatformWire));
+    let (asked, mut calls) = unbounded_channel();
+
+    let task = tokio::spawn(follow::follow_backends(relay, Flaky { asked, calls: 0 }));
+    let asked = [calls.recv().await, calls.recv().await, calls.recv().await, calls.recv().await];
+
+    task.abort();
+    assert_eq!(asked, [Some(None), Some(Some(5)), Some(None), Some(Some(5))]);
+}
