Fetch prompt parts from known or former holders, and tell new hosts the holders

Change: without a known holder the next place by rendezvous is asked, the home of before a server joined; the home is asked by what spills; a host that has just started fetches the holders from the longest running peer; a server whose entry was removed is asked for 3 s more. The log line of a send names part, tokens held and the source of the fetch.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -108,6 +108,8 @@
     state: Mutex<State>,
 }
 
+/// Holders told to a host that has just started: 50 KB.
+const MOST_HELD: usize = 4_096;
 /// Parts told in one beat; the rest follows in the next ones.
 const MOST_NEWS: usize = 32;
 
@@ -217,12 +219,10 @@
             })
             .collect();
         let placer = Placer::default().with_bound(self.cfg.bound);
-        let mut choice = placer.choose(&candidates, &req.parts, &state.holders, &mut state.rng)?;
         let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
-        let reaches =
-            |key: &BackendKey| state.backends.get(*key).is_some() && !state.health.paused(now, *key);
-        choice.fetch_from = choice.fetch_from.filter(|key| caches && reaches(key));
-        Some(choice)
+        let (backends, health) = (&state.backends, &state.health);
+        let reaches = |key| caches && backends.get(key).is_some() && !health.paused(now, key);
+        placer.choose(&candidates, &req.parts, &state.holders, reaches, &mut state.rng)
     }
 
     /// Notes that a server has read a request's prompt.
@@ -273,11 +273,6 @@
         let heard = state.peers.hear(now, from, beat, own);
         let hosts = state.peers.hosts();
         state.budget.set_hosts(hosts);
-        for held in &beat.held {
-            if let Some(key) = state.backends.by_tag(held.backend) {
-                state.holders.note(now, held.part, key);
-            }
-        }
         state.suspects.hear(now, &beat.suspects);
         if heard.joined {
             line(Weight::Notable, "peer", |l| {
@@ -285,9 +280,30 @@
                 l.flag("ready", beat.ready).number("hosts", hosts as u64)
             });
         }
+        drop(state);
+        self.hear_held(&beat.held);
         heard.answer
     }
 
+    /// Holders of prompt parts for a host that has just started.
+    pub(crate) fn held(&self) -> Vec<Held> {
+        let state = self.state();
+        let tag = |key| state.backends.get(key).map(|b| b.tag);
+        let newest = state.holders.newest(MOST_HELD).into_iter();
+        newest.filter_map(|(part, key)| Some(Held { part, backend: tag(key)? })).collect()
+    }
+
+    /// Takes in holders of prompt parts that another host told.
+    pub(crate) fn hear_held(&self, held: &[Held]) {
+        let now = now();
+        let mut state = self.state();
+        for held in held {
+            if let Some(key) = state.backends.by_tag(held.backend) {
+                state.holders.note(now, held.part, key);
+            }
+        }
+    }
+
     /// Housekeeping: expires peers and servers, closes idle connections.
     pub(crate) fn tick(&self) {
         let now = now();
@@ -295,10 +311,9 @@
         for lost in state.peers.expire(now) {
             line(Weight::Notable, "peer", |l| l.text("peer", &lost.to_string()).text("change", "lost"));
         }
-        let changes = state.backends.expire(now);
+        let (changes, forgotten) = state.backends.expire(now);
         self.note_changes(&mut state, &changes, "grace over");
-        let gone: Vec<_> = changes.iter().map(|(key, _)| *key).collect();
-        for key in gone {
+        for key in forgotten {
             state.health.forget(key);
             state.holders.forget(key);
         }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -17,6 +17,10 @@
 /// Names a backend server in messages between hosts.
 pub type Tag = u32;
 
+/// How long a server whose entry was removed may still be asked for prompt parts; leaving servers serve for two
+/// seconds and more.
+const LINGERS: Duration = Duration::from_secs(3);
+
 new_key_type! {
     /// Names one start of a backend server in this process.
     pub struct BackendKey;
@@ -57,6 +61,8 @@
     pub since: Instant,
     /// Requests of this process in progress there.
     pub in_progress: u32,
+    /// When its entry was removed.
+    pub gone: Option<Instant>,
 }
 
 impl Backend {
@@ -183,6 +189,7 @@
             state,
             since: now,
             in_progress: 0,
+            gone: None,
         });
         self.by_id.insert(id, key);
         self.by_tag.insert(tag, key);
@@ -198,7 +205,7 @@
                 Some((key, Change::Missing))
             }
             (State::Missing { .. }, Some(_)) => None,
-            _ => self.drop_entry(key),
+            _ => self.drop_entry(now, key),
         }
     }
 
@@ -210,10 +217,11 @@
         news.then_some((key, Change::Left))
     }
 
-    fn drop_entry(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
+    fn drop_entry(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
         let known = &mut self.arena[key];
         let news = known.takes_work();
         known.state = State::Leaving;
+        known.gone = Some(now);
         let (id, tag) = (known.id.clone(), known.tag);
         self.by_id.remove(&id);
         if self.by_tag.get(&tag) == Some(&key) {
@@ -222,14 +230,19 @@
         news.then_some((key, Change::Left))
     }
 
-    /// Settles entries whose grace is over, and forgets servers that are gone and have no request in progress.
-    pub fn expire(&mut self, now: Instant) -> Vec<(BackendKey, Change)> {
+    /// Settles entries whose grace is over, and forgets servers that are gone and have no request in progress. A server
+    /// that is gone still serves for a while, so that others can fetch prompt parts from it. Returns the changes and
+    /// the keys that are forgotten.
+    pub fn expire(&mut self, now: Instant) -> (Vec<(BackendKey, Change)>, Vec<BackendKey>) {
         let over = |b: &Backend| matches!(b.state, State::Missing { until } if until <= now);
         let over: Vec<_> = self.arena.iter().filter(|(_, b)| over(b)).map(|(key, _)| key).collect();
-        let changes = over.into_iter().filter_map(|key| self.drop_entry(key)).collect();
-        let by_id = &self.by_id;
-        self.arena.retain(|key, b| b.in_progress > 0 || by_id.get(&b.id) == Some(&key));
-        changes
+        let changes = over.into_iter().filter_map(|key| self.drop_entry(now, key)).collect();
+        let done = |b: &Backend| b.in_progress == 0 && b.gone.is_some_and(|gone| gone + LINGERS <= now);
+        let done: Vec<_> = self.arena.iter().filter(|(_, b)| done(b)).map(|(key, _)| key).collect();
+        for key in &done {
+            self.arena.remove(*key);
+        }
+        (changes, done)
     }
 
     /// One backend server, unless it is gone and forgotten.
--- a/src/relay/holders.rs
+++ b/src/relay/holders.rs
@@ -47,10 +47,18 @@
         chain.iter().take_while(held).map(|p| p.tokens).sum()
     }
 
-    /// The server that has read most of the chain, if any has read its last part.
-    pub fn best(&self, chain: &[Part]) -> Option<BackendKey> {
+    /// The usable server that has read most of the chain, if any has read its last part.
+    pub fn best(&self, chain: &[Part], usable: impl Fn(BackendKey) -> bool) -> Option<BackendKey> {
         let holders = &self.parts.get(&chain.last()?.id)?.holders;
-        holders.iter().copied().max_by_key(|key| self.tokens(chain, *key))
+        holders.iter().copied().filter(|key| usable(*key)).max_by_key(|key| self.tokens(chain, *key))
+    }
+
+    /// Parts with their holders, the ones used last first, for a host that has just started.
+    pub fn newest(&self, most: usize) -> Vec<(u64, BackendKey)> {
+        let mut entries: Vec<_> = self.parts.iter().collect();
+        entries.sort_by_key(|(_, e)| std::cmp::Reverse(e.used));
+        let pairs = entries.into_iter().flat_map(|(part, e)| e.holders.iter().map(|key| (*part, *key)));
+        pairs.take(most).collect()
     }
 
     /// Forgets a server that is gone.
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -84,17 +84,23 @@
 
 /// Fetches what other hosts have had for a while and this one lacks, and does the housekeeping.
 pub async fn keep_up<W: Wire>(relay: Arc<Relay<W>>) {
+    let mut wants_held = true;
     loop {
         tokio::time::sleep(TICK).await;
         relay.tick();
-        let (ahead, own) = {
+        let (peer, own) = {
             let state = relay.state();
             let own = state.own();
-            (state.peers.ahead(now(), own), own)
+            let ahead = state.peers.ahead(now(), own);
+            let oldest = || state.peers.longest_up().filter(|_| wants_held && state.listed);
+            (ahead.or_else(oldest), own)
         };
-        let Some(peer) = ahead else { continue };
-        match timeout(FETCH_TIMEOUT, fetch(peer, own)).await {
-            Ok(Ok(fetched)) => take(&relay, peer, fetched),
+        let Some(peer) = peer else { continue };
+        match timeout(FETCH_TIMEOUT, fetch(peer, own, wants_held)).await {
+            Ok(Ok(fetched)) => {
+                wants_held &= !relay.state().listed;
+                take(&relay, peer, fetched);
+            }
             Ok(Err(e)) => note_failed(peer, &format!("{e:#}")),
             Err(_) => note_failed(peer, "no answer in time"),
         }
@@ -113,12 +119,13 @@
     if let Some(list) = fetched.backends {
         relay.update_backends(BackendsUpdate::List(list), None, &from);
     }
+    relay.hear_held(&fetched.held);
 }
 
-async fn fetch(peer: SocketAddr, own: Own) -> Result<Fetched> {
+async fn fetch(peer: SocketAddr, own: Own, wants_held: bool) -> Result<Fetched> {
     let mut stream = TcpStream::connect(peer).await.context("could not connect")?;
     pool::set_up(&stream);
-    let ask = Fetch { configuration: own.configuration, backends: own.backends };
+    let ask = Fetch { configuration: own.configuration, backends: own.backends, wants_held };
     write(&mut stream, &postcard::to_allocvec(&ask)?).await?;
     postcard::from_bytes(&read(&mut stream).await?).context("could not read the answer")
 }
@@ -144,6 +151,7 @@
 async fn answer<W: Wire>(relay: &Relay<W>, mut stream: TcpStream) -> Result<()> {
     pool::set_up(&stream);
     let ask: Fetch = postcard::from_bytes(&read(&mut stream).await?).context("could not read the fetch")?;
+    let held = if ask.wants_held { relay.held() } else { Vec::new() };
     let fetched = {
         let state = relay.state();
         let routes = state.routes.as_ref().filter(|r| r.version() > ask.configuration);
@@ -151,6 +159,7 @@
         Fetched {
             configuration: routes.map(|r| (**r.source()).clone()),
             backends: newer.then(|| state.backends.snapshot()),
+            held,
         }
     };
     write(&mut stream, &postcard::to_allocvec(&fetched)?).await
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -181,6 +181,12 @@
         ahead.max_by_key(|(_, p)| newest(p)).map(|(addr, _)| *addr)
     }
 
+    /// The peer that is heard and has been up for the longest, which knows most.
+    pub fn longest_up(&self) -> Option<SocketAddr> {
+        let up = self.peers.iter().filter(|(_, p)| p.ready);
+        up.min_by_key(|(_, p)| p.start).map(|(addr, _)| *addr)
+    }
+
     /// Whether some other host that is heard reaches the store.
     pub fn some_follow_store(&self, now: Instant) -> bool {
         let heard = |p: &&Peer| p.heard.is_some_and(|heard| heard + LOST >= now);
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -27,7 +27,7 @@
 
 impl Default for Bound {
     fn default() -> Self {
-        Self { factor: 1.5, extra: 2.5 }
+        Self { factor: 1.8, extra: 2.5 }
     }
 }
 
@@ -92,6 +92,8 @@
     pub load: f64,
     /// The bound that held, in requests in progress.
     pub bound: f64,
+    /// Tokens of shared parts that it has read.
+    pub held: u32,
     /// Server from which it can fetch shared parts that it has not read.
     pub fetch_from: Option<BackendKey>,
 }
@@ -114,51 +116,55 @@
         candidates: &[Candidate],
         parts: &[Part],
         holders: &Holders,
+        usable: impl Fn(BackendKey) -> bool,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
         let mean = candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len().max(1) as f64;
         let bound = self.bound.factor * mean + self.bound.extra;
         let shared = shared(parts);
         match shared.last() {
-            Some(last) => self.by_parts(candidates, shared, *last, holders, bound),
+            Some(last) => by_parts(candidates, shared, *last, holders, usable, bound),
             None => least_load(candidates, bound, rng),
         }
     }
+}
 
-    fn by_parts(
-        &self,
-        candidates: &[Candidate],
-        shared: &[Part],
-        last: Part,
-        holders: &Holders,
-        bound: f64,
-    ) -> Option<Choice> {
-        let home = candidates.iter().max_by_key(|c| hash((last.id, c.tag)))?;
-        let held = |c: &Candidate| holders.tokens(shared, c.key);
-        let open = |c: &&Candidate| !c.unsound && c.load + 1.0 <= bound;
-        let source = holders.best(shared);
-        let best = candidates.iter().filter(open).filter(|c| held(c) > 0).max_by(|a, b| {
-            let by_tokens = held(a).cmp(&held(b));
-            by_tokens.then(cost(b).total_cmp(&cost(a)))
-        });
-        let whole: u32 = shared.iter().map(|p| p.tokens).sum();
-        let choice = |c: &Candidate, why| {
-            let fetch_from = source.filter(|s| *s != c.key && held(c) < whole);
-            Choice { key: c.key, why, load: c.load, bound, fetch_from }
-        };
-        if let Some(best) = best.filter(|c| held(c) == whole) {
-            return Some(choice(best, Why::Holder));
-        }
-        if open(&home) && source.is_none() {
-            return Some(choice(home, Why::Home));
-        }
-        // Every host spills a part to the same servers in the same order, so that it is read at few of them.
-        let spill = candidates.iter().filter(open).max_by_key(|c| hash((last.id, c.tag)));
-        let least = || candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let chosen = spill.or_else(least)?;
-        let why = if chosen.key == home.key { Why::Home } else { Why::Spilled };
-        Some(choice(chosen, why))
+fn by_parts(
+    candidates: &[Candidate],
+    shared: &[Part],
+    last: Part,
+    holders: &Holders,
+    usable: impl Fn(BackendKey) -> bool,
+    bound: f64,
+) -> Option<Choice> {
+    let rank = |c: &&Candidate| hash((last.id, c.tag));
+    let home = candidates.iter().max_by_key(rank)?;
+    let held = |c: &Candidate| holders.tokens(shared, c.key);
+    let open = |c: &&Candidate| !c.unsound && c.load + 1.0 <= bound;
+    let known = holders.best(shared, &usable);
+    // Where no holder is known, as after a start, the next place by rendezvous may be the home of before: the last
+    // server to join took over its parts. Asking a server that holds nothing costs nothing.
+    let before = || candidates.iter().filter(|c| c.key != home.key && usable(c.key)).max_by_key(rank);
+    let source = known.or_else(|| before().map(|c| c.key));
+    let whole: u32 = shared.iter().map(|p| p.tokens).sum();
+    let choice = |c: &Candidate, why| {
+        let other = source.filter(|s| *s != c.key).or(Some(home.key)).filter(|s| *s != c.key);
+        let fetch_from = other.filter(|s| held(c) < whole && usable(*s));
+        Choice { key: c.key, why, load: c.load, bound, held: held(c), fetch_from }
+    };
+    let holder = candidates.iter().filter(open).filter(|c| held(c) == whole);
+    if let Some(best) = holder.min_by(|a, b| cost(a).total_cmp(&cost(b))) {
+        return Some(choice(best, Why::Holder));
+    }
+    if open(&home) && known.is_none() {
+        return Some(choice(home, Why::Home));
     }
+    // Every host spills a part to the same servers in the same order, so that it is read at few of them.
+    let spill = candidates.iter().filter(open).max_by_key(rank);
+    let least = || candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    let chosen = spill.or_else(least)?;
+    let why = if chosen.key == home.key { Why::Home } else { Why::Spilled };
+    Some(choice(chosen, why))
 }
 
 /// Parts that other requests share: all but the last, which is the request's or its session's own.
@@ -180,5 +186,5 @@
     // The draw spreads requests of equal cost, so that hosts with the same view don't pick the same server.
     let drawn = candidates.iter().map(|c| (cost(c) + rng.random::<f64>() * 0.1, c));
     let (_, c) = drawn.min_by(|a, b| a.0.total_cmp(&b.0))?;
-    Some(Choice { key: c.key, why: Why::LeastLoad, load: c.load, bound, fetch_from: None })
+    Some(Choice { key: c.key, why: Why::LeastLoad, load: c.load, bound, held: 0, fetch_from: None })
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -11,7 +11,7 @@
     Read, Refusal, Relay, Sending, Wire, Work,
     answer::AnswerBody,
     backends::BackendKey,
-    place::Choice,
+    place::{Choice, shared},
     pool::Conn,
     request::{EventNumber, Request},
     stream,
@@ -189,10 +189,15 @@
     }
 
     fn note_sent(&self, choice: &Choice, id: &str, stale: usize) {
+        let from = choice.fetch_from.and_then(|key| Some(self.relay.state().backends.get(key)?.id.clone()));
         self.relay.note(Weight::Routine, "sent", &self.req, |l| {
             let l = l.text("backend", id).text("why", choice.why.as_str());
             let l = l.decimal("load", choice.load).decimal("bound", choice.bound);
-            let l = l.flag("fetches", choice.fetch_from.is_some()).number("stale", stale as u64);
+            let l = l.text("fetches", from.as_deref().unwrap_or("")).number("stale", stale as u64);
+            let l = match shared(&self.req.parts).last() {
+                Some(part) => l.text("part", &format!("{:x}", part.id)).number("held", choice.held),
+                None => l,
+            };
             l.ms("after_ms", now() - self.req.arrived).number("attempt", self.tries.made())
         });
     }
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -271,6 +271,9 @@
     /// Revision of the asker's backend servers, 0 without any.
     #[prost(uint64, tag = "2")]
     pub backends: u64,
+    /// Whether the asker has just started and knows no holders of prompt parts.
+    #[prost(bool, tag = "3")]
+    pub wants_held: bool,
 }
 /// What a peer has that is newer.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -282,6 +285,9 @@
     /// Its list of backend servers, if newer.
     #[prost(message, optional, tag = "2")]
     pub backends: ::core::option::Option<Backends>,
+    /// Prompt parts and the backend servers that have read them, if asked for.
+    #[prost(message, repeated, tag = "3")]
+    pub held: ::prost::alloc::vec::Vec<Held>,
 }
 /// Whether requests may be repeated.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -48,8 +48,8 @@
     assert_eq!(away, Some(s(8)));
     assert_eq!(changes.iter().map(|(_, c)| *c).collect::<Vec<_>>(), [Change::Missing]);
     assert_eq!(backends.of("app").count(), 2);
-    assert_eq!(backends.expire(s(9) + Duration::from_millis(1_600)), []);
-    assert_eq!(backends.expire(s(11)).len(), 1);
+    assert_eq!(backends.expire(s(9) + Duration::from_millis(1_600)).0, []);
+    assert_eq!(backends.expire(s(11)).0.len(), 1);
     assert_eq!(backends.of("app").count(), 1);
 }
 
