Keep the end of a request's time apart from a server's silence

Change: Failure::Late says nothing about the server and is answered 504; unacknowledged bytes end a connection to a server after 350 ms and a connect after 150 ms; idle connections of a silent server are closed; a server that two other hosts avoid is avoided at once.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -108,6 +108,8 @@
     state: Mutex<State>,
 }
 
+/// Other hosts that must keep away from a server before this one does without trying it: one alone may be cut off.
+const MANY: usize = 2;
 /// Holders told to a host that has just started: 50 KB.
 const MOST_HELD: usize = 4_096;
 /// Parts told in one beat; the rest follows in the next ones.
@@ -214,7 +216,8 @@
                 let b = state.backends.get(*key)?;
                 let near = *b.data_centre == *self.cfg.me.data_centre;
                 let load = f64::from(b.in_progress + state.peers.load(b.tag));
-                let unsound = state.health.unsound(now, *key, &service);
+                let told = state.peers.avoiding(b.tag) >= MANY;
+                let unsound = told || state.health.unsound(now, *key, &service);
                 Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
             })
             .collect();
--- a/src/relay/door.rs
+++ b/src/relay/door.rs
@@ -73,7 +73,8 @@
 }
 
 async fn serve<W: Wire>(relay: Arc<Relay<W>>, stream: TcpStream, from: SocketAddr) {
-    pool::set_up(&stream);
+    // Callers on weak links may be out of reach for seconds and still get their answer.
+    pool::set_up(&stream, None);
     let limits = relay.routes().map(|r| r.limits()).unwrap_or_else(|| Routes::default().limits());
     let service = service_fn(|req| {
         let relay = relay.clone();
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -124,7 +124,7 @@
 
 async fn fetch(peer: SocketAddr, own: Own, wants_held: bool) -> Result<Fetched> {
     let mut stream = TcpStream::connect(peer).await.context("could not connect")?;
-    pool::set_up(&stream);
+    pool::set_up(&stream, Some(FETCH_TIMEOUT));
     let ask = Fetch { configuration: own.configuration, backends: own.backends, wants_held };
     write(&mut stream, &postcard::to_allocvec(&ask)?).await?;
     postcard::from_bytes(&read(&mut stream).await?).context("could not read the answer")
@@ -149,7 +149,7 @@
 }
 
 async fn answer<W: Wire>(relay: &Relay<W>, mut stream: TcpStream) -> Result<()> {
-    pool::set_up(&stream);
+    pool::set_up(&stream, Some(FETCH_TIMEOUT));
     let ask: Fetch = postcard::from_bytes(&read(&mut stream).await?).context("could not read the fetch")?;
     let held = if ask.wants_held { relay.held() } else { Vec::new() };
     let fetched = {
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -22,10 +22,11 @@
 use super::{backends::BackendKey, verdict::Failure};
 use crate::util::{Instant, Map, lock, now};
 
-/// Time to connect: a round trip within a region takes 3 ms, a lost first packet is sent again after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Unacknowledged bytes end a connection after this time, so that a server that lost its power shows.
-const USER_TIMEOUT_MS: u32 = 2_000;
+/// Time to connect: a round trip within a region takes 3 ms, and a lost first packet is sent again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Unacknowledged bytes end a connection to a backend server after this time, so that one without power shows before
+/// the objective of most requests is over. A lost packet is sent again and acknowledged within 250 ms.
+const BACKEND_SILENCE: Duration = Duration::from_millis(350);
 /// Idle time of a connection whose server does not say how long it keeps it.
 const DEFAULT_IDLE: Duration = Duration::from_millis(900);
 /// Part of the server's idle time after which a connection is not used any more: requests on their way and clocks
@@ -51,7 +52,7 @@
     pub async fn connect(addr: SocketAddr, most: Duration) -> Result<Self, Failure> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(most), TcpStream::connect(addr));
         let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
-        set_up(&stream);
+        set_up(&stream, Some(BACKEND_SILENCE));
         let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
         let Ok((tx, conn)) = handshake else { return Err(Failure::Connect) };
         let task = tokio::spawn(async move {
@@ -75,6 +76,7 @@
             Err(mut e) => match e.take_message() {
                 Some(req) => Err((Failure::Unsent, Some(req))),
                 None if e.error().is_parse() => Err((Failure::Garbled, None)),
+                None if is_timeout(e.error()) => Err((Failure::Silent, None)),
                 None => Err((Failure::Broken, None)),
             },
         }
@@ -97,12 +99,19 @@
     }
 }
 
-/// Sets a socket up: small writes go out at once, and a peer without power shows.
-pub(crate) fn set_up(stream: &TcpStream) {
+/// Whether bytes were not acknowledged in time.
+fn is_timeout(e: &hyper::Error) -> bool {
+    let source = std::error::Error::source(e).and_then(|s| s.downcast_ref::<std::io::Error>());
+    source.is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
+}
+
+/// Sets a socket up: small writes go out at once, and a peer that acknowledges nothing for `silence` ends it.
+pub(crate) fn set_up(stream: &TcpStream, silence: Option<Duration>) {
     if let Err(e) = stream.set_nodelay(true) {
         spdlog::warn!("could not set a socket to send at once: {e}");
     }
-    if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MS) {
+    let Some(silence) = silence else { return };
+    if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(stream, silence.as_millis() as u32) {
         spdlog::warn!("could not set a socket's time limit: {e}");
     }
 }
@@ -144,6 +153,12 @@
         }
     }
 
+    /// Closes the idle connections to a server that fell silent: the next attempt shows by connecting whether it is
+    /// back, without a request that may have run.
+    pub fn clear(&self, key: BackendKey) {
+        lock(&self.idle).remove(&key);
+    }
+
     /// Closes connections that were idle for too long, and those to servers that are not `kept` any more.
     pub fn sweep(&self, kept: impl Fn(BackendKey) -> bool) {
         let now = now();
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -110,8 +110,12 @@
         let now = now();
         match failure {
             Failure::Moved => self.relay.lose(key, "another server answers at its address"),
-            Failure::Connect | Failure::Silent => self.relay.state().health.lose(now, key),
-            Failure::Unsent => {}
+            Failure::Connect | Failure::Silent => {
+                self.relay.state().health.lose(now, key);
+                self.relay.pool.clear(key);
+                self.relay.tell.notify_one();
+            }
+            Failure::Unsent | Failure::Late => {}
             Failure::Refused | Failure::Broken | Failure::Garbled | Failure::Errored => {
                 self.relay.state().health.fail(now, key);
             }
@@ -211,11 +215,19 @@
     ) -> Result<Response<Incoming>, Failure> {
         let head = conn.send(req);
         tokio::pin!(head);
-        let patience = self.patience();
-        let limit = patience.unwrap_or(Duration::MAX).min(self.req.left(now()));
+        let (limit, over) = self.limit(self.patience());
         match tokio::time::timeout(limit, &mut head).await {
             Ok(result) => result.map_err(|(failure, _)| failure),
-            Err(_) => Err(Failure::Silent),
+            Err(_) => Err(over),
+        }
+    }
+
+    /// How long to wait with this patience, and what has happened when that time is over.
+    pub(crate) fn limit(&self, patience: Option<Duration>) -> (Duration, Failure) {
+        let left = self.req.left(now());
+        match patience {
+            Some(patience) if patience < left => (patience, Failure::Silent),
+            _ => (left, Failure::Late),
         }
     }
 
@@ -239,7 +251,7 @@
                 spdlog::debug!("answer to {} broke off: {e}", self.req.id);
                 return Err((Failure::Broken, key));
             }
-            Err(_) => return Err((Failure::Silent, key)),
+            Err(_) => return Err((Failure::Late, key)),
         };
         if !read.closes {
             self.relay.pool.put(key, conn, read.keeps);
@@ -298,7 +310,7 @@
 
 fn kind(failure: Failure, stop: Stop) -> Kind {
     match (stop, failure) {
-        (Stop::Deadline, _) => Kind::DeadlinePassed,
+        (Stop::Deadline, _) | (_, Failure::Late) => Kind::DeadlinePassed,
         (Stop::Budget, _) => Kind::RetryBudget,
         (Stop::Attempts, Failure::Connect | Failure::Unsent) => Kind::ConnectFailed,
         (Stop::Attempts, Failure::Refused | Failure::Moved) => Kind::EngineRefused,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -52,7 +52,7 @@
         resumed: false,
         ended: false,
     };
-    let limit = run.patience().unwrap_or(Duration::MAX).min(run.req.left(now()));
+    let limit = run.limit(run.patience());
     match events.read(run, limit).await {
         Ok(Next::Events(bytes)) => {
             run.relay.note(Weight::Routine, "first_event", &run.req, |l| {
@@ -91,7 +91,7 @@
         }
         loop {
             let pause = run.req.route.repeatable.then_some(PAUSE);
-            let limit = pause.unwrap_or(Duration::MAX).min(run.req.left(now()));
+            let limit = run.limit(pause);
             let failure = match self.read(run, limit).await {
                 Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
                 Ok(Next::End) => return None,
@@ -133,8 +133,8 @@
         false
     }
 
-    async fn read(&mut self, run: &mut Run<W>, limit: Duration) -> Result<Next, Failure> {
-        let deadline = tokio::time::Instant::now() + limit.min(Duration::from_secs(3_600));
+    async fn read(&mut self, run: &mut Run<W>, (limit, over): (Duration, Failure)) -> Result<Next, Failure> {
+        let deadline = tokio::time::Instant::now() + limit;
         loop {
             let Some(answered) = &mut self.answered else { return Err(Failure::Broken) };
             let frame = match tokio::time::timeout_at(deadline, answered.body.frame()).await {
@@ -144,7 +144,7 @@
                     return Err(Failure::Broken);
                 }
                 Ok(None) => return self.end(run),
-                Err(_) => return Err(Failure::Silent),
+                Err(_) => return Err(over),
             };
             let Ok(data) = frame.into_data() else { continue };
             if let Some(whole) = self.splitter.push(data) {
--- a/src/relay/verdict.rs
+++ b/src/relay/verdict.rs
@@ -17,15 +17,17 @@
     Broken,
     /// The answer belongs to another request or is not in the protocol.
     Garbled,
-    /// Nothing came for too long.
+    /// Nothing came for so long that the server is taken for silent.
     Silent,
+    /// The request's time was over first; that says nothing about the server.
+    Late,
     /// The backend server answered with an error of its own.
     Errored,
 }
 
 impl Failure {
     /// Every failure.
-    pub const ALL: [Failure; 8] = [
+    pub const ALL: [Failure; 9] = [
         Failure::Connect,
         Failure::Unsent,
         Failure::Refused,
@@ -33,6 +35,7 @@
         Failure::Broken,
         Failure::Garbled,
         Failure::Silent,
+        Failure::Late,
         Failure::Errored,
     ];
 
@@ -46,6 +49,7 @@
             Failure::Broken => "broken",
             Failure::Garbled => "garbled",
             Failure::Silent => "silent",
+            Failure::Late => "late",
             Failure::Errored => "errored",
         }
     }
@@ -55,7 +59,7 @@
     pub fn ran(self) -> Ran {
         match self {
             Failure::Connect | Failure::Unsent | Failure::Refused | Failure::Moved => Ran::No,
-            Failure::Broken | Failure::Garbled | Failure::Silent => Ran::Unknown,
+            Failure::Broken | Failure::Garbled | Failure::Silent | Failure::Late => Ran::Unknown,
             Failure::Errored => Ran::Yes,
         }
     }
