Follow the store by two hosts a data centre in a large fleet, and spread stale decisions

Change: in fleets over 16 hosts, beats go to the own data centre, a summary of it to one drawn host of each other one; the first two hosts of a data centre that reach the store follow it, the others fetch from them as soon as a beat tells of news; servers are drawn by free places unless a near one is mostly free; a watch waits 200 ms after a change.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -51,7 +51,7 @@
 use health::Health;
 use holders::Holders;
 use leave::Leaving;
-use peers::{Own, Peers};
+use peers::{Own, Peers, Scope};
 use place::{Candidate, Choice, Placer};
 use pool::Pool;
 use request::Request;
@@ -87,6 +87,8 @@
     pub(crate) peers: Peers,
     pub(crate) suspects: Suspects,
     pub(crate) leaving: Option<Leaving>,
+    /// Whether this host follows the store itself.
+    pub(crate) follows: bool,
     /// Since when the store has not answered.
     pub(crate) store_lost: Option<Instant>,
     pub(crate) listed: bool,
@@ -104,6 +106,8 @@
     pub(crate) pool: Pool,
     /// Wakes the sender of beats when something must be told at once.
     pub(crate) tell: Notify,
+    /// Wakes the fetching of what another host has had for long enough.
+    pub(crate) behind: Notify,
     start: u64,
     state: Mutex<State>,
 }
@@ -124,17 +128,18 @@
             health: Health::default(),
             holders: Holders::default(),
             budget: FleetBudget::new(cfg.budget),
-            peers: Peers::new(cfg.peer_addr, &cfg.seeds),
+            peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds),
             suspects: Suspects::default(),
             leaving: None,
+            follows: true,
             store_lost: None,
             listed: false,
             news: Vec::new(),
             in_progress: 0,
             rng: SmallRng::from_os_rng(),
         };
-        let (pool, tell) = (Pool::default(), Notify::new());
-        Self { cfg, wire, pool, tell, start: wall_ms(), state: Mutex::new(state) }
+        let (pool, tell, behind) = (Pool::default(), Notify::new(), Notify::new());
+        Self { cfg, wire, pool, tell, behind, start: wall_ms(), state: Mutex::new(state) }
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
@@ -148,7 +153,9 @@
 
     /// Whether what is known may be old: the store does not answer.
     pub fn is_stale(&self) -> bool {
-        self.state().store_lost.is_some()
+        let (now, state) = (now(), self.state());
+        let follows = state.peers.should_follow(now) || state.peers.some_follow_store(now);
+        state.store_lost.is_some() || !follows
     }
 
     /// Whether callers may be sent here.
@@ -165,7 +172,8 @@
     pub fn addresses(&self, _data_centre: Option<&str>) -> Vec<String> {
         let state = self.state();
         let own = state.is_ready().then_some(&self.cfg.me);
-        let mut all: Vec<_> = own.into_iter().chain(state.peers.ready()).map(|m| m.callers.clone()).collect();
+        let mut all: Vec<_> =
+            own.into_iter().chain(state.peers.ready(now())).map(|m| m.callers.clone()).collect();
         if all.is_empty() && state.leaving.is_none() {
             all.push(self.cfg.me.callers.clone());
         }
@@ -240,6 +248,13 @@
         }
     }
 
+    /// Targets of the next beat.
+    pub(crate) fn targets(&self) -> Vec<(SocketAddr, Scope)> {
+        let mut state = self.state();
+        let state = &mut *state;
+        state.peers.targets(now(), &mut state.rng)
+    }
+
     /// Composes the next beat.
     pub(crate) fn beat(&self, full: bool) -> Beat {
         let now = now();
@@ -257,7 +272,7 @@
             configuration: own.configuration,
             backends: own.backends,
             backends_digest: own.digest,
-            follows_store: state.store_lost.is_none() && state.listed,
+            follows_store: state.follows && state.store_lost.is_none() && state.listed,
             in_progress,
             held: state.news.drain(..told).collect(),
             avoided,
@@ -268,12 +283,21 @@
         beat
     }
 
+    /// The same beat as other data centres are told it.
+    pub(crate) fn summarise(&self, beat: &Beat) -> Beat {
+        let centre = self.state().peers.centre(&beat.in_progress, &self.cfg.me, beat.ready);
+        Beat { in_progress: Vec::new(), centre: Some(centre), ..beat.clone() }
+    }
+
     /// Takes a beat of another host in; returns whether it wants a full one.
     pub(crate) fn hear(&self, from: SocketAddr, beat: &Beat) -> bool {
         let now = now();
         let mut state = self.state();
         let own = state.own();
         let heard = state.peers.hear(now, from, beat, own);
+        if state.peers.ahead(now, own).is_some() {
+            self.behind.notify_one();
+        }
         let hosts = state.peers.hosts();
         state.budget.set_hosts(hosts);
         state.suspects.hear(now, &beat.suspects);
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -11,6 +11,12 @@
     util::now,
 };
 
+/// Pause after a change before the next watch, so that servers that come or go together cost one call. A server that
+/// leaves may get new work for two seconds.
+const GATHER: Duration = Duration::from_millis(200);
+/// Time between two looks whether this host must follow the store again.
+const REST: Duration = Duration::from_millis(250);
+
 /// Why a call to the store gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
@@ -58,6 +64,9 @@
     let mut contact = Contact::new("configuration");
     let mut after = None;
     loop {
+        if after.is_some() && rest(&relay).await {
+            after = None;
+        }
         match store.configuration(after).await {
             Ok((revision, cfg)) => {
                 regain(&mut contact);
@@ -83,13 +92,21 @@
     let mut contact = Contact::new("backends");
     let mut list = true;
     loop {
+        if !list {
+            rest(&relay).await;
+        }
         let after = (!list).then(|| relay.state().backends.revision());
         match store.backends(after).await {
             Ok(update) => {
                 list = false;
                 let grace = regain(&mut contact);
+                let news = matches!(&update, BackendsUpdate::Changes { puts, removed, .. }
+                    if !puts.is_empty() || !removed.is_empty());
                 relay.update_backends(update, grace, "store");
                 relay.state().store_lost = None;
+                if news {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "backends"));
@@ -121,6 +138,23 @@
     }
 }
 
+/// Waits while enough other hosts of the data centre follow the store and tell this one; returns whether it has waited.
+async fn rest<W: Wire>(relay: &Relay<W>) -> bool {
+    let mut rested = false;
+    loop {
+        let follows = {
+            let mut state = relay.state();
+            state.follows = state.peers.should_follow(now());
+            state.follows
+        };
+        if follows {
+            return rested;
+        }
+        rested = true;
+        tokio::time::sleep(REST).await;
+    }
+}
+
 /// Notes an answer; returns how long entries that may have lapsed still count.
 fn regain(contact: &mut Contact) -> Option<Duration> {
     let now = now();
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -9,7 +9,12 @@
     time::timeout,
 };
 
-use super::{Relay, TICK, Wire, follow::BackendsUpdate, peers::Own, pool};
+use super::{
+    Relay, TICK, Wire,
+    follow::BackendsUpdate,
+    peers::{Own, Scope},
+    pool,
+};
 use crate::{
     logs::lines::{Weight, line},
     schema::fleet::{Beat, Fetch, Fetched},
@@ -28,11 +33,15 @@
 /// Sends beats, at the period or sooner when there is something to tell.
 pub async fn send_beats<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
     loop {
-        let targets = relay.state().peers.targets(now());
+        let targets = relay.targets();
         if !targets.is_empty() {
-            let buf = encode(&relay.beat(false));
-            for target in targets {
-                send(&socket, &buf, target).await;
+            let beat = relay.beat(false);
+            let own = encode(&beat);
+            let centre = targets.iter().any(|(_, scope)| *scope == Scope::Centre);
+            let centre = if centre { encode(&relay.summarise(&beat)) } else { Vec::new() };
+            for (target, scope) in targets {
+                let buf = if scope == Scope::Own { &own } else { &centre };
+                send(&socket, buf, target).await;
             }
         }
         let period = relay.state().peers.period();
@@ -86,7 +95,10 @@
 pub async fn keep_up<W: Wire>(relay: Arc<Relay<W>>) {
     let mut wants_held = true;
     loop {
-        tokio::time::sleep(TICK).await;
+        // What a peer tells wakes this up; a pause keeps a run of changes to one fetch.
+        if timeout(TICK, relay.behind.notified()).await.is_ok() {
+            tokio::time::sleep(SETTLE).await;
+        }
         relay.tick();
         let (peer, own) = {
             let state = relay.state();
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -1,29 +1,42 @@
 //! What this host knows of the other hosts: who is there, what is in force there, and their share of the load.
 //!
-//! Every host sends the others a small datagram several times a second. All is soft state: a host that is not heard
-//! any more stops counting, and a restarted one learns everything again from the first full beats.
+//! In a small fleet every host sends every other one a small datagram several times a second. In a large one it does so
+//! within its data centre, and sends one host of each other data centre a summary of its own; which host is drawn anew
+//! each time, so that every host hears of every data centre about once a period, at a cost that grows with the data
+//! centres and not with the fleet. All is soft state: a host that is not heard any more stops counting, and a restarted
+//! one learns everything again from the first full beats.
 
 use std::{net::SocketAddr, time::Duration};
 
+use rand::Rng;
+
 use super::{
     backends::{Revision, Tag},
     routes::Version,
 };
 use crate::{
-    schema::fleet::{Beat, Member},
-    util::{Instant, Map},
+    schema::fleet::{Beat, Centre, InProgress, Member},
+    util::{Instant, Map, hash},
 };
 
 /// Time between beats in a small fleet. Loads are as old as this; 100 ms more costs no measurable skew.
 pub const PERIOD: Duration = Duration::from_millis(250);
-/// Bytes a second that beats may take; with more hosts the period grows instead.
-const BYTES_PER_SECOND: f64 = 6_000.0;
+/// Bytes a second that beats may take, half of a host's control traffic; with more hosts the period grows instead.
+const BYTES_PER_SECOND: f64 = 6_500.0;
 /// Bytes of a common beat with the headers of IP and UDP.
 const BEAT_BYTES: f64 = 140.0;
+/// Hosts up to which a fleet is small: all of them tell each other everything, and all follow the store.
+const SMALL: usize = 16;
+/// Hosts of a data centre that follow the store in a large fleet: one may be lost while another is cut off.
+const FOLLOWERS: usize = 2;
 /// Every so many beats carry the members, so that lost ones are made up for.
 const FULL_EVERY: u64 = 8;
 /// Without a beat for this long a host is not handed out to callers; five beats may be lost.
 const LOST: Duration = Duration::from_millis(1_300);
+/// Beats that may be lost where the period is longer.
+const LOST_BEATS: u32 = 4;
+/// The same for a host or a data centre of which only summaries tell.
+const LOST_SUMMARY: Duration = Duration::from_millis(3_000);
 /// How long a silent host still counts for shares of budgets: it may be cut off and go on.
 const FORGET: Duration = Duration::from_secs(60);
 /// Time between beats to an address that does not answer.
@@ -53,6 +66,29 @@
     ahead: Option<Instant>,
     loads: Map<Tag, u32>,
     avoided: Vec<Tag>,
+    /// When a summary named it as ready.
+    named: Option<Instant>,
+}
+
+/// What a summary told of another data centre.
+#[derive(Clone, Debug, Default)]
+struct Summary {
+    heard: Instant,
+    loads: Map<Tag, u32>,
+}
+
+/// What a beat to a host carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The sender's own requests in progress.
+    Own,
+    /// The summary of the sender's data centre.
+    Centre,
+}
+
+/// Tag of a host in summaries.
+fn member_tag(member: &Member) -> u32 {
+    hash(&member.peers) as u32
 }
 
 /// What a beat brought that the caller acts on.
@@ -79,15 +115,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     me: Option<SocketAddr>,
+    data_centre: String,
     peers: Map<SocketAddr, Peer>,
+    centres: Map<String, Summary>,
     totals: Map<Tag, u32>,
     number: u64,
 }
 
 impl Peers {
     /// Knows the seeds and this host's own address, which is no peer.
-    pub fn new(me: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let mut peers = Self { me: Some(me), ..Self::default() };
+    pub fn new(me: SocketAddr, data_centre: &str, seeds: &[SocketAddr]) -> Self {
+        let mut peers = Self { me: Some(me), data_centre: data_centre.into(), ..Self::default() };
         seeds.iter().for_each(|seed| peers.learn(*seed));
         peers
     }
@@ -109,13 +147,16 @@
                 self.learn(addr);
             }
         }
+        let lost = self.lost();
         let peer = self.peers.entry(from).or_default();
         if (beat.start, beat.number) <= (peer.start, peer.number) {
             return Heard::default();
         }
-        let joined = peer.heard.is_none_or(|heard| heard + LOST < now) || beat.start != peer.start;
+        let joined = peer.heard.is_none_or(|heard| heard + lost < now) || beat.start != peer.start;
         let old = std::mem::take(&mut peer.loads);
-        peer.loads = beat.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
+        if beat.centre.is_none() {
+            peer.loads = beat.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
+        }
         peer.avoided.clone_from(&beat.avoided);
         if let Some(sender) = &beat.sender {
             peer.member = Some(sender.clone());
@@ -125,12 +166,31 @@
         peer.configuration = beat.configuration;
         (peer.backends, peer.backends_digest) = (beat.backends, beat.backends_digest);
         peer.ahead = is_ahead(peer, own).then(|| peer.ahead.unwrap_or(now));
-        let unknown = peer.member.is_none();
+        let centre = peer.member.as_ref().map(|m| m.data_centre.clone());
+        let unknown = centre.is_none();
         let new = peer.loads.clone();
         self.count(&old, &new);
+        if let (Some(told), Some(centre)) = (&beat.centre, centre) {
+            self.summarised(now, centre, told);
+        }
         Heard { joined: joined || unknown, answer: beat.wants_full || unknown }
     }
 
+    fn summarised(&mut self, now: Instant, centre: String, told: &Centre) {
+        if centre == self.data_centre {
+            return;
+        }
+        let loads: Map<_, _> = told.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
+        let summary = self.centres.entry(centre).or_default();
+        let old = std::mem::replace(summary, Summary { heard: now, loads: loads.clone() });
+        self.count(&old.loads, &loads);
+        for peer in self.peers.values_mut() {
+            if peer.member.as_ref().is_some_and(|m| told.ready.contains(&member_tag(m))) {
+                peer.named = Some(now);
+            }
+        }
+    }
+
     fn count(&mut self, old: &Map<Tag, u32>, new: &Map<Tag, u32>) {
         for (tag, n) in old {
             let total = self.totals.entry(*tag).or_default();
@@ -154,31 +214,67 @@
 
     /// Stops counting hosts that are not heard any more; returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let limit = self.lost();
         let mut lost = Vec::new();
-        let silent = |p: &Peer| p.heard.is_some_and(|heard| heard + LOST < now);
+        let silent = |p: &Peer| p.heard.is_some_and(|heard| heard + limit < now);
         for (addr, peer) in self.peers.iter_mut().filter(|(_, p)| silent(p)) {
             if peer.ready || !peer.loads.is_empty() {
                 lost.push((*addr, std::mem::take(&mut peer.loads)));
             }
-            peer.ready = false;
-            peer.ahead = None;
+            (peer.ready, peer.follows_store, peer.ahead) = (false, false, None);
             peer.avoided.clear();
         }
         for (_, loads) in &lost {
             self.count(loads, &Map::default());
         }
-        let forgotten = |p: &Peer| p.heard.is_some_and(|heard| heard + FORGET < now);
-        self.peers.retain(|_, p| !forgotten(p));
+        let old: Vec<_> = self.centres.extract_if(|_, c| c.heard + LOST_SUMMARY < now).collect();
+        for (_, summary) in old {
+            self.count(&summary.loads, &Map::default());
+        }
+        let latest = |p: &Peer| p.heard.max(p.named);
+        self.peers.retain(|_, p| latest(p).is_none_or(|at| at + FORGET >= now));
         lost.into_iter().map(|(addr, _)| addr).collect()
     }
 
+    /// Silence after which a host counts as lost.
+    fn lost(&self) -> Duration {
+        LOST.max(self.period() * LOST_BEATS)
+    }
+
+    fn is_small(&self) -> bool {
+        self.peers.len() < SMALL
+    }
+
+    /// Whether a host is told everything: all are in a small fleet, else those of the own data centre.
+    fn is_near(&self, peer: &Peer) -> bool {
+        self.is_small() || peer.member.as_ref().is_some_and(|m| m.data_centre == self.data_centre)
+    }
+
+    /// Whether this host shall follow the store: every one in a small fleet, else the first few of each data centre that
+    /// reach it. A call counts, and a change costs one for each host that waits for it.
+    pub fn should_follow(&self, now: Instant) -> bool {
+        if self.is_small() {
+            return true;
+        }
+        let Some(me) = self.me else { return true };
+        let limit = self.lost();
+        let alive = |p: &Peer| p.heard.is_some_and(|heard| heard + limit >= now);
+        let before = self
+            .peers
+            .iter()
+            .filter(|(addr, p)| p.follows_store && alive(p) && self.is_near(p) && hash(addr) > hash(me));
+        before.count() < FOLLOWERS
+    }
+
     /// A peer that has had something newer for a while, to fetch it from.
     pub fn ahead(&self, now: Instant, own: Own) -> Option<SocketAddr> {
-        let patience = if own.configuration == 0 || own.backends == 0 { Duration::ZERO } else { AHEAD };
+        let first = own.configuration == 0 || own.backends == 0 || !self.should_follow(now);
+        let patience = if first { Duration::ZERO } else { AHEAD };
         let ripe = |p: &&Peer| p.ahead.is_some_and(|since| since + patience <= now);
-        let newest = |p: &&Peer| (p.configuration, p.backends);
+        // Bytes within a data centre cost nothing.
+        let best = |p: &Peer| (self.is_near(p), p.configuration, p.backends);
         let ahead = self.peers.iter().filter(|(_, p)| ripe(p) && is_ahead(p, own));
-        ahead.max_by_key(|(_, p)| newest(p)).map(|(addr, _)| *addr)
+        ahead.max_by_key(|(_, p)| best(p)).map(|(addr, _)| *addr)
     }
 
     /// The peer that is heard and has been up for the longest, which knows most.
@@ -189,34 +285,69 @@
 
     /// Whether some other host that is heard reaches the store.
     pub fn some_follow_store(&self, now: Instant) -> bool {
-        let heard = |p: &&Peer| p.heard.is_some_and(|heard| heard + LOST >= now);
+        let limit = self.lost();
+        let heard = |p: &&Peer| p.heard.is_some_and(|heard| heard + limit >= now);
         self.peers.values().filter(heard).any(|p| p.follows_store)
     }
 
     /// Hosts that share budgets, this one included.
     pub fn hosts(&self) -> usize {
-        self.peers.values().filter(|p| p.heard.is_some()).count() + 1
+        self.peers.values().filter(|p| p.heard.is_some() || p.member.is_some()).count() + 1
     }
 
     /// Time between two beats.
     pub fn period(&self) -> Duration {
-        let bytes = self.peers.len() as f64 * BEAT_BYTES;
+        let near = self.peers.values().filter(|p| self.is_near(p)).count();
+        let bytes = near as f64 * BEAT_BYTES;
         PERIOD.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
     }
 
-    /// Addresses for the next beat: all hosts that are heard, the others once a second.
-    pub fn targets(&mut self, now: Instant) -> Vec<SocketAddr> {
+    /// Addresses for the next beat with what they are told: all near hosts that are heard, one host of each other data
+    /// centre, and once a second those that don't answer.
+    pub fn targets(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(SocketAddr, Scope)> {
+        let limit = self.lost();
+        let heard = |p: &Peer| p.heard.is_some_and(|heard| heard + limit >= now);
         let mut targets = Vec::new();
-        for (addr, peer) in &mut self.peers {
-            let heard = peer.heard.is_some_and(|heard| heard + LOST >= now);
-            if heard || peer.sought.is_none_or(|sought| sought + SEEK <= now) {
+        let mut far: Map<String, Vec<SocketAddr>> = Map::default();
+        for (addr, peer) in &self.peers {
+            let near = self.is_near(peer);
+            match &peer.member {
+                _ if near && heard(peer) => targets.push((*addr, Scope::Own)),
+                Some(member) if !near => far.entry(member.data_centre.clone()).or_default().push(*addr),
+                _ if peer.sought.is_none_or(|sought| sought + SEEK <= now) => {
+                    targets.push((*addr, Scope::Own))
+                }
+                _ => {}
+            }
+        }
+        let drawn = far.into_values().map(|hosts| hosts[rng.random_range(0..hosts.len())]);
+        targets.extend(drawn.map(|addr| (addr, Scope::Centre)));
+        for (addr, _) in &targets {
+            if let Some(peer) = self.peers.get_mut(addr) {
                 peer.sought = Some(now);
-                targets.push(*addr);
             }
         }
         targets
     }
 
+    /// The summary of the own data centre, with this host's own requests in progress.
+    pub fn centre(&self, own: &[InProgress], me: &Member, ready: bool) -> Centre {
+        let mut loads: Map<Tag, u32> = own.iter().map(|l| (l.backend, l.requests)).collect();
+        let near = self
+            .peers
+            .values()
+            .filter(|p| p.member.as_ref().is_some_and(|m| m.data_centre == me.data_centre));
+        let mut tags: Vec<_> = ready.then(|| member_tag(me)).into_iter().collect();
+        for peer in near {
+            for (tag, n) in &peer.loads {
+                *loads.entry(*tag).or_default() += n;
+            }
+            tags.extend(peer.member.as_ref().filter(|_| peer.ready).map(member_tag));
+        }
+        let in_progress = loads.into_iter().map(|(backend, requests)| InProgress { backend, requests });
+        Centre { in_progress: in_progress.collect(), ready: tags }
+    }
+
     /// Completes a beat: numbers it, and adds the members to every eighth and to those that are asked for.
     pub fn number(&mut self, beat: &mut Beat, me: &Member, full: bool) {
         self.number += 1;
@@ -230,8 +361,10 @@
     }
 
     /// Hosts that callers may be sent to, this one not included.
-    pub fn ready(&self) -> impl Iterator<Item = &Member> {
-        self.peers.values().filter(|p| p.ready).filter_map(|p| p.member.as_ref())
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let named = move |p: &Peer| p.named.is_some_and(|named| named + LOST_SUMMARY >= now);
+        let ready = move |p: &&Peer| if self.is_near(p) { p.ready } else { named(p) };
+        self.peers.values().filter(ready).filter_map(|p| p.member.as_ref())
     }
 }
 
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -33,6 +33,10 @@
 
 /// Load in requests that a server in another data centre must be below one in the own to be preferred.
 const CROSS_PENALTY: f64 = 0.7;
+/// Part of a server's places up to which it counts as mostly free; no request waits there.
+const MOSTLY_FREE: f64 = 0.34;
+/// Free places that a full server counts as having: it may have some again before a request arrives.
+const LEAST_WEIGHT: f64 = 0.5;
 /// Load in requests that an unsound server counts as having more.
 const UNSOUND_PENALTY: f64 = 1_000.0;
 
@@ -182,9 +186,26 @@
     c.load + far + unsound
 }
 
+/// The least loaded server of the own data centre while it is mostly free, else one drawn by free places: all hosts see
+/// the same loads, some of them old, and would otherwise send to the same server until the next beats.
 fn least_load(candidates: &[Candidate], bound: f64, rng: &mut impl Rng) -> Option<Choice> {
-    // The draw spreads requests of equal cost, so that hosts with the same view don't pick the same server.
-    let drawn = candidates.iter().map(|c| (cost(c) + rng.random::<f64>() * 0.1, c));
-    let (_, c) = drawn.min_by(|a, b| a.0.total_cmp(&b.0))?;
-    Some(Choice { key: c.key, why: Why::LeastLoad, load: c.load, bound, held: 0, fetch_from: None })
+    let choice = |c: &Candidate| Choice {
+        key: c.key,
+        why: Why::LeastLoad,
+        load: c.load,
+        bound,
+        held: 0,
+        fetch_from: None,
+    };
+    let free = |c: &&Candidate| !c.unsound && c.load <= f64::from(c.slots) * MOSTLY_FREE;
+    let near = candidates.iter().filter(|c| c.near).filter(free);
+    if let Some(near) = near.min_by(|a, b| a.load.total_cmp(&b.load)) {
+        return Some(choice(near));
+    }
+    let sound = candidates.iter().any(|c| !c.unsound);
+    let drawn = candidates.iter().filter(|c| !sound || !c.unsound);
+    let weight = |c: &Candidate| (f64::from(c.slots) - c.load).max(LEAST_WEIGHT);
+    // The lowest of exponential draws, each at the rate of its weight, falls to each with a chance by weight.
+    let drawn = drawn.map(|c| (-rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / weight(c), c));
+    drawn.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| choice(c))
 }
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -199,6 +199,20 @@
     /// Whether the sender reaches the store.
     #[prost(bool, tag = "15")]
     pub follows_store: bool,
+    /// Summary of the sender's data centre, in beats to other data centres of a large fleet.
+    #[prost(message, optional, tag = "16")]
+    pub centre: ::core::option::Option<Centre>,
+}
+/// What the hosts of one data centre have in progress, and which of them callers may be sent to.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Centre {
+    /// Requests in progress of all its hosts.
+    #[prost(message, repeated, tag = "1")]
+    pub in_progress: ::prost::alloc::vec::Vec<InProgress>,
+    /// Tags of its hosts that are ready.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub ready: ::prost::alloc::vec::Vec<u32>,
 }
 /// Requests in progress at one backend server.
 #[derive(serde::Serialize, serde::Deserialize)]
