Take no request while the process ends

Excluded: the decision to stop (nothing was in progress then), the platform's kill (4 s later). Change: from that decision on requests are refused as not run, the listener is closed, and callers' connections are shut down gracefully, each after its request; the process ends when all are closed or after 300 ms.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -34,8 +34,10 @@
 const KEEP_S: f64 = 1.0;
 /// Time limit of a connection that asks for addresses or readiness and sends nothing.
 const SMALL_IDLE: Duration = Duration::from_secs(10);
+/// Longest time for connections to close once no request is in progress; what is left then is cut by the kill anyway.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two checks whether a leaving host may stop.
-const STOP_CHECK: Duration = Duration::from_millis(50);
+const STOP_CHECK: Duration = Duration::from_millis(25);
 
 /// Serves on the platform with the settings file at `path` until it is told to stop.
 ///
@@ -90,7 +92,14 @@
     while !relay.may_stop() {
         tokio::time::sleep(STOP_CHECK).await;
     }
-    line(Weight::Notable, "stop", |l| l);
+    relay.close_doors();
+    let closed = async {
+        while relay.connections() > 0 {
+            tokio::time::sleep(STOP_CHECK).await;
+        }
+    };
+    let all = tokio::time::timeout(CLOSE_TIMEOUT, closed).await.is_ok();
+    line(Weight::Notable, "stop", |l| l.flag("all_closed", all));
     // The thread that writes lines gets its turn before the process ends.
     tokio::time::sleep(STOP_CHECK).await;
     Ok(())
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -16,7 +16,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     logs::lines::{Line, Weight, line},
@@ -95,6 +95,7 @@
     /// Parts read at servers where the other hosts don't expect them, for the next beats.
     news: Vec<Held>,
     in_progress: usize,
+    connections: usize,
     rng: SmallRng,
 }
 
@@ -108,6 +109,8 @@
     pub(crate) tell: Notify,
     /// Wakes the fetching of what another host has had for long enough.
     pub(crate) behind: Notify,
+    /// Set once no request is taken any more.
+    pub(crate) closing: watch::Sender<bool>,
     start: u64,
     state: Mutex<State>,
 }
@@ -136,10 +139,12 @@
             listed: false,
             news: Vec::new(),
             in_progress: 0,
+            connections: 0,
             rng: SmallRng::from_os_rng(),
         };
         let (pool, tell, behind) = (Pool::default(), Notify::new(), Notify::new());
-        Self { cfg, wire, pool, tell, behind, start: wall_ms(), state: Mutex::new(state) }
+        let closing = watch::Sender::new(false);
+        Self { cfg, wire, pool, tell, behind, closing, start: wall_ms(), state: Mutex::new(state) }
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
@@ -369,7 +374,24 @@
 
     /// Whether a request that ends at `deadline` can still be taken.
     pub fn takes(&self, deadline: Instant) -> bool {
-        self.state().leaving.is_none_or(|l| l.takes(now(), deadline))
+        let open = !*self.closing.borrow();
+        open && self.state().leaving.is_none_or(|l| l.takes(now(), deadline))
+    }
+
+    /// Takes no more requests and closes the connections of callers as they become idle. From here on a request that
+    /// still arrives is refused, provably not run, so that none is cut by the end of the process.
+    pub fn close_doors(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Connections of callers that are still open.
+    pub fn connections(&self) -> usize {
+        self.state().connections
+    }
+
+    pub(crate) fn count_connection(&self, opened: bool) {
+        let connections = &mut self.state().connections;
+        *connections = if opened { *connections + 1 } else { connections.saturating_sub(1) };
     }
 
     /// Whether this host is leaving.
--- a/src/relay/door.rs
+++ b/src/relay/door.rs
@@ -51,8 +51,13 @@
 
 /// Accepts callers until the task is ended.
 pub async fn accept<W: Wire>(relay: Arc<Relay<W>>, listener: TcpListener) {
+    let mut closing = relay.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.changed() => return,
+        };
+        match accepted {
             Ok((stream, from)) => {
                 tokio::spawn(serve(relay.clone(), stream, from));
             }
@@ -86,7 +91,23 @@
         .max_header_size(limits.head_bytes as usize)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = conn.await {
+    let mut conn = std::pin::pin!(conn);
+    let mut closing = relay.closing.subscribe();
+    relay.count_connection(true);
+    let ended = tokio::select! {
+        result = conn.as_mut() => Some(result),
+        // The value's guard must not live on: it would hold its lock while the connection closes.
+        () = async { drop(closing.wait_for(|closing| *closing).await) } => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    relay.count_connection(false);
+    if let Err(e) = result {
         spdlog::debug!("connection of {from} ended: {e}");
     }
 }
--- a/src/relay/leave.rs
+++ b/src/relay/leave.rs
@@ -19,7 +19,7 @@
 /// Requests that arrive this soon are taken whatever their deadline: callers have not heard yet.
 const TAKES_ALL: Duration = Duration::from_millis(2_500);
 /// Time kept free before the kill, so that the last answers are on their way.
-const MARGIN: Duration = Duration::from_millis(400);
+const MARGIN: Duration = Duration::from_millis(500);
 
 /// A stop in progress.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,7 +42,7 @@
     /// Whether the process may stop: callers have moved and nothing is in progress, or the kill is near.
     pub fn may_stop(&self, now: Instant, in_progress: usize) -> bool {
         let moved = now >= self.since + self.cfg.outlive;
-        let late = now + MARGIN / 2 >= self.since + self.cfg.grace;
+        let late = now + MARGIN >= self.since + self.cfg.grace;
         (moved && in_progress == 0) || late
     }
 }
