--- a/src/relay.rs
+++ b/src/relay.rs
@@ -389,6 +389,11 @@
         self.state().connections
     }
 
+    /// Idle connections to backend servers.
+    pub fn idle_connections(&self) -> usize {
+        self.pool.open()
+    }
+
     pub(crate) fn count_connection(&self, opened: bool) {
         let connections = &mut self.state().connections;
         *connections = if opened { *connections + 1 } else { connections.saturating_sub(1) };
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -124,7 +124,7 @@
 
 impl<W: Wire> Relay<W> {
     /// Takes in an update of the backend servers.
-    pub(crate) fn update_backends(&self, update: BackendsUpdate, grace: Option<Duration>, from: &str) {
+    pub fn update_backends(&self, update: BackendsUpdate, grace: Option<Duration>, from: &str) {
         let now = now();
         let mut state = self.state();
         state.listed = true;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Idle connections that are still open.
+    pub fn open(&self) -> usize {
+        lock(&self.idle).values().flatten().filter(|idle| !idle.conn.task.is_finished()).count()
+    }
+
     /// Closes the idle connections to a server that fell silent: the next attempt shows by connecting whether it is
     /// back, without a request that may have run.
     pub fn clear(&self, key: BackendKey) {
--- /dev/null
+++ b/tests/relay_faults.rs
@@ -0,0 +1,185 @@
+//! What callers and backend servers see when a backend server fails, over sockets and the platform's wire.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use wire::{
+    Act, Host, Server, answer, chunk, event, events, is_whole, not_run, ok, request, status, stream_head,
+};
+
+/// One fault at the server that is asked first.
+struct Case {
+    name: &'static str,
+    act: Act,
+    /// Whether a request that may not be repeated is sent to the second server.
+    unsafe_goes_on: bool,
+    /// Status for a request that may not be repeated.
+    unsafe_status: u16,
+}
+
+fn cases() -> Vec<Case> {
+    let case = |name, act, unsafe_goes_on, unsafe_status| Case { name, act, unsafe_goes_on, unsafe_status };
+    let foreign = ok("other").replace("{id}", "r0");
+    let unsigned = ok("unsigned").replace("Response-Seal: s1\r\n", "");
+    let moved = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-x\r\nContent-Length: 0\r\n\r\n";
+    vec![
+        case("says that it did not run the request", Act::Write(not_run()), true, 200),
+        case("is another server", Act::Write(moved.into()), true, 200),
+        case("resets before an answer", Act::WriteAndReset(String::new()), false, 502),
+        case("closes before an answer", Act::WriteAndClose(String::new()), false, 502),
+        case("cuts the body", Act::WriteAndClose(ok("whole").replace("whole", "wh")), false, 502),
+        case("answers another request", Act::Write(foreign), false, 502),
+        case("answers without its signature", Act::Write(unsigned), false, 502),
+        case("writes bytes that are no answer", Act::WriteAndClose("garbage\r\n\r\n".into()), false, 502),
+    ]
+}
+
+/// A server fails one request in each of the ways that are known. A request that may be repeated is answered by the
+/// next server. One that may not runs at a second server only where the first proved that it did not run it, and
+/// otherwise ends with a status that promises nothing.
+#[tokio::test]
+async fn a_request_goes_on_elsewhere_only_where_that_is_safe() {
+    for case in cases() {
+        for (path, goes_on, expected) in
+            [("/safe/x", true, 200), ("/unsafe/x", case.unsafe_goes_on, case.unsafe_status)]
+        {
+            let first = Server::start("i-1", [case.act.clone()]).await;
+            let second = Server::start("i-2", [Act::Write(ok("fine"))]).await;
+            let host = Host::with(&[&first, &second]).await;
+
+            let answer = host.call(&request(path, "body")).await;
+
+            let name = format!("{path}: a server that {}", case.name);
+            assert_eq!(status(&answer), expected, "{name}: {answer}");
+            assert_eq!(first.seen().len(), 1, "{name}");
+            assert_eq!(second.seen().len(), usize::from(goes_on), "{name}");
+        }
+    }
+}
+
+/// The server's own failure is its answer: the caller gets it with its signature, for a request that may not be
+/// repeated at once, for one that may after another server has failed as well.
+#[tokio::test]
+async fn a_servers_own_failure_is_passed_on_unchanged() {
+    for (path, attempts) in [("/unsafe/x", 1), ("/safe/x", 2)] {
+        let first = Server::start("i-1", [Act::Write(answer("500 Internal Server Error", "no"))]).await;
+        let second = Server::start("i-2", [Act::Write(answer("500 Internal Server Error", "no"))]).await;
+        let host = Host::with(&[&first, &second]).await;
+
+        let answer = host.call(&request(path, "")).await;
+
+        assert_eq!(status(&answer), 500);
+        assert_eq!(wire::header(&answer, "response-seal").as_deref(), Some("s1"));
+        assert_eq!(first.seen().len() + second.seen().len(), attempts, "{path}");
+    }
+}
+
+/// No server can be reached: nothing has run, so the caller is told so and when to come back.
+#[tokio::test]
+async fn without_a_reachable_server_the_answer_is_not_run() {
+    let mut gone = Server::start("i-1", [Act::Hang]).await;
+    gone.addr = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let host = Host::with(&[&gone]).await;
+
+    let answer = host.call(&request("/unsafe/x", "")).await;
+
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(wire::header(&answer, "retry-after").is_some());
+}
+
+/// A server writes a second answer after a whole one. Those bytes belong to no request: the next request must not get
+/// them, so it goes over another connection.
+#[tokio::test]
+async fn spare_bytes_after_an_answer_reach_nobody() {
+    let extra = ok("first") + &ok("extra");
+    let server = Server::start("i-1", [Act::Write(extra), Act::Write(ok("second"))]).await;
+    let host = Host::with(&[&server]).await;
+
+    let first = host.call(&request("/unsafe/x", "")).await;
+    let second = host.call(&request("/unsafe/x", "").replace("r1", "r2")).await;
+
+    assert!(first.ends_with("first"), "{first}");
+    assert!(second.ends_with("second"), "{second}");
+}
+
+/// A server closes a connection that it kept. The next request finds that out before it is written and goes over a
+/// new one, also where it may not be repeated.
+#[tokio::test]
+async fn a_kept_connection_that_was_closed_costs_no_request() {
+    let server = Server::start("i-1", [Act::WriteAndClose(ok("a")), Act::Write(ok("b"))]).await;
+    let host = Host::with(&[&server]).await;
+    host.call(&request("/unsafe/x", "")).await;
+    wire::until("the close", || host.relay.idle_connections() == 0).await;
+
+    let answer = host.call(&request("/unsafe/x", "")).await;
+
+    assert!(answer.ends_with('b'), "{answer}");
+}
+
+/// A server breaks a stream off in the middle of its third event. The stream goes on at another server after the
+/// second one, within the same answer, and the caller sees each event once.
+#[tokio::test]
+async fn a_resumable_stream_goes_on_after_its_last_whole_event() {
+    let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2)) + &chunk("id: 3\nda");
+    let rest = stream_head() + &chunk(&event(3)) + &chunk(&event(4)) + "0\r\n\r\n";
+    let first = Server::start("i-1", [Act::WriteAndReset(begun)]).await;
+    let second = Server::start("i-2", [Act::Write(rest)]).await;
+    let host = Host::with(&[&first, &second]).await;
+
+    let answer = host.call(&request("/stream/x", "")).await;
+
+    assert_eq!(events(&answer), ["e1", "e2", "e3", "e4"]);
+    assert!(is_whole(&answer), "{answer}");
+    assert_eq!(wire::header(&second.seen()[0], "last-event-id").as_deref(), Some("2"));
+}
+
+/// The server that takes a stream over goes on at another event than it was asked for. The caller must not miss
+/// events or read some twice, so the stream ends visibly cut.
+#[tokio::test]
+async fn a_stream_that_goes_on_elsewhere_than_asked_is_cut() {
+    for number in [2, 4] {
+        let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
+        let rest = stream_head() + &chunk(&event(number)) + "0\r\n\r\n";
+        let first = Server::start("i-1", [Act::WriteAndReset(begun)]).await;
+        let second = Server::start("i-2", [Act::Write(rest)]).await;
+        let host = Host::with(&[&first, &second]).await;
+
+        let answer = host.call(&request("/stream/x", "")).await;
+
+        assert_eq!(events(&answer), ["e1", "e2"], "{number}");
+        assert!(!is_whole(&answer), "{number}");
+    }
+}
+
+/// A stream that may not be resumed breaks off: it may have run, so it is not sent again, and the caller sees whole
+/// events and then a broken connection, never an ordinary end.
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_is_visibly_cut() {
+    let begun = stream_head() + &chunk(&event(1)) + &chunk("id: 2\n");
+    let first = Server::start("i-1", [Act::WriteAndClose(begun)]).await;
+    let second = Server::start("i-2", [Act::Write(ok("fine"))]).await;
+    let host = Host::with(&[&first, &second]).await;
+
+    let answer = host.call(&request("/once/x", "")).await;
+
+    assert_eq!(events(&answer), ["e1"]);
+    assert!(!is_whole(&answer), "{answer}");
+    assert_eq!(second.seen().len(), 0);
+}
+
+/// A caller hangs up while its answer is awaited. The server is told by the close of its connection, so that it stops
+/// working for nobody.
+#[tokio::test]
+async fn a_server_is_told_when_the_caller_has_gone() {
+    let server = Server::start("i-1", [Act::Hang]).await;
+    let host = Host::with(&[&server]).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/once/x", "")).await;
+    wire::until("the request", || server.seen().len() == 1).await;
+
+    drop(caller);
+
+    wire::until("the close of the server's connection", || server.closed() == 1).await;
+}
--- /dev/null
+++ b/tests/relay_input.rs
@@ -0,0 +1,193 @@
+//! What callers may send, and what of it reaches a backend server.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::time::Duration;
+
+use cranberrytally::{platform::settings::Settings, relay::follow::BackendsUpdate, schema::fleet::Backends};
+use wire::{Act, Host, Server, header, ok, request, status};
+
+async fn server() -> Server {
+    Server::start("i-1", [Act::Write(ok("fine"))]).await
+}
+
+/// Each of these is answered with an error of its own and reaches no server.
+#[tokio::test]
+async fn requests_that_are_not_allowed_reach_no_server() {
+    let server = server().await;
+    let host = Host::with(&[&server]).await;
+    let good = request("/unsafe/x", "body");
+    let long = format!("X-Long: {}\r\nAttempt-Id", "x".repeat(9_000));
+    let cases = [
+        ("an unknown path", good.replace("/unsafe/x", "/nowhere/x"), 404),
+        ("a prefix without its slash", good.replace("/unsafe/x", "/unsafe"), 404),
+        ("an unknown host", good.replace("shop.example", "other.example"), 404),
+        ("an unknown key", good.replace("Key: k1", "Key: k2"), 401),
+        ("no key", good.replace("Key: k1\r\n", ""), 401),
+        ("a body over the limit", request("/unsafe/x", &"x".repeat(1_001)), 413),
+        ("a head over the limit", good.replace("Attempt-Id", &long), 431),
+        ("no HTTP at all", "hello\r\n\r\n".into(), 400),
+        ("a chunk without a length", chunked("zz\r\nbody\r\n0\r\n\r\n"), 400),
+        ("chunks over the limit", chunked(&format!("3e9\r\n{}\r\n0\r\n\r\n", "x".repeat(1_001))), 413),
+    ];
+    for (name, req, expected) in cases {
+        let answer = host.call(&req).await;
+
+        assert_eq!(status(&answer), expected, "{name}: {answer}");
+        assert_eq!(server.seen().len(), 0, "{name}");
+    }
+}
+
+fn chunked(body: &str) -> String {
+    request("/unsafe/x", "").replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n") + body
+}
+
+/// A caller breaks off in the middle of a body. What has come must not run as if it were all.
+#[tokio::test]
+async fn a_cut_body_does_not_run() {
+    let server = server().await;
+    let host = Host::with(&[&server]).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/unsafe/x", "whole body")[..request("/unsafe/x", "whole body").len() - 4]).await;
+    drop(caller);
+
+    // A request that was sent after the cut one has been served, so that the cut one would have run by now.
+    host.call(&request("/unsafe/y", "")).await;
+
+    assert!(server.seen().iter().all(|req| !req.contains("/unsafe/x")), "{:?}", server.seen());
+}
+
+/// A request hides another one in its body, behind two lengths that disagree. A server must never see the hidden one
+/// as a request of its own.
+#[tokio::test]
+async fn a_smuggled_request_does_not_run() {
+    let server = server().await;
+    let host = Host::with(&[&server]).await;
+    let hidden =
+        "POST /unsafe/hidden HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: h1\r\nContent-Length: 0\r\n\r\n";
+    let both = request("/unsafe/x", hidden).replace("Key: k1", "Transfer-Encoding: chunked\r\nKey: k1");
+
+    host.call(&both).await;
+    host.call(&request("/unsafe/x", hidden)).await;
+
+    let heads: Vec<_> = server.seen().iter().filter_map(|r| r.lines().next().map(str::to_owned)).collect();
+    assert!(heads.iter().all(|head| !head.contains("hidden")), "{heads:?}");
+}
+
+/// A caller sets headers that are the system's to set. The server gets the system's values, and never the key.
+#[tokio::test]
+async fn headers_of_the_system_are_its_own() {
+    let server = server().await;
+    let host = Host::with(&[&server]).await;
+    let forged = "Tenant: other\r\nExpected-Instance: i-9\r\nKv-Hold: h\r\nPin-Duration: 9\r\nKv-Backup: b\r\n\
+                  Kv-From: f\r\nKv-Fetch: f\r\nRequest-Priority: 0\r\nConnection: x-hop\r\nX-Hop: 1\r\n";
+    let req =
+        request("/unsafe/x", "body").replace("Key: k1\r\n", &format!("Key: k1\r\nX-Own: 2\r\n{forged}"));
+
+    host.call(&req).await;
+
+    let seen = server.seen().remove(0);
+    assert_eq!(header(&seen, "tenant").as_deref(), Some("travel"));
+    assert_eq!(header(&seen, "expected-instance").as_deref(), Some("i-1"));
+    assert_eq!(header(&seen, "attempt-id").as_deref(), Some("r1"));
+    assert_eq!(header(&seen, "x-own").as_deref(), Some("2"));
+    let left: u64 = header(&seen, "request-deadline").unwrap().parse().unwrap();
+    assert!((1..=3_000).contains(&left), "{left}");
+    for name in
+        ["key", "kv-hold", "pin-duration", "kv-backup", "kv-from", "kv-fetch", "request-priority", "x-hop"]
+    {
+        assert_eq!(header(&seen, name), None, "{name}");
+    }
+    assert!(seen.ends_with("body"));
+}
+
+/// A host that has no configuration yet knows nothing about any key or path, so it says that the request has not run
+/// and nothing else.
+#[tokio::test]
+async fn a_host_without_configuration_refuses_as_not_run() {
+    let host = Host::empty().await;
+
+    let answer = host.call(&request("/unsafe/x", "")).await;
+
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(!host.relay.is_ready());
+}
+
+/// A host that is leaving answers what it still takes and tells the caller to connect elsewhere next time; once its
+/// doors are closed it refuses, as not run, what still arrives on a kept connection.
+#[tokio::test]
+async fn a_leaving_host_sends_callers_elsewhere() {
+    let server = server().await;
+    let host = Host::with(&[&server]).await;
+    assert!(host.relay.is_ready());
+
+    host.relay.leave();
+    let answer = host.call(&request("/unsafe/x", "")).await;
+    host.relay.close_doors();
+
+    assert_eq!(status(&answer), 200);
+    assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+    assert!(!host.relay.is_ready());
+    assert!(!host.relay.takes(Duration::ZERO));
+    wire::until("all connections are closed", || host.relay.connections() == 0).await;
+}
+
+/// The store lists servers that can't be used; the others still are.
+#[tokio::test]
+async fn a_server_without_a_usable_address_is_left_out() {
+    let server = server().await;
+    let host = Host::with(&[&server]).await;
+    let bad = cranberrytally::schema::fleet::Backend {
+        id: "bad".into(),
+        service: "app".into(),
+        addr: "nowhere".into(),
+        ..Default::default()
+    };
+    let mut items = vec![bad];
+    items.push(cranberrytally::schema::fleet::Backend {
+        id: "i-1".into(),
+        service: "app".into(),
+        addr: server.addr.to_string(),
+        slots: 6,
+        ..Default::default()
+    });
+
+    host.relay.update_backends(BackendsUpdate::List(Backends { revision: 2, items }), None, "test");
+
+    assert_eq!(status(&host.call(&request("/unsafe/x", "")).await), 200);
+}
+
+const SETTINGS: &str = r#"{
+    "node": "front-a-1", "ip": "10.1.0.4", "zone": "a", "region": "r", "new": {"field": [1]},
+    "listen": {"front": "10.1.0.4:80", "ready": "10.1.0.4:81", "control": "10.1.0.4:82", "directory": "10.1.0.4:83"},
+    "internalPortRange": [7000, 7015], "seeds": ["10.1.0.4:82", "10.2.0.4:82"],
+    "bounds": {"graceS": 8, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetExtra": 56, "capFactor": 2},
+    "platformConfig": {"address": "10.9.0.1:90"}
+}"#;
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let settings = Settings::parse(SETTINGS).unwrap();
+
+    let relay = settings.relay();
+    assert_eq!(relay.me.name, "front-a-1");
+    assert_eq!(relay.peer_addr, "10.1.0.4:7000".parse().unwrap());
+    assert_eq!(relay.seeds[1], "10.2.0.4:7000".parse().unwrap());
+    assert_eq!(relay.leave.grace, Duration::from_secs(8));
+    assert_eq!(relay.budget.extra, 56.0);
+}
+
+#[test]
+fn settings_that_lack_a_needed_field_name_it() {
+    for field in ["node", "zone", "listen", "internalPortRange", "bounds", "platformConfig"] {
+        let text = SETTINGS.replace(&format!("\"{field}\""), "\"other\"");
+
+        let e = format!("{:#}", Settings::parse(&text).unwrap_err());
+
+        assert!(e.contains(field), "{field}: {e}");
+    }
+    assert!(Settings::parse("no JSON").is_err());
+}
