Test decisions, peers, the store's answers and names; refuse contents that crash servers

Cause: a content that crashes each server that runs it was sent on at every host. Change: after a broken connection a new one shows whether the server crashed; a content that was running at three crashes is refused as not run, at every host by beats. An entry of the store that can't be read leaves what was known. Tests: tests/relay_decisions.rs, relay_peers.rs, platform_store.rs, platform_names.rs.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -22,7 +22,7 @@
 
 mod names;
 pub mod settings;
-mod store;
+pub mod store;
 mod wire;
 
 use settings::Settings;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -30,7 +30,7 @@
 
 /// A connection to the store for one call at a time.
 #[derive(Debug)]
-pub(super) struct StoreClient {
+pub struct StoreClient {
     addr: SocketAddr,
     conn: Option<Conn>,
 }
@@ -250,20 +250,23 @@
     }
 }
 
-fn backend(object: Object<RawBackend>) -> Option<fleet::Backend> {
-    let raw = object.spec?;
-    Some(fleet::Backend {
-        id: object.metadata.name,
+/// An entry that can't be read is listed without an address: a server that was known before stays as it was.
+fn backend(object: Object<RawBackend>) -> fleet::Backend {
+    let id = object.metadata.name;
+    let Some(raw) = object.spec else { return fleet::Backend { id, ..Default::default() } };
+    fleet::Backend {
+        id,
         service: raw.service,
         addr: raw.address,
         data_centre: raw.zone,
         slots: raw.slots,
         leaving: raw.state != "ready" || object.metadata.deletion_pending,
-    })
+    }
 }
 
 impl StoreClient {
-    pub(super) fn new(addr: SocketAddr) -> Self {
+    /// Client of the store at `addr`; it connects with the first call.
+    pub fn new(addr: SocketAddr) -> Self {
         Self { addr, conn: None }
     }
 
@@ -353,14 +356,14 @@
     async fn backends(&mut self, after: Option<Revision>) -> Result<BackendsUpdate, StoreError> {
         let Some(after) = after else {
             let page = self.list(BACKENDS).await?;
-            let items = page.items.into_iter().filter_map(backend).collect();
+            let items = page.items.into_iter().map(backend).collect();
             return Ok(BackendsUpdate::List(Backends { revision: page.current_rev, items }));
         };
         let changes = self.watch::<RawBackend>(BACKENDS, after).await?;
         let revision = changes.current_rev;
         let (gone, kept): (Vec<_>, Vec<_>) = changes.events.into_iter().partition(|e| e.deleted);
         let removed = gone.into_iter().map(|e| e.object.metadata.name).collect();
-        let puts = kept.into_iter().filter_map(|e| backend(e.object)).collect();
+        let puts = kept.into_iter().map(|e| backend(e.object)).collect();
         Ok(BackendsUpdate::Changes { revision, puts, removed })
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -389,6 +389,11 @@
         self.state().connections
     }
 
+    /// Backend servers of a service that take new work.
+    pub fn servers(&self, service: &str) -> usize {
+        self.state().backends.of(service).count()
+    }
+
     /// Idle connections to backend servers.
     pub fn idle_connections(&self) -> usize {
         self.pool.open()
@@ -421,7 +426,13 @@
         line(weight, event, |l| fill(l.text("request", &req.id).text("route", &req.route.route.name)));
     }
 
-    /// Retries may not wait for shared budgets; takes one.
+    /// Whether a request's content is refused because it crashes servers.
+    pub(crate) fn refuses(&self, req: &Request) -> bool {
+        let state = self.state();
+        !state.suspects.is_empty() && state.suspects.refuses(now(), req.fingerprint())
+    }
+
+    /// Takes one retry from the budget, if it holds one.
     pub(crate) fn spend(&self, req: &Request) -> bool {
         self.state().budget.spend(now(), &req.service)
     }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, Method, Uri};
 
 use super::routes::{Caller, CompiledRoute};
-use crate::util::Instant;
+use crate::{
+    suspect::Fingerprint,
+    util::{Instant, hash},
+};
 
 /// Number of an event in a stream; rises within the stream.
 pub type EventNumber = u64;
@@ -55,6 +58,12 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Fingerprint of the content, the same when a caller sends it again.
+    pub fn fingerprint(&self) -> u64 {
+        let workspace = self.caller.as_ref().map_or("", |c| &*c.workspace);
+        Fingerprint::call(self.target.path(), &self.body).0 ^ hash(workspace)
+    }
+
     /// Rank for backend servers: the workspace's before the route's; 0 is the most urgent.
     pub fn rank(&self) -> u32 {
         self.caller.as_ref().and_then(|c| c.rank).unwrap_or(self.route.route.rank)
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -56,6 +56,13 @@
 /// Runs a request to its answer.
 pub async fn run<W: Wire>(relay: Arc<Relay<W>>, req: Request) -> Response<AnswerBody> {
     let req = Arc::new(req);
+    if relay.refuses(&req) {
+        let refusal = Refusal { kind: Kind::Quarantined, ran: Ran::No, retry_after: None };
+        relay.note(Weight::Notable, "given_up", &req, |l| {
+            l.text("kind", "quarantined").text("ran", "not-run")
+        });
+        return relay.wire.refuse(&refusal);
+    }
     let tries = Tries::new(req.route.repeatable, req.route.route.attempts, req.deadline);
     relay.state().budget.request(now(), &req.service);
     Run { relay, req, tries, tried: Vec::new() }.answer().await
@@ -87,6 +94,9 @@
     /// Notes a failed attempt and decides whether another may follow.
     pub(crate) async fn fail(&mut self, failure: Failure, key: BackendKey) -> Result<(), Stop> {
         self.note_failure(failure, key);
+        if failure == Failure::Broken {
+            self.note_if_crashed(key).await;
+        }
         let (relay, req) = (self.relay.clone(), self.req.clone());
         let next = self.tries.fail(now(), failure, || relay.spend(&req));
         let backend = relay.state().backends.get(key).map(|b| b.id.clone());
@@ -96,6 +106,9 @@
             l.text("next", next.as_ref().err().map_or("once more", |stop| stop.as_str()))
         });
         next?;
+        if relay.refuses(&req) {
+            return Err(Stop::Suspect);
+        }
         let all_tried = relay.state().backends.of(&req.service).all(|(k, _)| self.tried.contains(&k));
         if all_tried {
             // Nobody else can run it: those that refused may have room again in a moment.
@@ -122,6 +135,20 @@
         }
     }
 
+    /// After a broken connection, finds out by a new one whether the server has crashed, and if so suspects the content.
+    async fn note_if_crashed(&self, key: BackendKey) {
+        let Some(addr) = self.relay.state().backends.get(key).map(|b| b.addr) else { return };
+        match Conn::connect(addr, self.req.left(now())).await {
+            Ok(conn) => self.relay.pool.put(key, conn, None),
+            Err(_) => {
+                let mut state = self.relay.state();
+                state.health.lose(now(), key);
+                let crashes = state.suspects.crash(now(), self.req.fingerprint());
+                self.relay.note(Weight::Notable, "suspected", &self.req, |l| l.number("crashes", crashes));
+            }
+        }
+    }
+
     /// Makes one attempt, up to the head of the answer. `Err(None)`: there is no server to send it to.
     pub(crate) async fn attempt(
         &mut self,
@@ -312,6 +339,7 @@
     match (stop, failure) {
         (Stop::Deadline, _) | (_, Failure::Late) => Kind::DeadlinePassed,
         (Stop::Budget, _) => Kind::RetryBudget,
+        (Stop::Suspect, _) => Kind::Quarantined,
         (Stop::Attempts, Failure::Connect | Failure::Unsent) => Kind::ConnectFailed,
         (Stop::Attempts, Failure::Refused | Failure::Moved) => Kind::EngineRefused,
         (Stop::Attempts | Stop::NotRepeatable, _) => Kind::EngineFailed,
--- a/src/relay/suspects.rs
+++ b/src/relay/suspects.rs
@@ -1,8 +1,8 @@
 //! Contents that crash the backend servers that run them.
 //!
-//! A content that was running at a crash is suspect; each further crash with it running counts. From the second crash
-//! on it is refused, at every host: hosts tell each other in their beats. An innocent that ran beside it comes to one
-//! crash and is answered when it is sent again.
+//! A content that was running at a crash is suspect; each further crash with it running counts. From the third crash on
+//! it is refused, at every host: hosts tell each other in their beats. An innocent that ran beside it comes to one
+//! crash, or to two where two servers crash in a row, and is answered when it is sent again.
 
 use std::time::Duration;
 
@@ -11,8 +11,8 @@
     util::{Instant, Map},
 };
 
-/// Crashes from which a content is refused; the fleet may let it crash three servers before that is a fault.
-const REFUSED_FROM: u32 = 2;
+/// Crashes from which a content is refused. Two servers that crash for another reason would convict an innocent.
+const REFUSED_FROM: u32 = 3;
 /// How long a content is remembered after its last crash.
 const KEEP: Duration = Duration::from_secs(60);
 /// Contents remembered.
--- a/src/relay/verdict.rs
+++ b/src/relay/verdict.rs
@@ -84,11 +84,14 @@
     Budget,
     /// Its time is over.
     Deadline,
+    /// Its content has crashed servers.
+    Suspect,
 }
 
 impl Stop {
     /// Every reason.
-    pub const ALL: [Stop; 4] = [Stop::NotRepeatable, Stop::Attempts, Stop::Budget, Stop::Deadline];
+    pub const ALL: [Stop; 5] =
+        [Stop::NotRepeatable, Stop::Attempts, Stop::Budget, Stop::Deadline, Stop::Suspect];
 
     /// Name in logs and counters.
     pub fn as_str(self) -> &'static str {
@@ -97,6 +100,7 @@
             Stop::Attempts => "attempts",
             Stop::Budget => "budget",
             Stop::Deadline => "deadline",
+            Stop::Suspect => "suspect",
         }
     }
 }
--- /dev/null
+++ b/tests/platform_store.rs
@@ -0,0 +1,161 @@
+//! The store's answers, in the form of the platform, and what they are taken for.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use cranberrytally::{
+    platform::store::StoreClient,
+    relay::follow::{BackendsUpdate, Store, StoreError},
+    schema::fleet::Repeat,
+};
+use wire::{Act, Server};
+
+fn reply(status: &str, body: &str) -> Act {
+    let length = body.len();
+    Act::Write(format!(
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+    ))
+}
+
+fn server(name: &str, state: &str) -> String {
+    let spec = format!(
+        r#"{{"service":"s1","address":"10.0.0.9:80","zone":"a","version":"v1","slots":64,"state":"{state}","sequence":4}}"#
+    );
+    format!(
+        r#"{{"metadata":{{"name":"{name}","revision":3,"created":1,"finalizers":[],"deletionPending":false}},"spec":{spec},"status":null}}"#
+    )
+}
+
+const CONFIGURATION: &str = r#"{"version":7,
+    "routes":[
+        {"name":"r1","host":"h","pathPrefix":"/a/","kind":"stream","timeoutMs":15000,"targetLatencyMs":600,"priority":1,
+         "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":0.5}],"maxAttempts":2,"authExempt":false,
+         "sessionAffinity":true,"streamResume":true,"targetGapMs":300},
+        {"name":"r2","host":"h","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":1000,"targetLatencyMs":150,
+         "priority":0,"service":"s2","maxAttempts":1,"authExempt":true,"sessionAffinity":false,"streamResume":false},
+        {"name":"r3","host":"h","pathPrefix":"/c/","kind":"idempotent","service":"s2"}],
+    "services":[{"name":"s1","healthPath":"/health","maxConnections":370,"engine":{"slots":64}},
+                {"name":"s2","healthPath":"/health","maxConnections":110}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+    "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}], "later":{}}"#;
+
+fn configuration(spec: &str) -> String {
+    format!(r#"{{"metadata":{{"name":"main","revision":5}},"spec":{spec},"status":null}}"#)
+}
+
+async fn store(acts: Vec<Act>) -> (StoreClient, Server) {
+    let server = Server::start("store", acts).await;
+    (StoreClient::new(server.addr), server)
+}
+
+fn target(request: &str) -> &str {
+    request.split(' ').nth(1).unwrap()
+}
+
+#[tokio::test]
+async fn a_configuration_is_translated() {
+    let page = format!(r#"{{"items":[{}],"hasMore":false,"currentRev":530}}"#, configuration(CONFIGURATION));
+    let (mut store, server) = store(vec![reply("200 OK", &page)]).await;
+
+    let (revision, cfg) = store.configuration(None).await.unwrap();
+
+    let cfg = cfg.unwrap();
+    assert_eq!((revision, cfg.version), (530, 7));
+    assert_eq!(target(&server.seen()[0]), "/objects/config");
+    let kinds: Vec<_> = cfg.routes.iter().map(|r| (r.repeat(), r.open, r.resumable, r.prompts)).collect();
+    let expected = [
+        (Repeat::Stream, false, true, true),
+        (Repeat::Never, true, false, false),
+        (Repeat::Idempotent, false, false, false),
+    ];
+    assert_eq!(kinds, expected);
+    let weights: Vec<_> = cfg.routes[0].shares.iter().map(|s| s.weight).collect();
+    assert_eq!(weights, [90_000, 500]);
+    assert_eq!(cfg.routes[1].shares[0].service, "s2");
+    let caches: Vec<_> = cfg.services.iter().map(|s| (s.connections, s.caches_prompts)).collect();
+    assert_eq!(caches, [(370, true), (110, false)]);
+    assert_eq!(cfg.limits.unwrap().idle_ms, 15_000);
+    assert_eq!((cfg.workspaces[0].keys.len(), cfg.workspaces[0].rank), (2, Some(1)));
+}
+
+#[tokio::test]
+async fn a_list_is_read_page_by_page() {
+    let page = |name: &str, more: bool, revision: u64| {
+        format!(r#"{{"items":[{}],"hasMore":{more},"currentRev":{revision}}}"#, server(name, "ready"))
+    };
+    let acts = vec![reply("200 OK", &page("i 1", true, 10)), reply("200 OK", &page("i-2", false, 12))];
+    let (mut store, server) = store(acts).await;
+
+    let update = store.backends(None).await.unwrap();
+
+    let BackendsUpdate::List(list) = update else { panic!("{update:?}") };
+    assert_eq!(list.revision, 10, "changes since the first page are watched again");
+    assert_eq!(list.items.iter().map(|i| i.id.as_str()).collect::<Vec<_>>(), ["i 1", "i-2"]);
+    assert_eq!(target(&server.seen()[1]), "/objects/servers?after=i+1");
+}
+
+#[tokio::test]
+async fn a_watch_tells_what_has_changed() {
+    let gone = r#"{"metadata":{"name":"i-3","revision":8},"spec":null}"#;
+    let events = format!(
+        r#"{{"events":[{{"object":{},"deleted":false}},{{"object":{gone},"deleted":true}}],"currentRev":533}}"#,
+        server("i-1", "draining")
+    );
+    let (mut store, server) = store(vec![reply("200 OK", &events)]).await;
+
+    let update = store.backends(Some(530)).await.unwrap();
+
+    let BackendsUpdate::Changes { revision, puts, removed } = update else { panic!("{update:?}") };
+    assert_eq!((revision, puts.len(), removed), (533, 1, vec!["i-3".to_owned()]));
+    assert!(puts[0].leaving);
+    assert!(target(&server.seen()[0]).starts_with("/objects/servers?watch=530&waitMs="));
+}
+
+/// One object of a list can't be read. The others are, and what was known of that one stays in force.
+#[tokio::test]
+async fn an_object_that_can_not_be_read_spoils_no_other() {
+    let bad = r#"{"metadata":{"name":"i-0","revision":2},"spec":{"service":7}}"#;
+    let page = format!(r#"{{"items":[{bad},{}],"hasMore":false,"currentRev":9}}"#, server("i-1", "ready"));
+    let (mut store, _) = store(vec![reply("200 OK", &page)]).await;
+
+    let update = store.backends(None).await.unwrap();
+
+    let BackendsUpdate::List(list) = update else { panic!("{update:?}") };
+    let items: Vec<_> = list.items.iter().map(|i| (i.id.as_str(), i.addr.as_str())).collect();
+    assert_eq!(items, [("i-0", ""), ("i-1", "10.0.0.9:80")]);
+}
+
+#[tokio::test]
+async fn answers_that_are_none_are_told_apart() {
+    let cut = Act::WriteAndClose("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"items\"".into());
+    let cases = [
+        ("its history is gone", reply("410 Gone", "{}"), "HistoryGone"),
+        ("it refuses for now", reply("503 Service Unavailable", "{}"), "Unavailable"),
+        ("too many calls", reply("429 Too Many Requests", "{}"), "Unavailable"),
+        ("the answer is lost", Act::WriteAndReset(String::new()), "Unavailable"),
+        ("the answer is cut", cut, "Unavailable"),
+        ("the answer is no JSON", reply("200 OK", "hello"), "Unreadable"),
+    ];
+    for (name, act, expected) in cases {
+        let (mut store, _) = store(vec![act]).await;
+
+        let e: StoreError = store.backends(Some(1)).await.unwrap_err();
+
+        assert!(format!("{e:?}").starts_with(expected), "{name}: {e:?}");
+    }
+}
+
+/// An answer was lost. Nothing more comes on that connection, so the next call goes over a new one.
+#[tokio::test]
+async fn a_call_after_a_lost_answer_succeeds() {
+    let page = format!(r#"{{"items":[{}],"hasMore":false,"currentRev":9}}"#, server("i-1", "ready"));
+    let (mut store, server) = store(vec![Act::WriteAndReset(String::new()), reply("200 OK", &page)]).await;
+
+    store.backends(None).await.unwrap_err();
+    let second = store.backends(None).await;
+
+    assert!(second.is_ok(), "{second:?}");
+    assert_eq!(server.seen().len(), 2);
+}
--- /dev/null
+++ b/tests/relay_decisions.rs
@@ -0,0 +1,451 @@
+//! Decisions of the relay: routes, placement, retries, the budget, soundness, and leaving.
+
+use std::{sync::Arc, time::Duration};
+
+use cranberrytally::{
+    relay::{
+        backends::{Backends, Change},
+        budget::{BudgetConfig, FleetBudget},
+        events::Splitter,
+        health::Health,
+        holders::Holders,
+        leave::{LeaveConfig, Leaving},
+        place::{Bound, Candidate, Choice, Placer, Why},
+        request::Part,
+        routes::Routes,
+        suspects::Suspects,
+        verdict::{Failure, Stop, Tries},
+    },
+    schema::fleet::{Backend, Backends as List, Configuration, Repeat, Route, Share, Workspace},
+};
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn route(host: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    let share = |(service, weight): &(&str, u32)| Share { service: (*service).into(), weight: *weight };
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        shares: shares.iter().map(share).collect(),
+        ..Route::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_selects_the_route() {
+    let routes = ["/a/", "/a/b/", "/"].map(|p| route("shop.example", p, &[("s", 1)]));
+    let routes = Routes::new(Arc::new(Configuration { routes: routes.into(), ..Default::default() }));
+    let cases = [
+        ("shop.example", "/a/b/c", Some("/a/b/")),
+        ("SHOP.example:80", "/a/bc", Some("/a/")),
+        ("shop.example", "/other", Some("/")),
+        ("other.example", "/a/b/c", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = routes.find(host, path).map(|r| r.route.prefix.as_str());
+
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn a_split_route_draws_its_service_by_weight() {
+    let routes = vec![route("h", "/", &[("most", 90), ("never", 0), ("few", 10)])];
+    let routes = Routes::new(Arc::new(Configuration { routes, ..Default::default() }));
+    let route = routes.find("h", "/x").unwrap();
+
+    let drawn = |draw| route.service(draw);
+
+    assert_eq!(drawn(0.0), Some("most"));
+    assert_eq!(drawn(0.899), Some("most"));
+    assert_eq!(drawn(0.9), Some("few"));
+    assert_eq!(drawn(0.999), Some("few"));
+}
+
+#[test]
+fn streams_may_be_repeated_only_where_they_may_be_resumed() {
+    let cases = [
+        (Repeat::Never, true, false),
+        (Repeat::Idempotent, false, true),
+        (Repeat::Stream, false, false),
+        (Repeat::Stream, true, true),
+    ];
+    for (repeat, resumable, expected) in cases {
+        let route = Route { repeat: repeat.into(), resumable, ..route("h", "/", &[("s", 1)]) };
+        let routes = Routes::new(Arc::new(Configuration { routes: vec![route], ..Default::default() }));
+
+        assert_eq!(routes.find("h", "/x").unwrap().repeatable, expected, "{repeat:?} {resumable}");
+    }
+}
+
+#[test]
+fn keys_belong_to_their_workspaces() {
+    let workspace = |name: &str, keys: &[&str], rank| Workspace {
+        name: name.into(),
+        keys: keys.iter().map(|k| (*k).into()).collect(),
+        rank,
+    };
+    let workspaces = vec![workspace("a", &["k1", "k2"], Some(2)), workspace("b", &["k3"], None)];
+    let routes = Routes::new(Arc::new(Configuration { workspaces, ..Default::default() }));
+
+    let caller = |key| routes.caller(key).map(|c| (&*c.workspace, c.rank));
+
+    assert_eq!(caller("k2"), Some(("a", Some(2))));
+    assert_eq!(caller("k3"), Some(("b", None)));
+    assert_eq!(caller("k4"), None);
+}
+
+fn listed(id: &str, leaving: bool) -> Backend {
+    let addr = format!("10.0.0.1:{}", 1_000 + id.len());
+    Backend { id: id.into(), service: "s".into(), addr, data_centre: "a".into(), slots: 6, leaving }
+}
+
+/// Two followers tell of the same server: one that it is leaving, another, late, that it is ready. Whatever the order,
+/// a server that leaves takes no new work again.
+#[test]
+fn what_is_known_of_a_server_never_goes_back() {
+    let mut backends = Backends::default();
+    backends.list(ms(0), &List { revision: 5, items: vec![listed("x", false)] }, None);
+
+    let left = backends.change(ms(1), 9, &[listed("x", true)], &[], None);
+    let older = backends.change(ms(2), 7, &[listed("y", false)], &[], None);
+    let again = backends.list(ms(3), &List { revision: 9, items: vec![listed("x", false)] }, None);
+
+    assert_eq!(left.len(), 1);
+    assert_eq!(older, []);
+    assert_eq!(again, []);
+    assert_eq!(backends.of("s").count(), 0);
+    assert_eq!(backends.revision(), 9);
+}
+
+/// A server's entry becomes unreadable: what was known of it stays in force. One that was never readable is left out.
+#[test]
+fn an_unreadable_entry_changes_nothing() {
+    let mut backends = Backends::default();
+    backends.list(ms(0), &List { revision: 1, items: vec![listed("x", false)] }, None);
+    let unreadable = |id: &str| Backend { id: id.into(), ..Backend::default() };
+
+    let items = vec![unreadable("x"), unreadable("y")];
+    let changes = backends.list(ms(1), &List { revision: 2, items }, None);
+
+    assert_eq!(changes, []);
+    assert_eq!(backends.of("s").count(), 1);
+}
+
+/// A server's entry goes while a request is in progress there. The request keeps its place in the arena, and other
+/// servers can fetch prompt parts from it for a while.
+#[test]
+fn a_server_that_is_gone_is_forgotten_after_its_last_request() {
+    let mut backends = Backends::default();
+    backends.list(ms(0), &List { revision: 1, items: vec![listed("x", false)] }, None);
+    let key = backends.of("s").next().unwrap().0;
+    backends.start(key);
+
+    let gone = backends.change(ms(10), 2, &[], &["x".into()], None);
+    let (_, early) = backends.expire(ms(60_000));
+    backends.end(key);
+    let (_, done) = backends.expire(ms(60_001));
+
+    assert_eq!(gone, [(key, Change::Left)]);
+    assert_eq!(early, []);
+    assert_eq!(done, [key]);
+}
+
+/// Nine servers of the fixture, each with a load.
+fn fleet(loads: &[f64]) -> (Backends, Vec<Candidate>) {
+    let mut backends = Backends::default();
+    let items = (0..loads.len()).map(|i| listed(&"s".repeat(i + 1), false)).collect();
+    backends.list(ms(0), &List { revision: 1, items }, None);
+    let mut known: Vec<_> = backends.iter().map(|(key, b)| (b.id.len(), key, b.tag)).collect();
+    known.sort_by_key(|(len, ..)| *len);
+    let candidates = known.into_iter().zip(loads).map(|((_, key, tag), load)| Candidate {
+        key,
+        tag,
+        near: true,
+        load: *load,
+        slots: 64,
+        unsound: false,
+    });
+    (backends, candidates.collect())
+}
+
+fn prompt(shared: u64, own: u64) -> Vec<Part> {
+    vec![Part { id: 1, tokens: 500 }, Part { id: shared, tokens: 10_000 }, Part { id: own, tokens: 300 }]
+}
+
+fn choose(candidates: &[Candidate], parts: &[Part], holders: &Holders) -> Choice {
+    let mut rng = SmallRng::seed_from_u64(7);
+    Placer::default().choose(candidates, parts, holders, |_| true, &mut rng).unwrap()
+}
+
+#[test]
+fn hosts_that_know_no_holder_choose_the_same_home() {
+    let (_, mut candidates) = fleet(&[2.0; 9]);
+    let holders = Holders::default();
+
+    let first = choose(&candidates, &prompt(7, 100), &holders);
+    candidates.reverse();
+    let second = choose(&candidates, &prompt(7, 200), &holders);
+
+    assert_eq!(first.key, second.key);
+    assert_eq!(first.why, Why::Home);
+}
+
+#[test]
+fn a_prompt_goes_to_the_holder_of_its_shared_parts() {
+    let (_, candidates) = fleet(&[2.0; 9]);
+    let mut holders = Holders::default();
+    let parts = prompt(7, 100);
+    let home = choose(&candidates, &parts, &holders).key;
+    let other = candidates.iter().find(|c| c.key != home).unwrap().key;
+    parts[..2].iter().for_each(|p| assert!(holders.note(ms(0), p.id, other)));
+
+    let chosen = choose(&candidates, &prompt(7, 200), &holders);
+
+    assert_eq!((chosen.key, chosen.why, chosen.held), (other, Why::Holder, 10_500));
+    assert_eq!(chosen.fetch_from, None);
+}
+
+/// A hot part's holder is at the load bound. The next request goes elsewhere and fetches the part from the holder,
+/// rather than having another server read ten thousand tokens again.
+#[test]
+fn a_prompt_that_finds_its_holder_full_is_fetched_from_it() {
+    let (_, mut candidates) = fleet(&[2.0; 9]);
+    let mut holders = Holders::default();
+    let parts = prompt(7, 100);
+    let home = choose(&candidates, &parts, &holders).key;
+    parts[..2].iter().for_each(|p| assert!(holders.note(ms(0), p.id, home)));
+    candidates.iter_mut().filter(|c| c.key == home).for_each(|c| c.load = 40.0);
+
+    let chosen = choose(&candidates, &parts, &holders);
+
+    assert_ne!(chosen.key, home);
+    assert_eq!(chosen.why, Why::Spilled);
+    assert_eq!(chosen.fetch_from, Some(home));
+}
+
+/// A server joins and becomes the home of parts that the former home has read, as far as nobody here knows: the next
+/// place by rendezvous is asked for them.
+#[test]
+fn a_new_home_fetches_from_the_former_one() {
+    let (_, candidates) = fleet(&[2.0; 9]);
+    let holders = Holders::default();
+    let new = choose(&candidates, &prompt(7, 100), &holders);
+    let before: Vec<_> = candidates.iter().copied().filter(|c| c.key != new.key).collect();
+    let former = choose(&before, &prompt(7, 100), &holders);
+
+    assert_eq!(new.fetch_from, Some(former.key));
+}
+
+#[test]
+fn unsound_servers_are_chosen_only_when_all_are() {
+    let (_, mut candidates) = fleet(&[2.0; 3]);
+    let holders = Holders::default();
+    let home = choose(&candidates, &prompt(7, 1), &holders).key;
+    candidates.iter_mut().filter(|c| c.key == home).for_each(|c| c.unsound = true);
+
+    let around = choose(&candidates, &prompt(7, 1), &holders);
+    let plain = (0..50).all(|_| choose(&candidates, &[], &holders).key != home);
+    candidates.iter_mut().for_each(|c| c.unsound = true);
+    let all = choose(&candidates, &[], &holders);
+
+    assert_ne!(around.key, home);
+    assert!(plain);
+    assert!(candidates.iter().any(|c| c.key == all.key));
+}
+
+/// Sixty hosts see the same loads, some of them old. If each took the least loaded server, all would send to the same
+/// one until the next beats and it would reject most.
+#[test]
+fn plain_requests_are_spread_over_servers_that_are_not_mostly_free() {
+    let (_, mut candidates) = fleet(&[3.0, 3.5, 4.0]);
+    candidates.iter_mut().for_each(|c| c.slots = 6);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut counts = [0; 3];
+    for _ in 0..600 {
+        let chosen =
+            Placer::default().choose(&candidates, &[], &Holders::default(), |_| true, &mut rng).unwrap();
+        counts[candidates.iter().position(|c| c.key == chosen.key).unwrap()] += 1;
+    }
+
+    assert!(counts.iter().all(|n| (100..=300).contains(n)), "{counts:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..Default::default() })]
+
+    /// Whatever the loads and holders, a prompt goes to a server under the bound as long as there is one.
+    #[test]
+    fn the_load_bound_holds(loads in prop::collection::vec(0u32..60, 2..20), holder in 0usize..20, part in 2u64..50) {
+        let loads: Vec<_> = loads.into_iter().map(f64::from).collect();
+        let (_, candidates) = fleet(&loads);
+        let mut holders = Holders::default();
+        let holder = candidates[holder % candidates.len()].key;
+        prompt(part, 1)[..2].iter().for_each(|p| { holders.note(ms(0), p.id, holder); });
+
+        let chosen = choose(&candidates, &prompt(part, 1), &holders);
+
+        let Bound { factor, extra } = Bound::default();
+        let bound = factor * loads.iter().sum::<f64>() / loads.len() as f64 + extra;
+        prop_assert!(chosen.load + 1.0 <= bound, "{} over {bound}", chosen.load);
+    }
+
+    /// Eight hosts that hear nothing of each other stay within the fleet's budget in any window, however requests and
+    /// failures are spread over them.
+    #[test]
+    fn the_budget_holds_over_all_hosts(events in prop::collection::vec((0usize..8, 0u64..40, prop::bool::ANY), 500..3_000)) {
+        let cfg = BudgetConfig { ratio: 0.2, extra: 56.0, window: ms(10_000) };
+        let service: Arc<str> = "s".into();
+        let mut hosts = vec![FleetBudget::new(cfg); 8];
+        hosts.iter_mut().for_each(|h| h.set_hosts(8));
+        let (mut now, mut log) = (ms(0), Vec::new());
+        for (host, step, fails) in events {
+            now += ms(step);
+            hosts[host].request(now, &service);
+            let retried = fails && hosts[host].spend(now, &service);
+            log.push((now, retried));
+        }
+        for (i, (end, _)) in log.iter().enumerate() {
+            let window = log[..=i].iter().filter(|(at, _)| *at + ms(9_500) > *end);
+            let (requests, retries) = window.fold((0, 0), |(n, r), (_, again)| (n + 1, r + u32::from(*again)));
+            prop_assert!(f64::from(retries) <= 0.2 * f64::from(requests) + 56.0, "{retries} for {requests}");
+        }
+    }
+}
+
+#[test]
+fn only_proof_or_permission_allows_another_attempt() {
+    let cases = [
+        // failure, of a request that may be repeated, of one that may not
+        (Failure::Connect, Ok(()), Ok(())),
+        (Failure::Unsent, Ok(()), Ok(())),
+        (Failure::Refused, Ok(()), Ok(())),
+        (Failure::Moved, Ok(()), Ok(())),
+        (Failure::Broken, Ok(()), Err(Stop::NotRepeatable)),
+        (Failure::Garbled, Ok(()), Err(Stop::NotRepeatable)),
+        (Failure::Silent, Ok(()), Err(Stop::NotRepeatable)),
+        (Failure::Late, Ok(()), Err(Stop::NotRepeatable)),
+        (Failure::Errored, Ok(()), Err(Stop::NotRepeatable)),
+    ];
+    assert_eq!(cases.len(), Failure::ALL.len());
+    for (failure, repeatable, not) in cases {
+        for (may, expected) in [(true, repeatable), (false, not)] {
+            let mut tries = Tries::new(may, 2, ms(1_000));
+
+            assert_eq!(tries.fail(ms(10), failure, || true), expected, "{failure:?}, may be repeated: {may}");
+        }
+    }
+}
+
+#[test]
+fn attempts_end_at_their_bounds() {
+    let mut runs = Tries::new(true, 2, ms(1_000));
+    let mut refused = Tries::new(false, 1, ms(1_000));
+    let mut budget = Tries::new(true, 2, ms(1_000));
+    let mut late = Tries::new(true, 2, ms(1_000));
+
+    assert_eq!(runs.fail(ms(1), Failure::Broken, || true), Ok(()));
+    assert_eq!(runs.fail(ms(2), Failure::Broken, || true), Err(Stop::Attempts));
+    assert!(!runs.is_unrun());
+    let refusals: Vec<_> = (0..4).map(|_| refused.fail(ms(1), Failure::Refused, || true)).collect();
+    assert_eq!(refusals, [Ok(()), Ok(()), Ok(()), Err(Stop::Attempts)]);
+    assert!(refused.is_unrun());
+    assert_eq!(budget.fail(ms(1), Failure::Refused, || false), Err(Stop::Budget));
+    assert_eq!(late.fail(ms(1_000), Failure::Connect, || true), Err(Stop::Deadline));
+}
+
+/// One server fails a third of its requests while the others are well. It is left alone, and tried again once it has
+/// had no requests for a while.
+#[test]
+fn a_server_that_fails_more_than_the_others_is_unsound() {
+    let (backends, _) = fleet(&[0.0; 3]);
+    let keys: Vec<_> = backends.iter().map(|(key, _)| key).collect();
+    let mut health = Health::default();
+    for i in 0..30 {
+        health.succeed(ms(i * 10), keys[1]);
+        health.succeed(ms(i * 10), keys[2]);
+        if i % 2 == 0 { health.fail(ms(i * 10), keys[0]) } else { health.succeed(ms(i * 10), keys[0]) }
+    }
+
+    assert!(health.unsound(ms(300), keys[0], &keys));
+    assert!(!health.unsound(ms(300), keys[1], &keys));
+    assert!(!health.unsound(ms(10_000), keys[0], &keys));
+}
+
+/// A whole service fails. Leaving all of its servers alone would turn a bad service into none.
+#[test]
+fn servers_that_all_fail_are_all_kept() {
+    let (backends, _) = fleet(&[0.0; 3]);
+    let keys: Vec<_> = backends.iter().map(|(key, _)| key).collect();
+    let mut health = Health::default();
+    for i in 0..30 {
+        keys.iter().for_each(|key| health.fail(ms(i), *key));
+    }
+
+    assert!(keys.iter().all(|key| !health.unsound(ms(30), *key, &keys)));
+}
+
+#[test]
+fn a_server_that_can_not_be_reached_is_paused_longer_each_time() {
+    let (backends, _) = fleet(&[0.0]);
+    let key = backends.iter().next().unwrap().0;
+    let mut health = Health::default();
+
+    health.lose(ms(0), key);
+    assert!(health.paused(ms(399), key) && !health.paused(ms(400), key));
+    health.lose(ms(400), key);
+    assert!(health.paused(ms(1_199), key) && !health.paused(ms(1_200), key));
+    health.succeed(ms(1_200), key);
+    health.lose(ms(1_300), key);
+    assert!(!health.paused(ms(1_700), key));
+}
+
+#[test]
+fn a_leaving_host_takes_only_what_it_can_finish() {
+    let leaving = Leaving::new(ms(0), LeaveConfig { grace: ms(8_000), outlive: ms(3_300) });
+    let cases = [(0, 15_000, true), (2_499, 20_000, true), (2_500, 15_000, false), (6_000, 7_000, true)];
+    for (now, deadline, takes) in cases {
+        assert_eq!(leaving.takes(ms(now), ms(deadline)), takes, "{now} {deadline}");
+    }
+    assert!(!leaving.may_stop(ms(3_299), 0));
+    assert!(leaving.may_stop(ms(3_300), 0));
+    assert!(!leaving.may_stop(ms(3_300), 1));
+    assert!(leaving.may_stop(ms(7_500), 1));
+}
+
+/// A content crashes each server that runs it and is sent again, to any host. After its third crash it is refused here
+/// and, by beats, at the other hosts. One that ran beside it once is not.
+#[test]
+fn a_content_that_crashed_three_servers_is_refused_everywhere() {
+    let (mut here, mut there) = (Suspects::default(), Suspects::default());
+    here.crash(ms(0), 1);
+    here.crash(ms(0), 2);
+    here.crash(ms(50), 1);
+    there.hear(ms(60), &here.told(ms(60)));
+    assert!(!there.refuses(ms(61), 1));
+    there.crash(ms(100), 1);
+
+    here.hear(ms(110), &there.told(ms(110)));
+
+    assert!(here.refuses(ms(110), 1) && there.refuses(ms(110), 1));
+    assert!(!here.refuses(ms(110), 2) && !there.refuses(ms(110), 2));
+    assert!(!there.refuses(ms(61_000), 1));
+}
+
+#[test]
+fn only_whole_events_are_passed_on() {
+    let mut splitter = Splitter::default();
+
+    assert_eq!(splitter.push("id: 4\ndata: a".into()), None);
+    let first = splitter.push("\n\nid: 5\ndata: b\n\nid: 6\n".into()).unwrap();
+    assert_eq!((first.first, first.last), (Some(4), Some(5)));
+    assert_eq!(first.bytes, "id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
+    assert!(!splitter.is_empty());
+    let rest = splitter.push("data: c\n\n".into()).unwrap();
+    assert_eq!((rest.last, splitter.is_empty()), (Some(6), true));
+}
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -183,3 +183,27 @@
 
     wire::until("the close of the server's connection", || server.closed() == 1).await;
 }
+
+/// A content crashes every server that begins to run it, and its caller sends it again, each time. It is refused, as
+/// not run, once it has crashed three servers; other requests of the same caller are still answered.
+#[tokio::test]
+async fn a_content_that_crashes_servers_is_refused_in_the_end() {
+    let mut servers = Vec::new();
+    for i in 0..5 {
+        servers.push(Server::start(&format!("i-{i}"), [Act::Crash]).await);
+    }
+    let host = Host::with(&servers.iter().collect::<Vec<_>>()).await;
+
+    let mut statuses = Vec::new();
+    for _ in 0..4 {
+        statuses.push(status(&host.call(&request("/unsafe/x", "crash")).await));
+    }
+    let runs: usize = servers.iter().map(|s| s.seen().len()).sum();
+    let healthy = Server::start("i-9", [Act::Write(ok("fine"))]).await;
+    host.list_more(&healthy);
+    let other = host.call(&request("/unsafe/x", "harmless")).await;
+
+    assert_eq!(statuses, [502, 502, 502, 503]);
+    assert_eq!(runs, 3);
+    assert_eq!(status(&other), 200);
+}
--- /dev/null
+++ b/tests/relay_peers.rs
@@ -0,0 +1,268 @@
+//! What hosts tell each other, and what each does with it.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use cranberrytally::{
+    platform::PlatformWire,
+    relay::{
+        Relay, door,
+        follow::BackendsUpdate,
+        mesh,
+        peers::{Own, Peers, Scope},
+    },
+    schema::fleet::{Backend, Backends, Beat, Centre, InProgress, Member},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::net::UdpSocket;
+
+const OWN: Own = Own { configuration: 5, backends: 9, digest: 1 };
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn addr(i: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, i], 7000))
+}
+
+fn member(i: u8, data_centre: &str) -> Member {
+    Member {
+        name: format!("host-{i}"),
+        callers: format!("10.0.0.{i}:80"),
+        peers: addr(i).to_string(),
+        data_centre: data_centre.into(),
+    }
+}
+
+fn beat(i: u8, data_centre: &str, number: u64) -> Beat {
+    Beat {
+        start: 1,
+        number,
+        ready: true,
+        configuration: 5,
+        backends: 9,
+        backends_digest: 1,
+        follows_store: true,
+        sender: Some(member(i, data_centre)),
+        ..Beat::default()
+    }
+}
+
+fn busy(i: u8, number: u64, loads: &[(u32, u32)]) -> Beat {
+    let in_progress =
+        loads.iter().map(|(backend, requests)| InProgress { backend: *backend, requests: *requests });
+    Beat { in_progress: in_progress.collect(), ..beat(i, "a", number) }
+}
+
+fn ready(peers: &Peers, now: Duration) -> BTreeSet<String> {
+    peers.ready(now).map(|m| m.name.clone()).collect()
+}
+
+#[test]
+fn loads_are_summed_and_replaced_by_newer_beats_only() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    peers.hear(ms(0), addr(1), &busy(1, 2, &[(77, 3), (78, 1)]), OWN);
+    peers.hear(ms(0), addr(2), &busy(2, 1, &[(77, 4)]), OWN);
+    assert_eq!((peers.load(77), peers.load(78)), (7, 1));
+
+    // One that comes late, one that comes twice, and a newer one.
+    peers.hear(ms(10), addr(1), &busy(1, 1, &[(77, 9)]), OWN);
+    peers.hear(ms(10), addr(2), &busy(2, 1, &[(77, 4)]), OWN);
+    peers.hear(ms(20), addr(1), &busy(1, 3, &[(78, 2)]), OWN);
+
+    assert_eq!((peers.load(77), peers.load(78)), (4, 2));
+}
+
+/// A host restarts: its numbers begin again, and its beats must count at once.
+#[test]
+fn a_restarted_host_is_heard() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    peers.hear(ms(0), addr(1), &busy(1, 100, &[(77, 3)]), OWN);
+
+    let heard = peers.hear(ms(10), addr(1), &Beat { start: 2, ..busy(1, 1, &[(77, 1)]) }, OWN);
+
+    assert!(heard.joined);
+    assert_eq!(peers.load(77), 1);
+}
+
+/// A host loses its power. Callers must not be sent there any more, and its requests are none any more.
+#[test]
+fn a_silent_host_stops_counting() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    peers.hear(ms(0), addr(1), &busy(1, 1, &[(77, 3)]), OWN);
+    peers.hear(ms(900), addr(2), &busy(2, 1, &[(77, 2)]), OWN);
+
+    let lost = peers.expire(ms(1_400));
+
+    assert_eq!(lost, [addr(1)]);
+    assert_eq!(peers.load(77), 2);
+    assert_eq!(ready(&peers, ms(1_400)), BTreeSet::from(["host-2".into()]));
+    assert_eq!(peers.hosts(), 3, "it may be cut off and still spend its share of budgets");
+}
+
+#[test]
+fn a_leaving_host_is_not_handed_out() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    peers.hear(ms(0), addr(1), &beat(1, "a", 1), OWN);
+    peers.hear(ms(10), addr(1), &Beat { ready: false, ..beat(1, "a", 2) }, OWN);
+
+    assert_eq!(ready(&peers, ms(10)), BTreeSet::new());
+}
+
+/// A peer has a newer configuration. The store mostly tells both within milliseconds, so it is fetched only when the
+/// peer stays ahead; a host without any configuration fetches at once.
+#[test]
+fn what_a_peer_has_had_for_a_while_is_fetched() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    let none = Own::default();
+    peers.hear(ms(0), addr(1), &Beat { configuration: 6, ..beat(1, "a", 1) }, OWN);
+    peers.hear(ms(250), addr(1), &Beat { configuration: 6, ..beat(1, "a", 2) }, OWN);
+
+    assert_eq!(peers.ahead(ms(199), OWN), None);
+    assert_eq!(peers.ahead(ms(250), OWN), Some(addr(1)));
+    assert_eq!(peers.ahead(ms(0), none), Some(addr(1)));
+    assert_eq!(peers.ahead(ms(250), Own { configuration: 6, ..OWN }), None);
+}
+
+/// Two followers have seen the store at different revisions, but their lists are the same: nothing is to be fetched.
+#[test]
+fn a_higher_revision_of_the_same_list_is_not_fetched() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    peers.hear(ms(0), addr(1), &Beat { backends: 12, ..beat(1, "a", 1) }, OWN);
+    assert_eq!(peers.ahead(ms(1_000), OWN), None);
+
+    peers.hear(ms(1), addr(1), &Beat { backends: 12, backends_digest: 2, ..beat(1, "a", 2) }, OWN);
+
+    assert_eq!(peers.ahead(ms(1_000), OWN), Some(addr(1)));
+}
+
+/// Sixty hosts in three data centres, as host 0 in `a` knows them.
+fn large() -> Peers {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    for i in 1..60 {
+        let centre = ["a", "b", "c"][usize::from(i) % 3];
+        peers.hear(ms(0), addr(i), &beat(i, centre, 1), OWN);
+    }
+    peers
+}
+
+#[test]
+fn in_a_large_fleet_beats_go_to_the_own_data_centre_and_one_host_of_each_other() {
+    let mut peers = large();
+
+    let targets = peers.targets(ms(10), &mut SmallRng::seed_from_u64(1));
+
+    let own = targets.iter().filter(|(_, scope)| *scope == Scope::Own).count();
+    let centre = targets.iter().filter(|(_, scope)| *scope == Scope::Centre).count();
+    assert_eq!((own, centre), (19, 2));
+    assert!(peers.period() < ms(500), "{:?}", peers.period());
+}
+
+/// Each host decides by itself whether it follows the store. However the hashes fall, at least two of a data centre do,
+/// and when those two are cut off from the store, others step in.
+#[test]
+fn a_few_hosts_of_each_data_centre_follow_the_store() {
+    let hosts: Vec<u8> = (0..60).filter(|i| i % 3 == 0).collect();
+    let followers = |cut: &[u8]| -> Vec<u8> {
+        let follows = |me: &u8| {
+            let mut peers = Peers::new(addr(*me), "a", &[]);
+            for i in (0..60).filter(|i| i != me) {
+                let centre = ["a", "b", "c"][usize::from(i) % 3];
+                let reaches = !cut.contains(&i);
+                peers.hear(ms(0), addr(i), &Beat { follows_store: reaches, ..beat(i, centre, 1) }, OWN);
+            }
+            peers.should_follow(ms(10))
+        };
+        hosts.iter().copied().filter(follows).collect()
+    };
+
+    let first = followers(&[]);
+    let second = followers(&first);
+
+    assert_eq!(first.len(), 2);
+    assert!(second.len() >= 4 && first.iter().all(|i| second.contains(i)), "{first:?} {second:?}");
+}
+
+/// Host 0 hears of data centre `b` only by its summaries, from any of its hosts. A newer one replaces the older one,
+/// and when they stop, `b` counts for nothing.
+#[test]
+fn summaries_tell_of_other_data_centres() {
+    let mut peers = large();
+    peers.expire(ms(2_000));
+    let mut sender = Peers::new(addr(4), "b", &[]);
+    sender.hear(ms(0), addr(7), &Beat { sender: Some(member(7, "b")), ..busy(7, 1, &[(77, 3)]) }, OWN);
+    let own = [InProgress { backend: 77, requests: 2 }];
+    let told = sender.centre(&own, &member(4, "b"), true);
+    assert_eq!(told.in_progress, [InProgress { backend: 77, requests: 5 }]);
+
+    peers.hear(ms(2_000), addr(4), &Beat { centre: Some(told), ..beat(4, "b", 2) }, OWN);
+    assert_eq!(peers.load(77), 5);
+    assert_eq!(ready(&peers, ms(2_000)), BTreeSet::from(["host-4".into(), "host-7".into()]));
+    let less = Centre { in_progress: vec![InProgress { backend: 77, requests: 1 }], ready: Vec::new() };
+    peers.hear(ms(2_100), addr(7), &Beat { centre: Some(less), ..beat(7, "b", 2) }, OWN);
+    assert_eq!(peers.load(77), 1);
+    peers.expire(ms(5_200));
+
+    assert_eq!(peers.load(77), 0);
+    assert_eq!(ready(&peers, ms(5_200)), BTreeSet::new());
+}
+
+/// A host on loopback with its sockets between hosts.
+async fn host(name: &str, seeds: &[SocketAddr]) -> (Arc<Relay<PlatformWire>>, SocketAddr) {
+    // TCP and UDP need the same port.
+    let (listener, socket) = loop {
+        let listener = door::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
+            break (listener, Arc::new(socket));
+        }
+    };
+    let at = listener.local_addr().unwrap();
+    let mut cfg = relay_support::relay_config(name);
+    (cfg.peer_addr, cfg.seeds) = (at, seeds.to_vec());
+    cfg.me.peers = at.to_string();
+    cfg.me.callers = format!("{name}:80");
+    let relay = Arc::new(Relay::new(cfg, PlatformWire));
+    tokio::spawn(mesh::serve_fetches(relay.clone(), listener));
+    tokio::spawn(mesh::hear_beats(relay.clone(), socket.clone()));
+    tokio::spawn(mesh::send_beats(relay.clone(), socket));
+    tokio::spawn(mesh::keep_up(relay.clone()));
+    (relay, at)
+}
+
+/// Three hosts know one seed. Only the first reaches the store. The others get configuration and backend servers from
+/// it, become ready, and are handed out to callers; a change and a leaving server reach them as well.
+#[tokio::test]
+async fn hosts_that_do_not_reach_the_store_learn_from_one_that_does() {
+    let (first, seed) = host("host-1", &[]).await;
+    let (second, _) = host("host-2", &[seed]).await;
+    let (third, _) = host("host-3", &[seed]).await;
+    let server = |leaving| Backend {
+        id: "i-1".into(),
+        service: "app".into(),
+        addr: "127.0.0.1:9".into(),
+        data_centre: "a".into(),
+        slots: 6,
+        leaving,
+    };
+    first.set_configuration(wire::configuration(), "test");
+    let list = Backends { revision: 3, items: vec![server(false)] };
+    first.update_backends(BackendsUpdate::List(list), None, "test");
+
+    wire::until("all are handed out", || third.addresses(None).len() == 3).await;
+    wire::until("all are ready", || second.is_ready() && third.is_ready()).await;
+    first.set_configuration(
+        cranberrytally::schema::fleet::Configuration { version: 2, ..wire::configuration() },
+        "test",
+    );
+    let change = BackendsUpdate::Changes { revision: 4, puts: vec![server(true)], removed: Vec::new() };
+    first.update_backends(change, None, "test");
+
+    wire::until("the change", || third.routes().is_some_and(|r| r.version() == 2)).await;
+    wire::until("the leaving server", || third.servers("app") == 0).await;
+    assert_eq!(first.servers("app"), 0);
+}
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -1,5 +1,7 @@
 //! Fixtures that speak the platform's wire over loopback: a host in this process, scripted backend servers, and a caller
-//! that reads raw bytes.
+//! that reads raw bytes. Each test uses a part of them.
+
+#![allow(dead_code)]
 
 use std::{
     net::SocketAddr,
@@ -17,6 +19,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::mpsc,
     time::timeout,
 };
 
@@ -36,6 +39,8 @@
     WriteAndReset(String),
     /// Says nothing until the caller closes.
     Hang,
+    /// Resets the connection and takes no more.
+    Crash,
 }
 
 /// A backend server that follows a script, one act a request; the last act goes on.
@@ -61,14 +66,26 @@
         };
         let (copy, script) = (server.clone(), Arc::new(script.into()));
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(copy.clone().serve(stream, script.clone()));
+            let (crash, mut crashed) = mpsc::channel(1);
+            loop {
+                tokio::select! {
+                    biased;
+                    Some(stream) = crashed.recv() => {
+                        // The listener goes first, so that whoever sees the reset finds nobody there.
+                        drop(listener);
+                        reset(stream);
+                        return;
+                    }
+                    Ok((stream, _)) = listener.accept() => {
+                        tokio::spawn(copy.clone().serve(stream, script.clone(), crash.clone()));
+                    }
+                }
             }
         });
         server
     }
 
-    async fn serve(self, mut stream: TcpStream, script: Arc<Vec<Act>>) {
+    async fn serve(self, mut stream: TcpStream, script: Arc<Vec<Act>>, crash: mpsc::Sender<TcpStream>) {
         while let Some(req) = read_request(&mut stream).await {
             let at = {
                 let mut seen = self.seen.lock().unwrap();
@@ -86,7 +103,11 @@
                 }
                 Act::WriteAndReset(text) => {
                     stream.write_all(&write(&text)).await.unwrap();
-                    stream.set_zero_linger().unwrap();
+                    reset(stream);
+                    return;
+                }
+                Act::Crash => {
+                    let _ = crash.send(stream).await;
                     return;
                 }
                 Act::Hang => {
@@ -109,6 +130,11 @@
     }
 }
 
+/// Ends a connection by a reset.
+fn reset(stream: TcpStream) {
+    stream.set_zero_linger().unwrap();
+}
+
 /// Value of a header in a raw message.
 pub fn header(message: &str, name: &str) -> Option<String> {
     let head = message.split("\r\n\r\n").next()?;
@@ -241,6 +267,20 @@
         self.relay.update_backends(BackendsUpdate::List(list), None, "test");
     }
 
+    /// Lists one more server, which stands in the host's data centre.
+    pub fn list_more(&self, server: &Server) {
+        let put = Backend {
+            id: server.id.clone(),
+            service: "app".into(),
+            addr: server.addr.to_string(),
+            data_centre: "a".into(),
+            slots: 6,
+            leaving: false,
+        };
+        let update = BackendsUpdate::Changes { revision: 2, puts: vec![put], removed: Vec::new() };
+        self.relay.update_backends(update, None, "test");
+    }
+
     /// Connects as a caller.
     pub async fn connect(&self) -> Caller {
         Caller(TcpStream::connect(self.addr).await.unwrap())
