Count, time and explain requests on the platform

Each refusal, retry, stop and placement has a counter, first events, answers and attempts a histogram, shown at the address that deploy/system.toml names. 'explain ID' puts a request's story together from the lines of several hosts.

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -9,6 +9,7 @@
 mod check;
 mod demo;
 mod drain;
+mod explain;
 mod get;
 mod label;
 mod relay;
@@ -58,6 +59,8 @@
     Serve(serve::Serve),
     #[options(help = "serve on the users' platform")]
     Relay(relay::RelayCmd),
+    #[options(help = "print the story of one request from log lines")]
+    Explain(explain::Explain),
     #[options(help = "check settings files")]
     Check(check::Check),
     #[options(help = "run a small fleet with stand-ins in one process")]
@@ -126,6 +129,7 @@
     match args.cmd {
         Some(Cmd::Serve(cmd)) => cmd.run(),
         Some(Cmd::Relay(cmd)) => cmd.run(),
+        Some(Cmd::Explain(cmd)) => cmd.run(),
         Some(Cmd::Check(cmd)) => cmd.run(),
         Some(Cmd::Demo(cmd)) => cmd.run(),
         Some(Cmd::Apply(cmd)) => cmd.run(),
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,5 +1,6 @@
 //! Logs by spdlog-rs: levels, text or JSON lines on stderr.
 
+pub mod explain;
 pub mod lines;
 
 use std::sync::Arc;
--- a/src/logs/lines.rs
+++ b/src/logs/lines.rs
@@ -46,7 +46,10 @@
         let mut line = Self(String::with_capacity(256));
         let _ = write!(line.0, "{{\"t\":{},\"event\":", wall_ms());
         line.quote(event);
-        line
+        match HOST.get() {
+            Some(host) => line.text("host", host),
+            None => line,
+        }
     }
 
     fn quote(&mut self, value: &str) {
@@ -112,6 +115,12 @@
 }
 
 static OUTPUT: OnceLock<Output> = OnceLock::new();
+static HOST: OnceLock<String> = OnceLock::new();
+
+/// Names this host in every line from now on.
+pub fn name_host(name: &str) {
+    let _ = HOST.set(name.to_owned());
+}
 
 /// Starts the output to `out` with a budget in bytes a second; a second call changes nothing.
 pub fn start(out: impl std::io::Write + Send + 'static, bytes_per_second: u32) -> anyhow::Result<()> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,12 +2,12 @@
 //!
 //! Every counter stands in one table with its label; docs/METRICS.md shows the same table.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use anyhow::{Context, Result};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter as Instrument, MeterProvider},
+    metrics::{Counter as Instrument, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -37,8 +37,54 @@
     ControlBytes,
     /// Orders to engines by result.
     Orders,
+    /// Requests of callers on the platform by what became of them.
+    RelayRequests,
+    /// Refusals and failures on the platform by the code of their kind.
+    RelayRefusals,
+    /// Failed attempts at backend servers that were followed by another one, by failure.
+    RelayRetries,
+    /// Failed attempts that were not, by reason.
+    RelayStops,
+    /// Placements by why the server was chosen.
+    RelayPlacements,
+    /// Breaks of streams by what followed.
+    RelayStreams,
 }
 
+/// A latency histogram of the relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Latency {
+    /// From a request's arrival to its first event.
+    FirstEvent,
+    /// From a request's arrival to the end of its answer.
+    WholeAnswer,
+    /// From the start of an attempt to the head of the backend server's answer.
+    Attempt,
+}
+
+impl Latency {
+    /// Every histogram.
+    pub const ALL: [Latency; 3] = [Latency::FirstEvent, Latency::WholeAnswer, Latency::Attempt];
+
+    /// The table of histograms; the label is the route's kind with the outcome.
+    pub fn shown(self) -> Shown {
+        let row = |name, about| Shown { name, label: "kind", about };
+        match self {
+            Latency::FirstEvent => row("relay_first_event_seconds", "arrival to first event, by kind"),
+            Latency::WholeAnswer => {
+                row("relay_answer_seconds", "arrival to end of answer, by kind and outcome")
+            }
+            Latency::Attempt => {
+                row("relay_attempt_seconds", "start of attempt to head of answer, by outcome")
+            }
+        }
+    }
+}
+
+/// Upper bounds of the histograms' buckets, in seconds: around the objectives of 0.15 to 0.6 s and up to the longest
+/// deadlines.
+const BOUNDS: [f64; 12] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0];
+
 /// How a counter is shown.
 #[derive(Clone, Copy, Debug)]
 pub struct Shown {
@@ -52,7 +98,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 11] = [
+    pub const ALL: [Counter; 17] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -64,6 +110,12 @@
         Counter::DatagramsDropped,
         Counter::ControlBytes,
         Counter::Orders,
+        Counter::RelayRequests,
+        Counter::RelayRefusals,
+        Counter::RelayRetries,
+        Counter::RelayStops,
+        Counter::RelayPlacements,
+        Counter::RelayStreams,
     ];
 
     /// The table of counters.
@@ -83,6 +135,22 @@
             }
             Counter::ControlBytes => row("control_bytes", "direction", "bytes of control traffic"),
             Counter::Orders => row("orders", "result", "orders to engines by result"),
+            Counter::RelayRequests => {
+                row("relay_requests", "outcome", "requests on the platform by what became of them")
+            }
+            Counter::RelayRefusals => {
+                row("relay_refusals", "reason", "refusals and failures on the platform by error code")
+            }
+            Counter::RelayRetries => {
+                row("relay_retries", "reason", "attempts followed by another, by failure")
+            }
+            Counter::RelayStops => {
+                row("relay_stops", "reason", "attempts not followed by another, by reason")
+            }
+            Counter::RelayPlacements => {
+                row("relay_placements", "how", "placements by why the server was chosen")
+            }
+            Counter::RelayStreams => row("relay_streams", "event", "breaks of streams by what followed"),
         }
     }
 }
@@ -93,6 +161,7 @@
     registry: Registry,
     provider: SdkMeterProvider,
     instruments: Vec<Instrument<u64>>,
+    latencies: Vec<Histogram<f64>>,
 }
 
 impl Metrics {
@@ -111,7 +180,12 @@
         let meter = provider.meter("cranberrytally");
         let build = |c: &Counter| meter.u64_counter(c.shown().name).with_description(c.shown().about).build();
         let instruments = Counter::ALL.iter().map(build).collect();
-        Ok(Self { registry, provider, instruments })
+        let histogram = |l: &Latency| {
+            let Shown { name, about, .. } = l.shown();
+            meter.f64_histogram(name).with_description(about).with_boundaries(BOUNDS.to_vec()).build()
+        };
+        let latencies = Latency::ALL.iter().map(histogram).collect();
+        Ok(Self { registry, provider, instruments, latencies })
     }
 
     /// Adds `n` to a counter under a label's value.
@@ -119,6 +193,12 @@
         self.instruments[counter as usize].add(n, &[KeyValue::new(counter.shown().label, value)]);
     }
 
+    /// Records a latency under a label's value.
+    pub fn record(&self, latency: Latency, value: &'static str, took: Duration) {
+        let label = KeyValue::new(latency.shown().label, value);
+        self.latencies[latency as usize].record(took.as_secs_f64(), &[label]);
+    }
+
     /// Counts a request by what became of it.
     pub fn request(&self, outcome: &'static str) {
         self.add(Counter::Requests, outcome, 1);
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,7 +1,7 @@
 //! Adapter to the users' platform: it translates settings, requests, backend servers' answers and the store's objects
 //! into the product's types and back, and decides nothing. No name of the platform's interfaces stands elsewhere.
 
-use std::{convert::Infallible, path::Path, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -32,6 +32,9 @@
 /// How long callers keep an answer with addresses: short, so that they leave a host within seconds, and long enough
 /// that asking costs little. Some keep it three times as long.
 const KEEP_S: f64 = 1.0;
+/// Where counters and histograms are shown, as deploy/system.toml says.
+const METRICS_PORT: u16 = 9464;
+const METRICS_PATH: &str = "/metrics";
 /// Time limit of a connection that asks for addresses or readiness and sends nothing.
 const SMALL_IDLE: Duration = Duration::from_secs(10);
 /// Longest time for connections to close once no request is in progress; what is left then is cut by the kill anyway.
@@ -46,21 +49,24 @@
 pub async fn serve(path: &Path) -> Result<()> {
     let settings = Settings::load(path)?;
     lines::start_stdout(lines::DEFAULT_BYTES_PER_SECOND)?;
+    lines::name_host(&settings.name);
     line(Weight::Notable, "start", |l| {
-        let l = l.text("version", env!("CARGO_PKG_VERSION")).text("host", &settings.name);
+        let l = l.text("version", env!("CARGO_PKG_VERSION"));
         l.text("data_centre", &settings.data_centre).text("callers", &settings.callers.to_string())
     });
-    let relay = Arc::new(Relay::new(settings.relay(), PlatformWire));
+    let relay = Arc::new(Relay::new(settings.relay(), PlatformWire)?);
     start(&settings, &relay).await?;
     wait_for_stop(&settings, path, &relay).await
 }
 
 async fn start(settings: &Settings, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
-    let peer_addr = relay_peer_addr(settings);
+    let peer_addr = settings.relay().peer_addr;
     let socket = UdpSocket::bind(peer_addr).await.with_context(|| format!("could not use {peer_addr}"))?;
     let socket = Arc::new(socket);
     tokio::spawn(door::accept(relay.clone(), door::listen(settings.callers).await?));
     tokio::spawn(answer_small(relay.clone(), door::listen(settings.ready).await?));
+    let metrics = SocketAddr::new(settings.callers.ip(), METRICS_PORT);
+    tokio::spawn(answer_small(relay.clone(), door::listen(metrics).await?));
     if let Some(directory) = settings.directory {
         tokio::spawn(answer_small(relay.clone(), door::listen(directory).await?));
     }
@@ -73,10 +79,6 @@
     Ok(())
 }
 
-fn relay_peer_addr(settings: &Settings) -> std::net::SocketAddr {
-    settings.relay().peer_addr
-}
-
 async fn wait_for_stop(settings: &Settings, path: &Path, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("could not wait for a signal")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("could not wait for a signal")?;
@@ -153,6 +155,7 @@
         names::READY_PATH if relay.is_ready() => status(StatusCode::OK),
         names::READY_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
         names::RESOLVE_PATH => resolve(relay, req.uri().query().unwrap_or_default()),
+        METRICS_PATH => metrics(relay),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
@@ -171,6 +174,16 @@
     res
 }
 
+fn metrics(relay: &Relay<PlatformWire>) -> Response<Full<Bytes>> {
+    match relay.metrics().text() {
+        Ok(text) => Response::new(Full::new(text.into())),
+        Err(e) => {
+            line(Weight::Notable, "metrics_failed", |l| l.text("why", &format!("{e:#}")));
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut res = Response::new(Full::default());
     *res.status_mut() = status;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -15,11 +15,13 @@
     time::Duration,
 };
 
+use anyhow::Result;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, watch};
 
 use crate::{
     logs::lines::{Line, Weight, line},
+    metrics::Metrics,
     schema::fleet::{Beat, Configuration, Held, InProgress, Member},
     util::{Instant, lock, now, wall_ms},
 };
@@ -105,6 +107,7 @@
     pub(crate) cfg: RelayConfig,
     pub(crate) wire: W,
     pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
     /// Wakes the sender of beats when something must be told at once.
     pub(crate) tell: Notify,
     /// Wakes the fetching of what another host has had for long enough.
@@ -124,7 +127,10 @@
 
 impl<W: Wire> Relay<W> {
     /// A host that knows nothing yet.
-    pub fn new(cfg: RelayConfig, wire: W) -> Self {
+    ///
+    /// # Errors
+    /// When the counters can't be set up.
+    pub fn new(cfg: RelayConfig, wire: W) -> Result<Self> {
         let state = State {
             routes: None,
             backends: Backends::default(),
@@ -144,7 +150,18 @@
         };
         let (pool, tell, behind) = (Pool::default(), Notify::new(), Notify::new());
         let closing = watch::Sender::new(false);
-        Self { cfg, wire, pool, tell, behind, closing, start: wall_ms(), state: Mutex::new(state) }
+        let metrics = Metrics::new()?;
+        Ok(Self {
+            cfg,
+            wire,
+            pool,
+            metrics,
+            tell,
+            behind,
+            closing,
+            start: wall_ms(),
+            state: Mutex::new(state),
+        })
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
@@ -163,6 +180,11 @@
         state.store_lost.is_some() || !follows
     }
 
+    /// The counters and histograms.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         self.state().is_ready()
@@ -352,6 +374,27 @@
         self.pool.sweep(|key| state.backends.get(key).is_some_and(|b| b.takes_work()));
     }
 
+    /// Leaves a server alone for a while that could not be reached or fell silent.
+    pub(crate) fn avoid(&self, key: BackendKey, why: &str) {
+        let mut state = self.state();
+        let Some(pause) = state.health.lose(now(), key) else { return };
+        let Some(id) = state.backends.get(key).map(|b| b.id.clone()) else { return };
+        drop(state);
+        line(Weight::Notable, "avoided", |l| l.text("backend", &id).text("why", why).ms("for_ms", pause));
+        self.tell.notify_one();
+    }
+
+    /// Notes a whole answer of a server, which ends a pause.
+    pub(crate) fn trust(&self, key: BackendKey) {
+        let mut state = self.state();
+        if !state.health.succeed(now(), key) {
+            return;
+        }
+        let Some(id) = state.backends.get(key).map(|b| b.id.clone()) else { return };
+        drop(state);
+        line(Weight::Notable, "taken_back", |l| l.text("backend", &id));
+    }
+
     /// Counts a server as gone, as when another one answers at its address.
     pub(crate) fn lose(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
--- a/src/relay/door.rs
+++ b/src/relay/door.rs
@@ -21,6 +21,7 @@
 use crate::{
     error::{Kind, Ran},
     logs::lines::{Weight, line},
+    metrics::Counter,
     schema::fleet::CallerLimits,
     util::now,
 };
@@ -124,6 +125,8 @@
         }
         Err((id, kind)) => {
             line(Weight::Notable, "refused", |l| l.text("request", &id).text("kind", kind.answer().code));
+            relay.metrics.add(Counter::RelayRequests, "refused", 1);
+            relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
             relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after: retry_after(kind) })
         }
     };
--- a/src/relay/health.rs
+++ b/src/relay/health.rs
@@ -42,10 +42,12 @@
 }
 
 impl Health {
-    /// Notes an answer that was whole and no failure of the server.
-    pub fn succeed(&mut self, now: Instant, key: BackendKey) {
+    /// Notes an answer that was whole and no failure of the server; returns whether a pause ends with it.
+    pub fn succeed(&mut self, now: Instant, key: BackendKey) -> bool {
         let entry = self.servers.entry(key).or_default();
+        let paused = !entry.pause.is_zero();
         *entry = Entry { ratio: entry.ratio(now) * (1.0 - WEIGHT), seen: now, ..Entry::default() };
+        paused
     }
 
     /// Notes a failure of a request that had been sent.
@@ -55,14 +57,17 @@
         entry.seen = now;
     }
 
-    /// Notes that no connection could be made, or that a server with requests in progress fell silent.
-    pub fn lose(&mut self, now: Instant, key: BackendKey) {
+    /// Notes that no connection could be made, or that a server with requests in progress fell silent; returns the pause
+    /// that begins with it, if one does.
+    pub fn lose(&mut self, now: Instant, key: BackendKey) -> Option<Duration> {
         self.fail(now, key);
         let entry = self.servers.entry(key).or_default();
-        if entry.until <= now {
-            entry.pause = (entry.pause * 2).clamp(FIRST_PAUSE, MOST_PAUSE);
-            entry.until = now + entry.pause;
+        if entry.until > now {
+            return None;
         }
+        entry.pause = (entry.pause * 2).clamp(FIRST_PAUSE, MOST_PAUSE);
+        entry.until = now + entry.pause;
+        Some(entry.pause)
     }
 
     /// Whether a server is left alone at the moment, given the servers of its service.
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -20,6 +20,7 @@
 use crate::{
     error::{Kind, Ran},
     logs::lines::Weight,
+    metrics::{Counter, Latency},
     util::now,
 };
 
@@ -51,6 +52,66 @@
     pub(crate) req: Arc<Request>,
     pub(crate) tries: Tries,
     pub(crate) tried: Vec<BackendKey>,
+    /// What became of the request, once that is settled.
+    pub(crate) outcome: Option<Outcome>,
+}
+
+/// What became of a request; a label of counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A backend server's whole answer went out.
+    Answered,
+    /// It was given up and has not run.
+    Refused,
+    /// It was given up and may have run.
+    Failed,
+    /// Its stream was cut.
+    Cut,
+    /// The caller left first.
+    CallerLeft,
+}
+
+impl Outcome {
+    /// Every outcome.
+    pub const ALL: [Outcome; 5] =
+        [Outcome::Answered, Outcome::Refused, Outcome::Failed, Outcome::Cut, Outcome::CallerLeft];
+
+    /// Label in counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::Refused => "refused",
+            Outcome::Failed => "failed",
+            Outcome::Cut => "cut",
+            Outcome::CallerLeft => "caller_left",
+        }
+    }
+
+    fn label(self, stream: bool) -> &'static str {
+        match (self, stream) {
+            (Outcome::Answered, true) => "stream_answered",
+            (Outcome::Answered, false) => "plain_answered",
+            (_, true) => "stream_failed",
+            (_, false) => "plain_failed",
+        }
+    }
+}
+
+/// Counts what became of the request. One that is dropped before that is settled has lost its caller: the library drops
+/// the work for a connection that was closed.
+impl<W: Wire> Drop for Run<W> {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or(Outcome::CallerLeft);
+        let took = now() - self.req.arrived;
+        if outcome == Outcome::CallerLeft {
+            self.relay.note(Weight::Notable, "caller_left", &self.req, |l| {
+                l.ms("after_ms", took).number("attempts", self.tries.made())
+            });
+        }
+        let metrics = &self.relay.metrics;
+        metrics.add(Counter::RelayRequests, outcome.as_str(), 1);
+        metrics.record(Latency::WholeAnswer, outcome.label(self.req.route.stream), took);
+    }
 }
 
 /// Runs a request to its answer.
@@ -65,7 +126,7 @@
     }
     let tries = Tries::new(req.route.repeatable, req.route.route.attempts, req.deadline);
     relay.state().budget.request(now(), &req.service);
-    Run { relay, req, tries, tried: Vec::new() }.answer().await
+    Run { relay, req, tries, tried: Vec::new(), outcome: None }.answer().await
 }
 
 impl<W: Wire> Run<W> {
@@ -99,6 +160,10 @@
         }
         let (relay, req) = (self.relay.clone(), self.req.clone());
         let next = self.tries.fail(now(), failure, || relay.spend(&req));
+        match next {
+            Ok(()) => relay.metrics.add(Counter::RelayRetries, failure.as_str(), 1),
+            Err(stop) => relay.metrics.add(Counter::RelayStops, stop.as_str(), 1),
+        }
         let backend = relay.state().backends.get(key).map(|b| b.id.clone());
         relay.note(Weight::Notable, "attempt_failed", &req, |l| {
             let l = l.text("failure", failure.as_str()).text("backend", backend.as_deref().unwrap_or("gone"));
@@ -124,9 +189,8 @@
         match failure {
             Failure::Moved => self.relay.lose(key, "another server answers at its address"),
             Failure::Connect | Failure::Silent => {
-                self.relay.state().health.lose(now, key);
+                self.relay.avoid(key, failure.as_str());
                 self.relay.pool.clear(key);
-                self.relay.tell.notify_one();
             }
             Failure::Unsent | Failure::Late => {}
             Failure::Refused | Failure::Broken | Failure::Garbled | Failure::Errored => {
@@ -141,9 +205,8 @@
         match Conn::connect(addr, self.req.left(now())).await {
             Ok(conn) => self.relay.pool.put(key, conn, None),
             Err(_) => {
-                let mut state = self.relay.state();
-                state.health.lose(now(), key);
-                let crashes = state.suspects.crash(now(), self.req.fingerprint());
+                self.relay.avoid(key, "crashed");
+                let crashes = self.relay.state().suspects.crash(now(), self.req.fingerprint());
                 self.relay.note(Weight::Notable, "suspected", &self.req, |l| l.number("crashes", crashes));
             }
         }
@@ -220,6 +283,7 @@
     }
 
     fn note_sent(&self, choice: &Choice, id: &str, stale: usize) {
+        self.relay.metrics.add(Counter::RelayPlacements, choice.why.as_str(), 1);
         let from = choice.fetch_from.and_then(|key| Some(self.relay.state().backends.get(key)?.id.clone()));
         self.relay.note(Weight::Routine, "sent", &self.req, |l| {
             let l = l.text("backend", id).text("why", choice.why.as_str());
@@ -243,10 +307,14 @@
         let head = conn.send(req);
         tokio::pin!(head);
         let (limit, over) = self.limit(self.patience());
-        match tokio::time::timeout(limit, &mut head).await {
+        let started = now();
+        let result = match tokio::time::timeout(limit, &mut head).await {
             Ok(result) => result.map_err(|(failure, _)| failure),
             Err(_) => Err(over),
-        }
+        };
+        let label = result.as_ref().err().map_or("answered", |failure| failure.as_str());
+        self.relay.metrics.record(Latency::Attempt, label, now() - started);
+        result
     }
 
     /// How long to wait with this patience, and what has happened when that time is over.
@@ -301,7 +369,7 @@
                 };
             }
         } else if head.status.is_success() {
-            self.relay.state().health.succeed(now(), key);
+            self.relay.trust(key);
         }
         Ok(self.deliver(head, bytes))
     }
@@ -310,7 +378,8 @@
         self.req.route.repeatable && !self.req.route.stream
     }
 
-    fn deliver(&self, head: response::Parts, bytes: Bytes) -> Response<AnswerBody> {
+    fn deliver(&mut self, head: response::Parts, bytes: Bytes) -> Response<AnswerBody> {
+        self.outcome = Some(Outcome::Answered);
         self.relay.note(Weight::Routine, "answered", &self.req, |l| {
             let l = l.number("status", head.status.as_u16()).number("bytes", bytes.len() as u64);
             l.ms("after_ms", now() - self.req.arrived).number("attempts", self.tries.made() + 1)
@@ -319,8 +388,10 @@
     }
 
     /// The final answer to a request that is given up.
-    pub(crate) fn give_up(&self, kind: Kind, last: Option<Failure>) -> Response<AnswerBody> {
+    pub(crate) fn give_up(&mut self, kind: Kind, last: Option<Failure>) -> Response<AnswerBody> {
         let ran = if self.tries.is_unrun() { Ran::No } else { Ran::Unknown };
+        self.outcome = Some(if ran == Ran::No { Outcome::Refused } else { Outcome::Failed });
+        self.relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
         let refusal = Refusal { kind, ran, retry_after: (ran == Ran::No).then_some(RETRY_AFTER) };
         self.relay.note(Weight::Notable, "given_up", &self.req, |l| {
             let l = l.text("kind", kind.answer().code).text("ran", ran.as_str());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -13,10 +13,14 @@
     backends::BackendKey,
     events::{Splitter, Whole},
     request::EventNumber,
-    run::{Answered, Run},
+    run::{Answered, Outcome, Run},
     verdict::Failure,
 };
-use crate::{logs::lines::Weight, util::now};
+use crate::{
+    logs::lines::Weight,
+    metrics::{Counter, Latency},
+    util::now,
+};
 
 /// Pause between events after which a server counts as silent, where the stream can go on elsewhere. Callers give a
 /// stream up after two seconds without an event; a preempted request goes on within a second.
@@ -55,6 +59,7 @@
     let limit = run.limit(run.patience());
     match events.read(run, limit).await {
         Ok(Next::Events(bytes)) => {
+            run.relay.metrics.record(Latency::FirstEvent, "stream", now() - run.req.arrived);
             run.relay.note(Weight::Routine, "first_event", &run.req, |l| {
                 l.ms("after_ms", now() - run.req.arrived)
             });
@@ -99,6 +104,8 @@
             };
             if !self.resume(run, failure).await {
                 self.ended = true;
+                run.outcome = Some(Outcome::Cut);
+                run.relay.metrics.add(Counter::RelayStreams, "cut", 1);
                 run.relay.note(Weight::Notable, "stream_cut", &run.req, |l| {
                     let l = l.text("failure", failure.as_str()).number("events", self.last.unwrap_or(0));
                     l.ms("after_ms", now() - run.req.arrived)
@@ -118,6 +125,7 @@
         while run.fail(failure, key).await.is_ok() {
             match run.attempt(self.last).await {
                 Ok(answered) if answered.head.status.is_success() => {
+                    run.relay.metrics.add(Counter::RelayStreams, "resumed", 1);
                     run.relay.note(Weight::Notable, "stream_resumed", &run.req, |l| {
                         l.number("events", self.last.unwrap_or(0)).ms("after_ms", now() - run.req.arrived)
                     });
@@ -167,14 +175,15 @@
         Ok(whole.bytes)
     }
 
-    fn end(&mut self, run: &Run<W>) -> Result<Next, Failure> {
+    fn end(&mut self, run: &mut Run<W>) -> Result<Next, Failure> {
         if !self.splitter.is_empty() {
             return Err(Failure::Broken);
         }
         self.ended = true;
+        run.outcome = Some(Outcome::Answered);
         if let Some(answered) = self.answered.take() {
             let key = answered.work.key;
-            run.relay.state().health.succeed(now(), key);
+            run.relay.trust(key);
             if !answered.read.closes {
                 run.relay.pool.put(key, answered.conn, answered.read.keeps);
             }
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,79 @@
+//! A failed request is explained from log lines alone: a refused one, a cut stream, and one that may have run.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex},
+};
+
+use cranberrytally::logs::{explain::explain, lines};
+use wire::{Act, Host, Server, chunk, event, not_run, request, status, stream_head};
+
+/// Output that tests read.
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Shared {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Shared {
+    fn lines(&self) -> Vec<String> {
+        String::from_utf8_lossy(&self.0.lock().unwrap()).lines().map(str::to_owned).collect()
+    }
+}
+
+fn named(req: String, id: &str) -> String {
+    req.replace("Attempt-Id: r1", &format!("Attempt-Id: {id}"))
+}
+
+/// Three callers complain: one was refused, one saw its stream break off, one does not know whether its save took
+/// effect. For each, the lines that the host wrote tell the servers that were asked, why, and what decided the end.
+#[tokio::test]
+async fn the_lines_of_a_host_explain_three_kinds_of_failure() {
+    let output = Shared::default();
+    lines::start(output.clone(), 1 << 20).unwrap();
+    lines::name_host("host-1");
+    let full = Server::start("i-full", [Act::Write(not_run())]).await;
+    let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
+    let cut = Server::start("i-cut", [Act::WriteAndReset(begun)]).await;
+    let lost = Server::start("i-lost", [Act::WriteAndReset(String::new())]).await;
+    let answers = [
+        Host::with(&[&full]).await.call(&named(request("/unsafe/x", ""), "refused-1")).await,
+        Host::with(&[&cut]).await.call(&named(request("/once/x", ""), "cut-1")).await,
+        Host::with(&[&lost]).await.call(&named(request("/unsafe/x", ""), "unknown-1")).await,
+        Host::with(&[&lost]).await.call(&named(request("/nowhere/x", ""), "path-1")).await,
+    ];
+    let told = |id: &str| output.lines().iter().any(|l| l.contains(id));
+    wire::until("the lines", || ["refused-1", "cut-1", "unknown-1", "path-1"].into_iter().all(told)).await;
+    wire::until("the last lines", || output.lines().iter().any(|l| l.contains("\"not_found\""))).await;
+
+    let story = |id| explain(id, output.lines()).unwrap();
+
+    assert_eq!(answers.map(|a| status(&a)), [503, 200, 502, 404]);
+    let refused = story("refused-1");
+    assert!(refused.contains("backend=i-full") && refused.contains("failure=refused"), "{refused}");
+    assert!(refused.contains("end: given up as engine_refused, not-run"), "{refused}");
+    let cut = story("cut-1");
+    assert!(
+        cut.contains("end: its stream was cut: broken; its last failed attempt: broken at i-cut"),
+        "{cut}"
+    );
+    let unknown = story("unknown-1");
+    assert!(unknown.contains("end: given up as engine_failed, unknown"), "{unknown}");
+    assert!(unknown.contains("then not_repeatable"), "{unknown}");
+    assert!(story("path-1").contains("end: refused as not_found before any attempt"));
+    assert!(unknown.contains("change=seen"), "beliefs about the server are shown: {unknown}");
+    assert_eq!(explain("nobody", output.lines()), None);
+}
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -369,7 +369,11 @@
     for i in 0..30 {
         health.succeed(ms(i * 10), keys[1]);
         health.succeed(ms(i * 10), keys[2]);
-        if i % 2 == 0 { health.fail(ms(i * 10), keys[0]) } else { health.succeed(ms(i * 10), keys[0]) }
+        if i % 2 == 0 {
+            health.fail(ms(i * 10), keys[0]);
+        } else {
+            health.succeed(ms(i * 10), keys[0]);
+        }
     }
 
     assert!(health.unsound(ms(300), keys[0], &keys));
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -226,7 +226,7 @@
     (cfg.peer_addr, cfg.seeds) = (at, seeds.to_vec());
     cfg.me.peers = at.to_string();
     cfg.me.callers = format!("{name}:80");
-    let relay = Arc::new(Relay::new(cfg, PlatformWire));
+    let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
     tokio::spawn(mesh::serve_fetches(relay.clone(), listener));
     tokio::spawn(mesh::hear_beats(relay.clone(), socket.clone()));
     tokio::spawn(mesh::send_beats(relay.clone(), socket));
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -240,7 +240,7 @@
         let addr = listener.local_addr().unwrap();
         let mut cfg = relay_config("host-1");
         cfg.budget.extra = 1_000.0;
-        let relay = Arc::new(Relay::new(cfg, PlatformWire));
+        let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
         tokio::spawn(door::accept(relay.clone(), listener));
         Self { relay, addr }
     }
