Sum failure ratios once a choice, and wait for a host's start

Cause: each choice held every server against every other one: at 112 servers ten thousand look-ups a request. A host that had just started refused requests for the 7 to 20 ms until its configuration came. Change: Health::survey; a request waits up to 20 ms for a host that has just started.

--- /dev/null
+++ b/benches/relay.rs
@@ -0,0 +1,89 @@
+//! Cost of the relay's decisions by size of the service, and memory of what it knows.
+
+use std::time::{Duration, Instant};
+
+use cranberrytally::{
+    relay::{
+        backends::Backends,
+        holders::Holders,
+        peers::{Own, Peers},
+        place::{Candidate, Placer},
+        request::Part,
+    },
+    schema::fleet::{Backend, Backends as List, Beat, InProgress, Member},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const SIZES: [usize; 4] = [9, 112, 733, 2_750];
+const ROUNDS: u32 = 20_000;
+
+fn servers(n: usize) -> (Backends, Vec<Candidate>) {
+    let item = |i: usize| Backend {
+        id: format!("i-{i:010x}"),
+        service: "llm".into(),
+        addr: format!("10.0.{}.{}:80", i / 250, i % 250),
+        data_centre: "a".into(),
+        slots: 64,
+        leaving: false,
+    };
+    let mut backends = Backends::default();
+    backends.list(Duration::ZERO, &List { revision: 1, items: (0..n).map(item).collect() }, None);
+    let candidates = backends.iter().map(|(key, b)| Candidate {
+        key,
+        tag: b.tag,
+        near: true,
+        load: f64::from(b.tag % 8),
+        slots: 64,
+        unsound: false,
+    });
+    let candidates = candidates.collect();
+    (backends, candidates)
+}
+
+fn per_round(rounds: u32, mut round: impl FnMut(u64)) -> f64 {
+    let start = Instant::now();
+    (0..u64::from(rounds)).for_each(&mut round);
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+fn main() {
+    println!(
+        "| servers | choose by parts, us | choose by load, us | hear a beat of 40 loads, us | list, bytes |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    for n in SIZES {
+        let (backends, candidates) = servers(n);
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut holders = Holders::default();
+        for (i, c) in candidates.iter().cycle().take(4_000).enumerate() {
+            holders.note(Duration::ZERO, i as u64, c.key);
+        }
+        let placer = Placer::default();
+        let by_parts = per_round(ROUNDS, |i| {
+            let parts = [Part { id: i % 4_000, tokens: 10_000 }, Part { id: i << 20, tokens: 300 }];
+            placer.choose(&candidates, &parts, &holders, |_| true, &mut rng);
+        });
+        let by_load = per_round(ROUNDS, |_| {
+            placer.choose(&candidates, &[], &holders, |_| true, &mut rng);
+        });
+        let list = postcard::to_allocvec(&backends.snapshot()).map_or(0, |b| b.len());
+        println!("| {n} | {by_parts:.1} | {by_load:.1} | {:.1} | {list} |", hear(n));
+    }
+}
+
+/// Time to take one beat in.
+fn hear(n: usize) -> f64 {
+    let mut peers = Peers::new("10.0.0.1:1".parse().unwrap(), "a", &[]);
+    let loads = (0..40).map(|i| InProgress { backend: (i * n / 40) as u32, requests: 3 }).collect::<Vec<_>>();
+    let sender = Member { data_centre: "a".into(), peers: "10.0.0.2:1".into(), ..Member::default() };
+    per_round(ROUNDS, |i| {
+        let beat = Beat {
+            start: 1,
+            number: i + 1,
+            in_progress: loads.clone(),
+            sender: Some(sender.clone()),
+            ..Beat::default()
+        };
+        peers.hear(Duration::from_millis(i), "10.0.0.2:1".parse().unwrap(), &beat, Own::default());
+    })
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -114,7 +114,9 @@
     pub(crate) behind: Notify,
     /// Set once no request is taken any more.
     pub(crate) closing: watch::Sender<bool>,
+    /// When the process started, by the wall clock, in milliseconds since 1970.
     start: u64,
+    started: Instant,
     state: Mutex<State>,
 }
 
@@ -160,6 +162,7 @@
             behind,
             closing,
             start: wall_ms(),
+            started: now(),
             state: Mutex::new(state),
         })
     }
@@ -180,6 +183,17 @@
         state.store_lost.is_some() || !follows
     }
 
+    /// Whether this host has run for so long.
+    pub(crate) fn has_run_for(&self, time: Duration) -> bool {
+        now() >= self.started + time
+    }
+
+    /// Whether this host has known no configuration for so long and hears of no host that callers may be sent to.
+    pub(crate) fn is_alone_without_configuration(&self, time: Duration) -> bool {
+        let state = self.state();
+        state.routes.is_none() && self.has_run_for(time) && state.peers.ready(now()).next().is_none()
+    }
+
     /// The counters and histograms.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -245,6 +259,7 @@
         let mut state = self.state();
         let state = &mut *state;
         let service: Vec<_> = state.backends.of(&req.service).map(|(key, _)| key).collect();
+        let survey = state.health.survey(now, &service);
         let candidates = service.iter().filter(|key| !tried.contains(key));
         let candidates: Vec<_> = candidates
             .filter_map(|key| {
@@ -252,7 +267,7 @@
                 let near = *b.data_centre == *self.cfg.me.data_centre;
                 let load = f64::from(b.in_progress + state.peers.load(b.tag));
                 let told = state.peers.avoiding(b.tag) >= MANY;
-                let unsound = told || state.health.unsound(now, *key, &service);
+                let unsound = told || state.health.unsound(now, *key, survey);
                 Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
             })
             .collect();
--- a/src/relay/door.rs
+++ b/src/relay/door.rs
@@ -16,7 +16,7 @@
     pool,
     request::{EventNumber, Part, Request},
     routes::{Caller, CompiledRoute, Routes},
-    run,
+    run::{self, Outcome},
 };
 use crate::{
     error::{Kind, Ran},
@@ -30,10 +30,17 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a caller should come back who is refused by a host that leaves: others serve already.
 const ELSEWHERE: Duration = Duration::from_millis(50);
-/// When a caller should come back who is refused by a host that knows no configuration. After a loss of all hosts the
-/// store may be away as well, and a caller who comes back at once has used its only retry up: of 159 requests that were
-/// refused in such an outage with 50 ms, 111 are served with a second.
+/// When a caller should come back who is refused by a host that has known no configuration for a while and hears of no
+/// host that does. The store is away as well then, and a caller who comes back at once has used its only retry up: of 159
+/// requests that were refused in such an outage with 50 ms, 111 are served with a second.
 const KNOWS_NOTHING: Duration = Duration::from_millis(1_000);
+/// After this time without configuration a start is no longer the reason; it takes 20 ms.
+const START: Duration = Duration::from_millis(300);
+/// How long a request waits for a host that has just started to learn its configuration: an eighth of the tightest
+/// objectives, within which waiting costs nothing.
+const WAITS_FOR_START: Duration = Duration::from_millis(20);
+/// Time between two looks while it waits.
+const LOOK: Duration = Duration::from_millis(4);
 /// Longest time for a body to arrive; callers on weak links need some seconds.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -129,9 +136,10 @@
         }
         Err((id, kind)) => {
             line(Weight::Notable, "refused", |l| l.text("request", &id).text("kind", kind.answer().code));
-            relay.metrics.add(Counter::RelayRequests, "refused", 1);
+            relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
             relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
-            relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after: retry_after(kind) })
+            let retry_after = kind.answer().retry_s.is_some().then(|| come_back(&relay, kind));
+            relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after })
         }
     };
     if relay.is_leaving() {
@@ -140,9 +148,19 @@
     response
 }
 
-fn retry_after(kind: Kind) -> Option<Duration> {
-    let wait = if kind == Kind::NotReady { KNOWS_NOTHING } else { ELSEWHERE };
-    kind.answer().retry_s.is_some().then_some(wait)
+fn come_back<W: Wire>(relay: &Relay<W>, kind: Kind) -> Duration {
+    if kind == Kind::NotReady && relay.is_alone_without_configuration(START) {
+        return KNOWS_NOTHING;
+    }
+    ELSEWHERE
+}
+
+/// Gives a host that has just started the few milliseconds that its first answer from the store takes.
+async fn wait_for_start<W: Wire>(relay: &Relay<W>) {
+    let until = now() + WAITS_FOR_START;
+    while relay.routes().is_none() && now() < until {
+        tokio::time::sleep(LOOK).await;
+    }
 }
 
 /// Reads and checks a request.
@@ -155,6 +173,9 @@
     let (head, body) = req.into_parts();
     let ask = relay.wire.ask(&head);
     let id = ask.id.clone();
+    if !relay.has_run_for(START) {
+        wait_for_start(relay).await;
+    }
     let checked = check(relay, &ask, &head);
     let body = read_body(body, &head, limits).await.map_err(|kind| (id.clone(), kind))?;
     let (route, caller) = checked.map_err(|kind| (id.clone(), kind))?;
--- a/src/relay/health.rs
+++ b/src/relay/health.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// Failure ratios of a service, summed up once for all of its servers: with each server held against each other one, a
+/// choice among a hundred costs ten thousand look-ups.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Survey {
+    sum: f64,
+    servers: usize,
+}
+
 /// Results of the backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -70,20 +78,24 @@
         Some(entry.pause)
     }
 
-    /// Whether a server is left alone at the moment, given the servers of its service.
-    pub fn unsound(&self, now: Instant, key: BackendKey, service: &[BackendKey]) -> bool {
+    /// Failure ratios of the servers of a service, against which each of them is held.
+    pub fn survey(&self, now: Instant, service: &[BackendKey]) -> Survey {
+        let ratio = |key: &BackendKey| self.servers.get(key).map_or(0.0, |e| e.ratio(now));
+        Survey { sum: service.iter().map(ratio).sum(), servers: service.len() }
+    }
+
+    /// Whether a server is left alone at the moment, given those of its service.
+    pub fn unsound(&self, now: Instant, key: BackendKey, service: Survey) -> bool {
         let Some(entry) = self.servers.get(&key) else { return false };
         if entry.until > now {
             return true;
         }
-        let ratio = |k: &BackendKey| self.servers.get(k).map_or(0.0, |e| e.ratio(now));
-        let others = service.iter().filter(|k| **k != key);
-        let n = service.len().saturating_sub(1);
-        if n == 0 {
+        let others = service.servers.saturating_sub(1);
+        if others == 0 {
             return false;
         }
-        let mean = others.map(ratio).sum::<f64>() / n as f64;
-        entry.ratio(now) > mean + MARGIN
+        let ratio = entry.ratio(now);
+        ratio > (service.sum - ratio) / others as f64 + MARGIN
     }
 
     /// Whether a server is paused after a failed connection.
