Enter hosts in the store, and list again after a suspension

Cause: hosts found each other by the seeds only, of which all may be gone for good; a host that had been suspended went on with what it knew until its waiting watches ended, up to 17 s. Change: each host enters itself in the store at its start and takes the entry out when it leaves; one that hears of nobody reads the entries there. A gap of 1.5 s in the housekeeping is a suspension: followers list again at once, and until then what the host does not know is refused as not run instead of denied.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -17,7 +17,11 @@
 
 use crate::{
     logs::lines::{self, Weight, line},
-    relay::{Relay, door, follow, mesh},
+    relay::{
+        Relay, door,
+        follow::{self, Store},
+        mesh,
+    },
 };
 
 mod names;
@@ -76,6 +80,7 @@
     tokio::spawn(mesh::keep_up(relay.clone()));
     tokio::spawn(follow::follow_configuration(relay.clone(), StoreClient::new(settings.store)));
     tokio::spawn(follow::follow_backends(relay.clone(), StoreClient::new(settings.store)));
+    tokio::spawn(follow::follow_hosts(relay.clone(), StoreClient::new(settings.store)));
     Ok(())
 }
 
@@ -91,6 +96,12 @@
         }
     }
     relay.leave();
+    let (me, store) = (settings.relay().me, settings.store);
+    tokio::spawn(async move {
+        if let Err(e) = StoreClient::new(store).withdraw(&me).await {
+            line(Weight::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
+        }
+    });
     while !relay.may_stop() {
         tokio::time::sleep(STOP_CHECK).await;
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,9 @@
         follow::{BackendsUpdate, Store, StoreError},
         pool::Conn,
     },
-    schema::fleet::{self, Backends, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace},
+    schema::fleet::{
+        self, Backends, CallerLimits, Configuration, Member, Repeat, Route, Service, Share, Workspace,
+    },
 };
 
 /// Longest wait of a watch. Each one is a priced call; other hosts tell when a watch has gone silent.
@@ -28,6 +30,9 @@
 const CONFIGURATION: &str = "config";
 const BACKENDS: &str = "servers";
 
+/// Kind of our own: the hosts, each under its name.
+const HOSTS: &str = "hosts";
+
 /// A connection to the store for one call at a time.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -272,13 +277,33 @@
 
     /// Makes one call. A connection on which it fails is not used again: its answer may still come.
     async fn call<T: DeserializeOwned>(&mut self, target: &str, limit: Duration) -> Result<T, StoreError> {
-        match tokio::time::timeout(limit, self.try_call(target)).await {
+        let (status, body) = self.send(Method::GET, target, Bytes::new(), limit).await?;
+        match status {
+            200 => serde_json::from_slice(&body).map_err(|e| StoreError::Unreadable(e.to_string())),
+            410 => Err(StoreError::HistoryGone),
+            _ => Err(refused(status)),
+        }
+    }
+
+    async fn send(
+        &mut self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), StoreError> {
+        match tokio::time::timeout(limit, self.try_send(method, target, body)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::Unavailable("no answer in time".into())),
         }
     }
 
-    async fn try_call<T: DeserializeOwned>(&mut self, target: &str) -> Result<T, StoreError> {
+    async fn try_send(
+        &mut self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<(u16, Bytes), StoreError> {
         let unavailable = |why: String| StoreError::Unavailable(why);
         let mut conn = match self.conn.take().filter(Conn::is_usable) {
             Some(conn) => conn,
@@ -287,26 +312,26 @@
                 connected.map_err(|_| unavailable("could not connect".into()))?
             }
         };
-        let res = conn.send(self.request(target)).await;
+        let res = conn.send(self.request(method, target, body)).await;
         let res = res.map_err(|(failure, _)| unavailable(failure.as_str().into()))?;
         let status = res.status().as_u16();
         let body = Limited::new(res.into_body(), MOST_PAGE).collect().await;
         let body = body.map_err(|e| unavailable(format!("the answer broke off: {e}")))?.to_bytes();
         self.conn = Some(conn);
-        match status {
-            200 => serde_json::from_slice(&body).map_err(|e| StoreError::Unreadable(e.to_string())),
-            410 => Err(StoreError::HistoryGone),
-            _ => Err(unavailable(format!("status {status}"))),
-        }
+        Ok((status, body))
     }
 
-    fn request(&self, target: &str) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::default());
-        *req.method_mut() = Method::GET;
+    fn request(&self, method: Method, target: &str, body: Bytes) -> Request<Full<Bytes>> {
+        let written = !body.is_empty();
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
         *req.uri_mut() = target.parse().unwrap_or_default();
         if let Ok(host) = HeaderValue::from_str(&self.addr.to_string()) {
             req.headers_mut().insert(header::HOST, host);
         }
+        if written {
+            req.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
         req
     }
 
@@ -333,7 +358,39 @@
     }
 }
 
+fn refused(status: u16) -> StoreError {
+    StoreError::Unavailable(format!("status {status}"))
+}
+
+fn host_target(me: &Member) -> String {
+    let name: String = form_urlencoded::byte_serialize(me.name.as_bytes()).collect();
+    format!("/objects/{HOSTS}/{name}")
+}
+
 impl Store for StoreClient {
+    async fn enter(&mut self, me: &Member) -> Result<(), StoreError> {
+        let object = serde_json::json!({ "metadata": { "name": me.name }, "spec": me });
+        let body = Bytes::from(object.to_string());
+        let (status, _) = self.send(Method::PUT, &host_target(me), body.clone(), ANSWER).await?;
+        let status = match status {
+            404 => self.send(Method::POST, &format!("/objects/{HOSTS}"), body, ANSWER).await?.0,
+            status => status,
+        };
+        // Another start of this host may have created the entry in between; it tells the same.
+        matches!(status, 200..=299 | 409).then_some(()).ok_or(refused(status))
+    }
+
+    async fn withdraw(&mut self, me: &Member) -> Result<(), StoreError> {
+        let (status, _) = self.send(Method::DELETE, &host_target(me), Bytes::new(), ANSWER).await?;
+        matches!(status, 200..=299 | 404).then_some(()).ok_or(refused(status))
+    }
+
+    async fn hosts(&mut self) -> Result<Vec<Member>, StoreError> {
+        // Old entries do: a host that is gone is only not heard.
+        let page: Page<Member> = self.call(&format!("/objects/{HOSTS}?staleOk=1"), ANSWER).await?;
+        Ok(page.items.into_iter().filter_map(|o| o.spec).collect())
+    }
+
     async fn configuration(
         &mut self,
         after: Option<Revision>,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -112,6 +112,8 @@
     pub(crate) tell: Notify,
     /// Wakes the fetching of what another host has had for long enough.
     pub(crate) behind: Notify,
+    /// Wakes the followers of the store after the host was suspended.
+    pub(crate) woken: Notify,
     /// Set once no request is taken any more.
     pub(crate) closing: watch::Sender<bool>,
     /// When the process started, by the wall clock, in milliseconds since 1970.
@@ -160,6 +162,7 @@
             metrics,
             tell,
             behind,
+            woken: Notify::new(),
             closing,
             start: wall_ms(),
             started: now(),
@@ -418,6 +421,25 @@
         }
     }
 
+    /// Lists everything at the store again, as after the host was suspended: what it knows may be old, and the connections
+    /// on which it waits may have gone silent.
+    pub fn wake(&self, slept: Duration) {
+        line(Weight::Notable, "woken", |l| l.ms("slept_ms", slept));
+        self.state().store_lost.get_or_insert_with(now);
+        self.woken.notify_waiters();
+    }
+
+    /// Whether no other host is heard.
+    pub fn is_alone(&self) -> bool {
+        self.state().peers.is_alone(now())
+    }
+
+    /// Seeks hosts of which the store tells.
+    pub fn learn(&self, hosts: &[Member]) {
+        let mut state = self.state();
+        hosts.iter().filter_map(|m| m.peers.parse().ok()).for_each(|addr| state.peers.learn(addr));
+    }
+
     /// Starts to leave: no new callers are sent here.
     pub fn leave(&self) {
         let mut state = self.state();
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -7,13 +7,15 @@
 use super::{Relay, Wire, backends::Revision, contact::Contact};
 use crate::{
     logs::lines::{Weight, line},
-    schema::fleet::{Backend, Backends, Configuration},
+    schema::fleet::{Backend, Backends, Configuration, Member},
     util::now,
 };
 
 /// Pause after a change before the next watch, so that servers that come or go together cost one call. A server that
 /// leaves may get new work for two seconds.
 const GATHER: Duration = Duration::from_millis(200);
+/// Time between two looks whether other hosts are heard, and with it before the first entry and the first look.
+const LONELY: Duration = Duration::from_millis(3_000);
 /// Time between two looks whether this host must follow the store again.
 const REST: Duration = Duration::from_millis(250);
 
@@ -57,6 +59,49 @@
         &mut self,
         after: Option<Revision>,
     ) -> impl Future<Output = Result<BackendsUpdate, StoreError>> + Send;
+
+    /// Enters this host among the hosts.
+    fn enter(&mut self, me: &Member) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Takes this host's entry out.
+    fn withdraw(&mut self, me: &Member) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Hosts that have entered themselves, some of them long gone.
+    fn hosts(&mut self) -> impl Future<Output = Result<Vec<Member>, StoreError>> + Send;
+}
+
+/// Enters this host in the store, and looks for other hosts there while none is heard: the seeds may all be gone.
+pub async fn follow_hosts<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
+    let mut entered = false;
+    loop {
+        tokio::time::sleep(LONELY).await;
+        if !entered {
+            entered = store.enter(&relay.cfg.me).await.inspect_err(note_hosts).is_ok();
+        }
+        if !relay.is_alone() {
+            continue;
+        }
+        match store.hosts().await {
+            Ok(hosts) => relay.learn(&hosts),
+            Err(e) => note_hosts(&e),
+        }
+    }
+}
+
+fn note_hosts(e: &StoreError) {
+    line(Weight::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
+}
+
+/// Waits for an answer, but not longer than this host stays awake: while it was suspended the connection may have gone
+/// silent and what is known may be old, so that everything is listed again.
+async fn awake<W: Wire, T>(
+    relay: &Relay<W>,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    tokio::select! {
+        answer = call => answer,
+        () = relay.woken.notified() => Err(StoreError::Unavailable("the host was suspended".into())),
+    }
 }
 
 /// Follows the configuration until the task is ended.
@@ -67,7 +112,7 @@
         if after.is_some() && rest(&relay).await {
             after = None;
         }
-        match store.configuration(after).await {
+        match awake(&relay, store.configuration(after)).await {
             Ok((revision, cfg)) => {
                 regain(&mut contact);
                 after = after.max(Some(revision));
@@ -96,7 +141,7 @@
             rest(&relay).await;
         }
         let after = (!list).then(|| relay.state().backends.revision());
-        match store.backends(after).await {
+        match awake(&relay, store.backends(after)).await {
             Ok(update) => {
                 list = false;
                 let grace = regain(&mut contact);
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -25,6 +25,8 @@
 const MOST_BEAT: usize = 1_400;
 /// Largest message over TCP: a configuration with some thousand routes, or 20,000 backend servers.
 const MOST_MESSAGE: usize = 4 << 20;
+/// A pause of the housekeeping after which the host must have been suspended; a fetch takes less.
+const SUSPENDED: Duration = Duration::from_millis(1_500);
 /// Time for a fetch; a host that needs longer is asked again or another one is.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Least time between two beats that are sent out of turn.
@@ -94,11 +96,16 @@
 /// Fetches what other hosts have had for a while and this one lacks, and does the housekeeping.
 pub async fn keep_up<W: Wire>(relay: Arc<Relay<W>>) {
     let mut wants_held = true;
+    let mut last = now();
     loop {
         // What a peer tells wakes this up; a pause keeps a run of changes to one fetch.
         if timeout(TICK, relay.behind.notified()).await.is_ok() {
             tokio::time::sleep(SETTLE).await;
         }
+        let slept = now().saturating_sub(std::mem::replace(&mut last, now()));
+        if slept > SUSPENDED {
+            relay.wake(slept);
+        }
         relay.tick();
         let (peer, own) = {
             let state = relay.state();
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -283,6 +283,12 @@
         up.min_by_key(|(_, p)| p.start).map(|(addr, _)| *addr)
     }
 
+    /// Whether no other host is heard.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        let limit = self.lost();
+        !self.peers.values().any(|p| p.heard.is_some_and(|heard| heard + limit >= now))
+    }
+
     /// Whether some other host that is heard reaches the store.
     pub fn some_follow_store(&self, now: Instant) -> bool {
         let limit = self.lost();
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -8,7 +8,7 @@
 use cranberrytally::{
     platform::store::StoreClient,
     relay::follow::{BackendsUpdate, Store, StoreError},
-    schema::fleet::Repeat,
+    schema::fleet::{Member, Repeat},
 };
 use wire::{Act, Server};
 
@@ -159,3 +159,52 @@
     assert!(second.is_ok(), "{second:?}");
     assert_eq!(server.seen().len(), 2);
 }
+
+fn member() -> Member {
+    Member {
+        name: "host 1".into(),
+        callers: "10.0.0.1:80".into(),
+        peers: "10.0.0.1:7000".into(),
+        data_centre: "a".into(),
+    }
+}
+
+/// A host enters itself: it replaces the entry of its last start, or creates one.
+#[tokio::test]
+async fn a_host_enters_itself_once() {
+    let cases = [
+        ("its entry is replaced", vec![reply("200 OK", "{}")], vec!["PUT /objects/hosts/host+1"]),
+        (
+            "there was none",
+            vec![reply("404 Not Found", "{}"), reply("200 OK", "{}")],
+            vec!["PUT /objects/hosts/host+1", "POST /objects/hosts"],
+        ),
+    ];
+    for (name, acts, expected) in cases {
+        let (mut store, server) = store(acts).await;
+
+        store.enter(&member()).await.unwrap();
+
+        let seen: Vec<_> =
+            server.seen().iter().map(|r| r.split(" HTTP").next().unwrap().to_owned()).collect();
+        assert_eq!(seen, expected, "{name}");
+        assert!(server.seen()[0].contains("10.0.0.1:7000"));
+    }
+    let (mut store, _) = store(vec![reply("503 Service Unavailable", "{}")]).await;
+    store.enter(&member()).await.unwrap_err();
+}
+
+/// The hosts that have entered themselves are read from an old copy, which costs a tenth.
+#[tokio::test]
+async fn hosts_are_found_in_the_store() {
+    let spec = serde_json::to_string(&member()).unwrap();
+    let page = format!(
+        r#"{{"items":[{{"metadata":{{"name":"x"}},"spec":{spec}}}],"hasMore":false,"currentRev":9}}"#
+    );
+    let (mut store, server) = store(vec![reply("200 OK", &page)]).await;
+
+    let hosts = store.hosts().await.unwrap();
+
+    assert_eq!(hosts, [member()]);
+    assert_eq!(target(&server.seen()[0]), "/objects/hosts?staleOk=1");
+}
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -89,11 +89,23 @@
         self.asked.send(after).unwrap();
         self.calls += 1;
         match self.calls {
-            1 | 3 => Ok(BackendsUpdate::List(list(5, &["a"]))),
+            1 | 3 | 5 => Ok(BackendsUpdate::List(list(5, &["a"]))),
             2 => Err(StoreError::Unavailable("reset".into())),
             _ => pending().await,
         }
     }
+
+    async fn enter(&mut self, _: &fleet::Member) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn withdraw(&mut self, _: &fleet::Member) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn hosts(&mut self) -> Result<Vec<fleet::Member>, StoreError> {
+        Ok(Vec::new())
+    }
 }
 
 /// After an outage the store answers again, but a waiting watch would show that only at the next change, seconds
@@ -109,3 +121,23 @@
     task.abort();
     assert_eq!(asked, [Some(None), Some(Some(5)), Some(None), Some(Some(5))]);
 }
+
+/// A host is suspended for some seconds. When it goes on, its waiting watch may be on a connection that went silent
+/// meanwhile, and servers may have left, so it lists again at once instead of waiting for the watch's end.
+#[tokio::test]
+async fn a_host_that_was_suspended_lists_again() {
+    let relay = Arc::new(Relay::new(relay_config("host-1"), PlatformWire).unwrap());
+    let (asked, mut calls) = unbounded_channel();
+    let task = tokio::spawn(follow::follow_backends(relay.clone(), Flaky { asked, calls: 0 }));
+    for _ in 0..4 {
+        calls.recv().await;
+    }
+
+    relay.wake(s(4));
+    let stale = relay.is_stale();
+    let after = calls.recv().await;
+
+    task.abort();
+    assert!(stale, "until then, what it does not know is refused and not denied");
+    assert_eq!(after, Some(None));
+}
