Tell other hosts changes of the backend servers instead of the list

Change: fetches carry the changes since the asker's revision while the log has them; only followers of the store tell news at once; one follower for 16 hosts; avoided servers are counted as beats come in.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -123,7 +123,7 @@
 }
 
 /// Other hosts that must keep away from a server before this one does without trying it: one alone may be cut off.
-const MANY: usize = 2;
+const MANY: u32 = 2;
 /// Holders told to a host that has just started: 50 KB.
 const MOST_HELD: usize = 4_096;
 /// Parts told in one beat; the rest follows in the next ones.
@@ -236,8 +236,7 @@
             l.number("routes", cfg.routes.len() as u64).number("workspaces", cfg.workspaces.len() as u64)
         });
         state.routes = Some(Arc::new(Routes::new(Arc::new(cfg))));
-        drop(state);
-        self.tell.notify_one();
+        self.tell_news(&state);
         true
     }
 
@@ -252,6 +251,14 @@
             });
         }
         if !changes.is_empty() {
+            self.tell_news(state);
+        }
+    }
+
+    /// Sends a beat at once that tells of something newer. Hosts that have it from a follower of the store don't, since
+    /// the others have heard that follower as well: with a hundred hosts each change would cost ten thousand beats.
+    fn tell_news(&self, state: &State) {
+        if state.follows {
             self.tell.notify_one();
         }
     }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -3,7 +3,7 @@
 //! The store's list is the source; a server that leaves stays in the arena until its last request is done, so that
 //! a key is never used for another server.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -21,6 +21,9 @@
 /// seconds and more.
 const LINGERS: Duration = Duration::from_secs(3);
 
+/// Changes remembered for other hosts.
+const MOST_LOGGED: usize = 512;
+
 new_key_type! {
     /// Names one start of a backend server in this process.
     pub struct BackendKey;
@@ -106,6 +109,10 @@
     by_id: Map<Arc<str>, BackendKey>,
     by_tag: Map<Tag, BackendKey>,
     revision: Revision,
+    /// Changes that led to the revision, for hosts that lack only these; the oldest are dropped.
+    log: VecDeque<(Revision, Arc<str>)>,
+    /// Changes after this revision are all in the log.
+    logged_from: Revision,
 }
 
 impl Backends {
@@ -128,6 +135,8 @@
             return Vec::new();
         }
         self.revision = list.revision;
+        self.log.clear();
+        self.logged_from = list.revision;
         let mut changes: Vec<_> = list.items.iter().filter_map(|item| self.put(now, item)).collect();
         let listed: crate::util::Set<&str> = list.items.iter().map(|i| i.id.as_str()).collect();
         let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
@@ -148,6 +157,11 @@
             return Vec::new();
         }
         self.revision = revision;
+        let ids = puts.iter().map(|p| &p.id).chain(removed);
+        self.log.extend(ids.map(|id| (revision, id.as_str().into())));
+        while self.log.len() > MOST_LOGGED {
+            self.logged_from = self.log.pop_front().map_or(revision, |(dropped, _)| dropped);
+        }
         let mut changes: Vec<_> = puts.iter().filter_map(|item| self.put(now, item)).collect();
         changes.extend(removed.iter().filter_map(|id| self.remove(now, id, grace)));
         changes
@@ -285,17 +299,38 @@
         listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.takes_work())) as u32)
     }
 
+    /// What has changed after `since`, if the log goes back so far: a fetch of the whole list costs a hundred kilobytes
+    /// with three thousand servers, for each host of a data centre and each change.
+    pub fn changes_since(&self, since: Revision) -> Option<fleet::BackendChanges> {
+        if since < self.logged_from {
+            return None;
+        }
+        let ids: crate::util::Set<_> =
+            self.log.iter().filter(|(revision, _)| *revision > since).map(|(_, id)| id.clone()).collect();
+        let mut changes = fleet::BackendChanges { revision: self.revision, ..Default::default() };
+        for id in ids {
+            match self.by_id.get(&id).and_then(|key| self.arena.get(*key)) {
+                Some(b) => changes.puts.push(wire(b)),
+                None => changes.removed.push(id.to_string()),
+            }
+        }
+        Some(changes)
+    }
+
     /// The list for another host.
     pub fn snapshot(&self) -> fleet::Backends {
         let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
-        let items = listed.map(|(_, b)| fleet::Backend {
-            id: b.id.to_string(),
-            service: b.service.to_string(),
-            addr: b.addr.to_string(),
-            data_centre: b.data_centre.to_string(),
-            slots: b.slots,
-            leaving: !b.takes_work(),
-        });
-        fleet::Backends { revision: self.revision, items: items.collect() }
+        fleet::Backends { revision: self.revision, items: listed.map(|(_, b)| wire(b)).collect() }
+    }
+}
+
+fn wire(b: &Backend) -> fleet::Backend {
+    fleet::Backend {
+        id: b.id.to_string(),
+        service: b.service.to_string(),
+        addr: b.addr.to_string(),
+        data_centre: b.data_centre.to_string(),
+        slots: b.slots,
+        leaving: !b.takes_work(),
     }
 }
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     logs::lines::{Weight, line},
-    schema::fleet::{Beat, Fetch, Fetched},
+    schema::fleet::{BackendChanges, Beat, Fetch, Fetched},
     util::now,
 };
 
@@ -138,6 +138,9 @@
     if let Some(list) = fetched.backends {
         relay.update_backends(BackendsUpdate::List(list), None, &from);
     }
+    if let Some(BackendChanges { revision, puts, removed }) = fetched.changes {
+        relay.update_backends(BackendsUpdate::Changes { revision, puts, removed }, None, &from);
+    }
     relay.hear_held(&fetched.held);
 }
 
@@ -175,9 +178,11 @@
         let state = relay.state();
         let routes = state.routes.as_ref().filter(|r| r.version() > ask.configuration);
         let newer = state.listed && state.backends.revision() > ask.backends;
+        let changes = newer.then(|| state.backends.changes_since(ask.backends)).flatten();
         Fetched {
             configuration: routes.map(|r| (**r.source()).clone()),
-            backends: newer.then(|| state.backends.snapshot()),
+            backends: (newer && changes.is_none()).then(|| state.backends.snapshot()),
+            changes,
             held,
         }
     };
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -29,6 +29,8 @@
 const SMALL: usize = 16;
 /// Hosts of a data centre that follow the store in a large fleet: one may be lost while another is cut off.
 const FOLLOWERS: usize = 2;
+/// Hosts of a data centre for each of its followers, beyond that: a change is fetched from a follower by so many.
+const HOSTS_A_FOLLOWER: usize = 16;
 /// Every so many beats carry the members, so that lost ones are made up for.
 const FULL_EVERY: u64 = 8;
 /// Without a beat for this long a host is not handed out to callers; five beats may be lost.
@@ -119,6 +121,8 @@
     peers: Map<SocketAddr, Peer>,
     centres: Map<String, Summary>,
     totals: Map<Tag, u32>,
+    /// Hosts that keep away from a server; counted here since each choice asks for each server.
+    avoiding: Map<Tag, u32>,
     number: u64,
 }
 
@@ -157,7 +161,7 @@
         if beat.centre.is_none() {
             peer.loads = beat.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
         }
-        peer.avoided.clone_from(&beat.avoided);
+        let avoided = std::mem::replace(&mut peer.avoided, beat.avoided.clone());
         if let Some(sender) = &beat.sender {
             peer.member = Some(sender.clone());
         }
@@ -170,6 +174,7 @@
         let unknown = centre.is_none();
         let new = peer.loads.clone();
         self.count(&old, &new);
+        self.count_avoided(&avoided, &beat.avoided);
         if let (Some(told), Some(centre)) = (&beat.centre, centre) {
             self.summarised(now, centre, told);
         }
@@ -207,9 +212,20 @@
         self.totals.get(&tag).copied().unwrap_or(0)
     }
 
+    fn count_avoided(&mut self, old: &[Tag], new: &[Tag]) {
+        for tag in old {
+            let hosts = self.avoiding.entry(*tag).or_default();
+            *hosts = hosts.saturating_sub(1);
+        }
+        for tag in new {
+            *self.avoiding.entry(*tag).or_default() += 1;
+        }
+        self.avoiding.retain(|_, hosts| *hosts > 0);
+    }
+
     /// Other hosts that keep away from a backend server.
-    pub fn avoiding(&self, tag: Tag) -> usize {
-        self.peers.values().filter(|p| p.avoided.contains(&tag)).count()
+    pub fn avoiding(&self, tag: Tag) -> u32 {
+        self.avoiding.get(&tag).copied().unwrap_or(0)
     }
 
     /// Stops counting hosts that are not heard any more; returns them.
@@ -218,14 +234,15 @@
         let mut lost = Vec::new();
         let silent = |p: &Peer| p.heard.is_some_and(|heard| heard + limit < now);
         for (addr, peer) in self.peers.iter_mut().filter(|(_, p)| silent(p)) {
-            if peer.ready || !peer.loads.is_empty() {
-                lost.push((*addr, std::mem::take(&mut peer.loads)));
+            let avoided = std::mem::take(&mut peer.avoided);
+            if peer.ready || !peer.loads.is_empty() || !avoided.is_empty() {
+                lost.push((*addr, std::mem::take(&mut peer.loads), avoided));
             }
             (peer.ready, peer.follows_store, peer.ahead) = (false, false, None);
-            peer.avoided.clear();
         }
-        for (_, loads) in &lost {
+        for (_, loads, avoided) in &lost {
             self.count(loads, &Map::default());
+            self.count_avoided(avoided, &[]);
         }
         let old: Vec<_> = self.centres.extract_if(|_, c| c.heard + LOST_SUMMARY < now).collect();
         for (_, summary) in old {
@@ -233,7 +250,7 @@
         }
         let latest = |p: &Peer| p.heard.max(p.named);
         self.peers.retain(|_, p| latest(p).is_none_or(|at| at + FORGET >= now));
-        lost.into_iter().map(|(addr, _)| addr).collect()
+        lost.into_iter().map(|(addr, ..)| addr).collect()
     }
 
     /// Silence after which a host counts as lost.
@@ -263,7 +280,8 @@
             .peers
             .iter()
             .filter(|(addr, p)| p.follows_store && alive(p) && self.is_near(p) && hash(addr) > hash(me));
-        before.count() < FOLLOWERS
+        let near = self.peers.values().filter(|p| self.is_near(p)).count();
+        before.count() < FOLLOWERS.max(near / HOSTS_A_FOLLOWER)
     }
 
     /// A peer that has had something newer for a while, to fetch it from.
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -296,12 +296,29 @@
     /// Its configuration, if newer.
     #[prost(message, optional, tag = "1")]
     pub configuration: ::core::option::Option<Configuration>,
-    /// Its list of backend servers, if newer.
+    /// Its list of backend servers, if newer and the changes are not known any more.
     #[prost(message, optional, tag = "2")]
     pub backends: ::core::option::Option<Backends>,
     /// Prompt parts and the backend servers that have read them, if asked for.
     #[prost(message, repeated, tag = "3")]
     pub held: ::prost::alloc::vec::Vec<Held>,
+    /// What has changed of its backend servers since the asker's revision, if that is known.
+    #[prost(message, optional, tag = "4")]
+    pub changes: ::core::option::Option<BackendChanges>,
+}
+/// Changes of the list of backend servers.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BackendChanges {
+    /// Revision that they lead to.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Servers that are new or have changed.
+    #[prost(message, repeated, tag = "2")]
+    pub puts: ::prost::alloc::vec::Vec<Backend>,
+    /// Identifiers of servers whose entries were removed.
+    #[prost(string, repeated, tag = "3")]
+    pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Whether requests may be repeated.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -123,6 +123,31 @@
     assert_eq!(backends.revision(), 9);
 }
 
+/// Another host lacks the last changes only. It gets these, and the whole list where they are not known any more.
+#[test]
+fn a_host_that_is_close_behind_gets_the_changes_alone() {
+    let mut ahead = Backends::default();
+    let mut behind = Backends::default();
+    for b in [&mut ahead, &mut behind] {
+        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false), listed("yy", false)] }, None);
+    }
+    ahead.change(ms(1), 7, &[listed("x", true)], &[], None);
+    ahead.change(ms(2), 9, &[listed("zzz", false)], &["yy".into()], None);
+
+    let changes = ahead.changes_since(behind.revision()).unwrap();
+    let last = ahead.changes_since(7).unwrap();
+    behind.change(ms(3), changes.revision, &changes.puts, &changes.removed, None);
+
+    assert_eq!((changes.puts.len(), changes.removed.len()), (2, 1));
+    assert_eq!((last.puts.len(), last.removed.len()), (1, 1));
+    assert_eq!(behind.digest(), ahead.digest());
+    assert_eq!(ahead.changes_since(4), None);
+    for i in 0..600 {
+        ahead.change(ms(4), 10 + i, &[listed("x", true)], &[], None);
+    }
+    assert_eq!(ahead.changes_since(9), None);
+}
+
 /// A server's entry becomes unreadable: what was known of it stays in force. One that was never readable is left out.
 #[test]
 fn an_unreadable_entry_changes_nothing() {
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -105,6 +105,22 @@
     assert_eq!(peers.hosts(), 3, "it may be cut off and still spend its share of budgets");
 }
 
+/// Two hosts keep away from a server, one of them takes it back, the other falls silent.
+#[test]
+fn hosts_that_avoid_a_server_are_counted() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    let avoids = |i, number, tags: &[u32]| Beat { avoided: tags.to_vec(), ..beat(i, "a", number) };
+    peers.hear(ms(0), addr(1), &avoids(1, 1, &[77, 78]), OWN);
+    peers.hear(ms(0), addr(2), &avoids(2, 1, &[77]), OWN);
+    assert_eq!((peers.avoiding(77), peers.avoiding(78)), (2, 1));
+
+    peers.hear(ms(1_000), addr(1), &avoids(1, 2, &[78]), OWN);
+    assert_eq!(peers.avoiding(77), 1);
+    peers.expire(ms(1_400));
+
+    assert_eq!((peers.avoiding(77), peers.avoiding(78)), (0, 1));
+}
+
 #[test]
 fn a_leaving_host_is_not_handed_out() {
     let mut peers = Peers::new(addr(0), "a", &[]);
