Let new hosts hear of all members sooner

Change: members are told in turn; a new host asks for them in its first twelve beats, one in eight hosts of a large fleet answers.

--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -45,6 +45,11 @@
 const SEEK: Duration = Duration::from_secs(1);
 /// How long a peer must be ahead before its newer state is fetched; the store mostly tells both within this time.
 const AHEAD: Duration = Duration::from_millis(200);
+/// Beats after a start that ask for a full one: after a loss of all hosts each knows three seeds, and callers would all be
+/// sent to these until the others are heard of.
+const FIRST_BEATS: u64 = 12;
+/// One of so many hosts of a large fleet answers a beat that asks for a full one.
+const ANSWERS: u64 = 8;
 /// Members in a full beat, so that it fits one datagram.
 const MOST_MEMBERS: usize = 16;
 
@@ -124,6 +129,8 @@
     /// Hosts that keep away from a server; counted here since each choice asks for each server.
     avoiding: Map<Tag, u32>,
     number: u64,
+    /// Members told so far, in turn.
+    told: usize,
 }
 
 impl Peers {
@@ -178,7 +185,9 @@
         if let (Some(told), Some(centre)) = (&beat.centre, centre) {
             self.summarised(now, centre, told);
         }
-        Heard { joined: joined || unknown, answer: beat.wants_full || unknown }
+        // Of many hosts that are asked, some answer: each knows most of the others.
+        let chosen = self.is_small() || hash((self.me, beat.number)) % ANSWERS == 0;
+        Heard { joined: joined || unknown, answer: unknown || (beat.wants_full && chosen) }
     }
 
     fn summarised(&mut self, now: Instant, centre: String, told: &Centre) {
@@ -321,6 +330,9 @@
 
     /// Time between two beats.
     pub fn period(&self) -> Duration {
+        if self.number <= FIRST_BEATS {
+            return PERIOD;
+        }
         let near = self.peers.values().filter(|p| self.is_near(p)).count();
         let bytes = near as f64 * BEAT_BYTES;
         PERIOD.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
@@ -378,10 +390,19 @@
         beat.number = self.number;
         if full || self.number % FULL_EVERY == 1 {
             beat.sender = Some(me.clone());
-            let members = self.peers.values().filter_map(|p| p.member.clone());
-            beat.members = members.take(MOST_MEMBERS).collect();
+            beat.members = self.some_members();
         }
-        beat.wants_full = self.peers.values().any(|p| p.heard.is_some() && p.member.is_none());
+        let unknown = self.peers.values().any(|p| p.heard.is_some() && p.member.is_none());
+        beat.wants_full = unknown || self.number <= FIRST_BEATS;
+    }
+
+    /// The next members in turn, so that a host that asks a few times hears of all of them.
+    fn some_members(&mut self) -> Vec<Member> {
+        let known = self.peers.values().filter_map(|p| p.member.as_ref());
+        let members: Vec<_> = known.cycle().skip(self.told).take(MOST_MEMBERS).cloned().collect();
+        let all = self.peers.values().filter(|p| p.member.is_some()).count();
+        self.told = (self.told + MOST_MEMBERS) % all.max(1);
+        if all < MOST_MEMBERS { members.into_iter().take(all).collect() } else { members }
     }
 
     /// Hosts that callers may be sent to, this one not included.
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -179,6 +179,27 @@
     assert!(peers.period() < ms(500), "{:?}", peers.period());
 }
 
+/// All hosts restart and know three seeds. A seed that knows sixty hosts tells a new one of all of them within a few
+/// beats; until then callers would be sent to the seeds alone.
+#[test]
+fn a_new_host_hears_of_all_members_within_its_first_beats() {
+    let mut seed = large();
+    let mut new = Peers::new(addr(100), "a", &[addr(0)]);
+    let me = member(0, "a");
+
+    for n in 0..5 {
+        let mut asks = Beat::default();
+        new.number(&mut asks, &member(100, "a"), false);
+        assert!(asks.wants_full);
+        let mut answer = Beat { number: 0, ..beat(0, "a", 0) };
+        seed.number(&mut answer, &me, true);
+        new.hear(ms(n), addr(0), &answer, OWN);
+    }
+
+    let known = new.targets(ms(5_000), &mut SmallRng::seed_from_u64(1));
+    assert_eq!(known.len(), 60);
+}
+
 /// Each host decides by itself whether it follows the store. However the hashes fall, at least two of a data centre do,
 /// and when those two are cut off from the store, others step in.
 #[test]
