Split the relay's and the store's large files; keep idle connections within a host's part

Moves: what hosts tell each other to relay/tell.rs, Outcome to relay/outcome.rs, the store's forms to platform/store/forms.rs. Removed: the load header and the zone of a directory call, which nothing used. A host keeps at most half of its equal part of a server's connections idle.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -165,16 +165,14 @@
     match req.uri().path() {
         names::READY_PATH if relay.is_ready() => status(StatusCode::OK),
         names::READY_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
-        names::RESOLVE_PATH => resolve(relay, req.uri().query().unwrap_or_default()),
+        names::RESOLVE_PATH => resolve(relay),
         METRICS_PATH => metrics(relay),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
 
-fn resolve(relay: &Relay<PlatformWire>, query: &str) -> Response<Full<Bytes>> {
-    let mut pairs = form_urlencoded::parse(query.as_bytes());
-    let zone = pairs.find(|(key, _)| key == names::ZONE_QUERY).map(|(_, zone)| zone);
-    let mut addresses = relay.addresses(zone.as_deref());
+fn resolve(relay: &Relay<PlatformWire>) -> Response<Full<Bytes>> {
+    let mut addresses = relay.addresses();
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -4,7 +4,6 @@
 
 pub(super) const READY_PATH: &str = "/readiness";
 pub(super) const RESOLVE_PATH: &str = "/resolve";
-pub(super) const ZONE_QUERY: &str = "zone";
 /// Addresses in an answer that says where to connect.
 pub(super) const MOST_ADDRESSES: usize = 64;
 
@@ -17,7 +16,6 @@
 pub(super) const EXPECTED_INSTANCE: HeaderName = HeaderName::from_static("expected-instance");
 pub(super) const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 pub(super) const SEAL: HeaderName = HeaderName::from_static("response-seal");
-pub(super) const LOAD: HeaderName = HeaderName::from_static("server-load");
 pub(super) const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 pub(super) const PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 
 use crate::{
     relay::{
@@ -13,11 +13,13 @@
         follow::{BackendsUpdate, Store, StoreError},
         pool::Conn,
     },
-    schema::fleet::{
-        self, Backends, CallerLimits, Configuration, Member, Repeat, Route, Service, Share, Workspace,
-    },
+    schema::fleet::{Backends, Configuration, Member},
 };
 
+mod forms;
+
+use forms::{Changes, Page, RawBackend, RawConfiguration, backend};
+
 /// Longest wait of a watch. Each one is a priced call; other hosts tell when a watch has gone silent.
 const WAIT: Duration = Duration::from_secs(15);
 /// Time for an answer, beside the wait of a watch; a slow store takes some hundred milliseconds.
@@ -40,235 +42,6 @@
     conn: Option<Conn>,
 }
 
-/// A page of a list.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", bound = "T: DeserializeOwned")]
-struct Page<T> {
-    items: Vec<Object<T>>,
-    #[serde(default)]
-    has_more: bool,
-    /// The store's revision.
-    current_rev: Revision,
-}
-
-/// What a watch brings.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", bound = "T: DeserializeOwned")]
-struct Changes<T> {
-    events: Vec<Change<T>>,
-    current_rev: Revision,
-}
-
-#[derive(Deserialize)]
-#[serde(bound = "T: DeserializeOwned")]
-struct Change<T> {
-    object: Object<T>,
-    #[serde(default)]
-    deleted: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(bound = "T: DeserializeOwned")]
-struct Object<T> {
-    metadata: Metadata,
-    /// Left out where it can't be read, so that one bad object spoils no list.
-    #[serde(default = "Option::default", deserialize_with = "lenient")]
-    spec: Option<T>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Metadata {
-    name: String,
-    #[serde(default)]
-    deletion_pending: bool,
-}
-
-fn lenient<'de, D, T>(de: D) -> Result<Option<T>, D::Error>
-where
-    D: serde::Deserializer<'de>,
-    T: DeserializeOwned,
-{
-    let value = serde_json::Value::deserialize(de)?;
-    if value.is_null() {
-        return Ok(None);
-    }
-    Ok(serde_json::from_value(value)
-        .inspect_err(|e| spdlog::warn!("an object of the store can't be read: {e}"))
-        .ok())
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawBackend {
-    service: String,
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    slots: u32,
-    state: String,
-}
-
-#[derive(Deserialize)]
-struct RawConfiguration {
-    version: u64,
-    #[serde(default)]
-    routes: Vec<RawRoute>,
-    #[serde(default)]
-    services: Vec<RawService>,
-    limits: Option<RawLimits>,
-    #[serde(default)]
-    tenants: Vec<RawTenant>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawRoute {
-    #[serde(default)]
-    name: String,
-    host: String,
-    path_prefix: String,
-    kind: String,
-    #[serde(default)]
-    timeout_ms: f64,
-    #[serde(default)]
-    target_latency_ms: f64,
-    #[serde(default)]
-    priority: u32,
-    service: Option<String>,
-    #[serde(default)]
-    traffic_split: Vec<RawShare>,
-    #[serde(default)]
-    max_attempts: u32,
-    #[serde(default)]
-    auth_exempt: bool,
-    /// Whether its requests name the parts of their prompt.
-    #[serde(default)]
-    session_affinity: bool,
-    #[serde(default)]
-    stream_resume: bool,
-}
-
-#[derive(Deserialize)]
-struct RawShare {
-    service: String,
-    weight: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawService {
-    name: String,
-    #[serde(default)]
-    max_connections: u32,
-    /// Present where its servers are model engines.
-    engine: Option<serde_json::Value>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawLimits {
-    #[serde(default)]
-    max_header_bytes: u32,
-    #[serde(default)]
-    max_body_bytes: u32,
-    #[serde(default)]
-    header_timeout_ms: f64,
-    #[serde(default)]
-    idle_timeout_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawTenant {
-    name: String,
-    #[serde(default)]
-    api_keys: Vec<String>,
-    priority: Option<u32>,
-}
-
-/// Weights are counted in thousandths, since they may have fractions.
-const WEIGHT_PARTS: f64 = 1_000.0;
-
-impl From<RawConfiguration> for Configuration {
-    fn from(raw: RawConfiguration) -> Self {
-        Self {
-            version: raw.version,
-            routes: raw.routes.into_iter().map(Route::from).collect(),
-            services: raw.services.into_iter().map(Service::from).collect(),
-            limits: raw.limits.map(CallerLimits::from),
-            workspaces: raw.tenants.into_iter().map(Workspace::from).collect(),
-        }
-    }
-}
-
-impl From<RawRoute> for Route {
-    fn from(raw: RawRoute) -> Self {
-        let repeat = match raw.kind.as_str() {
-            "idempotent" => Repeat::Idempotent,
-            "stream" => Repeat::Stream,
-            _ => Repeat::Never,
-        };
-        let split = |s: RawShare| Share { service: s.service, weight: (s.weight * WEIGHT_PARTS) as u32 };
-        let mut shares: Vec<_> = raw.traffic_split.into_iter().map(split).collect();
-        if let Some(service) = raw.service.filter(|_| shares.is_empty()) {
-            shares.push(Share { service, weight: 1 });
-        }
-        Self {
-            name: raw.name,
-            host: raw.host,
-            prefix: raw.path_prefix,
-            repeat: repeat.into(),
-            timeout_ms: raw.timeout_ms as u32,
-            objective_ms: raw.target_latency_ms as u32,
-            rank: raw.priority,
-            shares,
-            attempts: raw.max_attempts,
-            open: raw.auth_exempt,
-            resumable: raw.stream_resume,
-            prompts: raw.session_affinity,
-        }
-    }
-}
-
-impl From<RawService> for Service {
-    fn from(raw: RawService) -> Self {
-        Self { name: raw.name, connections: raw.max_connections, caches_prompts: raw.engine.is_some() }
-    }
-}
-
-impl From<RawLimits> for CallerLimits {
-    fn from(raw: RawLimits) -> Self {
-        Self {
-            head_bytes: raw.max_header_bytes,
-            body_bytes: raw.max_body_bytes,
-            head_ms: raw.header_timeout_ms as u32,
-            idle_ms: raw.idle_timeout_ms as u32,
-        }
-    }
-}
-
-impl From<RawTenant> for Workspace {
-    fn from(raw: RawTenant) -> Self {
-        Self { name: raw.name, keys: raw.api_keys, rank: raw.priority }
-    }
-}
-
-/// An entry that can't be read is listed without an address: a server that was known before stays as it was.
-fn backend(object: Object<RawBackend>) -> fleet::Backend {
-    let id = object.metadata.name;
-    let Some(raw) = object.spec else { return fleet::Backend { id, ..Default::default() } };
-    fleet::Backend {
-        id,
-        service: raw.service,
-        addr: raw.address,
-        data_centre: raw.zone,
-        slots: raw.slots,
-        leaving: raw.state != "ready" || object.metadata.deletion_pending,
-    }
-}
-
 impl StoreClient {
     /// Client of the store at `addr`; it connects with the first call.
     pub fn new(addr: SocketAddr) -> Self {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -83,7 +83,6 @@
         let headers = &head.headers;
         Read {
             failure: failure(req, head),
-            load: text(headers, &names::LOAD).and_then(load),
             keeps: text(headers, &names::KEEP_ALIVE).and_then(keeps),
             closes: text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
         }
@@ -161,12 +160,6 @@
     value.split(',').map_while(part).collect()
 }
 
-/// Running requests, waiting requests and places, separated by commas.
-fn load(value: &str) -> Option<(u32, u32)> {
-    let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
-    Some((numbers.next()??, numbers.next()??))
-}
-
 fn keeps(value: &str) -> Option<Duration> {
     let seconds = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -6,8 +6,9 @@
 //! 3. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`contact`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`pool`], [`run`], [`stream`], [`follow`]
-//! and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter translates.
+//! [`budget`], [`suspects`], [`contact`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`door`],
+//! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
+//! translates.
 
 use std::{
     net::SocketAddr,
@@ -22,7 +23,7 @@
 use crate::{
     logs::lines::{Line, Weight, line},
     metrics::Metrics,
-    schema::fleet::{Beat, Configuration, Held, InProgress, Member},
+    schema::fleet::{Configuration, Held, Member},
     util::{Instant, lock, now, wall_ms},
 };
 
@@ -37,6 +38,7 @@
 pub mod holders;
 pub mod leave;
 pub mod mesh;
+pub mod outcome;
 pub mod peers;
 pub mod place;
 pub mod pool;
@@ -45,6 +47,7 @@
 pub mod run;
 pub mod stream;
 pub mod suspects;
+mod tell;
 pub mod verdict;
 mod wire;
 
@@ -53,9 +56,9 @@
 use health::Health;
 use holders::Holders;
 use leave::Leaving;
-use peers::{Own, Peers, Scope};
+use peers::{Own, Peers};
 use place::{Candidate, Choice, Placer};
-use pool::Pool;
+use pool::{Conn, Pool};
 use request::Request;
 use routes::Routes;
 use suspects::Suspects;
@@ -124,10 +127,6 @@
 
 /// Other hosts that must keep away from a server before this one does without trying it: one alone may be cut off.
 const MANY: u32 = 2;
-/// Holders told to a host that has just started: 50 KB.
-const MOST_HELD: usize = 4_096;
-/// Parts told in one beat; the rest follows in the next ones.
-const MOST_NEWS: usize = 32;
 
 impl<W: Wire> Relay<W> {
     /// A host that knows nothing yet.
@@ -212,8 +211,8 @@
         self.state().rng.random()
     }
 
-    /// Addresses for callers of a data centre: hosts of their own first, as long as there are two.
-    pub fn addresses(&self, _data_centre: Option<&str>) -> Vec<String> {
+    /// Addresses that callers are told: this host and all others that are ready, in one order for all.
+    pub fn addresses(&self) -> Vec<String> {
         let state = self.state();
         let own = state.is_ready().then_some(&self.cfg.me);
         let mut all: Vec<_> =
@@ -300,89 +299,6 @@
         }
     }
 
-    /// Targets of the next beat.
-    pub(crate) fn targets(&self) -> Vec<(SocketAddr, Scope)> {
-        let mut state = self.state();
-        let state = &mut *state;
-        state.peers.targets(now(), &mut state.rng)
-    }
-
-    /// Composes the next beat.
-    pub(crate) fn beat(&self, full: bool) -> Beat {
-        let now = now();
-        let mut state = self.state();
-        let own = state.own();
-        let at = state.backends.iter().filter(|(_, b)| b.in_progress > 0);
-        let in_progress = at.map(|(_, b)| InProgress { backend: b.tag, requests: b.in_progress }).collect();
-        let service: Vec<_> = state.backends.iter().map(|(key, _)| key).collect();
-        let paused = service.iter().filter(|key| state.health.paused(now, **key));
-        let avoided = paused.filter_map(|key| state.backends.get(*key)).map(|b| b.tag).collect();
-        let told = state.news.len().min(MOST_NEWS);
-        let mut beat = Beat {
-            start: self.start,
-            ready: state.is_ready(),
-            configuration: own.configuration,
-            backends: own.backends,
-            backends_digest: own.digest,
-            follows_store: state.follows && state.store_lost.is_none() && state.listed,
-            in_progress,
-            held: state.news.drain(..told).collect(),
-            avoided,
-            suspects: state.suspects.told(now),
-            ..Beat::default()
-        };
-        state.peers.number(&mut beat, &self.cfg.me, full);
-        beat
-    }
-
-    /// The same beat as other data centres are told it.
-    pub(crate) fn summarise(&self, beat: &Beat) -> Beat {
-        let centre = self.state().peers.centre(&beat.in_progress, &self.cfg.me, beat.ready);
-        Beat { in_progress: Vec::new(), centre: Some(centre), ..beat.clone() }
-    }
-
-    /// Takes a beat of another host in; returns whether it wants a full one.
-    pub(crate) fn hear(&self, from: SocketAddr, beat: &Beat) -> bool {
-        let now = now();
-        let mut state = self.state();
-        let own = state.own();
-        let heard = state.peers.hear(now, from, beat, own);
-        if state.peers.ahead(now, own).is_some() {
-            self.behind.notify_one();
-        }
-        let hosts = state.peers.hosts();
-        state.budget.set_hosts(hosts);
-        state.suspects.hear(now, &beat.suspects);
-        if heard.joined {
-            line(Weight::Notable, "peer", |l| {
-                let l = l.text("peer", &from.to_string()).text("change", "heard");
-                l.flag("ready", beat.ready).number("hosts", hosts as u64)
-            });
-        }
-        drop(state);
-        self.hear_held(&beat.held);
-        heard.answer
-    }
-
-    /// Holders of prompt parts for a host that has just started.
-    pub(crate) fn held(&self) -> Vec<Held> {
-        let state = self.state();
-        let tag = |key| state.backends.get(key).map(|b| b.tag);
-        let newest = state.holders.newest(MOST_HELD).into_iter();
-        newest.filter_map(|(part, key)| Some(Held { part, backend: tag(key)? })).collect()
-    }
-
-    /// Takes in holders of prompt parts that another host told.
-    pub(crate) fn hear_held(&self, held: &[Held]) {
-        let now = now();
-        let mut state = self.state();
-        for held in held {
-            if let Some(key) = state.backends.by_tag(held.backend) {
-                state.holders.note(now, held.part, key);
-            }
-        }
-    }
-
     /// Housekeeping: expires peers and servers, closes idle connections.
     pub(crate) fn tick(&self) {
         let now = now();
@@ -399,6 +315,17 @@
         self.pool.sweep(|key| state.backends.get(key).is_some_and(|b| b.takes_work()));
     }
 
+    /// Keeps a connection whose answer has been read. A server accepts so many connections from all hosts and resets those
+    /// beyond, so that each host keeps at most half of its equal part idle.
+    pub(crate) fn keep(&self, key: BackendKey, conn: Conn, keeps: Option<Duration>) {
+        let state = self.state();
+        let service = state.backends.get(key).map(|b| b.service.clone());
+        let limit = service.and_then(|service| state.routes.as_ref()?.connections(&service));
+        let most = limit.map_or(usize::MAX, |limit| limit as usize / (2 * state.peers.hosts()));
+        drop(state);
+        self.pool.put(key, conn, keeps, most.max(1));
+    }
+
     /// Leaves a server alone for a while that could not be reached or fell silent.
     pub(crate) fn avoid(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -60,8 +60,6 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
-    /// When it was first listed.
-    pub since: Instant,
     /// Requests of this process in progress there.
     pub in_progress: u32,
     /// When its entry was removed.
@@ -137,7 +135,7 @@
         self.revision = list.revision;
         self.log.clear();
         self.logged_from = list.revision;
-        let mut changes: Vec<_> = list.items.iter().filter_map(|item| self.put(now, item)).collect();
+        let mut changes: Vec<_> = list.items.iter().filter_map(|item| self.put(item)).collect();
         let listed: crate::util::Set<&str> = list.items.iter().map(|i| i.id.as_str()).collect();
         let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
         changes.extend(missing.iter().filter_map(|id| self.remove(now, id, grace)));
@@ -162,13 +160,13 @@
         while self.log.len() > MOST_LOGGED {
             self.logged_from = self.log.pop_front().map_or(revision, |(dropped, _)| dropped);
         }
-        let mut changes: Vec<_> = puts.iter().filter_map(|item| self.put(now, item)).collect();
+        let mut changes: Vec<_> = puts.iter().filter_map(|item| self.put(item)).collect();
         changes.extend(removed.iter().filter_map(|id| self.remove(now, id, grace)));
         changes
     }
 
-    fn put(&mut self, now: Instant, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
-        let Some(&key) = self.by_id.get(item.id.as_str()) else { return self.add(now, item) };
+    fn put(&mut self, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
+        let Some(&key) = self.by_id.get(item.id.as_str()) else { return self.add(item) };
         let known = &mut self.arena[key];
         match (known.state, item.leaving) {
             // A start that has left never takes work again: its next start has another identifier.
@@ -185,7 +183,7 @@
         }
     }
 
-    fn add(&mut self, now: Instant, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
+    fn add(&mut self, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
         let Ok(addr) = item.addr.parse() else {
             spdlog::warn!("backend server {} has no usable address: {:?}", item.id, item.addr);
             return None;
@@ -201,7 +199,6 @@
             data_centre: item.data_centre.as_str().into(),
             slots: item.slots,
             state,
-            since: now,
             in_progress: 0,
             gone: None,
         });
--- a/src/relay/door.rs
+++ b/src/relay/door.rs
@@ -13,10 +13,11 @@
 use super::{
     Refusal, Relay, Wire,
     answer::AnswerBody,
+    outcome::Outcome,
     pool,
     request::{EventNumber, Part, Request},
     routes::{Caller, CompiledRoute, Routes},
-    run::{self, Outcome},
+    run,
 };
 use crate::{
     error::{Kind, Ran},
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -186,7 +186,7 @@
             self.summarised(now, centre, told);
         }
         // Of many hosts that are asked, some answer: each knows most of the others.
-        let chosen = self.is_small() || hash((self.me, beat.number)) % ANSWERS == 0;
+        let chosen = self.is_small() || hash((self.me, beat.number)).is_multiple_of(ANSWERS);
         Heard { joined: joined || unknown, answer: unknown || (beat.wants_full && chosen) }
     }
 
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -142,13 +142,14 @@
         None
     }
 
-    /// Keeps a connection whose answer has been read whole, for a part of the time that its server keeps it.
-    pub fn put(&self, key: BackendKey, mut conn: Conn, keeps: Option<Duration>) {
+    /// Keeps a connection whose answer has been read whole, for a part of the time that its server keeps it, and as long as
+    /// no more than `most` are idle.
+    pub fn put(&self, key: BackendKey, mut conn: Conn, keeps: Option<Duration>, most: usize) {
         conn.reused = true;
         let keep = keeps.map_or(DEFAULT_IDLE, |k| k.mul_f64(IDLE_PART));
         let mut idle = lock(&self.idle);
         let conns = idle.entry(key).or_default();
-        if conns.len() < MOST_IDLE {
+        if conns.len() < most.min(MOST_IDLE) {
             conns.push(Idle { conn, until: now() + keep });
         }
     }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -11,6 +11,7 @@
     Read, Refusal, Relay, Sending, Wire, Work,
     answer::AnswerBody,
     backends::BackendKey,
+    outcome::Outcome,
     place::{Choice, shared},
     pool::Conn,
     request::{EventNumber, Request},
@@ -56,47 +57,6 @@
     pub(crate) outcome: Option<Outcome>,
 }
 
-/// What became of a request; a label of counters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// A backend server's whole answer went out.
-    Answered,
-    /// It was given up and has not run.
-    Refused,
-    /// It was given up and may have run.
-    Failed,
-    /// Its stream was cut.
-    Cut,
-    /// The caller left first.
-    CallerLeft,
-}
-
-impl Outcome {
-    /// Every outcome.
-    pub const ALL: [Outcome; 5] =
-        [Outcome::Answered, Outcome::Refused, Outcome::Failed, Outcome::Cut, Outcome::CallerLeft];
-
-    /// Label in counters.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Outcome::Answered => "answered",
-            Outcome::Refused => "refused",
-            Outcome::Failed => "failed",
-            Outcome::Cut => "cut",
-            Outcome::CallerLeft => "caller_left",
-        }
-    }
-
-    fn label(self, stream: bool) -> &'static str {
-        match (self, stream) {
-            (Outcome::Answered, true) => "stream_answered",
-            (Outcome::Answered, false) => "plain_answered",
-            (_, true) => "stream_failed",
-            (_, false) => "plain_failed",
-        }
-    }
-}
-
 /// Counts what became of the request. One that is dropped before that is settled has lost its caller: the library drops
 /// the work for a connection that was closed.
 impl<W: Wire> Drop for Run<W> {
@@ -203,7 +163,7 @@
     async fn note_if_crashed(&self, key: BackendKey) {
         let Some(addr) = self.relay.state().backends.get(key).map(|b| b.addr) else { return };
         match Conn::connect(addr, self.req.left(now())).await {
-            Ok(conn) => self.relay.pool.put(key, conn, None),
+            Ok(conn) => self.relay.keep(key, conn, None),
             Err(_) => {
                 self.relay.avoid(key, "crashed");
                 let crashes = self.relay.state().suspects.crash(now(), self.req.fingerprint());
@@ -244,7 +204,7 @@
     async fn recycle(&self, body: Incoming, conn: Conn, key: BackendKey, keeps: Option<Duration>) {
         let read = Limited::new(body, MOST_WHOLE).collect();
         if let Ok(Ok(_)) = tokio::time::timeout(REFUSED_PAUSE, read).await {
-            self.relay.pool.put(key, conn, keeps);
+            self.relay.keep(key, conn, keeps);
         }
     }
 
@@ -349,7 +309,7 @@
             Err(_) => return Err((Failure::Late, key)),
         };
         if !read.closes {
-            self.relay.pool.put(key, conn, read.keeps);
+            self.relay.keep(key, conn, read.keeps);
         }
         drop(work);
         if head.status.is_server_error() && self.may_repeat_error() {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -12,8 +12,9 @@
     answer::{AnswerBody, Cut},
     backends::BackendKey,
     events::{Splitter, Whole},
+    outcome::Outcome,
     request::EventNumber,
-    run::{Answered, Outcome, Run},
+    run::{Answered, Run},
     verdict::Failure,
 };
 use crate::{
@@ -207,7 +208,7 @@
             let key = answered.work.key;
             run.relay.trust(key);
             if !answered.read.closes {
-                run.relay.pool.put(key, answered.conn, answered.read.keeps);
+                run.relay.keep(key, answered.conn, answered.read.keeps);
             }
         }
         run.relay.note(Weight::Routine, "answered", &run.req, |l| {
--- /dev/null
+++ b/src/relay/tell.rs
@@ -0,0 +1,100 @@
+//! What this host tells the others, and what it takes in from them.
+
+use std::net::SocketAddr;
+
+use super::{Relay, Wire, peers::Scope};
+use crate::{
+    logs::lines::{Weight, line},
+    schema::fleet::{Beat, Held, InProgress},
+    util::now,
+};
+
+/// Holders told to a host that has just started: 50 KB.
+const MOST_HELD: usize = 4_096;
+/// Parts told in one beat; the rest follows in the next ones.
+const MOST_NEWS: usize = 32;
+
+impl<W: Wire> Relay<W> {
+    /// Targets of the next beat.
+    pub(crate) fn targets(&self) -> Vec<(SocketAddr, Scope)> {
+        let mut state = self.state();
+        let state = &mut *state;
+        state.peers.targets(now(), &mut state.rng)
+    }
+
+    /// Composes the next beat.
+    pub(crate) fn beat(&self, full: bool) -> Beat {
+        let now = now();
+        let mut state = self.state();
+        let own = state.own();
+        let at = state.backends.iter().filter(|(_, b)| b.in_progress > 0);
+        let in_progress = at.map(|(_, b)| InProgress { backend: b.tag, requests: b.in_progress }).collect();
+        let service: Vec<_> = state.backends.iter().map(|(key, _)| key).collect();
+        let paused = service.iter().filter(|key| state.health.paused(now, **key));
+        let avoided = paused.filter_map(|key| state.backends.get(*key)).map(|b| b.tag).collect();
+        let told = state.news.len().min(MOST_NEWS);
+        let mut beat = Beat {
+            start: self.start,
+            ready: state.is_ready(),
+            configuration: own.configuration,
+            backends: own.backends,
+            backends_digest: own.digest,
+            follows_store: state.follows && state.store_lost.is_none() && state.listed,
+            in_progress,
+            held: state.news.drain(..told).collect(),
+            avoided,
+            suspects: state.suspects.told(now),
+            ..Beat::default()
+        };
+        state.peers.number(&mut beat, &self.cfg.me, full);
+        beat
+    }
+
+    /// The same beat as other data centres are told it.
+    pub(crate) fn summarise(&self, beat: &Beat) -> Beat {
+        let centre = self.state().peers.centre(&beat.in_progress, &self.cfg.me, beat.ready);
+        Beat { in_progress: Vec::new(), centre: Some(centre), ..beat.clone() }
+    }
+
+    /// Takes a beat of another host in; returns whether it wants a full one.
+    pub(crate) fn hear(&self, from: SocketAddr, beat: &Beat) -> bool {
+        let now = now();
+        let mut state = self.state();
+        let own = state.own();
+        let heard = state.peers.hear(now, from, beat, own);
+        if state.peers.ahead(now, own).is_some() {
+            self.behind.notify_one();
+        }
+        let hosts = state.peers.hosts();
+        state.budget.set_hosts(hosts);
+        state.suspects.hear(now, &beat.suspects);
+        if heard.joined {
+            line(Weight::Notable, "peer", |l| {
+                let l = l.text("peer", &from.to_string()).text("change", "heard");
+                l.flag("ready", beat.ready).number("hosts", hosts as u64)
+            });
+        }
+        drop(state);
+        self.hear_held(&beat.held);
+        heard.answer
+    }
+
+    /// Holders of prompt parts for a host that has just started.
+    pub(crate) fn held(&self) -> Vec<Held> {
+        let state = self.state();
+        let tag = |key| state.backends.get(key).map(|b| b.tag);
+        let newest = state.holders.newest(MOST_HELD).into_iter();
+        newest.filter_map(|(part, key)| Some(Held { part, backend: tag(key)? })).collect()
+    }
+
+    /// Takes in holders of prompt parts that another host told.
+    pub(crate) fn hear_held(&self, held: &[Held]) {
+        let now = now();
+        let mut state = self.state();
+        for held in held {
+            if let Some(key) = state.backends.by_tag(held.backend) {
+                state.holders.note(now, held.part, key);
+            }
+        }
+    }
+}
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -32,8 +32,6 @@
 pub struct Read {
     /// Why it is not the answer, if it isn't.
     pub failure: Option<Failure>,
-    /// Requests that run and wait there, if it tells.
-    pub load: Option<(u32, u32)>,
     /// How long it keeps an idle connection, if it tells.
     pub keeps: Option<Duration>,
     /// Whether it closes the connection after this answer.
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -9,8 +9,8 @@
 use cranberrytally::{
     metrics::{Counter, Latency},
     relay::{
+        outcome::Outcome,
         place::Why,
-        run::Outcome,
         stream::After,
         verdict::{Failure, Stop},
     },
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -54,7 +54,8 @@
     let lines = |path: &str| fs::read_to_string(path).unwrap().lines().count();
     let files =
         ["src/platform.rs", "src/platform/names.rs", "src/platform/settings.rs", "src/platform/store.rs"];
-    let adapter: usize = files.iter().chain(&["src/platform/wire.rs"]).map(|f| lines(f)).sum();
+    let adapter: usize =
+        files.iter().chain(&["src/platform/wire.rs", "src/platform/store/forms.rs"]).map(|f| lines(f)).sum();
 
     assert!(adapter < 1_200, "{adapter} lines");
 }
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -290,7 +290,7 @@
     let list = Backends { revision: 3, items: vec![server(false)] };
     first.update_backends(BackendsUpdate::List(list), None, "test");
 
-    wire::until("all are handed out", || third.addresses(None).len() == 3).await;
+    wire::until("all are handed out", || third.addresses().len() == 3).await;
     wire::until("all are ready", || second.is_ready() && third.is_ready()).await;
     first.set_configuration(
         cranberrytally::schema::fleet::Configuration { version: 2, ..wire::configuration() },
