--- a/src/platform.rs
+++ b/src/platform.rs
@@ -18,9 +18,9 @@
 use crate::{
     logs::lines::{self, Weight, line},
     relay::{
-        Relay, door,
+        Relay,
         follow::{self, Store},
-        mesh,
+        inbound, mesh,
     },
 };
 
@@ -67,14 +67,14 @@
     let peer_addr = settings.relay().peer_addr;
     let socket = UdpSocket::bind(peer_addr).await.with_context(|| format!("could not use {peer_addr}"))?;
     let socket = Arc::new(socket);
-    tokio::spawn(door::accept(relay.clone(), door::listen(settings.callers).await?));
-    tokio::spawn(answer_small(relay.clone(), door::listen(settings.ready).await?));
+    tokio::spawn(inbound::accept(relay.clone(), inbound::listen(settings.callers).await?));
+    tokio::spawn(answer_small(relay.clone(), inbound::listen(settings.ready).await?));
     let metrics = SocketAddr::new(settings.callers.ip(), METRICS_PORT);
-    tokio::spawn(answer_small(relay.clone(), door::listen(metrics).await?));
+    tokio::spawn(answer_small(relay.clone(), inbound::listen(metrics).await?));
     if let Some(directory) = settings.directory {
-        tokio::spawn(answer_small(relay.clone(), door::listen(directory).await?));
+        tokio::spawn(answer_small(relay.clone(), inbound::listen(directory).await?));
     }
-    tokio::spawn(mesh::serve_fetches(relay.clone(), door::listen(peer_addr).await?));
+    tokio::spawn(mesh::serve_fetches(relay.clone(), inbound::listen(peer_addr).await?));
     tokio::spawn(mesh::hear_beats(relay.clone(), socket.clone()));
     tokio::spawn(mesh::send_beats(relay.clone(), socket));
     tokio::spawn(mesh::keep_up(relay.clone()));
@@ -105,7 +105,7 @@
     while !relay.may_stop() {
         tokio::time::sleep(STOP_CHECK).await;
     }
-    relay.close_doors();
+    relay.stop_accepting();
     let closed = async {
         while relay.connections() > 0 {
             tokio::time::sleep(STOP_CHECK).await;
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -15,7 +15,7 @@
     relay::{
         Read, Refusal, Sending, Wire,
         answer::AnswerBody,
-        door::Ask,
+        inbound::Ask,
         request::{Part, Request},
         verdict::Failure,
     },
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -6,7 +6,7 @@
 //! 3. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`suspects`], [`contact`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`door`],
+//! [`budget`], [`suspects`], [`contact`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
 //! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
 //! translates.
 
@@ -31,11 +31,12 @@
 pub mod backends;
 pub mod budget;
 pub mod contact;
-pub mod door;
+
 pub mod events;
 pub mod follow;
 pub mod health;
 pub mod holders;
+pub mod inbound;
 pub mod leave;
 pub mod mesh;
 pub mod outcome;
@@ -394,7 +395,7 @@
 
     /// Takes no more requests and closes the connections of callers as they become idle. From here on a request that
     /// still arrives is refused, provably not run, so that none is cut by the end of the process.
-    pub fn close_doors(&self) {
+    pub fn stop_accepting(&self) {
         self.closing.send_replace(true);
     }
 
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -8,7 +8,7 @@
 
 use super::{
     answer::AnswerBody,
-    door::Ask,
+    inbound::Ask,
     request::{EventNumber, Request},
     verdict::Failure,
 };
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -47,7 +47,7 @@
         for name in backticked(row).into_iter().filter(is_type) {
             let kinds = ["struct", "enum", "trait"].map(|kind| format!("{kind} {name}"));
             let defined = |kind: &String| {
-                let ends = [" {", "(", "<", ";"].map(|end| format!("{kind}{end}"));
+                let ends = [" {", "(", "<", ";", ":"].map(|end| format!("{kind}{end}"));
                 ends.iter().any(|e| source.contains(e))
             };
             assert!(kinds.iter().any(defined), "docs/GLOSSARY.md: the code has no {name}");
--- a/tests/relay_input.rs
+++ b/tests/relay_input.rs
@@ -125,7 +125,7 @@
 }
 
 /// A host that is leaving answers what it still takes and tells the caller to connect elsewhere next time; once its
-/// doors are closed it refuses, as not run, what still arrives on a kept connection.
+/// listeners are closed it refuses, as not run, what still arrives on a kept connection.
 #[tokio::test]
 async fn a_leaving_host_sends_callers_elsewhere() {
     let server = server().await;
@@ -134,7 +134,7 @@
 
     host.relay.leave();
     let answer = host.call(&request("/unsafe/x", "")).await;
-    host.relay.close_doors();
+    host.relay.stop_accepting();
 
     assert_eq!(status(&answer), 200);
     assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -10,9 +10,9 @@
 use cranberrytally::{
     platform::PlatformWire,
     relay::{
-        Relay, door,
+        Relay,
         follow::BackendsUpdate,
-        mesh,
+        inbound, mesh,
         peers::{Own, Peers, Scope},
     },
     schema::fleet::{Backend, Backends, Beat, Centre, InProgress, Member},
@@ -253,7 +253,7 @@
 async fn host(name: &str, seeds: &[SocketAddr]) -> (Arc<Relay<PlatformWire>>, SocketAddr) {
     // TCP and UDP need the same port.
     let (listener, socket) = loop {
-        let listener = door::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let listener = inbound::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
         if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
             break (listener, Arc::new(socket));
         }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -11,7 +11,7 @@
 
 use cranberrytally::{
     platform::PlatformWire,
-    relay::{Relay, door, follow::BackendsUpdate},
+    relay::{Relay, follow::BackendsUpdate, inbound},
     schema::fleet::{
         Backend, Backends, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace,
     },
@@ -241,7 +241,7 @@
         let mut cfg = relay_config("host-1");
         cfg.budget.extra = 1_000.0;
         let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
-        tokio::spawn(door::accept(relay.clone(), listener));
+        tokio::spawn(inbound::accept(relay.clone(), listener));
         Self { relay, addr }
     }
 
