Don't bring a server back at a host that has seen it leave

Excluded: late news (the peer had the leaving 0.15 s after the store). Change: servers that are missing here are left out of what other hosts are told. Test: a_server_that_one_host_misses_is_not_brought_back_at_another, failed before.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -71,6 +71,10 @@
     pub fn takes_work(&self) -> bool {
         self.state != State::Leaving
     }
+
+    fn is_missing(&self) -> bool {
+        matches!(self.state, State::Missing { .. })
+    }
 }
 
 /// A change of what is known of one backend server.
@@ -307,6 +311,7 @@
         let mut changes = fleet::BackendChanges { revision: self.revision, ..Default::default() };
         for id in ids {
             match self.by_id.get(&id).and_then(|key| self.arena.get(*key)) {
+                Some(b) if b.is_missing() => {}
                 Some(b) => changes.puts.push(wire(b)),
                 None => changes.removed.push(id.to_string()),
             }
@@ -314,9 +319,11 @@
         Some(changes)
     }
 
-    /// The list for another host.
+    /// The list for another host. Servers whose entries are missing are left out: this host alone gives them time to come
+    /// back, and another that has seen them leave would take them for new ones.
     pub fn snapshot(&self) -> fleet::Backends {
-        let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
+        let listed =
+            self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key) && !b.is_missing());
         fleet::Backends { revision: self.revision, items: listed.map(|(_, b)| wire(b)).collect() }
     }
 }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -123,6 +123,27 @@
     assert_eq!(backends.revision(), 9);
 }
 
+/// One host lost the store for a while, and gives a server whose entry is gone by its return time to come back. Another
+/// saw the entry go. It must not hear from the first that the server is there: it would take it for a new one and send it
+/// work 3.1 s after it left, as happened in a large fleet.
+#[test]
+fn a_server_that_one_host_misses_is_not_brought_back_at_another() {
+    let (mut misses, mut knows) = (Backends::default(), Backends::default());
+    for b in [&mut misses, &mut knows] {
+        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false)] }, None);
+    }
+    knows.change(ms(10), 8, &[], &["x".into()], None);
+    misses.change(ms(20), 9, &[], &["x".into()], Some(ms(1_700)));
+    assert_eq!(misses.of("s").count(), 1);
+
+    let changes = misses.changes_since(8).unwrap();
+    let from_changes = knows.clone().change(ms(30), changes.revision, &changes.puts, &changes.removed, None);
+    let from_list = knows.list(ms(30), &misses.snapshot(), None);
+
+    assert_eq!((from_changes, from_list), (Vec::new(), Vec::new()));
+    assert_eq!(knows.of("s").count(), 0);
+}
+
 /// Another host lacks the last changes only. It gets these, and the whole list where they are not known any more.
 #[test]
 fn a_host_that_is_close_behind_gets_the_changes_alone() {
