Tell a host that is behind of removals that are still in their grace

Change: to other hosts a missing server is removed. Test: a_host_behind_hears_of_a_removal_from_one_that_misses_the_server.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -311,7 +311,8 @@
         let mut changes = fleet::BackendChanges { revision: self.revision, ..Default::default() };
         for id in ids {
             match self.by_id.get(&id).and_then(|key| self.arena.get(*key)) {
-                Some(b) if b.is_missing() => {}
+                // The revision counts the removal in, so that leaving it out would hide it for good.
+                Some(b) if b.is_missing() => changes.removed.push(id.to_string()),
                 Some(b) => changes.puts.push(wire(b)),
                 None => changes.removed.push(id.to_string()),
             }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -144,6 +144,24 @@
     assert_eq!(knows.of("s").count(), 0);
 }
 
+/// A host that has not heard of the removal yet fetches from one that misses the server. The revision that it gets counts
+/// the removal in, so the removal must come with it, or no one would ever tell it again.
+#[test]
+fn a_host_behind_hears_of_a_removal_from_one_that_misses_the_server() {
+    let (mut misses, mut behind) = (Backends::default(), Backends::default());
+    for b in [&mut misses, &mut behind] {
+        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false)] }, None);
+    }
+    misses.change(ms(20), 9, &[], &["x".into()], Some(ms(1_700)));
+
+    let changes = misses.changes_since(behind.revision()).unwrap();
+    let from_list = behind.clone().list(ms(30), &misses.snapshot(), None);
+    let from_changes = behind.change(ms(30), changes.revision, &changes.puts, &changes.removed, None);
+
+    assert_eq!((from_changes.len(), from_list.len()), (1, 1));
+    assert_eq!(behind.of("s").count(), 0);
+}
+
 /// Another host lacks the last changes only. It gets these, and the whole list where they are not known any more.
 #[test]
 fn a_host_that_is_close_behind_gets_the_changes_alone() {
