Count every refusal, decide on retries in one place, keep the digest of servers

Found on rereading. A content that is refused at once was neither counted nor logged with its fields, since that path wrote its own refusal; a server's own error that is repeated went round the counters of retries and stops. Both now go through give_up and decide; a test holds the count. The digest of the servers was worked out anew for each beat sent or heard and is kept with each change. A leaving host's withdrawal logs where the other calls for hosts do; a wrapper of standard output is gone. Answers are as they were.

--- a/src/logs/lines.rs
+++ b/src/logs/lines.rs
@@ -5,7 +5,6 @@
 
 use std::{
     fmt::Write as _,
-    io::Write as _,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicU64, Ordering},
@@ -172,16 +171,10 @@
     }
 }
 
-/// Standard output as a sink that is not locked for the life of the thread.
-pub fn stdout() -> impl std::io::Write + Send {
-    std::io::stdout()
-}
-
 /// Starts the output to standard output, with a budget in bytes a second.
 ///
 /// # Errors
 /// When the thread that writes can't be started.
 pub fn start_stdout(bytes_per_second: u32) -> anyhow::Result<()> {
-    let _ = std::io::stdout().flush();
-    start(stdout(), bytes_per_second)
+    start(std::io::stdout(), bytes_per_second)
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -17,11 +17,7 @@
 
 use crate::{
     logs::lines::{self, Weight, line},
-    relay::{
-        Relay,
-        follow::{self, Store},
-        inbound, mesh,
-    },
+    relay::{Relay, follow, inbound, mesh},
 };
 
 mod names;
@@ -96,12 +92,7 @@
         }
     }
     relay.leave();
-    let (me, store) = (settings.relay().me, settings.store);
-    tokio::spawn(async move {
-        if let Err(e) = StoreClient::new(store).withdraw(&me).await {
-            line(Weight::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
-        }
-    });
+    tokio::spawn(follow::withdraw(settings.relay().me, StoreClient::new(settings.store)));
     while !relay.may_stop() {
         tokio::time::sleep(STOP_CHECK).await;
     }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -115,6 +115,7 @@
     log: VecDeque<(Revision, Arc<str>)>,
     /// Changes after this revision are all in the log.
     logged_from: Revision,
+    digest: u32,
 }
 
 impl Backends {
@@ -143,6 +144,7 @@
         let listed: crate::util::Set<&str> = list.items.iter().map(|i| i.id.as_str()).collect();
         let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
         changes.extend(missing.iter().filter_map(|id| self.remove(now, id, grace)));
+        self.renew_digest();
         changes
     }
 
@@ -166,6 +168,7 @@
         }
         let mut changes: Vec<_> = puts.iter().filter_map(|item| self.put(item)).collect();
         changes.extend(removed.iter().filter_map(|id| self.remove(now, id, grace)));
+        self.renew_digest();
         changes
     }
 
@@ -229,6 +232,7 @@
         let known = self.arena.get_mut(key)?;
         let news = known.takes_work();
         known.state = State::Leaving;
+        self.renew_digest();
         news.then_some((key, Change::Left))
     }
 
@@ -251,7 +255,11 @@
     pub fn expire(&mut self, now: Instant) -> (Vec<(BackendKey, Change)>, Vec<BackendKey>) {
         let over = |b: &Backend| matches!(b.state, State::Missing { until } if until <= now);
         let over: Vec<_> = self.arena.iter().filter(|(_, b)| over(b)).map(|(key, _)| key).collect();
+        let any = !over.is_empty();
         let changes = over.into_iter().filter_map(|key| self.drop_entry(now, key)).collect();
+        if any {
+            self.renew_digest();
+        }
         let done = |b: &Backend| b.in_progress == 0 && b.gone.is_some_and(|gone| gone + LINGERS <= now);
         let done: Vec<_> = self.arena.iter().filter(|(_, b)| done(b)).map(|(key, _)| key).collect();
         for key in &done {
@@ -296,8 +304,13 @@
 
     /// Digest of the list; the same at hosts that know the same.
     pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// Kept with each change, since every beat that is sent or heard asks for it.
+    fn renew_digest(&mut self) {
         let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
-        listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.takes_work())) as u32)
+        self.digest = listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.takes_work())) as u32);
     }
 
     /// What has changed after `since`, if the log goes back so far: a fetch of the whole list costs a hundred kilobytes
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -88,6 +88,13 @@
     }
 }
 
+/// Takes this host's entry out, as when it leaves.
+pub async fn withdraw(me: Member, mut store: impl Store) {
+    if let Err(e) = store.withdraw(&me).await {
+        note_hosts(&e);
+    }
+}
+
 fn note_hosts(e: &StoreError) {
     line(Weight::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -77,16 +77,13 @@
 /// Runs a request to its answer.
 pub async fn run<W: Wire>(relay: Arc<Relay<W>>, req: Request) -> Response<AnswerBody> {
     let req = Arc::new(req);
-    if relay.refuses(&req) {
-        let refusal = Refusal { kind: Kind::Quarantined, ran: Ran::No, retry_after: None };
-        relay.note(Weight::Notable, "given_up", &req, |l| {
-            l.text("kind", "quarantined").text("ran", "not-run")
-        });
-        return relay.wire.refuse(&refusal);
-    }
     let tries = Tries::new(req.route.repeatable, req.route.route.attempts, req.deadline);
-    relay.state().budget.request(now(), &req.service);
-    Run { relay, req, tries, tried: Vec::new(), outcome: None }.answer().await
+    let mut run = Run { relay, req, tries, tried: Vec::new(), outcome: None };
+    if run.relay.refuses(&run.req) {
+        return run.give_up(Kind::Quarantined, None);
+    }
+    run.relay.state().budget.request(now(), &run.req.service);
+    run.answer().await
 }
 
 impl<W: Wire> Run<W> {
@@ -118,6 +115,22 @@
         if failure == Failure::Broken {
             self.note_if_crashed(key).await;
         }
+        self.decide(failure, key)?;
+        let (relay, req) = (&self.relay, &self.req);
+        if relay.refuses(req) {
+            return Err(Stop::Suspect);
+        }
+        let all_tried = relay.state().backends.of(&req.service).all(|(k, _)| self.tried.contains(&k));
+        if all_tried {
+            // Nobody else can run it: those that refused may have room again in a moment.
+            self.tried.clear();
+            tokio::time::sleep(REFUSED_PAUSE.min(self.req.left(now()))).await;
+        }
+        Ok(())
+    }
+
+    /// Decides whether another attempt may follow a failed one, counts it and writes its line.
+    fn decide(&mut self, failure: Failure, key: BackendKey) -> Result<(), Stop> {
         let (relay, req) = (self.relay.clone(), self.req.clone());
         let next = self.tries.fail(now(), failure, || relay.spend(&req));
         match next {
@@ -130,17 +143,7 @@
             let l = l.number("attempt", self.tries.made()).ms("after_ms", now() - req.arrived);
             l.text("next", next.as_ref().err().map_or("once more", |stop| stop.as_str()))
         });
-        next?;
-        if relay.refuses(&req) {
-            return Err(Stop::Suspect);
-        }
-        let all_tried = relay.state().backends.of(&req.service).all(|(k, _)| self.tried.contains(&k));
-        if all_tried {
-            // Nobody else can run it: those that refused may have room again in a moment.
-            self.tried.clear();
-            tokio::time::sleep(REFUSED_PAUSE.min(req.left(now()))).await;
-        }
-        Ok(())
+        next
     }
 
     fn note_failure(&mut self, failure: Failure, key: BackendKey) {
@@ -314,14 +317,8 @@
         drop(work);
         if head.status.is_server_error() && self.may_repeat_error() {
             self.note_failure(Failure::Errored, key);
-            let (relay, req) = (self.relay.clone(), self.req.clone());
-            if self.tries.fail(now(), Failure::Errored, || relay.spend(&req)).is_ok() {
-                relay.note(Weight::Notable, "attempt_failed", &req, |l| {
-                    l.text("failure", "errored")
-                        .number("status", head.status.as_u16())
-                        .text("next", "once more")
-                });
-                return match Box::pin(self.attempt(req.after)).await {
+            if self.decide(Failure::Errored, key).is_ok() {
+                return match Box::pin(self.attempt(self.req.after)).await {
                     Ok(answered) => {
                         Box::pin(self.whole(answered)).await.or_else(|_| Ok(self.deliver(head, bytes)))
                     }
@@ -352,7 +349,8 @@
         let ran = if self.tries.is_unrun() { Ran::No } else { Ran::Unknown };
         self.outcome = Some(if ran == Ran::No { Outcome::Refused } else { Outcome::Failed });
         self.relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
-        let refusal = Refusal { kind, ran, retry_after: (ran == Ran::No).then_some(RETRY_AFTER) };
+        let comes_back = ran == Ran::No && kind != Kind::Quarantined;
+        let refusal = Refusal { kind, ran, retry_after: comes_back.then_some(RETRY_AFTER) };
         self.relay.note(Weight::Notable, "given_up", &self.req, |l| {
             let l = l.text("kind", kind.answer().code).text("ran", ran.as_str());
             let l = l.text("last", last.map_or("none", Failure::as_str));
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -5,6 +5,7 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use cranberrytally::metrics::Counter;
 use wire::{
     Act, Host, Server, answer, chunk, event, events, is_whole, not_run, ok, request, status, stream_head,
 };
@@ -205,5 +206,6 @@
 
     assert_eq!(statuses, [502, 502, 502, 503]);
     assert_eq!(runs, 3);
+    assert_eq!(host.relay.metrics().totals(Counter::RelayRefusals).get("quarantined"), Some(&1));
     assert_eq!(status(&other), 200);
 }
