Take a server for a holder of a chain by the last part that it has read

Cause: of each part only the four latest holders are remembered, and the first part of most prompts is held by every server.

--- a/src/relay/holders.rs
+++ b/src/relay/holders.rs
@@ -41,10 +41,13 @@
         true
     }
 
-    /// Tokens of the chain that a server has read: parts count up to the first that it has not.
+    /// Tokens of the chain that a server has read. A server reads a part together with all parts before it, and uses them
+    /// as often, so that the last part it is known for tells of all before: of a part that begins most chains only the
+    /// latest holders are remembered.
     pub fn tokens(&self, chain: &[Part], key: BackendKey) -> u32 {
-        let held = |p: &&Part| self.parts.get(&p.id).is_some_and(|e| e.holders.contains(&key));
-        chain.iter().take_while(held).map(|p| p.tokens).sum()
+        let held = |p: &Part| self.parts.get(&p.id).is_some_and(|e| e.holders.contains(&key));
+        let read = chain.iter().rposition(held).map_or(0, |last| last + 1);
+        chain[..read].iter().map(|p| p.tokens).sum()
     }
 
     /// The usable server that has read most of the chain, if any has read its last part.
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -275,6 +275,26 @@
     assert_eq!(chosen.fetch_from, None);
 }
 
+/// Every prompt begins with the same part, so that all nine servers hold it and only the latest holders are remembered. A
+/// server that read another part behind it minutes ago then seemed to hold nothing of it: requests for that part went to
+/// its home by rendezvous instead, where it was moved or read once more.
+#[test]
+fn a_holder_counts_though_it_is_forgotten_for_the_part_that_all_share() {
+    let (_, candidates) = fleet(&[2.0; 9]);
+    let mut holders = Holders::default();
+    let parts = prompt(7, 100);
+    let home = choose(&candidates, &parts, &holders).key;
+    let other = candidates.iter().find(|c| c.key != home).unwrap().key;
+    parts[..2].iter().for_each(|p| assert!(holders.note(ms(0), p.id, other)));
+    let others = candidates.iter().filter(|c| c.key != other);
+    others.for_each(|c| assert!(holders.note(ms(1), parts[0].id, c.key)));
+
+    let chosen = choose(&candidates, &prompt(7, 200), &holders);
+
+    assert_eq!((chosen.key, chosen.why, chosen.held), (other, Why::Holder, 10_500));
+    assert_eq!(chosen.fetch_from, None);
+}
+
 /// A hot part's holder is at the load bound. The next request goes elsewhere and fetches the part from the holder,
 /// rather than having another server read ten thousand tokens again.
 #[test]
