Soak hosts as processes under faults from outside; listen for signals before all else

Hosts are killed, suspended, stopped and told to reload; the store is silent, down or busy; servers crash, stall, leave, refuse or lose answers. Held against what both ends see: at most once, not run is true, answers whole and their own, streams in order, what is ready arrives, and all is served again afterwards.

Cause: handlers were set up after the settings were read and all sockets bound; a signal before that takes its default action. Excluded: the harness (the process was running).

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
 };
 
 use crate::{
@@ -47,6 +47,8 @@
 /// # Errors
 /// When the settings can't be read or an address can't be bound.
 pub async fn serve(path: &Path) -> Result<()> {
+    // Before all else: a signal that comes while the process starts would end it.
+    let signals = Signals::listen()?;
     let settings = Settings::load(path)?;
     lines::start_stdout(lines::DEFAULT_BYTES_PER_SECOND)?;
     lines::name_host(&settings.name);
@@ -56,7 +58,25 @@
     });
     let relay = Arc::new(Relay::new(settings.relay(), PlatformWire)?);
     start(&settings, &relay).await?;
-    wait_for_stop(&settings, path, &relay).await
+    wait_for_stop(signals, &settings, path, &relay).await
+}
+
+/// Signals that the process answers.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self> {
+        let listen = |kind| signal(kind).context("could not wait for a signal");
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
 }
 
 async fn start(settings: &Settings, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
@@ -80,15 +100,17 @@
     Ok(())
 }
 
-async fn wait_for_stop(settings: &Settings, path: &Path, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("could not wait for a signal")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("could not wait for a signal")?;
-    let mut hangup = signal(SignalKind::hangup()).context("could not wait for a signal")?;
+async fn wait_for_stop(
+    mut signals: Signals,
+    settings: &Settings,
+    path: &Path,
+    relay: &Arc<Relay<PlatformWire>>,
+) -> Result<()> {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(settings, path),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload(settings, path),
         }
     }
     relay.leave();
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,84 @@
+//! A short fault soak with fixed seeds: hosts as processes, faults from outside, promises checked from both ends.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/soak.rs"]
+mod soak;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::time::{Duration, Instant};
+
+use soak::{
+    Soak,
+    checks::{EVENTS, End, Kind, Record, Seen},
+};
+
+/// Hosts are killed, suspended and stopped, the store is away, servers crash, stall, refuse and lose answers. No request
+/// runs twice that must not, none that was refused as not run has run, no answer is another's or looks whole when it is
+/// cut, and afterwards every host serves everything again and has a change in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_hosts_store_and_servers_fail() {
+    for seed in [1, 2] {
+        let report = Soak::with_seed(seed).run().await;
+
+        assert!(report.broken.is_empty(), "{report:#?}");
+        assert!(report.seen.contains("unsafe 200"), "{report:#?}");
+    }
+}
+
+fn record(kind: Kind, runs: &[&str], end: End) -> Record {
+    let (record, at) = (Record::default(), Instant::now());
+    let (id, target) = ("r1".to_owned(), format!("{}r1", kind.path()));
+    let host = "127.0.0.1".into();
+    record.note(Seen::Sent { id: id.clone(), kind, target: target.clone(), proper: true, host, at });
+    for engine in runs {
+        record.note(Seen::Ran {
+            id: id.clone(),
+            target: target.clone(),
+            workspace: "travel".into(),
+            with_key: false,
+            engine: (*engine).into(),
+        });
+    }
+    record.note(Seen::Ended { id, end, at: at + Duration::from_millis(10) });
+    record
+}
+
+fn whole(status: u16, data: &[&str]) -> End {
+    End::Whole { status, data: data.iter().map(|d| (*d).into()).collect() }
+}
+
+/// The soak's own checks see each promise that is broken, or a run would pass for the wrong reason.
+#[test]
+fn broken_promises_are_seen() {
+    let part: Vec<_> = (1..EVENTS).map(|n| format!("own {n}")).collect();
+    let part: Vec<_> = part.iter().map(String::as_str).collect();
+    let cases = [
+        ("ran twice", Kind::Unsafe, vec!["i-1", "i-2"], whole(200, &["own"])),
+        ("refused and ran", Kind::Unsafe, vec!["i-1"], whole(503, &[""])),
+        ("another's answer", Kind::Safe, vec!["i-1"], whole(200, &["own r2"])),
+        ("cut and looks whole", Kind::Stream, vec!["i-1"], whole(200, &part)),
+        ("an event twice", Kind::Stream, vec!["i-1"], End::Broken(vec!["own 1".into(), "own 1".into()])),
+        ("an event missing", Kind::Stream, vec!["i-1"], End::Broken(vec!["own 2".into()])),
+        ("denied", Kind::Safe, vec![], whole(404, &[""])),
+    ];
+    for (name, kind, runs, end) in cases {
+        let violations = record(kind, &runs, end).violations();
+
+        assert_eq!(violations.len(), 1, "{name}: {violations:?}");
+    }
+}
+
+/// A server had written its whole answer, and the caller's connection broke: a fault of the host, unless the host itself
+/// or the server was disturbed then.
+#[test]
+fn an_answer_that_was_ready_must_arrive_unless_a_fault_explains_it() {
+    let lost = record(Kind::Unsafe, &["i-1"], End::Broken(Vec::new()));
+    lost.note(Seen::Served { id: "r1".into(), engine: "i-1".into() });
+
+    assert_eq!(lost.violations().len(), 1);
+    let (from, to) = (Instant::now(), Instant::now());
+    lost.note(Seen::Disturbed { what: "127.0.0.1".into(), from, to });
+    assert_eq!(lost.violations().len(), 0);
+}
--- /dev/null
+++ b/tests/support/soak/checks.rs
@@ -0,0 +1,234 @@
+//! What callers and backend servers have seen, and the promises that it is held against. No I/O.
+
+use std::{
+    collections::BTreeMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u32 = 12;
+/// A disturbance this long before or after still explains an answer that does not arrive.
+const AFTERMATH: Duration = Duration::from_millis(1_500);
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Safe,
+    /// Runs once at most.
+    Unsafe,
+    /// A stream that may go on elsewhere.
+    Stream,
+    /// A stream that may not.
+    Once,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Kind; 4] = [Kind::Safe, Kind::Unsafe, Kind::Stream, Kind::Once];
+
+    /// Name in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Safe => "safe",
+            Kind::Unsafe => "unsafe",
+            Kind::Stream => "stream",
+            Kind::Once => "once",
+        }
+    }
+
+    /// Path of its route.
+    pub fn path(self) -> &'static str {
+        match self {
+            Kind::Safe => "/safe/",
+            Kind::Unsafe => "/unsafe/",
+            Kind::Stream => "/stream/",
+            Kind::Once => "/once/",
+        }
+    }
+
+    /// Whether the answer is a stream.
+    pub fn streams(self) -> bool {
+        matches!(self, Kind::Stream | Kind::Once)
+    }
+
+    fn runs_once(self) -> bool {
+        matches!(self, Kind::Unsafe | Kind::Once)
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer came.
+    Whole {
+        /// Its status.
+        status: u16,
+        /// Its body; of a stream, the data of the events.
+        data: Vec<String>,
+    },
+    /// The connection ended before the answer did; of a stream, these events had come.
+    Broken(Vec<String>),
+    /// No connection was made.
+    NoConnection,
+    /// Nothing came in time.
+    TimedOut,
+}
+
+/// One observation.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    /// A caller sent a request; a proper one is allowed by every configuration.
+    Sent { id: String, kind: Kind, target: String, proper: bool, host: String, at: Instant },
+    /// Its request ended.
+    Ended { id: String, end: End, at: Instant },
+    /// A backend server began to run a request.
+    Ran { id: String, target: String, workspace: String, with_key: bool, engine: String },
+    /// It has written the whole answer.
+    Served { id: String, engine: String },
+    /// A host or a backend server was disturbed.
+    Disturbed { what: String, from: Instant, to: Instant },
+}
+
+/// All observations of a run.
+#[derive(Debug, Default)]
+pub struct Record(Mutex<Vec<Seen>>);
+
+/// One request, put together.
+#[derive(Debug, Default)]
+struct Story {
+    sent: Option<Sent>,
+    end: Option<(End, Instant)>,
+    runs: Vec<Run>,
+    served: Vec<String>,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    kind: Kind,
+    target: String,
+    proper: bool,
+    host: String,
+    at: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    target: String,
+    workspace: String,
+    with_key: bool,
+    engine: String,
+}
+
+impl Record {
+    /// Adds an observation.
+    pub fn note(&self, seen: Seen) {
+        self.0.lock().unwrap().push(seen);
+    }
+
+    fn stories(&self) -> BTreeMap<String, Story> {
+        let mut stories: BTreeMap<String, Story> = BTreeMap::new();
+        for seen in self.0.lock().unwrap().iter().cloned() {
+            match seen {
+                Seen::Sent { id, kind, target, proper, host, at } => {
+                    stories.entry(id).or_default().sent = Some(Sent { kind, target, proper, host, at });
+                }
+                Seen::Ended { id, end, at } => stories.entry(id).or_default().end = Some((end, at)),
+                Seen::Ran { id, target, workspace, with_key, engine } => {
+                    stories.entry(id).or_default().runs.push(Run { target, workspace, with_key, engine });
+                }
+                Seen::Served { id, engine } => stories.entry(id).or_default().served.push(engine),
+                Seen::Disturbed { .. } => {}
+            }
+        }
+        stories
+    }
+
+    fn was_disturbed(&self, what: &str, from: Instant, to: Instant) -> bool {
+        self.0.lock().unwrap().iter().any(|seen| {
+            matches!(seen, Seen::Disturbed { what: w, from: f, to: t }
+                if w == what && *f <= to + AFTERMATH && from <= *t + AFTERMATH)
+        })
+    }
+
+    /// Promises that were broken, a line each.
+    pub fn violations(&self) -> Vec<String> {
+        let stories = self.stories();
+        stories
+            .iter()
+            .flat_map(|(id, story)| self.judge(story).into_iter().map(move |v| format!("{id}: {v}")))
+            .collect()
+    }
+
+    fn judge(&self, story: &Story) -> Vec<String> {
+        let Some(sent) = &story.sent else {
+            return vec!["it ran and no caller sent it".into()];
+        };
+        let mut broken = Vec::new();
+        for run in &story.runs {
+            if run.target != sent.target || run.workspace != "travel" || run.with_key {
+                broken.push(format!("not what was sent to {} ran: {run:?}", sent.target));
+            }
+        }
+        if sent.kind.runs_once() && story.runs.len() > 1 {
+            broken.push(format!("a request that runs once ran {} times", story.runs.len()));
+        }
+        // A caller whose task was ended has seen no end.
+        let Some((end, ended)) = &story.end else { return broken };
+        broken.extend(judge_end(story, sent, end));
+        let calm = |engine: &String| !self.was_disturbed(engine, sent.at, *ended);
+        let is_lost = matches!(end, End::Broken(_) | End::TimedOut) && story.served.iter().any(calm);
+        if is_lost && !self.was_disturbed(&sent.host, sent.at, *ended) {
+            broken.push(format!("a whole answer was ready and did not arrive: {end:?}"));
+        }
+        broken
+    }
+
+    /// How requests ended, with counts.
+    pub fn summary(&self) -> String {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for story in self.stories().into_values() {
+            let Some(Sent { kind, .. }) = story.sent else { continue };
+            let end = match story.end {
+                Some((End::Whole { status, .. }, _)) => status.to_string(),
+                Some((End::Broken(_), _)) => "broken".into(),
+                Some((End::NoConnection, _)) => "no connection".into(),
+                Some((End::TimedOut, _)) => "timed out".into(),
+                None => "left".into(),
+            };
+            *counts.entry(format!("{} {end}", kind.as_str())).or_default() += 1;
+        }
+        counts.into_iter().map(|(what, n)| format!("{what}: {n}")).collect::<Vec<_>>().join(", ")
+    }
+}
+
+fn judge_end(story: &Story, sent: &Sent, end: &End) -> Vec<String> {
+    let mut broken = Vec::new();
+    match end {
+        End::Whole { status: 200, data } if sent.kind.streams() => {
+            broken.extend(judge_events(data));
+            if data.len() != EVENTS as usize {
+                broken.push(format!("a stream of {} events looks complete", data.len()));
+            }
+        }
+        End::Whole { status: 200, data } if data.len() != 1 || data[0] != "own" => {
+            broken.push(format!("the answer is not its own: {data:?}"));
+        }
+        End::Whole { status: 408 | 421 | 429 | 503, .. } if !story.runs.is_empty() => {
+            broken.push("it was refused as not run, and has run".into());
+        }
+        End::Whole { status: status @ (400 | 401 | 403 | 404 | 413 | 431), .. } if sent.proper => {
+            broken.push(format!("a proper request was answered {status}"));
+        }
+        End::Broken(data) => broken.extend(judge_events(data)),
+        _ => {}
+    }
+    broken
+}
+
+fn judge_events(data: &[String]) -> Option<String> {
+    let wanted = (1..).map(|n: u32| format!("own {n}"));
+    let wrong = data.iter().zip(wanted).find(|(got, wanted)| *got != wanted);
+    wrong.map(|(got, wanted)| format!("event {got:?} stands where {wanted:?} is due"))
+}
--- /dev/null
+++ b/tests/support/soak/store.rs
@@ -0,0 +1,204 @@
+//! A stand-in of the platform's store: lists, waiting watches and conditional entries over HTTP, behind a gate.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cranberrytally::standin::gate::{Gate, Mode};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::watch, time::timeout};
+
+/// Path of the route that the second configuration adds.
+pub const ADDED: &str = "/added/";
+
+/// One change; without a spec the object was removed.
+#[derive(Clone, Debug)]
+struct Entry {
+    revision: u64,
+    kind: String,
+    name: String,
+    spec: Option<Value>,
+}
+
+impl Entry {
+    fn object(&self) -> Value {
+        json!({ "metadata": { "name": self.name, "revision": self.revision }, "spec": self.spec })
+    }
+}
+
+/// The store; clones share it.
+#[derive(Clone)]
+pub struct Store {
+    log: Arc<Mutex<Vec<Entry>>>,
+    revision: watch::Sender<u64>,
+    busy: Arc<AtomicBool>,
+    gate: Arc<Gate>,
+}
+
+impl Store {
+    /// Starts an empty store on loopback.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let gate = Arc::new(Gate::start(listener.local_addr().unwrap(), None).await.unwrap());
+        let (log, busy) = (Arc::default(), Arc::default());
+        let store = Self { log, revision: watch::Sender::new(1), busy, gate };
+        tokio::spawn(store.clone().accept(listener));
+        store
+    }
+
+    /// Where hosts reach it.
+    pub fn addr(&self) -> SocketAddr {
+        self.gate.addr()
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.write(kind, name, Some(spec));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.write(kind, name, None);
+    }
+
+    /// Refuses every call with 503, or stops doing so.
+    pub fn set_busy(&self, busy: bool) {
+        self.busy.store(busy, Ordering::Relaxed);
+    }
+
+    /// Cuts open connections and changes what becomes of new ones.
+    pub async fn set_gate(&self, mode: Mode) {
+        self.gate.set(mode).await.unwrap();
+        self.gate.cut();
+    }
+
+    fn write(&self, kind: &str, name: &str, spec: Option<Value>) {
+        let mut log = self.log.lock().unwrap();
+        let revision = log.len() as u64 + 2;
+        log.push(Entry { revision, kind: kind.into(), name: name.into(), spec });
+        drop(log);
+        self.revision.send_replace(revision);
+    }
+
+    /// The latest entries of a kind after a revision, each name once.
+    fn latest(&self, kind: &str, after: u64) -> Vec<Entry> {
+        let log = self.log.lock().unwrap();
+        let mut latest: Vec<Entry> = Vec::new();
+        for entry in log.iter().filter(|e| e.kind == kind && e.revision > after) {
+            latest.retain(|e| e.name != entry.name);
+            latest.push(entry.clone());
+        }
+        latest
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let store = self.clone();
+            let service = service_fn(move |req| {
+                let store = store.clone();
+                async move { Ok::<_, Infallible>(store.answer(req).await) }
+            });
+            // A caller that goes away in a call is part of every run.
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        if self.busy.load(Ordering::Relaxed) {
+            return respond(503, json!({}));
+        }
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().trim_start_matches("/objects/").to_owned();
+        let (kind, name) = path.split_once('/').unwrap_or((&path, ""));
+        let query = head.uri.query().unwrap_or_default();
+        let number = |key: &str| {
+            let pair = query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='));
+            pair.and_then(|value| value.parse::<u64>().ok())
+        };
+        if head.method == Method::GET {
+            return match number("watch") {
+                Some(after) => self.watch(kind, after, number("waitMs").unwrap_or(0)).await,
+                None => self.list(kind),
+            };
+        }
+        let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+        let object: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let named = object["metadata"]["name"].as_str().unwrap_or(name).to_owned();
+        let known = self.latest(kind, 0).iter().any(|e| e.name == named && e.spec.is_some());
+        match (head.method, known) {
+            (Method::PUT, false) => respond(404, json!({})),
+            (Method::POST, true) => respond(409, json!({})),
+            (Method::DELETE, _) => {
+                self.remove(kind, name);
+                respond(200, json!({}))
+            }
+            _ => {
+                self.put(kind, &named, object["spec"].clone());
+                respond(200, json!({}))
+            }
+        }
+    }
+
+    fn list(&self, kind: &str) -> Response<Full<Bytes>> {
+        let revision = *self.revision.borrow();
+        let present = self.latest(kind, 0).into_iter().filter(|e| e.spec.is_some());
+        let items: Vec<_> = present.map(|e| e.object()).collect();
+        respond(200, json!({ "items": items, "hasMore": false, "currentRev": revision }))
+    }
+
+    async fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> Response<Full<Bytes>> {
+        let mut changed = self.revision.subscribe();
+        let news = async {
+            while self.latest(kind, after).is_empty() {
+                let _ = changed.changed().await;
+            }
+        };
+        let _ = timeout(Duration::from_millis(wait_ms), news).await;
+        let revision = *self.revision.borrow();
+        let latest = self.latest(kind, after);
+        let events: Vec<_> =
+            latest.iter().map(|e| json!({ "object": e.object(), "deleted": e.spec.is_none() })).collect();
+        respond(200, json!({ "events": events, "currentRev": revision }))
+    }
+}
+
+fn respond(status: u16, body: Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.to_string().into()));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap();
+    response
+}
+
+/// A configuration with a route for each kind of request; `changed` adds a route and takes a key away.
+pub fn configuration(version: u64, changed: bool) -> Value {
+    let route = |path: &str, kind: &str, resumes: bool| {
+        json!({ "name": path.trim_matches('/'), "host": "shop.example", "pathPrefix": path, "kind": kind,
+            "timeoutMs": 6000, "targetLatencyMs": 500, "priority": 1, "service": "app", "maxAttempts": 3,
+            "authExempt": false, "sessionAffinity": false, "streamResume": resumes, "targetGapMs": 300 })
+    };
+    let mut routes = vec![
+        route("/safe/", "idempotent", false),
+        route("/unsafe/", "non_idempotent", false),
+        route("/stream/", "stream", true),
+        route("/once/", "stream", false),
+    ];
+    let mut keys = vec![super::KEY];
+    match changed {
+        true => routes.push(route(ADDED, "idempotent", false)),
+        false => keys.push(super::KEY_TO_REVOKE),
+    }
+    json!({ "version": version, "routes": routes,
+        "services": [{ "name": "app", "healthPath": "/health", "maxConnections": 300 }],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "travel", "apiKeys": keys, "priority": 1 }] })
+}
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -142,7 +142,8 @@
     Some(line.split_once(':')?.1.trim().to_owned())
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Reads a request with a length; `None` where the connection ends first.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&buf).into_owned();
@@ -192,7 +193,12 @@
 
 /// One event.
 pub fn event(number: u32) -> String {
-    format!("id: {number}\ndata: e{number}\n\n")
+    event_of(number, &format!("e{number}"))
+}
+
+/// One event with data of its own.
+pub fn event_of(number: u32, data: &str) -> String {
+    format!("id: {number}\ndata: {data}\n\n")
 }
 
 /// Routes `/safe/`, `/unsafe/`, `/stream/` (resumable) and `/once/` (a stream that is not), all to the service `app`.
