Say what a caller who left was waiting for, and that a host was started again; count attempts that were begun

Now: the server that had not answered and for how long, the host's next start, and a count of attempts begun.

--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -90,12 +90,12 @@
         let mark = if entry.is_of(id) { '>' } else { ' ' };
         story += &format!("{mark} {}\n", entry.show(first.t));
     }
-    story += &format!("end: {}\n", cause(&own));
+    story += &format!("end: {}\n", cause(&own, &entries));
     Some(story)
 }
 
 /// One sentence on how the request ended and what decided that.
-fn cause(own: &[&Entry]) -> String {
+fn cause(own: &[&Entry], all: &[Entry]) -> String {
     let failed = own.iter().rev().find(|e| e.event == "attempt_failed");
     let because = failed.map_or_else(String::new, |e| {
         format!(
@@ -113,8 +113,32 @@
         Some(("given_up", e)) => format!("given up as {}, {}{because}", e.text("kind"), e.text("ran")),
         Some(("refused", e)) => format!("refused as {} before any attempt", e.text("kind")),
         Some(("stream_cut", e)) => format!("its stream was cut: {}{because}", e.text("failure")),
-        Some((_, _)) => format!("its caller left first{because}"),
-        None => format!("no line tells; the host may have been killed{because}"),
+        Some((_, e)) => format!("its caller left first, {}{because}", waiting_for(own, e.t)),
+        None => format!("no line tells, {}{because}", last_of_host(own, all)),
+    }
+}
+
+/// What the request was waiting for at a time.
+fn waiting_for(own: &[&Entry], t: u64) -> String {
+    let Some(sent) = own.iter().rev().find(|e| e.event == "sent") else {
+        return "before it was sent to a server".into();
+    };
+    let (server, waited) = (sent.text("backend"), t.saturating_sub(sent.t));
+    match own.iter().rev().find(|e| e.event == "first_event" && e.t >= sent.t) {
+        Some(event) => format!("{} ms after the first event of {server}", t.saturating_sub(event.t)),
+        None => format!("when {server} had not answered for {waited} ms"),
+    }
+}
+
+/// Whether the request's host started again after its last line, so that the request ended with the process.
+fn last_of_host(own: &[&Entry], all: &[Entry]) -> String {
+    let Some(last) = own.last() else { return "and no host is known".into() };
+    let next = all.iter().find(|e| e.event == "start" && e.host == last.host && e.t > last.t);
+    match next {
+        Some(start) => {
+            format!("and {} was started again {} ms after its last line", last.host, start.t - last.t)
+        }
+        None => format!("and {} has no later start: it may be gone, or the lines end there", last.host),
     }
 }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -53,6 +53,8 @@
     pub(crate) req: Arc<Request>,
     pub(crate) tries: Tries,
     pub(crate) tried: Vec<BackendKey>,
+    /// Attempts that were begun, the one in progress included.
+    pub(crate) begun: u32,
     /// What became of the request, once that is settled.
     pub(crate) outcome: Option<Outcome>,
 }
@@ -65,7 +67,7 @@
         let took = now() - self.req.arrived;
         if outcome == Outcome::CallerLeft {
             self.relay.note(Weight::Notable, "caller_left", &self.req, |l| {
-                l.ms("after_ms", took).number("attempts", self.tries.made())
+                l.ms("after_ms", took).number("attempts", self.begun)
             });
         }
         let metrics = &self.relay.metrics;
@@ -78,7 +80,7 @@
 pub async fn run<W: Wire>(relay: Arc<Relay<W>>, req: Request) -> Response<AnswerBody> {
     let req = Arc::new(req);
     let tries = Tries::new(req.route.repeatable, req.route.route.attempts, req.deadline);
-    let mut run = Run { relay, req, tries, tried: Vec::new(), outcome: None };
+    let mut run = Run { relay, req, tries, tried: Vec::new(), begun: 0, outcome: None };
     if run.relay.refuses(&run.req) {
         return run.give_up(Kind::Quarantined, None);
     }
@@ -182,6 +184,7 @@
     ) -> Result<Answered<W>, Option<(Failure, BackendKey)>> {
         let Some(choice) = self.relay.choose(&self.req, &self.tried) else { return Err(None) };
         let key = choice.key;
+        self.begun += 1;
         let work = Work::start(&self.relay, key);
         let (mut conn, result) = self.send(&choice, after).await.map_err(|f| Some((f, key)))?;
         let (head, body) = match result {
@@ -339,7 +342,7 @@
         self.outcome = Some(Outcome::Answered);
         self.relay.note(Weight::Routine, "answered", &self.req, |l| {
             let l = l.number("status", head.status.as_u16()).number("bytes", bytes.len() as u64);
-            l.ms("after_ms", now() - self.req.arrived).number("attempts", self.tries.made() + 1)
+            l.ms("after_ms", now() - self.req.arrived).number("attempts", self.begun)
         });
         self.relay.wire.pass(head, AnswerBody::Whole(bytes))
     }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -11,7 +11,7 @@
 };
 
 use cranberrytally::logs::{explain::explain, lines};
-use wire::{Act, Host, Server, chunk, event, not_run, request, status, stream_head};
+use wire::{Act, Host, Server, answer, chunk, event, not_run, request, status, stream_head};
 
 /// Output that tests read.
 #[derive(Clone, Default)]
@@ -49,19 +49,25 @@
     let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
     let cut = Server::start("i-cut", [Act::WriteAndReset(begun)]).await;
     let lost = Server::start("i-lost", [Act::WriteAndReset(String::new())]).await;
+    let error = Act::Write(answer("500 Internal Server Error", ""));
+    let (sick, sicker) = (Server::start("i-5", [error.clone()]).await, Server::start("i-6", [error]).await);
     let answers = [
         Host::with(&[&full]).await.call(&named(request("/unsafe/x", ""), "refused-1")).await,
         Host::with(&[&cut]).await.call(&named(request("/once/x", ""), "cut-1")).await,
         Host::with(&[&lost]).await.call(&named(request("/unsafe/x", ""), "unknown-1")).await,
         Host::with(&[&lost]).await.call(&named(request("/nowhere/x", ""), "path-1")).await,
+        Host::with(&[&sick, &sicker]).await.call(&named(request("/safe/x", ""), "error-1")).await,
     ];
     let told = |id: &str| output.lines().iter().any(|l| l.contains(id));
-    wire::until("the lines", || ["refused-1", "cut-1", "unknown-1", "path-1"].into_iter().all(told)).await;
-    wire::until("the last lines", || output.lines().iter().any(|l| l.contains("\"not_found\""))).await;
+    wire::until("the lines", || {
+        ["refused-1", "cut-1", "unknown-1", "path-1", "error-1"].into_iter().all(told)
+    })
+    .await;
+    wire::until("the last lines", || output.lines().iter().any(|l| l.contains("\"status\":500"))).await;
 
     let story = |id| explain(id, output.lines()).unwrap();
 
-    assert_eq!(answers.map(|a| status(&a)), [503, 200, 502, 404]);
+    assert_eq!(answers.map(|a| status(&a)), [503, 200, 502, 404, 500]);
     let refused = story("refused-1");
     assert!(refused.contains("backend=i-full") && refused.contains("failure=refused"), "{refused}");
     assert!(refused.contains("end: given up as engine_refused, not-run"), "{refused}");
@@ -74,6 +80,50 @@
     assert!(unknown.contains("end: given up as engine_failed, unknown"), "{unknown}");
     assert!(unknown.contains("then not_repeatable"), "{unknown}");
     assert!(story("path-1").contains("end: refused as not_found before any attempt"));
+    let error = story("error-1");
+    assert!(error.contains("status=500") && error.contains("attempts=2"), "{error}");
     assert!(unknown.contains("change=seen"), "beliefs about the server are shown: {unknown}");
     assert_eq!(explain("nobody", output.lines()), None);
 }
+
+fn lines_of(text: &str) -> Vec<String> {
+    text.lines().map(str::to_owned).collect()
+}
+
+/// A caller gave a stream up after two seconds. The end names the server that said nothing, and for how long.
+#[test]
+fn a_caller_who_left_is_explained_by_what_it_waited_for() {
+    let silent = r#"{"t":1000,"event":"sent","host":"h1","request":"r1","backend":"i-1","why":"home"}
+{"t":3400,"event":"caller_left","host":"h1","request":"r1","attempts":1,"after_ms":2400}"#;
+    let begun = r#"{"t":1000,"event":"sent","host":"h1","request":"r1","backend":"i-1","why":"home"}
+{"t":1100,"event":"first_event","host":"h1","request":"r1","after_ms":100}
+{"t":3400,"event":"caller_left","host":"h1","request":"r1","attempts":1,"after_ms":2400}"#;
+
+    let ends = [silent, begun].map(|text| explain("r1", lines_of(text)).unwrap());
+
+    assert!(
+        ends[0].contains("end: its caller left first, when i-1 had not answered for 2400 ms"),
+        "{}",
+        ends[0]
+    );
+    assert!(
+        ends[1].contains("end: its caller left first, 2300 ms after the first event of i-1"),
+        "{}",
+        ends[1]
+    );
+}
+
+/// A host lost its power in the middle of a stream, so that no line of it tells the end. Its next start does.
+#[test]
+fn a_request_that_ended_with_its_host_is_explained_by_the_hosts_next_start() {
+    let lines = r#"{"t":1000,"event":"sent","host":"h1","request":"r1","backend":"i-1","why":"home"}
+{"t":1500,"event":"start","host":"h2"}
+{"t":2900,"event":"start","host":"h1"}"#;
+
+    let story = explain("r1", lines_of(lines)).unwrap();
+
+    assert!(
+        story.contains("end: no line tells, and h1 was started again 1900 ms after its last line"),
+        "{story}"
+    );
+}
