--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrytally::{
+    logs::lines::{self, Weight, line},
     relay::{
         backends::Backends,
         holders::Holders,
@@ -16,6 +17,10 @@
 
 const SIZES: [usize; 4] = [9, 112, 733, 2_750];
 const ROUNDS: u32 = 20_000;
+const LINES: u32 = 5_000;
+/// Lines between two pauses, fewer than the output's queue holds.
+const LINES_AT_ONCE: u64 = 500;
+const LINES_PAUSE: Duration = Duration::from_millis(20);
 
 fn servers(n: usize) -> (Backends, Vec<Candidate>) {
     let item = |i: usize| Backend {
@@ -69,6 +74,36 @@
         let list = postcard::to_allocvec(&backends.snapshot()).map_or(0, |b| b.len());
         println!("| {n} | {by_parts:.1} | {by_load:.1} | {:.1} | {list} |", hear(n));
     }
+    log_lines();
+}
+
+/// Cost of a line as it is written for each attempt: without an output, within the budget, and over it. The output's own
+/// thread is not counted.
+fn log_lines() {
+    let off = per_round(ROUNDS, write_line);
+    lines::start(std::io::sink(), u32::MAX).expect("the output starts");
+    let on = per_round(LINES, |n| {
+        write_line(n);
+        // The output's thread keeps up, as it does at the rate of a host.
+        if n % LINES_AT_ONCE == 0 {
+            std::thread::sleep(LINES_PAUSE);
+        }
+    });
+    let on = on - LINES_PAUSE.as_secs_f64() * 1e6 / LINES_AT_ONCE as f64;
+    println!("\na log line: {off:.2} us without an output, {on:.2} us with one");
+}
+
+fn write_line(n: u64) {
+    line(Weight::Routine, "sent", |l| {
+        let l = l.text("request", "9c41d07be2a35f68").text("route", "r-5hsvxxt");
+        let l = l
+            .text("backend", "i-458d646f59")
+            .text("why", "holder")
+            .decimal("load", 3.0)
+            .decimal("bound", 8.5);
+        let l = l.text("fetches", "").number("stale", 0u64).text("part", "5c1e07a2").number("held", n);
+        l.number("after_ms", 1u64).number("attempt", 0u64)
+    });
 }
 
 /// Time to take one beat in.
