--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -45,6 +45,9 @@
 const SEEK: Duration = Duration::from_secs(1);
 /// How long a peer must be ahead before its newer state is fetched; the store mostly tells both within this time.
 const AHEAD: Duration = Duration::from_millis(200);
+/// The same for a peer in another data centre, where the own one has hosts that follow the store: they tell the same within
+/// milliseconds mostly, and bytes between data centres are dear.
+const AHEAD_FAR: Duration = Duration::from_millis(700);
 /// Beats after a start that ask for a full one: after a loss of all hosts each knows three seeds, and callers would all be
 /// sent to these until the others are heard of.
 const FIRST_BEATS: u64 = 12;
@@ -310,9 +313,12 @@
     }
 
     fn all_ahead(&self, now: Instant, own: Own) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
-        let first = own.configuration == 0 || own.backends == 0 || !self.should_follow(now);
-        let patience = if first { Duration::ZERO } else { AHEAD };
-        let ripe = move |p: &Peer| p.ahead.is_some_and(|since| since + patience <= now);
+        let follows = self.should_follow(now);
+        let first = own.configuration == 0 || own.backends == 0 || !follows;
+        let near = if first { Duration::ZERO } else { AHEAD };
+        let far = if follows { near } else { AHEAD_FAR };
+        let patience = move |p: &Peer| if self.is_near(p) { near } else { far };
+        let ripe = move |p: &Peer| p.ahead.is_some_and(|since| since + patience(p) <= now);
         self.peers.iter().filter(move |(_, p)| ripe(p) && is_ahead(p, own))
     }
 
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -17,6 +17,7 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use super::{backends::BackendKey, verdict::Failure};
@@ -27,6 +28,11 @@
 /// Unacknowledged bytes end a connection to a backend server after this time, so that one without power shows before
 /// the objective of most requests is over. A lost packet is sent again and acknowledged within 250 ms.
 const BACKEND_SILENCE: Duration = Duration::from_millis(350);
+/// Idle time after which a connection is probed, and time between probes; the system takes whole seconds.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Probes without an answer that end it.
+const PROBES: u32 = 2;
 /// Idle time of a connection whose server does not say how long it keeps it.
 const DEFAULT_IDLE: Duration = Duration::from_millis(900);
 /// Part of the server's idle time after which a connection is not used any more: requests on their way and clocks
@@ -50,9 +56,22 @@
     /// # Errors
     /// When no connection was made, so that nothing was sent.
     pub async fn connect(addr: SocketAddr, most: Duration) -> Result<Self, Failure> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(most), TcpStream::connect(addr));
-        let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
-        set_up(&stream, Some(BACKEND_SILENCE));
+        Self::over(dial(addr, most).await?, addr).await
+    }
+
+    /// Connects for calls that wait long for their answer: the connection is probed meanwhile.
+    ///
+    /// # Errors
+    /// As [`Conn::connect`].
+    pub async fn connect_probed(addr: SocketAddr, most: Duration) -> Result<Self, Failure> {
+        let stream = dial(addr, most).await?;
+        if let Err(e) = probe(&stream) {
+            spdlog::warn!("could not have a connection probed: {e}");
+        }
+        Self::over(stream, addr).await
+    }
+
+    async fn over(stream: TcpStream, addr: SocketAddr) -> Result<Self, Failure> {
         let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
         let Ok((tx, conn)) = handshake else { return Err(Failure::Connect) };
         let task = tokio::spawn(async move {
@@ -99,6 +118,27 @@
     }
 }
 
+async fn dial(addr: SocketAddr, most: Duration) -> Result<TcpStream, Failure> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(most), TcpStream::connect(addr));
+    let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
+    set_up(&stream, Some(BACKEND_SILENCE));
+    Ok(stream)
+}
+
+/// Has a connection probed while nothing is sent on it. Against connections that go silent without a reset: a call that
+/// waits for a change would wait on to its end, 15 s, while changes and leaving servers go unheard at all hosts at once.
+/// A probe that is not acknowledged ends the connection, and the call is made over a new one.
+///
+/// # Errors
+/// When the socket takes no such option.
+pub fn probe(stream: &TcpStream) -> std::io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PROBE_AFTER)?;
+    sockopt::set_tcp_keepintvl(stream, PROBE_EVERY)?;
+    sockopt::set_tcp_keepcnt(stream, PROBES)?;
+    Ok(())
+}
+
 /// Whether bytes were not acknowledged in time.
 fn is_timeout(e: &hyper::Error) -> bool {
     let source = std::error::Error::source(e).and_then(|s| s.downcast_ref::<std::io::Error>());
@@ -111,7 +151,7 @@
         spdlog::warn!("could not set a socket to send at once: {e}");
     }
     let Some(silence) = silence else { return };
-    if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(stream, silence.as_millis() as u32) {
+    if let Err(e) = sockopt::set_tcp_user_timeout(stream, silence.as_millis() as u32) {
         spdlog::warn!("could not set a socket's time limit: {e}");
     }
 }
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -9,10 +9,12 @@
         backends::{Backends, Change, Revision},
         contact::Contact,
         follow::{self, BackendsUpdate, Call, Store, StoreError},
+        pool,
     },
     schema::fleet,
 };
 use rand::{SeedableRng, rngs::SmallRng};
+use rustix::net::sockopt;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 #[path = "support/relay.rs"]
@@ -242,3 +244,18 @@
     assert_eq!(((first.after, first.whole), second.after), ((None, false), Some(7)));
     assert_eq!(seeds.map(|call| (call.after, call.whole)), [(None, false), (None, true)]);
 }
+
+/// Open connections go silent for good without a reset. A call that waits at the store for a change would not notice until
+/// its end, so the system probes its connection: after a second, and ends it when two probes are not acknowledged.
+#[tokio::test]
+async fn a_connection_on_which_calls_wait_is_probed() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+
+    pool::probe(&stream).unwrap();
+
+    assert!(sockopt::socket_keepalive(&stream).unwrap());
+    assert_eq!(sockopt::tcp_keepidle(&stream).unwrap(), s(1));
+    assert_eq!(sockopt::tcp_keepintvl(&stream).unwrap(), s(1));
+    assert_eq!(sockopt::tcp_keepcnt(&stream).unwrap(), 2);
+}
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -167,6 +167,23 @@
     assert_eq!(asked.len(), 8);
 }
 
+/// A change reaches the followers of data centre `b` first. Host 0 leaves the store to others of its own data centre, which
+/// will have the change in a moment: it fetches it from `b` only when they don't.
+#[test]
+fn news_are_fetched_from_the_own_data_centre_if_it_has_them_soon() {
+    let mut peers = large();
+    let next = |i, centre| Beat { configuration: 6, ..beat(i, centre, 2) };
+    peers.hear(ms(100), addr(4), &next(4, "b"), OWN);
+    let before = peers.ahead(ms(400), OWN, &mut rng());
+    let alone = peers.ahead(ms(800), OWN, &mut rng());
+    peers.hear(ms(800), addr(3), &next(3, "a"), OWN);
+
+    let near = peers.ahead(ms(800), OWN, &mut rng());
+
+    assert!(!peers.should_follow(ms(400)));
+    assert_eq!((before, alone, near), (None, Some(addr(4)), Some(addr(3))));
+}
+
 /// Two followers have seen the store at different revisions, but their lists are the same: nothing is to be fetched.
 #[test]
 fn a_higher_revision_of_the_same_list_is_not_fetched() {
