Let a host that has just started make one retry out of the budget's reserve

Cause: a started host's part of the extra retries grows with the square of its age, so that for 3 to 7 seconds it holds less than one retry and the first failed request that could go on elsewhere ended as 502 or 503. Change: the first retry is taken from the part of the allowance that the safety margin leaves unused, while each host's part of that reserve holds one. The test over a restart of sixty hosts is unchanged and holds. The new decision test fails on the code before.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -4,7 +4,8 @@
 //! its own requests and to an equal part of the extra, so that the sum holds also while hosts don't hear each other.
 //!
 //! A host that has just started does not know what it spent before, nor for the first moments how many share the extra: its
-//! part grows from nothing over the length of the window, slowly at first.
+//! part grows from nothing over the length of the window, slowly at first. Its first retry comes out of the part of the
+//! allowance that is otherwise left unused, so that a single failure in the first seconds does not end a request.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -90,24 +91,27 @@
 
     /// Takes one retry, if the budget holds one.
     pub fn spend(&mut self, now: Instant, service: &Arc<str>) -> bool {
-        let (cfg, extra) = (self.cfg, self.extra(now));
+        let (cfg, grown, share) = (self.cfg, self.grown(now), self.cfg.extra / self.hosts as f64);
         let window = self.window(service);
         window.bucket(now, cfg.window);
         let (requests, retries) = window.sums();
-        let allowed = SAFETY * (cfg.ratio * f64::from(requests) + extra);
-        if f64::from(retries) + 1.0 > allowed {
+        let from_requests = cfg.ratio * f64::from(requests);
+        let allowed = SAFETY * (from_requests + grown * grown * share);
+        // Every host of a fleet that was killed may take this one, as long as the reserve of all holds them together.
+        let reserve = (1.0 - SAFETY) * (from_requests + share);
+        let first = grown < 1.0 && retries == 0 && reserve >= 1.0;
+        if f64::from(retries) + 1.0 > allowed && !first {
             return false;
         }
         window.bucket(now, cfg.window).2 += 1;
         true
     }
 
-    /// This host's part of the extra.
-    fn extra(&self, now: Instant) -> f64 {
+    /// Part of the window since this host started, 1 once that is over.
+    fn grown(&self, now: Instant) -> f64 {
         let age =
             |started: Instant| now.saturating_sub(started).as_secs_f64() / self.cfg.window.as_secs_f64();
-        let grown = self.started.map_or(1.0, |started| age(started).min(1.0));
-        grown * grown * self.cfg.extra / self.hosts as f64
+        self.started.map_or(1.0, |started| age(started).min(1.0))
     }
 
     fn window(&mut self, service: &Arc<str>) -> &mut Window {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -431,6 +431,24 @@
     assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
 }
 
+/// A host was started a moment ago and the first request that it sends is refused by a server that is full. The caller got
+/// a failure, since the host's part of the extra retries grows from nothing; the reserve of a small fleet holds one retry
+/// for each host.
+#[test]
+fn a_host_that_has_just_started_may_retry_once() {
+    let cfg = BudgetConfig { ratio: 0.2, extra: 52.0, window: ms(10_000) };
+    let service: Arc<str> = "s".into();
+    for (hosts, expected) in [(1, [true, false]), (6, [true, false]), (75, [false, false])] {
+        let mut budget = FleetBudget::new(cfg).with_start(ms(500));
+        budget.set_hosts(hosts);
+        budget.request(ms(500), &service);
+
+        let spent = [budget.spend(ms(500), &service), budget.spend(ms(501), &service)];
+
+        assert_eq!(spent, expected, "{hosts} hosts");
+    }
+}
+
 #[test]
 fn only_proof_or_permission_allows_another_attempt() {
     let cases = [
