--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -10,7 +10,7 @@
 //! The store's list is the source; a server that leaves stays in the arena until its last request is done, so that
 //! a key is never used for another server.
 
-use std::{cmp::Ordering, collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -19,6 +19,11 @@
     util::{Instant, Map, Set, hash},
 };
 
+mod entry;
+mod tell;
+
+use entry::Entry;
+
 /// Revision of the store.
 pub type Revision = u64;
 /// Names one start of a backend server in messages between hosts.
@@ -88,37 +93,11 @@
         matches!(self.state, State::Ready | State::Missing { .. })
     }
 
-    /// How an entry under the same identifier compares with this start.
-    fn compare(&self, item: &fleet::Backend) -> Entry {
-        let own = item.addr.parse() == Ok(self.addr) && item.service == *self.service;
-        match item.born.cmp(&self.born) {
-            // A server that has told its start always tells it.
-            _ if item.born == 0 && self.born > 0 => Entry::Foreign,
-            Ordering::Less => Entry::Earlier,
-            Ordering::Greater if item.addr.parse::<SocketAddr>().is_ok() => Entry::Later,
-            Ordering::Equal if own => Entry::Same,
-            _ => Entry::Foreign,
-        }
-    }
-
     fn is_missing(&self) -> bool {
         matches!(self.state, State::Missing { .. })
     }
 }
 
-/// How an entry compares with the start that is known under its identifier.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Entry {
-    /// It tells of the same start.
-    Same,
-    /// The server has started again.
-    Later,
-    /// It tells of a start before.
-    Earlier,
-    /// Somebody else wrote it.
-    Foreign,
-}
-
 /// A change of what is known of one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -396,45 +375,4 @@
         let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
         self.digest = listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.born, b.takes_work())) as u32);
     }
-
-    /// What has changed after `since`, if the log goes back so far: a fetch of the whole list costs a hundred kilobytes
-    /// with three thousand servers, for each host of a data centre and each change.
-    pub fn changes_since(&self, since: Revision) -> Option<fleet::BackendChanges> {
-        if since < self.logged_from {
-            return None;
-        }
-        let ids: Set<_> =
-            self.log.iter().filter(|(revision, _)| *revision > since).map(|(_, id)| id.clone()).collect();
-        let mut changes = fleet::BackendChanges { revision: self.revision, ..Default::default() };
-        for id in ids {
-            match self.by_id.get(&id).and_then(|key| self.arena.get(*key)) {
-                // The revision counts the removal in, so that leaving it out would hide it for good.
-                Some(b) if b.is_missing() => changes.removed.push(id.to_string()),
-                Some(b) => changes.puts.push(wire(b)),
-                None => changes.removed.push(id.to_string()),
-            }
-        }
-        Some(changes)
-    }
-
-    /// The list for another host. Servers whose entries are missing are left out: this host alone gives them time to come
-    /// back, and another that has seen them leave would take them for new ones.
-    pub fn snapshot(&self) -> fleet::Backends {
-        let listed =
-            self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key) && !b.is_missing());
-        fleet::Backends { revision: self.revision, items: listed.map(|(_, b)| wire(b)).collect() }
-    }
-}
-
-fn wire(b: &Backend) -> fleet::Backend {
-    let readable = b.state != State::Unreadable;
-    fleet::Backend {
-        id: b.id.to_string(),
-        service: b.service.to_string(),
-        addr: if readable { b.addr.to_string() } else { String::new() },
-        data_centre: b.data_centre.to_string(),
-        slots: b.slots,
-        leaving: b.state == State::Leaving,
-        born: b.born,
-    }
 }
--- /dev/null
+++ b/src/relay/backends/tell.rs
@@ -0,0 +1,47 @@
+//! What a host tells others of the backend servers that it knows.
+
+use super::{Backend, Backends, Revision, State};
+use crate::{schema::fleet, util::Set};
+
+impl Backends {
+    /// What has changed after `since`, if the log goes back so far: a fetch of the whole list costs a hundred kilobytes
+    /// with three thousand servers, for each host of a data centre and each change.
+    pub fn changes_since(&self, since: Revision) -> Option<fleet::BackendChanges> {
+        if since < self.logged_from {
+            return None;
+        }
+        let ids: Set<_> =
+            self.log.iter().filter(|(revision, _)| *revision > since).map(|(_, id)| id.clone()).collect();
+        let mut changes = fleet::BackendChanges { revision: self.revision, ..Default::default() };
+        for id in ids {
+            match self.by_id.get(&id).and_then(|key| self.arena.get(*key)) {
+                // The revision counts the removal in, so that leaving it out would hide it for good.
+                Some(b) if b.is_missing() => changes.removed.push(id.to_string()),
+                Some(b) => changes.puts.push(wire(b)),
+                None => changes.removed.push(id.to_string()),
+            }
+        }
+        Some(changes)
+    }
+
+    /// The list for another host. Servers whose entries are missing are left out: this host alone gives them time to come
+    /// back, and another that has seen them leave would take them for new ones.
+    pub fn snapshot(&self) -> fleet::Backends {
+        let listed =
+            self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key) && !b.is_missing());
+        fleet::Backends { revision: self.revision, items: listed.map(|(_, b)| wire(b)).collect() }
+    }
+}
+
+fn wire(b: &Backend) -> fleet::Backend {
+    let readable = b.state != State::Unreadable;
+    fleet::Backend {
+        id: b.id.to_string(),
+        service: b.service.to_string(),
+        addr: if readable { b.addr.to_string() } else { String::new() },
+        data_centre: b.data_centre.to_string(),
+        slots: b.slots,
+        leaving: b.state == State::Leaving,
+        born: b.born,
+    }
+}
