--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -1,10 +1,14 @@
 //! Cost of the relay's decisions by size of the service, and memory of what it knows.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cranberrytally::{
     logs::lines::{self, Weight, line},
     relay::{
+        admission::{Admission, Ask, Work},
         backends::Backends,
         holders::Holders,
         peers::{Own, Peers},
@@ -54,9 +58,9 @@
 
 fn main() {
     println!(
-        "| servers | choose by parts, us | choose by load, us | hear a beat of 40 loads, us | list, bytes |"
+        "| servers | choose by parts, us | the same with all places taken, us | choose by load, us | hear a beat of 40 loads, us | list, bytes |"
     );
-    println!("| --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- |");
     for n in SIZES {
         let (backends, candidates) = servers(n);
         let mut rng = SmallRng::seed_from_u64(1);
@@ -69,15 +73,34 @@
             let parts = [Part { id: i % 4_000, tokens: 10_000 }, Part { id: i << 20, tokens: 300 }];
             placer.choose(&candidates, &parts, &holders, |_| true, &mut rng);
         });
+        let full: Vec<_> = candidates.iter().map(|c| Candidate { load: 64.0 + c.load, ..*c }).collect();
+        let at_places = per_round(ROUNDS, |i| {
+            let parts = [Part { id: i % 4_000, tokens: 10_000 }, Part { id: i << 20, tokens: 300 }];
+            placer.choose(&full, &parts, &holders, |_| true, &mut rng);
+        });
         let by_load = per_round(ROUNDS, |_| {
             placer.choose(&candidates, &[], &holders, |_| true, &mut rng);
         });
         let list = postcard::to_allocvec(&backends.snapshot()).map_or(0, |b| b.len());
-        println!("| {n} | {by_parts:.1} | {by_load:.1} | {:.1} | {list} |", hear(n));
+        println!("| {n} | {by_parts:.1} | {at_places:.1} | {by_load:.1} | {:.1} | {list} |", hear(n));
     }
+    println!("\nadmission: {:.2} us", admission());
     log_lines();
 }
 
+/// Time to decide whether a request is sent, the sum of what is in progress not counted.
+fn admission() -> f64 {
+    let (service, mut admission): (Arc<str>, _) = ("llm".into(), Admission::default());
+    let (objective, left) = (Duration::from_millis(600), Duration::from_secs(10));
+    per_round(ROUNDS, |i| {
+        let work = Work { own: 60, all: 300 + (i % 100) as u32, places: 384 };
+        let ask = Ask { route: i % 5, rank: 1, route_rank: 1, objective, left, work };
+        let now = Duration::from_micros(i * 100);
+        let draw = (i % 100) as f64 / 100.0;
+        let _ = std::hint::black_box(admission.ask(now, &service, ask, [draw, draw]));
+    })
+}
+
 /// Cost of a line as it is written for each attempt: without an output, within the budget, and over it. The output's own
 /// thread is not counted.
 fn log_lines() {
