Never turn away a stream that is taken up again; know late callers by the route's time as well

Cause, from reading: a resumption was refused with the same chance as a new request, so that the work done for it was lost; and after an operator shortened a route's time, every request passed for one whose caller had waited before, and was refused 0.15 of the limit earlier until the process ended. Change: requests with a last event are sent; the longest time is kept for a route and its time limit.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -227,16 +227,20 @@
         directory::choose(all, self.cfg.peer_addr, most)
     }
 
-    /// Decides whether a request is sent to its service at all.
+    /// Decides whether a request is sent to its service at all. One that takes up a stream again always is: a part of its
+    /// work is done, and refused it would be done in vain.
     ///
     /// # Errors
     /// When it is not; the caller should come back.
     pub(crate) fn admit(&self, req: &Request) -> Result<(), admission::Refused> {
+        if req.after.is_some() {
+            return Ok(());
+        }
         let now = now();
         let mut state = self.state();
         let state = &mut *state;
         let ask = admission::Ask {
-            route: hash(&req.route.route.name),
+            route: hash((&req.route.route.name, req.route.route.timeout_ms)),
             rank: req.rank(),
             route_rank: req.route.route.rank,
             objective: req.objective(),
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -83,7 +83,7 @@
 /// A request that asks to be sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask {
-    /// Hash of its route's name.
+    /// Hash of its route's name and longest time: with another one callers have other times left.
     pub route: u64,
     /// Rank of the workspace, or of the route where it has none; 0 is the most urgent.
     pub rank: u32,
@@ -239,7 +239,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
     services: Map<Arc<str>, Service>,
-    /// Longest time that callers of a route gave, by hash of its name: those who give less have waited before.
+    /// Longest time that callers of a route gave: those who give less have waited before.
     longest: Map<u64, Duration>,
 }
 
--- a/tests/relay_input.rs
+++ b/tests/relay_input.rs
@@ -193,6 +193,29 @@
     assert_eq!(servers, [1, 0, 1]);
 }
 
+/// A service has ten times the requests that it can run, so that new streams are turned away. A caller whose stream broke off
+/// comes back for the rest of it: it is never turned away, or what has been done for it would be lost.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_again_is_not_turned_away() {
+    let server = Server::start("i-1", [Act::Hang]).await;
+    let host = Host::with(&[&server]).await;
+    let again = request("/once/x", "").replace("\r\n\r\n", "\r\nLast-Event-Id: 2\r\n\r\n");
+    let mut callers = Vec::new();
+    // Ten times the places.
+    for n in 1..=60 {
+        let mut caller = host.connect().await;
+        caller.send(&again).await;
+        callers.push(caller);
+        wire::until("it is sent", || server.seen().len() == n).await;
+    }
+
+    let refused = host.call(&request("/once/x", "")).await;
+
+    assert_eq!(status(&refused), 503, "{refused}");
+    assert!(refused.contains("overloaded"), "{refused}");
+    assert_eq!(server.seen().len(), 60);
+}
+
 const SETTINGS: &str = r#"{
     "node": "front-a-1", "ip": "10.1.0.4", "zone": "a", "region": "r", "new": {"field": [1]},
     "listen": {"front": "10.1.0.4:80", "ready": "10.1.0.4:81", "control": "10.1.0.4:82", "directory": "10.1.0.4:83"},
