Accept every connection in the test of a probe's bytes

The test's proxy accepted one connection only, and the client opens another one when the kept one is not yet back in its pool; that one hung in the backlog. Excluded: the code measured, which has not changed, and want of processor time (load 3.5 on 8 cores). The hang itself was not brought about again. The proxy now passes every connection on and counts the bytes of all; both bounds stay as they were. 25 of 25 runs green beside eight busy processes.

--- a/tests/probe.rs
+++ b/tests/probe.rs
@@ -222,11 +222,17 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let front = listener.local_addr().unwrap();
     let target = server.addr();
-    let passed = tokio::spawn(async move {
-        let (mut caller, _) = listener.accept().await.unwrap();
-        let mut engine = tokio::net::TcpStream::connect(target).await.unwrap();
-        let (up, down) = tokio::io::copy_bidirectional(&mut caller, &mut engine).await.unwrap();
-        (up + down) as usize
+    let (tx, mut passed) = tokio::sync::mpsc::unbounded_channel();
+    // The client may open another connection while the kept one is on its way back to its pool.
+    let accepting = tokio::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            let tx = tx.clone();
+            tokio::spawn(async move {
+                let mut engine = tokio::net::TcpStream::connect(target).await.unwrap();
+                let (up, down) = tokio::io::copy_bidirectional(&mut caller, &mut engine).await.unwrap();
+                tx.send((up + down) as usize).unwrap();
+            });
+        }
     });
     let client = Client::default();
 
@@ -235,7 +241,12 @@
         client.json(Method::GET, &url, None, s(5)).await.unwrap();
     }
     drop(client);
-    let bytes = passed.await.unwrap() / 10 + 3 * 52;
+    accepting.abort();
+    let mut all = 0;
+    while let Some(bytes) = passed.recv().await {
+        all += bytes;
+    }
+    let bytes = all / 10 + 3 * 52;
 
     assert!(bytes <= PROBE_BYTES, "{bytes} bytes");
     assert!(bytes * 2 > PROBE_BYTES, "{bytes} bytes; the budget counts far too many");
