Decay weights and ask who avoids a server in one place each; mend a comment

Found on reading the change again: the half-life of admission's means stood in health as well, the test whether many hosts avoid a server stood twice, and the comment on the limit of services that tell nothing told of an earlier value. No behaviour changes.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -59,7 +59,7 @@
 mod wire;
 
 use admission::Admission;
-use backends::{BackendKey, Backends, Revision};
+use backends::{BackendKey, Backends, Revision, Tag};
 use budget::{BudgetConfig, FleetBudget};
 use health::Health;
 use holders::Holders;
@@ -275,8 +275,7 @@
                 let b = state.backends.get(*key)?;
                 let near = *b.data_centre == *self.cfg.me.data_centre;
                 let load = f64::from(b.in_progress + state.peers.load(b.tag));
-                let told = state.peers.avoiding(b.tag) >= MANY;
-                let unsound = told || state.health.unsound(now, *key, survey);
+                let unsound = state.many_avoid(b.tag) || state.health.unsound(now, *key, survey);
                 Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
             })
             .collect();
@@ -331,10 +330,15 @@
 }
 
 impl State {
+    /// Whether enough other hosts keep away from a server for this one to do so without trying it.
+    fn many_avoid(&self, tag: Tag) -> bool {
+        self.peers.avoiding(tag) >= MANY
+    }
+
     /// What is in progress at the servers of a service. Servers that are left alone don't count: while the fleet learned of
     /// 42 lost servers of 140, their places passed for free.
     fn work(&self, now: Instant, service: &str) -> admission::Work {
-        let left_alone = |key, tag| self.health.paused(now, key) || self.peers.avoiding(tag) >= MANY;
+        let left_alone = |key, tag| self.health.paused(now, key) || self.many_avoid(tag);
         let mut work = admission::Work::default();
         for (_, b) in self.backends.of(service).filter(|(key, b)| !left_alone(*key, b.tag)) {
             work.own += b.in_progress;
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -13,7 +13,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::util::{Instant, Map};
+use crate::util::{Instant, Map, kept};
 
 /// Work against the limit from which the most urgent requests are refused.
 const FIRST_REFUSED: f64 = 0.95;
@@ -41,7 +41,8 @@
 
 /// Work against places that is taken for the limit at first where servers tell what waits at them: all places taken.
 const FIRST_LIMIT: f64 = 1.0;
-/// The same where they don't. Such requests are short, and as many again may wait without being late.
+/// The same where they don't. Such requests are short: three times as many may wait without being late, and what servers
+/// can't queue they refuse themselves.
 const UNTOLD_LIMIT: f64 = 4.0;
 /// Bounds of the limit: below, places would stand empty; above, a queue is longer than servers keep.
 const LIMITS: (f64, f64) = (0.4, 4.0);
@@ -137,7 +138,7 @@
 
 impl Recent {
     fn age(&mut self, now: Instant, half_life: Duration) {
-        let kept = 0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / half_life.as_secs_f64());
+        let kept = kept(now.saturating_sub(self.at), half_life);
         self.sum *= kept;
         self.weight *= kept;
         self.at = now;
--- a/src/relay/health.rs
+++ b/src/relay/health.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::backends::BackendKey;
-use crate::util::{Instant, Map};
+use crate::util::{Instant, Map, kept};
 
 /// Weight of the newest result in the failure ratio: about the last ten results count.
 const WEIGHT: f64 = 0.12;
@@ -30,8 +30,7 @@
 
 impl Entry {
     fn ratio(&self, now: Instant) -> f64 {
-        let idle = now.saturating_sub(self.seen).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.ratio * 0.5f64.powf(idle)
+        self.ratio * kept(now.saturating_sub(self.seen), HALF_LIFE)
     }
 }
 
--- a/src/util.rs
+++ b/src/util.rs
@@ -26,6 +26,11 @@
     Duration::new(t.tv_sec as u64, t.tv_nsec as u32)
 }
 
+/// Part of a weight that is left after `age`, where half of it is left after `half_life`.
+pub fn kept(age: Duration, half_life: Duration) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
+
 /// Wall clock in milliseconds since 1970.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
