Tell hosts what has changed of a configuration; take turns to read a large one, by how many hosts there are

All hosts of a data centre fetched the whole from the one that follows the store, three at a time, and nobody else was known to have it before the next beats. Change: hosts remember the last configurations and tell runs of the old and the new items, checked by a digest, and the whole where that does not fit; who was told tells four neighbours; who is turned away asks again at once. The entry of a data centre says how many hosts it has, and a large answer is read in turns of that many times its length over the store's link; hosts that are entered are sought, so that more than the seeds are known at a start. Tests: relay_configurations.rs (any two configurations, bad changes, bytes), a_host_is_told_what_it_lacks_of_a_ configuration, changes_that_do_not_fit_are_made_up_for_by_the_whole, a_few_neighbours_are_told_out_of_turn; the tests of long answers and entries follow the new form.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,10 +11,10 @@
 use crate::{
     relay::{
         backends::Revision,
-        follow::{BackendsUpdate, Call, Store, StoreError},
+        follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
         pool::Conn,
     },
-    schema::fleet::{Backends, Configuration, Member},
+    schema::fleet::{Backends, Configuration},
 };
 
 mod forms;
@@ -89,9 +89,9 @@
     ) -> Result<(u16, Bytes), StoreError> {
         let begun = tokio::time::timeout(limit, self.begin(method, target, body)).await;
         let (conn, res) = begun.map_err(|_| StoreError::TimedOut)??;
-        if length(&res).is_some_and(|length| length > most as u64) {
+        if let Some(bytes) = length(&res).filter(|bytes| *bytes > most as u64) {
             conn.close();
-            return Err(StoreError::Long);
+            return Err(StoreError::Large { bytes });
         }
         let status = res.status().as_u16();
         let body = tokio::time::timeout(REST, Limited::new(res.into_body(), MOST_PAGE).collect()).await;
@@ -179,8 +179,9 @@
 }
 
 impl Store for StoreClient {
-    async fn enter(&mut self, data_centre: &str, hosts: &[Member]) -> Result<(), StoreError> {
-        let object = serde_json::json!({ "metadata": { "name": data_centre }, "spec": { "members": hosts } });
+    async fn enter(&mut self, data_centre: &str, hosts: &Hosts) -> Result<(), StoreError> {
+        let spec = RawHosts { members: hosts.some.clone(), count: hosts.count };
+        let object = serde_json::json!({ "metadata": { "name": data_centre }, "spec": spec });
         let body = Bytes::from(object.to_string());
         let name: String = form_urlencoded::byte_serialize(data_centre.as_bytes()).collect();
         let target = format!("/objects/{HOSTS}/{name}");
@@ -193,10 +194,15 @@
         matches!(status, 200..=299 | 409).then_some(()).ok_or(refused(status))
     }
 
-    async fn hosts(&mut self) -> Result<Vec<Member>, StoreError> {
+    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         // Old entries do: a host that is gone is only not heard.
         let page: Page<RawHosts> = self.call(&format!("/objects/{HOSTS}?staleOk=1"), ANSWER).await?;
-        Ok(page.items.into_iter().filter_map(|o| o.spec).flat_map(|hosts| hosts.members).collect())
+        let mut all = Hosts::default();
+        for raw in page.items.into_iter().filter_map(|o| o.spec) {
+            all.some.extend(raw.members);
+            all.count += raw.count;
+        }
+        Ok(all)
     }
 
     async fn configuration(&mut self, call: Call) -> Result<(Revision, Option<Configuration>), StoreError> {
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -1,6 +1,6 @@
 //! The store's objects as the platform writes them, and what they become in the product.
 
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     relay::backends::Revision,
@@ -104,9 +104,12 @@
 }
 
 /// Some hosts of a data centre, as one of them has entered them.
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct RawHosts {
     pub(super) members: Vec<Member>,
+    /// How many there are.
+    #[serde(default)]
+    pub(super) count: usize,
 }
 
 #[derive(Deserialize)]
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`suspects`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
+//! [`budget`], [`suspects`], [`configurations`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
 //! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
 //! translates. This file holds what a host knows and has in progress; `belief` changes what it knows, with a line each,
 //! `stop` ends its service.
@@ -34,6 +34,7 @@
 pub mod backends;
 mod belief;
 pub mod budget;
+pub mod configurations;
 pub mod contact;
 pub mod directory;
 
@@ -62,6 +63,7 @@
 use admission::Admission;
 use backends::{BackendKey, Backends, Revision, Tag};
 use budget::{BudgetConfig, FleetBudget};
+use configurations::Configurations;
 use followers::Contact;
 use health::Health;
 use holders::Holders;
@@ -96,6 +98,7 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) routes: Option<Arc<Routes>>,
+    pub(crate) configurations: Configurations,
     pub(crate) backends: Backends,
     pub(crate) health: Health,
     pub(crate) holders: Holders,
@@ -125,6 +128,8 @@
     pub(crate) metrics: Metrics,
     /// Wakes the sender of beats when something must be told at once.
     pub(crate) tell: Notify,
+    /// Wakes the sender of beats when a few others must be told.
+    pub(crate) tell_few: Notify,
     /// Wakes the fetching of what another host has had for long enough.
     pub(crate) behind: Notify,
     /// Wakes the followers of the store after the host was suspended.
@@ -148,6 +153,7 @@
     pub fn new(cfg: RelayConfig, wire: W) -> Result<Self> {
         let state = State {
             routes: None,
+            configurations: Configurations::default(),
             backends: Backends::default(),
             health: Health::default(),
             holders: Holders::default(),
@@ -165,6 +171,7 @@
             rng: SmallRng::from_os_rng(),
         };
         let (pool, tell, behind) = (Pool::default(), Notify::new(), Notify::new());
+        let tell_few = Notify::new();
         let closing = watch::Sender::new(false);
         let metrics = Metrics::new()?;
         Ok(Self {
@@ -173,6 +180,7 @@
             pool,
             metrics,
             tell,
+            tell_few,
             behind,
             woken: Notify::new(),
             closing,
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -5,6 +5,8 @@
 use super::{
     Relay, State, Wire,
     backends::{BackendKey, Change},
+    configurations,
+    follow::Hosts,
     followers::Contact,
     place,
     request::Request,
@@ -12,7 +14,7 @@
 };
 use crate::{
     logs::lines::{Weight, line},
-    schema::fleet::{Configuration, Held, Member},
+    schema::fleet::{Configuration, ConfigurationChanges, Held, Member},
     util::now,
 };
 
@@ -43,11 +45,39 @@
             let l = l.number("version", cfg.version).text("from", from);
             l.number("routes", cfg.routes.len() as u64).number("workspaces", cfg.workspaces.len() as u64)
         });
-        state.routes = Some(Arc::new(Routes::new(Arc::new(cfg))));
-        self.tell_news(&state);
+        let cfg = Arc::new(cfg);
+        state.configurations.note(cfg.clone());
+        state.routes = Some(Arc::new(Routes::new(cfg)));
+        if state.peers.tells_news() {
+            self.tell.notify_one();
+        } else {
+            self.tell_few.notify_one();
+        }
         true
     }
 
+    /// Puts what another host told of a newer configuration in force. Returns whether what it leads from is not known here,
+    /// so that the whole is needed.
+    pub(crate) fn change_configuration(&self, changes: &ConfigurationChanges, from: &str) -> bool {
+        let Some(routes) = self.routes() else { return true };
+        if routes.version() >= changes.version {
+            return false;
+        }
+        match configurations::apply(routes.source(), changes) {
+            Some(cfg) => {
+                self.set_configuration(cfg, from);
+                false
+            }
+            None => {
+                line(Weight::Notable, "changes_unfit", |l| {
+                    let l = l.number("version", routes.version()).text("from", from);
+                    l.number("leads_from", changes.from).number("leads_to", changes.version)
+                });
+                true
+            }
+        }
+    }
+
     /// Takes in changes of the backend servers.
     pub(crate) fn note_changes(&self, state: &mut State, changes: &[(BackendKey, Change)], from: &str) {
         if changes.len() > MOST_BACKEND_LINES {
@@ -164,25 +194,27 @@
 
     /// Hosts of the data centre to enter in the store, in place of those `entered`; `None` while these do. A host that hears
     /// nobody keeps those that are entered beside itself: they may be cut off from it alone.
-    pub(crate) fn hosts_to_enter(&self, entered: &[Member]) -> Option<Vec<Member>> {
+    pub(crate) fn hosts_to_enter(&self, entered: &Hosts) -> Option<Hosts> {
         let state = self.state();
         if state.contact != Contact::Follows {
             return None;
         }
         let me = &self.cfg.me;
-        let mut hosts = vec![me.clone()];
+        let mut some = vec![me.clone()];
         if state.peers.is_alone(now()) {
-            hosts.extend(entered.iter().filter(|m| m.peers != me.peers).take(MOST_ENTERED - 1).cloned());
-            return (!entered.contains(me)).then_some(hosts);
+            let others = entered.some.iter().filter(|m| m.peers != me.peers);
+            some.extend(others.take(MOST_ENTERED - 1).cloned());
+            return (!entered.some.contains(me)).then(|| Hosts { count: some.len(), some });
         }
-        hosts.extend(state.peers.near_ready(MOST_ENTERED - 1));
-        let left = entered.iter().filter(|m| hosts.contains(m)).count();
-        (left * 2 < entered.len().max(1)).then_some(hosts)
+        some.extend(state.peers.near_ready(MOST_ENTERED - 1));
+        let left = entered.some.iter().filter(|m| some.contains(m)).count();
+        let count = state.peers.near_hosts();
+        let grown = count >= entered.count * 2;
+        (grown || left * 2 < entered.some.len()).then_some(Hosts { some, count })
     }
 
     /// Seeks hosts of which the store tells.
     pub fn learn(&self, hosts: &[Member]) {
-        let mut state = self.state();
-        hosts.iter().filter_map(|m| m.peers.parse().ok()).for_each(|addr| state.peers.learn(addr));
+        self.state().peers.learn_members(now(), hosts);
     }
 }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -43,8 +43,11 @@
 /// How long a host that is no seed waits to be told a long list before it reads it itself, drawn so that few do it at a
 /// time; a seed has read it and told it within 0.3 s.
 const LONG_LIST: Range<Duration> = Duration::from_millis(300)..Duration::from_millis(1_800);
-/// The same for a long configuration. Some read it from the beginning, so that the others have many to be told by.
-const LONG_CONFIGURATION: Range<Duration> = Duration::ZERO..Duration::from_millis(1_100);
+/// Bytes a second that the store's link carries, 1 Gbit/s, less what else is on it. Hosts that start together read large
+/// answers one after the other: each that has one can tell it on, while all at once have it only when the last has.
+const LINK_BYTES_PER_SECOND: f64 = 100e6;
+/// Longest time until the last turn.
+const MOST_TURNS: Duration = Duration::from_millis(1_500);
 /// Time between two looks whether it was told.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -55,8 +58,13 @@
     HistoryGone,
     /// No answer in time.
     TimedOut,
-    /// The list is long, or takes more calls than one, and only a short one was asked for.
+    /// The list takes more calls than one, and only the first was asked for.
     Long,
+    /// The answer is large, and only a small one was asked for.
+    Large {
+        /// Its length.
+        bytes: u64,
+    },
     /// A refusal for now, or no connection.
     Unavailable(String),
     /// The answer can't be understood; what was known before stays in force.
@@ -92,6 +100,15 @@
     }
 }
 
+/// Hosts as they are entered in the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hosts {
+    /// Some of them.
+    pub some: Vec<Member>,
+    /// How many there are.
+    pub count: usize,
+}
+
 /// The platform's store, as an adapter speaks to it.
 pub trait Store: Send + Sync + 'static {
     /// The configuration: at once without a revision, else once it has changed after it, or unchanged after a while.
@@ -107,18 +124,18 @@
     fn enter(
         &mut self,
         data_centre: &str,
-        hosts: &[Member],
+        hosts: &Hosts,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Hosts that are entered, some of them long gone.
-    fn hosts(&mut self) -> impl Future<Output = Result<Vec<Member>, StoreError>> + Send;
+    fn hosts(&mut self) -> impl Future<Output = Result<Hosts, StoreError>> + Send;
 }
 
 /// Keeps some hosts of the data centre entered in the store, and looks for hosts there while none is heard: the seeds may
 /// all be gone. Those that follow the store write, so that the calls don't grow with the hosts.
 pub async fn follow_hosts<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     let centre = relay.cfg.me.data_centre.clone();
-    let mut entered = Vec::new();
+    let mut entered = Hosts::default();
     // Hosts that start together don't call together: the store takes some hundred writes a second.
     let apart = rand::rng().random_range(Duration::ZERO..LONELY);
     tokio::time::sleep(apart).await;
@@ -126,9 +143,10 @@
         tokio::time::sleep(LONELY).await;
         if relay.is_alone() {
             match relay.ask_store(Asked::Hosts, store.hosts()).await {
-                Ok(hosts) => {
-                    relay.learn(&hosts);
-                    entered = hosts.into_iter().filter(|m| m.data_centre == centre).collect();
+                Ok(mut hosts) => {
+                    relay.learn(&hosts.some);
+                    hosts.some.retain(|m| m.data_centre == centre);
+                    entered = Hosts { count: hosts.some.len(), ..hosts };
                 }
                 Err(e) => note_hosts(&e),
             }
@@ -173,8 +191,9 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "configuration"));
                 after = None;
             }
-            Err(StoreError::Long) => {
-                is_told(&relay, LONG_CONFIGURATION, |relay| relay.routes().is_some()).await;
+            Err(StoreError::Large { bytes }) => {
+                let turns = turns(&relay, &mut store, bytes).await;
+                is_told(&relay, turns, |relay| relay.routes().is_some()).await;
                 whole = true;
             }
             Err(e) => {
@@ -217,6 +236,11 @@
                 list = !is_told(&relay, LONG_LIST, |relay| relay.state().listed).await;
                 whole = true;
             }
+            Err(StoreError::Large { bytes }) => {
+                let turns = turns(&relay, &mut store, bytes).await;
+                list = !is_told(&relay, turns, |relay| relay.state().listed).await;
+                whole = true;
+            }
             Err(e) => {
                 // A watch would answer only at the next change, and what lapsed meanwhile would count from then on.
                 list = true;
@@ -283,6 +307,20 @@
     }
 }
 
+/// Times in which the hosts that are entered take turns to read so many bytes: they may all have started together.
+async fn turns<W: Wire>(relay: &Relay<W>, store: &mut impl Store, bytes: u64) -> Range<Duration> {
+    let hosts = match relay.ask_store(Asked::Hosts, store.hosts()).await {
+        Ok(hosts) => hosts,
+        Err(e) => {
+            note_hosts(&e);
+            Hosts::default()
+        }
+    };
+    relay.learn(&hosts.some);
+    let all = bytes as f64 * hosts.count as f64 / LINK_BYTES_PER_SECOND;
+    Duration::ZERO..Duration::from_secs_f64(all.min(MOST_TURNS.as_secs_f64())).max(LOOK)
+}
+
 /// Waits a while for another host to tell what is long to read; returns whether one has. Seeds don't wait, since all others
 /// hear of them first. After a start of all at once, 300 hosts that each read 9,900 entries kept the store busy for longer
 /// than a call may take; 249 hosts that each read a configuration of 1,770 routes had it after 1.3 s in the median, since
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -45,21 +45,32 @@
 /// Sends beats, at the period or sooner when there is something to tell.
 pub async fn send_beats<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
     loop {
-        let targets = relay.targets();
-        if !targets.is_empty() {
-            let beat = relay.beat(false);
-            let own = encode(&beat);
-            let centre = targets.iter().any(|(_, scope)| *scope == Scope::Centre);
-            let centre = if centre { encode(&relay.summarise(&beat)) } else { Vec::new() };
-            for (target, scope) in targets {
-                let buf = if scope == Scope::Own { &own } else { &centre };
-                send(&socket, buf, target).await;
+        send_to(&relay, &socket, relay.targets()).await;
+        let due = tokio::time::Instant::now() + relay.state().peers.period();
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(due) => break,
+                () = relay.tell.notified() => {
+                    tokio::time::sleep(SETTLE).await;
+                    break;
+                }
+                () = relay.tell_few.notified() => send_to(&relay, &socket, relay.few_targets()).await,
             }
         }
-        let period = relay.state().peers.period();
-        if timeout(period, relay.tell.notified()).await.is_ok() {
-            tokio::time::sleep(SETTLE).await;
-        }
+    }
+}
+
+async fn send_to<W: Wire>(relay: &Relay<W>, socket: &UdpSocket, targets: Vec<(SocketAddr, Scope)>) {
+    if targets.is_empty() {
+        return;
+    }
+    let beat = relay.beat(false);
+    let own = encode(&beat);
+    let centre = targets.iter().any(|(_, scope)| *scope == Scope::Centre);
+    let centre = if centre { encode(&relay.summarise(&beat)) } else { Vec::new() };
+    for (target, scope) in targets {
+        let buf = if scope == Scope::Own { &own } else { &centre };
+        send(socket, buf, target).await;
     }
 }
 
@@ -118,18 +129,24 @@
 
 /// Fetches what other hosts have had for a while and this one lacks.
 pub async fn keep_up<W: Wire>(relay: Arc<Relay<W>>) {
-    let mut wants_held = true;
+    let (mut wants_held, mut wants_whole, mut at_once) = (true, false, false);
     loop {
         // What a peer tells wakes this up; a pause keeps a run of changes to one fetch.
-        if timeout(TICK, relay.behind.notified()).await.is_ok() {
+        if !at_once && timeout(TICK, relay.behind.notified()).await.is_ok() {
             tokio::time::sleep(SETTLE).await;
         }
+        at_once = false;
         let Some((peer, own)) = source(&relay, wants_held) else { continue };
-        match fetch(peer, own, wants_held).await {
-            Ok(fetched) if fetched.busy => rest().await,
+        let configuration = if wants_whole { 0 } else { own.configuration };
+        let ask = Fetch { configuration, backends: own.backends, wants_held };
+        match fetch(peer, ask).await {
+            Ok(fetched) if fetched.busy => {
+                rest().await;
+                at_once = true;
+            }
             Ok(fetched) => {
                 wants_held &= !relay.state().listed;
-                take(&relay, peer, fetched);
+                wants_whole = take(&relay, peer, fetched);
             }
             Err(e) => {
                 let why = format!("{e:#}");
@@ -158,8 +175,11 @@
     tokio::time::sleep(pause).await;
 }
 
-fn take<W: Wire>(relay: &Relay<W>, peer: SocketAddr, fetched: Fetched) {
+/// Takes in what a peer has told; returns whether the whole configuration must be asked for.
+fn take<W: Wire>(relay: &Relay<W>, peer: SocketAddr, fetched: Fetched) -> bool {
     let from = peer.to_string();
+    let changes = fetched.configuration_changes.as_ref();
+    let wants_whole = changes.is_some_and(|changes| relay.change_configuration(changes, &from));
     if let Some(cfg) = fetched.configuration {
         relay.set_configuration(cfg, &from);
     }
@@ -170,13 +190,13 @@
         relay.update_backends(BackendsUpdate::Changes { revision, puts, removed }, None, &from);
     }
     relay.hear_held(&fetched.held);
+    wants_whole
 }
 
-async fn fetch(peer: SocketAddr, own: Own, wants_held: bool) -> Result<Fetched> {
+async fn fetch(peer: SocketAddr, ask: Fetch) -> Result<Fetched> {
     let asking = async {
         let mut stream = TcpStream::connect(peer).await.context("could not connect")?;
         pool::set_up(&stream, Some(FETCH_TIMEOUT));
-        let ask = Fetch { configuration: own.configuration, backends: own.backends, wants_held };
         write(&mut stream, &postcard::to_allocvec(&ask)?).await?;
         let size = read_size(&mut stream).await?;
         anyhow::Ok((stream, size))
@@ -211,12 +231,16 @@
     }
     let held = if ask.wants_held { relay.held() } else { Vec::new() };
     let fetched = {
-        let state = relay.state();
-        let routes = state.routes.as_ref().filter(|r| r.version() > ask.configuration);
+        let mut state = relay.state();
+        let routes = state.routes.clone().filter(|r| r.version() > ask.configuration);
+        let configuration_changes =
+            routes.as_ref().and_then(|_| state.configurations.changes_since(ask.configuration));
+        let whole = routes.filter(|_| configuration_changes.is_none());
         let newer = state.listed && state.backends.revision() > ask.backends;
         let changes = newer.then(|| state.backends.changes_since(ask.backends)).flatten();
         Fetched {
-            configuration: routes.map(|r| (**r.source()).clone()),
+            configuration: whole.map(|r| (**r.source()).clone()),
+            configuration_changes,
             backends: (newer && changes.is_none()).then(|| state.backends.snapshot()),
             changes,
             held,
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -50,6 +50,8 @@
 const FIRST_BEATS: u64 = 12;
 /// One of so many hosts of a large fleet answers a beat that asks for a full one.
 const ANSWERS: u64 = 8;
+/// Hosts that a host tells of a configuration that another one has told it.
+const FEW: usize = 4;
 /// One of so many peers counts as up for long.
 const LONG_UP_PART: usize = 4;
 /// Members in a full beat, so that it fits one datagram.
@@ -165,15 +167,15 @@
     }
 
     /// Notes an address at which a host may be.
-    pub fn learn(&mut self, addr: SocketAddr) {
+    fn learn(&mut self, addr: SocketAddr) {
         if self.me != Some(addr) {
             self.peers.entry(addr).or_default();
         }
     }
 
-    /// Takes in members that another host tells. Most hosts of other data centres are never heard in full, so that a host
+    /// Takes in members that another host or the store tells; they are sought, and forgotten when they are never heard. Most hosts of other data centres are never heard in full, so that a host
     /// that waited for their own word asked in every beat for full ones: 22 KB a second at 100 hosts, half of it answers.
-    fn learn_members(&mut self, now: Instant, members: &[Member]) {
+    pub fn learn_members(&mut self, now: Instant, members: &[Member]) {
         for member in members {
             let Ok(addr) = member.peers.parse() else { continue };
             if self.me == Some(addr) {
@@ -456,6 +458,15 @@
         targets
     }
 
+    /// A few hosts of the own data centre to tell of something new, drawn. What spreads from each host that has it to a few
+    /// more reaches all soon, though each can give it to few at a time.
+    pub fn few(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let limit = self.lost();
+        let heard = |p: &Peer| p.heard.is_some_and(|heard| heard + limit >= now);
+        let near = self.peers.iter().filter(|(_, p)| heard(p) && self.is_near(p));
+        near.map(|(addr, _)| *addr).choose_multiple(rng, FEW)
+    }
+
     /// The summary of the own data centre, with this host's own requests in progress.
     pub fn centre(&self, own: &[InProgress], me: &Member, ready: bool) -> Centre {
         let mut loads: Map<Tag, u32> = own.iter().map(|l| (l.backend, l.requests)).collect();
@@ -497,6 +508,12 @@
         if all < MOST_MEMBERS { members.into_iter().take(all).collect() } else { members }
     }
 
+    /// Hosts of the own data centre, this one included.
+    pub fn near_hosts(&self) -> usize {
+        let of_centre = |p: &&Peer| p.member.as_ref().is_some_and(|m| m.data_centre == self.data_centre);
+        self.peers.values().filter(of_centre).count() + 1
+    }
+
     /// Hosts of the own data centre that are heard and ready, those that have been up for the longest first.
     pub fn near_ready(&self, most: usize) -> Vec<Member> {
         let mut near: Vec<_> = self.peers.values().filter(|p| p.ready && self.is_near(p)).collect();
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -22,6 +22,13 @@
         state.peers.targets(now(), &mut state.rng)
     }
 
+    /// Hosts that are told of news out of turn.
+    pub(crate) fn few_targets(&self) -> Vec<(SocketAddr, Scope)> {
+        let mut state = self.state();
+        let state = &mut *state;
+        state.peers.few(now(), &mut state.rng).into_iter().map(|addr| (addr, Scope::Own)).collect()
+    }
+
     /// Composes the next beat.
     pub(crate) fn beat(&self, full: bool) -> Beat {
         let now = now();
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -314,6 +314,55 @@
     /// It answers as many others as it may at a time, and tells nothing.
     #[prost(bool, tag = "5")]
     pub busy: bool,
+    /// What has changed since the asker's configuration, if that is known; then the whole is left out.
+    #[prost(message, optional, tag = "6")]
+    pub configuration_changes: ::core::option::Option<ConfigurationChanges>,
+}
+/// What leads from one configuration to a newer one.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigurationChanges {
+    /// Version from which they lead.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Version to which they lead.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The new list of routes, as runs of the old one and of the new ones.
+    #[prost(message, repeated, tag = "3")]
+    pub routes: ::prost::alloc::vec::Vec<Run>,
+    /// Routes that are new or have changed, in order.
+    #[prost(message, repeated, tag = "4")]
+    pub new_routes: ::prost::alloc::vec::Vec<Route>,
+    /// The new list of workspaces, likewise.
+    #[prost(message, repeated, tag = "5")]
+    pub workspaces: ::prost::alloc::vec::Vec<Run>,
+    /// Workspaces that are new or have changed, in order.
+    #[prost(message, repeated, tag = "6")]
+    pub new_workspaces: ::prost::alloc::vec::Vec<Workspace>,
+    /// All services.
+    #[prost(message, repeated, tag = "7")]
+    pub services: ::prost::alloc::vec::Vec<Service>,
+    /// The limits on what callers send.
+    #[prost(message, optional, tag = "8")]
+    pub limits: ::core::option::Option<CallerLimits>,
+    /// Digest of the whole configuration to which they lead.
+    #[prost(fixed64, tag = "9")]
+    pub digest: u64,
+}
+/// A part of a list: some items of the old list, then some new ones.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Run {
+    /// Place of the first kept item in the old list.
+    #[prost(uint32, tag = "1")]
+    pub start: u32,
+    /// Kept items.
+    #[prost(uint32, tag = "2")]
+    pub kept: u32,
+    /// New items.
+    #[prost(uint32, tag = "3")]
+    pub new: u32,
 }
 /// Changes of the list of backend servers.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -9,7 +9,7 @@
 
 use cranberrytally::{
     platform::store::StoreClient,
-    relay::follow::{BackendsUpdate, Call, Store, StoreError},
+    relay::follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
     schema::fleet::{Member, Repeat},
 };
 use tokio::io::AsyncWriteExt;
@@ -174,7 +174,7 @@
     let first = store.configuration(Call { whole: false, copy: true, ..call(None) }).await;
     let second = store.configuration(Call { copy: true, ..call(None) }).await;
 
-    assert_eq!(first.unwrap_err(), StoreError::Long);
+    assert!(matches!(first, Err(StoreError::Large { bytes }) if bytes > 70 << 10), "{first:?}");
     assert_eq!(second.unwrap().1.map(|cfg| cfg.version), Some(7));
     assert_eq!(server.seen().len(), 2);
 }
@@ -379,24 +379,25 @@
             vec!["PUT /objects/hosts/a+1", "POST /objects/hosts"],
         ),
     ];
+    let hosts = Hosts { some: vec![member()], count: 59 };
     for (name, acts, expected) in cases {
         let (mut store, server) = store(acts).await;
 
-        store.enter("a 1", &[member()]).await.unwrap();
+        store.enter("a 1", &hosts).await.unwrap();
 
         let seen: Vec<_> =
             server.seen().iter().map(|r| r.split(" HTTP").next().unwrap().to_owned()).collect();
         assert_eq!(seen, expected, "{name}");
-        assert!(server.seen()[0].contains("10.0.0.1:7000"));
+        assert!(server.seen()[0].contains("10.0.0.1:7000") && server.seen()[0].contains("59"));
     }
     let (mut store, _) = store(vec![reply("503 Service Unavailable", "{}")]).await;
-    store.enter("a 1", &[member()]).await.unwrap_err();
+    store.enter("a 1", &hosts).await.unwrap_err();
 }
 
 /// The hosts that are entered are read from an old copy, which costs a tenth. An entry that can't be read spoils no other.
 #[tokio::test]
 async fn hosts_are_found_in_the_store() {
-    let spec = serde_json::json!({ "members": [member()] });
+    let spec = serde_json::json!({ "members": [member()], "count": 59 });
     let junk = r#"{"metadata":{"name":"y"},"spec":{"members":7}}"#;
     let page = format!(
         r#"{{"items":[{junk},{{"metadata":{{"name":"x"}},"spec":{spec}}}],"hasMore":false,"currentRev":9}}"#
@@ -405,6 +406,6 @@
 
     let hosts = store.hosts().await.unwrap();
 
-    assert_eq!(hosts, [member()]);
+    assert_eq!(hosts, Hosts { some: vec![member()], count: 59 });
     assert_eq!(target(&server.seen()[0]), "/objects/hosts?staleOk=1");
 }
--- /dev/null
+++ b/tests/relay_configurations.rs
@@ -0,0 +1,110 @@
+//! What hosts tell each other of a newer configuration.
+
+use std::sync::Arc;
+
+use cranberrytally::{
+    relay::configurations::{Configurations, apply, changes},
+    schema::fleet::{Configuration, Route, Run, Service, Workspace},
+};
+use proptest::prelude::*;
+
+fn route(path: u8, timeout_ms: u32) -> Route {
+    Route { host: "h".into(), prefix: format!("/{path}/"), timeout_ms, ..Route::default() }
+}
+
+fn workspace(name: u8, key: u8) -> Workspace {
+    Workspace { name: format!("w{name}"), keys: vec![format!("k{key}")], rank: None }
+}
+
+fn configuration(version: u64, routes: Vec<Route>, workspaces: Vec<Workspace>) -> Configuration {
+    let services = vec![Service { name: format!("s{version}"), connections: 9, caches_prompts: true }];
+    Configuration { version, routes, services, limits: None, workspaces }
+}
+
+fn large(version: u64, changed: u32) -> Configuration {
+    let routes = (0..1_800).map(|i| Route {
+        name: format!("r-{i}"),
+        host: format!("host-{}.example", i % 20),
+        prefix: format!("/path-{i}/"),
+        timeout_ms: if i == 900 { changed } else { 1_000 },
+        ..Route::default()
+    });
+    configuration(version, routes.collect(), vec![workspace(1, 1)])
+}
+
+/// A configuration of 1,800 routes changes by one. Every host of a data centre was given the whole of it over the link of
+/// the one that had it, for seconds, behind which the requests of callers waited for 0.6 s.
+#[test]
+fn a_small_change_of_a_large_configuration_takes_few_bytes() {
+    let (old, new) = (large(1, 2_000), large(2, 3_000));
+
+    let told = postcard::to_allocvec(&changes(&old, &new)).unwrap();
+    let whole = postcard::to_allocvec(&new).unwrap();
+
+    assert!(told.len() < 300 && whole.len() > 50_000, "{} of {} bytes", told.len(), whole.len());
+    assert_eq!(apply(&old, &postcard::from_bytes(&told).unwrap()), Some(new));
+}
+
+/// A host was away for longer than the others remember, or they have dropped what it knows since all is large.
+#[test]
+fn changes_are_told_from_what_is_remembered() {
+    let mut known = Configurations::default();
+    for version in 1..=40 {
+        known.note(Arc::new(configuration(version, vec![route(1, version as u32)], Vec::new())));
+    }
+
+    let told = known.changes_since(39).unwrap();
+    assert_eq!((told.from, told.version), (39, 40));
+    assert!(known.changes_since(34).is_some());
+    assert!(known.changes_since(1).is_none());
+    assert!(known.changes_since(41).is_none());
+
+    let routes = |n: u32| (0..n).map(|i| route(0, i)).collect::<Vec<_>>();
+    for version in 41..=44 {
+        known.note(Arc::new(configuration(version, routes(20_000), Vec::new())));
+    }
+    assert!(known.changes_since(43).is_none(), "all of it is too much to remember");
+}
+
+/// A peer tells changes that lead from another content, reach beyond the list, or lack items. Nothing is put in force.
+#[test]
+fn changes_that_do_not_fit_are_not_applied() {
+    let old = configuration(1, vec![route(1, 1), route(2, 2)], vec![workspace(1, 1)]);
+    let new = configuration(2, vec![route(2, 2), route(3, 3)], vec![workspace(1, 2)]);
+    let good = changes(&old, &new);
+    assert_eq!(apply(&old, &good), Some(new));
+
+    let other = configuration(1, vec![route(1, 7), route(2, 7)], vec![workspace(1, 1)]);
+    let run = |start, kept, new| vec![Run { start, kept, new }];
+    let bad = [run(0, 3, 1), run(u32::MAX, 2, 1), run(0, 1, u32::MAX), run(0, 0, 0), Vec::new()];
+
+    assert_eq!(apply(&other, &good), None, "the same version with other routes");
+    assert_eq!(apply(&configuration(3, Vec::new(), Vec::new()), &good), None, "another version");
+    for routes in bad {
+        let mut told = good.clone();
+        told.routes = routes;
+        assert_eq!(apply(&old, &told), None, "{:?}", told.routes);
+    }
+}
+
+fn routes() -> impl Strategy<Value = Vec<Route>> {
+    proptest::collection::vec((0..12_u8, 0..3_u32).prop_map(|(path, time)| route(path, time)), 0..30)
+}
+
+fn workspaces() -> impl Strategy<Value = Vec<Workspace>> {
+    proptest::collection::vec((0..5_u8, 0..3_u8).prop_map(|(name, key)| workspace(name, key)), 0..10)
+}
+
+proptest! {
+    /// Whatever changes, in any order and with doubled names: what is put together is what was told.
+    #[test]
+    fn changes_lead_to_the_new_configuration(
+        old in (routes(), workspaces()),
+        new in (routes(), workspaces()),
+    ) {
+        let old = configuration(1, old.0, old.1);
+        let new = configuration(2, new.0, new.1);
+
+        prop_assert_eq!(apply(&old, &changes(&old, &new)), Some(new));
+    }
+}
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -8,7 +8,7 @@
         Relay,
         backends::{Backends, Change, Revision},
         contact::Contact,
-        follow::{self, BackendsUpdate, Call, Store, StoreError},
+        follow::{self, BackendsUpdate, Call, Hosts, Store, StoreError},
         pool,
     },
     schema::fleet,
@@ -148,12 +148,12 @@
         }
     }
 
-    async fn enter(&mut self, _: &str, _: &[fleet::Member]) -> Result<(), StoreError> {
+    async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Vec<fleet::Member>, StoreError> {
-        Ok(Vec::new())
+    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+        Ok(Hosts { some: Vec::new(), count: 100 })
     }
 }
 
@@ -211,12 +211,12 @@
         }
     }
 
-    async fn enter(&mut self, _: &str, _: &[fleet::Member]) -> Result<(), StoreError> {
+    async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Vec<fleet::Member>, StoreError> {
-        Ok(Vec::new())
+    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+        Ok(Hosts { some: Vec::new(), count: 100 })
     }
 }
 
@@ -256,7 +256,7 @@
         self.0.send(call).unwrap();
         match call {
             Call { after: Some(_), .. } => pending().await,
-            Call { whole: false, .. } => Err(StoreError::Long),
+            Call { whole: false, .. } => Err(StoreError::Large { bytes: 1_000_000 }),
             _ => Ok((5, Some(fleet::Configuration { version: 3, ..fleet::Configuration::default() }))),
         }
     }
@@ -265,12 +265,12 @@
         pending().await
     }
 
-    async fn enter(&mut self, _: &str, _: &[fleet::Member]) -> Result<(), StoreError> {
+    async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Vec<fleet::Member>, StoreError> {
-        Ok(Vec::new())
+    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+        Ok(Hosts { some: Vec::new(), count: 100 })
     }
 }
 
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -10,13 +10,13 @@
 use cranberrytally::{
     platform::PlatformWire,
     relay::{
-        Relay,
+        Relay, configurations,
         follow::BackendsUpdate,
         followers::Contact,
         inbound, mesh,
         peers::{Own, Peers, Scope},
     },
-    schema::fleet::{Backend, Backends, Beat, Centre, Fetch, Fetched, InProgress, Member},
+    schema::fleet::{Backend, Backends, Beat, Centre, Configuration, Fetch, Fetched, InProgress, Member},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{
@@ -185,6 +185,20 @@
     assert_eq!((before, alone, near), (None, Some(addr(4)), Some(addr(3))));
 }
 
+/// A host of a data centre of twenty has been told a configuration. It tells a few neighbours out of turn, each time others,
+/// so that what one host can give to few at a time spreads from many.
+#[test]
+fn a_few_neighbours_are_told_out_of_turn() {
+    let peers = large();
+    let mut rng = rng();
+
+    let told: Vec<_> = (0..40).map(|_| peers.few(ms(10), &mut rng)).collect();
+
+    assert!(told.iter().all(|few| few.len() == 4));
+    let all: BTreeSet<_> = told.iter().flatten().collect();
+    assert_eq!(all.len(), 19, "all of the own data centre, and no other");
+}
+
 /// Two followers have seen the store at different revisions, but their lists are the same: nothing is to be fetched.
 #[test]
 fn a_higher_revision_of_the_same_list_is_not_fetched() {
@@ -421,10 +435,7 @@
 
     wire::until("all are handed out", || third.addresses(64).len() == 3).await;
     wire::until("all are ready", || second.is_ready() && third.is_ready()).await;
-    first.set_configuration(
-        cranberrytally::schema::fleet::Configuration { version: 2, ..wire::configuration() },
-        "test",
-    );
+    first.set_configuration(Configuration { version: 2, ..wire::configuration() }, "test");
     let change = BackendsUpdate::Changes { revision: 4, puts: vec![server(true)], removed: Vec::new() };
     first.update_backends(change, None, "test");
 
@@ -433,6 +444,56 @@
     assert_eq!(first.servers("app"), 0);
 }
 
+/// Asks a host as another one does.
+async fn ask(at: SocketAddr, ask: Fetch) -> Fetched {
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    let ask = postcard::to_allocvec(&ask).unwrap();
+    stream.write_all(&(ask.len() as u32).to_le_bytes()).await.unwrap();
+    stream.write_all(&ask).await.unwrap();
+    let mut answer = vec![0; stream.read_u32_le().await.unwrap() as usize];
+    stream.read_exact(&mut answer).await.unwrap();
+    postcard::from_bytes(&answer).unwrap()
+}
+
+/// A route's time changes. A host that has the configuration before is told just that; one that has none, or one that nobody
+/// remembers, is told the whole.
+#[tokio::test]
+async fn a_host_is_told_what_it_lacks_of_a_configuration() {
+    let (host, at) = host("host-1", &[]).await;
+    let mut newer = Configuration { version: 7, ..wire::configuration() };
+    newer.routes[1].timeout_ms += 1;
+    host.set_configuration(wire::configuration(), "test");
+    host.set_configuration(newer.clone(), "test");
+    let knows = |configuration| Fetch { configuration, backends: 0, wants_held: false };
+
+    let one = ask(at, knows(1)).await;
+    let none = ask(at, knows(0)).await;
+    let unknown = ask(at, knows(5)).await;
+
+    let changes = one.configuration_changes.unwrap();
+    assert_eq!((one.configuration, changes.new_routes.len()), (None, 1));
+    assert_eq!(configurations::apply(&wire::configuration(), &changes), Some(newer.clone()));
+    assert_eq!((none.configuration, none.configuration_changes), (Some(newer.clone()), None));
+    assert_eq!(unknown.configuration, Some(newer));
+    assert_eq!(ask(at, knows(7)).await.configuration_changes, None);
+}
+
+/// Two hosts hold different contents under one version, as when somebody has written it anew. The changes that one of them
+/// tells lead nowhere at the other, which asks for the whole and has it.
+#[tokio::test]
+async fn changes_that_do_not_fit_are_made_up_for_by_the_whole() {
+    let (first, seed) = host("host-1", &[]).await;
+    let (second, _) = host("host-2", &[seed]).await;
+    let mut other = wire::configuration();
+    other.routes.truncate(1);
+    second.set_configuration(other, "test");
+    first.set_configuration(wire::configuration(), "test");
+    let newer = Configuration { version: 2, ..wire::configuration() };
+    first.set_configuration(newer.clone(), "test");
+
+    wire::until("the newer one", || second.routes().is_some_and(|r| **r.source() == newer)).await;
+}
+
 /// All hosts of a data centre start at once and ask the first that has the list. Answering all at a time would keep each
 /// beyond its patience; those who are turned away ask others that have been answered meanwhile.
 #[tokio::test]
@@ -443,14 +504,8 @@
         waiting.push(TcpStream::connect(at).await.unwrap());
     }
 
-    let mut stream = TcpStream::connect(at).await.unwrap();
-    let ask = postcard::to_allocvec(&Fetch { configuration: 0, backends: 0, wants_held: false }).unwrap();
-    stream.write_all(&(ask.len() as u32).to_le_bytes()).await.unwrap();
-    stream.write_all(&ask).await.unwrap();
-    let mut answer = vec![0; stream.read_u32_le().await.unwrap() as usize];
-    stream.read_exact(&mut answer).await.unwrap();
+    let fetched = ask(at, Fetch { configuration: 0, backends: 0, wants_held: false }).await;
 
-    let fetched: Fetched = postcard::from_bytes(&answer).unwrap();
     assert!(fetched.busy);
     assert_eq!(waiting.len(), 3);
 }
