Drop datagrams that can't be beats, count them by reason, and bound what they leave behind

Cause (by reading): anyone who reaches the port of the hosts could tell a start or a number far in the future, which hides all that the host at that address tells from then on; made-up addresses and suspect contents were remembered without bound; an encoding error became an empty datagram without a line, and replays were not counted. Excluded: memory of one datagram (its lists can't be longer than its bytes). Change: datagram.rs reads and writes beats without I/O and gives a reason for each that is dropped (size, garbage, future, old), with a counter; 2,048 addresses and 1,024 contents are remembered at most. A key that signs datagrams was not built: 16 bytes more on 140 would lengthen the period by a tenth at 59 hosts of a data centre; left open.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,6 +51,8 @@
     RelayStreams,
     /// Calls to the store by what they ask for.
     RelayStoreCalls,
+    /// Datagrams from other hosts that were dropped, by reason.
+    RelayDatagrams,
 }
 
 /// A latency histogram of the relay.
@@ -100,7 +102,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 18] = [
+    pub const ALL: [Counter; 19] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -119,6 +121,7 @@
         Counter::RelayPlacements,
         Counter::RelayStreams,
         Counter::RelayStoreCalls,
+        Counter::RelayDatagrams,
     ];
 
     /// The table of counters.
@@ -157,6 +160,9 @@
             Counter::RelayStoreCalls => {
                 row("relay_store_calls", "call", "calls to the store by what they ask for")
             }
+            Counter::RelayDatagrams => {
+                row("relay_datagrams_dropped", "reason", "datagrams of hosts dropped, by reason")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`suspects`], [`configurations`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
+//! [`budget`], [`suspects`], [`configurations`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
 //! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
 //! translates. This file holds what a host knows and has in progress; `belief` changes what it knows, with a line each,
 //! `stop` ends its service.
@@ -36,8 +36,8 @@
 pub mod budget;
 pub mod configurations;
 pub mod contact;
+pub mod datagram;
 pub mod directory;
-
 pub mod events;
 pub mod follow;
 pub mod followers;
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Relay, State, TICK, Wire,
+    datagram::{self, MOST_BYTES},
     follow::BackendsUpdate,
     inbound::accept_all,
     peers::{Own, Scope},
@@ -20,12 +21,11 @@
 };
 use crate::{
     logs::lines::{Weight, line},
+    metrics::Counter,
     schema::fleet::{BackendChanges, Beat, Fetch, Fetched},
-    util::now,
+    util::{now, wall_ms},
 };
 
-/// Largest datagram that is sent, within one packet of a common link.
-const MOST_BEAT: usize = 1_400;
 /// Largest message over TCP: a configuration with some thousand routes, or 20,000 backend servers.
 const MOST_MESSAGE: usize = 4 << 20;
 /// A pause of the housekeeping after which the host must have been suspended; nothing else keeps it for so long.
@@ -74,21 +74,10 @@
     }
 }
 
-fn encode(beat: &Beat) -> Vec<u8> {
-    let mut beat = beat.clone();
-    loop {
-        let buf = postcard::to_allocvec(&beat).unwrap_or_default();
-        if buf.len() <= MOST_BEAT || beat.members.is_empty() && beat.in_progress.is_empty() {
-            return buf;
-        }
-        // Members come again in the next full beat; loads are cut only in fleets that need another form of them.
-        if beat.members.pop().is_none() {
-            beat.in_progress.truncate(beat.in_progress.len() / 2);
-        }
-    }
-}
-
 async fn send(socket: &UdpSocket, buf: &[u8], to: SocketAddr) {
+    if buf.is_empty() {
+        return;
+    }
     if let Err(e) = socket.send_to(buf, to).await {
         spdlog::debug!("could not send a beat to {to}: {e}");
     }
@@ -96,24 +85,35 @@
 
 /// Takes beats in.
 pub async fn hear_beats<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
-    let mut buf = vec![0; MOST_BEAT * 2];
+    let mut buf = vec![0; MOST_BYTES + 1];
     loop {
-        let Ok((n, from)) = socket.recv_from(&mut buf).await else {
-            // An error of an earlier send shows here; the next datagram may be fine.
-            tokio::time::sleep(SETTLE).await;
-            continue;
+        let (n, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                // An error of an earlier send shows here; the next datagram may be fine.
+                spdlog::debug!("could not receive a datagram: {e}");
+                tokio::time::sleep(SETTLE).await;
+                continue;
+            }
         };
-        match postcard::from_bytes::<Beat>(&buf[..n]) {
-            Ok(beat) => {
-                if relay.hear(from, &beat) {
-                    send(&socket, &encode(&relay.beat(true)), from).await;
-                }
+        match datagram::decode(&buf[..n], wall_ms()).and_then(|beat| relay.hear(from, &beat)) {
+            Ok(true) => send(&socket, &encode(&relay.beat(true)), from).await,
+            Ok(false) => {}
+            Err(fault) => {
+                relay.metrics.add(Counter::RelayDatagrams, fault.as_str(), 1);
+                spdlog::debug!("a datagram from {from} is dropped: {}", fault.as_str());
             }
-            Err(e) => spdlog::debug!("a datagram from {from} is no beat: {e}"),
         }
     }
 }
 
+fn encode(beat: &Beat) -> Vec<u8> {
+    datagram::encode(beat).unwrap_or_else(|e| {
+        line(Weight::Notable, "beat_failed", |l| l.text("why", &e.to_string()));
+        Vec::new()
+    })
+}
+
 /// Does the housekeeping, and notices when the host was suspended.
 pub async fn keep_house<W: Wire>(relay: Arc<Relay<W>>) {
     let mut last = now();
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -54,6 +54,8 @@
 const FEW: usize = 4;
 /// One of so many peers counts as up for long.
 const LONG_UP_PART: usize = 4;
+/// Addresses remembered, some times a fleet of 330 hosts with those that it has lost in the last minute.
+const MOST_PEERS: usize = 2_048;
 /// Members in a full beat, so that it fits one datagram.
 const MOST_MEMBERS: usize = 16;
 
@@ -123,6 +125,8 @@
     pub joined: bool,
     /// The sender wants a full beat at once.
     pub answer: bool,
+    /// It has come before, or later than a newer one, and changed nothing.
+    pub old: bool,
 }
 
 /// What is in force here, to compare with the others.
@@ -178,7 +182,7 @@
     pub fn learn_members(&mut self, now: Instant, members: &[Member]) {
         for member in members {
             let Ok(addr) = member.peers.parse() else { continue };
-            if self.me == Some(addr) {
+            if self.me == Some(addr) || !self.peers.contains_key(&addr) && self.is_full() {
                 continue;
             }
             let peer = self.peers.entry(addr).or_insert_with(|| {
@@ -189,19 +193,26 @@
         }
     }
 
+    /// Whether as many addresses are known as a fleet can have: others come from somebody who makes them up.
+    fn is_full(&self) -> bool {
+        self.peers.len() >= MOST_PEERS
+    }
+
     /// Takes a beat in; one that comes twice or late changes nothing.
     pub fn hear(&mut self, now: Instant, from: SocketAddr, beat: &Beat, own: Own) -> Heard {
         if self.me == Some(from) {
             return Heard::default();
         }
-        self.learn_members(now, &beat.members);
+        if !self.peers.contains_key(&from) && self.is_full() {
+            return Heard::default();
+        }
         let lost = self.lost();
         let peer = self.peers.entry(from).or_default();
         if peer.heard.is_none() {
             self.grew = now;
         }
         if (beat.start, beat.number) <= (peer.start, peer.number) {
-            return Heard::default();
+            return Heard { old: true, ..Heard::default() };
         }
         let joined = peer.heard.is_none_or(|heard| heard + lost < now) || beat.start != peer.start;
         let old = std::mem::take(&mut peer.loads);
@@ -225,6 +236,7 @@
         let centre = peer.member.as_ref().map(|m| m.data_centre.clone());
         let unknown = centre.is_none();
         let new = peer.loads.clone();
+        self.learn_members(now, &beat.members);
         self.count(&old, &new);
         self.count_avoided(&avoided, &beat.avoided);
         if let (Some(told), Some(centre)) = (&beat.centre, centre) {
@@ -232,7 +244,7 @@
         }
         // Of many hosts that are asked, some answer: each knows most of the others.
         let chosen = self.is_small() || hash((self.me, beat.number)).is_multiple_of(ANSWERS);
-        Heard { joined: joined || unknown, answer: unknown || (beat.wants_full && chosen) }
+        Heard { joined: joined || unknown, answer: unknown || (beat.wants_full && chosen), old: false }
     }
 
     fn summarised(&mut self, now: Instant, centre: String, told: &Centre) {
--- a/src/relay/suspects.rs
+++ b/src/relay/suspects.rs
@@ -37,15 +37,24 @@
 impl Suspects {
     /// Notes that a content was running when its server crashed.
     pub fn crash(&mut self, now: Instant, fingerprint: u64) -> u32 {
-        if self.contents.len() >= MOST {
-            self.contents.retain(|_, e| e.last + KEEP > now && e.crashes > 1);
-        }
+        self.make_room(now);
         let entry = self.contents.entry(fingerprint).or_insert(Entry { crashes: 0, last: now });
         entry.crashes += 1;
         entry.last = now;
         entry.crashes
     }
 
+    fn make_room(&mut self, now: Instant) {
+        if self.contents.len() >= MOST {
+            self.contents.retain(|_, e| e.last + KEEP > now && e.crashes > 1);
+        }
+    }
+
+    /// Contents that are remembered.
+    pub fn len(&self) -> usize {
+        self.contents.len()
+    }
+
     /// Notes that a content has completed, which clears it.
     pub fn complete(&mut self, fingerprint: u64) {
         self.contents.remove(&fingerprint);
@@ -72,6 +81,10 @@
     /// Takes in what another host told.
     pub fn hear(&mut self, now: Instant, told: &[Suspect]) {
         for suspect in told {
+            self.make_room(now);
+            if self.contents.len() >= MOST && !self.contents.contains_key(&suspect.fingerprint) {
+                continue;
+            }
             let entry = self.contents.entry(suspect.fingerprint).or_insert(Entry { crashes: 0, last: now });
             if suspect.crashes > entry.crashes {
                 *entry = Entry { crashes: suspect.crashes, last: now };
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Relay, Wire, followers::Contact, peers::Scope};
+use super::{Relay, Wire, datagram::Fault, followers::Contact, peers::Scope};
 use crate::{
     logs::lines::{Weight, line},
     schema::fleet::{Beat, Held, InProgress},
@@ -65,11 +65,17 @@
     }
 
     /// Takes a beat of another host in; returns whether it wants a full one.
-    pub(crate) fn hear(&self, from: SocketAddr, beat: &Beat) -> bool {
+    ///
+    /// # Errors
+    /// When it has come before, or later than a newer one.
+    pub(crate) fn hear(&self, from: SocketAddr, beat: &Beat) -> Result<bool, Fault> {
         let now = now();
         let mut state = self.state();
         let own = state.own();
         let heard = state.peers.hear(now, from, beat, own);
+        if heard.old {
+            return Err(Fault::Old);
+        }
         if state.peers.is_any_ahead(now, own) {
             self.behind.notify_one();
         }
@@ -84,7 +90,7 @@
         }
         drop(state);
         self.hear_held(&beat.held);
-        heard.answer
+        Ok(heard.answer)
     }
 
     /// Holders of prompt parts for a host that has just started.
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -9,6 +9,7 @@
 use cranberrytally::{
     metrics::{Counter, Latency},
     relay::{
+        datagram::Fault,
         follow::Asked,
         outcome::Outcome,
         place::Why,
@@ -73,6 +74,7 @@
         (Counter::RelayPlacements, names(&Why::ALL, |w| w.as_str())),
         (Counter::RelayStreams, names(&After::ALL, |a| a.as_str())),
         (Counter::RelayStoreCalls, names(&Asked::ALL, |a| a.as_str())),
+        (Counter::RelayDatagrams, names(&Fault::ALL, |f| f.as_str())),
     ];
     for (counter, expected) in values {
         let heading = format!("\n### `{}_total`", counter.shown().name);
