Hand out no host that its own data centre has lost

Cause (by reading; the directory names hosts of all data centres): a host without power is missed by its neighbours after four beats, 5 s at 59 of them, and counted for another 5 s in the other data centres, where the last summary that named it still held. Callers lose a second at each such host. Excluded: hosts that start and know few others (their summaries say nothing of the rest). Change: a summary that names more than half of those known to be ready ends the others. Test: a_host_that_its_data_centre_has_lost_is_not_handed_out, failed before (20 of 20 named after 19 were told).

--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -252,14 +252,22 @@
             return;
         }
         let loads: Map<_, _> = told.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
-        let summary = self.centres.entry(centre).or_default();
-        let old = std::mem::replace(summary, Summary { heard: now, loads: loads.clone() });
-        self.count(&old.loads, &loads);
+        let limit = self.lost_summary();
+        let named = |p: &&Peer| p.named.is_some_and(|named| named + limit >= now) && is_in(p, &centre);
+        let known = self.peers.values().filter(named).count();
+        // A host that has just started knows few others of its data centre; one that leaves hosts out has lost them.
+        let is_whole = told.ready.len() * 2 > known;
+        let ready: Set<u32> = told.ready.iter().copied().collect();
         for peer in self.peers.values_mut() {
-            if peer.member.as_ref().is_some_and(|m| told.ready.contains(&member_tag(m))) {
-                peer.named = Some(now);
+            match &peer.member {
+                Some(member) if ready.contains(&member_tag(member)) => peer.named = Some(now),
+                Some(member) if is_whole && member.data_centre == centre => peer.named = None,
+                _ => {}
             }
         }
+        let summary = self.centres.entry(centre).or_default();
+        let old = std::mem::replace(summary, Summary { heard: now, loads: loads.clone() });
+        self.count(&old.loads, &loads);
     }
 
     fn count(&mut self, old: &Map<Tag, u32>, new: &Map<Tag, u32>) {
@@ -543,6 +551,10 @@
     }
 }
 
+fn is_in(peer: &Peer, data_centre: &str) -> bool {
+    peer.member.as_ref().is_some_and(|m| m.data_centre == data_centre)
+}
+
 fn is_ahead(peer: &Peer, own: Own) -> bool {
     let backends = peer.backends > own.backends && peer.backends_digest != own.digest;
     peer.configuration > own.configuration || backends
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -350,6 +350,34 @@
     assert_eq!(ready(&peers, ms(5_200)), BTreeSet::new());
 }
 
+/// A host of `b` loses its power. Its neighbours miss it and leave it out of their summaries; `a` must not send callers there
+/// for as long as a summary counts, on top of the time that the neighbours took. A host of `b` that has just started, and
+/// knows few of the others, makes nobody forget them.
+#[test]
+fn a_host_that_its_data_centre_has_lost_is_not_handed_out() {
+    let mut peers = large();
+    let of_b: Vec<u8> = (0..60).filter(|i| i % 3 == 1).collect();
+    let summary = |hosts: &[u8], number| {
+        let mut sender = Peers::new(addr(1), "b", &[]);
+        hosts.iter().for_each(|i| drop(sender.hear(ms(0), addr(*i), &beat(*i, "b", 1), OWN)));
+        Beat { centre: Some(sender.centre(&[], &member(1, "b"), true)), ..beat(1, "b", number) }
+    };
+    let in_b = |peers: &Peers, now| ready(peers, now).iter().filter(|name| is_of(name, &of_b)).count();
+    peers.hear(ms(100), addr(1), &summary(&of_b, 2), OWN);
+    assert_eq!(in_b(&peers, ms(100)), 20);
+
+    peers.hear(ms(200), addr(1), &summary(&of_b[..19], 3), OWN);
+    let lost = in_b(&peers, ms(200));
+    peers.hear(ms(300), addr(1), &summary(&of_b[..3], 4), OWN);
+
+    assert_eq!(lost, 19);
+    assert_eq!(in_b(&peers, ms(300)), 19, "a host that knows three says nothing of the others");
+}
+
+fn is_of(name: &str, hosts: &[u8]) -> bool {
+    hosts.iter().any(|i| name == format!("host-{i}"))
+}
+
 /// A host of data centre `a` hears a host of `b` once in half a minute, and in full once in minutes. A neighbour has told
 /// what it is, so that it needs no full beat of it, a summary of `b` is enough to hand it out, and it counts in budgets at once.
 #[test]
