--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -204,7 +204,7 @@
         if state.peers.is_alone(now()) {
             let others = entered.some.iter().filter(|m| m.peers != me.peers);
             some.extend(others.take(MOST_ENTERED - 1).cloned());
-            return (!entered.some.contains(me)).then(|| Hosts { count: some.len(), some });
+            return (!entered.some.contains(me)).then_some(Hosts { count: some.len(), some });
         }
         some.extend(state.peers.near_ready(MOST_ENTERED - 1));
         let left = entered.some.iter().filter(|m| some.contains(m)).count();
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -7,16 +7,18 @@
 
 use std::{future::Future, ops::Range, sync::Arc, time::Duration};
 
-use rand::Rng;
-
 mod call;
+mod hosts;
+mod start;
 
 pub use call::{Asked, Call};
+pub use hosts::{Hosts, follow_hosts};
+use start::{is_told, turns};
 
 use super::{Relay, Wire, backends::Revision, contact::Contact, followers::Contact as OwnContact};
 use crate::{
     logs::lines::{Weight, line},
-    schema::fleet::{Backend, Backends, Configuration, Member},
+    schema::fleet::{Backend, Backends, Configuration},
     util::{now, wall_ms},
 };
 
@@ -25,8 +27,6 @@
 const GATHER: Duration = Duration::from_millis(200);
 /// The same in a large fleet, in which a change costs a call a data centre.
 const GATHER_LARGE: Duration = Duration::from_millis(400);
-/// Time between two looks whether other hosts are heard, and whether the entry of hosts is up to date.
-const LONELY: Duration = Duration::from_millis(3_000);
 /// Time between two looks whether this host must follow the store again.
 const REST: Duration = Duration::from_millis(250);
 /// Time after its start from which a host decides whether it follows the store, if it has heard of no other host lately,
@@ -43,13 +43,6 @@
 /// How long a host that is no seed waits to be told a long list before it reads it itself, drawn so that few do it at a
 /// time; a seed has read it and told it within 0.3 s.
 const LONG_LIST: Range<Duration> = Duration::from_millis(300)..Duration::from_millis(1_800);
-/// Bytes a second that the store's link carries, 1 Gbit/s, less what else is on it. Hosts that start together read large
-/// answers one after the other: each that has one can tell it on, while all at once have it only when the last has.
-const LINK_BYTES_PER_SECOND: f64 = 100e6;
-/// Longest time until the last turn.
-const MOST_TURNS: Duration = Duration::from_millis(1_500);
-/// Time between two looks whether it was told.
-const LOOK: Duration = Duration::from_millis(20);
 
 /// Why a call to the store gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,15 +93,6 @@
     }
 }
 
-/// Hosts as they are entered in the store.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Hosts {
-    /// Some of them.
-    pub some: Vec<Member>,
-    /// How many there are.
-    pub count: usize,
-}
-
 /// The platform's store, as an adapter speaks to it.
 pub trait Store: Send + Sync + 'static {
     /// The configuration: at once without a revision, else once it has changed after it, or unchanged after a while.
@@ -131,38 +115,6 @@
     fn hosts(&mut self) -> impl Future<Output = Result<Hosts, StoreError>> + Send;
 }
 
-/// Keeps some hosts of the data centre entered in the store, and looks for hosts there while none is heard: the seeds may
-/// all be gone. Those that follow the store write, so that the calls don't grow with the hosts.
-pub async fn follow_hosts<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
-    let centre = relay.cfg.me.data_centre.clone();
-    let mut entered = Hosts::default();
-    // Hosts that start together don't call together: the store takes some hundred writes a second.
-    let apart = rand::rng().random_range(Duration::ZERO..LONELY);
-    tokio::time::sleep(apart).await;
-    loop {
-        tokio::time::sleep(LONELY).await;
-        if relay.is_alone() {
-            match relay.ask_store(Asked::Hosts, store.hosts()).await {
-                Ok(mut hosts) => {
-                    relay.learn(&hosts.some);
-                    hosts.some.retain(|m| m.data_centre == centre);
-                    entered = Hosts { count: hosts.some.len(), ..hosts };
-                }
-                Err(e) => note_hosts(&e),
-            }
-        }
-        let Some(hosts) = relay.hosts_to_enter(&entered) else { continue };
-        match relay.ask_store(Asked::Enter, store.enter(&centre, &hosts)).await {
-            Ok(()) => entered = hosts,
-            Err(e) => note_hosts(&e),
-        }
-    }
-}
-
-fn note_hosts(e: &StoreError) {
-    line(Weight::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
-}
-
 /// Follows the configuration until the task is ended.
 pub async fn follow_configuration<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     let mut contact = Contact::new("configuration");
@@ -307,39 +259,6 @@
     }
 }
 
-/// Times in which the hosts that are entered take turns to read so many bytes: they may all have started together.
-async fn turns<W: Wire>(relay: &Relay<W>, store: &mut impl Store, bytes: u64) -> Range<Duration> {
-    let hosts = match relay.ask_store(Asked::Hosts, store.hosts()).await {
-        Ok(hosts) => hosts,
-        Err(e) => {
-            note_hosts(&e);
-            Hosts::default()
-        }
-    };
-    relay.learn(&hosts.some);
-    let all = bytes as f64 * hosts.count as f64 / LINK_BYTES_PER_SECOND;
-    Duration::ZERO..Duration::from_secs_f64(all.min(MOST_TURNS.as_secs_f64())).max(LOOK)
-}
-
-/// Waits a while for another host to tell what is long to read; returns whether one has. Seeds don't wait, since all others
-/// hear of them first. After a start of all at once, 300 hosts that each read 9,900 entries kept the store busy for longer
-/// than a call may take; 249 hosts that each read a configuration of 1,770 routes had it after 1.3 s in the median, since
-/// the store's link takes that long for them all.
-async fn is_told<W: Wire>(
-    relay: &Relay<W>,
-    most: Range<Duration>,
-    is_known: impl Fn(&Relay<W>) -> bool,
-) -> bool {
-    if relay.is_seed() {
-        return false;
-    }
-    let until = now() + rand::rng().random_range(most);
-    while !is_known(relay) && now() < until {
-        tokio::time::sleep(LOOK).await;
-    }
-    is_known(relay)
-}
-
 /// Waits while enough other hosts of the data centre follow the store and tell this one; returns whether it has waited.
 async fn rest<W: Wire>(relay: &Relay<W>) -> bool {
     let mut rested = false;
--- /dev/null
+++ b/src/relay/follow/hosts.rs
@@ -0,0 +1,56 @@
+//! The hosts that are entered in the store, for those that start while the seeds are gone.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+
+use super::{Asked, Store, StoreError};
+use crate::{
+    logs::lines::{Weight, line},
+    relay::{Relay, Wire},
+    schema::fleet::Member,
+};
+
+/// Time between two looks whether other hosts are heard, and whether the entry of hosts is up to date.
+const LONELY: Duration = Duration::from_millis(3_000);
+
+/// Hosts as they are entered in the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hosts {
+    /// Some of them.
+    pub some: Vec<Member>,
+    /// How many there are.
+    pub count: usize,
+}
+
+/// Keeps some hosts of the data centre entered in the store, and looks for hosts there while none is heard: the seeds may
+/// all be gone. Those that follow the store write, so that the calls don't grow with the hosts.
+pub async fn follow_hosts<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
+    let centre = relay.cfg.me.data_centre.clone();
+    let mut entered = Hosts::default();
+    // Hosts that start together don't call together: the store takes some hundred writes a second.
+    let apart = rand::rng().random_range(Duration::ZERO..LONELY);
+    tokio::time::sleep(apart).await;
+    loop {
+        tokio::time::sleep(LONELY).await;
+        if relay.is_alone() {
+            match relay.ask_store(Asked::Hosts, store.hosts()).await {
+                Ok(mut hosts) => {
+                    relay.learn(&hosts.some);
+                    hosts.some.retain(|m| m.data_centre == centre);
+                    entered = Hosts { count: hosts.some.len(), ..hosts };
+                }
+                Err(e) => note_hosts(&e),
+            }
+        }
+        let Some(hosts) = relay.hosts_to_enter(&entered) else { continue };
+        match relay.ask_store(Asked::Enter, store.enter(&centre, &hosts)).await {
+            Ok(()) => entered = hosts,
+            Err(e) => note_hosts(&e),
+        }
+    }
+}
+
+pub(super) fn note_hosts(e: &StoreError) {
+    line(Weight::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
+}
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -5,31 +5,33 @@
 //! each time, so that every host hears of every data centre about once a period, at a cost that grows with the data
 //! centres and not with the fleet. All is soft state: a host that is not heard any more stops counting, and a restarted
 //! one learns everything again from the first full beats.
+//!
+//! This file holds what is known and takes beats in; `targets` says who is told what and when, `summary` what data centres
+//! tell each other, `ahead` whom to ask for what is newer, and `duty` whether this host follows the store.
 
 use std::{net::SocketAddr, time::Duration};
 
-use rand::{Rng, seq::IteratorRandom};
-
 use super::{
     backends::{Revision, Tag},
-    followers::{self, Contact, Duty, Neighbour},
+    followers::{Contact, Duty},
     routes::Version,
 };
 use crate::{
-    schema::fleet::{Beat, Centre, InProgress, Member},
-    util::{Instant, Map, Set, hash},
+    schema::fleet::{Beat, Member},
+    util::{Instant, Map, hash},
 };
 
-/// Time between beats in a small fleet. Loads are as old as this; 100 ms more costs no measurable skew.
-pub const PERIOD: Duration = Duration::from_millis(250);
-/// Bytes a second that beats may take, half of a host's control traffic; with more hosts the period grows instead.
-const BYTES_PER_SECOND: f64 = 6_500.0;
-/// Bytes of a common beat with the headers of IP and UDP.
-const BEAT_BYTES: f64 = 140.0;
+mod ahead;
+mod duty;
+mod summary;
+mod targets;
+
+use ahead::is_ahead;
+use summary::Summary;
+pub use targets::{PERIOD, Scope};
+
 /// Hosts up to which a fleet is small: all of them tell each other everything, and all follow the store.
 const SMALL: usize = 16;
-/// Every so many beats carry the members, so that lost ones are made up for.
-const FULL_EVERY: u64 = 8;
 /// Without a beat for this long a host is not handed out to callers; five beats may be lost.
 const LOST: Duration = Duration::from_millis(1_300);
 /// Beats that may be lost where the period is longer.
@@ -38,26 +40,10 @@
 const LOST_SUMMARY: Duration = Duration::from_millis(3_000);
 /// How long a silent host still counts for shares of budgets: it may be cut off and go on.
 const FORGET: Duration = Duration::from_secs(60);
-/// Time between beats to an address that does not answer.
-const SEEK: Duration = Duration::from_secs(1);
-/// How long a peer must be ahead before its newer state is fetched; the store mostly tells both within this time.
-const AHEAD: Duration = Duration::from_millis(200);
-/// The same for a peer in another data centre, where the own one has hosts that follow the store: they tell the same within
-/// milliseconds mostly, and bytes between data centres are dear.
-const AHEAD_FAR: Duration = Duration::from_millis(700);
-/// Beats after a start that ask for a full one: after a loss of all hosts each knows three seeds, and callers would all be
-/// sent to these until the others are heard of.
-const FIRST_BEATS: u64 = 12;
 /// One of so many hosts of a large fleet answers a beat that asks for a full one.
 const ANSWERS: u64 = 8;
-/// Hosts that a host tells of a configuration that another one has told it.
-const FEW: usize = 4;
-/// One of so many peers counts as up for long.
-const LONG_UP_PART: usize = 4;
 /// Addresses remembered, some times a fleet of 330 hosts with those that it has lost in the last minute.
 const MOST_PEERS: usize = 2_048;
-/// Members in a full beat, so that it fits one datagram.
-const MOST_MEMBERS: usize = 16;
 
 /// One other host.
 #[derive(Clone, Debug, Default)]
@@ -97,27 +83,6 @@
     }
 }
 
-/// What a summary told of another data centre.
-#[derive(Clone, Debug, Default)]
-struct Summary {
-    heard: Instant,
-    loads: Map<Tag, u32>,
-}
-
-/// What a beat to a host carries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
-    /// The sender's own requests in progress.
-    Own,
-    /// The summary of the sender's data centre.
-    Centre,
-}
-
-/// Tag of a host in summaries.
-fn member_tag(member: &Member) -> u32 {
-    hash(&member.peers) as u32
-}
-
 /// What a beat brought that the caller acts on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -247,29 +212,6 @@
         Heard { joined: joined || unknown, answer: unknown || (beat.wants_full && chosen), old: false }
     }
 
-    fn summarised(&mut self, now: Instant, centre: String, told: &Centre) {
-        if centre == self.data_centre {
-            return;
-        }
-        let loads: Map<_, _> = told.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
-        let limit = self.lost_summary();
-        let named = |p: &&Peer| p.named.is_some_and(|named| named + limit >= now) && is_in(p, &centre);
-        let known = self.peers.values().filter(named).count();
-        // A host that has just started knows few others of its data centre; one that leaves hosts out has lost them.
-        let is_whole = told.ready.len() * 2 > known;
-        let ready: Set<u32> = told.ready.iter().copied().collect();
-        for peer in self.peers.values_mut() {
-            match &peer.member {
-                Some(member) if ready.contains(&member_tag(member)) => peer.named = Some(now),
-                Some(member) if is_whole && member.data_centre == centre => peer.named = None,
-                _ => {}
-            }
-        }
-        let summary = self.centres.entry(centre).or_default();
-        let old = std::mem::replace(summary, Summary { heard: now, loads: loads.clone() });
-        self.count(&old.loads, &loads);
-    }
-
     fn count(&mut self, old: &Map<Tag, u32>, new: &Map<Tag, u32>) {
         for (tag, n) in old {
             let total = self.totals.entry(*tag).or_default();
@@ -349,199 +291,18 @@
         self.is_small() || peer.member.as_ref().is_some_and(|m| m.data_centre == self.data_centre)
     }
 
-    /// Decides whether this host, with its contact to the store, follows it from now on: every one in a small fleet, else a
-    /// few of each data centre.
-    pub fn decide_duty(&mut self, now: Instant, contact: Contact) -> bool {
-        self.follows = match self.me {
-            Some(me) if !self.is_small() => {
-                let me = Neighbour { rank: hash(me), contact };
-                let near = self.neighbours(now);
-                self.duty.decide(now, me, near, followers::wanted(self.data_centres()))
-            }
-            _ => true,
-        };
-        self.follows
-    }
-
-    /// Whether no unknown host has been heard or told of for so long.
-    pub fn is_settled(&self, now: Instant, time: Duration) -> bool {
-        self.grew + time <= now
-    }
-
-    /// Whether this host tells at once what is new to it. Hosts that have it from a follower of the store don't, since the
-    /// others have heard that follower as well: with a hundred hosts each change would cost ten thousand beats.
-    pub fn tells_news(&self) -> bool {
-        self.follows || self.is_small()
-    }
-
-    /// Hosts of the own data centre that are heard and stay.
-    fn neighbours(&self, now: Instant) -> Vec<Neighbour> {
-        let limit = self.lost();
-        let alive = |p: &Peer| p.heard.is_some_and(|heard| heard + limit >= now) && !p.is_leaving();
-        let near = self.peers.iter().filter(|(_, p)| alive(p) && self.is_near(p));
-        near.map(|(addr, p)| Neighbour { rank: hash(addr), contact: p.contact }).collect()
-    }
-
-    fn data_centres(&self) -> usize {
-        let members = self.peers.values().filter_map(|p| p.member.as_ref());
-        let centres: Set<&str> = members.map(|m| &*m.data_centre).chain([&*self.data_centre]).collect();
-        centres.len()
-    }
-
-    /// A peer that has had something newer for a while, to fetch it from: one of the own data centre if any is ahead, since
-    /// bytes within it cost nothing. It is drawn, since all hosts start or hear of a change at the same moment: with 300
-    /// hosts that chose alike, 150 fetches met one peer and timed out.
-    pub fn ahead(&self, now: Instant, own: Own, rng: &mut impl Rng) -> Option<SocketAddr> {
-        let near = self.all_ahead(now, own).any(|(_, p)| self.is_near(p));
-        let best = self.all_ahead(now, own).filter(|(_, p)| !near || self.is_near(p));
-        best.map(|(addr, _)| *addr).choose(rng)
-    }
-
-    /// Whether any peer has had something newer for a while.
-    pub fn is_any_ahead(&self, now: Instant, own: Own) -> bool {
-        self.all_ahead(now, own).next().is_some()
-    }
-
-    fn all_ahead(&self, now: Instant, own: Own) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
-        let follows = self.tells_news();
-        let first = own.configuration == 0 || own.backends == 0 || !follows;
-        let near = if first { Duration::ZERO } else { AHEAD };
-        let far = if follows { near } else { AHEAD_FAR };
-        let patience = move |p: &Peer| if self.is_near(p) { near } else { far };
-        let ripe = move |p: &Peer| p.ahead.is_some_and(|since| since + patience(p) <= now);
-        self.peers.iter().filter(move |(_, p)| ripe(p) && is_ahead(p, own))
-    }
-
-    /// One of the peers that are heard and have been up for the longest, which know most.
-    pub fn long_up(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
-        let mut up: Vec<_> =
-            self.peers.iter().filter(|(_, p)| p.ready).map(|(addr, p)| (p.start, *addr)).collect();
-        up.sort_unstable();
-        up.truncate(up.len().div_ceil(LONG_UP_PART));
-        up.into_iter().map(|(_, addr)| addr).choose(rng)
-    }
-
     /// Whether no other host is heard.
     pub fn is_alone(&self, now: Instant) -> bool {
         let limit = self.lost();
         !self.peers.values().any(|p| p.heard.is_some_and(|heard| heard + limit >= now))
     }
 
-    /// Whether some other host that is heard reaches the store.
-    pub fn some_follow_store(&self, now: Instant) -> bool {
-        let limit = self.lost();
-        let heard = |p: &&Peer| p.heard.is_some_and(|heard| heard + limit >= now);
-        self.peers.values().filter(heard).any(|p| p.contact == Contact::Follows)
-    }
-
     /// Hosts that share budgets, this one included. Those of which others tell count at once: too many make each share
     /// smaller, too few would overdraw the budget after a start.
     pub fn hosts(&self) -> usize {
         self.peers.values().filter(|p| p.heard.is_some() || p.member.is_some()).count() + 1
     }
 
-    /// Time between two beats.
-    pub fn period(&self) -> Duration {
-        if self.number <= FIRST_BEATS {
-            return PERIOD;
-        }
-        let near = self.peers.values().filter(|p| self.is_near(p)).count();
-        let bytes = near as f64 * BEAT_BYTES;
-        PERIOD.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
-    }
-
-    /// Addresses for the next beat with what they are told: all near hosts that are heard, one host of each other data
-    /// centre, and once a second those that don't answer.
-    pub fn targets(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(SocketAddr, Scope)> {
-        let limit = self.lost();
-        let heard = |p: &Peer| p.heard.is_some_and(|heard| heard + limit >= now);
-        let mut targets = Vec::new();
-        let mut far: Map<String, Vec<SocketAddr>> = Map::default();
-        for (addr, peer) in &self.peers {
-            let near = self.is_near(peer);
-            match &peer.member {
-                _ if near && heard(peer) => targets.push((*addr, Scope::Own)),
-                Some(member) if !near => far.entry(member.data_centre.clone()).or_default().push(*addr),
-                _ if peer.sought.is_none_or(|sought| sought + SEEK <= now) => {
-                    targets.push((*addr, Scope::Own))
-                }
-                _ => {}
-            }
-        }
-        let drawn = far.into_values().map(|hosts| hosts[rng.random_range(0..hosts.len())]);
-        targets.extend(drawn.map(|addr| (addr, Scope::Centre)));
-        for (addr, _) in &targets {
-            if let Some(peer) = self.peers.get_mut(addr) {
-                peer.sought = Some(now);
-            }
-        }
-        targets
-    }
-
-    /// A few hosts of the own data centre to tell of something new, drawn. What spreads from each host that has it to a few
-    /// more reaches all soon, though each can give it to few at a time.
-    pub fn few(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let limit = self.lost();
-        let heard = |p: &Peer| p.heard.is_some_and(|heard| heard + limit >= now);
-        let near = self.peers.iter().filter(|(_, p)| heard(p) && self.is_near(p));
-        near.map(|(addr, _)| *addr).choose_multiple(rng, FEW)
-    }
-
-    /// The summary of the own data centre, with this host's own requests in progress.
-    pub fn centre(&self, own: &[InProgress], me: &Member, ready: bool) -> Centre {
-        let mut loads: Map<Tag, u32> = own.iter().map(|l| (l.backend, l.requests)).collect();
-        let near = self
-            .peers
-            .values()
-            .filter(|p| p.member.as_ref().is_some_and(|m| m.data_centre == me.data_centre));
-        let mut tags: Vec<_> = ready.then(|| member_tag(me)).into_iter().collect();
-        for peer in near {
-            for (tag, n) in &peer.loads {
-                *loads.entry(*tag).or_default() += n;
-            }
-            tags.extend(peer.member.as_ref().filter(|_| peer.ready).map(member_tag));
-        }
-        let in_progress = loads.into_iter().map(|(backend, requests)| InProgress { backend, requests });
-        Centre { in_progress: in_progress.collect(), ready: tags }
-    }
-
-    /// Completes a beat: numbers it, and adds the members to every eighth and to those that are asked for.
-    pub fn number(&mut self, beat: &mut Beat, me: &Member, full: bool) {
-        self.number += 1;
-        beat.number = self.number;
-        if full || self.number % FULL_EVERY == 1 {
-            beat.sender = Some(me.clone());
-            beat.members = self.some_members();
-        }
-        let unknown = self.peers.values().any(|p| p.heard.is_some() && p.member.is_none());
-        beat.wants_full = unknown || self.number <= FIRST_BEATS;
-    }
-
-    /// The next members in turn, so that a host that asks a few times hears of all of them.
-    fn some_members(&mut self) -> Vec<Member> {
-        // What nobody has heard of for itself is not told on, or a host that is gone would be told for ever.
-        let witnessed = self.peers.values().filter(|p| p.is_witnessed());
-        let known = witnessed.clone().filter_map(|p| p.member.as_ref());
-        let members: Vec<_> = known.cycle().skip(self.told).take(MOST_MEMBERS).cloned().collect();
-        let all = witnessed.filter(|p| p.member.is_some()).count();
-        self.told = (self.told + MOST_MEMBERS) % all.max(1);
-        if all < MOST_MEMBERS { members.into_iter().take(all).collect() } else { members }
-    }
-
-    /// Hosts of the own data centre, this one included.
-    pub fn near_hosts(&self) -> usize {
-        let of_centre = |p: &&Peer| p.member.as_ref().is_some_and(|m| m.data_centre == self.data_centre);
-        self.peers.values().filter(of_centre).count() + 1
-    }
-
-    /// Hosts of the own data centre that are heard and ready, those that have been up for the longest first.
-    pub fn near_ready(&self, most: usize) -> Vec<Member> {
-        let mut near: Vec<_> = self.peers.values().filter(|p| p.ready && self.is_near(p)).collect();
-        near.sort_unstable_by_key(|p| p.start);
-        let of_centre = |m: &&Member| m.data_centre == self.data_centre;
-        near.into_iter().filter_map(|p| p.member.as_ref()).filter(of_centre).take(most).cloned().collect()
-    }
-
     /// Hosts that callers may be sent to, this one not included.
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let limit = self.lost_summary();
@@ -550,12 +311,3 @@
         self.peers.values().filter(ready).filter_map(|p| p.member.as_ref())
     }
 }
-
-fn is_in(peer: &Peer, data_centre: &str) -> bool {
-    peer.member.as_ref().is_some_and(|m| m.data_centre == data_centre)
-}
-
-fn is_ahead(peer: &Peer, own: Own) -> bool {
-    let backends = peer.backends > own.backends && peer.backends_digest != own.digest;
-    peer.configuration > own.configuration || backends
-}
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -359,7 +359,9 @@
     let of_b: Vec<u8> = (0..60).filter(|i| i % 3 == 1).collect();
     let summary = |hosts: &[u8], number| {
         let mut sender = Peers::new(addr(1), "b", &[]);
-        hosts.iter().for_each(|i| drop(sender.hear(ms(0), addr(*i), &beat(*i, "b", 1), OWN)));
+        for i in hosts {
+            sender.hear(ms(0), addr(*i), &beat(*i, "b", 1), OWN);
+        }
         Beat { centre: Some(sender.centre(&[], &member(1, "b"), true)), ..beat(1, "b", number) }
     };
     let in_b = |peers: &Peers, now| ready(peers, now).iter().filter(|name| is_of(name, &of_b)).count();
