Refuse what is not known from a copy, and pace a store that ends watches at once

And the stand-in of a new test, which ended watches at once, kept the follower's task busy without end. Change: unknown keys and paths are refused as not run only where what is known comes from a copy, or the host has settled and hears nobody who follows the store; a watch that ends within the gathering time is followed by a pause.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -109,6 +109,8 @@
     pub(crate) leaving: Option<Leaving>,
     /// What this host has to do with the store.
     pub(crate) contact: Contact,
+    /// Whether it has read a copy of the configuration, which may be seconds old.
+    pub(crate) copied: bool,
     /// Whether it has heard of most other hosts since its start.
     pub(crate) settled: bool,
     pub(crate) listed: bool,
@@ -163,6 +165,7 @@
             admission: Admission::default(),
             leaving: None,
             contact: Contact::Idle,
+            copied: false,
             settled: false,
             listed: false,
             news: Vec::new(),
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -31,7 +31,8 @@
         match state.contact {
             Contact::Follows => false,
             Contact::Lost => true,
-            Contact::Idle => !state.peers.some_follow_store(now()),
+            // What it knows is as of a copy, or was told by hosts that may be gone.
+            Contact::Idle => (state.copied || state.settled) && !state.peers.some_follow_store(now()),
         }
     }
 
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -22,8 +22,9 @@
     util::{now, wall_ms},
 };
 
-/// Pause after a change before the next watch, so that changes that come together cost one call. A server that leaves may
-/// get new work for two seconds.
+/// Pause after a change before the next watch, so that changes that come together cost one call, and after a watch that has
+/// ended within it: a store that does not let watches wait would be called without end. A server that leaves may get new
+/// work for two seconds.
 const GATHER: Duration = Duration::from_millis(200);
 /// The same in a large fleet, in which a change costs a call a data centre.
 const GATHER_LARGE: Duration = Duration::from_millis(400);
@@ -126,16 +127,19 @@
         }
         let copy = !started && !relay.is_seed();
         let call = Call { after, patience: contact.patience(), whole, copy };
+        let asked = now();
         match relay.ask_store(Asked::configuration(call), store.configuration(call)).await {
             Ok((revision, cfg)) => {
                 started = true;
+                relay.state().copied |= copy;
                 regain(&mut contact);
                 let news = after.is_some() && cfg.is_some();
+                let soon = after.is_some() && now() < asked + GATHER;
                 after = after.max(Some(revision));
                 if let Some(cfg) = cfg {
                     relay.set_configuration(cfg, "store");
                 }
-                if news {
+                if news || soon {
                     tokio::time::sleep(GATHER).await;
                 }
             }
@@ -168,15 +172,17 @@
         let after = (!list).then(|| relay.state().backends.revision());
         let copy = !started && !relay.is_seed();
         let call = Call { after, patience: contact.patience(), whole, copy };
+        let asked = now();
         match relay.ask_store(Asked::backends(call), store.backends(call)).await {
             Ok(update) => {
                 list = false;
                 let grace = regain(&mut contact);
                 let news = matches!(&update, BackendsUpdate::Changes { puts, removed, .. }
                     if !puts.is_empty() || !removed.is_empty());
+                let soon = after.is_some() && now() < asked + GATHER;
                 relay.update_backends(update, grace, "store");
                 relay.note_contact(OwnContact::Follows);
-                if news {
+                if news || soon {
                     tokio::time::sleep(relay.gather()).await;
                 }
             }
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -309,6 +309,64 @@
     assert!(tolds_next.whole && !tolds_next.copy, "it follows the store itself now: {tolds_next:?}");
 }
 
+/// A store that answers lists, lets watches of the configuration wait, and ends those of the servers at once.
+struct Calm;
+
+impl Store for Calm {
+    async fn configuration(
+        &mut self,
+        call: Call,
+    ) -> Result<(Revision, Option<fleet::Configuration>), StoreError> {
+        match call.after {
+            Some(_) => pending().await,
+            None => Ok((5, Some(fleet::Configuration { version: 3, ..fleet::Configuration::default() }))),
+        }
+    }
+
+    async fn backends(&mut self, call: Call) -> Result<BackendsUpdate, StoreError> {
+        match call.after {
+            Some(after) => {
+                Ok(BackendsUpdate::Changes { revision: after, puts: Vec::new(), removed: Vec::new() })
+            }
+            None => Ok(BackendsUpdate::List(list(5, &["a"]))),
+        }
+    }
+
+    async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+        Ok(Hosts::default())
+    }
+}
+
+/// A route and its key were added a second ago, and a host starts. The copy that it reads may not hold them yet: until it
+/// follows the store, or hears somebody who does, it refuses what it does not know and does not deny it.
+#[tokio::test]
+async fn what_is_known_from_a_copy_denies_nothing() {
+    let relay = Arc::new(Relay::new(relay_config("host-1"), PlatformWire).unwrap());
+    let before = relay.is_stale();
+    let following = tokio::spawn(follow::follow_configuration(relay.clone(), Calm));
+    let until = async |what: &dyn Fn() -> bool| {
+        let waiting = async {
+            while !what() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(s(10), waiting).await.expect("it comes about");
+    };
+    until(&|| relay.routes().is_some()).await;
+    let by_copy = relay.is_stale();
+
+    let listing = tokio::spawn(follow::follow_backends(relay.clone(), Calm));
+    until(&|| !relay.is_stale()).await;
+
+    following.abort();
+    listing.abort();
+    assert!(!before && by_copy);
+}
+
 /// Open connections go silent for good without a reset. A call that waits at the store for a change would not notice until
 /// its end, so the system probes its connection: after a second, and ends it when two probes are not acknowledged.
 #[tokio::test]
