Let the stand-in of an engine write nothing after it has crashed

Excluded: the client that is tested (it tells what it gets). Change: the stand-in answers nothing for the time in which the gate cuts. The test is unchanged.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -159,23 +159,23 @@
         self.crashes.send_modify(|n| *n += 1);
     }
 
-    fn chat(&self, req: &Request<Bytes>) -> Reply {
+    fn chat(&self, req: &Request<Bytes>) -> Result<Reply, Crashed> {
         let chat = chat_of(req);
         let request = Some(header(req, REQUEST_ID)).filter(|id| !id.is_empty());
         let request = request.map_or_else(random_id, str::to_owned);
         let Ok(body) = serde_json::from_slice::<serde_json::Value>(req.body()) else {
-            return Reply::full(400, "").with_header(OUTCOME, "not-run");
+            return Ok(Reply::full(400, "").with_header(OUTCOME, "not-run"));
         };
         let mut state = self.lock();
         let faults = state.faults.for_connection();
         if faults.refuse {
-            return Reply::full(503, "").with_header(OUTCOME, "not-run");
+            return Ok(Reply::full(503, "").with_header(OUTCOME, "not-run"));
         }
         *state.runs.entry(request.clone()).or_default() += 1;
         if faults.crash_on.as_ref().is_some_and(|text| body.to_string().contains(text.as_str())) {
             drop(state);
             self.crash();
-            return cut();
+            return Err(Crashed);
         }
         let turns = body.get("messages").and_then(|m| m.as_array()).map_or(0, Vec::len);
         self.requests.fetch_add(1, Ordering::Relaxed);
@@ -195,9 +195,8 @@
             drop(maker);
         });
         state.answers.insert(request.clone(), Running { answer, task: task.abort_handle() });
-        Reply::stream(200, rx)
-            .with_header("content-type", "text/event-stream")
-            .with_header(REQUEST_ID, &request)
+        let reply = Reply::stream(200, rx).with_header("content-type", "text/event-stream");
+        Ok(reply.with_header(REQUEST_ID, &request))
     }
 
     fn resume(&self, request: &str, query: &str) -> Reply {
@@ -287,8 +286,16 @@
     req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
 }
 
+/// The engine has crashed on a request, and answers nothing any more.
+struct Crashed;
+
+/// Time for the gate in front of the engine to cut the connections. A head that is written before that reaches the caller
+/// first on a busy machine, who then sees an answer that breaks off instead of none.
+const GATE_CUTS: Duration = Duration::from_secs(1);
+
 /// Reply whose connection is cut.
-fn cut() -> Reply {
+async fn cut() -> Reply {
+    tokio::time::sleep(GATE_CUTS).await;
     let (_, rx) = body_channel(1);
     Reply::stream(200, rx)
 }
@@ -299,7 +306,10 @@
         let query = req.uri().query().unwrap_or("");
         let parts: Vec<_> = path.split('/').collect();
         match (req.method(), parts.as_slice()) {
-            (&Method::POST, ["v1", "chat", "completions"]) => self.chat(&req),
+            (&Method::POST, ["v1", "chat", "completions"]) => match self.chat(&req) {
+                Ok(reply) => reply,
+                Err(Crashed) => cut().await,
+            },
             (&Method::GET, ["v1", "streams", id]) => self.resume(id, query),
             (&Method::DELETE, ["v1", "streams", id]) => self.cancel(id),
             (&Method::GET, ["load"]) => self.load(),
