--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -33,8 +33,7 @@
         addr: format!("10.0.{}.{}:80", i / 250, i % 250),
         data_centre: "a".into(),
         slots: 64,
-        leaving: false,
-        born: 0,
+        ..Backend::default()
     };
     let mut backends = Backends::default();
     backends.list(Duration::ZERO, &List { revision: 1, items: (0..n).map(item).collect() }, None);
@@ -81,7 +80,7 @@
         let by_load = per_round(ROUNDS, |_| {
             placer.choose(&candidates, &[], &holders, |_| true, &mut rng);
         });
-        let list = postcard::to_allocvec(&backends.snapshot()).map_or(0, |b| b.len());
+        let list = postcard::to_allocvec(&backends.snapshot(Duration::ZERO)).map_or(0, |b| b.len());
         println!("| {n} | {by_parts:.1} | {at_places:.1} | {by_load:.1} | {:.1} | {list} |", hear(n));
     }
     println!("\nadmission: {:.2} us", admission());
--- a/src/error.rs
+++ b/src/error.rs
@@ -51,6 +51,10 @@
     NoPolicy,
     /// No eligible engine is live.
     NoEngine,
+    /// Every data centre with an eligible engine is evacuated.
+    Evacuated,
+    /// Every eligible engine is cold and bears no more requests.
+    WarmingUp,
     /// The router has no configuration yet.
     NotReady,
     /// The router is shutting down and takes no new request.
@@ -120,7 +124,7 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 36] = [
+    pub const ALL: [Kind; 38] = [
         Kind::BadRequest,
         Kind::BodyTooLarge,
         Kind::BodyTimeout,
@@ -132,6 +136,8 @@
         Kind::UnknownService,
         Kind::NoPolicy,
         Kind::NoEngine,
+        Kind::Evacuated,
+        Kind::WarmingUp,
         Kind::NotReady,
         Kind::Leaving,
         Kind::DeadlineUnmeetable,
@@ -184,6 +190,20 @@
             }
             Kind::NoPolicy => row(403, "no_policy", Ran::No, None, "No routing policy matches"),
             Kind::NoEngine => row(503, "no_engine", Ran::No, Some(2), "No eligible engine is live"),
+            Kind::Evacuated => row(
+                503,
+                "evacuated",
+                Ran::No,
+                Some(5),
+                "Every data centre with an eligible engine is evacuated",
+            ),
+            Kind::WarmingUp => row(
+                503,
+                "warming_up",
+                Ran::No,
+                Some(1),
+                "Every eligible engine has just started and bears no more requests",
+            ),
             Kind::NotReady => row(503, "not_ready", Ran::No, Some(1), "The router has no configuration yet"),
             Kind::Leaving => {
                 row(503, "leaving", Ran::No, Some(0), "The router is shutting down and takes no new request")
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -32,6 +32,7 @@
     seeds: Vec<SocketAddr>,
     budget: BudgetConfig,
     grace: Duration,
+    evacuates: bool,
 }
 
 #[derive(Deserialize)]
@@ -63,6 +64,8 @@
     budget_window_s: f64,
     /// Retries in a window beside the ratio, for all hosts together.
     retry_budget_extra: f64,
+    /// Present where data centres are evacuated.
+    evacuation_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -101,6 +104,7 @@
                 window: Duration::from_secs_f64(raw.bounds.budget_window_s.clamp(1.0, 3_600.0)),
             },
             grace: Duration::from_secs_f64(raw.bounds.grace_s.clamp(1.0, 3_600.0)),
+            evacuates: raw.bounds.evacuation_ms.is_some(),
         })
     }
 
@@ -121,6 +125,7 @@
             budget: self.budget,
             bound: Bound::default(),
             leave: LeaveConfig { grace: self.grace, outlive: OUTLIVE },
+            evacuates: self.evacuates,
         }
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,23 +6,26 @@
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 
 use crate::{
     relay::{
         backends::Revision,
+        evacuations,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
         pool::Conn,
     },
-    schema::fleet::{Backends, Configuration},
+    schema::fleet::{Backends, Configuration, Evacuations},
 };
 
 mod forms;
 
-use forms::{Changes, Page, RawBackend, RawConfiguration, RawHosts, backend};
+use forms::{Change, Changes, Object, Page, RawBackend, RawConfiguration, RawHosts, backend};
 
 /// Longest wait of a watch. Each one is a priced call; other hosts tell when a watch has gone silent.
 const WAIT: Duration = Duration::from_secs(15);
+/// The same for what changes some times a day.
+const LONG_WAIT: Duration = Duration::from_secs(30);
 /// Time for the answer to a call that nobody waits for; a slow store takes some hundred milliseconds.
 const ANSWER: Duration = Duration::from_millis(2_000);
 /// Time for the rest of an answer that has begun: half a megabyte over the slowest links, 10 Mbit/s, takes 0.4 s, and as long
@@ -40,6 +43,8 @@
 /// Name of the object that holds the configuration.
 const NEWEST: &str = "main";
 const BACKENDS: &str = "servers";
+/// Kind of the objects that name evacuated data centres.
+const EVACUATIONS: &str = "evacuations";
 
 /// Kind of our own: some hosts of each data centre, under its name.
 const HOSTS: &str = "hosts";
@@ -164,9 +169,10 @@
         kind: &str,
         after: Revision,
         patience: Duration,
+        wait: Duration,
     ) -> Result<Changes<T>, StoreError> {
-        let target = format!("/objects/{kind}?watch={after}&waitMs={}", WAIT.as_millis());
-        self.call(&target, WAIT + patience).await
+        let target = format!("/objects/{kind}?watch={after}&waitMs={}", wait.as_millis());
+        self.call(&target, wait + patience).await
     }
 }
 
@@ -218,7 +224,7 @@
                 (page.current_rev, page.items)
             }
             Some(after) => {
-                let changes = self.watch(CONFIGURATION, after, call.patience).await?;
+                let changes = self.watch(CONFIGURATION, after, call.patience, WAIT).await?;
                 let kept = changes.events.into_iter().filter(|e| !e.deleted);
                 (changes.current_rev, kept.map(|e| e.object).collect())
             }
@@ -228,6 +234,22 @@
         Ok((revision, newest.map(Configuration::from)))
     }
 
+    async fn evacuations(&mut self, call: Call) -> Result<evacuations::Update, StoreError> {
+        let Some(after) = call.after else {
+            let page: Page<IgnoredAny> = self.list(EVACUATIONS, call, MOST_PAGE).await?;
+            let held = page.items.into_iter().filter(Object::stays);
+            let data_centres = held.map(|o| o.metadata.name).collect();
+            let list = Evacuations { revision: page.current_rev, data_centres };
+            return Ok(evacuations::Update::List(list));
+        };
+        let changes = self.watch::<IgnoredAny>(EVACUATIONS, after, call.patience, LONG_WAIT).await?;
+        let revision = changes.current_rev;
+        let evacuated = |e: &Change<IgnoredAny>| !e.deleted && e.object.stays();
+        let changes = changes.events.into_iter().map(|e| (evacuated(&e), e.object.metadata.name));
+        let changes = changes.map(|(evacuated, name)| (name, evacuated)).collect();
+        Ok(evacuations::Update::Changes { revision, changes })
+    }
+
     async fn backends(&mut self, call: Call) -> Result<BackendsUpdate, StoreError> {
         let Some(after) = call.after else {
             // A list of servers is long by its pages: the length of the first one tells nothing of the others.
@@ -235,7 +257,7 @@
             let items = page.items.into_iter().map(backend).collect();
             return Ok(BackendsUpdate::List(Backends { revision: page.current_rev, items }));
         };
-        let changes = self.watch::<RawBackend>(BACKENDS, after, call.patience).await?;
+        let changes = self.watch::<RawBackend>(BACKENDS, after, call.patience, WAIT).await?;
         let revision = changes.current_rev;
         let (gone, kept): (Vec<_>, Vec<_>) = changes.events.into_iter().partition(|e| e.deleted);
         let removed = gone.into_iter().map(|e| e.object.metadata.name).collect();
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -45,6 +45,13 @@
     pub(super) spec: Option<T>,
 }
 
+impl<T> Object<T> {
+    /// Whether nobody has asked for its deletion.
+    pub(super) fn stays(&self) -> bool {
+        !self.metadata.deletion_pending
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct Metadata {
@@ -92,8 +99,8 @@
     _version: Option<String>,
     #[serde(rename = "sequence")]
     _sequence: Option<u64>,
-    #[serde(rename = "coldRemainingMs")]
-    _cold_remaining_ms: Option<f64>,
+    /// How much longer it stays cold.
+    cold_remaining_ms: Option<f64>,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -164,6 +171,10 @@
     pub(super) name: String,
     #[serde(default)]
     max_connections: u32,
+    #[serde(default)]
+    cold_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
     /// Present where its servers are model engines.
     engine: Option<serde_json::Value>,
 }
@@ -236,7 +247,13 @@
 
 impl From<RawService> for Service {
     fn from(raw: RawService) -> Self {
-        Self { name: raw.name, connections: raw.max_connections, caches_prompts: raw.engine.is_some() }
+        Self {
+            name: raw.name,
+            connections: raw.max_connections,
+            caches_prompts: raw.engine.is_some(),
+            cold_ms: (raw.cold_s * 1_000.0) as u32,
+            cold_per_minute: (raw.cold_per_s * 60.0) as u32,
+        }
     }
 }
 
@@ -269,5 +286,6 @@
         slots: raw.slots,
         leaving: raw.state == RawState::Draining || object.metadata.deletion_pending,
         born: raw.born.unwrap_or(0),
+        cold_ms: raw.cold_remaining_ms.unwrap_or(0.0) as u32,
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -2,12 +2,12 @@
 //!
 //! 1. [`routes`]: host name and path to route, key to workspace; [`request`] is what the interface makes of it.
 //! 2. [`admission`]: whether it is sent at all while its service is over its capacity.
-//! 3. [`run`]: the attempts of one request; it asks [`place`] for a server, [`pool`] for a connection, and
+//! 3. [`run`]: the attempts of one request; it asks `choose` and [`place`] for a server, [`pool`] for a connection, and
 //!    [`verdict`] after a failure whether another attempt may follow.
 //! 4. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`suspects`], [`configurations`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
+//! [`budget`], [`suspects`], [`configurations`], [`evacuations`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
 //! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
 //! translates. This file holds what a host knows and has in progress; `belief` changes what it knows, with a line each,
 //! `stop` ends its service.
@@ -26,7 +26,7 @@
     logs::lines::{Line, Weight, line},
     metrics::Metrics,
     schema::fleet::{Held, Member},
-    util::{Instant, hash, lock, now, wall_ms},
+    util::{Instant, lock, now, wall_ms},
 };
 
 pub mod admission;
@@ -34,10 +34,12 @@
 pub mod backends;
 mod belief;
 pub mod budget;
+mod choose;
 pub mod configurations;
 pub mod contact;
 pub mod datagram;
 pub mod directory;
+pub mod evacuations;
 pub mod events;
 pub mod follow;
 pub mod followers;
@@ -58,23 +60,25 @@
 pub mod suspects;
 mod tell;
 pub mod verdict;
+pub mod warmup;
 mod wire;
 
 use admission::Admission;
-use backends::{BackendKey, Backends, Revision, Tag};
+use backends::{BackendKey, Backends, Revision};
 use budget::{BudgetConfig, FleetBudget};
 use configurations::Configurations;
+use evacuations::Evacuations;
 use followers::Contact;
 use health::Health;
 use holders::Holders;
 use leave::Leaving;
 
 use peers::{Own, Peers};
-use place::{Candidate, Choice, Placer};
 use pool::{Conn, Pool};
 use request::Request;
 use routes::Routes;
 use suspects::Suspects;
+use warmup::Warmup;
 pub use wire::{Read, Refusal, Sending, Wire};
 
 /// Settings of a relaying host.
@@ -92,6 +96,8 @@
     pub bound: place::Bound,
     /// How long a stop may take.
     pub leave: leave::LeaveConfig,
+    /// Whether operators evacuate data centres, so that the store is asked which ones.
+    pub evacuates: bool,
 }
 
 /// What a host knows and has in progress, under one lock: each decision reads several parts at once.
@@ -105,14 +111,14 @@
     pub(crate) budget: FleetBudget,
     pub(crate) peers: Peers,
     pub(crate) suspects: Suspects,
+    pub(crate) evacuations: Evacuations,
+    pub(crate) warmup: Warmup,
     pub(crate) admission: Admission,
     pub(crate) leaving: Option<Leaving>,
     /// What this host has to do with the store.
     pub(crate) contact: Contact,
     /// Whether it has read a copy of the configuration, which may be seconds old.
     pub(crate) copied: bool,
-    /// Whether it has heard of most other hosts since its start.
-    pub(crate) settled: bool,
     pub(crate) listed: bool,
     /// Parts read at servers where the other hosts don't expect them, for the next beats.
     news: Vec<Held>,
@@ -144,9 +150,6 @@
     state: Mutex<State>,
 }
 
-/// Other hosts that must keep away from a server before this one does without trying it: one alone may be cut off.
-const MANY: u32 = 2;
-
 impl<W: Wire> Relay<W> {
     /// A host that knows nothing yet.
     ///
@@ -160,13 +163,14 @@
             health: Health::default(),
             holders: Holders::default(),
             budget: FleetBudget::new(cfg.budget).with_start(now()),
-            peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds),
+            peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
             suspects: Suspects::default(),
+            evacuations: Evacuations::default(),
+            warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
             leaving: None,
             contact: Contact::Idle,
             copied: false,
-            settled: false,
             listed: false,
             news: Vec::new(),
             in_progress: 0,
@@ -249,19 +253,7 @@
         if req.after.is_some() {
             return Ok(());
         }
-        let now = now();
-        let mut state = self.state();
-        let state = &mut *state;
-        let ask = admission::Ask {
-            route: hash((&req.route.route.name, req.route.route.timeout_ms)),
-            rank: req.rank(),
-            route_rank: req.route.route.rank,
-            objective: req.objective(),
-            left: req.left(now),
-            work: state.work(now, &req.service),
-        };
-        let draws = [state.rng.random(), state.rng.random()];
-        state.admission.ask(now, &req.service, ask, draws)
+        self.state().admit(now(), req)
     }
 
     /// Notes how long a request waited at a server for the first of its answer.
@@ -275,30 +267,6 @@
         self.state().admission.hear(now(), service, told);
     }
 
-    /// Chooses a server for a request, none of `tried`.
-    pub(crate) fn choose(&self, req: &Request, tried: &[BackendKey]) -> Option<Choice> {
-        let now = now();
-        let mut state = self.state();
-        let state = &mut *state;
-        let service: Vec<_> = state.backends.of(&req.service).map(|(key, _)| key).collect();
-        let survey = state.health.survey(now, &service);
-        let candidates = service.iter().filter(|key| !tried.contains(key));
-        let candidates: Vec<_> = candidates
-            .filter_map(|key| {
-                let b = state.backends.get(*key)?;
-                let near = *b.data_centre == *self.cfg.me.data_centre;
-                let load = f64::from(b.in_progress + state.peers.load(b.tag));
-                let unsound = state.many_avoid(b.tag) || state.health.unsound(now, *key, survey);
-                Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
-            })
-            .collect();
-        let placer = Placer::default().with_bound(self.cfg.bound);
-        let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
-        let (backends, health) = (&state.backends, &state.health);
-        let reaches = |key| caches && backends.get(key).is_some() && !health.paused(now, key);
-        placer.choose(&candidates, &req.parts, &state.holders, reaches, &mut state.rng)
-    }
-
     /// Keeps a connection whose answer has been read. A server accepts so many connections from all hosts and resets those
     /// beyond, so that each host keeps at most half of its equal part idle.
     pub(crate) fn keep(&self, key: BackendKey, conn: Conn, keeps: Option<Duration>) {
@@ -343,24 +311,6 @@
 }
 
 impl State {
-    /// Whether enough other hosts keep away from a server for this one to do so without trying it.
-    fn many_avoid(&self, tag: Tag) -> bool {
-        self.peers.avoiding(tag) >= MANY
-    }
-
-    /// What is in progress at the servers of a service. Servers that are left alone don't count: while the fleet learned of
-    /// 42 lost servers of 140, their places passed for free.
-    fn work(&self, now: Instant, service: &str) -> admission::Work {
-        let left_alone = |key, tag| self.health.paused(now, key) || self.many_avoid(tag);
-        let mut work = admission::Work::default();
-        for (_, b) in self.backends.of(service).filter(|(key, b)| !left_alone(*key, b.tag)) {
-            work.own += b.in_progress;
-            work.all += b.in_progress + self.peers.load(b.tag);
-            work.places += b.slots;
-        }
-        work
-    }
-
     fn is_ready(&self) -> bool {
         self.leaving.is_none() && self.routes.is_some() && self.listed
     }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -35,6 +35,9 @@
 /// seconds and more.
 const LINGERS: Duration = Duration::from_secs(3);
 
+/// Longest time for which an entry may tell that its server stays cold; more was written by somebody else.
+const MOST_COLD: Duration = Duration::from_secs(60);
+
 /// Unreadable entries remembered, so that each has one line; beyond that some have another one.
 const MOST_UNREADABLE: usize = 1_024;
 
@@ -85,6 +88,10 @@
     pub in_progress: u32,
     /// When its entry was removed.
     pub gone: Option<Instant>,
+    /// Until when it is cold, as far as is told.
+    pub cold_until: Instant,
+    /// Whether its entry told last that it is cold.
+    told_cold: bool,
 }
 
 impl Backend {
@@ -96,6 +103,17 @@
     fn is_missing(&self) -> bool {
         matches!(self.state, State::Missing { .. })
     }
+
+    /// Takes in for how long its entry tells that it is cold; returns whether that is news. An entry that tells no more of it
+    /// may be older than what ends it, so that the time told before runs out by itself.
+    fn hear_cold(&mut self, now: Instant, cold_ms: u32) -> bool {
+        let before = std::mem::replace(&mut self.told_cold, cold_ms > 0);
+        let cold = Duration::from_millis(cold_ms.into()).min(MOST_COLD);
+        if cold_ms > 0 {
+            self.cold_until = self.cold_until.max(now + cold);
+        }
+        cold_ms > 0 && !before
+    }
 }
 
 /// A change of what is known of one backend server.
@@ -111,6 +129,8 @@
     Unreadable,
     /// It has started again: what was believed of this start ends.
     Restarted,
+    /// It is cold without having started.
+    Cold,
 }
 
 impl Change {
@@ -122,6 +142,7 @@
             Change::Missing => "missing",
             Change::Unreadable => "unreadable",
             Change::Restarted => "restarted",
+            Change::Cold => "cold",
         }
     }
 }
@@ -203,14 +224,17 @@
 
     /// Takes one entry in; a start that replaces another brings two changes.
     fn put(&mut self, now: Instant, item: &fleet::Backend) -> Vec<(BackendKey, Change)> {
-        let Some(&key) = self.by_id.get(item.id.as_str()) else { return Vec::from_iter(self.add(item)) };
+        let Some(&key) = self.by_id.get(item.id.as_str()) else { return Vec::from_iter(self.add(now, item)) };
         match self.arena[key].compare(item) {
             Entry::Earlier => Vec::new(),
-            Entry::Same => Vec::from_iter(self.renew(key, item.leaving)),
+            Entry::Same => {
+                let cold = self.arena[key].hear_cold(now, item.cold_ms).then_some((key, Change::Cold));
+                self.renew(key, item.leaving).into_iter().chain(cold).collect()
+            }
             Entry::Foreign => Vec::from_iter(self.distrust(key)),
             Entry::Later => {
                 self.drop_entry(now, key);
-                [(key, Change::Restarted)].into_iter().chain(self.add(item)).collect()
+                [(key, Change::Restarted)].into_iter().chain(self.add(now, item)).collect()
             }
         }
     }
@@ -241,7 +265,7 @@
         Some((key, Change::Unreadable))
     }
 
-    fn add(&mut self, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
+    fn add(&mut self, now: Instant, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
         let id: Arc<str> = item.id.as_str().into();
         let Ok(addr) = item.addr.parse() else {
             self.note_unreadable(id, &item.addr);
@@ -261,7 +285,10 @@
             state,
             in_progress: 0,
             gone: None,
+            cold_until: Instant::ZERO,
+            told_cold: false,
         });
+        self.arena[key].hear_cold(now, item.cold_ms);
         self.by_id.insert(id, key);
         self.by_tag.insert(tag, key);
         Some((key, Change::Seen))
@@ -290,6 +317,13 @@
         }
     }
 
+    /// Counts the backend servers of a data centre as cold for a while, by service.
+    pub fn cool(&mut self, now: Instant, data_centre: &str, lasts: impl Fn(&str) -> Duration) {
+        for b in self.arena.values_mut().filter(|b| &*b.data_centre == data_centre) {
+            b.cold_until = b.cold_until.max(now + lasts(&b.service));
+        }
+    }
+
     /// Counts a backend server as gone, as when another one answers at its address.
     pub fn lose(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
         let known = self.arena.get_mut(key)?;
@@ -373,6 +407,7 @@
     /// Kept with each change, since every beat that is sent or heard asks for it.
     fn renew_digest(&mut self) {
         let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
-        self.digest = listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.born, b.takes_work())) as u32);
+        self.digest =
+            listed.fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.born, b.takes_work(), b.told_cold)) as u32);
     }
 }
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -5,7 +5,7 @@
 use super::{
     Relay, State, Wire,
     backends::{BackendKey, Change},
-    configurations,
+    configurations, evacuations,
     follow::Hosts,
     followers::Contact,
     place,
@@ -32,7 +32,9 @@
             Contact::Follows => false,
             Contact::Lost => true,
             // What it knows is as of a copy, or was told by hosts that may be gone.
-            Contact::Idle => (state.copied || state.settled) && !state.peers.some_follow_store(now()),
+            Contact::Idle => {
+                (state.copied || state.peers.is_settled()) && !state.peers.some_follow_store(now())
+            }
         }
     }
 
@@ -96,6 +98,7 @@
                 let l = l.text("backend", &backend.id).text("change", change.as_str()).text("from", from);
                 let l = l.text("service", &backend.service).number("revision", state.backends.revision());
                 let l = l.number("born", backend.born);
+                let l = l.ms("cold_ms", backend.cold_until.saturating_sub(now()));
                 l.text("address", &backend.addr.to_string())
             });
         }
@@ -104,6 +107,32 @@
         }
     }
 
+    /// Takes in what the store tells of evacuated data centres.
+    pub fn update_evacuations(&self, update: &evacuations::Update, from: &str) {
+        let mut state = self.state();
+        let changes = state.evacuations.update(update);
+        self.note_evacuations(&mut state, &changes, from);
+        if !changes.is_empty() {
+            self.tell_news(&state);
+        }
+    }
+
+    /// Writes a line for each data centre that was evacuated or taken back. The servers of one that is taken back may be cold
+    /// before their entries tell so.
+    pub(crate) fn note_evacuations(&self, state: &mut State, changes: &[evacuations::Change], from: &str) {
+        for change in changes {
+            let data_centre = change.data_centre();
+            line(Weight::Notable, "evacuation", |l| {
+                let l = l.text("data_centre", data_centre).text("change", change.as_str());
+                l.text("from", from).number("revision", state.evacuations.revision())
+            });
+            if let (evacuations::Change::TakenBack(_), Some(routes)) = (change, state.routes.clone()) {
+                let lasts = |service: &str| routes.cold(service).map_or(Duration::ZERO, |limit| limit.lasts);
+                state.backends.cool(now(), data_centre, lasts);
+            }
+        }
+    }
+
     /// Sends a beat at once that tells of something newer.
     fn tell_news(&self, state: &State) {
         if state.peers.tells_news() {
@@ -142,12 +171,14 @@
         for key in forgotten {
             self.forget(&mut state, key);
         }
+        state.warmup.expire(now);
         self.pool.sweep(|key| state.backends.get(key).is_some_and(|b| b.takes_work()));
     }
 
     /// Leaves a server alone for a while that could not be reached or fell silent.
     pub(crate) fn avoid(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
+        state.doubt(now(), key);
         let Some(pause) = state.health.lose(now(), key) else { return };
         let Some(id) = state.backends.get(key).map(|b| b.id.clone()) else { return };
         drop(state);
@@ -161,6 +192,7 @@
         if !state.health.succeed(now(), key) {
             return;
         }
+        state.doubt(now(), key);
         let Some(id) = state.backends.get(key).map(|b| b.id.clone()) else { return };
         drop(state);
         line(Weight::Notable, "taken_back", |l| l.text("backend", &id));
--- /dev/null
+++ b/src/relay/choose.rs
@@ -0,0 +1,218 @@
+//! Which backend servers may get a request, and which of them does.
+//!
+//! Servers in evacuated data centres get nothing. Cold ones get requests only where no other has room, within what
+//! [`super::warmup`] allows this host.
+
+use std::sync::Arc;
+
+use super::{
+    Relay, State, Wire,
+    admission::{Refused, Work, come_back_late},
+    backends::{Backend, BackendKey, Tag},
+    health::Survey,
+    place::{Bound, Candidate, Choice, Placer},
+    request::Request,
+    warmup::{ColdLimit, FEEDERS},
+};
+use crate::{
+    error::Kind,
+    schema::fleet::Member,
+    util::{Instant, now},
+};
+
+/// Other hosts that must keep away from a server before this one does without trying it: one alone may be cut off.
+const MANY: u32 = 2;
+
+/// Servers that may get a request of a service.
+#[derive(Debug, Default)]
+struct Open {
+    warm: Vec<BackendKey>,
+    cold: Vec<BackendKey>,
+    /// Whether some servers get nothing, or little.
+    is_short: bool,
+}
+
+impl<W: Wire> Relay<W> {
+    /// Chooses a server for a request, none of `tried`.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub(crate) fn choose(&self, req: &Request, tried: &[BackendKey]) -> Result<Choice, Kind> {
+        let now = now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let limit = state.cold_limit(&req.service);
+        let open = state.open(now, &req.service);
+        let survey = state.health.survey(now, &open.warm);
+        let untried = |keys: &[BackendKey]| keys.iter().copied().filter(|k| !tried.contains(k)).collect();
+        let (warm, cold): (Vec<_>, Vec<_>) = (untried(&open.warm), untried(&open.cold));
+        let mut candidates = state.candidates(now, &self.cfg.me, &warm, survey);
+        if !candidates.iter().any(Candidate::has_room) {
+            candidates.extend(state.fed(now, &self.cfg.me, &cold, limit));
+        }
+        let mean = state.mean_load(&req.service);
+        let placer = Placer::default().with_bound(self.cfg.bound).with_mean(mean);
+        let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
+        let (backends, health) = (&state.backends, &state.health);
+        let reaches = |key| caches && backends.get(key).is_some() && !health.paused(now, key);
+        let choice = placer.choose(&candidates, &req.parts, &state.holders, reaches, &mut state.rng);
+        let choice = choice.ok_or_else(|| state.why_none(&req.service, &open))?;
+        if open.is_short && choice.load + 1.0 > Bound::MOST.at(mean) {
+            return Err(Kind::Overloaded);
+        }
+        if let Some(limit) = limit.filter(|_| cold.contains(&choice.key)) {
+            state.spend_on_cold(now, choice.key, limit);
+        }
+        Ok(choice)
+    }
+
+    /// When a caller should come back that found no server: those that can be reached again are seen soon, while an evacuation
+    /// or a cold start lasts longer than a caller may wait.
+    pub(crate) fn back_after(&self, req: &Request, kind: Kind) -> std::time::Duration {
+        match kind {
+            Kind::Evacuated | Kind::WarmingUp | Kind::Overloaded => {
+                come_back_late(req.left(now()), self.draw())
+            }
+            _ => super::run::RETRY_AFTER,
+        }
+    }
+}
+
+impl State {
+    /// Servers of a service that may get something new: none in an evacuated data centre.
+    pub(crate) fn placeable(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Backend)> {
+        self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre))
+    }
+
+    fn open(&self, now: Instant, service: &str) -> Open {
+        let limited = self.cold_limit(service).is_some();
+        let mut open = Open::default();
+        for (key, b) in self.placeable(service) {
+            let keys = if limited && self.is_cold(now, b) { &mut open.cold } else { &mut open.warm };
+            keys.push(key);
+        }
+        open.is_short = open.warm.len() < self.backends.of(service).count();
+        open
+    }
+
+    /// Mean load of the servers of a service, those that get nothing new included.
+    fn mean_load(&self, service: &str) -> f64 {
+        let load = |b: &Backend| f64::from(b.in_progress + self.peers.load(b.tag));
+        let (sum, servers) =
+            self.backends.of(service).fold((0.0, 0), |(sum, n), (_, b)| (sum + load(b), n + 1));
+        sum / f64::from(servers.max(1))
+    }
+
+    fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
+        self.routes.as_ref()?.cold(service)
+    }
+
+    fn is_cold(&self, now: Instant, b: &Backend) -> bool {
+        b.cold_until > now || self.warmup.is_doubted(now, b.tag)
+    }
+
+    /// Notes that a server may start without a word: it can't be reached, or answers again.
+    pub(crate) fn doubt(&mut self, now: Instant, key: BackendKey) {
+        let Some((service, tag)) = self.backends.get(key).map(|b| (b.service.clone(), b.tag)) else { return };
+        if let Some(limit) = self.cold_limit(&service) {
+            self.warmup.doubt(now, tag, limit);
+        }
+    }
+
+    /// Counts servers as cold from which many hosts keep away: where they have started again, their entries may be late.
+    pub(crate) fn doubt_avoided(&mut self, now: Instant, avoided: &[Tag]) {
+        for tag in avoided {
+            if let Some(key) = self.backends.by_tag(*tag).filter(|_| self.many_avoid(*tag)) {
+                self.doubt(now, key);
+            }
+        }
+    }
+
+    fn candidates(&self, now: Instant, me: &Member, keys: &[BackendKey], survey: Survey) -> Vec<Candidate> {
+        let candidate = |key: &BackendKey| {
+            let b = self.backends.get(*key)?;
+            let near = *b.data_centre == *me.data_centre;
+            let load = f64::from(b.in_progress + self.peers.load(b.tag));
+            let unsound = self.many_avoid(b.tag) || self.health.unsound(now, *key, survey);
+            Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
+        };
+        keys.iter().filter_map(candidate).collect()
+    }
+
+    /// The cold servers to which this host may send a request now.
+    fn fed(
+        &mut self,
+        now: Instant,
+        me: &Member,
+        cold: &[BackendKey],
+        limit: Option<ColdLimit>,
+    ) -> Vec<Candidate> {
+        let Some(limit) = limit.filter(|_| self.peers.is_settled()) else { return Vec::new() };
+        let (backends, peers, warmup) = (&self.backends, &self.peers, &mut self.warmup);
+        let may = |key: &BackendKey| {
+            let tag = backends.get(*key)?.tag;
+            warmup.may_send(now, tag, limit, || peers.is_among_first(tag, FEEDERS)).then_some(*key)
+        };
+        let fed: Vec<_> = cold.iter().filter_map(may).collect();
+        let survey = self.health.survey(now, &fed);
+        let candidates = self.candidates(now, me, &fed, survey);
+        candidates.into_iter().filter(|c| !c.unsound).collect()
+    }
+
+    fn spend_on_cold(&mut self, now: Instant, key: BackendKey, limit: ColdLimit) {
+        if let Some(tag) = self.backends.get(key).map(|b| b.tag) {
+            self.warmup.sent(now, tag, limit);
+        }
+    }
+
+    /// Why no server may get a request.
+    fn why_none(&self, service: &str, open: &Open) -> Kind {
+        let listed = self.backends.of(service).next().is_some();
+        match open {
+            Open { warm, cold, .. } if warm.is_empty() && !cold.is_empty() => Kind::WarmingUp,
+            Open { warm, cold, .. } if warm.is_empty() && cold.is_empty() && listed => Kind::Evacuated,
+            _ => Kind::NoEngine,
+        }
+    }
+
+    /// Whether enough other hosts keep away from a server for this one to do so without trying it.
+    pub(crate) fn many_avoid(&self, tag: Tag) -> bool {
+        self.peers.avoiding(tag) >= MANY
+    }
+
+    /// What is in progress at the servers of a service that are not left alone. Lost and cold ones have no places to offer;
+    /// where all are cold, theirs are the only ones.
+    pub(crate) fn work(&self, now: Instant, service: &Arc<str>) -> Work {
+        let open = self.open(now, service);
+        let keys = if open.warm.is_empty() { open.cold } else { open.warm };
+        let mut work = Work::default();
+        for (key, b) in keys.iter().filter_map(|key| Some((*key, self.backends.get(*key)?))) {
+            if self.health.paused(now, key) || self.many_avoid(b.tag) {
+                continue;
+            }
+            work.own += b.in_progress;
+            work.all += b.in_progress + self.peers.load(b.tag);
+            work.places += b.slots;
+        }
+        work
+    }
+
+    /// Decides whether a request is sent to its service at all.
+    ///
+    /// # Errors
+    /// When it is not; the caller should come back.
+    pub(crate) fn admit(&mut self, now: Instant, req: &Request) -> Result<(), Refused> {
+        use super::admission::Ask;
+        use rand::Rng;
+        let ask = Ask {
+            route: crate::util::hash((&req.route.route.name, req.route.route.timeout_ms)),
+            rank: req.rank(),
+            route_rank: req.route.route.rank,
+            objective: req.objective(),
+            left: req.left(now),
+            work: self.work(now, &req.service),
+        };
+        let draws = [self.rng.random(), self.rng.random()];
+        self.admission.ask(now, &req.service, ask, draws)
+    }
+}
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -8,10 +8,12 @@
 use std::{future::Future, ops::Range, sync::Arc, time::Duration};
 
 mod call;
+mod evacuations;
 mod hosts;
 mod start;
 
 pub use call::{Asked, Call};
+pub use evacuations::follow_evacuations;
 pub use hosts::{Hosts, follow_hosts};
 use start::{is_told, turns};
 
@@ -30,13 +32,6 @@
 const GATHER_LARGE: Duration = Duration::from_millis(400);
 /// Time between two looks whether this host must follow the store again.
 const REST: Duration = Duration::from_millis(250);
-/// Time after its start from which a host decides whether it follows the store, if it has heard of no other host lately,
-/// and time from which it does so anyway. A host that knows few others takes the fleet for a small one, in which all follow:
-/// with the first time alone, 232 of 295 hosts waited for changes after a start of all, 470 calls of the quiet day's 822.
-const SETTLE: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(4_000);
-/// Time without an unknown host.
-const SETTLED: Duration = Duration::from_millis(500);
-
 /// How far the clock of a backend server may be ahead, in milliseconds. A start that is told for a later time was written by
 /// somebody else: taken for true, it would hide all that the server tells of itself from then on.
 const MOST_AHEAD_MS: u64 = 3_600_000;
@@ -105,6 +100,12 @@
     /// The backend servers, likewise.
     fn backends(&mut self, call: Call) -> impl Future<Output = Result<BackendsUpdate, StoreError>> + Send;
 
+    /// The evacuated data centres, likewise.
+    fn evacuations(
+        &mut self,
+        call: Call,
+    ) -> impl Future<Output = Result<super::evacuations::Update, StoreError>> + Send;
+
     /// Enters some hosts of a data centre, in place of those entered before.
     fn enter(
         &mut self,
@@ -224,22 +225,17 @@
     fn is_on_duty(&self) -> bool {
         let mut state = self.state();
         let state = &mut *state;
-        let known = state.peers.is_settled(now(), SETTLED) && self.has_run_for(SETTLE.start);
-        state.settled |= known || self.has_run_for(SETTLE.end);
-        if !state.settled {
-            return false;
-        }
-        if state.leaving.is_none() && state.peers.decide_duty(now(), state.contact) {
-            return true;
+        let on_duty = state.leaving.is_none() && state.peers.is_on_duty(now(), state.contact);
+        if !on_duty && state.peers.is_settled() {
+            state.contact = OwnContact::Idle;
         }
-        state.contact = OwnContact::Idle;
-        false
+        on_duty
     }
 
     /// Notes whether the store has answered this host, and tells the others where that has changed: they step in or rest.
     fn note_contact(&self, contact: OwnContact) {
         let mut state = self.state();
-        if !state.settled {
+        if !state.peers.is_settled() {
             return;
         }
         let before = std::mem::replace(&mut state.contact, contact);
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -38,6 +38,12 @@
     BackendsList,
     /// Changes of the backend servers.
     BackendsWatch,
+    /// The evacuated data centres as of some seconds ago.
+    EvacuationsCopy,
+    /// The evacuated data centres.
+    EvacuationsList,
+    /// The next change of these.
+    EvacuationsWatch,
     /// The hosts that are entered.
     Hosts,
     /// To enter hosts.
@@ -46,13 +52,16 @@
 
 impl Asked {
     /// Everything that is asked for.
-    pub const ALL: [Asked; 8] = [
+    pub const ALL: [Asked; 11] = [
         Asked::ConfigurationCopy,
         Asked::ConfigurationList,
         Asked::ConfigurationWatch,
         Asked::BackendsCopy,
         Asked::BackendsList,
         Asked::BackendsWatch,
+        Asked::EvacuationsCopy,
+        Asked::EvacuationsList,
+        Asked::EvacuationsWatch,
         Asked::Hosts,
         Asked::Enter,
     ];
@@ -66,6 +75,9 @@
             Asked::BackendsCopy => "backends_copy",
             Asked::BackendsList => "backends_list",
             Asked::BackendsWatch => "backends_watch",
+            Asked::EvacuationsCopy => "evacuations_copy",
+            Asked::EvacuationsList => "evacuations_list",
+            Asked::EvacuationsWatch => "evacuations_watch",
             Asked::Hosts => "hosts",
             Asked::Enter => "enter",
         }
@@ -79,6 +91,14 @@
         }
     }
 
+    pub(super) fn evacuations(call: Call) -> Self {
+        match call {
+            Call { after: Some(_), .. } => Asked::EvacuationsWatch,
+            Call { copy: true, .. } => Asked::EvacuationsCopy,
+            _ => Asked::EvacuationsList,
+        }
+    }
+
     pub(super) fn backends(call: Call) -> Self {
         match call {
             Call { after: Some(_), .. } => Asked::BackendsWatch,
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -237,11 +237,11 @@
             routes.as_ref().and_then(|_| state.configurations.changes_since(ask.configuration));
         let whole = routes.filter(|_| configuration_changes.is_none());
         let newer = state.listed && state.backends.revision() > ask.backends;
-        let changes = newer.then(|| state.backends.changes_since(ask.backends)).flatten();
+        let changes = newer.then(|| state.backends.changes_since(now(), ask.backends)).flatten();
         Fetched {
             configuration: whole.map(|r| (**r.source()).clone()),
             configuration_changes,
-            backends: (newer && changes.is_none()).then(|| state.backends.snapshot()),
+            backends: (newer && changes.is_none()).then(|| state.backends.snapshot(now())),
             changes,
             held,
             busy,
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -123,6 +123,10 @@
     follows: bool,
     /// When a host was heard or told of that was unknown.
     grew: Instant,
+    /// When this host started.
+    started: Instant,
+    /// Whether it has heard of most other hosts since then.
+    settled: bool,
 }
 
 impl Peers {
@@ -135,6 +139,11 @@
         peers
     }
 
+    /// Sets when this host started.
+    pub fn with_start(self, started: Instant) -> Self {
+        Self { started, ..self }
+    }
+
     /// Notes an address at which a host may be.
     fn learn(&mut self, addr: SocketAddr) {
         if self.me != Some(addr) {
--- a/src/relay/peers/duty.rs
+++ b/src/relay/peers/duty.rs
@@ -1,15 +1,31 @@
 //! Whether this host follows the store, and which hosts of its data centre are there.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use super::{Peer, Peers};
 use crate::{
-    relay::followers::{self, Contact, Neighbour},
+    relay::{
+        backends::Tag,
+        followers::{self, Contact, Neighbour},
+    },
     schema::fleet::Member,
     util::{Instant, Set, hash},
 };
 
+/// Time after its start from which a host decides whether it follows the store, if it has heard of no other host lately,
+/// and time from which it does so anyway. A host that knows few others takes the fleet for a small one, in which all follow.
+const SETTLE: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(4_000);
+/// Time without an unknown host.
+const SETTLED: Duration = Duration::from_millis(500);
+
 impl Peers {
+    /// Whether this host, with its contact to the store, follows it now. Before it knows the others it does not.
+    pub fn is_on_duty(&mut self, now: Instant, contact: Contact) -> bool {
+        let known = self.grew + SETTLED <= now && self.started + SETTLE.start <= now;
+        self.settled |= known || self.started + SETTLE.end <= now;
+        self.settled && self.decide_duty(now, contact)
+    }
+
     /// Decides whether this host, with its contact to the store, follows it from now on: every one in a small fleet, else a
     /// few of each data centre.
     pub fn decide_duty(&mut self, now: Instant, contact: Contact) -> bool {
@@ -30,9 +46,9 @@
         self.follows || self.is_small()
     }
 
-    /// Whether no unknown host has been heard or told of for so long.
-    pub fn is_settled(&self, now: Instant, time: Duration) -> bool {
-        self.grew + time <= now
+    /// Whether this host has heard of most others since its start.
+    pub fn is_settled(&self) -> bool {
+        self.settled
     }
 
     /// Hosts of the own data centre that are heard and stay.
@@ -63,6 +79,14 @@
         near.into_iter().filter_map(|p| p.member.as_ref()).filter(of_centre).take(most).cloned().collect()
     }
 
+    /// Whether this host is one of the first of the fleet for a backend server, by rendezvous hashing. Hosts that have fallen
+    /// silent count for as long as they are remembered: they may be cut off and go on.
+    pub fn is_among_first(&self, tag: Tag, most: usize) -> bool {
+        let Some(me) = self.me.map(|me| hash((me, tag))) else { return false };
+        let known = self.peers.iter().filter(|(_, p)| p.heard.is_some() || p.member.is_some());
+        known.filter(|(addr, _)| hash((**addr, tag)) > me).take(most).count() < most
+    }
+
     /// Whether some other host that is heard reaches the store.
     pub fn some_follow_store(&self, now: Instant) -> bool {
         let limit = self.lost();
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -27,6 +27,17 @@
     pub extra: f64,
 }
 
+impl Bound {
+    /// The most that an engine may hold, with room for views that lag. Where servers get nothing new, as in an evacuated data
+    /// centre, the mean falls with them, and the others may hold no more than it allows.
+    pub const MOST: Bound = Bound { factor: 2.0, extra: 2.5 };
+
+    /// Requests in progress at this mean load.
+    pub fn at(self, mean: f64) -> f64 {
+        self.factor * mean + self.extra
+    }
+}
+
 impl Default for Bound {
     fn default() -> Self {
         Self { factor: 1.8, extra: 2.5 }
@@ -65,6 +76,11 @@
 }
 
 impl Candidate {
+    /// Whether it takes one more request without letting it wait.
+    pub fn has_room(&self) -> bool {
+        !self.unsound && self.load + 1.0 <= f64::from(self.slots)
+    }
+
     /// Load against places.
     fn fullness(&self) -> f64 {
         self.load / f64::from(self.slots.max(1))
@@ -120,12 +136,18 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Placer {
     bound: Bound,
+    mean: Option<f64>,
 }
 
 impl Placer {
     /// Sets the load bound.
     pub fn with_bound(self, bound: Bound) -> Self {
-        Self { bound }
+        Self { bound, ..self }
+    }
+
+    /// Sets the mean load of all servers of the service, those that are no candidates included.
+    pub fn with_mean(self, mean: f64) -> Self {
+        Self { mean: Some(mean), ..self }
     }
 
     /// Chooses among the candidates; `None` where there are none.
@@ -137,8 +159,8 @@
         usable: impl Fn(BackendKey) -> bool,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        let mean = candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len().max(1) as f64;
-        let bound = self.bound.factor * mean + self.bound.extra;
+        let mean = || candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len().max(1) as f64;
+        let bound = self.bound.at(self.mean.unwrap_or_else(mean));
         let shared = shared(parts);
         match shared.last() {
             Some(last) => by_parts(candidates, shared, *last, holders, usable, bound),
--- a/src/relay/routes.rs
+++ b/src/relay/routes.rs
@@ -1,7 +1,8 @@
 //! The configuration compiled for look-ups: host name and path to route, key to workspace.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use super::warmup::ColdLimit;
 use crate::{
     schema::fleet::{CallerLimits, Configuration, Repeat, Route},
     util::Map,
@@ -109,6 +110,14 @@
         (service.connections > 0).then_some(service.connections)
     }
 
+    /// What cold backend servers of a service bear; `None` where they never are cold.
+    pub fn cold(&self, service: &str) -> Option<ColdLimit> {
+        let service = self.source.services.iter().find(|s| s.name == service)?;
+        let per_second = f64::from(service.cold_per_minute) / 60.0;
+        let lasts = Duration::from_millis(service.cold_ms.into());
+        (service.cold_ms > 0).then_some(ColdLimit { lasts, per_second })
+    }
+
     /// Limits on what callers send.
     pub fn limits(&self) -> CallerLimits {
         let given = self.source.limits.unwrap_or_default();
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -35,7 +35,7 @@
 /// Kept connections that turn out closed before the request is written; then a new one is made.
 const MOST_STALE: usize = 3;
 /// When a caller should come back that found no server to reach: engines that join or come back are seen within this time.
-const RETRY_AFTER: Duration = Duration::from_millis(200);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Wait before a refused service is tried again while nothing else can be done.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 
@@ -48,6 +48,14 @@
     pub(crate) work: Work<W>,
 }
 
+/// An attempt without an answer.
+pub(crate) enum Gone {
+    /// It was made and failed.
+    Failed((Failure, BackendKey)),
+    /// There is no server to send it to.
+    NoServer(Kind),
+}
+
 /// A request with the attempts it has made.
 pub(crate) struct Run<W: Wire> {
     pub(crate) relay: Arc<Relay<W>>,
@@ -108,8 +116,8 @@
                     Ok(response) => return response,
                     Err(failed) => failed,
                 },
-                Err(Some(failed)) => failed,
-                Err(None) => return self.give_up(Kind::NoEngine, None),
+                Err(Gone::Failed(failed)) => failed,
+                Err(Gone::NoServer(kind)) => return self.give_up(kind, None),
             };
             if let Err(stop) = self.fail(failure, key).await {
                 return self.give_up(kind(failure, stop), Some(failure));
@@ -128,7 +136,7 @@
         if relay.refuses(req) {
             return Err(Stop::Suspect);
         }
-        let all_tried = relay.state().backends.of(&req.service).all(|(k, _)| self.tried.contains(&k));
+        let all_tried = relay.state().placeable(&req.service).all(|(k, _)| self.tried.contains(&k));
         if all_tried {
             // Nobody else can run it: those that refused may have room again in a moment.
             self.tried.clear();
@@ -187,22 +195,19 @@
         }
     }
 
-    /// Makes one attempt, up to the head of the answer. `Err(None)`: there is no server to send it to.
-    pub(crate) async fn attempt(
-        &mut self,
-        after: Option<EventNumber>,
-    ) -> Result<Answered<W>, Option<(Failure, BackendKey)>> {
-        let Some(choice) = self.relay.choose(&self.req, &self.tried) else { return Err(None) };
+    /// Makes one attempt, up to the head of the answer.
+    pub(crate) async fn attempt(&mut self, after: Option<EventNumber>) -> Result<Answered<W>, Gone> {
+        let choice = self.relay.choose(&self.req, &self.tried).map_err(Gone::NoServer)?;
         let key = choice.key;
         self.begun += 1;
         self.sent = now();
         let work = Work::start(&self.relay, key);
-        let (mut conn, result) = self.send(&choice, after).await.map_err(|f| Some((f, key)))?;
+        let (mut conn, result) = self.send(&choice, after).await.map_err(|f| Gone::Failed((f, key)))?;
         let (head, body) = match result {
             Ok(response) => response.into_parts(),
             Err(failure) => {
                 conn.close();
-                return Err(Some((failure, key)));
+                return Err(Gone::Failed((failure, key)));
             }
         };
         let read = self.relay.wire.read(&self.req, &head);
@@ -213,7 +218,7 @@
             if matches!(failure, Failure::Refused | Failure::Moved) && !read.closes {
                 self.recycle(body, conn, key, read.keeps).await;
             }
-            return Err(Some((failure, key)));
+            return Err(Gone::Failed((failure, key)));
         }
         conn.reused = true;
         self.relay.note_read(&self.req, key);
@@ -308,7 +313,7 @@
 
     /// How long to wait for a server that says nothing; `None`: until the deadline.
     pub(crate) fn patience(&self) -> Option<Duration> {
-        let others = self.relay.state().backends.of(&self.req.service).count() > self.tried.len() + 1;
+        let others = self.relay.state().placeable(&self.req.service).count() > self.tried.len() + 1;
         let may =
             self.req.route.repeatable && others && self.tries.made() + 1 < self.req.route.route.attempts;
         may.then(|| (self.req.objective() * PATIENCE_FACTOR).clamp(PATIENCE.0, PATIENCE.1))
@@ -382,7 +387,7 @@
         let comes_back = ran == Ran::No && kind != Kind::Quarantined;
         let retry_after = comes_back.then(|| match last {
             Some(Failure::Refused) => come_back_late(self.req.left(now()), self.relay.draw()),
-            _ => RETRY_AFTER,
+            _ => self.relay.back_after(&self.req, kind),
         });
         let refusal = Refusal { kind, ran, retry_after };
         self.relay.note(Weight::Notable, "given_up", &self.req, |l| {
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -52,6 +52,7 @@
             held: state.news.drain(..told).collect(),
             avoided,
             suspects: state.suspects.told(now),
+            evacuations: state.evacuations.told(),
             ..Beat::default()
         };
         state.peers.number(&mut beat, &self.cfg.me, full);
@@ -82,6 +83,11 @@
         let hosts = state.peers.hosts();
         state.budget.set_hosts(hosts);
         state.suspects.hear(now, &beat.suspects);
+        state.doubt_avoided(now, &beat.avoided);
+        if let Some(told) = &beat.evacuations {
+            let changes = state.evacuations.hear(told);
+            self.note_evacuations(&mut state, &changes, &from.to_string());
+        }
         if heard.joined {
             line(Weight::Notable, "peer", |l| {
                 let l = l.text("peer", &from.to_string()).text("change", "heard");
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -84,6 +84,12 @@
     /// Whether its backend servers cache prompts and can fetch them from each other.
     #[prost(bool, tag = "3")]
     pub caches_prompts: bool,
+    /// How long a backend server is cold after a start, in milliseconds; 0 where it never is.
+    #[prost(uint32, tag = "4")]
+    pub cold_ms: u32,
+    /// Requests a minute that a cold backend server bears, of all hosts together.
+    #[prost(uint32, tag = "5")]
+    pub cold_per_minute: u32,
 }
 /// Limits on what callers send.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -141,6 +147,9 @@
     /// When this start began, in milliseconds since 1970; 0 where it is not told.
     #[prost(uint64, tag = "7")]
     pub born: u64,
+    /// For how much longer it is cold, in milliseconds, as of this message.
+    #[prost(uint32, tag = "8")]
+    pub cold_ms: u32,
 }
 /// All backend servers as of one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -208,6 +217,20 @@
     /// Whether the sender calls the store and gets no answer.
     #[prost(bool, tag = "17")]
     pub lost_store: bool,
+    /// Data centres that are evacuated, once the sender knows.
+    #[prost(message, optional, tag = "18")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+/// Data centres whose backend servers get nothing new, as of one revision of the store.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuations {
+    /// Revision of the store.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Names of the data centres.
+    #[prost(string, repeated, tag = "2")]
+    pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// What the hosts of one data centre have in progress, and which of them callers may be sent to.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -64,9 +64,9 @@
     misses.change(ms(20), 9, &[], &["x".into()], Some(ms(1_700)));
     assert_eq!(misses.of("s").count(), 1);
 
-    let changes = misses.changes_since(8).unwrap();
+    let changes = misses.changes_since(ms(30), 8).unwrap();
     let from_changes = knows.clone().change(ms(30), changes.revision, &changes.puts, &changes.removed, None);
-    let from_list = knows.list(ms(30), &misses.snapshot(), None);
+    let from_list = knows.list(ms(30), &misses.snapshot(ms(30)), None);
 
     assert_eq!((from_changes, from_list), (Vec::new(), Vec::new()));
     assert_eq!(knows.of("s").count(), 0);
@@ -82,8 +82,8 @@
     }
     misses.change(ms(20), 9, &[], &["x".into()], Some(ms(1_700)));
 
-    let changes = misses.changes_since(behind.revision()).unwrap();
-    let from_list = behind.clone().list(ms(30), &misses.snapshot(), None);
+    let changes = misses.changes_since(ms(30), behind.revision()).unwrap();
+    let from_list = behind.clone().list(ms(30), &misses.snapshot(ms(30)), None);
     let from_changes = behind.change(ms(30), changes.revision, &changes.puts, &changes.removed, None);
 
     assert_eq!((from_changes.len(), from_list.len()), (1, 1));
@@ -101,18 +101,18 @@
     ahead.change(ms(1), 7, &[listed("x", true)], &[], None);
     ahead.change(ms(2), 9, &[listed("zzz", false)], &["yy".into()], None);
 
-    let changes = ahead.changes_since(behind.revision()).unwrap();
-    let last = ahead.changes_since(7).unwrap();
+    let changes = ahead.changes_since(ms(30), behind.revision()).unwrap();
+    let last = ahead.changes_since(ms(30), 7).unwrap();
     behind.change(ms(3), changes.revision, &changes.puts, &changes.removed, None);
 
     assert_eq!((changes.puts.len(), changes.removed.len()), (2, 1));
     assert_eq!((last.puts.len(), last.removed.len()), (1, 1));
     assert_eq!(behind.digest(), ahead.digest());
-    assert_eq!(ahead.changes_since(4), None);
+    assert_eq!(ahead.changes_since(ms(30), 4), None);
     for i in 0..600 {
         ahead.change(ms(4), 10 + i, &[listed("x", true)], &[], None);
     }
-    assert_eq!(ahead.changes_since(9), None);
+    assert_eq!(ahead.changes_since(ms(30), 9), None);
 }
 
 /// A server's entry goes while a request is in progress there. The request keeps its place in the arena, and other
@@ -186,7 +186,7 @@
     let mut behind = ahead.clone();
     ahead.change(ms(10), 2, &[born(200)], &[], None);
 
-    let changes = ahead.changes_since(behind.revision()).unwrap();
+    let changes = ahead.changes_since(ms(30), behind.revision()).unwrap();
     let told = behind.change(ms(20), changes.revision, &changes.puts, &changes.removed, None);
 
     assert_eq!(told.len(), 2);
@@ -228,7 +228,7 @@
     let mut behind = ahead.clone();
     ahead.change(ms(10), 2, &[unreadable("x")], &[], None);
 
-    let changes = ahead.changes_since(behind.revision()).unwrap();
+    let changes = ahead.changes_since(ms(30), behind.revision()).unwrap();
     behind.change(ms(20), changes.revision, &changes.puts, &changes.removed, None);
 
     assert_eq!(behind.of("s").count(), 0);
--- a/tests/relay_configurations.rs
+++ b/tests/relay_configurations.rs
@@ -17,7 +17,12 @@
 }
 
 fn configuration(version: u64, routes: Vec<Route>, workspaces: Vec<Workspace>) -> Configuration {
-    let services = vec![Service { name: format!("s{version}"), connections: 9, caches_prompts: true }];
+    let services = vec![Service {
+        name: format!("s{version}"),
+        connections: 9,
+        caches_prompts: true,
+        ..Service::default()
+    }];
     Configuration { version, routes, services, limits: None, workspaces }
 }
 
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -8,6 +8,7 @@
         Relay,
         backends::{Backends, Change, Revision},
         contact::Contact,
+        evacuations::Update,
         follow::{self, BackendsUpdate, Call, Hosts, Store, StoreError},
         pool,
     },
@@ -33,8 +34,7 @@
         addr,
         data_centre: "a".into(),
         slots: 6,
-        leaving: false,
-        born: 0,
+        ..fleet::Backend::default()
     }
 }
 
@@ -148,6 +148,10 @@
         }
     }
 
+    async fn evacuations(&mut self, _: Call) -> Result<Update, StoreError> {
+        pending().await
+    }
+
     async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
@@ -211,6 +215,10 @@
         }
     }
 
+    async fn evacuations(&mut self, _: Call) -> Result<Update, StoreError> {
+        pending().await
+    }
+
     async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
@@ -265,6 +273,10 @@
         pending().await
     }
 
+    async fn evacuations(&mut self, _: Call) -> Result<Update, StoreError> {
+        pending().await
+    }
+
     async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
@@ -332,6 +344,10 @@
         }
     }
 
+    async fn evacuations(&mut self, _: Call) -> Result<Update, StoreError> {
+        pending().await
+    }
+
     async fn enter(&mut self, _: &str, _: &Hosts) -> Result<(), StoreError> {
         Ok(())
     }
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -457,7 +457,7 @@
         data_centre: "a".into(),
         slots: 6,
         leaving,
-        born: 0,
+        ..Backend::default()
     };
     first.set_configuration(wire::configuration(), "test");
     let list = Backends { revision: 3, items: vec![server(false)] };
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -24,6 +24,7 @@
         budget: BudgetConfig::default(),
         bound: Bound::default(),
         leave: LeaveConfig { grace: Duration::from_secs(8), outlive: Duration::from_secs(3) },
+        evacuates: false,
     }
 }
 
@@ -31,5 +32,5 @@
 pub fn listed(id: &str, leaving: bool) -> Backend {
     let addr = format!("10.0.0.1:{}", 1_000 + id.len());
     let (service, data_centre) = ("s".into(), "a".into());
-    Backend { id: id.into(), service, addr, data_centre, slots: 6, leaving, born: 0 }
+    Backend { id: id.into(), service, addr, data_centre, slots: 6, leaving, ..Backend::default() }
 }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -225,7 +225,12 @@
             route("/stream/", Repeat::Stream, true),
             route("/once/", Repeat::Stream, false),
         ],
-        services: vec![Service { name: "app".into(), connections: 100, caches_prompts: false }],
+        services: vec![Service {
+            name: "app".into(),
+            connections: 100,
+            caches_prompts: false,
+            ..Service::default()
+        }],
         limits: Some(CallerLimits { head_bytes: 8_192, body_bytes: 1_000, head_ms: 3_000, idle_ms: 15_000 }),
         workspaces: vec![Workspace { name: "travel".into(), keys: vec!["k1".into()], rank: None }],
     }
@@ -268,8 +273,7 @@
             addr: s.addr.to_string(),
             data_centre: if i == 0 { "a".into() } else { "b".into() },
             slots: 6,
-            leaving: false,
-            born: 0,
+            ..Backend::default()
         });
         let list = Backends { revision: 1, items: items.collect() };
         self.relay.update_backends(BackendsUpdate::List(list), None, "test");
@@ -283,8 +287,7 @@
             addr: server.addr.to_string(),
             data_centre: "a".into(),
             slots: 6,
-            leaving: false,
-            born: 0,
+            ..Backend::default()
         };
         let update = BackendsUpdate::Changes { revision: 2, puts: vec![put], removed: Vec::new() };
         self.relay.update_backends(update, None, "test");
