Let seeds follow the store before they know the other hosts

After its return the entries of servers come back one by one for a second, and no host watched: each rested until it had decided whether to follow, a second after its start at the earliest.

Excluded: the copy that is read at the start (the same host has its list at the same moment on both), turns, the large configuration.

--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -127,14 +127,21 @@
     started: Instant,
     /// Whether it has heard of most other hosts since then.
     settled: bool,
+    /// Whether the settings name it to all others.
+    seed: bool,
 }
 
 impl Peers {
     /// Knows the seeds and this host's own address, which is no peer.
     pub fn new(me: SocketAddr, data_centre: &str, seeds: &[SocketAddr]) -> Self {
         // Until it has decided otherwise: what it reads while it starts, others may lack.
-        let mut peers =
-            Self { me: Some(me), data_centre: data_centre.into(), follows: true, ..Self::default() };
+        let mut peers = Self {
+            me: Some(me),
+            data_centre: data_centre.into(),
+            follows: true,
+            seed: seeds.contains(&me),
+            ..Self::default()
+        };
         seeds.iter().for_each(|seed| peers.learn(*seed));
         peers
     }
--- a/src/relay/peers/duty.rs
+++ b/src/relay/peers/duty.rs
@@ -19,11 +19,12 @@
 const SETTLED: Duration = Duration::from_millis(500);
 
 impl Peers {
-    /// Whether this host, with its contact to the store, follows it now. Before it knows the others it does not.
+    /// Whether this host, with its contact to the store, follows it now. Before it knows the others only a seed does: after a
+    /// start of all hosts nobody else would see what changes until they have decided.
     pub fn is_on_duty(&mut self, now: Instant, contact: Contact) -> bool {
         let known = self.grew + SETTLED <= now && self.started + SETTLE.start <= now;
         self.settled |= known || self.started + SETTLE.end <= now;
-        self.settled && self.decide_duty(now, contact)
+        if self.settled { self.decide_duty(now, contact) } else { self.seed }
     }
 
     /// Decides whether this host, with its contact to the store, follows it from now on: every one in a small fleet, else a
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -311,6 +311,23 @@
     assert!(peers.decide_duty(ms(10), Contact::Idle));
 }
 
+/// All hosts were killed while the store was away. After its return the entries of servers come back one by one, and callers
+/// were refused for a second in which no host followed the store, since none knew yet how many others there are. The seeds
+/// do, from their start; the others once they have heard of most hosts.
+#[test]
+fn a_seed_follows_the_store_before_it_knows_the_others() {
+    let seeds = [addr(1), addr(2)];
+    let mut peers = [1, 9].map(|i| Peers::new(addr(i), "a", &seeds).with_start(ms(50_000)));
+
+    let duty = |peers: &mut [Peers; 2], at| peers.each_mut().map(|p| p.is_on_duty(at, Contact::Idle));
+    let first = duty(&mut peers, ms(50_010));
+    let early = duty(&mut peers, ms(50_900));
+    let settled = duty(&mut peers, ms(51_100));
+
+    assert_eq!((first, early), ([true, false], [true, false]));
+    assert_eq!(settled, [true, true], "in a small fleet all follow");
+}
+
 /// The seeds of a new host are all gone. It finds others by the entry of a data centre, which names hosts that were up for
 /// long, and is written anew only once half of them are gone.
 #[test]
