Forget what cold servers have cached

Excluded: requests during the evacuation (each names a holder to fetch from and takes as long as before it); loads (5 to 8 in progress of 16).

Change: when a data centre is taken back, and when an entry tells of a cold server that has not started, its parts are forgotten.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -317,11 +317,21 @@
         }
     }
 
-    /// Counts the backend servers of a data centre as cold for a while, by service.
-    pub fn cool(&mut self, now: Instant, data_centre: &str, lasts: impl Fn(&str) -> Duration) {
-        for b in self.arena.values_mut().filter(|b| &*b.data_centre == data_centre) {
+    /// Counts the backend servers of a data centre as cold for a while, by service; returns those that are.
+    pub fn cool(
+        &mut self,
+        now: Instant,
+        data_centre: &str,
+        lasts: impl Fn(&str) -> Duration,
+    ) -> Vec<BackendKey> {
+        let mut cold = Vec::new();
+        for (key, b) in self.arena.iter_mut().filter(|(_, b)| &*b.data_centre == data_centre) {
             b.cold_until = b.cold_until.max(now + lasts(&b.service));
+            if b.cold_until > now {
+                cold.push(key);
+            }
         }
+        cold
     }
 
     /// Counts a backend server as gone, as when another one answers at its address.
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -92,6 +92,9 @@
         for (key, _) in changes.iter().filter(|(_, change)| *change == Change::Restarted) {
             self.forget(state, *key);
         }
+        for (key, _) in changes.iter().filter(|(_, change)| *change == Change::Cold) {
+            state.holders.forget(*key);
+        }
         for (key, change) in changes.iter().take(MOST_BACKEND_LINES) {
             let Some(backend) = state.backends.get(*key) else { continue };
             line(Weight::Notable, "backend", |l| {
@@ -118,7 +121,7 @@
     }
 
     /// Writes a line for each data centre that was evacuated or taken back. The servers of one that is taken back may be cold
-    /// before their entries tell so.
+    /// before their entries tell so, and a cold one has nothing cached: requests sent there for their parts read them again.
     pub(crate) fn note_evacuations(&self, state: &mut State, changes: &[evacuations::Change], from: &str) {
         for change in changes {
             let data_centre = change.data_centre();
@@ -128,7 +131,8 @@
             });
             if let (evacuations::Change::TakenBack(_), Some(routes)) = (change, state.routes.clone()) {
                 let lasts = |service: &str| routes.cold(service).map_or(Duration::ZERO, |limit| limit.lasts);
-                state.backends.cool(now(), data_centre, lasts);
+                let cold = state.backends.cool(now(), data_centre, lasts);
+                cold.into_iter().for_each(|key| state.holders.forget(key));
             }
         }
     }
--- a/tests/relay_warmup.rs
+++ b/tests/relay_warmup.rs
@@ -137,6 +137,22 @@
     assert!(backends.of("s").next().unwrap().1.cold_until <= ms(60_000));
 }
 
+/// A data centre is taken back with its servers' caches empty. Requests for parts that had been read there would read them
+/// again, so that a host forgets who held them: it is told which servers are cold now, and none of another data centre.
+#[test]
+fn the_servers_of_a_data_centre_that_is_taken_back_are_named() {
+    let other = Backend { id: "yy".into(), data_centre: "b".into(), ..cold(0) };
+    let mut backends = Backends::default();
+    backends.list(ms(0), &List { revision: 5, items: vec![cold(0), other] }, None);
+
+    let never = backends.cool(ms(10), "a", |_| ms(0));
+    let named = backends.cool(ms(10), "a", |_| ms(3_000));
+
+    assert_eq!(never, []);
+    assert_eq!(named.iter().map(|key| &*backends.get(*key).unwrap().id).collect::<Vec<_>>(), ["x"]);
+    assert_eq!(backends.get(named[0]).unwrap().cold_until, ms(3_010));
+}
+
 /// Servers of the fixture's configuration, cold for three seconds after a start and bearing this many requests a minute.
 fn cold_configuration(per_minute: u32) -> cranberrytally::schema::fleet::Configuration {
     let mut cfg = configuration();
