Tighten the bound only by as much as servers are missing

Change: the bound goes from the common one to that of an evacuation with the open servers' load above the mean of all. Servers that hold all they may are left out before the choice, so that a draw can't refuse a request that another server could take.

--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -3,21 +3,24 @@
 //! Servers in evacuated data centres get nothing. Cold ones get requests only where no other has room, within what
 //! [`super::warmup`] allows this host.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
 
 use super::{
     Relay, State, Wire,
-    admission::{Refused, Work, come_back_late},
+    admission::{Ask, Refused, Work, come_back_late},
     backends::{Backend, BackendKey, Tag},
     health::Survey,
     place::{self, Bound, Candidate, Choice, Placer},
     request::Request,
+    run::RETRY_AFTER,
     warmup::{ColdLimit, FEEDERS},
 };
 use crate::{
     error::Kind,
     schema::fleet::Member,
-    util::{Instant, now},
+    util::{Instant, hash, now},
 };
 
 /// Other hosts that must keep away from a server before this one does without trying it: one alone may be cut off.
@@ -50,20 +53,17 @@
         if !candidates.iter().any(Candidate::has_room) {
             candidates.extend(state.fed(now, &self.cfg.me, &cold, limit));
         }
-        let mean_of_all = state.mean_load(&req.service);
-        let placer = Placer::default().with_bound(self.cfg.bound);
-        let placer = match open.is_short {
-            true => placer.with_limit(self.cfg.bound.while_short(mean_of_all, place::mean(&candidates))),
-            false => placer,
-        };
+        let mut placer = Placer::default().with_bound(self.cfg.bound);
+        if open.is_short {
+            let mean_of_all = state.mean_load(&req.service);
+            placer = placer.with_limit(self.cfg.bound.while_short(mean_of_all, place::mean(&candidates)));
+            keep_below(&mut candidates, Bound::MOST.at(mean_of_all))?;
+        }
         let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
         let (backends, health) = (&state.backends, &state.health);
         let reaches = |key| caches && backends.get(key).is_some() && !health.paused(now, key);
         let choice = placer.choose(&candidates, &req.parts, &state.holders, reaches, &mut state.rng);
         let choice = choice.ok_or_else(|| state.why_none(&req.service, &open))?;
-        if open.is_short && choice.load + 1.0 > Bound::MOST.at(mean_of_all) {
-            return Err(Kind::Overloaded);
-        }
         if let Some(limit) = limit.filter(|_| cold.contains(&choice.key)) {
             state.spend_on_cold(now, choice.key, limit);
         }
@@ -72,16 +72,23 @@
 
     /// When a caller should come back that found no server: those that can be reached again are seen soon, while an evacuation
     /// or a cold start lasts longer than a caller may wait.
-    pub(crate) fn back_after(&self, req: &Request, kind: Kind) -> std::time::Duration {
+    pub(crate) fn back_after(&self, req: &Request, kind: Kind) -> Duration {
         match kind {
             Kind::Evacuated | Kind::WarmingUp | Kind::Overloaded => {
                 come_back_late(req.left(now()), self.draw())
             }
-            _ => super::run::RETRY_AFTER,
+            _ => RETRY_AFTER,
         }
     }
 }
 
+/// Leaves out servers that hold as much as they may. While some get nothing, all others may: then the request is refused.
+fn keep_below(candidates: &mut Vec<Candidate>, most: f64) -> Result<(), Kind> {
+    let any = !candidates.is_empty();
+    candidates.retain(|c| c.load + 1.0 <= most);
+    if any && candidates.is_empty() { Err(Kind::Overloaded) } else { Ok(()) }
+}
+
 impl State {
     /// Servers of a service that may get something new: none in an evacuated data centre.
     pub(crate) fn placeable(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Backend)> {
@@ -206,10 +213,8 @@
     /// # Errors
     /// When it is not; the caller should come back.
     pub(crate) fn admit(&mut self, now: Instant, req: &Request) -> Result<(), Refused> {
-        use super::admission::Ask;
-        use rand::Rng;
         let ask = Ask {
-            route: crate::util::hash((&req.route.route.name, req.route.route.timeout_ms)),
+            route: hash((&req.route.route.name, req.route.route.timeout_ms)),
             rank: req.rank(),
             route_rank: req.route.route.rank,
             objective: req.objective(),
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -17,8 +17,8 @@
 
 /// Load bound as a multiple of the mean load and a constant, in requests in progress.
 ///
-/// The fleet's limit is twice the mean and three more. A tighter bound moves prompts more often (1.1 and 1 costs 0.02
-/// to 0.03 of the day's credit against 1.3 and 4), a looser one comes near the limit while views lag.
+/// The fleet's limit is twice the mean and three more. A tighter bound moves prompts more often, a looser one comes near the
+/// limit while views lag.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
     /// Multiple of the mean.
@@ -32,11 +32,14 @@
     pub const MOST: Bound = Bound { factor: 2.0, extra: 2.5 };
 
     /// The bound where some servers get nothing new, as in an evacuated data centre: the mean of all falls with theirs while
-    /// the others' loads rise towards what it allows. Halfway between these loads and that is room for both sides: requests
-    /// still spread over the others, and what hosts send at once on the same old view stays below the limit.
+    /// the others' loads rise towards what it allows. With half as much again at the others it is halfway between these loads
+    /// and that: requests still spread, and what hosts send at once on the same old view stays below the limit.
     pub fn while_short(self, mean_of_all: f64, mean_of_open: f64) -> f64 {
-        let most = Self::MOST.at(mean_of_all);
-        self.at(mean_of_all).min((mean_of_open + most) / 2.0)
+        let common = self.at(mean_of_all);
+        let halfway = (mean_of_open + Self::MOST.at(mean_of_all)) / 2.0;
+        let excess = mean_of_open / mean_of_all.max(f64::MIN_POSITIVE) - 1.0;
+        let part = (excess / SHORT_EXCESS).clamp(0.0, 1.0);
+        common.min(common + (halfway - common) * part)
     }
 
     /// Requests in progress at this mean load.
@@ -51,14 +54,15 @@
     }
 }
 
+/// Load of the open servers above the mean of all, as a part of it, from which the bound keeps away from the limit in full.
+const SHORT_EXCESS: f64 = 0.5;
 /// Load in requests that a server in another data centre must be below one in the own to be preferred.
 const CROSS_PENALTY: f64 = 0.7;
 /// Part of a server's places up to which it counts as mostly free; no request waits there.
 const MOSTLY_FREE: f64 = 0.34;
 /// Free places that a full server counts as having: it may have some again before a request arrives.
 const LEAST_WEIGHT: f64 = 0.5;
-/// Servers at which a part is read before it is read elsewhere. Without this bound servers at their places read 21 M
-/// tokens of shared parts again on a day over capacity at 140 servers, with four copies 11 M.
+/// Servers at which a part is read before it is read elsewhere: past the capacity each copy takes the place of another part.
 const MOST_COPIES: usize = 3;
 /// Load against places from which a part is read at further servers.
 const CROWDED: f64 = 1.25;
