--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -35,8 +35,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// Largest page of a list, in bytes.
 const MOST_PAGE: usize = 8 << 20;
-/// Largest configuration that a host which starts reads without asking the others first, in bytes. The store's link, 1 Gbit/s, carries
-/// it to 300 hosts in 0.15 s.
+/// Largest configuration that a host which starts reads without asking the others first, in bytes: the store's link, 1 Gbit/s,
+/// carries it to hundreds of hosts within a call.
 const SHORT_PAGE: usize = 64 << 10;
 
 const CONFIGURATION: &str = "config";
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -18,14 +18,13 @@
 /// Work against the limit from which the most urgent requests are refused.
 const FIRST_REFUSED: f64 = 0.95;
 /// How much earlier requests of each further rank are refused. Workspaces mostly share a rank, so that the route's
-/// decides between kinds: with the workspace's alone the most urgent kind was served 0.65 and the next one 0.79.
+/// decides between kinds.
 const RANK_STEP: f64 = 0.06;
 /// The same for each further rank of the route.
 const ROUTE_RANK_STEP: f64 = 0.08;
 /// Ranks beyond this are refused no earlier.
 const MOST_RANK: u32 = 3;
-/// How much earlier requests are refused whose objective has passed. Worth of a day at three times the capacity, three
-/// seeds: 0.50 to 0.57.
+/// How much earlier requests are refused whose objective has passed: what they displace would still be in time.
 const OVERDUE_STEP: f64 = 0.15;
 /// Work against the limit from the first refused request of a rank until all of them are.
 const SLOPE: f64 = 0.3;
@@ -50,7 +49,7 @@
 const FEW_RESULTS: u32 = 8;
 /// Least time between two moves. Where the objective is longer it is that, since the effect of a move shows no sooner.
 const LEAST_WINDOW: Duration = Duration::from_millis(200);
-/// Part of the objective within which an answer begins well. With 0.9 the worth of the same days fell to 0.53.
+/// Part of the objective within which an answer begins well.
 const WELL: f64 = 0.7;
 /// Part of late results above which the limit falls, and below which it rises.
 const LATE: (f64, f64) = (0.2, 0.08);
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -72,8 +72,7 @@
     }
 
     /// Sets when the host started, so that retries of its last start may still count. Against a fleet that is killed while a
-    /// service refuses: every host spent its part of the extra once more, and the service got 1,257 retries in a window
-    /// that allowed 1,205.
+    /// service refuses: every host would spend its part of the extra once more within the window.
     pub fn with_start(self, started: Instant) -> Self {
         Self { started: Some(started), ..self }
     }
--- a/src/relay/configurations.rs
+++ b/src/relay/configurations.rs
@@ -14,8 +14,7 @@
 
 /// Configurations remembered: as many as come in a second or two while all change at once.
 const MOST_KEPT: usize = 8;
-/// Routes and workspaces remembered in all of them, 2 to 3 MB; four configurations of 1,800 routes. With four times as many
-/// the memory of a day with such a configuration grew by 60 GB s at 295 hosts.
+/// Routes and workspaces remembered in all of them: a few configurations of thousands of routes, 2 to 3 MB.
 const MOST_ITEMS: usize = 8_192;
 
 /// The configurations known lately, the newest last.
--- a/src/relay/contact.rs
+++ b/src/relay/contact.rs
@@ -10,8 +10,7 @@
 /// time in which a change must be in force.
 const WAITS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_000));
 /// First and longest time for an answer, beside the wait of a watch. A calm store answers in a few milliseconds, a slow one
-/// in some hundred. A host that starts while the store is silent waits its first call out: with 2 s for it, hosts had
-/// their configuration 1.5 s after the store's return, with 400 ms 0.1 s after it.
+/// in some hundred. A host that starts while the store is silent waits its first call out, so that this one is short.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(2_000));
 /// How long entries that are missing after the store's return still count: live servers write again within two
 /// seconds, and a server that left must get no new work two seconds after the store said so.
--- a/src/relay/follow/start.rs
+++ b/src/relay/follow/start.rs
@@ -33,9 +33,8 @@
 }
 
 /// Waits a while for another host to tell what is long to read; returns whether one has. Seeds don't wait, since all others
-/// hear of them first. After a start of all at once, 300 hosts that each read 9,900 entries kept the store busy for longer
-/// than a call may take; 249 hosts that each read a configuration of 1,770 routes had it after 1.3 s in the median, since
-/// the store's link takes that long for them all.
+/// hear of them first. After a start of all at once the store's link would carry the same answer to each host, for longer than
+/// a call may take.
 pub(super) async fn is_told<W: Wire>(
     relay: &Relay<W>,
     most: Range<Duration>,
--- a/src/relay/followers.rs
+++ b/src/relay/followers.rs
@@ -12,9 +12,7 @@
 /// misses for a moment the others tell it.
 const AT_LEAST: usize = 4;
 /// How long too few must have followed for one host more to step in; for so many more it takes their square times as long.
-/// Against an outage of the store, in which everybody who steps in finds nothing: when all hosts did, a day with eight
-/// seconds of it took 14,379 calls at 295 hosts, and 1,292 since (priced calls of the whole day, together with the copies that
-/// hosts read at their start).
+/// Against an outage of the store, in which everybody who steps in finds nothing, at the price of a call.
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// What a host has to do with the store.
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -158,8 +158,9 @@
         }
     }
 
-    /// Takes in members that another host or the store tells; they are sought, and forgotten when they are never heard. Most hosts of other data centres are never heard in full, so that a host
-    /// that waited for their own word asked in every beat for full ones: 22 KB a second at 100 hosts, half of it answers.
+    /// Takes in members that another host or the store tells; they are sought, and forgotten when they are never heard. Most
+    /// hosts of other data centres are never heard in full, so that waiting for their own word would ask for full beats all
+    /// the time.
     pub fn learn_members(&mut self, now: Instant, members: &[Member]) {
         for member in members {
             let Ok(addr) = member.peers.parse() else { continue };
@@ -291,8 +292,8 @@
         LOST.max(self.period() * LOST_BEATS)
     }
 
-    /// Silence after which a data centre counts as lost. Who is told a summary is drawn anew each time: at 300 hosts a host
-    /// hears one in 2.1 s on average, and none in three seconds a quarter of the time.
+    /// Silence after which a data centre counts as lost. Who is told a summary is drawn anew each time, so that a
+    /// host of a large one hears some only after several periods.
     fn lost_summary(&self) -> Duration {
         LOST_SUMMARY.max(self.period() * LOST_BEATS)
     }
--- a/src/relay/peers/ahead.rs
+++ b/src/relay/peers/ahead.rs
@@ -17,8 +17,8 @@
 
 impl Peers {
     /// A peer that has had something newer for a while, to fetch it from: one of the own data centre if any is ahead, since
-    /// bytes within it cost nothing. It is drawn, since all hosts start or hear of a change at the same moment: with 300
-    /// hosts that chose alike, 150 fetches met one peer and timed out.
+    /// bytes within it cost nothing. It is drawn, since all hosts start or hear of a change at the same moment
+    /// and would all ask the same one.
     pub fn ahead(&self, now: Instant, own: Own, rng: &mut impl Rng) -> Option<SocketAddr> {
         let near = self.all_ahead(now, own).any(|(_, p)| self.is_near(p));
         let best = self.all_ahead(now, own).filter(|(_, p)| !near || self.is_near(p));
--- a/src/relay/peers/targets.rs
+++ b/src/relay/peers/targets.rs
@@ -10,7 +10,7 @@
     util::{Instant, Map},
 };
 
-/// Time between beats in a small fleet. Loads are as old as this; 100 ms more costs no measurable skew.
+/// Time between beats in a small fleet. Loads are as old as this.
 pub const PERIOD: Duration = Duration::from_millis(250);
 /// Bytes a second that beats may take, half of a host's control traffic; with more hosts the period grows instead.
 const BYTES_PER_SECOND: f64 = 6_500.0;
