--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -116,10 +116,14 @@
 
     /// Mean load of the servers of a service, those that get nothing new included.
     fn mean_load(&self, service: &str) -> f64 {
-        let load = |b: &Backend| f64::from(b.in_progress + self.peers.load(b.tag));
-        let (sum, servers) =
-            self.backends.of(service).fold((0.0, 0), |(sum, n), (_, b)| (sum + load(b), n + 1));
-        sum / f64::from(servers.max(1))
+        let loads = self.backends.of(service).map(|(_, b)| self.load(b));
+        let (sum, servers) = loads.fold((0, 0), |(sum, n), load| (sum + load, n + 1));
+        f64::from(sum) / f64::from(servers.max(1))
+    }
+
+    /// Requests in progress at a server, of all hosts, as far as known.
+    fn load(&self, b: &Backend) -> u32 {
+        b.in_progress + self.peers.load(b.tag)
     }
 
     fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
@@ -151,7 +155,7 @@
         let candidate = |key: &BackendKey| {
             let b = self.backends.get(*key)?;
             let near = *b.data_centre == *me.data_centre;
-            let load = f64::from(b.in_progress + self.peers.load(b.tag));
+            let load = f64::from(self.load(b));
             let unsound = self.many_avoid(b.tag) || self.health.unsound(now, *key, survey);
             Some(Candidate { key: *key, tag: b.tag, near, load, slots: b.slots, unsound })
         };
@@ -210,7 +214,7 @@
                 continue;
             }
             work.own += b.in_progress;
-            work.all += b.in_progress + self.peers.load(b.tag);
+            work.all += self.load(b);
             work.places += b.slots;
         }
         work
