--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -11,7 +11,7 @@
 const CONTEXT_MS: u64 = 10_000;
 
 /// Events that tell what a host believes from then on.
-const BELIEFS: [&str; 14] = [
+const BELIEFS: [&str; 15] = [
     "start",
     "stop",
     "leaving",
@@ -24,6 +24,7 @@
     "store_lost",
     "store_back",
     "history_gone",
+    "older_ignored",
     "fetch_failed",
     "lines_dropped",
 ];
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -77,6 +77,14 @@
 }
 
 impl BackendsUpdate {
+    /// Revision as of which it tells.
+    pub fn revision(&self) -> Revision {
+        match self {
+            BackendsUpdate::List(list) => list.revision,
+            BackendsUpdate::Changes { revision, .. } => *revision,
+        }
+    }
+
     /// Takes entries for unreadable that tell of a start after `latest`, in milliseconds since 1970.
     fn distrust_after(&mut self, latest: u64) {
         let items = match self {
@@ -129,7 +137,7 @@
         let copy = !started && !relay.is_seed();
         let call = Call { after, patience: contact.patience(), whole, copy };
         let asked = now();
-        match relay.ask_store(Asked::configuration(call), store.configuration(call)).await {
+        match relay.ask_store(Asked::configuration(call), after, store.configuration(call)).await {
             Ok((revision, cfg)) => {
                 started = true;
                 relay.state().copied |= copy;
@@ -174,7 +182,7 @@
         let copy = !started && !relay.is_seed();
         let call = Call { after, patience: contact.patience(), whole, copy };
         let asked = now();
-        match relay.ask_store(Asked::backends(call), store.backends(call)).await {
+        match relay.ask_store(Asked::backends(call), after, store.backends(call)).await {
             Ok(update) => {
                 list = false;
                 let grace = regain(&mut contact);
@@ -251,6 +259,12 @@
         update.distrust_after(wall_ms() + MOST_AHEAD_MS);
         let mut state = self.state();
         state.listed = true;
+        let (told, known) = (update.revision(), state.backends.revision());
+        if told < known {
+            line(Weight::Notable, "older_ignored", |l| {
+                l.text("kind", "backends").text("from", from).number("told", told).number("known", known)
+            });
+        }
         let changes = match update {
             BackendsUpdate::List(list) => state.backends.list(now, &list, grace),
             BackendsUpdate::Changes { revision, puts, removed } => {
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -114,6 +114,7 @@
     pub(super) async fn ask_store<T>(
         &self,
         asked: Asked,
+        after: Option<Revision>,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         self.metrics.add(Counter::RelayStoreCalls, asked.as_str(), 1);
@@ -124,6 +125,7 @@
         };
         line(Weight::Routine, "store_called", |l| {
             let l = l.text("call", asked.as_str()).flag("answered", answer.is_ok());
+            let l = if let Some(after) = after { l.number("since", after) } else { l };
             l.ms("after_ms", now().saturating_sub(begun))
         });
         answer
--- a/src/relay/follow/evacuations.rs
+++ b/src/relay/follow/evacuations.rs
@@ -32,7 +32,7 @@
         let copy = !started && !relay.is_seed();
         let call = Call { after, patience: contact.patience(), whole: true, copy };
         let asked = now();
-        match relay.ask_store(Asked::evacuations(call), store.evacuations(call)).await {
+        match relay.ask_store(Asked::evacuations(call), after, store.evacuations(call)).await {
             Ok(update) => {
                 list = false;
                 regain(&mut contact);
--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -34,7 +34,7 @@
     loop {
         tokio::time::sleep(LONELY).await;
         if relay.is_alone() {
-            match relay.ask_store(Asked::Hosts, store.hosts()).await {
+            match relay.ask_store(Asked::Hosts, None, store.hosts()).await {
                 Ok(mut hosts) => {
                     relay.learn(&hosts.some);
                     hosts.some.retain(|m| m.data_centre == centre);
@@ -44,7 +44,7 @@
             }
         }
         let Some(hosts) = relay.hosts_to_enter(&entered) else { continue };
-        match relay.ask_store(Asked::Enter, store.enter(&centre, &hosts)).await {
+        match relay.ask_store(Asked::Enter, None, store.enter(&centre, &hosts)).await {
             Ok(()) => entered = hosts,
             Err(e) => note_hosts(&e),
         }
