--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -1,4 +1,5 @@
-//! A stand-in of the platform's store: lists, waiting watches and conditional entries over HTTP, behind a gate.
+//! A stand-in of the platform's store: lists, waiting watches and conditional entries over HTTP, behind a gate. It can be
+//! restored from a copy of some time ago; what was written since is gone then, and its revisions are given out again.
 
 use std::{
     collections::BTreeMap,
@@ -24,6 +25,9 @@
 /// Path of the route that the second configuration adds.
 pub const ADDED: &str = "/added/";
 
+/// Epoch of a store that was never restored.
+const FIRST_EPOCH: u64 = 1;
+
 /// Objects in a page of a list.
 const PAGE: usize = 500;
 
@@ -43,12 +47,27 @@
 }
 
 /// What the store holds, and all changes that led there.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Objects {
+    /// How often it was restored.
+    epoch: u64,
     log: Vec<Arc<Entry>>,
     present: BTreeMap<(String, String), Arc<Entry>>,
 }
 
+impl Objects {
+    fn revision(&self) -> u64 {
+        self.log.len() as u64 + 1
+    }
+}
+
+/// The store's objects as of some time.
+#[derive(Clone, Debug)]
+pub struct Copy(Objects);
+
+/// A write that a restore has undone: kind, name, and the spec unless it was a removal.
+pub type Undone = (String, String, Option<Value>);
+
 /// The store; clones share it.
 #[derive(Clone)]
 pub struct Store {
@@ -95,9 +114,40 @@
         self.gate.cut();
     }
 
+    /// What it holds now, to be restored later.
+    pub fn copy(&self) -> Copy {
+        Copy(self.objects.lock().unwrap().clone())
+    }
+
+    /// Goes back to a copy, as a new epoch; returns what that has undone, the last write of each object. Watches from
+    /// a revision that it does not have any more end.
+    pub fn restore(&self, copy: &Copy) -> Vec<Undone> {
+        let mut objects = self.objects.lock().unwrap();
+        let before = std::mem::replace(&mut *objects, copy.0.clone());
+        objects.epoch = before.epoch + 1;
+        let kept = objects.log.len();
+        drop(objects);
+        self.revision.send_replace(kept as u64 + 1);
+        let mut undone: BTreeMap<_, _> = BTreeMap::new();
+        for entry in &before.log[kept..] {
+            undone.insert((entry.kind.clone(), entry.name.clone()), entry.spec.clone());
+        }
+        undone.into_iter().map(|((kind, name), spec)| (kind, name, spec)).collect()
+    }
+
+    /// Writes something again that a restore has undone.
+    pub fn write_again(&self, (kind, name, spec): Undone) {
+        self.write(&kind, &name, spec);
+    }
+
+    /// Revision of the last change.
+    pub fn last_revision(&self) -> u64 {
+        self.objects.lock().unwrap().revision()
+    }
+
     fn write(&self, kind: &str, name: &str, spec: Option<Value>) {
         let mut objects = self.objects.lock().unwrap();
-        let revision = objects.log.len() as u64 + 2;
+        let revision = objects.revision() + 1;
         let entry = Arc::new(Entry { revision, kind: kind.into(), name: name.into(), spec });
         objects.log.push(entry.clone());
         let key = (entry.kind.clone(), entry.name.clone());
@@ -129,7 +179,12 @@
             let store = self.clone();
             let service = service_fn(move |req| {
                 let store = store.clone();
-                async move { Ok::<_, Infallible>(store.answer(req).await) }
+                async move {
+                    let mut response = store.answer(req).await;
+                    let epoch = store.objects.lock().unwrap().epoch;
+                    response.headers_mut().insert("store-era", (FIRST_EPOCH + epoch).into());
+                    Ok::<_, Infallible>(response)
+                }
             });
             // A caller that goes away in a call is part of every run.
             tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
@@ -188,12 +243,15 @@
     async fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> Response<Full<Bytes>> {
         let mut changed = self.revision.subscribe();
         let news = async {
-            while self.latest(kind, after).is_empty() {
+            while after <= self.last_revision() && self.latest(kind, after).is_empty() {
                 let _ = changed.changed().await;
             }
         };
         let _ = timeout(Duration::from_millis(wait_ms), news).await;
         let revision = *self.revision.borrow();
+        if after > revision {
+            return respond(410, json!({}));
+        }
         let latest = self.latest(kind, after);
         let events: Vec<_> =
             latest.iter().map(|e| json!({ "object": e.object(), "deleted": e.spec.is_none() })).collect();
