--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -36,7 +36,11 @@
         ..Backend::default()
     };
     let mut backends = Backends::default();
-    backends.list(Duration::ZERO, &List { revision: 1, items: (0..n).map(item).collect() }, None);
+    backends.list(
+        Duration::ZERO,
+        &List { revision: 1, items: (0..n).map(item).collect(), ..List::default() },
+        None,
+    );
     let candidates = backends.iter().map(|(key, b)| Candidate {
         key,
         tag: b.tag,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -53,6 +53,8 @@
     RelayStoreCalls,
     /// Datagrams from other hosts that were dropped, by reason.
     RelayDatagrams,
+    /// Epochs of the store that are not the one known, by what they mean.
+    RelayEpochs,
 }
 
 /// A latency histogram of the relay.
@@ -102,7 +104,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 19] = [
+    pub const ALL: [Counter; 20] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -122,6 +124,7 @@
         Counter::RelayStreams,
         Counter::RelayStoreCalls,
         Counter::RelayDatagrams,
+        Counter::RelayEpochs,
     ];
 
     /// The table of counters.
@@ -163,6 +166,9 @@
             Counter::RelayDatagrams => {
                 row("relay_datagrams_dropped", "reason", "datagrams of hosts dropped, by reason")
             }
+            Counter::RelayEpochs => {
+                row("relay_store_epochs", "heard", "epochs of the store but the one known, by meaning")
+            }
         }
     }
 }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -21,6 +21,9 @@
 pub(super) const LOAD: HeaderName = HeaderName::from_static("server-load");
 pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Epoch of the store, in all its answers.
+pub(super) const EPOCH: HeaderName = HeaderName::from_static("store-era");
+
 /// Headers that concern one connection only.
 pub(super) const HOP: [HeaderName; 9] = [
     http::header::CONNECTION,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,16 +10,18 @@
 
 use crate::{
     relay::{
-        backends::Revision,
         evacuations,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
         pool::Conn,
+        revision::{Epoch, Revision},
     },
     schema::fleet::{Backends, Configuration, Evacuations},
 };
 
 mod forms;
 
+use super::names;
+
 use forms::{Change, Changes, Object, Page, RawBackend, RawConfiguration, RawHosts, backend};
 
 /// Longest wait of a watch. Each one is a priced call; other hosts tell when a watch has gone silent.
@@ -49,6 +51,14 @@
 /// Kind of our own: some hosts of each data centre, under its name.
 const HOSTS: &str = "hosts";
 
+/// An answer of the store.
+struct Answered {
+    status: u16,
+    /// The store's epoch, where the answer tells it.
+    epoch: Option<Epoch>,
+    body: Bytes,
+}
+
 /// A connection to the store for one call at a time.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -62,9 +72,15 @@
         Self { addr, conn: None }
     }
 
-    /// Makes one call. A connection on which it fails is not used again: its answer may still come.
-    async fn call<T: DeserializeOwned>(&mut self, target: &str, limit: Duration) -> Result<T, StoreError> {
-        self.call_for(target, limit, MOST_PAGE).await
+    /// Makes one call; returns the answer and its epoch, which is `known` where it tells none. A connection on which the call
+    /// fails is not used again: its answer may still come.
+    async fn call<T: DeserializeOwned>(
+        &mut self,
+        target: &str,
+        limit: Duration,
+        known: Epoch,
+    ) -> Result<(Epoch, T), StoreError> {
+        self.call_for(target, limit, MOST_PAGE, known).await
     }
 
     /// The same for an answer of at most so many bytes.
@@ -73,14 +89,18 @@
         target: &str,
         limit: Duration,
         most: usize,
-    ) -> Result<T, StoreError> {
-        let (status, body) = self.send(Method::GET, target, Bytes::new(), limit, most).await?;
-        match status {
+        known: Epoch,
+    ) -> Result<(Epoch, T), StoreError> {
+        let answered = self.send(Method::GET, target, Bytes::new(), limit, most).await?;
+        let epoch = answered.epoch.unwrap_or(known);
+        match answered.status {
             // Another writer's bytes may be no text; only the entry that holds them is spoiled by that.
-            200 => serde_json::from_str(&String::from_utf8_lossy(&body))
+            200 => serde_json::from_str(&String::from_utf8_lossy(&answered.body))
+                .map(|answer| (epoch, answer))
                 .map_err(|e| StoreError::Unreadable(e.to_string())),
+            410 if epoch != known => Err(StoreError::Restored { epoch }),
             410 => Err(StoreError::HistoryGone),
-            _ => Err(refused(status)),
+            status => Err(refused(status)),
         }
     }
 
@@ -91,19 +111,19 @@
         body: Bytes,
         limit: Duration,
         most: usize,
-    ) -> Result<(u16, Bytes), StoreError> {
+    ) -> Result<Answered, StoreError> {
         let begun = tokio::time::timeout(limit, self.begin(method, target, body)).await;
         let (conn, res) = begun.map_err(|_| StoreError::TimedOut)??;
         if let Some(bytes) = length(&res).filter(|bytes| *bytes > most as u64) {
             conn.close();
             return Err(StoreError::Large { bytes });
         }
-        let status = res.status().as_u16();
+        let (status, epoch) = (res.status().as_u16(), epoch(&res));
         let body = tokio::time::timeout(REST, Limited::new(res.into_body(), MOST_PAGE).collect()).await;
         let body = body.map_err(|_| StoreError::TimedOut)?;
         let body = body.map_err(|e| unavailable(format!("the answer broke off: {e}")))?.to_bytes();
         self.conn = Some(conn);
-        Ok((status, body))
+        Ok(Answered { status, epoch, body })
     }
 
     /// Makes a call, up to the head of its answer.
@@ -147,7 +167,9 @@
         most: usize,
     ) -> Result<Page<T>, StoreError> {
         let stale = if call.copy { "?staleOk=1" } else { "" };
-        let mut all: Page<T> = self.call_for(&format!("/objects/{kind}{stale}"), call.patience, most).await?;
+        let target = format!("/objects/{kind}{stale}");
+        let (epoch, mut all): (_, Page<T>) = self.call_for(&target, call.patience, most, call.epoch).await?;
+        all.epoch = epoch;
         let mut more = all.has_more;
         if more && !call.whole {
             return Err(StoreError::Long);
@@ -156,7 +178,10 @@
             let after: String = form_urlencoded::byte_serialize(last.metadata.name.as_bytes()).collect();
             let stale = if call.copy { "&staleOk=1" } else { "" };
             let target = format!("/objects/{kind}?after={after}{stale}");
-            let page: Page<T> = self.call(&target, call.patience).await?;
+            let (of_page, page): (_, Page<T>) = self.call(&target, call.patience, epoch).await?;
+            if of_page != epoch {
+                return Err(StoreError::Restored { epoch: of_page });
+            }
             more = page.has_more && !page.items.is_empty();
             // Pages are as of different revisions; the changes since the first one are watched again.
             all.items.extend(page.items);
@@ -170,9 +195,14 @@
         after: Revision,
         patience: Duration,
         wait: Duration,
-    ) -> Result<Changes<T>, StoreError> {
-        let target = format!("/objects/{kind}?watch={after}&waitMs={}", wait.as_millis());
-        self.call(&target, wait + patience).await
+    ) -> Result<(Revision, Vec<Change<T>>), StoreError> {
+        let target = format!("/objects/{kind}?watch={}&waitMs={}", after.number, wait.as_millis());
+        let (epoch, changes): (_, Changes<T>) = self.call(&target, wait + patience, after.epoch).await?;
+        // Of another epoch they are not the changes since that revision, whatever their numbers.
+        if epoch != after.epoch {
+            return Err(StoreError::Restored { epoch });
+        }
+        Ok((Revision::new(epoch, changes.current_rev), changes.events))
     }
 }
 
@@ -185,6 +215,16 @@
     res.headers().get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
+/// The store's epoch, where an answer tells it.
+fn epoch(res: &Response<Incoming>) -> Option<Epoch> {
+    let told = res.headers().get(names::EPOCH)?.to_str().ok();
+    let epoch = told.and_then(|text| text.trim().parse().ok());
+    if epoch.is_none() {
+        spdlog::warn!("an answer of the store tells no number as its epoch: {told:?}");
+    }
+    epoch
+}
+
 fn refused(status: u16) -> StoreError {
     StoreError::Unavailable(format!("status {status}"))
 }
@@ -196,9 +236,11 @@
         let body = Bytes::from(object.to_string());
         let name: String = form_urlencoded::byte_serialize(data_centre.as_bytes()).collect();
         let target = format!("/objects/{HOSTS}/{name}");
-        let (status, _) = self.send(Method::PUT, &target, body.clone(), ANSWER, MOST_PAGE).await?;
-        let status = match status {
-            404 => self.send(Method::POST, &format!("/objects/{HOSTS}"), body, ANSWER, MOST_PAGE).await?.0,
+        let answered = self.send(Method::PUT, &target, body.clone(), ANSWER, MOST_PAGE).await?;
+        let status = match answered.status {
+            404 => {
+                self.send(Method::POST, &format!("/objects/{HOSTS}"), body, ANSWER, MOST_PAGE).await?.status
+            }
             status => status,
         };
         // Another host of the data centre may have created the entry in between; it tells much the same.
@@ -207,7 +249,8 @@
 
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         // Old entries do: a host that is gone is only not heard.
-        let page: Page<RawHosts> = self.call(&format!("/objects/{HOSTS}?staleOk=1"), ANSWER).await?;
+        let target = format!("/objects/{HOSTS}?staleOk=1");
+        let (_, page): (_, Page<RawHosts>) = self.call(&target, ANSWER, Epoch::default()).await?;
         let mut all = Hosts::default();
         for raw in page.items.into_iter().filter_map(|o| o.spec) {
             all.some.extend(raw.members);
@@ -221,12 +264,12 @@
             None => {
                 let most = if call.whole { MOST_PAGE } else { SHORT_PAGE };
                 let page = self.list(CONFIGURATION, call, most).await?;
-                (page.current_rev, page.items)
+                (page.as_of(), page.items)
             }
             Some(after) => {
-                let changes = self.watch(CONFIGURATION, after, call.patience, WAIT).await?;
-                let kept = changes.events.into_iter().filter(|e| !e.deleted);
-                (changes.current_rev, kept.map(|e| e.object).collect())
+                let (revision, events) = self.watch(CONFIGURATION, after, call.patience, WAIT).await?;
+                let kept = events.into_iter().filter(|e| !e.deleted);
+                (revision, kept.map(|e| e.object).collect())
             }
         };
         let named = objects.into_iter().filter(|o| o.metadata.name == NEWEST);
@@ -237,15 +280,16 @@
     async fn evacuations(&mut self, call: Call) -> Result<evacuations::Update, StoreError> {
         let Some(after) = call.after else {
             let page: Page<IgnoredAny> = self.list(EVACUATIONS, call, MOST_PAGE).await?;
+            let Revision { epoch, number: revision } = page.as_of();
             let held = page.items.into_iter().filter(Object::stays);
             let data_centres = held.map(|o| o.metadata.name).collect();
-            let list = Evacuations { revision: page.current_rev, data_centres };
+            let list = Evacuations { epoch, revision, data_centres };
             return Ok(evacuations::Update::List(list));
         };
-        let changes = self.watch::<IgnoredAny>(EVACUATIONS, after, call.patience, LONG_WAIT).await?;
-        let revision = changes.current_rev;
+        let (revision, events) =
+            self.watch::<IgnoredAny>(EVACUATIONS, after, call.patience, LONG_WAIT).await?;
         let evacuated = |e: &Change<IgnoredAny>| !e.deleted && e.object.stays();
-        let changes = changes.events.into_iter().map(|e| (evacuated(&e), e.object.metadata.name));
+        let changes = events.into_iter().map(|e| (evacuated(&e), e.object.metadata.name));
         let changes = changes.map(|(evacuated, name)| (name, evacuated)).collect();
         Ok(evacuations::Update::Changes { revision, changes })
     }
@@ -254,12 +298,12 @@
         let Some(after) = call.after else {
             // A list of servers is long by its pages: the length of the first one tells nothing of the others.
             let page = self.list(BACKENDS, call, MOST_PAGE).await?;
+            let Revision { epoch, number: revision } = page.as_of();
             let items = page.items.into_iter().map(backend).collect();
-            return Ok(BackendsUpdate::List(Backends { revision: page.current_rev, items }));
+            return Ok(BackendsUpdate::List(Backends { epoch, revision, items }));
         };
-        let changes = self.watch::<RawBackend>(BACKENDS, after, call.patience, WAIT).await?;
-        let revision = changes.current_rev;
-        let (gone, kept): (Vec<_>, Vec<_>) = changes.events.into_iter().partition(|e| e.deleted);
+        let (revision, events) = self.watch::<RawBackend>(BACKENDS, after, call.patience, WAIT).await?;
+        let (gone, kept): (Vec<_>, Vec<_>) = events.into_iter().partition(|e| e.deleted);
         let removed = gone.into_iter().map(|e| e.object.metadata.name).collect();
         let puts = kept.into_iter().map(|e| backend(e.object)).collect();
         Ok(BackendsUpdate::Changes { revision, puts, removed })
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
-    relay::backends::Revision,
+    relay::revision::{Epoch, Revision},
     schema::fleet::{self, CallerLimits, Configuration, Member, Repeat, Route, Service, Share, Workspace},
 };
 
@@ -16,7 +16,10 @@
     #[serde(default)]
     pub(super) has_more: bool,
     /// The store's revision.
-    pub(super) current_rev: Revision,
+    pub(super) current_rev: u64,
+    /// The store's epoch as the answer's head tells it.
+    #[serde(skip)]
+    pub(super) epoch: Epoch,
 }
 
 /// What a watch brings.
@@ -25,7 +28,14 @@
 pub(super) struct Changes<T> {
     #[serde(deserialize_with = "readable")]
     pub(super) events: Vec<Change<T>>,
-    pub(super) current_rev: Revision,
+    pub(super) current_rev: u64,
+}
+
+impl<T> Page<T> {
+    /// The store's revision.
+    pub(super) fn as_of(&self) -> Revision {
+        Revision::new(self.epoch, self.current_rev)
+    }
 }
 
 #[derive(Deserialize)]
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`suspects`], [`configurations`], [`evacuations`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
+//! [`budget`], [`suspects`], [`configurations`], [`evacuations`], [`revision`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
 //! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
 //! translates. This file holds what a host knows and has in progress; `belief` changes what it knows, with a line each,
 //! `stop` ends its service.
@@ -53,6 +53,7 @@
 pub mod place;
 pub mod pool;
 pub mod request;
+pub mod revision;
 pub mod routes;
 pub mod run;
 mod stop;
@@ -64,7 +65,7 @@
 mod wire;
 
 use admission::Admission;
-use backends::{BackendKey, Backends, Revision};
+use backends::{BackendKey, Backends};
 use budget::{BudgetConfig, FleetBudget};
 use configurations::Configurations;
 use evacuations::Evacuations;
@@ -76,6 +77,7 @@
 use peers::{Own, Peers};
 use pool::{Conn, Pool};
 use request::Request;
+use revision::{Epochs, Revision};
 use routes::Routes;
 use suspects::Suspects;
 use warmup::Warmup;
@@ -112,6 +114,7 @@
     pub(crate) peers: Peers,
     pub(crate) suspects: Suspects,
     pub(crate) evacuations: Evacuations,
+    pub(crate) epochs: Epochs,
     /// When a data centre was taken back last.
     pub(crate) taken_back: Option<Instant>,
     pub(crate) warmup: Warmup,
@@ -144,6 +147,8 @@
     pub(crate) behind: Notify,
     /// Wakes the followers of the store after the host was suspended.
     pub(crate) woken: Notify,
+    /// Wakes the followers of the store after it was restored.
+    pub(crate) restored: Notify,
     /// Set once no request is taken any more.
     pub(crate) closing: watch::Sender<bool>,
     /// When the process started, by the wall clock, in milliseconds since 1970.
@@ -168,6 +173,7 @@
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
             suspects: Suspects::default(),
             evacuations: Evacuations::default(),
+            epochs: Epochs::default(),
             taken_back: None,
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
@@ -193,6 +199,7 @@
             tell_few,
             behind,
             woken: Notify::new(),
+            restored: Notify::new(),
             closing,
             start: wall_ms(),
             started: now(),
@@ -320,7 +327,7 @@
 
     pub(crate) fn own(&self) -> Own {
         let configuration = self.routes.as_ref().map_or(0, |r| r.version());
-        let backends: Revision = if self.listed { self.backends.revision() } else { 0 };
+        let backends = if self.listed { self.backends.revision() } else { Revision::default() };
         Own { configuration, backends, digest: self.backends.digest() }
     }
 }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -14,6 +14,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use super::revision::Revision;
 use crate::{
     schema::fleet,
     util::{Instant, Map, Set, hash},
@@ -24,8 +25,6 @@
 
 use entry::Entry;
 
-/// Revision of the store.
-pub type Revision = u64;
 /// Names one start of a backend server in messages between hosts.
 pub type Tag = u32;
 /// When a start of a backend server began, in milliseconds since 1970; 0 where it is not told.
@@ -184,12 +183,12 @@
         list: &fleet::Backends,
         grace: Option<Duration>,
     ) -> Vec<(BackendKey, Change)> {
-        if list.revision < self.revision {
+        if list.as_of() < self.revision {
             return Vec::new();
         }
-        self.revision = list.revision;
+        self.revision = list.as_of();
         self.log.clear();
-        self.logged_from = list.revision;
+        self.logged_from = self.revision;
         let mut changes: Vec<_> = list.items.iter().flat_map(|item| self.put(now, item)).collect();
         let listed: Set<&str> = list.items.iter().map(|i| i.id.as_str()).collect();
         let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
--- a/src/relay/backends/tell.rs
+++ b/src/relay/backends/tell.rs
@@ -1,7 +1,8 @@
 //! What a host tells others of the backend servers that it knows.
 
-use super::{Backend, Backends, Revision, State};
+use super::{Backend, Backends, State};
 use crate::{
+    relay::revision::Revision,
     schema::fleet,
     util::{Instant, Set},
 };
@@ -15,7 +16,11 @@
         }
         let ids: Set<_> =
             self.log.iter().filter(|(revision, _)| *revision > since).map(|(_, id)| id.clone()).collect();
-        let mut changes = fleet::BackendChanges { revision: self.revision, ..Default::default() };
+        let mut changes = fleet::BackendChanges {
+            epoch: self.revision.epoch,
+            revision: self.revision.number,
+            ..Default::default()
+        };
         for id in ids {
             match self.by_id.get(&id).and_then(|key| self.arena.get(*key)) {
                 // The revision counts the removal in, so that leaving it out would hide it for good.
@@ -32,7 +37,11 @@
     pub fn snapshot(&self, now: Instant) -> fleet::Backends {
         let listed =
             self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key) && !b.is_missing());
-        fleet::Backends { revision: self.revision, items: listed.map(|(_, b)| wire(now, b)).collect() }
+        fleet::Backends {
+            epoch: self.revision.epoch,
+            revision: self.revision.number,
+            items: listed.map(|(_, b)| wire(now, b)).collect(),
+        }
     }
 }
 
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -10,10 +10,12 @@
     followers::Contact,
     place,
     request::Request,
+    revision::{Epoch, Heard, Revision},
     routes::Routes,
 };
 use crate::{
-    logs::lines::{Weight, line},
+    logs::lines::{Line, Weight, line},
+    metrics::Counter,
     schema::fleet::{Configuration, ConfigurationChanges, Held, Member},
     util::now,
 };
@@ -24,6 +26,11 @@
 /// Hosts of a data centre that are entered in the store. They are replaced once half of them are gone.
 const MOST_ENTERED: usize = 16;
 
+/// Tells a revision of the store and its epoch in a line.
+pub(super) fn revision(l: Line, revision: Revision) -> Line {
+    l.number("epoch", revision.epoch).number("revision", revision.number)
+}
+
 impl<W: Wire> Relay<W> {
     /// Whether what is known may be old: the store does not answer.
     pub fn is_stale(&self) -> bool {
@@ -38,6 +45,44 @@
         }
     }
 
+    /// The store's epoch as far as it is known.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.state().epochs.known()
+    }
+
+    /// Takes in the epoch of an answer of the store. With a later one all that is followed is listed anew: what was read in
+    /// the one before may be undone, and its revisions are given out again.
+    pub(crate) fn hear_epoch(&self, epoch: Epoch, from: &str) -> Heard {
+        let mut state = self.state();
+        let before = state.epochs.known();
+        let heard = state.epochs.hear(epoch);
+        drop(state);
+        self.note_epoch(heard, before, epoch, from);
+        heard
+    }
+
+    /// Takes in the epoch as of which another host knows the store.
+    pub(super) fn hear_epoch_of_host(&self, state: &mut State, epoch: Epoch, from: &str) {
+        let before = state.epochs.known();
+        if state.epochs.hear_host(epoch) {
+            self.note_epoch(Heard::Later, before, epoch, from);
+        }
+    }
+
+    fn note_epoch(&self, heard: Heard, before: Epoch, epoch: Epoch, from: &str) {
+        if heard == Heard::Known {
+            return;
+        }
+        self.metrics.add(Counter::RelayEpochs, heard.as_str(), 1);
+        line(Weight::Notable, "store_epoch", |l| {
+            let l = l.text("heard", heard.as_str()).text("from", from);
+            l.number("epoch", epoch).number("known", before)
+        });
+        if heard == Heard::Later {
+            self.restored.notify_waiters();
+        }
+    }
+
     /// Puts a configuration in force, if it is newer than the one known. Returns whether it was.
     pub fn set_configuration(&self, cfg: Configuration, from: &str) -> bool {
         let mut state = self.state();
@@ -86,7 +131,7 @@
         if changes.len() > MOST_BACKEND_LINES {
             line(Weight::Notable, "backends", |l| {
                 let l = l.number("changes", changes.len() as u64).text("from", from);
-                l.number("revision", state.backends.revision())
+                revision(l, state.backends.revision())
             });
         }
         for (key, _) in changes.iter().filter(|(_, change)| *change == Change::Restarted) {
@@ -99,7 +144,7 @@
             let Some(backend) = state.backends.get(*key) else { continue };
             line(Weight::Notable, "backend", |l| {
                 let l = l.text("backend", &backend.id).text("change", change.as_str()).text("from", from);
-                let l = l.text("service", &backend.service).number("revision", state.backends.revision());
+                let l = revision(l.text("service", &backend.service), state.backends.revision());
                 let l = l.number("born", backend.born);
                 let l = l.ms("cold_ms", backend.cold_until.saturating_sub(now()));
                 l.text("address", &backend.addr.to_string())
@@ -127,7 +172,7 @@
             let data_centre = change.data_centre();
             line(Weight::Notable, "evacuation", |l| {
                 let l = l.text("data_centre", data_centre).text("change", change.as_str());
-                l.text("from", from).number("revision", state.evacuations.revision())
+                revision(l.text("from", from), state.evacuations.revision())
             });
             if let (evacuations::Change::TakenBack(_), Some(routes)) = (change, state.routes.clone()) {
                 let lasts = |service: &str| routes.cold(service).map_or(Duration::ZERO, |limit| limit.lasts);
--- a/src/relay/evacuations.rs
+++ b/src/relay/evacuations.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use super::backends::Revision;
+use super::revision::Revision;
 use crate::{schema::fleet, util::Set};
 
 /// Evacuated data centres that are remembered; more are made up by somebody.
@@ -51,6 +51,16 @@
     },
 }
 
+impl Update {
+    /// Revision as of which it tells.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Update::List(list) => list.as_of(),
+            Update::Changes { revision, .. } => *revision,
+        }
+    }
+}
+
 /// The evacuated data centres.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
@@ -61,10 +71,10 @@
 impl Evacuations {
     /// Whether anything has been told yet.
     pub fn is_known(&self) -> bool {
-        self.revision > 0
+        self.revision.is_known()
     }
 
-    /// Revision of the store up to which the set is known; 0 before anything was told.
+    /// Revision of the store up to which the set is known.
     pub fn revision(&self) -> Revision {
         self.revision
     }
@@ -95,13 +105,14 @@
     /// Takes in the set that another host holds.
     pub fn hear(&mut self, told: &fleet::Evacuations) -> Vec<Change> {
         let named = told.data_centres.iter().take(MOST);
-        self.replace(told.revision, named.map(|name| name.as_str().into()).collect())
+        self.replace(told.as_of(), named.map(|name| name.as_str().into()).collect())
     }
 
     /// The set for another host, once it is known.
     pub fn told(&self) -> Option<fleet::Evacuations> {
         let data_centres = self.data_centres.iter().map(|name| name.to_string()).collect();
-        self.is_known().then_some(fleet::Evacuations { revision: self.revision, data_centres })
+        let Revision { epoch, number } = self.revision;
+        self.is_known().then_some(fleet::Evacuations { epoch, revision: number, data_centres })
     }
 
     fn replace(&mut self, revision: Revision, data_centres: Set<Arc<str>>) -> Vec<Change> {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -17,7 +17,12 @@
 pub use hosts::{Hosts, follow_hosts};
 use start::{is_told, turns};
 
-use super::{Relay, Wire, backends::Revision, contact::Contact, followers::Contact as OwnContact};
+use super::{
+    Relay, Wire,
+    contact::Contact,
+    followers::Contact as OwnContact,
+    revision::{Epoch, Revision},
+};
 use crate::{
     logs::lines::{Weight, line},
     schema::fleet::{Backend, Backends, Configuration},
@@ -45,6 +50,11 @@
 pub enum StoreError {
     /// The changes since the revision are not kept any more.
     HistoryGone,
+    /// The store was restored since the revision, so that nothing leads on from there.
+    Restored {
+        /// Its epoch.
+        epoch: Epoch,
+    },
     /// No answer in time.
     TimedOut,
     /// The list takes more calls than one, and only the first was asked for.
@@ -80,7 +90,7 @@
     /// Revision as of which it tells.
     pub fn revision(&self) -> Revision {
         match self {
-            BackendsUpdate::List(list) => list.revision,
+            BackendsUpdate::List(list) => list.as_of(),
             BackendsUpdate::Changes { revision, .. } => *revision,
         }
     }
@@ -135,9 +145,10 @@
             contact = Contact::new("configuration");
         }
         let copy = !started && !relay.is_seed();
-        let call = Call { after, patience: contact.patience(), whole, copy };
+        let call = Call { after, epoch: relay.epoch(), patience: contact.patience(), whole, copy };
         let asked = now();
-        match relay.ask_store(Asked::configuration(call), after, store.configuration(call)).await {
+        let answer = relay.ask_store(Asked::configuration(call), after, store.configuration(call)).await;
+        match relay.check_epoch(answer, |(revision, _)| revision.epoch) {
             Ok((revision, cfg)) => {
                 started = true;
                 relay.state().copied |= copy;
@@ -156,6 +167,7 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "configuration"));
                 after = None;
             }
+            Err(StoreError::Restored { .. }) => after = None,
             Err(StoreError::Large { bytes }) => {
                 let turns = turns(&relay, &mut store, bytes).await;
                 is_told(&relay, turns, |relay| relay.routes().is_some()).await;
@@ -180,9 +192,10 @@
         }
         let after = (!list).then(|| relay.state().backends.revision());
         let copy = !started && !relay.is_seed();
-        let call = Call { after, patience: contact.patience(), whole, copy };
+        let call = Call { after, epoch: relay.epoch(), patience: contact.patience(), whole, copy };
         let asked = now();
-        match relay.ask_store(Asked::backends(call), after, store.backends(call)).await {
+        let answer = relay.ask_store(Asked::backends(call), after, store.backends(call)).await;
+        match relay.check_epoch(answer, |update| update.revision().epoch) {
             Ok(update) => {
                 list = false;
                 let grace = regain(&mut contact);
@@ -199,6 +212,7 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "backends"));
                 list = true;
             }
+            Err(StoreError::Restored { .. }) => list = true,
             Err(StoreError::Long) => {
                 list = !is_told(&relay, LONG_LIST, |relay| relay.state().listed).await;
                 whole = true;
@@ -259,10 +273,13 @@
         update.distrust_after(wall_ms() + MOST_AHEAD_MS);
         let mut state = self.state();
         state.listed = true;
+        self.hear_epoch_of_host(&mut state, update.revision().epoch, from);
         let (told, known) = (update.revision(), state.backends.revision());
         if told < known {
             line(Weight::Notable, "older_ignored", |l| {
-                l.text("kind", "backends").text("from", from).number("told", told).number("known", known)
+                let l = l.text("kind", "backends").text("from", from);
+                let l = l.number("told", told.number).number("told_epoch", told.epoch);
+                l.number("known", known.number).number("known_epoch", known.epoch)
             });
         }
         let changes = match update {
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -6,7 +6,10 @@
 use crate::{
     logs::lines::{Weight, line},
     metrics::Counter,
-    relay::{Relay, Wire, backends::Revision},
+    relay::{
+        Relay, Wire, belief,
+        revision::{Epoch, Heard, Revision},
+    },
     util::now,
 };
 
@@ -15,6 +18,8 @@
 pub struct Call {
     /// Revision after which changes are waited for; a list without one.
     pub after: Option<Revision>,
+    /// Epoch of the store that is known, as of which an answer is that tells none.
+    pub epoch: Epoch,
     /// Time for an answer, beside the time for which the store lets a call wait for a change.
     pub patience: Duration,
     /// Whether a list is read to its end, though it takes many calls.
@@ -109,8 +114,9 @@
 }
 
 impl<W: Wire> Relay<W> {
-    /// Counts a call and waits for its answer, but not longer than this host stays awake: while it was suspended the
-    /// connection may have gone silent and what is known may be old, so that everything is listed again.
+    /// Counts a call and waits for its answer, but not longer than this host stays awake and the store is as it was: while
+    /// the host was suspended the connection may have gone silent, and once the store was restored nothing goes on from a
+    /// revision of before, so that everything is listed again.
     pub(super) async fn ask_store<T>(
         &self,
         asked: Asked,
@@ -122,12 +128,47 @@
         let answer = tokio::select! {
             answer = call => answer,
             () = self.woken.notified() => Err(StoreError::Unavailable("the host was suspended".into())),
+            epoch = self.later_epoch(after) => Err(StoreError::Restored { epoch }),
         };
         line(Weight::Routine, "store_called", |l| {
             let l = l.text("call", asked.as_str()).flag("answered", answer.is_ok());
-            let l = if let Some(after) = after { l.number("since", after) } else { l };
+            let l = if let Some(after) = after { belief::revision(l, after) } else { l };
             l.ms("after_ms", now().saturating_sub(begun))
         });
         answer
     }
+
+    /// Waits until a later epoch than that of a revision is known.
+    async fn later_epoch(&self, after: Option<Revision>) -> Epoch {
+        let Some(after) = after else { return std::future::pending().await };
+        loop {
+            let restored = self.restored.notified();
+            let known = self.epoch();
+            if known > after.epoch {
+                return known;
+            }
+            restored.await;
+        }
+    }
+
+    /// Passes an answer of the store on if it is of its present epoch.
+    ///
+    /// # Errors
+    /// When it is not, or there is none.
+    pub(super) fn check_epoch<T>(
+        &self,
+        answer: Result<T, StoreError>,
+        epoch: impl FnOnce(&T) -> Epoch,
+    ) -> Result<T, StoreError> {
+        let (epoch, answer) = match answer {
+            Ok(answer) => (epoch(&answer), Some(answer)),
+            Err(StoreError::Restored { epoch }) => (epoch, None),
+            Err(e) => return Err(e),
+        };
+        match (self.hear_epoch(epoch, "store"), answer) {
+            (Heard::Known | Heard::Later, Some(answer)) => Ok(answer),
+            (Heard::Odd, _) => Err(StoreError::Unavailable(format!("an answer of epoch {epoch}"))),
+            _ => Err(StoreError::Restored { epoch }),
+        }
+    }
 }
--- a/src/relay/follow/evacuations.rs
+++ b/src/relay/follow/evacuations.rs
@@ -30,9 +30,10 @@
         }
         let after = (!list).then(|| relay.state().evacuations.revision());
         let copy = !started && !relay.is_seed();
-        let call = Call { after, patience: contact.patience(), whole: true, copy };
+        let call = Call { after, epoch: relay.epoch(), patience: contact.patience(), whole: true, copy };
         let asked = now();
-        match relay.ask_store(Asked::evacuations(call), after, store.evacuations(call)).await {
+        let answer = relay.ask_store(Asked::evacuations(call), after, store.evacuations(call)).await;
+        match relay.check_epoch(answer, |update| update.revision().epoch) {
             Ok(update) => {
                 list = false;
                 regain(&mut contact);
@@ -45,6 +46,7 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "evacuations"));
                 list = true;
             }
+            Err(StoreError::Restored { .. }) => list = true,
             Err(e) => {
                 list = true;
                 lose(&mut contact, &e).await;
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -18,6 +18,7 @@
     inbound::accept_all,
     peers::{Own, Scope},
     pool,
+    revision::Revision,
 };
 use crate::{
     logs::lines::{Weight, line},
@@ -138,7 +139,8 @@
         at_once = false;
         let Some((peer, own)) = source(&relay, wants_held) else { continue };
         let configuration = if wants_whole { 0 } else { own.configuration };
-        let ask = Fetch { configuration, backends: own.backends, wants_held };
+        let Revision { epoch, number } = own.backends;
+        let ask = Fetch { configuration, backends: number, backends_epoch: epoch, wants_held };
         match fetch(peer, ask).await {
             Ok(fetched) if fetched.busy => {
                 rest().await;
@@ -186,7 +188,9 @@
     if let Some(list) = fetched.backends {
         relay.update_backends(BackendsUpdate::List(list), None, &from);
     }
-    if let Some(BackendChanges { revision, puts, removed }) = fetched.changes {
+    if let Some(changes) = fetched.changes {
+        let revision = changes.as_of();
+        let BackendChanges { puts, removed, .. } = changes;
         relay.update_backends(BackendsUpdate::Changes { revision, puts, removed }, None, &from);
     }
     relay.hear_held(&fetched.held);
@@ -236,8 +240,9 @@
         let configuration_changes =
             routes.as_ref().and_then(|_| state.configurations.changes_since(ask.configuration));
         let whole = routes.filter(|_| configuration_changes.is_none());
-        let newer = state.listed && state.backends.revision() > ask.backends;
-        let changes = newer.then(|| state.backends.changes_since(now(), ask.backends)).flatten();
+        let known = ask.backends_as_of();
+        let newer = state.listed && state.backends.revision() > known;
+        let changes = newer.then(|| state.backends.changes_since(now(), known)).flatten();
         Fetched {
             configuration: whole.map(|r| (**r.source()).clone()),
             configuration_changes,
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -12,8 +12,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use super::{
-    backends::{Revision, Tag},
+    backends::Tag,
     followers::{Contact, Duty},
+    revision::Revision,
     routes::Version,
 };
 use crate::{
@@ -79,7 +80,7 @@
 
     /// Whether it knows all that it needs to serve and does not: it is about to stop.
     fn is_leaving(&self) -> bool {
-        !self.ready && self.configuration > 0 && self.backends > 0
+        !self.ready && self.configuration > 0 && self.backends.is_known()
     }
 }
 
@@ -99,7 +100,7 @@
 pub struct Own {
     /// Version of the configuration; 0 without one.
     pub configuration: Version,
-    /// Revision of the backend servers; 0 without any.
+    /// Revision of the backend servers.
     pub backends: Revision,
     /// Digest of the backend servers.
     pub digest: u32,
@@ -213,7 +214,7 @@
             _ => Contact::Idle,
         };
         peer.configuration = beat.configuration;
-        (peer.backends, peer.backends_digest) = (beat.backends, beat.backends_digest);
+        (peer.backends, peer.backends_digest) = (beat.backends_as_of(), beat.backends_digest);
         peer.ahead = is_ahead(peer, own).then(|| peer.ahead.unwrap_or(now));
         let centre = peer.member.as_ref().map(|m| m.data_centre.clone());
         let unknown = centre.is_none();
--- a/src/relay/peers/ahead.rs
+++ b/src/relay/peers/ahead.rs
@@ -32,7 +32,7 @@
 
     fn all_ahead(&self, now: Instant, own: Own) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         let follows = self.tells_news();
-        let first = own.configuration == 0 || own.backends == 0 || !follows;
+        let first = own.configuration == 0 || !own.backends.is_known() || !follows;
         let near = if first { Duration::ZERO } else { AHEAD };
         let far = if follows { near } else { AHEAD_FAR };
         let patience = move |p: &Peer| if self.is_near(p) { near } else { far };
--- /dev/null
+++ b/src/relay/revision.rs
@@ -0,0 +1,136 @@
+//! Revisions of the store across its restores.
+//!
+//! A store that is restored from a copy goes back to an earlier revision and gives the numbers after it out again, for other
+//! changes. It counts its restores: a number means something only together with that epoch, and all revisions of a later
+//! epoch are later than those of one before.
+
+use crate::schema::fleet;
+
+/// How often the store was restored, as it counts.
+pub type Epoch = u64;
+
+/// Revision of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision {
+    /// Epoch in which the store gave the number; compared first.
+    pub epoch: Epoch,
+    /// The number; 0 before anything is known.
+    pub number: u64,
+}
+
+impl Revision {
+    /// A revision of an epoch.
+    pub fn new(epoch: Epoch, number: u64) -> Self {
+        Self { epoch, number }
+    }
+
+    /// Whether anything is known.
+    pub fn is_known(self) -> bool {
+        self.number > 0
+    }
+}
+
+impl fleet::Backends {
+    /// Revision of the store as of which it tells.
+    pub fn as_of(&self) -> Revision {
+        Revision::new(self.epoch, self.revision)
+    }
+}
+
+impl fleet::BackendChanges {
+    /// Revision of the store that the changes lead to.
+    pub fn as_of(&self) -> Revision {
+        Revision::new(self.epoch, self.revision)
+    }
+}
+
+impl fleet::Evacuations {
+    /// Revision of the store as of which it tells.
+    pub fn as_of(&self) -> Revision {
+        Revision::new(self.epoch, self.revision)
+    }
+}
+
+impl fleet::Fetch {
+    /// Revision of the asker's backend servers.
+    pub fn backends_as_of(&self) -> Revision {
+        Revision::new(self.backends_epoch, self.backends)
+    }
+}
+
+impl fleet::Beat {
+    /// Revision of the sender's backend servers.
+    pub fn backends_as_of(&self) -> Revision {
+        Revision::new(self.backends_epoch, self.backends)
+    }
+}
+
+/// What an answer's epoch means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is the one that is known.
+    Known,
+    /// A later one, which is known from now on.
+    Later,
+    /// A later one that was told for the first time; asking again settles it.
+    Unconfirmed,
+    /// An earlier one, or a later one that differs from the one told before: the answer is not to be used.
+    Odd,
+}
+
+impl Heard {
+    /// Every meaning that is counted.
+    pub const COUNTED: [Heard; 3] = [Heard::Later, Heard::Unconfirmed, Heard::Odd];
+
+    /// Name in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Heard::Known => "known",
+            Heard::Later => "later",
+            Heard::Unconfirmed => "unconfirmed",
+            Heard::Odd => "odd",
+        }
+    }
+}
+
+/// The store's epoch as far as it is known. Taken for true at once, a single wrong number would hide all that the store tells
+/// from then on, so that a later one counts once it was told twice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Epochs {
+    known: Option<Epoch>,
+    told: Option<Epoch>,
+}
+
+impl Epochs {
+    /// The epoch that is known; 0 before any is.
+    pub fn known(&self) -> Epoch {
+        self.known.unwrap_or_default()
+    }
+
+    /// Takes in the epoch that an answer of the store tells.
+    pub fn hear(&mut self, epoch: Epoch) -> Heard {
+        if self.known.is_some_and(|known| epoch == known) {
+            return Heard::Known;
+        }
+        if self.known.is_some_and(|known| epoch < known) {
+            return Heard::Odd;
+        }
+        if self.known.is_none() || self.told == Some(epoch) {
+            (self.known, self.told) = (Some(epoch), None);
+            return Heard::Later;
+        }
+        match self.told.replace(epoch) {
+            None => Heard::Unconfirmed,
+            Some(_) => Heard::Odd,
+        }
+    }
+
+    /// Takes in the epoch that another host knows; returns whether it is later.
+    pub fn hear_host(&mut self, epoch: Epoch) -> bool {
+        let later = self.known.is_none_or(|known| epoch > known);
+        if later {
+            (self.known, self.told) = (Some(epoch), None);
+        }
+        later
+    }
+}
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -161,6 +161,9 @@
     /// Every backend server that is listed.
     #[prost(message, repeated, tag = "2")]
     pub items: ::prost::alloc::vec::Vec<Backend>,
+    /// Epoch of the store.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
 }
 /// Datagram from one host to another: load and versions always, the rest in full beats only.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -220,6 +223,9 @@
     /// Data centres that are evacuated, once the sender knows.
     #[prost(message, optional, tag = "18")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// Epoch of the store as of which the revision of the backend servers is.
+    #[prost(uint64, tag = "19")]
+    pub backends_epoch: u64,
 }
 /// Data centres whose backend servers get nothing new, as of one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -231,6 +237,9 @@
     /// Names of the data centres.
     #[prost(string, repeated, tag = "2")]
     pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Epoch of the store.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
 }
 /// What the hosts of one data centre have in progress, and which of them callers may be sent to.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -317,6 +326,9 @@
     /// Whether the asker has just started and knows no holders of prompt parts.
     #[prost(bool, tag = "3")]
     pub wants_held: bool,
+    /// Epoch of the store as of which the revision of the backend servers is.
+    #[prost(uint64, tag = "4")]
+    pub backends_epoch: u64,
 }
 /// What a peer has that is newer.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -400,6 +412,9 @@
     /// Identifiers of servers whose entries were removed.
     #[prost(string, repeated, tag = "3")]
     pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Epoch of the store.
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
 }
 /// Whether requests may be repeated.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -13,6 +13,7 @@
         follow::Asked,
         outcome::Outcome,
         place::Why,
+        revision::Heard,
         stream::After,
         verdict::{Failure, Stop},
     },
@@ -75,6 +76,7 @@
         (Counter::RelayStreams, names(&After::ALL, |a| a.as_str())),
         (Counter::RelayStoreCalls, names(&Asked::ALL, |a| a.as_str())),
         (Counter::RelayDatagrams, names(&Fault::ALL, |f| f.as_str())),
+        (Counter::RelayEpochs, names(&Heard::COUNTED, |h| h.as_str())),
     ];
     for (counter, expected) in values {
         let heading = format!("\n### `{}_total`", counter.shown().name);
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -9,15 +9,19 @@
 
 use cranberrytally::{
     platform::store::StoreClient,
-    relay::follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
+    relay::{
+        follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
+        revision::Revision,
+    },
     schema::fleet::{Member, Repeat},
 };
+use relay_support::rev;
 use tokio::io::AsyncWriteExt;
 use wire::{Act, Server};
 
 /// Asks for changes after a revision, or for the whole list.
 fn call(after: Option<u64>) -> Call {
-    Call { after, patience: Duration::from_secs(2), whole: true, copy: false }
+    Call { after: after.map(rev), epoch: 0, patience: Duration::from_secs(2), whole: true, copy: false }
 }
 
 fn reply(status: &str, body: &str) -> Act {
@@ -53,6 +57,12 @@
     format!(r#"{{"metadata":{{"name":"main","revision":5}},"spec":{spec},"status":null}}"#)
 }
 
+/// An answer of the store that tells this epoch.
+fn reply_of(epoch: &str, status: &str, body: &str) -> Act {
+    let Act::Write(text) = reply(status, body) else { unreachable!("a reply is written") };
+    Act::Write(text.replacen("\r\n", &format!("\r\nStore-Era: {epoch}\r\n"), 1))
+}
+
 async fn store(acts: Vec<Act>) -> (StoreClient, Server) {
     let server = Server::start("store", acts).await;
     (StoreClient::new(server.addr), server)
@@ -70,7 +80,7 @@
     let (revision, cfg) = store.configuration(call(None)).await.unwrap();
 
     let cfg = cfg.unwrap();
-    assert_eq!((revision, cfg.version), (530, 7));
+    assert_eq!((revision, cfg.version), (rev(530), 7));
     assert_eq!(target(&server.seen()[0]), "/objects/config");
     let kinds: Vec<_> = cfg.routes.iter().map(|r| (r.repeat(), r.open, r.resumable, r.prompts)).collect();
     let expected = [
@@ -116,7 +126,7 @@
     let update = store.backends(call(Some(530))).await.unwrap();
 
     let BackendsUpdate::Changes { revision, puts, removed } = update else { panic!("{update:?}") };
-    assert_eq!((revision, puts.len(), removed), (533, 1, vec!["i-3".to_owned()]));
+    assert_eq!((revision, puts.len(), removed), (rev(533), 1, vec!["i-3".to_owned()]));
     assert!(puts[0].leaving);
     assert!(target(&server.seen()[0]).starts_with("/objects/servers?watch=530&waitMs="));
 }
@@ -424,3 +434,46 @@
     assert_eq!(hosts, Hosts { some: vec![member()], count: 59 });
     assert_eq!(target(&server.seen()[0]), "/objects/hosts?staleOk=1");
 }
+
+/// A watch that goes on behind the changes of a restored store, or a list put together of two epochs.
+#[tokio::test]
+async fn answers_of_another_epoch_are_no_continuation() {
+    let events = r#"{"events":[],"currentRev":533}"#;
+    let page = |name: &str, more: bool| {
+        format!(r#"{{"items":[{}],"hasMore":{more},"currentRev":9}}"#, server(name, "ready"))
+    };
+    let acts = vec![
+        reply_of("3", "200 OK", events),
+        reply_of("3", "410 Gone", "{}"),
+        reply_of("2", "410 Gone", "{}"),
+        reply_of("2", "200 OK", &page("i-1", true)),
+        reply_of("3", "200 OK", &page("i-2", false)),
+    ];
+    let (mut store, _server) = store(acts).await;
+    let watch = Call { after: Some(Revision::new(2, 530)), epoch: 2, ..call(None) };
+
+    let changes = store.backends(watch).await;
+    let gone_by_restore = store.backends(watch).await;
+    let gone_by_age = store.backends(watch).await;
+    let list = store.backends(Call { epoch: 2, ..call(None) }).await;
+
+    let restored = Err(StoreError::Restored { epoch: 3 });
+    assert_eq!((changes, gone_by_restore, list), (restored.clone(), restored.clone(), restored));
+    assert_eq!(gone_by_age, Err(StoreError::HistoryGone));
+}
+
+/// An epoch that can't be read taken for another one, so that all would be listed anew with each answer.
+#[tokio::test]
+async fn an_answer_without_a_readable_epoch_is_of_the_one_known() {
+    let page = format!(r#"{{"items":[{}],"hasMore":false,"currentRev":9}}"#, server("i-1", "ready"));
+    let unreadable = ["", "two", "-1", "2.5", "99999999999999999999999"];
+    let mut acts: Vec<_> = unreadable.iter().map(|epoch| reply_of(epoch, "200 OK", &page)).collect();
+    acts.push(reply("200 OK", &page));
+    let (mut store, _server) = store(acts).await;
+
+    for case in 0..=unreadable.len() {
+        let update = store.backends(Call { epoch: 7, ..call(None) }).await.unwrap();
+
+        assert_eq!(update.revision(), Revision::new(7, 9), "case {case}");
+    }
+}
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -10,7 +10,7 @@
     schema::fleet::{Backend, Backends as List},
 };
 use proptest::prelude::*;
-use relay_support::listed;
+use relay_support::{listed, rev};
 
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -29,7 +29,7 @@
 /// Backend servers as of one list.
 fn known(items: Vec<Backend>) -> Backends {
     let mut backends = Backends::default();
-    backends.list(ms(0), &List { revision: 1, items }, None);
+    backends.list(ms(0), &List { revision: 1, items, ..List::default() }, None);
     backends
 }
 
@@ -38,17 +38,18 @@
 #[test]
 fn what_is_known_of_a_server_never_goes_back() {
     let mut backends = Backends::default();
-    backends.list(ms(0), &List { revision: 5, items: vec![listed("x", false)] }, None);
+    backends.list(ms(0), &List { revision: 5, items: vec![listed("x", false)], ..List::default() }, None);
 
-    let left = backends.change(ms(1), 9, &[listed("x", true)], &[], None);
-    let older = backends.change(ms(2), 7, &[listed("y", false)], &[], None);
-    let again = backends.list(ms(3), &List { revision: 9, items: vec![listed("x", false)] }, None);
+    let left = backends.change(ms(1), rev(9), &[listed("x", true)], &[], None);
+    let older = backends.change(ms(2), rev(7), &[listed("y", false)], &[], None);
+    let again =
+        backends.list(ms(3), &List { revision: 9, items: vec![listed("x", false)], ..List::default() }, None);
 
     assert_eq!(left.len(), 1);
     assert_eq!(older, []);
     assert_eq!(again, []);
     assert_eq!(backends.of("s").count(), 0);
-    assert_eq!(backends.revision(), 9);
+    assert_eq!(backends.revision(), rev(9));
 }
 
 /// One host lost the store for a while, and gives a server whose entry is gone by its return time to come back. Another
@@ -58,14 +59,14 @@
 fn a_server_that_one_host_misses_is_not_brought_back_at_another() {
     let (mut misses, mut knows) = (Backends::default(), Backends::default());
     for b in [&mut misses, &mut knows] {
-        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false)] }, None);
+        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false)], ..List::default() }, None);
     }
-    knows.change(ms(10), 8, &[], &["x".into()], None);
-    misses.change(ms(20), 9, &[], &["x".into()], Some(ms(1_700)));
+    knows.change(ms(10), rev(8), &[], &["x".into()], None);
+    misses.change(ms(20), rev(9), &[], &["x".into()], Some(ms(1_700)));
     assert_eq!(misses.of("s").count(), 1);
 
-    let changes = misses.changes_since(ms(30), 8).unwrap();
-    let from_changes = knows.clone().change(ms(30), changes.revision, &changes.puts, &changes.removed, None);
+    let changes = misses.changes_since(ms(30), rev(8)).unwrap();
+    let from_changes = knows.clone().change(ms(30), changes.as_of(), &changes.puts, &changes.removed, None);
     let from_list = knows.list(ms(30), &misses.snapshot(ms(30)), None);
 
     assert_eq!((from_changes, from_list), (Vec::new(), Vec::new()));
@@ -78,13 +79,13 @@
 fn a_host_behind_hears_of_a_removal_from_one_that_misses_the_server() {
     let (mut misses, mut behind) = (Backends::default(), Backends::default());
     for b in [&mut misses, &mut behind] {
-        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false)] }, None);
+        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false)], ..List::default() }, None);
     }
-    misses.change(ms(20), 9, &[], &["x".into()], Some(ms(1_700)));
+    misses.change(ms(20), rev(9), &[], &["x".into()], Some(ms(1_700)));
 
     let changes = misses.changes_since(ms(30), behind.revision()).unwrap();
     let from_list = behind.clone().list(ms(30), &misses.snapshot(ms(30)), None);
-    let from_changes = behind.change(ms(30), changes.revision, &changes.puts, &changes.removed, None);
+    let from_changes = behind.change(ms(30), changes.as_of(), &changes.puts, &changes.removed, None);
 
     assert_eq!((from_changes.len(), from_list.len()), (1, 1));
     assert_eq!(behind.of("s").count(), 0);
@@ -96,23 +97,27 @@
     let mut ahead = Backends::default();
     let mut behind = Backends::default();
     for b in [&mut ahead, &mut behind] {
-        b.list(ms(0), &List { revision: 5, items: vec![listed("x", false), listed("yy", false)] }, None);
+        b.list(
+            ms(0),
+            &List { revision: 5, items: vec![listed("x", false), listed("yy", false)], ..List::default() },
+            None,
+        );
     }
-    ahead.change(ms(1), 7, &[listed("x", true)], &[], None);
-    ahead.change(ms(2), 9, &[listed("zzz", false)], &["yy".into()], None);
+    ahead.change(ms(1), rev(7), &[listed("x", true)], &[], None);
+    ahead.change(ms(2), rev(9), &[listed("zzz", false)], &["yy".into()], None);
 
     let changes = ahead.changes_since(ms(30), behind.revision()).unwrap();
-    let last = ahead.changes_since(ms(30), 7).unwrap();
-    behind.change(ms(3), changes.revision, &changes.puts, &changes.removed, None);
+    let last = ahead.changes_since(ms(30), rev(7)).unwrap();
+    behind.change(ms(3), changes.as_of(), &changes.puts, &changes.removed, None);
 
     assert_eq!((changes.puts.len(), changes.removed.len()), (2, 1));
     assert_eq!((last.puts.len(), last.removed.len()), (1, 1));
     assert_eq!(behind.digest(), ahead.digest());
-    assert_eq!(ahead.changes_since(ms(30), 4), None);
+    assert_eq!(ahead.changes_since(ms(30), rev(4)), None);
     for i in 0..600 {
-        ahead.change(ms(4), 10 + i, &[listed("x", true)], &[], None);
+        ahead.change(ms(4), rev(10 + i), &[listed("x", true)], &[], None);
     }
-    assert_eq!(ahead.changes_since(ms(30), 9), None);
+    assert_eq!(ahead.changes_since(ms(30), rev(9)), None);
 }
 
 /// A server's entry goes while a request is in progress there. The request keeps its place in the arena, and other
@@ -120,11 +125,11 @@
 #[test]
 fn a_server_that_is_gone_is_forgotten_after_its_last_request() {
     let mut backends = Backends::default();
-    backends.list(ms(0), &List { revision: 1, items: vec![listed("x", false)] }, None);
+    backends.list(ms(0), &List { revision: 1, items: vec![listed("x", false)], ..List::default() }, None);
     let key = backends.of("s").next().unwrap().0;
     backends.start(key);
 
-    let gone = backends.change(ms(10), 2, &[], &["x".into()], None);
+    let gone = backends.change(ms(10), rev(2), &[], &["x".into()], None);
     let (_, early) = backends.expire(ms(60_000));
     backends.end(key);
     let (_, done) = backends.expire(ms(60_001));
@@ -142,7 +147,7 @@
     let (before, tag) = backends.of("s").map(|(key, b)| (key, b.tag)).next().unwrap();
     backends.start(before);
 
-    let changes = backends.change(ms(10), 2, &[born(200)], &[], None);
+    let changes = backends.change(ms(10), rev(2), &[born(200)], &[], None);
 
     let (after, b) = backends.of("s").next().unwrap();
     assert_eq!(changes, [(before, Change::Restarted), (after, Change::Seen)]);
@@ -158,9 +163,9 @@
 fn a_server_that_left_takes_work_again_only_after_a_new_start() {
     let mut backends = known(vec![Backend { leaving: true, ..born(100) }]);
 
-    backends.change(ms(10), 2, &[born(100)], &[], None);
+    backends.change(ms(10), rev(2), &[born(100)], &[], None);
     let same = backends.of("s").count();
-    backends.change(ms(20), 3, &[born(200)], &[], None);
+    backends.change(ms(20), rev(3), &[born(200)], &[], None);
 
     assert_eq!((same, backends.of("s").count()), (0, 1));
 }
@@ -172,7 +177,7 @@
         let mut backends = known(vec![born(200)]);
         let key = backends.of("s").next().unwrap().0;
 
-        let changes = backends.change(ms(10), 2, &[late], &[], None);
+        let changes = backends.change(ms(10), rev(2), &[late], &[], None);
 
         assert_eq!(changes, []);
         assert_eq!(backends.of("s").next().unwrap().0, key);
@@ -184,10 +189,10 @@
 fn hosts_tell_each_other_of_restarts() {
     let mut ahead = known(vec![born(100)]);
     let mut behind = ahead.clone();
-    ahead.change(ms(10), 2, &[born(200)], &[], None);
+    ahead.change(ms(10), rev(2), &[born(200)], &[], None);
 
     let changes = ahead.changes_since(ms(30), behind.revision()).unwrap();
-    let told = behind.change(ms(20), changes.revision, &changes.puts, &changes.removed, None);
+    let told = behind.change(ms(20), changes.as_of(), &changes.puts, &changes.removed, None);
 
     assert_eq!(told.len(), 2);
     assert_eq!(behind.digest(), ahead.digest());
@@ -209,10 +214,10 @@
         let mut backends = known(vec![born(100), listed("yy", false)]);
         let key = backends.by_tag(cranberrytally::relay::backends::tag("x", 100)).unwrap();
 
-        let lost = backends.change(ms(10), 2, &[entry.clone(), unreadable("zzz")], &[], None);
+        let lost = backends.change(ms(10), rev(2), &[entry.clone(), unreadable("zzz")], &[], None);
         let others: Vec<_> = backends.of("s").map(|(_, b)| b.id.clone()).collect();
-        let again = backends.change(ms(20), 3, std::slice::from_ref(&entry), &[], None);
-        let back = backends.change(ms(900), 4, &[born(100)], &[], None);
+        let again = backends.change(ms(20), rev(3), std::slice::from_ref(&entry), &[], None);
+        let back = backends.change(ms(900), rev(4), &[born(100)], &[], None);
 
         assert_eq!(lost, [(key, Change::Unreadable)], "{entry:?}");
         assert_eq!(others, ["yy".into()], "{entry:?}");
@@ -226,10 +231,10 @@
 fn an_unreadable_entry_is_told_to_other_hosts() {
     let mut ahead = known(vec![born(100)]);
     let mut behind = ahead.clone();
-    ahead.change(ms(10), 2, &[unreadable("x")], &[], None);
+    ahead.change(ms(10), rev(2), &[unreadable("x")], &[], None);
 
     let changes = ahead.changes_since(ms(30), behind.revision()).unwrap();
-    behind.change(ms(20), changes.revision, &changes.puts, &changes.removed, None);
+    behind.change(ms(20), changes.as_of(), &changes.puts, &changes.removed, None);
 
     assert_eq!(behind.of("s").count(), 0);
     assert_eq!(behind.digest(), ahead.digest());
@@ -249,7 +254,7 @@
                 1 => Backend { leaving: true, born: start, ..listed(&name, false) },
                 _ => Backend { born: start, ..listed(&name, false) },
             };
-            backends.change(ms(at as u64), at as u64 + 1, &[entry], &[], None);
+            backends.change(ms(at as u64), rev(at as u64 + 1), &[entry], &[], None);
             for (_, b) in backends.of("s") {
                 let known = &mut latest[b.id.len() - 1];
                 prop_assert!(b.born >= *known, "{} after {known}", b.born);
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -6,11 +6,12 @@
     platform::PlatformWire,
     relay::{
         Relay,
-        backends::{Backends, Change, Revision},
+        backends::{Backends, Change},
         contact::Contact,
         evacuations::Update,
         follow::{self, BackendsUpdate, Call, Hosts, Store, StoreError},
         pool,
+        revision::Revision,
     },
     schema::fleet,
 };
@@ -20,7 +21,7 @@
 
 #[path = "support/relay.rs"]
 mod relay_support;
-use relay_support::relay_config;
+use relay_support::{relay_config, rev};
 
 const fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -38,8 +39,9 @@
     }
 }
 
-fn list(revision: Revision, ids: &[&str]) -> fleet::Backends {
-    fleet::Backends { revision, items: ids.iter().map(|id| listed(id)).collect() }
+fn list(revision: u64, ids: &[&str]) -> fleet::Backends {
+    let items = ids.iter().map(|id| listed(id)).collect();
+    fleet::Backends { revision, items, ..fleet::Backends::default() }
 }
 
 /// A host loses the store for eight seconds. Entries that lapsed while it was away come back within two seconds if
@@ -75,7 +77,7 @@
     contact.answered(s(9));
 
     let (_, grace) = contact.answered(s(13));
-    let changes = backends.change(s(13), 12, &[], &["b".into()], grace);
+    let changes = backends.change(s(13), rev(12), &[], &["b".into()], grace);
 
     assert_eq!(changes.iter().map(|(_, c)| *c).collect::<Vec<_>>(), [Change::Left]);
     assert_eq!(backends.of("app").count(), 1);
@@ -172,7 +174,7 @@
     let asked = [calls.recv().await, calls.recv().await, calls.recv().await, calls.recv().await];
 
     task.abort();
-    assert_eq!(asked, [Some(None), Some(Some(5)), Some(None), Some(Some(5))]);
+    assert_eq!(asked, [Some(None), Some(Some(rev(5))), Some(None), Some(Some(rev(5)))]);
 }
 
 /// A host is suspended for some seconds. When it goes on, its waiting watch may be on a connection that went silent
@@ -249,7 +251,7 @@
     let seeds = [seeds_calls.recv().await.unwrap(), seeds_calls.recv().await.unwrap()];
 
     tasks.iter().for_each(|task| task.abort());
-    assert_eq!(((first.after, first.whole), second.after), ((None, false), Some(7)));
+    assert_eq!(((first.after, first.whole), second.after), ((None, false), Some(rev(7))));
     assert_eq!(seeds.map(|call| (call.after, call.whole)), [(None, false), (None, true)]);
 }
 
@@ -265,7 +267,7 @@
         match call {
             Call { after: Some(_), .. } => pending().await,
             Call { whole: false, .. } => Err(StoreError::Large { bytes: 1_000_000 }),
-            _ => Ok((5, Some(fleet::Configuration { version: 3, ..fleet::Configuration::default() }))),
+            _ => Ok((rev(5), Some(fleet::Configuration { version: 3, ..fleet::Configuration::default() }))),
         }
     }
 
@@ -331,7 +333,9 @@
     ) -> Result<(Revision, Option<fleet::Configuration>), StoreError> {
         match call.after {
             Some(_) => pending().await,
-            None => Ok((5, Some(fleet::Configuration { version: 3, ..fleet::Configuration::default() }))),
+            None => {
+                Ok((rev(5), Some(fleet::Configuration { version: 3, ..fleet::Configuration::default() })))
+            }
         }
     }
 
--- a/tests/relay_evacuations.rs
+++ b/tests/relay_evacuations.rs
@@ -10,14 +10,16 @@
     schema::fleet,
 };
 use proptest::prelude::*;
+use relay_support::rev;
 use wire::{Act, Host, Server, header, ok, request, status};
 
 fn told(revision: u64, data_centres: &[&str]) -> fleet::Evacuations {
-    fleet::Evacuations { revision, data_centres: data_centres.iter().map(|d| d.to_string()).collect() }
+    let data_centres = data_centres.iter().map(|d| d.to_string()).collect();
+    fleet::Evacuations { revision, data_centres, ..fleet::Evacuations::default() }
 }
 
 fn changed(revision: u64, data_centre: &str, evacuated: bool) -> Update {
-    Update::Changes { revision, changes: vec![(data_centre.into(), evacuated)] }
+    Update::Changes { revision: rev(revision), changes: vec![(data_centre.into(), evacuated)] }
 }
 
 /// An operator evacuates a data centre. A host that hears of it late from a neighbour must not take back what a newer word
@@ -70,7 +72,7 @@
                 hosts[host].hear(&word);
             }
             for host in hosts.iter().filter(|h| h.is_known()) {
-                let want = &store[host.revision() as usize - 1];
+                let want = &store[host.revision().number as usize - 1];
                 for name in names {
                     prop_assert_eq!(host.covers(name), want.data_centres.iter().any(|d| d == name));
                 }
--- a/tests/relay_input.rs
+++ b/tests/relay_input.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use cranberrytally::{platform::settings::Settings, relay::follow::BackendsUpdate, schema::fleet::Backends};
+use relay_support::rev;
 use wire::{Act, Host, Server, header, ok, request, status};
 
 async fn server() -> Server {
@@ -163,7 +164,11 @@
         ..Default::default()
     });
 
-    host.relay.update_backends(BackendsUpdate::List(Backends { revision: 2, items }), None, "test");
+    host.relay.update_backends(
+        BackendsUpdate::List(Backends { revision: 2, items, ..Backends::default() }),
+        None,
+        "test",
+    );
 
     assert_eq!(status(&host.call(&request("/unsafe/x", "")).await), 200);
 }
@@ -183,6 +188,7 @@
         ..Default::default()
     };
     let put = |revision, born| {
+        let revision = rev(revision);
         let update = BackendsUpdate::Changes { revision, puts: vec![entry(born)], removed: Vec::new() };
         host.relay.update_backends(update, None, "test");
         host.relay.servers("app")
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -15,16 +15,18 @@
         followers::Contact,
         inbound, mesh,
         peers::{Own, Peers, Scope},
+        revision::Revision,
     },
     schema::fleet::{Backend, Backends, Beat, Centre, Configuration, Fetch, Fetched, InProgress, Member},
 };
 use rand::{SeedableRng, rngs::SmallRng};
+use relay_support::rev;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpStream, UdpSocket},
 };
 
-const OWN: Own = Own { configuration: 5, backends: 9, digest: 1 };
+const OWN: Own = Own { configuration: 5, backends: Revision { epoch: 0, number: 9 }, digest: 1 };
 
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -477,13 +479,13 @@
         ..Backend::default()
     };
     first.set_configuration(wire::configuration(), "test");
-    let list = Backends { revision: 3, items: vec![server(false)] };
+    let list = Backends { revision: 3, items: vec![server(false)], ..Backends::default() };
     first.update_backends(BackendsUpdate::List(list), None, "test");
 
     wire::until("all are handed out", || third.addresses(64).len() == 3).await;
     wire::until("all are ready", || second.is_ready() && third.is_ready()).await;
     first.set_configuration(Configuration { version: 2, ..wire::configuration() }, "test");
-    let change = BackendsUpdate::Changes { revision: 4, puts: vec![server(true)], removed: Vec::new() };
+    let change = BackendsUpdate::Changes { revision: rev(4), puts: vec![server(true)], removed: Vec::new() };
     first.update_backends(change, None, "test");
 
     wire::until("the change", || third.routes().is_some_and(|r| r.version() == 2)).await;
@@ -511,7 +513,7 @@
     newer.routes[1].timeout_ms += 1;
     host.set_configuration(wire::configuration(), "test");
     host.set_configuration(newer.clone(), "test");
-    let knows = |configuration| Fetch { configuration, backends: 0, wants_held: false };
+    let knows = |configuration| Fetch { configuration, ..Fetch::default() };
 
     let one = ask(at, knows(1)).await;
     let none = ask(at, knows(0)).await;
@@ -551,7 +553,7 @@
         waiting.push(TcpStream::connect(at).await.unwrap());
     }
 
-    let fetched = ask(at, Fetch { configuration: 0, backends: 0, wants_held: false }).await;
+    let fetched = ask(at, Fetch::default()).await;
 
     assert!(fetched.busy);
     assert_eq!(waiting.len(), 3);
--- a/tests/relay_restore.rs
+++ b/tests/relay_restore.rs
@@ -4,7 +4,10 @@
 
 use cranberrytally::{
     platform::{PlatformWire, store::StoreClient},
-    relay::{Relay, follow},
+    relay::{
+        Relay, follow,
+        revision::{Epochs, Heard, Revision},
+    },
 };
 use serde_json::json;
 use soak::store::{Store, server};
@@ -101,3 +104,27 @@
 
     host.until_servers(3).await;
 }
+
+/// A host deaf for good after one wrong epoch, or believing a store that has gone back.
+#[test]
+fn a_later_epoch_counts_once_it_was_told_twice() {
+    let mut epochs = Epochs::default();
+
+    let first = epochs.hear(3);
+    let wrong = [epochs.hear(9_000_000), epochs.hear(3), epochs.hear(2)];
+    let restored = [epochs.hear(4), epochs.hear(4), epochs.hear(3), epochs.hear(4)];
+
+    assert_eq!(first, Heard::Later);
+    assert_eq!(wrong, [Heard::Unconfirmed, Heard::Known, Heard::Odd]);
+    assert_eq!(restored, [Heard::Odd, Heard::Later, Heard::Odd, Heard::Known]);
+    assert_eq!(epochs.known(), 4);
+    assert!(epochs.hear_host(6) && !epochs.hear_host(5));
+    assert_eq!(epochs.known(), 6);
+}
+
+/// A number of before a restore taken for later than one after it.
+#[test]
+fn a_revision_of_a_later_epoch_is_later() {
+    assert!(Revision::new(2, 3) > Revision::new(1, 22));
+    assert!(Revision::new(2, 3) < Revision::new(2, 4));
+}
--- a/tests/relay_warmup.rs
+++ b/tests/relay_warmup.rs
@@ -18,7 +18,7 @@
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use relay_support::listed;
+use relay_support::{listed, rev};
 use wire::{Act, Host, Server, configuration, header, ok, request, status};
 
 const TAG: u32 = 77;
@@ -108,14 +108,14 @@
 fn what_an_entry_tells_of_cold_is_told_on_with_its_age() {
     let (mut follower, mut other) = (Backends::default(), Backends::default());
     for b in [&mut follower, &mut other] {
-        b.list(ms(0), &List { revision: 5, items: vec![cold(0)] }, None);
+        b.list(ms(0), &List { revision: 5, items: vec![cold(0)], ..List::default() }, None);
     }
     let warm = follower.digest();
 
-    let turned = follower.change(ms(100), 6, &[cold(3_000)], &[], None);
-    let counted = follower.change(ms(1_300), 7, &[cold(1_800)], &[], None);
-    let told = follower.changes_since(ms(1_500), 5).unwrap();
-    other.change(ms(1_500), told.revision, &told.puts, &told.removed, None);
+    let turned = follower.change(ms(100), rev(6), &[cold(3_000)], &[], None);
+    let counted = follower.change(ms(1_300), rev(7), &[cold(1_800)], &[], None);
+    let told = follower.changes_since(ms(1_500), rev(5)).unwrap();
+    other.change(ms(1_500), told.as_of(), &told.puts, &told.removed, None);
 
     assert!(matches!(turned[..], [(_, Change::Cold)]), "{turned:?}");
     assert_eq!(counted, []);
@@ -123,7 +123,7 @@
     assert!(follower.digest() != warm && follower.digest() == other.digest());
     let until = other.of("s").next().unwrap().1.cold_until;
     assert_eq!(until, ms(3_100));
-    follower.change(ms(3_200), 8, &[cold(0)], &[], None);
+    follower.change(ms(3_200), rev(8), &[cold(0)], &[], None);
     assert_eq!(follower.digest(), warm);
 }
 
@@ -132,7 +132,7 @@
 fn no_entry_keeps_a_server_cold_for_long() {
     let mut backends = Backends::default();
 
-    backends.list(ms(0), &List { revision: 5, items: vec![cold(u32::MAX)] }, None);
+    backends.list(ms(0), &List { revision: 5, items: vec![cold(u32::MAX)], ..List::default() }, None);
 
     assert!(backends.of("s").next().unwrap().1.cold_until <= ms(60_000));
 }
@@ -143,7 +143,7 @@
 fn the_servers_of_a_data_centre_that_is_taken_back_are_named() {
     let other = Backend { id: "yy".into(), data_centre: "b".into(), ..cold(0) };
     let mut backends = Backends::default();
-    backends.list(ms(0), &List { revision: 5, items: vec![cold(0), other] }, None);
+    backends.list(ms(0), &List { revision: 5, items: vec![cold(0), other], ..List::default() }, None);
 
     let never = backends.cool(ms(10), "a", |_| ms(0));
     let named = backends.cool(ms(10), "a", |_| ms(3_000));
@@ -172,7 +172,7 @@
         cold_ms: 3_000,
         ..Backend::default()
     };
-    let update = BackendsUpdate::Changes { revision: 9, puts: vec![put], removed: Vec::new() };
+    let update = BackendsUpdate::Changes { revision: rev(9), puts: vec![put], removed: Vec::new() };
     host.relay.update_backends(update, None, "test");
 }
 
@@ -201,7 +201,7 @@
     host.relay.set_configuration(cold_configuration(600), "test");
 
     for (revision, evacuated) in [(5, true), (6, false)] {
-        let update = Update::Changes { revision, changes: vec![("a".into(), evacuated)] };
+        let update = Update::Changes { revision: rev(revision), changes: vec![("a".into(), evacuated)] };
         host.relay.update_evacuations(&update, "test");
     }
     let answer = host.call(&request("/safe/1", "")).await;
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cranberrytally::{
-    relay::{RelayConfig, budget::BudgetConfig, leave::LeaveConfig, place::Bound},
+    relay::{RelayConfig, budget::BudgetConfig, leave::LeaveConfig, place::Bound, revision::Revision},
     schema::fleet::{Backend, Member},
 };
 
@@ -34,3 +34,8 @@
     let (service, data_centre) = ("s".into(), "a".into());
     Backend { id: id.into(), service, addr, data_centre, slots: 6, leaving, ..Backend::default() }
 }
+
+/// A revision of a store that was never restored and tells no epoch.
+pub fn rev(number: u64) -> Revision {
+    Revision::new(0, number)
+}
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -23,7 +23,7 @@
     time::timeout,
 };
 
-use crate::relay_support::relay_config;
+use crate::relay_support::{relay_config, rev};
 
 /// Longest wait for anything on loopback; reached only when a test fails.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -275,7 +275,7 @@
             slots: 6,
             ..Backend::default()
         });
-        let list = Backends { revision: 1, items: items.collect() };
+        let list = Backends { revision: 1, items: items.collect(), ..Backends::default() };
         self.relay.update_backends(BackendsUpdate::List(list), None, "test");
     }
 
@@ -289,7 +289,7 @@
             slots: 6,
             ..Backend::default()
         };
-        let update = BackendsUpdate::Changes { revision: 2, puts: vec![put], removed: Vec::new() };
+        let update = BackendsUpdate::Changes { revision: rev(2), puts: vec![put], removed: Vec::new() };
         self.relay.update_backends(update, None, "test");
     }
 
