Let no restored store bring a server back that has left

A store that is restored from a copy lists servers as they were some seconds ago. What callers would see: requests at a server that had left, since the copy has it as ready; none at live ones for a second, since the copy does not have them yet.

By tests, on the code before: a server that had said it leaves and whose entry was removed works again with the copy; one whose entry was removed without a word too; one that the copy lacks is dropped at once; a word that a server leaves is dropped if it comes from a host that has not met the new epoch (4 of 4 tests fail there).

One that was seen leaving never takes work again. One whose entry was only removed is unconfirmed while a restored store lists it: it takes work once it has written again, or once its entry has outlasted a dead server's by far. Entries that the copy lacks have 1.7 s to be written again, also without an outage before. Who leaves is heard from lists of any revision; hosts tell it in their beats for five seconds whatever the revision, and in full to a host that starts.

--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -297,5 +297,6 @@
         leaving: raw.state == RawState::Draining || object.metadata.deletion_pending,
         born: raw.born.unwrap_or(0),
         cold_ms: raw.cold_remaining_ms.unwrap_or(0.0) as u32,
+        unconfirmed_ms: 0,
     }
 }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -7,6 +7,10 @@
 //! An entry that can't be read, or that tells another service or address for the same start, was written by somebody
 //! else. It names no server to use until the server has written its own again.
 //!
+//! A store that was restored lists servers as they were. One that was seen leaving stays leaving, one whose entry had been
+//! removed takes work only once it has written again or its entry has outlasted a dead server's, and one whose entry is
+//! missing has time to write it again.
+//!
 //! The store's list is the source; a server that leaves stays in the arena until its last request is done, so that
 //! a key is never used for another server.
 
@@ -20,9 +24,11 @@
     util::{Instant, Map, Set, hash},
 };
 
+mod ended;
 mod entry;
 mod tell;
 
+use ended::{Ended, Past};
 use entry::Entry;
 
 /// Names one start of a backend server in messages between hosts.
@@ -34,6 +40,12 @@
 /// seconds and more.
 const LINGERS: Duration = Duration::from_secs(3);
 
+/// How long entries that a restored store does not have still count: live servers write theirs again within two seconds.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(1_700);
+/// How long an entry that had been removed must be listed by a restored store to count without a word of its server: an
+/// entry lapses after three heartbeats of one to two seconds.
+const OUTLASTS: Duration = Duration::from_secs(6);
+
 /// Longest time for which an entry may tell that its server stays cold; more was written by somebody else.
 const MOST_COLD: Duration = Duration::from_secs(60);
 
@@ -62,6 +74,11 @@
         /// When it counts as gone.
         until: Instant,
     },
+    /// Its entry had been removed and is back since the store was restored; nothing new is sent until that is settled.
+    Unconfirmed {
+        /// When it counts as alive.
+        until: Instant,
+    },
 }
 
 /// One start of a backend server.
@@ -87,6 +104,8 @@
     pub in_progress: u32,
     /// When its entry was removed.
     pub gone: Option<Instant>,
+    /// When it was seen leaving.
+    left: Option<Instant>,
     /// Until when it is cold, as far as is told.
     pub cold_until: Instant,
     /// Whether its entry told last that it is cold.
@@ -99,6 +118,11 @@
         matches!(self.state, State::Ready | State::Missing { .. })
     }
 
+    fn leave(&mut self, now: Instant) {
+        self.state = State::Leaving;
+        self.left.get_or_insert(now);
+    }
+
     fn is_missing(&self) -> bool {
         matches!(self.state, State::Missing { .. })
     }
@@ -130,6 +154,8 @@
     Restarted,
     /// It is cold without having started.
     Cold,
+    /// Its entry had been removed and is back since the store was restored.
+    Unconfirmed,
 }
 
 impl Change {
@@ -142,6 +168,7 @@
             Change::Unreadable => "unreadable",
             Change::Restarted => "restarted",
             Change::Cold => "cold",
+            Change::Unconfirmed => "unconfirmed",
         }
     }
 }
@@ -151,6 +178,12 @@
     hash((id, born)) as Tag
 }
 
+/// The state of a server whose entry had been removed, for as long as another host tells or as a dead server's entry lasts.
+fn unconfirmed(now: Instant, item: &fleet::Backend) -> State {
+    let told = Some(Duration::from_millis(item.unconfirmed_ms.into())).filter(|told| !told.is_zero());
+    State::Unconfirmed { until: now + told.unwrap_or(OUTLASTS).min(OUTLASTS) }
+}
+
 /// All backend servers that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
@@ -163,6 +196,7 @@
     /// Changes after this revision are all in the log.
     logged_from: Revision,
     digest: u32,
+    ended: Ended,
     /// Identifiers whose entries could not be read and that have had their line.
     unreadable: Set<Arc<str>>,
 }
@@ -173,7 +207,7 @@
         self.revision
     }
 
-    /// Takes a whole list as of `revision`; an older one than known changes nothing.
+    /// Takes a whole list as of `revision`; an older one than known tells only who leaves.
     ///
     /// `grace` is set for a while after the store's return: entries that lapsed while it was away come back only
     /// when their servers have written again, so that a missing one counts as gone only then.
@@ -184,12 +218,14 @@
         grace: Option<Duration>,
     ) -> Vec<(BackendKey, Change)> {
         if list.as_of() < self.revision {
-            return Vec::new();
+            return self.hear_leaving(now, &list.items);
         }
+        let restored = self.revision.is_known() && list.epoch > self.revision.epoch;
+        let grace = if restored { grace.max(Some(WRITTEN_AGAIN)) } else { grace };
         self.revision = list.as_of();
         self.log.clear();
         self.logged_from = self.revision;
-        let mut changes: Vec<_> = list.items.iter().flat_map(|item| self.put(now, item)).collect();
+        let mut changes: Vec<_> = list.items.iter().flat_map(|item| self.put(now, item, false)).collect();
         let listed: Set<&str> = list.items.iter().map(|i| i.id.as_str()).collect();
         let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
         changes.extend(missing.iter().filter_map(|id| self.remove(now, id, grace)));
@@ -197,7 +233,7 @@
         changes
     }
 
-    /// Takes changes that lead to `revision`; those of an older revision than known change nothing.
+    /// Takes changes that lead to `revision`; those of an older revision than known tell only who leaves.
     pub fn change(
         &mut self,
         now: Instant,
@@ -207,7 +243,7 @@
         grace: Option<Duration>,
     ) -> Vec<(BackendKey, Change)> {
         if revision < self.revision {
-            return Vec::new();
+            return self.hear_leaving(now, puts);
         }
         self.revision = revision;
         let ids = puts.iter().map(|p| &p.id).chain(removed);
@@ -215,40 +251,63 @@
         while self.log.len() > MOST_LOGGED {
             self.logged_from = self.log.pop_front().map_or(revision, |(dropped, _)| dropped);
         }
-        let mut changes: Vec<_> = puts.iter().flat_map(|item| self.put(now, item)).collect();
+        let mut changes: Vec<_> = puts.iter().flat_map(|item| self.put(now, item, true)).collect();
         changes.extend(removed.iter().filter_map(|id| self.remove(now, id, grace)));
         self.renew_digest();
         changes
     }
 
-    /// Takes one entry in; a start that replaces another brings two changes.
-    fn put(&mut self, now: Instant, item: &fleet::Backend) -> Vec<(BackendKey, Change)> {
-        let Some(&key) = self.by_id.get(item.id.as_str()) else { return Vec::from_iter(self.add(now, item)) };
+    /// Takes from entries of an older revision who leaves: that holds whatever the store has told since.
+    fn hear_leaving(&mut self, now: Instant, items: &[fleet::Backend]) -> Vec<(BackendKey, Change)> {
+        let leaving = items.iter().filter(|item| item.leaving).map(|item| tag(&item.id, item.born));
+        let leaving: Vec<_> = leaving.collect();
+        self.hear_left(now, &leaving)
+    }
+
+    /// Takes one entry in; a start that replaces another brings two changes. An entry that was `written` since the revision
+    /// known, and is not only listed, shows that its server lives.
+    fn put(&mut self, now: Instant, item: &fleet::Backend, written: bool) -> Vec<(BackendKey, Change)> {
+        let Some(&key) = self.by_id.get(item.id.as_str()) else {
+            return Vec::from_iter(self.add(now, item, written));
+        };
         match self.arena[key].compare(item) {
             Entry::Earlier => Vec::new(),
             Entry::Same => {
                 let cold = self.arena[key].hear_cold(now, item.cold_ms).then_some((key, Change::Cold));
-                self.renew(key, item.leaving).into_iter().chain(cold).collect()
+                self.renew(now, key, item, written).into_iter().chain(cold).collect()
             }
             Entry::Foreign => Vec::from_iter(self.distrust(key)),
             Entry::Later => {
                 self.drop_entry(now, key);
-                [(key, Change::Restarted)].into_iter().chain(self.add(now, item)).collect()
+                [(key, Change::Restarted)].into_iter().chain(self.add(now, item, written)).collect()
             }
         }
     }
 
     /// What a start tells of itself. One that has left never takes work again.
-    fn renew(&mut self, key: BackendKey, leaving: bool) -> Option<(BackendKey, Change)> {
+    fn renew(
+        &mut self,
+        now: Instant,
+        key: BackendKey,
+        item: &fleet::Backend,
+        written: bool,
+    ) -> Option<(BackendKey, Change)> {
         let known = &mut self.arena[key];
-        match (known.state, leaving) {
-            (State::Leaving, _) | (State::Ready, false) => None,
-            (_, true) => {
-                known.state = State::Leaving;
+        match known.state {
+            State::Leaving => None,
+            _ if item.leaving => {
+                known.leave(now);
                 Some((key, Change::Left))
             }
-            (State::Missing { .. } | State::Unreadable, false) => {
+            State::Unconfirmed { .. } if item.unconfirmed_ms > 0 || !written => None,
+            State::Ready if item.unconfirmed_ms == 0 => None,
+            State::Ready => {
+                known.state = unconfirmed(now, item);
+                Some((key, Change::Unconfirmed))
+            }
+            State::Missing { .. } | State::Unreadable | State::Unconfirmed { .. } => {
                 known.state = State::Ready;
+                self.ended.forget(&item.id);
                 Some((key, Change::Seen))
             }
         }
@@ -264,15 +323,28 @@
         Some((key, Change::Unreadable))
     }
 
-    fn add(&mut self, now: Instant, item: &fleet::Backend) -> Option<(BackendKey, Change)> {
+    fn add(&mut self, now: Instant, item: &fleet::Backend, written: bool) -> Option<(BackendKey, Change)> {
         let id: Arc<str> = item.id.as_str().into();
+        let past = self.ended.past(item, self.revision.epoch);
+        if past == Past::Earlier {
+            return None;
+        }
         let Ok(addr) = item.addr.parse() else {
             self.note_unreadable(id, &item.addr);
             return None;
         };
         self.unreadable.remove(&id);
         let tag = tag(&id, item.born);
-        let state = if item.leaving { State::Leaving } else { State::Ready };
+        let (state, change) = match past {
+            _ if item.leaving => (State::Leaving, Change::Seen),
+            Past::Left => (State::Leaving, Change::Left),
+            _ if item.unconfirmed_ms > 0 => (unconfirmed(now, item), Change::Unconfirmed),
+            Past::Removed if !written => (unconfirmed(now, item), Change::Unconfirmed),
+            _ => (State::Ready, Change::Seen),
+        };
+        if state == State::Ready {
+            self.ended.forget(&id);
+        }
         let key = self.arena.insert(Backend {
             id: id.clone(),
             born: item.born,
@@ -284,13 +356,14 @@
             state,
             in_progress: 0,
             gone: None,
+            left: (state == State::Leaving).then_some(now),
             cold_until: Instant::ZERO,
             told_cold: false,
         });
         self.arena[key].hear_cold(now, item.cold_ms);
         self.by_id.insert(id, key);
         self.by_tag.insert(tag, key);
-        Some((key, Change::Seen))
+        Some((key, change))
     }
 
     /// Writes a line about an entry that can't be read, one for each identifier until it can be read.
@@ -311,7 +384,7 @@
                 known.state = State::Missing { until: now + grace };
                 Some((key, Change::Missing))
             }
-            (State::Missing { .. }, Some(_)) => None,
+            (State::Missing { until }, _) if until > now => None,
             _ => self.drop_entry(now, key),
         }
     }
@@ -334,17 +407,36 @@
     }
 
     /// Counts a backend server as gone, as when another one answers at its address.
-    pub fn lose(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
+    pub fn lose(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
         let known = self.arena.get_mut(key)?;
         let news = known.takes_work();
-        known.state = State::Leaving;
+        known.leave(now);
         self.renew_digest();
         news.then_some((key, Change::Left))
     }
 
+    /// Takes in starts that another host has seen leaving, by their tags.
+    pub fn hear_left(&mut self, now: Instant, tags: &[Tag]) -> Vec<(BackendKey, Change)> {
+        let known: Vec<_> = tags.iter().filter_map(|tag| self.by_tag(*tag)).collect();
+        let news = |key: &BackendKey| self.arena.get(*key).is_some_and(|b| b.state != State::Leaving);
+        let leaving: Vec<_> = known.into_iter().filter(news).collect();
+        leaving.into_iter().filter_map(|key| self.lose(now, key)).collect()
+    }
+
+    /// Takes in starts that were seen leaving before this host knew of them.
+    pub fn learn_left(&mut self, now: Instant, starts: &[fleet::Start]) -> Vec<(BackendKey, Change)> {
+        for start in starts.iter().filter(|start| !self.by_id.contains_key(start.id.as_str())) {
+            self.ended.note(now, &start.id.as_str().into(), start.born, true, self.revision.epoch);
+        }
+        let tags: Vec<_> = starts.iter().map(|start| tag(&start.id, start.born)).collect();
+        self.hear_left(now, &tags)
+    }
+
     fn drop_entry(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
         let known = &mut self.arena[key];
         let news = known.takes_work();
+        let left = known.state == State::Leaving;
+        self.ended.note(now, &known.id, known.born, left, self.revision.epoch);
         known.state = State::Leaving;
         known.gone = Some(now);
         let (id, tag) = (known.id.clone(), known.tag);
@@ -361,11 +453,12 @@
     pub fn expire(&mut self, now: Instant) -> (Vec<(BackendKey, Change)>, Vec<BackendKey>) {
         let over = |b: &Backend| matches!(b.state, State::Missing { until } if until <= now);
         let over: Vec<_> = self.arena.iter().filter(|(_, b)| over(b)).map(|(key, _)| key).collect();
-        let any = !over.is_empty();
-        let changes = over.into_iter().filter_map(|key| self.drop_entry(now, key)).collect();
-        if any {
+        let mut changes: Vec<_> = over.into_iter().filter_map(|key| self.drop_entry(now, key)).collect();
+        changes.extend(self.confirm(now));
+        if !changes.is_empty() {
             self.renew_digest();
         }
+        self.ended.expire(now);
         let done = |b: &Backend| b.in_progress == 0 && b.gone.is_some_and(|gone| gone + LINGERS <= now);
         let done: Vec<_> = self.arena.iter().filter(|(_, b)| done(b)).map(|(key, _)| key).collect();
         for key in &done {
@@ -374,6 +467,19 @@
         (changes, done)
     }
 
+    /// Counts servers as alive whose entries have outlasted those of dead ones.
+    fn confirm(&mut self, now: Instant) -> Vec<(BackendKey, Change)> {
+        let mut confirmed = Vec::new();
+        for (key, b) in &mut self.arena {
+            if matches!(b.state, State::Unconfirmed { until } if until <= now) {
+                b.state = State::Ready;
+                self.ended.forget(&b.id);
+                confirmed.push((key, Change::Seen));
+            }
+        }
+        confirmed
+    }
+
     /// One backend server, unless it is gone and forgotten.
     pub fn get(&self, key: BackendKey) -> Option<&Backend> {
         self.arena.get(key)
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -194,6 +194,7 @@
         relay.update_backends(BackendsUpdate::Changes { revision, puts, removed }, None, &from);
     }
     relay.hear_held(&fetched.held);
+    relay.learn_left(&fetched.left, &from);
     wants_whole
 }
 
@@ -249,6 +250,7 @@
             backends: (newer && changes.is_none()).then(|| state.backends.snapshot(now())),
             changes,
             held,
+            left: if ask.wants_held { state.backends.left() } else { Vec::new() },
             busy,
         }
     };
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -5,7 +5,7 @@
 use super::{Relay, Wire, datagram::Fault, followers::Contact, peers::Scope};
 use crate::{
     logs::lines::{Weight, line},
-    schema::fleet::{Beat, Held, InProgress},
+    schema::fleet::{Beat, Held, InProgress, Start},
     util::now,
 };
 
@@ -54,6 +54,7 @@
             avoided,
             suspects: state.suspects.told(now),
             evacuations: state.evacuations.told(),
+            left: state.backends.left_lately(now),
             ..Beat::default()
         };
         state.peers.number(&mut beat, &self.cfg.me, full);
@@ -85,6 +86,8 @@
         state.budget.set_hosts(hosts);
         state.suspects.hear(now, &beat.suspects);
         state.doubt_avoided(now, &beat.avoided);
+        let left = state.backends.hear_left(now, &beat.left);
+        self.note_changes(&mut state, &left, &from.to_string());
         if let Some(told) = &beat.evacuations {
             let changes = state.evacuations.hear(told);
             self.note_evacuations(&mut state, &changes, &from.to_string());
@@ -108,6 +111,13 @@
         newest.filter_map(|(part, key)| Some(Held { part, backend: tag(key)? })).collect()
     }
 
+    /// Takes in starts of servers that another host has seen leaving.
+    pub(crate) fn learn_left(&self, starts: &[Start], from: &str) {
+        let mut state = self.state();
+        let changes = state.backends.learn_left(now(), starts);
+        self.note_changes(&mut state, &changes, from);
+    }
+
     /// Takes in holders of prompt parts that another host told.
     pub(crate) fn hear_held(&self, held: &[Held]) {
         let now = now();
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -150,6 +150,21 @@
     /// For how much longer it is cold, in milliseconds, as of this message.
     #[prost(uint32, tag = "8")]
     pub cold_ms: u32,
+    /// Its entry had been removed before the store was restored: for how much longer it must be listed to count as alive, in
+    /// milliseconds, as of this message; 0 for all others.
+    #[prost(uint32, tag = "9")]
+    pub unconfirmed_ms: u32,
+}
+/// One start of a backend server.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Start {
+    /// Identifier of the server.
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// When the start began, in milliseconds since 1970; 0 where it is not told.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
 }
 /// All backend servers as of one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -226,6 +241,9 @@
     /// Epoch of the store as of which the revision of the backend servers is.
     #[prost(uint64, tag = "19")]
     pub backends_epoch: u64,
+    /// Tags of backend servers that the sender has seen leaving lately.
+    #[prost(fixed32, repeated, tag = "20")]
+    pub left: ::prost::alloc::vec::Vec<u32>,
 }
 /// Data centres whose backend servers get nothing new, as of one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -352,6 +370,9 @@
     /// What has changed since the asker's configuration, if that is known; then the whole is left out.
     #[prost(message, optional, tag = "6")]
     pub configuration_changes: ::core::option::Option<ConfigurationChanges>,
+    /// Starts of backend servers that were seen leaving, for one that has just started.
+    #[prost(message, repeated, tag = "7")]
+    pub left: ::prost::alloc::vec::Vec<Start>,
 }
 /// What leads from one configuration to a newer one.
 #[derive(serde::Serialize, serde::Deserialize)]
