Keep an evacuation in force that a restored store has lost

What callers would see: requests at a data centre that an operator has evacuated, from the restore of the store until the operator has written the evacuation again. The set of the later revision replaced the one before whole: by test, on the code before, a restored store without it takes the data centre back at once.

An evacuation that was in force and that the later epoch does not have stays so for 30 s. Written again it stays, taken back in that epoch it ends at once, never told of again it ends with the time. Beats tell for how much longer, so that a host that starts keeps it as well and no host begins the time anew.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -283,7 +283,7 @@
             let Revision { epoch, number: revision } = page.as_of();
             let held = page.items.into_iter().filter(Object::stays);
             let data_centres = held.map(|o| o.metadata.name).collect();
-            let list = Evacuations { epoch, revision, data_centres };
+            let list = Evacuations { epoch, revision, data_centres, kept: Vec::new() };
             return Ok(evacuations::Update::List(list));
         };
         let (revision, events) =
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -158,7 +158,7 @@
     /// Takes in what the store tells of evacuated data centres.
     pub fn update_evacuations(&self, update: &evacuations::Update, from: &str) {
         let mut state = self.state();
-        let changes = state.evacuations.update(update);
+        let changes = state.evacuations.update(now(), update);
         self.note_evacuations(&mut state, &changes, from);
         if !changes.is_empty() {
             self.tell_news(&state);
@@ -221,6 +221,8 @@
         for key in forgotten {
             self.forget(&mut state, key);
         }
+        let ended = state.evacuations.expire(now);
+        self.note_evacuations(&mut state, &ended, "not written again");
         state.warmup.expire(now);
         self.pool.sweep(|key| state.backends.get(key).is_some_and(|b| b.takes_work()));
     }
--- a/src/relay/evacuations.rs
+++ b/src/relay/evacuations.rs
@@ -2,15 +2,24 @@
 //!
 //! The store's entries are the source. Each host holds the set as of one revision of the store; of two sets the later one
 //! holds, whoever tells it, so that an outage of the store changes nothing and a host that starts learns it from the others.
+//!
+//! A store that was restored may have lost an evacuation that is in force. It is kept until the operator has had time to write
+//! it again, or takes the data centre back.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::revision::Revision;
-use crate::{schema::fleet, util::Set};
+use crate::{
+    schema::fleet,
+    util::{Instant, Map, Set},
+};
 
 /// Evacuated data centres that are remembered; more are made up by somebody.
 const MOST: usize = 64;
 
+/// How long an evacuation stays in force that a restored store does not have.
+const KEPT: Duration = Duration::from_secs(30);
+
 /// A change of what is evacuated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -38,7 +47,7 @@
 }
 
 /// What the store tells of evacuated data centres.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Update {
     /// All of them.
     List(fleet::Evacuations),
@@ -65,7 +74,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     revision: Revision,
+    /// Those that the store tells.
     data_centres: Set<Arc<str>>,
+    /// Those that it has lost, and until when they stay evacuated.
+    kept: Map<Arc<str>, Instant>,
 }
 
 impl Evacuations {
@@ -81,13 +93,14 @@
 
     /// Whether the backend servers of a data centre get nothing new.
     pub fn covers(&self, data_centre: &str) -> bool {
-        !self.data_centres.is_empty() && self.data_centres.contains(data_centre)
+        let told = !self.data_centres.is_empty() && self.data_centres.contains(data_centre);
+        told || !self.kept.is_empty() && self.kept.contains_key(data_centre)
     }
 
     /// Takes in what the store told; what is older than known changes nothing.
-    pub fn update(&mut self, update: &Update) -> Vec<Change> {
+    pub fn update(&mut self, now: Instant, update: &Update) -> Vec<Change> {
         match update {
-            Update::List(list) => self.hear(list),
+            Update::List(list) => self.hear(now, list),
             Update::Changes { revision, changes } => {
                 let mut data_centres = self.data_centres.clone();
                 for (name, evacuated) in changes {
@@ -97,32 +110,76 @@
                         data_centres.remove(name.as_str());
                     }
                 }
-                self.replace(*revision, data_centres)
+                let before = self.in_force();
+                if *revision > self.revision {
+                    self.kept.retain(|kept, _| !changes.iter().any(|(name, _)| **name == **kept));
+                }
+                self.replace(now, *revision, data_centres);
+                self.changes_since(&before)
             }
         }
     }
 
     /// Takes in the set that another host holds.
-    pub fn hear(&mut self, told: &fleet::Evacuations) -> Vec<Change> {
-        let named = told.data_centres.iter().take(MOST);
-        self.replace(told.as_of(), named.map(|name| name.as_str().into()).collect())
+    pub fn hear(&mut self, now: Instant, told: &fleet::Evacuations) -> Vec<Change> {
+        let before = self.in_force();
+        if told.as_of() > self.revision {
+            let named = told.data_centres.iter().take(MOST);
+            self.replace(now, told.as_of(), named.map(|name| name.as_str().into()).collect());
+            for kept in told.kept.iter().take(MOST) {
+                if !self.covers(&kept.data_centre) {
+                    let left = Duration::from_millis(kept.left_ms.into()).min(KEPT);
+                    self.kept.insert(kept.data_centre.as_str().into(), now + left);
+                }
+            }
+        }
+        self.changes_since(&before)
+    }
+
+    /// Ends evacuations that a restored store has lost and that nobody has written again.
+    pub fn expire(&mut self, now: Instant) -> Vec<Change> {
+        if self.kept.is_empty() {
+            return Vec::new();
+        }
+        let before = self.in_force();
+        self.kept.retain(|_, until| *until > now);
+        self.changes_since(&before)
     }
 
     /// The set for another host, once it is known.
-    pub fn told(&self) -> Option<fleet::Evacuations> {
+    pub fn told(&self, now: Instant) -> Option<fleet::Evacuations> {
+        let left_ms = |until: &Instant| until.saturating_sub(now).as_millis() as u32;
+        let kept = self
+            .kept
+            .iter()
+            .map(|(name, until)| fleet::Kept { data_centre: name.to_string(), left_ms: left_ms(until) });
+        let kept = kept.collect();
         let data_centres = self.data_centres.iter().map(|name| name.to_string()).collect();
         let Revision { epoch, number } = self.revision;
-        self.is_known().then_some(fleet::Evacuations { epoch, revision: number, data_centres })
+        self.is_known().then_some(fleet::Evacuations { epoch, revision: number, data_centres, kept })
+    }
+
+    /// All that are evacuated.
+    fn in_force(&self) -> Set<Arc<str>> {
+        self.data_centres.iter().chain(self.kept.keys()).cloned().collect()
     }
 
-    fn replace(&mut self, revision: Revision, data_centres: Set<Arc<str>>) -> Vec<Change> {
+    fn changes_since(&self, before: &Set<Arc<str>>) -> Vec<Change> {
+        let now = self.in_force();
+        let begun = now.difference(before).cloned().map(Change::Evacuated);
+        begun.chain(before.difference(&now).cloned().map(Change::TakenBack)).collect()
+    }
+
+    fn replace(&mut self, now: Instant, revision: Revision, data_centres: Set<Arc<str>>) {
         if revision <= self.revision {
-            return Vec::new();
+            return;
         }
+        let restored = self.is_known() && revision.epoch > self.revision.epoch;
         self.revision = revision;
         let old = std::mem::replace(&mut self.data_centres, data_centres);
-        let begun = self.data_centres.difference(&old).cloned().map(Change::Evacuated);
-        let ended = old.difference(&self.data_centres).cloned().map(Change::TakenBack);
-        begun.chain(ended).collect()
+        if restored {
+            self.kept.extend(old.into_iter().map(|name| (name, now + KEPT)));
+        }
+        self.kept.retain(|name, _| !self.data_centres.contains(name));
     }
 }
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -53,7 +53,7 @@
             held: state.news.drain(..told).collect(),
             avoided,
             suspects: state.suspects.told(now),
-            evacuations: state.evacuations.told(),
+            evacuations: state.evacuations.told(now),
             left: state.backends.left_lately(now),
             ..Beat::default()
         };
@@ -89,7 +89,7 @@
         let left = state.backends.hear_left(now, &beat.left);
         self.note_changes(&mut state, &left, &from.to_string());
         if let Some(told) = &beat.evacuations {
-            let changes = state.evacuations.hear(told);
+            let changes = state.evacuations.hear(now, told);
             self.note_evacuations(&mut state, &changes, &from.to_string());
         }
         if heard.joined {
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -247,7 +247,7 @@
 }
 /// Data centres whose backend servers get nothing new, as of one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Evacuations {
     /// Revision of the store.
     #[prost(uint64, tag = "1")]
@@ -258,6 +258,20 @@
     /// Epoch of the store.
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
+    /// Data centres that were evacuated when the store was restored, and of which it has told nothing since.
+    #[prost(message, repeated, tag = "4")]
+    pub kept: ::prost::alloc::vec::Vec<Kept>,
+}
+/// A data centre that stays evacuated for a while.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Kept {
+    /// Name of the data centre.
+    #[prost(string, tag = "1")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// For how much longer, in milliseconds, as of this message.
+    #[prost(uint32, tag = "2")]
+    pub left_ms: u32,
 }
 /// What the hosts of one data centre have in progress, and which of them callers may be sent to.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_evacuations.rs
+++ b/tests/relay_evacuations.rs
@@ -5,14 +5,21 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use std::time::Duration;
+
 use cranberrytally::{
-    relay::evacuations::{Change, Evacuations, Update},
+    relay::{
+        evacuations::{Change, Evacuations, Update},
+        revision::Revision,
+    },
     schema::fleet,
 };
 use proptest::prelude::*;
 use relay_support::rev;
 use wire::{Act, Host, Server, header, ok, request, status};
 
+const NOW: Duration = Duration::from_secs(100);
+
 fn told(revision: u64, data_centres: &[&str]) -> fleet::Evacuations {
     let data_centres = data_centres.iter().map(|d| d.to_string()).collect();
     fleet::Evacuations { revision, data_centres, ..fleet::Evacuations::default() }
@@ -28,17 +35,17 @@
 fn the_later_word_holds_whoever_tells_it() {
     let mut known = Evacuations::default();
     assert!(!known.is_known());
-    assert_eq!(known.told(), None);
+    assert_eq!(known.told(NOW), None);
 
-    let begun = known.update(&changed(5, "b", true));
-    let late = known.hear(&told(4, &[]));
-    let same = known.hear(&told(5, &["a"]));
+    let begun = known.update(NOW, &changed(5, "b", true));
+    let late = known.hear(NOW, &told(4, &[]));
+    let same = known.hear(NOW, &told(5, &["a"]));
 
     assert_eq!(begun, [Change::Evacuated("b".into())]);
     assert_eq!((late, same), (Vec::new(), Vec::new()));
     assert!(known.covers("b") && !known.covers("a"));
-    assert_eq!(known.told(), Some(told(5, &["b"])));
-    assert_eq!(known.hear(&told(7, &["a"])).len(), 2);
+    assert_eq!(known.told(NOW), Some(told(5, &["b"])));
+    assert_eq!(known.hear(NOW, &told(7, &["a"])).len(), 2);
     assert!(known.covers("a") && !known.covers("b"));
 }
 
@@ -66,10 +73,10 @@
             let word = if from_store {
                 Some(store[revision % store.len()].clone())
             } else {
-                hosts[revision % 4].told()
+                hosts[revision % 4].told(NOW)
             };
             if let Some(word) = word {
-                hosts[host].hear(&word);
+                hosts[host].hear(NOW, &word);
             }
             for host in hosts.iter().filter(|h| h.is_known()) {
                 let want = &store[host.revision().number as usize - 1];
@@ -131,3 +138,38 @@
     assert!(after > 0.2, "{after}");
     assert_eq!(near.seen().len(), 0);
 }
+
+/// A store that was restored after an operator evacuated a data centre: requests went there again until it was written anew.
+#[test]
+fn an_evacuation_that_a_restored_store_has_lost_stays_in_force() {
+    let restored =
+        |revision, data_centres: &[&str]| fleet::Evacuations { epoch: 2, ..told(revision, data_centres) };
+    let later = |seconds| NOW + Duration::from_secs(seconds);
+    let lost = || {
+        let mut known = Evacuations::default();
+        known.hear(NOW, &told(9, &["a", "b"]));
+        let changes = known.hear(later(1), &restored(4, &["a"]));
+        assert_eq!(changes, []);
+        known
+    };
+    let (mut written, mut ended, mut forgotten, mut starts) =
+        (lost(), lost(), lost(), Evacuations::default());
+
+    let changed = |number, evacuated| Update::Changes {
+        revision: Revision::new(2, number),
+        changes: vec![("b".into(), evacuated)],
+    };
+    starts.hear(later(21), &lost().told(later(21)).unwrap());
+    let again = written.update(later(5), &changed(5, true));
+    let taken_back = ended.update(later(5), &changed(5, false));
+    let expired = forgotten.expire(later(32));
+
+    assert!(starts.covers("a") && starts.covers("b"), "a host that starts is told");
+    assert_eq!(starts.expire(later(32)), [Change::TakenBack("b".into())]);
+    assert_eq!((again, written.expire(later(60))), (Vec::new(), Vec::new()));
+    assert_eq!(
+        (taken_back, expired),
+        (vec![Change::TakenBack("b".into())], vec![Change::TakenBack("b".into())])
+    );
+    assert!(written.covers("b") && !ended.covers("b") && !forgotten.covers("b") && forgotten.covers("a"));
+}
--- a/tests/relay_restore.rs
+++ b/tests/relay_restore.rs
@@ -317,7 +317,9 @@
             return;
         }
         let mut latest = BTreeMap::new();
-        self.log[known.number as usize - 1..].iter().for_each(|(server, e)| drop(latest.insert(*server, e)));
+        for (server, entry) in &self.log[known.number as usize - 1..] {
+            latest.insert(*server, entry);
+        }
         let puts: Vec<_> = latest.values().filter_map(|e| (*e).clone()).collect();
         let gone = latest.iter().filter(|(_, e)| e.is_none());
         let gone: Vec<_> = gone.map(|(server, _)| NAMES[*server].to_owned()).collect();
