Enter the hosts again after the store was restored

What operators would see: hosts that start while the seeds are gone find nobody. The entry of hosts that a data centre has in the store was lost with the copy, and its writer went on comparing with what it had written. It now takes nothing for entered once the epoch has changed. By test, two hosts: on the code before the entry does not come back.

--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -27,12 +27,16 @@
 /// all be gone. Those that follow the store write, so that the calls don't grow with the hosts.
 pub async fn follow_hosts<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     let centre = relay.cfg.me.data_centre.clone();
-    let mut entered = Hosts::default();
+    let (mut entered, mut epoch) = (Hosts::default(), relay.epoch());
     // Hosts that start together don't call together: the store takes some hundred writes a second.
     let apart = rand::rng().random_range(Duration::ZERO..LONELY);
     tokio::time::sleep(apart).await;
     loop {
         tokio::time::sleep(LONELY).await;
+        // A store that was restored may have lost the entry, or hold an old one.
+        if std::mem::replace(&mut epoch, relay.epoch()) != epoch {
+            entered = Hosts::default();
+        }
         if relay.is_alone() {
             match relay.ask_store(Asked::Hosts, None, store.hosts()).await {
                 Ok(mut hosts) => {
