Let the soak restore the store while servers leave

The stand-in of the store comes back from a copy after a moment away: what was written since is gone, its epoch rises, what servers and the operator had written is written again in another order and late, what the hosts had written is not. It may answer in both epochs for a while. Servers that leave serve on for eight seconds, and work that a host in touch sends them two seconds after they have said so is a broken promise.

Traced: it was started, frozen at once and told to stop as it went on, and its log has no start line: the signal came before any of its code had run. The soak now waits for a process to listen before it tells it to stop.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -1,7 +1,7 @@
 //! A long fault soak, and how soon a fleet serves again after all of its hosts were killed.
 //!
 //! `-- soak SEED [SEEDS [HOSTS [FAULTS]]]` plays so many seeds and prints what came of each; it fails when a promise was
-//! broken. `-- recover HOSTS...` starts that many hosts, kills all, starts them again and prints times and memory.
+//! broken. `-- restores ...` does the same while the store is restored from copies. `-- recover HOSTS...` starts that many hosts, kills all, starts them again and prints times and memory.
 
 #[path = "../tests/support/relay.rs"]
 mod relay_support;
@@ -46,13 +46,15 @@
         return ExitCode::SUCCESS;
     }
     let option = |n: usize| numbers.get(n).copied().unwrap_or(DEFAULTS[n]);
-    play(option(0) as u64, option(1) as u64, option(2), option(3)).await
+    let restores = args.first().is_some_and(|a| a == "restores");
+    play(option(0) as u64, option(1) as u64, option(2), option(3), restores).await
 }
 
-async fn play(first: u64, seeds: u64, hosts: usize, faults: usize) -> ExitCode {
+async fn play(first: u64, seeds: u64, hosts: usize, faults: usize, restores: bool) -> ExitCode {
     let mut code = ExitCode::SUCCESS;
     for seed in first..first + seeds {
         let soak = Soak::with_seed(seed).with_hosts(hosts).with_callers(CALLERS * hosts).with_faults(faults);
+        let soak = if restores { soak.with_restores() } else { soak };
         let report = soak.run().await;
         println!("seed {seed}: {} broken; {}", report.broken.len(), report.seen);
         if !report.broken.is_empty() {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,16 +9,22 @@
 
 use std::time::{Duration, Instant};
 
+use tokio::sync::Mutex;
+
 use soak::{
     Soak,
-    checks::{EVENTS, End, Kind, Record, Seen},
+    checks::{self, EVENTS, End, Kind, Record, Seen},
 };
 
+/// Runs use the same addresses, so that one waits for the other.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
 /// Hosts are killed, suspended and stopped, the store is away, servers crash, stall, refuse and lose answers. No request
 /// runs twice that must not, none that was refused as not run has run, no answer is another's or looks whole when it is
 /// cut, and afterwards every host serves everything again and has a change in force.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_while_hosts_store_and_servers_fail() {
+    let _alone = ALONE.lock().await;
     for seed in [1, 2] {
         let report = Soak::with_seed(seed).run().await;
 
@@ -27,6 +33,32 @@
     }
 }
 
+/// The store is restored from copies while servers leave and hosts are killed, suspended and stopped. No host in touch sends
+/// anything to a server two seconds after it has said that it leaves, and all promises hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_the_store_is_restored() {
+    let _alone = ALONE.lock().await;
+    for seed in [1, 2] {
+        let report = Soak::with_seed(seed).with_faults(10).with_restores().run().await;
+
+        assert!(report.broken.is_empty(), "{report:#?}");
+        assert!(report.seen.contains("unsafe 200"), "{report:#?}");
+    }
+}
+
+/// Work for a server that has left is seen, unless the host or the store was out of touch.
+#[test]
+fn work_for_a_server_that_has_left_is_seen() {
+    let late = record(Kind::Safe, &["i-1"], whole(200, &["own"]));
+    let long_before = Instant::now() - Duration::from_millis(2_500);
+    late.note(Seen::Left { engine: "i-1".into(), at: long_before });
+
+    assert_eq!(late.violations().len(), 1);
+    let (from, to) = (Instant::now() - Duration::from_secs(1), Instant::now());
+    late.note(Seen::Disturbed { what: checks::STORE.into(), from, to });
+    assert_eq!(late.violations().len(), 0);
+}
+
 fn record(kind: Kind, runs: &[&str], end: End) -> Record {
     let (record, at) = (Record::default(), Instant::now());
     let (id, target) = ("r1".to_owned(), format!("{}r1", kind.path()));
@@ -39,6 +71,7 @@
             workspace: "travel".into(),
             with_key: false,
             engine: (*engine).into(),
+            at,
         });
     }
     record.note(Seen::Ended { id, end, at: at + Duration::from_millis(10) });
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -45,12 +45,13 @@
     hosts: usize,
     callers: usize,
     faults: usize,
+    restores: bool,
 }
 
 impl Soak {
     /// A short run of one seed.
     pub fn with_seed(seed: u64) -> Self {
-        Self { seed, hosts: 3, callers: 12, faults: 6 }
+        Self { seed, hosts: 3, callers: 12, faults: 6, restores: false }
     }
 
     /// Sets the number of hosts.
@@ -68,6 +69,11 @@
         Self { faults, ..self }
     }
 
+    /// Lets the store be restored from copies while servers leave.
+    pub fn with_restores(self) -> Self {
+        Self { restores: true, ..self }
+    }
+
     /// Plays the run; returns what was seen and which promises were broken.
     pub async fn run(self) -> Report {
         let mut rng = StdRng::seed_from_u64(self.seed);
@@ -83,7 +89,7 @@
             let rng = StdRng::seed_from_u64(rng.random());
             callers.spawn(caller::keep_calling(n, hosts.clone(), record.clone(), rng));
         }
-        let played = faults::play(self.faults, &mut rng, &hosts, &engines, &store).await;
+        let played = faults::play(self.faults, self.restores, &mut rng, &hosts, &engines, &store).await;
         let unserved = serves_again(&hosts, &record).await;
         callers.shutdown().await;
         let not_in_force = changes_take_effect(&hosts, &store, &record).await;
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -11,6 +11,13 @@
 /// A disturbance this long before or after still explains an answer that does not arrive.
 const AFTERMATH: Duration = Duration::from_millis(1_500);
 
+/// Time after which a server that has said it leaves gets no new work, from a host that is in touch.
+const LEAVES: Duration = Duration::from_secs(2);
+/// Time without a disturbance after which a host is in touch.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Name under which disturbances of the store are noted.
+pub const STORE: &str = "store";
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -84,7 +91,9 @@
     /// Its request ended.
     Ended { id: String, end: End, at: Instant },
     /// A backend server began to run a request.
-    Ran { id: String, target: String, workspace: String, with_key: bool, engine: String },
+    Ran { id: String, target: String, workspace: String, with_key: bool, engine: String, at: Instant },
+    /// A backend server has told the store that it leaves.
+    Left { engine: String, at: Instant },
     /// It has written the whole answer.
     Served { id: String, engine: String },
     /// A host or a backend server was disturbed.
@@ -119,6 +128,7 @@
     workspace: String,
     with_key: bool,
     engine: String,
+    at: Instant,
 }
 
 impl Record {
@@ -135,11 +145,12 @@
                     stories.entry(id).or_default().sent = Some(Sent { kind, target, proper, host, at });
                 }
                 Seen::Ended { id, end, at } => stories.entry(id).or_default().end = Some((end, at)),
-                Seen::Ran { id, target, workspace, with_key, engine } => {
-                    stories.entry(id).or_default().runs.push(Run { target, workspace, with_key, engine });
+                Seen::Ran { id, target, workspace, with_key, engine, at } => {
+                    let run = Run { target, workspace, with_key, engine, at };
+                    stories.entry(id).or_default().runs.push(run);
                 }
                 Seen::Served { id, engine } => stories.entry(id).or_default().served.push(engine),
-                Seen::Disturbed { .. } => {}
+                Seen::Left { .. } | Seen::Disturbed { .. } => {}
             }
         }
         stories
@@ -152,6 +163,31 @@
         })
     }
 
+    /// Whether something was disturbed within the time before.
+    fn was_out_of_touch(&self, what: &str, at: Instant) -> bool {
+        self.0.lock().unwrap().iter().any(|seen| {
+            matches!(seen, Seen::Disturbed { what: w, from, to }
+                if w == what && *from <= at && at <= *to + CONTACT)
+        })
+    }
+
+    /// When a backend server has said that it leaves, if the store was in touch then.
+    fn left_at(&self, engine: &str) -> Option<Instant> {
+        let left = self.0.lock().unwrap().iter().find_map(|seen| match seen {
+            Seen::Left { engine: e, at } if e == engine => Some(*at),
+            _ => None,
+        });
+        left.filter(|at| !self.was_out_of_touch(STORE, *at))
+    }
+
+    /// Work for a server that had left, by a host in touch since the caller sent it.
+    fn judge_leaving(&self, sent: &Sent, run: &Run) -> Option<String> {
+        let left = self.left_at(&run.engine)?;
+        let in_touch = |what| !self.was_out_of_touch(what, sent.at) && !self.was_out_of_touch(what, run.at);
+        let late = sent.at > left + LEAVES && in_touch(STORE) && in_touch(&sent.host);
+        late.then(|| format!("{} got work {:?} after it had said that it leaves", run.engine, run.at - left))
+    }
+
     /// Promises that were broken, a line each.
     pub fn violations(&self) -> Vec<String> {
         let stories = self.stories();
@@ -170,6 +206,7 @@
             if run.target != sent.target || run.workspace != "travel" || run.with_key {
                 broken.push(format!("not what was sent to {} ran: {run:?}", sent.target));
             }
+            broken.extend(self.judge_leaving(sent, run));
         }
         if sent.kind.runs_once() && story.runs.len() > 1 {
             broken.push(format!("a request that runs once ran {} times", story.runs.len()));
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    checks::{EVENTS, Record, Seen},
+    checks::{EVENTS, Record, STORE, Seen},
     disturbed,
     store::{Store, server},
 };
@@ -31,8 +31,8 @@
 const GAP: Duration = Duration::from_millis(6);
 /// One answer of so many is lost while answers are lost.
 const LOSES_ONE_OF: u64 = 4;
-/// A leaving server serves for this long after the store has heard of it.
-const SERVES_ON: Duration = Duration::from_millis(3_000);
+/// A leaving server serves for this long after the store has heard of it, so that work which it should not get shows.
+const SERVES_ON: Duration = Duration::from_millis(8_000);
 
 /// How the servers misbehave.
 #[derive(Debug, Default)]
@@ -125,12 +125,21 @@
         let engine = self.take(n);
         self.add().await;
         self.store.put("servers", &engine.id, server(engine.gate.addr(), "draining"));
-        tokio::time::sleep(SERVES_ON).await;
-        self.store.remove("servers", &engine.id);
-        let from = Instant::now();
-        engine.gate.set(Mode::Refuse).await.unwrap();
-        engine.task.abort();
-        disturbed(&self.record, &engine.id, from);
+        self.record.note(Seen::Left { engine: engine.id.clone(), at: Instant::now() });
+        let (store, record) = (self.store.clone(), self.record.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(SERVES_ON).await;
+            store.remove("servers", &engine.id);
+            let from = Instant::now();
+            engine.gate.set(Mode::Refuse).await.unwrap();
+            engine.task.abort();
+            disturbed(&record, &engine.id, from);
+        });
+    }
+
+    /// Notes that the store was disturbed since a time.
+    pub fn note_store(&self, from: Instant) {
+        disturbed(&self.record, STORE, from);
     }
 
     /// All servers refuse everything for a while.
@@ -185,6 +194,7 @@
                 workspace: header(&req, "tenant").unwrap_or_default(),
                 with_key: header(&req, "key").is_some(),
                 engine: self.id.clone(),
+                at: Instant::now(),
             });
             let luck = id.bytes().fold(7u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()));
             tokio::time::sleep(Duration::from_millis(luck % 8 * WORK_MS)).await;
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -1,9 +1,12 @@
 //! Faults from outside, drawn by a seed and played one after the other with overlaps.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cranberrytally::standin::gate::Mode;
-use rand::{Rng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::task::JoinSet;
 
 use super::{engine::Engines, hosts::Hosts, store::Store};
@@ -13,6 +16,11 @@
 /// Length of a fault, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 300..2_500;
 
+/// How long the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(300);
+/// Pause before each thing that is written again, in milliseconds.
+const WRITES_AGAIN_MS: std::ops::Range<u64> = 50..500;
+
 /// What happens.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -42,6 +50,10 @@
     EnginesFull,
     /// Answers are lost after their requests have run.
     AnswersLost,
+    /// The store comes back from a copy; what was written since is written again.
+    StoreRestored,
+    /// The same, and it answers as it was before as well for a moment.
+    StoreInTwoEpochs,
 }
 
 impl Fault {
@@ -60,6 +72,18 @@
         Fault::EnginesFull,
         Fault::AnswersLost,
     ];
+    /// Those of runs in which the store is restored as well. Servers leave meanwhile.
+    const WITH_RESTORES: [Fault; 9] = [
+        Fault::KillHost,
+        Fault::FreezeHost,
+        Fault::StopHost,
+        Fault::StoreBusy,
+        Fault::EngineLeave,
+        Fault::EngineLeave,
+        Fault::StoreRestored,
+        Fault::StoreRestored,
+        Fault::StoreInTwoEpochs,
+    ];
 
     /// Whether it concerns one host at a time.
     fn takes_host(self) -> bool {
@@ -71,7 +95,14 @@
 
     /// Whether it concerns the store.
     fn takes_store(self) -> bool {
-        matches!(self, Fault::StoreSilent | Fault::StoreDown | Fault::StoreBusy)
+        matches!(
+            self,
+            Fault::StoreSilent
+                | Fault::StoreDown
+                | Fault::StoreBusy
+                | Fault::StoreRestored
+                | Fault::StoreInTwoEpochs
+        )
     }
 }
 
@@ -79,6 +110,7 @@
 /// do those of the store or of the backend servers: what is asked of each is then clear.
 pub async fn play(
     count: usize,
+    restores: bool,
     rng: &mut StdRng,
     hosts: &Arc<Hosts>,
     engines: &Arc<Engines>,
@@ -87,7 +119,8 @@
     let lanes: [Arc<tokio::sync::Mutex<()>>; 3] = Default::default();
     let (mut tasks, mut played) = (JoinSet::new(), Vec::new());
     for _ in 0..count {
-        let fault = Fault::ALL[rng.random_range(0..Fault::ALL.len())];
+        let faults: &[Fault] = if restores { &Fault::WITH_RESTORES } else { &Fault::ALL };
+        let fault = faults[rng.random_range(0..faults.len())];
         let (n, length) =
             (rng.random_range(0..hosts.len()), Duration::from_millis(rng.random_range(LENGTH_MS)));
         let lane = lanes[if fault.takes_host() {
@@ -100,9 +133,20 @@
         .clone();
         let (hosts, engines, store) = (hosts.clone(), engines.clone(), store.clone());
         played.push(format!("{fault:?} {n} {} ms", length.as_millis()));
+        let seed = if restores { rng.random() } else { 0 };
         tasks.spawn(async move {
             let _alone = lane.lock().await;
-            strike(fault, n, length, &hosts, &engines, &store).await;
+            let from = Instant::now();
+            match fault {
+                Fault::StoreRestored | Fault::StoreInTwoEpochs => {
+                    let both = matches!(fault, Fault::StoreInTwoEpochs);
+                    restore(&store, &engines, length, both, StdRng::seed_from_u64(seed)).await;
+                }
+                _ => strike(fault, n, length, &hosts, &engines, &store).await,
+            }
+            if matches!(fault, Fault::StoreSilent | Fault::StoreDown | Fault::StoreBusy) {
+                engines.note_store(from);
+            }
         });
         tokio::time::sleep(Duration::from_millis(rng.random_range(GAP_MS))).await;
     }
@@ -131,7 +175,32 @@
         Fault::EngineLeave => engines.leave(n).await,
         Fault::EnginesFull => engines.be_full(length).await,
         Fault::AnswersLost => engines.lose_answers(length).await,
+        Fault::StoreRestored | Fault::StoreInTwoEpochs => {
+            unreachable!("it draws the order of what is written again")
+        }
+    }
+}
+
+/// The store goes on for a while, is away for a moment, and comes back from a copy of before. What callers of the store had
+/// written since is written again, in another order and not at once, but for what the hosts had written.
+async fn restore(store: &Store, engines: &Engines, length: Duration, both: bool, mut rng: StdRng) {
+    let copy = store.copy();
+    tokio::time::sleep(length).await;
+    let from = Instant::now();
+    store.set_gate(Mode::Refuse).await;
+    tokio::time::sleep(AWAY).await;
+    let before = store.copy();
+    let mut undone = store.restore(&copy);
+    store.answer_also_from(both.then_some(before));
+    store.set_gate(Mode::Open).await;
+    undone.retain(|(kind, ..)| kind != "hosts");
+    undone.shuffle(&mut rng);
+    for write in undone {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(WRITES_AGAIN_MS))).await;
+        store.write_again(&copy, write);
     }
+    store.answer_also_from(None);
+    engines.note_store(from);
 }
 
 async fn gate(store: &Store, mode: Mode, length: Duration) {
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -14,6 +14,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
+use tokio::net::TcpStream;
 
 use super::{checks::Record, disturbed};
 
@@ -24,6 +25,8 @@
 const PEERS: u16 = 7_340;
 /// Time that a stop may take, in seconds.
 const GRACE_S: u64 = 8;
+/// Longest wait for a process to listen.
+const BEGINS: Duration = Duration::from_secs(5);
 /// Hosts in one of the loopback networks that a run uses.
 const HOSTS_A_NET: usize = 250;
 
@@ -129,6 +132,7 @@
     /// Tells a host to stop, and starts it again once it has ended. That is no disturbance: its answers must arrive.
     pub async fn stop(&self, n: usize) {
         let host = &self.hosts[n];
+        host.has_begun().await;
         host.signal(Signal::TERM);
         let from = Instant::now();
         let child = host.child.lock().unwrap().take();
@@ -222,6 +226,14 @@
         }
     }
 
+    /// Waits until the process listens: a signal that comes before any of its code has run ends it, whatever it does.
+    async fn has_begun(&self) {
+        let until = Instant::now() + BEGINS;
+        while TcpStream::connect((self.ip, READY)).await.is_err() && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     async fn is_ready(&self) -> bool {
         let asking = super::caller::get(SocketAddr::new(self.ip, READY), "/readiness");
         asking.await.is_some_and(|text| crate::wire::status(&text) == 200)
--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -8,7 +8,7 @@
     ops::Bound,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -75,6 +75,9 @@
     revision: watch::Sender<u64>,
     busy: Arc<AtomicBool>,
     gate: Arc<Gate>,
+    /// What answers every other call, while it answers in two epochs.
+    other: Arc<Mutex<Option<Box<Store>>>>,
+    calls: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -83,7 +86,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let gate = Arc::new(Gate::start(listener.local_addr().unwrap(), None).await.unwrap());
         let (objects, busy) = (Arc::default(), Arc::default());
-        let store = Self { objects, revision: watch::Sender::new(1), busy, gate };
+        let (other, calls) = (Arc::default(), Arc::default());
+        let store = Self { objects, revision: watch::Sender::new(1), busy, gate, other, calls };
         tokio::spawn(store.clone().accept(listener));
         store
     }
@@ -135,9 +139,30 @@
         undone.into_iter().map(|((kind, name), spec)| (kind, name, spec)).collect()
     }
 
-    /// Writes something again that a restore has undone.
-    pub fn write_again(&self, (kind, name, spec): Undone) {
-        self.write(&kind, &name, spec);
+    /// Writes something again that a restore from the copy has undone, unless it was written since.
+    pub fn write_again(&self, copy: &Copy, (kind, name, spec): Undone) {
+        let kept = copy.0.log.len();
+        let is_newer =
+            self.objects.lock().unwrap().log[kept..].iter().any(|e| e.kind == kind && e.name == name);
+        if !is_newer {
+            self.write(&kind, &name, spec);
+        }
+    }
+
+    /// Answers every other call as it was before a restore, or stops doing so.
+    pub fn answer_also_from(&self, before: Option<Copy>) {
+        let other = before.map(|Copy(objects)| {
+            let revision = watch::Sender::new(objects.revision());
+            Box::new(Self { objects: Arc::new(Mutex::new(objects)), revision, ..self.clone() })
+        });
+        *self.other.lock().unwrap() = other;
+    }
+
+    /// What answers the next call.
+    fn answering(&self) -> Self {
+        let odd = self.calls.fetch_add(1, Ordering::Relaxed) % 2 == 1;
+        let other = self.other.lock().unwrap().as_deref().cloned();
+        other.filter(|_| odd).unwrap_or_else(|| self.clone())
     }
 
     /// Revision of the last change.
@@ -179,7 +204,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             let store = self.clone();
             let service = service_fn(move |req| {
-                let store = store.clone();
+                let store = store.answering();
                 async move {
                     let mut response = store.answer(req).await;
                     let epoch = store.objects.lock().unwrap().epoch;
