--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -19,6 +19,7 @@
 pub(super) const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 pub(super) const PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 pub(super) const LOAD: HeaderName = HeaderName::from_static("server-load");
+pub(super) const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Epoch of the store, in all its answers.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -87,6 +87,7 @@
             keeps: text(headers, &names::KEEP_ALIVE).and_then(keeps),
             closes: text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
             told: text(headers, &names::LOAD).and_then(told),
+            leaves: leaves(head),
         }
     }
 
@@ -145,6 +146,12 @@
     (head.status.is_success() && (!whole || encoded)).then_some(Failure::Garbled)
 }
 
+/// Whether an answer says that its server leaves. A server that stands where another one was meant speaks for itself.
+fn leaves(head: &response::Parts) -> bool {
+    let says = text(&head.headers, &names::LEAVING).is_some_and(|value| value.trim() == "1");
+    says && head.status != StatusCode::MISDIRECTED_REQUEST
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -257,6 +257,11 @@
         self.avoid(key, "crashed");
     }
 
+    /// Identifier of a server, unless it is gone and forgotten.
+    pub(crate) fn id_of(&self, key: BackendKey) -> Option<Arc<str>> {
+        self.state().backends.get(key).map(|b| b.id.clone())
+    }
+
     /// Counts a server as gone, as when another one answers at its address.
     pub(crate) fn lose(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -153,7 +153,7 @@
             Ok(()) => relay.metrics.add(Counter::RelayRetries, failure.as_str(), 1),
             Err(stop) => relay.metrics.add(Counter::RelayStops, stop.as_str(), 1),
         }
-        let backend = relay.state().backends.get(key).map(|b| b.id.clone());
+        let backend = relay.id_of(key);
         relay.note(Weight::Notable, "attempt_failed", &req, |l| {
             let l = l.text("failure", failure.as_str()).text("backend", backend.as_deref().unwrap_or("gone"));
             let l = l.number("attempt", self.tries.made()).ms("after_ms", now() - req.arrived);
@@ -214,6 +214,11 @@
         if let Some(told) = read.told {
             self.relay.note_told(&self.req.service, told);
         }
+        if read.leaves {
+            self.relay.note(Weight::Notable, "told_leaving", &self.req, |l| {
+                l.text("backend", self.relay.id_of(key).as_deref().unwrap_or("gone"))
+            });
+        }
         if let Some(failure) = read.failure {
             if matches!(failure, Failure::Refused | Failure::Moved) && !read.closes {
                 self.recycle(body, conn, key, read.keeps).await;
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -39,6 +39,8 @@
     pub closes: bool,
     /// The work at the server, if it tells.
     pub told: Option<Told>,
+    /// Whether the server says that it leaves.
+    pub leaves: bool,
 }
 
 /// A request that is given up.
