Show by tests that servers' words in their answers are not heeded

A server that says in an answer that it leaves, of whatever kind, gets the next three requests; so does one that turns a request away with 503 and Retry-After.

--- /dev/null
+++ b/tests/relay_told.rs
@@ -0,0 +1,107 @@
+//! What backend servers say of themselves in their answers: that they leave, and that they want nothing for a while.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use wire::{Act, Host, Server, answer, chunk, event, not_run, ok, request, status, stream_head};
+
+/// An answer with one more header.
+fn with(text: &str, name: &str, value: &str) -> Act {
+    Act::Write(text.replacen("\r\n", &format!("\r\n{name}: {value}\r\n"), 1))
+}
+
+/// A whole stream of twelve events.
+fn stream() -> String {
+    let events: String = (1..=12).map(|n| chunk(&event(n))).collect();
+    format!("{}{events}0\r\n\r\n", stream_head())
+}
+
+/// Requests that reach the first of two servers once it has answered one with each of these.
+async fn later_requests(path: &str, first_answer: Act) -> usize {
+    let first = Server::start("i-1", [first_answer, Act::Write(ok("fine"))]).await;
+    let second =
+        Server::start("i-2", [Act::Write(if path == "/stream/x" { stream() } else { ok("fine") })]).await;
+    let host = Host::with(&[&first, &second]).await;
+    host.call(&request(path, "")).await;
+    assert_eq!(first.seen().len(), 1, "the first request reaches the first server");
+
+    for _ in 0..3 {
+        host.call(&request("/unsafe/x", "")).await;
+    }
+    first.seen().len() - 1
+}
+
+/// Work for a server whose answers say that it leaves, while the store can't be asked.
+#[tokio::test]
+async fn a_server_that_says_in_an_answer_that_it_leaves_gets_no_new_work() {
+    let answers = [
+        ("/safe/x", ok("fine")),
+        ("/unsafe/x", answer("500 Internal Server Error", "no")),
+        ("/safe/x", answer("500 Internal Server Error", "no")),
+        ("/unsafe/x", not_run()),
+        ("/stream/x", stream()),
+    ];
+    for (path, text) in answers {
+        let later = later_requests(path, with(&text, "Server-Leaving", "1")).await;
+
+        assert_eq!(later, 0, "{path}: {text}");
+    }
+}
+
+/// A server left alone for a header that says nothing.
+#[tokio::test]
+async fn another_value_does_not_say_that_a_server_leaves() {
+    for value in ["0", "", "true", "11", "1, 1"] {
+        let later = later_requests("/unsafe/x", with(&ok("fine"), "Server-Leaving", value)).await;
+
+        assert_eq!(later, 3, "{value:?}");
+    }
+}
+
+/// Requests at a server that has turned one away and asked for nothing more for half a minute.
+#[tokio::test]
+async fn a_server_that_asks_for_a_pause_gets_nothing_from_this_host() {
+    for (path, text) in [("/unsafe/x", not_run()), ("/safe/x", not_run())] {
+        let later = later_requests(path, with(&text, "Retry-After", "30")).await;
+
+        assert_eq!(later, 0, "{path}");
+    }
+}
+
+/// All servers of a service ask for a pause: callers are held, or their requests sent on.
+#[tokio::test]
+async fn callers_are_refused_at_once_while_all_servers_ask_for_a_pause() {
+    let only = Server::start("i-1", [with(&not_run(), "Retry-After", "30"), Act::Write(ok("fine"))]).await;
+    let host = Host::with(&[&only]).await;
+
+    let answers = [host.call(&request("/unsafe/x", "")).await, host.call(&request("/safe/x", "")).await];
+
+    for answer in answers {
+        assert_eq!(status(&answer), 503, "{answer}");
+        let after: f64 = wire::header(&answer, "retry-after").unwrap().parse().unwrap();
+        assert!(after > 20.0 && after <= 30.0, "{after}");
+    }
+    assert_eq!(only.seen().len(), 1);
+}
+
+/// A server left alone for an hour of nonsense.
+#[tokio::test]
+async fn a_pause_that_is_none_changes_nothing() {
+    for value in ["0", "", "soon", "-5", "NaN", "inf", "Fri, 01 Jan 2027 00:00:00 GMT"] {
+        let later = later_requests("/unsafe/x", with(&not_run(), "Retry-After", value)).await;
+
+        assert_eq!(later, 3, "{value:?}");
+    }
+}
+
+/// A pause taken from an answer that turned nothing away.
+#[tokio::test]
+async fn only_a_refusal_asks_for_a_pause() {
+    for text in [ok("fine"), answer("500 Internal Server Error", "no")] {
+        let later = later_requests("/unsafe/x", with(&text, "Retry-After", "30")).await;
+
+        assert_eq!(later, 3, "{text}");
+    }
+}
