Send nothing new to a server whose own answer says that it leaves

Callers saw requests run at a server 2.2 and 3.2 s after the host had passed on an answer in which the server says that it leaves.

An answer of any kind that says so makes its server leaving at that host, as the store's word does: it never works again until a later start of it is listed, whatever the store says of the same start; hosts tell each other for five seconds. A server that stands at another's address speaks for itself alone. Counter relay_told_total.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -55,6 +55,8 @@
     RelayDatagrams,
     /// Epochs of the store that are not the one known, by what they mean.
     RelayEpochs,
+    /// What backend servers said of themselves in answers.
+    RelayTold,
 }
 
 /// A latency histogram of the relay.
@@ -104,7 +106,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 20] = [
+    pub const ALL: [Counter; 21] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -125,6 +127,7 @@
         Counter::RelayStoreCalls,
         Counter::RelayDatagrams,
         Counter::RelayEpochs,
+        Counter::RelayTold,
     ];
 
     /// The table of counters.
@@ -169,6 +172,9 @@
             Counter::RelayEpochs => {
                 row("relay_store_epochs", "heard", "epochs of the store but the one known, by meaning")
             }
+            Counter::RelayTold => {
+                row("relay_told", "what", "what backend servers said of themselves in answers")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -32,7 +32,7 @@
 pub mod admission;
 pub mod answer;
 pub mod backends;
-mod belief;
+pub mod belief;
 pub mod budget;
 mod choose;
 pub mod configurations;
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Relay, State, Wire,
+    Read, Relay, State, Wire,
     backends::{BackendKey, Change},
     configurations, evacuations,
     follow::Hosts,
@@ -31,6 +31,25 @@
     l.number("epoch", revision.epoch).number("revision", revision.number)
 }
 
+/// What servers say of themselves in answers; a label of counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// One leaves that was not known to.
+    Leaving,
+}
+
+impl Said {
+    /// All that they say.
+    pub const ALL: [Said; 1] = [Said::Leaving];
+
+    /// Label in counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Said::Leaving => "leaving",
+        }
+    }
+}
+
 impl<W: Wire> Relay<W> {
     /// Whether what is known may be old: the store does not answer.
     pub fn is_stale(&self) -> bool {
@@ -257,17 +276,30 @@
         self.avoid(key, "crashed");
     }
 
+    /// Takes in what a server says of itself in an answer: that it leaves, whatever the store knows of it.
+    pub(crate) fn hear_backend(&self, req: &Request, key: BackendKey, read: &Read) {
+        if !read.leaves {
+            return;
+        }
+        let id = self.id_of(key);
+        let id = id.as_deref().unwrap_or("gone");
+        self.note(Weight::Notable, "told_leaving", req, |l| l.text("backend", id));
+        if self.lose(key, "its answer") {
+            self.metrics.add(Counter::RelayTold, Said::Leaving.as_str(), 1);
+        }
+    }
+
     /// Identifier of a server, unless it is gone and forgotten.
     pub(crate) fn id_of(&self, key: BackendKey) -> Option<Arc<str>> {
         self.state().backends.get(key).map(|b| b.id.clone())
     }
 
-    /// Counts a server as gone, as when another one answers at its address.
-    pub(crate) fn lose(&self, key: BackendKey, why: &str) {
+    /// Counts a server as leaving, as when it says so or another one answers at its address; returns whether that is news.
+    pub(crate) fn lose(&self, key: BackendKey, why: &str) -> bool {
         let mut state = self.state();
-        if let Some(change) = state.backends.lose(now(), key) {
-            self.note_changes(&mut state, &[change], why);
-        }
+        let Some(change) = state.backends.lose(now(), key) else { return false };
+        self.note_changes(&mut state, &[change], why);
+        true
     }
 
     /// Lists everything at the store again, as after the host was suspended: what it knows may be old, and the connections
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -166,7 +166,9 @@
         self.tried.push(key);
         let now = now();
         match failure {
-            Failure::Moved => self.relay.lose(key, "another server answers at its address"),
+            Failure::Moved => {
+                self.relay.lose(key, "another server answers at its address");
+            }
             Failure::Connect | Failure::Silent => {
                 if failure == Failure::Silent {
                     self.relay.note_waited(&self.req, self.sent);
@@ -214,11 +216,7 @@
         if let Some(told) = read.told {
             self.relay.note_told(&self.req.service, told);
         }
-        if read.leaves {
-            self.relay.note(Weight::Notable, "told_leaving", &self.req, |l| {
-                l.text("backend", self.relay.id_of(key).as_deref().unwrap_or("gone"))
-            });
-        }
+        self.relay.hear_backend(&self.req, key, &read);
         if let Some(failure) = read.failure {
             if matches!(failure, Failure::Refused | Failure::Moved) && !read.closes {
                 self.recycle(body, conn, key, read.keeps).await;
--- a/tests/relay_told.rs
+++ b/tests/relay_told.rs
@@ -5,6 +5,8 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use cranberrytally::{metrics::Counter, relay::follow::BackendsUpdate, schema::fleet::Backend};
+use relay_support::rev;
 use wire::{Act, Host, Server, answer, chunk, event, not_run, ok, request, status, stream_head};
 
 /// An answer with one more header.
@@ -105,3 +107,33 @@
         assert_eq!(later, 3, "{text}");
     }
 }
+
+/// A server that had said it leaves, back at work since the store still lists it as ready; or one that has started again left out.
+#[tokio::test]
+async fn only_a_later_start_ends_a_servers_word_that_it_leaves() {
+    let first = Server::start("i-1", [with(&ok("fine"), "Server-Leaving", "1")]).await;
+    let second = Server::start("i-2", [Act::Write(ok("fine"))]).await;
+    let host = Host::with(&[&first, &second]).await;
+    let entry = |born| Backend {
+        id: "i-1".into(),
+        service: "app".into(),
+        addr: first.addr.to_string(),
+        data_centre: "a".into(),
+        slots: 6,
+        born,
+        ..Backend::default()
+    };
+    let put = |number, born| {
+        let update =
+            BackendsUpdate::Changes { revision: rev(number), puts: vec![entry(born)], removed: Vec::new() };
+        host.relay.update_backends(update, None, "test");
+        host.relay.servers("app")
+    };
+    host.call(&request("/unsafe/x", "")).await;
+
+    let same_start = put(2, 0);
+    let later_start = put(3, 1_700_000_000_000);
+
+    assert_eq!((same_start, later_start), (1, 2));
+    assert_eq!(host.relay.metrics().totals(Counter::RelayTold)["leaving"], 1);
+}
