Leave a server alone for as long as it asks when it turns a request away

A server that answers 503 with Retry-After wants nothing from that host for so long; the host sent it the next requests at once. Now it gets nothing from there until the time is over: no request, no repeat, no stream that is taken up again, and it is not named as a source of prompt parts. The pause is the server's word to this host and is not told to others; a shorter one that comes later does not end a longer one, a later start of the server does; an hour is the longest. Where all servers of a service pause, callers are refused at once as paused, provably not run, and told when the first pause ends. What is no number of seconds above 0 asks for nothing. Lines told_pause, counter relay_told_total.

--- a/src/error.rs
+++ b/src/error.rs
@@ -55,6 +55,8 @@
     Evacuated,
     /// Every eligible engine is cold and bears no more requests.
     WarmingUp,
+    /// Every eligible engine has asked for a pause.
+    Paused,
     /// The router has no configuration yet.
     NotReady,
     /// The router is shutting down and takes no new request.
@@ -124,7 +126,7 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 38] = [
+    pub const ALL: [Kind; 39] = [
         Kind::BadRequest,
         Kind::BodyTooLarge,
         Kind::BodyTimeout,
@@ -138,6 +140,7 @@
         Kind::NoEngine,
         Kind::Evacuated,
         Kind::WarmingUp,
+        Kind::Paused,
         Kind::NotReady,
         Kind::Leaving,
         Kind::DeadlineUnmeetable,
@@ -197,6 +200,9 @@
                 Some(5),
                 "Every data centre with an eligible engine is evacuated",
             ),
+            Kind::Paused => {
+                row(503, "paused", Ran::No, Some(1), "Every eligible engine has asked for a pause")
+            }
             Kind::WarmingUp => row(
                 503,
                 "warming_up",
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -88,6 +88,7 @@
             closes: text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
             told: text(headers, &names::LOAD).and_then(told),
             leaves: leaves(head),
+            pause: pause(head),
         }
     }
 
@@ -152,6 +153,21 @@
     says && head.status != StatusCode::MISDIRECTED_REQUEST
 }
 
+/// For how long a server that has turned a request away wants nothing, in seconds that may have fractions. Anything else, a
+/// date included, asks for nothing.
+fn pause(head: &response::Parts) -> Option<Duration> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let told = text(&head.headers, &header::RETRY_AFTER)?;
+    let seconds = told.trim().parse().ok().filter(|seconds: &f64| *seconds > 0.0);
+    let pause = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    if pause.is_none() {
+        spdlog::debug!("a server asks for a pause that is none: {told:?}");
+    }
+    pause
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -36,16 +36,19 @@
 pub enum Said {
     /// One leaves that was not known to.
     Leaving,
+    /// One wants nothing for a while.
+    Pause,
 }
 
 impl Said {
     /// All that they say.
-    pub const ALL: [Said; 1] = [Said::Leaving];
+    pub const ALL: [Said; 2] = [Said::Leaving, Said::Pause];
 
     /// Label in counters.
     pub fn as_str(self) -> &'static str {
         match self {
             Said::Leaving => "leaving",
+            Said::Pause => "pause",
         }
     }
 }
@@ -276,16 +279,24 @@
         self.avoid(key, "crashed");
     }
 
-    /// Takes in what a server says of itself in an answer: that it leaves, whatever the store knows of it.
+    /// Takes in what a server says of itself in an answer: that it leaves, whatever the store knows of it, or that it wants
+    /// nothing from this host for a while.
     pub(crate) fn hear_backend(&self, req: &Request, key: BackendKey, read: &Read) {
-        if !read.leaves {
+        if !read.leaves && read.pause.is_none() {
             return;
         }
         let id = self.id_of(key);
         let id = id.as_deref().unwrap_or("gone");
-        self.note(Weight::Notable, "told_leaving", req, |l| l.text("backend", id));
-        if self.lose(key, "its answer") {
-            self.metrics.add(Counter::RelayTold, Said::Leaving.as_str(), 1);
+        if read.leaves {
+            self.note(Weight::Notable, "told_leaving", req, |l| l.text("backend", id));
+            if self.lose(key, "its answer") {
+                self.metrics.add(Counter::RelayTold, Said::Leaving.as_str(), 1);
+            }
+        }
+        if let Some(pause) = read.pause {
+            self.note(Weight::Notable, "told_pause", req, |l| l.text("backend", id).ms("for_ms", pause));
+            self.metrics.add(Counter::RelayTold, Said::Pause.as_str(), 1);
+            self.state().health.ask_pause(now(), key, pause);
         }
     }
 
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -1,6 +1,6 @@
 //! Which backend servers may get a request, and which of them does.
 //!
-//! Servers in evacuated data centres get nothing. Cold ones get requests only where no other has room, within what
+//! Servers in evacuated data centres get nothing, nor do those that have asked for a pause. Cold ones get requests only where no other has room, within what
 //! [`super::warmup`] allows this host.
 
 use std::{sync::Arc, time::Duration};
@@ -69,9 +69,10 @@
         }
         let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
         let (backends, health) = (&state.backends, &state.health);
-        let reaches = |key| caches && backends.get(key).is_some() && !health.paused(now, key);
+        let pauses = |key| health.paused(now, key) || health.asked_pause(now, key).is_some();
+        let reaches = |key| caches && backends.get(key).is_some() && !pauses(key);
         let choice = placer.choose(&candidates, &req.parts, &state.holders, reaches, &mut state.rng);
-        let choice = choice.ok_or_else(|| state.why_none(&req.service, &open))?;
+        let choice = choice.ok_or_else(|| state.why_none(now, &req.service, &open))?;
         if let Some(limit) = limit.filter(|_| cold.contains(&choice.key)) {
             state.spend_on_cold(now, choice.key, limit);
         }
@@ -82,6 +83,11 @@
     /// or a cold start lasts longer than a caller may wait.
     pub(crate) fn back_after(&self, req: &Request, kind: Kind) -> Duration {
         match kind {
+            Kind::Paused => {
+                let now = now();
+                let ends = self.state().pause_ends(now, &req.service);
+                ends.map_or(RETRY_AFTER, |ends| ends - now)
+            }
             Kind::Evacuated | Kind::WarmingUp | Kind::Overloaded => {
                 come_back_late(req.left(now()), self.draw())
             }
@@ -98,15 +104,26 @@
 }
 
 impl State {
-    /// Servers of a service that may get something new: none in an evacuated data centre.
-    pub(crate) fn placeable(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Backend)> {
-        self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre))
+    /// Servers of a service that may get something new: none in an evacuated data centre, and none that has asked for a pause.
+    pub(crate) fn placeable(
+        &self,
+        now: Instant,
+        service: &str,
+    ) -> impl Iterator<Item = (BackendKey, &Backend)> {
+        let in_force = self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre));
+        in_force.filter(move |(key, _)| self.health.asked_pause(now, *key).is_none())
+    }
+
+    /// When the first of a service's servers that have asked for a pause may get requests again.
+    fn pause_ends(&self, now: Instant, service: &str) -> Option<Instant> {
+        let in_force = self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre));
+        in_force.filter_map(|(key, _)| self.health.asked_pause(now, key)).min()
     }
 
     fn open(&self, now: Instant, service: &str) -> Open {
         let limited = self.cold_limit(service).is_some();
         let mut open = Open::default();
-        for (key, b) in self.placeable(service) {
+        for (key, b) in self.placeable(now, service) {
             let keys = if limited && self.is_cold(now, b) { &mut open.cold } else { &mut open.warm };
             keys.push(key);
         }
@@ -189,9 +206,14 @@
     }
 
     /// Why no server may get a request.
-    fn why_none(&self, service: &str, open: &Open) -> Kind {
+    fn why_none(&self, now: Instant, service: &str, open: &Open) -> Kind {
         let listed = self.backends.of(service).next().is_some();
         match open {
+            Open { warm, cold, .. }
+                if warm.is_empty() && cold.is_empty() && self.pause_ends(now, service).is_some() =>
+            {
+                Kind::Paused
+            }
             Open { warm, cold, .. } if warm.is_empty() && !cold.is_empty() => Kind::WarmingUp,
             Open { warm, cold, .. } if warm.is_empty() && cold.is_empty() && listed => Kind::Evacuated,
             _ => Kind::NoEngine,
--- a/src/relay/health.rs
+++ b/src/relay/health.rs
@@ -2,7 +2,8 @@
 //!
 //! Each answer or failure moves a server's failure ratio. A server is unsound while its ratio is well above that of
 //! the other servers of its service, so that a service that fails as a whole keeps all of them; one that could not
-//! be connected to is left alone for a pause that doubles.
+//! be connected to is left alone for a pause that doubles. One that turns a request away may ask this host for a pause itself,
+//! in which it gets nothing at all.
 
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause.
 const MOST_PAUSE: Duration = Duration::from_secs(4);
+/// Longest pause that a server may ask for; one that asks for more is asked again then.
+const MOST_ASKED: Duration = Duration::from_secs(3_600);
 /// Time in which the failure ratio of a server without requests halves, so that it is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -46,9 +49,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     servers: Map<BackendKey, Entry>,
+    /// Until when servers have asked for nothing.
+    asked: Map<BackendKey, Instant>,
 }
 
 impl Health {
+    /// Notes that a server wants nothing from this host for a while. A shorter pause that comes later ends no longer one:
+    /// answers may overtake each other.
+    pub fn ask_pause(&mut self, now: Instant, key: BackendKey, pause: Duration) {
+        let until = now + pause.min(MOST_ASKED);
+        let known = self.asked.entry(key).or_default();
+        *known = until.max(*known);
+    }
+
+    /// Until when a server wants nothing from this host, if it does.
+    pub fn asked_pause(&self, now: Instant, key: BackendKey) -> Option<Instant> {
+        self.asked.get(&key).copied().filter(|until| *until > now)
+    }
+
     /// Notes an answer that was whole and no failure of the server; returns whether a pause ends with it.
     pub fn succeed(&mut self, now: Instant, key: BackendKey) -> bool {
         let entry = self.servers.entry(key).or_default();
@@ -105,5 +123,6 @@
     /// Forgets a server that is gone.
     pub fn forget(&mut self, key: BackendKey) {
         self.servers.remove(&key);
+        self.asked.remove(&key);
     }
 }
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -41,6 +41,8 @@
     pub told: Option<Told>,
     /// Whether the server says that it leaves.
     pub leaves: bool,
+    /// For how long it wants nothing from this host, if it has turned the request away and tells so.
+    pub pause: Option<Duration>,
 }
 
 /// A request that is given up.
--- a/tests/relay_told.rs
+++ b/tests/relay_told.rs
@@ -5,7 +5,13 @@
 #[path = "support/wire.rs"]
 mod wire;
 
-use cranberrytally::{metrics::Counter, relay::follow::BackendsUpdate, schema::fleet::Backend};
+use std::time::Duration;
+
+use cranberrytally::{
+    metrics::Counter,
+    relay::{backends::BackendKey, follow::BackendsUpdate, health::Health},
+    schema::fleet::Backend,
+};
 use relay_support::rev;
 use wire::{Act, Host, Server, answer, chunk, event, not_run, ok, request, status, stream_head};
 
@@ -88,6 +94,25 @@
     assert_eq!(only.seen().len(), 1);
 }
 
+/// A pause cut short by a later, shorter one, by a whole answer or by an hour being over; or one that never ends.
+#[test]
+fn a_pause_lasts_as_long_as_it_was_asked_for() {
+    let mut arena = slotmap::SlotMap::with_key();
+    let [key, other, far]: [BackendKey; 3] = std::array::from_fn(|_| arena.insert(()));
+    let (s, mut health) = (Duration::from_secs, Health::default());
+
+    health.ask_pause(s(10), key, s(5));
+    health.ask_pause(s(11), key, s(1));
+    health.succeed(s(11), key);
+    health.ask_pause(s(10), far, Duration::MAX);
+
+    assert_eq!(health.asked_pause(s(14), key), Some(s(15)));
+    assert_eq!((health.asked_pause(s(15), key), health.asked_pause(s(11), other)), (None, None));
+    assert_eq!(health.asked_pause(s(12), far), Some(s(3_610)));
+    health.forget(far);
+    assert_eq!(health.asked_pause(s(12), far), None);
+}
+
 /// A server left alone for an hour of nonsense.
 #[tokio::test]
 async fn a_pause_that_is_none_changes_nothing() {
