Let the soak's servers say that they leave and ask for pauses

Servers that leave say so in all their answers, some requests are refused with a pause, the store is away for five seconds. Checked from both ends: no host sends a server anything two seconds after it has passed on such an answer, nor more than two requests in a pause from half a second on, unless it was frozen or started again in between.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,7 +13,7 @@
 
 use soak::{
     Soak,
-    checks::{self, EVENTS, End, Kind, Record, Seen},
+    checks::{self, EVENTS, End, Kind, Met, Record, Seen},
 };
 
 /// Runs use the same addresses, so that one waits for the other.
@@ -59,6 +59,29 @@
     assert_eq!(late.violations().len(), 0);
 }
 
+/// Requests at a server that had told their host that it leaves, or asked it for a pause, are seen.
+#[test]
+fn requests_against_a_servers_own_word_are_seen() {
+    let met = |record: &Record, id: &str, what| {
+        record.note(Seen::Met { id: id.into(), engine: "i-1".into(), what });
+    };
+    let told = record(Kind::Safe, &[], whole(200, &["own"]));
+    let start = Instant::now() - Duration::from_secs(4);
+    let (host, target) = ("127.0.0.1".to_owned(), "/safe/r0".to_owned());
+    let sent = Seen::Sent { id: "r0".into(), kind: Kind::Safe, target, proper: true, host, at: start };
+    told.note(sent);
+    told.note(Seen::Ended { id: "r0".into(), end: whole(200, &["own"]), at: start });
+    met(&told, "r0", Met::SaysLeaving);
+    met(&told, "r0", Met::AsksPause(start, Duration::from_secs(5)));
+    (0..3).for_each(|_| met(&told, "r1", Met::Reached(Instant::now())));
+
+    let broken = told.violations();
+    told.note(Seen::Restarted { host: "127.0.0.1".into(), at: start + Duration::from_secs(1) });
+
+    assert_eq!(broken.len(), 4, "{broken:?}");
+    assert_eq!(told.violations(), Vec::<String>::new());
+}
+
 fn record(kind: Kind, runs: &[&str], end: End) -> Record {
     let (record, at) = (Record::default(), Instant::now());
     let (id, target) = ("r1".to_owned(), format!("{}r1", kind.path()));
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -15,6 +15,9 @@
 const LEAVES: Duration = Duration::from_secs(2);
 /// Time without a disturbance after which a host is in touch.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Time after which a pause that a server has asked for holds, and requests that may reach it until it is over.
+const PAUSE_BEGINS: Duration = Duration::from_millis(500);
+const MOST_IN_PAUSE: usize = 2;
 /// Name under which disturbances of the store are noted.
 pub const STORE: &str = "store";
 
@@ -94,12 +97,27 @@
     Ran { id: String, target: String, workspace: String, with_key: bool, engine: String, at: Instant },
     /// A backend server has told the store that it leaves.
     Left { engine: String, at: Instant },
+    /// A request met a backend server.
+    Met { id: String, engine: String, what: Met },
+    /// A host has started again, though it was not disturbed.
+    Restarted { host: String, at: Instant },
     /// It has written the whole answer.
     Served { id: String, engine: String },
     /// A host or a backend server was disturbed.
     Disturbed { what: String, from: Instant, to: Instant },
 }
 
+/// How a request met a backend server.
+#[derive(Clone, Copy, Debug)]
+pub enum Met {
+    /// It arrived.
+    Reached(Instant),
+    /// Its answer says that the server leaves.
+    SaysLeaving,
+    /// It was refused, and its host was asked for a pause.
+    AsksPause(Instant, Duration),
+}
+
 /// All observations of a run.
 #[derive(Debug, Default)]
 pub struct Record(Mutex<Vec<Seen>>);
@@ -111,6 +129,7 @@
     end: Option<(End, Instant)>,
     runs: Vec<Run>,
     served: Vec<String>,
+    met: Vec<(String, Met)>,
 }
 
 #[derive(Clone, Debug)]
@@ -150,7 +169,8 @@
                     stories.entry(id).or_default().runs.push(run);
                 }
                 Seen::Served { id, engine } => stories.entry(id).or_default().served.push(engine),
-                Seen::Left { .. } | Seen::Disturbed { .. } => {}
+                Seen::Met { id, engine, what } => stories.entry(id).or_default().met.push((engine, what)),
+                Seen::Left { .. } | Seen::Restarted { .. } | Seen::Disturbed { .. } => {}
             }
         }
         stories
@@ -188,13 +208,75 @@
         late.then(|| format!("{} got work {:?} after it had said that it leaves", run.engine, run.at - left))
     }
 
+    /// Whether a host was restarted or frozen in a span, which ends what it was told.
+    fn has_forgotten(&self, host: &str, from: Instant, to: Instant) -> bool {
+        self.0.lock().unwrap().iter().any(|seen| match seen {
+            Seen::Disturbed { what, from: f, to: t } => what == host && *f <= to && from <= *t,
+            Seen::Restarted { host: h, at } => h == host && (from..=to).contains(at),
+            _ => false,
+        })
+    }
+
+    /// Work for a server whose answers had told the same host that it leaves.
+    fn judge_told(&self, stories: &BTreeMap<String, Story>) -> Vec<String> {
+        // When a host passed on the first answer of a server that says so.
+        let mut told: BTreeMap<(&str, &str), Instant> = BTreeMap::new();
+        for story in stories.values() {
+            let (Some(sent), Some((End::Whole { .. }, at))) = (&story.sent, &story.end) else { continue };
+            for (engine, _) in story.met.iter().filter(|(_, met)| matches!(met, Met::SaysLeaving)) {
+                let first = told.entry((&sent.host, engine)).or_insert(*at);
+                *first = (*first).min(*at);
+            }
+        }
+        let mut broken = Vec::new();
+        for (id, story) in stories {
+            let Some(sent) = &story.sent else { continue };
+            for (engine, met) in &story.met {
+                let (Met::Reached(at), Some(first)) = (met, told.get(&(&*sent.host, &**engine))) else {
+                    continue;
+                };
+                if sent.at > *first + LEAVES && !self.has_forgotten(&sent.host, *first, *at) {
+                    broken.push(format!(
+                        "{id}: {engine} got it {:?} after its word that it leaves",
+                        *at - *first
+                    ));
+                }
+            }
+        }
+        broken
+    }
+
+    /// Requests at a server that had asked the same host for a pause.
+    fn judge_pauses(&self, stories: &BTreeMap<String, Story>) -> Vec<String> {
+        let met = |story: &'_ Story| story.sent.as_ref().map(|sent| sent.host.clone());
+        let all: Vec<_> = stories
+            .values()
+            .filter_map(|story| Some((met(story)?, story)))
+            .flat_map(|(host, story)| story.met.iter().map(move |(engine, met)| (host.clone(), engine, *met)))
+            .collect();
+        let mut broken = Vec::new();
+        for (host, engine, met) in &all {
+            let Met::AsksPause(at, pause) = met else { continue };
+            let (from, to) = (*at + PAUSE_BEGINS, *at + *pause);
+            let reached = all.iter().filter(|(h, e, met)| {
+                h == host && e == engine && matches!(met, Met::Reached(at) if from < *at && *at < to)
+            });
+            let reached = reached.count();
+            if reached > MOST_IN_PAUSE && !self.has_forgotten(host, *at, to) {
+                broken
+                    .push(format!("{engine} got {reached} requests of {host} in a pause that it asked for"));
+            }
+        }
+        broken
+    }
+
     /// Promises that were broken, a line each.
     pub fn violations(&self) -> Vec<String> {
         let stories = self.stories();
-        stories
+        let single = stories
             .iter()
-            .flat_map(|(id, story)| self.judge(story).into_iter().map(move |v| format!("{id}: {v}")))
-            .collect()
+            .flat_map(|(id, story)| self.judge(story).into_iter().map(move |v| format!("{id}: {v}")));
+        single.chain(self.judge_told(&stories)).chain(self.judge_pauses(&stories)).collect()
     }
 
     fn judge(&self, story: &Story) -> Vec<String> {
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    checks::{EVENTS, Record, STORE, Seen},
+    checks::{EVENTS, Met, Record, STORE, Seen},
     disturbed,
     store::{Store, server},
 };
@@ -29,6 +29,10 @@
 const WORK_MS: u64 = 4;
 /// Pause between two events of a stream.
 const GAP: Duration = Duration::from_millis(6);
+/// One request of so many is refused with a pause while servers ask for pauses.
+const PAUSES_ONE_OF: u64 = 7;
+/// The pause.
+const PAUSE: Duration = Duration::from_millis(2_500);
 /// One answer of so many is lost while answers are lost.
 const LOSES_ONE_OF: u64 = 4;
 /// A leaving server serves for this long after the store has heard of it, so that work which it should not get shows.
@@ -39,6 +43,8 @@
 struct Faults {
     /// They refuse everything, provably not run.
     full: AtomicBool,
+    /// They refuse some requests, provably not run, and ask the host for a pause.
+    pause: AtomicBool,
     /// They run requests and reset the connection instead of answering some of them.
     lose: AtomicBool,
 }
@@ -46,6 +52,7 @@
 /// One start of a server.
 struct Engine {
     id: String,
+    leaving: Arc<AtomicBool>,
     gate: Gate,
     task: JoinHandle<()>,
     crash: watch::Sender<u64>,
@@ -82,10 +89,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let crash = watch::Sender::new(0);
         let gate = Gate::start(listener.local_addr().unwrap(), Some(crash.subscribe())).await.unwrap();
-        let serving = Serving { id: id.clone(), record: self.record.clone(), faults: self.faults.clone() };
+        let leaving = Arc::<AtomicBool>::default();
+        let serving = Serving {
+            id: id.clone(),
+            leaving: leaving.clone(),
+            record: self.record.clone(),
+            faults: self.faults.clone(),
+        };
         let task = tokio::spawn(accept(listener, serving, crash.subscribe()));
         self.store.put("servers", &id, server(gate.addr(), "ready"));
-        self.running.lock().unwrap().push(Arc::new(Engine { id, gate, task, crash }));
+        self.running.lock().unwrap().push(Arc::new(Engine { id, leaving, gate, task, crash }));
     }
 
     fn nth(&self, n: usize) -> Arc<Engine> {
@@ -124,6 +137,7 @@
     pub async fn leave(&self, n: usize) {
         let engine = self.take(n);
         self.add().await;
+        engine.leaving.store(true, Ordering::Relaxed);
         self.store.put("servers", &engine.id, server(engine.gate.addr(), "draining"));
         self.record.note(Seen::Left { engine: engine.id.clone(), at: Instant::now() });
         let (store, record) = (self.store.clone(), self.record.clone());
@@ -149,6 +163,13 @@
         self.faults.full.store(false, Ordering::Relaxed);
     }
 
+    /// All servers refuse some requests for a while and ask for pauses.
+    pub async fn ask_pauses(&self, time: Duration) {
+        self.faults.pause.store(true, Ordering::Relaxed);
+        tokio::time::sleep(time).await;
+        self.faults.pause.store(false, Ordering::Relaxed);
+    }
+
     /// Some answers are lost for a while, though their requests have run.
     pub async fn lose_answers(&self, time: Duration) {
         self.faults.lose.store(true, Ordering::Relaxed);
@@ -160,6 +181,7 @@
 #[derive(Clone)]
 struct Serving {
     id: String,
+    leaving: Arc<AtomicBool>,
     record: Arc<Record>,
     faults: Arc<Faults>,
 }
@@ -180,12 +202,25 @@
     async fn serve(self, mut stream: TcpStream) {
         while let Some(req) = read_request(&mut stream).await {
             let id = header(&req, "attempt-id").unwrap_or_default();
-            let head = format!("Attempt-Id: {id}\r\nResponse-Seal: s1\r\n");
+            let leaves = self.leaving.load(Ordering::Relaxed);
+            let word = if leaves { "Server-Leaving: 1\r\n" } else { "" };
+            let head = format!("Attempt-Id: {id}\r\nResponse-Seal: s1\r\n{word}");
+            let note = |what| self.record.note(Seen::Met { id: id.clone(), engine: self.id.clone(), what });
+            note(Met::Reached(Instant::now()));
+            if leaves {
+                note(Met::SaysLeaving);
+            }
             if header(&req, "expected-instance").as_deref() != Some(&self.id) {
-                return refuse(&mut stream, "421 Misdirected Request", &id).await;
+                return refuse(&mut stream, "421 Misdirected Request", &id, "").await;
             }
             if self.faults.full.load(Ordering::Relaxed) {
-                return refuse(&mut stream, "503 Service Unavailable", &id).await;
+                return refuse(&mut stream, "503 Service Unavailable", &id, word).await;
+            }
+            let luck = id.bytes().fold(7u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()));
+            if self.faults.pause.load(Ordering::Relaxed) && luck.is_multiple_of(PAUSES_ONE_OF) {
+                note(Met::AsksPause(Instant::now(), PAUSE));
+                let word = format!("{word}Retry-After: {}\r\n", PAUSE.as_secs_f64());
+                return refuse(&mut stream, "503 Service Unavailable", &id, &word).await;
             }
             let target = req.split(' ').nth(1).unwrap_or_default().to_owned();
             self.record.note(Seen::Ran {
@@ -196,7 +231,6 @@
                 engine: self.id.clone(),
                 at: Instant::now(),
             });
-            let luck = id.bytes().fold(7u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()));
             tokio::time::sleep(Duration::from_millis(luck % 8 * WORK_MS)).await;
             if self.faults.lose.load(Ordering::Relaxed) && luck.is_multiple_of(LOSES_ONE_OF) {
                 return;
@@ -218,9 +252,9 @@
     }
 }
 
-async fn refuse(stream: &mut TcpStream, status: &str, id: &str) {
+async fn refuse(stream: &mut TcpStream, status: &str, id: &str, word: &str) {
     let answer = format!(
-        "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\n{word}Not-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
     );
     // The caller of a refusal may be gone already.
     let _ = stream.write_all(answer.as_bytes()).await;
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -16,6 +16,8 @@
 /// Length of a fault, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 300..2_500;
 
+/// How long the store is away for long.
+const LONG: Duration = Duration::from_secs(5);
 /// How long the store is away before it comes back from a copy.
 const AWAY: Duration = Duration::from_millis(300);
 /// Pause before each thing that is written again, in milliseconds.
@@ -50,6 +52,10 @@
     EnginesFull,
     /// Answers are lost after their requests have run.
     AnswersLost,
+    /// The store answers nobody for long.
+    StoreAway,
+    /// All backend servers turn some requests away and ask for pauses.
+    EnginesPause,
     /// The store comes back from a copy; what was written since is written again.
     StoreRestored,
     /// The same, and it answers as it was before as well for a moment.
@@ -73,13 +79,16 @@
         Fault::AnswersLost,
     ];
     /// Those of runs in which the store is restored as well. Servers leave meanwhile.
-    const WITH_RESTORES: [Fault; 9] = [
+    const WITH_RESTORES: [Fault; 12] = [
         Fault::KillHost,
         Fault::FreezeHost,
         Fault::StopHost,
         Fault::StoreBusy,
         Fault::EngineLeave,
         Fault::EngineLeave,
+        Fault::EngineLeave,
+        Fault::EnginesPause,
+        Fault::StoreAway,
         Fault::StoreRestored,
         Fault::StoreRestored,
         Fault::StoreInTwoEpochs,
@@ -100,6 +109,7 @@
             Fault::StoreSilent
                 | Fault::StoreDown
                 | Fault::StoreBusy
+                | Fault::StoreAway
                 | Fault::StoreRestored
                 | Fault::StoreInTwoEpochs
         )
@@ -144,7 +154,7 @@
                 }
                 _ => strike(fault, n, length, &hosts, &engines, &store).await,
             }
-            if matches!(fault, Fault::StoreSilent | Fault::StoreDown | Fault::StoreBusy) {
+            if matches!(fault, Fault::StoreSilent | Fault::StoreDown | Fault::StoreBusy | Fault::StoreAway) {
                 engines.note_store(from);
             }
         });
@@ -165,6 +175,8 @@
         Fault::Reload => hosts.reload(n),
         Fault::StoreSilent => gate(store, Mode::Stall, length).await,
         Fault::StoreDown => gate(store, Mode::Refuse, length).await,
+        Fault::StoreAway => gate(store, Mode::Stall, LONG).await,
+        Fault::EnginesPause => engines.ask_pauses(length).await,
         Fault::StoreBusy => {
             store.set_busy(true);
             tokio::time::sleep(length).await;
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -16,7 +16,10 @@
 use serde_json::json;
 use tokio::net::TcpStream;
 
-use super::{checks::Record, disturbed};
+use super::{
+    checks::{Record, Seen},
+    disturbed,
+};
 
 /// Ports of every host; the addresses differ.
 const CALLERS: u16 = 8_227;
@@ -152,6 +155,7 @@
             self.ended.lock().unwrap().push(told);
         }
         host.start();
+        self.record.note(Seen::Restarted { host: host.ip.to_string(), at: Instant::now() });
     }
 
     /// Tells a host that its settings have changed.
