Tell others only a word that a server leaves, not that another one answers at its address

Found on rereading: since starts that leave are told to all hosts and remembered for ten minutes, a single wrong answer with 421 at a server's address would have ended that server for the whole fleet. It stays the finding of the host that met it, as before. explain shows what a server said of itself and the store's epochs as context. The test fails without the change (one start told).

--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -11,7 +11,7 @@
 const CONTEXT_MS: u64 = 10_000;
 
 /// Events that tell what a host believes from then on.
-const BELIEFS: [&str; 15] = [
+const BELIEFS: [&str; 18] = [
     "start",
     "stop",
     "leaving",
@@ -25,6 +25,9 @@
     "store_back",
     "history_gone",
     "older_ignored",
+    "store_epoch",
+    "told_leaving",
+    "told_pause",
     "fetch_failed",
     "lines_dropped",
 ];
@@ -57,7 +60,10 @@
 
     /// Whether the entry tells what `host` believed of something that matters to a request.
     fn is_context(&self, hosts: &BTreeSet<&str>, backends: &BTreeSet<&str>) -> bool {
-        let about_backend = matches!(self.event.as_str(), "backend" | "avoided" | "taken_back");
+        let about_backend = matches!(
+            self.event.as_str(),
+            "backend" | "avoided" | "taken_back" | "told_leaving" | "told_pause"
+        );
         let matters = !about_backend || backends.contains(self.text("backend"));
         BELIEFS.contains(&self.event.as_str()) && hosts.contains(&*self.host) && matters
     }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -104,7 +104,7 @@
     pub in_progress: u32,
     /// When its entry was removed.
     pub gone: Option<Instant>,
-    /// When it was seen leaving.
+    /// When it was first said to leave, by itself, the store or another host.
     left: Option<Instant>,
     /// Until when it is cold, as far as is told.
     pub cold_until: Instant,
@@ -294,11 +294,12 @@
     ) -> Option<(BackendKey, Change)> {
         let known = &mut self.arena[key];
         match known.state {
-            State::Leaving => None,
             _ if item.leaving => {
+                let news = known.state != State::Leaving;
                 known.leave(now);
-                Some((key, Change::Left))
+                news.then_some((key, Change::Left))
             }
+            State::Leaving => None,
             State::Unconfirmed { .. } if item.unconfirmed_ms > 0 || !written => None,
             State::Ready if item.unconfirmed_ms == 0 => None,
             State::Ready => {
@@ -406,8 +407,8 @@
         cold
     }
 
-    /// Counts a backend server as gone, as when another one answers at its address.
-    pub fn lose(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
+    /// Takes in that a backend server leaves, as it or another host says.
+    pub fn leave(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
         let known = self.arena.get_mut(key)?;
         let news = known.takes_work();
         known.leave(now);
@@ -415,12 +416,22 @@
         news.then_some((key, Change::Left))
     }
 
+    /// Counts a backend server as gone, as when another one answers at its address. That is this host's finding alone, and
+    /// not told to others: one wrong answer must not end a server for all.
+    pub fn lose(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
+        let known = self.arena.get_mut(key)?;
+        let news = known.takes_work();
+        known.state = State::Leaving;
+        self.renew_digest();
+        news.then_some((key, Change::Left))
+    }
+
     /// Takes in starts that another host has seen leaving, by their tags.
     pub fn hear_left(&mut self, now: Instant, tags: &[Tag]) -> Vec<(BackendKey, Change)> {
         let known: Vec<_> = tags.iter().filter_map(|tag| self.by_tag(*tag)).collect();
-        let news = |key: &BackendKey| self.arena.get(*key).is_some_and(|b| b.state != State::Leaving);
+        let news = |key: &BackendKey| self.arena.get(*key).is_some_and(|b| b.left.is_none());
         let leaving: Vec<_> = known.into_iter().filter(news).collect();
-        leaving.into_iter().filter_map(|key| self.lose(now, key)).collect()
+        leaving.into_iter().filter_map(|key| self.leave(now, key)).collect()
     }
 
     /// Takes in starts that were seen leaving before this host knew of them.
@@ -435,7 +446,7 @@
     fn drop_entry(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
         let known = &mut self.arena[key];
         let news = known.takes_work();
-        let left = known.state == State::Leaving;
+        let left = known.left.is_some();
         self.ended.note(now, &known.id, known.born, left, self.revision.epoch);
         known.state = State::Leaving;
         known.gone = Some(now);
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -289,8 +289,10 @@
         let id = id.as_deref().unwrap_or("gone");
         if read.leaves {
             self.note(Weight::Notable, "told_leaving", req, |l| l.text("backend", id));
-            if self.lose(key, "its answer") {
+            let mut state = self.state();
+            if let Some(change) = state.backends.leave(now(), key) {
                 self.metrics.add(Counter::RelayTold, Said::Leaving.as_str(), 1);
+                self.note_changes(&mut state, &[change], "its answer");
             }
         }
         if let Some(pause) = read.pause {
@@ -305,12 +307,12 @@
         self.state().backends.get(key).map(|b| b.id.clone())
     }
 
-    /// Counts a server as leaving, as when it says so or another one answers at its address; returns whether that is news.
-    pub(crate) fn lose(&self, key: BackendKey, why: &str) -> bool {
+    /// Counts a server as gone, as when another one answers at its address.
+    pub(crate) fn lose(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
-        let Some(change) = state.backends.lose(now(), key) else { return false };
-        self.note_changes(&mut state, &[change], why);
-        true
+        if let Some(change) = state.backends.lose(key) {
+            self.note_changes(&mut state, &[change], why);
+        }
     }
 
     /// Lists everything at the store again, as after the host was suspended: what it knows may be old, and the connections
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -166,9 +166,7 @@
         self.tried.push(key);
         let now = now();
         match failure {
-            Failure::Moved => {
-                self.relay.lose(key, "another server answers at its address");
-            }
+            Failure::Moved => self.relay.lose(key, "another server answers at its address"),
             Failure::Connect | Failure::Silent => {
                 if failure == Failure::Silent {
                     self.relay.note_waited(&self.req, self.sent);
--- a/tests/relay_restore.rs
+++ b/tests/relay_restore.rs
@@ -311,6 +311,21 @@
     assert_eq!((behind.digest(), knows.left_lately(ms(20_000))), (knows.digest(), Vec::new()));
 }
 
+/// One wrong answer at a server's address ending it for all hosts, and for good.
+#[test]
+fn only_a_word_that_a_server_leaves_is_told_on() {
+    let (mut lost, mut told) = (host_that_lost_x(&[]), host_that_lost_x(&[]));
+    let key = |host: &Backends| host.of("s").find(|(_, b)| &*b.id == "x").unwrap().0;
+    let (lost_key, told_key) = (key(&lost), key(&told));
+
+    lost.lose(lost_key);
+    told.leave(ms(10), told_key);
+
+    assert_eq!((working(&lost), working(&told)), (vec!["yy"], vec!["yy"]));
+    assert_eq!((lost.left_lately(ms(20)).len(), lost.left().len()), (0, 0));
+    assert_eq!((told.left_lately(ms(20)).len(), told.left().len()), (1, 1));
+}
+
 /// What the model's store does next, with one of three servers.
 #[derive(Clone, Debug)]
 enum Step {
