Split what is known of backend servers by job

Entries as they are taken in, and who leaves, have files of their own; nothing else changes but that a host's finding that another server answers at an address is not told on in lists either.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -26,10 +26,11 @@
 
 mod ended;
 mod entry;
+mod intake;
+mod left;
 mod tell;
 
-use ended::{Ended, Past};
-use entry::Entry;
+use ended::Ended;
 
 /// Names one start of a backend server in messages between hosts.
 pub type Tag = u32;
@@ -42,16 +43,9 @@
 
 /// How long entries that a restored store does not have still count: live servers write theirs again within two seconds.
 const WRITTEN_AGAIN: Duration = Duration::from_millis(1_700);
-/// How long an entry that had been removed must be listed by a restored store to count without a word of its server: an
-/// entry lapses after three heartbeats of one to two seconds.
-const OUTLASTS: Duration = Duration::from_secs(6);
-
 /// Longest time for which an entry may tell that its server stays cold; more was written by somebody else.
 const MOST_COLD: Duration = Duration::from_secs(60);
 
-/// Unreadable entries remembered, so that each has one line; beyond that some have another one.
-const MOST_UNREADABLE: usize = 1_024;
-
 /// Changes remembered for other hosts.
 const MOST_LOGGED: usize = 512;
 
@@ -178,12 +172,6 @@
     hash((id, born)) as Tag
 }
 
-/// The state of a server whose entry had been removed, for as long as another host tells or as a dead server's entry lasts.
-fn unconfirmed(now: Instant, item: &fleet::Backend) -> State {
-    let told = Some(Duration::from_millis(item.unconfirmed_ms.into())).filter(|told| !told.is_zero());
-    State::Unconfirmed { until: now + told.unwrap_or(OUTLASTS).min(OUTLASTS) }
-}
-
 /// All backend servers that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
@@ -257,139 +245,6 @@
         changes
     }
 
-    /// Takes from entries of an older revision who leaves: that holds whatever the store has told since.
-    fn hear_leaving(&mut self, now: Instant, items: &[fleet::Backend]) -> Vec<(BackendKey, Change)> {
-        let leaving = items.iter().filter(|item| item.leaving).map(|item| tag(&item.id, item.born));
-        let leaving: Vec<_> = leaving.collect();
-        self.hear_left(now, &leaving)
-    }
-
-    /// Takes one entry in; a start that replaces another brings two changes. An entry that was `written` since the revision
-    /// known, and is not only listed, shows that its server lives.
-    fn put(&mut self, now: Instant, item: &fleet::Backend, written: bool) -> Vec<(BackendKey, Change)> {
-        let Some(&key) = self.by_id.get(item.id.as_str()) else {
-            return Vec::from_iter(self.add(now, item, written));
-        };
-        match self.arena[key].compare(item) {
-            Entry::Earlier => Vec::new(),
-            Entry::Same => {
-                let cold = self.arena[key].hear_cold(now, item.cold_ms).then_some((key, Change::Cold));
-                self.renew(now, key, item, written).into_iter().chain(cold).collect()
-            }
-            Entry::Foreign => Vec::from_iter(self.distrust(key)),
-            Entry::Later => {
-                self.drop_entry(now, key);
-                [(key, Change::Restarted)].into_iter().chain(self.add(now, item, written)).collect()
-            }
-        }
-    }
-
-    /// What a start tells of itself. One that has left never takes work again.
-    fn renew(
-        &mut self,
-        now: Instant,
-        key: BackendKey,
-        item: &fleet::Backend,
-        written: bool,
-    ) -> Option<(BackendKey, Change)> {
-        let known = &mut self.arena[key];
-        match known.state {
-            _ if item.leaving => {
-                let news = known.state != State::Leaving;
-                known.leave(now);
-                news.then_some((key, Change::Left))
-            }
-            State::Leaving => None,
-            State::Unconfirmed { .. } if item.unconfirmed_ms > 0 || !written => None,
-            State::Ready if item.unconfirmed_ms == 0 => None,
-            State::Ready => {
-                known.state = unconfirmed(now, item);
-                Some((key, Change::Unconfirmed))
-            }
-            State::Missing { .. } | State::Unreadable | State::Unconfirmed { .. } => {
-                known.state = State::Ready;
-                self.ended.forget(&item.id);
-                Some((key, Change::Seen))
-            }
-        }
-    }
-
-    /// Sends nothing new to a server whose entry is not its own.
-    fn distrust(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
-        let known = &mut self.arena[key];
-        if !known.takes_work() {
-            return None;
-        }
-        known.state = State::Unreadable;
-        Some((key, Change::Unreadable))
-    }
-
-    fn add(&mut self, now: Instant, item: &fleet::Backend, written: bool) -> Option<(BackendKey, Change)> {
-        let id: Arc<str> = item.id.as_str().into();
-        let past = self.ended.past(item, self.revision.epoch);
-        if past == Past::Earlier {
-            return None;
-        }
-        let Ok(addr) = item.addr.parse() else {
-            self.note_unreadable(id, &item.addr);
-            return None;
-        };
-        self.unreadable.remove(&id);
-        let tag = tag(&id, item.born);
-        let (state, change) = match past {
-            _ if item.leaving => (State::Leaving, Change::Seen),
-            Past::Left => (State::Leaving, Change::Left),
-            _ if item.unconfirmed_ms > 0 => (unconfirmed(now, item), Change::Unconfirmed),
-            Past::Removed if !written => (unconfirmed(now, item), Change::Unconfirmed),
-            _ => (State::Ready, Change::Seen),
-        };
-        if state == State::Ready {
-            self.ended.forget(&id);
-        }
-        let key = self.arena.insert(Backend {
-            id: id.clone(),
-            born: item.born,
-            tag,
-            service: item.service.as_str().into(),
-            addr,
-            data_centre: item.data_centre.as_str().into(),
-            slots: item.slots,
-            state,
-            in_progress: 0,
-            gone: None,
-            left: (state == State::Leaving).then_some(now),
-            cold_until: Instant::ZERO,
-            told_cold: false,
-        });
-        self.arena[key].hear_cold(now, item.cold_ms);
-        self.by_id.insert(id, key);
-        self.by_tag.insert(tag, key);
-        Some((key, change))
-    }
-
-    /// Writes a line about an entry that can't be read, one for each identifier until it can be read.
-    fn note_unreadable(&mut self, id: Arc<str>, addr: &str) {
-        if self.unreadable.len() >= MOST_UNREADABLE {
-            self.unreadable.clear();
-        }
-        if self.unreadable.insert(id.clone()) {
-            spdlog::warn!("the entry of backend server {id} names none to use: address {addr:?}");
-        }
-    }
-
-    fn remove(&mut self, now: Instant, id: &str, grace: Option<Duration>) -> Option<(BackendKey, Change)> {
-        let key = *self.by_id.get(id)?;
-        let known = &mut self.arena[key];
-        match (known.state, grace) {
-            (State::Ready, Some(grace)) => {
-                known.state = State::Missing { until: now + grace };
-                Some((key, Change::Missing))
-            }
-            (State::Missing { until }, _) if until > now => None,
-            _ => self.drop_entry(now, key),
-        }
-    }
-
     /// Counts the backend servers of a data centre as cold for a while, by service; returns those that are.
     pub fn cool(
         &mut self,
@@ -407,57 +262,6 @@
         cold
     }
 
-    /// Takes in that a backend server leaves, as it or another host says.
-    pub fn leave(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
-        let known = self.arena.get_mut(key)?;
-        let news = known.takes_work();
-        known.leave(now);
-        self.renew_digest();
-        news.then_some((key, Change::Left))
-    }
-
-    /// Counts a backend server as gone, as when another one answers at its address. That is this host's finding alone, and
-    /// not told to others: one wrong answer must not end a server for all.
-    pub fn lose(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
-        let known = self.arena.get_mut(key)?;
-        let news = known.takes_work();
-        known.state = State::Leaving;
-        self.renew_digest();
-        news.then_some((key, Change::Left))
-    }
-
-    /// Takes in starts that another host has seen leaving, by their tags.
-    pub fn hear_left(&mut self, now: Instant, tags: &[Tag]) -> Vec<(BackendKey, Change)> {
-        let known: Vec<_> = tags.iter().filter_map(|tag| self.by_tag(*tag)).collect();
-        let news = |key: &BackendKey| self.arena.get(*key).is_some_and(|b| b.left.is_none());
-        let leaving: Vec<_> = known.into_iter().filter(news).collect();
-        leaving.into_iter().filter_map(|key| self.leave(now, key)).collect()
-    }
-
-    /// Takes in starts that were seen leaving before this host knew of them.
-    pub fn learn_left(&mut self, now: Instant, starts: &[fleet::Start]) -> Vec<(BackendKey, Change)> {
-        for start in starts.iter().filter(|start| !self.by_id.contains_key(start.id.as_str())) {
-            self.ended.note(now, &start.id.as_str().into(), start.born, true, self.revision.epoch);
-        }
-        let tags: Vec<_> = starts.iter().map(|start| tag(&start.id, start.born)).collect();
-        self.hear_left(now, &tags)
-    }
-
-    fn drop_entry(&mut self, now: Instant, key: BackendKey) -> Option<(BackendKey, Change)> {
-        let known = &mut self.arena[key];
-        let news = known.takes_work();
-        let left = known.left.is_some();
-        self.ended.note(now, &known.id, known.born, left, self.revision.epoch);
-        known.state = State::Leaving;
-        known.gone = Some(now);
-        let (id, tag) = (known.id.clone(), known.tag);
-        self.by_id.remove(&id);
-        if self.by_tag.get(&tag) == Some(&key) {
-            self.by_tag.remove(&tag);
-        }
-        news.then_some((key, Change::Left))
-    }
-
     /// Settles entries whose grace is over, and forgets servers that are gone and have no request in progress. A server
     /// that is gone still serves for a while, so that others can fetch prompt parts from it. Returns the changes and
     /// the keys that are forgotten.
@@ -478,19 +282,6 @@
         (changes, done)
     }
 
-    /// Counts servers as alive whose entries have outlasted those of dead ones.
-    fn confirm(&mut self, now: Instant) -> Vec<(BackendKey, Change)> {
-        let mut confirmed = Vec::new();
-        for (key, b) in &mut self.arena {
-            if matches!(b.state, State::Unconfirmed { until } if until <= now) {
-                b.state = State::Ready;
-                self.ended.forget(&b.id);
-                confirmed.push((key, Change::Seen));
-            }
-        }
-        confirmed
-    }
-
     /// One backend server, unless it is gone and forgotten.
     pub fn get(&self, key: BackendKey) -> Option<&Backend> {
         self.arena.get(key)
--- a/src/relay/backends/tell.rs
+++ b/src/relay/backends/tell.rs
@@ -1,8 +1,6 @@
 //! What a host tells others of the backend servers that it knows.
 
-use std::time::Duration;
-
-use super::{Backend, Backends, State, Tag};
+use super::{Backend, Backends, State};
 use crate::{
     relay::revision::Revision,
     schema::fleet,
@@ -47,30 +45,6 @@
     }
 }
 
-/// How long others are told that a server was seen leaving. Who does not know it yet by then has it from its list.
-const LEFT_TOLD: Duration = Duration::from_secs(5);
-/// Servers seen leaving that are told in one beat.
-const MOST_LEFT: usize = 16;
-/// The same for a host that has just started.
-const MOST_STARTS: usize = 512;
-
-impl Backends {
-    /// Tags of servers that were seen leaving lately, the latest first.
-    pub fn left_lately(&self, now: Instant) -> Vec<Tag> {
-        let left = self.arena.values().filter_map(|b| Some((b.left?, b.tag)));
-        let mut lately: Vec<_> = left.filter(|(at, _)| *at + LEFT_TOLD > now).collect();
-        lately.sort_unstable_by(|a, b| b.cmp(a));
-        lately.into_iter().take(MOST_LEFT).map(|(_, tag)| tag).collect()
-    }
-
-    /// Starts that were seen leaving, for a host that has just started: a store that was restored may list them as ready.
-    pub fn left(&self) -> Vec<fleet::Start> {
-        let leaving = self.arena.values().filter(|b| b.left.is_some() && b.gone.is_none());
-        let leaving = leaving.map(|b| fleet::Start { id: b.id.to_string(), born: b.born });
-        leaving.chain(self.ended.left()).take(MOST_STARTS).collect()
-    }
-}
-
 fn wire(now: Instant, b: &Backend) -> fleet::Backend {
     let cold = b.cold_until.saturating_sub(now).as_millis() as u32;
     let readable = b.state != State::Unreadable;
@@ -80,7 +54,7 @@
         addr: if readable { b.addr.to_string() } else { String::new() },
         data_centre: b.data_centre.to_string(),
         slots: b.slots,
-        leaving: b.state == State::Leaving,
+        leaving: b.left.is_some(),
         born: b.born,
         // Hosts that hold the same entry must agree on whether it tells of cold.
         cold_ms: if b.told_cold { cold.max(1) } else { 0 },
--- a/tests/relay_restore.rs
+++ b/tests/relay_restore.rs
@@ -323,6 +323,7 @@
 
     assert_eq!((working(&lost), working(&told)), (vec!["yy"], vec!["yy"]));
     assert_eq!((lost.left_lately(ms(20)).len(), lost.left().len()), (0, 0));
+    assert!(lost.snapshot(ms(20)).items.iter().all(|item| !item.leaving));
     assert_eq!((told.left_lately(ms(20)).len(), told.left().len()), (1, 1));
 }
 
