Wait for no change from the revision of a copy

What callers would see: a host that has started just after the store was restored misses servers and changes until the store's revisions have passed those of before, and calls it without pause. A host that starts reads a copy, some seconds old: after a restore that may be of the epoch before, under a revision that is higher than all that the store has given out since. By test, on the code before: a server that joins is not seen. Found by looking for the same cause elsewhere.

What a copy tells is now as of a revision before all others, and who follows lists before it waits. Costs: one list more for each start of a host that follows, and one list from a neighbour in a large fleet.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -208,7 +208,8 @@
         if list.as_of() < self.revision {
             return self.hear_leaving(now, &list.items);
         }
-        let restored = self.revision.is_known() && list.epoch > self.revision.epoch;
+        let knows = self.revision.is_known() && self.revision != Revision::COPY;
+        let restored = knows && list.epoch > self.revision.epoch;
         let grace = if restored { grace.max(Some(WRITTEN_AGAIN)) } else { grace };
         self.revision = list.as_of();
         self.log.clear();
--- a/src/relay/evacuations.rs
+++ b/src/relay/evacuations.rs
@@ -61,6 +61,13 @@
 }
 
 impl Update {
+    /// Takes a list for one of a copy, after which nothing is waited for.
+    pub(crate) fn take_for_copy(&mut self) {
+        if let Update::List(list) = self {
+            (list.epoch, list.revision) = (Revision::COPY.epoch, Revision::COPY.number);
+        }
+    }
+
     /// Revision as of which it tells.
     pub fn revision(&self) -> Revision {
         match self {
@@ -174,7 +181,8 @@
         if revision <= self.revision {
             return;
         }
-        let restored = self.is_known() && revision.epoch > self.revision.epoch;
+        let restored =
+            self.is_known() && self.revision != Revision::COPY && revision.epoch > self.revision.epoch;
         self.revision = revision;
         let old = std::mem::replace(&mut self.data_centres, data_centres);
         if restored {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Takes a list for one of a copy, after which nothing is waited for.
+    fn take_for_copy(&mut self) {
+        if let BackendsUpdate::List(list) = self {
+            (list.epoch, list.revision) = (Revision::COPY.epoch, Revision::COPY.number);
+        }
+    }
+
     /// Takes entries for unreadable that tell of a start after `latest`, in milliseconds since 1970.
     fn distrust_after(&mut self, latest: u64) {
         let items = match self {
@@ -151,11 +158,12 @@
         match relay.check_epoch(answer, |(revision, _)| revision.epoch) {
             Ok((revision, cfg)) => {
                 started = true;
+                let revision = Some(revision).filter(|_| !copy);
                 relay.state().copied |= copy;
                 regain(&mut contact);
                 let news = after.is_some() && cfg.is_some();
                 let soon = after.is_some() && now() < asked + GATHER;
-                after = after.max(Some(revision));
+                after = after.max(revision);
                 if let Some(cfg) = cfg {
                     relay.set_configuration(cfg, "store");
                 }
@@ -196,8 +204,11 @@
         let asked = now();
         let answer = relay.ask_store(Asked::backends(call), after, store.backends(call)).await;
         match relay.check_epoch(answer, |update| update.revision().epoch) {
-            Ok(update) => {
-                list = false;
+            Ok(mut update) => {
+                list = copy;
+                if copy {
+                    update.take_for_copy();
+                }
                 let grace = regain(&mut contact);
                 let news = matches!(&update, BackendsUpdate::Changes { puts, removed, .. }
                     if !puts.is_empty() || !removed.is_empty());
--- a/src/relay/follow/evacuations.rs
+++ b/src/relay/follow/evacuations.rs
@@ -34,8 +34,11 @@
         let asked = now();
         let answer = relay.ask_store(Asked::evacuations(call), after, store.evacuations(call)).await;
         match relay.check_epoch(answer, |update| update.revision().epoch) {
-            Ok(update) => {
-                list = false;
+            Ok(mut update) => {
+                list = copy;
+                if copy {
+                    update.take_for_copy();
+                }
                 regain(&mut contact);
                 relay.update_evacuations(&update, "store");
                 if after.is_some() && now() < asked + GATHER {
--- a/src/relay/revision.rs
+++ b/src/relay/revision.rs
@@ -19,6 +19,10 @@
 }
 
 impl Revision {
+    /// Revision of what was read in a copy of the store. A copy is some seconds old, and after a restore it may be of the epoch
+    /// before, under higher numbers: what anybody has read since is later.
+    pub const COPY: Self = Self { epoch: 0, number: 1 };
+
     /// A revision of an epoch.
     pub fn new(epoch: Epoch, number: u64) -> Self {
         Self { epoch, number }
--- a/tests/relay_restore.rs
+++ b/tests/relay_restore.rs
@@ -117,6 +117,27 @@
     host.until_servers(3).await;
 }
 
+/// Changes unseen by a host that has started after a restore and read a copy of before it: its revision is higher than any
+/// that the store has given out since.
+#[tokio::test]
+async fn a_copy_of_before_the_restore_hides_nothing() {
+    let store = Store::start().await;
+    put(&store, "i-1", "ready");
+    put(&store, "i-2", "ready");
+    let copy = store.copy();
+    pass_revisions(&store, 20);
+    store.answer_old_data_from(store.copy());
+    store.restore(&copy);
+
+    let host = Following::start(&store);
+    host.until_servers(2).await;
+    put(&store, "i-3", "ready");
+    host.until_servers(3).await;
+    put(&store, "i-1", "draining");
+
+    host.until_servers(2).await;
+}
+
 /// A configuration in force gone back with the store, or the next one ignored since its revision is lower.
 #[tokio::test]
 async fn a_configuration_in_force_stays_and_the_next_one_follows() {
