--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -72,19 +72,9 @@
         Self { addr, conn: None }
     }
 
-    /// Makes one call; returns the answer and its epoch, which is `known` where it tells none. A connection on which the call
-    /// fails is not used again: its answer may still come.
+    /// Makes one call for an answer of at most so many bytes; returns it and its epoch, which is `known` where it tells none. A
+    /// connection on which the call fails is not used again: its answer may still come.
     async fn call<T: DeserializeOwned>(
-        &mut self,
-        target: &str,
-        limit: Duration,
-        known: Epoch,
-    ) -> Result<(Epoch, T), StoreError> {
-        self.call_for(target, limit, MOST_PAGE, known).await
-    }
-
-    /// The same for an answer of at most so many bytes.
-    async fn call_for<T: DeserializeOwned>(
         &mut self,
         target: &str,
         limit: Duration,
@@ -165,11 +155,10 @@
         kind: &str,
         call: Call,
         most: usize,
-    ) -> Result<Page<T>, StoreError> {
+    ) -> Result<(Revision, Vec<Object<T>>), StoreError> {
         let stale = if call.copy { "?staleOk=1" } else { "" };
         let target = format!("/objects/{kind}{stale}");
-        let (epoch, mut all): (_, Page<T>) = self.call_for(&target, call.patience, most, call.epoch).await?;
-        all.epoch = epoch;
+        let (epoch, mut all): (_, Page<T>) = self.call(&target, call.patience, most, call.epoch).await?;
         let mut more = all.has_more;
         if more && !call.whole {
             return Err(StoreError::Long);
@@ -178,7 +167,7 @@
             let after: String = form_urlencoded::byte_serialize(last.metadata.name.as_bytes()).collect();
             let stale = if call.copy { "&staleOk=1" } else { "" };
             let target = format!("/objects/{kind}?after={after}{stale}");
-            let (of_page, page): (_, Page<T>) = self.call(&target, call.patience, epoch).await?;
+            let (of_page, page): (_, Page<T>) = self.call(&target, call.patience, MOST_PAGE, epoch).await?;
             if of_page != epoch {
                 return Err(StoreError::Restored { epoch: of_page });
             }
@@ -186,7 +175,7 @@
             // Pages are as of different revisions; the changes since the first one are watched again.
             all.items.extend(page.items);
         }
-        Ok(all)
+        Ok((Revision::new(epoch, all.current_rev), all.items))
     }
 
     async fn watch<T: DeserializeOwned>(
@@ -197,7 +186,8 @@
         wait: Duration,
     ) -> Result<(Revision, Vec<Change<T>>), StoreError> {
         let target = format!("/objects/{kind}?watch={}&waitMs={}", after.number, wait.as_millis());
-        let (epoch, changes): (_, Changes<T>) = self.call(&target, wait + patience, after.epoch).await?;
+        let (epoch, changes): (_, Changes<T>) =
+            self.call(&target, wait + patience, MOST_PAGE, after.epoch).await?;
         // Of another epoch they are not the changes since that revision, whatever their numbers.
         if epoch != after.epoch {
             return Err(StoreError::Restored { epoch });
@@ -250,7 +240,7 @@
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         // Old entries do: a host that is gone is only not heard.
         let target = format!("/objects/{HOSTS}?staleOk=1");
-        let (_, page): (_, Page<RawHosts>) = self.call(&target, ANSWER, Epoch::default()).await?;
+        let (_, page): (_, Page<RawHosts>) = self.call(&target, ANSWER, MOST_PAGE, Epoch::default()).await?;
         let mut all = Hosts::default();
         for raw in page.items.into_iter().filter_map(|o| o.spec) {
             all.some.extend(raw.members);
@@ -263,8 +253,7 @@
         let (revision, objects) = match call.after {
             None => {
                 let most = if call.whole { MOST_PAGE } else { SHORT_PAGE };
-                let page = self.list(CONFIGURATION, call, most).await?;
-                (page.as_of(), page.items)
+                self.list(CONFIGURATION, call, most).await?
             }
             Some(after) => {
                 let (revision, events) = self.watch(CONFIGURATION, after, call.patience, WAIT).await?;
@@ -279,9 +268,9 @@
 
     async fn evacuations(&mut self, call: Call) -> Result<evacuations::Update, StoreError> {
         let Some(after) = call.after else {
-            let page: Page<IgnoredAny> = self.list(EVACUATIONS, call, MOST_PAGE).await?;
-            let Revision { epoch, number: revision } = page.as_of();
-            let held = page.items.into_iter().filter(Object::stays);
+            let (Revision { epoch, number: revision }, items) =
+                self.list::<IgnoredAny>(EVACUATIONS, call, MOST_PAGE).await?;
+            let held = items.into_iter().filter(Object::stays);
             let data_centres = held.map(|o| o.metadata.name).collect();
             let list = Evacuations { epoch, revision, data_centres, kept: Vec::new() };
             return Ok(evacuations::Update::List(list));
@@ -297,9 +286,8 @@
     async fn backends(&mut self, call: Call) -> Result<BackendsUpdate, StoreError> {
         let Some(after) = call.after else {
             // A list of servers is long by its pages: the length of the first one tells nothing of the others.
-            let page = self.list(BACKENDS, call, MOST_PAGE).await?;
-            let Revision { epoch, number: revision } = page.as_of();
-            let items = page.items.into_iter().map(backend).collect();
+            let (Revision { epoch, number: revision }, items) = self.list(BACKENDS, call, MOST_PAGE).await?;
+            let items = items.into_iter().map(backend).collect();
             return Ok(BackendsUpdate::List(Backends { epoch, revision, items }));
         };
         let (revision, events) = self.watch::<RawBackend>(BACKENDS, after, call.patience, WAIT).await?;
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -2,9 +2,8 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{
-    relay::revision::{Epoch, Revision},
-    schema::fleet::{self, CallerLimits, Configuration, Member, Repeat, Route, Service, Share, Workspace},
+use crate::schema::fleet::{
+    self, CallerLimits, Configuration, Member, Repeat, Route, Service, Share, Workspace,
 };
 
 /// A page of a list.
@@ -17,9 +16,6 @@
     pub(super) has_more: bool,
     /// The store's revision.
     pub(super) current_rev: u64,
-    /// The store's epoch as the answer's head tells it.
-    #[serde(skip)]
-    pub(super) epoch: Epoch,
 }
 
 /// What a watch brings.
@@ -31,13 +27,6 @@
     pub(super) current_rev: u64,
 }
 
-impl<T> Page<T> {
-    /// The store's revision.
-    pub(super) fn as_of(&self) -> Revision {
-        Revision::new(self.epoch, self.current_rev)
-    }
-}
-
 #[derive(Deserialize)]
 #[serde(bound = "T: DeserializeOwned")]
 pub(super) struct Change<T> {
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 /// Names of headers and fields that belong to the platform's interfaces.
-const NAMES: [&str; 18] = [
+const NAMES: [&str; 20] = [
     "attempt-id",
     "expected-instance",
     "not-executed",
@@ -22,6 +22,8 @@
     "coldRemainingMs",
     "platformConfig",
     "internalPortRange",
+    "store-era",
+    "server-leaving",
 ];
 
 fn check(dir: &Path, found: &mut Vec<String>) {
