--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -1,7 +1,7 @@
 //! Which backend servers may get a request, and which of them does.
 //!
-//! Servers in evacuated data centres get nothing, nor do those that have asked for a pause. Cold ones get requests only where no other has room, within what
-//! [`super::warmup`] allows this host.
+//! Servers in evacuated data centres get nothing, nor do those that have asked for a pause. Cold ones get requests only where
+//! no other has room, within what [`super::warmup`] allows this host.
 
 use std::{sync::Arc, time::Duration};
 
