Ask in one place which servers are evacuated, and share the time to write again

The same filter stood twice in choose.rs, and the 1.7 s in which live servers write their entries again had a second constant beside the one for an outage.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -18,7 +18,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::revision::Revision;
+use super::{contact::GRACE, revision::Revision};
 use crate::{
     schema::fleet,
     util::{Instant, Map, Set, hash},
@@ -41,8 +41,6 @@
 /// seconds and more.
 const LINGERS: Duration = Duration::from_secs(3);
 
-/// How long entries that a restored store does not have still count: live servers write theirs again within two seconds.
-const WRITTEN_AGAIN: Duration = Duration::from_millis(1_700);
 /// Longest time for which an entry may tell that its server stays cold; more was written by somebody else.
 const MOST_COLD: Duration = Duration::from_secs(60);
 
@@ -210,7 +208,7 @@
         }
         let knows = self.revision.is_known() && self.revision != Revision::COPY;
         let restored = knows && list.epoch > self.revision.epoch;
-        let grace = if restored { grace.max(Some(WRITTEN_AGAIN)) } else { grace };
+        let grace = if restored { grace.max(Some(GRACE)) } else { grace };
         self.revision = list.as_of();
         self.log.clear();
         self.logged_from = self.revision;
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -104,20 +104,23 @@
 }
 
 impl State {
+    /// Servers of a service that take work, but for those in evacuated data centres.
+    fn in_force(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Backend)> {
+        self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre))
+    }
+
     /// Servers of a service that may get something new: none in an evacuated data centre, and none that has asked for a pause.
     pub(crate) fn placeable(
         &self,
         now: Instant,
         service: &str,
     ) -> impl Iterator<Item = (BackendKey, &Backend)> {
-        let in_force = self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre));
-        in_force.filter(move |(key, _)| self.health.asked_pause(now, *key).is_none())
+        self.in_force(service).filter(move |(key, _)| self.health.asked_pause(now, *key).is_none())
     }
 
     /// When the first of a service's servers that have asked for a pause may get requests again.
     fn pause_ends(&self, now: Instant, service: &str) -> Option<Instant> {
-        let in_force = self.backends.of(service).filter(|(_, b)| !self.evacuations.covers(&b.data_centre));
-        in_force.filter_map(|(key, _)| self.health.asked_pause(now, key)).min()
+        self.in_force(service).filter_map(|(key, _)| self.health.asked_pause(now, key)).min()
     }
 
     fn open(&self, now: Instant, service: &str) -> Open {
--- a/src/relay/contact.rs
+++ b/src/relay/contact.rs
@@ -12,9 +12,9 @@
 /// First and longest time for an answer, beside the wait of a watch. A calm store answers in a few milliseconds, a slow one
 /// in some hundred. A host that starts while the store is silent waits its first call out, so that this one is short.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(2_000));
-/// How long entries that are missing after the store's return still count: live servers write again within two
+/// How long entries that are missing after the store's return, or its restore, still count: live servers write again within two
 /// seconds, and a server that left must get no new work two seconds after the store said so.
-const GRACE: Duration = Duration::from_millis(1_700);
+pub(super) const GRACE: Duration = Duration::from_millis(1_700);
 /// An outage shorter than this lets no entry lapse.
 const SHORT_OUTAGE: Duration = Duration::from_millis(500);
 
