Ask the store again when nothing has confirmed what is known for a while

What callers saw: requests handled by a configuration that was five versions old, at one host, more than two seconds after the store had acknowledged the newer ones.

Cause, of its class: a host takes a waiting call for knowledge.

Evidence: a stand-in of the store that leaves waiting watches without an answer on connections that live, before one host that nobody tells.

Change: each topic has the moment up to which all changes are known. An answer of the store confirms it, or another host that knows the same and was sure then; beats carry the ages and when they were sent, so that one that lay in a buffer does not count as fresh. Past 3/8 of the bound the first host asks over a connection of its own, a call answered at once; the next ones ask at 7/16 to 1/2, hosts that leave the store to others at 5/8 to 7/8. One call does for all topics as long as the store's revision is the one known. A watch that has not brought what such a call tells is ended. A copy confirms nothing, so that a host that started by one asks too. Old knowledge is shown: lines, a gauge, the version in the lines of requests, and no 401 or 404 while it is old.

Why it works: whatever is lost on the way, a host asks within half of the bound by itself, and one lost answer leaves time for another call. A property test plays fleets in virtual time without any watch and any fetch, with lost, late, repeated and reordered answers and beats, one-way cuts and starts from copies of any age: no host the store answers is more than the bound behind. It fails without the correction of late beats, and with hosts that ask at 15/16 of the bound.

Watches wait 30 s, not 15: what is lost shows by the other calls. Hosts that hear others follow the store wait to the end of their start before they do so too, and a large fleet gathers changes for a fifth of the bound.

Tried and dropped: comparing revisions alone for what the servers are known as of.

--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -11,7 +11,7 @@
 const CONTEXT_MS: u64 = 10_000;
 
 /// Events that tell what a host believes from then on.
-const BELIEFS: [&str; 18] = [
+const BELIEFS: [&str; 22] = [
     "start",
     "stop",
     "leaving",
@@ -26,6 +26,10 @@
     "history_gone",
     "older_ignored",
     "store_epoch",
+    "unconfirmed",
+    "confirmed",
+    "confirm_failed",
+    "watch_deaf",
     "told_leaving",
     "told_pause",
     "fetch_failed",
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, Result};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter as Instrument, Histogram, MeterProvider},
+    metrics::{Counter as Instrument, Gauge as Level, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -59,6 +59,29 @@
     RelayTold,
 }
 
+/// A value of the relay that goes up and down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Gauge {
+    /// Time since all changes of what is followed at the store were known.
+    RelayUnconfirmed,
+}
+
+impl Gauge {
+    /// Every gauge.
+    pub const ALL: [Gauge; 1] = [Gauge::RelayUnconfirmed];
+
+    /// The table of gauges.
+    pub fn shown(self) -> Shown {
+        match self {
+            Gauge::RelayUnconfirmed => Shown {
+                name: "relay_unconfirmed_seconds",
+                label: "kind",
+                about: "time since what is known was confirmed to be the newest",
+            },
+        }
+    }
+}
+
 /// A latency histogram of the relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Latency {
@@ -186,6 +209,7 @@
     provider: SdkMeterProvider,
     instruments: Vec<Instrument<u64>>,
     latencies: Vec<Histogram<f64>>,
+    levels: Vec<Level<f64>>,
 }
 
 impl Metrics {
@@ -209,7 +233,9 @@
             meter.f64_histogram(name).with_description(about).with_boundaries(BOUNDS.to_vec()).build()
         };
         let latencies = Latency::ALL.iter().map(histogram).collect();
-        Ok(Self { registry, provider, instruments, latencies })
+        let level = |g: &Gauge| meter.f64_gauge(g.shown().name).with_description(g.shown().about).build();
+        let levels = Gauge::ALL.iter().map(level).collect();
+        Ok(Self { registry, provider, instruments, latencies, levels })
     }
 
     /// Adds `n` to a counter under a label's value.
@@ -223,6 +249,11 @@
         self.latencies[latency as usize].record(took.as_secs_f64(), &[label]);
     }
 
+    /// Sets a gauge under a label's value.
+    pub fn set(&self, gauge: Gauge, value: &'static str, to: f64) {
+        self.levels[gauge as usize].record(to, &[KeyValue::new(gauge.shown().label, value)]);
+    }
+
     /// Counts a request by what became of it.
     pub fn request(&self, outcome: &'static str) {
         self.add(Counter::Requests, outcome, 1);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::{
-    relay::{RelayConfig, budget::BudgetConfig, leave::LeaveConfig, place::Bound},
+    relay::{RelayConfig, budget::BudgetConfig, confirm, leave::LeaveConfig, place::Bound},
     schema::fleet::Member,
 };
 
@@ -33,6 +33,7 @@
     budget: BudgetConfig,
     grace: Duration,
     evacuates: bool,
+    in_force: Duration,
 }
 
 #[derive(Deserialize)]
@@ -66,6 +67,9 @@
     retry_budget_extra: f64,
     /// Present where data centres are evacuated.
     evacuation_ms: Option<f64>,
+    /// Time until a configuration is in force, and until a server that leaves gets no new work.
+    config_apply_ms: Option<f64>,
+    drain_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -89,6 +93,7 @@
     /// When it is no JSON, or lacks a field that is needed.
     pub fn parse(text: &str) -> Result<Self> {
         let raw: Raw = serde_json::from_str(text).context("could not read the settings")?;
+        let bounds = &raw.bounds;
         Ok(Self {
             name: raw.node,
             data_centre: raw.zone,
@@ -99,12 +104,13 @@
             peer_port: raw.internal_port_range.0,
             seeds: raw.seeds,
             budget: BudgetConfig {
-                ratio: raw.bounds.retry_budget_ratio,
-                extra: raw.bounds.retry_budget_extra,
-                window: Duration::from_secs_f64(raw.bounds.budget_window_s.clamp(1.0, 3_600.0)),
+                ratio: bounds.retry_budget_ratio,
+                extra: bounds.retry_budget_extra,
+                window: Duration::from_secs_f64(bounds.budget_window_s.clamp(1.0, 3_600.0)),
             },
-            grace: Duration::from_secs_f64(raw.bounds.grace_s.clamp(1.0, 3_600.0)),
-            evacuates: raw.bounds.evacuation_ms.is_some(),
+            grace: Duration::from_secs_f64(bounds.grace_s.clamp(1.0, 3_600.0)),
+            evacuates: bounds.evacuation_ms.is_some(),
+            in_force: confirm::in_force([bounds.config_apply_ms, bounds.drain_ms, bounds.evacuation_ms]),
         })
     }
 
@@ -126,6 +132,7 @@
             bound: Bound::default(),
             leave: LeaveConfig { grace: self.grace, outlive: OUTLIVE },
             evacuates: self.evacuates,
+            in_force: self.in_force,
         }
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,10 +24,10 @@
 
 use forms::{Change, Changes, Object, Page, RawBackend, RawConfiguration, RawHosts, backend};
 
-/// Longest wait of a watch. Each one is a priced call; other hosts tell when a watch has gone silent.
-const WAIT: Duration = Duration::from_secs(15);
-/// The same for what changes some times a day.
-const LONG_WAIT: Duration = Duration::from_secs(30);
+/// Wait of a watch, the longest that the store allows; each one is a priced call.
+const WAIT: Duration = Duration::from_secs(30);
+/// Wait of a watch that is to be answered at once; the least that the store takes for a wait.
+const NO_WAIT: Duration = Duration::from_millis(1);
 /// Time for the answer to a call that nobody waits for; a slow store takes some hundred milliseconds.
 const ANSWER: Duration = Duration::from_millis(2_000);
 /// Time for the rest of an answer that has begun: half a megabyte over the slowest links, 10 Mbit/s, takes 0.4 s, and as long
@@ -104,7 +104,7 @@
     ) -> Result<Answered, StoreError> {
         let begun = tokio::time::timeout(limit, self.begin(method, target, body)).await;
         let (conn, res) = begun.map_err(|_| StoreError::TimedOut)??;
-        if let Some(bytes) = length(&res).filter(|bytes| *bytes > most as u64) {
+        if let Some(bytes) = number(&res, header::CONTENT_LENGTH).filter(|bytes| *bytes > most as u64) {
             conn.close();
             return Err(StoreError::Large { bytes });
         }
@@ -182,12 +182,12 @@
         &mut self,
         kind: &str,
         after: Revision,
-        patience: Duration,
-        wait: Duration,
+        call: Call,
     ) -> Result<(Revision, Vec<Change<T>>), StoreError> {
+        let wait = if call.at_once { NO_WAIT } else { WAIT };
         let target = format!("/objects/{kind}?watch={}&waitMs={}", after.number, wait.as_millis());
         let (epoch, changes): (_, Changes<T>) =
-            self.call(&target, wait + patience, MOST_PAGE, after.epoch).await?;
+            self.call(&target, wait + call.patience, MOST_PAGE, after.epoch).await?;
         // Of another epoch they are not the changes since that revision, whatever their numbers.
         if epoch != after.epoch {
             return Err(StoreError::Restored { epoch });
@@ -200,17 +200,16 @@
     StoreError::Unavailable(why)
 }
 
-/// Bytes of an answer's body, where it tells.
-fn length(res: &Response<Incoming>) -> Option<u64> {
-    res.headers().get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// A number in a header of an answer, where it tells one.
+fn number(res: &Response<Incoming>, name: impl header::AsHeaderName) -> Option<u64> {
+    res.headers().get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
 /// The store's epoch, where an answer tells it.
 fn epoch(res: &Response<Incoming>) -> Option<Epoch> {
-    let told = res.headers().get(names::EPOCH)?.to_str().ok();
-    let epoch = told.and_then(|text| text.trim().parse().ok());
+    let epoch = number(res, names::EPOCH);
     if epoch.is_none() {
-        spdlog::warn!("an answer of the store tells no number as its epoch: {told:?}");
+        spdlog::warn!("an answer of the store tells no number as its epoch");
     }
     epoch
 }
@@ -225,14 +224,11 @@
         let object = serde_json::json!({ "metadata": { "name": data_centre }, "spec": spec });
         let body = Bytes::from(object.to_string());
         let name: String = form_urlencoded::byte_serialize(data_centre.as_bytes()).collect();
-        let target = format!("/objects/{HOSTS}/{name}");
-        let answered = self.send(Method::PUT, &target, body.clone(), ANSWER, MOST_PAGE).await?;
-        let status = match answered.status {
-            404 => {
-                self.send(Method::POST, &format!("/objects/{HOSTS}"), body, ANSWER, MOST_PAGE).await?.status
-            }
-            status => status,
-        };
+        let (kind, named) = (format!("/objects/{HOSTS}"), format!("/objects/{HOSTS}/{name}"));
+        let mut status = self.send(Method::PUT, &named, body.clone(), ANSWER, MOST_PAGE).await?.status;
+        if status == 404 {
+            status = self.send(Method::POST, &kind, body, ANSWER, MOST_PAGE).await?.status;
+        }
         // Another host of the data centre may have created the entry in between; it tells much the same.
         matches!(status, 200..=299 | 409).then_some(()).ok_or(refused(status))
     }
@@ -241,12 +237,9 @@
         // Old entries do: a host that is gone is only not heard.
         let target = format!("/objects/{HOSTS}?staleOk=1");
         let (_, page): (_, Page<RawHosts>) = self.call(&target, ANSWER, MOST_PAGE, Epoch::default()).await?;
-        let mut all = Hosts::default();
-        for raw in page.items.into_iter().filter_map(|o| o.spec) {
-            all.some.extend(raw.members);
-            all.count += raw.count;
-        }
-        Ok(all)
+        let all: Vec<_> = page.items.into_iter().filter_map(|o| o.spec).collect();
+        let count = all.iter().map(|raw| raw.count).sum();
+        Ok(Hosts { some: all.into_iter().flat_map(|raw| raw.members).collect(), count })
     }
 
     async fn configuration(&mut self, call: Call) -> Result<(Revision, Option<Configuration>), StoreError> {
@@ -256,7 +249,7 @@
                 self.list(CONFIGURATION, call, most).await?
             }
             Some(after) => {
-                let (revision, events) = self.watch(CONFIGURATION, after, call.patience, WAIT).await?;
+                let (revision, events) = self.watch(CONFIGURATION, after, call).await?;
                 let kept = events.into_iter().filter(|e| !e.deleted);
                 (revision, kept.map(|e| e.object).collect())
             }
@@ -275,8 +268,7 @@
             let list = Evacuations { epoch, revision, data_centres, kept: Vec::new() };
             return Ok(evacuations::Update::List(list));
         };
-        let (revision, events) =
-            self.watch::<IgnoredAny>(EVACUATIONS, after, call.patience, LONG_WAIT).await?;
+        let (revision, events) = self.watch::<IgnoredAny>(EVACUATIONS, after, call).await?;
         let evacuated = |e: &Change<IgnoredAny>| !e.deleted && e.object.stays();
         let changes = events.into_iter().map(|e| (evacuated(&e), e.object.metadata.name));
         let changes = changes.map(|(evacuated, name)| (name, evacuated)).collect();
@@ -290,7 +282,7 @@
             let items = items.into_iter().map(backend).collect();
             return Ok(BackendsUpdate::List(Backends { epoch, revision, items }));
         };
-        let (revision, events) = self.watch::<RawBackend>(BACKENDS, after, call.patience, WAIT).await?;
+        let (revision, events) = self.watch::<RawBackend>(BACKENDS, after, call).await?;
         let (gone, kept): (Vec<_>, Vec<_>) = events.into_iter().partition(|e| e.deleted);
         let removed = gone.into_iter().map(|e| e.object.metadata.name).collect();
         let puts = kept.into_iter().map(|e| backend(e.object)).collect();
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`]: the answer on its way back.
 //!
 //! What is decided lies in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`], [`health`],
-//! [`budget`], [`suspects`], [`configurations`], [`evacuations`], [`revision`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
+//! [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`directory`], [`verdict`], [`peers`], [`leave`], [`events`]. The I/O is in [`inbound`],
 //! [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are what an adapter
 //! translates. This file holds what a host knows and has in progress; `belief` changes what it knows, with a line each,
 //! `stop` ends its service.
@@ -36,6 +36,7 @@
 pub mod budget;
 mod choose;
 pub mod configurations;
+pub mod confirm;
 pub mod contact;
 pub mod datagram;
 pub mod directory;
@@ -68,6 +69,7 @@
 use backends::{BackendKey, Backends};
 use budget::{BudgetConfig, FleetBudget};
 use configurations::Configurations;
+use confirm::{Confirmations, Topic};
 use evacuations::Evacuations;
 use followers::Contact;
 use health::Health;
@@ -100,6 +102,8 @@
     pub leave: leave::LeaveConfig,
     /// Whether operators evacuate data centres, so that the store is asked which ones.
     pub evacuates: bool,
+    /// Time after which a change that the store has acknowledged is in force.
+    pub in_force: Duration,
 }
 
 /// What a host knows and has in progress, under one lock: each decision reads several parts at once.
@@ -115,6 +119,7 @@
     pub(crate) suspects: Suspects,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: Epochs,
+    pub(crate) confirmations: Confirmations,
     /// When a data centre was taken back last.
     pub(crate) taken_back: Option<Instant>,
     pub(crate) warmup: Warmup,
@@ -149,6 +154,8 @@
     pub(crate) woken: Notify,
     /// Wakes the followers of the store after it was restored.
     pub(crate) restored: Notify,
+    /// Ends calls that wait in vain, by topic.
+    pub(crate) deaf: [Notify; Topic::ALL.len()],
     /// Set once no request is taken any more.
     pub(crate) closing: watch::Sender<bool>,
     /// When the process started, by the wall clock, in milliseconds since 1970.
@@ -174,6 +181,7 @@
             suspects: Suspects::default(),
             evacuations: Evacuations::default(),
             epochs: Epochs::default(),
+            confirmations: Confirmations::new(now(), cfg.in_force, cfg.evacuates),
             taken_back: None,
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
@@ -200,6 +208,7 @@
             behind,
             woken: Notify::new(),
             restored: Notify::new(),
+            deaf: Default::default(),
             closing,
             start: wall_ms(),
             started: now(),
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -5,7 +5,9 @@
 use super::{
     Read, Relay, State, Wire,
     backends::{BackendKey, Change},
-    configurations, evacuations,
+    configurations,
+    confirm::{self, Topic},
+    evacuations,
     follow::Hosts,
     followers::Contact,
     place,
@@ -15,9 +17,9 @@
 };
 use crate::{
     logs::lines::{Line, Weight, line},
-    metrics::Counter,
+    metrics::{Counter, Gauge},
     schema::fleet::{Configuration, ConfigurationChanges, Held, Member},
-    util::now,
+    util::{Instant, now},
 };
 
 /// Changes of backend servers that have a line each; of a longer list only the number is told beside them, since a start
@@ -54,10 +56,11 @@
 }
 
 impl<W: Wire> Relay<W> {
-    /// Whether what is known may be old: the store does not answer.
+    /// Whether what is known may be old: the store does not answer, or nobody has confirmed the configuration for a while.
     pub fn is_stale(&self) -> bool {
         let state = self.state();
         match state.contact {
+            _ if state.confirmations.is_old(now(), Topic::Configuration) => true,
             Contact::Follows => false,
             Contact::Lost => true,
             // What it knows is as of a copy, or was told by hosts that may be gone.
@@ -67,6 +70,11 @@
         }
     }
 
+    /// Time since it was known that there is no newer configuration.
+    pub fn configuration_age(&self) -> Duration {
+        self.state().confirmations.age(now(), Topic::Configuration)
+    }
+
     /// The store's epoch as far as it is known.
     pub(crate) fn epoch(&self) -> Epoch {
         self.state().epochs.known()
@@ -231,10 +239,35 @@
         self.pool.clear(key);
     }
 
+    /// Shows how long ago each topic was confirmed, with a line where that has grown long, and where it has been since.
+    fn show_confirmed(&self, state: &mut State, now: Instant) {
+        for topic in state.confirmations.topics() {
+            let age = state.confirmations.age(now, topic);
+            self.metrics.set(Gauge::RelayUnconfirmed, topic.as_str(), age.as_secs_f64());
+        }
+        let versions = state.own();
+        for change in state.confirmations.changes(now) {
+            let fill = |l: Line, topic: Topic, after| {
+                let l = l.text("kind", topic.as_str()).ms("after_ms", after);
+                let l = l.text("contact", state.contact.as_str()).flag("alone", state.peers.is_alone(now));
+                revision(l.number("version", versions.configuration), versions.backends)
+            };
+            match change {
+                confirm::Change::Old(topic, age) => {
+                    line(Weight::Notable, "unconfirmed", |l| fill(l, topic, age));
+                }
+                confirm::Change::Renewed(topic, after) => {
+                    line(Weight::Notable, "confirmed", |l| fill(l, topic, after));
+                }
+            }
+        }
+    }
+
     /// Housekeeping: expires peers and servers, closes idle connections.
     pub(crate) fn tick(&self) {
         let now = now();
         let mut state = self.state();
+        self.show_confirmed(&mut state, now);
         for lost in state.peers.expire(now) {
             line(Weight::Notable, "peer", |l| l.text("peer", &lost.to_string()).text("change", "lost"));
         }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -8,17 +8,20 @@
 use std::{future::Future, ops::Range, sync::Arc, time::Duration};
 
 mod call;
+mod confirm;
 mod evacuations;
 mod hosts;
 mod start;
 
 pub use call::{Asked, Call};
+pub use confirm::keep_confirmed;
 pub use evacuations::follow_evacuations;
 pub use hosts::{Hosts, follow_hosts};
 use start::{is_told, turns};
 
 use super::{
     Relay, Wire,
+    confirm::Topic,
     contact::Contact,
     followers::Contact as OwnContact,
     revision::{Epoch, Revision},
@@ -26,15 +29,16 @@
 use crate::{
     logs::lines::{Weight, line},
     schema::fleet::{Backend, Backends, Configuration},
-    util::{now, wall_ms},
+    util::{Instant, now, wall_ms},
 };
 
 /// Pause after a change before the next watch, so that changes that come together cost one call, and after a watch that has
 /// ended within it: a store that does not let watches wait would be called without end. A server that leaves may get new
 /// work for two seconds.
 const GATHER: Duration = Duration::from_millis(200);
-/// The same in a large fleet, in which a change costs a call a data centre.
-const GATHER_LARGE: Duration = Duration::from_millis(400);
+/// The same in a large fleet, in which a change costs a call a data centre: a part of the time after which changes are in
+/// force.
+const GATHER_LARGE: f64 = 1.0 / 5.0;
 /// Time between two looks whether this host must follow the store again.
 const REST: Duration = Duration::from_millis(250);
 /// How far the clock of a backend server may be ahead, in milliseconds. A start that is told for a later time was written by
@@ -55,6 +59,8 @@
         /// Its epoch.
         epoch: Epoch,
     },
+    /// A call waited in vain: another one has told what it should have.
+    Deaf,
     /// No answer in time.
     TimedOut,
     /// The list takes more calls than one, and only the first was asked for.
@@ -152,8 +158,9 @@
             contact = Contact::new("configuration");
         }
         let copy = !started && !relay.is_seed();
-        let call = Call { after, epoch: relay.epoch(), patience: contact.patience(), whole, copy };
-        let asked = now();
+        let call =
+            Call { after, epoch: relay.epoch(), patience: contact.patience(), whole, copy, at_once: false };
+        let asked = relay.begin(call);
         let answer = relay.ask_store(Asked::configuration(call), after, store.configuration(call)).await;
         match relay.check_epoch(answer, |(revision, _)| revision.epoch) {
             Ok((revision, cfg)) => {
@@ -167,6 +174,7 @@
                 if let Some(cfg) = cfg {
                     relay.set_configuration(cfg, "store");
                 }
+                relay.note_answer(Topic::Configuration, call, asked, revision);
                 if news || soon {
                     tokio::time::sleep(GATHER).await;
                 }
@@ -175,7 +183,7 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "configuration"));
                 after = None;
             }
-            Err(StoreError::Restored { .. }) => after = None,
+            Err(StoreError::Restored { .. } | StoreError::Deaf) => after = None,
             Err(StoreError::Large { bytes }) => {
                 let turns = turns(&relay, &mut store, bytes).await;
                 is_told(&relay, turns, |relay| relay.routes().is_some()).await;
@@ -200,8 +208,9 @@
         }
         let after = (!list).then(|| relay.state().backends.revision());
         let copy = !started && !relay.is_seed();
-        let call = Call { after, epoch: relay.epoch(), patience: contact.patience(), whole, copy };
-        let asked = now();
+        let call =
+            Call { after, epoch: relay.epoch(), patience: contact.patience(), whole, copy, at_once: false };
+        let asked = relay.begin(call);
         let answer = relay.ask_store(Asked::backends(call), after, store.backends(call)).await;
         match relay.check_epoch(answer, |update| update.revision().epoch) {
             Ok(mut update) => {
@@ -213,7 +222,9 @@
                 let news = matches!(&update, BackendsUpdate::Changes { puts, removed, .. }
                     if !puts.is_empty() || !removed.is_empty());
                 let soon = after.is_some() && now() < asked + GATHER;
+                let revision = Some(update.revision()).filter(|_| !copy);
                 relay.update_backends(update, grace, "store");
+                relay.note_answer(Topic::Backends, call, asked, revision);
                 relay.note_contact(OwnContact::Follows);
                 if news || soon {
                     tokio::time::sleep(relay.gather()).await;
@@ -223,7 +234,7 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "backends"));
                 list = true;
             }
-            Err(StoreError::Restored { .. }) => list = true,
+            Err(StoreError::Restored { .. } | StoreError::Deaf) => list = true,
             Err(StoreError::Long) => {
                 list = !is_told(&relay, LONG_LIST, |relay| relay.state().listed).await;
                 whole = true;
@@ -244,6 +255,25 @@
 }
 
 impl<W: Wire> Relay<W> {
+    /// Notes the start of a call by a follower; returns when that was.
+    fn begin(&self, call: Call) -> Instant {
+        let now = now();
+        if call.after.is_none() && !call.copy {
+            self.state().confirmations.note_asked(now);
+        }
+        now
+    }
+
+    /// Notes that the store has answered a call of `asked` as of a revision; none is noted of a copy. What a waiting call
+    /// brings is as of its end.
+    fn note_answer(&self, topic: Topic, call: Call, asked: Instant, revision: Option<Revision>) {
+        let Some(revision) = revision else { return };
+        let at = if call.after.is_some() && !call.at_once { now() } else { asked };
+        let confirmations = &mut self.state().confirmations;
+        confirmations.confirm(topic, at);
+        confirmations.note_answer(topic, Some(revision));
+    }
+
     /// Whether this host is one of those that the settings name to all others.
     fn is_seed(&self) -> bool {
         self.cfg.seeds.contains(&self.cfg.peer_addr)
@@ -251,7 +281,7 @@
 
     /// Pause after a change of the backend servers.
     fn gather(&self) -> Duration {
-        if self.state().peers.is_small() { GATHER } else { GATHER_LARGE }
+        if self.state().peers.is_small() { GATHER } else { self.cfg.in_force.mul_f64(GATHER_LARGE) }
     }
 
     /// Decides whether this host follows the store now.
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -8,6 +8,7 @@
     metrics::Counter,
     relay::{
         Relay, Wire, belief,
+        confirm::Topic,
         revision::{Epoch, Heard, Revision},
     },
     util::now,
@@ -26,6 +27,8 @@
     pub whole: bool,
     /// Whether a list may be some seconds old, which costs a tenth.
     pub copy: bool,
+    /// Whether changes are told at once, also where there are none.
+    pub at_once: bool,
 }
 
 /// What a call asks for; a label in logs and counters.
@@ -37,18 +40,24 @@
     ConfigurationList,
     /// The next configuration.
     ConfigurationWatch,
+    /// Whether there is another configuration.
+    ConfigurationCheck,
     /// The backend servers as of some seconds ago.
     BackendsCopy,
     /// The backend servers.
     BackendsList,
     /// Changes of the backend servers.
     BackendsWatch,
+    /// Whether there are any changes of these.
+    BackendsCheck,
     /// The evacuated data centres as of some seconds ago.
     EvacuationsCopy,
     /// The evacuated data centres.
     EvacuationsList,
     /// The next change of these.
     EvacuationsWatch,
+    /// Whether there is any change of these.
+    EvacuationsCheck,
     /// The hosts that are entered.
     Hosts,
     /// To enter hosts.
@@ -57,16 +66,19 @@
 
 impl Asked {
     /// Everything that is asked for.
-    pub const ALL: [Asked; 11] = [
+    pub const ALL: [Asked; 14] = [
         Asked::ConfigurationCopy,
         Asked::ConfigurationList,
         Asked::ConfigurationWatch,
+        Asked::ConfigurationCheck,
         Asked::BackendsCopy,
         Asked::BackendsList,
         Asked::BackendsWatch,
+        Asked::BackendsCheck,
         Asked::EvacuationsCopy,
         Asked::EvacuationsList,
         Asked::EvacuationsWatch,
+        Asked::EvacuationsCheck,
         Asked::Hosts,
         Asked::Enter,
     ];
@@ -77,17 +89,30 @@
             Asked::ConfigurationCopy => "configuration_copy",
             Asked::ConfigurationList => "configuration_list",
             Asked::ConfigurationWatch => "configuration_watch",
+            Asked::ConfigurationCheck => "configuration_check",
             Asked::BackendsCopy => "backends_copy",
             Asked::BackendsList => "backends_list",
             Asked::BackendsWatch => "backends_watch",
+            Asked::BackendsCheck => "backends_check",
             Asked::EvacuationsCopy => "evacuations_copy",
             Asked::EvacuationsList => "evacuations_list",
             Asked::EvacuationsWatch => "evacuations_watch",
+            Asked::EvacuationsCheck => "evacuations_check",
             Asked::Hosts => "hosts",
             Asked::Enter => "enter",
         }
     }
 
+    /// What is waited for, in a call that waits.
+    fn waits_for(self) -> Option<Topic> {
+        match self {
+            Asked::ConfigurationWatch => Some(Topic::Configuration),
+            Asked::BackendsWatch => Some(Topic::Backends),
+            Asked::EvacuationsWatch => Some(Topic::Evacuations),
+            _ => None,
+        }
+    }
+
     pub(super) fn configuration(call: Call) -> Self {
         match call {
             Call { after: Some(_), .. } => Asked::ConfigurationWatch,
@@ -125,11 +150,19 @@
     ) -> Result<T, StoreError> {
         self.metrics.add(Counter::RelayStoreCalls, asked.as_str(), 1);
         let begun = now();
+        let waits_for = asked.waits_for();
+        if let Some(topic) = waits_for {
+            self.state().confirmations.note_wait(topic, after);
+        }
         let answer = tokio::select! {
             answer = call => answer,
             () = self.woken.notified() => Err(StoreError::Unavailable("the host was suspended".into())),
             epoch = self.later_epoch(after) => Err(StoreError::Restored { epoch }),
+            () = self.found_deaf(waits_for) => Err(StoreError::Deaf),
         };
+        if let Some(topic) = waits_for {
+            self.state().confirmations.note_wait(topic, None);
+        }
         line(Weight::Routine, "store_called", |l| {
             let l = l.text("call", asked.as_str()).flag("answered", answer.is_ok());
             let l = if let Some(after) = after { belief::revision(l, after) } else { l };
@@ -151,6 +184,14 @@
         }
     }
 
+    /// Waits until a call that waits is known to wait in vain.
+    async fn found_deaf(&self, waits_for: Option<Topic>) {
+        match waits_for {
+            Some(topic) => self.deaf[topic as usize].notified().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Passes an answer of the store on if it is of its present epoch.
     ///
     /// # Errors
--- a/src/relay/follow/evacuations.rs
+++ b/src/relay/follow/evacuations.rs
@@ -8,7 +8,7 @@
 use super::{Asked, Call, GATHER, Store, StoreError, lose, regain, rest, start::is_told};
 use crate::{
     logs::lines::{Weight, line},
-    relay::{Relay, Wire, contact::Contact},
+    relay::{Relay, Wire, confirm::Topic, contact::Contact},
     util::now,
 };
 
@@ -30,8 +30,15 @@
         }
         let after = (!list).then(|| relay.state().evacuations.revision());
         let copy = !started && !relay.is_seed();
-        let call = Call { after, epoch: relay.epoch(), patience: contact.patience(), whole: true, copy };
-        let asked = now();
+        let call = Call {
+            after,
+            epoch: relay.epoch(),
+            patience: contact.patience(),
+            whole: true,
+            copy,
+            at_once: false,
+        };
+        let asked = relay.begin(call);
         let answer = relay.ask_store(Asked::evacuations(call), after, store.evacuations(call)).await;
         match relay.check_epoch(answer, |update| update.revision().epoch) {
             Ok(mut update) => {
@@ -41,6 +48,8 @@
                 }
                 regain(&mut contact);
                 relay.update_evacuations(&update, "store");
+                let revision = Some(update.revision()).filter(|_| !copy);
+                relay.note_answer(Topic::Evacuations, call, asked, revision);
                 if after.is_some() && now() < asked + GATHER {
                     tokio::time::sleep(GATHER).await;
                 }
@@ -49,7 +58,7 @@
                 line(Weight::Notable, "history_gone", |l| l.text("kind", "evacuations"));
                 list = true;
             }
-            Err(StoreError::Restored { .. }) => list = true,
+            Err(StoreError::Restored { .. } | StoreError::Deaf) => list = true,
             Err(e) => {
                 list = true;
                 lose(&mut contact, &e).await;
--- a/src/relay/followers.rs
+++ b/src/relay/followers.rs
@@ -27,6 +27,17 @@
     Lost,
 }
 
+impl Contact {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Contact::Idle => "idle",
+            Contact::Follows => "follows",
+            Contact::Lost => "lost",
+        }
+    }
+}
+
 /// A host of the own data centre.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Neighbour {
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -16,7 +16,7 @@
     outcome::Outcome,
     pool,
     request::{EventNumber, Part, Request},
-    routes::{Caller, CompiledRoute, Routes},
+    routes::{Caller, CompiledRoute, Routes, Version},
     run,
 };
 use crate::{
@@ -145,7 +145,11 @@
             run::run(relay.clone(), req).await
         }
         Err((id, kind)) => {
-            line(Weight::Notable, "refused", |l| l.text("request", &id).text("kind", kind.answer().code));
+            line(Weight::Notable, "refused", |l| {
+                let l = l.text("request", &id).text("kind", kind.answer().code);
+                let l = l.number("version", relay.routes().map_or(0, |r| r.version()));
+                l.ms("confirmed_ms", relay.configuration_age())
+            });
             relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
             relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
             let retry_after = kind.answer().retry_s.is_some().then(|| come_back(&relay, kind));
@@ -188,7 +192,7 @@
     }
     let checked = check(relay, &ask, &head);
     let body = read_body(body, &head, limits).await.map_err(|kind| (id.clone(), kind))?;
-    let (route, caller) = checked.map_err(|kind| (id.clone(), kind))?;
+    let Checked { version, route, caller } = checked.map_err(|kind| (id.clone(), kind))?;
     let Some(service) = route.service(relay.draw()) else { return Err((id, Kind::NoEngine)) };
     let timeout = Duration::from_millis(route.route.timeout_ms.into());
     let deadline = arrived + ask.waits.map_or(timeout, |waits| waits.min(timeout));
@@ -206,28 +210,33 @@
         parts: if route.route.prompts { ask.parts } else { Vec::new() },
         after: if route.stream { ask.after } else { None },
         route,
+        version,
         arrived,
         deadline,
     };
     Ok(request)
 }
 
+/// What the configuration says of a request.
+struct Checked {
+    version: Version,
+    route: Arc<CompiledRoute>,
+    caller: Option<Arc<Caller>>,
+}
+
 /// Finds the route and the caller. A host that may have missed a change refuses, provably not run, what it does not
 /// know, rather than telling a caller that it does not exist.
-fn check<W: Wire>(
-    relay: &Relay<W>,
-    ask: &Ask,
-    head: &request::Parts,
-) -> Result<(Arc<CompiledRoute>, Option<Arc<Caller>>), Kind> {
+fn check<W: Wire>(relay: &Relay<W>, ask: &Ask, head: &request::Parts) -> Result<Checked, Kind> {
     let Some(routes) = relay.routes() else { return Err(Kind::NotReady) };
+    let version = routes.version();
     let or_stale = |kind| if relay.is_stale() { Kind::NotReady } else { kind };
     let Some(route) = routes.find(&ask.host, head.uri.path()) else { return Err(or_stale(Kind::NotFound)) };
     if route.route.open || !routes.needs_keys() {
-        return Ok((route.clone(), None));
+        return Ok(Checked { version, route: route.clone(), caller: None });
     }
     let caller = ask.key.as_deref().and_then(|key| routes.caller(key));
     match caller {
-        Some(caller) => Ok((route.clone(), Some(caller.clone()))),
+        Some(caller) => Ok(Checked { version, route: route.clone(), caller: Some(caller.clone()) }),
         None => Err(or_stale(Kind::UnknownWorkspace)),
     }
 }
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -62,6 +62,8 @@
     start: u64,
     number: u64,
     heard: Option<Instant>,
+    /// Least time between the sending of a beat and its arrival, by two clocks that are apart.
+    lag_ms: Option<i64>,
     sought: Option<Instant>,
     ahead: Option<Instant>,
     loads: Map<Tag, u32>,
@@ -82,6 +84,14 @@
     fn is_leaving(&self) -> bool {
         !self.ready && self.configuration > 0 && self.backends.is_known()
     }
+
+    /// How much later a beat has come than the quickest of its sender, as where it lay in a buffer while this host stood still.
+    fn lateness(&mut self, now: Instant, sent_ms: u64) -> Duration {
+        let lag = now.as_millis() as i64 - sent_ms as i64;
+        let least = self.lag_ms.map_or(lag, |least| least.min(lag));
+        self.lag_ms = Some(least);
+        Duration::from_millis((lag - least) as u64)
+    }
 }
 
 /// What a beat brought that the caller acts on.
@@ -93,6 +103,8 @@
     pub answer: bool,
     /// It has come before, or later than a newer one, and changed nothing.
     pub old: bool,
+    /// How much later it has come than others of its sender.
+    pub late: Duration,
 }
 
 /// What is in force here, to compare with the others.
@@ -198,6 +210,10 @@
             return Heard { old: true, ..Heard::default() };
         }
         let joined = peer.heard.is_none_or(|heard| heard + lost < now) || beat.start != peer.start;
+        if beat.start != peer.start {
+            peer.lag_ms = None;
+        }
+        let late = beat.confirmed.as_ref().map(|told| peer.lateness(now, told.sent_ms)).unwrap_or_default();
         let old = std::mem::take(&mut peer.loads);
         if beat.centre.is_none() {
             peer.loads = beat.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
@@ -227,7 +243,8 @@
         }
         // Of many hosts that are asked, some answer: each knows most of the others.
         let chosen = self.is_small() || hash((self.me, beat.number)).is_multiple_of(ANSWERS);
-        Heard { joined: joined || unknown, answer: unknown || (beat.wants_full && chosen), old: false }
+        let answer = unknown || (beat.wants_full && chosen);
+        Heard { joined: joined || unknown, answer, old: false, late }
     }
 
     fn count(&mut self, old: &Map<Tag, u32>, new: &Map<Tag, u32>) {
--- a/src/relay/peers/duty.rs
+++ b/src/relay/peers/duty.rs
@@ -1,11 +1,12 @@
 //! Whether this host follows the store, and which hosts of its data centre are there.
 
-use std::{ops::Range, time::Duration};
+use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use super::{Peer, Peers};
 use crate::{
     relay::{
         backends::Tag,
+        confirm::Turn,
         followers::{self, Contact, Neighbour},
     },
     schema::fleet::Member,
@@ -15,6 +16,8 @@
 /// Time after its start from which a host decides whether it follows the store, if it has heard of no other host lately,
 /// and time from which it does so anyway. A host that knows few others takes the fleet for a small one, in which all follow.
 const SETTLE: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(4_000);
+/// Periods of beats within which a host was heard lately.
+const LATELY: u32 = 2;
 /// Time without an unknown host.
 const SETTLED: Duration = Duration::from_millis(500);
 
@@ -22,7 +25,9 @@
     /// Whether this host, with its contact to the store, follows it now. Before it knows the others only a seed does: after a
     /// start of all hosts nobody else would see what changes until they have decided.
     pub fn is_on_duty(&mut self, now: Instant, contact: Contact) -> bool {
-        let known = self.grew + SETTLED <= now && self.started + SETTLE.start <= now;
+        // Who follows the store already tells this host what changes, and in a large fleet some soon do.
+        let can_wait = !self.seed && (!self.is_small() || self.some_follow_store(now));
+        let known = !can_wait && self.grew + SETTLED <= now && self.started + SETTLE.start <= now;
         self.settled |= known || self.started + SETTLE.end <= now;
         if self.settled { self.decide_duty(now, contact) } else { self.seed }
     }
@@ -52,6 +57,30 @@
         self.settled
     }
 
+    /// This host's place among those that could ask the store whether what all know is the newest. Only hosts that were heard
+    /// since about the last confirmation count: who hears nobody must ask itself.
+    pub fn turn(&self, now: Instant, contact: Contact) -> Turn {
+        let lately = self.period() * LATELY;
+        let heard = |at: Instant| at + lately >= now;
+        let near = || {
+            let near = self.peers.iter().filter(|(_, p)| self.is_near(p) && !p.is_leaving());
+            near.filter(|(_, p)| p.heard.is_some_and(heard))
+        };
+        let me = self.me.map_or(0, hash);
+        let is_before = |(addr, p): &(&SocketAddr, &Peer)| {
+            let is_higher = p.contact == contact && hash(addr) > me;
+            is_higher || contact == Contact::Lost && p.contact == Contact::Follows
+        };
+        let follows = contact != Contact::Idle;
+        let own = hash(&self.data_centre);
+        let centres = self.centres.iter().filter(|(name, c)| follows && heard(c.heard) && hash(name) > own);
+        Turn {
+            follows,
+            before: near().filter(is_before).count() + centres.count(),
+            others_fail: near().any(|(_, p)| p.contact == Contact::Lost),
+        }
+    }
+
     /// Hosts of the own data centre that are heard and stay.
     fn neighbours(&self, now: Instant) -> Vec<Neighbour> {
         let limit = self.lost();
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use super::routes::{Caller, CompiledRoute};
+use super::routes::{Caller, CompiledRoute, Version};
 use crate::{
     suspect::Fingerprint,
     util::{Instant, hash},
@@ -30,6 +30,8 @@
     pub id: Arc<str>,
     /// Route that it takes.
     pub route: Arc<CompiledRoute>,
+    /// Version of the configuration that has the route.
+    pub version: Version,
     /// Service that was drawn for it.
     pub service: Arc<str>,
     /// Who sends it, if the route needs a key.
--- a/src/relay/revision.rs
+++ b/src/relay/revision.rs
@@ -23,6 +23,9 @@
     /// before, under higher numbers: what anybody has read since is later.
     pub const COPY: Self = Self { epoch: 0, number: 1 };
 
+    /// Later than any.
+    pub const LATEST: Self = Self { epoch: Epoch::MAX, number: u64::MAX };
+
     /// A revision of an epoch.
     pub fn new(epoch: Epoch, number: u64) -> Self {
         Self { epoch, number }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -275,6 +275,7 @@
             let l = l.text("backend", id).text("why", choice.why.as_str());
             let l = l.decimal("load", choice.load).decimal("bound", choice.bound);
             let l = l.text("fetches", from.as_deref().unwrap_or("")).number("stale", stale as u64);
+            let l = l.number("version", self.req.version).ms("confirmed_ms", self.relay.configuration_age());
             let l = match shared(&self.req.parts).last() {
                 Some(part) => l.text("part", &format!("{:x}", part.id)).number("held", choice.held),
                 None => l,
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -2,11 +2,17 @@
 
 use std::net::SocketAddr;
 
-use super::{Relay, Wire, datagram::Fault, followers::Contact, peers::Scope};
+use super::{
+    Relay, State, Wire,
+    confirm::Topic,
+    datagram::Fault,
+    followers::Contact,
+    peers::{Own, Scope},
+};
 use crate::{
     logs::lines::{Weight, line},
-    schema::fleet::{Beat, Held, InProgress, Start},
-    util::now,
+    schema::fleet::{Beat, Evacuations, Held, InProgress, Start},
+    util::{Instant, now},
 };
 
 /// Holders told to a host that has just started: 50 KB.
@@ -55,6 +61,7 @@
             suspects: state.suspects.told(now),
             evacuations: state.evacuations.told(now),
             left: state.backends.left_lately(now),
+            confirmed: Some(state.confirmations.told(now)),
             ..Beat::default()
         };
         state.peers.number(&mut beat, &self.cfg.me, full);
@@ -82,6 +89,9 @@
         if state.peers.is_any_ahead(now, own) {
             self.behind.notify_one();
         }
+        if hear_confirmed(&mut state, now.saturating_sub(heard.late), beat, own) {
+            self.tell.notify_one();
+        }
         let hosts = state.peers.hosts();
         state.budget.set_hosts(hosts);
         state.suspects.hear(now, &beat.suspects);
@@ -129,3 +139,25 @@
         }
     }
 }
+
+/// Takes in up to when another host knew all changes, where it knows nothing that this host does not. Returns whether the
+/// others of the data centre must be told at once: the host of another one has told it few hosts.
+fn hear_confirmed(state: &mut State, sent: Instant, beat: &Beat, own: Own) -> bool {
+    let Some(told) = &beat.confirmed else { return false };
+    let backends = beat.backends_as_of();
+    let is_passed = backends.epoch == own.backends.epoch && backends <= own.backends;
+    let is_same = backends.epoch >= own.backends.epoch && beat.backends_digest == own.digest;
+    let known = state.evacuations.revision();
+    let is_known = |e: &Evacuations| e.epoch == known.epoch && e.as_of() <= known;
+    let mut news = false;
+    if beat.configuration <= own.configuration {
+        news |= state.confirmations.hear(sent, Topic::Configuration, told);
+    }
+    if is_passed || is_same {
+        news |= state.confirmations.hear(sent, Topic::Backends, told);
+    }
+    if beat.evacuations.as_ref().is_some_and(is_known) {
+        news |= state.confirmations.hear(sent, Topic::Evacuations, told);
+    }
+    news && beat.centre.is_some()
+}
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -244,6 +244,26 @@
     /// Tags of backend servers that the sender has seen leaving lately.
     #[prost(fixed32, repeated, tag = "20")]
     pub left: ::prost::alloc::vec::Vec<u32>,
+    /// How long ago the sender was sure that what it knows was the newest.
+    #[prost(message, optional, tag = "21")]
+    pub confirmed: ::core::option::Option<Confirmed>,
+}
+/// Milliseconds since each kind was known to be the newest, as of the message; long ago for what never was.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Confirmed {
+    /// Of the configuration.
+    #[prost(uint32, tag = "1")]
+    pub configuration_ms: u32,
+    /// Of the backend servers.
+    #[prost(uint32, tag = "2")]
+    pub backends_ms: u32,
+    /// Of the evacuated data centres.
+    #[prost(uint32, tag = "3")]
+    pub evacuations_ms: u32,
+    /// Milliseconds from the start of the sender to the message, by which one that comes late shows.
+    #[prost(uint64, tag = "4")]
+    pub sent_ms: u64,
 }
 /// Data centres whose backend servers get nothing new, as of one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -21,7 +21,14 @@
 
 /// Asks for changes after a revision, or for the whole list.
 fn call(after: Option<u64>) -> Call {
-    Call { after: after.map(rev), epoch: 0, patience: Duration::from_secs(2), whole: true, copy: false }
+    Call {
+        after: after.map(rev),
+        epoch: 0,
+        patience: Duration::from_secs(2),
+        whole: true,
+        copy: false,
+        at_once: false,
+    }
 }
 
 fn reply(status: &str, body: &str) -> Act {
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -30,6 +30,7 @@
         bound: Bound::default(),
         leave: LeaveConfig { grace: Duration::from_secs(8), outlive: Duration::from_secs(3) },
         evacuates: false,
+        in_force: Duration::from_secs(2),
     }
 }
 
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -28,6 +28,8 @@
 const PEERS: u16 = 7_340;
 /// Time that a stop may take, in seconds.
 const GRACE_S: u64 = 8;
+/// Time after which a change is in force, in milliseconds.
+pub const APPLY_MS: u64 = 2_000;
 /// Longest wait for a process to listen.
 const BEGINS: Duration = Duration::from_secs(5);
 /// Hosts in one of the loopback networks that a run uses.
@@ -258,7 +260,7 @@
     json!({ "node": format!("host-{n}"), "zone": zone, "ip": ip.to_string(), "later": {},
         "listen": { "front": at(CALLERS), "ready": at(READY), "control": at(8_229), "directory": at(DIRECTORY) },
         "internalPortRange": [PEERS, PEERS + 15], "seeds": seeds,
-        "bounds": { "graceS": GRACE_S, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetExtra": 56 },
+        "bounds": { "graceS": GRACE_S, "configApplyMs": APPLY_MS, "drainMs": APPLY_MS, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetExtra": 56 },
         "platformConfig": { "address": store.to_string() } })
     .to_string()
 }
--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -80,6 +80,8 @@
     calls: Arc<AtomicU64>,
     /// What calls are answered from that take old data.
     stale: Arc<Mutex<Option<Copy>>>,
+    /// Whether watches that wait are never answered.
+    deaf: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -89,7 +91,8 @@
         let gate = Arc::new(Gate::start(listener.local_addr().unwrap(), None).await.unwrap());
         let (objects, busy) = (Arc::default(), Arc::default());
         let (other, calls, stale) = (Arc::default(), Arc::default(), Arc::default());
-        let store = Self { objects, revision: watch::Sender::new(1), busy, gate, other, calls, stale };
+        let (revision, deaf) = (watch::Sender::new(1), Arc::default());
+        let store = Self { objects, revision, busy, gate, other, calls, stale, deaf };
         tokio::spawn(store.clone().accept(listener));
         store
     }
@@ -114,6 +117,11 @@
         self.busy.store(busy, Ordering::Relaxed);
     }
 
+    /// Leaves watches that wait without an answer for good, on connections that live, or stops doing so to new ones.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.deaf.store(deaf, Ordering::Relaxed);
+    }
+
     /// Cuts open connections and changes what becomes of new ones.
     pub async fn set_gate(&self, mode: Mode) {
         self.gate.set(mode).await.unwrap();
@@ -278,9 +286,17 @@
         let news = async {
             while after <= self.last_revision() && self.latest(kind, after).is_empty() {
                 let _ = changed.changed().await;
+                if self.deaf.load(Ordering::Relaxed) {
+                    std::future::pending::<()>().await;
+                }
             }
         };
-        let _ = timeout(Duration::from_millis(wait_ms), news).await;
+        if timeout(Duration::from_millis(wait_ms), news).await.is_err()
+            && self.deaf.load(Ordering::Relaxed)
+            && wait_ms > 0
+        {
+            return std::future::pending().await;
+        }
         let revision = *self.revision.borrow();
         if after > revision {
             return respond(410, json!({}));
