Ask other hosts first that have not failed, and give up an answer that stalls

What callers would see: a host behind for seconds although another host has the newest configuration and would give it.

Cause: what a host lacks it fetches from one peer at a time, drawn anew among all that are ahead, so that those it can't reach, as through a path that is cut one way, are asked again and again at 0.7 s each. An answer of which the rest is lost on the way held the loop for 5 s.

Change: a peer that did not give what it has is asked after the others for 5 s. An answer that brings no byte for 0.7 s is given up; the whole may take 5 s as before, since slow links need them.

Evidence: the test with six of seven peers that fail; on the code before it does not compile, as nothing notes a failure. That stalled answers end after 0.7 s is by reading; no test waits for it.

--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -35,6 +35,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for the rest of the answer: half a megabyte over the slowest links, 10 Mbit/s, takes 0.4 s for each place.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest pause in it: where its bytes are lost on the way another host is asked.
+const STALLED: Duration = Duration::from_millis(700);
 /// Fetches that are answered at the same time. Those who are turned away ask hosts that have been answered meanwhile, so
 /// that what is new spreads faster than from one host alone.
 const MOST_FETCHES: usize = 3;
@@ -152,6 +154,7 @@
             }
             Err(e) => {
                 let why = format!("{e:#}");
+                relay.state().peers.note_failed(now(), peer);
                 line(Weight::Notable, "fetch_failed", |l| {
                     l.text("peer", &peer.to_string()).text("why", &why)
                 });
@@ -276,7 +279,11 @@
 }
 
 async fn read(stream: &mut TcpStream, size: usize) -> Result<Vec<u8>> {
-    let mut buf = vec![0; size];
-    stream.read_exact(&mut buf).await.context("could not read the message")?;
+    let mut buf = Vec::with_capacity(size);
+    let mut rest = stream.take(size as u64);
+    while buf.len() < size {
+        let reading = timeout(STALLED, rest.read_buf(&mut buf)).await.context("the message stalls")?;
+        ensure!(reading.context("could not read the message")? > 0, "the message breaks off");
+    }
     Ok(buf)
 }
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -66,6 +66,8 @@
     lag_ms: Option<i64>,
     sought: Option<Instant>,
     ahead: Option<Instant>,
+    /// When it did not give what it has.
+    failed: Option<Instant>,
     loads: Map<Tag, u32>,
     avoided: Vec<Tag>,
     /// When a summary named it as ready.
--- a/src/relay/peers/ahead.rs
+++ b/src/relay/peers/ahead.rs
@@ -12,6 +12,8 @@
 /// The same for a peer in another data centre, where the own one has hosts that follow the store: they tell the same within
 /// milliseconds mostly, and bytes between data centres are dear.
 const AHEAD_FAR: Duration = Duration::from_millis(700);
+/// How long a peer that did not give what it has is asked after the others.
+const FAILED: Duration = Duration::from_secs(5);
 /// One of so many peers counts as up for long.
 const LONG_UP_PART: usize = 4;
 
@@ -20,9 +22,17 @@
     /// bytes within it cost nothing. It is drawn, since all hosts start or hear of a change at the same moment
     /// and would all ask the same one.
     pub fn ahead(&self, now: Instant, own: Own, rng: &mut impl Rng) -> Option<SocketAddr> {
-        let near = self.all_ahead(now, own).any(|(_, p)| self.is_near(p));
-        let best = self.all_ahead(now, own).filter(|(_, p)| !near || self.is_near(p));
-        best.map(|(addr, _)| *addr).choose(rng)
+        let failed = |p: &Peer| p.failed.is_some_and(|failed| failed + FAILED > now);
+        let order = |p: &Peer| (failed(p), !self.is_near(p));
+        let best = self.all_ahead(now, own).map(|(_, p)| order(p)).min()?;
+        self.all_ahead(now, own).filter(|(_, p)| order(p) == best).map(|(addr, _)| *addr).choose(rng)
+    }
+
+    /// Notes that a host did not give what it has: the others that have it are asked first.
+    pub fn note_failed(&mut self, now: Instant, addr: SocketAddr) {
+        if let Some(peer) = self.peers.get_mut(&addr) {
+            peer.failed = Some(now);
+        }
     }
 
     /// Whether any peer has had something newer for a while.
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -533,3 +533,21 @@
     assert!(fetched.busy);
     assert_eq!(waiting.len(), 3);
 }
+
+/// A host behind for seconds while it asks hosts that it can't reach again and again, though another one would answer.
+#[test]
+fn hosts_that_did_not_give_what_they_have_are_asked_last() {
+    let mut peers = Peers::new(addr(0), "a", &[]);
+    for i in 1..=7 {
+        peers.hear(ms(0), addr(i), &Beat { configuration: 6, ..beat(i, "a", 1) }, OWN);
+    }
+    let later = ms(700);
+
+    (1..=6).for_each(|i| peers.note_failed(later, addr(i)));
+    let asked: BTreeSet<_> = (0..50).filter_map(|_| peers.ahead(later, OWN, &mut rng())).collect();
+    peers.note_failed(later, addr(7));
+    let again = peers.ahead(later, OWN, &mut rng());
+
+    assert_eq!(asked, BTreeSet::from([addr(7)]));
+    assert!(again.is_some(), "where all have failed they are asked again");
+}
