List our own platform anew once it has passed the versions of before a restore

What callers would see: on our own interface a change that was acknowledged after a restore of the platform is never in force.

Cause: after a restore the platform gives versions out again. Routers keep what they have and ignore lower versions, which they show as `platform_behind`; once the versions have passed those of before, the watch goes on with the next change, and what was written under the ones in between is in no event.

Change: the first change after the platform was behind ends the watch, and everything is listed. Before it, changes wait until their version has passed, as before: our interface tells no epoch.

Evidence: the test failed on the code before: no list was asked for, and the change in between was missing for good.

--- a/benches/configuration/model.rs
+++ b/benches/configuration/model.rs
@@ -252,6 +252,11 @@
         version
     }
 
+    /// The change that was written last.
+    pub fn last_event(&self) -> Event {
+        self.platform.log.last().expect("something was written").clone()
+    }
+
     fn publish(&mut self, event: Event) {
         self.written.insert(event.version, self.now);
         self.platform.log.push(event.clone());
--- a/src/revision/follower/platform.rs
+++ b/src/revision/follower/platform.rs
@@ -151,7 +151,13 @@
             self.rejected_old += 1;
             return Vec::new();
         }
-        self.platform_behind = false;
-        self.installed(now)
+        if !std::mem::take(&mut self.platform_behind) {
+            return self.installed(now);
+        }
+        // What was written under the versions that it gave out again before this one is in no event to come.
+        self.watch_too_old(now);
+        let mut actions = vec![Action::CloseWatch];
+        actions.extend(self.installed(now));
+        actions
     }
 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cranberrytally::revision::Follower;
+use cranberrytally::revision::{Action, Follower};
 
 #[allow(dead_code, reason = "the bench uses the rest")]
 #[path = "../benches/configuration/model.rs"]
@@ -153,6 +153,38 @@
     assert!(follower.state().platform_behind);
 }
 
+/// The platform was restored, and an operator writes again under versions that it had given out before. Until these have passed,
+/// callers get what was in force; afterwards a change that was acknowledged meanwhile must not be missing for good.
+#[test]
+fn what_is_written_after_a_restore_is_in_force_once_the_versions_have_passed() {
+    let mut model = fleet(1);
+    let copy = model.snapshot();
+    model.write("EnginePool", "pool-1", pool(50));
+    let mut follower = model.nodes[0].follower.take().expect("it runs");
+    let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    let models = |follower: &Follower, name: &str| {
+        let objects = follower.store().in_force();
+        objects.iter().find(|o| o.metadata.name == name).map(|o| o.spec["models"][0].clone())
+    };
+    follower.listed(model.now, Some(model.snapshot()), &mut rng);
+    let known = follower.version();
+
+    follower.listed(model.now, Some(copy), &mut rng);
+    let behind = follower.state();
+    model.write("EnginePool", "pool-2", pool(60));
+    let last = model.write("EnginePool", "pool-3", pool(70));
+    let event = model.last_event();
+    let actions = follower.event(model.now, event);
+    let mut asked = actions.clone();
+    asked.extend(follower.tick(model.now + MINUTE, &mut rng));
+    follower.listed(model.now + MINUTE, Some(model.snapshot()), &mut rng);
+
+    assert!(behind.platform_behind && behind.version == known && behind.rejected_old == 1);
+    assert!(asked.contains(&Action::CloseWatch) && asked.contains(&Action::List), "{asked:?}");
+    assert_eq!(follower.version(), last);
+    assert_eq!(["pool-1", "pool-2", "pool-3"].map(|name| models(&follower, name).unwrap()), ["model-50", "model-60", "model-70"]);
+}
+
 /// The router that holds a data centre's watch dies. The others hear of no change any more unless another takes over.
 #[test]
 fn a_watcher_dies() {
