Go back from an epoch that the store never tells

What callers would see: a host deaf for good, with old servers and an old configuration unless others tell it.

Cause: the first answer after a start settles the epoch, and another host's word raises it at once. After one wrong number every answer of the store counts as one of an earlier epoch and is dropped, by this host and by all it tells.

Change: eight answers in a row of the same earlier epoch, more than can be under way over a restore, show that the known one is wrong. What is known then counts as that of a copy, which any list replaces, and the wrong epoch is believed from no host. Hosts are believed that are ahead by at most sixteen restores.

Evidence: the test with a store whose first answer tells 9,000,000 failed on the code before (the next server never takes work, 20 s waited) and passes. Two answers of two epochs by turns, as at a restore, don't count as in a row.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -193,6 +193,15 @@
         self.revision
     }
 
+    /// Takes what is known for that of a copy, which any list replaces.
+    pub fn forget_revision(&mut self) {
+        if self.revision.is_known() {
+            self.revision = Revision::COPY;
+            self.logged_from = self.revision;
+            self.log.clear();
+        }
+    }
+
     /// Takes a whole list as of `revision`; an older one than known tells only who leaves.
     ///
     /// `grace` is set for a while after the store's return: entries that lapsed while it was away come back only
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -91,12 +91,17 @@
         heard
     }
 
-    /// Takes in the epoch as of which another host knows the store.
-    pub(super) fn hear_epoch_of_host(&self, state: &mut State, epoch: Epoch, from: &str) {
+    /// Takes in the epoch as of which another host knows the store; returns whether that may be true.
+    pub(super) fn hear_epoch_of_host(&self, state: &mut State, epoch: Epoch, from: &str) -> bool {
         let before = state.epochs.known();
+        if !state.epochs.trusts(epoch) {
+            self.note_epoch(Heard::Odd, before, epoch, from);
+            return false;
+        }
         if state.epochs.hear_host(epoch) {
             self.note_epoch(Heard::Later, before, epoch, from);
         }
+        true
     }
 
     fn note_epoch(&self, heard: Heard, before: Epoch, epoch: Epoch, from: &str) {
--- a/src/relay/evacuations.rs
+++ b/src/relay/evacuations.rs
@@ -98,6 +98,13 @@
         self.revision
     }
 
+    /// Takes what is known for that of a copy, which any list replaces.
+    pub fn forget_revision(&mut self) {
+        if self.is_known() {
+            self.revision = Revision::COPY;
+        }
+    }
+
     /// Whether the backend servers of a data centre get nothing new.
     pub fn covers(&self, data_centre: &str) -> bool {
         let told = !self.data_centres.is_empty() && self.data_centres.contains(data_centre);
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -313,8 +313,10 @@
         let now = now();
         update.distrust_after(wall_ms() + MOST_AHEAD_MS);
         let mut state = self.state();
+        if !self.hear_epoch_of_host(&mut state, update.revision().epoch, from) {
+            return;
+        }
         state.listed = true;
-        self.hear_epoch_of_host(&mut state, update.revision().epoch, from);
         let (told, known) = (update.revision(), state.backends.revision());
         if told < known {
             line(Weight::Notable, "older_ignored", |l| {
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -209,7 +209,23 @@
         match (self.hear_epoch(epoch, "store"), answer) {
             (Heard::Known | Heard::Later, Some(answer)) => Ok(answer),
             (Heard::Odd, _) => Err(StoreError::Unavailable(format!("an answer of epoch {epoch}"))),
-            _ => Err(StoreError::Restored { epoch }),
+            (heard, _) => {
+                if heard == Heard::Earlier {
+                    self.forget_revisions();
+                }
+                Err(StoreError::Restored { epoch })
+            }
+        }
+    }
+
+    /// Goes back to the store's own epoch: revisions of the wrong one would hide all that it tells.
+    fn forget_revisions(&self) {
+        let mut state = self.state();
+        state.backends.forget_revision();
+        state.evacuations.forget_revision();
+        for topic in Topic::ALL {
+            state.confirmations.note_answer(topic, None);
+            self.deaf[topic as usize].notify_waiters();
         }
     }
 }
--- a/src/relay/revision.rs
+++ b/src/relay/revision.rs
@@ -83,11 +83,13 @@
     Unconfirmed,
     /// An earlier one, or a later one that differs from the one told before: the answer is not to be used.
     Odd,
+    /// An earlier one that the store has told for so long that the known one must be wrong; it is known from now on.
+    Earlier,
 }
 
 impl Heard {
     /// Every meaning that is counted.
-    pub const COUNTED: [Heard; 3] = [Heard::Later, Heard::Unconfirmed, Heard::Odd];
+    pub const COUNTED: [Heard; 4] = [Heard::Later, Heard::Unconfirmed, Heard::Odd, Heard::Earlier];
 
     /// Name in logs and counters.
     pub fn as_str(self) -> &'static str {
@@ -96,6 +98,7 @@
             Heard::Later => "later",
             Heard::Unconfirmed => "unconfirmed",
             Heard::Odd => "odd",
+            Heard::Earlier => "earlier",
         }
     }
 }
@@ -106,8 +109,18 @@
 pub struct Epochs {
     known: Option<Epoch>,
     told: Option<Epoch>,
+    /// An earlier one, and how many answers in a row have told it.
+    earlier: Option<(Epoch, u32)>,
+    /// One that was known and is not the store's.
+    wrong: Option<Epoch>,
 }
 
+/// Answers in a row of the same earlier epoch after which the known one is wrong. After a restore some may come late: as many as
+/// there are calls under way.
+const EARLIER: u32 = 8;
+/// Restores that other hosts may be ahead by; a higher number from them is made up.
+const MOST_AHEAD: Epoch = 16;
+
 impl Epochs {
     /// The epoch that is known; 0 before any is.
     pub fn known(&self) -> Epoch {
@@ -116,14 +129,19 @@
 
     /// Takes in the epoch that an answer of the store tells.
     pub fn hear(&mut self, epoch: Epoch) -> Heard {
-        if self.known.is_some_and(|known| epoch == known) {
-            return Heard::Known;
+        let Some(known) = self.known else {
+            self.know(epoch);
+            return Heard::Later;
+        };
+        if epoch < known {
+            return self.hear_earlier(known, epoch);
         }
-        if self.known.is_some_and(|known| epoch < known) {
-            return Heard::Odd;
+        self.earlier = None;
+        if epoch == known {
+            return Heard::Known;
         }
-        if self.known.is_none() || self.told == Some(epoch) {
-            (self.known, self.told) = (Some(epoch), None);
+        if self.told == Some(epoch) {
+            self.know(epoch);
             return Heard::Later;
         }
         match self.told.replace(epoch) {
@@ -132,11 +150,32 @@
         }
     }
 
+    fn know(&mut self, epoch: Epoch) {
+        *self =
+            Self { known: Some(epoch), wrong: self.wrong.filter(|wrong| epoch < *wrong), ..Self::default() };
+    }
+
+    fn hear_earlier(&mut self, known: Epoch, epoch: Epoch) -> Heard {
+        let before = self.earlier.filter(|(earlier, _)| *earlier == epoch).map_or(0, |(_, times)| times);
+        if before + 1 < EARLIER {
+            self.earlier = Some((epoch, before + 1));
+            return Heard::Odd;
+        }
+        *self = Self { known: Some(epoch), wrong: Some(known), ..Self::default() };
+        Heard::Earlier
+    }
+
+    /// Whether what another host knows as of an epoch may be true.
+    pub fn trusts(&self, epoch: Epoch) -> bool {
+        let is_possible = self.known.is_none_or(|known| epoch <= known.saturating_add(MOST_AHEAD));
+        is_possible && self.wrong.is_none_or(|wrong| epoch < wrong)
+    }
+
     /// Takes in the epoch that another host knows; returns whether it is later.
     pub fn hear_host(&mut self, epoch: Epoch) -> bool {
-        let later = self.known.is_none_or(|known| epoch > known);
+        let later = self.trusts(epoch) && self.known.is_none_or(|known| epoch > known);
         if later {
-            (self.known, self.told) = (Some(epoch), None);
+            self.know(epoch);
         }
         later
     }
--- a/src/relay/tell.rs
+++ b/src/relay/tell.rs
@@ -1,6 +1,6 @@
 //! What this host tells the others, and what it takes in from them.
 
-use std::net::SocketAddr;
+use std::{borrow::Cow, net::SocketAddr};
 
 use super::{
     Relay, State, Wire,
@@ -82,6 +82,7 @@
         let now = now();
         let mut state = self.state();
         let own = state.own();
+        let beat = &trusted(&state, beat);
         let heard = state.peers.hear(now, from, beat, own);
         if heard.old {
             return Err(Fault::Old);
@@ -161,3 +162,12 @@
     }
     news && beat.centre.is_some()
 }
+
+/// A beat without what it tells as of an epoch that can't be the store's: its sender would seem to be ahead for good.
+fn trusted<'a>(state: &State, beat: &'a Beat) -> Cow<'a, Beat> {
+    let is_true = |epoch| state.epochs.trusts(epoch);
+    if is_true(beat.backends_epoch) && beat.evacuations.as_ref().is_none_or(|told| is_true(told.epoch)) {
+        return Cow::Borrowed(beat);
+    }
+    Cow::Owned(Beat { backends: 0, backends_epoch: 0, evacuations: None, confirmed: None, ..beat.clone() })
+}
--- a/tests/relay_confirmations.rs
+++ b/tests/relay_confirmations.rs
@@ -10,7 +10,7 @@
         confirm::{Change, Confirmations, Topic, Turn, in_force},
         followers::Contact,
         peers::{Own, Peers},
-        revision::Revision,
+        revision::{Epochs, Heard, Revision},
     },
     schema::fleet::{Beat, Confirmed, Member},
 };
@@ -291,3 +291,29 @@
 
     assert_eq!(bounds, [ms(2_500), ms(2_000), ms(4_000), ms(500), ms(60_000)]);
 }
+
+/// A host deaf for good, since it took a wrong number for the store's epoch.
+#[test]
+fn an_earlier_epoch_counts_once_the_store_tells_nothing_else() {
+    let mut epochs = Epochs::default();
+    epochs.hear(9_000_000);
+
+    let odd: Vec<_> = (0..7).map(|_| epochs.hear(3)).collect();
+    let settled = [epochs.hear(3), epochs.hear(3)];
+    let from_host = [epochs.hear_host(9_000_000), epochs.hear_host(4)];
+
+    assert!(odd.iter().all(|heard| *heard == Heard::Odd));
+    assert_eq!(settled, [Heard::Earlier, Heard::Known]);
+    assert_eq!((from_host, epochs.known()), ([false, true], 4));
+}
+
+/// A host that is led to an epoch far from the store's by another host's word.
+#[test]
+fn a_host_is_not_believed_that_tells_of_restores_without_end() {
+    let mut epochs = Epochs::default();
+    epochs.hear(3);
+
+    let told = [epochs.hear_host(100), epochs.hear_host(5), epochs.hear_host(21), epochs.hear_host(22)];
+
+    assert_eq!((told, epochs.known()), ([false, true, true, true], 22));
+}
--- a/tests/relay_restore.rs
+++ b/tests/relay_restore.rs
@@ -163,6 +163,20 @@
     assert_eq!(after, Some(5));
 }
 
+/// A host deaf for good that starts and is told a wrong epoch by the first answer: all later ones seem to be earlier.
+#[tokio::test]
+async fn a_wrong_epoch_in_the_first_answer_does_not_hide_what_follows() {
+    let store = Store::start().await;
+    put(&store, "i-1", "ready");
+    store.tell_epoch_once(9_000_000);
+    let host = Following::start(&store);
+    host.until_servers(1).await;
+
+    put(&store, "i-2", "ready");
+
+    host.until_servers(2).await;
+}
+
 /// Hosts that start after the restore find nobody, since the entry of hosts is gone and nobody writes it again.
 #[tokio::test]
 async fn the_entry_of_hosts_is_written_again() {
--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -22,8 +22,10 @@
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::watch, time::timeout};
 
-/// Path of the route that the second configuration adds.
+/// Path of the route that the last configuration adds.
 pub const ADDED: &str = "/added/";
+/// Begins the path of the route that only one version has; the version follows.
+pub const MARK: &str = "/mark-";
 
 /// Epoch of a store that was never restored.
 const FIRST_EPOCH: u64 = 1;
@@ -82,6 +84,8 @@
     stale: Arc<Mutex<Option<Copy>>>,
     /// Whether watches that wait are never answered.
     deaf: Arc<AtomicBool>,
+    /// Epoch that the next answer tells, unless it is 0.
+    wrong_epoch: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -91,8 +95,8 @@
         let gate = Arc::new(Gate::start(listener.local_addr().unwrap(), None).await.unwrap());
         let (objects, busy) = (Arc::default(), Arc::default());
         let (other, calls, stale) = (Arc::default(), Arc::default(), Arc::default());
-        let (revision, deaf) = (watch::Sender::new(1), Arc::default());
-        let store = Self { objects, revision, busy, gate, other, calls, stale, deaf };
+        let (revision, deaf, wrong_epoch) = (watch::Sender::new(1), Arc::default(), Arc::default());
+        let store = Self { objects, revision, busy, gate, other, calls, stale, deaf, wrong_epoch };
         tokio::spawn(store.clone().accept(listener));
         store
     }
@@ -122,6 +126,11 @@
         self.deaf.store(deaf, Ordering::Relaxed);
     }
 
+    /// Tells a wrong epoch with the next answer.
+    pub fn tell_epoch_once(&self, epoch: u64) {
+        self.wrong_epoch.store(epoch, Ordering::Relaxed);
+    }
+
     /// Cuts open connections and changes what becomes of new ones.
     pub async fn set_gate(&self, mode: Mode) {
         self.gate.set(mode).await.unwrap();
@@ -223,7 +232,11 @@
                 async move {
                     let mut response = store.answer(req).await;
                     let epoch = store.objects.lock().unwrap().epoch;
-                    response.headers_mut().insert("store-era", (FIRST_EPOCH + epoch).into());
+                    let told = match store.wrong_epoch.swap(0, Ordering::Relaxed) {
+                        0 => FIRST_EPOCH + epoch,
+                        wrong => wrong,
+                    };
+                    response.headers_mut().insert("store-era", told.into());
                     Ok::<_, Infallible>(response)
                 }
             });
@@ -320,7 +333,7 @@
         "state": state, "coldRemainingMs": 0, "sequence": 1 })
 }
 
-/// A configuration with a route for each kind of request; `changed` adds a route and takes a key away.
+/// A configuration with a route for each kind of request and one that no other version has; `changed` adds a route and takes a key away.
 pub fn configuration(version: u64, changed: bool) -> Value {
     let route = |path: &str, kind: &str, resumes: bool| {
         json!({ "name": path.trim_matches('/'), "host": "shop.example", "pathPrefix": path, "kind": kind,
@@ -333,6 +346,7 @@
         route("/stream/", "stream", true),
         route("/once/", "stream", false),
     ];
+    routes.push(route(&format!("{MARK}{version}/"), "idempotent", false));
     let mut keys = vec![super::KEY];
     match changed {
         true => routes.push(route(ADDED, "idempotent", false)),
