Let hosts that hear others wait two seconds before they follow the store

Change: a host that is no seed and hears others waits two seconds, and to the end of its start where one of them follows the store or the fleet is known to be large. A host that hears nobody follows after a second as before.

--- a/src/relay/peers/duty.rs
+++ b/src/relay/peers/duty.rs
@@ -16,6 +16,9 @@
 /// Time after its start from which a host decides whether it follows the store, if it has heard of no other host lately,
 /// and time from which it does so anyway. A host that knows few others takes the fleet for a small one, in which all follow.
 const SETTLE: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(4_000);
+/// The first of these times for a host that is no seed and hears others: after a start of all it has yet to hear of most, or
+/// of those that follow the store.
+const SETTLE_HEARD: Duration = Duration::from_millis(2_000);
 /// Periods of beats within which a host was heard lately.
 const LATELY: u32 = 2;
 /// Time without an unknown host.
@@ -27,7 +30,8 @@
     pub fn is_on_duty(&mut self, now: Instant, contact: Contact) -> bool {
         // Who follows the store already tells this host what changes, and in a large fleet some soon do.
         let can_wait = !self.seed && (!self.is_small() || self.some_follow_store(now));
-        let known = !can_wait && self.grew + SETTLED <= now && self.started + SETTLE.start <= now;
+        let first = if self.seed || self.is_alone(now) { SETTLE.start } else { SETTLE_HEARD };
+        let known = !can_wait && self.grew + SETTLED <= now && self.started + first <= now;
         self.settled |= known || self.started + SETTLE.end <= now;
         if self.settled { self.decide_duty(now, contact) } else { self.seed }
     }
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -328,6 +328,27 @@
     assert_eq!(settled, [true, true], "in a small fleet all follow");
 }
 
+/// Ninety of three hundred hosts following the store after a start of all, since each had heard of few others by then, and all
+/// calls being paid for.
+#[test]
+fn a_host_that_hears_others_lets_them_follow_the_store_first() {
+    let start = |i: u8| Peers::new(addr(i), "a", &[]).with_start(ms(50_000));
+    let tell = |peers: &mut Peers, follows_store, at| {
+        peers.hear(ms(at), addr(1), &Beat { follows_store, ..beat(1, "a", at) }, OWN);
+    };
+    let [mut alone, mut heard, mut told] = [9, 9, 9].map(start);
+    tell(&mut heard, false, 50_100);
+    (0..8).for_each(|n| tell(&mut told, true, 50_100 + 500 * n));
+
+    let at = |peers: &mut Peers, at| peers.is_on_duty(ms(at), Contact::Idle);
+    let alones = [at(&mut alone, 50_900), at(&mut alone, 51_100)];
+    tell(&mut heard, false, 51_900);
+    let heards = [at(&mut heard, 51_950), at(&mut heard, 52_100)];
+    let tolds = [at(&mut told, 53_900), at(&mut told, 54_100)];
+
+    assert_eq!([alones, heards, tolds], [[false, true]; 3]);
+}
+
 /// The seeds of a new host are all gone. It finds others by the entry of a data centre, which names hosts that were up for
 /// long, and is written anew only once half of them are gone.
 #[test]
