Let the soak change the configuration while waiting calls go unanswered

Versions come 0.04 to 1.5 s apart while hosts are killed, suspended and stopped, the store is away, busy, restored, gives copies that are three versions old, and leaves waiting calls without an answer. Each version has a route of its own; somebody looks for it at all hosts, and every answer is held against the versions that were acknowledged: two seconds after the next one a version must not handle anything, and the newest must.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -1,7 +1,7 @@
 //! A long fault soak, and how soon a fleet serves again after all of its hosts were killed.
 //!
 //! `-- soak SEED [SEEDS [HOSTS [FAULTS]]]` plays so many seeds and prints what came of each; it fails when a promise was
-//! broken. `-- restores ...` does the same while the store is restored from copies. `-- recover HOSTS...` starts that many hosts, kills all, starts them again and prints times and memory.
+//! broken. `-- restores ...` does the same while the store is restored from copies, `-- changes ...` while the configuration changes. `-- recover HOSTS...` starts that many hosts, kills all, starts them again and prints times and memory.
 
 #[path = "../tests/support/relay.rs"]
 mod relay_support;
@@ -17,7 +17,7 @@
     time::Duration,
 };
 
-use soak::{Soak, checks::Record, hosts::Hosts, store, store::Store};
+use soak::{Soak, What, checks::Record, hosts::Hosts, store, store::Store};
 
 /// Seed, seeds, hosts and faults of a run without arguments.
 const DEFAULTS: [usize; 4] = [1, 3, 6, 20];
@@ -46,16 +46,19 @@
         return ExitCode::SUCCESS;
     }
     let option = |n: usize| numbers.get(n).copied().unwrap_or(DEFAULTS[n]);
-    let restores = args.first().is_some_and(|a| a == "restores");
-    play(option(0) as u64, option(1) as u64, option(2), option(3), restores).await
+    let what = match args.first().map(String::as_str) {
+        Some("restores") => What::Restores,
+        Some("changes") => What::Changes,
+        _ => What::Failures,
+    };
+    play(option(0) as u64, option(1) as u64, option(2), option(3), what).await
 }
 
-async fn play(first: u64, seeds: u64, hosts: usize, faults: usize, restores: bool) -> ExitCode {
+async fn play(first: u64, seeds: u64, hosts: usize, faults: usize, what: What) -> ExitCode {
     let mut code = ExitCode::SUCCESS;
     for seed in first..first + seeds {
         let soak = Soak::with_seed(seed).with_hosts(hosts).with_callers(CALLERS * hosts).with_faults(faults);
-        let soak = if restores { soak.with_restores() } else { soak };
-        let report = soak.run().await;
+        let report = soak.with_what(what).run().await;
         println!("seed {seed}: {} broken; {}", report.broken.len(), report.seen);
         if !report.broken.is_empty() {
             println!("{report:#?}");
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -182,7 +182,10 @@
     assert!(behind.platform_behind && behind.version == known && behind.rejected_old == 1);
     assert!(asked.contains(&Action::CloseWatch) && asked.contains(&Action::List), "{asked:?}");
     assert_eq!(follower.version(), last);
-    assert_eq!(["pool-1", "pool-2", "pool-3"].map(|name| models(&follower, name).unwrap()), ["model-50", "model-60", "model-70"]);
+    assert_eq!(
+        ["pool-1", "pool-2", "pool-3"].map(|name| models(&follower, name).unwrap()),
+        ["model-50", "model-60", "model-70"]
+    );
 }
 
 /// The router that holds a data centre's watch dies. The others hear of no change any more unless another takes over.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Mutex;
 
 use soak::{
-    Soak,
+    Soak, What,
     checks::{self, EVENTS, End, Kind, Met, Record, Seen},
 };
 
@@ -39,13 +39,54 @@
 async fn promises_hold_while_the_store_is_restored() {
     let _alone = ALONE.lock().await;
     for seed in [1, 2] {
-        let report = Soak::with_seed(seed).with_faults(10).with_restores().run().await;
+        let report = Soak::with_seed(seed).with_faults(10).with_what(What::Restores).run().await;
 
         assert!(report.broken.is_empty(), "{report:#?}");
         assert!(report.seen.contains("unsafe 200"), "{report:#?}");
     }
 }
 
+/// The configuration changes again and again, in quick succession too, while waiting calls are never answered, the store is away,
+/// refuses, is restored, gives old copies, and hosts are killed, suspended and stopped. Whoever looks finds no host in touch that
+/// handles a request by a version two seconds after a later one was acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_the_configuration_changes() {
+    let _alone = ALONE.lock().await;
+    for seed in [1, 2] {
+        let soak = Soak::with_seed(seed).with_hosts(5).with_faults(12).with_what(What::Changes);
+        let report = soak.run().await;
+
+        assert!(report.broken.is_empty(), "{report:#?}");
+        assert!(report.seen.contains("unsafe 200"), "{report:#?}");
+    }
+}
+
+/// Requests handled by a version that can't be in force any more are seen, unless the host or the store was out of touch.
+#[test]
+fn requests_handled_by_an_old_version_are_seen() {
+    let start = Instant::now() - Duration::from_secs(20);
+    let looked = |status| {
+        let record = Record::default();
+        for (version, at) in [(4, 0), (5, 3)] {
+            let at = start + Duration::from_secs(at);
+            record.note(Seen::Changed { version, sent: at, acked: at });
+        }
+        let at = start + Duration::from_millis(if status == 200 { 5_100 } else { 2_100 });
+        let (host, target) = ("127.0.0.1".to_owned(), "/mark-4/r1".to_owned());
+        record.note(Seen::Sent { id: "r1".into(), kind: Kind::Safe, target, proper: false, host, at });
+        record.note(Seen::Ended { id: "r1".into(), end: whole(status, &["own"]), at });
+        record
+    };
+
+    for status in [200, 404] {
+        let record = looked(status);
+        assert_eq!(record.violations().len(), 1, "{status}");
+        let (from, to) = (start, start + Duration::from_secs(5));
+        record.note(Seen::Disturbed { what: "127.0.0.1".into(), from, to });
+        assert_eq!(record.violations(), Vec::<String>::new(), "{status}");
+    }
+}
+
 /// Work for a server that has left is seen, unless the host or the store was out of touch.
 #[test]
 fn work_for_a_server_that_has_left_is_seen() {
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -16,11 +16,13 @@
 pub mod faults;
 #[path = "soak/hosts.rs"]
 pub mod hosts;
+#[path = "soak/operator.rs"]
+pub mod operator;
 #[path = "soak/store.rs"]
 pub mod store;
 
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::AtomicU64},
     time::{Duration, Instant},
 };
 
@@ -38,6 +40,9 @@
 /// Pause of a caller between two requests, in milliseconds.
 const THINKS_MS: std::ops::Range<u64> = 5..40;
 
+/// Version of the configuration that ends a run.
+const LAST_VERSION: u64 = 1_000_000;
+
 /// Options of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Soak {
@@ -45,13 +50,25 @@
     hosts: usize,
     callers: usize,
     faults: usize,
-    restores: bool,
+    what: What,
+}
+
+/// What happens in a run beside what always does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum What {
+    /// Hosts, the store and backend servers fail.
+    #[default]
+    Failures,
+    /// The store is restored from copies while servers leave.
+    Restores,
+    /// The configuration changes again and again, and waiting calls go unanswered.
+    Changes,
 }
 
 impl Soak {
     /// A short run of one seed.
     pub fn with_seed(seed: u64) -> Self {
-        Self { seed, hosts: 3, callers: 12, faults: 6, restores: false }
+        Self { seed, hosts: 3, callers: 12, faults: 6, what: What::Failures }
     }
 
     /// Sets the number of hosts.
@@ -69,9 +86,9 @@
         Self { faults, ..self }
     }
 
-    /// Lets the store be restored from copies while servers leave.
-    pub fn with_restores(self) -> Self {
-        Self { restores: true, ..self }
+    /// Sets what happens beside.
+    pub fn with_what(self, what: What) -> Self {
+        Self { what, ..self }
     }
 
     /// Plays the run; returns what was seen and which promises were broken.
@@ -89,7 +106,14 @@
             let rng = StdRng::seed_from_u64(rng.random());
             callers.spawn(caller::keep_calling(n, hosts.clone(), record.clone(), rng));
         }
-        let played = faults::play(self.faults, self.restores, &mut rng, &hosts, &engines, &store).await;
+        if self.what == What::Changes {
+            let newest = Arc::new(AtomicU64::new(1));
+            let mut seeded = || StdRng::seed_from_u64(rng.random());
+            let looking = operator::keep_looking(hosts.clone(), record.clone(), newest.clone(), seeded());
+            callers.spawn(looking);
+            callers.spawn(operator::keep_changing(store.clone(), record.clone(), newest, seeded()));
+        }
+        let played = faults::play(self.faults, self.what, &mut rng, &hosts, &engines, &store).await;
         let unserved = serves_again(&hosts, &record).await;
         callers.shutdown().await;
         let not_in_force = changes_take_effect(&hosts, &store, &record).await;
@@ -132,7 +156,7 @@
 
 /// A change of the configuration is in force at every host: a new route is served, and a revoked key is refused.
 async fn changes_take_effect(hosts: &Hosts, store: &Store, record: &Record) -> Vec<String> {
-    store.put("config", "main", store::configuration(2, true));
+    store.put("config", "main", store::configuration(LAST_VERSION, true));
     let mut missing = Vec::new();
     for addr in hosts.addresses() {
         let route = || async { is_answered(call(addr, Kind::Safe, KEY, store::ADDED, record).await) };
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use super::{hosts::APPLY_MS, store::MARK};
+
 /// Events of a whole stream.
 pub const EVENTS: u32 = 12;
 /// A disturbance this long before or after still explains an answer that does not arrive.
@@ -13,6 +15,8 @@
 
 /// Time after which a server that has said it leaves gets no new work, from a host that is in touch.
 const LEAVES: Duration = Duration::from_secs(2);
+/// Time after which a version is in force, at a host that is in touch.
+const APPLIES: Duration = Duration::from_millis(APPLY_MS);
 /// Time without a disturbance after which a host is in touch.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time after which a pause that a server has asked for holds, and requests that may reach it until it is over.
@@ -105,6 +109,8 @@
     Served { id: String, engine: String },
     /// A host or a backend server was disturbed.
     Disturbed { what: String, from: Instant, to: Instant },
+    /// A version of the configuration was written.
+    Changed { version: u64, sent: Instant, acked: Instant },
 }
 
 /// How a request met a backend server.
@@ -170,7 +176,10 @@
                 }
                 Seen::Served { id, engine } => stories.entry(id).or_default().served.push(engine),
                 Seen::Met { id, engine, what } => stories.entry(id).or_default().met.push((engine, what)),
-                Seen::Left { .. } | Seen::Restarted { .. } | Seen::Disturbed { .. } => {}
+                Seen::Left { .. }
+                | Seen::Restarted { .. }
+                | Seen::Disturbed { .. }
+                | Seen::Changed { .. } => {}
             }
         }
         stories
@@ -270,13 +279,59 @@
         broken
     }
 
+    /// When each version of the configuration was sent and acknowledged.
+    fn versions(&self) -> BTreeMap<u64, (Instant, Instant)> {
+        let seen = self.0.lock().unwrap();
+        let changes = seen.iter().filter_map(|seen| match seen {
+            Seen::Changed { version, sent, acked } => Some((*version, (*sent, *acked))),
+            _ => None,
+        });
+        changes.collect()
+    }
+
+    /// Requests on the route of one version, handled by a version that could not be in force any more.
+    fn judge_versions(&self, stories: &BTreeMap<String, Story>) -> Vec<String> {
+        let versions = self.versions();
+        let mut broken = Vec::new();
+        for (id, story) in stories {
+            let (Some(sent), Some((End::Whole { status, .. }, ended))) = (&story.sent, &story.end) else {
+                continue;
+            };
+            let Some(version) = marked(&sent.target) else { continue };
+            let calm = |what| !self.was_out_of_touch(what, sent.at) && !self.was_out_of_touch(what, *ended);
+            if !calm(STORE) || !calm(&sent.host) || self.has_forgotten(&sent.host, sent.at - CONTACT, *ended)
+            {
+                continue;
+            }
+            // Whether a version had been acknowledged for so long that none before it may be in force.
+            let rules =
+                |version: u64| versions.get(&version).is_some_and(|(_, acked)| *acked + APPLIES < sent.at);
+            let is_next_sent = versions.get(&(version + 1)).is_some_and(|(at, _)| at <= ended);
+            match status {
+                200 if rules(version + 1) => {
+                    broken.push(format!(
+                        "{id}: handled by version {version} at {}, a later one had to be in force",
+                        sent.host
+                    ));
+                }
+                404 if rules(version) && !is_next_sent => {
+                    broken
+                        .push(format!("{id}: not handled by version {version} at {}, the newest", sent.host));
+                }
+                _ => {}
+            }
+        }
+        broken
+    }
+
     /// Promises that were broken, a line each.
     pub fn violations(&self) -> Vec<String> {
         let stories = self.stories();
         let single = stories
             .iter()
             .flat_map(|(id, story)| self.judge(story).into_iter().map(move |v| format!("{id}: {v}")));
-        single.chain(self.judge_told(&stories)).chain(self.judge_pauses(&stories)).collect()
+        let told = self.judge_told(&stories).into_iter().chain(self.judge_pauses(&stories));
+        single.chain(told).chain(self.judge_versions(&stories)).collect()
     }
 
     fn judge(&self, story: &Story) -> Vec<String> {
@@ -322,6 +377,11 @@
     }
 }
 
+/// The version whose own route a request is for.
+fn marked(target: &str) -> Option<u64> {
+    target.strip_prefix(MARK)?.split('/').next()?.parse().ok()
+}
+
 fn judge_end(story: &Story, sent: &Sent, end: &End) -> Vec<String> {
     let mut broken = Vec::new();
     match end {
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::task::JoinSet;
 
-use super::{engine::Engines, hosts::Hosts, store::Store};
+use super::{What, engine::Engines, hosts::Hosts, store::Store};
 
 /// Pause between the starts of two faults, in milliseconds.
 const GAP_MS: std::ops::Range<u64> = 300..1_200;
@@ -60,6 +60,8 @@
     StoreRestored,
     /// The same, and it answers as it was before as well for a moment.
     StoreInTwoEpochs,
+    /// Calls that wait at the store are never answered, on connections that live.
+    WatchesDeaf,
 }
 
 impl Fault {
@@ -94,6 +96,30 @@
         Fault::StoreInTwoEpochs,
     ];
 
+    /// Those of runs in which the configuration changes.
+    const WITH_CHANGES: [Fault; 12] = [
+        Fault::KillHost,
+        Fault::KillHosts,
+        Fault::FreezeHost,
+        Fault::StopHost,
+        Fault::StoreSilent,
+        Fault::StoreDown,
+        Fault::StoreBusy,
+        Fault::StoreRestored,
+        Fault::StoreInTwoEpochs,
+        Fault::WatchesDeaf,
+        Fault::WatchesDeaf,
+        Fault::WatchesDeaf,
+    ];
+
+    fn of(what: What) -> &'static [Fault] {
+        match what {
+            What::Failures => &Fault::ALL,
+            What::Restores => &Fault::WITH_RESTORES,
+            What::Changes => &Fault::WITH_CHANGES,
+        }
+    }
+
     /// Whether it concerns one host at a time.
     fn takes_host(self) -> bool {
         matches!(
@@ -112,6 +138,7 @@
                 | Fault::StoreAway
                 | Fault::StoreRestored
                 | Fault::StoreInTwoEpochs
+                | Fault::WatchesDeaf
         )
     }
 }
@@ -120,7 +147,7 @@
 /// do those of the store or of the backend servers: what is asked of each is then clear.
 pub async fn play(
     count: usize,
-    restores: bool,
+    what: What,
     rng: &mut StdRng,
     hosts: &Arc<Hosts>,
     engines: &Arc<Engines>,
@@ -129,7 +156,7 @@
     let lanes: [Arc<tokio::sync::Mutex<()>>; 3] = Default::default();
     let (mut tasks, mut played) = (JoinSet::new(), Vec::new());
     for _ in 0..count {
-        let faults: &[Fault] = if restores { &Fault::WITH_RESTORES } else { &Fault::ALL };
+        let faults = Fault::of(what);
         let fault = faults[rng.random_range(0..faults.len())];
         let (n, length) =
             (rng.random_range(0..hosts.len()), Duration::from_millis(rng.random_range(LENGTH_MS)));
@@ -143,7 +170,7 @@
         .clone();
         let (hosts, engines, store) = (hosts.clone(), engines.clone(), store.clone());
         played.push(format!("{fault:?} {n} {} ms", length.as_millis()));
-        let seed = if restores { rng.random() } else { 0 };
+        let seed = if what == What::Failures { 0 } else { rng.random() };
         tasks.spawn(async move {
             let _alone = lane.lock().await;
             let from = Instant::now();
@@ -182,6 +209,11 @@
             tokio::time::sleep(length).await;
             store.set_busy(false);
         }
+        Fault::WatchesDeaf => {
+            store.set_deaf(true);
+            tokio::time::sleep(length).await;
+            store.set_deaf(false);
+        }
         Fault::EngineCrash => engines.crash(n).await,
         Fault::EngineStall => engines.stall(n, length).await,
         Fault::EngineLeave => engines.leave(n).await,
