Gather changes of the servers for a part of the bound

A fleet that has just started takes itself for a small one, and each host that does asks for changes five times a second while hundreds of servers enter. The pause is a tenth of the bound in a small fleet, 0.2 s as before where the bound is 2 s, and a fifth in a large one.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -36,8 +36,9 @@
 /// ended within it: a store that does not let watches wait would be called without end. A server that leaves may get new
 /// work for two seconds.
 const GATHER: Duration = Duration::from_millis(200);
-/// The same in a large fleet, in which a change costs a call a data centre: a part of the time after which changes are in
-/// force.
+/// The same after a change of the backend servers, as a part of the time within which changes are in force: in a small fleet, and
+/// in a large one, in which a change costs a call a data centre.
+const GATHER_SMALL: f64 = 1.0 / 10.0;
 const GATHER_LARGE: f64 = 1.0 / 5.0;
 /// Time between two looks whether this host must follow the store again.
 const REST: Duration = Duration::from_millis(250);
@@ -281,7 +282,8 @@
 
     /// Pause after a change of the backend servers.
     fn gather(&self) -> Duration {
-        if self.state().peers.is_small() { GATHER } else { self.cfg.in_force.mul_f64(GATHER_LARGE) }
+        let part = if self.state().peers.is_small() { GATHER_SMALL } else { GATHER_LARGE };
+        self.cfg.in_force.mul_f64(part)
     }
 
     /// Decides whether this host follows the store now.
