--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -127,3 +127,23 @@
         "{story}"
     );
 }
+
+/// A request handled by an old configuration, whose lines don't tell why its host did not know the newer one.
+#[test]
+fn a_request_handled_by_an_old_configuration_is_explained() {
+    let lines = [
+        r#"{"t":1000,"event":"configuration","host":"h-1","version":14,"from":"store","routes":5,"workspaces":2}"#,
+        r#"{"t":2100,"event":"unconfirmed","host":"h-1","kind":"configuration","after_ms":1010,"contact":"follows","alone":true,"version":14}"#,
+        r#"{"t":2500,"event":"confirm_failed","host":"h-1","why":"TimedOut"}"#,
+        r#"{"t":2600,"event":"unconfirmed","host":"h-2","kind":"configuration","after_ms":1010,"contact":"lost","alone":false,"version":14}"#,
+        r#"{"t":3000,"event":"sent","host":"h-1","request":"r1","route":"a","backend":"i-1","version":14,"confirmed_ms":1910}"#,
+        r#"{"t":3020,"event":"answered","host":"h-1","request":"r1","route":"a","status":200,"after_ms":20}"#,
+    ];
+
+    let story = explain("r1", lines.map(str::to_owned)).unwrap();
+
+    for told in ["version=14 from=store", "alone=true", "confirm_failed", "confirmed_ms=1910", "status 200"] {
+        assert!(told.split(' ').all(|word| story.contains(word)), "{told} is missing:\n{story}");
+    }
+    assert!(!story.contains("h-2"), "{story}");
+}
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -7,7 +7,7 @@
 };
 
 use cranberrytally::{
-    metrics::{Counter, Latency},
+    metrics::{Counter, Gauge, Latency},
     relay::{
         belief::Said,
         datagram::Fault,
@@ -97,3 +97,14 @@
         assert!(text.contains(&row), "docs/METRICS.md lacks this row:\n{row}");
     }
 }
+
+#[test]
+fn every_gauge_is_documented() {
+    let text = page("docs/METRICS.md");
+
+    for gauge in Gauge::ALL {
+        let shown = gauge.shown();
+        let row = format!("| `{}` | `{}` | {} |", shown.name, shown.label, shown.about);
+        assert!(text.contains(&row), "docs/METRICS.md lacks this row:\n{row}");
+    }
+}
