Open a watch of our own platform anew after six silent seconds

What callers would see: on our own interface a change that is in force nowhere for two minutes, where the platform tells it on no open watch.

A watch on which nothing came was trusted for 120 s; gossip and comparisons with peers show nothing where all watches are deaf. Opened anew sooner, it would have counted as one that fails, with pauses of up to 15 s.

Change: six seconds, half of the time within which a change is in force; a silent watch is no failure and is opened at once.

Evidence: the stand-in leaves changes out on open watches; the client sees silence apart from an end, and a new watch tells what was missed.

--- a/src/follow/tasks.rs
+++ b/src/follow/tasks.rs
@@ -5,7 +5,7 @@
 use super::Shared;
 use crate::{
     link::Links,
-    objects::{Version, Watched},
+    objects::{Next, Version, Watched},
     schema::{
         configuration::{Delta, Fetch},
         link::frame::Body,
@@ -13,8 +13,9 @@
 };
 
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// A watch on which nothing came for so long is opened anew, as its connection may have died without a packet.
-const WATCH_IDLE: Duration = Duration::from_secs(120);
+/// A watch on which nothing came for so long is opened anew, as its connection may have died without a packet: half of the time
+/// within which a change is in force everywhere.
+const WATCH_IDLE: Duration = Duration::from_secs(6);
 
 pub(super) async fn list(shared: Arc<Shared>) {
     let list = match shared.platform.list().await {
@@ -41,8 +42,12 @@
     shared.note(|f, now, _| f.watch_opened(now));
     loop {
         match open.next_within(WATCH_IDLE).await {
-            Ok(Some(event)) => shared.with(|f, now, _| f.event(now, event)),
-            Ok(None) => break,
+            Ok(Next::Changed(event)) => shared.with(|f, now, _| f.event(now, event)),
+            Ok(Next::Ended) => break,
+            Ok(Next::Silent) => {
+                open.close();
+                return shared.note(|f, now, _| f.watch_silent(now));
+            }
             Err(e) => {
                 spdlog::warn!("the configuration watch broke: {e:#}");
                 break;
--- a/src/objects/watch.rs
+++ b/src/objects/watch.rs
@@ -27,6 +27,17 @@
     TooOld,
 }
 
+/// What an open watch gave.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// A change.
+    Changed(Event),
+    /// It has ended.
+    Ended,
+    /// Nothing came in the time given.
+    Silent,
+}
+
 impl Watch {
     pub(super) fn new(body: Incoming) -> Self {
         Self { body, buf: BytesMut::new() }
@@ -52,14 +63,18 @@
         }
     }
 
-    /// Next change, or `None` when the watch has ended or nothing came for `idle`.
+    /// Next change within `idle`.
     ///
-    /// A watch whose connection died without a packet would otherwise wait for ever.
+    /// A watch whose connection died without a packet, or which the platform has forgotten, would otherwise wait for ever.
     ///
     /// # Errors
     /// When a line can't be parsed.
-    pub async fn next_within(&mut self, idle: Duration) -> Result<Option<Event>> {
-        tokio::time::timeout(idle, self.next()).await.unwrap_or(Ok(None))
+    pub async fn next_within(&mut self, idle: Duration) -> Result<Next> {
+        let next = tokio::time::timeout(idle, self.next()).await;
+        Ok(match next {
+            Ok(next) => next?.map_or(Next::Ended, Next::Changed),
+            Err(_) => Next::Silent,
+        })
     }
 
     /// Ends the watch.
--- a/src/revision/follower/platform.rs
+++ b/src/revision/follower/platform.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Notes that the watch was closed since nothing came for long; that is no failure, and it is opened anew at once.
+    pub fn watch_silent(&mut self, now: Instant) {
+        self.watch_backoff.reset();
+        self.watch = Watch::Closed;
+        self.watch_at = now;
+    }
+
     /// Takes a change seen by the watch.
     pub fn event(&mut self, now: Instant, event: Event) -> Vec<Action> {
         self.watch_backoff.reset();
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -222,7 +222,7 @@
 
     /// Sends an event while the state is locked, so that watches see all events once and in order.
     fn publish(&self, state: &State, collection: Collection, event: &Event) {
-        if state.old.is_none() && collection == Collection::Configuration {
+        if state.old.is_none() && collection == Collection::Configuration && !self.trouble().is_deaf() {
             let _ = self.tx.send(Some(event.clone()));
         }
     }
--- a/src/standin/platform/faults.rs
+++ b/src/standin/platform/faults.rs
@@ -20,6 +20,8 @@
     pub lose_answers: u32,
     /// Calls a second of all classes beyond which calls are refused; 0 for no limit.
     pub rate_limit: u32,
+    /// Whether changes are sent on no open watch, though its connection lives.
+    pub deaf: bool,
     /// Seed of the losses.
     pub seed: u64,
 }
@@ -58,6 +60,10 @@
         Self { rng: StdRng::seed_from_u64(faults.seed), bucket, faults }
     }
 
+    pub(super) fn is_deaf(&self) -> bool {
+        self.faults.deaf
+    }
+
     pub(super) fn late(&self) -> Duration {
         Duration::from_millis(self.faults.late_ms)
     }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -188,6 +188,25 @@
     );
 }
 
+/// All watches of the platform go deaf on connections that live, so that no router has news to tell the others. Each is opened anew
+/// once nothing came for a while, again and again, without the growing pauses of one that fails.
+#[test]
+fn a_watch_on_which_nothing_comes_is_opened_anew_at_once() {
+    let mut model = fleet(1);
+    let mut follower = model.nodes[0].follower.take().expect("it runs");
+    let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    let mut now = model.now;
+    follower.watch_ended(now, &mut rng);
+
+    for n in 0..10 {
+        now += Duration::from_secs(6);
+        follower.watch_silent(now);
+        let actions = follower.tick(now, &mut rng);
+        assert!(actions.iter().any(|a| matches!(a, Action::Watch { .. })), "{n}: {actions:?}");
+        follower.watch_opened(now);
+    }
+}
+
 /// The router that holds a data centre's watch dies. The others hear of no change any more unless another takes over.
 #[test]
 fn a_watcher_dies() {
--- a/tests/platform_contract.rs
+++ b/tests/platform_contract.rs
@@ -6,7 +6,7 @@
     catalog::{AnyObject, Object},
     http::{Limits, Server},
     objects::{
-        Event, Platform, Version, Watched, Write,
+        Event, Next, Platform, Version, Watched, Write,
         calls::{Class, Outcome, Rate, Rates},
     },
     schema::object::Meta,
@@ -16,6 +16,8 @@
 use serde::Deserialize;
 
 const EVENT_WAIT: Duration = Duration::from_secs(5);
+/// Time after which a watch that is told nothing counts as silent.
+const SILENT: Duration = Duration::from_millis(100);
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -82,8 +84,10 @@
     let want = step.expect_names.as_ref().map_or(0, Vec::len);
     let mut events = Vec::new();
     while events.len() < want {
-        let event = watch.next_within(EVENT_WAIT).await.unwrap();
-        events.push(event.expect("an event within the time"));
+        match watch.next_within(EVENT_WAIT).await.unwrap() {
+            Next::Changed(event) => events.push(event),
+            other => panic!("no event within the time: {other:?}"),
+        }
     }
     watch.close();
     Some(events)
@@ -110,6 +114,7 @@
             "get" => self.get(step).await,
             "list" => self.list(step).await,
             "watch" => self.watch(step).await,
+            "deaf watch" => self.deaf_watch(step).await,
             "dropped watch" => self.dropped_watch().await,
             "count limited" => self.count(step, Outcome::Limited),
             "count held" => self.count(step, Outcome::Held),
@@ -158,7 +163,17 @@
         let from = self.platform.list().await.unwrap().version;
         let Watched::Open(mut watch) = self.platform.watch(from).await.unwrap() else { panic!("too old") };
         self.standin.drop_watches();
-        assert_eq!(watch.next_within(EVENT_WAIT).await.unwrap(), None);
+        assert_eq!(watch.next_within(EVENT_WAIT).await.unwrap(), Next::Ended);
+    }
+
+    /// A watch that is open while a change is made that it is not told; another one is told on opening.
+    async fn deaf_watch(&self, step: &Step) {
+        let from = self.platform.list().await.unwrap().version;
+        let Watched::Open(mut watch) = self.platform.watch(from).await.unwrap() else { panic!("too old") };
+        self.standin.set_faults(Faults { deaf: true, ..Faults::default() });
+        check_write(step, self.platform.put(&object(step)).await);
+        assert_eq!(watch.next_within(SILENT).await.unwrap(), Next::Silent);
+        watch.close();
     }
 
     fn count(&self, step: &Step, outcome: Outcome) {
