Let hosts prefer different ones of equally loaded servers

Cause: without load all servers of a data centre are equal, and the choice takes the first of equals in the arena's order, which is the same on all hosts of a data centre that got the same list. Change: among the least loaded ones each host draws between the two that it prefers by rendezvous of host and server. Two rather than one, since with 197 hosts before 61 servers one in 25 servers would be nobody's first; not all, since then hardly any connection would be used again.

--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -58,7 +58,7 @@
         if !candidates.iter().any(Candidate::has_room) {
             candidates.extend(state.cold_candidates(now, &self.cfg.me, &cold, limit));
         }
-        let mut placer = Placer::default().with_bound(self.cfg.bound);
+        let mut placer = Placer::default().with_bound(self.cfg.bound).with_host(hash(self.cfg.peer_addr));
         let evacuation_ended_recently =
             state.evacuation_ended.is_some_and(|at| at + POST_EVACUATION_PERIOD > now);
         if eligible.has_exclusions || evacuation_ended_recently {
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -84,6 +84,9 @@
 const MAX_COPIES: usize = 3;
 /// Occupancy above which requests are spilled to further servers rather than queued.
 const MAX_QUEUEING_OCCUPANCY: f64 = 1.25;
+/// Number of servers among which a host draws when several are equally loaded. Few keep their connections in use; with
+/// more than one, each server is preferred by some host.
+const PREFERRED_SERVERS: usize = 2;
 /// Load in requests that is added to unhealthy servers when servers are compared.
 const UNHEALTHY_PENALTY: f64 = 1_000.0;
 
@@ -166,9 +169,15 @@
 pub struct Placer {
     bound: Bound,
     limit: Option<f64>,
+    host: u64,
 }
 
 impl Placer {
+    /// Sets the identity of this host, on which its preference among equally loaded servers depends.
+    pub fn with_host(self, host: u64) -> Self {
+        Self { host, ..self }
+    }
+
     /// Sets the load bound relative to the candidates' mean load.
     pub fn with_bound(self, bound: Bound) -> Self {
         Self { bound, ..self }
@@ -192,7 +201,7 @@
         let shared = shared(parts);
         match shared.last() {
             Some(last) => choose_by_parts(candidates, shared, *last, holders, usable, bound),
-            None => choose_by_load(candidates, bound, rng),
+            None => choose_by_load(candidates, bound, self.host, rng),
         }
     }
 }
@@ -280,10 +289,10 @@
     c.load + remote + unhealthy
 }
 
-/// Chooses the least loaded server of the local data centre that is lightly loaded; otherwise one at random,
+/// Chooses one of the least loaded servers of the local data centre that are lightly loaded; otherwise one at random,
 /// weighted by free slots. All hosts see the same, partly outdated loads and would otherwise send to the same
 /// server until the next heartbeats.
-fn choose_by_load(candidates: &[Candidate], bound: f64, rng: &mut impl Rng) -> Option<Choice> {
+fn choose_by_load(candidates: &[Candidate], bound: f64, host: u64, rng: &mut impl Rng) -> Option<Choice> {
     let choice = |c: &Candidate| Choice {
         key: c.key,
         reason: Reason::LeastLoad,
@@ -294,8 +303,8 @@
     };
     let lightly_loaded = |c: &&Candidate| !c.unhealthy && c.load <= f64::from(c.slots) * LIGHT_LOAD_FRACTION;
     let local = candidates.iter().filter(|c| c.local).filter(lightly_loaded);
-    if let Some(local) = local.min_by(|a, b| a.load.total_cmp(&b.load)) {
-        return Some(choice(local));
+    if let Some(preferred) = preferred_of_least_loaded(local, host, rng) {
+        return Some(choice(preferred));
     }
     let any_healthy = candidates.iter().any(|c| !c.unhealthy);
     let drawn = candidates.iter().filter(|c| !any_healthy || !c.unhealthy);
@@ -305,3 +314,24 @@
     let drawn = drawn.map(|c| (-rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / weight(c), c));
     drawn.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| choice(c))
 }
+
+/// One of the few servers that this host prefers among the least loaded ones. The preference is a rendezvous hash, so
+/// that each host uses few servers again and again, and all hosts together use all of them.
+fn preferred_of_least_loaded<'a>(
+    candidates: impl Iterator<Item = &'a Candidate> + Clone,
+    host: u64,
+    rng: &mut impl Rng,
+) -> Option<&'a Candidate> {
+    let least = candidates.clone().map(|c| c.load).min_by(f64::total_cmp)?;
+    let mut preferred: [Option<(u64, &Candidate)>; PREFERRED_SERVERS] = [None; PREFERRED_SERVERS];
+    for c in candidates.filter(|c| c.load <= least) {
+        let mut next = Some((hash((host, c.tag)), c));
+        for place in &mut preferred {
+            if place.map(|(rank, _)| rank) < next.map(|(rank, _)| rank) {
+                std::mem::swap(place, &mut next);
+            }
+        }
+    }
+    let count = preferred.iter().flatten().count();
+    preferred[rng.random_range(0..count.max(1))].map(|(_, c)| c)
+}
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -3,7 +3,7 @@
 #[path = "support/relay.rs"]
 mod relay_support;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use cranberrytally::{
     relay::{
@@ -207,7 +207,7 @@
     let (_, mut candidates) = fleet(&[64.0; 12]);
     candidates[..4].iter_mut().for_each(|c| c.load = 50.0);
     let mut holders = Holders::default();
-    let mut readers = std::collections::BTreeSet::new();
+    let mut readers = BTreeSet::new();
 
     for _ in 0..40 {
         let chosen = choose(&candidates, &prompt(7, 100), &holders);
@@ -285,6 +285,48 @@
     assert!(counts.iter().all(|n| (100..=300).contains(n)), "{counts:?}");
 }
 
+/// Guards against idle servers: without load all are equal, and if all hosts chose the first of them, most servers would
+/// get nothing and a few many times the mean.
+#[test]
+fn hosts_prefer_different_ones_of_equally_loaded_servers() {
+    let (_, candidates) = fleet(&[0.0; 61]);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut counts = [0; 61];
+    let mut used_by_host = Vec::new();
+    for host in 0..197 {
+        let placer = Placer::default().with_host(host);
+        let mut used = BTreeSet::new();
+        for _ in 0..7 {
+            let chosen = placer.choose(&candidates, &[], &Holders::default(), |_| true, &mut rng).unwrap();
+            let position = candidates.iter().position(|c| c.key == chosen.key).unwrap();
+            counts[position] += 1;
+            used.insert(position);
+        }
+        used_by_host.push(used.len());
+    }
+
+    let mean = 197 * 7 / 61;
+    assert!(counts.iter().all(|n| (1..=4 * mean).contains(n)), "{counts:?}");
+    assert!(
+        used_by_host.iter().all(|servers| *servers <= 2),
+        "its connections stay in use: {used_by_host:?}"
+    );
+}
+
+/// Guards against a preference that outweighs the load.
+#[test]
+fn a_busier_server_is_not_preferred() {
+    let (_, candidates) = fleet(&[1.0, 0.0, 1.0]);
+
+    for host in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(host);
+        let placer = Placer::default().with_host(host);
+        let chosen = placer.choose(&candidates, &[], &Holders::default(), |_| true, &mut rng).unwrap();
+
+        assert_eq!(chosen.key, candidates[1].key, "host {host}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..Default::default() })]
 
