Let the whole fleet come back after all of its hosts were killed

Cause: each starting host reads the list of 10,000 servers itself unless a peer sends it within 0.3 to 1.8 s, whatever the size of the fleet. 985 reads of 3 MB take more than 20 s of the store's link, each gets a thousandth of it, and the first one is done only when all are; nobody can pass anything on before. Reads that are given up begin anew. The first page alone, which every host asked for to learn that the list is long, takes a second of the link. Change: - Hosts register the size of the state beside their number. A starting host asks for that first and reads large state only when its turn comes: at random, at a rate at which the reads of the whole fleet take 50 MB/s of the store's link, whatever its number of hosts (ReadTurn, sans-IO). A host that hears nobody reads after 1.5 s. A read is dropped once a peer has sent the state, and one that fails waits for a new turn. - A body of the store is waited for as long as it makes progress; pages after the first have 2 s for their head. - Lists go between hosts in a packed form, half as long. Hosts of the version before send and get the old form. - A host answers one fetch for each 20 Mbit/s of its link and lets two wait, instead of three at a time: the first one that has all passes it on while the next receives it. The state is encoded before it is sent, so that only its encoded form is kept. - Lines not_ready (once a second), reads_store, list_invalid. A reader on 20 Mbit/s needs 2.4 s for 6 MB, and no host passes on a part of the list.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -34,6 +34,7 @@
     grace: Duration,
     evacuates: bool,
     in_force: Duration,
+    concurrent_fetches: usize,
 }
 
 #[derive(Deserialize)]
@@ -48,6 +49,14 @@
     bounds: RawBounds,
     #[serde(rename = "platformConfig")]
     store: RawStore,
+    #[serde(default)]
+    limits: RawLimits,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct RawLimits {
+    link_mbps: f64,
 }
 
 #[derive(Deserialize)]
@@ -111,6 +120,7 @@
             grace: Duration::from_secs_f64(bounds.grace_s.clamp(1.0, 3_600.0)),
             evacuates: bounds.evacuation_ms.is_some(),
             in_force: confirm::bound_from([bounds.config_apply_ms, bounds.drain_ms, bounds.evacuation_ms]),
+            concurrent_fetches: RelayConfig::concurrent_fetches(raw.limits.link_mbps),
         })
     }
 
@@ -133,6 +143,7 @@
             leave: LeaveConfig { grace: self.grace, address_ttl: HANDOVER_TIME },
             evacuates: self.evacuates,
             in_force: self.in_force,
+            concurrent_fetches: self.concurrent_fetches,
         }
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::de::{DeserializeOwned, IgnoredAny};
 
@@ -12,7 +12,7 @@
     relay::{
         evacuations,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
-        pool::Conn,
+        pool::{self, Conn},
         revision::{Epoch, Revision},
     },
     schema::fleet::{Backends, Configuration, Evacuations},
@@ -21,7 +21,7 @@
 mod forms;
 
 use super::names;
-use forms::{Change, Changes, Object, Page, RawBackend, RawConfiguration, RawHosts, backend};
+use forms::{Change, Changes, Object, Page, RawBackend, RawConfiguration, backend};
 
 /// Wait of a watch: the maximum that the store allows, because each watch is a billed call.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
@@ -29,9 +29,9 @@
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Timeout of a call; no caller waits for it, and a slow store takes a few hundred milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Timeout of a response body after its head: half a megabyte over the slowest links, 10 Mbit/s, takes 0.4 s, and while bytes
-/// arrive a second call would only compete for the same bandwidth.
-const BODY_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Maximum time without progress in a response body. While bytes arrive, however slowly, a second call would only compete for
+/// the same bandwidth.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Timeout of connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a page of a list, in bytes.
@@ -106,10 +106,8 @@
             return Err(StoreError::Large { bytes });
         }
         let (status, epoch) = (res.status().as_u16(), parse_epoch(&res));
-        let body =
-            tokio::time::timeout(BODY_TIMEOUT, Limited::new(res.into_body(), MAX_PAGE_BYTES).collect()).await;
-        let body = body.map_err(|_| StoreError::TimedOut)?;
-        let body = body.map_err(|e| unavailable(format!("response body failed: {e}")))?.to_bytes();
+        let body = pool::read_body(res.into_body(), MAX_PAGE_BYTES, BODY_STALL_TIMEOUT).await;
+        let body = body.map_err(|e| unavailable(format!("response body failed: {e:#}")))?;
         self.conn = Some(conn);
         Ok(StoreResponse { status, epoch, body })
     }
@@ -165,8 +163,9 @@
             let after: String = form_urlencoded::byte_serialize(last.metadata.name.as_bytes()).collect();
             let stale = if call.stale_ok { "&staleOk=1" } else { "" };
             let target = format!("/objects/{kind}?after={after}{stale}");
-            let (page_epoch, page): (_, Page<T>) =
-                self.call(&target, call.timeout, MAX_PAGE_BYTES, epoch).await?;
+            // A page that is late must not cost the pages that were read.
+            let timeout = call.timeout.max(ANSWER_TIMEOUT);
+            let (page_epoch, page): (_, Page<T>) = self.call(&target, timeout, MAX_PAGE_BYTES, epoch).await?;
             if page_epoch != epoch {
                 return Err(StoreError::Restored { epoch: page_epoch });
             }
@@ -219,8 +218,7 @@
 
 impl Store for StoreClient {
     async fn register_hosts(&mut self, data_centre: &str, hosts: &Hosts) -> Result<(), StoreError> {
-        let spec = RawHosts { members: hosts.sample.clone(), count: hosts.count };
-        let object = serde_json::json!({ "metadata": { "name": data_centre }, "spec": spec });
+        let object = serde_json::json!({ "metadata": { "name": data_centre }, "spec": hosts });
         let body = Bytes::from(object.to_string());
         let name: String = form_urlencoded::byte_serialize(data_centre.as_bytes()).collect();
         let (kind, named) = (format!("/objects/{HOSTS}"), format!("/objects/{HOSTS}/{name}"));
@@ -236,11 +234,9 @@
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         // Stale entries are sufficient: a host that has left just does not respond.
         let target = format!("/objects/{HOSTS}?staleOk=1");
-        let (_, page): (_, Page<RawHosts>) =
+        let (_, page): (_, Page<Hosts>) =
             self.call(&target, ANSWER_TIMEOUT, MAX_PAGE_BYTES, Epoch::default()).await?;
-        let all: Vec<_> = page.items.into_iter().filter_map(|o| o.spec).collect();
-        let count = all.iter().map(|raw| raw.count).sum();
-        Ok(Hosts { sample: all.into_iter().flat_map(|raw| raw.members).collect(), count })
+        Ok(Hosts::combine(page.items.into_iter().filter_map(|o| o.spec)))
     }
 
     async fn configuration(&mut self, call: Call) -> Result<(Revision, Option<Configuration>), StoreError> {
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -1,10 +1,9 @@
 //! The store's objects in the platform's format, and their conversion to the product's types.
 
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
-use crate::schema::fleet::{
-    self, CallerLimits, Configuration, Member, Repeat, Route, Service, Share, Workspace,
-};
+use crate::schema::fleet::{self, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace};
 
 /// A page of a list.
 #[derive(Deserialize)]
@@ -65,9 +64,9 @@
     D: serde::Deserializer<'de>,
     T: DeserializeOwned,
 {
-    let values = Vec::<serde_json::Value>::deserialize(de)?;
-    let read = |value| {
-        serde_json::from_value(value)
+    let values = Vec::<&RawValue>::deserialize(de)?;
+    let read = |value: &RawValue| {
+        serde_json::from_str(value.get())
             .inspect_err(|e| spdlog::warn!("skipping a store entry without a valid name: {e}"))
             .ok()
     };
@@ -80,8 +79,8 @@
     T: DeserializeOwned,
 {
     // Logged at debug level only: the caller logs the consequence when it changes, instead of with each list.
-    let value = serde_json::Value::deserialize(de)?;
-    Ok(serde_json::from_value(value).inspect_err(|e| spdlog::debug!("invalid store object: {e}")).ok())
+    let value = <&RawValue>::deserialize(de)?;
+    Ok(serde_json::from_str(value.get()).inspect_err(|e| spdlog::debug!("invalid store object: {e}")).ok())
 }
 
 /// A backend server's entry. Unused fields are declared so that their types are checked.
@@ -109,15 +108,6 @@
     Draining,
 }
 
-/// Some hosts of a data centre, as published by one of them.
-#[derive(Deserialize, Serialize)]
-pub(super) struct RawHosts {
-    pub(super) members: Vec<Member>,
-    /// Number of all hosts of the data centre.
-    #[serde(default)]
-    pub(super) count: usize,
-}
-
 #[derive(Deserialize)]
 pub(super) struct RawConfiguration {
     pub(super) version: u64,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -8,20 +8,21 @@
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
-//! [`warmup`], [`datagram`], [`followers`], [`contact`], [`directory`], [`attempts`], [`peers`], [`leave`],
-//! [`events`]. The I/O is in [`inbound`], [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and
+//! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
+//! [`leave`], [`events`]. The I/O is in [`inbound`], [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and
 //! [`follow::Store`] are the traits that an adapter implements. This file holds the state of a host; `updates`
 //! changes and logs what the host knows, and `stop` shuts the host down.
 
 use std::{
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use anyhow::Result;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, OnceCell, watch};
 
 use crate::{
     logs::lines::{Level, Line, line},
@@ -55,6 +56,7 @@
 pub mod peers;
 pub mod place;
 pub mod pool;
+pub mod read_turn;
 pub mod request;
 pub mod revision;
 pub mod routes;
@@ -72,6 +74,7 @@
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
 use evacuations::Evacuations;
+use follow::Hosts;
 use followers::FollowState;
 use health::Health;
 use holders::Holders;
@@ -105,6 +108,22 @@
     pub evacuates: bool,
     /// Time within which a change acknowledged by the store must be in force.
     pub in_force: Duration,
+    /// Maximum number of fetches of other hosts answered concurrently. Hosts that are turned away ask hosts that have
+    /// been answered meanwhile, so new state spreads faster than from one host alone.
+    pub concurrent_fetches: usize,
+}
+
+impl RelayConfig {
+    /// Smallest and largest number of concurrent fetches.
+    const CONCURRENT_FETCHES: RangeInclusive<usize> = 1..=24;
+    /// Capacity of a host's link for each concurrent fetch, in Mbit/s.
+    const LINK_MBPS_PER_FETCH: f64 = 20.0;
+
+    /// Number of fetches that a host with a link of this capacity answers concurrently.
+    pub fn concurrent_fetches(link_mbps: f64) -> usize {
+        let (min, max) = Self::CONCURRENT_FETCHES.into_inner();
+        ((link_mbps / Self::LINK_MBPS_PER_FETCH) as usize).clamp(min, max)
+    }
 }
 
 /// State of a host, under one lock because most decisions read several parts of it at once.
@@ -131,6 +150,8 @@
     /// Whether it has read the configuration from a copy of the store, which may be seconds old.
     pub(crate) has_read_copy: bool,
     pub(crate) backends_listed: bool,
+    /// When this host last logged that it is not ready.
+    not_ready_reported: Option<Instant>,
     /// Prompt parts that were read at servers where the other hosts do not expect them, to be reported in the next
     /// heartbeats.
     new_holders: Vec<Held>,
@@ -160,6 +181,8 @@
     pub(crate) cancel_watch: [Notify; Topic::ALL.len()],
     /// Set once no more requests are accepted.
     pub(crate) closing: watch::Sender<bool>,
+    /// The hosts that were registered in the store when this host started.
+    pub(crate) registered: OnceCell<Hosts>,
     /// Start time of the process by the wall clock, in milliseconds since 1970.
     start: u64,
     started: Instant,
@@ -191,6 +214,7 @@
             contact: FollowState::Idle,
             has_read_copy: false,
             backends_listed: false,
+            not_ready_reported: None,
             new_holders: Vec::new(),
             in_progress: 0,
             connections: 0,
@@ -212,6 +236,7 @@
             store_restored: Notify::new(),
             cancel_watch: Default::default(),
             closing,
+            registered: OnceCell::new(),
             start: wall_ms(),
             started: now(),
             state: Mutex::new(state),
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -28,6 +28,7 @@
 mod ended;
 mod entry;
 mod leaving;
+pub mod packed;
 mod snapshot;
 
 use ended::Ended;
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -1,11 +1,12 @@
 //! Follows the configuration and the backend servers with one long-polling watch each.
 //!
-//! A starting host lists both from a copy of the store, which may be seconds old but costs little. A seed reads the
-//! newest state, so that some host has it at once. Soon afterwards each host has heard which others exist, and only the
+//! A starting host lists both from a copy of the store, which may be seconds old but costs little. If they are large for
+//! the number of hosts that may be starting, it waits for its turn, or for a peer to send them. A seed reads the newest
+//! state, so that some host has it at once. Soon afterwards each host has heard which others exist, and only the
 //! hosts elected by [`super::followers`] keep watching; the others receive changes by gossip. During an outage of the
 //! store the known state stays in force, and hosts pass on newer state that any of them has.
 
-use std::{future::Future, ops::Range, sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
 mod call;
 mod confirm;
@@ -17,7 +18,7 @@
 pub use confirm::keep_confirmed;
 pub use evacuations::follow_evacuations;
 pub use hosts::{Hosts, sync_hosts};
-use start::{read_window, wait_for_gossip};
+use start::{LONG_LIST_BYTES, size_to_spread, until_known, wait_for_turn};
 
 use super::{
     Relay, Wire,
@@ -46,10 +47,6 @@
 /// somebody else; accepting it would hide everything that the server reports afterwards.
 const MAX_CLOCK_SKEW_MS: u64 = 3_600_000;
 
-/// How long a host that is not a seed waits to receive a long list from a peer before it reads the list itself. The
-/// wait is random, so that few hosts read at a time; a seed has read and sent the list within 0.3 s.
-const GOSSIP_WAIT: Range<Duration> = Duration::from_millis(300)..Duration::from_millis(1_800);
-
 /// Why a call to the store returned no state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
@@ -153,23 +150,32 @@
 /// Follows the configuration until the task is cancelled.
 pub async fn follow_configuration<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     let mut retry = StoreRetry::new("configuration");
-    let (mut after, mut started, mut allow_large) = (None, false, false);
+    let is_known = |relay: &Relay<W>| relay.routes().is_some();
+    let mut large = size_to_spread(&relay, &mut store, Topic::Configuration).await;
+    let (mut after, mut started) = (None, false);
     loop {
-        started |= relay.routes().is_some();
+        started |= is_known(&relay);
         if started && wait_until_follower(&relay).await {
             retry = StoreRetry::new("configuration");
         }
+        let spread = large.filter(|_| !started);
+        if let Some(bytes) = spread
+            && wait_for_turn(&relay, &mut store, bytes, is_known).await
+        {
+            continue;
+        }
         let stale_ok = !started && !relay.is_seed();
         let call = Call {
             after,
             epoch: relay.epoch(),
             timeout: retry.timeout(),
-            allow_large,
+            allow_large: started || large.is_some(),
             stale_ok,
             no_wait: false,
         };
         let sent_at = relay.start_call(call);
-        let answer = relay.call_store(StoreCall::configuration(call), after, store.configuration(call)).await;
+        let reading = relay.call_store(StoreCall::configuration(call), after, store.configuration(call));
+        let Some(answer) = unless_received(&relay, spread, is_known, reading).await else { continue };
         match relay.check_epoch(answer, |(revision, _)| revision.epoch) {
             Ok((revision, cfg)) => {
                 started = true;
@@ -192,11 +198,7 @@
                 after = None;
             }
             Err(StoreError::Restored { .. } | StoreError::WatchStalled) => after = None,
-            Err(StoreError::Large { bytes }) => {
-                let read_window = read_window(&relay, &mut store, bytes).await;
-                wait_for_gossip(&relay, read_window, |relay| relay.routes().is_some()).await;
-                allow_large = true;
-            }
+            Err(StoreError::Large { bytes }) => large = Some(bytes),
             Err(e) => {
                 after = None;
                 back_off(&mut retry, &e).await;
@@ -208,24 +210,37 @@
 /// Follows the backend servers until the task is cancelled.
 pub async fn follow_backends<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     let mut retry = StoreRetry::new("backends");
-    let (mut needs_list, mut allow_large) = (true, false);
+    let is_known = |relay: &Relay<W>| relay.state().backends_listed;
+    let mut large = size_to_spread(&relay, &mut store, Topic::Backends).await;
+    let mut needs_list = true;
     loop {
-        let started = relay.state().backends_listed;
+        let started = is_known(&relay);
         if started && wait_until_follower(&relay).await {
             retry = StoreRetry::new("backends");
         }
+        let spread = large.filter(|_| !started);
+        if let Some(bytes) = spread
+            && wait_for_turn(&relay, &mut store, bytes, is_known).await
+        {
+            needs_list = false;
+            continue;
+        }
         let after = (!needs_list).then(|| relay.state().backends.revision());
         let stale_ok = !started && !relay.is_seed();
         let call = Call {
             after,
             epoch: relay.epoch(),
             timeout: retry.timeout(),
-            allow_large,
+            allow_large: started || large.is_some(),
             stale_ok,
             no_wait: false,
         };
         let sent_at = relay.start_call(call);
-        let answer = relay.call_store(StoreCall::backends(call), after, store.backends(call)).await;
+        let reading = relay.call_store(StoreCall::backends(call), after, store.backends(call));
+        let Some(answer) = unless_received(&relay, spread, is_known, reading).await else {
+            needs_list = false;
+            continue;
+        };
         match relay.check_epoch(answer, |update| update.revision().epoch) {
             Ok(mut update) => {
                 needs_list = stale_ok;
@@ -249,17 +264,8 @@
                 needs_list = true;
             }
             Err(StoreError::Restored { .. } | StoreError::WatchStalled) => needs_list = true,
-            Err(StoreError::Long) => {
-                needs_list =
-                    !wait_for_gossip(&relay, GOSSIP_WAIT, |relay| relay.state().backends_listed).await;
-                allow_large = true;
-            }
-            Err(StoreError::Large { bytes }) => {
-                let read_window = read_window(&relay, &mut store, bytes).await;
-                needs_list =
-                    !wait_for_gossip(&relay, read_window, |relay| relay.state().backends_listed).await;
-                allow_large = true;
-            }
+            Err(StoreError::Long) => large = Some(LONG_LIST_BYTES),
+            Err(StoreError::Large { bytes }) => large = Some(bytes),
             Err(e) => {
                 // A watch would return only at the next change, and entries that expired meanwhile would remain valid
                 // until then.
@@ -271,6 +277,23 @@
     }
 }
 
+/// Waits for a read of the store. One that was `spread` is cancelled once a peer has sent the state: its bytes would
+/// delay the reads of other hosts.
+async fn unless_received<W: Wire, T>(
+    relay: &Relay<W>,
+    spread: Option<u64>,
+    is_known: impl Fn(&Relay<W>) -> bool,
+    reading: impl Future<Output = T>,
+) -> Option<T> {
+    if spread.is_none() || relay.is_seed() {
+        return Some(reading.await);
+    }
+    tokio::select! {
+        answer = reading => Some(answer),
+        () = until_known(relay, is_known) => None,
+    }
+}
+
 impl<W: Wire> Relay<W> {
     /// Records the start of a follower's call; returns the time.
     fn start_call(&self, call: Call) -> Instant {
--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use super::{Store, StoreCall, StoreError};
 use crate::{
@@ -14,13 +15,42 @@
 /// Interval at which a host checks whether it hears any other host, and whether the registration is up to date.
 const CHECK_INTERVAL: Duration = Duration::from_millis(3_000);
 
-/// The hosts registered in the store.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// The hosts registered in the store, and the size of the state that each of them needs.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Hosts {
     /// A sample of the hosts.
+    #[serde(rename = "members")]
     pub sample: Vec<Member>,
     /// The total number of hosts.
+    #[serde(default)]
     pub count: usize,
+    /// Number of backend servers; 0 if not known.
+    #[serde(default)]
+    pub servers: usize,
+    /// Number of routes and workspaces; 0 if not known.
+    #[serde(default)]
+    pub routes: usize,
+}
+
+impl Hosts {
+    /// Combines the registrations of all data centres.
+    pub fn combine(registrations: impl IntoIterator<Item = Hosts>) -> Self {
+        registrations.into_iter().fold(Self::default(), |mut all, of_centre| {
+            all.sample.extend(of_centre.sample);
+            all.count += of_centre.count;
+            all.servers = all.servers.max(of_centre.servers);
+            all.routes = all.routes.max(of_centre.routes);
+            all
+        })
+    }
+
+    /// Whether the fleet or its state has grown to twice the size of the registered one.
+    pub fn has_doubled_since(&self, registered: &Hosts) -> bool {
+        let doubled = |now: usize, before: usize| now > before && now >= before * 2;
+        doubled(self.count, registered.count)
+            || doubled(self.servers, registered.servers)
+            || doubled(self.routes, registered.routes)
+    }
 }
 
 /// Keeps some hosts of the data centre registered in the store, and reads the registered ones while no other host is
--- a/src/relay/follow/start.rs
+++ b/src/relay/follow/start.rs
@@ -1,4 +1,4 @@
-//! Spreads the reads of large answers when many hosts start at once.
+//! Keeps hosts that start together from reading large state from the store together.
 
 use std::{ops::Range, time::Duration};
 
@@ -6,40 +6,94 @@
 
 use super::{Hosts, Store, StoreCall, hosts::log_hosts_failure};
 use crate::{
-    relay::{Relay, Wire},
+    logs::lines::{Level, line},
+    relay::{
+        Relay, Wire,
+        confirm::Topic,
+        read_turn::{ReadTurn, must_spread},
+    },
     util::now,
 };
 
-/// Capacity of the store's link, 1 Gbit/s, less its other traffic. Hosts that start together read large answers one
-/// after the other: each that has read one can pass it on, whereas simultaneous reads would all finish only at the end.
-const STORE_LINK_BYTES_PER_SECOND: f64 = 100e6;
-/// Maximum length of the window.
-const MAX_READ_WINDOW: Duration = Duration::from_millis(1_500);
+/// Size of a backend server's entry in the store, in bytes.
+const BACKEND_ENTRY_BYTES: u64 = 300;
+/// Size of a route or a workspace in the configuration in the store, in bytes.
+const ROUTE_ENTRY_BYTES: u64 = 250;
+/// Size that is assumed for a list of many pages whose number of entries is not known, in bytes.
+pub(super) const LONG_LIST_BYTES: u64 = 1_000_000;
 /// Interval at which the host checks whether it has received the state.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The window within which the registered hosts read an answer of the given size, each at a random time: they may all
-/// have started together.
-pub(super) async fn read_window<W: Wire>(
+impl<W: Wire> Relay<W> {
+    /// The hosts registered in the store, which this host asks once after its start.
+    async fn registered_hosts(&self, store: &mut impl Store) -> Hosts {
+        let read = async || {
+            let hosts = self.call_store(StoreCall::Hosts, None, store.hosts()).await?;
+            self.add_hosts(&hosts.sample);
+            Ok(hosts)
+        };
+        match self.registered.get_or_try_init(read).await {
+            Ok(hosts) => hosts.clone(),
+            Err(e) => {
+                log_hosts_failure(&e);
+                Hosts::default()
+            }
+        }
+    }
+
+    /// Number of hosts that may be reading the same state as this one.
+    fn reading_hosts(&self) -> usize {
+        let registered = self.registered.get().map_or(0, |hosts| hosts.count);
+        registered.max(self.state().peers.host_count())
+    }
+}
+
+/// Size of the state of a topic, if so many hosts lack it after a simultaneous start that their reads must be spread.
+pub(super) async fn size_to_spread<W: Wire>(
+    relay: &Relay<W>,
+    store: &mut impl Store,
+    topic: Topic,
+) -> Option<u64> {
+    if relay.is_seed() {
+        return None;
+    }
+    let hosts = relay.registered_hosts(store).await;
+    let bytes = match topic {
+        Topic::Configuration => hosts.routes as u64 * ROUTE_ENTRY_BYTES,
+        Topic::Backends => hosts.servers as u64 * BACKEND_ENTRY_BYTES,
+        Topic::Evacuations => 0,
+    };
+    must_spread(bytes, hosts.count).then_some(bytes)
+}
+
+/// Waits until a peer has sent state of the given size or it is this host's turn to read it; returns whether it was
+/// received. Seeds don't wait, since all others hear of them first.
+pub(super) async fn wait_for_turn<W: Wire>(
     relay: &Relay<W>,
     store: &mut impl Store,
     bytes: u64,
-) -> Range<Duration> {
-    let hosts = match relay.call_store(StoreCall::Hosts, None, store.hosts()).await {
-        Ok(hosts) => hosts,
-        Err(e) => {
-            log_hosts_failure(&e);
-            Hosts::default()
+    is_known: impl Fn(&Relay<W>) -> bool,
+) -> bool {
+    if relay.is_seed() {
+        return false;
+    }
+    relay.registered_hosts(store).await;
+    let started = now();
+    let mut turn = ReadTurn::new(started, bytes, relay.draw());
+    while !is_known(relay) {
+        if turn.is_due(now(), relay.reading_hosts(), relay.is_alone()) {
+            line(Level::Notable, "reads_store", |l| {
+                let l = l.number("bytes", bytes).number("hosts", relay.reading_hosts() as u64);
+                l.flag("alone", relay.is_alone()).ms("after_ms", now() - started)
+            });
+            return false;
         }
-    };
-    relay.add_hosts(&hosts.sample);
-    let total_s = bytes as f64 * hosts.count as f64 / STORE_LINK_BYTES_PER_SECOND;
-    Duration::ZERO..Duration::from_secs_f64(total_s.min(MAX_READ_WINDOW.as_secs_f64())).max(POLL_INTERVAL)
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    true
 }
 
-/// Waits for a random time in `wait` to receive large state from a peer; returns whether it was received. Seeds don't
-/// wait, since all others hear of them first. After a simultaneous start of all hosts the store's link would carry the
-/// same answer to each of them, which would take longer than a call may.
+/// Waits for a random time in `wait` to receive state from a peer; returns whether it was received. Seeds don't wait.
 pub(super) async fn wait_for_gossip<W: Wire>(
     relay: &Relay<W>,
     wait: Range<Duration>,
@@ -54,3 +108,10 @@
     }
     is_known(relay)
 }
+
+/// Waits until state is known.
+pub(super) async fn until_known<W: Wire>(relay: &Relay<W>, is_known: impl Fn(&Relay<W>) -> bool) {
+    while !is_known(relay) {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -4,16 +4,18 @@
 
 use anyhow::{Context, Result, ensure};
 use rand::Rng;
+use serde::de::DeserializeOwned;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::Semaphore,
+    sync::{Semaphore, SemaphorePermit},
     time::timeout,
 };
 
 use super::{
     HOUSEKEEPING_INTERVAL, Relay, State, Wire,
-    datagram::{self, MAX_DATAGRAM_BYTES},
+    backends::packed,
+    datagram::{self, DropReason, MAX_DATAGRAM_BYTES},
     follow::BackendsUpdate,
     inbound::accept_all,
     peers::{LocalVersions, Scope},
@@ -38,11 +40,14 @@
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum time without progress in an answer; after it another host is asked, since the bytes may be lost on the way.
 const STALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Maximum number of fetches answered concurrently. Hosts that are turned away ask hosts that have been answered
-/// meanwhile, so new state spreads faster than from one host alone.
-const MAX_CONCURRENT_FETCHES: usize = 3;
+/// Maximum number of fields that a message of an earlier version may lack at its end.
+const MAX_ADDED_FIELDS: usize = 4;
 /// Random pause before another host is asked.
 const RETRY_PAUSE: Range<Duration> = Duration::from_millis(50)..Duration::from_millis(200);
+/// Number of fetches that wait while others are answered, so that the link is never idle, and for how long. They are
+/// answered one after the other: the first host that has all passes it on while the next one receives it.
+const QUEUED_FETCHES: usize = 2;
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Minimum delay before an early heartbeat or a fetch, so that changes in quick succession share one.
 const SETTLE_DELAY: Duration = Duration::from_millis(20);
 
@@ -145,7 +150,13 @@
         let Some((peer, own)) = choose_source(&relay, wants_held) else { continue };
         let configuration = if wants_full { 0 } else { own.configuration };
         let Revision { epoch, number } = own.backends;
-        let fetch_request = Fetch { configuration, backends: number, backends_epoch: epoch, wants_held };
+        let fetch_request = Fetch {
+            configuration,
+            backends: number,
+            backends_epoch: epoch,
+            wants_held,
+            accepts_packed: true,
+        };
         match fetch(peer, fetch_request).await {
             Ok(fetched) if fetched.busy => {
                 pause_before_retry().await;
@@ -189,7 +200,15 @@
     if let Some(cfg) = fetched.configuration {
         relay.set_configuration(cfg, &from);
     }
-    if let Some(list) = fetched.backends {
+    let unpacked = fetched.packed.and_then(|list| {
+        packed::unpack(list).or_else(|| {
+            relay.metrics.add(Counter::RelayDatagrams, DropReason::Malformed.as_str(), 1);
+            line(Level::Notable, "list_invalid", |l| l.text("peer", &from));
+            relay.state().peers.record_fetch_failure(now(), peer);
+            None
+        })
+    });
+    if let Some(list) = fetched.backends.or(unpacked) {
         relay.update_backends(BackendsUpdate::List(list), None, &from);
     }
     if let Some(changes) = fetched.changes {
@@ -214,70 +233,103 @@
     let (mut stream, length) =
         timeout(FETCH_TIMEOUT, asking).await.context("the peer did not answer in time")??;
     let reading = timeout(TRANSFER_TIMEOUT, read_message(&mut stream, length)).await;
-    postcard::from_bytes(&reading.context("the transfer of the answer timed out")??)
-        .context("could not decode the answer")
+    decode(reading.context("the transfer of the answer timed out")??).context("could not decode the answer")
+}
+
+/// Slots for the fetches that a host answers at once, and for those that wait.
+#[derive(Debug)]
+struct FetchSlots {
+    admitted: Arc<Semaphore>,
+    active: Semaphore,
+}
+
+impl FetchSlots {
+    fn new(active: usize) -> Self {
+        Self { admitted: Arc::new(Semaphore::new(active + QUEUED_FETCHES)), active: Semaphore::new(active) }
+    }
+
+    /// Waits for a free slot; `None` if none gets free soon.
+    async fn acquire(&self) -> Option<SemaphorePermit<'_>> {
+        timeout(QUEUE_TIMEOUT, self.active.acquire()).await.ok()?.ok()
+    }
 }
 
 /// Answers fetches of other hosts, a few at a time: if all hosts of a data centre were served concurrently, none would
 /// be done in time.
 pub async fn serve_fetches<W: Wire>(relay: Arc<Relay<W>>, listener: TcpListener) {
-    let slots = Arc::new(Semaphore::new(MAX_CONCURRENT_FETCHES));
+    let slots = Arc::new(FetchSlots::new(relay.cfg.concurrent_fetches));
     accept_all(listener, "a fetch", |stream, from| {
-        let (relay, slot) = (relay.clone(), slots.clone().try_acquire_owned().ok());
+        let (relay, slots) = (relay.clone(), slots.clone());
+        let admitted = slots.admitted.clone().try_acquire_owned().ok();
         tokio::spawn(async move {
-            match timeout(TRANSFER_TIMEOUT, answer(&relay, stream, slot.is_none())).await {
+            let answering = answer(&relay, stream, admitted.is_some().then_some(&*slots));
+            match timeout(TRANSFER_TIMEOUT, answering).await {
                 Ok(Ok(())) => {}
                 Ok(Err(e)) => spdlog::debug!("could not answer the fetch of {from}: {e:#}"),
                 Err(_) => spdlog::debug!("the fetch of {from} timed out"),
             }
+            drop(admitted);
         });
     })
     .await;
 }
 
-async fn answer<W: Wire>(relay: &Relay<W>, mut stream: TcpStream, busy: bool) -> Result<()> {
+/// Answers a fetch, which is turned away without `slots`.
+async fn answer<W: Wire>(relay: &Relay<W>, mut stream: TcpStream, slots: Option<&FetchSlots>) -> Result<()> {
     pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
     // A host whose bytes are lost on the way must not occupy a slot for longer.
     let fetch_request = timeout(FETCH_TIMEOUT, read_fetch(&mut stream))
         .await
         .context("the peer did not send its fetch in time")??;
-    if busy {
-        return write_message(&mut stream, &postcard::to_allocvec(&Fetched { busy, ..Fetched::default() })?)
-            .await;
-    }
+    let slot = match slots {
+        Some(slots) => slots.acquire().await,
+        None => None,
+    };
+    // Encoded at once, since the state takes several times as much memory as its encoded form.
+    let message = match &slot {
+        Some(_) => postcard::to_allocvec(&newer_state(relay, &fetch_request)),
+        None => postcard::to_allocvec(&Fetched { busy: true, ..Fetched::default() }),
+    };
+    write_message(&mut stream, &message?).await
+}
+
+/// The state that the requesting host lacks.
+fn newer_state<W: Wire>(relay: &Relay<W>, fetch_request: &Fetch) -> Fetched {
     let held = if fetch_request.wants_held { relay.holders_snapshot() } else { Vec::new() };
-    let fetched = {
-        let mut state = relay.state();
-        let routes = state.routes.clone().filter(|r| r.version() > fetch_request.configuration);
-        let configuration_changes =
-            routes.as_ref().and_then(|_| state.configurations.diff_from(fetch_request.configuration));
-        let full = routes.filter(|_| configuration_changes.is_none());
-        let known = fetch_request.backends_as_of();
-        let newer = state.backends_listed && state.backends.revision() > known;
-        let changes = newer.then(|| state.backends.changes_since(now(), known)).flatten();
-        Fetched {
-            configuration: full.map(|r| (**r.source()).clone()),
-            configuration_changes,
-            backends: (newer && changes.is_none()).then(|| state.backends.snapshot(now())),
-            changes,
-            held,
-            left: if fetch_request.wants_held { state.backends.leaving_starts() } else { Vec::new() },
-            busy,
-        }
+    let mut state = relay.state();
+    let routes = state.routes.clone().filter(|r| r.version() > fetch_request.configuration);
+    let configuration_changes =
+        routes.as_ref().and_then(|_| state.configurations.diff_from(fetch_request.configuration));
+    let full = routes.filter(|_| configuration_changes.is_none());
+    let known = fetch_request.backends_as_of();
+    let newer = state.backends_listed && state.backends.revision() > known;
+    let changes = newer.then(|| state.backends.changes_since(now(), known)).flatten();
+    let list = (newer && changes.is_none()).then(|| state.backends.snapshot(now()));
+    let left = if fetch_request.wants_held { state.backends.leaving_starts() } else { Vec::new() };
+    drop(state);
+    let (backends, packed) = match list {
+        Some(list) if fetch_request.accepts_packed => (None, Some(packed::pack(list))),
+        list => (list, None),
     };
-    write_message(&mut stream, &postcard::to_allocvec(&fetched)?).await
+    let configuration = full.map(|r| (**r.source()).clone());
+    Fetched { configuration, configuration_changes, backends, packed, changes, held, left, busy: false }
 }
 
 async fn read_fetch(stream: &mut TcpStream) -> Result<Fetch> {
     let length = read_length(stream).await?;
-    postcard::from_bytes(&read_message(stream, length).await?).context("could not decode the fetch")
+    decode(read_message(stream, length).await?).context("could not decode the fetch")
+}
+
+/// Decodes a message. One of an earlier version lacks the last fields, for which zero bytes stand.
+fn decode<T: DeserializeOwned>(mut message: Vec<u8>) -> postcard::Result<T> {
+    message.extend([0; MAX_ADDED_FIELDS]);
+    postcard::from_bytes(&message)
 }
 
 async fn write_message(stream: &mut TcpStream, message: &[u8]) -> Result<()> {
     ensure!(message.len() <= MAX_MESSAGE_BYTES, "the message of {} bytes is too long", message.len());
-    let mut buf = (message.len() as u32).to_le_bytes().to_vec();
-    buf.extend_from_slice(message);
-    stream.write_all(&buf).await.context("could not send the message")
+    stream.write_u32_le(message.len() as u32).await.context("could not send the message length")?;
+    stream.write_all(message).await.context("could not send the message")
 }
 
 async fn read_length(stream: &mut TcpStream) -> Result<usize> {
--- a/src/relay/peers/ahead.rs
+++ b/src/relay/peers/ahead.rs
@@ -41,6 +41,11 @@
         self.peers_ahead(now, own).next().is_some()
     }
 
+    /// Number of peers that newer state can be fetched from.
+    pub fn fetch_source_count(&self, now: Instant, own: LocalVersions) -> usize {
+        self.peers_ahead(now, own).count()
+    }
+
     /// Peers that have been ahead for longer than the delay that applies to them.
     fn peers_ahead(&self, now: Instant, own: LocalVersions) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         let follows = self.pushes_changes();
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -10,9 +10,10 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use anyhow::{Context, Result, ensure};
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -128,6 +129,22 @@
     Ok(stream)
 }
 
+/// Reads a body of at most `max_bytes`. It may take any time as long as no pause between two parts exceeds `stall`.
+///
+/// # Errors
+/// If the body is too long or breaks off, or no part arrives for `stall`.
+pub async fn read_body(body: Incoming, max_bytes: usize, stall: Duration) -> Result<Bytes> {
+    let (mut body, mut buf) = (body, BytesMut::new());
+    loop {
+        let frame = tokio::time::timeout(stall, body.frame()).await.context("the body stalled")?;
+        let Some(frame) = frame else { return Ok(buf.freeze()) };
+        if let Ok(data) = frame.context("the body broke off")?.into_data() {
+            ensure!(buf.len() + data.len() <= max_bytes, "the body is longer than {max_bytes} bytes");
+            buf.extend_from_slice(&data);
+        }
+    }
+}
+
 /// Enables TCP keepalive, which detects connections that fail silently without a reset. Otherwise a call that waits
 /// for a change would wait until its own timeout, 15 s, during which no host would learn of changes and leaving
 /// servers. A probe that is not acknowledged ends the connection, and the call is made again on a new one.
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -26,6 +26,8 @@
 /// Maximum number of backend server changes that are logged individually. For a longer list the total is logged as
 /// well: at startup with ten thousand servers, a line for each would use up a second's quota of log lines.
 const MAX_BACKEND_LOG_LINES: usize = 128;
+/// Interval at which a host logs that it is not ready.
+const NOT_READY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of hosts per data centre that are registered in the store. They are replaced once half of them are
 /// gone.
 const MAX_REGISTERED_HOSTS: usize = 16;
@@ -279,11 +281,33 @@
         }
     }
 
+    /// Logs once in a while why this host serves no callers, and what it waits for.
+    fn report_not_ready(&self, state: &mut State, now: Instant) {
+        let reported_recently =
+            state.not_ready_reported.is_some_and(|at| at + NOT_READY_REPORT_INTERVAL > now);
+        if state.is_ready() || state.leaving.is_some() || reported_recently {
+            return;
+        }
+        state.not_ready_reported = Some(now);
+        let own = state.local_versions();
+        line(Level::Notable, "not_ready", |l| {
+            let l = l
+                .flag("has_configuration", state.routes.is_some())
+                .flag("has_servers", state.backends_listed);
+            let l =
+                l.number("hosts", state.peers.host_count() as u64).flag("alone", state.peers.is_alone(now));
+            let l = l.number("registered", self.registered.get().map_or(0, |hosts| hosts.count as u64));
+            let l = l.number("sources", state.peers.fetch_source_count(now, own) as u64);
+            l.text("contact", state.contact.as_str()).ms("after_ms", now - self.started)
+        });
+    }
+
     /// Periodic housekeeping: expires peers, servers and evacuations, and closes idle connections.
     pub(crate) fn run_housekeeping(&self) {
         let now = now();
         let mut state = self.state();
         self.report_confirmations(&mut state, now);
+        self.report_not_ready(&mut state, now);
         for expired in state.peers.expire(now) {
             line(Level::Notable, "peer", |l| l.text("peer", &expired.to_string()).text("change", "lost"));
         }
@@ -387,17 +411,20 @@
             return None;
         }
         let me = &self.cfg.me;
-        let mut sample = vec![me.clone()];
+        let routes =
+            state.routes.as_ref().map_or(0, |r| r.source().routes.len() + r.source().workspaces.len());
+        let mut hosts =
+            Hosts { sample: vec![me.clone()], count: 1, servers: state.backends.iter().count(), routes };
         if state.peers.is_alone(now()) {
             let others = registered.sample.iter().filter(|m| m.peers != me.peers);
-            sample.extend(others.take(MAX_REGISTERED_HOSTS - 1).cloned());
-            return (!registered.sample.contains(me)).then_some(Hosts { count: sample.len(), sample });
-        }
-        sample.extend(state.peers.ready_in_data_centre(MAX_REGISTERED_HOSTS - 1));
-        let remaining = registered.sample.iter().filter(|m| sample.contains(m)).count();
-        let count = state.peers.data_centre_size();
-        let has_doubled = count >= registered.count * 2;
-        (has_doubled || remaining * 2 < registered.sample.len()).then_some(Hosts { sample, count })
+            hosts.sample.extend(others.take(MAX_REGISTERED_HOSTS - 1).cloned());
+            hosts.count = hosts.sample.len();
+            return (!registered.sample.contains(me)).then_some(hosts);
+        }
+        hosts.sample.extend(state.peers.ready_in_data_centre(MAX_REGISTERED_HOSTS - 1));
+        hosts.count = state.peers.data_centre_size();
+        let remaining = registered.sample.iter().filter(|m| hosts.sample.contains(m)).count();
+        (hosts.has_doubled_since(registered) || remaining * 2 < registered.sample.len()).then_some(hosts)
     }
 
     /// Adds hosts that are registered in the store as candidate peers.
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -382,6 +382,9 @@
     /// Epoch of the store to which the revision in `backends` belongs.
     #[prost(uint64, tag = "4")]
     pub backends_epoch: u64,
+    /// Whether the requesting host accepts the full list of backend servers in the packed form.
+    #[prost(bool, tag = "5")]
+    pub accepts_packed: bool,
 }
 /// Response with a peer's newer state.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -408,6 +411,70 @@
     /// Starts of backend servers that were seen leaving, for a host that has just started.
     #[prost(message, repeated, tag = "7")]
     pub left: ::prost::alloc::vec::Vec<Start>,
+    /// Full list of backend servers in place of `backends`, if the requesting host accepts this form.
+    #[prost(message, optional, tag = "8")]
+    pub packed: ::core::option::Option<PackedBackends>,
+}
+/// List of all backend servers at one revision of the store, without repeated names.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PackedBackends {
+    /// Epoch of the store.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Revision in that epoch.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Names of the services.
+    #[prost(string, repeated, tag = "3")]
+    pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Names of the data centres.
+    #[prost(string, repeated, tag = "4")]
+    pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Earliest known start of a server, in milliseconds since 1970.
+    #[prost(uint64, tag = "5")]
+    pub earliest_start: u64,
+    /// The servers.
+    #[prost(message, repeated, tag = "6")]
+    pub items: ::prost::alloc::vec::Vec<PackedBackend>,
+}
+/// Backend server in a packed list.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PackedBackend {
+    /// Identifier.
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// Position of its service in the list of services.
+    #[prost(uint32, tag = "2")]
+    pub service: u32,
+    /// Position of its data centre in the list of data centres.
+    #[prost(uint32, tag = "3")]
+    pub data_centre: u32,
+    /// IPv4 address as a number.
+    #[prost(uint32, tag = "4")]
+    pub ip: u32,
+    /// Port; 0 if the address is in `other_addr`.
+    #[prost(uint32, tag = "5")]
+    pub port: u32,
+    /// Address that is not an IPv4 address with a port.
+    #[prost(string, tag = "6")]
+    pub other_addr: ::prost::alloc::string::String,
+    /// Number of requests that the server runs concurrently.
+    #[prost(uint32, tag = "7")]
+    pub slots: u32,
+    /// Whether the server is leaving and takes no new work.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+    /// Start time of the server's process after the earliest one plus 1, in milliseconds; 0 if unknown.
+    #[prost(uint64, tag = "9")]
+    pub start: u64,
+    /// As in `Backend`.
+    #[prost(uint32, tag = "10")]
+    pub cold_ms: u32,
+    /// As in `Backend`.
+    #[prost(uint32, tag = "11")]
+    pub unconfirmed_ms: u32,
 }
 /// Changes from one configuration version to a newer one.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -159,7 +159,7 @@
     }
 
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
-        Ok(Hosts { sample: Vec::new(), count: 100 })
+        Ok(Hosts { count: 100, ..Hosts::default() })
     }
 }
 
@@ -229,7 +229,7 @@
     }
 
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
-        Ok(Hosts { sample: Vec::new(), count: 100 })
+        Ok(Hosts { count: 100, ..Hosts::default() })
     }
 }
 
@@ -288,7 +288,7 @@
     }
 
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
-        Ok(Hosts { sample: Vec::new(), count: 100 })
+        Ok(Hosts { count: 100, ..Hosts::default() })
     }
 }
 
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -31,6 +31,7 @@
         leave: LeaveConfig { grace: Duration::from_secs(8), address_ttl: Duration::from_secs(3) },
         evacuates: false,
         in_force: Duration::from_secs(2),
+        concurrent_fetches: 1,
     }
 }
 
