Tell callers to come back late while the whole fleet starts

Change: a host without a list that knows of no host callers may be sent to tells them to come back after a sixth to a third of their time, as for an overloaded service. A host that restarts alone still sends them to the others at once.

--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -84,7 +84,7 @@
     }
 
     /// Delay after which a caller that found no server should retry. Servers that become reachable again are
-    /// noticed soon, whereas an evacuation or a cold start lasts longer than callers wait.
+    /// noticed soon, whereas an evacuation, a cold start or a start of all hosts lasts longer than callers wait.
     pub(crate) fn retry_after(&self, req: &Request, kind: ErrorKind) -> Duration {
         match kind {
             ErrorKind::Paused => {
@@ -95,11 +95,23 @@
             ErrorKind::Evacuated | ErrorKind::WarmingUp | ErrorKind::Overloaded => {
                 late_retry_delay(req.time_left(now()), self.draw())
             }
+            // The whole fleet is starting: a caller that retries at once meets another host that can't serve it.
+            ErrorKind::NoEngine if self.lacks_servers_like_all_others() => {
+                late_retry_delay(req.time_left(now()), self.draw())
+            }
             _ => RETRY_AFTER,
         }
     }
 }
 
+impl<W: Wire> Relay<W> {
+    /// Whether this host has no list of backend servers and knows of no other host that callers may be sent to.
+    fn lacks_servers_like_all_others(&self) -> bool {
+        let state = self.state();
+        !state.backends_listed && state.peers.ready_members(now()).next().is_none()
+    }
+}
+
 /// Drops servers whose load has reached `max_load`. If that drops all of them, the service is overloaded. Used while
 /// some servers are excluded and the load of the others could rise past the fleet's limit.
 fn retain_below(candidates: &mut Vec<Candidate>, max_load: f64) -> Result<(), ErrorKind> {
