Simplify the followers' calls and what surrounds the start in turns

Found by reading the change again; no decision, bound or message between hosts changes. - The three followers built the same call by hand: new_call holds what they share, and whether a read is spread is derived from stale_ok, which says the same, so that seeds are asked for once instead of in three places. - The registered hosts are lent, not cloned for two of their numbers. - A host without servers says when to come back through one arm; its check stands with the method that uses it. - The number of servers is the arena's length instead of a walk over all of them. - An invalid list of a peer is reported without nested closures; the counter's description names lists, which it has counted since they were packed. - Two comments told figures.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -113,7 +113,7 @@
     }
 }
 
-/// Upper bounds of the histogram buckets in seconds. They are dense around the latency objectives of 0.15 to 0.6 s and
+/// Upper bounds of the histogram buckets in seconds. They are dense around the usual latency objectives and
 /// extend to the longest deadlines.
 const BUCKET_BOUNDS_S: [f64; 12] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0];
 
@@ -190,9 +190,11 @@
             Counter::RelayStoreCalls => {
                 row("relay_store_calls", "call", "calls to the store by what they ask for")
             }
-            Counter::RelayDatagrams => {
-                row("relay_datagrams_dropped", "reason", "datagrams of hosts dropped, by reason")
-            }
+            Counter::RelayDatagrams => row(
+                "relay_datagrams_dropped",
+                "reason",
+                "datagrams and lists of servers of hosts dropped, by reason",
+            ),
             Counter::RelayEpochs => {
                 row("relay_store_epochs", "heard", "epochs of the store but the one known, by meaning")
             }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -324,6 +324,11 @@
         }
     }
 
+    /// Number of all backend servers, including those that are leaving.
+    pub fn count(&self) -> usize {
+        self.arena.len()
+    }
+
     /// All backend servers, including those that are leaving.
     pub fn iter(&self) -> impl Iterator<Item = (BackendKey, &Backend)> {
         self.arena.iter()
--- a/src/relay/backends/packed.rs
+++ b/src/relay/backends/packed.rs
@@ -1,5 +1,5 @@
 //! The packed form of a full list of backend servers: names that many entries share are sent once, and addresses and
-//! start times as numbers. It takes about half of the bytes, so that a list reaches all hosts in half of the time.
+//! start times as numbers. The fewer bytes a list takes, the sooner it reaches all hosts of a fleet that starts.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -92,19 +92,21 @@
                 let end = self.state().first_pause_end(now, &req.service);
                 end.map_or(RETRY_AFTER, |end| end - now)
             }
-            ErrorKind::Evacuated | ErrorKind::WarmingUp | ErrorKind::Overloaded => {
-                late_retry_delay(req.time_left(now()), self.draw())
-            }
-            // The whole fleet is starting: a caller that retries at once meets another host that can't serve it.
-            ErrorKind::NoEngine if self.lacks_servers_like_all_others() => {
-                late_retry_delay(req.time_left(now()), self.draw())
-            }
+            _ if self.may_outlast_callers(kind) => late_retry_delay(req.time_left(now()), self.draw()),
             _ => RETRY_AFTER,
         }
     }
-}
 
-impl<W: Wire> Relay<W> {
+    /// Whether the condition behind a refusal may last longer than callers wait.
+    fn may_outlast_callers(&self, kind: ErrorKind) -> bool {
+        match kind {
+            ErrorKind::Evacuated | ErrorKind::WarmingUp | ErrorKind::Overloaded => true,
+            // The whole fleet is starting: a caller that retries at once meets another host that can't serve it.
+            ErrorKind::NoEngine => self.lacks_servers_like_all_others(),
+            _ => false,
+        }
+    }
+
     /// Whether this host has no list of backend servers and knows of no other host that callers may be sent to.
     fn lacks_servers_like_all_others(&self) -> bool {
         let state = self.state();
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -158,21 +158,15 @@
         if started && wait_until_follower(&relay).await {
             retry = StoreRetry::new("configuration");
         }
-        let spread = large.filter(|_| !started);
+        let stale_ok = !started && !relay.is_seed();
+        let spread = large.filter(|_| stale_ok);
         if let Some(bytes) = spread
             && wait_for_turn(&relay, &mut store, bytes, is_known).await
         {
             continue;
         }
-        let stale_ok = !started && !relay.is_seed();
-        let call = Call {
-            after,
-            epoch: relay.epoch(),
-            timeout: retry.timeout(),
-            allow_large: started || large.is_some(),
-            stale_ok,
-            no_wait: false,
-        };
+        let allow_large = started || large.is_some();
+        let call = Call { after, allow_large, stale_ok, ..relay.new_call(&retry) };
         let sent_at = relay.start_call(call);
         let reading = relay.call_store(StoreCall::configuration(call), after, store.configuration(call));
         let Some(answer) = unless_received(&relay, spread, is_known, reading).await else { continue };
@@ -218,7 +212,8 @@
         if started && wait_until_follower(&relay).await {
             retry = StoreRetry::new("backends");
         }
-        let spread = large.filter(|_| !started);
+        let stale_ok = !started && !relay.is_seed();
+        let spread = large.filter(|_| stale_ok);
         if let Some(bytes) = spread
             && wait_for_turn(&relay, &mut store, bytes, is_known).await
         {
@@ -226,15 +221,8 @@
             continue;
         }
         let after = (!needs_list).then(|| relay.state().backends.revision());
-        let stale_ok = !started && !relay.is_seed();
-        let call = Call {
-            after,
-            epoch: relay.epoch(),
-            timeout: retry.timeout(),
-            allow_large: started || large.is_some(),
-            stale_ok,
-            no_wait: false,
-        };
+        let allow_large = started || large.is_some();
+        let call = Call { after, allow_large, stale_ok, ..relay.new_call(&retry) };
         let sent_at = relay.start_call(call);
         let reading = relay.call_store(StoreCall::backends(call), after, store.backends(call));
         let Some(answer) = unless_received(&relay, spread, is_known, reading).await else {
@@ -285,7 +273,7 @@
     is_known: impl Fn(&Relay<W>) -> bool,
     reading: impl Future<Output = T>,
 ) -> Option<T> {
-    if spread.is_none() || relay.is_seed() {
+    if spread.is_none() {
         return Some(reading.await);
     }
     tokio::select! {
@@ -295,6 +283,18 @@
 }
 
 impl<W: Wire> Relay<W> {
+    /// The options of a follower's next call that do not depend on what it asks for.
+    fn new_call(&self, retry: &StoreRetry) -> Call {
+        Call {
+            after: None,
+            epoch: self.epoch(),
+            timeout: retry.timeout(),
+            allow_large: true,
+            stale_ok: false,
+            no_wait: false,
+        }
+    }
+
     /// Records the start of a follower's call; returns the time.
     fn start_call(&self, call: Call) -> Instant {
         let now = now();
--- a/src/relay/follow/evacuations.rs
+++ b/src/relay/follow/evacuations.rs
@@ -34,14 +34,7 @@
         }
         let after = (!needs_list).then(|| relay.state().evacuations.revision());
         let stale_ok = !started && !relay.is_seed();
-        let call = Call {
-            after,
-            epoch: relay.epoch(),
-            timeout: retry.timeout(),
-            allow_large: true,
-            stale_ok,
-            no_wait: false,
-        };
+        let call = Call { after, stale_ok, ..relay.new_call(&retry) };
         let sent_at = relay.start_call(call);
         let answer = relay.call_store(StoreCall::evacuations(call), after, store.evacuations(call)).await;
         match relay.check_epoch(answer, |update| update.revision().epoch) {
--- a/src/relay/follow/start.rs
+++ b/src/relay/follow/start.rs
@@ -25,20 +25,14 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 impl<W: Wire> Relay<W> {
-    /// The hosts registered in the store, which this host asks once after its start.
-    async fn registered_hosts(&self, store: &mut impl Store) -> Hosts {
+    /// The hosts registered in the store, which are read once after the start; `None` if the read failed.
+    async fn registered_hosts(&self, store: &mut impl Store) -> Option<&Hosts> {
         let read = async || {
             let hosts = self.call_store(StoreCall::Hosts, None, store.hosts()).await?;
             self.add_hosts(&hosts.sample);
             Ok(hosts)
         };
-        match self.registered.get_or_try_init(read).await {
-            Ok(hosts) => hosts.clone(),
-            Err(e) => {
-                log_hosts_failure(&e);
-                Hosts::default()
-            }
-        }
+        self.registered.get_or_try_init(read).await.inspect_err(log_hosts_failure).ok()
     }
 
     /// Number of hosts that may be reading the same state as this one.
@@ -49,6 +43,7 @@
 }
 
 /// Size of the state of a topic, if so many hosts lack it after a simultaneous start that their reads must be spread.
+/// Seeds read at once, since all others hear of them first.
 pub(super) async fn size_to_spread<W: Wire>(
     relay: &Relay<W>,
     store: &mut impl Store,
@@ -57,7 +52,7 @@
     if relay.is_seed() {
         return None;
     }
-    let hosts = relay.registered_hosts(store).await;
+    let hosts = relay.registered_hosts(store).await?;
     let bytes = match topic {
         Topic::Configuration => hosts.routes as u64 * ROUTE_ENTRY_BYTES,
         Topic::Backends => hosts.servers as u64 * BACKEND_ENTRY_BYTES,
@@ -67,16 +62,13 @@
 }
 
 /// Waits until a peer has sent state of the given size or it is this host's turn to read it; returns whether it was
-/// received. Seeds don't wait, since all others hear of them first.
+/// received.
 pub(super) async fn wait_for_turn<W: Wire>(
     relay: &Relay<W>,
     store: &mut impl Store,
     bytes: u64,
     is_known: impl Fn(&Relay<W>) -> bool,
 ) -> bool {
-    if relay.is_seed() {
-        return false;
-    }
     relay.registered_hosts(store).await;
     let started = now();
     let mut turn = ReadTurn::new(started, bytes, relay.draw());
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -200,15 +200,13 @@
     if let Some(cfg) = fetched.configuration {
         relay.set_configuration(cfg, &from);
     }
-    let unpacked = fetched.packed.and_then(|list| {
-        packed::unpack(list).or_else(|| {
-            relay.metrics.add(Counter::RelayDatagrams, DropReason::Malformed.as_str(), 1);
-            line(Level::Notable, "list_invalid", |l| l.text("peer", &from));
-            relay.state().peers.record_fetch_failure(now(), peer);
-            None
-        })
-    });
-    if let Some(list) = fetched.backends.or(unpacked) {
+    let unpacked = fetched.packed.map(packed::unpack);
+    if unpacked == Some(None) {
+        relay.metrics.add(Counter::RelayDatagrams, DropReason::Malformed.as_str(), 1);
+        line(Level::Notable, "list_invalid", |l| l.text("peer", &from));
+        relay.state().peers.record_fetch_failure(now(), peer);
+    }
+    if let Some(list) = fetched.backends.or(unpacked.flatten()) {
         relay.update_backends(BackendsUpdate::List(list), None, &from);
     }
     if let Some(changes) = fetched.changes {
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -413,8 +413,7 @@
         let me = &self.cfg.me;
         let routes =
             state.routes.as_ref().map_or(0, |r| r.source().routes.len() + r.source().workspaces.len());
-        let mut hosts =
-            Hosts { sample: vec![me.clone()], count: 1, servers: state.backends.iter().count(), routes };
+        let mut hosts = Hosts { sample: vec![me.clone()], count: 1, servers: state.backends.count(), routes };
         if state.peers.is_alone(now()) {
             let others = registered.sample.iter().filter(|m| m.peers != me.peers);
             hosts.sample.extend(others.take(MAX_REGISTERED_HOSTS - 1).cloned());
