Drop the doubling pauses of the start's model and share the tests' fetch

The model kept a knob for pauses that double, which nothing sets since that way was dropped; with it at 0 the results are the same. relay_start and relay_peers wrote the same exchange: it stands in the relay's fixtures now. No assertion changes.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -63,6 +63,6 @@
 fn with_way(policy: Policy, start: Start) -> Start {
     match policy {
         Policy::Turn => Start { policy, ..start },
-        Policy::Window(..) => Start { policy, slots: 3, queue: 0, doublings: 0, ..start },
+        Policy::Window(..) => Start { policy, slots: 3, queue: 0, ..start },
     }
 }
--- a/tests/relay_peers.rs
+++ b/tests/relay_peers.rs
@@ -18,11 +18,8 @@
     schema::fleet::{Backend, Backends, Beat, Centre, Configuration, Fetch, Fetched, InProgress, Member},
 };
 use rand::{SeedableRng, rngs::SmallRng};
-use relay_support::{host, rev};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use relay_support::{ask, host, rev};
+use tokio::net::TcpStream;
 
 const LOCAL: LocalVersions =
     LocalVersions { configuration: 5, backends: Revision { epoch: 0, number: 9 }, digest: 1 };
@@ -498,13 +495,7 @@
 
 /// Sends a fetch to a host, as another host would.
 async fn fetch(at: SocketAddr, fetch: Fetch) -> Fetched {
-    let mut stream = TcpStream::connect(at).await.unwrap();
-    let fetch = postcard::to_allocvec(&fetch).unwrap();
-    stream.write_all(&(fetch.len() as u32).to_le_bytes()).await.unwrap();
-    stream.write_all(&fetch).await.unwrap();
-    let mut answer = vec![0; stream.read_u32_le().await.unwrap() as usize];
-    stream.read_exact(&mut answer).await.unwrap();
-    postcard::from_bytes(&answer).unwrap()
+    postcard::from_bytes(&ask(at, &postcard::to_allocvec(&fetch).unwrap()).await).unwrap()
 }
 
 /// A route's timeout changes. A host with the previous configuration gets only this change; a host without a
--- a/tests/relay_start.rs
+++ b/tests/relay_start.rs
@@ -1,6 +1,6 @@
 //! Tests the start of a whole fleet in front of many backend servers.
 
-use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::pending, sync::Arc, time::Duration};
 
 use cranberrytally::{
     platform::PlatformWire,
@@ -14,17 +14,13 @@
     },
     schema::fleet,
 };
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    sync::mpsc::{UnboundedSender, unbounded_channel},
-};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 #[path = "support/relay.rs"]
 mod relay_support;
 #[path = "support/start.rs"]
 mod start;
-use relay_support::{host, listed, relay_config, rev};
+use relay_support::{ask, host, listed, relay_config, rev};
 use start::Start;
 
 /// Time within which all hosts must have the list after all were killed, once the store answers.
@@ -221,16 +217,6 @@
     assert_eq!(slots, [1, 1, 10, 24]);
 }
 
-/// Asks a host for what it has with an encoded fetch; returns its encoded answer.
-async fn ask(at: SocketAddr, fetch: &[u8]) -> Vec<u8> {
-    let mut stream = TcpStream::connect(at).await.unwrap();
-    stream.write_all(&(fetch.len() as u32).to_le_bytes()).await.unwrap();
-    stream.write_all(fetch).await.unwrap();
-    let mut answer = vec![0; stream.read_u32_le().await.unwrap() as usize];
-    stream.read_exact(&mut answer).await.unwrap();
-    answer
-}
-
 /// Guards against a fleet in which hosts of two versions can't read each other's lists while they are replaced.
 #[tokio::test]
 async fn a_host_of_the_version_before_gets_the_list_that_it_can_read() {
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -12,7 +12,10 @@
     },
     schema::fleet::{Backend, Member},
 };
-use tokio::net::UdpSocket;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpStream, UdpSocket},
+};
 
 /// Configuration of a host without seeds.
 pub fn relay_config(name: &str) -> RelayConfig {
@@ -69,3 +72,13 @@
     tokio::spawn(mesh::fetch_updates(relay.clone()));
     (relay, at)
 }
+
+/// Asks a host for what it has with an encoded fetch; returns its encoded answer.
+pub async fn ask(at: SocketAddr, fetch: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    stream.write_all(&(fetch.len() as u32).to_le_bytes()).await.unwrap();
+    stream.write_all(fetch).await.unwrap();
+    let mut answer = vec![0; stream.read_u32_le().await.unwrap() as usize];
+    stream.read_exact(&mut answer).await.unwrap();
+    answer
+}
--- a/tests/support/start.rs
+++ b/tests/support/start.rs
@@ -16,7 +16,7 @@
 /// Bytes per second of the store's link and of a host's link: 1 Gbit/s and 20 Mbit/s.
 const STORE_LINK: f64 = 125e6;
 const HOST_LINK: f64 = 2.5e6;
-/// Size of an entry in the store, in the list that a host sends, and in a page of a list.
+/// Size of an entry in the store, and number of entries in a page of its list.
 const ENTRY_BYTES: f64 = 300.0;
 const PAGE_ENTRIES: f64 = 500.0;
 /// Time within which all hosts start, and until a host hears of one that has the list.
@@ -60,8 +60,6 @@
     /// Number of fetches that a host answers at once, and of those that wait for their turn there.
     pub slots: usize,
     pub queue: usize,
-    /// How often the pause after a host was busy doubles.
-    pub doublings: u32,
     pub seed: u64,
 }
 
@@ -98,7 +96,6 @@
     /// Hosts that fetch from it, in order.
     fetchers: Vec<usize>,
     ask_at: Duration,
-    doublings: u32,
     ready_at: Option<Duration>,
 }
 
@@ -115,7 +112,6 @@
             policy: Policy::Turn,
             slots: 1,
             queue: 2,
-            doublings: 0,
             seed: 1,
         }
     }
@@ -159,7 +155,6 @@
             fetching: None,
             fetchers: Vec::new(),
             ask_at: starts_at + HEARD_AFTER,
-            doublings: 0,
             ready_at: None,
         }
     }
@@ -233,9 +228,7 @@
                 hosts[source].fetchers.push(n);
                 hosts[n].fetching = Some((source, bytes));
             } else {
-                let pause = Duration::from_millis(rng.random_range(BUSY_PAUSE_MS));
-                hosts[n].ask_at = now + pause * 2u32.pow(hosts[n].doublings);
-                hosts[n].doublings = (hosts[n].doublings + 1).min(self.doublings);
+                hosts[n].ask_at = now + Duration::from_millis(rng.random_range(BUSY_PAUSE_MS));
             }
         }
     }
