--- a/src/relay.rs
+++ b/src/relay.rs
@@ -152,6 +152,8 @@
     pub(crate) backends_listed: bool,
     /// When this host last logged that it is not ready.
     not_ready_reported: Option<Instant>,
+    /// When this host last logged the use of the retry budget.
+    budget_reported: Instant,
     /// Prompt parts that were read at servers where the other hosts do not expect them, to be reported in the next
     /// heartbeats.
     new_holders: Vec<Held>,
@@ -215,6 +217,7 @@
             has_read_copy: false,
             backends_listed: false,
             not_ready_reported: None,
+            budget_reported: now(),
             new_holders: Vec::new(),
             in_progress: 0,
             connections: 0,
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -36,10 +36,28 @@
     }
 }
 
+/// Use of the budget of one service since the last report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BudgetUse {
+    /// The service.
+    pub service: Arc<str>,
+    /// Retries that were taken from the budget.
+    pub taken: u32,
+    /// Retries for which it was exhausted.
+    pub refused: u32,
+    /// Requests of callers in the window.
+    pub requests: u32,
+    /// Number of hosts among which the extra is divided.
+    pub hosts: usize,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Window {
     /// Start of each bucket with its number of requests and retries.
     buckets: VecDeque<(Instant, u32, u32)>,
+    /// Retries taken and refused since the last report.
+    taken: u32,
+    refused: u32,
 }
 
 impl Window {
@@ -104,12 +122,26 @@
         let reserve = (1.0 - USED_FRACTION) * (from_requests + share);
         let is_first_retry = ramp < 1.0 && retries == 0 && reserve >= 1.0;
         if f64::from(retries) + 1.0 > allowed && !is_first_retry {
+            window.refused += 1;
             return false;
         }
         window.bucket(now, cfg.window).2 += 1;
+        window.taken += 1;
         true
     }
 
+    /// Use of the budget since the last call, for the services for which a retry was requested.
+    pub fn take_use(&mut self, now: Instant) -> Vec<BudgetUse> {
+        let (length, hosts) = (self.cfg.window, self.hosts);
+        let used = self.services.iter_mut().filter(|(_, window)| window.taken + window.refused > 0);
+        let report = |(service, window): (&Arc<str>, &mut Window)| {
+            window.bucket(now, length);
+            let (taken, refused) = (std::mem::take(&mut window.taken), std::mem::take(&mut window.refused));
+            BudgetUse { service: service.clone(), taken, refused, requests: window.sums().0, hosts }
+        };
+        used.map(report).collect()
+    }
+
     /// Time since the start of this host as a fraction of the window, at most 1.
     fn ramp(&self, now: Instant) -> f64 {
         let age =
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -28,6 +28,8 @@
 const MAX_BACKEND_LOG_LINES: usize = 128;
 /// Interval at which a host logs that it is not ready.
 const NOT_READY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a host logs the use of the retry budget.
+const BUDGET_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of hosts per data centre that are registered in the store. They are replaced once half of them are
 /// gone.
 const MAX_REGISTERED_HOSTS: usize = 16;
@@ -302,12 +304,28 @@
         });
     }
 
+    /// Logs the use of the retry budget, so that the sum over all hosts can be compared with what the fleet may spend.
+    fn report_budget(&self, state: &mut State, now: Instant) {
+        if state.budget_reported + BUDGET_REPORT_INTERVAL > now {
+            return;
+        }
+        state.budget_reported = now;
+        for used in state.budget.take_use(now) {
+            line(Level::Notable, "retry_budget", |l| {
+                let l = l.text("service", &used.service).number("taken", used.taken);
+                let l = l.number("refused", used.refused).number("requests", used.requests);
+                l.number("hosts", used.hosts as u64).ms("running_ms", now - self.started)
+            });
+        }
+    }
+
     /// Periodic housekeeping: expires peers, servers and evacuations, and closes idle connections.
     pub(crate) fn run_housekeeping(&self) {
         let now = now();
         let mut state = self.state();
         self.report_confirmations(&mut state, now);
         self.report_not_ready(&mut state, now);
+        self.report_budget(&mut state, now);
         for expired in state.peers.expire(now) {
             line(Level::Notable, "peer", |l| l.text("peer", &expired.to_string()).text("change", "lost"));
         }
