--- a/tests/relay_budget.rs
+++ b/tests/relay_budget.rs
@@ -145,6 +145,19 @@
     assert!(arrived as f64 <= limit, "{arrived} arrivals from {from:?}, {limit} allowed");
 }
 
+/// Guards against hosts that restart while they hear no others, each of which would take the whole of the extra.
+#[test]
+fn a_host_that_does_not_know_the_fleet_takes_no_share_of_the_extra() {
+    let service: Arc<str> = "s".into();
+    let mut unknown = FleetBudget::new(CFG).with_start(START);
+    let mut known = unknown.clone();
+    known.set_hosts(6);
+
+    let spent = [&mut unknown, &mut known].map(|budget| budget.spend(START + CFG.window, &service));
+
+    assert_eq!(spent, [false, true]);
+}
+
 /// What happens at one moment of a random schedule.
 #[derive(Clone, Debug)]
 enum Event {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -97,6 +97,22 @@
     }
 }
 
+/// Guards against a check that misses retries beyond the budget, or counts the first arrival of a request as one.
+#[test]
+fn retries_beyond_the_budget_are_violations() {
+    let history_with_retries = |retries: usize| {
+        let history = history(Kind::Idempotent, &["i-1"], complete(200, &["own"]));
+        let event = ServerEvent::Arrived(Instant::now());
+        (0..=retries).for_each(|_| {
+            history.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+        });
+        history
+    };
+
+    assert_eq!(history_with_retries(12).violations(), Vec::<String>::new());
+    assert_eq!(history_with_retries(13).violations().len(), 1);
+}
+
 /// Guards against a check that misses requests to a draining server, or reports them although the store was out of contact.
 #[test]
 fn requests_to_a_draining_server_are_violations() {
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use super::{hosts::CONFIG_APPLY_MS, store::VERSION_ROUTE};
+use super::{
+    hosts::{CONFIG_APPLY_MS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW_S},
+    store::VERSION_ROUTE,
+};
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u32 = 12;
@@ -140,6 +143,16 @@
     server_events: Vec<(String, ServerEvent)>,
 }
 
+impl RequestTrace {
+    /// When the request arrived at servers, in order.
+    fn arrivals(&self) -> impl Iterator<Item = Instant> {
+        self.server_events.iter().filter_map(|(_, event)| match event {
+            ServerEvent::Arrived(at) => Some(*at),
+            _ => None,
+        })
+    }
+}
+
 /// A request as its caller sent it.
 #[derive(Clone, Debug)]
 struct Sent {
@@ -364,6 +377,27 @@
         violations
     }
 
+    /// Checks that retries stay within the fleet's budget, by their arrivals at the servers in any window. The requests
+    /// are counted in the window, in the one before or in the one half a window before, whichever has the most.
+    fn check_retry_budget(&self, traces: &BTreeMap<String, RequestTrace>) -> Option<String> {
+        let window = Duration::from_secs(RETRY_WINDOW_S);
+        let mut requests: Vec<_> =
+            traces.values().filter_map(|trace| Some(trace.sent.as_ref()?.at)).collect();
+        requests.sort();
+        let mut retries: Vec<_> = traces.values().flat_map(|trace| trace.arrivals().skip(1)).collect();
+        retries.sort();
+        let count = |times: &[Instant], from: Instant| {
+            times.partition_point(|at| *at < from + window) - times.partition_point(|at| *at < from)
+        };
+        retries.iter().find_map(|from| {
+            let starts = [Some(*from), from.checked_sub(window / 2), from.checked_sub(window)];
+            let requests = starts.into_iter().flatten().map(|start| count(&requests, start)).max()?;
+            let (arrived, allowed) = (count(&retries, *from), RETRY_RATIO * requests as f64 + RETRY_EXTRA);
+            let violation = || format!("{arrived} retries arrived in a window, {allowed} are allowed");
+            (arrived as f64 > allowed).then(violation)
+        })
+    }
+
     /// Violations of the guarantees, one line each.
     pub fn violations(&self) -> Vec<String> {
         let traces = self.traces();
@@ -372,7 +406,8 @@
         });
         let drain_announced =
             self.check_announced_drain(&traces).into_iter().chain(self.check_pauses(&traces));
-        per_request.chain(drain_announced).chain(self.check_versions(&traces)).collect()
+        let all = per_request.chain(drain_announced).chain(self.check_versions(&traces));
+        all.chain(self.check_retry_budget(&traces)).collect()
     }
 
     /// Checks one request on its own.
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -31,6 +31,10 @@
 const PEER_PORT: u16 = 7_340;
 /// Grace period of a graceful stop.
 const STOP_GRACE_S: u64 = 8;
+/// Retries per request that the fleet may make, those beyond that in a window, and the length of the window in seconds.
+pub const RETRY_RATIO: f64 = 0.2;
+pub const RETRY_EXTRA: f64 = 12.0;
+pub const RETRY_WINDOW_S: u64 = 10;
 /// Limit for applying a configuration change, and for taking a draining server out of use.
 pub const CONFIG_APPLY_MS: u64 = 2_000;
 /// Timeout for a process to listen.
@@ -270,7 +274,7 @@
     json!({ "node": format!("host-{n}"), "zone": zone, "ip": ip.to_string(), "later": {},
         "listen": { "front": at(CALLER_PORT), "ready": at(READINESS_PORT), "control": at(8_229), "directory": at(DIRECTORY_PORT) },
         "internalPortRange": [PEER_PORT, PEER_PORT + 15], "seeds": seeds,
-        "bounds": { "graceS": STOP_GRACE_S, "configApplyMs": CONFIG_APPLY_MS, "drainMs": CONFIG_APPLY_MS, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetExtra": 56 },
+        "bounds": { "graceS": STOP_GRACE_S, "configApplyMs": CONFIG_APPLY_MS, "drainMs": CONFIG_APPLY_MS, "retryBudgetRatio": RETRY_RATIO, "budgetWindowS": RETRY_WINDOW_S, "retryBudgetExtra": RETRY_EXTRA },
         "platformConfig": { "address": store.to_string() } })
     .to_string()
 }
