--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for backend servers, each behind a gate: they take some milliseconds for each request and record it.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -101,6 +102,11 @@
         self.running.lock().unwrap().push(Arc::new(Engine { id, draining, gate, task, crash }));
     }
 
+    /// Identifiers and addresses of the servers.
+    pub fn addresses(&self) -> Vec<(String, SocketAddr)> {
+        self.running.lock().unwrap().iter().map(|engine| (engine.id.clone(), engine.gate.addr())).collect()
+    }
+
     /// The server at an index, taken modulo the number of servers.
     fn nth(&self, n: usize) -> Arc<Engine> {
         let running = self.running.lock().unwrap();
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -61,6 +61,12 @@
 impl Hosts {
     /// Starts a number of hosts in three data centres; the first three hosts are seeds.
     pub fn start(count: usize, store: SocketAddr, history: Arc<History>) -> Self {
+        Self::start_with_stores(&vec![store; count], history)
+    }
+
+    /// Starts a host for each of the stores, which may list different addresses for the same servers.
+    pub fn start_with_stores(stores: &[SocketAddr], history: Arc<History>) -> Self {
+        let count = stores.len();
         let net = free_net();
         let ip = |n: usize| {
             IpAddr::from(Ipv4Addr::new(127, net, (n / HOSTS_PER_NET) as u8, (n % HOSTS_PER_NET + 1) as u8))
@@ -70,7 +76,7 @@
         let hosts = (0..count).map(|n| {
             let stem = format!("soak-{}-{net}-{n}", std::process::id());
             let (settings_path, log) = (dir.join(format!("{stem}.json")), dir.join(format!("{stem}.log")));
-            fs::write(&settings_path, settings_json(n, ip(n), store, &seeds)).unwrap();
+            fs::write(&settings_path, settings_json(n, ip(n), stores[n], &seeds)).unwrap();
             Host { ip: ip(n), settings_path, log, child: Mutex::new(None) }
         });
         let hosts = Self {
