Let a host that is cut off from servers connect through another host

Cause: a host had no way to a server but its own connections. Its lines show nothing but failures to connect, and no refusal of a server or of the admission.

Now a host that fails to connect to two servers, which no two other hosts call down, asks other hosts to connect for it: a message on the port between hosts, after which the connection carries the bytes to and from that server. The host that the caller met stays in charge of the request, its attempts, its budget and its deadline; the other one checks that the server may get requests by what it knows, connects directly (one hop), serves 256 such connections at most, and passes on a reset as a reset. Once a second both ways are tried at once, so that the end of a cut is noticed at no delay. Servers that a host is cut off from are left out of what it reports as avoided. A host of an earlier version answers the message like a fetch with nothing newer, which counts as declined.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -57,6 +57,8 @@
     RelayEpochs,
     /// Notices of backend servers about themselves in answers, by kind.
     RelayTold,
+    /// Connections to backend servers through other hosts, and for them, by outcome.
+    RelayTunnels,
 }
 
 /// A gauge of the relay.
@@ -130,7 +132,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 21] = [
+    pub const ALL: [Counter; 22] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -152,6 +154,7 @@
         Counter::RelayDatagrams,
         Counter::RelayEpochs,
         Counter::RelayTold,
+        Counter::RelayTunnels,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -201,6 +204,9 @@
             Counter::RelayTold => {
                 row("relay_told", "what", "what backend servers said of themselves in answers")
             }
+            Counter::RelayTunnels => {
+                row("relay_tunnels", "outcome", "connections to backend servers through another host")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,8 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`]. The I/O is in [`inbound`], [`pool`], [`run`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and
+//! [`leave`], [`events`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`mesh`]. [`Wire`] and
 //! [`follow::Store`] are the traits that an adapter implements. This file holds the state of a host; `updates`
 //! changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -56,6 +57,7 @@
 pub mod peers;
 pub mod place;
 pub mod pool;
+pub mod reach;
 pub mod read_turn;
 pub mod request;
 pub mod revision;
@@ -64,6 +66,7 @@
 mod stop;
 pub mod stream;
 pub mod suspects;
+pub mod tunnel;
 pub mod updates;
 pub mod warmup;
 mod wire;
@@ -82,6 +85,7 @@
 
 use peers::{LocalVersions, Peers};
 use pool::{Conn, Pool};
+use reach::Reach;
 use request::Request;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
@@ -133,6 +137,7 @@
     pub(crate) configurations: ConfigurationHistory,
     pub(crate) backends: Backends,
     pub(crate) health: Health,
+    pub(crate) reach: Reach,
     pub(crate) holders: Holders,
     pub(crate) budget: FleetBudget,
     pub(crate) peers: Peers,
@@ -202,6 +207,7 @@
             configurations: ConfigurationHistory::default(),
             backends: Backends::default(),
             health: Health::default(),
+            reach: Reach::default(),
             holders: Holders::default(),
             budget: FleetBudget::new(cfg.budget).with_start(now()),
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Relay, State, Wire,
+    backends::BackendKey,
     confirm::Topic,
     datagram::DropReason,
     followers::FollowState,
@@ -48,7 +49,12 @@
         let busy = state.backends.iter().filter(|(_, b)| b.in_progress > 0);
         let in_progress = busy.map(|(_, b)| InProgress { backend: b.tag, requests: b.in_progress }).collect();
         let keys: Vec<_> = state.backends.iter().map(|(key, _)| key).collect();
-        let paused = keys.iter().filter(|key| state.health.is_backing_off(now, **key));
+        // What a host that is cut off fails to reach says nothing about the servers.
+        let is_cut_off = state.reach.is_cut_off(now);
+        let is_avoided = |key: &&BackendKey| {
+            state.health.is_backing_off(now, **key) && !(is_cut_off && state.reach.is_unreached(now, **key))
+        };
+        let paused = keys.iter().filter(is_avoided);
         let avoided = paused.filter_map(|key| state.backends.get(*key)).map(|b| b.tag).collect();
         let sent = state.new_holders.len().min(MAX_NEW_HOLDERS);
         let mut beat = Beat {
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -4,11 +4,11 @@
 
 use anyhow::{Context, Result, ensure};
 use rand::Rng;
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::{Semaphore, SemaphorePermit},
+    sync::{OwnedSemaphorePermit, Semaphore, SemaphorePermit},
     time::timeout,
 };
 
@@ -21,6 +21,7 @@
     peers::{LocalVersions, Scope},
     pool,
     revision::Revision,
+    tunnel,
 };
 use crate::{
     logs::lines::{Level, line},
@@ -156,6 +157,7 @@
             backends_epoch: epoch,
             wants_held,
             accepts_packed: true,
+            connect_to: 0,
         };
         match fetch(peer, fetch_request).await {
             Ok(fetched) if fetched.busy => {
@@ -224,7 +226,7 @@
     let asking = async {
         let mut stream = TcpStream::connect(peer).await.context("could not connect")?;
         pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
-        write_message(&mut stream, &postcard::to_allocvec(&fetch_request)?).await?;
+        send(&mut stream, &fetch_request).await?;
         let length = read_length(&mut stream).await?;
         anyhow::Ok((stream, length))
     };
@@ -239,11 +241,16 @@
 struct FetchSlots {
     admitted: Arc<Semaphore>,
     active: Semaphore,
+    tunnels: Semaphore,
 }
 
 impl FetchSlots {
     fn new(active: usize) -> Self {
-        Self { admitted: Arc::new(Semaphore::new(active + QUEUED_FETCHES)), active: Semaphore::new(active) }
+        Self {
+            admitted: Arc::new(Semaphore::new(active + QUEUED_FETCHES)),
+            active: Semaphore::new(active),
+            tunnels: Semaphore::new(tunnel::MAX_TUNNELS),
+        }
     }
 
     /// Waits for a free slot; `None` if none gets free soon.
@@ -260,25 +267,40 @@
         let (relay, slots) = (relay.clone(), slots.clone());
         let admitted = slots.admitted.clone().try_acquire_owned().ok();
         tokio::spawn(async move {
-            let answering = answer(&relay, stream, admitted.is_some().then_some(&*slots));
-            match timeout(TRANSFER_TIMEOUT, answering).await {
-                Ok(Ok(())) => {}
-                Ok(Err(e)) => spdlog::debug!("could not answer the fetch of {from}: {e:#}"),
-                Err(_) => spdlog::debug!("the fetch of {from} timed out"),
+            if let Err(e) = serve_peer(&relay, stream, &slots, admitted).await {
+                spdlog::debug!("could not answer {from}: {e:#}");
             }
-            drop(admitted);
         });
     })
     .await;
 }
 
-/// Answers a fetch, which is turned away without `slots`.
-async fn answer<W: Wire>(relay: &Relay<W>, mut stream: TcpStream, slots: Option<&FetchSlots>) -> Result<()> {
+/// Serves one connection of a peer, which is turned away if it is not admitted.
+async fn serve_peer<W: Wire>(
+    relay: &Arc<Relay<W>>,
+    mut stream: TcpStream,
+    slots: &FetchSlots,
+    admitted: Option<OwnedSemaphorePermit>,
+) -> Result<()> {
     pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
     // A host whose bytes are lost on the way must not occupy a slot for longer.
-    let fetch_request = timeout(FETCH_TIMEOUT, read_fetch(&mut stream))
-        .await
-        .context("the peer did not send its fetch in time")??;
+    let reading = timeout(FETCH_TIMEOUT, receive::<Fetch>(&mut stream)).await;
+    let fetch_request = reading.context("the peer did not send its request in time")??;
+    if fetch_request.connect_to != 0 {
+        drop(admitted);
+        return tunnel::serve(relay, stream, fetch_request.connect_to, &slots.tunnels).await;
+    }
+    let answering = answer(relay, stream, fetch_request, admitted.is_some().then_some(slots));
+    timeout(TRANSFER_TIMEOUT, answering).await.context("the transfer timed out")?
+}
+
+/// Answers a fetch, which is turned away without `slots`.
+async fn answer<W: Wire>(
+    relay: &Relay<W>,
+    mut stream: TcpStream,
+    fetch_request: Fetch,
+    slots: Option<&FetchSlots>,
+) -> Result<()> {
     let slot = match slots {
         Some(slots) => slots.acquire().await,
         None => None,
@@ -310,12 +332,28 @@
         list => (list, None),
     };
     let configuration = full.map(|r| (**r.source()).clone());
-    Fetched { configuration, configuration_changes, backends, packed, changes, held, left, busy: false }
+    Fetched {
+        configuration,
+        configuration_changes,
+        backends,
+        packed,
+        changes,
+        held,
+        left,
+        busy: false,
+        connected: 0,
+    }
+}
+
+/// Sends a message to a peer.
+pub(super) async fn send(stream: &mut TcpStream, message: &impl Serialize) -> Result<()> {
+    write_message(stream, &postcard::to_allocvec(message)?).await
 }
 
-async fn read_fetch(stream: &mut TcpStream) -> Result<Fetch> {
+/// Receives a message of a peer.
+pub(super) async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> Result<T> {
     let length = read_length(stream).await?;
-    decode(read_message(stream, length).await?).context("could not decode the fetch")
+    decode(read_message(stream, length).await?).context("could not decode the message")
 }
 
 /// Decodes a message. One of an earlier version lacks the last fields, for which zero bytes stand.
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -27,10 +27,10 @@
 
 /// Time limit for connecting: a round trip within a region takes 3 ms, and a lost first packet is retransmitted
 /// only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which unacknowledged bytes end a connection to a backend server, so that a server that has lost power
 /// is noticed within the objective of most requests. A lost packet is retransmitted and acknowledged within 250 ms.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const UNACKED_TIMEOUT: Duration = Duration::from_millis(350);
 /// Idle time after which keepalive probes are sent, and time between probes; the kernel supports only whole
 /// seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -52,6 +52,9 @@
     task: AbortHandle,
     /// Whether it has carried a request before.
     pub reused: bool,
+    /// Whether it passes through another host. It is used for one request, since that host decides each time whether the
+    /// server may get one.
+    is_tunnel: bool,
 }
 
 impl Conn {
@@ -63,6 +66,16 @@
         Self::handshake(connect_tcp(addr, timeout).await?, addr).await
     }
 
+    /// Uses the connection to another host that has connected to a backend server.
+    ///
+    /// # Errors
+    /// As [`Conn::connect`].
+    pub(crate) async fn through(stream: TcpStream, host: SocketAddr) -> Result<Self, Failure> {
+        let mut conn = Self::handshake(stream, host).await?;
+        conn.is_tunnel = true;
+        Ok(conn)
+    }
+
     /// Connects with TCP keepalive, for calls that wait long for their answer.
     ///
     /// # Errors
@@ -83,7 +96,7 @@
                 spdlog::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Self { tx, task: task.abort_handle(), reused: false })
+        Ok(Self { tx, task: task.abort_handle(), reused: false, is_tunnel: false })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -122,7 +135,7 @@
     }
 }
 
-async fn connect_tcp(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
+pub(super) async fn connect_tcp(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(timeout), TcpStream::connect(addr));
     let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
     configure_socket(&stream, Some(UNACKED_TIMEOUT));
@@ -206,6 +219,9 @@
     /// Keeps an idle connection after its answer was read completely, for a fraction of the time that the server
     /// keeps it, if there are fewer than `max_idle`.
     pub fn put(&self, key: BackendKey, mut conn: Conn, server_keeps: Option<Duration>, max_idle: usize) {
+        if conn.is_tunnel {
+            return conn.close();
+        }
         conn.reused = true;
         let max_idle_time = server_keeps.map_or(DEFAULT_IDLE, |period| period.mul_f64(IDLE_FRACTION));
         let mut idle = lock(&self.idle);
@@ -226,6 +242,11 @@
         lock(&self.idle).remove(&key);
     }
 
+    /// Closes all idle connections.
+    pub fn clear_all(&self) {
+        lock(&self.idle).clear();
+    }
+
     /// Closes connections that have been idle for too long, and those to servers for which `is_kept` is false.
     pub fn evict(&self, is_kept: impl Fn(BackendKey) -> bool) {
         let now = now();
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -191,15 +191,12 @@
     /// content as suspect.
     async fn probe_for_crash(&self, key: BackendKey) {
         let Some(addr) = self.relay.state().backends.get(key).map(|b| b.addr) else { return };
-        match Conn::connect(addr, self.req.time_left(now())).await {
-            Ok(conn) => self.relay.return_connection(key, conn, None),
-            Err(_) => {
-                self.relay.record_crash(key);
-                let crashes = self.relay.state().suspects.record_crash(now(), self.req.fingerprint());
-                self.relay
-                    .log_request(Level::Notable, "suspected", &self.req, |l| l.number("crashes", crashes));
-            }
+        if let Ok(conn) = self.relay.connect(key, addr, self.req.time_left(now())).await {
+            return self.relay.return_connection(key, conn, None);
         }
+        self.relay.record_crash(key);
+        let crashes = self.relay.state().suspects.record_crash(now(), self.req.fingerprint());
+        self.relay.log_request(Level::Notable, "suspected", &self.req, |l| l.number("crashes", crashes));
     }
 
     /// Makes one attempt, up to the head of the answer.
@@ -265,7 +262,7 @@
                 if stale_conns < MAX_STALE_CONNECTIONS { self.relay.pool.take(choice.key) } else { None };
             let mut conn = match kept {
                 Some(conn) => conn,
-                None => Conn::connect(addr, self.req.time_left(now())).await?,
+                None => self.relay.connect(choice.key, addr, self.req.time_left(now())).await?,
             };
             let left = self.req.time_left(now());
             if left.is_zero() {
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -255,6 +255,7 @@
     /// Drops the state kept about one run of a server: its cached prompt parts, its health, and the connections to it.
     fn forget_backend(&self, state: &mut State, key: BackendKey) {
         state.health.forget(key);
+        state.reach.forget(key);
         state.holders.forget(key);
         self.pool.clear(key);
     }
@@ -341,6 +342,7 @@
         let ended = state.evacuations.expire(now);
         self.on_evacuation_changes(&mut state, &ended, "not written again after a restore");
         state.warmup.expire(now);
+        self.expire_reach(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
     }
 
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -385,6 +385,10 @@
     /// Whether the requesting host accepts the full list of backend servers in the packed form.
     #[prost(bool, tag = "5")]
     pub accepts_packed: bool,
+    /// Tag of the backend server to which the peer is to connect instead of returning state; 0 for none. After the response
+    /// the connection carries the bytes to and from that server.
+    #[prost(fixed32, tag = "6")]
+    pub connect_to: u32,
 }
 /// Response with a peer's newer state.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -414,6 +418,9 @@
     /// Full list of backend servers in place of `backends`, if the requesting host accepts this form.
     #[prost(message, optional, tag = "8")]
     pub packed: ::core::option::Option<PackedBackends>,
+    /// Result of connecting to the requested backend server.
+    #[prost(enumeration = "Connected", tag = "9")]
+    pub connected: i32,
 }
 /// List of all backend servers at one revision of the store, without repeated names.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -573,3 +580,41 @@
         }
     }
 }
+/// Result of connecting to a backend server for another host.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Connected {
+    /// The peer does not connect for others now: it cannot reach the server itself, is busy or stops.
+    Declined = 0,
+    /// The connection is established.
+    Established = 1,
+    /// The peer could not connect either.
+    Unreachable = 2,
+    /// The server gets no new requests, as far as the peer knows: it is unknown, leaving, evacuated or in a pause.
+    NotEligible = 3,
+}
+impl Connected {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Declined => "DECLINED",
+            Self::Established => "ESTABLISHED",
+            Self::Unreachable => "UNREACHABLE",
+            Self::NotEligible => "NOT_ELIGIBLE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "DECLINED" => Some(Self::Declined),
+            "ESTABLISHED" => Some(Self::Established),
+            "UNREACHABLE" => Some(Self::Unreachable),
+            "NOT_ELIGIBLE" => Some(Self::NotEligible),
+            _ => None,
+        }
+    }
+}
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -17,6 +17,7 @@
         place::Reason,
         revision::EpochCheck,
         stream::StreamBreak,
+        tunnel::TunnelOutcome,
         updates::ServerNotice,
     },
 };
@@ -80,6 +81,7 @@
         (Counter::RelayStoreCalls, label_values(&StoreCall::ALL, |a| a.as_str())),
         (Counter::RelayDatagrams, label_values(&DropReason::ALL, |f| f.as_str())),
         (Counter::RelayTold, label_values(&ServerNotice::ALL, |t| t.as_str())),
+        (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
     for (counter, expected) in values {
