--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -31,7 +31,7 @@
     util::now,
 };
 
-/// Maximum number of connections that a host serves for others at a time, of 32 KB and two sockets each.
+/// Maximum number of connections that a host serves for others at a time, with two sockets each.
 pub(super) const MAX_TUNNELS: usize = 256;
 /// Maximum number of hosts of the same data centre, and of other ones, that are asked for one connection.
 const MAX_HELPERS: usize = 2;
@@ -211,7 +211,12 @@
             });
             let reach = &mut self.state().reach;
             match outcome {
-                TunnelOutcome::Unreachable => reach.record_confirmed(now(), key, helper),
+                TunnelOutcome::Unreachable => {
+                    reach.record_confirmed(now(), key, helper);
+                    if !reach.is_unreached(now(), key) {
+                        break;
+                    }
+                }
                 TunnelOutcome::NotEligible => {}
                 _ => reach.record_declined(now(), helper),
             }
