--- a/tests/relay_budget.rs
+++ b/tests/relay_budget.rs
@@ -74,6 +74,19 @@
         self.requests.push(at);
     }
 
+    /// A request that is refused from the tenth second on.
+    fn request_at(&mut self, at: Duration, host: usize) {
+        match at >= ms(10_000) {
+            true => self.refused_request(at, host, ms(3)),
+            false => self.request(at, host),
+        }
+    }
+
+    fn assert_within_budget(self) {
+        let (from, arrived, limit) = self.worst_window();
+        assert!(arrived as f64 <= limit, "{arrived} arrivals from {from:?}, {limit} allowed");
+    }
+
     /// The window with the most arrivals beyond what the fleet may send: its start, the arrivals, and the limit. The
     /// requests count in the window, in the one before or in the one half a window before.
     fn worst_window(mut self) -> (Duration, usize, f64) {
@@ -114,14 +127,10 @@
         if at == ms(12_600) {
             (0..6).for_each(|host| fleet.meet(host));
         }
-        match at >= ms(10_000) {
-            true => fleet.refused_request(at, host, ms(3)),
-            false => fleet.request(at, host),
-        }
+        fleet.request_at(at, host);
     }
 
-    let (from, arrived, limit) = fleet.worst_window();
-    assert!(arrived as f64 <= limit, "{arrived} arrivals from {from:?}, {limit} allowed");
+    fleet.assert_within_budget();
 }
 
 /// Guards against the same in a planned restart of one host after the other.
@@ -135,14 +144,10 @@
             fleet.restart(at, second - 11, ms(0));
             fleet.meet(second - 11);
         }
-        match at >= ms(10_000) {
-            true => fleet.refused_request(at, host, ms(3)),
-            false => fleet.request(at, host),
-        }
+        fleet.request_at(at, host);
     }
 
-    let (from, arrived, limit) = fleet.worst_window();
-    assert!(arrived as f64 <= limit, "{arrived} arrivals from {from:?}, {limit} allowed");
+    fleet.assert_within_budget();
 }
 
 /// Guards against hosts that restart while they hear no others, each of which would take the whole of the extra.
