--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,9 +10,8 @@
 //! [`health`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
-//! [`mesh`]. [`Wire`] and
-//! [`follow::Store`] are the traits that an adapter implements. This file holds the state of a host; `updates`
-//! changes and logs what the host knows, and `stop` shuts the host down.
+//! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
+//! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
 use std::{
     net::SocketAddr,
--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -132,26 +132,27 @@
         left: Duration,
     ) -> Result<Conn, Failure> {
         let result = Conn::connect(addr, left).await;
+        // A caller's deadline that ends the attempt early says nothing about the server.
+        if result.is_ok() || left >= CONNECT_TIMEOUT {
+            self.record_direct(key, result.is_ok());
+        }
+        result
+    }
+
+    /// Records whether a direct connection to a server was established.
+    fn record_direct(&self, key: BackendKey, connected: bool) {
         let mut state = self.state();
-        match result {
-            Ok(_) => state.reach.record_connected(key),
-            // A caller's deadline that ends the attempt early says nothing about the server.
-            Err(_) if left < CONNECT_TIMEOUT => {}
-            Err(_) => state.reach.record_failure(now(), key),
+        match connected {
+            true => state.reach.record_connected(key),
+            false => state.reach.record_failure(now(), key),
         }
         self.note_cut_off(&mut state);
-        result
     }
 
     /// Connects to a server for another host.
     async fn connect_for_peer(&self, key: BackendKey, addr: SocketAddr) -> Result<TcpStream, TunnelOutcome> {
         let result = pool::connect_tcp(addr, CONNECT_TIMEOUT).await;
-        let mut state = self.state();
-        match result {
-            Ok(_) => state.reach.record_connected(key),
-            Err(_) => state.reach.record_failure(now(), key),
-        }
-        self.note_cut_off(&mut state);
+        self.record_direct(key, result.is_ok());
         result.map_err(|_| TunnelOutcome::ServedUnreachable)
     }
 
