Log the version of a server's software, and with which stream a request goes on

The lines could not tell whether a stream changed its version in one answer, was taken up by its caller at another host, or met a server that had started again: no line named a version, and a request that takes up a stream looked like a new one. The version was parsed and dropped by the adapter to the store. It is now kept with each start of a server, told between hosts in new fields at the end of the answer to a fetch (a host of the version before skips them, and its own answers leave versions unknown), and written in 'sent', 'stream_resumed' and 'backend'; 'sent' also names the attempt that began the stream. No choice depends on it yet.

--- a/schema/gen/tests/schema.rs
+++ b/schema/gen/tests/schema.rs
@@ -28,6 +28,7 @@
         .message_attribute(".settings", STRICT_SERDE)
         .message_attribute(".object", "#[serde(deny_unknown_fields, default, rename_all = \"camelCase\")]")
         .message_attribute(".engine", "#[serde(default)]")
+        .field_attribute(".fleet.Backend.version", "#[serde(skip)]")
         .message_attribute(".lease", "#[serde(deny_unknown_fields, default, rename_all = \"camelCase\")]")
         .out_dir(out)
         .compile_fds(set)
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -93,8 +93,7 @@
     slots: u32,
     state: RawState,
     born: Option<u64>,
-    #[serde(rename = "version")]
-    _version: Option<String>,
+    version: Option<String>,
     #[serde(rename = "sequence")]
     _sequence: Option<u64>,
     /// Remaining warm-up time.
@@ -277,5 +276,6 @@
         born: raw.born.unwrap_or(0),
         cold_ms: raw.cold_remaining_ms.unwrap_or(0.0) as u32,
         unconfirmed_ms: 0,
+        version: raw.version.unwrap_or_default(),
     }
 }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -40,6 +40,7 @@
             timeout: number(headers, &names::DEADLINE).map(Duration::from_millis),
             parts: text(headers, &names::PREFIX_HASH).map(parse_parts).unwrap_or_default(),
             after: number(headers, &names::LAST_EVENT_ID),
+            resumes: text(headers, &names::RESUMES).map(Into::into),
         }
     }
 
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -30,6 +30,7 @@
 mod leaving;
 pub mod packed;
 mod snapshot;
+pub mod versions;
 
 use ended::Ended;
 
@@ -88,6 +89,8 @@
     pub tag: Tag,
     /// Service that it belongs to.
     pub service: Arc<str>,
+    /// Version of its software; empty if unknown.
+    pub version: Arc<str>,
     /// Address.
     pub addr: SocketAddr,
     /// Data centre in which it is located.
@@ -344,10 +347,14 @@
         self.digest
     }
 
-    /// Recomputed on each change rather than on use, since every heartbeat that is sent or received needs it.
+    /// Recomputed on each change rather than on use, since every heartbeat that is sent or received needs it. A known
+    /// version counts: a host that lacks it has to fetch the list.
     fn update_digest(&mut self) {
         let listed = self.arena.iter().filter(|(key, b)| self.by_id.get(&b.id) == Some(key));
-        self.digest = listed
-            .fold(0, |sum, (_, b)| sum ^ hash((&*b.id, b.born, b.accepts_work(), b.reported_cold)) as u32);
+        let entry = |b: &Backend| match &*b.version {
+            "" => hash((&*b.id, b.born, b.accepts_work(), b.reported_cold)),
+            version => hash((&*b.id, b.born, b.accepts_work(), b.reported_cold, version)),
+        };
+        self.digest = listed.fold(0, |sum, (_, b)| sum ^ entry(b) as u32);
     }
 }
--- a/src/relay/backends/apply.rs
+++ b/src/relay/backends/apply.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Backend, BackendKey, Backends, Change, State, ended::History, entry::Comparison, tag};
+use super::{Backend, BackendKey, Backends, Change, State, ended::History, entry::Comparison, tag, versions};
 use crate::{schema::fleet, util::Instant};
 
 /// How long an entry that had been removed must be listed by a restored store before its server counts as alive
@@ -55,6 +55,9 @@
         written: bool,
     ) -> Option<(BackendKey, Change)> {
         let backend = &mut self.arena[key];
+        if !item.version.is_empty() {
+            backend.version = versions::bounded(&item.version);
+        }
         match backend.state {
             _ if item.leaving => {
                 let changed = backend.state != State::Leaving;
@@ -114,6 +117,7 @@
             born: item.born,
             tag,
             service: item.service.as_str().into(),
+            version: versions::bounded(&item.version),
             addr,
             data_centre: item.data_centre.as_str().into(),
             slots: item.slots,
--- a/src/relay/backends/packed.rs
+++ b/src/relay/backends/packed.rs
@@ -78,6 +78,7 @@
             born,
             cold_ms: b.cold_ms,
             unconfirmed_ms: b.unconfirmed_ms,
+            version: String::new(),
         })
     };
     let items = items.into_iter().map(unpack).collect::<Option<Vec<_>>>()?;
--- a/src/relay/backends/snapshot.rs
+++ b/src/relay/backends/snapshot.rs
@@ -64,5 +64,6 @@
             State::Unconfirmed { until } => (until.saturating_sub(now).as_millis() as u32).max(1),
             _ => 0,
         },
+        version: b.version.to_string(),
     }
 }
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -61,6 +61,8 @@
     pub parts: Vec<Part>,
     /// Event after which a stream should resume.
     pub after: Option<EventNumber>,
+    /// Identifier of the attempt that began the stream, if the caller names it.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Accepts callers until the host stops accepting.
@@ -216,6 +218,7 @@
         body,
         parts: if route.route.prompts { parsed.parts } else { Vec::new() },
         after: if route.stream { parsed.after } else { None },
+        resumes: parsed.resumes,
         route,
         version,
         arrived,
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -14,7 +14,7 @@
 
 use super::{
     HOUSEKEEPING_INTERVAL, Relay, State, Wire,
-    backends::packed,
+    backends::{packed, versions},
     datagram::{self, DropReason, MAX_DATAGRAM_BYTES},
     follow::BackendsUpdate,
     inbound::accept_all,
@@ -208,12 +208,15 @@
         line(Level::Notable, "list_invalid", |l| l.text("peer", &from));
         relay.state().peers.record_fetch_failure(now(), peer);
     }
-    if let Some(list) = fetched.backends.or(unpacked.flatten()) {
+    let (version_names, versions) = (&fetched.version_names, &fetched.versions);
+    if let Some(mut list) = fetched.backends.or(unpacked.flatten()) {
+        versions::set_in(&mut list.items, version_names, versions);
         relay.update_backends(BackendsUpdate::List(list), None, &from);
     }
     if let Some(changes) = fetched.changes {
         let revision = changes.as_of();
-        let BackendChanges { puts, removed, .. } = changes;
+        let BackendChanges { mut puts, removed, .. } = changes;
+        versions::set_in(&mut puts, version_names, versions);
         relay.update_backends(BackendsUpdate::Changes { revision, puts, removed }, None, &from);
     }
     relay.merge_holders(&fetched.held);
@@ -327,22 +330,17 @@
     let list = (newer && changes.is_none()).then(|| state.backends.snapshot(now()));
     let left = if fetch_request.wants_held { state.backends.leaving_starts() } else { Vec::new() };
     drop(state);
+    let mut fetched = Fetched::default();
+    let servers = list.as_ref().map(|list| &list.items).or(changes.as_ref().map(|changes| &changes.puts));
+    if let Some(servers) = servers {
+        versions::add_to(&mut fetched, servers);
+    }
     let (backends, packed) = match list {
         Some(list) if fetch_request.accepts_packed => (None, Some(packed::pack(list))),
         list => (list, None),
     };
     let configuration = full.map(|r| (**r.source()).clone());
-    Fetched {
-        configuration,
-        configuration_changes,
-        backends,
-        packed,
-        changes,
-        held,
-        left,
-        busy: false,
-        connected: 0,
-    }
+    Fetched { configuration, configuration_changes, backends, packed, changes, held, left, ..fetched }
 }
 
 /// Sends a message to a peer.
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -48,6 +48,8 @@
     pub parts: Vec<Part>,
     /// Event after which the caller wants to resume a stream.
     pub after: Option<EventNumber>,
+    /// Identifier of the attempt that began that stream, if the caller names it.
+    pub resumes: Option<Arc<str>>,
     /// When it was received.
     pub arrived: Instant,
     /// When its answer must be complete.
@@ -60,6 +62,15 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Identifier of the attempt that began the stream which this request begins or goes on with; empty if the caller
+    /// goes on with a stream and does not name it.
+    pub fn stream_id(&self) -> &str {
+        match self.after {
+            Some(_) => self.resumes.as_deref().unwrap_or_default(),
+            None => &self.id,
+        }
+    }
+
     /// Time within which the answer should begin.
     pub fn objective(&self) -> Duration {
         Duration::from_millis(self.route.route.objective_ms.into())
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -252,11 +252,11 @@
         after: Option<EventNumber>,
     ) -> Result<(Conn, Result<Response<Incoming>, Failure>), Failure> {
         for stale_conns in 0.. {
-            let (id, addr, from) = {
+            let (id, version, addr, from) = {
                 let state = self.relay.state();
                 let Some(b) = state.backends.get(choice.key) else { return Err(Failure::Connect) };
                 let from = choice.fetch_from.and_then(|key| state.backends.get(key)).map(|b| b.addr);
-                (b.id.clone(), b.addr, from)
+                (b.id.clone(), b.version.clone(), b.addr, from)
             };
             let kept =
                 if stale_conns < MAX_STALE_CONNECTIONS { self.relay.pool.take(choice.key) } else { None };
@@ -270,7 +270,7 @@
             }
             let context = AttemptContext { backend: &id, left, after, fetch_from: from };
             let req = self.relay.wire.backend_request(&self.req, &context);
-            self.log_sent(choice, &id, stale_conns);
+            self.log_sent(choice, &id, &version, after, stale_conns);
             let reused = conn.reused;
             let result = self.await_head(&mut conn, req).await;
             if reused && matches!(result, Err(Failure::Unsent)) {
@@ -281,7 +281,14 @@
         unreachable!("the loop ends with the first new connection")
     }
 
-    fn log_sent(&self, choice: &Choice, id: &str, stale_conns: usize) {
+    fn log_sent(
+        &self,
+        choice: &Choice,
+        id: &str,
+        server_version: &str,
+        after: Option<EventNumber>,
+        stale_conns: usize,
+    ) {
         self.relay.metrics.add(Counter::RelayPlacements, choice.reason.as_str(), 1);
         let from = choice.fetch_from.and_then(|key| Some(self.relay.state().backends.get(key)?.id.clone()));
         self.relay.log_request(Level::Routine, "sent", &self.req, |l| {
@@ -293,6 +300,11 @@
                 Some(part) => l.text("part", &format!("{:x}", part.id)).number("held", choice.cached_tokens),
                 None => l,
             };
+            let l = l.text("server_version", server_version);
+            let l = match after {
+                Some(after) => l.number("resumes_after", after).text("first_attempt", self.req.stream_id()),
+                None => l,
+            };
             l.ms("after_ms", now() - self.req.arrived).number("attempt", self.tries.made())
         });
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -147,12 +147,15 @@
             Some(answered) => answered.work.key,
             None => return false,
         };
+        let begun_at = run.relay.backend_version(key);
         self.splitter.clear();
         while run.fail(failure, key).await.is_ok() {
             match run.attempt(self.last).await {
                 Ok(answered) if answered.head.status.is_success() => {
                     run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Resumed.as_str(), 1);
+                    let version = run.relay.backend_version(answered.work.key);
                     run.relay.log_request(Level::Notable, "stream_resumed", &run.req, |l| {
+                        let l = l.text("from_version", &begun_at).text("server_version", &version);
                         l.number("events", self.last.unwrap_or(0)).ms("after_ms", now() - run.req.arrived)
                     });
                     self.answered = Some(answered);
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -189,7 +189,7 @@
             line(Level::Notable, "backend", |l| {
                 let l = l.text("backend", &backend.id).text("change", change.as_str()).text("from", from);
                 let l = with_revision(l.text("service", &backend.service), state.backends.revision());
-                let l = l.number("born", backend.born);
+                let l = l.number("born", backend.born).text("server_version", &backend.version);
                 let l = l.ms("cold_ms", backend.cold_until.saturating_sub(now()));
                 l.text("address", &backend.addr.to_string())
             });
@@ -406,6 +406,11 @@
         self.state().backends.get(key).map(|b| b.id.clone())
     }
 
+    /// Version of a server's software; empty if unknown.
+    pub(crate) fn backend_version(&self, key: BackendKey) -> Arc<str> {
+        self.state().backends.get(key).map(|b| b.version.clone()).unwrap_or_default()
+    }
+
     /// Marks a server as gone, for example when another one answers at its address.
     pub(crate) fn mark_backend_gone(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -154,6 +154,11 @@
     /// unless its entry had been removed before the store was restored.
     #[prost(uint32, tag = "9")]
     pub unconfirmed_ms: u32,
+    /// Version of the server's software; empty if unknown. Not part of this message between hosts, which hosts of earlier
+    /// versions could not read then: `Fetched` holds it in `version_names`.
+    #[prost(string, tag = "10")]
+    #[serde(skip)]
+    pub version: ::prost::alloc::string::String,
 }
 /// Start of a backend server's process.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -421,6 +426,13 @@
     /// Result of connecting to the requested backend server.
     #[prost(enumeration = "Connected", tag = "9")]
     pub connected: i32,
+    /// Versions of the software of the backend servers in this message, without repetition.
+    #[prost(string, repeated, tag = "10")]
+    pub version_names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// For each backend server in this message, in order, the position of its version in `version_names` plus 1; 0 if it is
+    /// unknown.
+    #[prost(uint32, repeated, tag = "11")]
+    pub versions: ::prost::alloc::vec::Vec<u32>,
 }
 /// List of all backend servers at one revision of the store, without repeated names.
 #[derive(serde::Serialize, serde::Deserialize)]
