--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -15,6 +15,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpStream, UdpSocket},
+    task::JoinSet,
 };
 
 /// Configuration of a host without seeds.
@@ -52,25 +53,49 @@
 
 /// Starts a host on loopback that exchanges heartbeats and fetches with its peers.
 pub async fn host(name: &str, seeds: &[SocketAddr]) -> (Arc<Relay<PlatformWire>>, SocketAddr) {
-    // TCP and UDP must use the same port.
-    let (listener, socket) = loop {
-        let listener = inbound::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
-        if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
-            break (listener, Arc::new(socket));
-        }
-    };
-    let at = listener.local_addr().unwrap();
-    let mut cfg = relay_config(name);
-    (cfg.peer_addr, cfg.seeds) = (at, seeds.to_vec());
-    cfg.me.peers = at.to_string();
-    cfg.me.callers = format!("{name}:80");
-    let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
-    tokio::spawn(mesh::serve_fetches(relay.clone(), listener));
-    tokio::spawn(mesh::receive_heartbeats(relay.clone(), socket.clone()));
-    tokio::spawn(mesh::send_heartbeats(relay.clone(), socket));
-    tokio::spawn(mesh::run_maintenance(relay.clone()));
-    tokio::spawn(mesh::fetch_updates(relay.clone()));
-    (relay, at)
+    let RunningHost { relay, peers_at, mut tasks, .. } = RunningHost::start(name, seeds).await;
+    tasks.detach_all();
+    (relay, peers_at)
+}
+
+/// Host on loopback that serves callers and exchanges heartbeats and fetches with its peers. Dropping it ends its tasks at
+/// once, like a kill of its process.
+pub struct RunningHost {
+    pub relay: Arc<Relay<PlatformWire>>,
+    /// Address for other hosts.
+    pub peers_at: SocketAddr,
+    /// Address for callers.
+    pub callers_at: SocketAddr,
+    tasks: JoinSet<()>,
+}
+
+impl RunningHost {
+    /// Starts a host without configuration and servers.
+    pub async fn start(name: &str, seeds: &[SocketAddr]) -> Self {
+        // TCP and UDP must use the same port.
+        let (listener, socket) = loop {
+            let listener = inbound::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
+                break (listener, Arc::new(socket));
+            }
+        };
+        let peers_at = listener.local_addr().unwrap();
+        let callers = inbound::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let callers_at = callers.local_addr().unwrap();
+        let mut cfg = relay_config(name);
+        (cfg.peer_addr, cfg.seeds) = (peers_at, seeds.to_vec());
+        cfg.me.peers = peers_at.to_string();
+        cfg.me.callers = format!("{name}:80");
+        let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(inbound::accept(relay.clone(), callers));
+        tasks.spawn(mesh::serve_fetches(relay.clone(), listener));
+        tasks.spawn(mesh::receive_heartbeats(relay.clone(), socket.clone()));
+        tasks.spawn(mesh::send_heartbeats(relay.clone(), socket));
+        tasks.spawn(mesh::run_maintenance(relay.clone()));
+        tasks.spawn(mesh::fetch_updates(relay.clone()));
+        Self { relay, peers_at, callers_at, tasks }
+    }
 }
 
 /// Asks a host for what it has with an encoded fetch; returns its encoded answer.
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -323,19 +323,24 @@
 
     /// Reads one answer up to the end of its body or of the connection.
     pub async fn answer(&mut self) -> String {
-        let mut buf = Vec::new();
-        let read_answer = async {
-            loop {
-                let text = String::from_utf8_lossy(&buf).into_owned();
-                if is_complete(&text) || !matches!(self.0.read_buf(&mut buf).await, Ok(n) if n > 0) {
-                    return text;
-                }
-            }
-        };
-        timeout(WAIT_TIMEOUT, read_answer).await.expect("no answer arrived")
+        read_answer(&mut self.0).await
     }
 }
 
+/// Reads one answer up to the end of its body or of the connection.
+pub async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut buf = Vec::new();
+    let reading = async {
+        loop {
+            let text = String::from_utf8_lossy(&buf).into_owned();
+            if is_complete(&text) || !matches!(stream.read_buf(&mut buf).await, Ok(n) if n > 0) {
+                return text;
+            }
+        }
+    };
+    timeout(WAIT_TIMEOUT, reading).await.expect("no answer arrived")
+}
+
 /// Whether a raw answer is complete.
 pub fn is_complete(text: &str) -> bool {
     let Some((_, body)) = text.split_once("\r\n\r\n") else { return false };
