Let a stream go on only at the software version that began it

Cause: the choice of the server for a broken stream is that for a new request; versions were dropped where the store's entries are read, so that nothing could take account of them.

A host now remembers the version for each stream whose first event it has passed on (relay::origins, no I/O): of the start that ran it, for the longest timeout of a stream and a margin, under workspace and first attempt. Broken in the same answer, or taken up by the caller at the same host, a stream goes on at servers of that version only; bounds of load, pauses, evacuations, warm-up and the budget hold as before. A stream that the host does not know goes on only while a single version of a single service can have begun it and the list of servers is current; otherwise 503, not run, with a time to come back. Lines stream_stopped and versions, a counter by reason, a gauge of versions by service.

The tests of a broken stream and of an unknown stream fail before and pass now. The fixture of the former allowed no retries, so that it failed before for that reason already; with retries allowed it is red on the code before as well: the stream went on at the other version. What another host began is not known yet: that test stays listed.

--- a/src/error.rs
+++ b/src/error.rs
@@ -105,6 +105,10 @@
     ResumeUnknown,
     /// The stream can no longer be resumed.
     ResumeGone,
+    /// Nobody knows which version of the service's software began the stream, and more than one may have.
+    StreamVersionUnknown,
+    /// No backend server of the version that began the stream accepts requests.
+    StreamVersionGone,
     /// Internal error of the router.
     Internal,
 }
@@ -126,7 +130,7 @@
 
 impl ErrorKind {
     /// All kinds.
-    pub const ALL: [ErrorKind; 39] = [
+    pub const ALL: [ErrorKind; 41] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::BodyTimeout,
@@ -165,6 +169,8 @@
         ErrorKind::ClaimUnavailable,
         ErrorKind::ResumeUnknown,
         ErrorKind::ResumeGone,
+        ErrorKind::StreamVersionUnknown,
+        ErrorKind::StreamVersionGone,
         ErrorKind::Internal,
     ];
 
@@ -339,6 +345,20 @@
             ErrorKind::ResumeGone => {
                 row(410, "resume_gone", Ran::Unknown, None, "The stream can no longer be resumed")
             }
+            ErrorKind::StreamVersionUnknown => row(
+                503,
+                "stream_version_unknown",
+                Ran::No,
+                Some(1),
+                "Several versions of the service may have begun the stream, and it is not known which did",
+            ),
+            ErrorKind::StreamVersionGone => row(
+                503,
+                "stream_version_gone",
+                Ran::No,
+                Some(1),
+                "No server of the version that began the stream takes requests",
+            ),
             ErrorKind::Internal => row(500, "internal", Ran::Unknown, None, "The router failed inside"),
         }
     }
--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -12,13 +12,14 @@
 const CONTEXT_WINDOW_MS: u64 = 10_000;
 
 /// Events that report a change of a host's state.
-const STATE_EVENTS: [&str; 22] = [
+const STATE_EVENTS: [&str; 23] = [
     "start",
     "stop",
     "leaving",
     "reload",
     "configuration",
     "backend",
+    "versions",
     "avoided",
     "taken_back",
     "peer",
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,8 @@
     RelayTold,
     /// Connections to backend servers through other hosts, and for them, by outcome.
     RelayTunnels,
+    /// Streams that did not go on after a break, by reason.
+    RelayStreamsStopped,
 }
 
 /// A gauge of the relay.
@@ -66,11 +68,13 @@
 pub enum Gauge {
     /// Time since the data followed at the store was last confirmed to be up to date.
     RelayUnconfirmed,
+    /// Versions of each service's software that may have begun streams which can still be taken up.
+    RelayVersions,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 1] = [Gauge::RelayUnconfirmed];
+    pub const ALL: [Gauge; 2] = [Gauge::RelayUnconfirmed, Gauge::RelayVersions];
 
     /// Returns the name, label and description; this is the table of gauges.
     pub fn spec(self) -> MetricSpec {
@@ -80,6 +84,11 @@
                 label: "kind",
                 description: "time since what is known was confirmed to be the newest",
             },
+            Gauge::RelayVersions => MetricSpec {
+                name: "relay_service_versions",
+                label: "service",
+                description: "versions of the servers' software that may have begun streams",
+            },
         }
     }
 }
@@ -132,7 +141,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 22] = [
+    pub const ALL: [Counter; 23] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -155,6 +164,7 @@
         Counter::RelayEpochs,
         Counter::RelayTold,
         Counter::RelayTunnels,
+        Counter::RelayStreamsStopped,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -207,6 +217,9 @@
             Counter::RelayTunnels => {
                 row("relay_tunnels", "outcome", "connections to backend servers through another host")
             }
+            Counter::RelayStreamsStopped => {
+                row("relay_streams_stopped", "reason", "broken streams that could not go on, by reason")
+            }
         }
     }
 }
@@ -268,6 +281,11 @@
         self.gauges[gauge as usize].record(to, &[KeyValue::new(gauge.spec().label, value)]);
     }
 
+    /// Sets a gauge for the label value `value`, which the configuration names.
+    pub fn set_named(&self, gauge: Gauge, value: &str, to: f64) {
+        self.gauges[gauge as usize].record(to, &[KeyValue::new(gauge.spec().label, value.to_owned())]);
+    }
+
     /// Counts a request by outcome.
     pub fn request(&self, outcome: &'static str) {
         self.add(Counter::Requests, outcome, 1);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -40,6 +40,7 @@
 pub mod configurations;
 pub mod confirm;
 pub mod contact;
+mod continuation;
 pub mod datagram;
 pub mod directory;
 pub mod evacuations;
@@ -52,6 +53,7 @@
 pub mod inbound;
 pub mod leave;
 pub mod mesh;
+pub mod origins;
 pub mod outcome;
 pub mod peers;
 pub mod place;
@@ -81,6 +83,7 @@
 use health::Health;
 use holders::Holders;
 use leave::Leaving;
+use origins::Origins;
 
 use peers::{LocalVersions, Peers};
 use pool::{Conn, Pool};
@@ -148,6 +151,7 @@
     pub(crate) evacuation_ended: Option<Instant>,
     pub(crate) warmup: Warmup,
     pub(crate) admission: Admission,
+    pub(crate) origins: Origins,
     pub(crate) leaving: Option<Leaving>,
     /// This host's contact to the store.
     pub(crate) contact: FollowState,
@@ -217,6 +221,7 @@
             evacuation_ended: None,
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
+            origins: Origins::new(now()),
             leaving: None,
             contact: FollowState::Idle,
             has_read_copy: false,
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -41,16 +41,22 @@
 }
 
 impl<W: Wire> Relay<W> {
-    /// Chooses a server for a request, other than those in `tried`.
+    /// Chooses a server for a request, other than those in `tried`; one of the given `version` if the request goes on with a
+    /// stream.
     ///
     /// # Errors
     /// Why no server can be chosen.
-    pub(crate) fn choose(&self, req: &Request, tried: &[BackendKey]) -> Result<Choice, ErrorKind> {
+    pub(crate) fn choose(
+        &self,
+        req: &Request,
+        tried: &[BackendKey],
+        version: Option<&str>,
+    ) -> Result<Choice, ErrorKind> {
         let now = now();
         let mut state = self.state();
         let state = &mut *state;
         let limit = state.cold_limit(&req.service);
-        let eligible = state.eligible(now, &req.service);
+        let eligible = state.eligible(now, &req.service, version);
         let failure_summary = state.health.failure_summary(now, &eligible.warm);
         let untried = |keys: &[BackendKey]| keys.iter().copied().filter(|k| !tried.contains(k)).collect();
         let (warm, cold): (Vec<_>, Vec<_>) = (untried(&eligible.warm), untried(&eligible.cold));
@@ -76,7 +82,7 @@
             |key| health.is_backing_off(now, key) || health.requested_pause_end(now, key).is_some();
         let can_fetch_from = |key| caches && backends.get(key).is_some() && !is_avoided(key);
         let choice = placer.choose(&candidates, &req.parts, &state.holders, can_fetch_from, &mut state.rng);
-        let choice = choice.ok_or_else(|| state.no_server_kind(now, &req.service, &eligible))?;
+        let choice = choice.ok_or_else(|| state.no_server_kind(now, &req.service, version, &eligible))?;
         if let Some(limit) = limit.filter(|_| cold.contains(&choice.key)) {
             state.record_cold_request(now, choice.key, limit);
         }
@@ -101,6 +107,8 @@
     fn may_outlast_callers(&self, kind: ErrorKind) -> bool {
         match kind {
             ErrorKind::Evacuated | ErrorKind::WarmingUp | ErrorKind::Overloaded => true,
+            // Another server of the version may start, or a host may be reached again that knows the version.
+            ErrorKind::StreamVersionGone | ErrorKind::StreamVersionUnknown => true,
             // The whole fleet is starting: a caller that retries at once meets another host that can't serve it.
             ErrorKind::NoEngine => self.lacks_servers_like_all_others(),
             _ => false,
@@ -122,6 +130,11 @@
     if had_candidates && candidates.is_empty() { Err(ErrorKind::Overloaded) } else { Ok(()) }
 }
 
+/// Whether a server runs the given version, if any is given.
+pub(super) fn runs(b: &Backend, version: Option<&str>) -> bool {
+    version.is_none_or(|version| &*b.version == version)
+}
+
 impl State {
     /// Servers of a service that accept work and are not in an evacuated data centre.
     fn not_evacuated(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Backend)> {
@@ -144,11 +157,12 @@
         self.not_evacuated(service).filter_map(|(key, _)| self.health.requested_pause_end(now, key)).min()
     }
 
-    /// The servers of a service that are eligible for a request, warm and cold ones apart.
-    fn eligible(&self, now: Instant, service: &str) -> Eligible {
+    /// The servers of a service that are eligible for a request, warm and cold ones apart; only those of the given `version`,
+    /// if any.
+    fn eligible(&self, now: Instant, service: &str, version: Option<&str>) -> Eligible {
         let limited = self.cold_limit(service).is_some();
         let mut eligible = Eligible::default();
-        for (key, b) in self.accepting(now, service) {
+        for (key, b) in self.accepting(now, service).filter(|(_, b)| runs(b, version)) {
             let keys = if limited && self.is_cold(now, b) { &mut eligible.cold } else { &mut eligible.warm };
             keys.push(key);
         }
@@ -239,7 +253,16 @@
     }
 
     /// The error for a request for which no server could be chosen.
-    fn no_server_kind(&self, now: Instant, service: &str, eligible: &Eligible) -> ErrorKind {
+    fn no_server_kind(
+        &self,
+        now: Instant,
+        service: &str,
+        version: Option<&str>,
+        eligible: &Eligible,
+    ) -> ErrorKind {
+        if version.is_some() && !self.backends.available(service).any(|(_, b)| runs(b, version)) {
+            return ErrorKind::StreamVersionGone;
+        }
         let listed = self.backends.available(service).next().is_some();
         match eligible {
             Eligible { warm, cold, .. }
@@ -263,7 +286,7 @@
     /// Requests in progress at the usable servers of a service. Unreachable and cold servers have no slots to
     /// offer; if all are cold, their slots are the only ones.
     pub(crate) fn service_load(&self, now: Instant, service: &Arc<str>) -> ServiceLoad {
-        let eligible = self.eligible(now, service);
+        let eligible = self.eligible(now, service, None);
         let keys = if eligible.warm.is_empty() { eligible.cold } else { eligible.warm };
         let mut total = ServiceLoad::default();
         for (key, b) in keys.iter().filter_map(|key| Some((*key, self.backends.get(*key)?))) {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -378,6 +378,7 @@
             }
         };
         self.on_backend_changes(&mut state, &changes, from);
+        self.observe_versions(&mut state, now);
     }
 }
 
--- /dev/null
+++ b/src/relay/origins.rs
@@ -0,0 +1,188 @@
+//! Which software version of a service began each stream, and where a broken stream may go on.
+//!
+//! What two versions write does not fit together, and servers do not check which version began a stream that they are
+//! asked to go on with. So a host remembers the version for each stream whose first event it has passed on. If nobody
+//! remembers a stream, its version is still certain while only one can have begun it; otherwise the stream must not go on.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::util::{Instant, hash};
+
+pub mod served;
+pub mod table;
+
+use served::Served;
+use table::{Known, Table};
+
+/// How long a stream may be taken up after its first event if the configuration tells no timeouts.
+const DEFAULT_LIFETIME: Duration = Duration::from_secs(15);
+/// Limits of that time. A longer one would keep more streams than are useful in memory.
+const LIFETIME_LIMITS: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(120));
+/// Time between the end of an attempt and the caller's next one.
+const RETRY_MARGIN: Duration = Duration::from_secs(5);
+
+/// Identifies a version of a service's software in messages between hosts.
+pub type VersionTag = u32;
+
+/// Tag of a version of a service.
+pub fn version_tag(service: &str, version: &str) -> VersionTag {
+    hash((service, version)) as VersionTag
+}
+
+/// Identifies a stream by the workspace and the attempt that began it, so that no workspace can name another one's stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Key of the stream that a workspace's attempt began; `None` if the attempt is not named.
+    pub fn new(workspace: &str, first_attempt: &str) -> Option<Self> {
+        (!first_attempt.is_empty()).then(|| Self(hash((workspace, first_attempt))))
+    }
+}
+
+/// Where a stream may go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Continuation {
+    /// Service that began it.
+    pub service: Arc<str>,
+    /// Version that began it; empty if the servers of the service tell none.
+    pub version: Arc<str>,
+}
+
+/// Why a stream does not go on; a label of counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discontinued {
+    /// Nobody knows which version began it, and more than one may have.
+    Unknown,
+    /// Two streams with different versions have its identifier.
+    Conflicting,
+    /// Its route no longer leads to the service that began it.
+    OtherService,
+    /// No server of the version that began it accepts requests.
+    Gone,
+    /// The servers of that version get no requests now: they are full, cold, paused or evacuated.
+    NotEligible,
+}
+
+impl Discontinued {
+    /// Every reason.
+    pub const ALL: [Discontinued; 5] = [
+        Discontinued::Unknown,
+        Discontinued::Conflicting,
+        Discontinued::OtherService,
+        Discontinued::Gone,
+        Discontinued::NotEligible,
+    ];
+
+    /// Label in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Discontinued::Unknown => "unknown",
+            Discontinued::Conflicting => "conflicting",
+            Discontinued::OtherService => "other_service",
+            Discontinued::Gone => "gone",
+            Discontinued::NotEligible => "not_eligible",
+        }
+    }
+}
+
+/// The versions that began streams, and those that may have.
+#[derive(Clone, Debug)]
+pub struct Origins {
+    lifetime: Duration,
+    table: Table,
+    served: Served,
+}
+
+impl Origins {
+    /// A host that starts and knows nothing.
+    pub fn new(started: Instant) -> Self {
+        Self { lifetime: DEFAULT_LIFETIME, table: Table::new(started), served: Served::default() }
+    }
+
+    /// Sets the longest timeout of a stream, after which callers no longer take it up.
+    pub fn set_timeout(&mut self, longest: Duration) {
+        let (min, max) = LIFETIME_LIMITS;
+        self.lifetime = (longest + RETRY_MARGIN).clamp(min, max);
+    }
+
+    /// How long after its first event a stream may be taken up.
+    pub fn lifetime(&self) -> Duration {
+        self.lifetime
+    }
+
+    /// The versions that may have begun streams.
+    pub fn served(&self) -> &Served {
+        &self.served
+    }
+
+    /// Records the service and the version of each server that is known now. Returns the services whose versions changed.
+    pub fn observe<'a>(
+        &mut self,
+        now: Instant,
+        servers: impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
+    ) -> Vec<Arc<str>> {
+        self.table.expire(now, self.lifetime);
+        self.served.observe(now, self.lifetime, servers)
+    }
+
+    /// Records that a route leads to other services than before. Nobody may go on at one with a stream of the other.
+    pub fn record_reroute<'a>(&mut self, now: Instant, services: impl Iterator<Item = &'a str>) {
+        services.for_each(|service| self.served.record_reroute(now + self.lifetime, service));
+    }
+
+    /// Records that this host passes on events of a stream that a version of a service began.
+    pub fn begin(&mut self, stream: StreamKey, at: &Continuation) {
+        self.table.insert(stream, version_tag(&at.service, &at.version), true);
+    }
+
+    /// Records that a caller has its whole stream.
+    pub fn end(&mut self, stream: StreamKey) {
+        self.table.end(stream);
+    }
+
+    /// What is known of a stream.
+    pub fn known(&self, stream: StreamKey) -> Option<Known> {
+        self.table.get(stream)
+    }
+
+    /// Decides at which service and version a stream may go on whose route leads to `services`.
+    ///
+    /// # Errors
+    /// Why it must not go on.
+    pub fn continuation(
+        &self,
+        stream: Option<StreamKey>,
+        services: &[&str],
+        list_is_current: bool,
+    ) -> Result<Continuation, Discontinued> {
+        match stream.and_then(|stream| self.known(stream)) {
+            Some(Known::Version(tag)) => self.locate(tag, services),
+            Some(Known::Conflicting) => Err(Discontinued::Conflicting),
+            None => self.sole(services).filter(|_| list_is_current).ok_or(Discontinued::Unknown),
+        }
+    }
+
+    /// Whether a stream of this version may go on at another server of the same version. Servers that tell no version may
+    /// differ in it, unless no server of the service tells one.
+    pub fn may_continue(&self, at: &Continuation) -> bool {
+        !at.version.is_empty() || self.served.only_version(&at.service).is_some_and(|v| v.is_empty())
+    }
+
+    fn locate(&self, tag: VersionTag, services: &[&str]) -> Result<Continuation, Discontinued> {
+        let found = self.served.find(tag);
+        match found {
+            Some(at) if !services.contains(&&*at.service) => Err(Discontinued::OtherService),
+            Some(at) if !self.may_continue(&at) => Err(Discontinued::Unknown),
+            Some(at) => Ok(at),
+            None => Err(Discontinued::Gone),
+        }
+    }
+
+    /// The only version that can have begun a stream whose route leads to `services`, if there is just one.
+    fn sole(&self, services: &[&str]) -> Option<Continuation> {
+        let [service] = services else { return None };
+        let version = self.served.only_version(service).filter(|_| !self.served.is_rerouted(service))?;
+        Some(Continuation { service: (*service).into(), version: version.clone() })
+    }
+}
--- a/src/relay/routes.rs
+++ b/src/relay/routes.rs
@@ -118,6 +118,17 @@
         (service.cold_ms > 0).then_some(ColdLimit { duration, per_second })
     }
 
+    /// Routes whose answers are streams.
+    pub fn streams(&self) -> impl Iterator<Item = &Arc<CompiledRoute>> {
+        self.hosts.values().flatten().filter(|r| r.stream)
+    }
+
+    /// The longest timeout of a stream.
+    pub fn longest_stream(&self) -> Duration {
+        let longest = self.streams().map(|r| r.route.timeout_ms).max();
+        Duration::from_millis(longest.unwrap_or_default().into())
+    }
+
     /// Limits on the requests of callers.
     pub fn limits(&self) -> CallerLimits {
         let given = self.source.limits.unwrap_or_default();
@@ -138,6 +149,15 @@
 }
 
 impl CompiledRoute {
+    /// The services to which requests may go, in order.
+    pub fn services(&self) -> Vec<&str> {
+        let shares = self.route.shares.iter().filter(|s| s.weight > 0);
+        let mut services: Vec<_> = shares.map(|s| &*s.service).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
     /// The service of one request, chosen by weight with the random number `draw` in `0..1`.
     pub fn service(&self, draw: f64) -> Option<&str> {
         let total: u64 = self.route.shares.iter().map(|s| u64::from(s.weight)).sum();
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -13,6 +13,7 @@
     answer::AnswerBody,
     attempts::{Attempts, Failure, StopReason},
     backends::BackendKey,
+    choose::runs,
     outcome::Outcome,
     place::{Choice, shared},
     pool::Conn,
@@ -68,6 +69,8 @@
     pub(crate) sent: Instant,
     /// Number of attempts started, including the current one.
     pub(crate) attempts_started: u32,
+    /// Version that began the stream, once the caller has an event of it: no other may go on with it.
+    pub(crate) version: Option<Arc<str>>,
     /// The outcome of the request, once it is settled.
     pub(crate) outcome: Option<Outcome>,
 }
@@ -90,15 +93,26 @@
 }
 
 /// Runs a request until it is answered or given up.
-pub async fn run<W: Wire>(relay: Arc<Relay<W>>, req: Request) -> Response<AnswerBody> {
+pub async fn run<W: Wire>(relay: Arc<Relay<W>>, mut req: Request) -> Response<AnswerBody> {
+    let continuation = req.after.map(|_| relay.find_continuation(&req)).transpose();
+    let version = match &continuation {
+        Ok(Some(at)) => {
+            req.service = at.service.clone();
+            Some(at.version.clone())
+        }
+        _ => None,
+    };
     let req = Arc::new(req);
     let tries = Attempts::new(req.route.repeatable, req.route.route.attempts, req.deadline);
-    let mut run =
-        Run { relay, req, tries, tried: Vec::new(), sent: now(), attempts_started: 0, outcome: None };
+    let (tried, sent) = (Vec::new(), now());
+    let mut run = Run { relay, req, tries, tried, sent, attempts_started: 0, version, outcome: None };
     if run.relay.is_quarantined(&run.req) {
         return run.give_up(ErrorKind::Quarantined, None);
     }
     run.relay.state().budget.record_request(now(), &run.req.service);
+    if let Err(kind) = continuation {
+        return run.give_up(kind, None);
+    }
     if let Err(refused) = run.relay.admit(&run.req) {
         return run.reject_overloaded(refused);
     }
@@ -140,7 +154,7 @@
         if relay.is_quarantined(req) {
             return Err(StopReason::Suspect);
         }
-        let placeable: Vec<_> = relay.state().accepting(now(), &req.service).map(|(key, _)| key).collect();
+        let placeable = self.placeable();
         if !placeable.is_empty() && placeable.iter().all(|key| self.tried.contains(key)) {
             // No other server can run the request; those that refused it may have capacity again in a moment.
             self.tried.clear();
@@ -149,6 +163,13 @@
         Ok(())
     }
 
+    /// The servers that may get the request.
+    fn placeable(&self) -> Vec<BackendKey> {
+        let state = self.relay.state();
+        let accepting = state.accepting(now(), &self.req.service);
+        accepting.filter(|(_, b)| runs(b, self.version.as_deref())).map(|(key, _)| key).collect()
+    }
+
     /// Decides whether another attempt may follow a failed one, counts the decision and logs it.
     fn decide_retry(&mut self, failure: Failure, key: BackendKey) -> Result<(), StopReason> {
         let (relay, req) = (self.relay.clone(), self.req.clone());
@@ -201,7 +222,8 @@
 
     /// Makes one attempt, up to the head of the answer.
     pub(crate) async fn attempt(&mut self, after: Option<EventNumber>) -> Result<Answered<W>, AttemptError> {
-        let choice = self.relay.choose(&self.req, &self.tried).map_err(AttemptError::NoServer)?;
+        let version = self.version.as_deref();
+        let choice = self.relay.choose(&self.req, &self.tried, version).map_err(AttemptError::NoServer)?;
         let key = choice.key;
         self.attempts_started += 1;
         self.sent = now();
@@ -340,8 +362,7 @@
 
     /// How long a server may be silent; `None` means until the deadline.
     pub(crate) fn silence_timeout(&self) -> Option<Duration> {
-        let has_alternatives =
-            self.relay.state().accepting(now(), &self.req.service).count() > self.tried.len() + 1;
+        let has_alternatives = self.placeable().len() > self.tried.len() + 1;
         let may_repeat = self.req.route.repeatable
             && has_alternatives
             && self.tries.made() + 1 < self.req.route.route.attempts;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,11 +14,13 @@
     attempts::Failure,
     backends::BackendKey,
     events::{CompleteEvents, Splitter},
+    origins::Discontinued,
     outcome::Outcome,
     request::EventNumber,
     run::{Answered, AttemptError, Run},
 };
 use crate::{
+    error::ErrorKind,
     logs::lines::Level,
     metrics::{Counter, Latency},
     util::now,
@@ -85,6 +87,7 @@
         Ok(Next::Events(bytes)) => {
             run.relay.metrics.record(Latency::FirstEvent, "stream", now() - run.req.arrived);
             run.relay.record_wait(&run.req, run.sent);
+            run.relay.begin_stream(&run.req, key);
             run.relay.log_request(Level::Routine, "first_event", &run.req, |l| {
                 l.ms("after_ms", now() - run.req.arrived)
             });
@@ -147,15 +150,22 @@
             Some(answered) => answered.work.key,
             None => return false,
         };
-        let begun_at = run.relay.backend_version(key);
+        let version = run.relay.version_to_continue(key);
+        run.version = version.as_ref().ok().cloned();
         self.splitter.clear();
         while run.fail(failure, key).await.is_ok() {
+            let version = match &version {
+                Ok(version) => version,
+                Err(reason) => {
+                    run.relay.record_discontinued(&run.req, *reason);
+                    return false;
+                }
+            };
             match run.attempt(self.last).await {
                 Ok(answered) if answered.head.status.is_success() => {
                     run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Resumed.as_str(), 1);
-                    let version = run.relay.backend_version(answered.work.key);
                     run.relay.log_request(Level::Notable, "stream_resumed", &run.req, |l| {
-                        let l = l.text("from_version", &begun_at).text("server_version", &version);
+                        let l = l.text("server_version", version);
                         l.number("events", self.last.unwrap_or(0)).ms("after_ms", now() - run.req.arrived)
                     });
                     self.answered = Some(answered);
@@ -164,7 +174,12 @@
                 }
                 Ok(answered) => (failure, key) = (Failure::Errored, answered.work.key),
                 Err(AttemptError::Failed(failed)) => (failure, key) = failed,
-                Err(AttemptError::NoServer(_)) => return false,
+                Err(AttemptError::NoServer(kind)) => {
+                    let is_gone = kind == ErrorKind::StreamVersionGone;
+                    let reason = if is_gone { Discontinued::Gone } else { Discontinued::NotEligible };
+                    run.relay.record_discontinued(&run.req, reason);
+                    return false;
+                }
             }
         }
         false
@@ -217,6 +232,7 @@
             return Err(Failure::Broken);
         }
         self.ended = true;
+        run.relay.end_stream(&run.req);
         run.outcome = Some(Outcome::Answered);
         if let Some(answered) = self.answered.take() {
             let key = answered.work.key;
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -138,7 +138,9 @@
         });
         let cfg = Arc::new(cfg);
         state.configurations.push(cfg.clone());
-        state.routes = Some(Arc::new(Routes::new(cfg)));
+        let routes = Arc::new(Routes::new(cfg));
+        let before = state.routes.replace(routes.clone());
+        state.observe_routes(now(), before.as_deref(), &routes);
         if state.peers.pushes_changes() {
             self.beat_due.notify_one();
         } else {
@@ -341,6 +343,7 @@
         }
         let ended = state.evacuations.expire(now);
         self.on_evacuation_changes(&mut state, &ended, "not written again after a restore");
+        self.observe_versions(&mut state, now);
         state.warmup.expire(now);
         self.expire_reach(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
@@ -406,11 +409,6 @@
         self.state().backends.get(key).map(|b| b.id.clone())
     }
 
-    /// Version of a server's software; empty if unknown.
-    pub(crate) fn backend_version(&self, key: BackendKey) -> Arc<str> {
-        self.state().backends.get(key).map(|b| b.version.clone()).unwrap_or_default()
-    }
-
     /// Marks a server as gone, for example when another one answers at its address.
     pub(crate) fn mark_backend_gone(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -13,6 +13,7 @@
         attempts::{Failure, StopReason},
         datagram::DropReason,
         follow::StoreCall,
+        origins::Discontinued,
         outcome::Outcome,
         place::Reason,
         revision::EpochCheck,
@@ -81,6 +82,7 @@
         (Counter::RelayStoreCalls, label_values(&StoreCall::ALL, |a| a.as_str())),
         (Counter::RelayDatagrams, label_values(&DropReason::ALL, |f| f.as_str())),
         (Counter::RelayTold, label_values(&ServerNotice::ALL, |t| t.as_str())),
+        (Counter::RelayStreamsStopped, label_values(&Discontinued::ALL, |d| d.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -84,6 +84,8 @@
         let callers_at = callers.local_addr().unwrap();
         let mut cfg = relay_config(name);
         (cfg.peer_addr, cfg.seeds) = (peers_at, seeds.to_vec());
+        // High enough that every retry is allowed, also right after the start.
+        cfg.budget.ratio = 1e9;
         cfg.me.peers = peers_at.to_string();
         cfg.me.callers = format!("{name}:80");
         let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
