Tell a few hosts which version began a stream, and ask them about one that is unknown

A caller whose host was killed or broke off takes its stream up at any other one. The first event of a stream is now told to two to eight hosts, by rendezvous of the stream's key over different data centres, and the host at which a stream is taken up asks the eight that it ranks first. Nothing is told while a single version serves and none other can have begun a stream that is open; when a second one appears, or a route leads elsewhere, each host tells of the streams that it has. Who doesn't know a stream says whether only one version can have begun it. Messages are datagrams of their own on the port of the heartbeats; hosts of the version before drop them as garbage.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -61,6 +61,8 @@
     RelayTunnels,
     /// Streams that did not go on after a break, by reason.
     RelayStreamsStopped,
+    /// What hosts tell and ask each other about streams, by kind.
+    RelayOrigins,
 }
 
 /// A gauge of the relay.
@@ -141,7 +143,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 23] = [
+    pub const ALL: [Counter; 24] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -165,6 +167,7 @@
         Counter::RelayTold,
         Counter::RelayTunnels,
         Counter::RelayStreamsStopped,
+        Counter::RelayOrigins,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -220,6 +223,9 @@
             Counter::RelayStreamsStopped => {
                 row("relay_streams_stopped", "reason", "broken streams that could not go on, by reason")
             }
+            Counter::RelayOrigins => {
+                row("relay_stream_origins", "what", "streams told of and asked about between hosts")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -45,6 +45,7 @@
 pub mod directory;
 pub mod evacuations;
 pub mod events;
+pub mod exchange;
 pub mod follow;
 pub mod followers;
 pub mod health;
@@ -78,12 +79,13 @@
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
 use evacuations::Evacuations;
+use exchange::Outbox;
 use follow::Hosts;
 use followers::FollowState;
 use health::Health;
 use holders::Holders;
 use leave::Leaving;
-use origins::Origins;
+use origins::{Origins, questions::Questions};
 
 use peers::{LocalVersions, Peers};
 use pool::{Conn, Pool};
@@ -152,6 +154,9 @@
     pub(crate) warmup: Warmup,
     pub(crate) admission: Admission,
     pub(crate) origins: Origins,
+    /// Questions to other hosts about streams.
+    pub(crate) questions: Questions,
+    pub(crate) outbox: Outbox,
     pub(crate) leaving: Option<Leaving>,
     /// This host's contact to the store.
     pub(crate) contact: FollowState,
@@ -181,6 +186,10 @@
     pub(crate) beat_due: Notify,
     /// Wakes the heartbeat sender to send to a few hosts at once.
     pub(crate) gossip_due: Notify,
+    /// Wakes the sender of messages about streams.
+    pub(crate) origins_due: Notify,
+    /// Wakes requests that wait for what other hosts say about their streams.
+    pub(crate) origin_heard: Notify,
     /// Wakes the fetcher when another host has been ahead for long enough.
     pub(crate) fetch_due: Notify,
     /// Wakes the followers of the store after this host was suspended.
@@ -222,6 +231,8 @@
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
             origins: Origins::new(now()),
+            questions: Questions::default(),
+            outbox: Outbox::default(),
             leaving: None,
             contact: FollowState::Idle,
             has_read_copy: false,
@@ -245,6 +256,8 @@
             beat_due,
             gossip_due,
             fetch_due,
+            origins_due: Notify::new(),
+            origin_heard: Notify::new(),
             suspend_ended: Notify::new(),
             store_restored: Notify::new(),
             cancel_watch: Default::default(),
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -6,8 +6,7 @@
 use super::{
     Relay, State, Wire,
     backends::BackendKey,
-    confirm::Topic,
-    origins::{Continuation, Discontinued, StreamKey},
+    origins::{Continuation, Discontinued, StreamKey, questions::Word},
     request::Request,
     routes::{CompiledRoute, Routes},
 };
@@ -36,8 +35,17 @@
     ///
     /// # Errors
     /// The kind of error if it must not go on.
-    pub(crate) fn find_continuation(&self, req: &Request) -> Result<Continuation, ErrorKind> {
-        let found = self.state().continuation(now(), req, self.cfg.in_force);
+    pub(crate) async fn find_continuation(&self, req: &Request) -> Result<Continuation, ErrorKind> {
+        let (stream, services) = (stream_key(req), req.route.services());
+        let is_unknown = |stream: &StreamKey| self.state().origins.known(*stream).is_none();
+        let word = match stream.filter(is_unknown) {
+            Some(stream) => self.ask_about(stream, &services).await,
+            None => Word::None,
+        };
+        let state = self.state();
+        let list_is_current = state.list_is_current(now(), self.cfg.in_force);
+        let found = state.origins.continuation(stream, &services, list_is_current, word);
+        drop(state);
         found.map_err(|reason| {
             self.record_discontinued(req, reason);
             reason.error_kind()
@@ -48,7 +56,9 @@
     pub(crate) fn begin_stream(&self, req: &Request, key: BackendKey) {
         let mut state = self.state();
         let (Some(stream), Some(at)) = (stream_key(req), state.running_at(key)) else { return };
-        state.origins.begin(stream, &at);
+        if let Some(version) = state.origins.begin(stream, &at, req.route.services().len()) {
+            self.tell_streams(&mut state, [(stream, version)]);
+        }
     }
 
     /// Records that the caller of a request has its whole stream.
@@ -77,6 +87,26 @@
         });
     }
 
+    /// Takes account of the routes of a new configuration. Streams of routes that lead to other services than before are told
+    /// to other hosts, which would take them for streams of the new ones.
+    pub(super) fn observe_routes(&self, state: &mut State, old: Option<&Routes>, new: &Routes) {
+        state.origins.set_timeout(new.longest_stream());
+        let Some(old) = old else { return };
+        let mut is_rerouted = false;
+        for route in new.streams() {
+            let before = old.streams().find(|r| is_same_route(r, route)).map(|r| r.services());
+            let after = route.services();
+            if let Some(before) = before.filter(|before| *before != after) {
+                is_rerouted = true;
+                state.origins.record_reroute(now(), before.into_iter().chain(after));
+            }
+        }
+        if is_rerouted {
+            let open: Vec<_> = state.origins.open_here().collect();
+            self.tell_streams(state, open);
+        }
+    }
+
     /// Notes which versions the servers have that are known now, and logs changes.
     pub(super) fn observe_versions(&self, state: &mut State, now: Instant) {
         let servers = state.backends.iter().map(|(_, b)| (&b.service, &b.version));
@@ -89,6 +119,10 @@
                     .number("count", names.len() as u64)
             });
         }
+        if !changed.is_empty() {
+            let open: Vec<_> = state.origins.open_here().collect();
+            self.tell_streams(state, open);
+        }
         for (service, count) in state.origins.served().counts().filter(|_| !changed.is_empty()) {
             self.metrics.set_named(Gauge::RelayVersions, service, count as f64);
         }
@@ -96,34 +130,11 @@
 }
 
 impl State {
-    fn continuation(
-        &self,
-        now: Instant,
-        req: &Request,
-        max_list_age: Instant,
-    ) -> Result<Continuation, Discontinued> {
-        let list_is_current = self.confirmations.age(now, Topic::Backends) <= max_list_age;
-        self.origins.continuation(stream_key(req), &req.route.services(), list_is_current)
-    }
-
     /// Service and version of a server.
     fn running_at(&self, key: BackendKey) -> Option<Continuation> {
         let b = self.backends.get(key)?;
         Some(Continuation { service: b.service.clone(), version: b.version.clone() })
     }
-
-    /// Takes account of the routes of a new configuration.
-    pub(super) fn observe_routes(&mut self, now: Instant, old: Option<&Routes>, new: &Routes) {
-        self.origins.set_timeout(new.longest_stream());
-        let Some(old) = old else { return };
-        for route in new.streams() {
-            let before = old.streams().find(|r| is_same_route(r, route)).map(|r| r.services());
-            let after = route.services();
-            if let Some(before) = before.filter(|before| *before != after) {
-                self.origins.record_reroute(now, before.into_iter().chain(after));
-            }
-        }
-    }
 }
 
 fn is_same_route(a: &CompiledRoute, b: &CompiledRoute) -> bool {
--- a/src/relay/datagram.rs
+++ b/src/relay/datagram.rs
@@ -3,7 +3,7 @@
 //! Anyone who reaches the port can send anything. A datagram that can't be a heartbeat of a host of this fleet is
 //! dropped, counted by reason, and changes nothing.
 
-use crate::schema::fleet::Beat;
+use crate::schema::fleet::{Beat, StreamOrigins};
 
 /// Maximum size of a heartbeat within a data centre, in bytes: one packet on a common link.
 const MAX_LOCAL_BYTES: usize = 1_400;
@@ -46,7 +46,34 @@
     }
 }
 
-/// Decodes a datagram that arrives at `wall_ms`, in milliseconds since 1970.
+/// A datagram of another host.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Datagram {
+    /// A heartbeat.
+    Beat(Box<Beat>),
+    /// What a host tells or asks about streams.
+    Origins(StreamOrigins),
+}
+
+/// Decodes any datagram that arrives at `wall_ms`, in milliseconds since 1970. The first field tells the kinds apart: the
+/// start time of a heartbeat's sender is never 0.
+///
+/// # Errors
+/// Returns why the datagram must be dropped.
+pub fn decode_any(buf: &[u8], wall_ms: u64) -> Result<Datagram, DropReason> {
+    if buf.first() != Some(&0) {
+        return decode(buf, wall_ms).map(|beat| Datagram::Beat(Box::new(beat)));
+    }
+    if buf.len() > MAX_DATAGRAM_BYTES {
+        return Err(DropReason::TooLarge);
+    }
+    match postcard::take_from_bytes(buf) {
+        Ok((message, [])) => Ok(Datagram::Origins(message)),
+        _ => Err(DropReason::Malformed),
+    }
+}
+
+/// Decodes a heartbeat that arrives at `wall_ms`, in milliseconds since 1970.
 ///
 /// # Errors
 /// Returns why the datagram must be dropped.
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -15,7 +15,7 @@
 use super::{
     HOUSEKEEPING_INTERVAL, Relay, State, Wire,
     backends::{packed, versions},
-    datagram::{self, DropReason, MAX_DATAGRAM_BYTES},
+    datagram::{self, Datagram, DropReason, MAX_DATAGRAM_BYTES},
     follow::BackendsUpdate,
     inbound::accept_all,
     peers::{LocalVersions, Scope},
@@ -107,7 +107,14 @@
                 continue;
             }
         };
-        match datagram::decode(&buf[..n], wall_ms()).and_then(|beat| relay.receive(from, &beat)) {
+        let received = datagram::decode_any(&buf[..n], wall_ms()).and_then(|datagram| match datagram {
+            Datagram::Beat(beat) => relay.receive(from, &beat),
+            Datagram::Origins(message) => {
+                relay.receive_origins(from, &message);
+                Ok(false)
+            }
+        });
+        match received {
             Ok(true) => send_datagram(&socket, &encode(&relay.heartbeat(true)), from).await,
             Ok(false) => {}
             Err(reason) => {
@@ -118,6 +125,19 @@
     }
 }
 
+/// Sends what hosts tell and ask each other about streams, as soon as it is due.
+pub async fn send_origins<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
+    loop {
+        relay.origins_due.notified().await;
+        for (to, message) in relay.take_origin_messages() {
+            match postcard::to_allocvec(&message) {
+                Ok(buf) => send_datagram(&socket, &buf, to).await,
+                Err(e) => line(Level::Notable, "origins_failed", |l| l.text("why", &e.to_string())),
+            }
+        }
+    }
+}
+
 fn encode(beat: &Beat) -> Vec<u8> {
     datagram::encode(beat).unwrap_or_else(|e| {
         line(Level::Notable, "beat_failed", |l| l.text("why", &e.to_string()));
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -8,9 +8,11 @@
 
 use crate::util::{Instant, hash};
 
+pub mod questions;
 pub mod served;
 pub mod table;
 
+use questions::Word;
 use served::Served;
 use table::{Known, Table};
 
@@ -29,6 +31,11 @@
     hash((service, version)) as VersionTag
 }
 
+/// Tag of a service in messages between hosts.
+pub fn service_tag(service: &str) -> u32 {
+    hash(service) as u32
+}
+
 /// Identifies a stream by the workspace and the attempt that began it, so that no workspace can name another one's stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamKey(pub u64);
@@ -89,6 +96,7 @@
 /// The versions that began streams, and those that may have.
 #[derive(Clone, Debug)]
 pub struct Origins {
+    started: Instant,
     lifetime: Duration,
     table: Table,
     served: Served,
@@ -97,7 +105,7 @@
 impl Origins {
     /// A host that starts and knows nothing.
     pub fn new(started: Instant) -> Self {
-        Self { lifetime: DEFAULT_LIFETIME, table: Table::new(started), served: Served::default() }
+        Self { started, lifetime: DEFAULT_LIFETIME, table: Table::new(started), served: Served::default() }
     }
 
     /// Sets the longest timeout of a stream, after which callers no longer take it up.
@@ -131,9 +139,29 @@
         services.for_each(|service| self.served.record_reroute(now + self.lifetime, service));
     }
 
-    /// Records that this host passes on events of a stream that a version of a service began.
-    pub fn begin(&mut self, stream: StreamKey, at: &Continuation) {
-        self.table.insert(stream, version_tag(&at.service, &at.version), true);
+    /// Records that this host passes on events of a stream that a version of a service began. Returns the tag of the version
+    /// if other hosts must be told of it: another version or, on a route to several services, another service may have
+    /// begun it as well.
+    pub fn begin(&mut self, stream: StreamKey, at: &Continuation, services: usize) -> Option<VersionTag> {
+        let tag = version_tag(&at.service, &at.version);
+        self.table.insert(stream, tag, true);
+        (services > 1 || self.is_mixed(&at.service)).then_some(tag)
+    }
+
+    /// Records what another host tells.
+    pub fn hear(&mut self, stream: StreamKey, version: VersionTag) {
+        self.table.insert(stream, version, false);
+    }
+
+    /// Whether streams on the routes of a service may have begun at different versions.
+    pub fn is_mixed(&self, service: &str) -> bool {
+        self.served.versions(service).nth(1).is_some() || self.served.is_rerouted(service)
+    }
+
+    /// Streams that this host passes on or that broke off here, of services with several versions.
+    pub fn open_here(&self) -> impl Iterator<Item = (StreamKey, VersionTag)> {
+        let is_told = |tag: VersionTag| self.served.find(tag).is_some_and(|at| self.is_mixed(&at.service));
+        self.table.here().filter(move |(_, tag)| is_told(*tag))
     }
 
     /// Records that a caller has its whole stream.
@@ -146,7 +174,28 @@
         self.table.get(stream)
     }
 
-    /// Decides at which service and version a stream may go on whose route leads to `services`.
+    /// Tag of the version that began a stream, if that is known.
+    pub fn version_of(&self, stream: StreamKey) -> Option<VersionTag> {
+        match self.known(stream)? {
+            Known::Version(tag) => Some(tag),
+            Known::Conflicting => None,
+        }
+    }
+
+    /// What this host says of a stream that it does not know, of the service with this tag. It is certain only if it has
+    /// seen all versions that may have begun streams which are still open.
+    pub fn word(&self, now: Instant, service: u32, list_is_current: bool) -> Word {
+        let Some(service) = self.served.name(service) else { return Word::None };
+        if self.is_mixed(service) {
+            return Word::Several;
+        }
+        let has_seen_all = self.started + self.lifetime <= now && list_is_current;
+        let only = self.served.only_version(service).filter(|_| has_seen_all);
+        only.map_or(Word::None, |version| Word::Sole(version_tag(service, version)))
+    }
+
+    /// Decides at which service and version a stream may go on whose route leads to `services`. `word` is what other hosts
+    /// say that do not know it.
     ///
     /// # Errors
     /// Why it must not go on.
@@ -155,11 +204,12 @@
         stream: Option<StreamKey>,
         services: &[&str],
         list_is_current: bool,
+        word: Word,
     ) -> Result<Continuation, Discontinued> {
         match stream.and_then(|stream| self.known(stream)) {
             Some(Known::Version(tag)) => self.locate(tag, services),
             Some(Known::Conflicting) => Err(Discontinued::Conflicting),
-            None => self.sole(services).filter(|_| list_is_current).ok_or(Discontinued::Unknown),
+            None => self.sole(services, list_is_current, word).ok_or(Discontinued::Unknown),
         }
     }
 
@@ -179,10 +229,16 @@
         }
     }
 
-    /// The only version that can have begun a stream whose route leads to `services`, if there is just one.
-    fn sole(&self, services: &[&str]) -> Option<Continuation> {
+    /// The only version that can have begun a stream whose route leads to `services`, if there is just one. A host that
+    /// may have missed a version takes the word of one that is certain.
+    fn sole(&self, services: &[&str], list_is_current: bool, word: Word) -> Option<Continuation> {
         let [service] = services else { return None };
         let version = self.served.only_version(service).filter(|_| !self.served.is_rerouted(service))?;
-        Some(Continuation { service: (*service).into(), version: version.clone() })
+        let is_certain = match word {
+            Word::None => list_is_current,
+            Word::Sole(tag) => tag == version_tag(service, version),
+            Word::Several => false,
+        };
+        is_certain.then(|| Continuation { service: (*service).into(), version: version.clone() })
     }
 }
--- /dev/null
+++ b/src/relay/origins/questions.rs
@@ -0,0 +1,90 @@
+//! Questions to other hosts about streams that this host does not know.
+
+use std::net::SocketAddr;
+
+use super::{StreamKey, VersionTag};
+use crate::util::Map;
+
+/// What other hosts say that do not know a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Word {
+    /// None of them is certain.
+    #[default]
+    None,
+    /// Only this version can have begun it.
+    Sole(VersionTag),
+    /// More than one version may have begun it.
+    Several,
+}
+
+impl Word {
+    /// Value in messages for [`Word::Several`]; 0 stands for [`Word::None`].
+    const SEVERAL: VersionTag = 1;
+
+    /// Value in messages.
+    pub fn to_wire(self) -> VersionTag {
+        match self {
+            Word::None => 0,
+            Word::Sole(version) => version,
+            Word::Several => Self::SEVERAL,
+        }
+    }
+
+    /// Reads the value in a message.
+    pub fn from_wire(value: VersionTag) -> Self {
+        match value {
+            0 => Word::None,
+            Self::SEVERAL => Word::Several,
+            version => Word::Sole(version),
+        }
+    }
+
+    /// Combines what two hosts say. Hosts that name different versions make it uncertain.
+    fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Word::None, word) | (word, Word::None) => word,
+            (Word::Sole(a), Word::Sole(b)) if a == b => self,
+            _ => Word::Several,
+        }
+    }
+}
+
+/// A question that is open.
+#[derive(Clone, Debug, Default)]
+struct Question {
+    /// Hosts that have not answered.
+    waits_for: Vec<SocketAddr>,
+    word: Word,
+}
+
+/// The open questions, by stream.
+#[derive(Clone, Debug, Default)]
+pub struct Questions {
+    open: Map<StreamKey, Question>,
+}
+
+impl Questions {
+    /// Opens a question to hosts that are expected to answer.
+    pub fn ask(&mut self, stream: StreamKey, hosts: impl Iterator<Item = SocketAddr>) {
+        self.open.insert(stream, Question { waits_for: hosts.collect(), word: Word::None });
+    }
+
+    /// Takes the word of a host that does not know the stream.
+    pub fn hear(&mut self, from: SocketAddr, stream: StreamKey, word: Word) {
+        let Some(question) = self.open.get_mut(&stream) else { return };
+        if let Some(at) = question.waits_for.iter().position(|host| *host == from) {
+            question.waits_for.swap_remove(at);
+            question.word = question.word.and(word);
+        }
+    }
+
+    /// Hosts that have not answered yet.
+    pub fn waits_for(&self, stream: StreamKey) -> &[SocketAddr] {
+        self.open.get(&stream).map_or(&[], |question| &question.waits_for)
+    }
+
+    /// Ends a question; returns what the hosts said.
+    pub fn close(&mut self, stream: StreamKey) -> Word {
+        self.open.remove(&stream).unwrap_or_default().word
+    }
+}
--- a/src/relay/origins/served.rs
+++ b/src/relay/origins/served.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Continuation, VersionTag, version_tag};
+use super::{Continuation, VersionTag, service_tag, version_tag};
 use crate::util::{Instant, Map};
 
 /// A version of a service.
@@ -90,6 +90,11 @@
         self.services.get(service).is_some_and(|s| s.rerouted_until.is_some())
     }
 
+    /// Name of the service with a tag.
+    pub(super) fn name(&self, tag: u32) -> Option<&Arc<str>> {
+        self.services.keys().find(|service| service_tag(service) == tag)
+    }
+
     /// The service and the version with a tag.
     pub(super) fn find(&self, tag: VersionTag) -> Option<Continuation> {
         let find = |(service, known): (&Arc<str>, &Service)| {
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -26,6 +26,7 @@
 
 mod ahead;
 mod duty;
+pub mod keepers;
 mod summary;
 mod targets;
 
--- /dev/null
+++ b/src/relay/peers/keepers.rs
@@ -0,0 +1,48 @@
+//! Chooses the hosts that remember for others which version began a stream.
+
+use std::{cmp::Reverse, net::SocketAddr};
+
+use super::Peers;
+use crate::util::{Instant, Map, hash};
+
+/// Number of hosts of the highest rank that are compared by data centre.
+const MAX_RANKED: usize = 32;
+
+/// A host that remembers a stream for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keeper {
+    /// Address for other hosts.
+    pub addr: SocketAddr,
+    /// Whether it was heard of recently.
+    pub alive: bool,
+}
+
+impl Peers {
+    /// The hosts that remember the stream with this key, in order: by rendezvous hashing, and those of different data
+    /// centres first, so that the loss of a data centre does not lose the stream. Hosts that were lost recently are
+    /// included, since they may count as lost here only.
+    pub fn keepers(&self, now: Instant, stream: u64, max: usize) -> Vec<Keeper> {
+        let (host_timeout, summary_timeout) = (self.host_timeout(), self.summary_timeout());
+        let known = self.peers.iter().filter(|(_, p)| p.was_seen_alive() || p.learned_at.is_some());
+        let mut ranked: Vec<_> = known.map(|(addr, p)| (hash((stream, addr)), addr, p)).collect();
+        if ranked.len() > MAX_RANKED {
+            ranked.select_nth_unstable_by_key(MAX_RANKED, |(rank, ..)| Reverse(*rank));
+            ranked.truncate(MAX_RANKED);
+        }
+        ranked.sort_unstable_by_key(|(rank, ..)| Reverse(*rank));
+        let mut in_centre: Map<&str, usize> = Map::default();
+        let mut ordered: Vec<_> = ranked
+            .into_iter()
+            .map(|(rank, addr, p)| {
+                let centre = p.member.as_ref().map_or("", |m| &m.data_centre);
+                let position = in_centre.entry(centre).or_default();
+                *position += 1;
+                let heard = p.last_beat.is_some_and(|at| at + host_timeout >= now);
+                let named = p.named_ready.is_some_and(|at| at + summary_timeout >= now);
+                (*position, Reverse(rank), Keeper { addr: *addr, alive: heard || named })
+            })
+            .collect();
+        ordered.sort_unstable_by_key(|(position, rank, _)| (*position, *rank));
+        ordered.into_iter().take(max).map(|(.., keeper)| keeper).collect()
+    }
+}
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -94,7 +94,10 @@
 
 /// Runs a request until it is answered or given up.
 pub async fn run<W: Wire>(relay: Arc<Relay<W>>, mut req: Request) -> Response<AnswerBody> {
-    let continuation = req.after.map(|_| relay.find_continuation(&req)).transpose();
+    let continuation = match req.after {
+        Some(_) => relay.find_continuation(&req).await.map(Some),
+        None => Ok(None),
+    };
     let version = match &continuation {
         Ok(Some(at)) => {
             req.service = at.service.clone();
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -140,7 +140,7 @@
         state.configurations.push(cfg.clone());
         let routes = Arc::new(Routes::new(cfg));
         let before = state.routes.replace(routes.clone());
-        state.observe_routes(now(), before.as_deref(), &routes);
+        self.observe_routes(&mut state, before.as_deref(), &routes);
         if state.peers.pushes_changes() {
             self.beat_due.notify_one();
         } else {
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -271,6 +271,56 @@
     #[prost(uint64, tag = "4")]
     pub sent_ms: u64,
 }
+/// What hosts tell and ask each other about streams, in a datagram of its own.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamOrigins {
+    /// Always 0. A heartbeat has the start time of its sender here.
+    #[prost(uint64, tag = "1")]
+    pub marker: u64,
+    /// Streams, each with the version that began it.
+    #[prost(message, repeated, tag = "2")]
+    pub told: ::prost::alloc::vec::Vec<StreamOrigin>,
+    /// Streams about which the receiver is asked.
+    #[prost(message, repeated, tag = "3")]
+    pub asked: ::prost::alloc::vec::Vec<AskedStream>,
+    /// Streams about which the sender was asked and that it does not know.
+    #[prost(message, repeated, tag = "4")]
+    pub unknown: ::prost::alloc::vec::Vec<UnknownStream>,
+}
+/// Stream and the version of a service that began it.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    /// Key of the stream: a hash of its workspace and of the attempt that began it.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Tag of the service and the version of its software.
+    #[prost(fixed32, tag = "2")]
+    pub version: u32,
+}
+/// Stream about which a host is asked.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AskedStream {
+    /// Key of the stream.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Tag of the only service that can have begun it; 0 if there are several.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+}
+/// Stream that a host does not know.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UnknownStream {
+    /// Key of the stream.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Tag of the only version that can have begun it; 0 if the host is not certain, 1 if several may have.
+    #[prost(fixed32, tag = "2")]
+    pub version: u32,
+}
 /// Data centres whose backend servers get no new requests, at one revision of the store.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -12,6 +12,7 @@
     relay::{
         attempts::{Failure, StopReason},
         datagram::DropReason,
+        exchange::OriginTraffic,
         follow::StoreCall,
         origins::Discontinued,
         outcome::Outcome,
@@ -83,6 +84,7 @@
         (Counter::RelayDatagrams, label_values(&DropReason::ALL, |f| f.as_str())),
         (Counter::RelayTold, label_values(&ServerNotice::ALL, |t| t.as_str())),
         (Counter::RelayStreamsStopped, label_values(&Discontinued::ALL, |d| d.as_str())),
+        (Counter::RelayOrigins, label_values(&OriginTraffic::ALL, |t| t.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
