--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -6,8 +6,9 @@
 mod wire;
 
 use cranberrytally::{
+    metrics::Counter,
     relay::follow::BackendsUpdate,
-    schema::fleet::{Backend, Backends},
+    schema::fleet::{Backend, Backends, Workspace},
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
@@ -29,8 +30,9 @@
     Server::start(id, [ScriptStep::Write(rest)]).await
 }
 
-fn set_servers(host: &RunningHost, revision: u64, servers: &[Listed<'_>]) {
-    let item = |(server, version, data_centre): &Listed<'_>| Backend {
+/// Entry of a server of the service `app`.
+fn listed((server, version, data_centre): &Listed<'_>) -> Backend {
+    Backend {
         id: server.id.clone(),
         service: "app".into(),
         addr: server.addr.to_string(),
@@ -38,8 +40,11 @@
         slots: 6,
         version: (*version).into(),
         ..Backend::default()
-    };
-    let list = Backends { revision, items: servers.iter().map(item).collect(), ..Backends::default() };
+    }
+}
+
+fn set_servers(host: &RunningHost, revision: u64, servers: &[Listed<'_>]) {
+    let list = Backends { revision, items: servers.iter().map(listed).collect(), ..Backends::default() };
     host.relay.update_backends(BackendsUpdate::List(list), None, "test");
 }
 
@@ -104,6 +109,111 @@
     assert_eq!((resumed_at(&other), events(&taken_up)), (0, vec!["e3", "e4"]), "{taken_up}");
 }
 
+/// Guards against a stream that cannot go on, because the host that began it was killed and took its knowledge with it.
+#[tokio::test]
+async fn a_stream_goes_on_at_the_version_that_began_it_after_its_host_was_killed() {
+    let (first, other, same) = (breaking("i-1").await, continuing("i-2").await, continuing("i-3").await);
+    let mut hosts = fleet(3, &[(&first, "v1", "a"), (&other, "v2", "b")]).await;
+    call(&hosts[0], &request("/stream/x", ""), "r1").await;
+    wire::wait_until("a host to be told", || heard(&hosts[1]) + heard(&hosts[2]) == 2).await;
+    drop(hosts.remove(0));
+    set_servers(&hosts[1], 2, &[(&other, "v2", "a"), (&same, "v1", "b")]);
+
+    let taken_up = call(&hosts[1], &resumption("r1"), "r2").await;
+
+    assert_eq!((resumed_at(&other), events(&taken_up)), (0, vec!["e3", "e4"]), "{taken_up}");
+}
+
+/// Guards against a stream that no host was told of, because a single version served when it began, and that goes on at the
+/// version which has appeared since.
+#[tokio::test]
+async fn a_stream_that_began_before_the_second_version_goes_on_at_its_own() {
+    let (first, other, same) = (breaking("i-1").await, continuing("i-2").await, continuing("i-3").await);
+    let mut hosts = fleet(2, &[(&first, "v1", "a")]).await;
+    call(&hosts[0], &request("/stream/x", ""), "r1").await;
+    assert_eq!(heard(&hosts[1]), 0);
+    for host in &hosts {
+        set_servers(host, 2, &[(&other, "v2", "a"), (&same, "v1", "b")]);
+    }
+    wire::wait_until("the other host to be told", || heard(&hosts[1]) == 1).await;
+    drop(hosts.remove(0));
+
+    let taken_up = call(&hosts[0], &resumption("r1"), "r2").await;
+
+    assert_eq!((resumed_at(&other), events(&taken_up)), (0, vec!["e3", "e4"]), "{taken_up}");
+}
+
+/// Guards against a stream that is lost although its version is certain, because nobody was told of it: while one version
+/// serves, hosts tell nothing.
+#[tokio::test]
+async fn a_stream_that_nobody_knows_goes_on_while_one_version_serves() {
+    let server = continuing("i-1").await;
+    let hosts = fleet(2, &[(&server, "v1", "a")]).await;
+
+    let answer = call(&hosts[1], &resumption("nobody"), "r2").await;
+
+    assert_eq!(events(&answer), ["e3", "e4"], "{answer}");
+}
+
+/// Guards against a stream that goes on at another version because no server of its own is left, and against an answer that
+/// claims less than that it has not run.
+#[tokio::test]
+async fn a_stream_whose_version_is_gone_is_refused_as_not_run() {
+    let (first, other) = (breaking("i-1").await, continuing("i-2").await);
+    let hosts = fleet(1, &[(&first, "v1", "a"), (&other, "v2", "b")]).await;
+    let broken = call(&hosts[0], &request("/stream/x", ""), "r1").await;
+    set_servers(&hosts[0], 2, &[(&other, "v2", "a")]);
+
+    let answer = call(&hosts[0], &resumption("r1"), "r2").await;
+
+    assert!(!is_complete(&broken), "{broken}");
+    assert_eq!((status(&answer), resumed_at(&other)), (503, 0), "{answer}");
+    assert!(answer.contains("stream_version_gone") && header(&answer, "retry-after").is_some(), "{answer}");
+}
+
+/// Guards against a workspace that goes on with the stream of another one by the identifier of its attempt.
+#[tokio::test]
+async fn a_workspace_cannot_take_up_the_stream_of_another_one() {
+    let (first, other) = (breaking("i-1").await, continuing("i-2").await);
+    let hosts = fleet(1, &[(&first, "v1", "a"), (&other, "v2", "b")]).await;
+    let mut cfg = wire::configuration();
+    cfg.version += 1;
+    cfg.workspaces.push(Workspace { name: "other".into(), keys: vec!["k2".into()], rank: None });
+    hosts[0].relay.set_configuration(cfg, "test");
+    call(&hosts[0], &request("/stream/x", ""), "r1").await;
+    let before = resumed_at(&first);
+
+    let answer = call(&hosts[0], &resumption("r1").replace("Key: k1", "Key: k2"), "r2").await;
+
+    assert_eq!((status(&answer), resumed_at(&first), resumed_at(&other)), (503, before, 0), "{answer}");
+    assert!(answer.contains("stream_version_unknown"), "{answer}");
+}
+
+/// Guards against a stream that goes on at another service, because its route was moved between two attempts.
+#[tokio::test]
+async fn a_stream_does_not_go_on_at_the_service_to_which_its_route_was_moved() {
+    let (first, other) = (breaking("i-1").await, continuing("i-2").await);
+    let hosts = fleet(1, &[(&first, "v1", "a")]).await;
+    call(&hosts[0], &request("/stream/x", ""), "r1").await;
+    let mut cfg = wire::configuration();
+    cfg.version += 1;
+    cfg.routes.iter_mut().for_each(|route| route.shares[0].service = "moved".into());
+    hosts[0].relay.set_configuration(cfg, "test");
+    let moved = Backend { service: "moved".into(), ..listed(&(&other, "v1", "a")) };
+    let list =
+        Backends { revision: 2, items: vec![listed(&(&first, "v1", "a")), moved], ..Backends::default() };
+    hosts[0].relay.update_backends(BackendsUpdate::List(list), None, "test");
+
+    let answer = call(&hosts[0], &resumption("r1"), "r2").await;
+
+    assert_eq!((status(&answer), resumed_at(&other)), (503, 0), "{answer}");
+}
+
+/// Number of streams that a host was told of.
+fn heard(host: &RunningHost) -> u64 {
+    host.relay.metrics().totals(Counter::RelayOrigins).get("heard").copied().unwrap_or(0)
+}
+
 /// Guards against a stream that goes on at any version, because nobody knows which one began it.
 #[tokio::test]
 async fn a_stream_of_unknown_version_is_refused_as_not_run_while_two_versions_serve() {
