Tell in the registration of hosts which services serve several versions

Seen by reading: where all hosts are killed together soon after the last server of a version has left, the hosts that start find one version in the list and nobody who remembers another, so that they took a stream of the version that is gone for one of the other. The hosts that follow the store now register which services have served several versions, with the write that they make anyway when a data centre's hosts change, and once more when that list changes; a host that starts reads it with the registered hosts. The test of the host that starts goes on at the only version before, and is refused now.

--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -30,6 +30,10 @@
     /// Number of routes and workspaces; 0 if not known.
     #[serde(default)]
     pub routes: usize,
+    /// Services of which several versions may have begun streams that are still open, in order. A host that starts while no
+    /// other one runs knows it from here.
+    #[serde(default)]
+    pub mixed: Vec<String>,
 }
 
 impl Hosts {
@@ -40,6 +44,7 @@
             all.count += of_centre.count;
             all.servers = all.servers.max(of_centre.servers);
             all.routes = all.routes.max(of_centre.routes);
+            all.mixed.extend(of_centre.mixed);
             all
         })
     }
@@ -71,7 +76,7 @@
         if relay.is_alone() {
             match relay.call_store(StoreCall::Hosts, None, store.hosts()).await {
                 Ok(mut hosts) => {
-                    relay.add_hosts(&hosts.sample);
+                    relay.learn_registered(&hosts);
                     let _already_read = relay.registered.set(hosts.clone());
                     hosts.sample.retain(|m| m.data_centre == centre);
                     registered = Hosts { count: hosts.sample.len(), ..hosts };
--- a/src/relay/follow/start.rs
+++ b/src/relay/follow/start.rs
@@ -29,7 +29,7 @@
     async fn registered_hosts(&self, store: &mut impl Store) -> Option<&Hosts> {
         let read = async || {
             let hosts = self.call_store(StoreCall::Hosts, None, store.hosts()).await?;
-            self.add_hosts(&hosts.sample);
+            self.learn_registered(&hosts);
             Ok(hosts)
         };
         self.registered.get_or_try_init(read).await.inspect_err(log_hosts_failure).ok()
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -136,7 +136,20 @@
 
     /// Records that a route leads to other services than before. Nobody may go on at one with a stream of the other.
     pub fn record_reroute<'a>(&mut self, now: Instant, services: impl Iterator<Item = &'a str>) {
-        services.for_each(|service| self.served.record_reroute(now + self.lifetime, service));
+        services.for_each(|service| self.served.doubt_until(now + self.lifetime, service));
+    }
+
+    /// Takes in that several versions of these services may have begun streams before this host started.
+    pub fn learn_mixed<'a>(&mut self, started: Instant, services: impl Iterator<Item = &'a str>) {
+        services.for_each(|service| self.served.doubt_until(started + self.lifetime, service));
+    }
+
+    /// Services of which streams may have begun at different versions, in order.
+    pub fn mixed_services(&self) -> Vec<String> {
+        let mixed = self.served.counts().map(|(service, _)| service).filter(|service| self.is_mixed(service));
+        let mut mixed: Vec<_> = mixed.map(|service| service.to_string()).collect();
+        mixed.sort_unstable();
+        mixed
     }
 
     /// Records that this host passes on events of a stream that a version of a service began. Returns the tag of the version
@@ -155,7 +168,7 @@
 
     /// Whether streams on the routes of a service may have begun at different versions.
     pub fn is_mixed(&self, service: &str) -> bool {
-        self.served.versions(service).nth(1).is_some() || self.served.is_rerouted(service)
+        self.served.versions(service).nth(1).is_some() || self.served.is_doubtful(service)
     }
 
     /// Streams that this host passes on or that broke off here, of services with several versions.
@@ -233,7 +246,7 @@
     /// may have missed a version takes the word of one that is certain.
     fn sole(&self, services: &[&str], list_is_current: bool, word: Word) -> Option<Continuation> {
         let [service] = services else { return None };
-        let version = self.served.only_version(service).filter(|_| !self.served.is_rerouted(service))?;
+        let version = self.served.only_version(service).filter(|_| !self.served.is_doubtful(service))?;
         let is_certain = match word {
             Word::None => list_is_current,
             Word::Sole(tag) => tag == version_tag(service, version),
--- a/src/relay/origins/served.rs
+++ b/src/relay/origins/served.rs
@@ -16,8 +16,8 @@
 #[derive(Clone, Debug, Default)]
 struct Service {
     versions: Vec<Version>,
-    /// Until when streams of other services may be taken up on its routes, or its streams on other services' routes.
-    rerouted_until: Option<Instant>,
+    /// Until when streams that another service or a version which is no longer known began may be taken up on its routes.
+    doubt_until: Option<Instant>,
 }
 
 /// Versions by service. A version counts for the lifetime of a stream after its last server was known.
@@ -52,19 +52,20 @@
         for (name, service) in &mut self.services {
             let before = service.versions.len();
             service.versions.retain(|v| v.seen + lifetime >= now);
-            service.rerouted_until = service.rerouted_until.filter(|until| *until > now);
+            service.doubt_until = service.doubt_until.filter(|until| *until > now);
             if service.versions.len() != before {
                 changed.push(name.clone());
             }
         }
-        self.services.retain(|_, s| !s.versions.is_empty() || s.rerouted_until.is_some());
+        self.services.retain(|_, s| !s.versions.is_empty() || s.doubt_until.is_some());
         changed.sort_unstable();
         changed.dedup();
         changed
     }
 
-    pub(super) fn record_reroute(&mut self, until: Instant, service: &str) {
-        self.services.entry(service.into()).or_default().rerouted_until = Some(until);
+    pub(super) fn doubt_until(&mut self, until: Instant, service: &str) {
+        let doubt = &mut self.services.entry(service.into()).or_default().doubt_until;
+        *doubt = (*doubt).max(Some(until));
     }
 
     /// Names of the versions of a service that count.
@@ -85,9 +86,10 @@
         }
     }
 
-    /// Whether streams of a service may be taken up on routes that lead to another one, or the other way round.
-    pub fn is_rerouted(&self, service: &str) -> bool {
-        self.services.get(service).is_some_and(|s| s.rerouted_until.is_some())
+    /// Whether streams may be taken up on the routes of a service that another one, or a version which is no longer known,
+    /// began.
+    pub fn is_doubtful(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|s| s.doubt_until.is_some())
     }
 
     /// Name of the service with a tag.
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -440,17 +440,34 @@
         let me = &self.cfg.me;
         let routes =
             state.routes.as_ref().map_or(0, |r| r.source().routes.len() + r.source().workspaces.len());
-        let mut hosts = Hosts { sample: vec![me.clone()], count: 1, servers: state.backends.count(), routes };
+        let servers = state.backends.count();
+        let mut hosts = Hosts {
+            sample: vec![me.clone()],
+            count: 1,
+            servers,
+            routes,
+            mixed: state.origins.mixed_services(),
+        };
+        let mixed_changed = hosts.mixed != registered.mixed;
         if state.peers.is_alone(now()) {
             let others = registered.sample.iter().filter(|m| m.peers != me.peers);
             hosts.sample.extend(others.take(MAX_REGISTERED_HOSTS - 1).cloned());
             hosts.count = hosts.sample.len();
-            return (!registered.sample.contains(me)).then_some(hosts);
+            return (mixed_changed || !registered.sample.contains(me)).then_some(hosts);
         }
         hosts.sample.extend(state.peers.ready_in_data_centre(MAX_REGISTERED_HOSTS - 1));
         hosts.count = state.peers.data_centre_size();
         let remaining = registered.sample.iter().filter(|m| hosts.sample.contains(m)).count();
-        (hosts.has_doubled_since(registered) || remaining * 2 < registered.sample.len()).then_some(hosts)
+        let is_outdated =
+            mixed_changed || hosts.has_doubled_since(registered) || remaining * 2 < registered.sample.len();
+        is_outdated.then_some(hosts)
+    }
+
+    /// Takes in what the registration of hosts in the store says.
+    pub(crate) fn learn_registered(&self, hosts: &Hosts) {
+        self.add_hosts(&hosts.sample);
+        let started = self.started;
+        self.state().origins.learn_mixed(started, hosts.mixed.iter().map(String::as_str));
     }
 
     /// Adds hosts that are registered in the store as candidate peers.
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -413,7 +413,8 @@
             vec!["PUT /objects/hosts/a+1", "POST /objects/hosts"],
         ),
     ];
-    let hosts = Hosts { sample: vec![member()], count: 59, servers: 900, routes: 70 };
+    let hosts =
+        Hosts { sample: vec![member()], count: 59, servers: 900, routes: 70, mixed: vec!["app".into()] };
     for (name, acts, expected) in cases {
         let (mut store, server) = store(acts).await;
 
@@ -431,7 +432,7 @@
 /// Hosts are read from a stale copy, which costs a tenth. An invalid entry does not invalidate the others.
 #[tokio::test]
 async fn hosts_are_found_in_the_store() {
-    let spec = serde_json::json!({ "members": [member()], "count": 59, "servers": 900, "routes": 70 });
+    let spec = serde_json::json!({ "members": [member()], "count": 59, "servers": 900, "routes": 70, "mixed": ["app"] });
     let junk = r#"{"metadata":{"name":"y"},"spec":{"members":7}}"#;
     let page = format!(
         r#"{{"items":[{junk},{{"metadata":{{"name":"x"}},"spec":{spec}}}],"hasMore":false,"currentRev":9}}"#
@@ -440,7 +441,10 @@
 
     let hosts = store.hosts().await.unwrap();
 
-    assert_eq!(hosts, Hosts { sample: vec![member()], count: 59, servers: 900, routes: 70 });
+    assert_eq!(
+        hosts,
+        Hosts { sample: vec![member()], count: 59, servers: 900, routes: 70, mixed: vec!["app".into()] }
+    );
     assert_eq!(target(&server.requests()[0]), "/objects/hosts?staleOk=1");
 }
 
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -2,17 +2,21 @@
 
 #[path = "support/relay.rs"]
 mod relay_support;
+#[path = "support/soak.rs"]
+mod soak;
 #[path = "support/wire.rs"]
 mod wire;
 
 use cranberrytally::{
     metrics::Counter,
-    relay::follow::BackendsUpdate,
+    platform::store::StoreClient,
+    relay::follow::{self, BackendsUpdate},
     schema::fleet::{Backend, Backends, Workspace},
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use relay_support::RunningHost;
+use soak::store::{Store, server_of_version};
 use wire::{ScriptStep, Server, chunk, event, events, header, is_complete, request, status, stream_head};
 
 /// A server with the version of its software and its data centre. Servers in the hosts' own, `a`, are preferred.
@@ -209,6 +213,45 @@
     assert_eq!((status(&answer), resumed_at(&other)), (503, 0), "{answer}");
 }
 
+/// Guards against hosts that take a stream for one of the only version in the list, because all hosts were killed after the
+/// last server of another version had left: nobody remembers that version but the registration of hosts in the store.
+#[tokio::test]
+async fn a_host_that_starts_alone_learns_from_the_store_that_several_versions_served() {
+    let server = continuing("i-1").await;
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(server.addr, "ready", "v1"));
+    store.put("hosts", "a", serde_json::json!({ "members": [], "count": 1, "mixed": ["app"] }));
+    let host = RunningHost::start("host-1", &[]).await;
+    host.relay.set_configuration(wire::configuration(), "test");
+    let following = tokio::spawn(follow::follow_backends(host.relay.clone(), StoreClient::new(store.addr())));
+    wire::wait_until("the server", || host.relay.server_count("app") == 1).await;
+
+    let answer = call(&host, &resumption("nobody"), "r2").await;
+
+    following.abort();
+    assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "{answer}");
+}
+
+/// Guards against a registration of hosts that does not say that several versions serve.
+#[tokio::test]
+async fn hosts_register_services_with_several_versions() {
+    let (one, other) = (continuing("i-1").await, continuing("i-2").await);
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(one.addr, "ready", "v1"));
+    let hosts = fleet(2, &[]).await;
+    let relay = &hosts[0].relay;
+    let following = tokio::spawn(follow::follow_backends(relay.clone(), StoreClient::new(store.addr())));
+    let registering = tokio::spawn(follow::sync_hosts(relay.clone(), StoreClient::new(store.addr())));
+    let mixed = || store.spec("hosts", "a").map(|spec| spec["mixed"].clone());
+    wire::wait_until("the registration", || mixed() == Some(serde_json::json!([]))).await;
+
+    store.put("servers", "i-2", server_of_version(other.addr, "ready", "v2"));
+
+    wire::wait_until("the registration of the service", || mixed() == Some(serde_json::json!(["app"]))).await;
+    registering.abort();
+    following.abort();
+}
+
 /// Number of streams that a host was told of.
 fn heard(host: &RunningHost) -> u64 {
     host.relay.metrics().totals(Counter::RelayOrigins).get("heard").copied().unwrap_or(0)
--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -129,6 +129,12 @@
         self.write(kind, name, None);
     }
 
+    /// Spec of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().unwrap();
+        state.objects.get(&(kind.to_owned(), name.to_owned()))?.spec.clone()
+    }
+
     /// Sets whether every call is refused with 503.
     pub fn set_busy(&self, busy: bool) {
         self.busy.store(busy, Ordering::Relaxed);
@@ -349,9 +355,14 @@
     response
 }
 
-/// Spec of a backend server's entry.
+/// Spec of a backend server's entry, of version v1.
 pub fn server(addr: SocketAddr, state: &str) -> Value {
-    json!({ "service": "app", "address": addr.to_string(), "zone": "a", "version": "v1", "slots": 64,
+    server_of_version(addr, state, "v1")
+}
+
+/// Spec of the entry of a backend server with a version of its software.
+pub fn server_of_version(addr: SocketAddr, state: &str, version: &str) -> Value {
+    json!({ "service": "app", "address": addr.to_string(), "zone": "a", "version": version, "slots": 64,
         "state": state, "coldRemainingMs": 0, "sequence": 1 })
 }
 
