Treat another version under a server's identifier as another start

Seen by reading: an entry without a start time that tells another version was taken for the same start, so that the version of streams which the earlier start ran changed with it, and a stream could go on at a server that had been replaced in place. Such an entry is another start now; in a list, which a restored store may have from before, it is not used until the server has written it. A server that could not be reached gets no stream that another start may have begun until it has written its entry or four seconds have passed: the entry may be that of its earlier start. That holds only while several versions serve, and not at a host that is cut off itself. A missing version is learnt later, a very long one shortened.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -46,6 +46,10 @@
 /// Maximum time for which an entry can declare its server cold; a longer one was written by another party.
 const MAX_COLD: Duration = Duration::from_secs(60);
 
+/// How long after a start a server may be listed with its earlier entry: it writes its own within two heartbeats of one to
+/// two seconds.
+const RESTART_ENTRY_DELAY: Duration = Duration::from_secs(4);
+
 /// Maximum number of changes kept for other hosts.
 const MAX_LOG_ENTRIES: usize = 512;
 
@@ -109,6 +113,8 @@
     pub cold_until: Instant,
     /// Whether its latest entry declared it cold.
     reported_cold: bool,
+    /// When it last may have started again without its entry telling so.
+    restart_suspected: Option<Instant>,
 }
 
 impl Backend {
@@ -117,6 +123,16 @@
         matches!(self.state, State::Ready | State::Missing { .. })
     }
 
+    /// Whether it may have started again, with another version, without its entry telling so yet.
+    pub fn may_have_restarted(&self, now: Instant) -> bool {
+        self.restart_suspected.is_some_and(|at| at + RESTART_ENTRY_DELAY > now)
+    }
+
+    /// Whether an entry tells another version than is known.
+    fn has_other_version(&self, version: &str) -> bool {
+        !version.is_empty() && !self.version.is_empty() && versions::bounded(version) != self.version
+    }
+
     fn set_leaving(&mut self, now: Instant) {
         self.state = State::Leaving;
         self.leaving_since.get_or_insert(now);
@@ -327,6 +343,13 @@
         }
     }
 
+    /// Notes that a server may have started again without its entry telling so.
+    pub fn suspect_restart(&mut self, now: Instant, key: BackendKey) {
+        if let Some(backend) = self.arena.get_mut(key) {
+            backend.restart_suspected = Some(now);
+        }
+    }
+
     /// Number of all backend servers, including those that are leaving.
     pub fn count(&self) -> usize {
         self.arena.len()
--- a/src/relay/backends/apply.rs
+++ b/src/relay/backends/apply.rs
@@ -34,6 +34,9 @@
         };
         match self.arena[key].compare(item) {
             Comparison::Earlier => Vec::new(),
+            Comparison::Same if self.arena[key].has_other_version(&item.version) => {
+                self.replace_version(now, key, item, written)
+            }
             Comparison::Same => {
                 let cold = self.arena[key].update_cold(now, item.cold_ms).then_some((key, Change::Cold));
                 self.refresh(now, key, item, written).into_iter().chain(cold).collect()
@@ -46,6 +49,28 @@
         }
     }
 
+    /// Applies an entry that tells another version: the server has started again under its identifier, and has no start time
+    /// or had not told its version yet. A list may be from before that, so that the server has to write the entry first.
+    fn replace_version(
+        &mut self,
+        now: Instant,
+        key: BackendKey,
+        item: &fleet::Backend,
+        written: bool,
+    ) -> Vec<(BackendKey, Change)> {
+        self.drop_entry(now, key);
+        self.ended.remove(&item.id);
+        let mut added = self.add(now, item, written);
+        if let Some((new, change)) = &mut added
+            && !written
+            && self.arena[*new].state == State::Ready
+        {
+            self.arena[*new].state = unconfirmed_state(now, item);
+            *change = Change::Unconfirmed;
+        }
+        [(key, Change::Restarted)].into_iter().chain(added).collect()
+    }
+
     /// Applies an entry of the known incarnation. One that has left never gets requests again.
     fn refresh(
         &mut self,
@@ -58,6 +83,9 @@
         if !item.version.is_empty() {
             backend.version = versions::bounded(&item.version);
         }
+        if written {
+            backend.restart_suspected = None;
+        }
         match backend.state {
             _ if item.leaving => {
                 let changed = backend.state != State::Leaving;
@@ -127,6 +155,7 @@
             leaving_since: (state == State::Leaving).then_some(now),
             cold_until: Instant::ZERO,
             reported_cold: false,
+            restart_suspected: None,
         });
         self.arena[key].update_cold(now, item.cold_ms);
         self.by_id.insert(id, key);
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -163,6 +163,9 @@
         let limited = self.cold_limit(service).is_some();
         let mut eligible = Eligible::default();
         for (key, b) in self.accepting(now, service).filter(|(_, b)| runs(b, version)) {
+            if version.is_some() && self.may_run_another_version(now, b) {
+                continue;
+            }
             let keys = if limited && self.is_cold(now, b) { &mut eligible.cold } else { &mut eligible.warm };
             keys.push(key);
         }
@@ -182,6 +185,12 @@
         b.in_progress + self.peers.remote_load(b.tag)
     }
 
+    /// Whether a server may have started again with another version of several. A host that is cut off from servers cannot
+    /// tell a start from its own fault.
+    fn may_run_another_version(&self, now: Instant, b: &Backend) -> bool {
+        b.may_have_restarted(now) && self.origins.is_mixed(&b.service) && !self.reach.is_cut_off(now)
+    }
+
     fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
         self.routes.as_ref()?.cold_limit(service)
     }
@@ -193,6 +202,7 @@
     /// Treats a server as possibly restarted, and therefore cold: it is unreachable, or answers again after it was.
     pub(crate) fn note_possible_restart(&mut self, now: Instant, key: BackendKey) {
         let Some((service, tag)) = self.backends.get(key).map(|b| (b.service.clone(), b.tag)) else { return };
+        self.backends.suspect_restart(now, key);
         if let Some(limit) = self.cold_limit(&service) {
             self.warmup.note_possible_restart(now, tag, limit);
         }
@@ -260,7 +270,8 @@
         version: Option<&str>,
         eligible: &Eligible,
     ) -> ErrorKind {
-        if version.is_some() && !self.backends.available(service).any(|(_, b)| runs(b, version)) {
+        let mut of_version = self.backends.available(service).filter(|(_, b)| runs(b, version));
+        if version.is_some() && of_version.all(|(_, b)| self.may_run_another_version(now, b)) {
             return ErrorKind::StreamVersionGone;
         }
         let listed = self.backends.available(service).next().is_some();
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -284,3 +284,67 @@
         }
     }
 }
+
+/// The server `x` with a version of its software and no start time.
+fn of_version(version: &str) -> Backend {
+    Backend { version: version.into(), ..listed("x", false) }
+}
+
+/// Guards against a stream that goes on at a server which has started again under its identifier with another version.
+#[test]
+fn another_version_under_the_same_identifier_is_another_start() {
+    let mut backends = backends_with(vec![of_version("v1")]);
+    let (old, _) = backends.available("s").next().unwrap();
+
+    let changes = backends.apply_changes(ms(1), rev(2), &[of_version("v2")], &[], None);
+
+    let (new, backend) = backends.available("s").next().unwrap();
+    assert_eq!(changes, [(old, Change::Restarted), (new, Change::Seen)]);
+    assert_eq!((&*backend.version, &*backends.get(old).unwrap().version), ("v2", "v1"));
+}
+
+/// Guards against a server that counts as one of an earlier version because a restored store lists its earlier entry: it is
+/// not used until it has written its own again.
+#[test]
+fn an_earlier_version_in_a_list_is_not_believed_until_it_is_written() {
+    let mut backends = backends_with(vec![of_version("v2")]);
+    let restored = List { epoch: 1, revision: 1, items: vec![of_version("v1")] };
+
+    let changes = backends.apply_list(ms(1), &restored, None);
+    let usable = backends.available("s").count();
+    let at = cranberrytally::relay::revision::Revision::new(1, 2);
+    backends.apply_changes(ms(2), at, &[of_version("v2")], &[], None);
+
+    assert_eq!(changes.last().map(|(_, change)| *change), Some(Change::Unconfirmed));
+    assert_eq!(usable, 0);
+    assert_eq!(backends.available("s").next().map(|(_, b)| &*b.version), Some("v2"));
+}
+
+/// Guards against a list of a host of an earlier program version, which tells no versions, that hides the known ones; and
+/// against a start that counts as another one because its version was learnt later.
+#[test]
+fn an_unknown_version_changes_nothing_and_is_learnt_later() {
+    let mut backends = backends_with(vec![of_version("")]);
+    let (key, _) = backends.available("s").next().unwrap();
+    let version = |backends: &Backends| backends.get(key).unwrap().version.to_string();
+    let before = backends.digest();
+
+    let learnt = backends.apply_changes(ms(1), rev(2), &[of_version("v1")], &[], None);
+    let after_learning = (version(&backends), backends.digest() != before);
+    let untold = backends.apply_changes(ms(2), rev(3), &[of_version("")], &[], None);
+
+    assert_eq!((learnt, after_learning), (vec![], ("v1".to_owned(), true)));
+    assert_eq!((untold, version(&backends)), (vec![], "v1".to_owned()));
+}
+
+/// Guards against long versions that fill the memory, or that count as equal because they were cut.
+#[test]
+fn long_versions_are_shortened_and_stay_different() {
+    let long = |end: &str| of_version(&("v".repeat(100_000) + end));
+    let version = |backend: Backend| backends_with(vec![backend]).iter().next().unwrap().1.version.clone();
+
+    let [one, other] = ["1", "2"].map(|end| version(long(end)));
+
+    assert!(one.len() <= 64 && other.len() <= 64, "{one} {other}");
+    assert_ne!(one, other);
+}
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -175,6 +175,22 @@
     assert!(answer.contains("stream_version_gone") && header(&answer, "retry-after").is_some(), "{answer}");
 }
 
+/// Guards against a stream that goes on at a server which cannot be reached and may start again with another version: its
+/// entry tells of that a little later.
+#[tokio::test]
+async fn a_stream_does_not_go_on_at_a_server_that_may_have_started_again() {
+    let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
+    let first = Server::start("i-1", [ScriptStep::WriteAndReset(begun), ScriptStep::Crash]).await;
+    let other = continuing("i-2").await;
+    let hosts = fleet(1, &[(&first, "v1", "a"), (&other, "v2", "b")]).await;
+    call(&hosts[0], &request("/stream/x", ""), "r1").await;
+
+    let answer = call(&hosts[0], &resumption("r1"), "r2").await;
+
+    assert_eq!((status(&answer), resumed_at(&other)), (503, 0), "{answer}");
+    assert!(answer.contains("stream_version_gone"), "{answer}");
+}
+
 /// Guards against a workspace that goes on with the stream of another one by the identifier of its attempt.
 #[tokio::test]
 async fn a_workspace_cannot_take_up_the_stream_of_another_one() {
