Let the soak serve two versions, and its callers take up streams that break off

The stand-ins of the servers have versions and write them into each event; callers of the new kind of run leave streams in the middle or lose them with their host, and take them up at any host with the attempt that began them. No stream may have events of two versions, in one answer or over attempts, and streams that are taken up at hosts in touch must go on half as often as new ones begin; the summary counts both.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -63,6 +63,42 @@
     }
 }
 
+/// Guards against violations while servers of two versions serve, callers take up broken streams at any host, hosts are
+/// killed, suspended and stopped, servers crash and drain, and the store is unavailable and restored; in particular, against a
+/// stream with events of two versions, and against hosts that refuse most of the streams that are taken up.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_two_versions_serve() {
+    let _guard = RUN_LOCK.lock().await;
+    for seed in [1, 2] {
+        let report = Soak::with_seed(seed).with_faults(10).with_scenario(Scenario::Versions).run().await;
+
+        assert!(report.violations.is_empty(), "{report:#?}");
+        assert!(report.outcomes.contains("streams taken up that went on"), "{report:#?}");
+    }
+}
+
+/// Guards against a check that misses a stream with events of two versions, in one answer or over two attempts.
+#[test]
+fn streams_of_two_versions_are_violations() {
+    let in_one = Outcome::Disconnected(vec!["own 1 v1".into(), "own 2 v2".into()]);
+    let over_two = history(Kind::ResumableStream, &["i-1"], Outcome::Disconnected(vec!["own 1 v1".into()]));
+    let at = Instant::now();
+    over_two.record(Observation::TakenUp { id: "r2".into(), first: "r1".into(), after: 1 });
+    over_two.record(Observation::Sent {
+        id: "r2".into(),
+        kind: Kind::ResumableStream,
+        target: "/stream/r1".into(),
+        always_allowed: true,
+        host: "127.0.0.1".into(),
+        at,
+    });
+    let outcome = Outcome::Disconnected(vec!["own 2 v2".into()]);
+    over_two.record(Observation::Finished { id: "r2".into(), outcome, at });
+
+    assert!(!history(Kind::ResumableStream, &["i-1"], in_one).violations().is_empty());
+    assert_eq!(over_two.violations().len(), 1);
+}
+
 /// Guards against a check that misses requests handled by an outdated version, or reports them although the host was out of
 /// contact.
 #[test]
@@ -192,7 +228,7 @@
 /// Guards against checks that miss a violation, so that a run would pass for the wrong reason.
 #[test]
 fn violations_of_single_requests_are_found() {
-    let truncated: Vec<_> = (1..STREAM_EVENTS).map(|n| format!("own {n}")).collect();
+    let truncated: Vec<_> = (1..STREAM_EVENTS).map(|n| format!("own {n} v1")).collect();
     let truncated: Vec<_> = truncated.iter().map(String::as_str).collect();
     let cases = [
         ("executed twice", Kind::NonIdempotent, vec!["i-1", "i-2"], complete(200, &["own"])),
@@ -203,9 +239,9 @@
             "repeated event",
             Kind::ResumableStream,
             vec!["i-1"],
-            Outcome::Disconnected(vec!["own 1".into(), "own 1".into()]),
+            Outcome::Disconnected(vec!["own 1 v1".into(), "own 1 v1".into()]),
         ),
-        ("missing event", Kind::ResumableStream, vec!["i-1"], Outcome::Disconnected(vec!["own 2".into()])),
+        ("missing event", Kind::ResumableStream, vec!["i-1"], Outcome::Disconnected(vec!["own 2 v1".into()])),
         ("denied", Kind::Idempotent, vec![], complete(404, &[""])),
     ];
     for (name, kind, executions, outcome) in cases {
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -63,6 +63,8 @@
     Restores,
     /// The configuration keeps changing, and watches are left unanswered.
     Changes,
+    /// Servers of two software versions serve side by side, and callers take up streams that break off.
+    Versions,
 }
 
 impl Soak {
@@ -97,14 +99,17 @@
         let history = Arc::new(History::default());
         let store = Store::start().await;
         store.put("config", "main", store::configuration(1, false));
-        let engines = Arc::new(Engines::start(store.clone(), history.clone()).await);
+        let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
+        let engines = Engines::start_with_versions(store.clone(), history.clone(), versions).await;
+        let engines = Arc::new(engines);
         let hosts = Arc::new(Hosts::start(self.hosts, store.addr(), history.clone()));
         hosts.wait_until_ready(RECOVERY_TIMEOUT).await;
 
         let mut callers = JoinSet::new();
         for n in 0..self.callers {
             let rng = StdRng::seed_from_u64(rng.random());
-            callers.spawn(caller::send_requests(n, hosts.clone(), history.clone(), rng));
+            let (hosts, history) = (hosts.clone(), history.clone());
+            callers.spawn(caller::send_requests(n, hosts, history, self.scenario, rng));
         }
         if self.scenario == Scenario::Changes {
             let newest = Arc::new(AtomicU64::new(1));
--- a/tests/support/soak/caller.rs
+++ b/tests/support/soak/caller.rs
@@ -17,8 +17,8 @@
 };
 
 use super::{
-    THINK_TIME_MS,
-    checks::{History, Kind, Observation, Outcome},
+    Scenario, THINK_TIME_MS,
+    checks::{History, Kind, Observation, Outcome, STREAM_EVENTS},
     hosts::Hosts,
     look_up_addresses,
 };
@@ -35,11 +35,33 @@
 /// Timeout for connecting and for short calls, and interval between lookups of addresses.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of times that a caller takes up a broken stream.
+const MAX_TAKE_UPS: usize = 3;
+/// In runs with several versions, one in this many streams is left by its caller in the middle.
+const LEAVE_ONE_IN: u32 = 3;
+
+/// The stream that a request takes up.
+#[derive(Clone, Debug)]
+pub struct TakenUp {
+    /// Identifier of the attempt that began it.
+    pub first: String,
+    /// Target of that attempt, since the request stays the same.
+    pub target: String,
+    /// Number of its events that the caller has.
+    pub after: u32,
+}
+
 /// Counter for unique request identifiers.
 static NEXT_ID: AtomicU64 = AtomicU64::new(0);
 
 /// Sends requests of all kinds until the task is aborted.
-pub async fn send_requests(n: usize, hosts: Arc<Hosts>, history: Arc<History>, mut rng: StdRng) {
+pub async fn send_requests(
+    n: usize,
+    hosts: Arc<Hosts>,
+    history: Arc<History>,
+    scenario: Scenario,
+    mut rng: StdRng,
+) {
     let mut host_addrs = hosts.addresses();
     let mut resolved_at = Instant::now();
     loop {
@@ -50,15 +72,69 @@
         let addr = host_addrs[rng.random_range(0..host_addrs.len())];
         let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
         let key = if n.is_multiple_of(2) { KEY } else { KEY_TO_REVOKE };
-        call(addr, kind, key, kind.path(), &history).await;
+        match scenario {
+            Scenario::Versions if kind == Kind::ResumableStream => {
+                call_until_complete(&host_addrs, key, &history, &mut rng).await;
+            }
+            _ => {
+                call(addr, kind, key, kind.path(), &history).await;
+            }
+        }
         tokio::time::sleep(Duration::from_millis(rng.random_range(THINK_TIME_MS))).await;
     }
 }
 
+/// Requests a stream and takes it up at any host when it breaks off; sometimes leaves it in the middle to do so.
+async fn call_until_complete(addrs: &[SocketAddr], key: &str, history: &History, rng: &mut StdRng) {
+    let mut taken_up: Option<TakenUp> = None;
+    for _ in 0..=MAX_TAKE_UPS {
+        let after = taken_up.as_ref().map_or(0, |taken_up| taken_up.after);
+        let leaves = taken_up.is_none() && rng.random_ratio(1, LEAVE_ONE_IN);
+        let leave_at = leaves.then(|| rng.random_range(1..STREAM_EVENTS));
+        let addr = addrs[rng.random_range(0..addrs.len())];
+        let kind = Kind::ResumableStream;
+        let request = Request { addr, kind, key, path: kind.path(), taken_up: taken_up.clone(), leave_at };
+        let (id, target, outcome) = send(request, history).await;
+        let events = match outcome {
+            Outcome::Disconnected(data) | Outcome::Left(data) => data.len() as u32,
+            Outcome::Complete { status: 503, .. } => 0,
+            _ => return,
+        };
+        let has_begun = taken_up.is_some() || events > 0;
+        let first = taken_up.map_or((id, target), |taken_up| (taken_up.first, taken_up.target));
+        taken_up = has_begun.then(|| TakenUp { first: first.0, target: first.1, after: after + events });
+    }
+}
+
+/// What a caller sends.
+struct Request<'a> {
+    addr: SocketAddr,
+    kind: Kind,
+    key: &'a str,
+    path: &'a str,
+    taken_up: Option<TakenUp>,
+    /// Number of events after which the caller leaves.
+    leave_at: Option<u32>,
+}
+
 /// Sends one request and records its outcome.
 pub async fn call(addr: SocketAddr, kind: Kind, key: &str, path: &str, history: &History) -> Outcome {
+    let (_, _, outcome) =
+        send(Request { addr, kind, key, path, taken_up: None, leave_at: None }, history).await;
+    outcome
+}
+
+/// Sends one request and records its outcome; returns its identifier and its target with it.
+async fn send(request: Request<'_>, history: &History) -> (String, String, Outcome) {
+    let Request { addr, kind, key, path, taken_up, leave_at } = request;
     let id = format!("r{:06}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
-    let target = format!("{path}{id}");
+    let target = taken_up.as_ref().map_or_else(|| format!("{path}{id}"), |taken_up| taken_up.target.clone());
+    let resumes = taken_up.as_ref().map_or_else(String::new, |taken_up| {
+        format!("Resumes: {}\r\nLast-Event-Id: {}\r\n", taken_up.first, taken_up.after)
+    });
+    if let Some(TakenUp { first, after, .. }) = taken_up {
+        history.record(Observation::TakenUp { id: id.clone(), first, after });
+    }
     let host = addr.ip().to_string();
     let always_allowed = key == KEY && path == kind.path();
     history.record(Observation::Sent {
@@ -69,23 +145,26 @@
         host,
         at: Instant::now(),
     });
-    let head = format!("POST {target} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\nKey: {key}\r\n");
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\n{resumes}Key: {key}\r\n"
+    );
     let body = "x".repeat(200);
     let req = format!(
         "{head}Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n{body}",
         REQUEST_DEADLINE.as_millis(),
         body.len()
     );
-    let outcome = match timeout(REQUEST_DEADLINE + DEADLINE_SLACK, exchange(addr, &req, kind, &id)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::TimedOut,
-    };
-    history.record(Observation::Finished { id, outcome: outcome.clone(), at: Instant::now() });
-    outcome
+    let outcome =
+        match timeout(REQUEST_DEADLINE + DEADLINE_SLACK, exchange(addr, &req, kind, &id, leave_at)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::TimedOut,
+        };
+    history.record(Observation::Finished { id: id.clone(), outcome: outcome.clone(), at: Instant::now() });
+    (id, target, outcome)
 }
 
 /// Sends a raw request over a new connection and reads the answer.
-async fn exchange(addr: SocketAddr, req: &str, kind: Kind, id: &str) -> Outcome {
+async fn exchange(addr: SocketAddr, req: &str, kind: Kind, id: &str, leave_at: Option<u32>) -> Outcome {
     let Ok(Ok(mut stream)) = timeout(SHORT_TIMEOUT, TcpStream::connect(addr)).await else {
         return Outcome::ConnectFailed;
     };
@@ -98,6 +177,11 @@
         if is_complete(&text) {
             return Outcome::Complete { status: status(&text), data: answer_data(&text, kind, id) };
         }
+        // An event of which a part has arrived does not count.
+        let (whole, _) = text.rsplit_once("\n\n").unwrap_or_default();
+        if leave_at.is_some_and(|count| events(whole).len() >= count as usize) {
+            return Outcome::Left(answer_data(whole, kind, id));
+        }
         match stream.read_buf(&mut buf).await {
             Ok(n) if n > 0 => {}
             _ => {
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -1,7 +1,7 @@
 //! History of a run, as observed by callers and backend servers, and checks of the guarantees against it. No I/O.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Mutex,
     time::{Duration, Instant},
 };
@@ -26,6 +26,8 @@
 const PAUSE_GRACE: Duration = Duration::from_millis(500);
 /// Number of a host's requests that may still arrive during a pause.
 const MAX_REQUESTS_IN_PAUSE: usize = 2;
+/// Number of streams that must be taken up for the share of those that go on to count.
+const MIN_TAKEN_UP: usize = 12;
 /// Subject of faults of the store.
 pub const STORE: &str = "store";
 
@@ -89,6 +91,8 @@
     },
     /// The connection closed before the answer was complete; holds the stream events received until then.
     Disconnected(Vec<String>),
+    /// The caller left; holds the stream events received until then.
+    Left(Vec<String>),
     /// The connection could not be established.
     ConnectFailed,
     /// The answer was not complete within the deadline.
@@ -100,6 +104,8 @@
 pub enum Observation {
     /// A caller sent a request; `always_allowed` says that every configuration version allows it.
     Sent { id: String, kind: Kind, target: String, always_allowed: bool, host: String, at: Instant },
+    /// A request takes up the stream that an attempt began, of which its caller has a number of events.
+    TakenUp { id: String, first: String, after: u32 },
     /// A request ended for its caller.
     Finished { id: String, outcome: Outcome, at: Instant },
     /// A backend server started to execute a request.
@@ -141,9 +147,22 @@
     executions: Vec<Execution>,
     answered_by: Vec<String>,
     server_events: Vec<(String, ServerEvent)>,
+    /// The attempt that began the stream which the request takes up, and the number of events before.
+    taken_up: Option<(String, u32)>,
 }
 
 impl RequestTrace {
+    /// Events that the caller got.
+    fn events(&self) -> &[String] {
+        match &self.outcome {
+            Some((
+                Outcome::Complete { status: 200, data } | Outcome::Disconnected(data) | Outcome::Left(data),
+                _,
+            )) => data,
+            _ => &[],
+        }
+    }
+
     /// When the request arrived at servers, in order.
     fn arrivals(&self) -> impl Iterator<Item = Instant> {
         self.server_events.iter().filter_map(|(_, event)| match event {
@@ -195,6 +214,9 @@
                     let execution = Execution { target, workspace, with_key, engine, at };
                     traces.entry(id).or_default().executions.push(execution);
                 }
+                Observation::TakenUp { id, first, after } => {
+                    traces.entry(id).or_default().taken_up = Some((first, after));
+                }
                 Observation::AnswerWritten { id, engine } => {
                     traces.entry(id).or_default().answered_by.push(engine)
                 }
@@ -407,7 +429,40 @@
         let drain_announced =
             self.check_announced_drain(&traces).into_iter().chain(self.check_pauses(&traces));
         let all = per_request.chain(drain_announced).chain(self.check_versions(&traces));
-        all.chain(self.check_retry_budget(&traces)).collect()
+        let streams = check_stream_versions(&traces).into_iter().chain(self.check_taken_up(&traces));
+        all.chain(self.check_retry_budget(&traces)).chain(streams).collect()
+    }
+
+    /// Number of streams, in all and of those that callers took up, and how many of each got an event; only of hosts that
+    /// were in contact.
+    fn stream_shares(&self, traces: &BTreeMap<String, RequestTrace>) -> [(usize, usize); 2] {
+        let mut shares = [(0, 0); 2];
+        for trace in traces.values() {
+            let (Some(sent), Some((_, ended))) = (&trace.sent, &trace.outcome) else { continue };
+            let in_contact =
+                |at| !self.was_out_of_contact(&sent.host, at) && !self.was_out_of_contact(STORE, at);
+            let is_complete = trace.taken_up.as_ref().is_some_and(|(_, after)| *after == STREAM_EVENTS);
+            if sent.kind != Kind::ResumableStream
+                || is_complete
+                || !in_contact(sent.at)
+                || !in_contact(*ended)
+            {
+                continue;
+            }
+            let (all, begun) = &mut shares[usize::from(trace.taken_up.is_some())];
+            *all += 1;
+            *begun += usize::from(!trace.events().is_empty());
+        }
+        shares
+    }
+
+    /// Checks that streams which are taken up go on at least half as often as new ones begin.
+    fn check_taken_up(&self, traces: &BTreeMap<String, RequestTrace>) -> Option<String> {
+        let [(new, begun), (taken_up, gone_on)] = self.stream_shares(traces);
+        let is_too_few = taken_up >= MIN_TAKEN_UP && 2 * gone_on * new < begun * taken_up;
+        is_too_few.then(|| {
+            format!("{gone_on} of {taken_up} streams that were taken up went on, {begun} of {new} began")
+        })
     }
 
     /// Checks one request on its own.
@@ -435,6 +490,7 @@
         let Some((outcome, ended)) = &trace.outcome else { return violations };
         violations.extend(check_outcome(trace, sent, outcome));
         let unaffected = |engine: &String| !self.had_fault(engine, sent.at, *ended);
+        // A caller that left may not have waited for the rest.
         let is_lost = matches!(outcome, Outcome::Disconnected(_) | Outcome::TimedOut)
             && trace.answered_by.iter().any(unaffected);
         if is_lost && !self.had_fault(&sent.host, sent.at, *ended) {
@@ -451,13 +507,18 @@
             let outcome = match trace.outcome {
                 Some((Outcome::Complete { status, .. }, _)) => status.to_string(),
                 Some((Outcome::Disconnected(_), _)) => "broken".into(),
+                Some((Outcome::Left(_), _)) => "abandoned".into(),
                 Some((Outcome::ConnectFailed, _)) => "no connection".into(),
                 Some((Outcome::TimedOut, _)) => "timed out".into(),
                 None => "left".into(),
             };
             *counts.entry(format!("{} {outcome}", kind.as_str())).or_default() += 1;
         }
-        counts.into_iter().map(|(label, n)| format!("{label}: {n}")).collect::<Vec<_>>().join(", ")
+        let counts = counts.into_iter().map(|(label, n)| format!("{label}: {n}"));
+        let [_, (taken_up, gone_on)] = self.stream_shares(&self.traces());
+        let taken_up =
+            (taken_up > 0).then(|| format!("streams taken up that went on: {gone_on} of {taken_up}"));
+        counts.chain(taken_up).collect::<Vec<_>>().join(", ")
     }
 }
 
@@ -469,10 +530,11 @@
 /// Checks the outcome that a caller saw against the request and its executions.
 fn check_outcome(trace: &RequestTrace, sent: &Sent, outcome: &Outcome) -> Vec<String> {
     let mut violations = Vec::new();
+    let before = trace.taken_up.as_ref().map_or(0, |(_, after)| *after);
     match outcome {
         Outcome::Complete { status: 200, data } if sent.kind.is_stream() => {
-            violations.extend(check_events(data));
-            if data.len() != STREAM_EVENTS as usize {
+            violations.extend(check_events(data, before));
+            if before as usize + data.len() != STREAM_EVENTS as usize {
                 violations.push(format!("a stream ended as complete after {} events", data.len()));
             }
         }
@@ -487,15 +549,34 @@
         {
             violations.push(format!("a request that is always allowed was answered with {status}"));
         }
-        Outcome::Disconnected(data) => violations.extend(check_events(data)),
+        Outcome::Disconnected(data) | Outcome::Left(data) => violations.extend(check_events(data, before)),
         _ => {}
     }
     violations
 }
 
-/// Checks that a stream's events are its own and in order, with none missing or repeated.
-fn check_events(data: &[String]) -> Option<String> {
-    let expected = (1..).map(|n: u32| format!("own {n}"));
+/// Checks that a stream's events after the first `before` are its own and in order, with none missing or repeated, and all of
+/// the version that wrote the first of them.
+fn check_events(data: &[String], before: u32) -> Option<String> {
+    let version = event_version(data.first()?);
+    let expected = (before + 1..).map(|n: u32| format!("own {n} {version}"));
     let wrong = data.iter().zip(expected).find(|(got, expected)| *got != expected);
     wrong.map(|(got, expected)| format!("received event {got:?} instead of {expected:?}"))
 }
+
+/// The version of the server that wrote an event.
+fn event_version(data: &str) -> &str {
+    data.split(' ').nth(2).unwrap_or_default()
+}
+
+/// Checks that no stream has events of two versions over the attempts of its caller.
+fn check_stream_versions(traces: &BTreeMap<String, RequestTrace>) -> Vec<String> {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for (id, trace) in traces {
+        let first = trace.taken_up.as_ref().map_or(id.as_str(), |(first, _)| first);
+        let seen = trace.events().iter().filter(|_| trace.sent.as_ref().is_some_and(|s| s.kind.is_stream()));
+        versions.entry(first).or_default().extend(seen.map(|data| event_version(data)));
+    }
+    let several = versions.into_iter().filter(|(_, versions)| versions.len() > 1);
+    several.map(|(first, versions)| format!("{first}: the stream has events of {versions:?}")).collect()
+}
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -20,7 +20,7 @@
 use super::{
     checks::{History, Observation, STORE, STREAM_EVENTS, ServerEvent},
     record_fault,
-    store::{Store, server},
+    store::{Store, server_of_version},
 };
 use crate::wire::{chunk, event_with_data, header, read_request};
 
@@ -53,6 +53,7 @@
 /// A running server.
 struct Engine {
     id: String,
+    version: String,
     draining: Arc<AtomicBool>,
     gate: FaultProxy,
     task: JoinHandle<()>,
@@ -65,17 +66,25 @@
     history: Arc<History>,
     faults: Arc<Faults>,
     started: AtomicU64,
+    /// Number of versions that serve side by side.
+    versions: u64,
     running: Mutex<Vec<Arc<Engine>>>,
 }
 
 impl Engines {
     /// Starts the servers and registers them in the store.
     pub async fn start(store: Store, history: Arc<History>) -> Self {
+        Self::start_with_versions(store, history, 1).await
+    }
+
+    /// Starts the servers with a number of versions in turn.
+    pub async fn start_with_versions(store: Store, history: Arc<History>, versions: u64) -> Self {
         let engines = Self {
             store,
             history,
             faults: Arc::default(),
             started: AtomicU64::new(0),
+            versions,
             running: Mutex::default(),
         };
         for _ in 0..SERVER_COUNT {
@@ -86,20 +95,22 @@
 
     /// Starts one more server and registers it in the store.
     pub async fn add(&self) {
-        let id = format!("i-{}", self.started.fetch_add(1, Ordering::Relaxed));
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let (id, version) = (format!("i-{number}"), format!("v{}", number % self.versions + 1));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let crash = watch::Sender::new(0);
         let gate = FaultProxy::start(listener.local_addr().unwrap(), Some(crash.subscribe())).await.unwrap();
         let draining = Arc::<AtomicBool>::default();
         let handler = Handler {
             id: id.clone(),
+            version: version.clone(),
             draining: draining.clone(),
             history: self.history.clone(),
             faults: self.faults.clone(),
         };
         let task = tokio::spawn(accept(listener, handler, crash.subscribe()));
-        self.store.put("servers", &id, server(gate.addr(), "ready"));
-        self.running.lock().unwrap().push(Arc::new(Engine { id, draining, gate, task, crash }));
+        self.store.put("servers", &id, server_of_version(gate.addr(), "ready", &version));
+        self.running.lock().unwrap().push(Arc::new(Engine { id, version, draining, gate, task, crash }));
     }
 
     /// Identifiers and addresses of the servers.
@@ -146,7 +157,8 @@
         let engine = self.remove(n);
         self.add().await;
         engine.draining.store(true, Ordering::Relaxed);
-        self.store.put("servers", &engine.id, server(engine.gate.addr(), "draining"));
+        let entry = server_of_version(engine.gate.addr(), "draining", &engine.version);
+        self.store.put("servers", &engine.id, entry);
         self.history.record(Observation::DrainAnnounced { engine: engine.id.clone(), at: Instant::now() });
         let (store, history) = (self.store.clone(), self.history.clone());
         tokio::spawn(async move {
@@ -190,6 +202,7 @@
 #[derive(Clone)]
 struct Handler {
     id: String,
+    version: String,
     draining: Arc<AtomicBool>,
     history: Arc<History>,
     faults: Arc<Faults>,
@@ -250,7 +263,7 @@
             }
             let after = header(&req, "last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
             let written = match target.starts_with("/stream/") || target.starts_with("/once/") {
-                true => write_events(&mut stream, &head, &id, after).await,
+                true => self.write_events(&mut stream, &head, &id, after).await,
                 false => {
                     let answer =
                         format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {}\r\n\r\nown {id}", id.len() + 4);
@@ -274,15 +287,24 @@
     let _ = stream.write_all(answer.as_bytes()).await;
 }
 
-/// Writes a stream's events that follow the given number.
-async fn write_events(stream: &mut TcpStream, head: &str, id: &str, after: u32) -> std::io::Result<()> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    for n in after + 1..=STREAM_EVENTS {
-        stream.write_all(chunk(&event_with_data(n, &format!("own {n} {id}"))).as_bytes()).await?;
-        tokio::time::sleep(EVENT_GAP).await;
+impl Handler {
+    /// Writes a stream's events that follow the given number, each with the version of the server.
+    async fn write_events(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+        id: &str,
+        after: u32,
+    ) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        for n in after + 1..=STREAM_EVENTS {
+            let data = format!("own {n} {} {id}", self.version);
+            stream.write_all(chunk(&event_with_data(n, &data)).as_bytes()).await?;
+            tokio::time::sleep(EVENT_GAP).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await
     }
-    stream.write_all(b"0\r\n\r\n").await
 }
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -113,12 +113,29 @@
         Fault::WatchesUnanswered,
     ];
 
+    /// Faults of runs in which servers of two versions serve; repeated entries are more likely.
+    const WITH_VERSIONS: [Fault; 12] = [
+        Fault::KillHost,
+        Fault::KillHost,
+        Fault::KillAllHosts,
+        Fault::SuspendHost,
+        Fault::StopHost,
+        Fault::StoreStall,
+        Fault::StoreRestored,
+        Fault::EngineCrash,
+        Fault::EngineCrash,
+        Fault::EngineCrash,
+        Fault::EngineDrain,
+        Fault::EngineDrain,
+    ];
+
     /// Faults of a scenario.
     fn of(scenario: Scenario) -> &'static [Fault] {
         match scenario {
             Scenario::Failures => &Fault::ALL,
             Scenario::Restores => &Fault::WITH_RESTORES,
             Scenario::Changes => &Fault::WITH_CHANGES,
+            Scenario::Versions => &Fault::WITH_VERSIONS,
         }
     }
 
