--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -1,6 +1,7 @@
 //! Cost of the relay's decisions by number of backend servers, and size of the server list.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -10,17 +11,20 @@
     relay::{
         admission::{Admission, AdmissionRequest, ServiceLoad},
         backends::Backends,
+        exchange::MAX_COPIES,
         holders::Holders,
         peers::{LocalVersions, Peers},
         place::{Candidate, Placer},
         request::Part,
     },
-    schema::fleet::{Backend, Backends as List, Beat, InProgress, Member},
+    schema::fleet::{Backend, Backends as List, Beat, InProgress, Member, StreamOrigin, StreamOrigins},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
 /// Numbers of backend servers for which costs are measured.
 const SERVER_COUNTS: [usize; 4] = [9, 112, 733, 2_750];
+/// Numbers of hosts for which the choice among them is measured.
+const HOST_COUNTS: [u16; 3] = [8, 330, 985];
 /// Number of iterations of each measurement.
 const ITERATIONS: u32 = 20_000;
 /// Number of log lines written with an output.
@@ -97,9 +101,39 @@
         );
     }
     println!("\nadmission: {:.2} us", admission_us());
+    for hosts in HOST_COUNTS {
+        println!("choice of the hosts that remember a stream, of {hosts}: {:.1} us", keepers_us(hosts));
+    }
+    println!("what one host is told of one stream: {} bytes", told_bytes());
     log_lines();
 }
 
+/// Mean time to choose the hosts that remember a stream.
+fn keepers_us(hosts: u16) -> f64 {
+    let mut peers = Peers::new("10.0.0.1:1".parse().unwrap(), "a", &[]);
+    for host in 2..=hosts {
+        let [high, low] = host.to_be_bytes();
+        let addr = SocketAddr::from(([10, 0, high, low], 1));
+        let sender =
+            Member { peers: addr.to_string(), data_centre: (host % 15).to_string(), ..Member::default() };
+        let beat = Beat { start: 1, number: 1, sender: Some(sender), ..Beat::default() };
+        peers.receive(Duration::ZERO, addr, &beat, LocalVersions::default());
+    }
+    mean_us(ITERATIONS, |stream| {
+        std::hint::black_box(peers.keepers(Duration::ZERO, stream << 32, MAX_COPIES));
+    })
+}
+
+/// Additional bytes of a message for each stream that it tells of.
+fn told_bytes() -> usize {
+    let told = StreamOrigin { stream: u64::MAX, version: u32::MAX };
+    let size = |count| {
+        let message = StreamOrigins { told: vec![told; count], ..StreamOrigins::default() };
+        postcard::to_allocvec(&message).map_or(0, |b| b.len())
+    };
+    size(2) - size(1)
+}
+
 /// Mean time of an admission decision, without summing the requests in progress.
 fn admission_us() -> f64 {
     let (service, mut admission): (Arc<str>, _) = ("llm".into(), Admission::default());
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -19,9 +19,10 @@
     util::{Instant, Map, now},
 };
 
-/// Minimum and maximum number of hosts that are told of a stream, and the number that are asked about one.
+/// Minimum number of hosts that are told of a stream.
 const MIN_COPIES: usize = 2;
-const MAX_COPIES: usize = 8;
+/// Maximum number of hosts that are told of a stream, and the number that are asked about one.
+pub const MAX_COPIES: usize = 8;
 /// Size of what one host is told of one stream, in bytes.
 const COPY_BYTES: f64 = 15.0;
 /// Bytes per second that may be spent on more copies than the minimum, and those that may be saved up.
