Let a waiting call survive one lost probe

The sockets on which calls to the store wait had the 350 ms for unacknowledged bytes of all connections, so that the first probe without an answer ended a watch although two are allowed. They get the time that all probes take, 3 s. Short calls to the store have timeouts of their own, and what is followed is confirmed otherwise meanwhile. No other socket enables keep-alive.

--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -81,11 +81,7 @@
     /// # Errors
     /// As [`Conn::connect`].
     pub async fn connect_with_keepalive(addr: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
-        let stream = connect_tcp(addr, timeout).await?;
-        if let Err(e) = enable_keepalive(&stream) {
-            spdlog::warn!("could not enable TCP keepalive: {e}");
-        }
-        Self::handshake(stream, addr).await
+        Self::handshake(connect_with_probes(addr, timeout).await?, addr).await
     }
 
     async fn handshake(stream: TcpStream, addr: SocketAddr) -> Result<Self, Failure> {
@@ -142,6 +138,18 @@
     Ok(stream)
 }
 
+/// Connects with TCP keepalive.
+///
+/// # Errors
+/// If no connection was established.
+pub async fn connect_with_probes(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
+    let stream = connect_tcp(addr, timeout).await?;
+    if let Err(e) = enable_keepalive(&stream) {
+        spdlog::warn!("could not enable TCP keepalive: {e}");
+    }
+    Ok(stream)
+}
+
 /// Reads a body of at most `max_bytes`. It may take any time as long as no pause between two parts exceeds `stall`.
 ///
 /// # Errors
@@ -160,7 +168,7 @@
 
 /// Enables TCP keepalive, which detects connections that fail silently without a reset. Otherwise a call that waits
 /// for a change would wait until its own timeout, 15 s, during which no host would learn of changes and leaving
-/// servers. A probe that is not acknowledged ends the connection, and the call is made again on a new one.
+/// servers. Probes that are not acknowledged end the connection, and the call is made again on a new one.
 ///
 /// # Errors
 /// If the socket rejects an option.
@@ -169,6 +177,9 @@
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
     sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
+    // The kernel gives up with the first probe after this time, whatever their number.
+    let all_probes = KEEPALIVE_IDLE + KEEPALIVE_INTERVAL * KEEPALIVE_PROBES;
+    sockopt::set_tcp_user_timeout(stream, all_probes.as_millis() as u32)?;
     Ok(())
 }
 
