Count streams for which no server of their version can be chosen, and bound the open questions

Read once more: a caller that takes up a stream whose version has no server got 503 without the line stream_stopped and its counter, which only streams broken in the same answer had; and the question of a caller that leaves while it is open was kept for good.

--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -87,6 +87,12 @@
         });
     }
 
+    /// Counts and logs a stream for which no server of its version can be chosen.
+    pub(crate) fn record_no_server(&self, req: &Request, kind: ErrorKind) {
+        let is_gone = kind == ErrorKind::StreamVersionGone;
+        self.record_discontinued(req, if is_gone { Discontinued::Gone } else { Discontinued::NotEligible });
+    }
+
     /// Takes account of the routes of a new configuration. Streams of routes that lead to other services than before are told
     /// to other hosts, which would take them for streams of the new ones.
     pub(super) fn observe_routes(&self, state: &mut State, old: Option<&Routes>, new: &Routes) {
--- a/src/relay/origins/questions.rs
+++ b/src/relay/origins/questions.rs
@@ -5,6 +5,9 @@
 use super::{StreamKey, VersionTag};
 use crate::util::Map;
 
+/// Maximum number of open questions. Those of callers that left while they were open are never closed.
+const MAX_OPEN: usize = 4_096;
+
 /// What other hosts say that do not know a stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Word {
@@ -66,6 +69,9 @@
 impl Questions {
     /// Opens a question to hosts that are expected to answer.
     pub fn ask(&mut self, stream: StreamKey, hosts: impl Iterator<Item = SocketAddr>) {
+        if self.open.len() >= MAX_OPEN {
+            self.open.clear();
+        }
         self.open.insert(stream, Question { waits_for: hosts.collect(), word: Word::None });
     }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -138,7 +138,12 @@
                     Err(failed) => failed,
                 },
                 Err(AttemptError::Failed(failed)) => failed,
-                Err(AttemptError::NoServer(kind)) => return self.give_up(kind, None),
+                Err(AttemptError::NoServer(kind)) => {
+                    if self.version.is_some() {
+                        self.relay.record_no_server(&self.req, kind);
+                    }
+                    return self.give_up(kind, None);
+                }
             };
             if let Err(stop) = self.fail(failure, key).await {
                 return self.give_up(error_kind(failure, stop), Some(failure));
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,13 +14,11 @@
     attempts::Failure,
     backends::BackendKey,
     events::{CompleteEvents, Splitter},
-    origins::Discontinued,
     outcome::Outcome,
     request::EventNumber,
     run::{Answered, AttemptError, Run},
 };
 use crate::{
-    error::ErrorKind,
     logs::lines::Level,
     metrics::{Counter, Latency},
     util::now,
@@ -175,9 +173,7 @@
                 Ok(answered) => (failure, key) = (Failure::Errored, answered.work.key),
                 Err(AttemptError::Failed(failed)) => (failure, key) = failed,
                 Err(AttemptError::NoServer(kind)) => {
-                    let is_gone = kind == ErrorKind::StreamVersionGone;
-                    let reason = if is_gone { Discontinued::Gone } else { Discontinued::NotEligible };
-                    run.relay.record_discontinued(&run.req, reason);
+                    run.relay.record_no_server(&run.req, kind);
                     return false;
                 }
             }
--- a/tests/relay_origins.rs
+++ b/tests/relay_origins.rs
@@ -162,6 +162,17 @@
     assert_eq!(word(&[(3, Word::Sole(7))]), (2, Word::None), "a host that was not asked");
 }
 
+/// Guards against questions of callers that left, which fill the memory.
+#[test]
+fn questions_that_nobody_waits_for_are_bounded() {
+    let mut questions = Questions::default();
+    (0..10_000).for_each(|n| questions.ask(stream(n), [addr(1)].into_iter()));
+
+    let open = (0..10_000).filter(|n| !questions.waits_for(stream(*n)).is_empty()).count();
+
+    assert!((1..=4_096).contains(&open), "{open}");
+}
+
 /// Guards against hosts that choose different ones to remember a stream, or all of one data centre.
 #[test]
 fn hosts_agree_on_who_remembers_a_stream() {
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -173,6 +173,8 @@
     assert!(!is_complete(&broken), "{broken}");
     assert_eq!((status(&answer), resumed_at(&other)), (503, 0), "{answer}");
     assert!(answer.contains("stream_version_gone") && header(&answer, "retry-after").is_some(), "{answer}");
+    let stopped = hosts[0].relay.metrics().totals(Counter::RelayStreamsStopped);
+    assert_eq!(stopped.get("gone"), Some(&1), "the first attempt asks its own server again");
 }
 
 /// Guards against a stream that goes on at a server which cannot be reached and may start again with another version: its
