Spare brittle servers: no requests without a free place, and a pause after each refusal

Nothing read that. A service counts as brittle while its servers have said so within three seconds (sans-IO relay::brittle). A host then sends nothing to a server whose places are taken by what it knows, and refuses at once, not run, where no other is left; and it leaves a server that has turned a request away alone for its share of a second: so long that all hosts together cause half of the number at most. Line 'brittle', relay_told_total{what=brittle}. Admission and the queue of a service learn of it only by the places.

--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -12,7 +12,7 @@
 const CONTEXT_WINDOW_MS: u64 = 10_000;
 
 /// Events that report a change of a host's state.
-const STATE_EVENTS: [&str; 23] = [
+const STATE_EVENTS: [&str; 24] = [
     "start",
     "stop",
     "leaving",
@@ -34,6 +34,7 @@
     "watch_deaf",
     "told_leaving",
     "told_pause",
+    "brittle",
     "fetch_failed",
     "lines_dropped",
 ];
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -22,6 +22,7 @@
 pub(super) const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 pub(super) const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+pub(super) const SERVER_BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 /// Epoch of the store, present in all of its answers.
 pub(super) const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -107,7 +107,7 @@
         }
         let (status, epoch) = (res.status().as_u16(), parse_epoch(&res));
         let body = pool::read_body(res.into_body(), MAX_PAGE_BYTES, BODY_STALL_TIMEOUT).await;
-        let body = body.map_err(|e| unavailable(format!("response body failed: {e:#}")))?;
+        let body = body.map_err(|e| StoreError::Unavailable(format!("response body failed: {e:#}")))?;
         self.conn = Some(conn);
         Ok(StoreResponse { status, epoch, body })
     }
@@ -123,11 +123,11 @@
             Some(conn) => conn,
             None => {
                 let connected = Conn::connect_with_keepalive(self.addr, CONNECT_TIMEOUT).await;
-                connected.map_err(|_| unavailable("could not connect to the store".into()))?
+                connected.map_err(|_| StoreError::Unavailable("could not connect to the store".into()))?
             }
         };
         let res = conn.send(self.request(method, target, body)).await;
-        let res = res.map_err(|(failure, _)| unavailable(failure.as_str().into()))?;
+        let res = res.map_err(|(failure, _)| StoreError::Unavailable(failure.as_str().into()))?;
         Ok((conn, res))
     }
 
@@ -194,10 +194,6 @@
     }
 }
 
-fn unavailable(why: String) -> StoreError {
-    StoreError::Unavailable(why)
-}
-
 /// Parses a number from a response header, if there is one.
 fn number(res: &Response<Incoming>, name: impl header::AsHeaderName) -> Option<u64> {
     res.headers().get(name)?.to_str().ok()?.trim().parse().ok()
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -90,6 +90,7 @@
             load: text(headers, &names::SERVER_LOAD).and_then(parse_load),
             leaving: is_leaving(head),
             pause: requested_pause(head),
+            brittle: number(headers, &names::SERVER_BRITTLE).and_then(|n| n.try_into().ok()),
         }
     }
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`] pass the answer back.
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
-//! [`health`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
+//! [`health`], [`brittle`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
@@ -35,6 +35,7 @@
 pub mod answer;
 pub mod attempts;
 pub mod backends;
+pub mod brittle;
 pub mod budget;
 mod choose;
 pub mod configurations;
@@ -75,6 +76,7 @@
 
 use admission::Admission;
 use backends::{BackendKey, Backends};
+use brittle::Brittle;
 use budget::{BudgetConfig, FleetBudget};
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
@@ -141,6 +143,7 @@
     pub(crate) configurations: ConfigurationHistory,
     pub(crate) backends: Backends,
     pub(crate) health: Health,
+    pub(crate) brittle: Brittle,
     pub(crate) reach: Reach,
     pub(crate) holders: Holders,
     pub(crate) budget: FleetBudget,
@@ -221,6 +224,7 @@
             configurations: ConfigurationHistory::default(),
             backends: Backends::default(),
             health: Health::default(),
+            brittle: Brittle::default(),
             reach: Reach::default(),
             holders: Holders::default(),
             budget: FleetBudget::new(cfg.budget).with_start(now()),
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -76,6 +76,9 @@
             });
             retain_below(&mut candidates, Bound::MAX.at(mean_of_all))?;
         }
+        if state.brittle.is_brittle(now, &req.service) {
+            retain_with_free_place(&mut candidates)?;
+        }
         let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
         let (backends, health) = (&state.backends, &state.health);
         let is_avoided =
@@ -130,6 +133,13 @@
     if had_candidates && candidates.is_empty() { Err(ErrorKind::Overloaded) } else { Ok(()) }
 }
 
+/// Drops servers without a free place: a brittle one that has to turn requests away falls over.
+fn retain_with_free_place(candidates: &mut Vec<Candidate>) -> Result<(), ErrorKind> {
+    let had_candidates = !candidates.is_empty();
+    candidates.retain(|c| c.load + 1.0 <= f64::from(c.slots));
+    if had_candidates && candidates.is_empty() { Err(ErrorKind::Overloaded) } else { Ok(()) }
+}
+
 /// Whether a server runs the given version, if any is given.
 pub(super) fn runs(b: &Backend, version: Option<&str>) -> bool {
     version.is_none_or(|version| &*b.version == version)
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -210,7 +210,8 @@
             }
             Failure::Unsent => {}
             Failure::Late => self.relay.record_wait(&self.req, self.sent),
-            Failure::Refused | Failure::Broken | Failure::Garbled | Failure::Errored => {
+            Failure::Refused => self.relay.record_refusal(&self.req, key),
+            Failure::Broken | Failure::Garbled | Failure::Errored => {
                 self.relay.state().health.record_failure(now, key);
             }
         }
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -6,7 +6,7 @@
 use super::{
     Relay, ResponseHead, State, Wire,
     backends::{BackendKey, Change},
-    configurations,
+    brittle, configurations,
     confirm::{self, Topic},
     evacuations,
     follow::Hosts,
@@ -46,17 +46,20 @@
     Leaving,
     /// The server asks for a pause in new requests.
     Pause,
+    /// The servers of a service are brittle, which was not known before.
+    Brittle,
 }
 
 impl ServerNotice {
     /// Every notice.
-    pub const ALL: [ServerNotice; 2] = [ServerNotice::Leaving, ServerNotice::Pause];
+    pub const ALL: [ServerNotice; 3] = [ServerNotice::Leaving, ServerNotice::Pause, ServerNotice::Brittle];
 
     /// Label in counters.
     pub fn as_str(self) -> &'static str {
         match self {
             ServerNotice::Leaving => "leaving",
             ServerNotice::Pause => "pause",
+            ServerNotice::Brittle => "brittle",
         }
     }
 }
@@ -344,6 +347,7 @@
         let ended = state.evacuations.expire(now);
         self.on_evacuation_changes(&mut state, &ended, "not written again after a restore");
         self.observe_versions(&mut state, now);
+        state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
         self.expire_reach(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
@@ -382,6 +386,13 @@
     /// Applies the notices in a server's response: that it is leaving, whatever the store says about it, or that it
     /// wants no requests from this host for a while.
     pub(crate) fn apply_server_notices(&self, req: &Request, key: BackendKey, head: &ResponseHead) {
+        if let Some(tolerated) = head.brittle {
+            let change = self.state().brittle.record(now(), &req.service, tolerated);
+            if let Some(change) = change {
+                self.metrics.add(Counter::RelayTold, ServerNotice::Brittle.as_str(), 1);
+                log_brittle(&change);
+            }
+        }
         if !head.leaving && head.pause.is_none() {
             return;
         }
@@ -404,6 +415,17 @@
         }
     }
 
+    /// Records that a server turned a request away. A brittle one is left alone until it bears another refusal.
+    pub(crate) fn record_refusal(&self, req: &Request, key: BackendKey) {
+        let now = now();
+        let mut state = self.state();
+        state.health.record_failure(now, key);
+        let hosts = self.known_hosts(&state);
+        if let Some(pause) = state.brittle.pause(now, &req.service, hosts) {
+            state.health.record_requested_pause(now, key, pause);
+        }
+    }
+
     /// Identifier of a server, unless it was removed.
     pub(crate) fn backend_id(&self, key: BackendKey) -> Option<Arc<str>> {
         self.state().backends.get(key).map(|b| b.id.clone())
@@ -475,3 +497,11 @@
         self.state().peers.add_members(now(), hosts);
     }
 }
+
+/// Logs that the servers of a service are brittle now, or no longer.
+fn log_brittle(change: &brittle::Change) {
+    line(Level::Notable, "brittle", |l| {
+        let l = l.text("service", &change.service).flag("is_brittle", change.tolerated.is_some());
+        l.number("tolerated", change.tolerated.unwrap_or(0))
+    });
+}
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -44,6 +44,8 @@
     pub leaving: bool,
     /// How long the server wants no requests from this host, if it refused the request and says so.
     pub pause: Option<Duration>,
+    /// Number of requests that the server may turn away in a second without falling over, if it is brittle.
+    pub brittle: Option<u32>,
 }
 
 /// The refusal of a request.
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 /// Names of headers and fields of the platform's interfaces.
-const NAMES: [&str; 20] = [
+const NAMES: [&str; 21] = [
     "attempt-id",
     "expected-instance",
     "not-executed",
@@ -24,6 +24,7 @@
     "internalPortRange",
     "store-era",
     "server-leaving",
+    "server-brittle",
 ];
 
 fn check(dir: &Path, violations: &mut Vec<String>) {
