--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -102,14 +102,14 @@
     }
     println!("\nadmission: {:.2} us", admission_us());
     for hosts in HOST_COUNTS {
-        println!("choice of the hosts that remember a stream, of {hosts}: {:.1} us", keepers_us(hosts));
+        println!("choice of the hosts that remember a stream, of {hosts}: {:.1} us", replicas_us(hosts));
     }
     println!("what one host is told of one stream: {} bytes", told_bytes());
     log_lines();
 }
 
 /// Mean time to choose the hosts that remember a stream.
-fn keepers_us(hosts: u16) -> f64 {
+fn replicas_us(hosts: u16) -> f64 {
     let mut peers = Peers::new("10.0.0.1:1".parse().unwrap(), "a", &[]);
     for host in 2..=hosts {
         let [high, low] = host.to_be_bytes();
@@ -120,7 +120,7 @@
         peers.receive(Duration::ZERO, addr, &beat, LocalVersions::default());
     }
     mean_us(ITERATIONS, |stream| {
-        std::hint::black_box(peers.keepers(Duration::ZERO, stream << 32, MAX_COPIES));
+        std::hint::black_box(peers.replicas(Duration::ZERO, stream << 32, MAX_COPIES));
     })
 }
 
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -6,7 +6,7 @@
 use super::{
     Relay, State, Wire,
     backends::BackendKey,
-    origins::{Continuation, Discontinued, StreamKey, questions::Word},
+    origins::{Continuation, Discontinued, StreamKey, questions::Certainty},
     request::Request,
     routes::{CompiledRoute, Routes},
 };
@@ -38,13 +38,13 @@
     pub(crate) async fn find_continuation(&self, req: &Request) -> Result<Continuation, ErrorKind> {
         let (stream, services) = (stream_key(req), req.route.services());
         let is_unknown = |stream: &StreamKey| self.state().origins.known(*stream).is_none();
-        let word = match stream.filter(is_unknown) {
+        let certainty = match stream.filter(is_unknown) {
             Some(stream) => self.ask_about(stream, &services).await,
-            None => Word::None,
+            None => Certainty::Unsure,
         };
         let (state, now) = (self.state(), now());
         let list_is_current = state.list_is_current(now, self.cfg.in_force);
-        let found = state.origins.continuation(now, stream, &services, list_is_current, word);
+        let found = state.origins.continuation(now, stream, &services, list_is_current, certainty);
         drop(state);
         found.map_err(|reason| {
             self.record_discontinued(req, reason);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -9,8 +9,8 @@
 use super::{
     Relay, State, Wire,
     confirm::Topic,
-    origins::{StreamKey, VersionTag, questions::Word, service_tag},
-    peers::keepers::Keeper,
+    origins::{StreamKey, VersionTag, questions::Certainty, service_tag},
+    peers::replicas::Replica,
 };
 use crate::{
     metrics::Counter,
@@ -117,17 +117,17 @@
 
     /// Asks other hosts about a stream of one of `services`. Returns what they say if none of them knows it; if one does,
     /// this host knows it then.
-    pub(super) async fn ask_about(&self, stream: StreamKey, services: &[&str]) -> Word {
+    pub(super) async fn ask_about(&self, stream: StreamKey, services: &[&str]) -> Certainty {
         let service = if let [service] = services { service_tag(service) } else { 0 };
-        let keepers = {
+        let replicas = {
             let mut state = self.state();
-            let keepers = state.peers.keepers(now(), stream.0, MAX_COPIES);
-            let alive = keepers.iter().filter(|keeper| keeper.alive).map(|keeper| keeper.addr);
+            let replicas = state.peers.replicas(now(), stream.0, MAX_COPIES);
+            let alive = replicas.iter().filter(|replica| replica.alive).map(|replica| replica.addr);
             state.questions.ask(stream, alive);
-            keepers
+            replicas
         };
         for round in 0..MAX_ROUNDS {
-            self.send_question(stream, service, &keepers, round);
+            self.send_question(stream, service, &replicas, round);
             if tokio::time::timeout(ANSWER_TIMEOUT, self.answered(stream)).await.is_ok() {
                 break;
             }
@@ -136,12 +136,12 @@
     }
 
     /// Queues a question: first to all hosts, then to those that have not answered.
-    fn send_question(&self, stream: StreamKey, service: u32, keepers: &[Keeper], round: u32) {
+    fn send_question(&self, stream: StreamKey, service: u32, replicas: &[Replica], round: u32) {
         let mut state = self.state();
         let waits_for = state.questions.waits_for(stream).to_vec();
-        let is_asked = |keeper: &&Keeper| round == 0 || waits_for.contains(&keeper.addr);
-        for keeper in keepers.iter().filter(is_asked) {
-            let message = state.outbox.messages.entry(keeper.addr).or_default();
+        let is_asked = |replica: &&Replica| round == 0 || waits_for.contains(&replica.addr);
+        for replica in replicas.iter().filter(is_asked) {
+            let message = state.outbox.messages.entry(replica.addr).or_default();
             message.asked.push(AskedStream { stream: stream.0, service });
             self.metrics.add(Counter::RelayOrigins, OriginTraffic::Asked.as_str(), 1);
         }
@@ -174,7 +174,7 @@
             state.origins.hear(StreamKey(told.stream), told.version);
         }
         for unknown in &message.unknown {
-            state.questions.hear(from, StreamKey(unknown.stream), Word::from_wire(unknown.version));
+            state.questions.hear(from, StreamKey(unknown.stream), Certainty::from_wire(unknown.version));
         }
         let list_is_current = state.list_is_current(now, self.cfg.in_force);
         for asked in &message.asked {
@@ -186,8 +186,8 @@
                     OriginTraffic::Answered
                 }
                 None => {
-                    let word = state.origins.word(now, asked.service, list_is_current);
-                    message.unknown.push(UnknownStream { stream: stream.0, version: word.to_wire() });
+                    let certainty = state.origins.certainty(now, asked.service, list_is_current);
+                    message.unknown.push(UnknownStream { stream: stream.0, version: certainty.to_wire() });
                     OriginTraffic::NotKnown
                 }
             };
@@ -209,12 +209,13 @@
         let mut state = self.state();
         let State { outbox, peers, .. } = &mut *state;
         for (stream, version) in std::mem::take(&mut outbox.streams) {
-            let keepers = peers.keepers(now, stream.0, MAX_COPIES).into_iter().filter(|keeper| keeper.alive);
-            for (copies, keeper) in keepers.enumerate() {
+            let replicas =
+                peers.replicas(now, stream.0, MAX_COPIES).into_iter().filter(|replica| replica.alive);
+            for (copies, replica) in replicas.enumerate() {
                 if copies >= MIN_COPIES && !outbox.extra.take_many(now, COPY_BYTES) {
                     break;
                 }
-                let message = outbox.messages.entry(keeper.addr).or_default();
+                let message = outbox.messages.entry(replica.addr).or_default();
                 message.told.push(StreamOrigin { stream: stream.0, version });
                 self.metrics.add(Counter::RelayOrigins, OriginTraffic::Told.as_str(), 1);
             }
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -14,7 +14,7 @@
 pub mod served;
 pub mod table;
 
-use questions::Word;
+use questions::Certainty;
 use served::Served;
 use table::{Known, Table};
 
@@ -224,16 +224,16 @@
 
     /// What this host says of a stream that it does not know, of the service with this tag. It is certain only if it has
     /// seen all versions that may have begun streams which are still open.
-    pub fn word(&self, now: Instant, service: u32, list_is_current: bool) -> Word {
-        let Some(service) = self.served.name(service) else { return Word::None };
+    pub fn certainty(&self, now: Instant, service: u32, list_is_current: bool) -> Certainty {
+        let Some(service) = self.served.name(service) else { return Certainty::Unsure };
         if self.is_mixed(service) {
-            return Word::Several;
+            return Certainty::Several;
         }
         let only = self.served.only_version(service).filter(|_| list_is_current && self.has_seen_all(now));
-        only.map_or(Word::None, |version| Word::Sole(version_tag(service, version)))
+        only.map_or(Certainty::Unsure, |version| Certainty::Only(version_tag(service, version)))
     }
 
-    /// Decides at which service and version a stream may go on whose route leads to `services`. `word` is what other hosts
+    /// Decides at which service and version a stream may go on whose route leads to `services`. `certainty` is what other hosts
     /// say that do not know it.
     ///
     /// # Errors
@@ -244,12 +244,12 @@
         stream: Option<StreamKey>,
         services: &[&str],
         list_is_current: bool,
-        word: Word,
+        certainty: Certainty,
     ) -> Result<Continuation, Discontinued> {
         match stream.and_then(|stream| self.known(stream)) {
             Some(Known::Version(tag)) => self.locate(tag, services),
             Some(Known::Conflicting) => Err(Discontinued::Conflicting),
-            None => self.sole(now, services, list_is_current, word).ok_or(Discontinued::Unknown),
+            None => self.sole(now, services, list_is_current, certainty).ok_or(Discontinued::Unknown),
         }
     }
 
@@ -281,21 +281,23 @@
     }
 
     /// The only version that can have begun a stream whose route leads to `services`, if there is just one. A host that
-    /// may have missed a version takes the word of one that is certain.
+    /// may have missed a version relies on one that is certain.
     fn sole(
         &self,
         now: Instant,
         services: &[&str],
         list_is_current: bool,
-        word: Word,
+        certainty: Certainty,
     ) -> Option<Continuation> {
         let [service] = services else { return None };
         let version = self.served.only_version(service).filter(|_| !self.served.is_doubtful(service))?;
-        let is_certain = match word {
+        let is_certain = match certainty {
             // A host that has just started knows from the store whether several versions served before.
-            Word::None => list_is_current && (self.has_seen_all(now) || self.seen_since == self.started),
-            Word::Sole(tag) => tag == version_tag(service, version),
-            Word::Several => false,
+            Certainty::Unsure => {
+                list_is_current && (self.has_seen_all(now) || self.seen_since == self.started)
+            }
+            Certainty::Only(tag) => tag == version_tag(service, version),
+            Certainty::Several => false,
         };
         is_certain.then(|| Continuation { service: (*service).into(), version: version.clone() })
     }
--- a/src/relay/origins/questions.rs
+++ b/src/relay/origins/questions.rs
@@ -10,44 +10,44 @@
 
 /// What other hosts say that do not know a stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Word {
+pub enum Certainty {
     /// None of them is certain.
     #[default]
-    None,
+    Unsure,
     /// Only this version can have begun it.
-    Sole(VersionTag),
+    Only(VersionTag),
     /// More than one version may have begun it.
     Several,
 }
 
-impl Word {
-    /// Value in messages for [`Word::Several`]; 0 stands for [`Word::None`].
+impl Certainty {
+    /// Value in messages for [`Certainty::Several`]; 0 stands for [`Certainty::Unsure`].
     const SEVERAL: VersionTag = 1;
 
     /// Value in messages.
     pub fn to_wire(self) -> VersionTag {
         match self {
-            Word::None => 0,
-            Word::Sole(version) => version,
-            Word::Several => Self::SEVERAL,
+            Certainty::Unsure => 0,
+            Certainty::Only(version) => version,
+            Certainty::Several => Self::SEVERAL,
         }
     }
 
     /// Reads the value in a message.
     pub fn from_wire(value: VersionTag) -> Self {
         match value {
-            0 => Word::None,
-            Self::SEVERAL => Word::Several,
-            version => Word::Sole(version),
+            0 => Certainty::Unsure,
+            Self::SEVERAL => Certainty::Several,
+            version => Certainty::Only(version),
         }
     }
 
     /// Combines what two hosts say. Hosts that name different versions make it uncertain.
     fn and(self, other: Self) -> Self {
         match (self, other) {
-            (Word::None, word) | (word, Word::None) => word,
-            (Word::Sole(a), Word::Sole(b)) if a == b => self,
-            _ => Word::Several,
+            (Certainty::Unsure, certainty) | (certainty, Certainty::Unsure) => certainty,
+            (Certainty::Only(a), Certainty::Only(b)) if a == b => self,
+            _ => Certainty::Several,
         }
     }
 }
@@ -57,7 +57,7 @@
 struct Question {
     /// Hosts that have not answered.
     waits_for: Vec<SocketAddr>,
-    word: Word,
+    certainty: Certainty,
 }
 
 /// The open questions, by stream.
@@ -72,15 +72,15 @@
         if self.open.len() >= MAX_OPEN {
             self.open.clear();
         }
-        self.open.insert(stream, Question { waits_for: hosts.collect(), word: Word::None });
+        self.open.insert(stream, Question { waits_for: hosts.collect(), certainty: Certainty::Unsure });
     }
 
-    /// Takes the word of a host that does not know the stream.
-    pub fn hear(&mut self, from: SocketAddr, stream: StreamKey, word: Word) {
+    /// Takes in what a host says that does not know the stream.
+    pub fn hear(&mut self, from: SocketAddr, stream: StreamKey, certainty: Certainty) {
         let Some(question) = self.open.get_mut(&stream) else { return };
         if let Some(at) = question.waits_for.iter().position(|host| *host == from) {
             question.waits_for.swap_remove(at);
-            question.word = question.word.and(word);
+            question.certainty = question.certainty.and(certainty);
         }
     }
 
@@ -90,7 +90,7 @@
     }
 
     /// Ends a question; returns what the hosts said.
-    pub fn close(&mut self, stream: StreamKey) -> Word {
-        self.open.remove(&stream).unwrap_or_default().word
+    pub fn close(&mut self, stream: StreamKey) -> Certainty {
+        self.open.remove(&stream).unwrap_or_default().certainty
     }
 }
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -26,7 +26,7 @@
 
 mod ahead;
 mod duty;
-pub mod keepers;
+pub mod replicas;
 mod summary;
 mod targets;
 
--- a/src/relay/peers/keepers.rs
+++ b/src/relay/peers/replicas.rs
@@ -10,7 +10,7 @@
 
 /// A host that remembers a stream for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Keeper {
+pub struct Replica {
     /// Address for other hosts.
     pub addr: SocketAddr,
     /// Whether it was heard of recently.
@@ -21,7 +21,7 @@
     /// The hosts that remember the stream with this key, in order: by rendezvous hashing, and those of different data
     /// centres first, so that the loss of a data centre does not lose the stream. Hosts that were lost recently are
     /// included, since they may count as lost here only.
-    pub fn keepers(&self, now: Instant, stream: u64, max: usize) -> Vec<Keeper> {
+    pub fn replicas(&self, now: Instant, stream: u64, max: usize) -> Vec<Replica> {
         let (host_timeout, summary_timeout) = (self.host_timeout(), self.summary_timeout());
         let known = self.peers.iter().filter(|(_, p)| p.was_seen_alive() || p.learned_at.is_some());
         let mut ranked: Vec<_> = known.map(|(addr, p)| (hash((stream, addr)), addr, p)).collect();
@@ -39,10 +39,10 @@
                 *position += 1;
                 let heard = p.last_beat.is_some_and(|at| at + host_timeout >= now);
                 let named = p.named_ready.is_some_and(|at| at + summary_timeout >= now);
-                (*position, Reverse(rank), Keeper { addr: *addr, alive: heard || named })
+                (*position, Reverse(rank), Replica { addr: *addr, alive: heard || named })
             })
             .collect();
         ordered.sort_unstable_by_key(|(position, rank, _)| (*position, *rank));
-        ordered.into_iter().take(max).map(|(.., keeper)| keeper).collect()
+        ordered.into_iter().take(max).map(|(.., replica)| replica).collect()
     }
 }
--- a/tests/relay_origins.rs
+++ b/tests/relay_origins.rs
@@ -7,7 +7,7 @@
     relay::{
         origins::{
             Continuation, Discontinued, MixedService, Origins, StreamKey,
-            questions::{Questions, Word},
+            questions::{Certainty, Questions},
             service_tag,
             table::{Known, Table},
             version_tag,
@@ -58,18 +58,18 @@
 #[test]
 fn an_unknown_stream_goes_on_only_at_the_only_version_that_can_have_begun_it() {
     let (one, two) = (origins(&["v1"]), origins(&["v1", "v2"]));
-    let v1 = Word::Sole(version_tag(SERVICE, "v1"));
-    let v2 = Word::Sole(version_tag(SERVICE, "v2"));
+    let v1 = Certainty::Only(version_tag(SERVICE, "v1"));
+    let v2 = Certainty::Only(version_tag(SERVICE, "v2"));
     let cases = [
-        ("one version", &one, true, Word::None, Some("v1")),
-        ("one version, an old list", &one, false, Word::None, None),
+        ("one version", &one, true, Certainty::Unsure, Some("v1")),
+        ("one version, an old list", &one, false, Certainty::Unsure, None),
         ("one version, an old list, and another host is certain", &one, false, v1, Some("v1")),
         ("another host is certain of another version", &one, true, v2, None),
-        ("another host has seen several", &one, true, Word::Several, None),
+        ("another host has seen several", &one, true, Certainty::Several, None),
         ("two versions", &two, true, v1, None),
     ];
-    for (name, origins, list_is_current, word, expected) in cases {
-        let found = origins.continuation(ms(0), Some(stream(1)), &[SERVICE], list_is_current, word);
+    for (name, origins, list_is_current, certainty, expected) in cases {
+        let found = origins.continuation(ms(0), Some(stream(1)), &[SERVICE], list_is_current, certainty);
 
         assert_eq!(found, expected.map(at).ok_or(Discontinued::Unknown), "{name}");
     }
@@ -80,7 +80,8 @@
 fn a_version_counts_until_its_streams_are_over() {
     let mut origins = origins(&["v1"]);
     observe(&mut origins, ms(100), &["v2"]);
-    let goes_on = |origins: &Origins| origins.continuation(ms(0), None, &[SERVICE], true, Word::None).is_ok();
+    let goes_on =
+        |origins: &Origins| origins.continuation(ms(0), None, &[SERVICE], true, Certainty::Unsure).is_ok();
 
     let soon = goes_on(&origins);
     observe(&mut origins, TIMEOUT, &["v2"]);
@@ -98,7 +99,7 @@
     origins.begin(stream(1), &at("v1"), 1);
     origins.hear(stream(1), version_tag(SERVICE, "v2"));
 
-    let found = origins.continuation(ms(0), Some(stream(1)), &[SERVICE], true, Word::None);
+    let found = origins.continuation(ms(0), Some(stream(1)), &[SERVICE], true, Certainty::Unsure);
 
     assert_eq!(found, Err(Discontinued::Conflicting));
 }
@@ -149,17 +150,17 @@
 /// Guards against hosts that contradict each other and are believed, and against one that answers twice.
 #[test]
 fn the_word_of_other_hosts_is_certain_only_if_they_agree() {
-    let word = |words: &[(usize, Word)]| {
+    let certainty = |words: &[(usize, Certainty)]| {
         let mut questions = Questions::default();
         questions.ask(stream(1), [1, 2].map(addr).into_iter());
-        words.iter().for_each(|(host, word)| questions.hear(addr(*host), stream(1), *word));
+        words.iter().for_each(|(host, certainty)| questions.hear(addr(*host), stream(1), *certainty));
         (questions.waits_for(stream(1)).len(), questions.close(stream(1)))
     };
 
-    assert_eq!(word(&[(1, Word::Sole(7)), (2, Word::None)]), (0, Word::Sole(7)));
-    assert_eq!(word(&[(1, Word::Sole(7)), (2, Word::Sole(8))]), (0, Word::Several));
-    assert_eq!(word(&[(1, Word::None), (1, Word::Sole(7))]), (1, Word::None));
-    assert_eq!(word(&[(3, Word::Sole(7))]), (2, Word::None), "a host that was not asked");
+    assert_eq!(certainty(&[(1, Certainty::Only(7)), (2, Certainty::Unsure)]), (0, Certainty::Only(7)));
+    assert_eq!(certainty(&[(1, Certainty::Only(7)), (2, Certainty::Only(8))]), (0, Certainty::Several));
+    assert_eq!(certainty(&[(1, Certainty::Unsure), (1, Certainty::Only(7))]), (1, Certainty::Unsure));
+    assert_eq!(certainty(&[(3, Certainty::Only(7))]), (2, Certainty::Unsure), "a host that was not asked");
 }
 
 /// Guards against questions of callers that left, which fill the memory.
@@ -193,18 +194,18 @@
     let (first, second) = (peers(0), peers(1));
 
     for n in 0..100 {
-        let keepers = |peers: &Peers| -> Vec<_> {
-            let keepers = peers.keepers(ms(0), stream(n).0, 8).into_iter().map(|keeper| keeper.addr);
-            keepers.filter(|keeper| ![addr(0), addr(1)].contains(keeper)).collect()
+        let replicas = |peers: &Peers| -> Vec<_> {
+            let replicas = peers.replicas(ms(0), stream(n).0, 8).into_iter().map(|replica| replica.addr);
+            replicas.filter(|replica| ![addr(0), addr(1)].contains(replica)).collect()
         };
-        let (by_first, by_second) = (keepers(&first), keepers(&second));
+        let (by_first, by_second) = (replicas(&first), replicas(&second));
 
-        let common = by_first.iter().filter(|keeper| by_second.contains(keeper)).count();
+        let common = by_first.iter().filter(|replica| by_second.contains(replica)).count();
         assert!(common >= 6, "{by_first:?} {by_second:?}");
         let centre =
-            |keeper: &SocketAddr| keeper.ip().to_string().rsplit('.').next().unwrap().parse::<usize>();
+            |replica: &SocketAddr| replica.ip().to_string().rsplit('.').next().unwrap().parse::<usize>();
         let centres: BTreeSet<_> =
-            by_first.iter().take(4).map(|keeper| centre(keeper).unwrap() % 3).collect();
+            by_first.iter().take(4).map(|replica| centre(replica).unwrap() % 3).collect();
         assert!(centres.len() >= 2, "{by_first:?}");
     }
 }
@@ -351,22 +352,24 @@
             return;
         }
         let (key, service) = (stream(number as u64), service_tag(SERVICE));
-        let mut word = Questions::default();
+        let mut certainty = Questions::default();
         let answering: Vec<_> =
             self.reached_by(host).into_iter().filter(|other| lost & (1 << other) == 0).collect();
-        word.ask(key, answering.iter().map(|other| addr(*other)));
+        certainty.ask(key, answering.iter().map(|other| addr(*other)));
         for other in answering {
             let is_current = self.now <= self.hosts[other].read_at + MAX_LIST_AGE;
             match self.hosts[other].origins.version_of(key) {
                 Some(tag) => self.hosts[host].origins.hear(key, tag),
-                None => {
-                    word.hear(addr(other), key, self.hosts[other].origins.word(self.now, service, is_current))
-                }
+                None => certainty.hear(
+                    addr(other),
+                    key,
+                    self.hosts[other].origins.certainty(self.now, service, is_current),
+                ),
             }
         }
         let is_current = self.now <= self.hosts[host].read_at + MAX_LIST_AGE;
         let origins = &self.hosts[host].origins;
-        let found = origins.continuation(self.now, Some(key), &[SERVICE], is_current, word.close(key));
+        let found = origins.continuation(self.now, Some(key), &[SERVICE], is_current, certainty.close(key));
         match found {
             Ok(found) => {
                 assert_eq!(&*found.version, version, "a stream goes on at another version");
