Ask in one place whether a host was heard of lately

The choice of the hosts that remember a stream wrote the check of heartbeats and of summaries again, which stood in five places before. No behaviour changes.

--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -83,6 +83,16 @@
 }
 
 impl Peer {
+    /// Whether it has sent a heartbeat within the timeout.
+    fn is_heard(&self, now: Instant, timeout: Duration) -> bool {
+        self.last_beat.is_some_and(|at| at + timeout >= now)
+    }
+
+    /// Whether a summary within the timeout has listed it as ready.
+    fn is_named_ready(&self, now: Instant, timeout: Duration) -> bool {
+        self.named_ready.is_some_and(|at| at + timeout >= now)
+    }
+
     /// Whether it has sent a heartbeat or a summary has listed it as ready.
     fn was_seen_alive(&self) -> bool {
         self.last_beat.is_some() || self.named_ready.is_some()
@@ -354,7 +364,7 @@
     /// Whether no other host has sent a heartbeat within the timeout.
     pub fn is_alone(&self, now: Instant) -> bool {
         let host_timeout = self.host_timeout();
-        !self.peers.values().any(|p| p.last_beat.is_some_and(|at| at + host_timeout >= now))
+        !self.peers.values().any(|p| p.is_heard(now, host_timeout))
     }
 
     /// Number of hosts that share budgets, including this one. Hosts known only from reports count at once: too
@@ -366,8 +376,8 @@
     /// Hosts that callers may be sent to, other than this one.
     pub fn ready_members(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let summary_timeout = self.summary_timeout();
-        let is_named_ready = move |p: &Peer| p.named_ready.is_some_and(|at| at + summary_timeout >= now);
-        let ready = move |p: &&Peer| if self.is_direct(p) { p.ready } else { is_named_ready(p) };
+        let ready =
+            move |p: &&Peer| if self.is_direct(p) { p.ready } else { p.is_named_ready(now, summary_timeout) };
         self.peers.values().filter(ready).filter_map(|p| p.member.as_ref())
     }
 }
--- a/src/relay/peers/replicas.rs
+++ b/src/relay/peers/replicas.rs
@@ -37,9 +37,8 @@
                 let centre = p.member.as_ref().map_or("", |m| &m.data_centre);
                 let position = in_centre.entry(centre).or_default();
                 *position += 1;
-                let heard = p.last_beat.is_some_and(|at| at + host_timeout >= now);
-                let named = p.named_ready.is_some_and(|at| at + summary_timeout >= now);
-                (*position, Reverse(rank), Replica { addr: *addr, alive: heard || named })
+                let alive = p.is_heard(now, host_timeout) || p.is_named_ready(now, summary_timeout);
+                (*position, Reverse(rank), Replica { addr: *addr, alive })
             })
             .collect();
         ordered.sort_unstable_by_key(|(position, rank, _)| (*position, *rank));
--- a/src/relay/peers/summary.rs
+++ b/src/relay/peers/summary.rs
@@ -27,8 +27,7 @@
         }
         let loads: Map<_, _> = reported.in_progress.iter().map(|l| (l.backend, l.requests)).collect();
         let summary_timeout = self.summary_timeout();
-        let is_named_ready =
-            |p: &&Peer| p.named_ready.is_some_and(|at| at + summary_timeout >= now) && is_in(p, &data_centre);
+        let is_named_ready = |p: &&Peer| p.is_named_ready(now, summary_timeout) && is_in(p, &data_centre);
         let previously_ready = self.peers.values().filter(is_named_ready).count();
         // A host that has just started knows few others of its data centre, so that hosts missing from a short
         // summary are kept; those missing from a long one are lost.
--- a/src/relay/peers/targets.rs
+++ b/src/relay/peers/targets.rs
@@ -52,7 +52,7 @@
     /// centre, and once a second those that do not answer.
     pub fn targets(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(SocketAddr, Scope)> {
         let host_timeout = self.host_timeout();
-        let is_alive = |p: &Peer| p.last_beat.is_some_and(|at| at + host_timeout >= now);
+        let is_alive = |p: &Peer| p.is_heard(now, host_timeout);
         let mut targets = Vec::new();
         let mut remote: Map<String, Vec<SocketAddr>> = Map::default();
         for (addr, peer) in &self.peers {
@@ -80,7 +80,7 @@
     /// others reaches all hosts quickly, although each can serve it to only a few at a time.
     pub fn gossip_targets(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let host_timeout = self.host_timeout();
-        let is_alive = |p: &Peer| p.last_beat.is_some_and(|at| at + host_timeout >= now);
+        let is_alive = |p: &Peer| p.is_heard(now, host_timeout);
         let direct = self.peers.iter().filter(|(_, p)| is_alive(p) && self.is_direct(p));
         direct.map(|(addr, _)| *addr).choose_multiple(rng, GOSSIP_FANOUT)
     }
