--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -74,10 +74,13 @@
                 true => bound.after_evacuation(mean_of_all, mean_of_eligible),
                 false => bound.with_servers_excluded(mean_of_all, mean_of_eligible),
             });
-            retain_below(&mut candidates, Bound::MAX.at(mean_of_all))?;
+            // While some servers are excluded, the load of the others could rise past the fleet's limit.
+            let max_load = Bound::MAX.at(mean_of_all);
+            retain(&mut candidates, |c| c.load + 1.0 <= max_load)?;
         }
         if state.brittle.is_brittle(now, &req.service) {
-            retain_with_free_place(&mut candidates)?;
+            // One that has to turn requests away falls over.
+            retain(&mut candidates, Candidate::has_free_slot)?;
         }
         let caches = state.routes.as_ref().is_some_and(|r| r.caches_prompts(&req.service));
         let (backends, health) = (&state.backends, &state.health);
@@ -125,18 +128,10 @@
     }
 }
 
-/// Drops servers whose load has reached `max_load`. If that drops all of them, the service is overloaded. Used while
-/// some servers are excluded and the load of the others could rise past the fleet's limit.
-fn retain_below(candidates: &mut Vec<Candidate>, max_load: f64) -> Result<(), ErrorKind> {
+/// Drops servers for which `may_get` is false. If that drops all of them, the service is overloaded.
+fn retain(candidates: &mut Vec<Candidate>, may_get: impl Fn(&Candidate) -> bool) -> Result<(), ErrorKind> {
     let had_candidates = !candidates.is_empty();
-    candidates.retain(|c| c.load + 1.0 <= max_load);
-    if had_candidates && candidates.is_empty() { Err(ErrorKind::Overloaded) } else { Ok(()) }
-}
-
-/// Drops servers without a free place: a brittle one that has to turn requests away falls over.
-fn retain_with_free_place(candidates: &mut Vec<Candidate>) -> Result<(), ErrorKind> {
-    let had_candidates = !candidates.is_empty();
-    candidates.retain(|c| c.load + 1.0 <= f64::from(c.slots));
+    candidates.retain(may_get);
     if had_candidates && candidates.is_empty() { Err(ErrorKind::Overloaded) } else { Ok(()) }
 }
 
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -108,9 +108,14 @@
 }
 
 impl Candidate {
+    /// Whether it has a free slot.
+    pub fn has_free_slot(&self) -> bool {
+        self.load + 1.0 <= f64::from(self.slots)
+    }
+
     /// Whether it is healthy and has a free slot.
     pub fn has_room(&self) -> bool {
-        !self.unhealthy && self.load + 1.0 <= f64::from(self.slots)
+        !self.unhealthy && self.has_free_slot()
     }
 
     /// Requests in progress divided by slots.
@@ -225,7 +230,7 @@
     let home = candidates.iter().max_by_key(rank)?;
     let cached_tokens = |c: &Candidate| holders.tokens(shared, c.key);
     let below_bound = |c: &Candidate| !c.unhealthy && c.load + 1.0 <= bound;
-    let has_free_slot = |c: &&Candidate| below_bound(c) && c.load + 1.0 <= f64::from(c.slots);
+    let has_free_slot = |c: &&Candidate| below_bound(c) && c.has_free_slot();
     let best_holder = holders.best(shared, &usable);
     // If no holder is known, as after a start, the second server in rendezvous order may be the previous home: the
     // server that joined last took its parts over. Asking a server that has nothing cached costs nothing.
