Compare the routes of two configurations in one pass, and count hosts after a refusal only for brittle servers

Read once more: each new configuration looked for each stream route in the whole old one, which grows with the square of the routes on the way to a change being in force; each refusal of a server counted all hosts, brittle or not. Besides, one function each where the change had two or three of the same: doubt in a service, telling of open streams, setting a gauge, parts of a message. No decision changes.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, Result};
 use opentelemetry::{
-    KeyValue,
+    KeyValue, Value,
     metrics::{Counter as CounterInstrument, Gauge as GaugeInstrument, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -283,15 +283,10 @@
     }
 
     /// Sets a gauge for the label value `value`.
-    pub fn set(&self, gauge: Gauge, value: &'static str, to: f64) {
+    pub fn set(&self, gauge: Gauge, value: impl Into<Value>, to: f64) {
         self.gauges[gauge as usize].record(to, &[KeyValue::new(gauge.spec().label, value)]);
     }
 
-    /// Sets a gauge for the label value `value`, which the configuration names.
-    pub fn set_named(&self, gauge: Gauge, value: &str, to: f64) {
-        self.gauges[gauge as usize].record(to, &[KeyValue::new(gauge.spec().label, value.to_owned())]);
-    }
-
     /// Counts a request by outcome.
     pub fn request(&self, outcome: &'static str) {
         self.add(Counter::Requests, outcome, 1);
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -14,7 +14,7 @@
     error::ErrorKind,
     logs::lines::{Level, line},
     metrics::{Counter, Gauge},
-    util::{Instant, now},
+    util::{Instant, Map, now},
 };
 
 impl Discontinued {
@@ -98,18 +98,18 @@
     pub(super) fn observe_routes(&self, state: &mut State, old: Option<&Routes>, new: &Routes) {
         state.origins.set_timeout(new.longest_stream());
         let Some(old) = old else { return };
+        let before: Map<_, _> = old.streams().map(|route| (match_of(route), route)).collect();
         let mut is_rerouted = false;
         for route in new.streams() {
-            let before = old.streams().find(|r| is_same_route(r, route)).map(|r| r.services());
-            let after = route.services();
-            if let Some(before) = before.filter(|before| *before != after) {
+            let Some(before) = before.get(&match_of(route)) else { continue };
+            let (before, after) = (before.services(), route.services());
+            if before != after {
                 is_rerouted = true;
-                state.origins.record_reroute(now(), before.into_iter().chain(after));
+                state.origins.doubt(now(), before.into_iter().chain(after));
             }
         }
         if is_rerouted {
-            let open: Vec<_> = state.origins.open_here().collect();
-            self.tell_streams(state, open);
+            self.tell_open_streams(state);
         }
     }
 
@@ -130,14 +130,20 @@
                     .number("count", names.len() as u64)
             });
         }
-        if !changed.is_empty() {
-            let open: Vec<_> = state.origins.open_here().collect();
-            self.tell_streams(state, open);
+        if changed.is_empty() {
+            return;
         }
-        for (service, count) in state.origins.served().counts().filter(|_| !changed.is_empty()) {
-            self.metrics.set_named(Gauge::RelayVersions, service, count as f64);
+        self.tell_open_streams(state);
+        for (service, count) in state.origins.served().counts() {
+            self.metrics.set(Gauge::RelayVersions, service.clone(), count as f64);
         }
     }
+
+    /// Tells other hosts of the streams that this host has open and that may be of several versions.
+    fn tell_open_streams(&self, state: &mut State) {
+        let open: Vec<_> = state.origins.open_here().collect();
+        self.tell_streams(state, open);
+    }
 }
 
 impl State {
@@ -148,8 +154,9 @@
     }
 }
 
-fn is_same_route(a: &CompiledRoute, b: &CompiledRoute) -> bool {
-    (&a.route.host, &a.route.prefix) == (&b.route.host, &b.route.prefix)
+/// What a route matches, which identifies it in two configurations.
+fn match_of(route: &CompiledRoute) -> (&str, &str) {
+    (&route.route.host, &route.route.prefix)
 }
 
 /// Identifies the stream that a request begins or takes up; `None` if its caller does not name the latter.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -235,12 +235,13 @@
 /// Splits a message into parts that fit into a datagram.
 fn split(message: StreamOrigins) -> impl Iterator<Item = StreamOrigins> {
     let StreamOrigins { told, asked, unknown, .. } = message;
-    let part = StreamOrigins::default;
-    let told: Vec<_> =
-        told.chunks(MAX_IN_DATAGRAM).map(|t| StreamOrigins { told: t.into(), ..part() }).collect();
-    let asked: Vec<_> =
-        asked.chunks(MAX_IN_DATAGRAM).map(|a| StreamOrigins { asked: a.into(), ..part() }).collect();
-    let unknown: Vec<_> =
-        unknown.chunks(MAX_IN_DATAGRAM).map(|u| StreamOrigins { unknown: u.into(), ..part() }).collect();
+    let told = parts(&told, |told| StreamOrigins { told, ..StreamOrigins::default() });
+    let asked = parts(&asked, |asked| StreamOrigins { asked, ..StreamOrigins::default() });
+    let unknown = parts(&unknown, |unknown| StreamOrigins { unknown, ..StreamOrigins::default() });
     told.into_iter().chain(asked).chain(unknown)
 }
+
+/// Messages with one list in parts.
+fn parts<T: Clone>(list: &[T], message: impl Fn(Vec<T>) -> StreamOrigins) -> Vec<StreamOrigins> {
+    list.chunks(MAX_IN_DATAGRAM).map(|part| message(part.to_vec())).collect()
+}
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -155,14 +155,10 @@
         self.served.observe(now, self.lifetime, servers)
     }
 
-    /// Records that a route leads to other services than before. Nobody may go on at one with a stream of the other.
-    pub fn record_reroute<'a>(&mut self, now: Instant, services: impl Iterator<Item = &'a str>) {
-        services.for_each(|service| self.served.doubt_until(now + self.lifetime, service));
-    }
-
-    /// Takes in that several versions of these services may have begun streams before this host started.
-    pub fn learn_mixed<'a>(&mut self, started: Instant, services: impl Iterator<Item = &'a str>) {
-        services.for_each(|service| self.served.doubt_until(started + self.lifetime, service));
+    /// Records that streams which began up to `until` may be taken up on the routes of these services though they began at
+    /// another service, before the route was changed, or at a version that this host has never seen.
+    pub fn doubt<'a>(&mut self, until: Instant, services: impl Iterator<Item = &'a str>) {
+        services.for_each(|service| self.served.doubt_until(until + self.lifetime, service));
     }
 
     /// Services of which streams may have begun at different versions, in order.
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -420,6 +420,9 @@
         let now = now();
         let mut state = self.state();
         state.health.record_failure(now, key);
+        if !state.brittle.is_brittle(now, &req.service) {
+            return;
+        }
         let hosts = self.known_hosts(&state);
         if let Some(pause) = state.brittle.pause(now, &req.service, hosts) {
             state.health.record_requested_pause(now, key, pause);
@@ -489,7 +492,7 @@
     pub(crate) fn learn_registered(&self, hosts: &Hosts) {
         self.add_hosts(&hosts.sample);
         let started = self.started;
-        self.state().origins.learn_mixed(started, hosts.mixed.iter().map(|mixed| &*mixed.service));
+        self.state().origins.doubt(started, hosts.mixed.iter().map(|mixed| &*mixed.service));
     }
 
     /// Adds hosts that are registered in the store as candidate peers.
--- a/tests/relay_origins.rs
+++ b/tests/relay_origins.rs
@@ -389,7 +389,7 @@
     fn kill(&mut self, host: usize) {
         let mut origins = Origins::new(self.now);
         origins.set_timeout(TIMEOUT);
-        origins.learn_mixed(self.now, self.registered.iter().map(|mixed| &*mixed.service));
+        origins.doubt(self.now, self.registered.iter().map(|mixed| &*mixed.service));
         let Host { reaches_store, side, .. } = self.hosts[host];
         let (listed, registered, read_at) = (Vec::new(), Vec::new(), self.now);
         self.hosts[host] = Host { origins, listed, read_at, reaches_store, registered, side };
