Name the server, the content, the parts and the answer's state in lines about crashes

Lines about a crash named only the request, so that neither the part that all of them share nor whether the answer had begun could be read from them, nor whether a count is of one content or of several.

--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -69,6 +69,8 @@
     pub(crate) sent: Instant,
     /// Number of attempts started, including the current one.
     pub(crate) attempts_started: u32,
+    /// Whether the server of the current attempt has sent an event.
+    pub(crate) begun: bool,
     /// Version that began the stream, once the caller has an event of it: no other may go on with it.
     pub(crate) version: Option<Arc<str>>,
     /// The outcome of the request, once it is settled.
@@ -108,7 +110,7 @@
     let req = Arc::new(req);
     let tries = Attempts::new(req.route.repeatable, req.route.route.attempts, req.deadline);
     let (tried, sent) = (Vec::new(), now());
-    let mut run = Run { relay, req, tries, tried, sent, attempts_started: 0, version, outcome: None };
+    let mut run = Run { relay, req, tries, tried, sent, attempts_started: 0, begun: false, version, outcome: None };
     if run.relay.is_quarantined(&run.req) {
         return run.give_up(ErrorKind::Quarantined, None);
     }
@@ -226,7 +228,13 @@
         }
         self.relay.record_crash(key);
         let crashes = self.relay.state().suspects.record_crash(now(), self.req.fingerprint());
-        self.relay.log_request(Level::Notable, "suspected", &self.req, |l| l.number("crashes", crashes));
+        let backend = self.relay.backend_id(key);
+        let parts: Vec<_> = shared(&self.req.parts).iter().map(|part| format!("{:x}", part.id)).collect();
+        self.relay.log_request(Level::Notable, "suspected", &self.req, |l| {
+            let l = l.text("backend", backend.as_deref().unwrap_or("gone")).number("crashes", crashes);
+            let l = l.text("content", &format!("{:x}", self.req.fingerprint())).flag("begun", self.begun);
+            l.text("parts", &parts.join(","))
+        });
     }
 
     /// Makes one attempt, up to the head of the answer.
@@ -235,7 +243,7 @@
         let choice = self.relay.choose(&self.req, &self.tried, version).map_err(AttemptError::NoServer)?;
         let key = choice.key;
         self.attempts_started += 1;
-        self.sent = now();
+        (self.sent, self.begun) = (now(), false);
         let work = InFlightRequest::start(&self.relay, key);
         let (mut conn, result) =
             self.send(&choice, after).await.map_err(|f| AttemptError::Failed((f, key)))?;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -201,6 +201,7 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             if let Some(events) = self.splitter.push(data) {
+                run.begun = true;
                 return self.accept(events).map(Next::Events);
             }
             if self.splitter.is_too_long() {
