--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -110,7 +110,8 @@
     let req = Arc::new(req);
     let tries = Attempts::new(req.route.repeatable, req.route.route.attempts, req.deadline);
     let (tried, sent) = (Vec::new(), now());
-    let mut run = Run { relay, req, tries, tried, sent, attempts_started: 0, begun: false, version, outcome: None };
+    let mut run =
+        Run { relay, req, tries, tried, sent, attempts_started: 0, begun: false, version, outcome: None };
     if run.relay.is_quarantined(&run.req) {
         return run.give_up(ErrorKind::Quarantined, None);
     }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -20,6 +20,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::mpsc,
+    task::JoinSet,
     time::timeout,
 };
 
@@ -39,7 +40,7 @@
     WriteAndReset(String),
     /// Sends nothing until the other side closes the connection.
     Hang,
-    /// Resets the connection and accepts no further ones.
+    /// Resets all connections and accepts no further ones.
     Crash,
 }
 
@@ -57,6 +58,16 @@
 impl Server {
     /// Starts a server with a script, in which `{id}` is replaced by the request's attempt identifier.
     pub async fn start(id: &str, script: impl Into<Vec<ScriptStep>>) -> Self {
+        let script = script.into();
+        let steps = move |_: &str, index: usize| script.get(index).or(script.last()).unwrap().clone();
+        Self::reacting(id, steps).await
+    }
+
+    /// Starts a server that reacts to each request by its text and the number of requests before it.
+    pub async fn reacting(
+        id: &str,
+        react: impl Fn(&str, usize) -> ScriptStep + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = Self {
             id: id.into(),
@@ -64,9 +75,11 @@
             requests: Arc::default(),
             closed_connections: Arc::default(),
         };
-        let (serving, script) = (server.clone(), Arc::new(script.into()));
+        let (serving, react) = (server.clone(), Arc::new(react));
         tokio::spawn(async move {
             let (crash, mut crashed) = mpsc::channel(1);
+            // Dropped with the server, which ends all its connections.
+            let mut connections = JoinSet::new();
             loop {
                 tokio::select! {
                     biased;
@@ -77,7 +90,7 @@
                         return;
                     }
                     Ok((stream, _)) = listener.accept() => {
-                        tokio::spawn(serving.clone().serve(stream, script.clone(), crash.clone()));
+                        connections.spawn(serving.clone().serve(stream, react.clone(), crash.clone()));
                     }
                 }
             }
@@ -88,7 +101,7 @@
     async fn serve(
         self,
         mut stream: TcpStream,
-        script: Arc<Vec<ScriptStep>>,
+        react: Arc<impl Fn(&str, usize) -> ScriptStep>,
         crash: mpsc::Sender<TcpStream>,
     ) {
         while let Some(req) = read_request(&mut stream).await {
@@ -97,7 +110,7 @@
                 requests.push(req.clone());
                 requests.len() - 1
             };
-            let step = script.get(index).or(script.last()).unwrap().clone();
+            let step = react(&req, index);
             let id = header(&req, "attempt-id").unwrap_or_default();
             let write = |text: &str| text.replace("{id}", &id).into_bytes();
             match step {
@@ -301,7 +314,7 @@
 
     /// Connects as a caller.
     pub async fn connect(&self) -> Caller {
-        Caller(TcpStream::connect(self.addr).await.unwrap())
+        Caller::connect(self.addr).await
     }
 
     /// Sends a request on a new connection and reads the complete answer.
@@ -316,6 +329,11 @@
 pub struct Caller(TcpStream);
 
 impl Caller {
+    /// Connects to a host.
+    pub async fn connect(addr: SocketAddr) -> Self {
+        Self(TcpStream::connect(addr).await.unwrap())
+    }
+
     /// Sends raw bytes.
     pub async fn send(&mut self, bytes: &str) {
         self.0.write_all(bytes.as_bytes()).await.unwrap();
