Refuse requests by the prompt part that crashes servers

Cause: the quarantine counted whole contents, and no two of these requests were alike, so that each new one began at no crash; what one host had counted it told from the second crash on, and counts of several hosts were merged by the larger one. The class: a failure is put down to the unit that was observed, not to what the failures have in common.

--- a/src/logs/explain.rs
+++ b/src/logs/explain.rs
@@ -12,7 +12,7 @@
 const CONTEXT_WINDOW_MS: u64 = 10_000;
 
 /// Events that report a change of a host's state.
-const STATE_EVENTS: [&str; 24] = [
+const STATE_EVENTS: [&str; 26] = [
     "start",
     "stop",
     "leaving",
@@ -35,6 +35,8 @@
     "told_leaving",
     "told_pause",
     "brittle",
+    "crash",
+    "quarantine",
     "fetch_failed",
     "lines_dropped",
 ];
@@ -69,7 +71,7 @@
     fn is_context(&self, hosts: &BTreeSet<&str>, backends: &BTreeSet<&str>) -> bool {
         let about_backend = matches!(
             self.event.as_str(),
-            "backend" | "avoided" | "taken_back" | "told_leaving" | "told_pause"
+            "backend" | "avoided" | "taken_back" | "told_leaving" | "told_pause" | "crash"
         );
         let is_relevant = !about_backend || backends.contains(self.text("backend"));
         STATE_EVENTS.contains(&self.event.as_str()) && hosts.contains(&*self.host) && is_relevant
@@ -123,11 +125,15 @@
         )
     });
     let last = request_lines.iter().rev().find(|e| {
-        ["answered", "given_up", "refused", "stream_cut", "caller_left"].contains(&e.event.as_str())
+        ["answered", "given_up", "refused", "quarantined", "stream_cut", "caller_left"]
+            .contains(&e.event.as_str())
     });
     match last.map(|e| (e.event.as_str(), *e)) {
         Some(("answered", e)) => format!("a server's answer went out ({})", format_result(e)) + &because,
         Some(("given_up", e)) => format!("given up as {}, {}{because}", e.text("kind"), e.text("ran")),
+        Some(("quarantined", e)) => {
+            format!("refused, since requests with {} {} crash servers", e.text("part"), e.text("cause"))
+        }
         Some(("refused", e)) => format!("refused as {} before any attempt", e.text("kind")),
         Some(("stream_cut", e)) => format!("its stream was cut: {}{because}", e.text("failure")),
         Some((_, e)) => format!("its caller left first, {}{because}", describe_wait(request_lines, e.t)),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,6 +63,10 @@
     RelayStreamsStopped,
     /// What hosts tell and ask each other about streams, by kind.
     RelayOrigins,
+    /// What became known of crashes of backend servers, by kind.
+    RelayCrashes,
+    /// Causes of crashes by what became of them.
+    RelayQuarantine,
 }
 
 /// A gauge of the relay.
@@ -72,11 +76,13 @@
     RelayUnconfirmed,
     /// Versions of each service's software that may have begun streams which can still be taken up.
     RelayVersions,
+    /// Causes of crashes whose requests are refused.
+    RelayQuarantined,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 2] = [Gauge::RelayUnconfirmed, Gauge::RelayVersions];
+    pub const ALL: [Gauge; 3] = [Gauge::RelayUnconfirmed, Gauge::RelayVersions, Gauge::RelayQuarantined];
 
     /// Returns the name, label and description; this is the table of gauges.
     pub fn spec(self) -> MetricSpec {
@@ -91,6 +97,11 @@
                 label: "service",
                 description: "versions of the servers' software that may have begun streams",
             },
+            Gauge::RelayQuarantined => MetricSpec {
+                name: "relay_quarantined_causes",
+                label: "state",
+                description: "contents and prompt parts whose requests are refused since they crash servers",
+            },
         }
     }
 }
@@ -143,7 +154,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 24] = [
+    pub const ALL: [Counter; 26] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -168,6 +179,8 @@
         Counter::RelayTunnels,
         Counter::RelayStreamsStopped,
         Counter::RelayOrigins,
+        Counter::RelayCrashes,
+        Counter::RelayQuarantine,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -226,6 +239,14 @@
             Counter::RelayOrigins => {
                 row("relay_stream_origins", "what", "streams told of and asked about between hosts")
             }
+            Counter::RelayCrashes => row(
+                "relay_crashes",
+                "what",
+                "crashes of backend servers, and requests told of that were there",
+            ),
+            Counter::RelayQuarantine => {
+                row("relay_quarantine", "change", "causes of crashes by what became of them")
+            }
         }
     }
 }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -13,6 +13,7 @@
 pub(super) const DEADLINE: HeaderName = HeaderName::from_static("request-deadline");
 pub(super) const PREFIX_HASH: HeaderName = HeaderName::from_static("prefix-hash");
 pub(super) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+pub(super) const MODEL: HeaderName = HeaderName::from_static("model");
 pub(super) const RESUMES: HeaderName = HeaderName::from_static("resumes");
 pub(super) const EXPECTED_INSTANCE: HeaderName = HeaderName::from_static("expected-instance");
 pub(super) const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -38,6 +38,7 @@
             host: host.unwrap_or_default().into(),
             key: text(headers, &names::API_KEY).map(Into::into),
             timeout: number(headers, &names::DEADLINE).map(Duration::from_millis),
+            model: text(headers, &names::MODEL).unwrap_or_default().into(),
             parts: text(headers, &names::PREFIX_HASH).map(parse_parts).unwrap_or_default(),
             after: number(headers, &names::LAST_EVENT_ID),
             resumes: text(headers, &names::RESUMES).map(Into::into),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`] pass the answer back.
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
-//! [`health`], [`brittle`], [`budget`], [`suspects`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
+//! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
@@ -27,6 +27,7 @@
 use crate::{
     logs::lines::{Level, Line, line},
     metrics::Metrics,
+    objects::bucket::TokenBucket,
     schema::fleet::{Held, Member},
     util::{Instant, lock, now, wall_ms},
 };
@@ -42,6 +43,8 @@
 pub mod confirm;
 pub mod contact;
 mod continuation;
+pub mod crash_reports;
+pub mod crashes;
 pub mod datagram;
 pub mod directory;
 pub mod evacuations;
@@ -68,7 +71,6 @@
 pub mod run;
 mod stop;
 pub mod stream;
-pub mod suspects;
 pub mod tunnel;
 pub mod updates;
 pub mod warmup;
@@ -80,6 +82,7 @@
 use budget::{BudgetConfig, FleetBudget};
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
+use crashes::Crashes;
 use evacuations::Evacuations;
 use exchange::Outbox;
 use follow::Hosts;
@@ -95,7 +98,6 @@
 use request::Request;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
-use suspects::Suspects;
 use warmup::Warmup;
 pub use wire::{AttemptContext, Refusal, ResponseHead, Wire};
 
@@ -148,7 +150,7 @@
     pub(crate) holders: Holders,
     pub(crate) budget: FleetBudget,
     pub(crate) peers: Peers,
-    pub(crate) suspects: Suspects,
+    pub(crate) crashes: Crashes,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: EpochTracker,
     pub(crate) confirmations: Confirmations,
@@ -160,6 +162,10 @@
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
     pub(crate) outbox: Outbox,
+    /// Hosts that are to be told of all causes of crashes.
+    newcomers: Vec<SocketAddr>,
+    /// What may be spent on telling of requests that were at crashes, in bytes.
+    report_bytes: TokenBucket,
     pub(crate) leaving: Option<Leaving>,
     /// This host's contact to the store.
     pub(crate) contact: FollowState,
@@ -191,10 +197,12 @@
     pub(crate) beat_due: Notify,
     /// Wakes the heartbeat sender to send to a few hosts at once.
     pub(crate) gossip_due: Notify,
-    /// Wakes the sender of messages about streams.
-    pub(crate) origins_due: Notify,
+    /// Wakes the sender of messages about streams and crashes.
+    pub(crate) messages_due: Notify,
     /// Wakes requests that wait for what other hosts say about their streams.
     pub(crate) origin_heard: Notify,
+    /// Wakes requests that wait for their answers when a cause of crashes is refused.
+    pub(crate) quarantine_changed: Notify,
     /// Wakes the fetcher when another host has been ahead for long enough.
     pub(crate) fetch_due: Notify,
     /// Wakes the followers of the store after this host was suspended.
@@ -229,7 +237,7 @@
             holders: Holders::default(),
             budget: FleetBudget::new(cfg.budget).with_start(now()),
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
-            suspects: Suspects::default(),
+            crashes: Crashes::default(),
             evacuations: Evacuations::default(),
             epochs: EpochTracker::default(),
             confirmations: Confirmations::new(now(), cfg.in_force, cfg.evacuates),
@@ -239,6 +247,11 @@
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
+            newcomers: Vec::new(),
+            report_bytes: TokenBucket::new(
+                crash_reports::REPORT_BYTES_PER_SECOND,
+                crash_reports::MAX_SAVED_BYTES,
+            ),
             leaving: None,
             contact: FollowState::Idle,
             has_read_copy: false,
@@ -263,8 +276,9 @@
             beat_due,
             gossip_due,
             fetch_due,
-            origins_due: Notify::new(),
+            messages_due: Notify::new(),
             origin_heard: Notify::new(),
+            quarantine_changed: Notify::new(),
             suspend_ended: Notify::new(),
             store_restored: Notify::new(),
             cancel_watch: Default::default(),
@@ -390,12 +404,6 @@
         line(level, event, |l| add_fields(l.text("request", &req.id).text("route", &req.route.route.name)));
     }
 
-    /// Whether a request is refused because its content crashes servers.
-    pub(crate) fn is_quarantined(&self, req: &Request) -> bool {
-        let state = self.state();
-        !state.suspects.is_empty() && state.suspects.is_refused(now(), req.fingerprint())
-    }
-
     /// Takes a retry from the budget; returns false if it is exhausted.
     pub(crate) fn spend_retry(&self, req: &Request) -> bool {
         self.state().budget.spend(now(), &req.service)
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -83,7 +83,7 @@
     Budget,
     /// Its deadline has passed.
     Deadline,
-    /// Its content has crashed backend servers.
+    /// Its content, or a part of its prompt, crashes backend servers.
     Suspect,
 }
 
@@ -135,6 +135,11 @@
         self.may_have_run + self.unexecuted
     }
 
+    /// Records an attempt that was ended before its outcome was known.
+    pub fn record_cancelled(&mut self) {
+        self.may_have_run += 1;
+    }
+
     /// Records a failed attempt and decides whether another may follow. `spend` takes a retry from the budget.
     ///
     /// # Errors
--- a/src/relay/datagram.rs
+++ b/src/relay/datagram.rs
@@ -3,7 +3,9 @@
 //! Anyone who reaches the port can send anything. A datagram that can't be a heartbeat of a host of this fleet is
 //! dropped, counted by reason, and changes nothing.
 
-use crate::schema::fleet::{Beat, StreamOrigins};
+use serde::de::DeserializeOwned;
+
+use crate::schema::fleet::{Beat, CrashReports, StreamOrigins};
 
 /// Maximum size of a heartbeat within a data centre, in bytes: one packet on a common link.
 const MAX_LOCAL_BYTES: usize = 1_400;
@@ -53,22 +55,29 @@
     Beat(Box<Beat>),
     /// What a host tells or asks about streams.
     Origins(StreamOrigins),
+    /// What a host tells of crashes of servers.
+    Crashes(CrashReports),
 }
 
 /// Decodes any datagram that arrives at `wall_ms`, in milliseconds since 1970. The first field tells the kinds apart: the
-/// start time of a heartbeat's sender is never 0.
+/// start time of a heartbeat's sender is neither 0 nor 1.
 ///
 /// # Errors
 /// Returns why the datagram must be dropped.
 pub fn decode_any(buf: &[u8], wall_ms: u64) -> Result<Datagram, DropReason> {
-    if buf.first() != Some(&0) {
-        return decode(buf, wall_ms).map(|beat| Datagram::Beat(Box::new(beat)));
+    match buf.first() {
+        Some(0) => decode_message(buf).map(Datagram::Origins),
+        Some(1) => decode_message(buf).map(Datagram::Crashes),
+        _ => decode(buf, wall_ms).map(|beat| Datagram::Beat(Box::new(beat))),
     }
+}
+
+fn decode_message<T: DeserializeOwned>(buf: &[u8]) -> Result<T, DropReason> {
     if buf.len() > MAX_DATAGRAM_BYTES {
         return Err(DropReason::TooLarge);
     }
     match postcard::take_from_bytes(buf) {
-        Ok((message, [])) => Ok(Datagram::Origins(message)),
+        Ok((message, [])) => Ok(message),
         _ => Err(DropReason::Malformed),
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -111,7 +111,7 @@
             self.metrics.add(Counter::RelayOrigins, OriginTraffic::Dropped.as_str(), excess as u64);
         }
         if !outbox.streams.is_empty() {
-            self.origins_due.notify_one();
+            self.messages_due.notify_one();
         }
     }
 
@@ -146,7 +146,7 @@
             self.metrics.add(Counter::RelayOrigins, OriginTraffic::Asked.as_str(), 1);
         }
         drop(state);
-        self.origins_due.notify_one();
+        self.messages_due.notify_one();
     }
 
     /// Waits until this host knows a stream, or all hosts that were asked have answered.
@@ -194,7 +194,7 @@
             self.metrics.add(Counter::RelayOrigins, traffic.as_str(), 1);
         }
         if !message.asked.is_empty() {
-            self.origins_due.notify_one();
+            self.messages_due.notify_one();
         }
         if !message.told.is_empty() || !message.unknown.is_empty() {
             let heard = message.told.len() as u64;
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -69,7 +69,6 @@
             in_progress,
             held: state.new_holders.drain(..sent).collect(),
             avoided,
-            suspects: state.suspects.recent(now),
             evacuations: state.evacuations.snapshot(now),
             left: state.backends.recently_leaving(now),
             confirmed: Some(state.confirmations.report(now)),
@@ -106,7 +105,6 @@
         }
         let hosts = self.known_hosts(&state);
         state.budget.set_hosts(hosts);
-        state.suspects.merge(now, &beat.suspects);
         state.treat_avoided_as_cold(now, &beat.avoided);
         let left = state.backends.apply_leaving(now, &beat.left);
         self.on_backend_changes(&mut state, &left, &from.to_string());
@@ -115,6 +113,7 @@
             self.on_evacuation_changes(&mut state, &changes, &from.to_string());
         }
         if heard.joined {
+            self.tell_newcomer(&mut state, from);
             line(Level::Notable, "peer", |l| {
                 let l = l.text("peer", &from.to_string()).text("change", "heard");
                 l.flag("ready", beat.ready).number("hosts", hosts as u64)
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -57,6 +57,8 @@
     pub key: Option<Arc<str>>,
     /// How long the caller waits, if given.
     pub timeout: Option<Duration>,
+    /// Model that is to answer, if the caller names one.
+    pub model: Arc<str>,
     /// Parts of the prompt.
     pub parts: Vec<Part>,
     /// Event after which a stream should resume.
@@ -216,6 +218,7 @@
         target: head.uri.clone(),
         headers: relay.wire.forwarded_headers(head.headers),
         body,
+        model: parsed.model,
         parts: if route.route.prompts { parsed.parts } else { Vec::new() },
         after: if route.stream { parsed.after } else { None },
         resumes: parsed.resumes,
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -113,6 +113,10 @@
                 relay.receive_origins(from, &message);
                 Ok(false)
             }
+            Datagram::Crashes(message) => {
+                relay.receive_crash_reports(from, &message);
+                Ok(false)
+            }
         });
         match received {
             Ok(true) => send_datagram(&socket, &encode(&relay.heartbeat(true)), from).await,
@@ -125,16 +129,26 @@
     }
 }
 
-/// Sends what hosts tell and ask each other about streams, as soon as it is due.
-pub async fn send_origins<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
+/// Sends what hosts tell and ask each other about streams and crashes, as soon as it is due.
+pub async fn send_messages<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
     loop {
-        relay.origins_due.notified().await;
+        tokio::select! {
+            () = relay.messages_due.notified() => {}
+            () = relay.await_decision() => {}
+        }
         for (to, message) in relay.take_origin_messages() {
-            match postcard::to_allocvec(&message) {
-                Ok(buf) => send_datagram(&socket, &buf, to).await,
-                Err(e) => line(Level::Notable, "origins_failed", |l| l.text("why", &e.to_string())),
-            }
+            send_message(&socket, &message, to).await;
         }
+        for (to, message) in relay.take_crash_messages() {
+            send_message(&socket, &message, to).await;
+        }
+    }
+}
+
+async fn send_message(socket: &UdpSocket, message: &impl Serialize, to: SocketAddr) {
+    match postcard::to_allocvec(message) {
+        Ok(buf) => send_datagram(socket, &buf, to).await,
+        Err(e) => line(Level::Notable, "message_failed", |l| l.text("why", &e.to_string())),
     }
 }
 
--- a/src/relay/peers/replicas.rs
+++ b/src/relay/peers/replicas.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, net::SocketAddr};
 
-use super::Peers;
+use super::{Peer, Peers};
 use crate::util::{Instant, Map, hash};
 
 /// Number of hosts of the highest rank that are compared by data centre.
@@ -18,6 +18,15 @@
 }
 
 impl Peers {
+    /// Whether this host comes before all others that are alive for something with this key, by rendezvous hashing.
+    pub fn ranks_first(&self, now: Instant, key: u64) -> bool {
+        let (host_timeout, summary_timeout) = (self.host_timeout(), self.summary_timeout());
+        let is_alive = |p: &Peer| p.is_heard(now, host_timeout) || p.is_named_ready(now, summary_timeout);
+        let own = self.own_addr.map(|addr| hash((key, addr)));
+        let others = self.peers.iter().filter(|(_, p)| is_alive(p)).map(|(addr, _)| Some(hash((key, *addr))));
+        others.max().flatten() < own
+    }
+
     /// The hosts that remember the stream with this key, in order: by rendezvous hashing, and those of different data
     /// centres first, so that the loss of a data centre does not lose the stream. Hosts that were lost recently are
     /// included, since they may count as lost here only.
--- a/src/relay/peers/targets.rs
+++ b/src/relay/peers/targets.rs
@@ -76,6 +76,24 @@
         targets
     }
 
+    /// All direct peers that are alive, and one random host of each other data centre.
+    pub fn spread_targets(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let host_timeout = self.host_timeout();
+        let mut targets = Vec::new();
+        let mut remote: Map<&str, Vec<SocketAddr>> = Map::default();
+        for (addr, peer) in &self.peers {
+            match &peer.member {
+                Some(member) if !self.is_direct(peer) => {
+                    remote.entry(&member.data_centre).or_default().push(*addr);
+                }
+                _ if peer.is_heard(now, host_timeout) => targets.push(*addr),
+                _ => {}
+            }
+        }
+        targets.extend(remote.into_values().map(|hosts| hosts[rng.random_range(0..hosts.len())]));
+        targets
+    }
+
     /// A few random hosts of the data centre to pass a change on to. A change that each host passes on to a few
     /// others reaches all hosts quickly, although each can serve it to only a few at a time.
     pub fn gossip_targets(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -131,6 +131,14 @@
     }
 }
 
+/// Whether nothing listens at a server's port, while its machine is reached: its process has ended.
+pub(super) async fn refuses_connections(addr: SocketAddr) -> bool {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 pub(super) async fn connect_tcp(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(timeout), TcpStream::connect(addr));
     let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -44,6 +44,8 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// Model that is to answer, if the caller names one.
+    pub model: Arc<str>,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
     /// Event after which the caller wants to resume a stream.
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -14,9 +14,14 @@
     attempts::{Attempts, Failure, StopReason},
     backends::BackendKey,
     choose::runs,
+    crashes::{
+        begun::BEGINNING,
+        cause::{CauseKey, Causes},
+        quarantine::{Event, Verdict},
+    },
     outcome::Outcome,
     place::{Choice, shared},
-    pool::Conn,
+    pool::{self, Conn},
     request::{EventNumber, Request},
     stream,
 };
@@ -51,6 +56,14 @@
     pub(crate) work: InFlightRequest<W>,
 }
 
+/// An answer that has begun.
+enum Begun<W: Wire> {
+    /// A stream, with its first events; none if it is empty.
+    Stream { head: response::Parts, first: Option<Bytes>, events: stream::Events<W> },
+    /// Any other answer, of which the head has arrived.
+    Other(Answered<W>),
+}
+
 /// Why an attempt has no answer.
 pub(crate) enum AttemptError {
     /// The attempt failed.
@@ -69,8 +82,12 @@
     pub(crate) sent: Instant,
     /// Number of attempts started, including the current one.
     pub(crate) attempts_started: u32,
-    /// Whether the server of the current attempt has sent an event.
-    pub(crate) begun: bool,
+    /// When the server of the current attempt sent the first event.
+    first_event: Option<Instant>,
+    /// Whether the current attempt has begun its answer for good.
+    has_begun: bool,
+    /// Cause of crashes that the request is a trial for.
+    trial: Option<CauseKey>,
     /// Version that began the stream, once the caller has an event of it: no other may go on with it.
     pub(crate) version: Option<Arc<str>>,
     /// The outcome of the request, once it is settled.
@@ -110,10 +127,23 @@
     let req = Arc::new(req);
     let tries = Attempts::new(req.route.repeatable, req.route.route.attempts, req.deadline);
     let (tried, sent) = (Vec::new(), now());
-    let mut run =
-        Run { relay, req, tries, tried, sent, attempts_started: 0, begun: false, version, outcome: None };
-    if run.relay.is_quarantined(&run.req) {
-        return run.give_up(ErrorKind::Quarantined, None);
+    let mut run = Run {
+        relay,
+        req,
+        tries,
+        tried,
+        sent,
+        attempts_started: 0,
+        first_event: None,
+        has_begun: false,
+        trial: None,
+        version,
+        outcome: None,
+    };
+    match run.relay.check_quarantine(&run.req) {
+        Verdict::Send => {}
+        Verdict::Try(cause) => run.begin_trial(cause),
+        Verdict::Refuse { cause, retry_after } => return run.refuse_quarantined(cause, retry_after),
     }
     run.relay.state().budget.record_request(now(), &run.req.service);
     if let Err(kind) = continuation {
@@ -129,14 +159,12 @@
     /// Makes attempts until one is answered or none may follow.
     async fn answer(mut self) -> Response<AnswerBody> {
         loop {
-            let (failure, key) = match self.attempt(self.req.after).await {
-                Ok(answered) if is_stream(&self.req, &answered.head) => {
-                    match stream::start(&mut self, answered).await {
-                        Ok((head, first, run)) => return stream::respond(self, head, first, run),
-                        Err(failed) => failed,
-                    }
+            let Some(begun) = self.begin_unless_quarantined().await else { return self.cancel() };
+            let (failure, key) = match begun {
+                Ok(Begun::Stream { head, first, events }) => {
+                    return stream::respond(self, head, first, events);
                 }
-                Ok(answered) => match self.buffer_answer(answered).await {
+                Ok(Begun::Other(answered)) => match self.buffer_answer(answered).await {
                     Ok(response) => return response,
                     Err(failed) => failed,
                 },
@@ -154,15 +182,60 @@
         }
     }
 
+    /// Makes one attempt, up to the first event of a stream; `None` if the request is refused meanwhile since it crashes
+    /// servers.
+    async fn begin_unless_quarantined(&mut self) -> Option<Result<Begun<W>, AttemptError>> {
+        let (relay, req, trial) = (self.relay.clone(), self.req.clone(), self.trial);
+        tokio::select! {
+            begun = self.begin() => Some(begun),
+            () = relay.until_quarantined(&req, trial) => None,
+        }
+    }
+
+    async fn begin(&mut self) -> Result<Begun<W>, AttemptError> {
+        let answered = self.attempt(self.req.after).await?;
+        if !is_stream(&self.req, &answered.head) {
+            return Ok(Begun::Other(answered));
+        }
+        let (head, first, events) = stream::start(self, answered).await.map_err(AttemptError::Failed)?;
+        Ok(Begun::Stream { head, first, events })
+    }
+
+    fn begin_trial(&mut self, cause: CauseKey) {
+        self.trial = Some(cause);
+        self.relay.on_trial(&self.req, cause);
+    }
+
+    /// Records that the server of the current attempt has sent an event.
+    pub(crate) fn note_event(&mut self) {
+        let now = now();
+        let first = *self.first_event.get_or_insert(now);
+        if now >= first + BEGINNING {
+            self.note_begun();
+        }
+    }
+
+    /// Records that the answer of the current attempt has begun for good, or is complete.
+    pub(crate) fn note_begun(&mut self) {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.relay.record_begun(&self.req, self.first_event.unwrap_or_else(now));
+        }
+    }
+
+    /// Whether the current attempt may have crashed its server: its answer was not more than beginning.
+    fn may_have_crashed_server(&self) -> bool {
+        self.first_event.is_none_or(|first| now() < first + BEGINNING)
+    }
+
     /// Records a failed attempt and decides whether another may follow.
     pub(crate) async fn fail(&mut self, failure: Failure, key: BackendKey) -> Result<(), StopReason> {
         self.record_failure(failure, key);
         if failure == Failure::Broken {
-            self.probe_for_crash(key).await;
+            self.examine_break(key).await;
         }
         self.decide_retry(failure, key)?;
         let (relay, req) = (&self.relay, &self.req);
-        if relay.is_quarantined(req) {
+        if relay.is_quarantined(req, None) {
             return Err(StopReason::Suspect);
         }
         let placeable = self.placeable();
@@ -220,21 +293,34 @@
         }
     }
 
-    /// After a broken connection, checks with a new one whether the server has crashed, and if so marks the request's
-    /// content as suspect.
-    async fn probe_for_crash(&self, key: BackendKey) {
+    /// After a broken connection, finds out with a new one whether the server has crashed, and records that the request was
+    /// there.
+    async fn examine_break(&self, key: BackendKey) {
         let Some(addr) = self.relay.state().backends.get(key).map(|b| b.addr) else { return };
+        if self.may_have_crashed_server() {
+            self.log_suspected(key);
+            if self.relay.record_break(&self.req, key) {
+                return;
+            }
+        }
         if let Ok(conn) = self.relay.connect(key, addr, self.req.time_left(now())).await {
             return self.relay.return_connection(key, conn, None);
         }
         self.relay.record_crash(key);
-        let crashes = self.relay.state().suspects.record_crash(now(), self.req.fingerprint());
+        if pool::refuses_connections(addr).await {
+            self.relay.confirm_crash(key);
+        }
+    }
+
+    fn log_suspected(&self, key: BackendKey) {
         let backend = self.relay.backend_id(key);
-        let parts: Vec<_> = shared(&self.req.parts).iter().map(|part| format!("{:x}", part.id)).collect();
+        let causes = Causes::parts_of(&self.req);
+        let parts = shared(&self.req.parts).iter().zip(&causes.parts);
+        let parts: Vec<_> = parts.map(|(part, cause)| format!("{:x}={:016x}", part.id, cause.0)).collect();
         self.relay.log_request(Level::Notable, "suspected", &self.req, |l| {
-            let l = l.text("backend", backend.as_deref().unwrap_or("gone")).number("crashes", crashes);
-            let l = l.text("content", &format!("{:x}", self.req.fingerprint())).flag("begun", self.begun);
-            l.text("parts", &parts.join(","))
+            let l = l.text("backend", backend.as_deref().unwrap_or("gone"));
+            let l = l.text("content", &format!("{:016x}", self.req.fingerprint()));
+            l.flag("first_event", self.first_event.is_some()).text("parts", &parts.join(","))
         });
     }
 
@@ -244,7 +330,7 @@
         let choice = self.relay.choose(&self.req, &self.tried, version).map_err(AttemptError::NoServer)?;
         let key = choice.key;
         self.attempts_started += 1;
-        (self.sent, self.begun) = (now(), false);
+        (self.sent, self.first_event, self.has_begun) = (now(), None, false);
         let work = InFlightRequest::start(&self.relay, key);
         let (mut conn, result) =
             self.send(&choice, after).await.map_err(|f| AttemptError::Failed((f, key)))?;
@@ -420,6 +506,7 @@
                 };
             }
         } else if head.status.is_success() {
+            self.note_begun();
             self.relay.record_wait(&self.req, self.sent);
             self.relay.record_backend_success(key);
         }
@@ -452,6 +539,22 @@
         self.relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after: Some(refused.retry_after) })
     }
 
+    /// Ends a request at its server since it is found out to crash servers.
+    fn cancel(&mut self) -> Response<AnswerBody> {
+        self.tries.record_cancelled();
+        self.relay.metrics.add(Counter::RelayQuarantine, Event::Cancelled.as_str(), 1);
+        self.give_up(ErrorKind::Quarantined, None)
+    }
+
+    /// Refuses a request that is not sent since it crashes servers. A caller may come back when it is tried again.
+    fn refuse_quarantined(&mut self, cause: CauseKey, retry_after: Duration) -> Response<AnswerBody> {
+        self.outcome = Some(Outcome::Refused);
+        let kind = ErrorKind::Quarantined;
+        self.relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
+        self.relay.log_quarantined(&self.req, cause);
+        self.relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after: Some(retry_after) })
+    }
+
     /// Refuses a request that is given up.
     pub(crate) fn give_up(&mut self, kind: ErrorKind, last: Option<Failure>) -> Response<AnswerBody> {
         let ran = if self.tries.cannot_have_run() { Ran::No } else { Ran::Unknown };
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -201,7 +201,7 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             if let Some(events) = self.splitter.push(data) {
-                run.begun = true;
+                run.note_event();
                 return self.accept(events).map(Next::Events);
             }
             if self.splitter.is_too_long() {
@@ -229,6 +229,7 @@
             return Err(Failure::Broken);
         }
         self.ended = true;
+        run.note_begun();
         run.relay.end_stream(&run.req);
         run.outcome = Some(Outcome::Answered);
         if let Some(answered) = self.answered.take() {
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -184,6 +184,7 @@
             });
         }
         for (key, _) in changes.iter().filter(|(_, change)| *change == Change::Restarted) {
+            self.confirm_restart(state, *key);
             self.forget_backend(state, *key);
         }
         for (key, _) in changes.iter().filter(|(_, change)| *change == Change::Cold) {
@@ -350,6 +351,7 @@
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
         self.expire_reach(&mut state);
+        self.expire_crashes(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
     }
 
@@ -437,6 +439,7 @@
     /// Marks a server as gone, for example when another one answers at its address.
     pub(crate) fn mark_backend_gone(&self, key: BackendKey, why: &str) {
         let mut state = self.state();
+        self.confirm_restart(&mut state, key);
         if let Some(change) = state.backends.mark_replaced(key) {
             self.on_backend_changes(&mut state, &[change], why);
         }
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -216,7 +216,7 @@
     /// Tags of backend servers that the sender avoids.
     #[prost(fixed32, repeated, tag = "9")]
     pub avoided: ::prost::alloc::vec::Vec<u32>,
-    /// Contents that were running when a backend server crashed.
+    /// Unused and always empty.
     #[prost(message, repeated, tag = "10")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
     /// The sender itself, in full heartbeats.
@@ -393,7 +393,7 @@
     #[prost(uint32, tag = "2")]
     pub retries: u32,
 }
-/// Content that may crash backend servers.
+/// Content that may crash backend servers, in a form that is no longer used.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Suspect {
@@ -404,6 +404,94 @@
     #[prost(uint32, tag = "2")]
     pub crashes: u32,
 }
+/// What hosts tell each other about crashes of backend servers, in a datagram of its own.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashReports {
+    /// Always 1. A heartbeat has the start time of its sender here.
+    #[prost(uint64, tag = "1")]
+    pub marker: u64,
+    /// Servers that have crashed.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
+    /// Causes whose requests are refused, or no longer are.
+    #[prost(message, repeated, tag = "3")]
+    pub quarantines: ::prost::alloc::vec::Vec<Quarantine>,
+}
+/// Crash of a backend server.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashReport {
+    /// Tag of the server's start.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Time since the crash as of this message, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Requests that were there without an event of their answers.
+    #[prost(message, repeated, tag = "3")]
+    pub suspects: ::prost::alloc::vec::Vec<CrashSuspect>,
+}
+/// Request that may have caused a crash.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashSuspect {
+    /// Hash of the service.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Key of its content.
+    #[prost(fixed64, tag = "2")]
+    pub content: u64,
+    /// Shared parts of its prompt.
+    #[prost(message, repeated, tag = "3")]
+    pub parts: ::prost::alloc::vec::Vec<CrashCause>,
+}
+/// Part of a prompt that may have caused a crash.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashCause {
+    /// Key of the part.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// Time since an answer with it last began at the sender plus 1, in milliseconds; 0 if none did.
+    #[prost(uint32, tag = "2")]
+    pub begun_ms: u32,
+}
+/// Cause of crashes whose requests are refused, or no longer are.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Quarantine {
+    /// Key of the cause.
+    #[prost(fixed64, tag = "1")]
+    pub cause: u64,
+    /// Keys of what a request must have besides to be refused.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub others: ::prost::alloc::vec::Vec<u64>,
+    /// Number of times that it was refused anew after it was cleared.
+    #[prost(uint32, tag = "3")]
+    pub generation: u32,
+    /// Whether its requests are no longer refused: an answer with it has begun, or a host knows better.
+    #[prost(bool, tag = "4")]
+    pub cleared: bool,
+    /// Number of crashes.
+    #[prost(uint32, tag = "5")]
+    pub crashes: u32,
+    /// Tags of the latest servers that crashed.
+    #[prost(fixed32, repeated, tag = "6")]
+    pub servers: ::prost::alloc::vec::Vec<u32>,
+    /// Time since the first crash that it is refused for, as of this message, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub since_ms: u32,
+    /// Time since the last crash in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub last_ms: u32,
+    /// Number of trials that crashed a server.
+    #[prost(uint32, tag = "9")]
+    pub trials: u32,
+    /// Time since an answer with it last began at a host plus 1, in milliseconds; 0 if none is known to have begun.
+    #[prost(uint32, tag = "10")]
+    pub begun_ms: u32,
+}
 /// Host of the fleet.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -11,6 +11,8 @@
     metrics::{Counter, Gauge, Latency},
     relay::{
         attempts::{Failure, StopReason},
+        crash_reports::CrashNews,
+        crashes::quarantine::Event,
         datagram::DropReason,
         exchange::OriginTraffic,
         follow::StoreCall,
@@ -85,6 +87,8 @@
         (Counter::RelayTold, label_values(&ServerNotice::ALL, |t| t.as_str())),
         (Counter::RelayStreamsStopped, label_values(&Discontinued::ALL, |d| d.as_str())),
         (Counter::RelayOrigins, label_values(&OriginTraffic::ALL, |t| t.as_str())),
+        (Counter::RelayCrashes, label_values(&CrashNews::ALL, |n| n.as_str())),
+        (Counter::RelayQuarantine, label_values(&Event::ALL, |e| e.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
--- a/tests/relay_datagrams.rs
+++ b/tests/relay_datagrams.rs
@@ -4,11 +4,13 @@
 
 use cranberrytally::{
     relay::{
+        crashes::Crashes,
         datagram::{DropReason, MAX_DATAGRAM_BYTES, decode, encode},
         peers::{LocalVersions, Peers},
-        suspects::Suspects,
     },
-    schema::fleet::{Beat, Centre, Held, InProgress, Member, Suspect},
+    schema::fleet::{
+        Beat, Centre, CrashCause, CrashReport, CrashSuspect, Held, InProgress, Member, Quarantine,
+    },
 };
 use proptest::prelude::*;
 
@@ -71,21 +73,37 @@
     assert_eq!(read.centre.unwrap().ready.len(), 59, "the ready hosts are never left out");
 }
 
-/// Forged heartbeats arrive from a thousand addresses, each with made-up members and contents. Memory use must stay
-/// bounded.
+/// Forged datagrams arrive from thousands of addresses, each with made-up members, crashes and causes. Memory use must
+/// stay bounded.
 #[test]
-fn forged_heartbeats_do_not_fill_the_memory() {
+fn forged_datagrams_do_not_fill_the_memory() {
     let mut peers = Peers::new(addr(0), "a", &[]);
-    let mut suspects = Suspects::default();
+    let mut crashes = Crashes::default();
+    let report = |server: u32| {
+        let part = |i: u32| CrashCause { key: u64::from(server * 64 + i), begun_ms: i };
+        let suspect =
+            |i: u32| CrashSuspect { service: 1, content: u64::from(i), parts: (0..4).map(part).collect() };
+        CrashReport { server, age_ms: server, suspects: (0..8).map(suspect).collect() }
+    };
+    let quarantine = |cause: u64| Quarantine {
+        cause,
+        generation: u32::MAX,
+        crashes: u32::MAX,
+        trials: u32::MAX,
+        since_ms: u32::MAX,
+        ..Quarantine::default()
+    };
     for i in 1..4_000 {
         let member = |n| Member { peers: addr(n).to_string(), ..Member::default() };
         let members = (0..16).map(|n| member(i * 16 + n)).collect();
         peers.receive(Duration::ZERO, addr(i), &Beat { members, ..beat(1, 1) }, LocalVersions::default());
-        suspects.merge(Duration::ZERO, &[Suspect { fingerprint: i.into(), crashes: 9 }]);
+        crashes.hear_crash(Duration::ZERO, &report(i.into()));
+        crashes.hear_quarantine(Duration::ZERO, &quarantine(i.into()));
     }
 
     assert!(peers.host_count() <= 2_049, "{}", peers.host_count());
-    assert!(suspects.len() <= 1_024, "{}", suspects.len());
+    let (servers, causes) = crashes.remembered();
+    assert!(servers <= 128 && causes <= 256, "{servers} {causes}");
 }
 
 proptest! {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -18,7 +18,6 @@
         place::{Bound, Candidate, Choice, Placer, Reason},
         request::Part,
         routes::Routes,
-        suspects::Suspects,
     },
     schema::fleet::{Backends as List, Configuration, Repeat, Route, Share, Workspace},
 };
@@ -524,25 +523,6 @@
     assert!(leaving.may_stop(ms(7_500), 1));
 }
 
-/// A content crashes each server that runs it and is sent again, to any host. After its third crash it is refused
-/// by this host and, through heartbeats, by the others. A content that ran beside it once is not.
-#[test]
-fn a_content_that_crashed_three_servers_is_refused_everywhere() {
-    let (mut here, mut there) = (Suspects::default(), Suspects::default());
-    here.record_crash(ms(0), 1);
-    here.record_crash(ms(0), 2);
-    here.record_crash(ms(50), 1);
-    there.merge(ms(60), &here.recent(ms(60)));
-    assert!(!there.is_refused(ms(61), 1));
-    there.record_crash(ms(100), 1);
-
-    here.merge(ms(110), &there.recent(ms(110)));
-
-    assert!(here.is_refused(ms(110), 1) && there.is_refused(ms(110), 1));
-    assert!(!here.is_refused(ms(110), 2) && !there.is_refused(ms(110), 2));
-    assert!(!there.is_refused(ms(61_000), 1));
-}
-
 #[test]
 fn only_complete_events_are_passed_on() {
     let mut splitter = Splitter::default();
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -94,7 +94,7 @@
         tasks.spawn(mesh::serve_fetches(relay.clone(), listener));
         tasks.spawn(mesh::receive_heartbeats(relay.clone(), socket.clone()));
         tasks.spawn(mesh::send_heartbeats(relay.clone(), socket.clone()));
-        tasks.spawn(mesh::send_origins(relay.clone(), socket));
+        tasks.spawn(mesh::send_messages(relay.clone(), socket));
         tasks.spawn(mesh::run_maintenance(relay.clone()));
         tasks.spawn(mesh::fetch_updates(relay.clone()));
         Self { relay, peers_at, callers_at, tasks }
