Let the soak's requests crash servers by a prompt part, and its servers write streams without length or chunks

One in twelve requests of a run with crashes has a part that crashes the server that begins to answer it, no two alike, beside hosts that are killed, suspended and stopped and servers that crash for other reasons. One in three streams of all runs has neither a length nor chunks and pauses inside its events, so that a crash leaves a part of one.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! `-- soak SEED [SEEDS [HOSTS [FAULTS]]]` runs SEEDS seeds from SEED on and prints the result of each; it fails if there are
 //! violations. `-- restores ...` does the same while the store is restored from backups, `-- changes ...` while the
-//! configuration changes, `-- versions ...` while servers of two versions serve. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again
+//! configuration changes, `-- versions ...` while servers of two versions serve, `-- crashes ...` while requests with one prompt part crash servers. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again
 //! and prints times and memory.
 
 #[path = "../tests/support/relay.rs"]
@@ -52,6 +52,7 @@
         Some("restores") => Scenario::Restores,
         Some("changes") => Scenario::Changes,
         Some("versions") => Scenario::Versions,
+        Some("crashes") => Scenario::Crashes,
         _ => Scenario::Failures,
     };
     run_seeds(option(0) as u64, option(1) as u64, option(2), option(3), scenario).await
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -99,7 +99,9 @@
         if changes.iter().any(is_proposed) && self.objects(told) {
             changes.extend(self.quarantine.object(now, cause, self.begun.last(cause)));
         }
-        changes.extend(self.quarantine.clear_explained(now));
+        if changes.iter().any(|change| change.event != Event::Dropped) {
+            changes.extend(self.quarantine.clear_explained(now));
+        }
         changes
     }
 
@@ -226,7 +228,9 @@
         crashes.truncate(settled);
         let found = attribution::attribute(&crashes, &self.quarantine.known(), &self.begun);
         changes.extend(found.iter().filter_map(|found| self.quarantine.propose(now, found, false)));
-        changes.extend(self.quarantine.clear_explained(now));
+        if !changes.is_empty() {
+            changes.extend(self.quarantine.clear_explained(now));
+        }
         changes
     }
 }
--- a/tests/relay_cut_off.rs
+++ b/tests/relay_cut_off.rs
@@ -38,7 +38,7 @@
     history: Arc<History>,
     hosts: Hosts,
     gates: Vec<FaultProxy>,
-    _engines: Engines,
+    _engines: Arc<Engines>,
     _guard: MutexGuard<'static, ()>,
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -77,6 +77,56 @@
     }
 }
 
+/// Guards against requests with one prompt part that crash one server after the other, and against sound ones that are refused
+/// with them, while hosts are killed, suspended and stopped and servers crash for other reasons.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_requests_crash_servers() {
+    let _guard = RUN_LOCK.lock().await;
+
+    let report = Soak::with_seed(1).with_faults(10).with_scenario(Scenario::Crashes).run().await;
+
+    assert!(report.violations.is_empty(), "{report:#?}");
+    assert!(report.outcomes.contains("crashes by requests"), "{report:#?}");
+}
+
+/// Guards against a check that misses requests that go on crashing servers, and sound streams that do not begin beside them.
+#[test]
+fn crashes_by_requests_and_sound_streams_that_do_not_begin_are_violations() {
+    let sound = complete(503, &[""]);
+    let history = history(Kind::ResumableStream, &[], sound.clone());
+    let start = Instant::now();
+    let sent = |id: String, at| Observation::Sent {
+        id,
+        kind: Kind::ResumableStream,
+        target: "/stream/".into(),
+        always_allowed: true,
+        host: "127.0.0.1".into(),
+        at,
+    };
+    for n in 0..9u64 {
+        let (id, at) = (format!("h{n}"), start + Duration::from_secs(n));
+        history.record(sent(id.clone(), at));
+        history.record(Observation::Harmful { id: id.clone() });
+        history.record(Observation::CrashedBy { id, at });
+    }
+    for n in 0..30 {
+        let (id, at) = (format!("s{n}"), start + Duration::from_secs(20));
+        history.record(sent(id.clone(), at));
+        history.record(Observation::Finished { id, outcome: sound.clone(), at });
+    }
+
+    let violations = history.violations();
+
+    assert!(violations.iter().any(|v| v.contains("0 of 30 sound streams")), "{violations:?}");
+    assert!(!violations.iter().any(|v| v.contains("crashes by a prompt part")), "one late crash is allowed");
+    for n in 9..12u64 {
+        let id = format!("h{n}");
+        history.record(sent(id.clone(), start + Duration::from_secs(n)));
+        history.record(Observation::CrashedBy { id, at: start + Duration::from_secs(n) });
+    }
+    assert!(history.violations().iter().any(|v| v.contains("4 of 12 crashes by a prompt part were late")));
+}
+
 /// Guards against a check that misses a stream with events of two versions, in one answer or over two attempts.
 #[test]
 fn streams_of_two_versions_are_violations() {
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -65,6 +65,8 @@
     Changes,
     /// Servers of two software versions serve side by side, and callers take up streams that break off.
     Versions,
+    /// Requests with one prompt part crash the servers that run them, beside servers that crash for other reasons.
+    Crashes,
 }
 
 impl Soak {
@@ -101,7 +103,6 @@
         store.put("config", "main", store::configuration(1, false));
         let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
         let engines = Engines::start_with_versions(store.clone(), history.clone(), versions).await;
-        let engines = Arc::new(engines);
         let hosts = Arc::new(Hosts::start(self.hosts, store.addr(), history.clone()));
         hosts.wait_until_ready(RECOVERY_TIMEOUT).await;
 
--- a/tests/support/soak/caller.rs
+++ b/tests/support/soak/caller.rs
@@ -19,6 +19,7 @@
 use super::{
     Scenario, THINK_TIME_MS,
     checks::{History, Kind, Observation, Outcome, STREAM_EVENTS},
+    engine::HARMFUL_PART,
     hosts::Hosts,
     look_up_addresses,
 };
@@ -37,6 +38,8 @@
 
 /// Number of times that a caller takes up a broken stream.
 const MAX_TAKE_UPS: usize = 3;
+/// In runs with requests that crash servers, one in this many does.
+const HARMFUL_ONE_IN: u32 = 12;
 /// In runs with several versions, one in this many streams is left by its caller in the middle.
 const LEAVE_ONE_IN: u32 = 3;
 
@@ -71,11 +74,21 @@
         }
         let addr = host_addrs[rng.random_range(0..host_addrs.len())];
         let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+        let kind = if scenario == Scenario::Crashes { Kind::ResumableStream } else { kind };
         let key = if n.is_multiple_of(2) { KEY } else { KEY_TO_REVOKE };
         match scenario {
             Scenario::Versions if kind == Kind::ResumableStream => {
                 call_until_complete(&host_addrs, key, &history, &mut rng).await;
             }
+            Scenario::Crashes => {
+                let is_harmful = rng.random_ratio(1, HARMFUL_ONE_IN);
+                let topic = rng.random_range(0x50..0x58);
+                let prompt = if is_harmful { HARMFUL_PART.to_owned() } else { format!("{topic:x}") };
+                let prompt = Some(format!("f1:100,{prompt}:50"));
+                let path = kind.path();
+                let request = Request { addr, kind, key, path, taken_up: None, leave_at: None, prompt };
+                send(request, &history).await;
+            }
             _ => {
                 call(addr, kind, key, kind.path(), &history).await;
             }
@@ -93,7 +106,15 @@
         let leave_at = leaves.then(|| rng.random_range(1..STREAM_EVENTS));
         let addr = addrs[rng.random_range(0..addrs.len())];
         let kind = Kind::ResumableStream;
-        let request = Request { addr, kind, key, path: kind.path(), taken_up: taken_up.clone(), leave_at };
+        let request = Request {
+            addr,
+            kind,
+            key,
+            path: kind.path(),
+            taken_up: taken_up.clone(),
+            leave_at,
+            prompt: None,
+        };
         let (id, target, outcome) = send(request, history).await;
         let events = match outcome {
             Outcome::Disconnected(data) | Outcome::Left(data) => data.len() as u32,
@@ -115,18 +136,20 @@
     taken_up: Option<TakenUp>,
     /// Number of events after which the caller leaves.
     leave_at: Option<u32>,
+    /// Shared parts of the prompt; a part of the request's own follows.
+    prompt: Option<String>,
 }
 
 /// Sends one request and records its outcome.
 pub async fn call(addr: SocketAddr, kind: Kind, key: &str, path: &str, history: &History) -> Outcome {
     let (_, _, outcome) =
-        send(Request { addr, kind, key, path, taken_up: None, leave_at: None }, history).await;
+        send(Request { addr, kind, key, path, taken_up: None, leave_at: None, prompt: None }, history).await;
     outcome
 }
 
 /// Sends one request and records its outcome; returns its identifier and its target with it.
 async fn send(request: Request<'_>, history: &History) -> (String, String, Outcome) {
-    let Request { addr, kind, key, path, taken_up, leave_at } = request;
+    let Request { addr, kind, key, path, taken_up, leave_at, prompt } = request;
     let id = format!("r{:06}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
     let target = taken_up.as_ref().map_or_else(|| format!("{path}{id}"), |taken_up| taken_up.target.clone());
     let resumes = taken_up.as_ref().map_or_else(String::new, |taken_up| {
@@ -145,10 +168,16 @@
         host,
         at: Instant::now(),
     });
+    if prompt.as_ref().is_some_and(|prompt| prompt.contains(HARMFUL_PART)) {
+        history.record(Observation::Harmful { id: id.clone() });
+    }
+    let number = id.trim_start_matches('r');
+    let prompt = prompt.map(|shared| format!("Model: m\r\nPrefix-Hash: {shared},{number}:20\r\n"));
+    let prompt = prompt.unwrap_or_default();
     let head = format!(
-        "POST {target} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\n{resumes}Key: {key}\r\n"
+        "POST {target} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\n{resumes}{prompt}Key: {key}\r\n"
     );
-    let body = "x".repeat(200);
+    let body = format!("{id}{}", "x".repeat(200));
     let req = format!(
         "{head}Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n{body}",
         REQUEST_DEADLINE.as_millis(),
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -28,6 +28,10 @@
 const MAX_REQUESTS_IN_PAUSE: usize = 2;
 /// Number of streams that must be taken up for the share of those that go on to count.
 const MIN_TAKEN_UP: usize = 12;
+/// Most servers that may crash by a prompt part later than the contact time after the fifth did.
+const MAX_LATE_CRASHES: usize = 3;
+/// Number of sound streams that must be sent for the share of those that begin to count.
+const MIN_SOUND: usize = 20;
 /// Subject of faults of the store.
 pub const STORE: &str = "store";
 
@@ -120,6 +124,10 @@
     AnswerWritten { id: String, engine: String },
     /// A host, a backend server or the store was subject to a fault.
     Fault { subject: String, from: Instant, to: Instant },
+    /// A caller sent a request that crashes servers.
+    Harmful { id: String },
+    /// A backend server crashes by a request.
+    CrashedBy { id: String, at: Instant },
     /// A version of the configuration was written.
     ConfigWritten { version: u64, sent: Instant, acked: Instant },
 }
@@ -225,6 +233,8 @@
                 }
                 Observation::DrainAnnounced { .. }
                 | Observation::Restarted { .. }
+                | Observation::Harmful { .. }
+                | Observation::CrashedBy { .. }
                 | Observation::Fault { .. }
                 | Observation::ConfigWritten { .. } => {}
             }
@@ -430,7 +440,67 @@
             self.check_announced_drain(&traces).into_iter().chain(self.check_pauses(&traces));
         let all = per_request.chain(drain_announced).chain(self.check_versions(&traces));
         let streams = check_stream_versions(&traces).into_iter().chain(self.check_taken_up(&traces));
-        all.chain(self.check_retry_budget(&traces)).chain(streams).collect()
+        let crashes = self.check_crashes(&traces);
+        all.chain(self.check_retry_budget(&traces)).chain(streams).chain(crashes).collect()
+    }
+
+    /// Requests that crashed servers, in order.
+    fn crashed_by(&self) -> Vec<(String, Instant)> {
+        let observations = self.0.lock().unwrap();
+        let crashed = observations.iter().filter_map(|o| match o {
+            Observation::CrashedBy { id, at } => Some((id.clone(), *at)),
+            _ => None,
+        });
+        crashed.collect()
+    }
+
+    /// Of the sound streams that were sent to hosts in contact since then, the number of all and of those that began.
+    fn sound_streams_since(&self, traces: &BTreeMap<String, RequestTrace>, since: Instant) -> (usize, usize) {
+        let observations = self.0.lock().unwrap();
+        let harmful: BTreeSet<_> = observations
+            .iter()
+            .filter_map(|o| if let Observation::Harmful { id } = o { Some(id.clone()) } else { None })
+            .collect();
+        drop(observations);
+        let sound = traces.iter().filter(|(id, trace)| {
+            let is_late = |sent: &Sent| sent.at > since && !self.was_out_of_contact(&sent.host, sent.at);
+            !harmful.contains(*id) && trace.sent.as_ref().is_some_and(is_late)
+        });
+        sound.fold((0, 0), |(all, begun), (_, trace)| {
+            (all + 1, begun + usize::from(!trace.events().is_empty()))
+        })
+    }
+
+    /// Crashes by requests, and how many sound streams began later than twice the contact time after the fifth.
+    fn crash_summary(&self) -> Option<String> {
+        let crashed = self.crashed_by();
+        let since = crashed.get(4).or(crashed.last())?.1 + 2 * RECONNECT_TIME;
+        let (sound, begun) = self.sound_streams_since(&self.traces(), since);
+        Some(format!(
+            "crashes by requests: {}, sound streams that began later: {begun} of {sound}",
+            crashed.len()
+        ))
+    }
+
+    /// Checks that requests which crash servers stop reaching them, and that sound ones begin all the same.
+    fn check_crashes(&self, traces: &BTreeMap<String, RequestTrace>) -> Vec<String> {
+        let crashed = self.crashed_by();
+        let Some((_, fifth)) = crashed.get(4) else { return Vec::new() };
+        let in_contact = |id: &String, at: Instant| {
+            let sent = traces.get(id).and_then(|trace| trace.sent.as_ref());
+            sent.is_some_and(|sent| !self.was_out_of_contact(&sent.host, at))
+        };
+        let is_late = |(id, at): &&(String, Instant)| *at > *fifth + RECONNECT_TIME && in_contact(id, *at);
+        let late = crashed.iter().filter(is_late).count();
+        let mut violations = Vec::new();
+        if late > MAX_LATE_CRASHES {
+            violations.push(format!("{late} of {} crashes by a prompt part were late", crashed.len()));
+        }
+        let (sound, begun) = self.sound_streams_since(traces, *fifth + 2 * RECONNECT_TIME);
+        if sound >= MIN_SOUND && 2 * begun < sound {
+            violations.push(format!("{begun} of {sound} sound streams began while harmful ones came"));
+        }
+        violations
     }
 
     /// Number of streams, in all and of those that callers took up, and how many of each got an event; only of hosts that
@@ -518,7 +588,7 @@
         let [_, (taken_up, gone_on)] = self.stream_shares(&self.traces());
         let taken_up =
             (taken_up > 0).then(|| format!("streams taken up that went on: {gone_on} of {taken_up}"));
-        counts.chain(taken_up).collect::<Vec<_>>().join(", ")
+        counts.chain(taken_up).chain(self.crash_summary()).collect::<Vec<_>>().join(", ")
     }
 }
 
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -13,7 +13,7 @@
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{mpsc, watch},
     task::JoinHandle,
 };
 
@@ -26,6 +26,10 @@
 
 /// Number of servers at any time, without those that are draining.
 pub const SERVER_COUNT: usize = 4;
+/// Prompt part that crashes each server which begins an answer to a request with it.
+pub const HARMFUL_PART: &str = "bad";
+/// One in this many streams has neither a length nor chunks and ends with its connection.
+const UNFRAMED_ONE_IN: u64 = 3;
 /// Unit of a request's execution time, which is 0 to 7 units by the hash of its identifier.
 const WORK_STEP_MS: u64 = 4;
 /// Time between two events of a stream.
@@ -69,27 +73,40 @@
     /// Number of versions that serve side by side.
     versions: u64,
     running: Mutex<Vec<Arc<Engine>>>,
+    /// Servers that crash by a request.
+    crashing: mpsc::UnboundedSender<String>,
 }
 
 impl Engines {
     /// Starts the servers and registers them in the store.
-    pub async fn start(store: Store, history: Arc<History>) -> Self {
+    pub async fn start(store: Store, history: Arc<History>) -> Arc<Self> {
         Self::start_with_versions(store, history, 1).await
     }
 
     /// Starts the servers with a number of versions in turn.
-    pub async fn start_with_versions(store: Store, history: Arc<History>, versions: u64) -> Self {
-        let engines = Self {
+    pub async fn start_with_versions(store: Store, history: Arc<History>, versions: u64) -> Arc<Self> {
+        let (crashing, mut crashed) = mpsc::unbounded_channel::<String>();
+        let engines = Arc::new(Self {
             store,
             history,
             faults: Arc::default(),
             started: AtomicU64::new(0),
             versions,
             running: Mutex::default(),
-        };
+            crashing,
+        });
         for _ in 0..SERVER_COUNT {
             engines.add().await;
         }
+        let crasher = Arc::downgrade(&engines);
+        tokio::spawn(async move {
+            while let (Some(id), Some(engines)) = (crashed.recv().await, crasher.upgrade()) {
+                let position = engines.running.lock().unwrap().iter().position(|engine| engine.id == id);
+                if let Some(n) = position {
+                    tokio::spawn(async move { engines.crash(n).await });
+                }
+            }
+        });
         engines
     }
 
@@ -107,6 +124,7 @@
             draining: draining.clone(),
             history: self.history.clone(),
             faults: self.faults.clone(),
+            crashing: self.crashing.clone(),
         };
         let task = tokio::spawn(accept(listener, handler, crash.subscribe()));
         self.store.put("servers", &id, server_of_version(gate.addr(), "ready", &version));
@@ -206,6 +224,7 @@
     draining: Arc<AtomicBool>,
     history: Arc<History>,
     faults: Arc<Faults>,
+    crashing: mpsc::UnboundedSender<String>,
 }
 
 /// Serves connections until the task is aborted; a crash ends those that are open.
@@ -258,11 +277,20 @@
                 at: Instant::now(),
             });
             tokio::time::sleep(Duration::from_millis(id_hash % 8 * WORK_STEP_MS)).await;
+            if has_part(&req, HARMFUL_PART) {
+                self.history.record(Observation::CrashedBy { id, at: Instant::now() });
+                let _ = self.crashing.send(self.id.clone());
+                return std::future::pending().await;
+            }
             if self.faults.lose_answers.load(Ordering::Relaxed) && id_hash.is_multiple_of(LOSE_ONE_IN) {
                 return;
             }
             let after = header(&req, "last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
             let written = match target.starts_with("/stream/") || target.starts_with("/once/") {
+                true if id_hash.is_multiple_of(UNFRAMED_ONE_IN) => {
+                    self.write_unframed(stream, &head, &id, after).await;
+                    return;
+                }
                 true => self.write_events(&mut stream, &head, &id, after).await,
                 false => {
                     let answer =
@@ -278,6 +306,12 @@
     }
 }
 
+/// Whether a request's prompt has a part.
+fn has_part(req: &str, part: &str) -> bool {
+    let parts = header(req, "prefix-hash").unwrap_or_default();
+    parts.split(',').any(|entry| entry.split(':').next() == Some(part))
+}
+
 /// Refuses a request, marked as not executed.
 async fn refuse(stream: &mut TcpStream, status: &str, id: &str, extra_headers: &str) {
     let answer = format!(
@@ -288,6 +322,24 @@
 }
 
 impl Handler {
+    /// Writes a stream that ends with its connection. It pauses inside its events, so that a crash leaves a part of one.
+    async fn write_unframed(&self, mut stream: TcpStream, head: &str, id: &str, after: u32) {
+        let head = format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\r\n");
+        let mut text = head;
+        for n in after + 1..=STREAM_EVENTS {
+            let event = event_with_data(n, &format!("own {n} {} {id}", self.version));
+            let (begin, end) = event.split_at(event.len() / 2);
+            if stream.write_all((text + begin).as_bytes()).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(EVENT_GAP).await;
+            text = end.to_owned();
+        }
+        if stream.write_all(text.as_bytes()).await.is_ok() {
+            self.history.record(Observation::AnswerWritten { id: id.to_owned(), engine: self.id.clone() });
+        }
+    }
+
     /// Writes a stream's events that follow the given number, each with the version of the server.
     async fn write_events(
         &self,
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -129,6 +129,20 @@
         Fault::EngineDrain,
     ];
 
+    /// Faults of runs in which requests crash servers; repeated entries are more likely.
+    const WITH_CRASHES: [Fault; 10] = [
+        Fault::KillHost,
+        Fault::SuspendHost,
+        Fault::StopHost,
+        Fault::ReloadSettings,
+        Fault::StoreStall,
+        Fault::EngineCrash,
+        Fault::EngineCrash,
+        Fault::EngineCrash,
+        Fault::EngineDrain,
+        Fault::EnginesFull,
+    ];
+
     /// Faults of a scenario.
     fn of(scenario: Scenario) -> &'static [Fault] {
         match scenario {
@@ -136,6 +150,7 @@
             Scenario::Restores => &Fault::WITH_RESTORES,
             Scenario::Changes => &Fault::WITH_CHANGES,
             Scenario::Versions => &Fault::WITH_VERSIONS,
+            Scenario::Crashes => &Fault::WITH_CRASHES,
         }
     }
 
--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -372,7 +372,7 @@
     let route = |path: &str, kind: &str, resumes: bool| {
         json!({ "name": path.trim_matches('/'), "host": "shop.example", "pathPrefix": path, "kind": kind,
             "timeoutMs": 6000, "targetLatencyMs": 500, "priority": 1, "service": "app", "maxAttempts": 3,
-            "authExempt": false, "sessionAffinity": false, "streamResume": resumes, "targetGapMs": 300 })
+            "authExempt": false, "sessionAffinity": resumes, "streamResume": resumes, "targetGapMs": 300 })
     };
     let mut routes = vec![
         route("/safe/", "idempotent", false),
