--- a/src/relay/crashes/attribution.rs
+++ b/src/relay/crashes/attribution.rs
@@ -24,6 +24,9 @@
 /// that its servers may crash under any request; or it is in less than half of the crashes of that time, so that it may be
 /// there by chance.
 const CERTAIN_CRASHES: usize = 5;
+/// Crashes from which a prompt part is refused whose answers began before, while too few others begin to tell whether the
+/// servers crash under any request.
+const CRASHES_WITHOUT_ANSWERS: usize = 12;
 /// Crashes of which a rival may lack one: its request there may not have been told.
 const CRASHES_TO_LACK_ONE: usize = 5;
 /// Crashes from which a cause is refused though another one is in all of them as well and does not come with it.
@@ -215,9 +218,13 @@
         }
         let since = self.time(case.crashes.first());
         let is_new = self.begun.is_new(since, key, case.service);
-        let others_begin = self.begun.any_since(since, case.service);
+        let others_begin = self.begun.lacks(since, key, case.service);
         let is_in_most = case.crashes.len() * 2 >= self.unexplained_between(case);
-        let required = if is_new && others_begin && is_in_most { MIN_CRASHES } else { CERTAIN_CRASHES };
+        let required = match (is_new, others_begin) {
+            (true, true) if is_in_most => MIN_CRASHES,
+            (true, _) | (_, true) => CERTAIN_CRASHES,
+            (false, false) => CRASHES_WITHOUT_ANSWERS,
+        };
         moments(case.crashes.iter().map(|position| self.time(Some(position)))) >= required
     }
 
