--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -244,3 +244,58 @@
     assert_eq!(status(&answer), 503, "{answer}");
     assert!((left / 6.0 - 0.000_5..=3.0 / 3.0).contains(&after), "{after} s with {left} s of 3 s left");
 }
+
+/// Head of an answer with neither a length nor chunks, which ends with its connection.
+fn unframed_head(content_type: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {{id}}\r\nResponse-Seal: s1\r\nContent-Type: {content_type}\r\n\r\n"
+    )
+}
+
+/// Guards against a stream without length or chunks that is taken for broken off when its connection ends, and against another
+/// request on that connection.
+#[tokio::test]
+async fn a_stream_without_framing_ends_with_its_connection() {
+    let stream = unframed_head("text/event-stream") + &event(1) + &event(2);
+    let server = Server::start("i-1", [ScriptStep::WriteAndClose(stream)]).await;
+    let host = Host::with_servers(&[&server]).await;
+
+    let answers = [host.call(&request("/stream/x", "")).await, host.call(&request("/stream/x", "")).await];
+
+    for answer in &answers {
+        assert!(is_complete(answer), "{answer}");
+        assert_eq!(events(answer), ["e1", "e2"]);
+    }
+    assert_eq!((server.requests().len(), host.relay.idle_connections()), (2, 0));
+}
+
+/// Guards against a stream that ends inside an event, or is reset, and is taken for complete.
+#[tokio::test]
+async fn a_stream_without_framing_that_breaks_off_goes_on_elsewhere() {
+    let begun = unframed_head("text/event-stream") + &event(1);
+    let inside = ScriptStep::WriteAndClose(begun.clone() + "id: 2\ndata: e");
+    for broken in [inside, ScriptStep::WriteAndReset(begun)] {
+        let first = Server::start("i-1", [broken.clone()]).await;
+        let rest = stream_head() + &chunk(&event(2)) + &chunk("");
+        let second = Server::start("i-2", [ScriptStep::Write(rest)]).await;
+        let host = Host::with_servers(&[&first, &second]).await;
+
+        let answer = host.call(&request("/stream/x", "")).await;
+
+        assert!(is_complete(&answer), "{broken:?}: {answer}");
+        assert_eq!(events(&answer), ["e1", "e2"], "{broken:?}");
+    }
+}
+
+/// Guards against a plain answer without a length that is cut short by a reset and passed on as whole.
+#[tokio::test]
+async fn a_plain_answer_without_length_is_whole_unless_it_is_reset() {
+    let whole = Server::start("i-1", [ScriptStep::WriteAndClose(unframed_head("text/plain") + "fine")]).await;
+    let cut = Server::start("i-1", [ScriptStep::WriteAndReset(unframed_head("text/plain") + "fi")]).await;
+
+    let fine = Host::with_servers(&[&whole]).await.call(&request("/unsafe/x", "")).await;
+    let broken = Host::with_servers(&[&cut]).await.call(&request("/unsafe/x", "")).await;
+
+    assert_eq!((status(&fine), fine.ends_with("fine")), (200, true), "{fine}");
+    assert_eq!(status(&broken), 502, "{broken}");
+}
