--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -11,6 +11,10 @@
     relay::{
         admission::{Admission, AdmissionRequest, ServiceLoad},
         backends::Backends,
+        crashes::{
+            Crashes,
+            cause::{CauseKey, Causes},
+        },
         exchange::MAX_COPIES,
         holders::Holders,
         peers::{LocalVersions, Peers},
@@ -25,6 +29,9 @@
 const SERVER_COUNTS: [usize; 4] = [9, 112, 733, 2_750];
 /// Numbers of hosts for which the choice among them is measured.
 const HOST_COUNTS: [u16; 3] = [8, 330, 985];
+/// Requests at a server when it crashes, and the crashes of a series.
+const SUSPECTS: u64 = 60;
+const CRASHES: u32 = 20;
 /// Number of iterations of each measurement.
 const ITERATIONS: u32 = 20_000;
 /// Number of log lines written with an output.
@@ -62,6 +69,38 @@
     (backends, candidates)
 }
 
+/// A request with three shared parts, one of its own topic and one of few.
+fn request_causes(n: u64) -> Causes {
+    let parts = vec![CauseKey(n % 6), CauseKey(100 + n % 40), CauseKey(10_000 + n)];
+    Causes { content: Some(CauseKey(1 << 40 | n)), parts, service: 1, scope: n % 30 }
+}
+
+/// Costs of what is kept of answers and crashes, in microseconds, and the size of a report of one request in bytes.
+fn crash_costs() -> [f64; 5] {
+    let mut crashes = Crashes::default();
+    let at = |n: u64| Duration::from_micros(n * 100);
+    let begun = mean_us(ITERATIONS, |n| {
+        crashes.record_begun(at(n), at(n), &request_causes(n));
+    });
+    let end = at(ITERATIONS.into());
+    let broken = mean_us(CRASHES * SUSPECTS as u32, |n| {
+        let crash = n / SUSPECTS;
+        let now = end + Duration::from_millis(crash * 300);
+        crashes.confirm(now, crash as u32);
+        crashes.record_broken(now, crash as u32, request_causes(1_000_000 + n));
+    });
+    let last = end + Duration::from_millis(u64::from(CRASHES) * 300);
+    let settled = mean_us(1, |_| {
+        crashes.settle(last);
+    });
+    let check = mean_us(ITERATIONS, |n| {
+        std::hint::black_box(crashes.is_refused(&request_causes(n), None));
+    });
+    let reports = crashes.take_reports(last);
+    let bytes: usize = reports.iter().map(|(_, report)| postcard::to_allocvec(report).unwrap().len()).sum();
+    [begun, broken, settled, check, bytes as f64 / reports.len().max(1) as f64]
+}
+
 /// Mean time of an iteration, in microseconds.
 fn mean_us(iterations: u32, mut step: impl FnMut(u64)) -> f64 {
     let start = Instant::now();
@@ -106,6 +145,14 @@
     }
     println!("what one host is told of one stream: {} bytes", told_bytes());
     log_lines();
+    let [begun, broken, settled, check, bytes] = crash_costs();
+    println!(
+        "\nan answer with three parts begins: {begun:.2} us; one of {SUSPECTS} requests at a crash: {broken:.1} us"
+    );
+    println!(
+        "all {CRASHES} crashes are put down to causes: {settled:.0} us; a request is checked: {check:.2} us"
+    );
+    println!("report of one request at a crash: {bytes:.0} bytes");
 }
 
 /// Mean time to choose the hosts that remember a stream.
