--- a/src/relay/crashes/attribution.rs
+++ b/src/relay/crashes/attribution.rs
@@ -218,9 +218,9 @@
         }
         let since = self.time(case.crashes.first());
         let is_new = self.begun.is_new(since, key, case.service);
-        let others_begin = self.begun.lacks(since, key, case.service);
+        let lacks_answers = self.begun.lacks(since, key, case.service);
         let is_in_most = case.crashes.len() * 2 >= self.unexplained_between(case);
-        let required = match (is_new, others_begin) {
+        let required = match (is_new, lacks_answers) {
             (true, true) if is_in_most => MIN_CRASHES,
             (true, _) | (_, true) => CERTAIN_CRASHES,
             (false, false) => CRASHES_WITHOUT_ANSWERS,
