Look at contents and parts only where something is refused, and write keys, suspects and collectors once

Each request was hashed with its whole content for five minutes after any crash, though nothing was refused; each answer that began looked through all crashes and causes for what is to be told; the hosts that collect reports were ranked once for each request instead of once for each workspace, service and model. A key was written as text in four places, the parts with their keys were paired in two, a request was added to a crash in two. No decision, bound or message changes.

--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -15,14 +15,14 @@
         cause::{CauseKey, Causes},
         quarantine::{Change, Event, Verdict},
     },
-    place::shared,
+    peers::replicas::Replica,
     request::Request,
 };
 use crate::{
     logs::lines::{Level, Line, line},
     metrics::{Counter, Gauge},
     schema::fleet::{CrashReport, CrashReports, Quarantine},
-    util::{Instant, now},
+    util::{Instant, Map, now},
 };
 
 /// Number of hosts that are told of a request that was at a crash.
@@ -74,7 +74,9 @@
         // The content of a large request takes long to hash, and matters only if it is suspect.
         let causes = if state.crashes.has_suspicion() { Causes::of(req) } else { Causes::parts_of(req) };
         let changes = state.crashes.record_begun(now(), at, &causes);
-        self.on_quarantine_changes(&mut state, &changes, &req.id);
+        if !changes.is_empty() {
+            self.on_quarantine_changes(&mut state, &changes, &req.id);
+        }
     }
 
     /// Records that a request broke off at a server before its answer had begun. Returns whether it is known that the server
@@ -115,6 +117,9 @@
         let now = now();
         let changes = state.crashes.settle(now);
         self.on_quarantine_changes(&mut state, &changes, "crashes");
+        if !state.crashes.has_quarantine() {
+            return Verdict::Send;
+        }
         let State { crashes, peers, .. } = &mut *state;
         crashes.check(now, &Causes::of(req), |cause| peers.ranks_first(now, cause.0))
     }
@@ -226,9 +231,11 @@
         let now = now();
         let reports = state.crashes.take_reports(now);
         let mut by_target: Vec<(SocketAddr, Vec<CrashReport>)> = Vec::new();
+        let mut collectors: Map<u64, Vec<Replica>> = Map::default();
         for (scope, report) in reports {
-            let collectors = state.peers.replicas(now, scope, MAX_COLLECTORS);
-            for collector in collectors.into_iter().filter(|replica| replica.alive) {
+            let of_scope = || state.peers.replicas(now, scope, MAX_COLLECTORS);
+            let collectors = collectors.entry(scope).or_insert_with(of_scope);
+            for collector in collectors.iter().filter(|replica| replica.alive) {
                 match by_target.iter_mut().find(|(target, _)| *target == collector.addr) {
                     Some((_, reports)) => reports.push(report.clone()),
                     None => by_target.push((collector.addr, vec![report.clone()])),
@@ -287,17 +294,15 @@
 
 /// Adds a cause that a request has.
 fn with_cause(l: Line, req: &Request, cause: CauseKey) -> Line {
-    let position = Causes::parts_of(req).parts.iter().position(|key| *key == cause);
-    let part = position.and_then(|i| shared(&req.parts).get(i)).map(|part| format!("{:x}", part.id));
-    let l = l.text("cause", &format!("{:016x}", cause.0));
-    l.text("part", part.as_deref().unwrap_or("whole content"))
+    let part =
+        Causes::named_parts(req).find(|(_, key)| *key == cause).map(|(part, _)| format!("{:x}", part.id));
+    l.text("cause", &cause.to_string()).text("part", part.as_deref().unwrap_or("whole content"))
 }
 
 fn log_change(change: &Change, from: &str) {
-    let hex = |key: &CauseKey| format!("{:016x}", key.0);
-    let others: Vec<_> = change.others.iter().map(hex).collect();
+    let others: Vec<_> = change.others.iter().map(CauseKey::to_string).collect();
     line(Level::Notable, "quarantine", |l| {
-        let l = l.text("change", change.event.as_str()).text("cause", &hex(&change.cause));
+        let l = l.text("change", change.event.as_str()).text("cause", &change.cause.to_string());
         let l = l.text("others", &others.join(",")).number("crashes", change.crashes);
         l.text("word", change.source.as_str()).text("from", from)
     });
--- a/src/relay/crashes/cause.rs
+++ b/src/relay/crashes/cause.rs
@@ -1,6 +1,14 @@
 //! Possible causes of crashes: the whole content of a request, and each shared part of its prompt.
 
-use crate::{relay::place::shared, relay::request::Request, util::hash};
+use std::fmt;
+
+use crate::{
+    relay::{
+        place::shared,
+        request::{Part, Request},
+    },
+    util::hash,
+};
 
 /// Maximum number of parts of a request that are considered. Longer prompts are not sent by callers that keep within the
 /// usual limit on headers.
@@ -11,6 +19,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CauseKey(pub u64);
 
+impl fmt::Display for CauseKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// The possible causes in one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Causes {
@@ -41,6 +55,11 @@
         }
     }
 
+    /// The shared parts of a request's prompt, each with its key.
+    pub fn named_parts(req: &Request) -> impl Iterator<Item = (&Part, CauseKey)> {
+        shared(&req.parts).iter().zip(Self::parts_of(req).parts)
+    }
+
     /// The content and the parts of a request.
     pub fn of(req: &Request) -> Self {
         Self { content: Some(CauseKey(req.fingerprint())), ..Self::parts_of(req) }
--- a/src/relay/crashes/evidence.rs
+++ b/src/relay/crashes/evidence.rs
@@ -35,6 +35,15 @@
     pub fn suspects(&self) -> &[Causes] {
         &self.suspects
     }
+
+    /// Adds a request; returns whether it is new and there is room for it.
+    fn add(&mut self, suspect: Causes) -> bool {
+        let adds = self.suspects.len() < MAX_SUSPECTS && !self.suspects.contains(&suspect);
+        if adds {
+            self.suspects.push(suspect);
+        }
+        adds
+    }
 }
 
 /// A request to tell other hosts of.
@@ -58,8 +67,7 @@
     /// Records that a request broke off at a server before its answer had begun.
     pub fn record_broken(&mut self, now: Instant, server: Tag, suspect: Causes) {
         let crash = self.entry(now, server);
-        if crash.suspects.len() < MAX_SUSPECTS && !crash.suspects.contains(&suspect) {
-            crash.suspects.push(suspect.clone());
+        if crash.add(suspect.clone()) {
             crash.untold.push(suspect);
         }
     }
@@ -79,14 +87,11 @@
     pub fn hear(&mut self, at: Instant, server: Tag, suspects: Vec<Causes>) -> bool {
         let crash = self.entry(at, server);
         crash.at = crash.at.min(at);
-        let before = (crash.confirmed, crash.suspects.len());
-        crash.confirmed = true;
+        let mut is_new = !std::mem::replace(&mut crash.confirmed, true);
         for suspect in suspects {
-            if crash.suspects.len() < MAX_SUSPECTS && !crash.suspects.contains(&suspect) {
-                crash.suspects.push(suspect);
-            }
+            is_new |= crash.add(suspect);
         }
-        before != (crash.confirmed, crash.suspects.len())
+        is_new
     }
 
     /// Whether a server is known to have crashed.
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -314,9 +314,8 @@
 
     fn log_suspected(&self, key: BackendKey) {
         let backend = self.relay.backend_id(key);
-        let causes = Causes::parts_of(&self.req);
-        let parts = shared(&self.req.parts).iter().zip(&causes.parts);
-        let parts: Vec<_> = parts.map(|(part, cause)| format!("{:x}={:016x}", part.id, cause.0)).collect();
+        let parts = Causes::named_parts(&self.req).map(|(part, cause)| format!("{:x}={cause}", part.id));
+        let parts: Vec<_> = parts.collect();
         self.relay.log_request(Level::Notable, "suspected", &self.req, |l| {
             let l = l.text("backend", backend.as_deref().unwrap_or("gone"));
             let l = l.text("content", &format!("{:016x}", self.req.fingerprint()));
