Let hosts tell each other sums of what they measure, in a datagram of their own

A decision of one host of many needs what all hosts see: demand of a workspace, promised returns, results.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -57,6 +57,7 @@
 pub mod holders;
 pub mod inbound;
 pub mod leave;
+pub mod measurements;
 pub mod mesh;
 pub mod origins;
 pub mod outcome;
@@ -90,6 +91,7 @@
 use health::Health;
 use holders::Holders;
 use leave::Leaving;
+use measurements::Measurements;
 use origins::{Origins, questions::Questions};
 
 use peers::{LocalVersions, Peers};
@@ -150,6 +152,8 @@
     pub(crate) holders: Holders,
     pub(crate) budget: FleetBudget,
     pub(crate) peers: Peers,
+    /// What this host and the others measure.
+    pub(crate) measurements: Measurements,
     pub(crate) crashes: Crashes,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: EpochTracker,
@@ -237,6 +241,7 @@
             holders: Holders::default(),
             budget: FleetBudget::new(cfg.budget).with_start(now()),
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
+            measurements: Measurements::default(),
             crashes: Crashes::default(),
             evacuations: Evacuations::default(),
             epochs: EpochTracker::default(),
--- a/src/relay/datagram.rs
+++ b/src/relay/datagram.rs
@@ -5,7 +5,7 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::schema::fleet::{Beat, CrashReports, StreamOrigins};
+use crate::schema::fleet::{Beat, CrashReports, Measurements, StreamOrigins};
 
 /// Maximum size of a heartbeat within a data centre, in bytes: one packet on a common link.
 const MAX_LOCAL_BYTES: usize = 1_400;
@@ -57,10 +57,12 @@
     Origins(StreamOrigins),
     /// What a host tells of crashes of servers.
     Crashes(CrashReports),
+    /// What a host measures.
+    Measurements(Measurements),
 }
 
 /// Decodes any datagram that arrives at `wall_ms`, in milliseconds since 1970. The first field tells the kinds apart: the
-/// start time of a heartbeat's sender is neither 0 nor 1.
+/// start time of a heartbeat's sender is above 2.
 ///
 /// # Errors
 /// Returns why the datagram must be dropped.
@@ -68,6 +70,7 @@
     match buf.first() {
         Some(0) => decode_message(buf).map(Datagram::Origins),
         Some(1) => decode_message(buf).map(Datagram::Crashes),
+        Some(2) => decode_message(buf).map(Datagram::Measurements),
         _ => decode(buf, wall_ms).map(|beat| Datagram::Beat(Box::new(beat))),
     }
 }
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     logs::lines::{Level, line},
-    schema::fleet::{Beat, Evacuations, Held, InProgress, Start},
+    schema::fleet::{Beat, Evacuations, Held, InProgress, Measurements, Start},
     util::{Instant, now},
 };
 
@@ -84,6 +84,27 @@
         Beat { in_progress: Vec::new(), centre: Some(centre), ..beat.clone() }
     }
 
+    /// What this host, or its data centre, has measured and tells others with its next heartbeat.
+    pub(crate) fn measurements(&self, scope: Scope) -> Option<Measurements> {
+        self.state().measurements.message(now(), self.start, scope)
+    }
+
+    /// Processes what another host has measured.
+    ///
+    /// # Errors
+    /// When the message is a duplicate or older than one already received.
+    pub(crate) fn receive_measurements(
+        &self,
+        from: SocketAddr,
+        message: &Measurements,
+    ) -> Result<(), DropReason> {
+        let mut state = self.state();
+        let state = &mut *state;
+        let data_centre = state.peers.data_centre_of(from);
+        let is_new = state.measurements.receive(now(), from, data_centre, &self.cfg.me.data_centre, message);
+        if is_new { Ok(()) } else { Err(DropReason::Replayed) }
+    }
+
     /// Processes a heartbeat of another host; returns whether the sender wants a full one.
     ///
     /// # Errors
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -79,9 +79,13 @@
     let own = encode(&beat);
     let centre = targets.iter().any(|(_, scope)| *scope == Scope::DataCentre);
     let centre = if centre { encode(&relay.summarise(&beat)) } else { Vec::new() };
+    let measured =
+        |scope| relay.measurements(scope).map_or_else(Vec::new, |message| encode_message(&message));
+    let (own_measured, centre_measured) = (measured(Scope::Host), measured(Scope::DataCentre));
     for (target, scope) in targets {
-        let buf = if scope == Scope::Host { &own } else { &centre };
-        send_datagram(socket, buf, target).await;
+        let is_host = scope == Scope::Host;
+        send_datagram(socket, if is_host { &own } else { &centre }, target).await;
+        send_datagram(socket, if is_host { &own_measured } else { &centre_measured }, target).await;
     }
 }
 
@@ -117,6 +121,7 @@
                 relay.receive_crash_reports(from, &message);
                 Ok(false)
             }
+            Datagram::Measurements(message) => relay.receive_measurements(from, &message).map(|()| false),
         });
         match received {
             Ok(true) => send_datagram(&socket, &encode(&relay.heartbeat(true)), from).await,
@@ -146,10 +151,14 @@
 }
 
 async fn send_message(socket: &UdpSocket, message: &impl Serialize, to: SocketAddr) {
-    match postcard::to_allocvec(message) {
-        Ok(buf) => send_datagram(socket, &buf, to).await,
-        Err(e) => line(Level::Notable, "message_failed", |l| l.text("why", &e.to_string())),
-    }
+    send_datagram(socket, &encode_message(message), to).await;
+}
+
+fn encode_message(message: &impl Serialize) -> Vec<u8> {
+    postcard::to_allocvec(message).unwrap_or_else(|e| {
+        line(Level::Notable, "message_failed", |l| l.text("why", &e.to_string()));
+        Vec::new()
+    })
 }
 
 fn encode(beat: &Beat) -> Vec<u8> {
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -361,6 +361,11 @@
         self.is_small() || peer.member.as_ref().is_some_and(|m| m.data_centre == self.data_centre)
     }
 
+    /// Data centre of the host at an address, if it is known.
+    pub fn data_centre_of(&self, addr: SocketAddr) -> Option<&str> {
+        self.peers.get(&addr)?.member.as_ref().map(|m| m.data_centre.as_str())
+    }
+
     /// Whether no other host has sent a heartbeat within the timeout.
     pub fn is_alone(&self, now: Instant) -> bool {
         let host_timeout = self.host_timeout();
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -350,6 +350,7 @@
         self.observe_versions(&mut state, now);
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
+        state.measurements.expire(now);
         self.expire_reach(&mut state);
         self.expire_crashes(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -696,6 +696,63 @@
     #[prost(uint64, tag = "4")]
     pub epoch: u64,
 }
+/// What a host measures and tells the others beside its heartbeats, in a datagram of its own.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Measurements {
+    /// Always 2. A heartbeat has the start time of its sender here.
+    #[prost(uint64, tag = "1")]
+    pub marker: u64,
+    /// Start time of the sender's process, in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub start: u64,
+    /// Sequence number since the start; 0 if the message has no amounts.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Whether the amounts are those of the sender's data centre, not only its own.
+    #[prost(bool, tag = "4")]
+    pub data_centre: bool,
+    /// Number of hosts whose amounts are summed.
+    #[prost(uint32, tag = "5")]
+    pub hosts: u32,
+    /// Amounts to be summed over hosts.
+    #[prost(message, repeated, tag = "6")]
+    pub amounts: ::prost::alloc::vec::Vec<Amount>,
+    /// What backend servers have said of their load.
+    #[prost(message, repeated, tag = "7")]
+    pub reports: ::prost::alloc::vec::Vec<ServerReport>,
+}
+/// Amount of one topic and key.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Amount {
+    /// What is counted.
+    #[prost(uint32, tag = "1")]
+    pub topic: u32,
+    /// Hash of what it is counted for.
+    #[prost(fixed32, tag = "2")]
+    pub key: u32,
+    /// Value, in the unit of the topic.
+    #[prost(uint32, tag = "3")]
+    pub value: u32,
+}
+/// What a backend server has said of its load.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerReport {
+    /// Tag of the server.
+    #[prost(fixed32, tag = "1")]
+    pub backend: u32,
+    /// Requests that run and wait there.
+    #[prost(uint32, tag = "2")]
+    pub load: u32,
+    /// How long work takes there relative to usual, in percent; 0 if not known.
+    #[prost(uint32, tag = "3")]
+    pub pace_percent: u32,
+    /// Age of the report, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
 /// Whether requests may be retried.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
