Add a failing test of the load bound while a workspace surges

87 hosts exchange their real heartbeats in virtual time and place streams on 90 servers; a workspace with 12 in 100 of the requests sends nine times as many, from 4 s on, and all callers send 2.2 times as many from 6 s on.

--- /dev/null
+++ b/tests/relay_load_bound.rs
@@ -0,0 +1,49 @@
+//! Tests the load bound of servers in fleets whose hosts know old counts of each other's requests.
+
+#[path = "support/placement.rs"]
+mod placement;
+
+use std::thread;
+
+use placement::{Fleet, Outcome, Surge};
+
+/// Largest share of requests within five seconds that may reach a server above twice the mean load plus three.
+const MAX_SHARE: f64 = 0.03;
+
+/// A workspace with 12 in 100 of the requests sends nine times as many, then all callers send 2.2 times as many.
+fn fleet(seed: u64, parts_of_workspace: u64) -> Fleet {
+    Fleet {
+        hosts: 87,
+        data_centres: 3,
+        servers: 90,
+        slots: 32,
+        rate: 480.0,
+        stream_ms: 900.0,
+        parts: 800,
+        part_tokens: 2_500,
+        workspace: (0.12, parts_of_workspace),
+        workspace_surge: Surge { at_ms: 4_000, until_ms: 11_000, factor: 9.0 },
+        surge: Surge { at_ms: 6_000, until_ms: 10_000, factor: 2.2 },
+        length_ms: 11_000,
+        seed,
+    }
+}
+
+fn play(fleets: Vec<Fleet>) -> Vec<Outcome> {
+    thread::scope(|scope| {
+        let players: Vec<_> = fleets.iter().map(|f| scope.spawn(|| f.play())).collect();
+        players.into_iter().map(|p| p.join().expect("the model does not panic")).collect()
+    })
+}
+
+/// Hosts that see the same old counts send the requests of a surging workspace to the same few servers.
+#[test]
+fn no_server_exceeds_the_load_bound_while_a_workspace_surges() {
+    let fleets = vec![fleet(1, 24), fleet(2, 24), fleet(1, 12), fleet(2, 12)];
+
+    let outcomes = play(fleets);
+
+    for outcome in outcomes {
+        assert!(!outcome.breached || outcome.worst_share <= MAX_SHARE, "{outcome:?}");
+    }
+}
