Keep the load bound while a workspace surges

Callers saw servers with many times the mean load while others had room. Cause: hosts place by counts that are up to two seconds old, and all that see the same counts choose alike; a few prompt parts then bring more requests within that time than the bound allows. Now a server's own report of a high load is passed on between hosts within some hundred milliseconds, requests leave such a server by a chance that grows with its load, and groups of hosts overflow to different servers. Small fleets place as before.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -93,7 +93,8 @@
     tokio::spawn(mesh::serve_fetches(relay.clone(), inbound::listen(peer_addr).await?));
     tokio::spawn(mesh::receive_heartbeats(relay.clone(), socket.clone()));
     tokio::spawn(mesh::send_heartbeats(relay.clone(), socket.clone()));
-    tokio::spawn(mesh::send_messages(relay.clone(), socket));
+    tokio::spawn(mesh::send_messages(relay.clone(), socket.clone()));
+    tokio::spawn(mesh::send_hot_reports(relay.clone(), socket));
     tokio::spawn(mesh::run_maintenance(relay.clone()));
     tokio::spawn(mesh::fetch_updates(relay.clone()));
     tokio::spawn(follow::follow_configuration(relay.clone(), StoreClient::new(settings.store)));
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,7 +7,7 @@
 //! 4. [`answer`] and [`stream`] pass the answer back.
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
-//! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
+//! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
@@ -55,6 +55,7 @@
 pub mod health;
 mod heartbeat;
 pub mod holders;
+pub mod hot_servers;
 pub mod inbound;
 pub mod leave;
 pub mod measurements;
@@ -90,6 +91,7 @@
 use followers::FollowState;
 use health::Health;
 use holders::Holders;
+use hot_servers::HotServers;
 use leave::Leaving;
 use measurements::Measurements;
 use origins::{Origins, questions::Questions};
@@ -154,6 +156,8 @@
     pub(crate) peers: Peers,
     /// What this host and the others measure.
     pub(crate) measurements: Measurements,
+    /// Servers close to the load bound that other hosts are to be told of.
+    pub(crate) hot_servers: HotServers,
     pub(crate) crashes: Crashes,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: EpochTracker,
@@ -203,6 +207,8 @@
     pub(crate) gossip_due: Notify,
     /// Wakes the sender of messages about streams and crashes.
     pub(crate) messages_due: Notify,
+    /// Wakes the sender of reports about servers close to the load bound.
+    pub(crate) reports_due: Notify,
     /// Wakes requests that wait for what other hosts say about their streams.
     pub(crate) origin_heard: Notify,
     /// Wakes requests that wait for their answers when a cause of crashes is refused.
@@ -242,6 +248,7 @@
             budget: FleetBudget::new(cfg.budget).with_start(now()),
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
             measurements: Measurements::default(),
+            hot_servers: HotServers::default(),
             crashes: Crashes::default(),
             evacuations: Evacuations::default(),
             epochs: EpochTracker::default(),
@@ -282,6 +289,7 @@
             gossip_due,
             fetch_due,
             messages_due: Notify::new(),
+            reports_due: Notify::new(),
             origin_heard: Notify::new(),
             quarantine_changed: Notify::new(),
             suspend_ended: Notify::new(),
@@ -362,8 +370,9 @@
     }
 
     /// Records the load that a server reported.
-    pub(crate) fn record_load(&self, service: &Arc<str>, report: admission::ReportedLoad) {
+    pub(crate) fn record_load(&self, service: &Arc<str>, key: BackendKey, report: admission::ReportedLoad) {
         self.state().admission.record_load(now(), service, report);
+        self.record_server_report(key, report);
     }
 
     /// Returns a connection to the pool after its answer was read. A server accepts a limited number of connections
@@ -436,7 +445,12 @@
 
 impl<W: Wire> InFlightRequest<W> {
     pub(crate) fn start(relay: &Arc<Relay<W>>, key: BackendKey) -> Self {
-        relay.state().backends.begin_request(key);
+        let mut state = relay.state();
+        state.backends.begin_request(key);
+        if let Some(tag) = state.backends.get(key).map(|b| b.tag) {
+            state.measurements.record_send(tag);
+        }
+        drop(state);
         Self { relay: relay.clone(), key }
     }
 }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -12,6 +12,7 @@
     admission::{AdmissionRequest, Refused, ServiceLoad, late_retry_delay},
     backends::{Backend, BackendKey, Tag},
     health::FailureSummary,
+    hot_servers,
     place::{self, Bound, Candidate, Choice, Placer},
     request::Request,
     run::RETRY_AFTER,
@@ -65,6 +66,8 @@
             candidates.extend(state.cold_candidates(now, &self.cfg.me, &cold, limit));
         }
         let mut placer = Placer::default().with_bound(self.cfg.bound).with_host(hash(self.cfg.peer_addr));
+        placer = placer.with_gradual_spill(!state.peers.is_small());
+        state.hot_servers.set_mean(&req.service, place::mean(&candidates));
         let evacuation_ended_recently =
             state.evacuation_ended.is_some_and(|at| at + POST_EVACUATION_PERIOD > now);
         if eligible.has_exclusions || evacuation_ended_recently {
@@ -190,6 +193,11 @@
         b.in_progress + self.peers.remote_load(b.tag)
     }
 
+    /// The same, or what the server has reported lately if that is more.
+    fn load_for_placement(&self, now: Instant, b: &Backend) -> u32 {
+        hot_servers::load(now, self.load(b), self.measurements.report(now, b.tag))
+    }
+
     /// Whether a server may have started again with another version of several. A host that is cut off from servers cannot
     /// tell a start from its own fault.
     fn may_run_another_version(&self, now: Instant, b: &Backend) -> bool {
@@ -233,7 +241,7 @@
         let candidate = |key: &BackendKey| {
             let b = self.backends.get(*key)?;
             let local = *b.data_centre == *me.data_centre;
-            let load = f64::from(self.load(b));
+            let load = f64::from(self.load_for_placement(now, b));
             let unhealthy =
                 self.is_widely_avoided(b.tag) || self.health.is_unhealthy(now, *key, failure_summary);
             Some(Candidate { key: *key, tag: b.tag, local, load, slots: b.slots, unhealthy })
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -4,14 +4,18 @@
 
 use super::{
     Relay, State, Wire,
-    backends::BackendKey,
+    admission::ReportedLoad,
+    backends::{BackendKey, Tag},
     confirm::Topic,
     datagram::DropReason,
     followers::FollowState,
+    hot_servers::{FANOUT, ReportUse},
+    measurements::{Recorded, Report},
     peers::{LocalVersions, Scope},
 };
 use crate::{
     logs::lines::{Level, line},
+    metrics::Counter,
     schema::fleet::{Beat, Evacuations, Held, InProgress, Measurements, Start},
     util::{Instant, now},
 };
@@ -98,13 +102,57 @@
         from: SocketAddr,
         message: &Measurements,
     ) -> Result<(), DropReason> {
+        let now = now();
         let mut state = self.state();
         let state = &mut *state;
+        for (tag, old) in state.measurements.merge_reports(now, &message.reports) {
+            self.on_server_report(state, now, tag, old);
+        }
         let data_centre = state.peers.data_centre_of(from);
-        let is_new = state.measurements.receive(now(), from, data_centre, &self.cfg.me.data_centre, message);
+        let is_new = state.measurements.receive(now, from, data_centre, &self.cfg.me.data_centre, message);
         if is_new { Ok(()) } else { Err(DropReason::Replayed) }
     }
 
+    /// Records the load that a server has reported with an answer. Small fleets exchange full loads so often that they
+    /// need no reports.
+    pub(crate) fn record_server_report(&self, key: BackendKey, load: ReportedLoad) {
+        let now = now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let tag = state.backends.get(key).map(|b| b.tag);
+        let Some(tag) = tag.filter(|_| !state.peers.is_small()) else { return };
+        let load = load.running.saturating_add(load.waiting);
+        let report = Report { load, pace_percent: None, at: now, told_on: false, sent_since: 0 };
+        if let Recorded::Replaced(old) = state.measurements.record_report(tag, report) {
+            self.on_server_report(state, now, tag, old);
+        }
+    }
+
+    /// Decides whether others are told of a server's newest report.
+    fn on_server_report(&self, state: &mut State, now: Instant, tag: Tag, old: Option<Report>) {
+        let Some(b) = state.backends.by_tag(tag).and_then(|key| state.backends.get(key)) else { return };
+        let Some(new) = state.measurements.report(now, tag) else { return };
+        if !state.hot_servers.on_report(&b.service, tag, old.as_ref(), new) {
+            return;
+        }
+        self.reports_due.notify_one();
+        self.metrics.add(Counter::RelayHotServers, ReportUse::Found.as_str(), 1);
+        line(Level::Routine, "hot_server", |l| {
+            let l = l.text("backend", &b.id).number("load", new.load);
+            l.ms("age_ms", now.saturating_sub(new.at)).number("told", FANOUT as u64)
+        });
+    }
+
+    /// The message about hot servers that is due, and the hosts that get it.
+    pub(crate) fn take_hot_reports(&self) -> Option<(Vec<SocketAddr>, Measurements)> {
+        let now = now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let message = state.hot_servers.take(now, self.start, &state.measurements)?;
+        self.metrics.add(Counter::RelayHotServers, ReportUse::Sent.as_str(), message.reports.len() as u64);
+        Some((state.peers.random_hosts(now, FANOUT, &mut state.rng), message))
+    }
+
     /// Processes a heartbeat of another host; returns whether the sender wants a full one.
     ///
     /// # Errors
--- a/src/relay/measurements.rs
+++ b/src/relay/measurements.rs
@@ -72,6 +72,17 @@
     pub at: Instant,
     /// Whether other hosts should know.
     pub told_on: bool,
+    /// Requests that this host has sent there since.
+    pub sent_since: u32,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recorded {
+    /// It is the newest, and has replaced this one.
+    Replaced(Option<Report>),
+    /// A newer one is known.
+    Ignored,
 }
 
 type Amounts = Map<(Topic, Key), u32>;
@@ -132,20 +143,17 @@
         self.centres.values().fold(others + 1, |n, centre| n.saturating_add(centre.hosts))
     }
 
-    /// Records what a server has said; an older report than the known one is ignored. Returns whether it was recorded.
-    pub fn record_report(&mut self, tag: Tag, report: Report) -> bool {
-        if self.reports.len() >= MAX_KNOWN_REPORTS && !self.reports.contains_key(&tag) {
-            return false;
-        }
+    /// Records what a server has said. Returns the report that it replaces, if any; an older one than the known one is
+    /// ignored.
+    pub fn record_report(&mut self, tag: Tag, report: Report) -> Recorded {
+        let is_full = self.reports.len() >= MAX_KNOWN_REPORTS;
         match self.reports.get_mut(&tag) {
-            Some(known) if known.at >= report.at => false,
-            Some(known) => {
-                *known = report;
-                true
-            }
+            Some(known) if known.at >= report.at => Recorded::Ignored,
+            Some(known) => Recorded::Replaced(Some(std::mem::replace(known, report))),
+            None if is_full => Recorded::Ignored,
             None => {
                 self.reports.insert(tag, report);
-                true
+                Recorded::Replaced(None)
             }
         }
     }
@@ -186,19 +194,25 @@
         })
     }
 
-    /// Reports only, for a few hosts that are told between the heartbeats; `None` if there are none.
-    pub fn reports_message(&mut self, now: Instant, start: u64) -> Option<fleet::Measurements> {
-        let reports = self.newest_reports(now);
-        (!reports.is_empty()).then(|| fleet::Measurements {
-            marker: MARKER,
-            start,
-            reports,
-            ..Default::default()
-        })
+    /// A message with reports only.
+    pub fn reports_message(&self, start: u64, reports: Vec<fleet::ServerReport>) -> fleet::Measurements {
+        fleet::Measurements { marker: MARKER, start, reports, ..Default::default() }
     }
 
-    /// Processes a message of another host; `data_centre` is that of the sender, and `own_data_centre` this host's.
-    /// Returns whether it was neither a duplicate nor older than one received before.
+    /// The reports of the given servers that have not expired.
+    pub fn reports_of(&self, now: Instant, tags: impl Iterator<Item = Tag>) -> Vec<fleet::ServerReport> {
+        tags.filter_map(|tag| Some(encode_report(now, tag, self.report(now, tag)?))).collect()
+    }
+
+    /// Counts a request that this host sends to a server.
+    pub fn record_send(&mut self, tag: Tag) {
+        if let Some(report) = self.reports.get_mut(&tag) {
+            report.sent_since += 1;
+        }
+    }
+
+    /// Processes the amounts of another host's message; `data_centre` is that of the sender, and `own_data_centre` this
+    /// host's. Returns whether it was neither a duplicate nor older than one received before.
     pub fn receive(
         &mut self,
         now: Instant,
@@ -207,7 +221,6 @@
         own_data_centre: &str,
         message: &fleet::Measurements,
     ) -> bool {
-        self.merge_reports(now, &message.reports);
         if message.number == 0 {
             return true;
         }
@@ -274,24 +287,28 @@
         let known = self.reports.iter().filter(|(_, r)| r.told_on && r.at + REPORT_TTL >= now);
         let mut newest: Vec<_> = known.collect();
         newest.sort_unstable_by_key(|(tag, r)| (std::cmp::Reverse(r.at), **tag));
-        let report = |(tag, r): (&Tag, &Report)| fleet::ServerReport {
-            backend: *tag,
-            load: r.load,
-            pace_percent: r.pace_percent.unwrap_or(0),
-            age_ms: now.saturating_sub(r.at).as_millis() as u32,
-        };
-        newest.into_iter().take(MAX_REPORTS).map(report).collect()
+        newest.into_iter().take(MAX_REPORTS).map(|(tag, r)| encode_report(now, *tag, r)).collect()
     }
 
-    fn merge_reports(&mut self, now: Instant, reports: &[fleet::ServerReport]) {
+    /// Merges the reports of another host's message; returns the servers with a newer report, and the ones replaced.
+    pub fn merge_reports(
+        &mut self,
+        now: Instant,
+        reports: &[fleet::ServerReport],
+    ) -> Vec<(Tag, Option<Report>)> {
+        let mut newer = Vec::new();
         for told in reports.iter().take(MAX_REPORTS) {
             let Some(at) = now.checked_sub(Duration::from_millis(told.age_ms.into())) else { continue };
             if at + REPORT_TTL < now {
                 continue;
             }
             let pace_percent = (told.pace_percent > 0).then_some(told.pace_percent);
-            self.record_report(told.backend, Report { load: told.load, pace_percent, at, told_on: true });
+            let report = Report { load: told.load, pace_percent, at, told_on: false, sent_since: 0 };
+            if let Recorded::Replaced(old) = self.record_report(told.backend, report) {
+                newer.push((told.backend, old));
+            }
         }
+        newer
     }
 
     /// Drops the smallest amounts of topics that have too many.
@@ -336,6 +353,15 @@
     amounts.iter().take(MAX_AMOUNTS).filter_map(known).filter(|(_, value)| *value > 0).collect()
 }
 
+fn encode_report(now: Instant, tag: Tag, r: &Report) -> fleet::ServerReport {
+    fleet::ServerReport {
+        backend: tag,
+        load: r.load,
+        pace_percent: r.pace_percent.unwrap_or(0),
+        age_ms: now.saturating_sub(r.at).as_millis() as u32,
+    }
+}
+
 fn saturate(sum: u64) -> u32 {
     u32::try_from(sum).unwrap_or(u32::MAX)
 }
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -17,6 +17,7 @@
     backends::{packed, versions},
     datagram::{self, Datagram, DropReason, MAX_DATAGRAM_BYTES},
     follow::BackendsUpdate,
+    hot_servers,
     inbound::accept_all,
     peers::{LocalVersions, Scope},
     pool,
@@ -150,6 +151,19 @@
     }
 }
 
+/// Tells a few hosts of servers that are close to the load bound, as soon as such a server is known.
+pub async fn send_hot_reports<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
+    loop {
+        relay.reports_due.notified().await;
+        tokio::time::sleep(hot_servers::SETTLE_DELAY).await;
+        let Some((targets, message)) = relay.take_hot_reports() else { continue };
+        let buf = encode_message(&message);
+        for to in targets {
+            send_datagram(&socket, &buf, to).await;
+        }
+    }
+}
+
 async fn send_message(socket: &UdpSocket, message: &impl Serialize, to: SocketAddr) {
     send_datagram(socket, &encode_message(message), to).await;
 }
--- a/src/relay/peers/targets.rs
+++ b/src/relay/peers/targets.rs
@@ -103,6 +103,14 @@
         direct.map(|(addr, _)| *addr).choose_multiple(rng, GOSSIP_FANOUT)
     }
 
+    /// Some random hosts of any data centre that are alive.
+    pub fn random_hosts(&self, now: Instant, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let (host_timeout, summary_timeout) = (self.host_timeout(), self.summary_timeout());
+        let is_alive = |p: &Peer| p.is_heard(now, host_timeout) || p.is_named_ready(now, summary_timeout);
+        let alive = self.peers.iter().filter(|(_, p)| is_alive(p));
+        alive.map(|(addr, _)| *addr).choose_multiple(rng, count)
+    }
+
     /// Completes a heartbeat: numbers it, and adds the members if `full` is set or it is the turn of a full one.
     pub fn finish_beat(&mut self, beat: &mut Beat, me: &Member, full: bool) {
         self.beat_number += 1;
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -16,6 +16,10 @@
 };
 use crate::util::hash;
 
+mod spill;
+
+use spill::Spill;
+
 /// Upper bound on a server's load, in requests in progress: a multiple of the mean load plus a constant.
 ///
 /// The limit for the whole fleet is twice the mean plus three. A tighter bound moves prompts to other servers more
@@ -175,6 +179,7 @@
     bound: Bound,
     limit: Option<f64>,
     host: u64,
+    spills_gradually: bool,
 }
 
 impl Placer {
@@ -193,6 +198,12 @@
         Self { limit: Some(limit), ..self }
     }
 
+    /// Sets whether requests leave servers gradually as these get close to the bound, for fleets whose hosts know old loads
+    /// of each other.
+    pub fn with_gradual_spill(self, spills_gradually: bool) -> Self {
+        Self { spills_gradually, ..self }
+    }
+
     /// Chooses among the candidates; `None` if there are none.
     pub fn choose(
         &self,
@@ -202,10 +213,15 @@
         usable: impl Fn(BackendKey) -> bool,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        let bound = self.limit.unwrap_or_else(|| self.bound.at(mean(candidates)));
+        let mean = mean(candidates);
+        let bound = self.limit.unwrap_or_else(|| self.bound.at(mean));
         let shared = shared(parts);
         match shared.last() {
-            Some(last) => choose_by_parts(candidates, shared, *last, holders, usable, bound),
+            Some(_) => {
+                let spill = self.spills_gradually.then(|| Spill::draw(self.host, rng));
+                let bound = spill.map_or(bound, |spill| spill.bound(bound, mean));
+                choose_by_parts(candidates, shared, holders, usable, Load { mean, bound, spill })
+            }
             None => choose_by_load(candidates, bound, self.host, rng),
         }
     }
@@ -216,16 +232,25 @@
     candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len().max(1) as f64
 }
 
+/// What a choice knows of the load of all candidates.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    mean: f64,
+    bound: f64,
+    spill: Option<Spill>,
+}
+
 /// Chooses in this order: a server that has all shared parts cached, the home, one of the few servers that the
 /// parts spill to, any server with a free slot, the least loaded one.
 fn choose_by_parts(
     candidates: &[Candidate],
     shared: &[Part],
-    last: Part,
     holders: &Holders,
     usable: impl Fn(BackendKey) -> bool,
-    bound: f64,
+    load: Load,
 ) -> Option<Choice> {
+    let last = *shared.last()?;
+    let Load { mean, bound, spill: gradual } = load;
     let rank = |c: &&Candidate| hash((last.id, c.tag));
     let home = candidates.iter().max_by_key(rank)?;
     let cached_tokens = |c: &Candidate| holders.tokens(shared, c.key);
@@ -244,6 +269,13 @@
     };
     let holder = candidates.iter().filter(has_free_slot).filter(|c| cached_tokens(c) == total_tokens);
     if let Some(best) = holder.min_by(|a, b| cost(a).total_cmp(&cost(b))) {
+        if gradual.is_some_and(|g| g.leaves(best.load, mean, bound)) {
+            let others = top_ranked(candidates, rank).into_iter().filter(|c| cached_tokens(c) < total_tokens);
+            let next = others.filter(has_free_slot).min_by(|a, b| cost(a).total_cmp(&cost(b)));
+            if let Some(next) = next.filter(|c| c.load < best.load) {
+                return Some(choice(next, Reason::Spilled));
+            }
+        }
         return Some(choice(best, Reason::Holder));
     }
     if has_free_slot(&home) && best_holder.is_none() {
@@ -259,7 +291,8 @@
         least.filter(|c| c.occupancy() <= MAX_QUEUEING_OCCUPANCY)
     };
     let spill = copies.iter().copied().find(has_free_slot).or_else(least_occupied);
-    let spill = spill.or_else(|| candidates.iter().filter(has_free_slot).max_by_key(rank));
+    let overflow_rank = |c: &&Candidate| gradual.map_or_else(|| rank(c), |g| g.overflow_rank(last, c.tag));
+    let spill = spill.or_else(|| candidates.iter().filter(has_free_slot).max_by_key(overflow_rank));
     let least_loaded = || candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
     let chosen = spill.or_else(least_loaded)?;
     let reason = if chosen.key == home.key { Reason::Home } else { Reason::Spilled };
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -342,7 +342,7 @@
         };
         let parsed = self.relay.wire.parse_response(&self.req, &head);
         if let Some(load) = parsed.load {
-            self.relay.record_load(&self.req.service, load);
+            self.relay.record_load(&self.req.service, key, load);
         }
         self.relay.apply_server_notices(&self.req, key, &parsed);
         if let Some(failure) = parsed.failure {
--- a/tests/relay_load_bound.rs
+++ b/tests/relay_load_bound.rs
@@ -24,6 +24,7 @@
         workspace: (0.12, parts_of_workspace),
         workspace_surge: Surge { at_ms: 4_000, until_ms: 11_000, factor: 9.0 },
         surge: Surge { at_ms: 6_000, until_ms: 10_000, factor: 2.2 },
+        uses_reports: true,
         length_ms: 11_000,
         seed,
     }
@@ -36,10 +37,24 @@
     })
 }
 
+/// While nothing surges, little is told, and returning prompts still find their parts cached.
+#[test]
+fn quiet_load_keeps_reuse_and_tells_little() {
+    let none = Surge { at_ms: 0, until_ms: 0, factor: 1.0 };
+    let quiet = Fleet { workspace_surge: none, surge: none, ..fleet(1, 24) };
+    let before = Fleet { uses_reports: false, ..quiet.clone() };
+
+    let [before, now] = play(vec![before, quiet])[..] else { panic!("two fleets") };
+
+    assert!(now.reused > before.reused - 0.05, "{now:?}, before {before:?}");
+    assert!(now.told_bytes < 3_000.0, "{now:?}");
+    assert!(!now.breached || now.worst_share <= MAX_SHARE, "{now:?}");
+}
+
 /// Hosts that see the same old counts send the requests of a surging workspace to the same few servers.
 #[test]
 fn no_server_exceeds_the_load_bound_while_a_workspace_surges() {
-    let fleets = vec![fleet(1, 24), fleet(2, 24), fleet(1, 12), fleet(2, 12)];
+    let fleets = vec![fleet(1, 24), fleet(2, 24), fleet(1, 12), fleet(2, 12), fleet(1, 6)];
 
     let outcomes = play(fleets);
 
--- a/tests/relay_measurements.rs
+++ b/tests/relay_measurements.rs
@@ -5,7 +5,7 @@
 use cranberrytally::{
     relay::{
         datagram::{Datagram, decode_any},
-        measurements::{Measurements, Report, Topic, key},
+        measurements::{Measurements, Recorded, Report, Topic, key},
         peers::Scope,
     },
     schema::fleet,
@@ -70,12 +70,12 @@
 
 #[test]
 fn the_newest_report_of_a_server_counts_and_expires() {
-    let report = |load, at| Report { load, pace_percent: Some(300), at, told_on: true };
+    let report = |load, at| Report { load, pace_percent: Some(300), at, told_on: true, sent_since: 0 };
     let (mut a, mut b) = (Measurements::default(), Measurements::default());
     b.record_report(1, report(30, ms(1_000)));
-    assert!(!b.record_report(1, report(5, ms(900))), "an older one");
+    assert_eq!(b.record_report(1, report(5, ms(900))), Recorded::Ignored, "an older one");
 
-    a.receive(ms(1_200), addr(2), None, "north", &b.message(ms(1_200), 1, Scope::Host).unwrap());
+    a.merge_reports(ms(1_200), &b.message(ms(1_200), 1, Scope::Host).unwrap().reports);
 
     let told = a.report(ms(1_200), 1).unwrap();
     assert_eq!((told.load, told.pace_percent, told.at), (30, Some(300), ms(1_000)));
@@ -99,6 +99,7 @@
 
     a.receive(ms(0), addr(2), None, "north", &message(1));
     a.receive(ms(0), addr(3), None, "north", &message(1));
+    a.merge_reports(ms(0), &message(1).reports);
 
     assert_eq!(a.of_others(Topic::Results, 5), u32::MAX);
     assert_eq!(a.of_others(Topic::Results, 500), 0, "past the number of entries of a message");
@@ -111,7 +112,10 @@
     for n in 0..5_000 {
         a.set(Topic::WorkspaceDemand, n, n + 1);
         a.set(Topic::PromisedReturns, n, 1);
-        a.record_report(n, Report { load: n, pace_percent: Some(500), at: ms(1), told_on: true });
+        a.record_report(
+            n,
+            Report { load: n, pace_percent: Some(500), at: ms(1), told_on: true, sent_since: 0 },
+        );
     }
 
     let message = a.message(ms(1), 1_800_000_000_000, Scope::Host).unwrap();
--- a/tests/support/placement.rs
+++ b/tests/support/placement.rs
@@ -12,16 +12,19 @@
     relay::{
         backends::BackendKey,
         holders::Holders,
+        hot_servers::{self, FANOUT, HotServers, SETTLE_DELAY},
+        measurements::{Measurements, Recorded, Report},
         peers::{LocalVersions, Peers, Scope},
-        place::{Candidate, Placer},
+        place::{Candidate, Placer, mean},
         request::Part,
     },
-    schema::fleet::{Beat, Held, InProgress, Member},
+    schema::fleet::{self, Beat, Held, InProgress, Member},
     util::Instant,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
+const SERVICE: &str = "llm";
 /// Delay of a datagram, in milliseconds.
 const DELAY_MS: u64 = 2;
 /// Prompt tokens that a server reads in a millisecond.
@@ -58,6 +61,8 @@
     pub workspace: (f64, u64),
     pub workspace_surge: Surge,
     pub surge: Surge,
+    /// Whether hosts use what servers report, and leave servers gradually.
+    pub uses_reports: bool,
     pub length_ms: u64,
     pub seed: u64,
 }
@@ -73,6 +78,8 @@
     pub breached: bool,
     /// Share of requests whose part the server had in its cache.
     pub reused: f64,
+    /// Bytes per second that a host sends to tell others of hot servers, without headers.
+    pub told_bytes: f64,
     /// Largest load of a server over the limit, in requests.
     pub worst_excess: f64,
 }
@@ -84,6 +91,7 @@
     Begin { host: usize, server: usize, part: u64 },
     End { host: usize, server: usize },
     Request,
+    Tell(usize),
 }
 
 struct Host {
@@ -92,6 +100,8 @@
     holders: Holders,
     new_holders: Vec<Held>,
     own: Vec<u32>,
+    measurements: Measurements,
+    hot_servers: HotServers,
     member: Member,
     placer: Placer,
 }
@@ -111,6 +121,8 @@
     servers: Vec<Server>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     beats: VecDeque<(u64, usize, usize, Beat)>,
+    told: VecDeque<(u64, usize, fleet::Measurements)>,
+    told_bytes: usize,
     sequence: u64,
     /// Time of each request's arrival at its server, and by how much the server was above the limit.
     arrivals: Vec<(u64, f64)>,
@@ -154,6 +166,8 @@
             servers,
             events: BinaryHeap::new(),
             beats: VecDeque::new(),
+            told: VecDeque::new(),
+            told_bytes: 0,
             sequence: 0,
             arrivals: Vec::new(),
             reused: 0,
@@ -180,6 +194,7 @@
             match event {
                 Event::Beat(host) => self.beat(now_ms, host),
                 Event::Request => self.request(now_ms),
+                Event::Tell(host) => self.tell(now_ms, host),
                 Event::Arrive { host, server, part } => self.arrive(now_ms, host, server, part),
                 Event::Begin { host, server, part } => self.begin(now_ms, host, server, part),
                 Event::End { host, server } => {
@@ -201,6 +216,12 @@
                 host.holders.insert(ms(at), held.part, keys(held.backend));
             }
         }
+        while self.told.front().is_some_and(|(at, ..)| *at <= now_ms) {
+            let Some((at, to, message)) = self.told.pop_front() else { return };
+            for (tag, old) in self.hosts[to].measurements.merge_reports(ms(at), &message.reports) {
+                self.on_report(at, to, tag, old);
+            }
+        }
     }
 
     fn beat(&mut self, now_ms: u64, index: usize) {
@@ -230,22 +251,44 @@
         let from_workspace = self.rng.random_bool(of_workspace / all);
         let part = self.fleet.part_of(&mut self.rng, from_workspace);
         let index = self.rng.random_range(0..self.hosts.len());
-        let candidates = self.candidates(index);
+        let candidates = self.candidates(now_ms, index);
+        self.hosts[index].hot_servers.set_mean(&SERVICE.into(), mean(&candidates));
         let parts = [Part { id: part, tokens: self.fleet.part_tokens }, Part { id: u64::MAX, tokens: 100 }];
         let host = &self.hosts[index];
         let choice = host.placer.choose(&candidates, &parts, &host.holders, |_| true, &mut self.rng);
         let chosen = choice.map(|c| c.key).expect("there are servers");
         let server = self.servers.iter().position(|s| s.key == chosen).expect("it is one of them");
         self.hosts[index].own[server] += 1;
+        self.hosts[index].measurements.record_send(server as u32);
         self.push(now_ms + DELAY_MS, Event::Arrive { host: index, server, part });
         let pause = -(1.0 - self.rng.random::<f64>()).ln() / all * 1_000.0;
         self.push(now_ms + pause.round() as u64, Event::Request);
     }
 
-    fn candidates(&self, index: usize) -> Vec<Candidate> {
+    fn on_report(&mut self, now_ms: u64, index: usize, tag: u32, old: Option<Report>) {
+        let host = &mut self.hosts[index];
+        let Some(new) = host.measurements.report(ms(now_ms), tag) else { return };
+        if host.hot_servers.on_report(SERVICE, tag, old.as_ref(), new) {
+            self.push(now_ms + SETTLE_DELAY.as_millis() as u64, Event::Tell(index));
+        }
+    }
+
+    fn tell(&mut self, now_ms: u64, index: usize) {
+        let host = &mut self.hosts[index];
+        let Some(message) = host.hot_servers.take(ms(now_ms), 1, &host.measurements) else { return };
+        self.told_bytes += FANOUT * postcard::to_allocvec(&message).map_or(0, |buf| buf.len());
+        for _ in 0..FANOUT {
+            let to = self.rng.random_range(0..self.hosts.len());
+            self.told.push_back((now_ms + DELAY_MS, to, message.clone()));
+        }
+    }
+
+    fn candidates(&self, now_ms: u64, index: usize) -> Vec<Candidate> {
         let host = &self.hosts[index];
         let candidate = |(i, s): (usize, &Server)| {
-            let load = f64::from(host.own[i] + host.peers.remote_load(i as u32));
+            let sum = host.own[i] + host.peers.remote_load(i as u32);
+            let report = host.measurements.report(ms(now_ms), i as u32);
+            let load = f64::from(hot_servers::load(ms(now_ms), sum, report));
             let local = i % self.fleet.data_centres == index % self.fleet.data_centres;
             Candidate { key: s.key, tag: i as u32, local, load, slots: self.fleet.slots, unhealthy: false }
         };
@@ -272,11 +315,17 @@
         if !s.cached.contains(&part) {
             s.cached.push(part);
         }
-        let key = s.key;
+        let (key, load) = (s.key, s.load);
         let h = &mut self.hosts[host];
         if h.holders.insert(ms(now_ms), part, key) {
             h.new_holders.push(Held { part, backend: server as u32 });
         }
+        if self.fleet.uses_reports {
+            let report = Report { load, pace_percent: None, at: ms(now_ms), told_on: false, sent_since: 0 };
+            if let Recorded::Replaced(old) = h.measurements.record_report(server as u32, report) {
+                self.on_report(now_ms, host, server as u32, old);
+            }
+        }
         let runs = -(1.0 - self.rng.random::<f64>()).ln() * self.fleet.stream_ms;
         self.push(now_ms + runs as u64, Event::End { host, server });
     }
@@ -284,6 +333,7 @@
     fn outcome(&self) -> Outcome {
         let mut outcome = Outcome {
             requests: self.arrivals.len(),
+            told_bytes: self.told_bytes as f64 / self.hosts.len() as f64 / self.fleet.length_ms as f64 * 1e3,
             reused: self.reused as f64 / self.arrivals.len() as f64,
             ..Outcome::default()
         };
@@ -325,8 +375,10 @@
             holders: Holders::default(),
             new_holders: Vec::new(),
             own: vec![0; fleet.servers],
+            measurements: Measurements::default(),
+            hot_servers: HotServers::default(),
             member: own,
-            placer: Placer::default().with_host(index as u64),
+            placer: Placer::default().with_host(index as u64).with_gradual_spill(fleet.uses_reports),
         }
     }
 }
