--- a/src/relay/place/spill.rs
+++ b/src/relay/place/spill.rs
@@ -11,7 +11,7 @@
 use crate::util::hash;
 
 /// Position of a server's load between the mean and the bound from which requests move to other servers.
-const START: f64 = 0.4;
+const START: f64 = 0.6;
 /// Range below the bound in which requests regard a server as full, as a fraction of the mean load.
 const BOUND_RANGE: f64 = 0.25;
 /// Number of groups of hosts that move requests for the same part to different servers.
