Learn the limit of plain services from the results of all hosts

A host sees a few results a second of a small plain service, and knows others' requests in progress about a second late, so that limits learned alone made hosts admit and refuse together. Hosts now sum arrivals, results and late results, and admit about as many requests a second as the servers were measured to finish. Errors of servers are repeated only where that has helped lately.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`plain`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -63,6 +63,7 @@
 pub mod outcome;
 pub mod peers;
 pub mod place;
+pub mod plain;
 pub mod pool;
 pub mod reach;
 pub mod read_turn;
@@ -95,6 +96,7 @@
 use origins::{Origins, questions::Questions};
 
 use peers::{LocalVersions, Peers};
+use plain::{hooks::PlainEvent, repeats::Repeats};
 use pool::{Conn, Pool};
 use reach::Reach;
 use request::Request;
@@ -162,6 +164,8 @@
     pub(crate) evacuation_ended: Option<Instant>,
     pub(crate) warmup: Warmup,
     pub(crate) admission: Admission,
+    /// What became of the latest repeats after errors of servers.
+    pub(crate) repeats: Repeats,
     pub(crate) origins: Origins,
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
@@ -249,6 +253,7 @@
             evacuation_ended: None,
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
+            repeats: Repeats::default(),
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
@@ -352,7 +357,13 @@
         if req.after.is_some() {
             return Ok(());
         }
-        self.state().admit(now(), req)
+        let (now, mut state) = (now(), self.state());
+        state.adjust_plain(now, &req.service);
+        let decision = state.admit(now, req);
+        if decision.is_err() && state.admission.limit_of_all(&req.service).is_some() {
+            self.count_plain(PlainEvent::LimitRefused);
+        }
+        decision
     }
 
     /// Records how long a request waited for the beginning of its answer.
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -15,6 +15,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use super::plain::{self, PlainService};
 use crate::util::{Instant, Map, decay};
 
 /// Occupancy, as a fraction of the limit, above which requests of the most urgent rank are refused.
@@ -250,6 +251,8 @@
     reported: DecayingMean,
     /// Whether its servers report their load.
     reports_load: bool,
+    /// What is learned with the other hosts while its servers report no load.
+    plain: PlainService,
 }
 
 impl ServiceState {
@@ -259,10 +262,34 @@
             estimate: LoadEstimate::default(),
             reported: DecayingMean::default(),
             reports_load: false,
+            plain: PlainService::default(),
         }
     }
 }
 
+impl ServiceState {
+    /// The occupancy relative to the limit, and the limit.
+    fn pressure(&mut self, now: Instant, occupancy: f64) -> (f64, f64) {
+        if self.reports_load {
+            return (occupancy / self.limit.value, self.limit.value);
+        }
+        self.plain.record_arrival(now);
+        match self.plain.pressure(now) {
+            Some(pressure) => (pressure, occupancy / pressure.max(f64::MIN_POSITIVE)),
+            None if self.plain.replaces_own_limit() => {
+                (occupancy / INITIAL_LIMIT_UNREPORTED, INITIAL_LIMIT_UNREPORTED)
+            }
+            None => (occupancy / self.limit.value, self.limit.value),
+        }
+    }
+
+    /// Additional decrease of the refusal start for requests whose objective has passed.
+    fn overdue_step(&self, overdue: bool) -> f64 {
+        let is_limited = !self.reports_load && self.plain.limit().is_some();
+        if overdue && is_limited { plain::OVERDUE_STEP } else { 0.0 }
+    }
+}
+
 /// Admission control for all services.
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
@@ -285,8 +312,16 @@
     /// Records how long a request waited for the beginning of its answer. Requests that a server refuses at once
     /// are not recorded: they delay nobody, and the server knows its queue better than any host does.
     pub fn record_wait(&mut self, now: Instant, service: &Arc<str>, objective: Duration, waited: Duration) {
-        let late = waited > objective.mul_f64(ON_TIME_FRACTION);
-        self.service(now, service).limit.record_result(now, objective, late);
+        let late = is_late(objective, waited);
+        let service = self.service(now, service);
+        service.limit.record_result(now, objective, late);
+        service.plain.record_result(now, late);
+    }
+
+    /// Records how long a request waited for a response with an error. Errors take a part of what is admitted, but
+    /// say little about the load of the servers.
+    pub fn record_error(&mut self, now: Instant, service: &Arc<str>, objective: Duration, waited: Duration) {
+        self.service(now, service).plain.record_result(now, is_late(objective, waited));
     }
 
     /// The current limit on the occupancy of a service.
@@ -314,14 +349,45 @@
         let occupancy =
             service.reported.mean(now, RECENT_HALF_LIFE).map_or(occupancy, |report| report.max(occupancy));
         service.limit.peak_occupancy = service.limit.peak_occupancy.max(occupancy);
-        let limit = service.limit.value;
-        let chance = (occupancy / limit - refusal_start(req, overdue)) / REFUSAL_RANGE;
+        let (pressure, limit) = service.pressure(now, occupancy);
+        let start = refusal_start(req, overdue) - service.overdue_step(overdue);
+        let chance = (pressure - start) / REFUSAL_RANGE;
         if draws[0] >= chance {
+            service.plain.record_admitted();
             return Ok(());
         }
         Err(Refused { retry_after: retry_delay(req, chance, draws[1]), occupancy, limit, chance })
     }
 
+    /// Counts of this host for each service whose servers report no load.
+    pub(crate) fn plain_counts(&mut self, now: Instant) -> Vec<(Arc<str>, plain::Counts)> {
+        let plain = self.services.iter_mut().filter(|(_, s)| !s.reports_load);
+        plain.map(|(service, s)| (service.clone(), s.plain.own_counts(now))).collect()
+    }
+
+    /// Adjusts the limit of a service whose servers report no load to the counts of the other hosts. Returns a change
+    /// that is to be logged.
+    pub fn adjust_plain(
+        &mut self,
+        now: Instant,
+        service: &Arc<str>,
+        others: plain::Counts,
+        hosts: u32,
+    ) -> Option<plain::Change> {
+        let service = self.service(now, service);
+        if service.reports_load { None } else { service.plain.adjust(now, others, hosts) }
+    }
+
+    /// Requests per second that all hosts admit to a service together, if that is limited.
+    pub fn limit_of_all(&self, service: &str) -> Option<f64> {
+        self.services.get(service).filter(|s| !s.reports_load).and_then(|s| s.plain.limit())
+    }
+
+    /// Whether the limit of a service is learned together with the other hosts.
+    pub(crate) fn is_shared(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|s| !s.reports_load && s.plain.replaces_own_limit())
+    }
+
     /// Whether the objective of a request has already passed, since its caller has waited or retried before.
     fn is_overdue(&mut self, req: AdmissionRequest) -> bool {
         let longest = self.longest.entry(req.route).or_default();
@@ -334,6 +400,11 @@
     }
 }
 
+/// Whether an answer that began after this time counts as late.
+fn is_late(objective: Duration, waited: Duration) -> bool {
+    waited > objective.mul_f64(ON_TIME_FRACTION)
+}
+
 /// Occupancy, as a fraction of the limit, above which such requests are refused.
 fn refusal_start(req: AdmissionRequest, overdue: bool) -> f64 {
     let rank = |rank: u32| f64::from(rank.min(MAX_RANK));
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -86,7 +86,9 @@
 
     /// What this host, or its data centre, has measured and tells others with its next heartbeat.
     pub(crate) fn measurements(&self, scope: Scope) -> Option<Measurements> {
-        self.state().measurements.message(now(), self.start, scope)
+        let (now, mut state) = (now(), self.state());
+        state.publish_plain(now);
+        state.measurements.message(now, self.start, scope)
     }
 
     /// Processes what another host has measured.
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -494,10 +494,16 @@
             self.relay.return_connection(key, conn, parsed.keep_alive);
         }
         drop(work);
+        if !head.status.is_success() {
+            self.relay.record_error(&self.req, self.sent);
+        }
         if head.status.is_server_error() && self.may_retry_error() {
             self.record_failure(Failure::Errored, key);
-            if self.decide_retry(Failure::Errored, key).is_ok() {
-                return match Box::pin(self.attempt(self.req.after)).await {
+            if self.relay.may_repeat_error(&self.req) && self.decide_retry(Failure::Errored, key).is_ok() {
+                let repeat = Box::pin(self.attempt(self.req.after)).await;
+                let helped = repeat.as_ref().is_ok_and(|a| !a.head.status.is_server_error());
+                self.relay.record_repeat(&self.req, helped);
+                return match repeat {
                     Ok(answered) => Box::pin(self.buffer_answer(answered))
                         .await
                         .or_else(|_| Ok(self.deliver(head, bytes))),
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use cranberrytally::relay::admission::{Admission, AdmissionRequest, ReportedLoad, ServiceLoad};
+use cranberrytally::relay::{
+    admission::{Admission, AdmissionRequest, ReportedLoad, ServiceLoad},
+    plain::Counts,
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// Parameters of a simulation; times in milliseconds.
@@ -36,6 +39,21 @@
     pub lost_servers: (usize, u64),
     /// Ranks that are assigned to the requests in turn.
     pub ranks: Vec<u32>,
+    /// What is different for a plain service, whose responses count once they are complete.
+    pub plain: Option<Plain>,
+}
+
+/// Parameters of a plain service.
+#[derive(Clone, Copy, Debug)]
+pub struct Plain {
+    /// Rate of new requests outside the surge, as a multiple of the servers' total capacity.
+    pub usual_load: f64,
+    /// Maximum number of requests that a server queues.
+    pub queue: usize,
+    /// Age of the counts that hosts know of each other; `None` if they tell nothing.
+    pub counts_lag_ms: Option<u64>,
+    /// Number of servers that respond to everything with an error at once.
+    pub failing_servers: usize,
 }
 
 /// Statistics of one second.
@@ -45,6 +63,8 @@
     pub new_requests: u32,
     /// Number of requests that started in this second and within the objective.
     pub in_time: u32,
+    /// Number of responses of a plain service that were complete only after the objective.
+    pub late: u32,
     /// Numbers of requests first sent in this second, by rank: those that started within the objective, and all.
     pub by_rank: BTreeMap<u32, (u32, u32)>,
 }
@@ -97,6 +117,9 @@
     servers: Vec<Server>,
     /// Requests in progress at each server in the last `state_lag_ms`, oldest first; hosts know the oldest entry.
     load_history: VecDeque<Vec<usize>>,
+    /// Counts of all hosts since the start, and those of each millisecond until now.
+    counts: Counts,
+    counts_history: Vec<Counts>,
     /// Time of the first attempt and rank of each retry, by the time at which it is sent.
     retries: BTreeMap<u64, Vec<(u64, u32)>>,
     /// New requests that are due, with the fraction of the next one.
@@ -118,6 +141,8 @@
             hosts: vec![Admission::default(); config.hosts],
             servers: vec![Server::default(); config.servers],
             load_history: VecDeque::new(),
+            counts: Counts::default(),
+            counts_history: Vec::new(),
             retries: BTreeMap::new(),
             arrivals_due: 0.0,
             arrivals: 0,
@@ -130,6 +155,7 @@
             self.servers.truncate(self.config.servers - self.config.lost_servers.0);
         }
         self.load_history.push_back(self.servers.iter().map(|s| s.running.len() + s.queue.len()).collect());
+        self.counts_history.push(self.counts);
         if self.load_history.len() as u64 > self.config.state_lag_ms {
             self.load_history.pop_front();
         }
@@ -137,7 +163,8 @@
             self.send_request(now, first_sent_at, rank);
         }
         let (load_factor, from, until) = self.config.surge;
-        let load_factor = if (from..until).contains(&now) { load_factor } else { 0.4 };
+        let usual_load = self.config.plain.map_or(0.4, |plain| plain.usual_load);
+        let load_factor = if (from..until).contains(&now) { load_factor } else { usual_load };
         self.arrivals_due += load_factor * self.config.capacity(0) / 1_000.0;
         while self.arrivals_due >= 1.0 {
             self.arrivals_due -= 1.0;
@@ -172,6 +199,10 @@
         };
         let draws = [self.rng.random(), self.rng.random()];
         let service: Arc<str> = SERVICE.into();
+        self.counts.arrivals += 1;
+        if let Some(others) = self.counts_of_others(now) {
+            self.hosts[host].adjust_plain(ms(now), &service, others, self.config.hosts as u32);
+        }
         let refused = self.hosts[host]
             .admit(ms(now), &service, admission_request, draws)
             .err()
@@ -185,7 +216,14 @@
         }
         let server_index = self.rng.random_range(0..self.servers.len());
         let service_time_ms = self.config.service_time_ms * self.rng.random_range(0.5..1.5);
-        if self.servers[server_index].queue.len() >= QUEUE_PER_SLOT * self.config.slots_per_server {
+        let max_queue =
+            self.config.plain.map_or(QUEUE_PER_SLOT * self.config.slots_per_server, |plain| plain.queue);
+        if self.config.plain.is_some_and(|plain| server_index < plain.failing_servers) {
+            self.hosts[host].record_error(ms(now), &service, ms(self.config.objective_ms), ms(1));
+            self.counts.results += 1;
+            return;
+        }
+        if self.servers[server_index].queue.len() >= max_queue {
             return;
         }
         self.servers[server_index].queue.push_back(Request {
@@ -205,7 +243,9 @@
             let Some(request) = server.queue.pop_front() else { break };
             server.running.push(request);
             let host = &mut self.hosts[request.host];
-            host.record_wait(ms(now), &service, ms(config.objective_ms), ms(now - request.sent_at));
+            if config.plain.is_none() {
+                host.record_wait(ms(now), &service, ms(config.objective_ms), ms(now - request.sent_at));
+            }
             if config.reports_load {
                 let (running, waiting) = (server.running.len() as u32, server.queue.len() as u32);
                 host.record_load(
@@ -215,7 +255,7 @@
                 );
             }
             if now <= request.first_sent_at + config.objective_ms {
-                self.seconds[now as usize / 1_000].in_time += 1;
+                self.seconds[now as usize / 1_000].in_time += u32::from(config.plain.is_none());
                 self.seconds[request.first_sent_at as usize / 1_000]
                     .by_rank
                     .entry(request.rank)
@@ -225,7 +265,40 @@
         }
         let speed = 1.0 / (1.0 + config.slowdown * server.running.len().saturating_sub(1) as f64);
         server.running.iter_mut().for_each(|request| request.remaining_ms -= speed);
-        server.running.retain(|request| request.remaining_ms > 0.0);
+        let done: Vec<_> = server.running.extract_if(.., |request| request.remaining_ms <= 0.0).collect();
+        if config.plain.is_some() {
+            done.iter().for_each(|request| self.complete(now, request));
+        }
+    }
+}
+
+impl Run<'_> {
+    /// Counts of a second that hosts know of the others. The host's own part is included, which is small.
+    fn counts_of_others(&self, now: u64) -> Option<Counts> {
+        let lag = self.config.plain?.counts_lag_ms?;
+        let at = |back: u64| {
+            now.checked_sub(back).map_or(Counts::default(), |at| self.counts_history[at as usize])
+        };
+        let (end, start) = (at(lag), at(lag + 1_000));
+        Some(Counts {
+            arrivals: end.arrivals - start.arrivals,
+            results: end.results - start.results,
+            late: end.late - start.late,
+        })
+    }
+
+    /// Counts a complete response of a plain service.
+    fn complete(&mut self, now: u64, request: &Request) {
+        let (objective, waited) = (ms(self.config.objective_ms), ms(now - request.sent_at));
+        self.hosts[request.host].record_wait(ms(now), &SERVICE.into(), objective, waited);
+        self.counts.results += 1;
+        self.counts.late += u32::from(waited > objective.mul_f64(0.7));
+        let second = &mut self.seconds[now as usize / 1_000];
+        if now <= request.first_sent_at + self.config.objective_ms {
+            second.in_time += 1;
+        } else {
+            second.late += 1;
+        }
     }
 }
 
