--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -54,7 +54,7 @@
 /// Half-life of this host's rate of arrivals; a longer one leaves the limit unused for seconds after a surge began.
 const ARRIVALS_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Requests that a host admits beyond its rate while its backlog goes from nothing to the limit.
-const BACKLOG_DEPTH: f64 = 6.0;
+const BACKLOG_DEPTH: f64 = 4.0;
 /// Part of the refusal range by which requests whose objective has passed are refused earlier, so that they get only
 /// what those leave that can still be in time.
 pub(crate) const OVERDUE_STEP: f64 = 0.45;
