Tell other hosts whether repeats after errors helped, and keep the own limit where few results come

A host sees few errors, so that each of 87 hosts made useless repeats of its own before it stopped; now the tallies of all count.

--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -383,9 +383,9 @@
         self.services.get(service).filter(|s| !s.reports_load).and_then(|s| s.plain.limit())
     }
 
-    /// Whether the limit of a service is learned together with the other hosts.
+    /// Whether decisions on a service use what many other hosts measure.
     pub(crate) fn is_shared(&self, service: &str) -> bool {
-        self.services.get(service).is_some_and(|s| !s.reports_load && s.plain.replaces_own_limit())
+        self.services.get(service).is_some_and(|s| !s.reports_load && s.plain.has_many_hosts())
     }
 
     /// Whether the objective of a request has already passed, since its caller has waited or retried before.
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -132,7 +132,7 @@
 pub struct PlainService {
     own: Window,
     /// Whether enough hosts tell what they measure.
-    shares: bool,
+    has_many_hosts: bool,
     /// Requests per second that the servers finish; known once they were saturated.
     capacity: Option<f64>,
     /// Requests per second that all hosts admit together.
@@ -146,7 +146,8 @@
     backlog: f64,
     backlog_at: Instant,
     adjusted_at: Instant,
-    measured_at: Instant,
+    /// When all hosts together last had enough results.
+    measured_at: Option<Instant>,
     logged: Option<f64>,
     logged_at: Instant,
 }
@@ -176,7 +177,7 @@
     /// Adjusts the limit to the counts of the others, on `hosts` hosts including this one. Returns a change that is
     /// to be logged.
     pub fn adjust(&mut self, now: Instant, others: Counts, hosts: u32) -> Option<Change> {
-        self.shares = hosts >= MIN_HOSTS;
+        self.has_many_hosts = hosts >= MIN_HOSTS;
         let elapsed = now.saturating_sub(self.adjusted_at);
         if elapsed < ADJUSTMENT_INTERVAL {
             return None;
@@ -184,13 +185,14 @@
         self.adjusted_at = now;
         let counts = self.own.total(now).plus(others);
         self.arrivals = f64::from(counts.arrivals) / WINDOW.as_secs_f64();
-        if !self.shares || now > self.measured_at + MAX_MEASUREMENT_AGE {
-            self.capacity = None;
-        }
-        if self.shares && counts.results >= MIN_RESULTS {
-            self.measured_at = now;
+        self.measured_at = self.measured_at.filter(|at| now <= *at + MAX_MEASUREMENT_AGE);
+        if self.has_many_hosts && counts.results >= MIN_RESULTS {
+            self.measured_at = Some(now);
             self.measure(elapsed.min(MAX_ADJUSTMENT_STEP), counts);
         }
+        if !self.replaces_own_limit() {
+            self.capacity = None;
+        }
         self.set_limit(now, counts.late_fraction());
         self.change(now, counts, hosts)
     }
@@ -243,9 +245,14 @@
         self.limit
     }
 
+    /// Whether this host knows what enough others measure.
+    pub(crate) fn has_many_hosts(&self) -> bool {
+        self.has_many_hosts
+    }
+
     /// Whether the limit on requests in progress that this host learns alone is replaced.
     pub(crate) fn replaces_own_limit(&self) -> bool {
-        self.shares
+        self.has_many_hosts && self.measured_at.is_some()
     }
 
     /// How much of what this host may admit is taken, where 1 is all; `None` while nothing is limited.
--- a/src/relay/plain/hooks.rs
+++ b/src/relay/plain/hooks.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 
-use super::{Counts, MIN_HOSTS, WINDOW, repeats::Repeat};
+use super::{
+    Counts, MIN_HOSTS, WINDOW,
+    repeats::{Repeat, Tally},
+};
 use crate::{
     logs::lines::{Level, line},
     metrics::Counter,
     relay::{
         Relay, State, Wire,
-        measurements::{Topic, key},
+        measurements::{Key, Topic, key},
         request::Request,
     },
     util::{Instant, now},
@@ -43,8 +46,13 @@
     }
 }
 
+/// Key of the repeats on a route, whose results are told like those of services.
+fn repeats_key(route: &str) -> Key {
+    key(route, "repeats")
+}
+
 impl State {
-    /// Sets what this host tells others of its plain services.
+    /// Sets what this host tells others of its plain services, and of repeats after errors there.
     pub(crate) fn publish_plain(&mut self, now: Instant) {
         let is_large = self.peers.host_count() >= MIN_HOSTS as usize;
         for (service, counts) in self.admission.plain_counts(now) {
@@ -55,6 +63,11 @@
             self.measurements.set(Topic::Results, key, counts.results);
             self.measurements.set(Topic::LateResults, key, counts.late);
         }
+        for (route, tally) in self.repeats.tallies(now) {
+            let tally = if is_large { tally } else { Tally::default() };
+            self.measurements.set(Topic::Results, repeats_key(&route), tally.made);
+            self.measurements.set(Topic::LateResults, repeats_key(&route), tally.failed);
+        }
     }
 
     /// Counts of the other hosts for a service.
@@ -83,6 +96,11 @@
 }
 
 impl<W: Wire> Relay<W> {
+    /// Number of hosts whose measurements this host knows, including its own.
+    pub fn measured_hosts(&self) -> u32 {
+        self.state().measurements.host_count()
+    }
+
     /// Whether a request may be repeated after an error of the server itself, by what became of such repeats lately.
     pub(crate) fn may_repeat_error(&self, req: &Request) -> bool {
         let draw = self.draw();
@@ -90,7 +108,10 @@
         if !state.admission.is_shared(&req.service) {
             return true;
         }
-        let decision = state.repeats.decide(now(), &req.route.route.name, draw);
+        let route = &req.route.route.name;
+        let of_others = |topic| state.measurements.of_others(topic, repeats_key(route));
+        let others = Tally { made: of_others(Topic::Results), failed: of_others(Topic::LateResults) };
+        let decision = state.repeats.decide(now(), route, others, draw);
         drop(state);
         match decision {
             Repeat::Useful => return true,
--- a/src/relay/plain/repeats.rs
+++ b/src/relay/plain/repeats.rs
@@ -30,17 +30,36 @@
     Useless,
 }
 
+/// Decaying numbers of repeats, in units of a [`Tally::SCALE`]th.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Repeats that were made.
+    pub made: u32,
+    /// Those whose response was an error as well, or that had none.
+    pub failed: u32,
+}
+
+impl Tally {
+    /// Units of a repeat.
+    pub const SCALE: f64 = 16.0;
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Outcomes {
-    helped: f64,
     made: f64,
+    failed: f64,
     at: Instant,
 }
 
 impl Outcomes {
     fn decay(&mut self, now: Instant) {
         let kept = decay(now.saturating_sub(self.at), HALF_LIFE);
-        (self.helped, self.made, self.at) = (self.helped * kept, self.made * kept, now);
+        (self.made, self.failed, self.at) = (self.made * kept, self.failed * kept, now);
+    }
+
+    fn tally(self) -> Tally {
+        let units = |n: f64| (n * Tally::SCALE) as u32;
+        Tally { made: units(self.made), failed: units(self.failed) }
     }
 }
 
@@ -59,14 +78,26 @@
         let outcomes = self.routes.entry(route.into()).or_default();
         outcomes.decay(now);
         outcomes.made += 1.0;
-        outcomes.helped += f64::from(u8::from(helped));
+        outcomes.failed += f64::from(u8::from(!helped));
     }
 
-    /// Decides whether a request is repeated; `draw` is a random number in `0..1`.
-    pub fn decide(&mut self, now: Instant, route: &str, draw: f64) -> Repeat {
-        let Some(outcomes) = self.routes.get_mut(route) else { return Repeat::Useful };
-        outcomes.decay(now);
-        if outcomes.made < MIN_WEIGHT || outcomes.helped >= MIN_SUCCESS * outcomes.made {
+    /// Repeats of this host, by route. Those of routes without recent ones are zero, and no longer returned after.
+    pub fn tallies(&mut self, now: Instant) -> Vec<(Arc<str>, Tally)> {
+        self.routes.values_mut().for_each(|outcomes| outcomes.decay(now));
+        let tallies = self.routes.iter().map(|(route, outcomes)| (route.clone(), outcomes.tally())).collect();
+        self.routes.retain(|_, outcomes| outcomes.tally().made > 0);
+        tallies
+    }
+
+    /// Decides whether a request is repeated, by the repeats of this host and of the others; `draw` is a random number
+    /// in `0..1`.
+    pub fn decide(&mut self, now: Instant, route: &str, others: Tally, draw: f64) -> Repeat {
+        let mut own = self.routes.get(route).copied().unwrap_or_default();
+        own.decay(now);
+        let others = Tally { failed: others.failed.min(others.made), ..others };
+        let made = own.made + f64::from(others.made) / Tally::SCALE;
+        let failed = own.failed + f64::from(others.failed) / Tally::SCALE;
+        if made < MIN_WEIGHT || failed <= (1.0 - MIN_SUCCESS) * made {
             return Repeat::Useful;
         }
         if draw < PROBED_FRACTION { Repeat::Probe } else { Repeat::Useless }
--- a/tests/relay_plain.rs
+++ b/tests/relay_plain.rs
@@ -2,14 +2,28 @@
 
 #[path = "support/load.rs"]
 mod load;
-
-use std::time::Duration;
-
-use cranberrytally::relay::plain::{
-    Counts, MIN_HOSTS, PlainService,
-    repeats::{Repeat, Repeats},
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::{sync::Arc, time::Duration};
+
+use cranberrytally::{
+    metrics::Counter,
+    relay::{
+        measurements::{Measurements, Topic, key},
+        mesh,
+        peers::Scope,
+        plain::{
+            Counts, MIN_HOSTS, PlainService,
+            repeats::{Repeat, Repeats, Tally},
+        },
+    },
 };
 use load::{Plain, SecondStats, Simulation};
+use tokio::net::UdpSocket;
+use wire::{Host, ScriptStep, Server, answer, request, status, wait_until};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 const SURGE: (u64, u64) = (3, 15);
@@ -184,15 +198,68 @@
 #[test]
 fn errors_are_repeated_only_where_that_has_helped_lately() {
     let mut repeats = Repeats::default();
-    assert_eq!(repeats.decide(ms(0), "r", 0.5), Repeat::Useful, "nothing known");
+    let decide = |repeats: &mut Repeats, at, draw| repeats.decide(ms(at), "r", Tally::default(), draw);
+    assert_eq!(decide(&mut repeats, 0, 0.5), Repeat::Useful, "nothing known");
 
     (0..4).for_each(|n| repeats.record(ms(n), "r", false));
-    assert_eq!(repeats.decide(ms(10), "r", 0.5), Repeat::Useless);
-    assert_eq!(repeats.decide(ms(10), "r", 0.05), Repeat::Probe);
-    assert_eq!(repeats.decide(ms(10), "other", 0.5), Repeat::Useful);
+    assert_eq!(decide(&mut repeats, 10, 0.5), Repeat::Useless);
+    assert_eq!(decide(&mut repeats, 10, 0.05), Repeat::Probe);
+    assert_eq!(repeats.decide(ms(10), "other", Tally::default(), 0.5), Repeat::Useful);
 
     (0..4).for_each(|n| repeats.record(ms(20 + n), "r", true));
-    assert_eq!(repeats.decide(ms(30), "r", 0.5), Repeat::Useful);
+    assert_eq!(decide(&mut repeats, 30, 0.5), Repeat::Useful);
     (0..9).for_each(|n| repeats.record(ms(40 + n), "r", false));
-    assert_eq!(repeats.decide(ms(60_000), "r", 0.5), Repeat::Useful, "long ago");
+    assert_eq!(decide(&mut repeats, 60_000, 0.5), Repeat::Useful, "long ago");
+}
+
+/// A host sees few errors; without what the others tell, each would make useless repeats of its own first.
+#[test]
+fn the_repeats_of_other_hosts_count() {
+    let mut other = Repeats::default();
+    (0..4).for_each(|n| other.record(ms(n), "r", false));
+    let told = other.tallies(ms(10))[0].1;
+
+    assert_eq!(Repeats::default().decide(ms(10), "r", told, 0.5), Repeat::Useless);
+    let forged = Tally { made: 0, failed: u32::MAX };
+    assert_eq!(Repeats::default().decide(ms(10), "r", forged, 0.5), Repeat::Useful);
+    assert_eq!(other.tallies(ms(60_000))[0].1, Tally::default());
+    assert_eq!(other.tallies(ms(60_000)), [], "forgotten once told");
+}
+
+/// Makes a host receive what enough others measure for it to count as one of a large fleet.
+async fn join_fleet(host: &Host) {
+    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let addr = socket.local_addr().unwrap();
+    tokio::spawn(mesh::receive_heartbeats(host.relay.clone(), socket));
+    for _ in 1..MIN_HOSTS {
+        let mut other = Measurements::default();
+        other.set(Topic::Results, key("app", ()), 1);
+        let message = other.message(ms(0), 1, Scope::Host).unwrap();
+        let from = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        from.send_to(&postcard::to_allocvec(&message).unwrap(), addr).await.unwrap();
+    }
+    wait_until("the measurements of the others", || host.relay.measured_hosts() == MIN_HOSTS).await;
+}
+
+/// Repeats of a request that fails at every server take capacity and budget; its caller must get the server's own
+/// response instead.
+#[tokio::test]
+async fn an_error_is_delivered_unchanged_where_repeats_do_not_help() {
+    let failing = |body| [ScriptStep::Write(answer("507 Insufficient Storage", body))];
+    let servers =
+        [Server::start("i-1", failing("disk 1")).await, Server::start("i-2", failing("disk 2")).await];
+    let host = Host::with_servers(&[&servers[0], &servers[1]]).await;
+    join_fleet(&host).await;
+
+    for _ in 0..12 {
+        let answer = host.call(&request("/safe/x", "")).await;
+        assert!(status(&answer) == 507 && answer.contains("\r\n\r\ndisk "), "{answer}");
+    }
+
+    let total = |counter, value: &str| host.relay.metrics().totals(counter).get(value).copied().unwrap_or(0);
+    let (repeated, useless) =
+        (total(Counter::RelayRetries, "errored"), total(Counter::RelayPlain, "repeat_useless"));
+    let sent: usize = servers.iter().map(|s| s.requests().len()).sum();
+    assert!(useless > 0 && repeated > 0, "{useless} useless, {repeated} repeated");
+    assert_eq!(sent as u64, 12 + repeated);
 }
