--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -69,6 +69,8 @@
     RelayQuarantine,
     /// Reports of servers close to the load bound, by what was done with them.
     RelayHotServers,
+    /// Decisions for plain services.
+    RelayPlain,
 }
 
 /// A gauge of the relay.
@@ -156,7 +158,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 27] = [
+    pub const ALL: [Counter; 28] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -184,6 +186,7 @@
         Counter::RelayCrashes,
         Counter::RelayQuarantine,
         Counter::RelayHotServers,
+        Counter::RelayPlain,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -253,6 +256,9 @@
             Counter::RelayHotServers => {
                 row("relay_hot_servers", "what", "reports of servers close to the load bound")
             }
+            Counter::RelayPlain => {
+                row("relay_plain", "what", "decisions for services whose servers report no load")
+            }
         }
     }
 }
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -20,6 +20,7 @@
         origins::Discontinued,
         outcome::Outcome,
         place::Reason,
+        plain::hooks::PlainEvent,
         revision::EpochCheck,
         stream::StreamBreak,
         tunnel::TunnelOutcome,
@@ -91,6 +92,7 @@
         (Counter::RelayCrashes, label_values(&CrashNews::ALL, |n| n.as_str())),
         (Counter::RelayQuarantine, label_values(&Event::ALL, |e| e.as_str())),
         (Counter::RelayHotServers, label_values(&ReportUse::ALL, |u| u.as_str())),
+        (Counter::RelayPlain, label_values(&PlainEvent::ALL, |e| e.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
