Refuse the excess of workspaces over their share while a service is short of capacity

Admission control refused all workspaces with the same chance, so that one that sends nine times its usual load took as large a part of the others' service as of its own.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -67,6 +67,8 @@
     RelayCrashes,
     /// Causes of crashes by what became of them.
     RelayQuarantine,
+    /// Requests to services short of capacity by whether their workspace asks for more than its share.
+    RelayShares,
 }
 
 /// A gauge of the relay.
@@ -154,7 +156,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 26] = [
+    pub const ALL: [Counter; 27] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -181,6 +183,7 @@
         Counter::RelayOrigins,
         Counter::RelayCrashes,
         Counter::RelayQuarantine,
+        Counter::RelayShares,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -247,6 +250,11 @@
             Counter::RelayQuarantine => {
                 row("relay_quarantine", "change", "causes of crashes by what became of them")
             }
+            Counter::RelayShares => row(
+                "relay_shares",
+                "workspace",
+                "requests to services short of capacity, by workspace's demand",
+            ),
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`shares`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -70,6 +70,7 @@
 pub mod revision;
 pub mod routes;
 pub mod run;
+pub mod shares;
 mod stop;
 pub mod stream;
 pub mod tunnel;
@@ -100,6 +101,7 @@
 use request::Request;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
+use shares::Shares;
 use warmup::Warmup;
 pub use wire::{AttemptContext, Refusal, ResponseHead, Wire};
 
@@ -162,6 +164,7 @@
     pub(crate) evacuation_ended: Option<Instant>,
     pub(crate) warmup: Warmup,
     pub(crate) admission: Admission,
+    pub(crate) shares: Shares,
     pub(crate) origins: Origins,
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
@@ -249,6 +252,7 @@
             evacuation_ended: None,
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
+            shares: Shares::default(),
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -25,7 +25,7 @@
 /// Decrease of that fraction for each further rank of the route.
 const ROUTE_RANK_REFUSAL_STEP: f64 = 0.08;
 /// Higher ranks are treated as this one.
-const MAX_RANK: u32 = 3;
+pub(super) const MAX_RANK: u32 = 3;
 /// Decrease of that fraction for requests whose objective has passed: the requests they would displace can still be
 /// in time.
 const OVERDUE_REFUSAL_STEP: f64 = 0.15;
@@ -305,6 +305,22 @@
         service: &Arc<str>,
         req: AdmissionRequest,
         draws: [f64; 2],
+    ) -> Result<(), Refused> {
+        self.admit_by_share(now, service, req, draws, |chance| chance)
+    }
+
+    /// Decides as [`Admission::admit`] does, but with the chance of refusal that `share` makes of the one for all
+    /// workspaces.
+    ///
+    /// # Errors
+    /// As for [`Admission::admit`].
+    pub fn admit_by_share(
+        &mut self,
+        now: Instant,
+        service: &Arc<str>,
+        req: AdmissionRequest,
+        draws: [f64; 2],
+        share: impl FnOnce(f64) -> f64,
     ) -> Result<(), Refused> {
         let overdue = self.is_overdue(req);
         let service = self.service(now, service);
@@ -316,6 +332,7 @@
         service.limit.peak_occupancy = service.limit.peak_occupancy.max(occupancy);
         let limit = service.limit.value;
         let chance = (occupancy / limit - refusal_start(req, overdue)) / REFUSAL_RANGE;
+        let chance = share(chance);
         if draws[0] >= chance {
             return Ok(());
         }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -330,6 +330,10 @@
             load: self.service_load(now, &req.service),
         };
         let draws = [self.rng.random(), self.rng.random()];
-        self.admission.admit(now, &req.service, admission_req, draws)
+        let from = req.requester();
+        let share = |chance| self.shares.chance(now, from, chance);
+        self.admission.admit_by_share(now, &req.service, admission_req, draws, share)?;
+        self.shares.record_admitted(now, from);
+        Ok(())
     }
 }
--- a/src/relay/measurements.rs
+++ b/src/relay/measurements.rs
@@ -126,6 +126,19 @@
         self.own(topic, key).saturating_add(self.of_others(topic, key))
     }
 
+    /// Sums of all amounts of a topic over the other hosts.
+    pub fn amounts_of_others(&self, topic: Topic) -> impl Iterator<Item = (Key, u32)> {
+        let of_topic = self.sums.iter().filter(move |((t, _), _)| *t == topic);
+        of_topic.map(|((_, key), sum)| (*key, saturate(*sum)))
+    }
+
+    /// Mean time since the last messages of the hosts and data centres that are summed.
+    pub fn mean_age(&self, now: Instant) -> Duration {
+        let sources = self.hosts.values().chain(self.centres.values());
+        let ages = sources.clone().map(|source| now.saturating_sub(source.received_at));
+        ages.sum::<Duration>() / (sources.count() as u32).max(1)
+    }
+
     /// Number of hosts whose amounts are summed, including this one.
     pub fn host_count(&self) -> u32 {
         let others = self.hosts.len() as u32;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use super::routes::{Caller, CompiledRoute, Version};
+use super::{
+    routes::{Caller, CompiledRoute, Version},
+    shares::Requester,
+};
 use crate::{
     suspect::Fingerprint,
     util::{Instant, hash},
@@ -84,6 +87,12 @@
         Fingerprint::call(self.target.path(), &self.body).0 ^ hash(workspace)
     }
 
+    /// Who sends it, for the shares of workspaces.
+    pub(crate) fn requester(&self) -> Requester<'_> {
+        let workspace = self.caller.as_ref().map_or("", |c| &*c.workspace);
+        Requester { service: &self.service, workspace, rank: self.rank(), route_rank: self.route.route.rank }
+    }
+
     /// Rank for backend servers, the workspace's if it has one, otherwise the route's; 0 is the most urgent.
     pub fn rank(&self) -> u32 {
         self.caller.as_ref().and_then(|c| c.rank).unwrap_or(self.route.route.rank)
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -15,6 +15,7 @@
     request::Request,
     revision::{Epoch, EpochCheck, Revision},
     routes::Routes,
+    shares::ShareCounts,
 };
 use crate::{
     logs::lines::{Level, Line, line},
@@ -326,6 +327,27 @@
         }
     }
 
+    /// Computes the shares of workspaces anew, counts the requests that they applied to, and logs the workspaces that ask
+    /// for more.
+    fn update_shares(&self, state: &mut State, now: Instant) {
+        let hosts = self.known_hosts(state);
+        let State { shares, measurements, .. } = state;
+        shares.update(now, hosts, measurements);
+        let counts = shares.take_counts().values();
+        for (label, n) in ShareCounts::LABELS.into_iter().zip(counts).filter(|(_, n)| *n > 0) {
+            self.metrics.add(Counter::RelayShares, label, n);
+        }
+        let (summed, age) = (measurements.host_count(), measurements.mean_age(now));
+        for over in shares.report(now, measurements) {
+            line(Level::Notable, "share", |l| {
+                let l = l.text("service", &over.service).text("workspace", &over.workspace);
+                let l = l.decimal("demand", over.demand).decimal("admitted", over.admitted);
+                let l = l.decimal("share", over.share).flag("bounded", over.is_bounded);
+                l.number("hosts", summed).ms("age_ms", age)
+            });
+        }
+    }
+
     /// Periodic housekeeping: expires peers, servers and evacuations, and closes idle connections.
     pub(crate) fn run_housekeeping(&self) {
         let now = now();
@@ -351,6 +373,7 @@
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
         state.measurements.expire(now);
+        self.update_shares(&mut state, now);
         self.expire_reach(&mut state);
         self.expire_crashes(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -3,11 +3,17 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
-use cranberrytally::relay::admission::{Admission, AdmissionRequest, ReportedLoad, ServiceLoad};
+use cranberrytally::relay::{
+    admission::{Admission, AdmissionRequest, ReportedLoad, ServiceLoad},
+    measurements::Measurements,
+    peers::Scope,
+    shares::{Requester, Shares},
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// Parameters of a simulation; times in milliseconds.
@@ -36,6 +42,23 @@
     pub lost_servers: (usize, u64),
     /// Ranks that are assigned to the requests in turn.
     pub ranks: Vec<u32>,
+    /// Workspaces of the requests, if they differ.
+    pub workspaces: Option<Workspaces>,
+}
+
+/// Workspaces and what hosts tell each other of them.
+#[derive(Clone, Debug)]
+pub struct Workspaces {
+    /// Usual rates of new requests, relative to each other.
+    pub rates: Vec<f64>,
+    /// Factor of the first workspace's rate during the surge.
+    pub first_factor: f64,
+    /// Number of data centres, over which the hosts are spread.
+    pub data_centres: usize,
+    /// Interval of each host's messages; 0 if hosts tell each other nothing.
+    pub message_interval_ms: u64,
+    /// Whether shares apply.
+    pub uses_shares: bool,
 }
 
 /// Statistics of one second.
@@ -47,12 +70,15 @@
     pub in_time: u32,
     /// Numbers of requests first sent in this second, by rank: those that started within the objective, and all.
     pub by_rank: BTreeMap<u32, (u32, u32)>,
+    /// The same numbers by workspace.
+    pub by_workspace: BTreeMap<usize, (u32, u32)>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Request {
     host: usize,
     rank: u32,
+    workspace: usize,
     first_sent_at: u64,
     sent_at: u64,
     remaining_ms: f64,
@@ -97,8 +123,10 @@
     servers: Vec<Server>,
     /// Requests in progress at each server in the last `state_lag_ms`, oldest first; hosts know the oldest entry.
     load_history: VecDeque<Vec<usize>>,
-    /// Time of the first attempt and rank of each retry, by the time at which it is sent.
-    retries: BTreeMap<u64, Vec<(u64, u32)>>,
+    /// Shares and measurements of each host.
+    shares: Vec<(Shares, Measurements)>,
+    /// Time of the first attempt, rank and workspace of each retry, by the time at which it is sent.
+    retries: BTreeMap<u64, Vec<(u64, u32, usize)>>,
     /// New requests that are due, with the fraction of the next one.
     arrivals_due: f64,
     /// Number of requests sent for the first time so far.
@@ -116,6 +144,7 @@
             config,
             rng: SmallRng::seed_from_u64(seed),
             hosts: vec![Admission::default(); config.hosts],
+            shares: vec![Default::default(); config.hosts],
             servers: vec![Server::default(); config.servers],
             load_history: VecDeque::new(),
             retries: BTreeMap::new(),
@@ -133,9 +162,10 @@
         if self.load_history.len() as u64 > self.config.state_lag_ms {
             self.load_history.pop_front();
         }
-        for (first_sent_at, rank) in self.retries.remove(&now).unwrap_or_default() {
-            self.send_request(now, first_sent_at, rank);
+        for (first_sent_at, rank, workspace) in self.retries.remove(&now).unwrap_or_default() {
+            self.send_request(now, first_sent_at, rank, workspace);
         }
+        self.tell_measurements(now);
         let (load_factor, from, until) = self.config.surge;
         let load_factor = if (from..until).contains(&now) { load_factor } else { 0.4 };
         self.arrivals_due += load_factor * self.config.capacity(0) / 1_000.0;
@@ -143,17 +173,65 @@
             self.arrivals_due -= 1.0;
             let rank = self.config.ranks[self.arrivals % self.config.ranks.len()];
             self.arrivals += 1;
+            let workspace = self.draw_workspace((from..until).contains(&now));
             let second = &mut self.seconds[now as usize / 1_000];
             second.new_requests += 1;
             second.by_rank.entry(rank).or_default().1 += 1;
-            self.send_request(now, now, rank);
+            second.by_workspace.entry(workspace).or_default().1 += 1;
+            self.send_request(now, now, rank, workspace);
         }
         for server_index in 0..self.servers.len() {
             self.serve(now, server_index);
         }
     }
 
-    fn send_request(&mut self, now: u64, first_sent_at: u64, rank: u32) {
+    fn draw_workspace(&mut self, in_surge: bool) -> usize {
+        let Some(config) = &self.config.workspaces else { return 0 };
+        let factor = |i| if i == 0 && in_surge { config.first_factor } else { 1.0 };
+        let rates: Vec<_> = config.rates.iter().enumerate().map(|(i, rate)| rate * factor(i)).collect();
+        let mut left = self.rng.random::<f64>() * rates.iter().sum::<f64>();
+        let is_drawn = |rate: &f64| {
+            left -= rate;
+            left <= 0.0
+        };
+        rates.iter().position(is_drawn).unwrap_or(0)
+    }
+
+    /// Updates the shares of each host four times per second, and sends its measurements to its data centre and the sum
+    /// of the data centre to one host of each other one.
+    fn tell_measurements(&mut self, now: u64) {
+        let Some(config) = self.config.workspaces.as_ref().filter(|w| w.uses_shares) else { return };
+        let addr = |host: usize| SocketAddr::from(([10, 0, 0, 0], host as u16));
+        for host in 0..self.shares.len() {
+            let offset = host as u64 * 7;
+            let (shares, measurements) = &mut self.shares[host];
+            if (now + offset).is_multiple_of(250) {
+                measurements.expire(ms(now));
+                shares.update(ms(now), self.config.hosts, measurements);
+            }
+            if config.message_interval_ms == 0 || !(now + offset).is_multiple_of(config.message_interval_ms) {
+                continue;
+            }
+            let own = measurements.message(ms(now), 1, Scope::Host);
+            let sum = measurements.message(ms(now), 1, Scope::DataCentre);
+            let centre = host % config.data_centres;
+            let mut targets: Vec<_> =
+                (0..self.config.hosts).filter(|h| h % config.data_centres == centre).collect();
+            targets.retain(|target| *target != host);
+            let per_centre = self.config.hosts / config.data_centres;
+            let others = (0..config.data_centres).filter(|other| *other != centre);
+            targets.extend(others.map(|c| c + config.data_centres * self.rng.random_range(0..per_centre)));
+            for target in targets {
+                let is_own = target % config.data_centres == centre;
+                let Some(message) = (if is_own { &own } else { &sum }) else { continue };
+                let names = [format!("{centre}"), format!("{}", target % config.data_centres)];
+                let known = &mut self.shares[target].1;
+                known.receive(ms(now), addr(host), Some(&names[0]), &names[1], message);
+            }
+        }
+    }
+
+    fn send_request(&mut self, now: u64, first_sent_at: u64, rank: u32, workspace: usize) {
         let host = self.rng.random_range(0..self.hosts.len());
         let reported_loads = &self.load_history[0];
         let others: usize = reported_loads.iter().take(self.servers.len()).sum();
@@ -172,17 +250,21 @@
         };
         let draws = [self.rng.random(), self.rng.random()];
         let service: Arc<str> = SERVICE.into();
+        let name = format!("w{workspace}");
+        let from = Requester { service: &service, workspace: &name, rank, route_rank: rank };
+        let shares = &mut self.shares[host].0;
         let refused = self.hosts[host]
-            .admit(ms(now), &service, admission_request, draws)
+            .admit_by_share(ms(now), &service, admission_request, draws, |c| shares.chance(ms(now), from, c))
             .err()
             .filter(|_| self.config.uses_admission);
         if let Some(refused) = refused {
             if first_sent_at == now {
                 let retry_at = now + 1 + refused.retry_after.as_millis() as u64;
-                self.retries.entry(retry_at).or_default().push((first_sent_at, rank));
+                self.retries.entry(retry_at).or_default().push((first_sent_at, rank, workspace));
             }
             return;
         }
+        shares.record_admitted(ms(now), from);
         let server_index = self.rng.random_range(0..self.servers.len());
         let service_time_ms = self.config.service_time_ms * self.rng.random_range(0.5..1.5);
         if self.servers[server_index].queue.len() >= QUEUE_PER_SLOT * self.config.slots_per_server {
@@ -191,6 +273,7 @@
         self.servers[server_index].queue.push_back(Request {
             host,
             rank,
+            workspace,
             first_sent_at,
             sent_at: now,
             remaining_ms: service_time_ms,
@@ -216,11 +299,9 @@
             }
             if now <= request.first_sent_at + config.objective_ms {
                 self.seconds[now as usize / 1_000].in_time += 1;
-                self.seconds[request.first_sent_at as usize / 1_000]
-                    .by_rank
-                    .entry(request.rank)
-                    .or_default()
-                    .0 += 1;
+                let second = &mut self.seconds[request.first_sent_at as usize / 1_000];
+                second.by_rank.entry(request.rank).or_default().0 += 1;
+                second.by_workspace.entry(request.workspace).or_default().0 += 1;
             }
         }
         let speed = 1.0 / (1.0 + config.slowdown * server.running.len().saturating_sub(1) as f64);
