--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -17,11 +17,13 @@
         },
         exchange::MAX_COPIES,
         holders::Holders,
-        peers::{LocalVersions, Peers},
+        measurements::{MARKER, Measurements, Topic},
+        peers::{LocalVersions, Peers, Scope},
         place::{Candidate, Placer},
         request::Part,
+        shares::{Requester, Shares},
     },
-    schema::fleet::{Backend, Backends as List, Beat, InProgress, Member, StreamOrigin, StreamOrigins},
+    schema::fleet::{self, Backend, Backends as List, Beat, InProgress, Member, StreamOrigin, StreamOrigins},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -29,11 +31,17 @@
 const SERVER_COUNTS: [usize; 4] = [9, 112, 733, 2_750];
 /// Numbers of hosts for which the choice among them is measured.
 const HOST_COUNTS: [u16; 3] = [8, 330, 985];
+/// Numbers of workspaces for which the costs of shares are measured.
+const WORKSPACE_COUNTS: [usize; 2] = [24, 2_100];
+/// Numbers of hosts of a data centre that tell amounts.
+const TELLING_HOSTS: u16 = 65;
 /// Requests at a server when it crashes, and the crashes of a series.
 const SUSPECTS: u64 = 60;
 const CRASHES: u32 = 20;
 /// Number of iterations of each measurement.
 const ITERATIONS: u32 = 20_000;
+/// Number of updates of shares.
+const UPDATES: u32 = 500;
 /// Number of log lines written with an output.
 const LOG_LINES: u32 = 5_000;
 /// Number of log lines between two pauses, below the capacity of the output's queue.
@@ -141,6 +149,12 @@
         );
     }
     println!("\nadmission: {:.2} us", admission_us());
+    for workspaces in WORKSPACE_COUNTS {
+        let [request, update, bytes] = share_costs(workspaces);
+        println!(
+            "shares of {workspaces} workspaces: {request:.2} us a request, {update:.0} us an update, message {bytes:.0} bytes"
+        );
+    }
     for hosts in HOST_COUNTS {
         println!("choice of the hosts that remember a stream, of {hosts}: {:.1} us", replicas_us(hosts));
     }
@@ -196,6 +210,43 @@
     })
 }
 
+/// Mean time of a request's share and of an update of all shares, and the size of a message, for a host that has had requests
+/// of all workspaces while the other hosts of its data centre tell the largest.
+fn share_costs(workspaces: usize) -> [f64; 3] {
+    let (service, mut shares, mut measurements): (Arc<str>, Shares, Measurements) =
+        ("llm".into(), Default::default(), Default::default());
+    let names: Vec<_> = (0..workspaces).map(|i| format!("workspace-{i}")).collect();
+    let from =
+        |i: usize| Requester { service: &service, workspace: &names[i % workspaces], rank: 1, route_rank: 1 };
+    shares.update(Duration::ZERO, 985, &mut measurements);
+    let now = Duration::from_secs(1);
+    for host in 0..TELLING_HOSTS {
+        let amount = |i: usize| fleet::Amount {
+            topic: Topic::WorkspaceDemand as u32,
+            key: from(i + usize::from(host)).key(),
+            value: 40 + i as u32,
+        };
+        let message = fleet::Measurements {
+            marker: MARKER,
+            start: 1,
+            number: 1,
+            hosts: 1,
+            amounts: (0..8).map(amount).collect(),
+            ..Default::default()
+        };
+        measurements.receive(now, SocketAddr::from(([10, 0, 0, 1], host)), None, "a", &message);
+    }
+    let request = mean_us(ITERATIONS, |i| {
+        if i == workspaces as u64 {
+            shares.update(now, 985, &mut measurements);
+        }
+        std::hint::black_box(shares.chance(now, from(i as usize), 0.5));
+    });
+    let update = mean_us(UPDATES, |_| shares.update(now, 985, &mut measurements));
+    let message = measurements.message(now, 1, Scope::Host);
+    [request, update, message.map_or(0, |m| postcard::to_allocvec(&m).map_or(0, |b| b.len())) as f64]
+}
+
 /// Measures the cost of the log line that is written for each attempt, without and with an output. The output's own thread is
 /// not counted.
 fn log_lines() {
--- a/src/relay/shares/group.rs
+++ b/src/relay/shares/group.rs
@@ -25,6 +25,8 @@
 const MAX_REPORTED: usize = 8;
 /// Lower bound of the mean chance of refusal by which the present one is divided.
 const MIN_MEAN_CHANCE: f64 = 0.01;
+/// Mean chance of refusal up to which shares are those at the mean, and from which they are those at the present chance.
+const BY_MEAN_RANGE: (f64, f64) = (0.7, 0.9);
 /// Maximum number of expected refusals that are carried over to the next requests of a workspace, so that few requests are
 /// refused after the end of a shortage.
 const MAX_CARRIED: f64 = 2.0;
@@ -169,11 +171,14 @@
     ///
     /// The chance for all varies widely from request to request, since a host estimates the load of all from its own few
     /// requests. Shares are therefore those at its mean, and scaled to its present value. What exceeds a certain refusal
-    /// is carried over to the next requests of the workspace, so that the mean is kept.
+    /// is carried over to the next requests of the workspace, so that the mean is kept. Under severe overload, when most
+    /// requests are refused, shares at the present chance are used instead: they follow the load without delay.
     pub(super) fn chance(&mut self, now: Instant, key: Key, of_all: f64) -> Option<(f64, bool)> {
         let mean = self.mean_chance();
-        let at_mean = self.shares.as_ref()?.chance(key, mean);
-        let wanted = of_all.clamp(0.0, 1.0) * (at_mean / mean);
+        let shares = self.shares.as_ref()?;
+        let (at_mean, present) = (shares.chance(key, mean), of_all.clamp(0.0, 1.0));
+        let by_mean = ((BY_MEAN_RANGE.1 - mean) / (BY_MEAN_RANGE.1 - BY_MEAN_RANGE.0)).clamp(0.0, 1.0);
+        let wanted = by_mean * present * (at_mean / mean) + (1.0 - by_mean) * shares.chance(key, present);
         let Some(workspace) = self.workspaces.get_mut(&key) else { return Some((wanted, at_mean > 0.0)) };
         let wanted = wanted + workspace.carried.at(now);
         let chance = wanted.min(1.0);
