--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,8 @@
     RelayHotServers,
     /// Decisions for plain services.
     RelayPlain,
+    /// Requests to services short of capacity by whether their workspace asks for more than its share.
+    RelayShares,
 }
 
 /// A gauge of the relay.
@@ -158,7 +160,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 28] = [
+    pub const ALL: [Counter; 29] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -187,6 +189,7 @@
         Counter::RelayQuarantine,
         Counter::RelayHotServers,
         Counter::RelayPlain,
+        Counter::RelayShares,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -259,6 +262,11 @@
             Counter::RelayPlain => {
                 row("relay_plain", "what", "decisions for services whose servers report no load")
             }
+            Counter::RelayShares => row(
+                "relay_shares",
+                "workspace",
+                "requests to services short of capacity, by workspace's demand",
+            ),
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`plain`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`plain`], [`shares`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -72,6 +72,7 @@
 pub mod revision;
 pub mod routes;
 pub mod run;
+pub mod shares;
 mod stop;
 pub mod stream;
 pub mod tunnel;
@@ -104,6 +105,7 @@
 use request::Request;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
+use shares::Shares;
 use warmup::Warmup;
 pub use wire::{AttemptContext, Refusal, ResponseHead, Wire};
 
@@ -170,6 +172,7 @@
     pub(crate) admission: Admission,
     /// What became of the latest repeats after errors of servers.
     pub(crate) repeats: Repeats,
+    pub(crate) shares: Shares,
     pub(crate) origins: Origins,
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
@@ -261,6 +264,7 @@
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
             repeats: Repeats::default(),
+            shares: Shares::default(),
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -31,6 +31,7 @@
         lost_servers: (0, 0),
         ranks: vec![1],
         plain: None,
+        workspaces: None,
     }
 }
 
--- a/tests/relay_plain.rs
+++ b/tests/relay_plain.rs
@@ -49,6 +49,7 @@
         surge: (1.47, SURGE.0 * 1_000, SURGE.1 * 1_000),
         lost_servers: (1, SURGE.0 * 1_000),
         ranks: vec![1],
+        workspaces: None,
         plain: Some(Plain { usual_load: 0.49, queue: 24, counts_lag_ms: Some(1_000), failing_servers: 0 }),
     }
 }
