Spread callers that return after a refusal over time slots, and reserve capacity for them after a surge

Cause: each host draws the retry time of refused callers independently. Many return during the same surge and are refused for good, while capacity after it stays free. Change: relay::returns counts promised returns by service and slot of 250 ms over all hosts (topic PromisedReturns), gives the slot with the fewest, and reserves half of the drain for promised returns once the surge is over. Fleets of fewer than 16 hosts are unchanged.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`returns`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -67,6 +67,7 @@
 pub mod reach;
 pub mod read_turn;
 pub mod request;
+pub mod returns;
 pub mod revision;
 pub mod routes;
 pub mod run;
@@ -98,6 +99,7 @@
 use pool::{Conn, Pool};
 use reach::Reach;
 use request::Request;
+use returns::Returns;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
 use warmup::Warmup;
@@ -162,6 +164,7 @@
     pub(crate) evacuation_ended: Option<Instant>,
     pub(crate) warmup: Warmup,
     pub(crate) admission: Admission,
+    pub(crate) returns: Returns,
     pub(crate) origins: Origins,
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
@@ -182,6 +185,8 @@
     not_ready_reported: Option<Instant>,
     /// When this host last logged the use of the retry budget.
     budget_reported: Instant,
+    /// When this host last logged its promises to refused callers.
+    returns_reported: Instant,
     /// Prompt parts that were read at servers where the other hosts do not expect them, to be reported in the next
     /// heartbeats.
     new_holders: Vec<Held>,
@@ -249,6 +254,7 @@
             evacuation_ended: None,
             warmup: Warmup::default().with_start(now()),
             admission: Admission::default(),
+            returns: Returns::default(),
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
@@ -264,6 +270,7 @@
             list_was_current: false,
             not_ready_reported: None,
             budget_reported: now(),
+            returns_reported: now(),
             new_holders: Vec::new(),
             in_progress: 0,
             connections: 0,
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -69,7 +69,7 @@
 const MIN_LATE_DELAY_FRACTION: f64 = 0.5;
 /// Chance of refusal up to which callers are asked to retry within the objective. Above it the retry would
 /// probably be refused as well, and a caller has only one, so that it is asked to come back late.
-const MAX_EARLY_RETRY_CHANCE: f64 = 0.6;
+pub(crate) const MAX_EARLY_RETRY_CHANCE: f64 = 0.6;
 /// Range of early retry delays as fractions of the objective, which leaves the retry time to be answered on time.
 const EARLY_RETRY_FRACTIONS: (f64, f64) = (0.25, 0.6);
 
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -14,13 +14,14 @@
     health::FailureSummary,
     place::{self, Bound, Candidate, Choice, Placer},
     request::Request,
+    returns::Moment,
     run::RETRY_AFTER,
     warmup::{COLD_SENDERS, ColdLimit},
 };
 use crate::{
     error::ErrorKind,
     schema::fleet::Member,
-    util::{Instant, hash, now},
+    util::{Instant, hash, now, wall_ms},
 };
 
 /// Number of other hosts that must avoid a server before this host avoids it without trying it first; a single host
@@ -329,7 +330,12 @@
             time_left: req.time_left(now),
             load: self.service_load(now, &req.service),
         };
-        let draws = [self.rng.random(), self.rng.random()];
-        self.admission.admit(now, &req.service, admission_req, draws)
+        let at = Moment { now, wall_ms: wall_ms(), hosts: self.peers.host_count() };
+        let (returns, measurements) = (&mut self.returns, &mut self.measurements);
+        let arrival = returns.arrive(at, &req.service, &admission_req, measurements, self.rng.random());
+        let draws = [self.rng.random::<f64>() + arrival.advantage, self.rng.random()];
+        let decision = self.admission.admit(now, &req.service, admission_req, draws);
+        let draw = self.rng.random();
+        returns.settle(at, &req.service, &admission_req, arrival, decision, (measurements, draw))
     }
 }
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -20,7 +20,7 @@
     logs::lines::{Level, Line, line},
     metrics::{Counter, Gauge},
     schema::fleet::{Configuration, ConfigurationChanges, Held, Member},
-    util::{Instant, now},
+    util::{Instant, now, wall_ms},
 };
 
 /// Maximum number of backend server changes that are logged individually. For a longer list the total is logged as
@@ -30,6 +30,8 @@
 const NOT_READY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which a host logs the use of the retry budget.
 const BUDGET_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a host logs its promises to refused callers.
+const RETURNS_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of hosts per data centre that are registered in the store. They are replaced once half of them are
 /// gone.
 const MAX_REGISTERED_HOSTS: usize = 16;
@@ -326,6 +328,27 @@
         }
     }
 
+    /// Drops promises to refused callers that are past, counts what became of them, and logs the latest of each service.
+    fn report_returns(&self, state: &mut State, now: Instant) {
+        let (returns, measurements) = (&mut state.returns, &mut state.measurements);
+        returns.expire(wall_ms(), measurements);
+        for (event, n) in returns.take_counts() {
+            self.metrics.add(Counter::RelayReturns, event.as_str(), n);
+        }
+        if state.returns_reported + RETURNS_REPORT_INTERVAL > now {
+            return;
+        }
+        state.returns_reported = now;
+        for (service, promise) in state.returns.take_promises() {
+            line(Level::Notable, "promised", |l| {
+                let l = l.text("service", &service).decimal("promised", promise.promised);
+                let l = l.decimal("drained", promise.drained).number("slot", promise.slot);
+                let l = l.ms("retry_after_ms", promise.delay).number("hosts", promise.hosts as u64);
+                l.ms("age_ms", now.saturating_sub(promise.at))
+            });
+        }
+    }
+
     /// Periodic housekeeping: expires peers, servers and evacuations, and closes idle connections.
     pub(crate) fn run_housekeeping(&self) {
         let now = now();
@@ -351,6 +374,7 @@
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
         state.measurements.expire(now);
+        self.report_returns(&mut state, now);
         self.expire_reach(&mut state);
         self.expire_crashes(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -19,6 +19,7 @@
         origins::Discontinued,
         outcome::Outcome,
         place::Reason,
+        returns,
         revision::EpochCheck,
         stream::StreamBreak,
         tunnel::TunnelOutcome,
@@ -89,6 +90,7 @@
         (Counter::RelayOrigins, label_values(&OriginTraffic::ALL, |t| t.as_str())),
         (Counter::RelayCrashes, label_values(&CrashNews::ALL, |n| n.as_str())),
         (Counter::RelayQuarantine, label_values(&Event::ALL, |e| e.as_str())),
+        (Counter::RelayReturns, label_values(&returns::Event::ALL, |e| e.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -1,5 +1,6 @@
 //! Admission control under overload, simulated in virtual time.
 
+#[allow(dead_code, reason = "the tests of returning callers use the rest")]
 #[path = "support/load.rs"]
 mod load;
 
