--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -145,6 +145,11 @@
         Self { started: Some(started), ..self }
     }
 
+    /// Number of hosts that share the extra; 1 if not known.
+    pub fn hosts(&self) -> usize {
+        self.hosts.unwrap_or(1)
+    }
+
     /// Sets the number of hosts that share the extra.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = Some(hosts.max(1));
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -330,7 +330,7 @@
             time_left: req.time_left(now),
             load: self.service_load(now, &req.service),
         };
-        let at = Moment { now, wall_ms: wall_ms(), hosts: self.peers.host_count() };
+        let at = Moment { now, wall_ms: wall_ms(), hosts: self.budget.hosts() };
         let (returns, measurements) = (&mut self.returns, &mut self.measurements);
         let arrival = returns.arrive(at, &req.service, &admission_req, measurements, self.rng.random());
         let draws = [self.rng.random::<f64>() + arrival.advantage, self.rng.random()];
