--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -73,6 +73,8 @@
     RelayPlain,
     /// Requests to services short of capacity by whether their workspace asks for more than its share.
     RelayShares,
+    /// Callers that were refused and told to return, and requests that returned, by what became of them.
+    RelayReturns,
 }
 
 /// A gauge of the relay.
@@ -160,7 +162,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 29] = [
+    pub const ALL: [Counter; 30] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -190,6 +192,7 @@
         Counter::RelayHotServers,
         Counter::RelayPlain,
         Counter::RelayShares,
+        Counter::RelayReturns,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -267,6 +270,9 @@
                 "workspace",
                 "requests to services short of capacity, by workspace's demand",
             ),
+            Counter::RelayReturns => {
+                row("relay_returns", "event", "refused callers told to return, and requests that returned")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,8 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`plain`], [`shares`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`].
+//! The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -69,6 +70,7 @@
 pub mod reach;
 pub mod read_turn;
 pub mod request;
+pub mod returns;
 pub mod revision;
 pub mod routes;
 pub mod run;
@@ -103,6 +105,7 @@
 use pool::{Conn, Pool};
 use reach::Reach;
 use request::Request;
+use returns::Returns;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
 use shares::Shares;
@@ -173,6 +176,7 @@
     /// What became of the latest repeats after errors of servers.
     pub(crate) repeats: Repeats,
     pub(crate) shares: Shares,
+    pub(crate) returns: Returns,
     pub(crate) origins: Origins,
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
@@ -193,6 +197,8 @@
     not_ready_reported: Option<Instant>,
     /// When this host last logged the use of the retry budget.
     budget_reported: Instant,
+    /// When this host last logged its promises to refused callers.
+    returns_reported: Instant,
     /// Prompt parts that were read at servers where the other hosts do not expect them, to be reported in the next
     /// heartbeats.
     new_holders: Vec<Held>,
@@ -265,6 +271,7 @@
             admission: Admission::default(),
             repeats: Repeats::default(),
             shares: Shares::default(),
+            returns: Returns::default(),
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
@@ -280,6 +287,7 @@
             list_was_current: false,
             not_ready_reported: None,
             budget_reported: now(),
+            returns_reported: now(),
             new_holders: Vec::new(),
             in_progress: 0,
             connections: 0,
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -15,13 +15,14 @@
     hot_servers,
     place::{self, Bound, Candidate, Choice, Placer},
     request::Request,
+    returns::Moment,
     run::RETRY_AFTER,
     warmup::{COLD_SENDERS, ColdLimit},
 };
 use crate::{
     error::ErrorKind,
     schema::fleet::Member,
-    util::{Instant, hash, now},
+    util::{Instant, hash, now, wall_ms},
 };
 
 /// Number of other hosts that must avoid a server before this host avoids it without trying it first; a single host
@@ -337,11 +338,17 @@
             time_left: req.time_left(now),
             load: self.service_load(now, &req.service),
         };
-        let draws = [self.rng.random(), self.rng.random()];
+        let at = Moment { now, wall_ms: wall_ms(), hosts: self.budget.hosts() };
+        let (returns, measurements) = (&mut self.returns, &mut self.measurements);
+        let arrival = returns.arrive(at, &req.service, &admission_req, measurements, self.rng.random());
+        let draws = [self.rng.random::<f64>() + arrival.advantage, self.rng.random()];
         let from = req.requester();
         let share = |chance| self.shares.chance(now, from, chance);
-        self.admission.admit_by_share(now, &req.service, admission_req, draws, share)?;
-        self.shares.record_admitted(now, from);
-        Ok(())
+        let decision = self.admission.admit_by_share(now, &req.service, admission_req, draws, share);
+        if decision.is_ok() {
+            self.shares.record_admitted(now, from);
+        }
+        let draw = self.rng.random();
+        returns.settle(at, &req.service, &admission_req, arrival, decision, (measurements, draw))
     }
 }
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -21,6 +21,7 @@
         outcome::Outcome,
         place::Reason,
         plain::hooks::PlainEvent,
+        returns,
         revision::EpochCheck,
         stream::StreamBreak,
         tunnel::TunnelOutcome,
@@ -93,6 +94,7 @@
         (Counter::RelayQuarantine, label_values(&Event::ALL, |e| e.as_str())),
         (Counter::RelayHotServers, label_values(&ReportUse::ALL, |u| u.as_str())),
         (Counter::RelayPlain, label_values(&PlainEvent::ALL, |e| e.as_str())),
+        (Counter::RelayReturns, label_values(&returns::Event::ALL, |e| e.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -9,10 +9,11 @@
 };
 
 use cranberrytally::relay::{
-    admission::{Admission, AdmissionRequest, ReportedLoad, ServiceLoad},
+    admission::{Admission, AdmissionRequest, Refused, ReportedLoad, ServiceLoad},
     measurements::Measurements,
     peers::Scope,
     plain::Counts,
+    returns::{Arrival, Moment, Returns},
     shares::{Requester, Shares},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -77,6 +78,21 @@
     pub uses_shares: bool,
 }
 
+/// Callers with different deadlines, and hosts that tell each other what returns they have promised.
+#[derive(Clone, Debug)]
+pub struct Returning {
+    /// Whether hosts promise returns; if not, they give the delays of admission control.
+    pub is_on: bool,
+    /// Times for which the callers wait, assigned in turn, in milliseconds.
+    pub deadlines_ms: Vec<u64>,
+    /// Interval at which hosts tell each other their promises, in milliseconds; 0 if never.
+    pub interval_ms: u64,
+    /// Largest error of the hosts' wall clocks, in milliseconds.
+    pub clock_error_ms: u64,
+    /// Fraction of refused callers that come back.
+    pub returning_fraction: f64,
+}
+
 /// Statistics of one second.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SecondStats {
@@ -86,12 +102,24 @@
     pub in_time: u32,
     /// Number of responses of a plain service that were complete only after the objective.
     pub late: u32,
+    /// Number of requests first sent in this second that started before their deadline.
+    pub served: u32,
+    /// Number of requests first sent in this second that were refused again when they returned.
+    pub refused_twice: u32,
     /// Numbers of requests first sent in this second, by rank: those that started within the objective, and all.
     pub by_rank: BTreeMap<u32, (u32, u32)>,
     /// The same numbers by workspace.
     pub by_workspace: BTreeMap<usize, (u32, u32)>,
 }
 
+/// Who sends a request and waits for it.
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    rank: u32,
+    workspace: usize,
+    deadline_ms: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Request {
     host: usize,
@@ -99,6 +127,7 @@
     workspace: usize,
     first_sent_at: u64,
     sent_at: u64,
+    deadline_ms: u64,
     remaining_ms: f64,
 }
 
@@ -125,7 +154,13 @@
 
     /// Simulates `seconds` seconds in steps of 1 ms.
     pub fn run(&self, seconds: u64, seed: u64) -> Vec<SecondStats> {
+        self.run_returning(seconds, seed, None)
+    }
+
+    /// The same with callers that return as `returning` says.
+    pub fn run_returning(&self, seconds: u64, seed: u64, returning: Option<&Returning>) -> Vec<SecondStats> {
         let mut run = Run::new(self, seconds, seed);
+        run.returning = returning.map(|load| ReturningRun::new(load, self.hosts));
         for now in 0..seconds * 1_000 {
             run.tick(now);
         }
@@ -146,8 +181,9 @@
     counts_history: Vec<Counts>,
     /// Shares and measurements of each host.
     shares: Vec<(Shares, Measurements)>,
-    /// Time of the first attempt, rank and workspace of each retry, by the time at which it is sent.
-    retries: BTreeMap<u64, Vec<(u64, u32, usize)>>,
+    /// Time of the first attempt and caller of each retry, by the time at which it is sent.
+    retries: BTreeMap<u64, Vec<(u64, Caller)>>,
+    returning: Option<ReturningRun<'a>>,
     /// New requests that are due, with the fraction of the next one.
     arrivals_due: f64,
     /// Number of requests sent for the first time so far.
@@ -173,6 +209,7 @@
             counts: Counts::default(),
             counts_history: Vec::new(),
             retries: BTreeMap::new(),
+            returning: None,
             arrivals_due: 0.0,
             arrivals: 0,
             seconds: vec![SecondStats::default(); seconds as usize],
@@ -185,8 +222,11 @@
         }
         self.record_loads();
         self.counts_history.push(self.counts);
-        for (first_sent_at, rank, workspace) in self.retries.remove(&now).unwrap_or_default() {
-            self.send_request(now, first_sent_at, rank, workspace);
+        if let Some(returning) = &mut self.returning {
+            returning.exchange(now);
+        }
+        for (first_sent_at, caller) in self.retries.remove(&now).unwrap_or_default() {
+            self.send_request(now, first_sent_at, caller);
         }
         self.tell_measurements(now);
         let (load_factor, from, until) = self.config.surge;
@@ -202,7 +242,10 @@
             second.new_requests += 1;
             second.by_rank.entry(rank).or_default().1 += 1;
             second.by_workspace.entry(workspace).or_default().1 += 1;
-            self.send_request(now, now, rank, workspace);
+            let deadlines = self.returning.as_ref().map_or(&[][..], |r| &r.load.deadlines_ms);
+            let deadline_ms = deadlines.get(self.arrivals % deadlines.len().max(1)).copied();
+            let deadline_ms = deadline_ms.unwrap_or(self.config.deadline_ms);
+            self.send_request(now, now, Caller { rank, workspace, deadline_ms });
         }
         for server_index in 0..self.servers.len() {
             self.serve(now, server_index);
@@ -255,23 +298,24 @@
         }
     }
 
-    fn send_request(&mut self, now: u64, first_sent_at: u64, rank: u32, workspace: usize) {
+    fn send_request(&mut self, now: u64, first_sent_at: u64, caller: Caller) {
+        let Caller { rank, workspace, deadline_ms } = caller;
         let host = self.rng.random_range(0..self.hosts.len());
         let others = self.load_of_others();
         let own = self.servers.iter().map(|s| s.requests_of(host)).sum::<usize>();
         let admission_request = AdmissionRequest {
-            route: u64::from(rank),
+            route: u64::from(rank) + 10 * deadline_ms,
             rank,
             route_rank: rank,
             objective: ms(self.config.objective_ms),
-            time_left: ms((first_sent_at + self.config.deadline_ms).saturating_sub(now)),
+            time_left: ms((first_sent_at + deadline_ms).saturating_sub(now)),
             load: ServiceLoad {
                 own: own as u32,
                 all: others as u32,
                 slots: (self.servers.len() * self.config.slots_per_server) as u32,
             },
         };
-        let draws = [self.rng.random(), self.rng.random()];
+        let mut draws = [self.rng.random(), self.rng.random()];
         let service: Arc<str> = SERVICE.into();
         self.counts.arrivals += 1;
         if let Some(others) = self.counts_of_others(now) {
@@ -279,15 +323,24 @@
         }
         let name = format!("w{workspace}");
         let from = Requester { service: &service, workspace: &name, rank, route_rank: rank };
+        let arrival = self.returning.as_mut().map(|r| r.arrive(now, host, &admission_request, draws[1]));
+        draws[0] += arrival.map_or(0.0, |arrival| arrival.advantage);
         let shares = &mut self.shares[host].0;
-        let refused = self.hosts[host]
-            .admit_by_share(ms(now), &service, admission_request, draws, |c| shares.chance(ms(now), from, c))
-            .err()
-            .filter(|_| self.config.uses_admission);
-        if let Some(refused) = refused {
-            if first_sent_at == now {
+        let share = |chance| shares.chance(ms(now), from, chance);
+        let mut decision =
+            self.hosts[host].admit_by_share(ms(now), &service, admission_request, draws, share);
+        if let (Some(returning), Some(arrival)) = (&mut self.returning, arrival) {
+            decision = returning.settle(now, host, &admission_request, arrival, decision, draws[1]);
+        }
+        if let Err(refused) = decision
+            && self.config.uses_admission
+        {
+            if first_sent_at != now {
+                self.seconds[first_sent_at as usize / 1_000].refused_twice += 1;
+            } else if self.returning.as_ref().is_none_or(|r| self.rng.random_bool(r.load.returning_fraction))
+            {
                 let retry_at = now + 1 + refused.retry_after.as_millis() as u64;
-                self.retries.entry(retry_at).or_default().push((first_sent_at, rank, workspace));
+                self.retries.entry(retry_at).or_default().push((first_sent_at, caller));
             }
             return;
         }
@@ -310,6 +363,7 @@
             workspace,
             first_sent_at,
             sent_at: now,
+            deadline_ms,
             remaining_ms: service_time_ms,
         });
     }
@@ -317,7 +371,7 @@
     fn serve(&mut self, now: u64, server_index: usize) {
         let (config, service): (_, Arc<str>) = (self.config, SERVICE.into());
         let server = &mut self.servers[server_index];
-        server.queue.retain(|request| request.first_sent_at + config.deadline_ms > now);
+        server.queue.retain(|request| request.first_sent_at + request.deadline_ms > now);
         while server.running.len() < config.slots_per_server {
             let Some(request) = server.queue.pop_front() else { break };
             server.running.push(request);
@@ -333,6 +387,7 @@
                     ReportedLoad { running, waiting, slots: config.slots_per_server as u32 },
                 );
             }
+            self.seconds[request.first_sent_at as usize / 1_000].served += 1;
             if now <= request.first_sent_at + config.objective_ms {
                 self.seconds[now as usize / 1_000].in_time += u32::from(config.plain.is_none());
                 let second = &mut self.seconds[request.first_sent_at as usize / 1_000];
@@ -405,6 +460,76 @@
     }
 }
 
+/// What the hosts know of promised returns.
+struct ReturningRun<'a> {
+    load: &'a Returning,
+    hosts: Vec<Returns>,
+    measurements: Vec<Measurements>,
+}
+
+impl<'a> ReturningRun<'a> {
+    fn new(load: &'a Returning, hosts: usize) -> Self {
+        Self {
+            load,
+            hosts: vec![Returns::default(); hosts],
+            measurements: vec![Measurements::default(); hosts],
+        }
+    }
+
+    /// The moment by a host's clocks; the wall clocks of neighbours differ.
+    fn moment(&self, now: u64, host: usize) -> Moment {
+        let wall_ms = EPOCH_MS + now + self.load.clock_error_ms * (host % 3) as u64 / 2;
+        Moment { now: ms(now), wall_ms, hosts: if self.load.is_on { self.hosts.len() } else { 1 } }
+    }
+
+    fn exchange(&mut self, now: u64) {
+        if now.is_multiple_of(HOUSEKEEPING_INTERVAL_MS) {
+            for host in 0..self.hosts.len() {
+                let wall_ms = self.moment(now, host).wall_ms;
+                self.hosts[host].expire(wall_ms, &mut self.measurements[host]);
+            }
+        }
+        if self.load.interval_ms == 0 || !now.is_multiple_of(self.load.interval_ms) {
+            return;
+        }
+        let messages: Vec<_> =
+            self.measurements.iter_mut().map(|m| m.message(ms(now), 1, Scope::Host)).collect();
+        for (to, measurements) in self.measurements.iter_mut().enumerate() {
+            for (from, message) in messages.iter().enumerate().filter(|(from, _)| *from != to) {
+                let addr = ([10, 0, 0, from as u8], 7_000).into();
+                if let Some(message) = message {
+                    measurements.receive(ms(now), addr, Some("a"), "a", message);
+                }
+            }
+            measurements.expire(ms(now));
+        }
+    }
+
+    fn arrive(&mut self, now: u64, host: usize, req: &AdmissionRequest, draw: f64) -> Arrival {
+        let at = self.moment(now, host);
+        self.hosts[host].arrive(at, &SERVICE.into(), req, &self.measurements[host], draw)
+    }
+
+    fn settle(
+        &mut self,
+        now: u64,
+        host: usize,
+        req: &AdmissionRequest,
+        arrival: Arrival,
+        decision: Result<(), Refused>,
+        draw: f64,
+    ) -> Result<(), Refused> {
+        let at = self.moment(now, host);
+        let measurements = &mut self.measurements[host];
+        self.hosts[host].settle(at, &SERVICE.into(), req, arrival, decision, (measurements, draw))
+    }
+}
+
+/// Wall-clock time at the start of a simulation.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+/// Interval at which hosts drop what has expired.
+const HOUSEKEEPING_INTERVAL_MS: u64 = 250;
+
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
