--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -360,7 +360,7 @@
     }
 
     /// Counts of this host for each service whose servers report no load.
-    pub(crate) fn plain_counts(&mut self, now: Instant) -> Vec<(Arc<str>, plain::Counts)> {
+    pub fn plain_counts(&mut self, now: Instant) -> Vec<(Arc<str>, plain::Counts)> {
         let plain = self.services.iter_mut().filter(|(_, s)| !s.reports_load);
         plain.map(|(service, s)| (service.clone(), s.plain.own_counts(now))).collect()
     }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -44,9 +44,9 @@
 const CAPACITY_HALF_LIFE: Duration = Duration::from_millis(400);
 /// Growth of the capacity per second while few results are late, relative to the capacity.
 const CAPACITY_GROWTH: f64 = 0.01;
-/// Limits relative to the capacity with no late results and with many; at 0.8 for many, slots stay empty while the
-/// sums of other hosts arrive.
-const LIMIT_FACTORS: (f64, f64) = (1.02, 0.9);
+/// Limits relative to the capacity with few late results and with many; with less for many, slots stay empty while
+/// the sums of other hosts arrive.
+const LIMIT_FACTORS: (f64, f64) = (1.05, 0.95);
 /// Fractions of late results between which the limit goes from the first factor to the second.
 const LATE_RANGE: (f64, f64) = (0.05, 0.25);
 /// Limit relative to the arrivals from which on it is dropped, since it would refuse nothing.
