--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -138,6 +138,8 @@
 const DATA_CENTRES: [&str; 3] = ["north", "south", "west"];
 /// Time between the messages of two hosts, which spreads them over an interval, in milliseconds.
 const TURN_STEP_MS: u64 = 7;
+/// Time after which hosts drop the counts of silent ones again, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 250;
 /// Time between two loads that are averaged, in milliseconds.
 const LOAD_SAMPLE_MS: usize = 20;
 
@@ -307,14 +309,16 @@
     /// Lets the hosts whose turn it is tell their counts to their data centre, and its sum to a host of each other one.
     fn tell_counts(&mut self, now: u64) {
         let Some(interval) = self.config.plain.and_then(|plain| plain.message_interval_ms) else { return };
-        let is_due = |host: &usize| (now + *host as u64 * TURN_STEP_MS) % interval == 0;
+        let is_due = |host: &usize| (now + *host as u64 * TURN_STEP_MS).is_multiple_of(interval);
+        if now.is_multiple_of(EXPIRY_INTERVAL_MS) {
+            self.measurements.iter_mut().for_each(|measured| measured.expire(ms(now)));
+        }
         for from in (0..self.config.hosts).filter(is_due) {
             let counts = self.hosts[from].plain_counts(ms(now)).pop().map_or(Counts::default(), |(_, c)| c);
             let (measured, key) = (&mut self.measurements[from], key(SERVICE, ()));
             measured.set(Topic::Arrivals, key, counts.arrivals);
             measured.set(Topic::Results, key, counts.results);
             measured.set(Topic::LateResults, key, counts.late);
-            measured.expire(ms(now));
             self.send_measurements(now, from, Scope::Host);
             self.send_measurements(now, from, Scope::DataCentre);
         }
