--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -51,6 +51,8 @@
 const LATE_RANGE: (f64, f64) = (0.05, 0.25);
 /// Limit relative to the arrivals from which on it is dropped, since it would refuse nothing.
 const UNNEEDED_LIMIT: f64 = 1.5;
+/// Fraction of the arrivals that is admitted at least, so that forged counts can't stop a service.
+const MIN_ADMITTED_FRACTION: f64 = 0.02;
 /// Half-life of this host's rate of arrivals; a longer one leaves the limit unused for seconds after a surge began.
 const ARRIVALS_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Requests that a host admits beyond its rate while its backlog goes from nothing to the limit.
@@ -260,7 +262,8 @@
         let limit = self.limit?;
         // An arrival was just counted; half of it stands for the time since the one before.
         let own = (self.own_arrivals - 0.5) * std::f64::consts::LN_2 / ARRIVALS_HALF_LIFE.as_secs_f64();
-        let rate = limit * (own / self.arrivals.max(own)).clamp(0.0, 1.0);
+        let part = (limit / self.arrivals.max(own)).max(MIN_ADMITTED_FRACTION);
+        let rate = own.max(0.0) * part;
         let drained = rate * now.saturating_sub(self.backlog_at).as_secs_f64();
         self.backlog = (self.backlog - drained).max(0.0);
         self.backlog_at = now;
--- a/tests/relay_plain.rs
+++ b/tests/relay_plain.rs
@@ -12,6 +12,7 @@
 use cranberrytally::{
     metrics::Counter,
     relay::{
+        admission::{Admission, AdmissionRequest, ServiceLoad},
         measurements::{Measurements, Topic, key},
         mesh,
         peers::Scope,
@@ -191,12 +192,25 @@
 
 /// A host that reports nonsense must not stop the service or make the arithmetic overflow.
 #[test]
-fn forged_counts_are_bounded() {
+fn forged_counts_do_not_stop_a_service() {
     let forged = Counts { arrivals: u32::MAX, results: u32::MAX, late: u32::MAX };
+    let (service, mut admission) = (Arc::from("s"), Admission::default());
+    let load = ServiceLoad { own: 1, all: 20, slots: 18 };
+    let (objective, time_left) = (ms(300), ms(3_000));
+    let request = AdmissionRequest { route: 1, rank: 1, route_rank: 1, objective, time_left, load };
+    let limited = Counts { arrivals: u32::MAX, ..SATURATED };
+
+    let mut admitted = |counts, from| {
+        let admit = |n: &u64| {
+            let now = ms(from + n * 20);
+            admission.adjust_plain(now, &service, counts, u32::MAX);
+            admission.admit(now, &service, request, [0.5, 0.5]).is_ok()
+        };
+        (0..1_000).filter(admit).count()
+    };
 
-    let limit = service(forged, u32::MAX, 2).limit().unwrap();
-
-    assert!(limit.is_finite() && limit > 0.0, "{limit}");
+    assert!(admitted(forged, 1_000) >= 800, "a twentieth below the arrivals that it sees itself");
+    assert!(admitted(limited, 21_000) >= 15, "a fiftieth");
 }
 
 /// Some requests fail at every server: their repeats must stop, be tried again now and then, and resume once they help.
