--- a/src/relay/measurements.rs
+++ b/src/relay/measurements.rs
@@ -15,7 +15,7 @@
 
 /// First field of the message, which tells it apart from other datagrams.
 pub const MARKER: u64 = 2;
-/// Time without a message after which a host or data centre no longer counts.
+/// Minimum time without a message after which a host or data centre no longer counts.
 const TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a report is kept; the load of a server changes within less.
 const REPORT_TTL: Duration = Duration::from_secs(2);
@@ -271,7 +271,13 @@
 
     /// Drops hosts and data centres that have fallen silent, and old reports.
     pub fn expire(&mut self, now: Instant) {
-        let is_silent = |s: &Source| s.received_at + TIMEOUT < now;
+        self.expire_after(now, TIMEOUT);
+    }
+
+    /// The same with the time after which heartbeats count as missing; in large data centres they go every few seconds.
+    pub fn expire_after(&mut self, now: Instant, timeout: Duration) {
+        let timeout = timeout.max(TIMEOUT);
+        let is_silent = |s: &Source| s.received_at + timeout < now;
         let mut lost: Vec<_> = self.hosts.extract_if(|_, s| is_silent(s)).map(|(_, s)| s).collect();
         lost.extend(self.centres.extract_if(|_, s| is_silent(s)).map(|(_, s)| s));
         lost.iter().for_each(|source| self.subtract(&source.amounts));
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -346,7 +346,7 @@
 
     /// Time without summaries after which a data centre counts as lost. The recipient of a summary is chosen at
     /// random each time, so that a host of a large data centre may get some only after several periods.
-    fn summary_timeout(&self) -> Duration {
+    pub(crate) fn summary_timeout(&self) -> Duration {
         MIN_SUMMARY_TIMEOUT.max(self.period() * TIMEOUT_BEATS)
     }
 
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -395,7 +395,8 @@
         self.observe_versions(&mut state, now);
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
-        state.measurements.expire(now);
+        let timeout = state.peers.summary_timeout();
+        state.measurements.expire_after(now, timeout);
         self.update_shares(&mut state, now);
         self.report_returns(&mut state, now);
         self.expire_reach(&mut state);
