Take the pace of servers and prefill into account, and report pauses of streams

Servers share their machines and are briefly several times slower; long prompts delay the streams on their servers. Servers that report how long work takes (fourth figure of the load header) get a pace: the worse of the newest report and of the times to first events, which returns to usual within a second. Among the holders and copies of a prompt the one with the shortest expected time to the first event is chosen, and long prompts go where they delay streams by less than half of the allowed pause. Where no server reports its pace, decisions are as before. Pauses beyond a route's limit are counted in relay_pauses_total and logged (line pause).

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -19,6 +19,7 @@
         holders::Holders,
         peers::{LocalVersions, Peers},
         place::{Candidate, Placer},
+        prefill::Delays,
         request::Part,
     },
     schema::fleet::{Backend, Backends as List, Beat, InProgress, Member, StreamOrigin, StreamOrigins},
@@ -64,6 +65,7 @@
         load: f64::from(b.tag % 8),
         slots: 64,
         unhealthy: false,
+        delays: Delays::default(),
     });
     let candidates = candidates.collect();
     (backends, candidates)
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -67,6 +67,8 @@
     RelayCrashes,
     /// Causes of crashes by what became of them.
     RelayQuarantine,
+    /// Pauses between events of streams that were longer than allowed, by cause.
+    RelayPauses,
 }
 
 /// A gauge of the relay.
@@ -154,7 +156,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 26] = [
+    pub const ALL: [Counter; 27] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -181,6 +183,7 @@
         Counter::RelayOrigins,
         Counter::RelayCrashes,
         Counter::RelayQuarantine,
+        Counter::RelayPauses,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -247,6 +250,9 @@
             Counter::RelayQuarantine => {
                 row("relay_quarantine", "change", "causes of crashes by what became of them")
             }
+            Counter::RelayPauses => {
+                row("relay_pauses", "cause", "pauses of streams longer than their routes allow, by cause")
+            }
         }
     }
 }
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -145,6 +145,9 @@
     session_affinity: bool,
     #[serde(default)]
     stream_resume: bool,
+    /// Longest allowed pause between the events of a stream.
+    #[serde(default)]
+    target_gap_ms: f64,
 }
 
 #[derive(Deserialize)]
@@ -229,6 +232,7 @@
             open: raw.auth_exempt,
             resumable: raw.stream_resume,
             prompts: raw.session_affinity,
+            max_pause_ms: raw.target_gap_ms as u32,
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`origins`], [`reach`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -61,9 +61,12 @@
 pub mod mesh;
 pub mod origins;
 pub mod outcome;
+pub mod pace;
+pub mod pace_reports;
 pub mod peers;
 pub mod place;
 pub mod pool;
+pub mod prefill;
 pub mod reach;
 pub mod read_turn;
 pub mod request;
@@ -93,15 +96,17 @@
 use leave::Leaving;
 use measurements::Measurements;
 use origins::{Origins, questions::Questions};
+use pace::Paces;
 
 use peers::{LocalVersions, Peers};
 use pool::{Conn, Pool};
+use prefill::Prefill;
 use reach::Reach;
 use request::Request;
 use revision::{EpochTracker, Revision};
 use routes::Routes;
 use warmup::Warmup;
-pub use wire::{AttemptContext, Refusal, ResponseHead, Wire};
+pub use wire::{AttemptContext, PaceReport, Refusal, ResponseHead, Wire};
 
 /// Settings of a relaying host.
 #[derive(Clone, Debug)]
@@ -154,6 +159,8 @@
     pub(crate) peers: Peers,
     /// What this host and the others measure.
     pub(crate) measurements: Measurements,
+    pub(crate) paces: Paces,
+    pub(crate) prefill: Prefill,
     pub(crate) crashes: Crashes,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: EpochTracker,
@@ -242,6 +249,8 @@
             budget: FleetBudget::new(cfg.budget).with_start(now()),
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
             measurements: Measurements::default(),
+            paces: Paces::default(),
+            prefill: Prefill::default(),
             crashes: Crashes::default(),
             evacuations: Evacuations::default(),
             epochs: EpochTracker::default(),
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -13,6 +13,7 @@
     backends::{Backend, BackendKey, Tag},
     health::FailureSummary,
     place::{self, Bound, Candidate, Choice, Placer},
+    prefill::{Delays, Prompt},
     request::Request,
     run::RETRY_AFTER,
     warmup::{COLD_SENDERS, ColdLimit},
@@ -87,6 +88,9 @@
         let is_avoided =
             |key| health.is_backing_off(now, key) || health.requested_pause_end(now, key).is_some();
         let can_fetch_from = |key| caches && backends.get(key).is_some() && !is_avoided(key);
+        let allowed_pause_ms = state.routes.as_ref().and_then(|r| r.shortest_pause_ms(&req.service));
+        let prompt = Prompt { service: &req.service, parts: &req.parts, allowed_pause_ms };
+        state.prefill.set_delays(now, &state.paces, &state.holders, prompt, &mut candidates);
         let choice = placer.choose(&candidates, &req.parts, &state.holders, can_fetch_from, &mut state.rng);
         let choice = choice.ok_or_else(|| state.no_server_kind(now, &req.service, version, &eligible))?;
         if let Some(limit) = limit.filter(|_| cold.contains(&choice.key)) {
@@ -236,7 +240,8 @@
             let load = f64::from(self.load(b));
             let unhealthy =
                 self.is_widely_avoided(b.tag) || self.health.is_unhealthy(now, *key, failure_summary);
-            Some(Candidate { key: *key, tag: b.tag, local, load, slots: b.slots, unhealthy })
+            let delays = Delays::default();
+            Some(Candidate { key: *key, tag: b.tag, local, load, slots: b.slots, unhealthy, delays })
         };
         keys.iter().filter_map(candidate).collect()
     }
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -102,7 +102,11 @@
         let state = &mut *state;
         let data_centre = state.peers.data_centre_of(from);
         let is_new = state.measurements.receive(now(), from, data_centre, &self.cfg.me.data_centre, message);
-        if is_new { Ok(()) } else { Err(DropReason::Replayed) }
+        if !is_new {
+            return Err(DropReason::Replayed);
+        }
+        state.learn_paces(now(), message);
+        Ok(())
     }
 
     /// Processes a heartbeat of another host; returns whether the sender wants a full one.
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -12,6 +12,8 @@
 use super::{
     backends::{BackendKey, Tag},
     holders::Holders,
+    pace,
+    prefill::Delays,
     request::Part,
 };
 use crate::util::hash;
@@ -105,6 +107,8 @@
     pub slots: u32,
     /// Whether the server has failed recently and is avoided while healthy servers are available.
     pub unhealthy: bool,
+    /// Delays to expect there; none if the service's servers do not report their pace.
+    pub delays: Delays,
 }
 
 impl Candidate {
@@ -135,11 +139,15 @@
     Spilled,
     /// It was chosen by load.
     LeastLoad,
+    /// Its first event is expected sooner than that of the server that would be chosen otherwise, or the prompt delays
+    /// no streams there.
+    Quicker,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 4] = [Reason::Holder, Reason::Home, Reason::Spilled, Reason::LeastLoad];
+    pub const ALL: [Reason; 5] =
+        [Reason::Holder, Reason::Home, Reason::Spilled, Reason::LeastLoad, Reason::Quicker];
 
     /// Label in logs and metrics.
     pub fn as_str(self) -> &'static str {
@@ -148,6 +156,7 @@
             Reason::Home => "home",
             Reason::Spilled => "spilled",
             Reason::LeastLoad => "least_load",
+            Reason::Quicker => "quicker",
         }
     }
 }
@@ -205,8 +214,21 @@
         let bound = self.limit.unwrap_or_else(|| self.bound.at(mean(candidates)));
         let shared = shared(parts);
         match shared.last() {
-            Some(last) => choose_by_parts(candidates, shared, *last, holders, usable, bound),
-            None => choose_by_load(candidates, bound, self.host, rng),
+            Some(last) => {
+                let usual = choose_by_parts(candidates, shared, *last, holders, &usable, bound)?;
+                let quicker = pace::quicker(candidates, shared, holders, bound, &usual);
+                let quicker = quicker.and_then(|c| {
+                    let alone = std::slice::from_ref(c);
+                    let choice = choose_by_parts(alone, shared, *last, holders, &usable, bound)?;
+                    let fetch_from = choice.fetch_from.or(usual.fetch_from).filter(|s| *s != c.key);
+                    Some(Choice { reason: Reason::Quicker, fetch_from, ..choice })
+                });
+                Some(quicker.unwrap_or(usual))
+            }
+            None => {
+                let quick = pace::without_slow(candidates, bound);
+                choose_by_load(quick.as_deref().unwrap_or(candidates), bound, self.host, rng)
+            }
         }
     }
 }
@@ -266,8 +288,18 @@
     Some(choice(chosen, reason))
 }
 
+/// Position of a server among those of a part: the one with the highest value is the home.
+pub(super) fn rendezvous(last: Part, c: &Candidate) -> u64 {
+    hash((last.id, c.tag))
+}
+
+/// Whether a server is healthy, has a free slot and stays below the load bound with another request.
+pub(super) fn has_room_below(c: &Candidate, bound: f64) -> bool {
+    c.has_room() && c.load + 1.0 <= bound
+}
+
 /// The healthy servers on which a part may be cached, in rendezvous order.
-fn top_ranked(candidates: &[Candidate], rank: impl Fn(&&Candidate) -> u64) -> Vec<&Candidate> {
+pub(super) fn top_ranked(candidates: &[Candidate], rank: impl Fn(&&Candidate) -> u64) -> Vec<&Candidate> {
     let mut healthy: Vec<_> = candidates.iter().filter(|c| !c.unhealthy).collect();
     if healthy.len() > MAX_COPIES {
         healthy.select_nth_unstable_by_key(MAX_COPIES, |c| Reverse(rank(c)));
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -23,6 +23,11 @@
     pub tokens: u32,
 }
 
+/// Tokens of a prompt.
+pub fn prompt_tokens(parts: &[Part]) -> u32 {
+    parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+}
+
 /// A caller's request, which may lead to several attempts at backend servers.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -64,6 +69,11 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        prompt_tokens(&self.parts)
+    }
+
     /// Identifier of the attempt that began the stream which this request begins or goes on with; empty if the caller
     /// goes on with a stream and does not name it.
     pub fn stream_id(&self) -> &str {
--- a/src/relay/routes.rs
+++ b/src/relay/routes.rs
@@ -48,6 +48,8 @@
     hosts: Map<Arc<str>, Vec<Arc<CompiledRoute>>>,
     callers: Map<Arc<str>, Arc<Caller>>,
     caching_services: Vec<Arc<str>>,
+    /// Shortest allowed pause between events in milliseconds, by service.
+    shortest_pauses: Map<Arc<str>, u32>,
 }
 
 impl Routes {
@@ -69,7 +71,8 @@
         }
         let caching_services = source.services.iter().filter(|s| s.caches_prompts);
         let caching_services = caching_services.map(|s| s.name.as_str().into()).collect();
-        Self { source, hosts, callers, caching_services }
+        let shortest_pauses = shortest_pauses(&source.routes);
+        Self { source, hosts, callers, caching_services, shortest_pauses }
     }
 
     /// The configuration that was compiled.
@@ -104,6 +107,11 @@
         self.caching_services.iter().any(|s| &**s == service)
     }
 
+    /// The shortest pause between events that a route to the service allows, in milliseconds, if any limits it.
+    pub fn shortest_pause_ms(&self, service: &str) -> Option<u32> {
+        self.shortest_pauses.get(service).copied()
+    }
+
     /// Connections that one backend server of a service accepts from all hosts together, if limited.
     pub fn max_connections(&self, service: &str) -> Option<u32> {
         let service = self.source.services.iter().find(|s| s.name == service)?;
@@ -142,6 +150,17 @@
     }
 }
 
+fn shortest_pauses(routes: &[Route]) -> Map<Arc<str>, u32> {
+    let mut shortest: Map<Arc<str>, u32> = Map::default();
+    for route in routes.iter().filter(|r| r.max_pause_ms > 0) {
+        for share in &route.shares {
+            let known = shortest.entry(share.service.as_str().into()).or_insert(route.max_pause_ms);
+            *known = route.max_pause_ms.min(*known);
+        }
+    }
+    shortest
+}
+
 fn compile(route: &Route) -> CompiledRoute {
     let stream = route.repeat() == Repeat::Stream;
     let repeatable = route.repeat() == Repeat::Idempotent || (stream && route.resumable);
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -20,6 +20,7 @@
         quarantine::{Event, Verdict},
     },
     outcome::Outcome,
+    pace_reports::Prefilling,
     place::{Choice, shared},
     pool::{self, Conn},
     request::{EventNumber, Request},
@@ -84,6 +85,8 @@
     pub(crate) attempts_started: u32,
     /// When the server of the current attempt sent the first event.
     first_event: Option<Instant>,
+    /// The prompt that is being prefilled, until the first event of the current attempt.
+    prefill: Option<Prefilling<W>>,
     /// Whether the current attempt has begun its answer for good.
     has_begun: bool,
     /// Cause of crashes that the request is a trial for.
@@ -135,6 +138,7 @@
         sent,
         attempts_started: 0,
         first_event: None,
+        prefill: None,
         has_begun: false,
         trial: None,
         version,
@@ -210,6 +214,9 @@
     pub(crate) fn note_event(&mut self) {
         let now = now();
         let first = *self.first_event.get_or_insert(now);
+        if let Some(prefill) = self.prefill.take() {
+            self.relay.record_first_event(&self.req, prefill.key, prefill.uncached, now - self.sent);
+        }
         if now >= first + BEGINNING {
             self.note_begun();
         }
@@ -274,6 +281,7 @@
     /// Updates the health of a server after a failed attempt.
     fn record_failure(&mut self, failure: Failure, key: BackendKey) {
         self.tried.push(key);
+        self.prefill = None;
         let now = now();
         match failure {
             Failure::Moved => self.relay.mark_backend_gone(key, "another server answers at its address"),
@@ -331,6 +339,7 @@
         self.attempts_started += 1;
         (self.sent, self.first_event, self.has_begun) = (now(), None, false);
         let work = InFlightRequest::start(&self.relay, key);
+        self.prefill = Prefilling::start(&self.relay, &self.req, &choice);
         let (mut conn, result) =
             self.send(&choice, after).await.map_err(|f| AttemptError::Failed((f, key)))?;
         let (head, body) = match result {
@@ -344,6 +353,7 @@
         if let Some(load) = parsed.load {
             self.relay.record_load(&self.req.service, load);
         }
+        self.relay.record_pace(&self.req, key, &parsed);
         self.relay.apply_server_notices(&self.req, key, &parsed);
         if let Some(failure) = parsed.failure {
             if matches!(failure, Failure::Refused | Failure::Moved) && !parsed.closes {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -121,11 +121,18 @@
         if self.ended {
             return None;
         }
+        let (waiting_since, attempts) = (now(), run.attempts_started);
         loop {
             let max_gap = run.req.route.repeatable.then_some(MAX_EVENT_GAP);
             let limit = run.wait_limit(max_gap);
             let failure = match self.read(run, limit).await {
-                Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
+                Ok(Next::Events(bytes)) => {
+                    if let Some(answered) = &self.answered {
+                        let is_resumed = run.attempts_started > attempts;
+                        run.relay.record_pause(&run.req, answered.work.key, waiting_since, is_resumed);
+                    }
+                    return Some(Ok(bytes));
+                }
                 Ok(Next::End) => return None,
                 Err(failure) => failure,
             };
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -260,6 +260,10 @@
 
     /// Drops the state kept about one run of a server: its cached prompt parts, its health, and the connections to it.
     fn forget_backend(&self, state: &mut State, key: BackendKey) {
+        if let Some(tag) = state.backends.get(key).map(|b| b.tag) {
+            state.paces.forget(tag);
+            state.measurements.forget_server(tag);
+        }
         state.health.forget(key);
         state.reach.forget(key);
         state.holders.forget(key);
@@ -351,6 +355,8 @@
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
         state.measurements.expire(now);
+        state.paces.expire(now);
+        state.prefill.expire(now);
         self.expire_reach(&mut state);
         self.expire_crashes(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -29,6 +29,18 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
+/// How long work currently takes at a server relative to usual, as it says.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PaceReport {
+    /// It does not say.
+    #[default]
+    None,
+    /// In percent.
+    Percent(u32),
+    /// Something else than a whole percentage.
+    Invalid,
+}
+
 /// The parsed head of a backend server's response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
@@ -40,6 +52,8 @@
     pub closes: bool,
     /// The load of the server, if it reports it.
     pub load: Option<ReportedLoad>,
+    /// How long work takes at the server, if it reports it.
+    pub pace: PaceReport,
     /// Whether the server says that it is leaving.
     pub leaving: bool,
     /// How long the server wants no requests from this host, if it refused the request and says so.
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -59,6 +59,9 @@
     /// Whether requests list the parts of their prompt.
     #[prost(bool, tag = "12")]
     pub prompts: bool,
+    /// Longest allowed pause between the events of a stream, in milliseconds; 0 if unlimited.
+    #[prost(uint32, tag = "13")]
+    pub max_pause_ms: u32,
 }
 /// Share of a route's requests that goes to one service.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -97,6 +97,7 @@
         (Repeat::Idempotent, false, false, false),
     ];
     assert_eq!(kinds, expected);
+    assert_eq!(cfg.routes.iter().map(|r| r.max_pause_ms).collect::<Vec<_>>(), [300, 0, 0]);
     let weights: Vec<_> = cfg.routes[0].shares.iter().map(|s| s.weight).collect();
     assert_eq!(weights, [90_000, 500]);
     assert_eq!(cfg.routes[1].shares[0].service, "s2");
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -16,6 +16,7 @@
         holders::Holders,
         leave::{LeaveConfig, Leaving},
         place::{Bound, Candidate, Choice, Placer, Reason},
+        prefill::Delays,
         request::Part,
         routes::Routes,
     },
@@ -118,6 +119,7 @@
         load: *load,
         slots: 64,
         unhealthy: false,
+        delays: Delays::default(),
     });
     (backends, candidates.collect())
 }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -38,6 +38,8 @@
     WriteAndClose(String),
     /// Writes these bytes and resets the connection.
     WriteAndReset(String),
+    /// Writes these texts with pauses between them and keeps the connection open.
+    WriteSlowly(Vec<String>, Duration),
     /// Sends nothing until the other side closes the connection.
     Hang,
     /// Resets all connections and accepts no further ones.
@@ -115,6 +117,12 @@
             let write = |text: &str| text.replace("{id}", &id).into_bytes();
             match step {
                 ScriptStep::Write(text) => stream.write_all(&write(&text)).await.unwrap(),
+                ScriptStep::WriteSlowly(texts, pause) => {
+                    for text in texts {
+                        stream.write_all(&write(&text)).await.unwrap();
+                        tokio::time::sleep(pause).await;
+                    }
+                }
                 ScriptStep::WriteAndClose(text) => {
                     stream.write_all(&write(&text)).await.unwrap();
                     return;
@@ -235,6 +243,7 @@
         open: false,
         resumable,
         prompts: false,
+        max_pause_ms: if prefix == "/stream/" { 100 } else { 0 },
     };
     Configuration {
         version: 1,
