Tell allowed pauses beside the configuration, and simulate servers whose pace changes

Hosts of the previous version read routes without a field for pauses, so that a field added to each route would make the configuration unreadable for them. The pauses travel at the end of the answer to a fetch, as versions of servers do.

The rate of prefill is learned as the upper tenth of what is seen: by the median, every long prompt counted as one that delays streams.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -17,9 +17,10 @@
         },
         exchange::MAX_COPIES,
         holders::Holders,
+        pace::Paces,
         peers::{LocalVersions, Peers},
         place::{Candidate, Placer},
-        prefill::Delays,
+        prefill::{Delays, Prefill, Prompt},
         request::Part,
     },
     schema::fleet::{Backend, Backends as List, Beat, InProgress, Member, StreamOrigin, StreamOrigins},
@@ -104,6 +105,28 @@
     [begun, broken, settled, check, bytes as f64 / reports.len().max(1) as f64]
 }
 
+/// Mean times in microseconds to set the expected delays of the candidates and choose by parts: at the usual pace, and with
+/// a third of the servers slow.
+fn paced_us(candidates: &[Candidate], holders: &Holders) -> [f64; 2] {
+    [100, 400].map(|percent| {
+        let (mut paces, mut prefill, service) = (Paces::default(), Prefill::default(), Arc::from("s"));
+        for (i, c) in candidates.iter().enumerate() {
+            let percent = if i % 3 == 0 { percent } else { 100 };
+            paces.record_report(Duration::ZERO, &service, c.tag, percent, Duration::ZERO);
+            if i % 10 == 0 {
+                prefill.begin(c.key, 1_300);
+            }
+        }
+        let (mut rng, mut candidates) = (SmallRng::seed_from_u64(1), candidates.to_vec());
+        mean_us(ITERATIONS, |i| {
+            let parts = [Part { id: i % 4_000, tokens: 10_000 }, Part { id: i << 20, tokens: 300 }];
+            let prompt = Prompt { service: &service, parts: &parts, allowed_pause_ms: Some(500) };
+            prefill.set_delays(Duration::ZERO, &paces, holders, prompt, &mut candidates);
+            Placer::default().choose(&candidates, &parts, holders, |_| true, &mut rng);
+        })
+    })
+}
+
 /// Mean time of an iteration, in microseconds.
 fn mean_us(iterations: u32, mut step: impl FnMut(u64)) -> f64 {
     let start = Instant::now();
@@ -141,6 +164,8 @@
             "| {n} | {by_parts:.1} | {all_slots_taken:.1} | {by_load:.1} | {:.1} | {list} |",
             heartbeat_us(n)
         );
+        let [usual, slow] = paced_us(&candidates, &holders);
+        println!("with delays by pace, {n} servers: {usual:.1} us, a third of them slow: {slow:.1} us");
     }
     println!("\nadmission: {:.2} us", admission_us());
     for hosts in HOST_COUNTS {
--- a/schema/gen/tests/schema.rs
+++ b/schema/gen/tests/schema.rs
@@ -29,6 +29,7 @@
         .message_attribute(".object", "#[serde(deny_unknown_fields, default, rename_all = \"camelCase\")]")
         .message_attribute(".engine", "#[serde(default)]")
         .field_attribute(".fleet.Backend.version", "#[serde(skip)]")
+        .field_attribute(".fleet.Route.max_pause_ms", "#[serde(skip)]")
         .message_attribute(".lease", "#[serde(deny_unknown_fields, default, rename_all = \"camelCase\")]")
         .out_dir(out)
         .compile_fds(set)
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -21,7 +21,7 @@
     peers::{LocalVersions, Scope},
     pool,
     revision::Revision,
-    tunnel,
+    routes, tunnel,
 };
 use crate::{
     logs::lines::{Level, line},
@@ -42,7 +42,7 @@
 /// Maximum time without progress in an answer; after it another host is asked, since the bytes may be lost on the way.
 const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum number of fields that a message of an earlier version may lack at its end.
-const MAX_ADDED_FIELDS: usize = 4;
+const MAX_ADDED_FIELDS: usize = 5;
 /// Random pause before another host is asked.
 const RETRY_PAUSE: Range<Duration> = Duration::from_millis(50)..Duration::from_millis(200);
 /// Number of fetches that wait while others are answered, so that the link is never idle, and for how long. They are
@@ -238,7 +238,8 @@
 }
 
 /// Applies the state fetched from a peer; returns whether the full configuration must be requested.
-fn apply_fetched<W: Wire>(relay: &Relay<W>, peer: SocketAddr, fetched: Fetched) -> bool {
+fn apply_fetched<W: Wire>(relay: &Relay<W>, peer: SocketAddr, mut fetched: Fetched) -> bool {
+    routes::set_pauses(&mut fetched);
     let from = peer.to_string();
     let changes = fetched.configuration_changes.as_ref();
     let wants_full = changes.is_some_and(|changes| relay.apply_configuration_changes(changes, &from));
@@ -383,7 +384,10 @@
         list => (list, None),
     };
     let configuration = full.map(|r| (**r.source()).clone());
-    Fetched { configuration, configuration_changes, backends, packed, changes, held, left, ..fetched }
+    let mut fetched =
+        Fetched { configuration, configuration_changes, backends, packed, changes, held, left, ..fetched };
+    routes::add_pauses(&mut fetched);
+    fetched
 }
 
 /// Sends a message to a peer.
--- a/src/relay/pace.rs
+++ b/src/relay/pace.rs
@@ -45,6 +45,9 @@
 const TOKENS_PER_MS_RANGE: (f64, f64) = (6.0, 600.0);
 /// Uncached tokens from which a first event tells how fast servers prefill; below it other delays prevail.
 const MIN_RATE_TOKENS: u32 = 2_048;
+/// Quantile of the rates seen that is used: most first events also wait for other prompts or at slow servers. With the
+/// median every long prompt counts as one that delays streams.
+const RATE_QUANTILE: f64 = 0.9;
 
 /// A server is chosen instead of the usual one if its delay is below this fraction of the other's, less
 /// [`MIN_GAIN_MS`]. Prompt parts would otherwise move between servers over differences that are noise.
@@ -190,9 +193,9 @@
         let waited_ms = waited.as_secs_f64() * 1_000.0;
         if uncached >= MIN_RATE_TOKENS && waited_ms > 0.0 {
             let is_faster = f64::from(uncached) / waited_ms > service.tokens_per_ms;
-            let factor = if is_faster { 1.0 + MEDIAN_STEP } else { 1.0 / (1.0 + MEDIAN_STEP) };
+            let step = if is_faster { RATE_QUANTILE } else { RATE_QUANTILE - 1.0 } * MEDIAN_STEP;
             let (min, max) = TOKENS_PER_MS_RANGE;
-            service.tokens_per_ms = (service.tokens_per_ms * factor).clamp(min, max);
+            service.tokens_per_ms = (service.tokens_per_ms * step.exp()).clamp(min, max);
         }
         let median = &mut service.first_event_ms[token_class(uncached)];
         let usual = median.get().filter(|ms| *ms > 0.0);
--- a/src/relay/routes.rs
+++ b/src/relay/routes.rs
@@ -4,7 +4,7 @@
 
 use super::warmup::ColdLimit;
 use crate::{
-    schema::fleet::{CallerLimits, Configuration, Repeat, Route},
+    schema::fleet::{CallerLimits, Configuration, Fetched, Repeat, Route},
     util::Map,
 };
 
@@ -161,6 +161,28 @@
     shortest
 }
 
+/// The routes in an answer to a fetch: those of the full configuration, or the new ones.
+fn fetched_routes(fetched: &mut Fetched) -> Option<&mut Vec<Route>> {
+    let full = fetched.configuration.as_mut().map(|cfg| &mut cfg.routes);
+    full.or(fetched.configuration_changes.as_mut().map(|changes| &mut changes.new_routes))
+}
+
+/// Adds the allowed pauses of the routes in an answer to a fetch, if any is limited.
+pub(crate) fn add_pauses(fetched: &mut Fetched) {
+    let pauses = fetched_routes(fetched).map(|routes| routes.iter().map(|r| r.max_pause_ms).collect());
+    fetched.route_pauses = pauses.filter(|all: &Vec<_>| all.iter().any(|ms| *ms > 0)).unwrap_or_default();
+}
+
+/// Sets the allowed pauses of the routes in an answer to a fetch. They stay unlimited in the answer of a host of an
+/// earlier version, or one that contradicts itself.
+pub(crate) fn set_pauses(fetched: &mut Fetched) {
+    let pauses = std::mem::take(&mut fetched.route_pauses);
+    let routes = fetched_routes(fetched).filter(|routes| routes.len() == pauses.len());
+    for (route, pause) in routes.into_iter().flatten().zip(pauses) {
+        route.max_pause_ms = pause;
+    }
+}
+
 fn compile(route: &Route) -> CompiledRoute {
     let stream = route.repeat() == Repeat::Stream;
     let repeatable = route.repeat() == Repeat::Idempotent || (stream && route.resumable);
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -59,8 +59,10 @@
     /// Whether requests list the parts of their prompt.
     #[prost(bool, tag = "12")]
     pub prompts: bool,
-    /// Longest allowed pause between the events of a stream, in milliseconds; 0 if unlimited.
+    /// Longest allowed pause between the events of a stream, in milliseconds; 0 if unlimited. Not part of this message
+    /// between hosts, which hosts of earlier versions could not read then: `Fetched` holds it in `route_pauses`.
     #[prost(uint32, tag = "13")]
+    #[serde(skip)]
     pub max_pause_ms: u32,
 }
 /// Share of a route's requests that goes to one service.
@@ -574,6 +576,9 @@
     /// unknown.
     #[prost(uint32, repeated, tag = "11")]
     pub versions: ::prost::alloc::vec::Vec<u32>,
+    /// Longest allowed pause of each route in this message, in order, in milliseconds; 0 if unlimited.
+    #[prost(uint32, repeated, tag = "12")]
+    pub route_pauses: ::prost::alloc::vec::Vec<u32>,
 }
 /// List of all backend servers at one revision of the store, without repeated names.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -30,6 +30,7 @@
         surge: (3.0, 3_000, 13_000),
         lost_servers: (0, 0),
         ranks: vec![1],
+        placement: None,
     }
 }
 
--- a/tests/relay_pace.rs
+++ b/tests/relay_pace.rs
@@ -1,5 +1,7 @@
 //! Servers whose pace changes: reports, first events, placement, prefill alongside streams, and pauses between events.
 
+#[path = "support/load.rs"]
+mod load;
 #[path = "support/relay.rs"]
 mod relay_support;
 #[path = "support/wire.rs"]
@@ -11,16 +13,20 @@
     metrics::Counter,
     relay::{
         backends::{BackendKey, Backends, Tag},
+        follow::BackendsUpdate,
         holders::Holders,
+        measurements::MARKER,
         pace::{Pace, Paces},
         place::{Bound, Candidate, Choice, Placer, Reason},
         prefill::{Delays, Prefill, Prompt},
         request::Part,
     },
-    schema::fleet::Backends as List,
+    schema::fleet::{Backend, Backends as List, Configuration, Measurements, ServerReport},
 };
+use load::{Placement, SecondStats, Simulation};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use relay_support::listed;
+use relay_support::{RunningHost, listed};
+use tokio::net::UdpSocket;
 use wire::{Host, ScriptStep, Server, chunk, event, request, stream_head};
 
 const TAG: Tag = 7;
@@ -263,17 +269,89 @@
     assert_eq!((prefill.tokens(key), prefill.recent_tokens(ms(2_000), key)), (0, 0));
 }
 
-/// Counted pauses of a stream on a path whose server says this of its load.
-async fn pauses(path: &str, load: &str, pause: Duration) -> Vec<(String, u64)> {
+/// The fixture's configuration, in which the resumable streams may pause for 100 ms.
+fn configuration() -> Configuration {
+    let mut cfg = wire::configuration();
+    cfg.routes.iter_mut().filter(|r| r.resumable).for_each(|r| r.max_pause_ms = 100);
+    cfg
+}
+
+/// A stream of three events with these pauses, whose server says this of its load.
+fn stream(load: &str, pause: Duration) -> ScriptStep {
     let head = stream_head().replace("Response-Seal", &format!("Server-Load: {load}\r\nResponse-Seal"));
     let texts = vec![format!("{head}{}", chunk(&event(1))), chunk(&event(2)), chunk(&event(3)), chunk("")];
-    let server = Server::start("i-1", [ScriptStep::WriteSlowly(texts, pause)]).await;
-    let host = Host::with_servers(&[&server]).await;
-    let answer = host.call(&request(path, "")).await;
-    assert_eq!(wire::events(&answer).len(), 3, "{answer}");
+    ScriptStep::WriteSlowly(texts, pause)
+}
+
+/// Calls a path once for each of these streams, and returns the pauses that were counted.
+async fn pauses_of(path: &str, streams: Vec<ScriptStep>) -> Vec<(String, u64)> {
+    let calls = streams.len();
+    let server = Server::start("i-1", streams).await;
+    let host = Host::without_configuration().await;
+    host.relay.set_configuration(configuration(), "test");
+    host.set_servers(&[&server]);
+    for _ in 0..calls {
+        let answer = host.call(&request(path, "")).await;
+        assert_eq!(wire::events(&answer).len(), 3, "{answer}");
+    }
     host.relay.metrics().totals(Counter::RelayPauses).into_iter().collect()
 }
 
+async fn pauses(path: &str, load: &str, pause: Duration) -> Vec<(String, u64)> {
+    pauses_of(path, vec![stream(load, pause)]).await
+}
+
+/// Guards against a pace that is forgotten with the next response that says nothing of it.
+#[tokio::test]
+async fn a_pace_in_one_response_out_of_several_counts() {
+    let streams = vec![stream("3,0,6,900", ms(1)), stream("3,0,6", ms(150))];
+
+    assert_eq!(pauses_of("/stream/x", streams).await, [("slow_server".into(), 2)]);
+}
+
+/// Guards against hosts of an earlier version that cannot read a configuration with pauses, and against hosts that do not
+/// learn them from others.
+#[tokio::test]
+async fn hosts_tell_each_other_the_allowed_pauses() {
+    let encoded = |cfg: Configuration| postcard::to_allocvec(&cfg).unwrap();
+    let (first, seed) = relay_support::host("host-1", &[]).await;
+    let (second, _) = relay_support::host("host-2", &[seed]).await;
+
+    first.set_configuration(configuration(), "test");
+
+    let pause = || second.routes().and_then(|r| r.shortest_pause_ms("app"));
+    wire::wait_until("the pauses", || pause() == Some(100)).await;
+    assert_eq!(encoded(configuration()), encoded(wire::configuration()));
+}
+
+/// Guards against hosts that learn only from their own requests that a server is slow: each sends it few.
+#[tokio::test]
+async fn a_pace_that_another_host_reports_counts() {
+    let server = Server::start("i-1", [stream("3,0,6", ms(150))]).await;
+    let host = RunningHost::start("host-1", &[]).await;
+    let (id, addr) = (server.id.clone(), server.addr.to_string());
+    let (service, data_centre) = ("app".into(), "a".into());
+    let item = Backend { id, service, addr, data_centre, slots: 6, ..Backend::default() };
+    let list = List { revision: 1, items: vec![item], ..List::default() };
+    let mut backends = Backends::default();
+    backends.apply_list(ms(0), &list, None);
+    host.relay.set_configuration(configuration(), "test");
+    host.relay.update_backends(BackendsUpdate::List(list), None, "test");
+    let backend = backends.iter().next().unwrap().1.tag;
+    let report = |backend| ServerReport { backend, load: 3, pace_percent: 900, age_ms: 10 };
+    let reports = vec![report(backend + 1), report(backend)];
+    let message = Measurements { marker: MARKER, start: 1, reports, ..Measurements::default() };
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+
+    socket.send_to(&postcard::to_allocvec(&message).unwrap(), host.peers_at).await.unwrap();
+    let mut caller = wire::Caller::connect(host.callers_at).await;
+    caller.send(&request("/stream/x", "")).await;
+    caller.answer().await;
+
+    let counted: Vec<_> = host.relay.metrics().totals(Counter::RelayPauses).into_iter().collect();
+    assert_eq!(counted, [("slow_server".into(), 2)]);
+}
+
 /// Guards against pauses that callers notice and no host does, and against a fourth figure that is misread.
 #[tokio::test]
 async fn a_pause_beyond_the_routes_limit_is_counted_with_its_cause() {
@@ -294,3 +372,59 @@
     assert_eq!(pauses("/stream/x", "3,0,6,400", ms(20)).await, []);
     assert_eq!(pauses("/once/x", "3,0,6,400", ms(150)).await, []);
 }
+
+/// 90 model servers behind 87 hosts at two fifths of their capacity, a fifth of them slow at any time.
+fn shared_machines(reports_pace: bool) -> Simulation {
+    Simulation {
+        hosts: 87,
+        servers: 90,
+        slots_per_server: 32,
+        service_time_ms: 1_400.0,
+        slowdown: 0.02,
+        objective_ms: 400,
+        deadline_ms: 10_000,
+        state_lag_ms: 300,
+        reports_load: true,
+        uses_admission: false,
+        surge: (0.4, 0, 0),
+        lost_servers: (0, u64::MAX),
+        ranks: vec![1],
+        placement: Some(Placement { reports_pace, slow_fraction: 0.2, allowed_pause_ms: 500 }),
+    }
+}
+
+/// Fraction of first events after the objective, of events after a long pause, and of the time over the limit on loads.
+struct Figures {
+    late: f64,
+    paused: f64,
+    over_bound: f64,
+}
+
+/// Figures after the first three seconds, in which prompts are read for the first time.
+fn figures(seconds: &[SecondStats]) -> Figures {
+    let sum = |f: fn(&SecondStats) -> u32| seconds[3..].iter().map(|s| f64::from(f(s))).sum::<f64>();
+    Figures {
+        late: 1.0 - sum(|s| s.in_time) / sum(|s| s.begun),
+        paused: sum(|s| s.long_pauses) / sum(|s| s.events),
+        over_bound: sum(|s| s.over_bound),
+    }
+}
+
+/// Guards against requests and streams that wait at slow servers although other hosts have heard that they are slow, and
+/// against loads past the limit because quick servers get too much.
+#[test]
+fn fewer_first_events_are_late_and_fewer_streams_pause() {
+    let seeds = [1, 2, 3];
+    let runs = |reports_pace| {
+        let run = |seed| std::thread::spawn(move || figures(&shared_machines(reports_pace).run(15, seed)));
+        let all: Vec<_> = seeds.map(run).into_iter().map(|run| run.join().unwrap()).collect();
+        let sum = |f: fn(&Figures) -> f64| all.iter().map(f).sum::<f64>();
+        Figures { late: sum(|f| f.late), paused: sum(|f| f.paused), over_bound: sum(|f| f.over_bound) }
+    };
+
+    let (without, with) = (runs(false), runs(true));
+
+    assert!(with.late <= 0.85 * without.late, "{} {}", with.late, without.late);
+    assert!(with.paused <= 0.9 * without.paused, "{} {}", with.paused, without.paused);
+    assert!(with.over_bound <= 1.1 * without.over_bound, "{} {}", with.over_bound, without.over_bound);
+}
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -10,6 +10,11 @@
 use cranberrytally::relay::admission::{Admission, AdmissionRequest, ReportedLoad, ServiceLoad};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+mod placement;
+
+pub use placement::Placement;
+use placement::{EVENT_WORK_MS, Placed, Placements, SPEED_DURING_PREFILL, TOKENS_PER_MS};
+
 /// Parameters of a simulation; times in milliseconds.
 #[derive(Clone, Debug)]
 pub struct Simulation {
@@ -36,6 +41,8 @@
     pub lost_servers: (usize, u64),
     /// Ranks that are assigned to the requests in turn.
     pub ranks: Vec<u32>,
+    /// Placement of prompts at servers whose pace changes; without it, servers are drawn and requests start at once.
+    pub placement: Option<Placement>,
 }
 
 /// Statistics of one second.
@@ -47,6 +54,12 @@
     pub in_time: u32,
     /// Numbers of requests first sent in this second, by rank: those that started within the objective, and all.
     pub by_rank: BTreeMap<u32, (u32, u32)>,
+    /// With placement: first events, all events, and events after a pause longer than allowed.
+    pub begun: u32,
+    pub events: u32,
+    pub long_pauses: u32,
+    /// Milliseconds in which a server held more than twice the mean load plus three.
+    pub over_bound: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +69,10 @@
     first_sent_at: u64,
     sent_at: u64,
     remaining_ms: f64,
+    placed: Placed,
+    /// When its latest event was sent, and the work until the next one.
+    last_event_at: Option<u64>,
+    to_event_ms: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -104,6 +121,7 @@
     /// Number of requests sent for the first time so far.
     arrivals: usize,
     seconds: Vec<SecondStats>,
+    placements: Option<Placements>,
 }
 
 const SERVICE: &str = "s";
@@ -122,6 +140,7 @@
             arrivals_due: 0.0,
             arrivals: 0,
             seconds: vec![SecondStats::default(); seconds as usize],
+            placements: config.placement.map(|p| Placements::new(p, config.hosts, config.servers, seed)),
         }
     }
 
@@ -133,6 +152,9 @@
         if self.load_history.len() as u64 > self.config.state_lag_ms {
             self.load_history.pop_front();
         }
+        if let Some(placements) = &mut self.placements {
+            placements.tick(now);
+        }
         for (first_sent_at, rank) in self.retries.remove(&now).unwrap_or_default() {
             self.send_request(now, first_sent_at, rank);
         }
@@ -150,6 +172,9 @@
         }
         for server_index in 0..self.servers.len() {
             self.serve(now, server_index);
+            if self.placements.is_some() {
+                self.stream(now, server_index);
+            }
         }
     }
 
@@ -183,7 +208,11 @@
             }
             return;
         }
-        let server_index = self.rng.random_range(0..self.servers.len());
+        let placed = match &mut self.placements {
+            Some(p) => p.place(now, host, reported_loads, self.config.slots_per_server as u32, &mut self.rng),
+            None => Placed { server: self.rng.random_range(0..self.servers.len()), ..Placed::default() },
+        };
+        let server_index = placed.server;
         let service_time_ms = self.config.service_time_ms * self.rng.random_range(0.5..1.5);
         if self.servers[server_index].queue.len() >= QUEUE_PER_SLOT * self.config.slots_per_server {
             return;
@@ -194,6 +223,9 @@
             first_sent_at,
             sent_at: now,
             remaining_ms: service_time_ms,
+            placed,
+            last_event_at: None,
+            to_event_ms: EVENT_WORK_MS,
         });
     }
 
@@ -214,6 +246,10 @@
                     ReportedLoad { running, waiting, slots: config.slots_per_server as u32 },
                 );
             }
+            if let Some(placements) = &mut self.placements {
+                placements.report(now, request.host, server_index, &mut self.rng);
+                continue;
+            }
             if now <= request.first_sent_at + config.objective_ms {
                 self.seconds[now as usize / 1_000].in_time += 1;
                 self.seconds[request.first_sent_at as usize / 1_000]
@@ -223,12 +259,54 @@
                     .0 += 1;
             }
         }
+        if self.placements.is_some() {
+            return;
+        }
         let speed = 1.0 / (1.0 + config.slowdown * server.running.len().saturating_sub(1) as f64);
         server.running.iter_mut().for_each(|request| request.remaining_ms -= speed);
         server.running.retain(|request| request.remaining_ms > 0.0);
     }
 }
 
+impl Run<'_> {
+    /// Prefills the oldest prompt of a server, and lets its other requests send events.
+    fn stream(&mut self, now: u64, server_index: usize) {
+        let Some(placements) = &mut self.placements else { return };
+        let (config, stats) = (self.config, &mut self.seconds[now as usize / 1_000]);
+        let mean = self.servers.iter().map(|s| s.running.len() + s.queue.len()).sum::<usize>() as f64
+            / self.servers.len() as f64;
+        let server = &mut self.servers[server_index];
+        let load = (server.running.len() + server.queue.len()) as f64;
+        stats.over_bound += u32::from(load > 2.0 * mean + 3.0);
+        let mut speed = 1.0 / placements.slowness(server_index);
+        if let Some(prompt) = server.running.iter_mut().find(|request| request.placed.to_prefill > 0.0) {
+            let tokens = prompt.placed.to_prefill.min(TOKENS_PER_MS * speed);
+            prompt.placed.to_prefill -= tokens;
+            speed *= SPEED_DURING_PREFILL;
+        }
+        speed /= 1.0 + config.slowdown * server.running.len().saturating_sub(1) as f64;
+        let allowed_pause = config.placement.map_or(0, |p| u64::from(p.allowed_pause_ms));
+        for request in server.running.iter_mut().filter(|request| request.placed.to_prefill <= 0.0) {
+            request.remaining_ms -= speed;
+            request.to_event_ms -= speed;
+            if request.to_event_ms > 0.0 && request.remaining_ms > 0.0 {
+                continue;
+            }
+            request.to_event_ms = EVENT_WORK_MS;
+            stats.events += 1;
+            match request.last_event_at.replace(now) {
+                Some(last) => stats.long_pauses += u32::from(now - last > allowed_pause),
+                None => {
+                    placements.begin_stream(now, request.host, request.placed, ms(now - request.sent_at));
+                    stats.begun += 1;
+                    stats.in_time += u32::from(now <= request.first_sent_at + config.objective_ms);
+                }
+            }
+        }
+        server.running.retain(|request| request.remaining_ms > 0.0);
+    }
+}
+
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -243,7 +243,7 @@
         open: false,
         resumable,
         prompts: false,
-        max_pause_ms: if prefix == "/stream/" { 100 } else { 0 },
+        max_pause_ms: 0,
     };
     Configuration {
         version: 1,
