--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -18,8 +18,10 @@
         exchange::MAX_COPIES,
         holders::Holders,
         measurements::{MARKER, Measurements, Topic},
+        pace::Paces,
         peers::{LocalVersions, Peers, Scope},
         place::{Candidate, Placer},
+        prefill::{Delays, Prefill, Prompt},
         request::Part,
         returns::{Moment, Returns},
         shares::{Requester, Shares},
@@ -73,6 +75,7 @@
         load: f64::from(b.tag % 8),
         slots: 64,
         unhealthy: false,
+        delays: Delays::default(),
     });
     let candidates = candidates.collect();
     (backends, candidates)
@@ -111,6 +114,28 @@
     [begun, broken, settled, check, bytes as f64 / reports.len().max(1) as f64]
 }
 
+/// Mean times in microseconds to set the expected delays of the candidates and choose by parts: at the usual pace, and with
+/// a third of the servers slow.
+fn paced_us(candidates: &[Candidate], holders: &Holders) -> [f64; 2] {
+    [100, 400].map(|percent| {
+        let (mut paces, mut prefill, service) = (Paces::default(), Prefill::default(), Arc::from("s"));
+        for (i, c) in candidates.iter().enumerate() {
+            let percent = if i % 3 == 0 { percent } else { 100 };
+            paces.record_report(Duration::ZERO, &service, c.tag, percent, Duration::ZERO);
+            if i % 10 == 0 {
+                prefill.begin(c.key, 1_300);
+            }
+        }
+        let (mut rng, mut candidates) = (SmallRng::seed_from_u64(1), candidates.to_vec());
+        mean_us(ITERATIONS, |i| {
+            let parts = [Part { id: i % 4_000, tokens: 10_000 }, Part { id: i << 20, tokens: 300 }];
+            let prompt = Prompt { service: &service, parts: &parts, allowed_pause_ms: Some(500) };
+            prefill.set_delays(Duration::ZERO, &paces, holders, prompt, &mut candidates);
+            Placer::default().choose(&candidates, &parts, holders, |_| true, &mut rng);
+        })
+    })
+}
+
 /// Mean time of an iteration, in microseconds.
 fn mean_us(iterations: u32, mut step: impl FnMut(u64)) -> f64 {
     let start = Instant::now();
@@ -148,6 +173,8 @@
             "| {n} | {by_parts:.1} | {all_slots_taken:.1} | {by_load:.1} | {:.1} | {list} |",
             heartbeat_us(n)
         );
+        let [usual, slow] = paced_us(&candidates, &holders);
+        println!("with delays by pace, {n} servers: {usual:.1} us, a third of them slow: {slow:.1} us");
     }
     println!("\nadmission: {:.2} us", admission_us());
     for workspaces in WORKSPACE_COUNTS {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -75,6 +75,8 @@
     RelayShares,
     /// Callers that were refused and told to return, and requests that returned, by what became of them.
     RelayReturns,
+    /// Pauses between events of streams that were longer than allowed, by cause.
+    RelayPauses,
 }
 
 /// A gauge of the relay.
@@ -162,7 +164,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 30] = [
+    pub const ALL: [Counter; 31] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -193,6 +195,7 @@
         Counter::RelayPlain,
         Counter::RelayShares,
         Counter::RelayReturns,
+        Counter::RelayPauses,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -273,6 +276,9 @@
             Counter::RelayReturns => {
                 row("relay_returns", "event", "refused callers told to return, and requests that returned")
             }
+            Counter::RelayPauses => {
+                row("relay_pauses", "cause", "pauses of streams longer than their routes allow, by cause")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`].
+//! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`].
 //! The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
@@ -63,10 +63,13 @@
 pub mod mesh;
 pub mod origins;
 pub mod outcome;
+pub mod pace;
+pub mod pace_reports;
 pub mod peers;
 pub mod place;
 pub mod plain;
 pub mod pool;
+pub mod prefill;
 pub mod reach;
 pub mod read_turn;
 pub mod request;
@@ -99,10 +102,12 @@
 use leave::Leaving;
 use measurements::Measurements;
 use origins::{Origins, questions::Questions};
+use pace::Paces;
 
 use peers::{LocalVersions, Peers};
 use plain::{hooks::PlainEvent, repeats::Repeats};
 use pool::{Conn, Pool};
+use prefill::Prefill;
 use reach::Reach;
 use request::Request;
 use returns::Returns;
@@ -110,7 +115,7 @@
 use routes::Routes;
 use shares::Shares;
 use warmup::Warmup;
-pub use wire::{AttemptContext, Refusal, ResponseHead, Wire};
+pub use wire::{AttemptContext, PaceReport, Refusal, ResponseHead, Wire};
 
 /// Settings of a relaying host.
 #[derive(Clone, Debug)]
@@ -165,6 +170,8 @@
     pub(crate) measurements: Measurements,
     /// Servers close to the load bound that other hosts are to be told of.
     pub(crate) hot_servers: HotServers,
+    pub(crate) paces: Paces,
+    pub(crate) prefill: Prefill,
     pub(crate) crashes: Crashes,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: EpochTracker,
@@ -262,6 +269,8 @@
             peers: Peers::new(cfg.peer_addr, &cfg.me.data_centre, &cfg.seeds).with_start(now()),
             measurements: Measurements::default(),
             hot_servers: HotServers::default(),
+            paces: Paces::default(),
+            prefill: Prefill::default(),
             crashes: Crashes::default(),
             evacuations: Evacuations::default(),
             epochs: EpochTracker::default(),
@@ -393,9 +402,8 @@
     }
 
     /// Records the load that a server reported.
-    pub(crate) fn record_load(&self, service: &Arc<str>, key: BackendKey, report: admission::ReportedLoad) {
+    pub(crate) fn record_load(&self, service: &Arc<str>, report: admission::ReportedLoad) {
         self.state().admission.record_load(now(), service, report);
-        self.record_server_report(key, report);
     }
 
     /// Returns a connection to the pool after its answer was read. A server accepts a limited number of connections
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -4,7 +4,6 @@
 
 use super::{
     Relay, State, Wire,
-    admission::ReportedLoad,
     backends::{BackendKey, Tag},
     confirm::Topic,
     datagram::DropReason,
@@ -112,19 +111,19 @@
         }
         let data_centre = state.peers.data_centre_of(from);
         let is_new = state.measurements.receive(now, from, data_centre, &self.cfg.me.data_centre, message);
-        if is_new { Ok(()) } else { Err(DropReason::Replayed) }
+        if !is_new {
+            return Err(DropReason::Replayed);
+        }
+        state.learn_paces(now, message);
+        Ok(())
     }
 
     /// Records the load that a server has reported with an answer. Small fleets exchange full loads so often that they
     /// need no reports.
-    pub(crate) fn record_server_report(&self, key: BackendKey, load: ReportedLoad) {
-        let now = now();
-        let mut state = self.state();
-        let state = &mut *state;
-        let tag = state.backends.get(key).map(|b| b.tag);
-        let Some(tag) = tag.filter(|_| !state.peers.is_small()) else { return };
-        let load = load.running.saturating_add(load.waiting);
-        let report = Report { load, pace_percent: None, at: now, told_on: false, sent_since: 0 };
+    pub(crate) fn record_server_report(&self, state: &mut State, now: Instant, tag: Tag, report: Report) {
+        if state.peers.is_small() {
+            return;
+        }
         if let Recorded::Replaced(old) = state.measurements.record_report(tag, report) {
             self.on_server_report(state, now, tag, old);
         }
--- a/src/relay/routes.rs
+++ b/src/relay/routes.rs
@@ -4,7 +4,7 @@
 
 use super::warmup::ColdLimit;
 use crate::{
-    schema::fleet::{CallerLimits, Configuration, Repeat, Route},
+    schema::fleet::{CallerLimits, Configuration, Fetched, Repeat, Route},
     util::Map,
 };
 
@@ -48,6 +48,8 @@
     hosts: Map<Arc<str>, Vec<Arc<CompiledRoute>>>,
     callers: Map<Arc<str>, Arc<Caller>>,
     caching_services: Vec<Arc<str>>,
+    /// Shortest allowed pause between events in milliseconds, by service.
+    shortest_pauses: Map<Arc<str>, u32>,
 }
 
 impl Routes {
@@ -69,7 +71,8 @@
         }
         let caching_services = source.services.iter().filter(|s| s.caches_prompts);
         let caching_services = caching_services.map(|s| s.name.as_str().into()).collect();
-        Self { source, hosts, callers, caching_services }
+        let shortest_pauses = shortest_pauses(&source.routes);
+        Self { source, hosts, callers, caching_services, shortest_pauses }
     }
 
     /// The configuration that was compiled.
@@ -104,6 +107,11 @@
         self.caching_services.iter().any(|s| &**s == service)
     }
 
+    /// The shortest pause between events that a route to the service allows, in milliseconds, if any limits it.
+    pub fn shortest_pause_ms(&self, service: &str) -> Option<u32> {
+        self.shortest_pauses.get(service).copied()
+    }
+
     /// Connections that one backend server of a service accepts from all hosts together, if limited.
     pub fn max_connections(&self, service: &str) -> Option<u32> {
         let service = self.source.services.iter().find(|s| s.name == service)?;
@@ -142,6 +150,39 @@
     }
 }
 
+fn shortest_pauses(routes: &[Route]) -> Map<Arc<str>, u32> {
+    let mut shortest: Map<Arc<str>, u32> = Map::default();
+    for route in routes.iter().filter(|r| r.max_pause_ms > 0) {
+        for share in &route.shares {
+            let known = shortest.entry(share.service.as_str().into()).or_insert(route.max_pause_ms);
+            *known = route.max_pause_ms.min(*known);
+        }
+    }
+    shortest
+}
+
+/// The routes in an answer to a fetch: those of the full configuration, or the new ones.
+fn fetched_routes(fetched: &mut Fetched) -> Option<&mut Vec<Route>> {
+    let full = fetched.configuration.as_mut().map(|cfg| &mut cfg.routes);
+    full.or(fetched.configuration_changes.as_mut().map(|changes| &mut changes.new_routes))
+}
+
+/// Adds the allowed pauses of the routes in an answer to a fetch, if any is limited.
+pub(crate) fn add_pauses(fetched: &mut Fetched) {
+    let pauses = fetched_routes(fetched).map(|routes| routes.iter().map(|r| r.max_pause_ms).collect());
+    fetched.route_pauses = pauses.filter(|all: &Vec<_>| all.iter().any(|ms| *ms > 0)).unwrap_or_default();
+}
+
+/// Sets the allowed pauses of the routes in an answer to a fetch. They stay unlimited in the answer of a host of an
+/// earlier version, or one that contradicts itself.
+pub(crate) fn set_pauses(fetched: &mut Fetched) {
+    let pauses = std::mem::take(&mut fetched.route_pauses);
+    let routes = fetched_routes(fetched).filter(|routes| routes.len() == pauses.len());
+    for (route, pause) in routes.into_iter().flatten().zip(pauses) {
+        route.max_pause_ms = pause;
+    }
+}
+
 fn compile(route: &Route) -> CompiledRoute {
     let stream = route.repeat() == Repeat::Stream;
     let repeatable = route.repeat() == Repeat::Idempotent || (stream && route.resumable);
--- a/tests/relay_load_bound.rs
+++ b/tests/relay_load_bound.rs
@@ -1,11 +1,11 @@
 //! Tests the load bound of servers in fleets whose hosts know old counts of each other's requests.
 
-#[path = "support/placement.rs"]
-mod placement;
+#[path = "support/bound_model.rs"]
+mod bound_model;
 
 use std::thread;
 
-use placement::{Fleet, Outcome, Surge};
+use bound_model::{Fleet, Outcome, Surge};
 
 /// Largest share of requests within five seconds that may reach a server above twice the mean load plus three.
 const MAX_SHARE: f64 = 0.03;
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -33,6 +33,7 @@
         ranks: vec![1],
         plain: None,
         workspaces: None,
+        placement: None,
     }
 }
 
--- a/tests/relay_plain.rs
+++ b/tests/relay_plain.rs
@@ -57,6 +57,7 @@
             message_interval_ms: Some(620),
             failing_servers: 0,
         }),
+        placement: None,
     }
 }
 
--- a/tests/relay_returns.rs
+++ b/tests/relay_returns.rs
@@ -43,6 +43,7 @@
         ranks: vec![1],
         plain: None,
         workspaces: None,
+        placement: None,
     }
 }
 
--- a/tests/relay_shares.rs
+++ b/tests/relay_shares.rs
@@ -46,6 +46,7 @@
             message_interval_ms: 620,
             uses_shares: true,
         }),
+        placement: None,
     }
 }
 
--- a/tests/support/placement.rs
+++ b/tests/support/placement.rs
@@ -1,388 +1,180 @@
-//! Model of many hosts that place streams on servers in virtual time. The hosts exchange the real heartbeats, so that what
-//! they know of each other's requests is as old as in a fleet of this size.
+//! Placement in the simulation: prompts with shared parts, servers whose pace changes, and what hosts know of both.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use cranberrytally::{
     relay::{
-        backends::BackendKey,
+        backends::{BackendKey, Backends, Tag},
         holders::Holders,
-        hot_servers::{self, FANOUT, HotServers, SETTLE_DELAY},
-        measurements::{Measurements, Recorded, Report},
-        peers::{LocalVersions, Peers, Scope},
-        place::{Candidate, Placer, mean},
-        request::Part,
+        pace::{Paces, SLOW_PERCENT},
+        place::{Candidate, Placer},
+        prefill::{Delays, Prefill, Prompt},
+        request::{Part, prompt_tokens},
     },
-    schema::fleet::{self, Beat, Held, InProgress, Member},
-    util::Instant,
+    schema::fleet::{Backend, Backends as List},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use slotmap::SlotMap;
 
-const SERVICE: &str = "llm";
-/// Delay of a datagram, in milliseconds.
-const DELAY_MS: u64 = 2;
-/// Prompt tokens that a server reads in a millisecond.
-const TOKENS_PER_MS: f64 = 61.0;
-/// Time to the first event besides the prompt, in milliseconds.
-const FIRST_EVENT_MS: u64 = 20;
-/// Span over which breaches of the load bound are counted, and the number from which they count.
-const WINDOW_MS: u64 = 5_000;
-const MIN_BREACHES: usize = 20;
+use super::{SERVICE, ms};
 
-/// A surge of requests from one workspace, or of all requests.
+/// Parameters of placement.
 #[derive(Clone, Copy, Debug)]
-pub struct Surge {
-    pub at_ms: u64,
-    pub until_ms: u64,
-    /// Rate as a multiple of the usual one.
-    pub factor: f64,
-}
-
-/// The fleet, its servers and its load.
-#[derive(Clone, Debug)]
-pub struct Fleet {
-    pub hosts: usize,
-    pub data_centres: usize,
-    pub servers: usize,
-    pub slots: u32,
-    /// Requests a second, and mean time for which a stream runs after its first event.
-    pub rate: f64,
-    pub stream_ms: f64,
-    /// Prompt parts of all workspaces, and their size in tokens.
-    pub parts: u64,
-    pub part_tokens: u32,
-    /// Fraction of the requests that come from the workspace that surges, and the number of its parts.
-    pub workspace: (f64, u64),
-    pub workspace_surge: Surge,
-    pub surge: Surge,
-    /// Whether hosts use what servers report, and leave servers gradually.
-    pub uses_reports: bool,
-    pub length_ms: u64,
-    pub seed: u64,
-}
-
-/// What came of it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Outcome {
-    /// Requests that reached a server.
-    pub requests: usize,
-    /// Largest share of requests in any five seconds that reached a server above the load limit.
-    pub worst_share: f64,
-    /// Whether that share was reached with enough requests to count.
-    pub breached: bool,
-    /// Share of requests whose part the server had in its cache.
-    pub reused: f64,
-    /// Bytes per second that a host sends to tell others of hot servers, without headers.
-    pub told_bytes: f64,
-    /// Largest load of a server over the limit, in requests.
-    pub worst_excess: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Beat(usize),
-    Arrive { host: usize, server: usize, part: u64 },
-    Begin { host: usize, server: usize, part: u64 },
-    End { host: usize, server: usize },
-    Request,
-    Tell(usize),
+pub struct Placement {
+    /// Whether servers report their pace.
+    pub reports_pace: bool,
+    /// Fraction of the time in which a server is two to five times slower.
+    pub slow_fraction: f64,
+    /// Longest allowed pause between events.
+    pub allowed_pause_ms: u32,
 }
 
-struct Host {
-    addr: SocketAddr,
-    peers: Peers,
+/// Shared and own tokens of the prompts, and the number of different ones of each kind.
+const PROMPTS: [(u32, u32); 3] = [(10_512, 1_300), (699, 130), (2_041, 360)];
+const TOPICS: u64 = 24;
+/// Prompt tokens that a server of usual pace prefills in a millisecond, and its speed for other requests meanwhile.
+pub const TOKENS_PER_MS: f64 = 57.0;
+pub const SPEED_DURING_PREFILL: f64 = 0.094;
+/// Work between two events of a stream, in milliseconds.
+pub const EVENT_WORK_MS: f64 = 30.0;
+/// Number of shared parts that a server keeps.
+const CACHED_PARTS: usize = 24;
+const DATA_CENTRES: usize = 3;
+
+/// State of placement in a running simulation.
+pub struct Placements {
+    config: Placement,
+    servers: Vec<(BackendKey, Tag)>,
+    hosts: Vec<(Paces, Prefill)>,
     holders: Holders,
-    new_holders: Vec<Held>,
-    own: Vec<u32>,
-    measurements: Measurements,
-    hot_servers: HotServers,
-    member: Member,
-    placer: Placer,
-}
-
-struct Server {
-    key: BackendKey,
-    load: u32,
-    cached: Vec<u64>,
-    /// When the prompts that it reads are read.
-    busy_until_ms: u64,
-}
-
-struct Model {
-    fleet: Fleet,
+    /// Shared parts that each server has, the most recent first.
+    caches: Vec<VecDeque<u64>>,
+    /// Pace of each server in percent, and when the period of it ends.
+    paces: Vec<(f64, u64)>,
+    /// Reports on their way to the hosts of a data centre: arrival, data centre, server, pace and time of the report.
+    told: Vec<(u64, usize, usize, u32, u64)>,
+    /// Draws the paces, so that they do not depend on decisions.
     rng: SmallRng,
-    hosts: Vec<Host>,
-    servers: Vec<Server>,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    beats: VecDeque<(u64, usize, usize, Beat)>,
-    told: VecDeque<(u64, usize, fleet::Measurements)>,
-    told_bytes: usize,
-    sequence: u64,
-    /// Time of each request's arrival at its server, and by how much the server was above the limit.
-    arrivals: Vec<(u64, f64)>,
-    reused: usize,
 }
 
-impl Fleet {
-    /// Plays the load.
-    pub fn play(&self) -> Outcome {
-        let mut model = Model::new(self.clone());
-        model.run();
-        model.outcome()
-    }
-
-    fn part_of(&self, rng: &mut SmallRng, from_workspace: bool) -> u64 {
-        match from_workspace {
-            true => rng.random_range(0..self.workspace.1),
-            false => rng.random_range(self.workspace.1..self.parts),
-        }
-    }
-
-    /// Rates of the requests of the surging workspace and of the others at a time.
-    fn rates(&self, now_ms: u64) -> (f64, f64) {
-        let factor = |s: &Surge| if (s.at_ms..s.until_ms).contains(&now_ms) { s.factor } else { 1.0 };
-        let rate = self.rate * factor(&self.surge);
-        (rate * self.workspace.0 * factor(&self.workspace_surge), rate * (1.0 - self.workspace.0))
-    }
+/// A prompt at a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Placed {
+    pub server: usize,
+    /// Uncached tokens by what its host knows, and those that remain to be prefilled.
+    pub known_uncached: u32,
+    pub to_prefill: f64,
 }
 
-impl Model {
-    fn new(fleet: Fleet) -> Self {
-        let rng = SmallRng::seed_from_u64(fleet.seed);
-        let mut keys: SlotMap<BackendKey, ()> = SlotMap::with_key();
-        let server = |_| Server { key: keys.insert(()), load: 0, cached: Vec::new(), busy_until_ms: 0 };
-        let servers = (0..fleet.servers).map(server).collect();
-        let hosts = (0..fleet.hosts).map(|i| Host::new(i, &fleet)).collect();
-        let mut model = Self {
-            fleet,
-            rng,
-            hosts,
-            servers,
-            events: BinaryHeap::new(),
-            beats: VecDeque::new(),
-            told: VecDeque::new(),
-            told_bytes: 0,
-            sequence: 0,
-            arrivals: Vec::new(),
-            reused: 0,
+impl Placements {
+    pub fn new(config: Placement, hosts: usize, servers: usize, seed: u64) -> Self {
+        let mut backends = Backends::default();
+        let item = |i: usize| Backend {
+            id: format!("s{i}"),
+            service: SERVICE.into(),
+            addr: format!("10.0.0.1:{}", i + 1),
+            ..Backend::default()
         };
-        for host in 0..model.hosts.len() {
-            let first = model.rng.random_range(0..250);
-            model.push(first, Event::Beat(host));
+        let items = (0..servers).map(item).collect();
+        backends.apply_list(ms(0), &List { revision: 1, items, ..List::default() }, None);
+        Self {
+            config,
+            servers: backends.iter().map(|(key, b)| (key, b.tag)).collect(),
+            hosts: vec![(Paces::default(), Prefill::default()); hosts],
+            holders: Holders::default(),
+            caches: vec![VecDeque::new(); servers],
+            paces: vec![(100.0, 0); servers],
+            told: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
         }
-        model.push(0, Event::Request);
-        model
     }
 
-    fn push(&mut self, at_ms: u64, event: Event) {
-        self.sequence += 1;
-        self.events.push(Reverse((at_ms, self.sequence, event)));
+    /// Pace of a server relative to usual.
+    pub fn slowness(&self, server: usize) -> f64 {
+        self.paces[server].0 / 100.0
     }
 
-    fn run(&mut self) {
-        while let Some(Reverse((now_ms, _, event))) = self.events.pop() {
-            if now_ms >= self.fleet.length_ms {
-                return;
-            }
-            self.deliver(now_ms);
-            match event {
-                Event::Beat(host) => self.beat(now_ms, host),
-                Event::Request => self.request(now_ms),
-                Event::Tell(host) => self.tell(now_ms, host),
-                Event::Arrive { host, server, part } => self.arrive(now_ms, host, server, part),
-                Event::Begin { host, server, part } => self.begin(now_ms, host, server, part),
-                Event::End { host, server } => {
-                    self.servers[server].load -= 1;
-                    self.hosts[host].own[server] -= 1;
-                }
-            }
+    pub fn tick(&mut self, now: u64) {
+        let rng = &mut self.rng;
+        for (percent, until) in self.paces.iter_mut().filter(|(_, until)| *until <= now) {
+            let is_slow = *percent <= 100.0 && rng.random_bool(self.config.slow_fraction);
+            *percent = if is_slow { rng.random_range(200.0..500.0) } else { 100.0 };
+            *until = now + rng.random_range(300..1_500);
         }
-    }
-
-    fn deliver(&mut self, now_ms: u64) {
-        while self.beats.front().is_some_and(|(at, ..)| *at <= now_ms) {
-            let Some((at, from, to, beat)) = self.beats.pop_front() else { return };
-            let from = self.hosts[from].addr;
-            let keys = |tag: u32| self.servers[tag as usize].key;
-            let host = &mut self.hosts[to];
-            host.peers.receive(ms(at), from, &beat, LocalVersions::default());
-            for held in &beat.held {
-                host.holders.insert(ms(at), held.part, keys(held.backend));
-            }
-        }
-        while self.told.front().is_some_and(|(at, ..)| *at <= now_ms) {
-            let Some((at, to, message)) = self.told.pop_front() else { return };
-            for (tag, old) in self.hosts[to].measurements.merge_reports(ms(at), &message.reports) {
-                self.on_report(at, to, tag, old);
+        let (due, rest) = self.told.iter().partition(|(at, ..)| *at <= now);
+        self.told = rest;
+        let due: Vec<(u64, usize, usize, u32, u64)> = due;
+        for (_, data_centre, server, percent, at) in due {
+            for (paces, _) in self.hosts.iter_mut().skip(data_centre).step_by(DATA_CENTRES) {
+                paces.record_report(ms(now), &service(), self.servers[server].1, percent, ms(at));
             }
         }
     }
 
-    fn beat(&mut self, now_ms: u64, index: usize) {
-        let host = &mut self.hosts[index];
-        let busy = host.own.iter().enumerate().filter(|(_, n)| **n > 0);
-        let in_progress = busy.map(|(i, n)| InProgress { backend: i as u32, requests: *n }).collect();
-        let sent = host.new_holders.len().min(32);
-        let held = host.new_holders.drain(..sent).collect();
-        let mut beat = Beat { start: 1, ready: true, configuration: 1, in_progress, held, ..Beat::default() };
-        let member = host.member.clone();
-        host.peers.finish_beat(&mut beat, &member, false);
-        let targets = host.peers.targets(ms(now_ms), &mut self.rng);
-        let centre = host.peers.data_centre_summary(&beat.in_progress, &member, true);
-        let summary = Beat { in_progress: Vec::new(), centre: Some(centre), ..beat.clone() };
-        let period = host.peers.period().as_millis() as u64;
-        for (addr, scope) in targets {
-            let to = usize::from(addr.port()) - 1;
-            let beat = if scope == Scope::Host { &beat } else { &summary };
-            self.beats.push_back((now_ms + DELAY_MS, index, to, beat.clone()));
-        }
-        self.push(now_ms + period, Event::Beat(index));
-    }
-
-    fn request(&mut self, now_ms: u64) {
-        let (of_workspace, of_others) = self.fleet.rates(now_ms);
-        let all = of_workspace + of_others;
-        let from_workspace = self.rng.random_bool(of_workspace / all);
-        let part = self.fleet.part_of(&mut self.rng, from_workspace);
-        let index = self.rng.random_range(0..self.hosts.len());
-        let candidates = self.candidates(now_ms, index);
-        self.hosts[index].hot_servers.set_mean(&SERVICE.into(), mean(&candidates));
-        let parts = [Part { id: part, tokens: self.fleet.part_tokens }, Part { id: u64::MAX, tokens: 100 }];
-        let host = &self.hosts[index];
-        let choice = host.placer.choose(&candidates, &parts, &host.holders, |_| true, &mut self.rng);
-        let chosen = choice.map(|c| c.key).expect("there are servers");
-        let server = self.servers.iter().position(|s| s.key == chosen).expect("it is one of them");
-        self.hosts[index].own[server] += 1;
-        self.hosts[index].measurements.record_send(server as u32);
-        self.push(now_ms + DELAY_MS, Event::Arrive { host: index, server, part });
-        let pause = -(1.0 - self.rng.random::<f64>()).ln() / all * 1_000.0;
-        self.push(now_ms + pause.round() as u64, Event::Request);
-    }
-
-    fn on_report(&mut self, now_ms: u64, index: usize, tag: u32, old: Option<Report>) {
-        let host = &mut self.hosts[index];
-        let Some(new) = host.measurements.report(ms(now_ms), tag) else { return };
-        if host.hot_servers.on_report(SERVICE, tag, old.as_ref(), new) {
-            self.push(now_ms + SETTLE_DELAY.as_millis() as u64, Event::Tell(index));
-        }
-    }
-
-    fn tell(&mut self, now_ms: u64, index: usize) {
-        let host = &mut self.hosts[index];
-        let Some(message) = host.hot_servers.take(ms(now_ms), 1, &host.measurements) else { return };
-        self.told_bytes += FANOUT * postcard::to_allocvec(&message).map_or(0, |buf| buf.len());
-        for _ in 0..FANOUT {
-            let to = self.rng.random_range(0..self.hosts.len());
-            self.told.push_back((now_ms + DELAY_MS, to, message.clone()));
-        }
-    }
-
-    fn candidates(&self, now_ms: u64, index: usize) -> Vec<Candidate> {
-        let host = &self.hosts[index];
-        let candidate = |(i, s): (usize, &Server)| {
-            let sum = host.own[i] + host.peers.remote_load(i as u32);
-            let report = host.measurements.report(ms(now_ms), i as u32);
-            let load = f64::from(hot_servers::load(ms(now_ms), sum, report));
-            let local = i % self.fleet.data_centres == index % self.fleet.data_centres;
-            Candidate { key: s.key, tag: i as u32, local, load, slots: self.fleet.slots, unhealthy: false }
-        };
-        self.servers.iter().enumerate().map(candidate).collect()
-    }
-
-    fn arrive(&mut self, now_ms: u64, host: usize, server: usize, part: u64) {
-        let mean = self.servers.iter().map(|s| f64::from(s.load)).sum::<f64>() / self.servers.len() as f64;
-        let s = &mut self.servers[server];
-        self.arrivals.push((now_ms, f64::from(s.load) - (2.0 * mean + 3.0)));
-        s.load += 1;
-        let read_ms = match s.cached.contains(&part) {
-            true => 0,
-            false => (f64::from(self.fleet.part_tokens) / TOKENS_PER_MS) as u64,
+    /// Chooses a server for a request of a host that knows these loads.
+    pub fn place(
+        &mut self,
+        now: u64,
+        host: usize,
+        loads: &[usize],
+        slots: u32,
+        rng: &mut SmallRng,
+    ) -> Placed {
+        let (kind, topic) = (rng.random_range(0..PROMPTS.len()), rng.random_range(0..TOPICS));
+        let id = kind as u64 * TOPICS + topic;
+        let parts = [Part { id, tokens: PROMPTS[kind].0 }, Part { id: u64::MAX, tokens: PROMPTS[kind].1 }];
+        let candidate = |((key, tag), load): (&(BackendKey, Tag), &usize)| Candidate {
+            key: *key,
+            tag: *tag,
+            local: true,
+            load: *load as f64,
+            slots,
+            unhealthy: false,
+            delays: Delays::default(),
         };
-        self.reused += usize::from(read_ms == 0);
-        s.busy_until_ms = s.busy_until_ms.max(now_ms) + read_ms;
-        let begins = s.busy_until_ms + FIRST_EVENT_MS;
-        self.push(begins, Event::Begin { host, server, part });
-    }
-
-    fn begin(&mut self, now_ms: u64, host: usize, server: usize, part: u64) {
-        let s = &mut self.servers[server];
-        if !s.cached.contains(&part) {
-            s.cached.push(part);
+        let mut candidates: Vec<_> = self.servers.iter().zip(loads).map(candidate).collect();
+        let (paces, prefill) = &mut self.hosts[host];
+        let allowed_pause_ms = Some(self.config.allowed_pause_ms);
+        let prompt = Prompt { service: SERVICE, parts: &parts, allowed_pause_ms };
+        prefill.set_delays(ms(now), paces, &self.holders, prompt, &mut candidates);
+        let choice = Placer::default().choose(&candidates, &parts, &self.holders, |_| true, rng).unwrap();
+        let server = self.servers.iter().position(|(key, _)| *key == choice.key).unwrap();
+        let known_uncached = prompt_tokens(&parts) - choice.cached_tokens;
+        prefill.begin(choice.key, known_uncached);
+        self.holders.insert(ms(now), id, choice.key);
+        let cache = &mut self.caches[server];
+        let cached = cache.iter().position(|part| *part == id).and_then(|at| cache.remove(at)).is_some();
+        cache.push_front(id);
+        cache.truncate(CACHED_PARTS);
+        let to_prefill = f64::from(if cached { parts[1].tokens } else { prompt_tokens(&parts) });
+        Placed { server, known_uncached, to_prefill }
+    }
+
+    /// Reports the pace of a server to a host, which tells others if it is slow.
+    pub fn report(&mut self, now: u64, host: usize, server: usize, rng: &mut SmallRng) {
+        if !self.config.reports_pace {
+            return;
         }
-        let (key, load) = (s.key, s.load);
-        let h = &mut self.hosts[host];
-        if h.holders.insert(ms(now_ms), part, key) {
-            h.new_holders.push(Held { part, backend: server as u32 });
+        let percent = self.paces[server].0 as u32;
+        self.hosts[host].0.record_report(ms(now), &service(), self.servers[server].1, percent, ms(now));
+        if percent < SLOW_PERCENT {
+            return;
         }
-        if self.fleet.uses_reports {
-            let report = Report { load, pace_percent: None, at: ms(now_ms), told_on: false, sent_since: 0 };
-            if let Recorded::Replaced(old) = h.measurements.record_report(server as u32, report) {
-                self.on_report(now_ms, host, server as u32, old);
-            }
+        for data_centre in 0..DATA_CENTRES {
+            let is_own = data_centre == host % DATA_CENTRES;
+            let delay = if is_own { rng.random_range(20..620) } else { rng.random_range(300..1_600) };
+            self.told.push((now + delay, data_centre, server, percent, now));
         }
-        let runs = -(1.0 - self.rng.random::<f64>()).ln() * self.fleet.stream_ms;
-        self.push(now_ms + runs as u64, Event::End { host, server });
     }
 
-    fn outcome(&self) -> Outcome {
-        let mut outcome = Outcome {
-            requests: self.arrivals.len(),
-            told_bytes: self.told_bytes as f64 / self.hosts.len() as f64 / self.fleet.length_ms as f64 * 1e3,
-            reused: self.reused as f64 / self.arrivals.len() as f64,
-            ..Outcome::default()
-        };
-        let (mut first, mut breaches) = (0, 0);
-        for (last, (at, excess)) in self.arrivals.iter().enumerate() {
-            outcome.worst_excess = outcome.worst_excess.max(*excess);
-            breaches += usize::from(*excess > 0.0);
-            while self.arrivals[first].0 + WINDOW_MS < *at {
-                breaches -= usize::from(self.arrivals[first].1 > 0.0);
-                first += 1;
-            }
-            let share = breaches as f64 / (last - first + 1) as f64;
-            let is_window = *at >= WINDOW_MS;
-            if is_window && share > outcome.worst_share {
-                outcome.worst_share = share;
-                outcome.breached = breaches >= MIN_BREACHES;
-            }
-        }
-        outcome
-    }
-}
-
-impl Host {
-    fn new(index: usize, fleet: &Fleet) -> Self {
-        let addr = |i: usize| SocketAddr::from(([10, 0, 0, 1], i as u16 + 1));
-        let member = |i: usize| Member {
-            name: format!("host-{i}"),
-            callers: format!("10.1.0.1:{}", i + 1),
-            peers: addr(i).to_string(),
-            data_centre: format!("dc-{}", i % fleet.data_centres),
-        };
-        let own = member(index);
-        let mut peers = Peers::new(addr(index), &own.data_centre, &[]);
-        let others: Vec<_> = (0..fleet.hosts).filter(|i| *i != index).map(member).collect();
-        peers.add_members(Duration::ZERO, &others);
-        Self {
-            addr: addr(index),
-            peers,
-            holders: Holders::default(),
-            new_holders: Vec::new(),
-            own: vec![0; fleet.servers],
-            measurements: Measurements::default(),
-            hot_servers: HotServers::default(),
-            member: own,
-            placer: Placer::default().with_host(index as u64).with_gradual_spill(fleet.uses_reports),
-        }
+    /// The first event of a prompt has arrived.
+    pub fn begin_stream(&mut self, now: u64, host: usize, placed: Placed, waited: Duration) {
+        let (key, tag) = self.servers[placed.server];
+        let (paces, prefill) = &mut self.hosts[host];
+        prefill.end(ms(now), key, placed.known_uncached);
+        paces.record_first_event(ms(now), SERVICE, tag, placed.known_uncached, waited);
     }
 }
 
-fn ms(n: u64) -> Instant {
-    Duration::from_millis(n)
+fn service() -> Arc<str> {
+    SERVICE.into()
 }
