--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -24,6 +24,7 @@
         plain::hooks::PlainEvent,
         returns,
         revision::EpochCheck,
+        shares::ShareCounts,
         stream::StreamBreak,
         tunnel::TunnelOutcome,
         updates::ServerNotice,
@@ -98,6 +99,7 @@
         (Counter::RelayPlain, label_values(&PlainEvent::ALL, |e| e.as_str())),
         (Counter::RelayReturns, label_values(&returns::Event::ALL, |e| e.as_str())),
         (Counter::RelayTunnels, label_values(&TunnelOutcome::ALL, |t| t.as_str())),
+        (Counter::RelayShares, label_values(&ShareCounts::LABELS, |label| label)),
         (Counter::RelayEpochs, label_values(&EpochCheck::COUNTED, |h| h.as_str())),
     ];
     for (counter, expected) in values {
