--- a/src/relay/returns.rs
+++ b/src/relay/returns.rs
@@ -6,7 +6,7 @@
 //! surge, or between two, is used up by callers who return then: a caller that is refused a second time has been
 //! refused for good, whereas the capacity that stayed free is lost.
 //!
-//! Therefore all hosts spread returning callers evenly over the time slots within their reach, of 250 ms of the wall
+//! Therefore all hosts spread returning callers evenly over the time slots within their reach, of 500 ms of the wall
 //! clock each: a caller is told the slot with the fewest promised returns. Hosts tell each other how many they have
 //! promised by slot (topic `PromisedReturns` of [`measurements`](super::measurements)). Callers who have a fair chance
 //! soon keep the short delay of [`admission`](super::admission), since their answer can still be on time.
@@ -30,15 +30,17 @@
 
 mod slots;
 
-/// Length of a time slot in milliseconds.
-pub const SLOT_MS: u64 = 250;
+/// Length of a time slot in milliseconds. Slots of 250 ms serve no more callers, and hosts tell each other twice as
+/// many amounts.
+pub const SLOT_MS: u64 = 500;
 /// Number of hosts from which on promises are made. In a small fleet the delays drawn at random are level enough.
 pub const MIN_HOSTS: usize = 16;
 /// Minimum difference to the longest time left on the route by which a returning request is recognized.
 const RETURN_THRESHOLD: Duration = Duration::from_millis(100);
-/// Increase of the random number that decides on a request for which capacity is reserved. It outweighs the chance
-/// of refusal (at most 1) and what an overdue request has in addition (0.5).
-const RESERVED_ADVANTAGE: f64 = 1.5;
+/// Increase of the random number that decides on a request for which capacity is reserved: 0.5 make up for its being
+/// overdue, and 0.2 put it before new requests of its rank. That is the least by which ranks differ, so that it does
+/// not pass more urgent ones.
+const RESERVED_ADVANTAGE: f64 = 0.7;
 
 /// What became of refused and returning callers; a label of counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/relay/returns/slots.rs
+++ b/src/relay/returns/slots.rs
@@ -12,7 +12,7 @@
 };
 
 /// Number of slots ahead of the current one in which returns are promised: a third of the longest deadline of 12 s.
-const SLOTS_AHEAD: u64 = 16;
+const SLOTS_AHEAD: u64 = 8;
 /// Maximum delay as a fraction of the time until the deadline; callers wait no longer.
 const REACH: f64 = 1.0 / 3.0;
 /// Half-life of the rate of admitted requests from which the drain is estimated.
