--- a/src/relay/shares/group.rs
+++ b/src/relay/shares/group.rs
@@ -32,7 +32,7 @@
 const MAX_CARRIED: f64 = 2.0;
 /// Maximum number of workspaces of a group; further ones get no shares.
 const MAX_WORKSPACES: usize = 4_096;
-/// DecayingSum below which a workspace is forgotten, in requests per minute.
+/// Rate below which a workspace is forgotten, in requests per minute.
 const MIN_RATE: f64 = 0.1;
 
 /// A sum that decays.
@@ -155,7 +155,7 @@
         self.short_at.is_some_and(|at| at + SHORT_PERIOD >= now)
     }
 
-    /// DecayingSum of requests that admission control would admit, per minute.
+    /// Rate of requests that admission control would admit, per minute.
     fn admitted(&self, now: Instant) -> f64 {
         (self.arrivals.per_minute(now) - self.refusals.per_minute(now)).max(0.0)
     }
@@ -180,7 +180,9 @@
         let (at_mean, present) = (shares.chance(key, mean), of_all.clamp(0.0, 1.0));
         let by_mean = ((BY_MEAN_RANGE.1 - mean) / (BY_MEAN_RANGE.1 - BY_MEAN_RANGE.0)).clamp(0.0, 1.0);
         let wanted = by_mean * present * (at_mean / mean) + (1.0 - by_mean) * shares.chance(key, present);
-        let Some(workspace) = self.workspaces.get_mut(&key) else { return Some((wanted, at_mean > 0.0)) };
+        let Some(workspace) = self.workspaces.get_mut(&key) else {
+            return Some((wanted.min(1.0), at_mean > 0.0));
+        };
         let wanted = wanted + workspace.carried.at(now);
         let chance = wanted.min(1.0);
         workspace.carried = DecayingSum { sum: (wanted - chance).min(MAX_CARRIED), at: now };
