Look up cached tokens only of servers that hold a part when delays are set

Setting the delays of all candidates took most of the time of a choice: 59 us at 733 servers and 234 us at 2,750 in all (measured on a busy machine, 10 and 31 us without).

--- a/src/relay/holders.rs
+++ b/src/relay/holders.rs
@@ -51,6 +51,11 @@
         chain[..read].iter().map(|p| p.tokens).sum()
     }
 
+    /// The servers that have read any part of the chain, as far as they are known.
+    pub fn of_any(&self, chain: &[Part]) -> Vec<BackendKey> {
+        chain.iter().filter_map(|p| self.parts.get(&p.id)).flat_map(|e| e.holders.iter().copied()).collect()
+    }
+
     /// The usable server that has read the most of the chain, among the holders of its last part.
     pub fn best(&self, chain: &[Part], usable: impl Fn(BackendKey) -> bool) -> Option<BackendKey> {
         let holders = &self.parts.get(&chain.last()?.id)?.holders;
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -65,6 +65,9 @@
 
     /// Tokens that are being prefilled at a server.
     pub fn tokens(&self, key: BackendKey) -> u64 {
+        if self.servers.is_empty() {
+            return 0;
+        }
         self.servers.get(&key).map_or(0, |s| s.tokens)
     }
 
@@ -89,9 +92,13 @@
         }
         let ms_per_token = paces.prefill_ms(prompt.service, 1.0);
         let (tokens, shared) = (prompt_tokens(prompt.parts), place::shared(prompt.parts));
+        // Few servers hold any part, so that the others are not looked up for each part.
+        let known_holders = holders.of_any(shared);
         for c in candidates {
+            let holds_some = known_holders.contains(&c.key);
+            let cached = if holds_some { holders.tokens(shared, c.key) } else { 0 };
             let work = Work {
-                uncached: tokens.saturating_sub(holders.tokens(shared, c.key)),
+                uncached: tokens.saturating_sub(cached),
                 ahead: self.tokens(c.key),
                 waiting: c.load + 1.0 - f64::from(c.slots),
                 pace: paces.pace(now, c.tag),
