--- a/src/relay/plain/hooks.rs
+++ b/src/relay/plain/hooks.rs
@@ -17,9 +17,6 @@
     util::{Instant, now},
 };
 
-/// Late results of other hosts in a window from which on every host tells its counts. While fewer are late no limit is
-/// needed, and nothing is told but by hosts with late results.
-const MIN_LATE_TO_TELL: u32 = 8;
 /// Minutes in a window; arrivals are told per minute.
 const ARRIVALS_PER_MINUTE: u32 = 60 / WINDOW.as_secs() as u32;
 
@@ -59,10 +56,7 @@
     pub(crate) fn publish_plain(&mut self, now: Instant) {
         let is_large = self.peers.host_count() >= MIN_HOSTS as usize;
         for (service, counts) in self.admission.plain_counts(now) {
-            let others = self.plain_counts_of_others(&service);
-            let is_limited = self.admission.limit_of_all(&service).is_some();
-            let is_busy = counts.late > 0 || others.late >= MIN_LATE_TO_TELL || is_limited;
-            let counts = if is_large && is_busy { counts } else { Counts::default() };
+            let counts = if is_large { counts } else { Counts::default() };
             let key = key(&service, ());
             let arrivals = counts.arrivals.saturating_mul(ARRIVALS_PER_MINUTE);
             self.measurements.set(Topic::Arrivals, key, arrivals);
