--- a/src/platform.rs
+++ b/src/platform.rs
@@ -82,7 +82,6 @@
 async fn start_tasks(settings: &Settings, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
     let peer_addr = settings.relay().peer_addr;
     let socket = UdpSocket::bind(peer_addr).await.with_context(|| format!("could not bind {peer_addr}"))?;
-    let socket = Arc::new(socket);
     tokio::spawn(inbound::accept(relay.clone(), inbound::listen(settings.callers).await?));
     tokio::spawn(serve_auxiliary(relay.clone(), inbound::listen(settings.ready).await?));
     let metrics = SocketAddr::new(settings.callers.ip(), METRICS_PORT);
@@ -91,17 +90,8 @@
         tokio::spawn(serve_auxiliary(relay.clone(), inbound::listen(directory).await?));
     }
     tokio::spawn(mesh::serve_fetches(relay.clone(), inbound::listen(peer_addr).await?));
-    tokio::spawn(mesh::receive_heartbeats(relay.clone(), socket.clone()));
-    tokio::spawn(mesh::send_heartbeats(relay.clone(), socket.clone()));
-    tokio::spawn(mesh::send_messages(relay.clone(), socket.clone()));
-    tokio::spawn(mesh::send_hot_reports(relay.clone(), socket));
-    tokio::spawn(mesh::run_maintenance(relay.clone()));
-    tokio::spawn(mesh::fetch_updates(relay.clone()));
-    tokio::spawn(follow::follow_configuration(relay.clone(), StoreClient::new(settings.store)));
-    tokio::spawn(follow::follow_backends(relay.clone(), StoreClient::new(settings.store)));
-    tokio::spawn(follow::follow_evacuations(relay.clone(), StoreClient::new(settings.store)));
-    tokio::spawn(follow::keep_confirmed(relay.clone(), StoreClient::new(settings.store)));
-    tokio::spawn(follow::sync_hosts(relay.clone(), StoreClient::new(settings.store)));
+    mesh::start_tasks(relay, Arc::new(socket));
+    follow::start_tasks(relay, || StoreClient::new(settings.store));
     Ok(())
 }
 
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -89,7 +89,7 @@
             keep_alive: text(headers, &names::KEEP_ALIVE).and_then(keep_alive_timeout),
             closes: text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
             load: text(headers, &names::SERVER_LOAD).and_then(parse_load),
-            pace: text(headers, &names::SERVER_LOAD).map_or(PaceReport::None, parse_pace),
+            pace: PaceReport::parse(text(headers, &names::SERVER_LOAD).and_then(|v| v.split(',').nth(3))),
             leaving: is_leaving(head),
             pause: requested_pause(head),
             brittle: number(headers, &names::SERVER_BRITTLE).and_then(|n| n.try_into().ok()),
@@ -194,15 +194,6 @@
     Some(ReportedLoad { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? })
 }
 
-/// Parses the fourth figure of a server's load: how long work takes there, as a whole percentage above 0.
-fn parse_pace(value: &str) -> PaceReport {
-    match value.split(',').nth(3).map(|n| n.trim().parse()) {
-        None => PaceReport::None,
-        Some(Ok(percent)) if percent > 0 => PaceReport::Percent(percent),
-        Some(_) => PaceReport::Invalid,
-    }
-}
-
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let seconds = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -147,6 +147,15 @@
     fn hosts(&mut self) -> impl Future<Output = Result<Hosts, StoreError>> + Send;
 }
 
+/// Starts the tasks that follow the store, each with a client of its own.
+pub fn start_tasks<W: Wire, S: Store>(relay: &Arc<Relay<W>>, store: impl Fn() -> S) {
+    tokio::spawn(follow_configuration(relay.clone(), store()));
+    tokio::spawn(follow_backends(relay.clone(), store()));
+    tokio::spawn(follow_evacuations(relay.clone(), store()));
+    tokio::spawn(keep_confirmed(relay.clone(), store()));
+    tokio::spawn(sync_hosts(relay.clone(), store()));
+}
+
 /// Follows the configuration until the task is cancelled.
 pub async fn follow_configuration<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     let mut retry = StoreRetry::new("configuration");
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -53,6 +53,16 @@
 /// Minimum delay before an early heartbeat or a fetch, so that changes in quick succession share one.
 const SETTLE_DELAY: Duration = Duration::from_millis(20);
 
+/// Starts the tasks that exchange messages and state with other hosts, but for [`serve_fetches`].
+pub fn start_tasks<W: Wire>(relay: &Arc<Relay<W>>, socket: Arc<UdpSocket>) {
+    tokio::spawn(receive_heartbeats(relay.clone(), socket.clone()));
+    tokio::spawn(send_heartbeats(relay.clone(), socket.clone()));
+    tokio::spawn(send_messages(relay.clone(), socket.clone()));
+    tokio::spawn(send_hot_reports(relay.clone(), socket));
+    tokio::spawn(run_maintenance(relay.clone()));
+    tokio::spawn(fetch_updates(relay.clone()));
+}
+
 /// Sends heartbeats periodically, and earlier when a change has to be spread.
 pub async fn send_heartbeats<W: Wire>(relay: Arc<Relay<W>>, socket: Arc<UdpSocket>) {
     loop {
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -41,6 +41,17 @@
     Invalid,
 }
 
+impl PaceReport {
+    /// Parses a whole percentage above 0; `None` if the server does not send one.
+    pub fn parse(percent: Option<&str>) -> Self {
+        match percent.map(|n| n.trim().parse()) {
+            None => PaceReport::None,
+            Some(Ok(percent)) if percent > 0 => PaceReport::Percent(percent),
+            Some(_) => PaceReport::Invalid,
+        }
+    }
+}
+
 /// The parsed head of a backend server's response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
