Draw servers by their queues, and leave shares and returns out, while the limit of all hosts is in force

Hosts sent to the server that last had a free slot, and shares refused by workspace instead of by what a host had just admitted, which undid the even admission.

--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -69,6 +69,7 @@
         }
         let mut placer = Placer::default().with_bound(self.cfg.bound).with_host(hash(self.cfg.peer_addr));
         placer = placer.with_gradual_spill(!state.peers.is_small());
+        placer = placer.with_queueing(state.admission.limit_of_all(&req.service).is_some());
         state.hot_servers.set_mean(&req.service, place::mean(&candidates));
         let evacuation_ended_recently =
             state.evacuation_ended.is_some_and(|at| at + POST_EVACUATION_PERIOD > now);
@@ -343,6 +344,12 @@
             time_left: req.time_left(now),
             load: self.service_load(now, &req.service),
         };
+        if self.admission.limit_of_all(&req.service).is_some() {
+            // The limit of all hosts spreads what each host admits evenly over time; refusing by workspace instead of by
+            // what this host has just admitted would undo that.
+            let draws = [self.rng.random(), self.rng.random()];
+            return self.admission.admit(now, &req.service, admission_req, draws);
+        }
         let at = Moment { now, wall_ms: wall_ms(), hosts: self.budget.hosts() };
         let (returns, measurements) = (&mut self.returns, &mut self.measurements);
         let arrival = returns.arrive(at, &req.service, &admission_req, measurements, self.rng.random());
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -85,6 +85,8 @@
 /// Minimum weight, in free slots, of a server in a weighted draw: a full server may have a free slot before the
 /// request arrives.
 const MIN_WEIGHT: f64 = 0.5;
+/// Requests that a server runs and queues, as a multiple of its slots, while its service is past its capacity.
+const QUEUE_FACTOR: f64 = 4.0;
 /// Number of servers on which a prompt part is cached before others are used. Once caches are full, each copy
 /// evicts another part.
 const MAX_COPIES: usize = 3;
@@ -189,6 +191,7 @@
     limit: Option<f64>,
     host: u64,
     spills_gradually: bool,
+    queues: bool,
 }
 
 impl Placer {
@@ -213,6 +216,13 @@
         Self { spills_gradually, ..self }
     }
 
+    /// Sets whether requests may queue at any server, so that those chosen by load are spread over the servers by what is
+    /// left of their queues. While a service is past its capacity, known loads are older than a queue takes to fill, and
+    /// all hosts would send to the server that last had a free slot.
+    pub fn with_queueing(self, queues: bool) -> Self {
+        Self { queues, ..self }
+    }
+
     /// Chooses among the candidates; `None` if there are none.
     pub fn choose(
         &self,
@@ -241,7 +251,16 @@
             }
             None => {
                 let quick = pace::without_slow(candidates, bound);
-                choose_by_load(quick.as_deref().unwrap_or(candidates), bound, self.host, rng)
+                let candidates = quick.as_deref().unwrap_or(candidates);
+                if self.queues {
+                    return draw_by_weight(
+                        candidates,
+                        bound,
+                        |c| f64::from(c.slots) * QUEUE_FACTOR - c.load,
+                        rng,
+                    );
+                }
+                choose_by_load(candidates, bound, self.host, rng)
             }
         }
     }
@@ -361,26 +380,33 @@
 /// weighted by free slots. All hosts see the same, partly outdated loads and would otherwise send to the same
 /// server until the next heartbeats.
 fn choose_by_load(candidates: &[Candidate], bound: f64, host: u64, rng: &mut impl Rng) -> Option<Choice> {
-    let choice = |c: &Candidate| Choice {
-        key: c.key,
-        reason: Reason::LeastLoad,
-        load: c.load,
-        bound,
-        cached_tokens: 0,
-        fetch_from: None,
-    };
     let lightly_loaded = |c: &&Candidate| !c.unhealthy && c.load <= f64::from(c.slots) * LIGHT_LOAD_FRACTION;
     let local = candidates.iter().filter(|c| c.local).filter(lightly_loaded);
     if let Some(preferred) = preferred_of_least_loaded(local, host, rng) {
-        return Some(choice(preferred));
+        return Some(chosen_by_load(preferred, bound));
     }
+    draw_by_weight(candidates, bound, |c| f64::from(c.slots) - c.load, rng)
+}
+
+fn chosen_by_load(c: &Candidate, bound: f64) -> Choice {
+    let reason = Reason::LeastLoad;
+    Choice { key: c.key, reason, load: c.load, bound, cached_tokens: 0, fetch_from: None }
+}
+
+/// Draws one of the healthy servers, or of all if none is healthy, with a probability proportional to its weight.
+fn draw_by_weight(
+    candidates: &[Candidate],
+    bound: f64,
+    weight: impl Fn(&Candidate) -> f64,
+    rng: &mut impl Rng,
+) -> Option<Choice> {
     let any_healthy = candidates.iter().any(|c| !c.unhealthy);
     let drawn = candidates.iter().filter(|c| !any_healthy || !c.unhealthy);
-    let weight = |c: &Candidate| (f64::from(c.slots) - c.load).max(MIN_WEIGHT);
     // The minimum of exponential draws with the weights as rates selects each server with a probability
     // proportional to its weight.
-    let drawn = drawn.map(|c| (-rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / weight(c), c));
-    drawn.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| choice(c))
+    let drawn =
+        drawn.map(|c| (-rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / weight(c).max(MIN_WEIGHT), c));
+    drawn.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| chosen_by_load(c, bound))
 }
 
 /// One of the few servers that this host prefers among the least loaded ones. The preference is a rendezvous hash, so
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -596,3 +596,19 @@
         }
     }
 }
+
+/// Past the capacity of a service, hosts that all know the same old loads would send to the one server that last had a free slot.
+#[test]
+fn requests_queue_at_all_servers_while_their_service_is_past_its_capacity() {
+    let (_backends, mut candidates) = fleet(&[5.0, 20.0, 20.0]);
+    candidates.iter_mut().for_each(|c| c.slots = 6);
+    let placer = Placer::default().with_queueing(true);
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    let chosen = (0..1_000).filter_map(|_| {
+        placer.choose(&candidates, &[], &Holders::default(), |_| true, &mut rng).map(|choice| choice.key)
+    });
+    let first = chosen.filter(|key| *key == candidates[0].key).count();
+
+    assert!((600..=800).contains(&first), "{first} of 1000: 19 of 27 places in queues are left there");
+}
