--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -138,10 +138,12 @@
         }
         self.reports_due.notify_one();
         self.metrics.add(Counter::RelayHotServers, ReportUse::Found.as_str(), 1);
-        line(Level::Routine, "hot_server", |l| {
-            let l = l.text("backend", &b.id).number("load", new.load);
-            l.ms("age_ms", now.saturating_sub(new.at)).number("told", FANOUT as u64)
-        });
+        // One host logs it, not each one that passes it on.
+        if new.at == now {
+            line(Level::Routine, "hot_server", |l| {
+                l.text("backend", &b.id).number("load", new.load).number("told", FANOUT as u64)
+            });
+        }
     }
 
     /// The message about hot servers that is due, and the hosts that get it.
