--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -144,6 +144,7 @@
             evacuates: self.evacuates,
             in_force: self.in_force,
             concurrent_fetches: self.concurrent_fetches,
+            limits_plain_together: false,
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -139,6 +139,8 @@
     /// Maximum number of fetches of other hosts answered concurrently. Hosts that are turned away ask hosts that have
     /// been answered meanwhile, so new state spreads faster than from one host alone.
     pub concurrent_fetches: usize,
+    /// Whether hosts learn the limits of services whose servers report no load together, rather than each alone.
+    pub limits_plain_together: bool,
 }
 
 impl RelayConfig {
@@ -387,7 +389,9 @@
             return Ok(());
         }
         let (now, mut state) = (now(), self.state());
-        state.adjust_plain(now, &req.service);
+        if self.cfg.limits_plain_together {
+            state.adjust_plain(now, &req.service);
+        }
         let decision = state.admit(now, req);
         if decision.is_err() && state.admission.limit_of_all(&req.service).is_some() {
             self.count_plain(PlainEvent::LimitRefused);
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -395,6 +395,11 @@
         if service.reports_load { None } else { service.plain.adjust(now, others, hosts) }
     }
 
+    /// Whether the servers of a service have reported their load.
+    pub fn reports_load(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|s| s.reports_load)
+    }
+
     /// Requests per second that all hosts admit to a service together, if that is limited.
     pub fn limit_of_all(&self, service: &str) -> Option<f64> {
         self.services.get(service).filter(|s| !s.reports_load).and_then(|s| s.plain.limit())
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -344,9 +344,9 @@
             time_left: req.time_left(now),
             load: self.service_load(now, &req.service),
         };
-        if self.admission.limit_of_all(&req.service).is_some() {
-            // The limit of all hosts spreads what each host admits evenly over time; refusing by workspace instead of by
-            // what this host has just admitted would undo that.
+        if !self.admission.reports_load(&req.service) {
+            // The limit of such a service follows few results of short requests. Refusing by workspace or return instead of
+            // by what this host has just admitted makes it swing.
             let draws = [self.rng.random(), self.rng.random()];
             return self.admission.admit(now, &req.service, admission_req, draws);
         }
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -90,7 +90,9 @@
     /// What this host, or its data centre, has measured and tells others with its next heartbeat.
     pub(crate) fn measurements(&self, scope: Scope) -> Option<Measurements> {
         let (now, mut state) = (now(), self.state());
-        state.publish_plain(now);
+        if self.cfg.limits_plain_together {
+            state.publish_plain(now);
+        }
         state.measurements.message(now, self.start, scope)
     }
 
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -36,6 +36,7 @@
         evacuates: false,
         in_force: Duration::from_secs(2),
         concurrent_fetches: 1,
+        limits_plain_together: true,
     }
 }
 
