--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -145,6 +145,7 @@
             in_force: self.in_force,
             concurrent_fetches: self.concurrent_fetches,
             limits_plain_together: false,
+            places_by_pace: false,
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -141,6 +141,8 @@
     pub concurrent_fetches: usize,
     /// Whether hosts learn the limits of services whose servers report no load together, rather than each alone.
     pub limits_plain_together: bool,
+    /// Whether the pace that servers report decides where requests go.
+    pub places_by_pace: bool,
 }
 
 impl RelayConfig {
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -95,7 +95,9 @@
         let can_fetch_from = |key| caches && backends.get(key).is_some() && !is_avoided(key);
         let allowed_pause_ms = state.routes.as_ref().and_then(|r| r.shortest_pause_ms(&req.service));
         let prompt = Prompt { service: &req.service, parts: &req.parts, allowed_pause_ms };
-        state.prefill.set_delays(now, &state.paces, &state.holders, prompt, &mut candidates);
+        if self.cfg.places_by_pace {
+            state.prefill.set_delays(now, &state.paces, &state.holders, prompt, &mut candidates);
+        }
         let choice = placer.choose(&candidates, &req.parts, &state.holders, can_fetch_from, &mut state.rng);
         let choice = choice.ok_or_else(|| state.no_server_kind(now, &req.service, version, &eligible))?;
         if let Some(limit) = limit.filter(|_| cold.contains(&choice.key)) {
--- a/src/relay/pace_reports.rs
+++ b/src/relay/pace_reports.rs
@@ -108,7 +108,7 @@
         if let Some(percent) = pace_percent {
             state.paces.record_report(now, &req.service, tag, percent, now);
         }
-        let told_on = pace_percent.is_some_and(|percent| percent >= SLOW_PERCENT);
+        let told_on = self.cfg.places_by_pace && pace_percent.is_some_and(|percent| percent >= SLOW_PERCENT);
         let load = load.running.saturating_add(load.waiting);
         let report = Report { load, pace_percent, at: now, told_on, sent_since: 0 };
         self.record_server_report(&mut state, now, tag, report);
@@ -124,7 +124,9 @@
             return;
         }
         state.paces.record_first_event(now, &req.service, tag, uncached, waited);
-        state.tell_if_slow(now, tag);
+        if self.cfg.places_by_pace {
+            state.tell_if_slow(now, tag);
+        }
     }
 
     /// Counts and logs a pause between events if it was longer than the route allows. Only the time in which this host
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -37,6 +37,7 @@
         in_force: Duration::from_secs(2),
         concurrent_fetches: 1,
         limits_plain_together: true,
+        places_by_pace: true,
     }
 }
 
