--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -93,9 +93,9 @@
         let is_avoided =
             |key| health.is_backing_off(now, key) || health.requested_pause_end(now, key).is_some();
         let can_fetch_from = |key| caches && backends.get(key).is_some() && !is_avoided(key);
-        let allowed_pause_ms = state.routes.as_ref().and_then(|r| r.shortest_pause_ms(&req.service));
-        let prompt = Prompt { service: &req.service, parts: &req.parts, allowed_pause_ms };
         if self.cfg.places_by_pace {
+            let allowed_pause_ms = state.routes.as_ref().and_then(|r| r.shortest_pause_ms(&req.service));
+            let prompt = Prompt { service: &req.service, parts: &req.parts, allowed_pause_ms };
             state.prefill.set_delays(now, &state.paces, &state.holders, prompt, &mut candidates);
         }
         let choice = placer.choose(&candidates, &req.parts, &state.holders, can_fetch_from, &mut state.rng);
