Log why a stream was cut, and a missing epoch header once

Cause: the record of the incident does not tell a stream that a host closed at a live server from one whose server broke off, nor why nothing followed, nor how old the configuration was, nor whether the host had stood still; a line for each response of a store without an epoch header filled it. Change: `stream_cut` has next, cause, backend, silent_ms, stalled_ms, routed_by, version and changed_ms; counter `relay_streams_cut_total`; line `stalled`; line `store_epoch_header` when responses begin to lack the header or have it again, shared by all clients of a store. No logic changes.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -77,6 +77,8 @@
     RelayReturns,
     /// Pauses between events of streams that were longer than allowed, by cause.
     RelayPauses,
+    /// Streams that this host closed before their end, by what it knew of the server.
+    RelayStreamsCut,
 }
 
 /// A gauge of the relay.
@@ -164,7 +166,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 31] = [
+    pub const ALL: [Counter; 32] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -196,6 +198,7 @@
         Counter::RelayShares,
         Counter::RelayReturns,
         Counter::RelayPauses,
+        Counter::RelayStreamsCut,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -279,6 +282,9 @@
             Counter::RelayPauses => {
                 row("relay_pauses", "cause", "pauses of streams longer than their routes allow, by cause")
             }
+            Counter::RelayStreamsCut => {
+                row("relay_streams_cut", "cause", "streams closed before their end, by state of the server")
+            }
         }
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -91,7 +91,8 @@
     }
     tokio::spawn(mesh::serve_fetches(relay.clone(), inbound::listen(peer_addr).await?));
     mesh::start_tasks(relay, Arc::new(socket));
-    follow::start_tasks(relay, || StoreClient::new(settings.store));
+    let client = StoreClient::new(settings.store);
+    follow::start_tasks(relay, || client.sibling());
     Ok(())
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store: lists and watches the configuration, backend servers, evacuations and hosts.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, header};
@@ -18,9 +18,11 @@
     schema::fleet::{Backends, Configuration, Evacuations},
 };
 
+pub mod epoch_header;
 mod forms;
 
 use super::names;
+use epoch_header::EpochHeader;
 use forms::{Change, Changes, Object, Page, RawBackend, RawConfiguration, backend};
 
 /// Wait of a watch: the maximum that the store allows, because each watch is a billed call.
@@ -61,12 +63,18 @@
 pub struct StoreClient {
     addr: SocketAddr,
     conn: Option<Conn>,
+    epoch_header: Arc<EpochHeader>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `addr`; it connects on the first call.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, conn: None }
+        Self { addr, conn: None, epoch_header: Arc::default() }
+    }
+
+    /// Creates another client of the same store, with a connection of its own.
+    pub fn sibling(&self) -> Self {
+        Self { addr: self.addr, conn: None, epoch_header: self.epoch_header.clone() }
     }
 
     /// Makes one call for a response of at most `max_bytes`; returns it with its epoch, or `known_epoch` if it has none. A
@@ -105,7 +113,8 @@
             conn.close();
             return Err(StoreError::Large { bytes });
         }
-        let (status, epoch) = (res.status().as_u16(), parse_epoch(&res));
+        let (status, epoch) = (res.status().as_u16(), number(&res, names::STORE_ERA));
+        self.epoch_header.observe(epoch.is_some());
         let body = pool::read_body(res.into_body(), MAX_PAGE_BYTES, BODY_STALL_TIMEOUT).await;
         let body = body.map_err(|e| StoreError::Unavailable(format!("response body failed: {e:#}")))?;
         self.conn = Some(conn);
@@ -199,15 +208,6 @@
     res.headers().get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-/// Parses the store's epoch from a response, if it has one.
-fn parse_epoch(res: &Response<Incoming>) -> Option<Epoch> {
-    let epoch = number(res, names::STORE_ERA);
-    if epoch.is_none() {
-        spdlog::warn!("store response has no valid epoch header");
-    }
-    epoch
-}
-
 fn status_error(status: u16) -> StoreError {
     StoreError::Unavailable(format!("status {status}"))
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -46,6 +46,7 @@
 mod continuation;
 pub mod crash_reports;
 pub mod crashes;
+pub mod cut;
 pub mod datagram;
 pub mod directory;
 pub mod evacuations;
@@ -78,6 +79,7 @@
 pub mod routes;
 pub mod run;
 pub mod shares;
+pub mod stall;
 mod stop;
 pub mod stream;
 pub mod tunnel;
@@ -114,6 +116,7 @@
 use revision::{EpochTracker, Revision};
 use routes::Routes;
 use shares::Shares;
+use stall::Stall;
 use warmup::Warmup;
 pub use wire::{AttemptContext, PaceReport, Refusal, ResponseHead, Wire};
 
@@ -163,6 +166,8 @@
 pub(crate) struct State {
     pub(crate) routes: Option<Arc<Routes>>,
     pub(crate) configurations: ConfigurationHistory,
+    /// When the configuration last changed.
+    pub(crate) configured_at: Instant,
     pub(crate) backends: Backends,
     pub(crate) health: Health,
     pub(crate) brittle: Brittle,
@@ -213,6 +218,8 @@
     /// Prompt parts that were read at servers where the other hosts do not expect them, to be reported in the next
     /// heartbeats.
     new_holders: Vec<Held>,
+    /// When this host last stood still.
+    pub(crate) stall: Stall,
     in_progress: usize,
     connections: usize,
     rng: SmallRng,
@@ -264,6 +271,7 @@
         let state = State {
             routes: None,
             configurations: ConfigurationHistory::default(),
+            configured_at: now(),
             backends: Backends::default(),
             health: Health::default(),
             brittle: Brittle::default(),
@@ -302,6 +310,7 @@
             budget_reported: now(),
             returns_reported: now(),
             new_holders: Vec::new(),
+            stall: Stall::default(),
             in_progress: 0,
             connections: 0,
             rng: SmallRng::from_os_rng(),
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -192,12 +192,13 @@
     })
 }
 
-/// Runs the periodic housekeeping, and detects when the host was suspended.
+/// Runs the periodic housekeeping, and detects when the host stood still or was suspended.
 pub async fn run_maintenance<W: Wire>(relay: Arc<Relay<W>>) {
     let mut last = now();
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         let paused_for = now().saturating_sub(std::mem::replace(&mut last, now()));
+        relay.observe_stall(paused_for.saturating_sub(HOUSEKEEPING_INTERVAL));
         if paused_for > SUSPEND_THRESHOLD {
             relay.on_resume_from_suspend(paused_for);
         }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -60,7 +60,7 @@
 /// An answer that has begun.
 enum Begun<W: Wire> {
     /// A stream, with its first events; none if it is empty.
-    Stream { head: response::Parts, first: Option<Bytes>, events: stream::Events<W> },
+    Stream { head: response::Parts, first: Option<Bytes>, events: Box<stream::Events<W>> },
     /// Any other answer, of which the head has arrived.
     Other(Answered<W>),
 }
@@ -166,7 +166,7 @@
             let Some(begun) = self.begin_unless_quarantined().await else { return self.cancel() };
             let (failure, key) = match begun {
                 Ok(Begun::Stream { head, first, events }) => {
-                    return stream::respond(self, head, first, events);
+                    return stream::respond(self, head, first, *events);
                 }
                 Ok(Begun::Other(answered)) => match self.buffer_answer(answered).await {
                     Ok(response) => return response,
@@ -202,7 +202,7 @@
             return Ok(Begun::Other(answered));
         }
         let (head, first, events) = stream::start(self, answered).await.map_err(AttemptError::Failed)?;
-        Ok(Begun::Stream { head, first, events })
+        Ok(Begun::Stream { head, first, events: Box::new(events) })
     }
 
     fn begin_trial(&mut self, cause: CauseKey) {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -13,6 +13,7 @@
     answer::{AnswerBody, Truncated},
     attempts::Failure,
     backends::BackendKey,
+    cut::Cut,
     events::{CompleteEvents, Splitter},
     outcome::Outcome,
     request::EventNumber,
@@ -21,7 +22,7 @@
 use crate::{
     logs::lines::Level,
     metrics::{Counter, Latency},
-    util::now,
+    util::{Instant, now},
 };
 
 /// Time without an event after which a server counts as unresponsive, if the stream can be resumed elsewhere.
@@ -55,6 +56,8 @@
     answered: Option<Answered<W>>,
     splitter: Splitter,
     last: Option<EventNumber>,
+    /// When the last event was passed on.
+    last_event: Instant,
     /// Whether the stream has just been resumed, so that the next event must directly follow the last one.
     resumed: bool,
     ended: bool,
@@ -77,6 +80,7 @@
         answered: Some(answered),
         splitter: Splitter::default(),
         last: run.req.after,
+        last_event: now(),
         resumed: false,
         ended: false,
     };
@@ -136,34 +140,37 @@
                 Ok(Next::End) => return None,
                 Err(failure) => failure,
             };
-            if !self.resume(run, failure).await {
+            if let Err(cut) = self.resume(run, failure).await {
                 self.ended = true;
                 run.outcome = Some(Outcome::Cut);
                 run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Cut.as_str(), 1);
-                run.relay.log_request(Level::Notable, "stream_cut", &run.req, |l| {
-                    let l = l.text("failure", failure.as_str()).number("events", self.last.unwrap_or(0));
-                    l.ms("after_ms", now() - run.req.arrived)
-                });
+                run.relay.record_cut(&run.req, &cut);
                 return Some(Err(Truncated));
             }
         }
     }
 
-    /// Resumes the stream on another server after the last complete event; returns whether a server accepted it.
-    async fn resume(&mut self, run: &mut Run<W>, mut failure: Failure) -> bool {
+    /// Resumes the stream on another server after the last complete event.
+    ///
+    /// # Errors
+    /// Why none went on with it.
+    async fn resume(&mut self, run: &mut Run<W>, mut failure: Failure) -> Result<(), Cut> {
         let mut key = match self.answered.take() {
             Some(answered) => answered.work.key,
-            None => return false,
+            None => return Err(self.cut(BackendKey::default(), failure, "ended")),
         };
         let version = run.relay.version_to_continue(key);
         run.version = version.as_ref().ok().cloned();
         self.splitter.clear();
-        while run.fail(failure, key).await.is_ok() {
+        loop {
+            if let Err(stop) = run.fail(failure, key).await {
+                return Err(self.cut(key, failure, stop.as_str()));
+            }
             let version = match &version {
                 Ok(version) => version,
                 Err(reason) => {
                     run.relay.record_discontinued(&run.req, *reason);
-                    return false;
+                    return Err(self.cut(key, failure, reason.as_str()));
                 }
             };
             match run.attempt(self.last).await {
@@ -175,17 +182,20 @@
                     });
                     self.answered = Some(answered);
                     self.resumed = true;
-                    return true;
+                    return Ok(());
                 }
                 Ok(answered) => (failure, key) = (Failure::Errored, answered.work.key),
                 Err(AttemptError::Failed(failed)) => (failure, key) = failed,
                 Err(AttemptError::NoServer(kind)) => {
                     run.relay.record_no_server(&run.req, kind);
-                    return false;
+                    return Err(self.cut(key, failure, kind.answer().code));
                 }
             }
         }
-        false
+    }
+
+    fn cut(&self, key: BackendKey, failure: Failure, next: &'static str) -> Cut {
+        Cut { key, failure, next, last: self.last, last_event: self.last_event }
     }
 
     /// Reads until there is at least one complete event, for at most `limit`.
@@ -227,6 +237,7 @@
             return Err(Failure::Garbled);
         }
         self.last = events.last.or(self.last);
+        self.last_event = now();
         Ok(events.bytes)
     }
 
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -144,6 +144,7 @@
         });
         let cfg = Arc::new(cfg);
         state.configurations.push(cfg.clone());
+        state.configured_at = now();
         let routes = Arc::new(Routes::new(cfg));
         let before = state.routes.replace(routes.clone());
         self.observe_routes(&mut state, before.as_deref(), &routes);
@@ -500,6 +501,13 @@
         }
     }
 
+    /// Records that a timer of the housekeeping fired this much too late, since the host stood still.
+    pub(crate) fn observe_stall(&self, late: Duration) {
+        if self.state().stall.observe(now(), late) {
+            line(Level::Notable, "stalled", |l| l.ms("late_ms", late));
+        }
+    }
+
     /// Makes the followers list everything again after the host was suspended: its state may be outdated, and the
     /// connections of pending watches may be dead.
     pub fn on_resume_from_suspend(&self, slept: Duration) {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cranberrytally::{
-    platform::store::StoreClient,
+    platform::store::{StoreClient, epoch_header::HeaderHistory},
     relay::{
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
         origins::MixedService,
@@ -493,3 +493,15 @@
         assert_eq!(update.revision(), Revision::new(7, 9), "case {case}");
     }
 }
+
+/// Guards against a log that is filled by one line for each response of a store that has no epoch header.
+#[test]
+fn a_missing_epoch_header_is_logged_once() {
+    let mut history = HeaderHistory::default();
+
+    let logged: Vec<_> =
+        [false, false, false, true, true, false].map(|present| history.observe(present)).into();
+
+    assert_eq!(logged, [Some(0), None, None, Some(3), None, Some(2)]);
+    assert_eq!(HeaderHistory::default().observe(true), None);
+}
