--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -11,7 +11,7 @@
 
 use cranberrytally::{
     platform::PlatformWire,
-    relay::{Relay, follow::BackendsUpdate, inbound},
+    relay::{Relay, budget::BudgetConfig, follow::BackendsUpdate, inbound},
     schema::fleet::{
         Backend, Backends, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace,
     },
@@ -275,11 +275,16 @@
 impl Host {
     /// Starts a host without configuration.
     pub async fn without_configuration() -> Self {
+        // High enough that every retry is allowed, also right after the start and without other hosts.
+        Self::with_retry_ratio(1e9).await
+    }
+
+    /// Starts a host without configuration that may retry this many times per request of a caller.
+    pub async fn with_retry_ratio(ratio: f64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let mut cfg = relay_config("host-1");
-        // High enough that every retry is allowed, also right after the start and without other hosts.
-        cfg.budget.ratio = 1e9;
+        cfg.budget = BudgetConfig { ratio, extra: 0.0, ..cfg.budget };
         let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
         tokio::spawn(inbound::accept(relay.clone(), listener));
         Self { relay, addr }
@@ -295,6 +300,11 @@
 
     /// Sets the list of backend servers. Only the first one is in the host's data centre and therefore preferred.
     pub fn set_servers(&self, servers: &[&Server]) {
+        self.set_servers_at(1, servers);
+    }
+
+    /// Sets the list of backend servers as of a revision of the store.
+    pub fn set_servers_at(&self, revision: u64, servers: &[&Server]) {
         let items = servers.iter().enumerate().map(|(i, s)| Backend {
             id: s.id.clone(),
             service: "app".into(),
@@ -303,7 +313,7 @@
             slots: 6,
             ..Backend::default()
         });
-        let list = Backends { revision: 1, items: items.collect(), ..Backends::default() };
+        let list = Backends { revision, items: items.collect(), ..Backends::default() };
         self.relay.update_backends(BackendsUpdate::List(list), None, "test");
     }
 
