Give up a silent server only once another has begun

Cause: an answer was dropped after a silence (1.2 s between events, 0.4 to 1.3 s before the first) and only then was it asked whether anything could take its place: attempts, retry budget, another server, the version of the stream. Change: relay::silence decides without I/O what follows a silence; relay::hold waits for the attempt and begins another one beside it; whichever begins first is passed on and the other is dropped at once. While nothing can take its place the silent one is held, and looked at again every 250 ms. The same rule serves the middle of streams, first events and whole answers. Attempts count as runs from their start, so that attempts side by side stay within the route's limit. A timer that fires late makes no silence: the host itself stood still. An attempt is now a value of its own (relay::attempt), with what was kept in Run. Why it works: an answer ends by a failure of its last attempt in progress, by its deadline or by its caller; silence ends none.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -79,6 +79,8 @@
     RelayPauses,
     /// Streams that this host closed before their end, by what it knew of the server.
     RelayStreamsCut,
+    /// Silences of backend servers while a request waited, by how they ended.
+    RelaySilences,
 }
 
 /// A gauge of the relay.
@@ -166,7 +168,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 32] = [
+    pub const ALL: [Counter; 33] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -199,6 +201,7 @@
         Counter::RelayReturns,
         Counter::RelayPauses,
         Counter::RelayStreamsCut,
+        Counter::RelaySilences,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -285,6 +288,9 @@
             Counter::RelayStreamsCut => {
                 row("relay_streams_cut", "cause", "streams closed before their end, by state of the server")
             }
+            Counter::RelaySilences => {
+                row("relay_silences", "end", "silences of servers while requests waited, by their end")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -35,6 +35,7 @@
 
 pub mod admission;
 pub mod answer;
+mod attempt;
 pub mod attempts;
 pub mod backends;
 pub mod brittle;
@@ -56,6 +57,7 @@
 pub mod followers;
 pub mod health;
 mod heartbeat;
+pub mod hold;
 pub mod holders;
 pub mod hot_servers;
 pub mod inbound;
@@ -79,6 +81,7 @@
 pub mod routes;
 pub mod run;
 pub mod shares;
+pub mod silence;
 pub mod stall;
 mod stop;
 pub mod stream;
--- /dev/null
+++ b/src/relay/attempt.rs
@@ -0,0 +1,322 @@
+//! One attempt at a backend server: sends the request and reads up to the beginning of the answer.
+
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Response, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::{
+    AttemptContext, InFlightRequest, Relay, ResponseHead, Wire,
+    attempts::Failure,
+    backends::BackendKey,
+    crashes::begun::BEGINNING,
+    events::CompleteEvents,
+    hold::Wanted,
+    pace_reports::Prefilling,
+    place::{Choice, shared},
+    pool::Conn,
+    request::{EventNumber, Request},
+    run::{MAX_BUFFERED_BYTES, REFUSED_RETRY_PAUSE},
+    stream::Source,
+};
+use crate::{
+    logs::lines::Level,
+    metrics::{Counter, Latency},
+    util::{Instant, now},
+};
+
+/// Maximum number of pooled connections that may turn out closed before the request is written; then a new one is
+/// opened.
+const MAX_STALE_CONNECTIONS: usize = 3;
+
+/// A failed attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Failed {
+    pub(crate) failure: Failure,
+    /// The server.
+    pub(crate) key: BackendKey,
+    /// When the attempt began.
+    pub(crate) sent: Instant,
+    /// Whether the request may have crashed the server: its answer was not more than beginning.
+    pub(crate) may_have_crashed: bool,
+    /// Whether the server sent an event.
+    pub(crate) has_event: bool,
+}
+
+/// What an attempt is to send.
+struct Beginning {
+    choice: Choice,
+    /// Number of attempts before it.
+    number: u32,
+    /// Event after which the server is to go on.
+    after: Option<EventNumber>,
+    /// Whether the answer goes on with a stream whose caller has events already, so that nothing else will do.
+    continues: bool,
+}
+
+/// An attempt at a server, whose answer has not begun or is being passed on.
+pub(crate) struct Attempt<W: Wire> {
+    relay: Arc<Relay<W>>,
+    req: Arc<Request>,
+    pub(crate) key: BackendKey,
+    pub(crate) sent: Instant,
+    /// When the server sent the first event.
+    first_event: Option<Instant>,
+    /// The prompt that is being prefilled, until the first event.
+    prefill: Option<Prefilling<W>>,
+    /// Whether the answer has begun for good.
+    has_begun: bool,
+    /// Counts the request at the server.
+    _work: InFlightRequest<W>,
+}
+
+/// The head and the body of an answer, with the attempt and the connection that they belong to.
+pub(crate) struct Answered<W: Wire> {
+    pub(crate) head: response::Parts,
+    pub(crate) parsed: ResponseHead,
+    pub(crate) body: Incoming,
+    pub(crate) conn: Conn,
+    pub(crate) attempt: Attempt<W>,
+}
+
+/// An answer that has begun.
+pub(crate) enum Begun<W: Wire> {
+    /// A stream, with its first events; none if it is empty.
+    Stream(Box<Source<W>>, Option<CompleteEvents>),
+    /// Any other answer, of which the head has arrived.
+    Other(Box<Answered<W>>),
+}
+
+/// When something was last heard in an attempt, which its owner can look at while it is in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Heard(AtomicU64);
+
+impl Heard {
+    fn record(&self, at: Instant) {
+        self.0.store(at.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// When something was last heard; the start of time if nothing was.
+    pub(crate) fn at(&self) -> Instant {
+        Duration::from_micros(self.0.load(Ordering::Relaxed))
+    }
+}
+
+/// An attempt that is to begin its answer. Dropping it ends the attempt and closes its connection.
+pub(crate) struct InProgress<W: Wire> {
+    pub(crate) key: BackendKey,
+    pub(crate) sent: Instant,
+    pub(crate) heard: Arc<Heard>,
+    pub(crate) begun: Pin<Box<dyn Future<Output = Result<Begun<W>, Failed>> + Send>>,
+}
+
+impl<W: Wire> InProgress<W> {
+    /// Starts an attempt at the server that was chosen.
+    pub(crate) fn start(
+        relay: &Arc<Relay<W>>,
+        req: &Arc<Request>,
+        choice: Choice,
+        wanted: &Wanted,
+        number: u32,
+    ) -> Self {
+        let (after, continues) = (wanted.after(), wanted.continues());
+        let beginning = Beginning { choice, number, after, continues };
+        let attempt = Attempt::start(relay, req, &beginning.choice);
+        let (key, sent, heard) = (attempt.key, attempt.sent, Arc::<Heard>::default());
+        let begun = Box::pin(attempt.begin(beginning, heard.clone()));
+        Self { key, sent, heard, begun }
+    }
+}
+
+impl<W: Wire> Attempt<W> {
+    fn start(relay: &Arc<Relay<W>>, req: &Arc<Request>, choice: &Choice) -> Self {
+        Self {
+            relay: relay.clone(),
+            req: req.clone(),
+            key: choice.key,
+            sent: now(),
+            first_event: None,
+            prefill: Prefilling::start(relay, req, choice),
+            has_begun: false,
+            _work: InFlightRequest::start(relay, choice.key),
+        }
+    }
+
+    /// Makes the attempt up to the head of its answer, or the first event of a stream.
+    async fn begin(self, beginning: Beginning, heard: Arc<Heard>) -> Result<Begun<W>, Failed> {
+        let answered = self.await_answer(&beginning).await?;
+        heard.record(now());
+        let is_stream = answered.attempt.req.route.stream && answered.head.status.is_success();
+        if !is_stream && beginning.continues {
+            return Err(answered.attempt.failed(Failure::Errored));
+        }
+        if !is_stream {
+            return Ok(Begun::Other(Box::new(answered)));
+        }
+        let mut source = Box::new(Source::new(answered));
+        let follows = beginning.after.filter(|_| beginning.continues);
+        match source.read(follows).await {
+            Ok(first) => Ok(Begun::Stream(source, first)),
+            Err(failure) => Err(source.failed(failure)),
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn await_answer(mut self, beginning: &Beginning) -> Result<Answered<W>, Failed> {
+        let (mut conn, result) = self.send(beginning).await.map_err(|failure| self.failed(failure))?;
+        let (head, body) = match result {
+            Ok(response) => response.into_parts(),
+            Err(failure) => {
+                conn.close();
+                return Err(self.failed(failure));
+            }
+        };
+        let (relay, req, key) = (&self.relay, &self.req, self.key);
+        let parsed = relay.wire.parse_response(req, &head);
+        if let Some(load) = parsed.load {
+            relay.record_load(&req.service, load);
+        }
+        relay.record_pace(req, key, &parsed);
+        relay.apply_server_notices(req, key, &parsed);
+        if let Some(failure) = parsed.failure {
+            if matches!(failure, Failure::Refused | Failure::Moved) && !parsed.closes {
+                reuse_after_refusal(relay, body, conn, key, parsed.keep_alive).await;
+            }
+            return Err(self.failed(failure));
+        }
+        conn.reused = true;
+        relay.record_prompt_parts(req, key);
+        Ok(Answered { head, parsed, body, conn, attempt: self })
+    }
+
+    /// Sends the request over a pooled or new connection, and waits for the head of the answer.
+    async fn send(
+        &mut self,
+        beginning: &Beginning,
+    ) -> Result<(Conn, Result<Response<Incoming>, Failure>), Failure> {
+        let (relay, req, choice) = (self.relay.clone(), self.req.clone(), &beginning.choice);
+        for stale_conns in 0.. {
+            let (id, version, addr, from) = {
+                let state = relay.state();
+                let Some(b) = state.backends.get(choice.key) else { return Err(Failure::Connect) };
+                let from = choice.fetch_from.and_then(|key| state.backends.get(key)).map(|b| b.addr);
+                (b.id.clone(), b.version.clone(), b.addr, from)
+            };
+            let kept = if stale_conns < MAX_STALE_CONNECTIONS { relay.pool.take(choice.key) } else { None };
+            let mut conn = match kept {
+                Some(conn) => conn,
+                None => relay.connect(choice.key, addr, req.time_left(now())).await?,
+            };
+            let left = req.time_left(now());
+            if left.is_zero() {
+                return Err(Failure::Unsent);
+            }
+            let context = AttemptContext { backend: &id, left, after: beginning.after, fetch_from: from };
+            let message = relay.wire.backend_request(&req, &context);
+            self.log_sent(beginning, &id, &version, stale_conns);
+            let reused = conn.reused;
+            let result = self.await_head(&mut conn, message).await;
+            if reused && matches!(result, Err(Failure::Unsent)) {
+                continue;
+            }
+            return Ok((conn, result));
+        }
+        unreachable!("the loop ends with the first new connection")
+    }
+
+    fn log_sent(&self, beginning: &Beginning, id: &str, server_version: &str, stale_conns: usize) {
+        let (relay, choice) = (&self.relay, &beginning.choice);
+        relay.metrics.add(Counter::RelayPlacements, choice.reason.as_str(), 1);
+        let from = choice.fetch_from.and_then(|key| Some(relay.state().backends.get(key)?.id.clone()));
+        relay.log_request(Level::Routine, "sent", &self.req, |l| {
+            let l = l.text("backend", id).text("why", choice.reason.as_str());
+            let l = l.decimal("load", choice.load).decimal("bound", choice.bound);
+            let l = l.text("fetches", from.as_deref().unwrap_or("")).number("stale", stale_conns as u64);
+            let l = l.number("version", self.req.version).ms("confirmed_ms", relay.configuration_age());
+            let l = match shared(&self.req.parts).last() {
+                Some(part) => l.text("part", &format!("{:x}", part.id)).number("held", choice.cached_tokens),
+                None => l,
+            };
+            let l = l.text("server_version", server_version);
+            let l = match beginning.after {
+                Some(after) => l.number("resumes_after", after).text("first_attempt", self.req.stream_id()),
+                None => l,
+            };
+            l.ms("after_ms", now() - self.req.arrived).number("attempt", beginning.number)
+        });
+    }
+
+    /// Waits for the head of the answer until the deadline.
+    async fn await_head(
+        &self,
+        conn: &mut Conn,
+        message: http::Request<http_body_util::Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let started = now();
+        let result = match tokio::time::timeout(self.time_left(), conn.send(message)).await {
+            Ok(result) => result.map_err(|(failure, _)| failure),
+            Err(_) => Err(Failure::Late),
+        };
+        let label = result.as_ref().err().map_or("answered", |failure| failure.as_str());
+        self.relay.metrics.record(Latency::Attempt, label, now() - started);
+        result
+    }
+
+    /// Time until the request's deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.req.time_left(now())
+    }
+
+    /// Records that the server has sent an event.
+    pub(crate) fn note_event(&mut self) {
+        let now = now();
+        let first = *self.first_event.get_or_insert(now);
+        if let Some(prefill) = self.prefill.take() {
+            self.relay.record_first_event(&self.req, prefill.key, prefill.uncached, now - self.sent);
+        }
+        if now >= first + BEGINNING {
+            self.note_begun();
+        }
+    }
+
+    /// Records that the answer has begun for good, or is complete.
+    pub(crate) fn note_begun(&mut self) {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.relay.record_begun(&self.req, self.first_event.unwrap_or_else(now));
+        }
+    }
+
+    /// Describes how the attempt failed.
+    pub(crate) fn failed(&self, failure: Failure) -> Failed {
+        Failed {
+            failure,
+            key: self.key,
+            sent: self.sent,
+            may_have_crashed: self.first_event.is_none_or(|first| now() < first + BEGINNING),
+            has_event: self.first_event.is_some(),
+        }
+    }
+}
+
+/// Returns the connection of a refusal to the pool once the body is read.
+async fn reuse_after_refusal<W: Wire>(
+    relay: &Relay<W>,
+    body: Incoming,
+    conn: Conn,
+    key: BackendKey,
+    keep_alive: Option<Duration>,
+) {
+    let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+    if let Ok(Ok(_)) = tokio::time::timeout(REFUSED_RETRY_PAUSE, reading).await {
+        relay.return_connection(key, conn, keep_alive);
+    }
+}
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// The attempts of a request so far.
+/// The attempts of a request so far, those in progress included.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempts {
     repeatable: bool,
@@ -130,42 +130,63 @@
         self.may_have_run == 0
     }
 
-    /// Number of attempts so far.
+    /// Number of attempts that have begun.
     pub fn made(&self) -> u32 {
         self.may_have_run + self.unexecuted
     }
 
-    /// Records an attempt that was ended before its outcome was known.
-    pub fn record_cancelled(&mut self) {
+    /// Counts an attempt that begins. It may run the request until it has failed in a way that proves otherwise.
+    pub fn begin(&mut self) {
         self.may_have_run += 1;
     }
 
-    /// Records a failed attempt and decides whether another may follow. `spend` takes a retry from the budget.
+    /// Records that an attempt failed.
+    pub fn record_failure(&mut self, failure: Failure) {
+        if failure.ran() == Ran::No {
+            self.may_have_run = self.may_have_run.saturating_sub(1);
+            self.unexecuted += 1;
+        }
+    }
+
+    /// Decides whether an attempt may follow one that failed, while no other is in progress. `spend` takes a retry from the
+    /// budget.
     ///
     /// # Errors
-    /// Why no further attempt may follow.
-    pub fn record_failure(
-        &mut self,
+    /// Why none may follow.
+    pub fn may_follow(
+        &self,
         now: Instant,
         failure: Failure,
         spend: impl FnOnce() -> bool,
     ) -> Result<(), StopReason> {
-        match failure.ran() {
-            Ran::No => self.unexecuted += 1,
-            Ran::Unknown | Ran::Yes => self.may_have_run += 1,
-        }
         if self.may_have_run > 0 && !self.repeatable {
             return Err(StopReason::NotRepeatable);
         }
+        self.may_begin(now)?;
+        if failure.reached_server() && !spend() {
+            return Err(StopReason::Budget);
+        }
+        Ok(())
+    }
+
+    /// Decides whether an attempt may begin beside others that are in progress, as far as the retry budget allows it.
+    ///
+    /// # Errors
+    /// Why none may begin.
+    pub fn may_begin_beside(&self, now: Instant) -> Result<(), StopReason> {
+        if !self.repeatable {
+            return Err(StopReason::NotRepeatable);
+        }
+        self.may_begin(now)
+    }
+
+    fn may_begin(&self, now: Instant) -> Result<(), StopReason> {
         if self.may_have_run >= self.max_runs || self.unexecuted >= MAX_UNEXECUTED_ATTEMPTS {
             return Err(StopReason::Attempts);
         }
         if now >= self.deadline {
             return Err(StopReason::Deadline);
         }
-        if failure.reached_server() && !spend() {
-            return Err(StopReason::Budget);
-        }
         Ok(())
     }
 }
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -165,21 +165,30 @@
 
     /// Takes a retry from the budget; returns false if it is exhausted.
     pub fn spend(&mut self, now: Instant, service: &Arc<str>) -> bool {
-        let (cfg, extra, has_started) = (self.cfg, self.extra(), self.started.is_some());
+        let allows = self.allows(now, service);
         let account = self.account(service);
-        account.update(now, cfg, extra);
-        let is_first = has_started && !account.has_retried && extra.reserve >= STARTS_IN_WINDOW;
-        if account.tokens >= 1.0 {
-            account.tokens -= 1.0;
-        } else if !is_first {
+        if !allows {
             account.refused += 1;
             return false;
         }
+        // The first retry after a start comes out of the reserve and leaves the tokens.
+        if account.tokens >= 1.0 {
+            account.tokens -= 1.0;
+        }
         account.has_retried = true;
         account.taken += 1;
         true
     }
 
+    /// Whether a retry can be taken from the budget.
+    pub fn allows(&mut self, now: Instant, service: &Arc<str>) -> bool {
+        let (cfg, extra, has_started) = (self.cfg, self.extra(), self.started.is_some());
+        let account = self.account(service);
+        account.update(now, cfg, extra);
+        let is_first = has_started && !account.has_retried && extra.reserve >= STARTS_IN_WINDOW;
+        account.tokens >= 1.0 || is_first
+    }
+
     /// Use of the budget since the last call, for the services for which a retry was requested.
     pub fn take_use(&mut self, now: Instant) -> Vec<BudgetUse> {
         let (cfg, extra, hosts) = (self.cfg, self.extra(), self.hosts.unwrap_or(0));
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -1,8 +1,6 @@
 //! Keeps account of the streams that this host passes on, and decides where one goes on that broke off or that a caller
 //! takes up.
 
-use std::sync::Arc;
-
 use super::{
     Relay, State, Wire,
     backends::BackendKey,
@@ -68,14 +66,9 @@
         }
     }
 
-    /// The version at which the stream of a server that broke off may go on.
-    ///
-    /// # Errors
-    /// Why it must not.
-    pub(crate) fn version_to_continue(&self, key: BackendKey) -> Result<Arc<str>, Discontinued> {
-        let state = self.state();
-        let at = state.running_at(key).filter(|at| state.origins.may_continue(at));
-        at.map(|at| at.version).ok_or(Discontinued::Unknown)
+    /// Service and version of a server that begins a stream.
+    pub(crate) fn origin_of(&self, key: BackendKey) -> Option<Continuation> {
+        self.state().running_at(key)
     }
 
     /// Counts and logs a stream that does not go on.
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,23 +1,27 @@
 //! A stream of events from a backend server to a caller: complete events are passed on as they arrive, and a broken
 //! stream is resumed on another server if its route allows that.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::{Response, response};
+use http::Response;
 use http_body_util::BodyExt;
 
 use super::{
     Wire,
     answer::{AnswerBody, Truncated},
+    attempt::{Answered, Begun, Failed},
     attempts::Failure,
     backends::BackendKey,
     cut::Cut,
     events::{CompleteEvents, Splitter},
+    hold::{Wanted, Watched, Won},
+    origins::Continuation,
     outcome::Outcome,
     request::EventNumber,
-    run::{Answered, AttemptError, Run},
+    run::{AttemptError, Run},
+    silence::{Awaited, Obstacle},
 };
 use crate::{
     logs::lines::Level,
@@ -25,10 +29,6 @@
     util::{Instant, now},
 };
 
-/// Time without an event after which a server counts as unresponsive, if the stream can be resumed elsewhere.
-/// Callers abandon a stream after two seconds without an event; a preempted request continues within a second.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
-
 /// How a broken stream continued; a label in metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamBreak {
@@ -51,63 +51,95 @@
     }
 }
 
-/// A stream whose answer has begun.
-pub(crate) struct Events<W: Wire> {
-    answered: Option<Answered<W>>,
+/// A stream that one server sends.
+pub(crate) struct Source<W: Wire> {
+    answered: Answered<W>,
     splitter: Splitter,
-    last: Option<EventNumber>,
-    /// When the last event was passed on.
-    last_event: Instant,
-    /// Whether the stream has just been resumed, so that the next event must directly follow the last one.
-    resumed: bool,
-    ended: bool,
 }
 
-/// Result of reading from the stream.
-enum Next {
-    Events(Bytes),
-    End,
-}
+impl<W: Wire> Source<W> {
+    pub(crate) fn new(answered: Answered<W>) -> Self {
+        Self { answered, splitter: Splitter::default() }
+    }
 
-/// Reads up to the first event, so that the request can still be sent to another server if this one fails before.
-pub(crate) async fn start<W: Wire>(
-    run: &mut Run<W>,
-    answered: Answered<W>,
-) -> Result<(response::Parts, Option<Bytes>, Events<W>), (Failure, BackendKey)> {
-    let key = answered.work.key;
-    let head = answered.head.clone();
-    let mut events = Events {
-        answered: Some(answered),
-        splitter: Splitter::default(),
-        last: run.req.after,
-        last_event: now(),
-        resumed: false,
-        ended: false,
-    };
-    let limit = run.wait_limit(run.silence_timeout());
-    match events.read(run, limit).await {
-        Ok(Next::Events(bytes)) => {
-            run.relay.metrics.record(Latency::FirstEvent, "stream", now() - run.req.arrived);
-            run.relay.record_wait(&run.req, run.sent);
-            run.relay.begin_stream(&run.req, key);
-            run.relay.log_request(Level::Routine, "first_event", &run.req, |l| {
-                l.ms("after_ms", now() - run.req.arrived)
-            });
-            Ok((head, Some(bytes), events))
+    /// Reads until there is at least one complete event, at most until the deadline; `None` at the end of the stream. The first
+    /// event of a stream that goes on must directly follow the event `follows`; otherwise the caller would miss events or get
+    /// some twice.
+    pub(crate) async fn read(
+        &mut self,
+        follows: Option<EventNumber>,
+    ) -> Result<Option<CompleteEvents>, Failure> {
+        let Answered { body, attempt, .. } = &mut self.answered;
+        let deadline = tokio::time::Instant::now() + attempt.time_left();
+        loop {
+            let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => {
+                    spdlog::debug!("a stream broke: {e}");
+                    return Err(Failure::Broken);
+                }
+                Ok(None) if self.splitter.is_empty() => return Ok(None),
+                Ok(None) => return Err(Failure::Broken),
+                Err(_) => return Err(Failure::Late),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if let Some(events) = self.splitter.push(data) {
+                attempt.note_event();
+                let is_next = follows.is_none() || events.first == follows.map(|n| n + 1);
+                return if is_next { Ok(Some(events)) } else { Err(Failure::Garbled) };
+            }
+            if self.splitter.is_too_long() {
+                return Err(Failure::Garbled);
+            }
         }
-        Ok(Next::End) => Ok((head, None, events)),
-        Err(failure) => Err((failure, key)),
     }
+
+    /// Describes how the attempt failed.
+    pub(crate) fn failed(&self, failure: Failure) -> Failed {
+        self.answered.attempt.failed(failure)
+    }
+
+    fn key(&self) -> BackendKey {
+        self.answered.attempt.key
+    }
+}
+
+/// A stream whose answer has begun.
+struct Events<W: Wire> {
+    /// Where it comes from, until its end.
+    source: Option<Box<Source<W>>>,
+    last: Option<EventNumber>,
+    /// When the last event was passed on.
+    last_event: Instant,
+    /// Service and version that began it.
+    origin: Option<Continuation>,
 }
 
 /// The response whose body continues with the stream.
 pub(crate) fn respond<W: Wire>(
-    run: Run<W>,
-    head: response::Parts,
-    first: Option<Bytes>,
-    events: Events<W>,
+    mut run: Run<W>,
+    source: Source<W>,
+    first: Option<CompleteEvents>,
 ) -> Response<AnswerBody> {
     let relay = run.relay.clone();
+    let head = source.answered.head.clone();
+    let mut events = Events {
+        source: None,
+        last: run.req.after,
+        last_event: now(),
+        origin: relay.origin_of(source.key()),
+    };
+    let first = match first {
+        Some(first) => {
+            record_first_event(&run, &source);
+            events.source = Some(Box::new(source));
+            Some(events.accept(first))
+        }
+        None => {
+            events.end(&mut run, source);
+            None
+        }
+    };
     let guard = relay.track_request();
     let body = unfold((run, events, first, guard), |(mut run, mut events, first, guard)| async move {
         if let Some(bytes) = first {
@@ -119,148 +151,130 @@
     relay.wire.caller_response(head, AnswerBody::Events(Box::pin(body)))
 }
 
+fn record_first_event<W: Wire>(run: &Run<W>, source: &Source<W>) {
+    let (relay, req, attempt) = (&run.relay, &run.req, &source.answered.attempt);
+    relay.metrics.record(Latency::FirstEvent, "stream", now() - req.arrived);
+    relay.record_wait(req, attempt.sent);
+    relay.begin_stream(req, attempt.key);
+    relay.log_request(Level::Routine, "first_event", req, |l| l.ms("after_ms", now() - req.arrived));
+}
+
 impl<W: Wire> Events<W> {
-    /// Returns the next events, from another server if this one fails.
+    /// Returns the next events, from another server if this one fails, or begins later than that one while it is silent.
     async fn next(&mut self, run: &mut Run<W>) -> Option<Result<Bytes, Truncated>> {
-        if self.ended {
-            return None;
-        }
-        let (waiting_since, attempts) = (now(), run.attempts_started);
-        loop {
-            let max_gap = run.req.route.repeatable.then_some(MAX_EVENT_GAP);
-            let limit = run.wait_limit(max_gap);
-            let failure = match self.read(run, limit).await {
-                Ok(Next::Events(bytes)) => {
-                    if let Some(answered) = &self.answered {
-                        let is_resumed = run.attempts_started > attempts;
-                        run.relay.record_pause(&run.req, answered.work.key, waiting_since, is_resumed);
-                    }
-                    return Some(Ok(bytes));
+        let mut source = self.source.take()?;
+        let waiting_since = now();
+        let (key, sent) = (source.key(), source.answered.attempt.sent);
+        let watched = Watched { key, sent, since: waiting_since, heard: Arc::default() };
+        let wanted = self.rest();
+        let reading = async { source.read(None).await.map_err(|failure| source.failed(failure)) };
+        let (source, events) = match run.hold(watched, Awaited::NextEvent, reading, &wanted).await {
+            Ok(Won::Held(events)) => (source, events),
+            Ok(Won::Beside(begun)) => {
+                drop(source);
+                self.go_on(run, begun)
+            }
+            Err(failed) => {
+                drop(source);
+                match self.resume(run, failed, &wanted).await {
+                    Ok(resumed) => resumed,
+                    Err(cut) => return Some(Err(self.cut(run, &cut))),
                 }
-                Ok(Next::End) => return None,
-                Err(failure) => failure,
-            };
-            if let Err(cut) = self.resume(run, failure).await {
-                self.ended = true;
-                run.outcome = Some(Outcome::Cut);
-                run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Cut.as_str(), 1);
-                run.relay.record_cut(&run.req, &cut);
-                return Some(Err(Truncated));
             }
-        }
+        };
+        let Some(events) = events else {
+            self.end(run, *source);
+            return None;
+        };
+        run.relay.record_pause(&run.req, source.key(), waiting_since, source.key() != key);
+        self.source = Some(source);
+        Some(Ok(self.accept(events)))
+    }
+
+    /// What another server would have to send.
+    fn rest(&self) -> Wanted {
+        Wanted::Rest { after: self.last, origin: self.origin.clone() }
     }
 
-    /// Resumes the stream on another server after the last complete event.
+    /// Resumes the stream on another server after its last one failed.
     ///
     /// # Errors
-    /// Why none went on with it.
-    async fn resume(&mut self, run: &mut Run<W>, mut failure: Failure) -> Result<(), Cut> {
-        let mut key = match self.answered.take() {
-            Some(answered) => answered.work.key,
-            None => return Err(self.cut(BackendKey::default(), failure, "ended")),
-        };
-        let version = run.relay.version_to_continue(key);
-        run.version = version.as_ref().ok().cloned();
-        self.splitter.clear();
+    /// Why none goes on with it.
+    async fn resume(
+        &mut self,
+        run: &mut Run<W>,
+        mut failed: Failed,
+        wanted: &Wanted,
+    ) -> Result<Resumed<W>, Cut> {
+        // Before the failure is weighed, which depends on the servers that may go on with the stream.
+        let may_go_on = run.require_version(wanted);
         loop {
-            if let Err(stop) = run.fail(failure, key).await {
-                return Err(self.cut(key, failure, stop.as_str()));
-            }
-            let version = match &version {
-                Ok(version) => version,
-                Err(reason) => {
-                    run.relay.record_discontinued(&run.req, *reason);
-                    return Err(self.cut(key, failure, reason.as_str()));
-                }
-            };
-            match run.attempt(self.last).await {
-                Ok(answered) if answered.head.status.is_success() => {
-                    run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Resumed.as_str(), 1);
-                    run.relay.log_request(Level::Notable, "stream_resumed", &run.req, |l| {
-                        let l = l.text("server_version", version);
-                        l.number("events", self.last.unwrap_or(0)).ms("after_ms", now() - run.req.arrived)
-                    });
-                    self.answered = Some(answered);
-                    self.resumed = true;
-                    return Ok(());
+            run.fail(failed).await.map_err(|stop| self.cut_by(failed, stop.as_str()))?;
+            if let Err(obstacle) = may_go_on {
+                if let Obstacle::Discontinued(reason) = obstacle {
+                    run.relay.record_discontinued(&run.req, reason);
                 }
-                Ok(answered) => (failure, key) = (Failure::Errored, answered.work.key),
-                Err(AttemptError::Failed(failed)) => (failure, key) = failed,
+                return Err(self.cut_by(failed, obstacle.as_str()));
+            }
+            failed = match run.begin(wanted).await {
+                Ok(begun) => return Ok(self.go_on(run, begun)),
+                Err(AttemptError::Failed(failed)) => failed,
                 Err(AttemptError::NoServer(kind)) => {
                     run.relay.record_no_server(&run.req, kind);
-                    return Err(self.cut(key, failure, kind.answer().code));
+                    return Err(self.cut_by(failed, kind.answer().code));
                 }
-            }
+            };
         }
     }
 
-    fn cut(&self, key: BackendKey, failure: Failure, next: &'static str) -> Cut {
+    /// Records that another server goes on with the stream.
+    fn go_on(&self, run: &Run<W>, begun: Begun<W>) -> Resumed<W> {
+        let Begun::Stream(source, events) = begun else {
+            unreachable!("an attempt that continues a stream fails with any other answer")
+        };
+        run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Resumed.as_str(), 1);
+        run.relay.log_request(Level::Notable, "stream_resumed", &run.req, |l| {
+            let l = l.text("server_version", run.version.as_deref().unwrap_or_default());
+            l.number("events", self.last.unwrap_or(0)).ms("after_ms", now() - run.req.arrived)
+        });
+        (source, events)
+    }
+
+    fn cut_by(&self, failed: Failed, next: &'static str) -> Cut {
+        let Failed { key, failure, .. } = failed;
         Cut { key, failure, next, last: self.last, last_event: self.last_event }
     }
 
-    /// Reads until there is at least one complete event, for at most `limit`.
-    async fn read(
-        &mut self,
-        run: &mut Run<W>,
-        (limit, timeout_failure): (Duration, Failure),
-    ) -> Result<Next, Failure> {
-        let deadline = tokio::time::Instant::now() + limit;
-        loop {
-            let Some(answered) = &mut self.answered else { return Err(Failure::Broken) };
-            let frame = match tokio::time::timeout_at(deadline, answered.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(e))) => {
-                    spdlog::debug!("stream of request {} broke: {e}", run.req.id);
-                    return Err(Failure::Broken);
-                }
-                Ok(None) => return self.end(run),
-                Err(_) => return Err(timeout_failure),
-            };
-            let Ok(data) = frame.into_data() else { continue };
-            if let Some(events) = self.splitter.push(data) {
-                run.note_event();
-                return self.accept(events).map(Next::Events);
-            }
-            if self.splitter.is_too_long() {
-                return Err(Failure::Garbled);
-            }
-        }
+    /// Closes the stream before its end.
+    fn cut(&self, run: &mut Run<W>, cut: &Cut) -> Truncated {
+        run.outcome = Some(Outcome::Cut);
+        run.relay.metrics.add(Counter::RelayStreams, StreamBreak::Cut.as_str(), 1);
+        run.relay.record_cut(&run.req, cut);
+        Truncated
     }
 
-    /// Checks that a server resumes the stream at the right event; otherwise the caller would miss events or get
-    /// some twice.
-    fn accept(&mut self, events: CompleteEvents) -> Result<Bytes, Failure> {
-        if std::mem::take(&mut self.resumed)
-            && self.last.is_some()
-            && events.first != self.last.map(|n| n + 1)
-        {
-            return Err(Failure::Garbled);
-        }
+    fn accept(&mut self, events: CompleteEvents) -> Bytes {
         self.last = events.last.or(self.last);
         self.last_event = now();
-        Ok(events.bytes)
+        events.bytes
     }
 
     /// Ends the stream after its last event.
-    fn end(&mut self, run: &mut Run<W>) -> Result<Next, Failure> {
-        if !self.splitter.is_empty() {
-            return Err(Failure::Broken);
-        }
-        self.ended = true;
-        run.note_begun();
+    fn end(&mut self, run: &mut Run<W>, source: Source<W>) {
+        let Answered { mut attempt, conn, parsed, .. } = source.answered;
+        attempt.note_begun();
         run.relay.end_stream(&run.req);
         run.outcome = Some(Outcome::Answered);
-        if let Some(answered) = self.answered.take() {
-            let key = answered.work.key;
-            run.relay.record_backend_success(key);
-            if !answered.parsed.closes {
-                run.relay.return_connection(key, answered.conn, answered.parsed.keep_alive);
-            }
+        run.relay.record_backend_success(attempt.key);
+        if !parsed.closes {
+            run.relay.return_connection(attempt.key, conn, parsed.keep_alive);
         }
         run.relay.log_request(Level::Routine, "answered", &run.req, |l| {
-            let l = l.number("events", self.last.unwrap_or(0)).number("attempts", run.attempts_started);
+            let l = l.number("events", self.last.unwrap_or(0)).number("attempts", run.tries.made());
             l.ms("after_ms", now() - run.req.arrived)
         });
-        Ok(Next::End)
     }
 }
+
+/// The server that goes on with a stream, and its first events; none if the stream is over.
+type Resumed<W> = (Box<Source<W>>, Option<CompleteEvents>);
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -437,7 +437,7 @@
             let mut attempts = Attempts::new(may, 2, ms(1_000));
 
             assert_eq!(
-                attempts.record_failure(ms(10), failure, || true),
+                fail(&mut attempts, 10, failure, true),
                 expected,
                 "{failure:?}, may be repeated: {may}"
             );
@@ -445,6 +445,13 @@
     }
 }
 
+/// Makes an attempt that fails, and decides whether another may follow.
+fn fail(attempts: &mut Attempts, at: u64, failure: Failure, has_budget: bool) -> Result<(), StopReason> {
+    attempts.begin();
+    attempts.record_failure(failure);
+    attempts.may_follow(ms(at), failure, || has_budget)
+}
+
 #[test]
 fn attempts_stop_at_their_limits() {
     let mut runs = Attempts::new(true, 2, ms(1_000));
@@ -452,14 +459,14 @@
     let mut budget = Attempts::new(true, 2, ms(1_000));
     let mut late = Attempts::new(true, 2, ms(1_000));
 
-    assert_eq!(runs.record_failure(ms(1), Failure::Broken, || true), Ok(()));
-    assert_eq!(runs.record_failure(ms(2), Failure::Broken, || true), Err(StopReason::Attempts));
+    assert_eq!(fail(&mut runs, 1, Failure::Broken, true), Ok(()));
+    assert_eq!(fail(&mut runs, 2, Failure::Broken, true), Err(StopReason::Attempts));
     assert!(!runs.cannot_have_run());
-    let refusals: Vec<_> = (0..4).map(|_| refused.record_failure(ms(1), Failure::Refused, || true)).collect();
+    let refusals: Vec<_> = (0..4).map(|_| fail(&mut refused, 1, Failure::Refused, true)).collect();
     assert_eq!(refusals, [Ok(()), Ok(()), Ok(()), Err(StopReason::Attempts)]);
     assert!(refused.cannot_have_run());
-    assert_eq!(budget.record_failure(ms(1), Failure::Refused, || false), Err(StopReason::Budget));
-    assert_eq!(late.record_failure(ms(1_000), Failure::Connect, || true), Err(StopReason::Deadline));
+    assert_eq!(fail(&mut budget, 1, Failure::Refused, false), Err(StopReason::Budget));
+    assert_eq!(fail(&mut late, 1_000, Failure::Connect, true), Err(StopReason::Deadline));
 }
 
 /// One server fails a third of its requests while the others are healthy. It is avoided, and tried again once it
--- a/tests/relay_silence.rs
+++ b/tests/relay_silence.rs
@@ -9,7 +9,11 @@
 
 use cranberrytally::{
     metrics::Counter,
-    relay::stall::{MIN_STALL, Stall},
+    relay::{
+        attempts::{Attempts, Failure, StopReason},
+        silence::{Awaited, Obstacle, RECHECK_INTERVAL, Silence, Verdict},
+        stall::{MIN_STALL, Stall},
+    },
     schema::fleet::Configuration,
 };
 
@@ -257,3 +261,80 @@
     assert_eq!(stood_still, [false, true]);
     assert_eq!([4_900, 5_100].map(|start| stall.since(at(start))), [at(900), Duration::ZERO]);
 }
+
+const NO_BUDGET: Obstacle = Obstacle::Stop(StopReason::Budget);
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against servers that are left too early, while a load keeps answers waiting, or so late that their callers have gone.
+#[test]
+fn another_attempt_begins_only_after_the_limit_of_what_is_awaited() {
+    let beginning = |objective| Awaited::Beginning { objective: at(objective) };
+    let cases = [(beginning(100), 400), (beginning(400), 800), (beginning(1_500), 1_300)];
+    for (awaited, limit) in cases.into_iter().chain([(Awaited::NextEvent, 1_200)]) {
+        let mut silence = Silence::new(awaited, at(5_000));
+
+        let verdicts = [limit - 1, limit].map(|after| silence.check(at(5_000 + after), || Ok(())));
+
+        assert_eq!(verdicts, [Verdict::Wait, Verdict::Replace], "{awaited:?}");
+    }
+}
+
+/// Guards against a server that is given up for good because nothing could take its place at first.
+#[test]
+fn a_silent_server_is_held_and_looked_at_again() {
+    let mut silence = Silence::new(Awaited::NextEvent, at(0));
+
+    let held = silence.check(at(1_200), || Err(NO_BUDGET));
+    let next = silence.check_at();
+    let replaced = silence.check(next, || Ok(()));
+
+    assert_eq!((held, next), (Verdict::Hold(NO_BUDGET), at(1_200) + RECHECK_INTERVAL));
+    assert_eq!(replaced, Verdict::Replace);
+}
+
+/// Guards against a server that is left though it has just been heard of.
+#[test]
+fn a_server_that_is_heard_of_is_silent_anew_from_then_on() {
+    let mut silence = Silence::new(Awaited::NextEvent, at(0));
+
+    silence.hear(at(900));
+    silence.hear(at(300));
+
+    assert_eq!((silence.check_at(), silence.lasted(at(1_000))), (at(2_100), at(100)));
+    assert_eq!(silence.check(at(1_200), || Ok(())), Verdict::Wait);
+}
+
+/// Guards against a host that stood still, and takes what it could not hear for silence: it gives servers as long again.
+#[test]
+fn time_in_which_the_host_stood_still_is_no_silence() {
+    let mut silence = Silence::new(Awaited::NextEvent, at(0));
+
+    let after_stall = silence.check(at(1_900), || Ok(()));
+    let next = silence.check_at();
+
+    assert_eq!((after_stall, next, silence.lasted(next)), (Verdict::Wait, at(2_600), at(1_900)));
+    assert_eq!(silence.check(next, || Ok(())), Verdict::Replace);
+}
+
+/// Guards against more runs than a route allows while attempts are in progress side by side.
+#[test]
+fn attempts_in_progress_count_as_runs() {
+    let mut attempts = Attempts::new(true, 2, at(4_000));
+    let mut single = Attempts::new(false, 2, at(4_000));
+    attempts.begin();
+    single.begin();
+
+    let beside_one = attempts.may_begin_beside(at(1_000));
+    attempts.begin();
+    let beside_two = attempts.may_begin_beside(at(1_000));
+    attempts.record_failure(Failure::Refused);
+    let after_refusal = attempts.may_begin_beside(at(1_000));
+
+    assert_eq!((beside_one, beside_two), (Ok(()), Err(StopReason::Attempts)));
+    assert_eq!((after_refusal, attempts.may_begin_beside(at(4_000))), (Ok(()), Err(StopReason::Deadline)));
+    assert_eq!(single.may_begin_beside(at(1_000)), Err(StopReason::NotRepeatable));
+    assert!(!attempts.cannot_have_run());
+}
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -7,6 +7,8 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use std::time::Duration;
+
 use cranberrytally::{
     metrics::Counter,
     platform::store::StoreClient,
@@ -99,6 +101,22 @@
     assert_eq!((resumed_at(&same), events(answers.last().unwrap())), (1, vec!["e1", "e2", "e3", "e4"]));
 }
 
+/// Guards against a silent server whose stream another one goes on with at its own version: there is none of the same version,
+/// so the silent one is waited for.
+#[tokio::test]
+async fn a_silent_server_is_not_replaced_by_one_of_another_version() {
+    let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
+    let rest = chunk(&event(3)) + "0\r\n\r\n";
+    let pausing = ScriptStep::WriteSlowly(vec![begun, rest], Duration::from_millis(1_600));
+    let (first, other) = (Server::start("i-1", [pausing]).await, continuing("i-2").await);
+    let hosts = fleet(1, &[(&first, "v1", "a"), (&other, "v2", "b")]).await;
+
+    let answer = call(&hosts[0], &request("/stream/x", ""), "r1").await;
+
+    assert_eq!((resumed_at(&other), events(&answer)), (0, vec!["e1", "e2", "e3"]), "{answer}");
+    assert!(is_complete(&answer), "{answer}");
+}
+
 /// Guards against a stream that a caller takes up at another host, which goes on there at a server of another version.
 #[tokio::test]
 async fn a_stream_taken_up_at_another_host_goes_on_at_the_version_that_began_it() {
