Don't go on elsewhere with a stream whose events have no numbers

What callers saw: all events once more, behind those that they had, when a server broke off in the middle of a stream whose events have no `id`. Cause: without a number to go on after, the next server began the stream anew. Evidence: the new test failed with e1, e1, e2. Change: such a stream counts as not repeatable once its caller has events. Result: the test passes.

--- a/src/relay/hold.rs
+++ b/src/relay/hold.rs
@@ -230,12 +230,15 @@
         Ok(started)
     }
 
-    /// Requires that only servers of the version that began a stream go on with it.
+    /// Requires that only servers of the version that began a stream go on with it, after the last event.
     ///
     /// # Errors
-    /// If none may go on with it.
+    /// If none may go on with it, or events have no numbers.
     pub(crate) fn require_version(&mut self, wanted: &Wanted) -> Result<(), Obstacle> {
-        let Wanted::Rest { origin, .. } = wanted else { return Ok(()) };
+        let Wanted::Rest { after, origin } = wanted else { return Ok(()) };
+        if after.is_none() {
+            return Err(Obstacle::Stop(StopReason::NotRepeatable));
+        }
         let may_continue = |at: &&Continuation| self.relay.state().origins.may_continue(at);
         let Some(origin) = origin.as_ref().filter(may_continue) else {
             return Err(Obstacle::Discontinued(Discontinued::Unknown));
--- a/tests/relay_silence.rs
+++ b/tests/relay_silence.rs
@@ -262,6 +262,21 @@
     assert_eq!([4_900, 5_100].map(|start| stall.since(at(start))), [at(900), Duration::ZERO]);
 }
 
+/// Guards against events that come twice: a stream whose events have no numbers is begun again at another server after a break.
+#[tokio::test]
+async fn a_stream_without_event_numbers_does_not_go_on_elsewhere() {
+    let begun = stream_head() + &chunk("data: e1\n\n");
+    let whole = stream_head() + &chunk("data: e1\n\n") + &chunk("data: e2\n\n") + "0\r\n\r\n";
+    let first = Server::start("i-1", [ScriptStep::WriteAndReset(begun)]).await;
+    let second = Server::start("i-2", [ScriptStep::Write(whole)]).await;
+    let host = host_with(1e9, &[&first, &second], configuration()).await;
+
+    let got = host.call(&request("/stream/x", "")).await;
+
+    assert_eq!((is_complete(&got), events(&got)), (false, vec!["e1"]), "{got}");
+    assert!(second.requests().is_empty());
+}
+
 const NO_BUDGET: Obstacle = Obstacle::Stop(StopReason::Budget);
 
 fn at(ms: u64) -> Duration {
