Let servers fall silent in the soak while the configuration changes

Cause: no run of the soak had servers that stand still and go on, and its check of lost answers needs an answer that was written whole, which a closed connection prevents.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -53,6 +53,7 @@
         Some("changes") => Scenario::Changes,
         Some("versions") => Scenario::Versions,
         Some("crashes") => Scenario::Crashes,
+        Some("silences") => Scenario::Silences,
         _ => Scenario::Failures,
     };
     run_seeds(option(0) as u64, option(1) as u64, option(2), option(3), scenario).await
--- a/tests/relay_silence.rs
+++ b/tests/relay_silence.rs
@@ -220,6 +220,47 @@
     assert_eq!((events(&got), cut(&host)), (vec!["e1", "e2"], 0));
 }
 
+/// Guards against a stream that ends because another request finds a different server at the address of its own: what that
+/// server has begun is still its own.
+#[tokio::test]
+async fn a_stream_outlives_the_notice_that_its_server_is_gone() {
+    let moved = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-x\r\nContent-Length: 0\r\n\r\n";
+    let first = Server::start("i-1", [stream_with_pause(SILENCE / 2), ScriptStep::Write(moved.into())]).await;
+    let second = Server::start("i-2", [ok_step()]).await;
+    let host = host_with(1e9, &[&first, &second], configuration()).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/stream/x", "")).await;
+    wire::wait_until("the stream to begin", || !first.requests().is_empty()).await;
+
+    let other = host.call(&request("/safe/x", "").replace("Attempt-Id: r1", "Attempt-Id: r2")).await;
+    let got = caller.answer().await;
+
+    assert_eq!((status(&other), first.requests().len()), (200, 2), "{other}");
+    assert!(is_complete(&got), "{got}");
+    assert_eq!((events(&got), cut(&host)), (vec!["e1", "e2"], 0));
+}
+
+/// Guards against a stream that cannot go on after a break because its route was moved to another service meanwhile.
+#[tokio::test]
+async fn a_stream_goes_on_at_the_service_that_began_it_after_its_route_was_moved() {
+    let first = Server::reacting("i-1", |_, _| {
+        ScriptStep::WriteSlowlyAndReset(vec![stream_head() + &chunk(&event(1)), String::new()], SILENCE / 4)
+    });
+    let (first, second) = (first.await, Server::start("i-2", [rest_of_stream()]).await);
+    let host = host_with(1e9, &[&first, &second], configuration()).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/stream/x", "")).await;
+    wire::wait_until("the stream to begin", || !first.requests().is_empty()).await;
+
+    let mut moved = Configuration { version: 2, ..configuration() };
+    moved.routes.iter_mut().for_each(|route| route.shares[0].service = "moved".into());
+    host.relay.set_configuration(moved, "test");
+    let got = caller.answer().await;
+
+    assert!(is_complete(&got), "{got}");
+    assert_eq!((events(&got), second.requests().len()), (vec!["e1", "e2"], 1));
+}
+
 /// Guards against a stream whose caller's connection is closed as idle while the server is silent for longer than the limit on
 /// idle connections.
 #[tokio::test]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// Guards against answers that end before their deadline at servers which fall silent for a moment and go on, while the
+/// configuration keeps changing, servers drain, and hosts are stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_servers_fall_silent() {
+    let _guard = RUN_LOCK.lock().await;
+
+    let report = Soak::with_seed(2).with_faults(8).with_scenario(Scenario::Silences).run().await;
+
+    assert!(report.violations.is_empty(), "{report:#?}");
+    assert!(report.outcomes.contains("stream 200"), "{report:#?}");
+}
+
 /// Guards against requests with one prompt part that crash one server after the other, and against sound ones that are refused
 /// with them, while hosts are killed, suspended and stopped and servers crash for other reasons.
 #[tokio::test(flavor = "multi_thread")]
@@ -275,6 +287,35 @@
     Outcome::Complete { status, data: data.iter().map(|d| (*d).into()).collect() }
 }
 
+/// Guards against a check that misses answers which end before their deadline at a server that goes on, or that blames a host for
+/// what its server has broken off.
+#[test]
+fn answers_given_up_at_a_server_that_goes_on_are_violations() {
+    let broken = Outcome::Disconnected(vec!["own 1 v1".into()]);
+    let silent = |kind, outcome| {
+        let (from, history) = (Instant::now(), history(kind, &["i-1"], outcome));
+        history.record(Observation::Silence { from, to: Instant::now() });
+        history
+    };
+    let broken_off = || silent(Kind::ResumableStream, broken.clone());
+    let fault = |history: &History, subject: &str| {
+        let now = Instant::now();
+        history.record(Observation::Fault { subject: subject.into(), from: now, to: now });
+    };
+    let (server_failed, host_failed, lost) = (broken_off(), broken_off(), broken_off());
+    fault(&server_failed, "i-1");
+    fault(&host_failed, "127.0.0.1");
+    let event = ServerEvent::BrokeOff;
+    lost.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+
+    let is_found = |history: History| history.violations().iter().any(|v| v.contains("given up before"));
+
+    assert!(is_found(broken_off()));
+    assert!(is_found(silent(Kind::Idempotent, complete(502, &[""]))));
+    assert!(!is_found(history(Kind::Idempotent, &["i-1"], complete(502, &[""]))));
+    assert!([server_failed, host_failed, lost].into_iter().all(|history| !is_found(history)));
+}
+
 /// Guards against checks that miss a violation, so that a run would pass for the wrong reason.
 #[test]
 fn violations_of_single_requests_are_found() {
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -27,6 +27,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::Value;
 use tokio::task::JoinSet;
 
 use caller::{KEY, KEY_TO_REVOKE, call, resolve};
@@ -67,6 +68,21 @@
     Versions,
     /// Requests with one prompt part crash the servers that run them, beside servers that crash for other reasons.
     Crashes,
+    /// Servers fall silent and go on, while the configuration keeps changing.
+    Silences,
+}
+
+impl Scenario {
+    /// A version of the configuration before the last change.
+    pub fn configuration(self, version: u64) -> Value {
+        let mut cfg = store::configuration(version, false);
+        if self == Scenario::Silences {
+            // No other server may stand in for a silent one.
+            let routes = cfg["routes"].as_array_mut().unwrap();
+            routes.iter_mut().for_each(|route| route["maxAttempts"] = 1.into());
+        }
+        cfg
+    }
 }
 
 impl Soak {
@@ -100,7 +116,7 @@
         let mut rng = StdRng::seed_from_u64(self.seed);
         let history = Arc::new(History::default());
         let store = Store::start().await;
-        store.put("config", "main", store::configuration(1, false));
+        store.put("config", "main", self.scenario.configuration(1));
         let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
         let engines = Engines::start_with_versions(store.clone(), history.clone(), versions).await;
         let hosts = Arc::new(Hosts::start(self.hosts, store.addr(), history.clone()));
@@ -112,13 +128,19 @@
             let (hosts, history) = (hosts.clone(), history.clone());
             callers.spawn(caller::send_requests(n, hosts, history, self.scenario, rng));
         }
-        if self.scenario == Scenario::Changes {
+        if matches!(self.scenario, Scenario::Changes | Scenario::Silences) {
             let newest = Arc::new(AtomicU64::new(1));
             let mut next_rng = || StdRng::seed_from_u64(rng.random());
             let probing =
                 operator::probe_versions(hosts.clone(), history.clone(), newest.clone(), next_rng());
             callers.spawn(probing);
-            callers.spawn(operator::change_config(store.clone(), history.clone(), newest, next_rng()));
+            callers.spawn(operator::change_config(
+                store.clone(),
+                history.clone(),
+                newest,
+                self.scenario,
+                next_rng(),
+            ));
         }
         let injected =
             faults::inject_all(self.faults, self.scenario, &mut rng, &hosts, &engines, &store).await;
--- a/tests/support/soak/caller.rs
+++ b/tests/support/soak/caller.rs
@@ -18,7 +18,7 @@
 
 use super::{
     Scenario, THINK_TIME_MS,
-    checks::{History, Kind, Observation, Outcome, STREAM_EVENTS},
+    checks::{History, Kind, Observation, Outcome, REQUEST_DEADLINE, STREAM_EVENTS},
     engine::HARMFUL_PART,
     hosts::Hosts,
     look_up_addresses,
@@ -29,8 +29,6 @@
 pub const KEY: &str = "k1";
 /// API key that the final configuration revokes.
 pub const KEY_TO_REVOKE: &str = "k2";
-/// Deadline that callers send with each request.
-const REQUEST_DEADLINE: Duration = Duration::from_secs(4);
 /// Additional time after the deadline until a caller gives up.
 const DEADLINE_SLACK: Duration = Duration::from_secs(2);
 /// Timeout for connecting and for short calls, and interval between lookups of addresses.
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -13,6 +13,8 @@
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u32 = 12;
+/// Deadline of all requests.
+pub const REQUEST_DEADLINE: Duration = Duration::from_secs(4);
 /// Time before and after a fault within which the fault still accounts for a lost answer.
 const FAULT_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -124,6 +126,8 @@
     AnswerWritten { id: String, engine: String },
     /// A host, a backend server or the store was subject to a fault.
     Fault { subject: String, from: Instant, to: Instant },
+    /// All backend servers wrote nothing and went on, which is no fault.
+    Silence { from: Instant, to: Instant },
     /// A caller sent a request that crashes servers.
     Harmful { id: String },
     /// A backend server crashes by a request.
@@ -139,6 +143,8 @@
     Arrived(Instant),
     /// The answer announces that the server is draining.
     AnnouncedDrain,
+    /// The server closed the connection instead of answering.
+    BrokeOff,
     /// The server refused the request and asked the host to pause for the given time.
     RequestedPause(Instant, Duration),
 }
@@ -236,6 +242,7 @@
                 | Observation::Harmful { .. }
                 | Observation::CrashedBy { .. }
                 | Observation::Fault { .. }
+                | Observation::Silence { .. }
                 | Observation::ConfigWritten { .. } => {}
             }
         }
@@ -566,9 +573,39 @@
         if is_lost && !self.had_fault(&sent.host, sent.at, *ended) {
             violations.push(format!("a complete answer was written but did not arrive: {outcome:?}"));
         }
+        if self.is_given_up_early(trace, sent, outcome, *ended) {
+            violations.push(format!("given up before its deadline at a server that went on: {outcome:?}"));
+        }
         violations
     }
 
+    /// Whether a request that was executed ended without an answer before its deadline at servers that fell silent and went on,
+    /// though neither its host nor any of them failed.
+    fn is_given_up_early(
+        &self,
+        trace: &RequestTrace,
+        sent: &Sent,
+        outcome: &Outcome,
+        ended: Instant,
+    ) -> bool {
+        let is_given_up = match outcome {
+            Outcome::Disconnected(_) => true,
+            Outcome::Complete { status, .. } => matches!(status, 502 | 504),
+            _ => false,
+        };
+        let broke_off = trace.server_events.iter().any(|(_, event)| matches!(event, ServerEvent::BrokeOff));
+        let failed = |subject: &String| self.had_fault(subject, sent.at, ended);
+        let servers_failed = trace.executions.iter().any(|execution| failed(&execution.engine));
+        let fell_silent = self.0.lock().unwrap().iter().any(|observation| {
+            matches!(observation, Observation::Silence { from, to } if *from <= ended && sent.at <= *to)
+        });
+        is_given_up
+            && fell_silent
+            && ended < sent.at + REQUEST_DEADLINE
+            && !trace.executions.is_empty()
+            && !(broke_off || servers_failed || failed(&sent.host))
+    }
+
     /// Number of requests by kind and outcome.
     pub fn summary(&self) -> String {
         let mut counts: BTreeMap<String, usize> = BTreeMap::new();
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -40,6 +40,10 @@
 const PAUSE: Duration = Duration::from_millis(2_500);
 /// While answers are lost, one in this many is lost.
 const LOSE_ONE_IN: u64 = 4;
+/// Shortest and longest time for which servers write nothing: longer than a host waits before it looks for another one, and
+/// shorter than callers wait.
+const MIN_SILENCE: Duration = Duration::from_millis(1_400);
+const MAX_SILENCE: Duration = Duration::from_millis(1_900);
 /// Time for which a draining server keeps serving, so that requests wrongly sent to it are observed.
 const DRAIN_LINGER: Duration = Duration::from_millis(8_000);
 
@@ -62,6 +66,8 @@
     gate: FaultProxy,
     task: JoinHandle<()>,
     crash: watch::Sender<u64>,
+    /// Whether it writes nothing.
+    silent: watch::Sender<bool>,
 }
 
 /// All backend servers of a run.
@@ -117,7 +123,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let crash = watch::Sender::new(0);
         let gate = FaultProxy::start(listener.local_addr().unwrap(), Some(crash.subscribe())).await.unwrap();
-        let draining = Arc::<AtomicBool>::default();
+        let (draining, silent) = (Arc::<AtomicBool>::default(), watch::Sender::new(false));
         let handler = Handler {
             id: id.clone(),
             version: version.clone(),
@@ -125,10 +131,12 @@
             history: self.history.clone(),
             faults: self.faults.clone(),
             crashing: self.crashing.clone(),
+            silent: silent.subscribe(),
         };
         let task = tokio::spawn(accept(listener, handler, crash.subscribe()));
         self.store.put("servers", &id, server_of_version(gate.addr(), "ready", &version));
-        self.running.lock().unwrap().push(Arc::new(Engine { id, version, draining, gate, task, crash }));
+        let engine = Engine { id, version, draining, gate, task, crash, silent };
+        self.running.lock().unwrap().push(Arc::new(engine));
     }
 
     /// Identifiers and addresses of the servers.
@@ -170,6 +178,18 @@
         record_fault(&self.history, &engine.id, from);
     }
 
+    /// Makes all servers write nothing for a while, after which they go on with all of their requests. That is no fault.
+    pub async fn silence_all(&self, duration: Duration) {
+        let silent: Vec<_> = self.running.lock().unwrap().clone();
+        let set_silent =
+            |is_silent| silent.iter().for_each(|engine| engine.silent.send_modify(|s| *s = is_silent));
+        let from = Instant::now();
+        set_silent(true);
+        tokio::time::sleep(duration.clamp(MIN_SILENCE, MAX_SILENCE)).await;
+        set_silent(false);
+        self.history.record(Observation::Silence { from, to: Instant::now() });
+    }
+
     /// Drains a server, which keeps serving for a while before it ends. Another one replaces it at once.
     pub async fn drain(&self, n: usize) {
         let engine = self.remove(n);
@@ -225,6 +245,7 @@
     history: Arc<History>,
     faults: Arc<Faults>,
     crashing: mpsc::UnboundedSender<String>,
+    silent: watch::Receiver<bool>,
 }
 
 /// Serves connections until the task is aborted; a crash ends those that are open.
@@ -283,8 +304,10 @@
                 return std::future::pending().await;
             }
             if self.faults.lose_answers.load(Ordering::Relaxed) && id_hash.is_multiple_of(LOSE_ONE_IN) {
+                record_event(ServerEvent::BrokeOff);
                 return;
             }
+            self.end_of_silence().await;
             let after = header(&req, "last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
             let written = match target.starts_with("/stream/") || target.starts_with("/once/") {
                 true if id_hash.is_multiple_of(UNFRAMED_ONE_IN) => {
@@ -322,6 +345,12 @@
 }
 
 impl Handler {
+    /// Waits while the server writes nothing.
+    async fn end_of_silence(&self) {
+        // The server is gone if its sender is.
+        let _ = self.silent.clone().wait_for(|silent| !*silent).await;
+    }
+
     /// Writes a stream that ends with its connection. It pauses inside its events, so that a crash leaves a part of one.
     async fn write_unframed(&self, mut stream: TcpStream, head: &str, id: &str, after: u32) {
         let head = format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\r\n");
@@ -329,6 +358,7 @@
         for n in after + 1..=STREAM_EVENTS {
             let event = event_with_data(n, &format!("own {n} {} {id}", self.version));
             let (begin, end) = event.split_at(event.len() / 2);
+            self.end_of_silence().await;
             if stream.write_all((text + begin).as_bytes()).await.is_err() {
                 return;
             }
@@ -354,6 +384,7 @@
         stream.write_all(head.as_bytes()).await?;
         for n in after + 1..=STREAM_EVENTS {
             let data = format!("own {n} {} {id}", self.version);
+            self.end_of_silence().await;
             stream.write_all(chunk(&event_with_data(n, &data)).as_bytes()).await?;
             tokio::time::sleep(EVENT_GAP).await;
         }
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -46,6 +46,8 @@
     EngineCrash,
     /// A backend server accepts connections but sends nothing on them.
     EngineStall,
+    /// All backend servers write nothing for a while and go on.
+    EnginesSilent,
     /// A backend server drains and ends as planned.
     EngineDrain,
     /// All backend servers refuse requests for lack of capacity.
@@ -142,6 +144,18 @@
         Fault::EngineDrain,
     ];
 
+    /// Faults of runs in which servers fall silent; repeated entries are more likely.
+    const WITH_SILENCES: [Fault; 8] = [
+        Fault::EnginesSilent,
+        Fault::EnginesSilent,
+        Fault::EnginesSilent,
+        Fault::EnginesSilent,
+        Fault::EngineDrain,
+        Fault::StopHost,
+        Fault::ReloadSettings,
+        Fault::StoreBusy,
+    ];
+
     /// Faults of a scenario.
     fn of(scenario: Scenario) -> &'static [Fault] {
         match scenario {
@@ -150,6 +164,7 @@
             Scenario::Changes => &Fault::WITH_CHANGES,
             Scenario::Versions => &Fault::WITH_VERSIONS,
             Scenario::Crashes => &Fault::WITH_CRASHES,
+            Scenario::Silences => &Fault::WITH_SILENCES,
         }
     }
 
@@ -240,7 +255,7 @@
         Fault::KillAllHosts => hosts.kill_all(duration).await,
         Fault::SuspendHost => hosts.suspend(n, duration).await,
         Fault::StopHost => hosts.stop(n).await,
-        Fault::ReloadSettings => hosts.reload(n),
+        Fault::ReloadSettings => hosts.reload(n).await,
         Fault::StoreStall => gate_store(store, Mode::Stall, duration).await,
         Fault::StoreDown => gate_store(store, Mode::Refuse, duration).await,
         Fault::LongStoreStall => gate_store(store, Mode::Stall, LONG_OUTAGE).await,
@@ -257,6 +272,7 @@
         }
         Fault::EngineCrash => engines.crash(n).await,
         Fault::EngineStall => engines.stall(n, duration).await,
+        Fault::EnginesSilent => engines.silence_all(duration).await,
         Fault::EngineDrain => engines.drain(n).await,
         Fault::EnginesFull => engines.refuse_all(duration).await,
         Fault::AnswersLost => engines.lose_answers(duration).await,
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -175,7 +175,8 @@
     }
 
     /// Signals a host to reload its settings.
-    pub fn reload(&self, n: usize) {
+    pub async fn reload(&self, n: usize) {
+        self.hosts[n].wait_until_listening().await;
         self.hosts[n].signal(Signal::HUP);
     }
 
--- a/tests/support/soak/operator.rs
+++ b/tests/support/soak/operator.rs
@@ -12,11 +12,11 @@
 use rand::{Rng, rngs::StdRng};
 
 use super::{
-    KEY,
+    KEY, Scenario,
     caller::call,
     checks::{History, Kind, Observation},
     hosts::Hosts,
-    store::{self, Store, VERSION_ROUTE},
+    store::{Store, VERSION_ROUTE},
 };
 
 /// Time between two changes, some of which come in quick succession.
@@ -29,7 +29,13 @@
 const STALE_READ_LAG: usize = 3;
 
 /// Writes one configuration version after the other until the task is aborted.
-pub async fn change_config(store: Store, history: Arc<History>, newest: Arc<AtomicU64>, mut rng: StdRng) {
+pub async fn change_config(
+    store: Store,
+    history: Arc<History>,
+    newest: Arc<AtomicU64>,
+    scenario: Scenario,
+    mut rng: StdRng,
+) {
     let mut backups = VecDeque::new();
     loop {
         tokio::time::sleep(Duration::from_millis(rng.random_range(CHANGE_GAP_MS))).await;
@@ -39,7 +45,7 @@
         }
         let version = newest.load(Ordering::Relaxed) + 1;
         let sent = Instant::now();
-        store.put("config", "main", store::configuration(version, false));
+        store.put("config", "main", scenario.configuration(version));
         newest.store(version, Ordering::Relaxed);
         history.record(Observation::ConfigWritten { version, sent, acked: Instant::now() });
     }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -40,6 +40,8 @@
     WriteAndReset(String),
     /// Writes these texts with pauses between them and keeps the connection open.
     WriteSlowly(Vec<String>, Duration),
+    /// Writes these texts with pauses between them and resets the connection.
+    WriteSlowlyAndReset(Vec<String>, Duration),
     /// Sends nothing until the other side closes the connection.
     Hang,
     /// Resets all connections and accepts no further ones.
@@ -117,11 +119,11 @@
             let write = |text: &str| text.replace("{id}", &id).into_bytes();
             match step {
                 ScriptStep::Write(text) => stream.write_all(&write(&text)).await.unwrap(),
-                ScriptStep::WriteSlowly(texts, pause) => {
-                    for text in texts {
-                        stream.write_all(&write(&text)).await.unwrap();
-                        tokio::time::sleep(pause).await;
-                    }
+                ScriptStep::WriteSlowly(texts, pause) => write_slowly(&mut stream, texts, pause, &id).await,
+                ScriptStep::WriteSlowlyAndReset(texts, pause) => {
+                    write_slowly(&mut stream, texts, pause, &id).await;
+                    reset(stream);
+                    return;
                 }
                 ScriptStep::WriteAndClose(text) => {
                     stream.write_all(&write(&text)).await.unwrap();
@@ -156,6 +158,16 @@
     }
 }
 
+/// Writes texts with a pause after each. The other side may close the connection meanwhile.
+async fn write_slowly(stream: &mut TcpStream, texts: Vec<String>, pause: Duration, id: &str) {
+    for text in texts {
+        if stream.write_all(text.replace("{id}", id).as_bytes()).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Closes a connection with a reset.
 fn reset(stream: TcpStream) {
     stream.set_zero_linger().unwrap();
