Extend a silence once for a host that stood still, and look for one other server

Cause: on a host whose timers are always more than 10 ms late each look at a silent server was put off again, and each look listed all servers of the service. Change: time in which the host stood still is left out once for each silence; the search ends at the first server that may take over. Result: a test with timers 40 ms late replaces at the second look; before, it waited without end.

--- a/src/relay/hold.rs
+++ b/src/relay/hold.rs
@@ -218,8 +218,7 @@
             return Err(Obstacle::Stop(StopReason::Suspect));
         }
         self.require_version(wanted)?;
-        let is_other = |key: &BackendKey| !self.tried.contains(key) && !servers.contains(key);
-        if !self.responsive().iter().any(is_other) {
+        if !self.has_responsive_server(servers) {
             return Err(Obstacle::NoServer(ErrorKind::NoEngine));
         }
         if !self.relay.state().budget.allows(now, &self.req.service) {
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -185,11 +185,16 @@
         accepting.filter(|(_, b)| runs(b, self.version.as_deref())).map(|(key, _)| key).collect()
     }
 
-    /// Those of them that have not been out of reach or silent a moment ago.
-    pub(crate) fn responsive(&self) -> Vec<BackendKey> {
-        let placeable = self.placeable();
+    /// Whether a server that was neither out of reach nor silent a moment ago may get the request: one that was not tried and is
+    /// not among `others`.
+    pub(crate) fn has_responsive_server(&self, others: &[BackendKey]) -> bool {
         let (state, now) = (self.relay.state(), now());
-        placeable.into_iter().filter(|key| !state.health.is_backing_off(now, *key)).collect()
+        state.accepting(now, &self.req.service).any(|(key, b)| {
+            runs(b, self.version.as_deref())
+                && !self.tried.contains(&key)
+                && !others.contains(&key)
+                && !state.health.is_backing_off(now, key)
+        })
     }
 
     /// Decides whether another attempt may follow a failed one, counts the decision and logs it.
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -93,13 +93,15 @@
     limit: Duration,
     heard: Instant,
     check_at: Instant,
+    /// Whether time in which this host stood still was left out; on a host whose timers are always late, that happens once.
+    is_extended: bool,
 }
 
 impl Silence {
     /// Begins when the server was last heard of, or a request was sent to it.
     pub fn new(awaited: Awaited, heard: Instant) -> Self {
         let limit = awaited.limit();
-        Self { limit, heard, check_at: heard + limit }
+        Self { limit, heard, check_at: heard + limit, is_extended: false }
     }
 
     /// When to decide next.
@@ -115,7 +117,7 @@
     /// Records that the server was heard of at this time.
     pub fn hear(&mut self, at: Instant) {
         if at > self.heard {
-            *self = Self { heard: at, check_at: at + self.limit, ..*self };
+            *self = Self { heard: at, check_at: at + self.limit, is_extended: false, ..*self };
         }
     }
 
@@ -127,7 +129,8 @@
     /// Decides what follows. `replace` begins another attempt, or tells why none can begin.
     pub fn check(&mut self, now: Instant, replace: impl FnOnce() -> Result<(), Obstacle>) -> Verdict {
         let late = now.saturating_sub(self.check_at);
-        if late > MAX_TIMER_DELAY {
+        if late > MAX_TIMER_DELAY && !self.is_extended {
+            self.is_extended = true;
             self.heard += late;
             self.check_at = now + late.min(self.limit);
             return Verdict::Wait;
--- a/tests/relay_silence.rs
+++ b/tests/relay_silence.rs
@@ -375,6 +375,17 @@
     assert_eq!(silence.check(next, || Ok(())), Verdict::Replace);
 }
 
+/// Guards against a host whose timers are always late, for example for want of processor time, and which therefore never looks
+/// for another server.
+#[test]
+fn a_host_whose_timers_are_always_late_replaces_a_server_all_the_same() {
+    let mut silence = Silence::new(Awaited::NextEvent, at(0));
+
+    let verdicts: Vec<_> = (0..2).map(|_| silence.check(silence.check_at() + at(40), || Ok(()))).collect();
+
+    assert_eq!(verdicts, [Verdict::Wait, Verdict::Replace]);
+}
+
 /// Guards against more runs than a route allows while attempts are in progress side by side.
 #[test]
 fn attempts_in_progress_count_as_runs() {
