--- a/src/relay.rs
+++ b/src/relay.rs
@@ -2,15 +2,16 @@
 //!
 //! 1. [`routes`] maps host name and path to a route and an API key to a workspace; [`request`] is the result.
 //! 2. [`admission`] decides whether the request is sent at all while its service is overloaded.
-//! 3. [`run`] makes the attempts of the request. It asks `choose` and [`place`] for a server, [`pool`] for a
-//!    connection, and [`attempts`] after a failure whether another attempt may follow.
+//! 3. [`run`] makes the attempts of the request, each an `attempt`. It asks `choose` and [`place`] for a server, [`pool`]
+//!    for a connection, and [`attempts`] after a failure whether another attempt may follow. [`hold`] begins another one
+//!    beside an attempt whose server is silent, as [`silence`] decides.
 //! 4. [`answer`] and [`stream`] pass the answer back.
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
-//! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`].
-//! The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], [`stream`], [`follow`] and
+//! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
+//! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], `attempt`, [`hold`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
--- a/src/relay/hold.rs
+++ b/src/relay/hold.rs
@@ -249,11 +249,11 @@
     /// Records that a server is silent: others are preferred from now on.
     fn note_silence(&self, watched: &Watched, awaited: Awaited, verdict: Verdict) {
         let relay = &self.relay;
-        let (next, is_preferred) = match verdict {
-            Verdict::Hold(obstacle) => (obstacle.as_str(), self.is_only_choice(obstacle)),
+        let (next, is_only_choice) = match verdict {
+            Verdict::Hold(obstacle) => (obstacle.as_str(), obstacle.leaves_no_choice()),
             Verdict::Replace | Verdict::Wait => ("another attempt", false),
         };
-        if awaited == Awaited::NextEvent || !is_preferred {
+        if awaited == Awaited::NextEvent || !is_only_choice {
             relay.record_wait(&self.req, watched.sent);
             relay.avoid_backend(watched.key, Failure::Silent.as_str());
             relay.pool.clear(watched.key);
@@ -266,11 +266,6 @@
         });
     }
 
-    /// Whether a silent server is the only one that may get the request, whatever it does.
-    fn is_only_choice(&self, obstacle: Obstacle) -> bool {
-        matches!(obstacle, Obstacle::NoServer(_) | Obstacle::Stop(StopReason::Attempts))
-    }
-
     /// Counts and logs how a silence ended.
     fn end_silence<T>(&mut self, attempting: &Attempting, won: &Result<Won<T, W>, Failed>) {
         let Some(since) = attempting.silent_since else { return };
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -114,7 +114,7 @@
         loop {
             let Some(begun) = self.begin_unless_quarantined().await else { return self.cancel() };
             let failed = match begun {
-                Ok(Begun::Stream(source, first)) => return stream::respond(self, *source, first),
+                Ok(Begun::Stream(source, first)) => return stream::respond(self, source, first),
                 Ok(Begun::Other(answered)) => match self.buffer_answer(*answered).await {
                     Ok(response) => return response,
                     Err(failed) => failed,
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -74,6 +74,11 @@
             Obstacle::Discontinued(reason) => reason.as_str(),
         }
     }
+
+    /// Whether no other server could get the request, however this host and the silent server fare.
+    pub fn leaves_no_choice(self) -> bool {
+        matches!(self, Obstacle::NoServer(_) | Obstacle::Stop(StopReason::Attempts))
+    }
 }
 
 /// What follows when the time to look has come.
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -118,7 +118,7 @@
 /// The response whose body continues with the stream.
 pub(crate) fn respond<W: Wire>(
     mut run: Run<W>,
-    source: Source<W>,
+    source: Box<Source<W>>,
     first: Option<CompleteEvents>,
 ) -> Response<AnswerBody> {
     let relay = run.relay.clone();
@@ -132,11 +132,11 @@
     let first = match first {
         Some(first) => {
             record_first_event(&run, &source);
-            events.source = Some(Box::new(source));
+            events.source = Some(source);
             Some(events.accept(first))
         }
         None => {
-            events.end(&mut run, source);
+            events.end(&mut run, *source);
             None
         }
     };
