--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -44,6 +44,8 @@
 /// shorter than callers wait.
 const MIN_SILENCE: Duration = Duration::from_millis(1_400);
 const MAX_SILENCE: Duration = Duration::from_millis(1_900);
+/// Time after a silence before the next one, so that two of them are not one that outlasts requests.
+const SILENCE_GAP: Duration = Duration::from_millis(1_000);
 /// Time for which a draining server keeps serving, so that requests wrongly sent to it are observed.
 const DRAIN_LINGER: Duration = Duration::from_millis(8_000);
 
@@ -188,6 +190,7 @@
         tokio::time::sleep(duration.clamp(MIN_SILENCE, MAX_SILENCE)).await;
         set_silent(false);
         self.history.record(Observation::Silence { from, to: Instant::now() });
+        tokio::time::sleep(SILENCE_GAP).await;
     }
 
     /// Drains a server, which keeps serving for a while before it ends. Another one replaces it at once.
