Test that attempts which are no longer needed are closed

Guards against servers that go on working for a request that another one answers, or whose caller has left, now that two attempts may be in progress. It passes; no change of code.

--- a/tests/relay_silence.rs
+++ b/tests/relay_silence.rs
@@ -176,6 +176,29 @@
     assert_eq!(wire::header(&second.requests()[0], "last-event-id").as_deref(), Some("1"));
 }
 
+/// Guards against servers that go on working for a request that another one answers, or whose caller has left: the connections of
+/// all attempts are closed.
+#[tokio::test]
+async fn attempts_that_are_no_longer_needed_are_closed() {
+    let (hung, quick) =
+        (Server::start("i-1", [ScriptStep::Hang]).await, Server::start("i-2", [ok_step()]).await);
+    let answered = host_with(1e9, &[&hung, &quick], configuration()).await;
+    let (first, second) =
+        (Server::start("i-1", [ScriptStep::Hang]).await, Server::start("i-2", [ScriptStep::Hang]).await);
+    let left = host_with(1e9, &[&first, &second], configuration()).await;
+    let mut caller = left.connect().await;
+
+    let got = answered.call(&request("/safe/x", "")).await;
+    caller.send(&request("/safe/x", "")).await;
+    wire::wait_until("an attempt beside the silent one", || !second.requests().is_empty()).await;
+    drop(caller);
+
+    assert_eq!(status(&got), 200, "{got}");
+    wire::wait_until("the server that was replaced to be left", || hung.closed_connections() == 1).await;
+    let are_left = || first.closed_connections() == 1 && second.closed_connections() == 1;
+    wire::wait_until("both servers to be left", are_left).await;
+}
+
 /// Guards against a host that stands still and takes the time for silence of its servers: it would give up all of its streams at
 /// once when it runs again.
 #[tokio::test]
