Tell a pause of a resumed stream by its attempt, not by its server

Cause: since attempts are values of their own, a pause counted as `resumed` only if another server went on; a stream that the same server resumes was counted under another cause, unlike before. Change: the start of the attempt is compared. No decision changes. Result: formatter, linter and the tests of silence, streams and pace pass.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -186,7 +186,8 @@
             self.end(run, *source);
             return None;
         };
-        run.relay.record_pause(&run.req, source.key(), waiting_since, source.key() != key);
+        let is_resumed = source.answered.attempt.sent != sent;
+        run.relay.record_pause(&run.req, source.key(), waiting_since, is_resumed);
         self.source = Some(source);
         Some(Ok(self.accept(events)))
     }
