Decide on causes of crashes again while answers begin after the last crash

Cause: a part whose answers began before is refused once eight other answers have begun without it since the first crash, but that was looked at only after a crash. With seven servers down within a second, three answers had begun at the last one; 32 had three seconds later, and nothing was decided until another server crashed. Change: for 10 s after a crash answers that begin have causes decided on again, four times a second at most. No bound or threshold changes.

--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -31,14 +31,22 @@
 /// Time after a crash until which hosts still tell of the requests that were there, so that nothing is decided on it yet.
 pub const SETTLING_PERIOD: Duration = Duration::from_millis(80);
 
+/// Time after a crash within which causes are decided on again while answers begin: each one that lacks a cause speaks against
+/// it. The first ones may come only after servers have started again.
+const RECONSIDERATION_PERIOD: Duration = Duration::from_secs(10);
+/// Time between such decisions.
+const RECONSIDERATION_INTERVAL: Duration = Duration::from_millis(250);
+
 /// What a host knows of crashes and their causes.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
     evidence: Evidence,
     begun: Begun,
     quarantine: Quarantine,
-    /// Until when crashes are settling on which nothing is decided yet.
+    /// Until when crashes are settling on which nothing is decided yet, or when causes are decided on again.
     settles_at: Option<Instant>,
+    /// Until when answers that begin have causes decided on again.
+    reconsiders_until: Instant,
 }
 
 impl Crashes {
@@ -50,6 +58,9 @@
     /// Records that an answer began at some time, so that its causes do not crash servers.
     pub fn record_begun(&mut self, now: Instant, at: Instant, causes: &Causes) -> Vec<Change> {
         self.begun.record(at, causes);
+        if now < self.reconsiders_until {
+            self.decide_at(now + RECONSIDERATION_INTERVAL);
+        }
         self.quarantine.record_begun(now, at, causes)
     }
 
@@ -201,7 +212,8 @@
 
     /// Decides on a content that was at a crash, at once, and on parts after the crash that is known last has settled.
     fn on_crash(&mut self, now: Instant, content: Option<CauseKey>) -> Vec<Change> {
-        self.settles_at.get_or_insert(now + SETTLING_PERIOD);
+        self.reconsiders_until = now + RECONSIDERATION_PERIOD;
+        self.decide_at(now + SETTLING_PERIOD);
         let crashes = self.evidence.crashes();
         let found = content.and_then(|key| attribution::attribute_content(&crashes, &self.begun, key));
         let mut changes = Vec::new();
@@ -210,6 +222,11 @@
         changes
     }
 
+    /// Has causes decided on at this time, unless that is due earlier.
+    fn decide_at(&mut self, at: Instant) {
+        self.settles_at = Some(self.settles_at.map_or(at, |due| due.min(at)));
+    }
+
     /// Puts the crashes down to causes. Those that have just happened wait until all hosts have told of them.
     fn decide(&mut self, now: Instant) -> Vec<Change> {
         let mut crashes = self.evidence.crashes();
--- a/tests/relay_crash_causes.rs
+++ b/tests/relay_crash_causes.rs
@@ -233,6 +233,24 @@
     }
 }
 
+/// Guards against a part that turned bad and is sent until the next crash, though the answers that speak against it have begun.
+#[test]
+fn a_part_that_turned_bad_is_refused_once_other_answers_begin_after_the_last_crash() {
+    let mut host = host();
+    begin(&mut host, 100, &[FIRST, BAD]);
+    for n in 0..5 {
+        crash(&mut host, START_MS + u64::from(n) * 150, 10 + n, &[&[FIRST, BAD]]);
+    }
+    decide(&mut host, START_MS + 600);
+    assert!(!is_refused(&host, &[FIRST, BAD]), "no answer has begun since");
+
+    (0..8).for_each(|n| begin(&mut host, START_MS + 2_000 + n, &[FIRST]));
+    decide(&mut host, START_MS + 2_250);
+
+    assert!(is_refused(&host, &[FIRST, BAD]));
+    assert!(!is_refused(&host, &[FIRST]));
+}
+
 /// Guards against a host that is cut off from servers, or whose connections are reset, and takes that for crashes.
 #[test]
 fn breaks_without_a_crash_count_for_nothing() {
