--- a/tests/support/crash_model.rs
+++ b/tests/support/crash_model.rs
@@ -314,18 +314,6 @@
         let counts_sound = bad.is_none() && first && self.now > self.plan.length_ms / 2;
         self.outcome.sound += usize::from(counts_sound);
         self.outcome.bad_at_end += usize::from(bad.is_some() && first && at_end);
-        if let Verdict::Refuse { cause, .. } = verdict
-            && bad.is_none()
-            && std::env::var("DBG").is_ok()
-        {
-            let q: Vec<_> = self.hosts[host]
-                .crashes
-                .quarantines(ms(self.now))
-                .into_iter()
-                .filter(|q| q.cause == cause.0 || !q.cleared)
-                .collect();
-            println!("DBG now {} host {host} parts {:?} cause {cause:?} {q:?}", self.now, causes.parts);
-        }
         if matches!(verdict, Verdict::Refuse { .. }) {
             self.outcome.sound_refused += usize::from(bad.is_none());
             return;
@@ -442,22 +430,6 @@
 
     /// Sends what a host has to tell.
     fn exchange(&mut self, from: usize) {
-        if std::env::var("DBG").is_ok() {
-            for q in self.hosts[from].crashes.quarantines(ms(self.now)) {
-                println!(
-                    "EX {} host {from} {:?} others {:?} gen {} cleared {} crashes {} servers {:?} since {} last {}",
-                    self.now,
-                    q.cause,
-                    q.others,
-                    q.generation,
-                    q.cleared,
-                    q.crashes,
-                    q.servers,
-                    self.now as i64 - i64::from(q.since_ms),
-                    self.now as i64 - i64::from(q.last_ms)
-                );
-            }
-        }
         let reports = self.hosts[from].crashes.take_reports(ms(self.now));
         let due = self.hosts[from].crashes.take_due(ms(self.now));
         for to in (0..self.hosts.len()).filter(|to| *to != from) {
