Name the time of the next decision on crashes by what it is now

It is no longer only the end of a settling time. A field is renamed; behaviour stays as it is. Linter of the library and tests of crash causes pass.

--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -43,8 +43,8 @@
     evidence: Evidence,
     begun: Begun,
     quarantine: Quarantine,
-    /// Until when crashes are settling on which nothing is decided yet, or when causes are decided on again.
-    settles_at: Option<Instant>,
+    /// When causes are decided on next: once the latest crashes have settled, or again while answers begin.
+    decides_at: Option<Instant>,
     /// Until when answers that begin have causes decided on again.
     reconsiders_until: Instant,
 }
@@ -186,7 +186,7 @@
 
     /// Makes the decision that is due, if there is one.
     pub fn settle(&mut self, now: Instant) -> Vec<Change> {
-        let mut changes = match self.settles_at {
+        let mut changes = match self.decides_at {
             Some(at) if at <= now => self.decide(now),
             _ => Vec::new(),
         };
@@ -196,7 +196,7 @@
 
     /// When the next decision is due.
     pub fn next_decision(&self) -> Option<Instant> {
-        self.settles_at.into_iter().chain(self.quarantine.next_due()).min()
+        self.decides_at.into_iter().chain(self.quarantine.next_due()).min()
     }
 
     /// Number of servers and of causes that are remembered.
@@ -224,14 +224,14 @@
 
     /// Has causes decided on at this time, unless that is due earlier.
     fn decide_at(&mut self, at: Instant) {
-        self.settles_at = Some(self.settles_at.map_or(at, |due| due.min(at)));
+        self.decides_at = Some(self.decides_at.map_or(at, |due| due.min(at)));
     }
 
     /// Puts the crashes down to causes. Those that have just happened wait until all hosts have told of them.
     fn decide(&mut self, now: Instant) -> Vec<Change> {
         let mut crashes = self.evidence.crashes();
         let settled = crashes.partition_point(|(_, crash)| crash.at + SETTLING_PERIOD <= now);
-        self.settles_at = crashes.get(settled).map(|(_, crash)| crash.at + SETTLING_PERIOD);
+        self.decides_at = crashes.get(settled).map(|(_, crash)| crash.at + SETTLING_PERIOD);
         let mut changes = Vec::new();
         if !self.quarantine.is_empty() {
             for (server, crash) in &crashes {
