Count the time of a caller's head from its first byte

What callers saw: a kept connection that had been idle for some of the idle limit was closed without an answer while its next head arrived in parts; and one that was idle when a configuration lengthened the idle limit was closed after the old limit, so that the close crossed a request.

Cause: hyper's one timer for the wait for a head had the idle limit of the time when the connection was opened, and ran from idle up to the whole head. The limit for heads of the configuration was not used at all.

Why it works: the connection has a timer of its own, which sees when bytes arrive. The idle limit counts only until the first byte, the limit for heads from then on. Each is the longest in force since the connection was opened, because a caller may not have seen the newest configuration yet, or may use it already. At its end the timer looks at the limits in force once more. The runtime delivers what has arrived before it fires timers, so a host that stood still reads first.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request as HttpRequest, Response, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
@@ -28,6 +28,10 @@
     util::now,
 };
 
+pub mod head_timer;
+
+use head_timer::HeadTimer;
+
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Retry delay for callers that a leaving host refuses: other hosts can serve them already.
@@ -107,21 +111,32 @@
     TcpListener::bind(addr).await.with_context(|| format!("could not listen on {addr}"))
 }
 
+impl<W: Wire> Relay<W> {
+    /// The limits of callers' requests and connections in force.
+    fn caller_limits(&self) -> CallerLimits {
+        self.routes().map(|r| r.limits()).unwrap_or_else(|| Routes::default().limits())
+    }
+}
+
 /// Serves one connection of a caller.
 async fn serve<W: Wire>(relay: Arc<Relay<W>>, stream: TcpStream, from: SocketAddr) {
     // Callers on unreliable links may be unreachable for seconds and still get their answer, so no timeout is set.
     pool::configure_socket(&stream, None);
-    let limits = relay.routes().map(|r| r.limits()).unwrap_or_else(|| Routes::default().limits());
+    let limits = relay.caller_limits();
     let service = service_fn(|req| {
         let relay = relay.clone();
         async move { Ok::<_, Infallible>(answer(relay, req, limits).await) }
     });
+    let timer = HeadTimer::new({
+        let relay = relay.clone();
+        move || relay.caller_limits()
+    });
     let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(timer.clone())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.into()))
         .max_header_size(limits.head_bytes as usize)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(timer.observe(stream)), service);
     let mut conn = std::pin::pin!(conn);
     let mut closing = relay.closing.subscribe();
     relay.count_connection(true);
--- /dev/null
+++ b/tests/relay_time_limits.rs
@@ -0,0 +1,134 @@
+//! Time limits that callers' connections meet: a caller that keeps to the limits of the configuration is never given up.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::time::Duration;
+
+use cranberrytally::{
+    relay::inbound::head_timer::HeadWait,
+    schema::fleet::{CallerLimits, Configuration},
+};
+use wire::{Caller, Host, ScriptStep, Server, configuration, ok, request, status};
+
+/// Longer than any wait of these tests.
+const LONG_MS: u32 = 60_000;
+
+async fn server() -> Server {
+    Server::start("i-1", [ScriptStep::Write(ok("fine"))]).await
+}
+
+/// The fixture's configuration with other limits.
+fn limited(version: u64, change: impl FnOnce(&mut CallerLimits)) -> Configuration {
+    let mut cfg = Configuration { version, ..configuration() };
+    change(cfg.limits.as_mut().unwrap());
+    cfg
+}
+
+async fn host_with(cfg: Configuration, server: &Server) -> Host {
+    let host = Host::without_configuration().await;
+    host.relay.set_configuration(cfg, "test");
+    host.set_servers(&[server]);
+    host
+}
+
+/// Sends a request in two parts, the first of which ends within the head.
+async fn send_in_parts(caller: &mut Caller, req: &str, pause: Duration) {
+    let (start, rest) = req.split_at(req.find("Key:").unwrap());
+    caller.send(start).await;
+    tokio::time::sleep(pause).await;
+    caller.send(rest).await;
+}
+
+/// Guards against a caller that is cut off within a head because the time in which its connection was idle counts as time
+/// of the head.
+#[tokio::test]
+async fn time_in_which_a_connection_is_idle_does_not_count_for_the_next_head() {
+    let server = server().await;
+    let limits = |l: &mut CallerLimits| (l.idle_ms, l.head_ms) = (2_000, LONG_MS);
+    let host = host_with(limited(1, limits), &server).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/unsafe/x", "")).await;
+    caller.answer().await;
+
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    send_in_parts(&mut caller, &request("/unsafe/y", ""), Duration::from_millis(1_500)).await;
+    let got = caller.answer().await;
+
+    assert_eq!(status(&got), 200, "{got:?}");
+}
+
+/// Guards against a connection that is closed after the idle limit of an earlier configuration, while its caller uses it by
+/// the limit of the newest one.
+#[tokio::test]
+async fn a_longer_idle_limit_applies_to_open_connections() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| l.idle_ms = 1_000), &server).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/unsafe/x", "")).await;
+    caller.answer().await;
+
+    host.relay.set_configuration(limited(2, |l| l.idle_ms = LONG_MS), "test");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    caller.send(&request("/unsafe/y", "")).await;
+    let got = caller.answer().await;
+
+    assert_eq!(status(&got), 200, "{got:?}");
+}
+
+/// Guards against a connection that is closed after the shorter idle limit of a configuration which its caller may not have
+/// seen yet.
+#[tokio::test]
+async fn a_shorter_idle_limit_does_not_close_open_connections_early() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| l.idle_ms = LONG_MS), &server).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/unsafe/x", "")).await;
+    caller.answer().await;
+
+    host.relay.set_configuration(limited(2, |l| l.idle_ms = 100), "test");
+    for _ in 0..2 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        caller.send(&request("/unsafe/y", "")).await;
+        let got = caller.answer().await;
+
+        assert_eq!(status(&got), 200, "{got:?}");
+    }
+}
+
+/// Guards against connections that stay open for ever once their caller is gone without a word.
+#[tokio::test]
+async fn an_idle_connection_is_closed_after_the_limit() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| l.idle_ms = 200), &server).await;
+    let mut caller = host.connect().await;
+    caller.send(&request("/unsafe/x", "")).await;
+    caller.answer().await;
+
+    assert_eq!(caller.answer().await, "");
+}
+
+/// Guards against a limit that ends a wait too early after a change: the idle limit counts until a byte arrives, the limit of
+/// the head from then on, each the longest since the connection was opened.
+#[test]
+fn a_wait_for_a_head_ends_by_the_longest_limit_of_what_is_awaited() {
+    let at = Duration::from_millis;
+    let limits = |idle_ms, head_ms| CallerLimits { idle_ms, head_ms, ..CallerLimits::default() };
+    let mut wait = HeadWait::new(at(0), limits(1_000, 300));
+    assert_eq!(wait.deadline(), at(1_000));
+
+    wait.extend(limits(2_000, 100));
+    assert_eq!(wait.deadline(), at(2_000));
+
+    wait.extend(limits(500, 200));
+    assert_eq!(wait.deadline(), at(2_000));
+
+    wait.hear(at(1_900));
+    wait.hear(at(2_100));
+    assert_eq!(wait.deadline(), at(2_200));
+
+    wait.begin(at(3_000));
+    assert_eq!(wait.deadline(), at(5_000));
+}
