Refuse a request whose head takes too long as not run

What callers saw: a connection that was closed in the middle of a head, without an answer, though the limit for heads and status 408 tell them that the request has not run.

Cause: the HTTP library closes a connection whose head is late without an answer.

Evidence: a_head_that_takes_too_long_is_refused_as_not_run and a_caller_that_goes_on_sending_a_late_head_reads_the_refusal failed on the code before (an empty answer; the refusal is not counted) and pass now.

Why it works: after the library's timeout the host takes the socket back and writes the refusal itself, closes its direction and reads what still arrives for up to a second, since a socket that is closed with unread bytes is reset and the refusal would be lost. Idle connections are closed without a word as before. New kind of error head_timeout, with its row for callers.

--- a/src/error.rs
+++ b/src/error.rs
@@ -33,6 +33,8 @@
     BadRequest,
     /// The body exceeds the limit.
     BodyTooLarge,
+    /// The head did not arrive in time.
+    HeadTimeout,
     /// The body did not arrive in time.
     BodyTimeout,
     /// The request has no `content-length`.
@@ -130,9 +132,10 @@
 
 impl ErrorKind {
     /// All kinds.
-    pub const ALL: [ErrorKind; 41] = [
+    pub const ALL: [ErrorKind; 42] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
+        ErrorKind::HeadTimeout,
         ErrorKind::BodyTimeout,
         ErrorKind::LengthRequired,
         ErrorKind::NotFound,
@@ -185,6 +188,9 @@
             ErrorKind::BodyTooLarge => {
                 row(413, "body_too_large", Ran::No, None, "The body exceeds the limit")
             }
+            ErrorKind::HeadTimeout => {
+                row(408, "head_timeout", Ran::No, Some(0), "The head did not arrive in time")
+            }
             ErrorKind::BodyTimeout => {
                 row(408, "body_timeout", Ran::No, Some(0), "The body did not arrive in time")
             }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -125,7 +125,7 @@
         (Ran::No, ErrorKind::UnknownWorkspace) => StatusCode::UNAUTHORIZED,
         (Ran::No, ErrorKind::BadRequest) => StatusCode::BAD_REQUEST,
         (Ran::No, ErrorKind::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
-        (Ran::No, ErrorKind::BodyTimeout) => StatusCode::REQUEST_TIMEOUT,
+        (Ran::No, ErrorKind::HeadTimeout | ErrorKind::BodyTimeout) => StatusCode::REQUEST_TIMEOUT,
         (Ran::No, ErrorKind::WorkspaceLimit | ErrorKind::GroupLimit) => StatusCode::TOO_MANY_REQUESTS,
         (Ran::No, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, ErrorKind::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -1,7 +1,7 @@
 //! Serves the connections of callers: reads a request, matches it against the configuration, and passes it to
 //! [`super::run`].
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -29,6 +29,7 @@
 };
 
 pub mod head_timer;
+mod late_head;
 
 use head_timer::HeadTimer;
 
@@ -137,25 +138,32 @@
         .max_header_size(limits.head_bytes as usize)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(timer.observe(stream)), service);
-    let mut conn = std::pin::pin!(conn);
+    let mut conn = conn;
     let mut closing = relay.closing.subscribe();
     relay.count_connection(true);
     let ended = tokio::select! {
-        result = conn.as_mut() => Some(result),
+        result = &mut conn => Some(result),
         // The guard must be dropped: it would hold the lock of the channel while the connection closes.
         () = async { drop(closing.wait_for(|closing| *closing).await) } => None,
     };
     let result = match ended {
         Some(result) => result,
         None => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+            Pin::new(&mut conn).graceful_shutdown();
+            (&mut conn).await
         }
     };
-    relay.count_connection(false);
     if let Err(e) = result {
         spdlog::debug!("connection of {from} ended: {e}");
+        if e.is_timeout() && timer.has_begun() {
+            let refusal = refuse(&relay, "", ErrorKind::HeadTimeout);
+            let stream = conn.into_parts().io.into_inner().into_inner();
+            if let Err(e) = late_head::refuse(stream, refusal).await {
+                spdlog::debug!("could not refuse a late request of {from}: {e}");
+            }
+        }
     }
+    relay.count_connection(false);
 }
 
 async fn answer<W: Wire>(
@@ -168,17 +176,7 @@
             let _entered = relay.track_request();
             run::run(relay.clone(), req).await
         }
-        Err((id, kind)) => {
-            line(Level::Notable, "refused", |l| {
-                let l = l.text("request", &id).text("kind", kind.answer().code);
-                let l = l.number("version", relay.routes().map_or(0, |r| r.version()));
-                l.ms("confirmed_ms", relay.configuration_age())
-            });
-            relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
-            relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
-            let retry_after = kind.answer().retry_after_s.is_some().then(|| retry_after_for(&relay, kind));
-            relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after })
-        }
+        Err((id, kind)) => refuse(&relay, &id, kind),
     };
     if relay.is_leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -186,6 +184,19 @@
     response
 }
 
+/// Refuses a request before an attempt.
+fn refuse<W: Wire>(relay: &Relay<W>, id: &str, kind: ErrorKind) -> Response<AnswerBody> {
+    line(Level::Notable, "refused", |l| {
+        let l = l.text("request", id).text("kind", kind.answer().code);
+        let l = l.number("version", relay.routes().map_or(0, |r| r.version()));
+        l.ms("confirmed_ms", relay.configuration_age())
+    });
+    relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
+    relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
+    let retry_after = kind.answer().retry_after_s.is_some().then(|| retry_after_for(relay, kind));
+    relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after })
+}
+
 /// The retry delay for a caller that is refused before an attempt.
 fn retry_after_for<W: Wire>(relay: &Relay<W>, kind: ErrorKind) -> Duration {
     if kind == ErrorKind::NotReady && relay.is_alone_without_configuration(STARTUP_PERIOD) {
--- a/src/relay/inbound/head_timer.rs
+++ b/src/relay/inbound/head_timer.rs
@@ -88,6 +88,11 @@
     pub(super) fn observe(&self, stream: TcpStream) -> ObservedStream {
         ObservedStream { stream, wait: self.wait.clone() }
     }
+
+    /// Whether a part of a head has arrived in the current wait.
+    pub(super) fn has_begun(&self) -> bool {
+        lock(&self.wait).first_byte.is_some()
+    }
 }
 
 /// hyper uses the timer of a connection only to limit the wait for a head, and asks for a new sleep when the wait begins. The
@@ -144,6 +149,12 @@
     wait: Arc<Mutex<HeadWait>>,
 }
 
+impl ObservedStream {
+    pub(super) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use cranberrytally::{
+    metrics::Counter,
     relay::inbound::head_timer::HeadWait,
     schema::fleet::{CallerLimits, Configuration},
 };
-use wire::{Caller, Host, ScriptStep, Server, configuration, ok, request, status};
+use wire::{Caller, Host, ScriptStep, Server, configuration, header, is_complete, ok, request, status};
 
 /// Longer than any wait of these tests.
 const LONG_MS: u32 = 60_000;
@@ -98,6 +99,51 @@
     }
 }
 
+/// Guards against a caller whose head takes too long and that is not told that its request has not run.
+#[tokio::test]
+async fn a_head_that_takes_too_long_is_refused_as_not_run() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| l.head_ms = 300), &server).await;
+    let mut caller = host.connect().await;
+    for sent_before in 0..2 {
+        let req = request("/unsafe/x", "");
+        caller.send(req.split_at(req.find("Key:").unwrap()).0).await;
+
+        let got = caller.answer().await;
+
+        assert_eq!(status(&got), 408, "{got:?}");
+        assert_eq!(header(&got, "connection").as_deref(), Some("close"), "{got:?}");
+        assert!(is_complete(&got), "{got:?}");
+        assert_eq!(caller.answer().await, "", "the connection stays open");
+        assert_eq!(server.requests().len(), sent_before);
+        caller = host.connect().await;
+        caller.send(&req).await;
+        assert_eq!(status(&caller.answer().await), 200);
+    }
+}
+
+/// Guards against a refusal that a caller loses because it goes on sending: a connection that is closed with unread bytes is
+/// reset, and what was written on it is lost.
+#[tokio::test]
+async fn a_caller_that_goes_on_sending_a_late_head_reads_the_refusal() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| l.head_ms = 100), &server).await;
+    let mut caller = host.connect().await;
+
+    caller.send("POST /unsafe/x HTTP/1.1\r\n").await;
+    wire::wait_until("the head to take too long", || {
+        host.relay.metrics().totals(Counter::RelayRefusals).contains_key("head_timeout")
+    })
+    .await;
+    for _ in 0..3 {
+        caller.send("X-Late: 1\r\n").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let got = caller.answer().await;
+
+    assert_eq!(status(&got), 408, "{got:?}");
+}
+
 /// Guards against connections that stay open for ever once their caller is gone without a word.
 #[tokio::test]
 async fn an_idle_connection_is_closed_after_the_limit() {
