Apply the size limits in force to requests on open connections

Cause: the limits were read once when a connection was opened.

Evidence: larger_size_limits_apply_to_open_connections failed on the code before (431 for the head) and passes now, including that the limits still refuse after they are lowered.

Why it works: both sizes are checked with the limits in force when the request arrives. The HTTP library's own limit for heads cannot change on an open connection; it is 64 KiB or the configured one if that is higher. New kind of error head_too_large, with its row for callers; heads over 64 KiB get the library's 431 as before.

--- a/src/error.rs
+++ b/src/error.rs
@@ -31,6 +31,8 @@
 pub enum ErrorKind {
     /// The request is malformed.
     BadRequest,
+    /// The head exceeds the limit.
+    HeadTooLarge,
     /// The body exceeds the limit.
     BodyTooLarge,
     /// The head did not arrive in time.
@@ -132,8 +134,9 @@
 
 impl ErrorKind {
     /// All kinds.
-    pub const ALL: [ErrorKind; 42] = [
+    pub const ALL: [ErrorKind; 43] = [
         ErrorKind::BadRequest,
+        ErrorKind::HeadTooLarge,
         ErrorKind::BodyTooLarge,
         ErrorKind::HeadTimeout,
         ErrorKind::BodyTimeout,
@@ -185,6 +188,9 @@
             ErrorKind::BadRequest => {
                 row(400, "bad_request", Ran::No, None, "The request can't be understood")
             }
+            ErrorKind::HeadTooLarge => {
+                row(431, "head_too_large", Ran::No, None, "The head exceeds the limit")
+            }
             ErrorKind::BodyTooLarge => {
                 row(413, "body_too_large", Ran::No, None, "The body exceeds the limit")
             }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -124,6 +124,7 @@
         (Ran::No, ErrorKind::NotFound) => StatusCode::NOT_FOUND,
         (Ran::No, ErrorKind::UnknownWorkspace) => StatusCode::UNAUTHORIZED,
         (Ran::No, ErrorKind::BadRequest) => StatusCode::BAD_REQUEST,
+        (Ran::No, ErrorKind::HeadTooLarge) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         (Ran::No, ErrorKind::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (Ran::No, ErrorKind::HeadTimeout | ErrorKind::BodyTimeout) => StatusCode::REQUEST_TIMEOUT,
         (Ran::No, ErrorKind::WorkspaceLimit | ErrorKind::GroupLimit) => StatusCode::TOO_MANY_REQUESTS,
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use http::{HeaderValue, Request as HttpRequest, Response, header, request};
+use http::{HeaderName, HeaderValue, Request as HttpRequest, Response, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -48,6 +48,9 @@
 const STARTUP_WAIT: Duration = Duration::from_millis(20);
 /// Interval at which a waiting request checks for the configuration.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(4);
+/// Maximum size of a head that is parsed, in bytes, unless the configuration allows more. A connection may have been opened
+/// under a lower limit than the one in force.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Timeout for receiving a body; callers on slow links need some seconds.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -126,7 +129,7 @@
     let limits = relay.caller_limits();
     let service = service_fn(|req| {
         let relay = relay.clone();
-        async move { Ok::<_, Infallible>(answer(relay, req, limits).await) }
+        async move { Ok::<_, Infallible>(answer(relay, req).await) }
     });
     let timer = HeadTimer::new({
         let relay = relay.clone();
@@ -135,7 +138,7 @@
     let conn = http1::Builder::new()
         .timer(timer.clone())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.into()))
-        .max_header_size(limits.head_bytes as usize)
+        .max_header_size(MAX_HEAD_BYTES.max(limits.head_bytes as usize))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(timer.observe(stream)), service);
     let mut conn = conn;
@@ -166,12 +169,8 @@
     relay.count_connection(false);
 }
 
-async fn answer<W: Wire>(
-    relay: Arc<Relay<W>>,
-    req: HttpRequest<Incoming>,
-    limits: CallerLimits,
-) -> Response<AnswerBody> {
-    let mut response = match read_request(&relay, req, limits).await {
+async fn answer<W: Wire>(relay: Arc<Relay<W>>, req: HttpRequest<Incoming>) -> Response<AnswerBody> {
+    let mut response = match read_request(&relay, req).await {
         Ok(req) => {
             let _entered = relay.track_request();
             run::run(relay.clone(), req).await
@@ -218,7 +217,6 @@
 async fn read_request<W: Wire>(
     relay: &Relay<W>,
     req: HttpRequest<Incoming>,
-    limits: CallerLimits,
 ) -> Result<Request, (Arc<str>, ErrorKind)> {
     let arrived = now();
     let (head, body) = req.into_parts();
@@ -227,7 +225,8 @@
     if !relay.has_run_for(STARTUP_PERIOD) {
         wait_for_configuration(relay).await;
     }
-    let matched = find_route(relay, &parsed, &head);
+    let limits = relay.caller_limits();
+    let matched = check_size(&head, limits).and_then(|()| find_route(relay, &parsed, &head));
     let body = read_body(body, &head, limits).await.map_err(|kind| (id.clone(), kind))?;
     let Matched { version, route, caller } = matched.map_err(|kind| (id.clone(), kind))?;
     let Some(service) = route.service(relay.draw()) else { return Err((id, ErrorKind::NoEngine)) };
@@ -256,6 +255,16 @@
     Ok(request)
 }
 
+/// Checks the size of a head, about as it was sent.
+fn check_size(head: &request::Parts, limits: CallerLimits) -> Result<(), ErrorKind> {
+    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let first_line = head.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let line =
+        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + ": \r\n".len();
+    let bytes = first_line + head.headers.iter().map(line).sum::<usize>() + "\r\n".len();
+    if bytes > limits.head_bytes as usize { Err(ErrorKind::HeadTooLarge) } else { Ok(()) }
+}
+
 /// The route and the caller of a request.
 struct Matched {
     version: Version,
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -144,6 +144,30 @@
     assert_eq!(status(&got), 408, "{got:?}");
 }
 
+/// Guards against a request that is refused on an open connection by the size limits of an earlier configuration.
+#[tokio::test]
+async fn larger_size_limits_apply_to_open_connections() {
+    let long_head = request("/unsafe/x", "")
+        .replace("Attempt-Id", &format!("X-Long: {}\r\nAttempt-Id", "x".repeat(9_000)));
+    let cases = [("head", long_head, 431), ("body", request("/unsafe/x", &"x".repeat(1_500)), 413)];
+    for (name, req, refused) in cases {
+        let server = server().await;
+        let host = host_with(limited(1, |_| ()), &server).await;
+        let mut caller = host.connect().await;
+        caller.send(&request("/unsafe/x", "")).await;
+        caller.answer().await;
+
+        let larger = |l: &mut CallerLimits| (l.head_bytes, l.body_bytes) = (16_384, 2_000);
+        host.relay.set_configuration(limited(2, larger), "test");
+        caller.send(&req).await;
+        let on_open = caller.answer().await;
+        host.relay.set_configuration(limited(3, |_| ()), "test");
+        let after_smaller = host.call(&req).await;
+
+        assert_eq!((status(&on_open), status(&after_smaller)), (200, refused), "{name}: {on_open:?}");
+    }
+}
+
 /// Guards against connections that stay open for ever once their caller is gone without a word.
 #[tokio::test]
 async fn an_idle_connection_is_closed_after_the_limit() {
