Read a request's body until its deadline while it makes progress

What callers saw: a body that arrived steadily for longer than 10 s was refused with 408 though its deadline was later; and a caller whose body lacked a part got no answer until 10 s had passed, also where its deadline and the route's timeout were earlier (the rule CONFIG asks for an answer within half a second of the route's timeout).

Cause: one fixed limit of 10 s for the whole body, which knew neither the deadline nor whether bytes arrived.

Why it works: the body has until the deadline of the request, and 10 s without progress end it earlier. 408 still means that the request has not run, since nothing is sent before the body is whole. Requests that are refused whatever their body says keep a limit of 10 s.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -6,7 +6,6 @@
 use anyhow::{Context, Result};
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request as HttpRequest, Response, header, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,12 +24,14 @@
     logs::lines::{Level, line},
     metrics::Counter,
     schema::fleet::CallerLimits,
-    util::now,
+    util::{Instant, now},
 };
 
+pub mod body;
 pub mod head_timer;
 mod late_head;
 
+use body::BodyLimits;
 use head_timer::HeadTimer;
 
 /// Pause after a failed accept, for example when no file descriptor is left.
@@ -51,8 +52,10 @@
 /// Maximum size of a head that is parsed, in bytes, unless the configuration allows more. A connection may have been opened
 /// under a lower limit than the one in force.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Timeout for receiving a body; callers on slow links need some seconds.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time without progress in a body; callers on unreliable links may be unreachable for seconds.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for the body of a request that is refused once it is read.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The parsed head of a caller's request.
 #[derive(Clone, Debug, Default)]
@@ -227,11 +230,17 @@
     }
     let limits = relay.caller_limits();
     let matched = check_size(&head, limits).and_then(|()| find_route(relay, &parsed, &head));
-    let body = read_body(body, &head, limits).await.map_err(|kind| (id.clone(), kind))?;
+    let deadline = match &matched {
+        Ok(matched) => {
+            let timeout = Duration::from_millis(matched.route.route.timeout_ms.into());
+            arrived + parsed.timeout.map_or(timeout, |waits| waits.min(timeout))
+        }
+        Err(_) => arrived + REFUSED_BODY_TIMEOUT,
+    };
+    let body = read_body(body, &head, limits.body_bytes as usize, deadline).await;
+    let body = body.map_err(|kind| (id.clone(), kind))?;
     let Matched { version, route, caller } = matched.map_err(|kind| (id.clone(), kind))?;
     let Some(service) = route.service(relay.draw()) else { return Err((id, ErrorKind::NoEngine)) };
-    let timeout = Duration::from_millis(route.route.timeout_ms.into());
-    let deadline = arrived + parsed.timeout.map_or(timeout, |waits| waits.min(timeout));
     if !relay.accepts(deadline) {
         return Err((id, ErrorKind::Leaving));
     }
@@ -295,17 +304,18 @@
     }
 }
 
-async fn read_body(body: Incoming, head: &request::Parts, limits: CallerLimits) -> Result<Bytes, ErrorKind> {
-    let max_bytes = limits.body_bytes as usize;
+/// Reads the body of a request whose time ends at `until`.
+async fn read_body(
+    body: Incoming,
+    head: &request::Parts,
+    max_bytes: usize,
+    until: Instant,
+) -> Result<Bytes, ErrorKind> {
     let length =
         head.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
     if length.is_some_and(|n| n > max_bytes) {
         return Err(ErrorKind::BodyTooLarge);
     }
-    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Ok(Err(_)) => Err(ErrorKind::BadRequest),
-        Err(_) => Err(ErrorKind::BodyTimeout),
-    }
+    let time = until.saturating_sub(now());
+    body::read(body, BodyLimits { max_bytes, time, stall: BODY_STALL_TIMEOUT }).await
 }
