Wait at shutdown for answers that callers have not read yet

What callers saw: a host that was stopped ended 0.3 s after its last answer was complete on its side, so that a caller which reads slowly lost the rest of a whole answer, seconds before the end of the grace period.

Cause: a request counts as in progress until its answer is handed to the connection, not until it is written; connections then had 300 ms.

Evidence: a_host_that_shuts_down_waits_for_callers_that_read_slowly fails with the limit of 300 ms and passes now; its caller has a small window, like those of the users' machines. The times are in a_leaving_host_accepts_only_what_it_can_finish.

Why it works: once no request is accepted any more, idle connections close at once, and those that are left have something to write or to refuse. They have until 0.2 s before the kill; the host ends as soon as the last one is closed. A caller that is gone without a word delays the end of the process by that time at most.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -37,8 +37,6 @@
 const METRICS_PATH: &str = "/metrics";
 /// Timeout of an idle connection to an auxiliary endpoint: addresses, readiness or metrics.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for connections to close once no request is in progress; the process then ends and cuts the rest.
-const CONNECTION_CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval of the checks whether a leaving host may stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -113,13 +111,7 @@
     while !relay.may_stop() {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
-    relay.stop_accepting();
-    let closed = async {
-        while relay.connections() > 0 {
-            tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        }
-    };
-    let all_closed = tokio::time::timeout(CONNECTION_CLOSE_TIMEOUT, closed).await.is_ok();
+    let all_closed = relay.close_connections().await;
     line(Level::Notable, "stop", |l| l.flag("all_closed", all_closed));
     // Gives the log writer's thread time to write the last lines.
     tokio::time::sleep(STOP_CHECK_INTERVAL).await;
--- a/src/relay/leave.rs
+++ b/src/relay/leave.rs
@@ -21,6 +21,9 @@
 /// Time reserved before the kill so that the last answers can be delivered.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time reserved before the kill for the end of the process itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(200);
+
 /// A shutdown in progress.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Leaving {
@@ -46,4 +49,9 @@
         let late = now + KILL_MARGIN >= self.since + self.cfg.grace;
         (moved && in_progress == 0) || late
     }
+
+    /// How long the last connections may take to close.
+    pub fn time_to_close(&self, now: Instant) -> Duration {
+        (self.since + self.cfg.grace).saturating_sub(now + EXIT_MARGIN)
+    }
 }
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown of a host: from the signal, through the requests in progress, to the last connection.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::{Relay, Wire, leave::Leaving};
 use crate::{
@@ -8,6 +8,9 @@
     util::{Instant, now},
 };
 
+/// Interval at which a host that closes looks for open connections.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 impl<W: Wire> Relay<W> {
     /// Starts the shutdown: no new callers are sent here.
     pub fn leave(&self) {
@@ -33,6 +36,20 @@
         self.closing.send_replace(true);
     }
 
+    /// Accepts no more requests, and waits until the connections of callers are closed, at most until the platform kills the
+    /// process. An answer that is complete here may still be on its way to a caller that reads slowly. Returns whether all
+    /// connections are closed.
+    pub async fn close_connections(&self) -> bool {
+        self.stop_accepting();
+        let all_closed = async {
+            while self.connections() > 0 {
+                tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+            }
+        };
+        let time = self.state().leaving.map_or(Duration::ZERO, |l| l.time_to_close(now()));
+        tokio::time::timeout(time, all_closed).await.is_ok()
+    }
+
     /// Number of open connections of callers.
     pub fn connections(&self) -> usize {
         self.state().connections
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -530,6 +530,9 @@
     assert!(leaving.may_stop(ms(3_300), 0));
     assert!(!leaving.may_stop(ms(3_300), 1));
     assert!(leaving.may_stop(ms(7_500), 1));
+    assert_eq!(leaving.time_to_close(ms(3_300)), ms(4_500));
+    assert_eq!(leaving.time_to_close(ms(7_500)), ms(300));
+    assert_eq!(leaving.time_to_close(ms(8_000)), ms(0));
 }
 
 #[test]
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -20,6 +20,10 @@
 use futures_util::{StreamExt, stream};
 use http_body::{Body, Frame};
 use http_body_util::StreamBody;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpSocket, TcpStream},
+};
 use wire::{Caller, Host, ScriptStep, Server, configuration, header, is_complete, ok, request, status};
 
 /// Longer than any wait of these tests.
@@ -217,6 +221,36 @@
     assert!(server.requests().is_empty());
 }
 
+/// Connects as a caller whose system takes only a few bytes that the caller has not read.
+async fn connect_with_small_window(host: &Host) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.connect(host.addr).await.unwrap()
+}
+
+/// Guards against a host that ends while an answer is still on its way to a caller that reads slowly.
+#[tokio::test]
+async fn a_host_that_shuts_down_waits_for_callers_that_read_slowly() {
+    let body = "x".repeat(3 << 20);
+    let server = Server::start("i-1", [ScriptStep::Write(ok(&body))]).await;
+    let host = host_with(configuration(), &server).await;
+    let mut caller = connect_with_small_window(&host).await;
+    caller.write_all(request("/unsafe/x", "").as_bytes()).await.unwrap();
+    let answered = || host.relay.metrics().totals(Counter::RelayRequests).contains_key("answered");
+    wire::wait_until("the answer to be complete", answered).await;
+
+    host.relay.leave();
+    let relay = host.relay.clone();
+    let closing = tokio::spawn(async move { relay.close_connections().await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let waits = !closing.is_finished();
+    let got = wire::read_answer(&mut caller).await;
+
+    assert!(waits, "the host has ended before the answer was read");
+    assert!(got.ends_with(&body), "{} bytes", got.len());
+    assert!(closing.await.unwrap());
+}
+
 /// Guards against connections that stay open for ever once their caller is gone without a word.
 #[tokio::test]
 async fn an_idle_connection_is_closed_after_the_limit() {
