--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -21,10 +21,13 @@
 use http_body::{Body, Frame};
 use http_body_util::StreamBody;
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
 };
-use wire::{Caller, Host, ScriptStep, Server, configuration, header, is_complete, ok, request, status};
+use wire::{
+    Caller, Host, ScriptStep, Server, chunk, configuration, event_with_data, events, header, is_complete, ok,
+    request, status, stream_head,
+};
 
 /// Longer than any wait of these tests.
 const LONG_MS: u32 = 60_000;
@@ -251,6 +254,83 @@
     assert!(closing.await.unwrap());
 }
 
+/// Guards against a stream whose server is taken for silent while its events wait for a caller that reads slowly.
+#[tokio::test]
+async fn a_caller_that_reads_slowly_gets_its_whole_stream_from_one_server() {
+    // More than the systems of both sides buffer.
+    let data = "x".repeat(256 << 10);
+    let mut parts = vec![stream_head()];
+    parts.extend((1..=30).map(|n| chunk(&event_with_data(n, &data))));
+    parts.push("0\r\n\r\n".into());
+    let first = Server::start("i-1", [ScriptStep::Write(parts.concat())]).await;
+    let second = Server::start("i-2", [ScriptStep::Hang]).await;
+    let mut cfg = configuration();
+    cfg.routes.iter_mut().for_each(|route| route.timeout_ms = LONG_MS);
+    let host = host_with(cfg, &first).await;
+    host.set_servers_at(2, &[&first, &second]);
+    let mut caller = connect_with_small_window(&host).await;
+    let req = request("/stream/x", "").replace("3000", &LONG_MS.to_string());
+    let req = req.replace("Key:", "Connection: close\r\nKey:");
+
+    caller.write_all(req.as_bytes()).await.unwrap();
+    // Longer than a server may be silent between two events.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let waits = host.relay.metrics().totals(Counter::RelayRequests).is_empty();
+    let mut got = String::new();
+    caller.read_to_string(&mut got).await.unwrap();
+
+    assert!(waits, "nothing waited for the caller");
+    assert_eq!(events(&got).len(), 30);
+    assert!(is_complete(&got));
+    assert_eq!((first.requests().len(), second.requests().len()), (1, 0));
+    assert!(host.relay.metrics().totals(Counter::RelaySilences).is_empty());
+}
+
+/// Guards against a host that stands still, and then counts a limit before it reads what has arrived meanwhile.
+#[tokio::test]
+async fn a_host_that_stood_still_reads_before_it_counts_a_limit() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| (l.head_ms, l.idle_ms) = (500, 500)), &server).await;
+    let req = request("/unsafe/x", "body");
+    for sent_before in [0, req.find("Key:").unwrap()] {
+        let mut caller = host.connect().await;
+        caller.send(&req[..sent_before]).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+
+        caller.send(&req[sent_before..]).await;
+        // The host's tasks share this thread.
+        std::thread::sleep(Duration::from_millis(1_500));
+        let got = caller.answer().await;
+
+        assert_eq!(status(&got), 200, "{sent_before}: {got:?}");
+    }
+}
+
+/// Guards against a host that ends while a request is still arriving, whose caller would not learn that it has not run.
+#[tokio::test]
+async fn a_request_that_arrives_while_a_host_shuts_down_is_refused_as_not_run() {
+    let req = request("/unsafe/x", "body");
+    for sent_before in [req.find("Key:").unwrap(), req.len() - 2] {
+        let server = server().await;
+        let host = host_with(configuration(), &server).await;
+        let mut caller = host.connect().await;
+        caller.send(&req[..sent_before]).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+
+        host.relay.leave();
+        let relay = host.relay.clone();
+        let closing = tokio::spawn(async move { relay.close_connections().await });
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let waits = !closing.is_finished();
+        caller.send(&req[sent_before..]).await;
+        let got = caller.answer().await;
+
+        assert_eq!((waits, status(&got)), (true, 503), "{sent_before}: {got:?}");
+        assert!(closing.await.unwrap());
+        assert!(server.requests().is_empty());
+    }
+}
+
 /// Guards against connections that stay open for ever once their caller is gone without a word.
 #[tokio::test]
 async fn an_idle_connection_is_closed_after_the_limit() {
