Read what callers still send before a connection is closed

What callers saw: a caller that was still sending its body when it was refused had its connection reset, and could lose the refusal, which says that the request has not run.

Cause: the socket was closed as soon as the answer was written; a socket that gets bytes after it is closed resets the connection.

Evidence: a_caller_that_goes_on_sending_a_late_body_reads_the_refusal failed before (broken pipe while it sends) and passes now, like the test of late heads, whose own wait this replaces.

Why it works: after the last answer the host has closed its direction only; it reads and drops what arrives until the caller closes, for a second at most. Connections that end with an error, such as truncated answers, are closed at once as before, and a host that shuts down does not wait for this.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -30,6 +30,7 @@
 pub mod body;
 pub mod head_timer;
 mod late_head;
+mod linger;
 
 use body::BodyLimits;
 use head_timer::HeadTimer;
@@ -159,17 +160,22 @@
             (&mut conn).await
         }
     };
+    let is_late = result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun();
+    let may_read_answer = result.is_ok() || is_late;
     if let Err(e) = result {
         spdlog::debug!("connection of {from} ended: {e}");
-        if e.is_timeout() && timer.has_begun() {
-            let refusal = refuse(&relay, "", ErrorKind::HeadTimeout);
-            let stream = conn.into_parts().io.into_inner().into_inner();
-            if let Err(e) = late_head::refuse(stream, refusal).await {
-                spdlog::debug!("could not refuse a late request of {from}: {e}");
-            }
+    }
+    let mut stream = conn.into_parts().io.into_inner().into_inner();
+    if is_late {
+        let refusal = refuse(&relay, "", ErrorKind::HeadTimeout);
+        if let Err(e) = late_head::refuse(&mut stream, refusal).await {
+            spdlog::debug!("could not refuse a late request of {from}: {e}");
         }
     }
     relay.count_connection(false);
+    if may_read_answer {
+        linger::close(stream).await;
+    }
 }
 
 async fn answer<W: Wire>(relay: Arc<Relay<W>>, req: HttpRequest<Incoming>) -> Response<AnswerBody> {
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -231,6 +231,27 @@
     socket.connect(host.addr).await.unwrap()
 }
 
+/// Guards against a refusal that a caller loses because it goes on sending its body, by a reset as with late heads.
+#[tokio::test]
+async fn a_caller_that_goes_on_sending_a_late_body_reads_the_refusal() {
+    let server = server().await;
+    let host = host_with(configuration(), &server).await;
+    let req = request("/unsafe/x", "body").replace("Request-Deadline: 3000", "Request-Deadline: 200");
+    let mut caller = host.connect().await;
+
+    caller.send(&req[..req.len() - 4]).await;
+    let refused = || host.relay.metrics().totals(Counter::RelayRefusals).contains_key("body_timeout");
+    wire::wait_until("the body to take too long", refused).await;
+    for part in ["b", "o", "d"] {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        caller.send(part).await;
+    }
+    let got = caller.answer().await;
+
+    assert_eq!(status(&got), 408, "{got:?}");
+    assert!(is_complete(&got), "{got:?}");
+}
+
 /// Guards against a host that ends while an answer is still on its way to a caller that reads slowly.
 #[tokio::test]
 async fn a_host_that_shuts_down_waits_for_callers_that_read_slowly() {
