--- a/src/error.rs
+++ b/src/error.rs
@@ -31,8 +31,12 @@
 pub enum ErrorKind {
     /// The request is malformed.
     BadRequest,
+    /// The head exceeds the limit.
+    HeadTooLarge,
     /// The body exceeds the limit.
     BodyTooLarge,
+    /// The head did not arrive in time.
+    HeadTimeout,
     /// The body did not arrive in time.
     BodyTimeout,
     /// The request has no `content-length`.
@@ -130,9 +134,11 @@
 
 impl ErrorKind {
     /// All kinds.
-    pub const ALL: [ErrorKind; 41] = [
+    pub const ALL: [ErrorKind; 43] = [
         ErrorKind::BadRequest,
+        ErrorKind::HeadTooLarge,
         ErrorKind::BodyTooLarge,
+        ErrorKind::HeadTimeout,
         ErrorKind::BodyTimeout,
         ErrorKind::LengthRequired,
         ErrorKind::NotFound,
@@ -182,9 +188,15 @@
             ErrorKind::BadRequest => {
                 row(400, "bad_request", Ran::No, None, "The request can't be understood")
             }
+            ErrorKind::HeadTooLarge => {
+                row(431, "head_too_large", Ran::No, None, "The head exceeds the limit")
+            }
             ErrorKind::BodyTooLarge => {
                 row(413, "body_too_large", Ran::No, None, "The body exceeds the limit")
             }
+            ErrorKind::HeadTimeout => {
+                row(408, "head_timeout", Ran::No, Some(0), "The head did not arrive in time")
+            }
             ErrorKind::BodyTimeout => {
                 row(408, "body_timeout", Ran::No, Some(0), "The body did not arrive in time")
             }
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -1,14 +1,13 @@
 //! Serves the connections of callers: reads a request, matches it against the configuration, and passes it to
 //! [`super::run`].
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use http::{HeaderValue, Request as HttpRequest, Response, header, request};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderName, HeaderValue, Request as HttpRequest, Response, header, request};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
@@ -25,9 +24,17 @@
     logs::lines::{Level, line},
     metrics::Counter,
     schema::fleet::CallerLimits,
-    util::now,
+    util::{Instant, now},
 };
 
+pub mod body;
+pub mod head_timer;
+mod late_head;
+mod linger;
+
+use body::BodyLimits;
+use head_timer::HeadTimer;
+
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Retry delay for callers that a leaving host refuses: other hosts can serve them already.
@@ -43,8 +50,13 @@
 const STARTUP_WAIT: Duration = Duration::from_millis(20);
 /// Interval at which a waiting request checks for the configuration.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(4);
-/// Timeout for receiving a body; callers on slow links need some seconds.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of a head that is parsed, in bytes, unless the configuration allows more. A connection may have been opened
+/// under a lower limit than the one in force.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum time without progress in a body; callers on unreliable links may be unreachable for seconds.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for the body of a request that is refused once it is read.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The parsed head of a caller's request.
 #[derive(Clone, Debug, Default)]
@@ -107,63 +119,72 @@
     TcpListener::bind(addr).await.with_context(|| format!("could not listen on {addr}"))
 }
 
+impl<W: Wire> Relay<W> {
+    /// The limits of callers' requests and connections in force.
+    fn caller_limits(&self) -> CallerLimits {
+        self.routes().map(|r| r.limits()).unwrap_or_else(|| Routes::default().limits())
+    }
+}
+
 /// Serves one connection of a caller.
 async fn serve<W: Wire>(relay: Arc<Relay<W>>, stream: TcpStream, from: SocketAddr) {
     // Callers on unreliable links may be unreachable for seconds and still get their answer, so no timeout is set.
     pool::configure_socket(&stream, None);
-    let limits = relay.routes().map(|r| r.limits()).unwrap_or_else(|| Routes::default().limits());
+    let limits = relay.caller_limits();
     let service = service_fn(|req| {
         let relay = relay.clone();
-        async move { Ok::<_, Infallible>(answer(relay, req, limits).await) }
+        async move { Ok::<_, Infallible>(answer(relay, req).await) }
+    });
+    let timer = HeadTimer::new({
+        let relay = relay.clone();
+        move || relay.caller_limits()
     });
     let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(timer.clone())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.into()))
-        .max_header_size(limits.head_bytes as usize)
+        .max_header_size(MAX_HEAD_BYTES.max(limits.head_bytes as usize))
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut conn = std::pin::pin!(conn);
+        .serve_connection(TokioIo::new(timer.observe(stream)), service);
+    let mut conn = conn;
     let mut closing = relay.closing.subscribe();
     relay.count_connection(true);
     let ended = tokio::select! {
-        result = conn.as_mut() => Some(result),
+        result = &mut conn => Some(result),
         // The guard must be dropped: it would hold the lock of the channel while the connection closes.
         () = async { drop(closing.wait_for(|closing| *closing).await) } => None,
     };
     let result = match ended {
         Some(result) => result,
         None => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+            Pin::new(&mut conn).graceful_shutdown();
+            (&mut conn).await
         }
     };
-    relay.count_connection(false);
+    let is_late = result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun();
+    let may_read_answer = result.is_ok() || is_late;
     if let Err(e) = result {
         spdlog::debug!("connection of {from} ended: {e}");
     }
+    let mut stream = conn.into_parts().io.into_inner().into_inner();
+    if is_late {
+        let refusal = refuse(&relay, "", ErrorKind::HeadTimeout);
+        if let Err(e) = late_head::refuse(&mut stream, refusal).await {
+            spdlog::debug!("could not refuse a late request of {from}: {e}");
+        }
+    }
+    relay.count_connection(false);
+    if may_read_answer {
+        linger::close(stream).await;
+    }
 }
 
-async fn answer<W: Wire>(
-    relay: Arc<Relay<W>>,
-    req: HttpRequest<Incoming>,
-    limits: CallerLimits,
-) -> Response<AnswerBody> {
-    let mut response = match read_request(&relay, req, limits).await {
+async fn answer<W: Wire>(relay: Arc<Relay<W>>, req: HttpRequest<Incoming>) -> Response<AnswerBody> {
+    let mut response = match read_request(&relay, req).await {
         Ok(req) => {
             let _entered = relay.track_request();
             run::run(relay.clone(), req).await
         }
-        Err((id, kind)) => {
-            line(Level::Notable, "refused", |l| {
-                let l = l.text("request", &id).text("kind", kind.answer().code);
-                let l = l.number("version", relay.routes().map_or(0, |r| r.version()));
-                l.ms("confirmed_ms", relay.configuration_age())
-            });
-            relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
-            relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
-            let retry_after = kind.answer().retry_after_s.is_some().then(|| retry_after_for(&relay, kind));
-            relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after })
-        }
+        Err((id, kind)) => refuse(&relay, &id, kind),
     };
     if relay.is_leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -171,6 +192,19 @@
     response
 }
 
+/// Refuses a request before an attempt.
+fn refuse<W: Wire>(relay: &Relay<W>, id: &str, kind: ErrorKind) -> Response<AnswerBody> {
+    line(Level::Notable, "refused", |l| {
+        let l = l.text("request", id).text("kind", kind.answer().code);
+        let l = l.number("version", relay.routes().map_or(0, |r| r.version()));
+        l.ms("confirmed_ms", relay.configuration_age())
+    });
+    relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
+    relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
+    let retry_after = kind.answer().retry_after_s.is_some().then(|| retry_after_for(relay, kind));
+    relay.wire.refuse(&Refusal { kind, ran: Ran::No, retry_after })
+}
+
 /// The retry delay for a caller that is refused before an attempt.
 fn retry_after_for<W: Wire>(relay: &Relay<W>, kind: ErrorKind) -> Duration {
     if kind == ErrorKind::NotReady && relay.is_alone_without_configuration(STARTUP_PERIOD) {
@@ -192,7 +226,6 @@
 async fn read_request<W: Wire>(
     relay: &Relay<W>,
     req: HttpRequest<Incoming>,
-    limits: CallerLimits,
 ) -> Result<Request, (Arc<str>, ErrorKind)> {
     let arrived = now();
     let (head, body) = req.into_parts();
@@ -201,12 +234,19 @@
     if !relay.has_run_for(STARTUP_PERIOD) {
         wait_for_configuration(relay).await;
     }
-    let matched = find_route(relay, &parsed, &head);
-    let body = read_body(body, &head, limits).await.map_err(|kind| (id.clone(), kind))?;
+    let limits = relay.caller_limits();
+    let matched = check_size(&head, limits).and_then(|()| find_route(relay, &parsed, &head));
+    let deadline = match &matched {
+        Ok(matched) => {
+            let timeout = Duration::from_millis(matched.route.route.timeout_ms.into());
+            arrived + parsed.timeout.map_or(timeout, |waits| waits.min(timeout))
+        }
+        Err(_) => arrived + REFUSED_BODY_TIMEOUT,
+    };
+    let body = read_body(body, &head, limits.body_bytes as usize, deadline).await;
+    let body = body.map_err(|kind| (id.clone(), kind))?;
     let Matched { version, route, caller } = matched.map_err(|kind| (id.clone(), kind))?;
     let Some(service) = route.service(relay.draw()) else { return Err((id, ErrorKind::NoEngine)) };
-    let timeout = Duration::from_millis(route.route.timeout_ms.into());
-    let deadline = arrived + parsed.timeout.map_or(timeout, |waits| waits.min(timeout));
     if !relay.accepts(deadline) {
         return Err((id, ErrorKind::Leaving));
     }
@@ -230,6 +270,16 @@
     Ok(request)
 }
 
+/// Checks the size of a head, about as it was sent.
+fn check_size(head: &request::Parts, limits: CallerLimits) -> Result<(), ErrorKind> {
+    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let first_line = head.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let line =
+        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + ": \r\n".len();
+    let bytes = first_line + head.headers.iter().map(line).sum::<usize>() + "\r\n".len();
+    if bytes > limits.head_bytes as usize { Err(ErrorKind::HeadTooLarge) } else { Ok(()) }
+}
+
 /// The route and the caller of a request.
 struct Matched {
     version: Version,
@@ -260,17 +310,18 @@
     }
 }
 
-async fn read_body(body: Incoming, head: &request::Parts, limits: CallerLimits) -> Result<Bytes, ErrorKind> {
-    let max_bytes = limits.body_bytes as usize;
+/// Reads the body of a request whose time ends at `until`.
+async fn read_body(
+    body: Incoming,
+    head: &request::Parts,
+    max_bytes: usize,
+    until: Instant,
+) -> Result<Bytes, ErrorKind> {
     let length =
         head.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
     if length.is_some_and(|n| n > max_bytes) {
         return Err(ErrorKind::BodyTooLarge);
     }
-    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Ok(Err(_)) => Err(ErrorKind::BadRequest),
-        Err(_) => Err(ErrorKind::BodyTimeout),
-    }
+    let time = until.saturating_sub(now());
+    body::read(body, BodyLimits { max_bytes, time, stall: BODY_STALL_TIMEOUT }).await
 }
