Log and count connections that end with unacknowledged bytes

A connection that the kernel ends by TCP_USER_TIMEOUT is logged as `silent`, like a server that sent nothing. No line says that bytes were not acknowledged, how many, or whether the server's window was closed, so a path that is down can't be told from a server that does not read.

The state of sockets to servers, and of both sockets of a tunnel, is read every 100 ms while written bytes are not acknowledged; nothing is read once they are. When such a connection times out, a line `unacked` and the counter relay_unacked_total tell the server, the bytes, the unanswered probes, the time, and whether the window was closed. Only what is logged changes.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -81,6 +81,8 @@
     RelayStreamsCut,
     /// Silences of backend servers while a request waited, by how they ended.
     RelaySilences,
+    /// Connections to backend servers that ended since bytes were not acknowledged, by what was known of them.
+    RelayUnacked,
 }
 
 /// A gauge of the relay.
@@ -168,7 +170,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 33] = [
+    pub const ALL: [Counter; 34] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -202,6 +204,7 @@
         Counter::RelayPauses,
         Counter::RelayStreamsCut,
         Counter::RelaySilences,
+        Counter::RelayUnacked,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -291,6 +294,9 @@
             Counter::RelaySilences => {
                 row("relay_silences", "end", "silences of servers while requests waited, by their end")
             }
+            Counter::RelayUnacked => {
+                row("relay_unacked", "cause", "connections ended with unacknowledged bytes, by their state")
+            }
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,8 +11,8 @@
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
-//! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], `attempt`, [`hold`], [`stream`], [`follow`] and
-//! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
+//! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`tunnel`], [`run`], `attempt`, [`hold`],
+//! [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
 use std::{
@@ -81,6 +81,7 @@
 pub mod revision;
 pub mod routes;
 pub mod run;
+pub mod server_socket;
 pub mod shares;
 pub mod silence;
 pub mod stall;
@@ -235,7 +236,7 @@
     pub(crate) cfg: RelayConfig,
     pub(crate) wire: W,
     pub(crate) pool: Pool,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
     /// Wakes the heartbeat sender to send to all targets at once.
     pub(crate) beat_due: Notify,
     /// Wakes the heartbeat sender to send to a few hosts at once.
@@ -322,7 +323,7 @@
         let (pool, beat_due, fetch_due) = (Pool::default(), Notify::new(), Notify::new());
         let gossip_due = Notify::new();
         let closing = watch::Sender::new(false);
-        let metrics = Metrics::new()?;
+        let metrics = Arc::new(Metrics::new()?);
         Ok(Self {
             cfg,
             wire,
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -20,9 +20,17 @@
 };
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    task::AbortHandle,
+};
 
-use super::{attempts::Failure, backends::BackendKey};
+use super::{
+    attempts::Failure,
+    backends::BackendKey,
+    server_socket::{ServerSocket, SocketLabel},
+};
 use crate::util::{Instant, Map, lock, now};
 
 /// Time limit for connecting: a round trip within a region takes 3 ms, and a lost first packet is retransmitted
@@ -62,16 +70,21 @@
     ///
     /// # Errors
     /// If no connection was established, so that nothing was sent.
-    pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
-        Self::handshake(connect_tcp(addr, timeout).await?, addr).await
+    pub(crate) async fn connect(
+        addr: SocketAddr,
+        timeout: Duration,
+        label: SocketLabel,
+    ) -> Result<Self, Failure> {
+        let socket = ServerSocket::new(connect_tcp(addr, timeout).await?, label);
+        Self::handshake(socket, addr).await
     }
 
     /// Uses the connection to another host that has connected to a backend server.
     ///
     /// # Errors
     /// As [`Conn::connect`].
-    pub(crate) async fn through(stream: TcpStream, host: SocketAddr) -> Result<Self, Failure> {
-        let mut conn = Self::handshake(stream, host).await?;
+    pub(crate) async fn through(socket: ServerSocket, host: SocketAddr) -> Result<Self, Failure> {
+        let mut conn = Self::handshake(socket, host).await?;
         conn.is_tunnel = true;
         Ok(conn)
     }
@@ -84,7 +97,10 @@
         Self::handshake(connect_with_probes(addr, timeout).await?, addr).await
     }
 
-    async fn handshake(stream: TcpStream, addr: SocketAddr) -> Result<Self, Failure> {
+    async fn handshake(
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        addr: SocketAddr,
+    ) -> Result<Self, Failure> {
         let handshaking = Builder::new().handshake(TokioIo::new(stream)).await;
         let Ok((tx, conn)) = handshaking else { return Err(Failure::Connect) };
         let task = tokio::spawn(async move {
--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -10,7 +10,7 @@
 use anyhow::{Context, Result};
 use rand::seq::SliceRandom;
 use tokio::{
-    io::copy,
+    io::{copy, split},
     net::TcpStream,
     sync::Semaphore,
     time::{Instant as Deadline, timeout, timeout_at},
@@ -23,6 +23,7 @@
     mesh,
     pool::{self, CONNECT_TIMEOUT, Conn},
     reach::{CutOff, Way},
+    server_socket::{ServerSocket, SocketLabel},
 };
 use crate::{
     logs::lines::{Level, line},
@@ -131,7 +132,10 @@
         addr: SocketAddr,
         left: Duration,
     ) -> Result<Conn, Failure> {
-        let result = Conn::connect(addr, left).await;
+        let result = match self.socket_label(key, None) {
+            Some(label) => Conn::connect(addr, left, label).await,
+            None => Err(Failure::Connect),
+        };
         // A caller's deadline that ends the attempt early says nothing about the server.
         if result.is_ok() || left >= CONNECT_TIMEOUT {
             self.record_direct(key, result.is_ok());
@@ -139,6 +143,12 @@
         result
     }
 
+    /// What a socket connects to; `None` if the server is no longer listed.
+    fn socket_label(&self, key: BackendKey, peer: Option<SocketAddr>) -> Option<SocketLabel> {
+        let backend = self.state().backends.get(key)?.id.clone();
+        Some(SocketLabel { metrics: self.metrics.clone(), backend, peer })
+    }
+
     /// Records whether a direct connection to a server was established.
     fn record_direct(&self, key: BackendKey, connected: bool) {
         let mut state = self.state();
@@ -150,10 +160,16 @@
     }
 
     /// Connects to a server for another host.
-    async fn connect_for_peer(&self, key: BackendKey, addr: SocketAddr) -> Result<TcpStream, TunnelOutcome> {
+    async fn connect_for_peer(
+        &self,
+        key: BackendKey,
+        addr: SocketAddr,
+    ) -> Result<ServerSocket, TunnelOutcome> {
         let result = pool::connect_tcp(addr, CONNECT_TIMEOUT).await;
         self.record_direct(key, result.is_ok());
-        result.map_err(|_| TunnelOutcome::ServedUnreachable)
+        let stream = result.map_err(|_| TunnelOutcome::ServedUnreachable)?;
+        let label = self.socket_label(key, None).ok_or(TunnelOutcome::ServedNotEligible)?;
+        Ok(ServerSocket::new(stream, label))
     }
 
     /// Connects both ways at once and uses the first connection.
@@ -191,7 +207,8 @@
             let asking = timeout_at(deadline, timeout(HELP_TIMEOUT, ask(helper, tag)));
             let outcome = match asking.await {
                 Ok(Ok(Ok((Connected::Established, stream)))) => {
-                    let conn = Conn::through(stream, helper).await?;
+                    let label = self.socket_label(key, Some(helper)).ok_or(Failure::Connect)?;
+                    let conn = Conn::through(ServerSocket::new(stream, label), helper).await?;
                     self.metrics.add(Counter::RelayTunnels, TunnelOutcome::Established.as_str(), 1);
                     line(Level::Routine, "reached_through", |l| {
                         let l = l.text("backend", &id).text("peer", &helper.to_string());
@@ -325,21 +342,22 @@
     let connected = outcome.answer().into();
     mesh::send(&mut client, &Fetched { connected, ..Fetched::default() }).await?;
     let Ok(server) = server else { return Ok(()) };
-    copy_until_closed(client, server).await
+    let label = SocketLabel { peer: client.peer_addr().ok(), ..server.label().clone() };
+    copy_until_closed(ServerSocket::new(client, label), server).await
 }
 
 /// Copies bytes both ways. Once one side closes, the other one is closed too, and reset if a side was reset, since an
 /// answer without a length that ends early would look complete.
-async fn copy_until_closed(mut client: TcpStream, mut server: TcpStream) -> Result<()> {
-    let (mut from_client, mut to_client) = client.split();
-    let (mut from_server, mut to_server) = server.split();
+async fn copy_until_closed(client: ServerSocket, server: ServerSocket) -> Result<()> {
+    let (mut from_client, mut to_client) = split(client);
+    let (mut from_server, mut to_server) = split(server);
     let copied = tokio::select! {
         copied = copy(&mut from_client, &mut to_server) => copied,
         copied = copy(&mut from_server, &mut to_client) => copied,
     };
     if copied.is_err() {
-        for stream in [&client, &server] {
-            stream.set_zero_linger().context("could not reset a connection")?;
+        for socket in [from_client.unsplit(to_client), from_server.unsplit(to_server)] {
+            socket.stream().set_zero_linger().context("could not reset a connection")?;
         }
     }
     copied.map(drop).context("a side was reset")
