Keep connections to servers that do not read

Callers of a sound server that answers before it has read a long body, or stands still before it reads it, get streams that end in the middle, and 502 for requests that may not be repeated.

Cause: sockets to servers have TCP_USER_TIMEOUT of 350 ms. The kernel counts bytes behind a closed window as unacknowledged, though the server's machine answers each probe of the window; after 350 ms it resets the connection, and the answer on it is lost. A tunnel's socket to the host that asked for it has the same option with 700 ms.

relay::unacked decides from the state of the socket: the path is down if packets are in flight, or two probes of a closed window are unanswered, and nothing was acknowledged for 350 ms. A peer that answers packets without acknowledging them, as one with a full buffer does, is up, where the kernel tells when the last acknowledgement arrived. A host's first late look proves nothing. ServerSocket ends the connection with TimedOut after what has arrived on it was read, so that a dead path fails the attempt as before. The kernel's timeout is 60 s now, for sockets that were closed with bytes left to send; a request that did not arrive whole and was not answered is taken back with a reset when its connection is closed.

Three tests of relay_unread failed before and pass; relay_unacked tests the decision, and that a dead path still ends a connection after 350 ms. The test that a closed window is counted as such asserted the 502 that is mended: instead the end of both kinds of dead paths is counted in relay_unacked, and relay_unread asserts that none is counted at sound servers.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,7 +11,7 @@
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
-//! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`tunnel`], [`run`], `attempt`, [`hold`],
+//! [`silence`], [`stall`], [`unacked`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`tunnel`], [`run`], `attempt`, [`hold`],
 //! [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -88,6 +88,7 @@
 mod stop;
 pub mod stream;
 pub mod tunnel;
+pub mod unacked;
 pub mod updates;
 pub mod warmup;
 mod wire;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -36,9 +36,10 @@
 /// Time limit for connecting: a round trip within a region takes 3 ms, and a lost first packet is retransmitted
 /// only after a second.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time after which unacknowledged bytes end a connection to a backend server, so that a server that has lost power
-/// is noticed within the objective of most requests. A lost packet is retransmitted and acknowledged within 250 ms.
-pub(super) const UNACKED_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time after which the kernel ends a connection to a backend server whose bytes it cannot deliver. It counts a closed
+/// window too, so it exceeds the time for which a request waits for its answer. It ends connections that were closed with
+/// bytes left to send; [`super::unacked`] decides about open ones.
+pub(super) const UNDELIVERED_TIMEOUT: Duration = Duration::from_secs(60);
 /// Idle time after which keepalive probes are sent, and time between probes; the kernel supports only whole
 /// seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -158,7 +159,7 @@
 pub(super) async fn connect_tcp(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(timeout), TcpStream::connect(addr));
     let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
-    configure_socket(&stream, Some(UNACKED_TIMEOUT));
+    configure_socket(&stream, Some(UNDELIVERED_TIMEOUT));
     Ok(stream)
 }
 
@@ -213,8 +214,8 @@
     source.is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
 }
 
-/// Configures a socket: small writes are sent at once, and the connection ends if the peer acknowledges nothing for
-/// `unacked_timeout`.
+/// Configures a socket: small writes are sent at once, and the connection ends if the peer acknowledges nothing, or keeps
+/// its window closed, for `unacked_timeout`.
 pub(crate) fn configure_socket(stream: &TcpStream, unacked_timeout: Option<Duration>) {
     if let Err(e) = stream.set_nodelay(true) {
         spdlog::warn!("could not set TCP_NODELAY on a socket: {e}");
--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -1,12 +1,13 @@
 //! Connections to backend servers, of which this host knows whether what it has written is acknowledged.
 //!
-//! While written bytes may not be acknowledged, the state of the socket is read from time to time. How a connection ends
-//! whose bytes were not acknowledged is logged and counted.
+//! While written bytes may not be acknowledged, the state of the socket is read from time to time. Once [`super::unacked`]
+//! takes the path for down, the connection ends with [`io::ErrorKind::TimedOut`], after what has arrived on it was read.
+//! Such ends are logged and counted.
 
 use std::{
     io,
     net::SocketAddr,
-    os::fd::AsFd,
+    os::fd::{AsFd, BorrowedFd},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
@@ -17,24 +18,22 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Sleep, sleep},
+    time::{Instant as Deadline, Sleep, sleep},
 };
 
+use super::unacked::{Unacked, Verdict};
 use crate::{
     logs::lines::{Level, line},
     metrics::{Counter, Metrics},
-    util::{Instant, now},
+    util::now,
 };
 
-/// Time between two looks at a socket whose bytes are not acknowledged.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// What was not acknowledged when a connection ended by a timeout; a label of counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnackedCause {
     /// Bytes had been sent: the path, the machine or its kernel is down.
     InFlight,
-    /// The window was closed, so that bytes waited here: the server does not read.
+    /// The window was closed and probes of it were not answered: the same.
     ClosedWindow,
     /// The state of the socket was not read, or everything was acknowledged then.
     Unknown,
@@ -65,35 +64,68 @@
 
 /// What a socket connects to, and where its end is counted.
 #[derive(Clone, Debug)]
-pub(crate) struct SocketLabel {
-    pub(crate) metrics: Arc<Metrics>,
+pub struct SocketLabel {
+    /// Counters.
+    pub metrics: Arc<Metrics>,
     /// Identifier of the backend server.
-    pub(crate) backend: Arc<str>,
+    pub backend: Arc<str>,
     /// The host at the other end, if the connection passes through one.
-    pub(crate) peer: Option<SocketAddr>,
+    pub peer: Option<SocketAddr>,
 }
 
-/// Bytes that may not be acknowledged.
-#[derive(Debug)]
-struct Outstanding {
-    /// When the first of them was written, or more of them was last found to be acknowledged.
-    since: Instant,
-    /// Number of bytes found unacknowledged at the last look.
-    state: Option<SendState>,
-    timer: Pin<Box<Sleep>>,
-}
+/// Reads the state of a socket.
+pub type ReadState = fn(BorrowedFd<'_>) -> io::Result<SendState>;
 
 /// A connection to a backend server, possibly through another host.
 #[derive(Debug)]
-pub(crate) struct ServerSocket {
+pub struct ServerSocket {
     stream: TcpStream,
     label: SocketLabel,
-    outstanding: Option<Outstanding>,
+    read_state: ReadState,
+    /// Number of bytes written.
+    written: u64,
+    /// Set while written bytes may not be acknowledged.
+    unacked: Option<Unacked>,
+    /// Fires when it is time to look at the socket; created with the first bytes.
+    timer: Option<Pin<Box<Sleep>>>,
+    /// What the last look showed.
+    last_state: Option<SendState>,
+    /// Whether bytes have arrived since the first of the bytes that may not be acknowledged was written.
+    is_answered: bool,
+    /// Whether answers are written to it rather than requests.
+    carries_answers: bool,
+    is_down: bool,
 }
 
 impl ServerSocket {
-    pub(crate) fn new(stream: TcpStream, label: SocketLabel) -> Self {
-        Self { stream, label, outstanding: None }
+    /// Takes over a connection.
+    pub fn new(stream: TcpStream, label: SocketLabel) -> Self {
+        Self {
+            stream,
+            label,
+            read_state: send_state,
+            written: 0,
+            unacked: None,
+            timer: None,
+            last_state: None,
+            is_answered: false,
+            carries_answers: false,
+            is_down: false,
+        }
+    }
+
+    /// Takes over a connection to a host that asked for one to a server, to which answers are written. They arrive whole
+    /// though the connection is closed before they are acknowledged.
+    pub fn with_answers(stream: TcpStream, label: SocketLabel) -> Self {
+        let mut socket = Self::new(stream, label);
+        socket.carries_answers = true;
+        socket
+    }
+
+    /// Replaces the way in which the state of the socket is read.
+    pub fn with_read_state(mut self, read_state: ReadState) -> Self {
+        self.read_state = read_state;
+        self
     }
 
     pub(crate) fn label(&self) -> &SocketLabel {
@@ -105,35 +137,54 @@
     }
 
     /// Looks at the socket if it is time to.
-    fn poll_look(&mut self, cx: &mut Context<'_>) {
-        while let Some(outstanding) = &mut self.outstanding {
-            if outstanding.timer.as_mut().poll(cx).is_pending() {
+    ///
+    /// # Errors
+    /// If the path is down.
+    fn poll_look(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        while let Some(look_at) = self.unacked.map(|unacked| unacked.look_at()) {
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(Duration::ZERO)));
+            if timer.as_mut().poll(cx).is_pending() {
+                break;
+            }
+            match look_at.saturating_sub(now()) {
+                Duration::ZERO => self.look(),
+                left => timer.as_mut().reset(Deadline::now() + left),
+            }
+        }
+        if self.is_down { Err(io::ErrorKind::TimedOut.into()) } else { Ok(()) }
+    }
+
+    fn look(&mut self) {
+        let Some(unacked) = &mut self.unacked else { return };
+        let state = match (self.read_state)(self.stream.as_fd()) {
+            Ok(state) => state,
+            Err(e) => {
+                spdlog::warn!("could not read the state of a socket: {e}");
+                self.unacked = None;
                 return;
             }
-            match send_state(self.stream.as_fd()) {
-                Ok(SendState { unacked_bytes: 0, .. }) => self.outstanding = None,
-                Ok(state) => {
-                    let before = outstanding.state.replace(state);
-                    if before.is_some_and(|before| state.unacked_bytes < before.unacked_bytes) {
-                        outstanding.since = now();
-                    }
-                    outstanding.timer = Box::pin(sleep(LOOK_INTERVAL));
-                }
-                Err(e) => {
-                    spdlog::debug!("could not read the state of a socket: {e}");
-                    self.outstanding = None;
-                }
+        };
+        self.last_state = Some(state);
+        match unacked.look(now(), &state, self.written) {
+            Verdict::Acknowledged => self.unacked = None,
+            Verdict::Wait => {}
+            Verdict::Down { lasted } => {
+                self.report_end(lasted);
+                (self.is_down, self.unacked) = (true, None);
+                self.reset_when_closed();
             }
         }
     }
 
-    /// Reports an end of the connection by a timeout for unacknowledged bytes.
-    fn report_end(&mut self, e: &io::Error) {
-        if e.kind() != io::ErrorKind::TimedOut {
-            return;
+    /// Has the connection reset when it is closed, so that the kernel does not go on sending what was written.
+    fn reset_when_closed(&self) {
+        if let Err(e) = self.stream.set_zero_linger() {
+            spdlog::debug!("could not set SO_LINGER on a socket: {e}");
         }
-        let outstanding = self.outstanding.take();
-        let state = outstanding.as_ref().and_then(|o| o.state);
+    }
+
+    fn report_end(&self, lasted: Duration) {
+        let state = self.last_state;
         let cause = UnackedCause::of(state);
         self.label.metrics.add(Counter::RelayUnacked, cause.as_str(), 1);
         line(Level::Notable, "unacked", |l| {
@@ -141,13 +192,47 @@
             let l = l.text("peer", &self.label.peer.map_or(String::new(), |peer| peer.to_string()));
             let l = l.text("cause", cause.as_str()).number("bytes", state.map_or(0, |s| s.unacked_bytes));
             let l = l.number("probes", state.map_or(0, |s| s.unanswered_probes));
-            l.ms("unacked_ms", outstanding.map_or(Duration::ZERO, |o| now().saturating_sub(o.since)))
+            l.ms("unacked_ms", lasted)
         });
     }
 
-    fn note_result<T>(&mut self, result: &Poll<io::Result<T>>) {
-        if let Poll::Ready(Err(e)) = result {
-            self.report_end(e);
+    /// Reports an end by the kernel's own timeout.
+    fn note_error(&mut self, e: &io::Error) {
+        if e.kind() == io::ErrorKind::TimedOut && !self.is_down {
+            let lasted = self.unacked.take().map_or(Duration::ZERO, |unacked| unacked.lasted(now()));
+            self.report_end(lasted);
+        }
+    }
+
+    fn note_read(&mut self) {
+        self.is_answered = true;
+        if let Some(unacked) = &mut self.unacked {
+            unacked.hear(now());
+        }
+    }
+
+    fn note_written(&mut self, bytes: usize) {
+        if self.unacked.is_none() {
+            self.unacked = Some(Unacked::new(now(), self.written));
+            (self.last_state, self.is_answered) = (None, false);
+        }
+        self.written += bytes as u64;
+    }
+
+    /// Completes a write, which `result` tells of.
+    fn after_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        match &result {
+            Poll::Ready(Ok(bytes)) => self.note_written(*bytes),
+            Poll::Ready(Err(e)) => self.note_error(e),
+            Poll::Pending => {}
+        }
+        match self.poll_look(cx) {
+            Err(e) => Poll::Ready(Err(e)),
+            Ok(()) => result,
         }
     }
 }
@@ -158,18 +243,30 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.poll_look(cx);
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.note_result(&result);
-        result
+        let filled = buf.filled().len();
+        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            Poll::Ready(Ok(())) => {
+                if buf.filled().len() > filled {
+                    self.note_read();
+                }
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Err(e)) => {
+                self.note_error(&e);
+                Poll::Ready(Err(e))
+            }
+            Poll::Pending => match self.poll_look(cx) {
+                Err(e) => Poll::Ready(Err(e)),
+                Ok(()) => Poll::Pending,
+            },
+        }
     }
 }
 
 impl AsyncWrite for ServerSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.note_write(cx, &result);
-        result
+        self.after_write(cx, result)
     }
 
     fn poll_write_vectored(
@@ -178,8 +275,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.note_write(cx, &result);
-        result
+        self.after_write(cx, result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -195,13 +291,13 @@
     }
 }
 
-impl ServerSocket {
-    fn note_write(&mut self, cx: &mut Context<'_>, result: &Poll<io::Result<usize>>) {
-        if matches!(result, Poll::Ready(Ok(_))) && self.outstanding.is_none() {
-            let timer = Box::pin(sleep(LOOK_INTERVAL));
-            self.outstanding = Some(Outstanding { since: now(), state: None, timer });
+impl Drop for ServerSocket {
+    /// Takes back a request that did not arrive whole and that nobody waits for any more.
+    fn drop(&mut self) {
+        let is_unanswered = self.unacked.is_some() && !self.is_answered && !self.carries_answers;
+        if is_unanswered && (self.read_state)(self.stream.as_fd()).is_ok_and(|state| state.unacked_bytes > 0)
+        {
+            self.reset_when_closed();
         }
-        self.poll_look(cx);
-        self.note_result(result);
     }
 }
--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -306,7 +306,7 @@
 /// Asks another host to connect to a server.
 async fn ask(helper: SocketAddr, tag: Tag) -> Result<(Connected, TcpStream)> {
     let mut stream = TcpStream::connect(helper).await.context("could not connect")?;
-    pool::configure_socket(&stream, Some(pool::UNACKED_TIMEOUT));
+    pool::configure_socket(&stream, Some(pool::UNDELIVERED_TIMEOUT));
     // A host of an earlier version takes this for a fetch; it has nothing newer than these versions.
     let request = Fetch {
         configuration: u64::MAX,
@@ -342,8 +342,9 @@
     let connected = outcome.answer().into();
     mesh::send(&mut client, &Fetched { connected, ..Fetched::default() }).await?;
     let Ok(server) = server else { return Ok(()) };
+    pool::configure_socket(&client, Some(pool::UNDELIVERED_TIMEOUT));
     let label = SocketLabel { peer: client.peer_addr().ok(), ..server.label().clone() };
-    copy_until_closed(ServerSocket::new(client, label), server).await
+    copy_until_closed(ServerSocket::with_answers(client, label), server).await
 }
 
 /// Copies bytes both ways. Once one side closes, the other one is closed too, and reset if a side was reset, since an
