Give no request to a connection whose last body is not read

A request beside a server that answers early and reads the body later waits behind that body: it goes out on the same connection and is answered only once the server has read on. Through another host such a server does not get the rest of the body at all.

Cause: hyper takes a connection as ready once the answer is complete and the body is in its buffers; the pool asks nothing else, drops connections that are not ready, and closes those of tunnels with the end of the answer.

A socket tells the pool whether bytes wait: a write is blocked, or a look at the socket found bytes that are not acknowledged. When an answer arrives to more than 16 KiB it is looked at without waiting for the timer. Such connections carry no request until the rest is through, and are kept for at most 10 s more for it, also in tunnels.

--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -29,7 +29,7 @@
 use super::{
     attempts::Failure,
     backends::BackendKey,
-    server_socket::{ServerSocket, SocketLabel},
+    server_socket::{Rest, ServerSocket, SocketLabel},
 };
 use crate::util::{Instant, Map, lock, now};
 
@@ -51,6 +51,8 @@
 /// Fraction of the server's idle timeout for which a connection is kept. The margin covers requests in transit and
 /// clock drift, with which the server could close the connection first.
 const IDLE_FRACTION: f64 = 0.6;
+/// How long a connection whose answer is complete is kept for the rest of its request, which the server reads on.
+const MAX_REST_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -64,6 +66,8 @@
     /// Whether it passes through another host. It is used for one request, since that host decides each time whether the
     /// server may get one.
     is_tunnel: bool,
+    /// Whether the server has yet to get a part of the request.
+    rest: Rest,
 }
 
 impl Conn {
@@ -77,7 +81,8 @@
         label: SocketLabel,
     ) -> Result<Self, Failure> {
         let socket = ServerSocket::new(connect_tcp(addr, timeout).await?, label);
-        Self::handshake(socket, addr).await
+        let rest = socket.rest();
+        Self::handshake(socket, rest, addr).await
     }
 
     /// Uses the connection to another host that has connected to a backend server.
@@ -85,7 +90,8 @@
     /// # Errors
     /// As [`Conn::connect`].
     pub(crate) async fn through(socket: ServerSocket, host: SocketAddr) -> Result<Self, Failure> {
-        let mut conn = Self::handshake(socket, host).await?;
+        let rest = socket.rest();
+        let mut conn = Self::handshake(socket, rest, host).await?;
         conn.is_tunnel = true;
         Ok(conn)
     }
@@ -95,11 +101,13 @@
     /// # Errors
     /// As [`Conn::connect`].
     pub async fn connect_with_keepalive(addr: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
-        Self::handshake(connect_with_probes(addr, timeout).await?, addr).await
+        let stream = connect_with_probes(addr, timeout).await?;
+        Self::handshake(stream, Rest::default(), addr).await
     }
 
     async fn handshake(
         stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        rest: Rest,
         addr: SocketAddr,
     ) -> Result<Self, Failure> {
         let handshaking = Builder::new().handshake(TokioIo::new(stream)).await;
@@ -109,7 +117,7 @@
                 spdlog::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Self { tx, task: task.abort_handle(), reused: false, is_tunnel: false })
+        Ok(Self { tx, task: task.abort_handle(), reused: false, is_tunnel: false, rest })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -133,7 +141,7 @@
 
     /// Whether it can carry a request now.
     pub fn is_usable(&self) -> bool {
-        self.tx.is_ready() && !self.task.is_finished()
+        self.tx.is_ready() && !self.task.is_finished() && !self.rest.is_due()
     }
 
     /// Closes the connection at once, so that the server stops working on its request.
@@ -232,6 +240,23 @@
     until: Instant,
 }
 
+impl Idle {
+    /// Whether it may carry a request.
+    fn is_free(&self, now: Instant) -> bool {
+        self.until > now && self.conn.is_usable() && !self.conn.is_tunnel
+    }
+
+    /// Whether it has a use: it may carry a request later, or the server has yet to get the rest of the last one.
+    fn is_kept(&self, now: Instant) -> bool {
+        let until = match self.conn.rest.is_due() {
+            true => self.until + MAX_REST_TIME,
+            false => self.until,
+        };
+        let has_use = self.conn.rest.is_due() || !self.conn.is_tunnel;
+        has_use && until > now && !self.conn.task.is_finished()
+    }
+}
+
 /// Idle connections by backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
@@ -244,26 +269,26 @@
         let mut idle = lock(&self.idle);
         let conns = idle.get_mut(&key)?;
         let now = now();
-        while let Some(idle) = conns.pop() {
-            if idle.until > now && idle.conn.is_usable() {
-                return Some(idle.conn);
-            }
-        }
-        None
+        let free = conns.iter().rposition(|idle| idle.is_free(now))?;
+        Some(conns.remove(free).conn)
     }
 
     /// Keeps an idle connection after its answer was read completely, for a fraction of the time that the server
-    /// keeps it, if there are fewer than `max_idle`.
+    /// keeps it, if there are fewer than `max_idle`. One whose request the server has yet to read carries no other one before.
     pub fn put(&self, key: BackendKey, mut conn: Conn, server_keeps: Option<Duration>, max_idle: usize) {
-        if conn.is_tunnel {
+        let has_rest = conn.rest.is_due();
+        if conn.is_tunnel && !has_rest {
             return conn.close();
         }
         conn.reused = true;
         let max_idle_time = server_keeps.map_or(DEFAULT_IDLE, |period| period.mul_f64(IDLE_FRACTION));
+        let now = now();
         let mut idle = lock(&self.idle);
         let conns = idle.entry(key).or_default();
-        if conns.len() < max_idle.min(MAX_IDLE_PER_SERVER) {
-            conns.push(Idle { conn, until: now() + max_idle_time });
+        conns.retain(|idle| idle.is_kept(now));
+        let max_idle = if has_rest { MAX_IDLE_PER_SERVER } else { max_idle.min(MAX_IDLE_PER_SERVER) };
+        if conns.len() < max_idle {
+            conns.push(Idle { conn, until: now + max_idle_time });
         }
     }
 
@@ -287,7 +312,7 @@
     pub fn evict(&self, is_kept: impl Fn(BackendKey) -> bool) {
         let now = now();
         lock(&self.idle).retain(|key, conns| {
-            conns.retain(|idle| idle.until > now && !idle.conn.task.is_finished());
+            conns.retain(|idle| idle.is_kept(now));
             !conns.is_empty() && is_kept(*key)
         });
     }
--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -9,7 +9,10 @@
     net::SocketAddr,
     os::fd::{AsFd, BorrowedFd},
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
     time::Duration,
 };
@@ -73,6 +76,25 @@
     pub peer: Option<SocketAddr>,
 }
 
+/// Number of bytes written to a socket from which on it is looked at when an answer arrives: an answer says that the server has
+/// got a shorter request.
+const MAX_UNCHECKED_BYTES: u64 = 16 << 10;
+
+/// Whether a server has yet to get a part of what was written to its connection.
+#[derive(Clone, Debug, Default)]
+pub struct Rest(Arc<AtomicBool>);
+
+impl Rest {
+    /// Whether bytes are known to wait.
+    pub fn is_due(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, is_due: bool) {
+        self.0.store(is_due, Ordering::Relaxed);
+    }
+}
+
 /// Reads the state of a socket.
 pub type ReadState = fn(BorrowedFd<'_>) -> io::Result<SendState>;
 
@@ -84,6 +106,9 @@
     read_state: ReadState,
     /// Number of bytes written.
     written: u64,
+    /// Number of bytes written before those that may not be acknowledged.
+    written_before: u64,
+    rest: Rest,
     /// Set while written bytes may not be acknowledged.
     unacked: Option<Unacked>,
     /// Fires when it is time to look at the socket; created with the first bytes.
@@ -105,6 +130,8 @@
             label,
             read_state: send_state,
             written: 0,
+            written_before: 0,
+            rest: Rest::default(),
             unacked: None,
             timer: None,
             last_state: None,
@@ -128,6 +155,11 @@
         self
     }
 
+    /// Whether the server has yet to get a part of what was written, for those who do not hold the socket.
+    pub fn rest(&self) -> Rest {
+        self.rest.clone()
+    }
+
     pub(crate) fn label(&self) -> &SocketLabel {
         &self.label
     }
@@ -165,6 +197,7 @@
             }
         };
         self.last_state = Some(state);
+        self.rest.set(state.unacked_bytes > 0);
         match unacked.look(now(), &state, self.written) {
             Verdict::Acknowledged => self.unacked = None,
             Verdict::Wait => {}
@@ -208,13 +241,16 @@
         self.is_answered = true;
         if let Some(unacked) = &mut self.unacked {
             unacked.hear(now());
+            if self.written - self.written_before > MAX_UNCHECKED_BYTES {
+                self.look();
+            }
         }
     }
 
     fn note_written(&mut self, bytes: usize) {
         if self.unacked.is_none() {
             self.unacked = Some(Unacked::new(now(), self.written));
-            (self.last_state, self.is_answered) = (None, false);
+            (self.last_state, self.is_answered, self.written_before) = (None, false, self.written);
         }
         self.written += bytes as u64;
     }
@@ -228,7 +264,7 @@
         match &result {
             Poll::Ready(Ok(bytes)) => self.note_written(*bytes),
             Poll::Ready(Err(e)) => self.note_error(e),
-            Poll::Pending => {}
+            Poll::Pending => self.rest.set(true),
         }
         match self.poll_look(cx) {
             Err(e) => Poll::Ready(Err(e)),
--- a/tests/relay_unread.rs
+++ b/tests/relay_unread.rs
@@ -30,12 +30,17 @@
 
 /// Length of a body of which only a part fits into the servers' buffers.
 const BODY_BYTES: usize = 90_000;
+/// Length of the longest body, which does not fit into the host's send buffer either.
+const MAX_BODY_BYTES: usize = 6 << 20;
 /// Size of the servers' receive buffers, in bytes.
 const RECEIVE_BUFFER: usize = 4_096;
 /// Number of events of a stream, with a pause after each.
 const EVENTS: u32 = 12;
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for which a server that has answered does not read.
+const READ_PAUSE: Duration = Duration::from_millis(1_200);
+
 /// What a server does with a request before it reads the body.
 #[derive(Clone, Copy, Debug)]
 enum Late {
@@ -175,7 +180,7 @@
 /// The fixture's configuration with room for long bodies.
 fn long_bodies() -> Configuration {
     let mut cfg = configuration();
-    cfg.limits.as_mut().unwrap().body_bytes = 1 << 20;
+    cfg.limits.as_mut().unwrap().body_bytes = MAX_BODY_BYTES as u32;
     cfg
 }
 
@@ -217,13 +222,17 @@
     caller.answer().await
 }
 
-/// A body whose parts differ.
-fn long_body() -> String {
-    let mut body: String = (0..BODY_BYTES / 8).map(|n| format!("{n:07} ")).collect();
-    body.truncate(BODY_BYTES);
+/// A body of this length whose parts differ.
+fn body(length: usize) -> String {
+    let mut body: String = (0..length.div_ceil(8)).map(|n| format!("{n:07} ")).collect();
+    body.truncate(length);
     body
 }
 
+fn long_body() -> String {
+    body(BODY_BYTES)
+}
+
 fn is_whole_stream(got: &str) -> bool {
     status(got) == 200 && is_complete(got) && events(got).len() == EVENTS as usize
 }
@@ -298,19 +307,43 @@
     }
 }
 
-/// Guards against a request whose bytes come where the rest of an earlier request's body is due, and against a server that does
-/// not get that rest.
+/// Guards against a request whose bytes come where the rest of an earlier request's body is due, or wait behind it, and against a
+/// server that does not get that rest.
 #[tokio::test]
 async fn a_connection_carries_no_request_while_the_body_of_the_last_one_is_due() {
-    let server = LateServer::start("i-1", Late::AnswersAndPauses(Duration::from_millis(1_200))).await;
-    let host = host_with(&server).await;
+    for length in [BODY_BYTES, MAX_BODY_BYTES] {
+        let server = LateServer::start("i-1", Late::AnswersAndPauses(READ_PAUSE)).await;
+        let host = RunningHost::start("host", &[]).await;
+        host.relay.set_configuration(long_bodies(), "test");
+        host.relay.update_backends(listed_at(&[(&server, server.addr)]), None, "test");
 
-    let got = [call(host.addr, "/unsafe/x", &long_body()).await, call(host.addr, "/unsafe/y", "short").await];
+        let first = call(host.callers_at, "/unsafe/x", &body(length)).await;
+        let second = call(host.callers_at, "/unsafe/x", "short").await;
 
-    assert!(got.iter().all(|got| status(got) == 200 && got.ends_with("answered")), "{got:?}");
-    assert_eq!(server.connections(), 2);
-    wait_until("both bodies to be read", || server.bodies().len() == 2).await;
-    let mut bodies = server.bodies();
-    bodies.sort();
-    assert_eq!(bodies, [long_body(), "short".into()]);
+        for got in [first, second] {
+            assert!(status(&got) == 200 && got.ends_with("answered"), "{length}: {got}");
+        }
+        wait_until("both bodies to be read", || server.bodies().len() == 2).await;
+        let mut requests = server.requests.lock().unwrap().clone();
+        requests.sort();
+        let [(1, _, long), (2, _, short)] = &requests[..] else { panic!("{length}: on one connection") };
+        assert!((long, short.as_str()) == (&body(length), "short"), "{length}");
+    }
+}
+
+/// Guards against a server that does not get the rest of a body which another host copies, since the connection is closed once the
+/// answer is complete.
+#[tokio::test]
+async fn a_server_gets_the_rest_of_a_body_through_another_host() {
+    let late = Late::AnswersAndPauses(READ_PAUSE);
+    let (first, second) = (LateServer::start("i-1", late).await, LateServer::start("i-2", late).await);
+    let (host, _helper) = cut_off_host([&first, &second]).await;
+    let long = body(MAX_BODY_BYTES);
+
+    let got = call(host.callers_at, "/unsafe/x", &long).await;
+
+    assert!(status(&got) == 200 && got.ends_with("answered"), "{got}");
+    let bodies = || [first.bodies(), second.bodies()].concat();
+    wait_until("the body to be read", || !bodies().is_empty()).await;
+    assert!(bodies() == [long]);
 }
