Bound what a server may send before the head of its answer

What callers saw: while a backend server sent informational answers (103) without end, events of other streams came 1.1 s late, and the request itself ended only with its deadline (504).

Cause: hyper's client skips informational answers in a loop, without a bound on their number, and reads up to 408 KiB at a time into each connection.

Now a connection counts the bytes that it reads from the sending of a request to the head of its answer; from 64 KiB on, reads fail, and the attempt with the new failure too_long, after which an idempotent request is repeated elsewhere. The read buffer is bounded to 64 KiB as well, so that many such answers side by side take little memory, and one of them holds its thread for no longer than it takes to parse as much. Bytes of the body don't count: hyper reads no more of it than it has room for until the head has been taken.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,7 +11,7 @@
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
-//! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], `attempt`, [`hold`], [`stream`], [`follow`] and
+//! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`head_limit`], [`tunnel`], [`run`], `attempt`, [`hold`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
 //! host; `updates` changes and logs what the host knows, and `stop` shuts the host down.
 
@@ -56,6 +56,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod followers;
+pub mod head_limit;
 pub mod health;
 mod heartbeat;
 pub mod hold;
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -17,6 +17,8 @@
     Broken,
     /// The answer belongs to another request or violates the protocol.
     Garbled,
+    /// The answer, its head or an event of it is longer than a host accepts.
+    TooLong,
     /// The backend server sent nothing within the attempt's timeout.
     Silent,
     /// The deadline of the request passed first, which says nothing about the backend server.
@@ -27,13 +29,14 @@
 
 impl Failure {
     /// All failures.
-    pub const ALL: [Failure; 9] = [
+    pub const ALL: [Failure; 10] = [
         Failure::Connect,
         Failure::Unsent,
         Failure::Refused,
         Failure::Moved,
         Failure::Broken,
         Failure::Garbled,
+        Failure::TooLong,
         Failure::Silent,
         Failure::Late,
         Failure::Errored,
@@ -48,6 +51,7 @@
             Failure::Moved => "moved",
             Failure::Broken => "broken",
             Failure::Garbled => "garbled",
+            Failure::TooLong => "too_long",
             Failure::Silent => "silent",
             Failure::Late => "late",
             Failure::Errored => "errored",
@@ -58,7 +62,9 @@
     pub fn ran(self) -> Ran {
         match self {
             Failure::Connect | Failure::Unsent | Failure::Refused | Failure::Moved => Ran::No,
-            Failure::Broken | Failure::Garbled | Failure::Silent | Failure::Late => Ran::Unknown,
+            Failure::Broken | Failure::Garbled | Failure::TooLong | Failure::Silent | Failure::Late => {
+                Ran::Unknown
+            }
             Failure::Errored => Ran::Yes,
         }
     }
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -22,7 +22,11 @@
 use rustix::net::sockopt;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use super::{attempts::Failure, backends::BackendKey};
+use super::{
+    attempts::Failure,
+    backends::BackendKey,
+    head_limit::{self, HeadCounter, HeadLimited},
+};
 use crate::util::{Instant, Map, lock, now};
 
 /// Time limit for connecting: a round trip within a region takes 3 ms, and a lost first packet is retransmitted
@@ -42,6 +46,8 @@
 /// Fraction of the server's idle timeout for which a connection is kept. The margin covers requests in transit and
 /// clock drift, with which the server could close the connection first.
 const IDLE_FRACTION: f64 = 0.6;
+/// Maximum size of a connection's read buffer, and so of one read, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = head_limit::MAX_HEAD_BYTES;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -50,6 +56,7 @@
 pub struct Conn {
     tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_counter: HeadCounter,
     /// Whether it has carried a request before.
     pub reused: bool,
     /// Whether it passes through another host. It is used for one request, since that host decides each time whether the
@@ -85,14 +92,16 @@
     }
 
     async fn handshake(stream: TcpStream, addr: SocketAddr) -> Result<Self, Failure> {
-        let handshaking = Builder::new().handshake(TokioIo::new(stream)).await;
+        let head_counter = HeadCounter::default();
+        let io = TokioIo::new(HeadLimited::new(stream, head_counter.clone()));
+        let handshaking = Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).handshake(io).await;
         let Ok((tx, conn)) = handshaking else { return Err(Failure::Connect) };
         let task = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 spdlog::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Self { tx, task: task.abort_handle(), reused: false, is_tunnel: false })
+        Ok(Self { tx, task: task.abort_handle(), head_counter, reused: false, is_tunnel: false })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -103,10 +112,16 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)> {
-        match self.tx.try_send_request(req).await {
+        self.head_counter.begin();
+        let sent = self.tx.try_send_request(req).await;
+        self.head_counter.end();
+        match sent {
             Ok(res) => Ok(res),
             Err(mut e) => match e.take_message() {
                 Some(req) => Err((Failure::Unsent, Some(req))),
+                None if e.error().is_parse_too_large() || head_limit::is_exceeded(e.error()) => {
+                    Err((Failure::TooLong, None))
+                }
                 None if e.error().is_parse() => Err((Failure::Garbled, None)),
                 None if is_timeout(e.error()) => Err((Failure::Silent, None)),
                 None => Err((Failure::Broken, None)),
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -237,7 +237,7 @@
             Failure::Unsent => {}
             Failure::Late => self.relay.record_wait(&self.req, sent),
             Failure::Refused => self.relay.record_refusal(&self.req, key),
-            Failure::Broken | Failure::Garbled | Failure::Errored => {
+            Failure::Broken | Failure::Garbled | Failure::TooLong | Failure::Errored => {
                 self.relay.state().health.record_failure(now, key);
             }
         }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -427,6 +427,7 @@
         (Failure::Moved, Ok(()), Ok(())),
         (Failure::Broken, Ok(()), Err(StopReason::NotRepeatable)),
         (Failure::Garbled, Ok(()), Err(StopReason::NotRepeatable)),
+        (Failure::TooLong, Ok(()), Err(StopReason::NotRepeatable)),
         (Failure::Silent, Ok(()), Err(StopReason::NotRepeatable)),
         (Failure::Late, Ok(()), Err(StopReason::NotRepeatable)),
         (Failure::Errored, Ok(()), Err(StopReason::NotRepeatable)),
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -29,6 +29,9 @@
 /// Timeout of each wait on loopback; reached only when a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes of one write of a server that writes without end.
+const ENDLESS_WRITE_BYTES: usize = 16 << 10;
+
 /// Reaction of a scripted server to one request.
 #[derive(Clone, Debug)]
 pub enum ScriptStep {
@@ -42,6 +45,8 @@
     WriteSlowly(Vec<String>, Duration),
     /// Writes these texts with pauses between them and resets the connection.
     WriteSlowlyAndReset(Vec<String>, Duration),
+    /// Writes the first text, and then the second one again and again until the other side closes the connection.
+    WriteWithoutEnd(String, &'static str),
     /// Sends nothing until the other side closes the connection.
     Hang,
     /// Resets all connections and accepts no further ones.
@@ -134,6 +139,13 @@
                     reset(stream);
                     return;
                 }
+                ScriptStep::WriteWithoutEnd(text, unit) => {
+                    let units = unit.repeat(ENDLESS_WRITE_BYTES.div_ceil(unit.len()));
+                    let _ = stream.write_all(&write(&text)).await;
+                    while stream.write_all(units.as_bytes()).await.is_ok() {}
+                    *self.closed_connections.lock().unwrap() += 1;
+                    return;
+                }
                 ScriptStep::Crash => {
                     let _ = crash.send(stream).await;
                     return;
@@ -152,7 +164,7 @@
         self.requests.lock().unwrap().clone()
     }
 
-    /// Number of connections that the other side closed during [`ScriptStep::Hang`].
+    /// Number of connections that the other side closed during [`ScriptStep::Hang`] or [`ScriptStep::WriteWithoutEnd`].
     pub fn closed_connections(&self) -> usize {
         *self.closed_connections.lock().unwrap()
     }
