Tell answers that are too long from those that break off

What callers saw: requests to a server that sends without end ended with 504 at their deadline. By reading: they were also recorded as possible causes of a crash, together with the parts of their prompts.

Cause: a whole answer over 4 MiB, and one whose chunk extensions or trailers don't end, failed as 'broken', after which a host looks for a crash, opening another connection. An answer whose stated length is over the limit was read up to the limit. And as the limits count payload only, a body in chunks of 4 bytes, 1,048,576 pieces, was read until the deadline (debug build: all of 20 idempotent requests ended with 504).

Evidence: relay_endless::a_body_without_end_is_no_crash fails with 'broken' in place of 'too_long' (7 connections for 5 requests), and a_server_that_sends_without_end_gets_few_requests before the change (0 of 20 requests served); relay_events::an_event_has_a_maximum_number_of_pieces.

Now an answer, or an event, over the limit fails as 'too_long', at once if its length is stated, and chunks that are none as 'garbled'. Both count for the health of the server, and are no reason to look for a crash. Each piece counts at least 64 bytes towards the limits: at most 65,536 pieces of a whole answer and 16,384 of an event.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -9,21 +9,21 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Response, response};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::{
     AttemptContext, InFlightRequest, Relay, ResponseHead, Wire,
     attempts::Failure,
     backends::BackendKey,
     crashes::begun::BEGINNING,
-    events::CompleteEvents,
+    events::{CompleteEvents, piece_cost},
     hold::Wanted,
     pace_reports::Prefilling,
     place::{Choice, shared},
-    pool::Conn,
+    pool::{self, Conn},
     request::{EventNumber, Request},
     run::{MAX_BUFFERED_BYTES, REFUSED_RETRY_PAUSE},
     stream::Source,
@@ -271,6 +271,32 @@
         result
     }
 
+    /// Reads a whole body.
+    pub(crate) async fn buffer(&mut self, mut body: Incoming) -> Result<Bytes, Failure> {
+        let stated = body.size_hint().exact();
+        if stated.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
+            return Err(Failure::TooLong);
+        }
+        let mut buf = BytesMut::with_capacity(stated.unwrap_or(0) as usize);
+        let mut cost = 0;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| self.body_failure(&e))?;
+            let Ok(data) = frame.into_data() else { continue };
+            cost += piece_cost(data.len());
+            if cost > MAX_BUFFERED_BYTES {
+                return Err(Failure::TooLong);
+            }
+            buf.extend_from_slice(&data);
+        }
+        Ok(buf.freeze())
+    }
+
+    /// How the attempt failed whose body could not be read.
+    pub(crate) fn body_failure(&self, e: &hyper::Error) -> Failure {
+        spdlog::debug!("could not read the answer to {}: {e}", self.req.id);
+        pool::body_failure(e)
+    }
+
     /// Time until the request's deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.req.time_left(now())
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,6 +7,14 @@
 /// Maximum size of an event; a longer one means that the stream is broken.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// What each piece of an answer counts at least towards its maximum size, in bytes: reading a shorter one takes about as long.
+const MIN_PIECE_COST: usize = 64;
+
+/// What a piece of an answer counts towards its maximum size, in bytes.
+pub fn piece_cost(bytes: usize) -> usize {
+    bytes.max(MIN_PIECE_COST)
+}
+
 /// Consecutive complete events, ready to be forwarded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CompleteEvents {
@@ -24,6 +32,8 @@
     /// Contains no boundary.
     buf: BytesMut,
     searched_bytes: u64,
+    /// Sum of [`piece_cost`] since the last complete event.
+    cost: usize,
     /// Whether the bytes before the buffer end with a boundary, so that a line feed at its start is another empty line.
     follows_boundary: bool,
 }
@@ -35,6 +45,7 @@
             self.follows_boundary = true;
             return Some(complete_events(bytes));
         }
+        self.cost += piece_cost(bytes.len());
         // Its last byte may be the first one of a boundary.
         let searched = self.buf.len().saturating_sub(1);
         self.buf.extend_from_slice(&bytes);
@@ -45,7 +56,7 @@
             None if self.follows_boundary && self.buf.starts_with(b"\n") => 1,
             None => return None,
         };
-        self.follows_boundary = true;
+        (self.follows_boundary, self.cost) = (true, 0);
         Some(complete_events(self.buf.split_to(end).freeze()))
     }
 
@@ -61,13 +72,13 @@
 
     /// Whether the buffered event exceeds the maximum size.
     pub fn is_too_long(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES
+        self.cost > MAX_EVENT_BYTES
     }
 
     /// Discards an incomplete event.
     pub fn clear(&mut self) {
         self.buf.clear();
-        self.follows_boundary = false;
+        (self.follows_boundary, self.cost) = (false, 0);
     }
 }
 
--- a/src/relay/head_limit.rs
+++ b/src/relay/head_limit.rs
@@ -14,6 +14,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::pool;
+
 /// Maximum number of bytes that are read for the head of an answer, those of informational answers included.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -31,8 +33,7 @@
 
 /// Whether a connection ended with [`HeadTooLong`].
 pub(super) fn is_exceeded(e: &hyper::Error) -> bool {
-    let source = std::error::Error::source(e).and_then(|s| s.downcast_ref::<io::Error>());
-    source.and_then(io::Error::get_ref).is_some_and(|inner| inner.is::<HeadTooLong>())
+    pool::io_error(e).and_then(io::Error::get_ref).is_some_and(|inner| inner.is::<HeadTooLong>())
 }
 
 /// Counts the bytes of a connection that are read while the head of an answer is awaited.
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -208,8 +208,20 @@
 
 /// Whether the error is an acknowledgement timeout.
 fn is_timeout(e: &hyper::Error) -> bool {
-    let source = std::error::Error::source(e).and_then(|s| s.downcast_ref::<std::io::Error>());
-    source.is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
+    io_error(e).is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
+}
+
+/// How an attempt failed whose body could not be read: a body in chunks that are none differs from one that breaks off.
+pub(super) fn body_failure(e: &hyper::Error) -> Failure {
+    use std::io::ErrorKind::{InvalidData, InvalidInput};
+    match io_error(e).map(std::io::Error::kind) {
+        Some(InvalidData | InvalidInput) => Failure::Garbled,
+        _ => Failure::Broken,
+    }
+}
+
+pub(super) fn io_error(e: &hyper::Error) -> Option<&std::io::Error> {
+    std::error::Error::source(e)?.downcast_ref()
 }
 
 /// Configures a socket: small writes are sent at once, and the connection ends if the peer acknowledges nothing for
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{Response, response};
-use http_body_util::{BodyExt, Limited};
 
 use super::{
     Refusal, Relay, Wire,
@@ -247,13 +246,10 @@
     async fn buffer_answer(&mut self, answered: Answered<W>) -> Result<Response<AnswerBody>, Failed> {
         let Answered { head, parsed, body, conn, mut attempt } = answered;
         let key = attempt.key;
-        let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let reading = attempt.buffer(body);
         let bytes = match tokio::time::timeout(self.req.time_left(now()), reading).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(e)) => {
-                spdlog::debug!("could not read the answer to {}: {e}", self.req.id);
-                return Err(attempt.failed(Failure::Broken));
-            }
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(failure)) => return Err(attempt.failed(failure)),
             Err(_) => return Err(attempt.failed(Failure::Late)),
         };
         if !parsed.closes {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -74,10 +74,7 @@
         loop {
             let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(e))) => {
-                    spdlog::debug!("a stream broke: {e}");
-                    return Err(Failure::Broken);
-                }
+                Ok(Some(Err(e))) => return Err(attempt.body_failure(&e)),
                 Ok(None) if self.splitter.is_empty() => return Ok(None),
                 Ok(None) => return Err(Failure::Broken),
                 Err(_) => return Err(Failure::Late),
@@ -89,7 +86,7 @@
                 return if is_next { Ok(Some(events)) } else { Err(Failure::Garbled) };
             }
             if self.splitter.is_too_long() {
-                return Err(Failure::Garbled);
+                return Err(Failure::TooLong);
             }
         }
     }
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -10,7 +10,7 @@
     relay::head_limit::{HeadCounter, HeadLimited, HeadTooLong, MAX_HEAD_BYTES},
 };
 use tokio::io::AsyncReadExt;
-use wire::{Host, ScriptStep, Server, ok, request, status};
+use wire::{Host, ScriptStep, Server, chunk, event, events, is_complete, ok, request, status, stream_head};
 
 /// Server that sends these bytes again and again after the first ones.
 async fn endless(first: impl Into<String>, unit: &'static str) -> Server {
@@ -81,3 +81,91 @@
     assert!(read.iter().all(|n| (MAX_HEAD_BYTES..MAX_HEAD_BYTES + READ_BYTES).contains(n)), "{read:?}");
     assert_eq!(after_head, READ_BYTES);
 }
+
+/// Head of an answer with a chunked body.
+fn chunked_head() -> String {
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n".into()
+}
+
+/// Head of an answer that is as long as this.
+fn head_of(content_length: &str) -> String {
+    chunked_head().replace("Transfer-Encoding: chunked", &format!("Content-Length: {content_length}"))
+}
+
+/// Answers that are longer than a host buffers, or whose chunks break the rules of HTTP without end.
+fn endless_bodies() -> Vec<(String, &'static str)> {
+    let failing = |head: String| head.replace("200 OK", "500 Internal Server Error");
+    vec![
+        (chunked_head(), "4\r\nabcd\r\n"),
+        (failing(chunked_head()), "4\r\nabcd\r\n"),
+        (head_of("1000000000000"), "abcd"),
+        (failing(head_of("1000000000000")), "abcd"),
+        // Without a length, the body ends with the connection.
+        (head_of("1").replace("Content-Length: 1\r\n", ""), "abcd"),
+        (chunked_head() + "4;", "extension=1;"),
+        (chunked_head() + "0", "0"),
+        (chunked_head() + "0\r\n", "Trailer: 1\r\n"),
+    ]
+}
+
+/// Guards against a body without end that is taken for a crash of its server, for which the request and those that share
+/// parts with it are refused.
+#[tokio::test]
+async fn a_body_without_end_is_no_crash() {
+    for (first, unit) in endless_bodies() {
+        let step = ScriptStep::WriteWithoutEnd(first.clone(), unit);
+        let servers =
+            [Server::start("i-1", [step.clone()]).await, Server::start("i-2", [step.clone()]).await];
+        let host = Host::with_servers(&[&servers[0], &servers[1]]).await;
+
+        let mut answers = Vec::new();
+        for _ in 0..5 {
+            answers.push(host.call(&request("/unsafe/x", "body")).await);
+        }
+
+        let sum = |count: fn(&Server) -> usize| servers.iter().map(count).sum::<usize>();
+        assert!(answers.iter().all(|a| status(a) == 502), "{first}{unit}: {answers:?}");
+        assert_eq!(sum(|s| s.requests().len()), answers.len(), "{first}{unit}");
+        // Another connection would be opened to find out whether the server has crashed.
+        assert_eq!(sum(Server::connections), answers.len(), "{first}{unit}");
+    }
+}
+
+/// Guards against a server that goes on to get most requests while it answers all of them without end.
+#[tokio::test]
+async fn a_server_that_sends_without_end_gets_few_requests() {
+    const REQUESTS: usize = 20;
+    let mut cases = endless_bodies();
+    cases.push((String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"));
+    for (first, unit) in cases {
+        let (server, other) = (endless(first.clone(), unit).await, Server::start("i-2", answering()).await);
+        let host = Host::with_servers(&[&server, &other]).await;
+
+        let mut served = 0;
+        for _ in 0..REQUESTS {
+            served += usize::from(status(&host.call(&request("/safe/x", "body")).await) == 200);
+        }
+
+        assert_eq!(served, REQUESTS, "{first}{unit}");
+        assert!(server.requests().len() <= REQUESTS / 4, "{first}{unit}: {}", server.requests().len());
+    }
+}
+
+/// Guards against a stream with an event without end: it ends without that event, or goes on at another server if its route
+/// allows that.
+#[tokio::test]
+async fn an_event_without_end_is_not_passed_on() {
+    let first = stream_head() + &chunk(&event(1));
+    let rest = stream_head() + &chunk(&event(2)) + "0\r\n\r\n";
+    for (path, whole) in [("/once/x", false), ("/stream/x", true)] {
+        let server = endless(first.clone(), "4\r\nabcd\r\n").await;
+        let other = Server::start("i-2", [ScriptStep::Write(rest.clone())]).await;
+        let host = Host::with_servers(&[&server, &other]).await;
+
+        let answer = host.call(&request(path, "body")).await;
+
+        let expected = if whole { vec!["e1", "e2"] } else { vec!["e1"] };
+        assert_eq!((events(&answer), is_complete(&answer)), (expected, whole), "{path}");
+        wire::wait_until("the connection to be closed", || server.closed_connections() > 0).await;
+    }
+}
--- a/tests/relay_events.rs
+++ b/tests/relay_events.rs
@@ -60,3 +60,20 @@
         prop_assert!(splitter.searched_bytes() <= (text.len() * 2) as u64);
     }
 }
+
+/// Guards against an event without end in tiny pieces, each of which takes as long to read as a larger one.
+#[test]
+fn an_event_has_a_maximum_number_of_pieces() {
+    const MAX_PIECES: usize = 16 << 10;
+    let mut splitter = Splitter::default();
+
+    for _ in 0..MAX_PIECES {
+        assert_eq!(splitter.push("x".into()), None);
+        assert!(!splitter.is_too_long());
+    }
+    splitter.push("x".into());
+
+    assert!(splitter.is_too_long());
+    assert!(splitter.push("\n\n".into()).is_some());
+    assert!(!splitter.is_too_long());
+}
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -61,6 +61,7 @@
     /// Address.
     pub addr: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    connections: Arc<Mutex<usize>>,
     closed_connections: Arc<Mutex<usize>>,
 }
 
@@ -82,6 +83,7 @@
             id: id.into(),
             addr: listener.local_addr().unwrap(),
             requests: Arc::default(),
+            connections: Arc::default(),
             closed_connections: Arc::default(),
         };
         let (serving, react) = (server.clone(), Arc::new(react));
@@ -99,6 +101,7 @@
                         return;
                     }
                     Ok((stream, _)) = listener.accept() => {
+                        *serving.connections.lock().unwrap() += 1;
                         connections.spawn(serving.clone().serve(stream, react.clone(), crash.clone()));
                     }
                 }
@@ -164,6 +167,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Number of accepted connections.
+    pub fn connections(&self) -> usize {
+        *self.connections.lock().unwrap()
+    }
+
     /// Number of connections that the other side closed during [`ScriptStep::Hang`] or [`ScriptStep::WriteWithoutEnd`].
     pub fn closed_connections(&self) -> usize {
         *self.closed_connections.lock().unwrap()
