Bound the memory of all buffered answers together

What callers saw: nothing yet. 100 requests at once whose answers don't end took the test process to a peak of 224 MB before (release build, callers and host in one process); a host has 260 MB, and its process is ended above that.

Cause: each answer was bounded (4 MiB, 1 MiB for an event), their number was not; the bodies of refusals were buffered too, though nobody reads them; and an answer no longer counted once a caller that reads slowly had it.

Evidence: relay_endless::answers_share_the_buffer_memory_of_a_host fails without the limit (an answer of 512 KiB passes on a host with 512 KiB); relay_buffers has the decisions without I/O.

Now bodies and incomplete events take room from one budget, a quarter of the host's memory (limits.memoryMb of the platform's settings, 64 MiB if that is missing), until their last byte is written to the caller. One answer may take a quarter of what is free, so that long ones leave room for short ones whatever their number, and nobody waits for another's end. An answer that gets no room within 100 ms fails as too_long. The body of a refusal is read without buffering it, up to 64 KiB; above that its connection is closed.

Weighed: waiting until the deadline (sound long answers would wait behind answers without end), ending the longest one (a list of all answers under a lock, for the same result), a smaller limit for each (sound answers lose it on a quiet host too).

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::{
-    relay::{RelayConfig, budget::BudgetConfig, confirm, leave::LeaveConfig, place::Bound},
+    relay::{RelayConfig, budget::BudgetConfig, buffers, confirm, leave::LeaveConfig, place::Bound},
     schema::fleet::Member,
 };
 
@@ -35,6 +35,7 @@
     evacuates: bool,
     in_force: Duration,
     concurrent_fetches: usize,
+    buffer_bytes: usize,
 }
 
 #[derive(Deserialize)]
@@ -57,6 +58,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct RawLimits {
     link_mbps: f64,
+    memory_mb: f64,
 }
 
 #[derive(Deserialize)]
@@ -121,6 +123,7 @@
             evacuates: bounds.evacuation_ms.is_some(),
             in_force: confirm::bound_from([bounds.config_apply_ms, bounds.drain_ms, bounds.evacuation_ms]),
             concurrent_fetches: RelayConfig::concurrent_fetches(raw.limits.link_mbps),
+            buffer_bytes: buffers::limit_for(raw.limits.memory_mb),
         })
     }
 
@@ -144,6 +147,7 @@
             evacuates: self.evacuates,
             in_force: self.in_force,
             concurrent_fetches: self.concurrent_fetches,
+            buffer_bytes: self.buffer_bytes,
             limits_plain_together: false,
             places_by_pace: false,
         }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -8,7 +8,7 @@
 //! 4. [`answer`] and [`stream`] pass the answer back.
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
-//! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
+//! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`buffers`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
 //! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
 //! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`head_limit`], [`tunnel`], [`run`], `attempt`, [`hold`], [`stream`], [`follow`] and
@@ -41,6 +41,7 @@
 pub mod backends;
 pub mod brittle;
 pub mod budget;
+pub mod buffers;
 mod choose;
 pub mod configurations;
 pub mod confirm;
@@ -96,6 +97,7 @@
 use backends::{BackendKey, Backends};
 use brittle::Brittle;
 use budget::{BudgetConfig, FleetBudget};
+use buffers::Buffers;
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
 use crashes::Crashes;
@@ -147,6 +149,8 @@
     /// Maximum number of fetches of other hosts answered concurrently. Hosts that are turned away ask hosts that have
     /// been answered meanwhile, so new state spreads faster than from one host alone.
     pub concurrent_fetches: usize,
+    /// Maximum number of bytes of servers' answers that are buffered at a time.
+    pub buffer_bytes: usize,
     /// Whether hosts learn the limits of services whose servers report no load together, rather than each alone.
     pub limits_plain_together: bool,
     /// Whether the pace that servers report decides where requests go.
@@ -236,6 +240,7 @@
     pub(crate) cfg: RelayConfig,
     pub(crate) wire: W,
     pub(crate) pool: Pool,
+    pub(crate) buffers: Buffers,
     pub(crate) metrics: Metrics,
     /// Wakes the heartbeat sender to send to all targets at once.
     pub(crate) beat_due: Notify,
@@ -320,6 +325,7 @@
             connections: 0,
             rng: SmallRng::from_os_rng(),
         };
+        let buffers = Buffers::new(cfg.buffer_bytes);
         let (pool, beat_due, fetch_due) = (Pool::default(), Notify::new(), Notify::new());
         let gossip_due = Notify::new();
         let closing = watch::Sender::new(false);
@@ -328,6 +334,7 @@
             cfg,
             wire,
             pool,
+            buffers,
             metrics,
             beat_due,
             gossip_due,
@@ -469,6 +476,11 @@
         line(level, event, |l| add_fields(l.text("request", &req.id).text("route", &req.route.route.name)));
     }
 
+    /// Number of bytes of servers' answers that are buffered now.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffers.used()
+    }
+
     /// Takes a retry from the budget; returns false if it is exhausted.
     pub(crate) fn spend_retry(&self, req: &Request) -> bool {
         self.state().budget.spend(now(), &req.service)
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -11,13 +11,14 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Response, response};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use super::{
     AttemptContext, InFlightRequest, Relay, ResponseHead, Wire,
     attempts::Failure,
     backends::BackendKey,
+    buffers::Room,
     crashes::begun::BEGINNING,
     events::{CompleteEvents, piece_cost},
     hold::Wanted,
@@ -38,6 +39,9 @@
 /// opened.
 const MAX_STALE_CONNECTIONS: usize = 3;
 
+/// Maximum size of the body of a refusal after which the connection is used again, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
 /// A failed attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Failed {
@@ -75,6 +79,8 @@
     prefill: Option<Prefilling<W>>,
     /// Whether the answer has begun for good.
     has_begun: bool,
+    /// Room for what is buffered of the answer.
+    room: Room,
     /// Counts the request at the server.
     _work: InFlightRequest<W>,
 }
@@ -147,6 +153,7 @@
             first_event: None,
             prefill: Prefilling::start(relay, req, choice),
             has_begun: false,
+            room: relay.buffers.room(),
             _work: InFlightRequest::start(relay, choice.key),
         }
     }
@@ -274,21 +281,50 @@
     /// Reads a whole body.
     pub(crate) async fn buffer(&mut self, mut body: Incoming) -> Result<Bytes, Failure> {
         let stated = body.size_hint().exact();
-        if stated.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
-            return Err(Failure::TooLong);
+        if let Some(bytes) = stated.filter(|bytes| *bytes > MAX_BUFFERED_BYTES as u64) {
+            return Err(self.too_long(bytes as usize));
         }
-        let mut buf = BytesMut::with_capacity(stated.unwrap_or(0) as usize);
+        let mut buf = BytesMut::new();
         let mut cost = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| self.body_failure(&e))?;
             let Ok(data) = frame.into_data() else { continue };
             cost += piece_cost(data.len());
             if cost > MAX_BUFFERED_BYTES {
-                return Err(Failure::TooLong);
+                return Err(self.too_long(buf.len() + data.len()));
             }
+            self.make_room(buf.len() + data.len()).await?;
             buf.extend_from_slice(&data);
         }
-        Ok(buf.freeze())
+        Ok(self.hold(buf.freeze()))
+    }
+
+    /// Makes room for this many bytes of the answer.
+    ///
+    /// # Errors
+    /// If other answers take up so much that there is no room.
+    pub(crate) async fn make_room(&mut self, bytes: usize) -> Result<(), Failure> {
+        // Buffers grow by doubling.
+        if self.room.await_resize(bytes.next_power_of_two()).await {
+            Ok(())
+        } else {
+            Err(self.too_long(bytes))
+        }
+    }
+
+    /// Bytes that take up the room of the attempt until they are passed on.
+    pub(crate) fn hold(&mut self, bytes: Bytes) -> Bytes {
+        self.room.take().hold(bytes)
+    }
+
+    /// Logs that the answer, or an event of it, is too long to be buffered.
+    pub(crate) fn too_long(&self, bytes: usize) -> Failure {
+        let (relay, backend) = (&self.relay, self.relay.backend_id(self.key));
+        relay.log_request(Level::Notable, "answer_too_long", &self.req, |l| {
+            let l = l.text("backend", backend.as_deref().unwrap_or("gone")).number("bytes", bytes as u64);
+            l.number("buffered", relay.buffers.used() as u64).number("limit", relay.cfg.buffer_bytes as u64)
+        });
+        Failure::TooLong
     }
 
     /// How the attempt failed whose body could not be read.
@@ -341,8 +377,20 @@
     key: BackendKey,
     keep_alive: Option<Duration>,
 ) {
-    let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    if let Ok(Ok(_)) = tokio::time::timeout(REFUSED_RETRY_PAUSE, reading).await {
+    if let Ok(true) = tokio::time::timeout(REFUSED_RETRY_PAUSE, is_soon_over(body)).await {
         relay.return_connection(key, conn, keep_alive);
     }
 }
+
+/// Reads the body of a refusal without buffering it; returns whether it is complete and not too long.
+async fn is_soon_over(mut body: Incoming) -> bool {
+    let mut cost = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        cost += frame.data_ref().map_or(0, |data| piece_cost(data.len()));
+        if cost > MAX_REFUSAL_BYTES {
+            return false;
+        }
+    }
+    true
+}
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -65,6 +65,11 @@
         self.searched_bytes
     }
 
+    /// Size of the incomplete event that is buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no incomplete event is buffered.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -80,14 +80,16 @@
                 Err(_) => return Err(Failure::Late),
             };
             let Ok(data) = frame.into_data() else { continue };
-            if let Some(events) = self.splitter.push(data) {
+            if let Some(mut events) = self.splitter.push(data) {
                 attempt.note_event();
+                events.bytes = attempt.hold(events.bytes);
                 let is_next = follows.is_none() || events.first == follows.map(|n| n + 1);
                 return if is_next { Ok(Some(events)) } else { Err(Failure::Garbled) };
             }
             if self.splitter.is_too_long() {
-                return Err(Failure::TooLong);
+                return Err(attempt.too_long(self.splitter.buffered_bytes()));
             }
+            attempt.make_room(self.splitter.buffered_bytes()).await?;
         }
     }
 
--- /dev/null
+++ b/tests/relay_buffers.rs
@@ -0,0 +1,98 @@
+//! Tests of the memory that a host's buffered answers may take, without I/O.
+
+use bytes::Bytes;
+use cranberrytally::relay::buffers::{Buffers, limit_for};
+use proptest::{collection::vec, prelude::*};
+
+const LIMIT_BYTES: usize = 64 << 20;
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+const READ_BYTES: usize = 64 << 10;
+
+/// Guards against hundreds of answers without end that exceed the memory of a host together, or leave none for short ones.
+#[test]
+fn many_answers_without_end_leave_room_for_short_ones() {
+    for floods in [1, 16, 100, 900] {
+        let buffers = Buffers::new(LIMIT_BYTES);
+        let mut rooms: Vec<_> = (0..floods).map(|_| (buffers.room(), 0)).collect();
+
+        // Each grows until it gets no more, in turns.
+        let mut grew = true;
+        while grew {
+            grew = false;
+            for (room, bytes) in &mut rooms {
+                if *bytes < MAX_ANSWER_BYTES && room.resize(*bytes + READ_BYTES) {
+                    *bytes += READ_BYTES;
+                    grew = true;
+                }
+                assert!(buffers.used() <= LIMIT_BYTES, "{floods} floods: {} bytes", buffers.used());
+            }
+        }
+
+        let mut short = buffers.room();
+        assert!(short.resize(READ_BYTES / 8), "{floods} floods leave no room: {} bytes", buffers.used());
+        if floods == 1 {
+            assert_eq!(rooms[0].1, MAX_ANSWER_BYTES);
+        }
+        drop((rooms, short));
+        assert_eq!(buffers.used(), 0);
+    }
+}
+
+/// Guards against an answer that is no longer counted once it is handed to a caller that reads slowly.
+#[test]
+fn bytes_count_until_they_are_dropped() {
+    let buffers = Buffers::new(LIMIT_BYTES);
+    let mut room = buffers.room();
+    assert!(room.resize(5));
+
+    let mut bytes = room.take().hold(Bytes::from_static(b"12345"));
+    let rest = bytes.split_off(2);
+    drop((room, bytes));
+
+    assert_eq!((buffers.used(), &rest[..]), (5, &b"345"[..]));
+    drop(rest);
+    assert_eq!(buffers.used(), 0);
+}
+
+/// Guards against an answer that waits for room without end while others keep it.
+#[tokio::test]
+async fn an_answer_waits_for_room_only_briefly() {
+    let buffers = Buffers::new(1_000);
+    let (mut first, mut second) = (buffers.room(), buffers.room());
+    assert!(first.resize(200));
+
+    assert!(!second.await_resize(200).await);
+    let (_, got_room) = tokio::join!(async { drop(first) }, second.await_resize(200));
+
+    assert!(got_room);
+}
+
+/// Guards against a limit that does not follow the memory of the host, or is 0 if that is unknown or senseless.
+#[test]
+fn the_limit_is_a_quarter_of_the_memory() {
+    for (memory_mb, expected) in
+        [(260.0, 65 << 20), (0.0, LIMIT_BYTES), (-1.0, LIMIT_BYTES), (f64::NAN, LIMIT_BYTES)]
+    {
+        assert_eq!(limit_for(memory_mb), expected, "{memory_mb}");
+    }
+}
+
+proptest! {
+    /// Guards against sizes that get lost or exceed the limit, in any order of changes.
+    #[test]
+    fn what_is_used_is_the_sum_of_all_rooms(changes in vec((0_usize..8, 0_usize..400), 0..200)) {
+        let buffers = Buffers::new(1_000);
+        let mut rooms: Vec<_> = (0..8).map(|_| (buffers.room(), 0)).collect();
+
+        for (at, bytes) in changes {
+            let (room, had) = &mut rooms[at];
+            let got = room.resize(bytes);
+            prop_assert!(got || bytes > *had);
+            if got {
+                *had = bytes;
+            }
+            prop_assert_eq!(buffers.used(), rooms.iter().map(|(_, bytes)| bytes).sum::<usize>());
+            prop_assert!(buffers.used() <= 1_000);
+        }
+    }
+}
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -10,7 +10,9 @@
     relay::head_limit::{HeadCounter, HeadLimited, HeadTooLong, MAX_HEAD_BYTES},
 };
 use tokio::io::AsyncReadExt;
-use wire::{Host, ScriptStep, Server, chunk, event, events, is_complete, ok, request, status, stream_head};
+use wire::{
+    Host, ScriptStep, Server, chunk, event, events, is_complete, not_run, ok, request, status, stream_head,
+};
 
 /// Server that sends these bytes again and again after the first ones.
 async fn endless(first: impl Into<String>, unit: &'static str) -> Server {
@@ -151,6 +153,39 @@
     }
 }
 
+/// Guards against answers that exceed the memory of a host together: there is room for short ones beside long ones, of which
+/// those that take too much are given up.
+#[tokio::test]
+async fn answers_share_the_buffer_memory_of_a_host() {
+    const BUFFER_BYTES: usize = 512 << 10;
+    const FLOODS: usize = 4;
+    let react = |req: &str, _| {
+        if req.starts_with("POST /unsafe/short ") {
+            ScriptStep::Write(ok(&"x".repeat(16 << 10)))
+        } else if req.starts_with("POST /unsafe/long ") {
+            ScriptStep::Write(ok(&"x".repeat(BUFFER_BYTES)))
+        } else {
+            ScriptStep::WriteWithoutEnd(
+                chunked_head(),
+                "40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n",
+            )
+        }
+    };
+    let server = Server::reacting("i-1", react).await;
+    let host = Host::with_buffer_bytes(BUFFER_BYTES).await;
+    host.relay.set_configuration(wire::configuration(), "test");
+    host.set_servers(&[&server]);
+
+    let floods = (0..FLOODS).map(|_| async { status(&host.call(&request("/unsafe/endless", "")).await) });
+    let floods = futures_util::future::join_all(floods);
+    let short = request("/unsafe/short", "");
+    let (floods, short) = tokio::join!(floods, host.call(&short));
+    let long = host.call(&request("/unsafe/long", "")).await;
+
+    assert_eq!((floods, status(&short), status(&long)), (vec![502; FLOODS], 200, 502));
+    wire::wait_until("the memory to be given back", || host.relay.buffered_bytes() == 0).await;
+}
+
 /// Guards against a stream with an event without end: it ends without that event, or goes on at another server if its route
 /// allows that.
 #[tokio::test]
@@ -169,3 +204,34 @@
         wire::wait_until("the connection to be closed", || server.closed_connections() > 0).await;
     }
 }
+
+/// Guards against the body of a refusal without end, which is read so that its connection can be used again.
+#[tokio::test]
+async fn a_refusal_without_end_costs_its_connection_only() {
+    let refusal = not_run().replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let (server, other) = (endless(refusal, "4\r\nabcd\r\n").await, Server::start("i-2", answering()).await);
+    let host = Host::with_servers(&[&server, &other]).await;
+
+    let answer = host.call(&request("/unsafe/x", "body")).await;
+
+    assert_eq!(status(&answer), 200, "{answer}");
+    wire::wait_until("the connection to be closed", || server.closed_connections() > 0).await;
+    assert_eq!(host.relay.buffered_bytes(), 0);
+}
+
+/// Guards against bytes after a complete answer that are read without end, or taken for the answer to the next request.
+#[tokio::test]
+async fn bytes_after_an_answer_end_its_connection() {
+    for unit in ["HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "abcd"] {
+        let server = endless(ok("fine"), unit).await;
+        let host = Host::with_servers(&[&server]).await;
+
+        for sent in 1..4 {
+            let answer = host.call(&request("/unsafe/x", "body")).await;
+
+            assert_eq!(status(&answer), 200, "{answer}");
+            assert!(answer.ends_with("fine"));
+            wire::wait_until("the connection to be closed", || server.closed_connections() == sent).await;
+        }
+    }
+}
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -7,7 +7,7 @@
 use cranberrytally::{
     platform::PlatformWire,
     relay::{
-        Relay, RelayConfig, budget::BudgetConfig, inbound, leave::LeaveConfig, mesh, place::Bound,
+        Relay, RelayConfig, budget::BudgetConfig, buffers, inbound, leave::LeaveConfig, mesh, place::Bound,
         revision::Revision,
     },
     schema::fleet::{Backend, Member},
@@ -36,6 +36,7 @@
         evacuates: false,
         in_force: Duration::from_secs(2),
         concurrent_fetches: 1,
+        buffer_bytes: buffers::limit_for(0.0),
         limits_plain_together: true,
         places_by_pace: true,
     }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -11,7 +11,7 @@
 
 use cranberrytally::{
     platform::PlatformWire,
-    relay::{Relay, budget::BudgetConfig, follow::BackendsUpdate, inbound},
+    relay::{Relay, RelayConfig, budget::BudgetConfig, follow::BackendsUpdate, inbound},
     schema::fleet::{
         Backend, Backends, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace,
     },
@@ -313,10 +313,19 @@
 
     /// Starts a host without configuration that may retry this many times per request of a caller.
     pub async fn with_retry_ratio(ratio: f64) -> Self {
+        let cfg = relay_config("host-1");
+        let budget = BudgetConfig { ratio, extra: 0.0, ..cfg.budget };
+        Self::with_settings(RelayConfig { budget, ..cfg }).await
+    }
+
+    /// Starts a host without configuration that buffers this many bytes of answers.
+    pub async fn with_buffer_bytes(buffer_bytes: usize) -> Self {
+        Self::with_settings(RelayConfig { buffer_bytes, ..relay_config("host-1") }).await
+    }
+
+    async fn with_settings(cfg: RelayConfig) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        let mut cfg = relay_config("host-1");
-        cfg.budget = BudgetConfig { ratio, extra: 0.0, ..cfg.budget };
         let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
         tokio::spawn(inbound::accept(relay.clone(), listener));
         Self { relay, addr }
