--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -29,6 +29,7 @@
 use super::{
     attempts::Failure,
     backends::BackendKey,
+    head_limit::{self, HeadCounter, HeadLimited},
     server_socket::{Rest, ServerSocket, SocketLabel},
 };
 use crate::util::{Instant, Map, lock, now};
@@ -53,6 +54,8 @@
 const IDLE_FRACTION: f64 = 0.6;
 /// How long a connection whose answer is complete is kept for the rest of its request, which the server reads on.
 const MAX_REST_TIME: Duration = Duration::from_secs(10);
+/// Maximum size of a connection's read buffer, and so of one read, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = head_limit::MAX_HEAD_BYTES;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -61,6 +64,7 @@
 pub struct Conn {
     tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_counter: HeadCounter,
     /// Whether it has carried a request before.
     pub reused: bool,
     /// Whether it passes through another host. It is used for one request, since that host decides each time whether the
@@ -110,14 +114,16 @@
         rest: Rest,
         addr: SocketAddr,
     ) -> Result<Self, Failure> {
-        let handshaking = Builder::new().handshake(TokioIo::new(stream)).await;
+        let head_counter = HeadCounter::default();
+        let io = TokioIo::new(HeadLimited::new(stream, head_counter.clone()));
+        let handshaking = Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).handshake(io).await;
         let Ok((tx, conn)) = handshaking else { return Err(Failure::Connect) };
         let task = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 spdlog::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Self { tx, task: task.abort_handle(), reused: false, is_tunnel: false, rest })
+        Ok(Self { tx, task: task.abort_handle(), head_counter, reused: false, is_tunnel: false, rest })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -128,10 +134,16 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)> {
-        match self.tx.try_send_request(req).await {
+        self.head_counter.begin();
+        let sent = self.tx.try_send_request(req).await;
+        self.head_counter.end();
+        match sent {
             Ok(res) => Ok(res),
             Err(mut e) => match e.take_message() {
                 Some(req) => Err((Failure::Unsent, Some(req))),
+                None if e.error().is_parse_too_large() || head_limit::is_exceeded(e.error()) => {
+                    Err((Failure::TooLong, None))
+                }
                 None if e.error().is_parse() => Err((Failure::Garbled, None)),
                 None if is_timeout(e.error()) => Err((Failure::Silent, None)),
                 None => Err((Failure::Broken, None)),
@@ -218,8 +230,20 @@
 
 /// Whether the error is an acknowledgement timeout.
 fn is_timeout(e: &hyper::Error) -> bool {
-    let source = std::error::Error::source(e).and_then(|s| s.downcast_ref::<std::io::Error>());
-    source.is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
+    io_error(e).is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
+}
+
+/// How an attempt failed whose body could not be read: a body in chunks that are none differs from one that breaks off.
+pub(super) fn body_failure(e: &hyper::Error) -> Failure {
+    use std::io::ErrorKind::{InvalidData, InvalidInput};
+    match io_error(e).map(std::io::Error::kind) {
+        Some(InvalidData | InvalidInput) => Failure::Garbled,
+        _ => Failure::Broken,
+    }
+}
+
+pub(super) fn io_error(e: &hyper::Error) -> Option<&std::io::Error> {
+    std::error::Error::source(e)?.downcast_ref()
 }
 
 /// Configures a socket: small writes are sent at once, and the connection ends if the peer acknowledges nothing, or keeps
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -11,7 +11,7 @@
 
 use cranberrytally::{
     platform::PlatformWire,
-    relay::{Relay, budget::BudgetConfig, follow::BackendsUpdate, inbound},
+    relay::{Relay, RelayConfig, budget::BudgetConfig, follow::BackendsUpdate, inbound},
     schema::fleet::{
         Backend, Backends, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace,
     },
@@ -29,6 +29,9 @@
 /// Timeout of each wait on loopback; reached only when a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes of one write of a server that writes without end.
+const ENDLESS_WRITE_BYTES: usize = 16 << 10;
+
 /// Reaction of a scripted server to one request.
 #[derive(Clone, Debug)]
 pub enum ScriptStep {
@@ -42,6 +45,8 @@
     WriteSlowly(Vec<String>, Duration),
     /// Writes these texts with pauses between them and resets the connection.
     WriteSlowlyAndReset(Vec<String>, Duration),
+    /// Writes the first text, and then the second one again and again until the other side closes the connection.
+    WriteWithoutEnd(String, &'static str),
     /// Sends nothing until the other side closes the connection.
     Hang,
     /// Resets all connections and accepts no further ones.
@@ -56,6 +61,7 @@
     /// Address.
     pub addr: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    connections: Arc<Mutex<usize>>,
     closed_connections: Arc<Mutex<usize>>,
 }
 
@@ -77,6 +83,7 @@
             id: id.into(),
             addr: listener.local_addr().unwrap(),
             requests: Arc::default(),
+            connections: Arc::default(),
             closed_connections: Arc::default(),
         };
         let (serving, react) = (server.clone(), Arc::new(react));
@@ -94,6 +101,7 @@
                         return;
                     }
                     Ok((stream, _)) = listener.accept() => {
+                        *serving.connections.lock().unwrap() += 1;
                         connections.spawn(serving.clone().serve(stream, react.clone(), crash.clone()));
                     }
                 }
@@ -134,6 +142,13 @@
                     reset(stream);
                     return;
                 }
+                ScriptStep::WriteWithoutEnd(text, unit) => {
+                    let units = unit.repeat(ENDLESS_WRITE_BYTES.div_ceil(unit.len()));
+                    let _ = stream.write_all(&write(&text)).await;
+                    while stream.write_all(units.as_bytes()).await.is_ok() {}
+                    *self.closed_connections.lock().unwrap() += 1;
+                    return;
+                }
                 ScriptStep::Crash => {
                     let _ = crash.send(stream).await;
                     return;
@@ -152,7 +167,12 @@
         self.requests.lock().unwrap().clone()
     }
 
-    /// Number of connections that the other side closed during [`ScriptStep::Hang`].
+    /// Number of accepted connections.
+    pub fn connections(&self) -> usize {
+        *self.connections.lock().unwrap()
+    }
+
+    /// Number of connections that the other side closed during [`ScriptStep::Hang`] or [`ScriptStep::WriteWithoutEnd`].
     pub fn closed_connections(&self) -> usize {
         *self.closed_connections.lock().unwrap()
     }
@@ -293,10 +313,19 @@
 
     /// Starts a host without configuration that may retry this many times per request of a caller.
     pub async fn with_retry_ratio(ratio: f64) -> Self {
+        let cfg = relay_config("host-1");
+        let budget = BudgetConfig { ratio, extra: 0.0, ..cfg.budget };
+        Self::with_settings(RelayConfig { budget, ..cfg }).await
+    }
+
+    /// Starts a host without configuration that buffers this many bytes of answers.
+    pub async fn with_buffer_bytes(buffer_bytes: usize) -> Self {
+        Self::with_settings(RelayConfig { buffer_bytes, ..relay_config("host-1") }).await
+    }
+
+    async fn with_settings(cfg: RelayConfig) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        let mut cfg = relay_config("host-1");
-        cfg.budget = BudgetConfig { ratio, extra: 0.0, ..cfg.budget };
         let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
         tokio::spawn(inbound::accept(relay.clone(), listener));
         Self { relay, addr }
