Pass large state on while it is being received

Cause: with 2,000 hosts and 20,000 servers, all hosts had the list 6.1 s after all were killed, and the aim is 5 s. 2.8 s of this pass until a first host has read 6 MB of the store over 20 Mbit/s. The rest passes because a host sends nothing before it has all of the list: each of some eight generations of hosts takes a whole transfer, 0.24 s, besides the time to hear of a host that has the list and to find one that is not busy.

Change: a host that receives an answer of 64 KB or more passes its bytes on to hosts that have sent an equal request. Three of these share one slot of a slow link. A busy host answers with a referral to a random one of the hosts that it is answering, so that the hosts form a tree. The decisions are in relay::distribution, without I/O, and the model of the start uses them. The model now also takes 50 ms to ask a host, ends waits and stalled transfers as the code does, and can play hosts of the version before and hosts that are killed.

Hosts of the version before lack the new last fields of Fetch and Fetched and take no part: they are answered one at a time with two waiting, are not referred to anybody, and nobody is referred to them. A referral that is no address is logged, counted and dropped.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -8,11 +8,17 @@
 #[path = "../tests/support/start.rs"]
 mod start;
 
-use start::{Policy, Start};
+use start::{Answers, Policy, Start};
 
 const DEFAULT_SIZES: [usize; 3] = [300, 1_000, 2_000];
 /// Range of the random wait of the way without turns.
 const WINDOW: Policy = Policy::Window(Duration::from_millis(300), Duration::from_millis(1_800));
+/// Ways to read the list and to answer others. The way without turns answers three at once and lets none wait.
+const WAYS: [(&str, Policy, Answers); 3] = [
+    ("window", WINDOW, Answers::Whole { slots: 3, queue: 0 }),
+    ("turn", Policy::Turn, Answers::Whole { slots: 1, queue: 2 }),
+    ("pass-on", Policy::Turn, Answers::PassedOn),
+];
 /// How long the store is slow or silent in those cases, and its answer while it is slow.
 const DISTURBANCE: Duration = Duration::from_millis(3_500);
 const SLOW_ANSWER: Duration = Duration::from_millis(120);
@@ -21,13 +27,13 @@
     let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|arg| arg.parse().ok()).collect();
     let sizes = if sizes.is_empty() { DEFAULT_SIZES.to_vec() } else { sizes };
     println!(
-        "{:>6} {:>8} {:>7} {:>7} {:>9} {:>9} {:>9} {:>9}",
-        "hosts", "servers", "store", "way", "first_ms", "half_ms", "all_ms", "store_mb"
+        "{:>6} {:>8} {:>7} {:>7} {:>9} {:>9} {:>9} {:>9} {:>6}",
+        "hosts", "servers", "store", "way", "first_ms", "half_ms", "all_ms", "store_mb", "asked"
     );
     for hosts in sizes {
         for (store, start) in cases(hosts) {
-            for (way, policy) in [("window", WINDOW), ("turn", Policy::Turn)] {
-                print_row(store, way, with_way(policy, start));
+            for (way, policy, answers) in WAYS {
+                print_row(store, way, Start { policy, answers, ..start });
             }
         }
     }
@@ -47,7 +53,7 @@
     let outcome = start.run();
     let ms = |at: Option<Duration>| at.map_or("-".into(), |at| at.as_millis().to_string());
     println!(
-        "{:>6} {:>8} {:>7} {:>7} {:>9} {:>9} {:>9} {:>9.0}",
+        "{:>6} {:>8} {:>7} {:>7} {:>9} {:>9} {:>9} {:>9.0} {:>6.1}",
         start.hosts,
         start.servers,
         store,
@@ -55,14 +61,7 @@
         ms(outcome.first),
         ms(outcome.half),
         ms(outcome.all),
-        outcome.store_bytes / 1e6
+        outcome.store_bytes / 1e6,
+        outcome.asked
     );
 }
-
-/// The way before turns answered three fetches at once and let none wait.
-fn with_way(policy: Policy, start: Start) -> Start {
-    match policy {
-        Policy::Turn => Start { policy, ..start },
-        Policy::Window(..) => Start { policy, slots: 3, queue: 0, ..start },
-    }
-}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
 //! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
-//! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
+//! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`distribution`], [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
 //! [`silence`], [`stall`]. The I/O is in [`inbound`], [`pool`], [`tunnel`], [`run`], `attempt`, [`hold`], [`stream`], [`follow`] and
 //! [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a
@@ -51,6 +51,7 @@
 pub mod cut;
 pub mod datagram;
 pub mod directory;
+pub mod distribution;
 pub mod evacuations;
 pub mod events;
 pub mod exchange;
@@ -260,6 +261,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// The hosts that were registered in the store when this host started.
     pub(crate) registered: OnceCell<Hosts>,
+    /// The answer of another host that this one is receiving.
+    pub(crate) incoming: mesh::IncomingAnswer,
     /// Start time of the process by the wall clock, in milliseconds since 1970.
     start: u64,
     started: Instant,
@@ -340,6 +343,7 @@
             cancel_watch: Default::default(),
             closing,
             registered: OnceCell::new(),
+            incoming: mesh::IncomingAnswer::default(),
             start: wall_ms(),
             started: now(),
             state: Mutex::new(state),
@@ -512,4 +516,4 @@
 }
 
 /// Time between two runs of the housekeeping.
-pub(crate) const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
+pub const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -1,6 +1,10 @@
 //! Network I/O between hosts: heartbeats over UDP, and fetches of missing state over TCP.
 
-use std::{net::SocketAddr, ops::Range, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use anyhow::{Context, Result, ensure};
 use rand::Rng;
@@ -16,6 +20,9 @@
     HOUSEKEEPING_INTERVAL, Relay, State, Wire,
     backends::{packed, versions},
     datagram::{self, Datagram, DropReason, MAX_DATAGRAM_BYTES},
+    distribution::{
+        Capacity, MIN_PASSED_ON_BYTES, QUEUE_TIMEOUT, QUEUED_FETCHES, RETRY_PAUSE, Receivers, Referrals,
+    },
     follow::BackendsUpdate,
     hot_servers,
     inbound::accept_all,
@@ -28,28 +35,27 @@
     logs::lines::{Level, line},
     metrics::Counter,
     schema::fleet::{BackendChanges, Beat, Fetch, Fetched},
-    util::{now, wall_ms},
+    util::{lock, now, wall_ms},
 };
 
+mod incoming;
+
+pub(crate) use incoming::IncomingAnswer;
+use incoming::Receiving;
+
 /// Maximum size of a TCP message, in bytes: a configuration with some thousand routes, or 20,000 backend servers.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 /// Delay of the housekeeping above which the host must have been suspended; nothing else delays it for so long.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(1_500);
 /// Timeout for the start of the answer to a fetch; after it the same peer or another one is asked.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
+pub const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout for the rest of the answer: half a megabyte over the slowest links, 10 Mbit/s, takes 0.4 s for each of the
 /// concurrent fetches.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum time without progress in an answer; after it another host is asked, since the bytes may be lost on the way.
-const STALL_TIMEOUT: Duration = Duration::from_millis(700);
+pub const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum number of fields that a message of an earlier version may lack at its end.
 const MAX_ADDED_FIELDS: usize = 5;
-/// Random pause before another host is asked.
-const RETRY_PAUSE: Range<Duration> = Duration::from_millis(50)..Duration::from_millis(200);
-/// Number of fetches that wait while others are answered, so that the link is never idle, and for how long. They are
-/// answered one after the other: the first host that has all passes it on while the next one receives it.
-const QUEUED_FETCHES: usize = 2;
-const QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Minimum delay before an early heartbeat or a fetch, so that changes in quick succession share one.
 const SETTLE_DELAY: Duration = Duration::from_millis(20);
 
@@ -209,6 +215,7 @@
 /// Fetches state that other hosts have had for a while and this one lacks.
 pub async fn fetch_updates<W: Wire>(relay: Arc<Relay<W>>) {
     let (mut wants_held, mut wants_full, mut at_once) = (true, false, false);
+    let (mut referrals, mut referral) = (Referrals::default(), None);
     loop {
         // A heartbeat of a peer that is ahead wakes this loop; the delay combines changes in quick succession into one
         // fetch.
@@ -216,7 +223,9 @@
             tokio::time::sleep(SETTLE_DELAY).await;
         }
         at_once = false;
+        let referred = referral.take();
         let Some((peer, own)) = choose_source(&relay, wants_held) else { continue };
+        let peer = referred.unwrap_or(peer);
         let configuration = if wants_full { 0 } else { own.configuration };
         let Revision { epoch, number } = own.backends;
         let fetch_request = Fetch {
@@ -226,13 +235,18 @@
             wants_held,
             accepts_packed: true,
             connect_to: 0,
+            passes_on_at: relay.cfg.me.peers.clone(),
         };
-        match fetch(peer, fetch_request).await {
+        match fetch(&relay, peer, fetch_request).await {
             Ok(fetched) if fetched.busy => {
-                pause_before_retry().await;
+                referral = referrals.follow(read_referral(&relay, peer, &fetched));
+                if referral.is_none() {
+                    pause_before_retry().await;
+                }
                 at_once = true;
             }
             Ok(fetched) => {
+                referrals = Referrals::default();
                 wants_held &= !relay.state().backends_listed;
                 wants_full = apply_fetched(&relay, peer, fetched);
             }
@@ -240,12 +254,29 @@
                 let why = format!("{e:#}");
                 relay.state().peers.record_fetch_failure(now(), peer);
                 line(Level::Notable, "fetch_failed", |l| l.text("peer", &peer.to_string()).text("why", &why));
+                referrals = Referrals::default();
                 pause_before_retry().await;
             }
         }
+        relay.incoming.clear();
     }
 }
 
+/// The host to which a busy one refers, if any.
+fn read_referral<W: Wire>(relay: &Relay<W>, peer: SocketAddr, fetched: &Fetched) -> Option<SocketAddr> {
+    if fetched.referral.is_empty() {
+        return None;
+    }
+    let parsed = fetched.referral.parse();
+    if parsed.is_err() {
+        relay.metrics.add(Counter::RelayDatagrams, DropReason::Malformed.as_str(), 1);
+        line(Level::Notable, "referral_invalid", |l| {
+            l.text("peer", &peer.to_string()).text("referral", &fetched.referral)
+        });
+    }
+    parsed.ok()
+}
+
 /// Chooses a peer to fetch from, and returns it with the versions known here.
 fn choose_source<W: Wire>(relay: &Relay<W>, wants_held: bool) -> Option<(SocketAddr, LocalVersions)> {
     let mut state = relay.state();
@@ -294,7 +325,7 @@
 }
 
 /// Fetches the missing state from a peer.
-async fn fetch(peer: SocketAddr, fetch_request: Fetch) -> Result<Fetched> {
+async fn fetch<W: Wire>(relay: &Relay<W>, peer: SocketAddr, fetch_request: Fetch) -> Result<Fetched> {
     let asking = async {
         let mut stream = TcpStream::connect(peer).await.context("could not connect")?;
         pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
@@ -304,30 +335,73 @@
     };
     let (mut stream, length) =
         timeout(FETCH_TIMEOUT, asking).await.context("the peer did not answer in time")??;
-    let reading = timeout(TRANSFER_TIMEOUT, read_message(&mut stream, length)).await;
+    let receiving = relay.incoming.begin(&fetch_request, length);
+    let reading = timeout(TRANSFER_TIMEOUT, read_message(&mut stream, length, Some(&receiving))).await;
     decode(reading.context("the transfer of the answer timed out")??).context("could not decode the answer")
 }
 
-/// Slots for the fetches that a host answers at once, and for those that wait.
+/// Limits the fetches that a host answers at once, and those that wait.
 #[derive(Debug)]
 struct FetchSlots {
+    capacity: Capacity,
     admitted: Arc<Semaphore>,
-    active: Semaphore,
+    units: Semaphore,
+    /// Hosts that receive a large answer and pass it on.
+    receivers: Mutex<Receivers<String>>,
     tunnels: Semaphore,
 }
 
 impl FetchSlots {
-    fn new(active: usize) -> Self {
+    fn new(slots: usize) -> Self {
+        let capacity = Capacity::of(slots);
         Self {
-            admitted: Arc::new(Semaphore::new(active + QUEUED_FETCHES)),
-            active: Semaphore::new(active),
+            capacity,
+            admitted: Arc::new(Semaphore::new(slots + QUEUED_FETCHES)),
+            units: Semaphore::new(capacity.units()),
+            receivers: Mutex::default(),
             tunnels: Semaphore::new(tunnel::MAX_TUNNELS),
         }
     }
 
-    /// Waits for a free slot; `None` if none gets free soon.
-    async fn acquire(&self) -> Option<SemaphorePermit<'_>> {
-        timeout(QUEUE_TIMEOUT, self.active.acquire()).await.ok()?.ok()
+    /// Takes the capacity for an answer. A host that can be referred to another one doesn't wait for it; `None` if it can
+    /// be, or no capacity gets free soon.
+    async fn acquire(&self, request: &Fetch) -> Option<SemaphorePermit<'_>> {
+        let units = self.capacity.units_per_answer(!request.passes_on_at.is_empty()) as u32;
+        if let Ok(permit) = self.units.try_acquire_many(units) {
+            return Some(permit);
+        }
+        if self.refer(request).is_some() {
+            return None;
+        }
+        timeout(QUEUE_TIMEOUT, self.units.acquire_many(units)).await.ok()?.ok()
+    }
+
+    /// Another host that passes on the answer to a request.
+    fn refer(&self, request: &Fetch) -> Option<String> {
+        let from = Some(&request.passes_on_at).filter(|from| !from.is_empty())?;
+        lock(&self.receivers).refer(request, from, &mut rand::rng())
+    }
+
+    /// Registers a host that receives an answer of `length` bytes, if it passes it on, until the result is dropped.
+    fn register(&self, request: &Fetch, length: usize) -> Option<Receiver<'_>> {
+        if request.passes_on_at.is_empty() || length < MIN_PASSED_ON_BYTES {
+            return None;
+        }
+        let at = request.passes_on_at.clone();
+        lock(&self.receivers).add(request, at.clone());
+        Some(Receiver { slots: self, at })
+    }
+}
+
+/// A host that is receiving an answer and passes it on.
+struct Receiver<'a> {
+    slots: &'a FetchSlots,
+    at: String,
+}
+
+impl Drop for Receiver<'_> {
+    fn drop(&mut self) {
+        lock(&self.slots.receivers).remove(&self.at);
     }
 }
 
@@ -362,27 +436,31 @@
         drop(admitted);
         return tunnel::serve(relay, stream, fetch_request.connect_to, &slots.tunnels).await;
     }
-    let answering = answer(relay, stream, fetch_request, admitted.is_some().then_some(slots));
+    let answering = answer(relay, stream, fetch_request, slots, admitted.is_some());
     timeout(TRANSFER_TIMEOUT, answering).await.context("the transfer timed out")?
 }
 
-/// Answers a fetch, which is turned away without `slots`.
+/// Answers a fetch, which is turned away or referred to another host unless it is admitted.
 async fn answer<W: Wire>(
     relay: &Relay<W>,
     mut stream: TcpStream,
     fetch_request: Fetch,
-    slots: Option<&FetchSlots>,
+    slots: &FetchSlots,
+    is_admitted: bool,
 ) -> Result<()> {
-    let slot = match slots {
-        Some(slots) => slots.acquire().await,
-        None => None,
-    };
+    let permit = if is_admitted { slots.acquire(&fetch_request).await } else { None };
+    if permit.is_none() {
+        let referral = slots.refer(&fetch_request).unwrap_or_default();
+        return send(&mut stream, &Fetched { busy: true, referral, ..Fetched::default() }).await;
+    }
+    if let Some(incoming) = relay.incoming.to(&fetch_request) {
+        let _receiver = slots.register(&fetch_request, incoming.length());
+        return incoming.pass_on(&mut stream).await;
+    }
     // Encoded at once, since the state takes several times as much memory as its encoded form.
-    let message = match &slot {
-        Some(_) => postcard::to_allocvec(&newer_state(relay, &fetch_request)),
-        None => postcard::to_allocvec(&Fetched { busy: true, ..Fetched::default() }),
-    };
-    write_message(&mut stream, &message?).await
+    let message = postcard::to_allocvec(&newer_state(relay, &fetch_request))?;
+    let _receiver = slots.register(&fetch_request, message.len());
+    write_message(&mut stream, &message).await
 }
 
 /// The state that the requesting host lacks.
@@ -423,7 +501,7 @@
 /// Receives a message of a peer.
 pub(super) async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> Result<T> {
     let length = read_length(stream).await?;
-    decode(read_message(stream, length).await?).context("could not decode the message")
+    decode(read_message(stream, length, None).await?).context("could not decode the message")
 }
 
 /// Decodes a message. One of an earlier version lacks the last fields, for which zero bytes stand.
@@ -444,12 +522,21 @@
     Ok(length)
 }
 
-async fn read_message(stream: &mut TcpStream, length: usize) -> Result<Vec<u8>> {
+/// Reads a message of `length` bytes, and hands each part to `receiving` at once.
+async fn read_message(
+    stream: &mut TcpStream,
+    length: usize,
+    receiving: Option<&Receiving>,
+) -> Result<Vec<u8>> {
     let mut buf = Vec::with_capacity(length);
     let mut rest = stream.take(length as u64);
     while buf.len() < length {
+        let known = buf.len();
         let reading = timeout(STALL_TIMEOUT, rest.read_buf(&mut buf)).await.context("the message stalled")?;
         ensure!(reading.context("could not read the message")? > 0, "the message was truncated");
+        if let Some(receiving) = receiving {
+            receiving.push(&buf[known..]);
+        }
     }
     Ok(buf)
 }
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -516,7 +516,7 @@
 }
 /// Request for state that is newer than that of the requesting host.
 #[derive(serde::Serialize, serde::Deserialize)]
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Fetch {
     /// Configuration version of the requesting host; 0 for none.
     #[prost(uint64, tag = "1")]
@@ -537,6 +537,10 @@
     /// the connection carries the bytes to and from that server.
     #[prost(fixed32, tag = "6")]
     pub connect_to: u32,
+    /// Address at which the requesting host passes the answer on to other hosts while it receives it; empty if it does not. A
+    /// busy peer may then refer it to a host that does the same.
+    #[prost(string, tag = "7")]
+    pub passes_on_at: ::prost::alloc::string::String,
 }
 /// Response with a peer's newer state.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -579,6 +583,9 @@
     /// Longest allowed pause of each route in this message, in order, in milliseconds; 0 if unlimited.
     #[prost(uint32, repeated, tag = "12")]
     pub route_pauses: ::prost::alloc::vec::Vec<u32>,
+    /// Address of a host that is receiving the requested state and passes it on, if the peer is busy; empty for none.
+    #[prost(string, tag = "13")]
+    pub referral: ::prost::alloc::string::String,
 }
 /// List of all backend servers at one revision of the store, without repeated names.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/relay_start.rs
+++ b/tests/relay_start.rs
@@ -81,6 +81,30 @@
     assert!(after < ALL_READY, "{after:?}");
 }
 
+/// Guards against referrals to hosts of the version before, which have nothing to pass on until they have all.
+#[test]
+fn all_hosts_have_the_list_soon_while_some_are_of_the_version_before() {
+    for old_one_in in [1, 2, 10] {
+        let after = ready_after(Start { old_one_in, ..Start::of(1_000) });
+
+        assert!(after < ALL_READY, "one in {old_one_in}: {after:?}");
+    }
+}
+
+/// Guards against a list that many hosts wait for in vain, since one before them in the tree of transfers was killed.
+#[test]
+fn all_hosts_have_the_list_soon_though_some_are_killed_while_they_pass_it_on() {
+    for killed_at in [ms(1_700), ms(2_100)] {
+        for seed in 1..=3 {
+            let start = Start { killed_one_in: 10, killed_at, seed, ..Start::of(1_000) };
+
+            let after = ready_after(start);
+
+            assert!(after < ALL_READY, "{start:?}: {after:?}");
+        }
+    }
+}
+
 /// Guards against a host that waits for its turn in a large fleet although it hears nobody who could send it the state.
 #[test]
 fn a_host_that_hears_nobody_reads_soon() {
