--- a/src/relay.rs
+++ b/src/relay.rs
@@ -8,8 +8,9 @@
 //! 4. [`answer`] and [`stream`] pass the answer back.
 //!
 //! Decisions are made in modules without I/O: [`routes`], [`backends`], [`admission`], [`place`], [`holders`],
-//! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`buffers`], [`crashes`], [`configurations`], [`confirm`], [`evacuations`], [`revision`],
-//! [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`directory`], [`attempts`], [`peers`],
+//! [`health`], [`hot_servers`], [`brittle`], [`budget`], [`buffers`], [`crashes`], [`configurations`], [`confirm`],
+//! [`evacuations`], [`revision`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`distribution`],
+//! [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
 //! [`silence`], [`stall`], [`unacked`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`head_limit`], [`tunnel`], [`run`],
 //! `attempt`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter
@@ -53,6 +54,7 @@
 pub mod cut;
 pub mod datagram;
 pub mod directory;
+pub mod distribution;
 pub mod evacuations;
 pub mod events;
 pub mod exchange;
@@ -269,6 +271,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// The hosts that were registered in the store when this host started.
     pub(crate) registered: OnceCell<Hosts>,
+    /// The answer of another host that this one is receiving.
+    pub(crate) incoming: mesh::IncomingAnswer,
     /// Start time of the process by the wall clock, in milliseconds since 1970.
     start: u64,
     started: Instant,
@@ -351,6 +355,7 @@
             cancel_watch: Default::default(),
             closing,
             registered: OnceCell::new(),
+            incoming: mesh::IncomingAnswer::default(),
             start: wall_ms(),
             started: now(),
             state: Mutex::new(state),
@@ -528,4 +533,4 @@
 }
 
 /// Time between two runs of the housekeeping.
-pub(crate) const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
+pub const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
