Leave requests unread that cross the close of an idle connection

Callers whose request crossed the close of an idle connection, or of a host that shuts down, had it read and dropped, so that they could not know that it did not run. Cause: since refusals are kept from being lost by a reset, the host reads on for a second at each close, also where no answer was written last. Now it reads on only after an answer or a refusal; bytes that arrive at a connection that was idle stay unread, which resets it. Open connections are counted by a guard, so that a task that panics does not hold up the end of the process.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -147,7 +147,7 @@
         .serve_connection(TokioIo::new(timer.observe(stream)), service);
     let mut conn = conn;
     let mut closing = relay.closing.subscribe();
-    relay.count_connection(true);
+    let counted = relay.track_connection();
     let ended = tokio::select! {
         result = &mut conn => Some(result),
         // The guard must be dropped: it would hold the lock of the channel while the connection closes.
@@ -161,7 +161,8 @@
         }
     };
     let is_late = result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun();
-    let may_read_answer = result.is_ok() || is_late;
+    // A request that arrives at a connection that was idle is left unread, so that its caller knows that it did not run.
+    let may_read_answer = is_late || (result.is_ok() && !timer.is_waiting());
     if let Err(e) = result {
         spdlog::debug!("connection of {from} ended: {e}");
     }
@@ -172,7 +173,7 @@
             spdlog::debug!("could not refuse a late request of {from}: {e}");
         }
     }
-    relay.count_connection(false);
+    drop(counted);
     if may_read_answer {
         linger::close(stream).await;
     }
--- a/src/relay/inbound/head_timer.rs
+++ b/src/relay/inbound/head_timer.rs
@@ -24,6 +24,8 @@
 /// The wait for a head.
 #[derive(Clone, Copy, Debug)]
 pub struct HeadWait {
+    /// Whether a head is awaited now.
+    is_waiting: bool,
     since: Instant,
     first_byte: Option<Instant>,
     idle_limit: Duration,
@@ -33,15 +35,25 @@
 impl HeadWait {
     /// Begins the first wait of a connection.
     pub fn new(now: Instant, limits: CallerLimits) -> Self {
-        let mut wait =
-            Self { since: now, first_byte: None, idle_limit: Duration::ZERO, head_limit: Duration::ZERO };
+        let mut wait = Self {
+            is_waiting: true,
+            since: now,
+            first_byte: None,
+            idle_limit: Duration::ZERO,
+            head_limit: Duration::ZERO,
+        };
         wait.extend(limits);
         wait
     }
 
     /// Begins the next wait.
     pub fn begin(&mut self, now: Instant) {
-        (self.since, self.first_byte) = (now, None);
+        (self.is_waiting, self.since, self.first_byte) = (true, now, None);
+    }
+
+    /// Ends the wait, since the head has arrived.
+    pub fn end(&mut self) {
+        self.is_waiting = false;
     }
 
     /// Records that bytes have arrived.
@@ -93,10 +105,15 @@
     pub(super) fn has_begun(&self) -> bool {
         lock(&self.wait).first_byte.is_some()
     }
+
+    /// Whether a head is awaited, rather than that a request is in progress or the last answer has been written.
+    pub(super) fn is_waiting(&self) -> bool {
+        lock(&self.wait).is_waiting
+    }
 }
 
-/// hyper uses the timer of a connection only to limit the wait for a head, and asks for a new sleep when the wait begins. The
-/// durations that it passes are not used.
+/// hyper uses the timer of a connection only to limit the wait for a head, asks for a new sleep when the wait begins, and drops it
+/// when the head has arrived. The durations that it passes are not used.
 impl Timer for HeadTimer {
     fn sleep(&self, _: Duration) -> Pin<Box<dyn Sleep>> {
         lock(&self.wait).begin(now());
@@ -117,6 +134,12 @@
 
 impl Sleep for HeadSleep {}
 
+impl Drop for HeadSleep {
+    fn drop(&mut self) {
+        lock(&self.timer.wait).end();
+    }
+}
+
 impl Future for HeadSleep {
     type Output = ();
 
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -55,9 +55,10 @@
         self.state().connections
     }
 
-    pub(crate) fn count_connection(&self, opened: bool) {
-        let connections = &mut self.state().connections;
-        *connections = if opened { *connections + 1 } else { connections.saturating_sub(1) };
+    /// Counts a connection of a caller as open until the guard is dropped.
+    pub(crate) fn track_connection(self: &Arc<Self>) -> ConnectionGuard<W> {
+        self.state().connections += 1;
+        ConnectionGuard(self.clone())
     }
 
     /// Whether this host is shutting down.
@@ -78,6 +79,16 @@
     }
 }
 
+/// Guard of an open connection of a caller.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard<W: Wire>(Arc<Relay<W>>);
+
+impl<W: Wire> Drop for ConnectionGuard<W> {
+    fn drop(&mut self) {
+        self.0.state().connections -= 1;
+    }
+}
+
 /// Guard of a request in progress at this host.
 #[derive(Debug)]
 pub struct RequestGuard<W: Wire>(Arc<Relay<W>>);
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -386,3 +386,25 @@
     wait.begin(at(3_000));
     assert_eq!(wait.deadline(), at(5_000));
 }
+
+/// Guards against a request that is read and dropped though it crosses the close of an idle connection, so that its caller
+/// cannot know that it did not run.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_an_idle_connection_is_not_read() {
+    let server = server().await;
+    let host = host_with(limited(1, |l| l.idle_ms = LONG_MS), &server).await;
+    let mut caller = TcpStream::connect(host.addr).await.unwrap();
+    caller.write_all(request("/unsafe/x", "").as_bytes()).await.unwrap();
+    wire::read_answer(&mut caller).await;
+    host.relay.leave();
+    host.relay.close_connections().await;
+
+    let sending = async {
+        while caller.write_all(request("/unsafe/y", "").as_bytes()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let reset = tokio::time::timeout(Duration::from_millis(500), sending).await;
+
+    assert!(reset.is_ok(), "the host reads what comes after its close");
+}
