Bound lists of the store and requests of other hosts

What callers saw: nothing. Both were found when looking for what else is read without a bound.

Cause: a list of the store was read as long as its pages said that there are more, and a request of another host, a few numbers, was read up to 4 MiB, before it was known whether a place for it is free.

Evidence: platform_store::a_list_without_end_is_given_up (read on after 10 s) and relay_endless::a_long_request_of_another_host_is_not_read (64 KiB were read and answered) fail without the change.

Now a list has at most 200 pages, some 100,000 objects, and is unreadable above that, so that what is known stays in force; a request of another host, and the answer to one to connect, has at most 4 KiB.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -38,6 +38,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a page of a list, in bytes.
 const MAX_PAGE_BYTES: usize = 8 << 20;
+/// Maximum number of pages of a list, of about 500 objects each.
+const MAX_LIST_PAGES: usize = 200;
 /// Maximum size of a configuration that a starting host reads by itself: a 1 Gbit/s link sends it to hundreds of hosts a call.
 const MAX_INITIAL_CONFIG_BYTES: usize = 64 << 10;
 
@@ -168,7 +170,12 @@
         if more && !call.allow_large {
             return Err(StoreError::Long);
         }
+        let mut pages = 1;
         while let Some(last) = all.items.last().filter(|_| more) {
+            if pages == MAX_LIST_PAGES {
+                return Err(StoreError::Unreadable(format!("the list has more than {MAX_LIST_PAGES} pages")));
+            }
+            pages += 1;
             let after: String = form_urlencoded::byte_serialize(last.metadata.name.as_bytes()).collect();
             let stale = if call.stale_ok { "&staleOk=1" } else { "" };
             let target = format!("/objects/{kind}?after={after}{stale}");
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -33,6 +33,8 @@
 
 /// Maximum size of a TCP message, in bytes: a configuration with some thousand routes, or 20,000 backend servers.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Maximum size of a request of another host, or of the answer to one to connect, in bytes; both are a few numbers.
+const MAX_SHORT_MESSAGE_BYTES: usize = 4 << 10;
 /// Delay of the housekeeping above which the host must have been suspended; nothing else delays it for so long.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(1_500);
 /// Timeout for the start of the answer to a fetch; after it the same peer or another one is asked.
@@ -299,7 +301,7 @@
         let mut stream = TcpStream::connect(peer).await.context("could not connect")?;
         pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
         send(&mut stream, &fetch_request).await?;
-        let length = read_length(&mut stream).await?;
+        let length = read_length(&mut stream, MAX_MESSAGE_BYTES).await?;
         anyhow::Ok((stream, length))
     };
     let (mut stream, length) =
@@ -420,9 +422,9 @@
     write_message(stream, &postcard::to_allocvec(message)?).await
 }
 
-/// Receives a message of a peer.
+/// Receives a short message of a peer.
 pub(super) async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> Result<T> {
-    let length = read_length(stream).await?;
+    let length = read_length(stream, MAX_SHORT_MESSAGE_BYTES).await?;
     decode(read_message(stream, length).await?).context("could not decode the message")
 }
 
@@ -438,9 +440,9 @@
     stream.write_all(message).await.context("could not send the message")
 }
 
-async fn read_length(stream: &mut TcpStream) -> Result<usize> {
+async fn read_length(stream: &mut TcpStream, max_bytes: usize) -> Result<usize> {
     let length = stream.read_u32_le().await.context("could not read the message length")? as usize;
-    ensure!(length <= MAX_MESSAGE_BYTES, "the message of {length} bytes is too long");
+    ensure!(length <= max_bytes, "the message of {length} bytes is too long");
     Ok(length)
 }
 
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -153,6 +153,18 @@
     assert_eq!(server.requests().len(), 1);
 }
 
+/// Guards against a list that never ends, which would be read until the memory of the host is used up.
+#[tokio::test]
+async fn a_list_without_end_is_given_up() {
+    let page = format!(r#"{{"items":[{}],"hasMore":true,"currentRev":9}}"#, server("i-1", "ready"));
+    let (mut client, server) = store(vec![reply("200 OK", &page)]).await;
+
+    let listed = tokio::time::timeout(Duration::from_secs(10), client.backends(call(None))).await;
+
+    assert!(matches!(listed, Ok(Err(StoreError::Unreadable(_)))), "{listed:?}");
+    assert!(server.requests().len() <= 200, "{} pages", server.requests().len());
+}
+
 /// A starting host reads a stale copy on every page: it costs a tenth, and peers with newer data send what is missing.
 #[tokio::test]
 async fn a_stale_copy_is_requested_on_each_page() {
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -9,7 +9,11 @@
     metrics::Counter,
     relay::head_limit::{HeadCounter, HeadLimited, HeadTooLong, MAX_HEAD_BYTES},
 };
-use tokio::io::AsyncReadExt;
+use relay_support::RunningHost;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use wire::{
     Host, ScriptStep, Server, chunk, event, events, is_complete, not_run, ok, request, status, stream_head,
 };
@@ -235,3 +239,19 @@
         }
     }
 }
+
+/// Guards against a host that is sent requests of megabytes by others, many at a time.
+#[tokio::test]
+async fn a_long_request_of_another_host_is_not_read() {
+    const REQUEST_BYTES: u32 = 64 << 10;
+    let host = RunningHost::start("host-1", &[]).await;
+    let mut stream = TcpStream::connect(host.peers_at).await.unwrap();
+
+    stream.write_all(&REQUEST_BYTES.to_le_bytes()).await.unwrap();
+    // The other side may have closed the connection.
+    let _ = stream.write_all(&[0; REQUEST_BYTES as usize]).await;
+
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    assert_eq!(answer, Vec::<u8>::new());
+}
