Bound the rate at which events of one stream are read

What callers saw: nothing yet; found when looking for what else is read without a bound. A stream of tiny complete events without end took the whole of the one worker thread: 4.0 s of processor time in 4 s (release build, one process with caller and host), though timers were at most 9 ms late.

Cause: events are passed on as fast as the server sends and the caller reads. And the deadline was not kept: a read looks at it only if nothing has arrived, so that in a debug build such a stream with a deadline of 0.5 s went on for 111 s, with 9,010,678 events.

Evidence: relay_endless::events_without_end_are_read_at_a_bounded_rate fails without the change with that number (the bound then was burst and rate over the time that it took).

Now a stream has 1,000 reads of complete events at any rate and 1,000 a second after that; servers send some dozens a second, and events that arrive together count once. Reads that complete no event are not delayed, since an event without end is bounded by its size.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -26,6 +26,7 @@
 use crate::{
     logs::lines::Level,
     metrics::{Counter, Latency},
+    objects::bucket::TokenBucket,
     util::{Instant, now},
 };
 
@@ -51,15 +52,23 @@
     }
 }
 
+/// Maximum rate at which complete events of one stream are read; events that arrive together count once. Servers send some
+/// dozens a second.
+pub const READS_PER_SECOND: f64 = 1_000.0;
+/// Number of such reads at any rate, for a server that repeats what it has sent before.
+pub const READ_BURST: f64 = 1_000.0;
+
 /// A stream that one server sends.
 pub(crate) struct Source<W: Wire> {
     answered: Answered<W>,
     splitter: Splitter,
+    reads: TokenBucket,
 }
 
 impl<W: Wire> Source<W> {
     pub(crate) fn new(answered: Answered<W>) -> Self {
-        Self { answered, splitter: Splitter::default() }
+        let reads = TokenBucket::new(READS_PER_SECOND, READ_BURST);
+        Self { answered, splitter: Splitter::default(), reads }
     }
 
     /// Reads until there is at least one complete event, at most until the deadline; `None` at the end of the stream. The first
@@ -71,6 +80,9 @@
     ) -> Result<Option<CompleteEvents>, Failure> {
         let Answered { body, attempt, .. } = &mut self.answered;
         let deadline = tokio::time::Instant::now() + attempt.time_left();
+        while let Err(wait) = self.reads.take(now()) {
+            tokio::time::sleep(wait).await;
+        }
         loop {
             let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -5,9 +5,14 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use std::time::{Duration, Instant};
+
 use cranberrytally::{
     metrics::Counter,
-    relay::head_limit::{HeadCounter, HeadLimited, HeadTooLong, MAX_HEAD_BYTES},
+    relay::{
+        head_limit::{HeadCounter, HeadLimited, HeadTooLong, MAX_HEAD_BYTES},
+        stream::{READ_BURST, READS_PER_SECOND},
+    },
 };
 use relay_support::RunningHost;
 use tokio::{
@@ -255,3 +260,24 @@
     let _ = stream.read_to_end(&mut answer).await;
     assert_eq!(answer, Vec::<u8>::new());
 }
+
+/// Guards against a stream of tiny complete events without end that takes up the processor until its deadline.
+#[tokio::test]
+async fn events_without_end_are_read_at_a_bounded_rate() {
+    const CHUNK: &str = "c\r\nid: 1\ndata\n\n\r\n";
+    let server = endless(stream_head(), CHUNK).await;
+    let host = Host::with_servers(&[&server]).await;
+    let request = request("/once/x", "").replace("Request-Deadline: 3000", "Request-Deadline: 500");
+    let started = Instant::now();
+
+    let mut stream = TcpStream::connect(host.addr).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let reading = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut answer));
+    assert!(reading.await.is_ok(), "the stream goes on after its deadline");
+
+    let events = answer.windows(4).filter(|w| w == b"data").count();
+    let max_events = READ_BURST + READS_PER_SECOND * started.elapsed().as_secs_f64();
+    assert!(events > 0);
+    assert!(events as f64 <= max_events + 1.0, "{events} events, at most {max_events}");
+}
