--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -338,6 +338,11 @@
         self.req.time_left(now())
     }
 
+    /// Whether the request's deadline passed this long ago.
+    pub(crate) fn is_over_for(&self, time: Duration) -> bool {
+        now() >= self.req.deadline + time
+    }
+
     /// Records that the server has sent an event.
     pub(crate) fn note_event(&mut self) {
         let now = now();
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,7 +1,7 @@
 //! A stream of events from a backend server to a caller: complete events are passed on as they arrive, and a broken
 //! stream is resumed on another server if its route allows that.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -26,6 +26,7 @@
 use crate::{
     logs::lines::Level,
     metrics::{Counter, Latency},
+    objects::bucket::TokenBucket,
     util::{Instant, now},
 };
 
@@ -51,15 +52,26 @@
     }
 }
 
+/// Maximum rate at which complete events of one stream are read; events that arrive together count once. Servers send some
+/// dozens a second.
+pub const READS_PER_SECOND: f64 = 1_000.0;
+/// Number of such reads at any rate, for a server that repeats what it has sent before.
+pub const READ_BURST: f64 = 1_000.0;
+
+/// Time after a request's deadline for which events that have arrived are passed on.
+const LATE_EVENTS_TIME: Duration = Duration::from_millis(200);
+
 /// A stream that one server sends.
 pub(crate) struct Source<W: Wire> {
     answered: Answered<W>,
     splitter: Splitter,
+    reads: TokenBucket,
 }
 
 impl<W: Wire> Source<W> {
     pub(crate) fn new(answered: Answered<W>) -> Self {
-        Self { answered, splitter: Splitter::default() }
+        let reads = TokenBucket::new(READS_PER_SECOND, READ_BURST);
+        Self { answered, splitter: Splitter::default(), reads }
     }
 
     /// Reads until there is at least one complete event, at most until the deadline; `None` at the end of the stream. The first
@@ -71,6 +83,12 @@
     ) -> Result<Option<CompleteEvents>, Failure> {
         let Answered { body, attempt, .. } = &mut self.answered;
         let deadline = tokio::time::Instant::now() + attempt.time_left();
+        if attempt.is_over_for(LATE_EVENTS_TIME) {
+            return Err(Failure::Late);
+        }
+        while let Err(wait) = self.reads.take(now()) {
+            tokio::time::sleep(wait).await;
+        }
         loop {
             let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
