Add servers that read late to the soak

Callers got 502 and cut streams from sound servers which read long bodies late. No scenario of the soak reached that: its servers read each request at once, behind a gate that buffers what they don't read, and callers sent 200 bytes.

`late-readers`: nine servers with a small receive buffer, connected without a gate, stand still for 0.9 to 2.1 s now and then before they read a body; half of the long bodies are answered first and read 0.9 to 2.1 s later. They check that each body is its caller's and that the next bytes begin a request. Callers keep connections and send bodies of 60 kB and of 200 bytes. Every 0.8 s the configuration changes timeouts, limits and attempts; servers drain, hosts reload their settings. The check: each request to a sound server gets its whole answer, or a refusal with a time to come back.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -2,8 +2,9 @@
 //!
 //! `-- soak SEED [SEEDS [HOSTS [FAULTS]]]` runs SEEDS seeds from SEED on and prints the result of each; it fails if there are
 //! violations. `-- restores ...` does the same while the store is restored from backups, `-- changes ...` while the
-//! configuration changes, `-- versions ...` while servers of two versions serve, `-- crashes ...` while requests with one prompt part crash servers. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again
-//! and prints times and memory.
+//! configuration changes, `-- versions ...` while servers of two versions serve, `-- crashes ...` while requests with one prompt part crash servers,
+//! `-- silences ...` while servers fall silent, `-- late-readers ...` while servers read bodies late. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again and
+//! prints times and memory.
 
 #[path = "../tests/support/relay.rs"]
 mod relay_support;
@@ -54,6 +55,7 @@
         Some("versions") => Scenario::Versions,
         Some("crashes") => Scenario::Crashes,
         Some("silences") => Scenario::Silences,
+        Some("late-readers") => Scenario::LateReaders,
         _ => Scenario::Failures,
     };
     run_seeds(option(0) as u64, option(1) as u64, option(2), option(3), scenario).await
--- a/tests/relay_cut_off.rs
+++ b/tests/relay_cut_off.rs
@@ -47,7 +47,7 @@
         let guard = FLEET_LOCK.lock().await;
         let history = Arc::new(History::default());
         let (gated, direct) = (Store::start().await, Store::start().await);
-        let engines = Engines::start(direct.clone(), history.clone()).await;
+        let engines = Engines::start(soak::Scenario::Failures, direct.clone(), history.clone()).await;
         let mut gates = Vec::new();
         for (id, addr) in engines.addresses() {
             let gate = FaultProxy::start(addr, None).await.unwrap();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -101,6 +101,45 @@
     assert!(report.outcomes.contains("crashes by requests"), "{report:#?}");
 }
 
+/// Guards against requests that get no answer, and streams that are cut, at sound servers which stand still before they read a
+/// body or answer before they have read it, while the configuration keeps changing; and against other bytes where the rest of a
+/// body is due.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_servers_read_late() {
+    let _guard = RUN_LOCK.lock().await;
+
+    let report = Soak::with_seed(1).with_faults(8).with_scenario(Scenario::LateReaders).run().await;
+
+    assert!(report.violations.is_empty(), "{report:#?}");
+    for answered in ["long body, unsafe 200", "answered first, stream 200"] {
+        assert!(report.outcomes.contains(answered), "{report:#?}");
+    }
+}
+
+/// Guards against a check that misses requests which sound servers don't answer, refusals without a time after which to come
+/// back, and bytes that are no request.
+#[test]
+fn requests_without_an_answer_of_sound_servers_are_violations() {
+    let late_readers = |history: &History| history.violations_in(Scenario::LateReaders).len();
+    let cut = Outcome::Disconnected(vec!["own 1 v1".into()]);
+    let arrived = |outcome| {
+        let history = history(Kind::ResumableStream, &["i-1"], outcome);
+        let event = ServerEvent::Arrived(Instant::now());
+        history.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+        history
+    };
+    let refused = arrived(complete(503, &[""]));
+
+    assert_eq!(late_readers(&arrived(complete(200, &["own"]))), 0);
+    assert_eq!(late_readers(&refused), 0);
+    for outcome in [complete(502, &[""]), cut, Outcome::TimedOut] {
+        assert_eq!(late_readers(&arrived(outcome.clone())), 1, "{outcome:?}");
+    }
+    refused.record(Observation::RefusedWithoutTime { id: "r1".into() });
+    refused.record(Observation::WrongBytes { engine: "i-1".into(), bytes: "x".into() });
+    assert_eq!(late_readers(&refused), 2);
+}
+
 /// Guards against a check that misses requests that go on crashing servers, and sound streams that do not begin beside them.
 #[test]
 fn crashes_by_requests_and_sound_streams_that_do_not_begin_are_violations() {
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -10,6 +10,8 @@
 pub mod caller;
 #[path = "soak/checks.rs"]
 pub mod checks;
+#[path = "soak/conduct.rs"]
+pub mod conduct;
 #[path = "soak/engine.rs"]
 pub mod engine;
 #[path = "soak/faults.rs"]
@@ -70,6 +72,8 @@
     Crashes,
     /// Servers fall silent and go on, while the configuration keeps changing.
     Silences,
+    /// Servers read bodies late, while the configuration keeps changing.
+    LateReaders,
 }
 
 impl Scenario {
@@ -81,6 +85,18 @@
             let routes = cfg["routes"].as_array_mut().unwrap();
             routes.iter_mut().for_each(|route| route["maxAttempts"] = 1.into());
         }
+        if self == Scenario::LateReaders {
+            let step = version % 3;
+            let routes = cfg["routes"].as_array_mut().unwrap();
+            for route in routes {
+                (route["maxAttempts"], route["timeoutMs"]) = ((1 + step).into(), (5_000 + 500 * step).into());
+            }
+            let limits = &mut cfg["limits"];
+            (limits["maxBodyBytes"], limits["headerTimeoutMs"]) =
+                ((65_536 * (1 + step)).into(), (2_000 + 500 * step).into());
+            limits["idleTimeoutMs"] = (5_000 * (1 + step)).into();
+            cfg["services"][0]["maxConnections"] = (300 - 50 * step).into();
+        }
         cfg
     }
 }
@@ -117,8 +133,7 @@
         let history = Arc::new(History::default());
         let store = Store::start().await;
         store.put("config", "main", self.scenario.configuration(1));
-        let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
-        let engines = Engines::start_with_versions(store.clone(), history.clone(), versions).await;
+        let engines = Engines::start(self.scenario, store.clone(), history.clone()).await;
         let hosts = Arc::new(Hosts::start(self.hosts, store.addr(), history.clone()));
         hosts.wait_until_ready(RECOVERY_TIMEOUT).await;
 
@@ -128,7 +143,7 @@
             let (hosts, history) = (hosts.clone(), history.clone());
             callers.spawn(caller::send_requests(n, hosts, history, self.scenario, rng));
         }
-        if matches!(self.scenario, Scenario::Changes | Scenario::Silences) {
+        if matches!(self.scenario, Scenario::Changes | Scenario::Silences | Scenario::LateReaders) {
             let newest = Arc::new(AtomicU64::new(1));
             let mut next_rng = || StdRng::seed_from_u64(rng.random());
             let probing =
@@ -149,6 +164,7 @@
         let not_applied = check_config_applied(&hosts, &store, &history).await;
 
         let mut violations = history.violations();
+        violations.extend(history.violations_in(self.scenario));
         violations.extend(not_recovered.into_iter().chain(not_applied).chain(hosts.unexpected_exits()));
         if !violations.is_empty() {
             hosts.keep_logs();
--- a/tests/support/soak/caller.rs
+++ b/tests/support/soak/caller.rs
@@ -23,7 +23,7 @@
     hosts::Hosts,
     look_up_addresses,
 };
-use crate::wire::{events, is_complete, status};
+use crate::wire::{events, header, is_complete, status};
 
 /// API key that stays valid.
 pub const KEY: &str = "k1";
@@ -38,6 +38,12 @@
 const MAX_TAKE_UPS: usize = 3;
 /// In runs with requests that crash servers, one in this many does.
 const HARMFUL_ONE_IN: u32 = 12;
+/// While servers read late, one in this many requests has a long body, and one in this many goes to another host.
+const LONG_BODY_ONE_IN: u32 = 2;
+const MOVE_ONE_IN: u32 = 8;
+/// Sizes of bodies in bytes.
+const SHORT_BODY: usize = 200;
+const LONG_BODY: usize = 60_000;
 /// In runs with several versions, one in this many streams is left by its caller in the middle.
 const LEAVE_ONE_IN: u32 = 3;
 
@@ -65,6 +71,7 @@
 ) {
     let mut host_addrs = hosts.addresses();
     let mut resolved_at = Instant::now();
+    let mut kept = None;
     loop {
         if resolved_at.elapsed() >= SHORT_TIMEOUT {
             host_addrs = look_up_addresses(&hosts, &mut rng).await;
@@ -83,9 +90,15 @@
                 let topic = rng.random_range(0x50..0x58);
                 let prompt = if is_harmful { HARMFUL_PART.to_owned() } else { format!("{topic:x}") };
                 let prompt = Some(format!("f1:100,{prompt}:50"));
-                let path = kind.path();
-                let request = Request { addr, kind, key, path, taken_up: None, leave_at: None, prompt };
-                send(request, &history).await;
+                send(Request { prompt, ..Request::new(addr, kind, key, kind.path()) }, &history).await;
+            }
+            Scenario::LateReaders => {
+                let is_long = rng.random_ratio(1, LONG_BODY_ONE_IN);
+                let body_size = if is_long { LONG_BODY } else { SHORT_BODY };
+                let moves = rng.random_ratio(1, MOVE_ONE_IN);
+                let addr = kept.as_ref().map_or(addr, |(at, _)| if moves { addr } else { *at });
+                let request = Request::new(addr, kind, key, kind.path());
+                send(Request { body_size, kept: Some(&mut kept), ..request }, &history).await;
             }
             _ => {
                 call(addr, kind, key, kind.path(), &history).await;
@@ -104,15 +117,8 @@
         let leave_at = leaves.then(|| rng.random_range(1..STREAM_EVENTS));
         let addr = addrs[rng.random_range(0..addrs.len())];
         let kind = Kind::ResumableStream;
-        let request = Request {
-            addr,
-            kind,
-            key,
-            path: kind.path(),
-            taken_up: taken_up.clone(),
-            leave_at,
-            prompt: None,
-        };
+        let request =
+            Request { taken_up: taken_up.clone(), leave_at, ..Request::new(addr, kind, key, kind.path()) };
         let (id, target, outcome) = send(request, history).await;
         let events = match outcome {
             Outcome::Disconnected(data) | Outcome::Left(data) => data.len() as u32,
@@ -136,18 +142,34 @@
     leave_at: Option<u32>,
     /// Shared parts of the prompt; a part of the request's own follows.
     prompt: Option<String>,
+    /// Size of the body in bytes.
+    body_size: usize,
+    /// Connection that is used if it leads to the address, and kept open after a complete answer.
+    kept: Option<&'a mut Option<(SocketAddr, TcpStream)>>,
+}
+
+impl<'a> Request<'a> {
+    /// A request with a short body over a new connection.
+    fn new(addr: SocketAddr, kind: Kind, key: &'a str, path: &'a str) -> Self {
+        let (taken_up, leave_at, prompt, kept) = (None, None, None, None);
+        Self { addr, kind, key, path, taken_up, leave_at, prompt, body_size: SHORT_BODY, kept }
+    }
+}
+
+/// Body of a request, which begins with its identifier.
+pub fn request_body(id: &str, size: usize) -> String {
+    format!("{id:x<size$}")
 }
 
 /// Sends one request and records its outcome.
 pub async fn call(addr: SocketAddr, kind: Kind, key: &str, path: &str, history: &History) -> Outcome {
-    let (_, _, outcome) =
-        send(Request { addr, kind, key, path, taken_up: None, leave_at: None, prompt: None }, history).await;
+    let (_, _, outcome) = send(Request::new(addr, kind, key, path), history).await;
     outcome
 }
 
 /// Sends one request and records its outcome; returns its identifier and its target with it.
 async fn send(request: Request<'_>, history: &History) -> (String, String, Outcome) {
-    let Request { addr, kind, key, path, taken_up, leave_at, prompt } = request;
+    let Request { addr, kind, key, path, taken_up, leave_at, prompt, body_size, kept } = request;
     let id = format!("r{:06}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
     let target = taken_up.as_ref().map_or_else(|| format!("{path}{id}"), |taken_up| taken_up.target.clone());
     let resumes = taken_up.as_ref().map_or_else(String::new, |taken_up| {
@@ -175,25 +197,35 @@
     let head = format!(
         "POST {target} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\n{resumes}{prompt}Key: {key}\r\n"
     );
-    let body = format!("{id}{}", "x".repeat(200));
+    let body = request_body(&id, body_size);
     let req = format!(
         "{head}Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n{body}",
         REQUEST_DEADLINE.as_millis(),
         body.len()
     );
-    let outcome =
-        match timeout(REQUEST_DEADLINE + DEADLINE_SLACK, exchange(addr, &req, kind, &id, leave_at)).await {
-            Ok(outcome) => outcome,
-            Err(_) => Outcome::TimedOut,
-        };
+    let mut discarded = None;
+    let exchange = exchange(addr, &req, kind, &id, leave_at, kept.unwrap_or(&mut discarded), history);
+    let outcome = timeout(REQUEST_DEADLINE + DEADLINE_SLACK, exchange).await.unwrap_or(Outcome::TimedOut);
     history.record(Observation::Finished { id: id.clone(), outcome: outcome.clone(), at: Instant::now() });
     (id, target, outcome)
 }
 
-/// Sends a raw request over a new connection and reads the answer.
-async fn exchange(addr: SocketAddr, req: &str, kind: Kind, id: &str, leave_at: Option<u32>) -> Outcome {
-    let Ok(Ok(mut stream)) = timeout(SHORT_TIMEOUT, TcpStream::connect(addr)).await else {
-        return Outcome::ConnectFailed;
+/// Sends a raw request over the connection that was kept, or a new one, and reads the answer.
+async fn exchange(
+    addr: SocketAddr,
+    req: &str,
+    kind: Kind,
+    id: &str,
+    leave_at: Option<u32>,
+    kept: &mut Option<(SocketAddr, TcpStream)>,
+    history: &History,
+) -> Outcome {
+    let mut stream = match kept.take() {
+        Some((at, stream)) if at == addr => stream,
+        _ => match timeout(SHORT_TIMEOUT, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            _ => return Outcome::ConnectFailed,
+        },
     };
     if stream.write_all(req.as_bytes()).await.is_err() {
         return Outcome::Disconnected(Vec::new());
@@ -202,6 +234,12 @@
     loop {
         let text = String::from_utf8_lossy(&buf).into_owned();
         if is_complete(&text) {
+            if matches!(status(&text), 429 | 503) && header(&text, "retry-after").is_none() {
+                history.record(Observation::RefusedWithoutTime { id: id.to_owned() });
+            }
+            if header(&text, "connection").is_none_or(|value| !value.eq_ignore_ascii_case("close")) {
+                *kept = Some((addr, stream));
+            }
             return Outcome::Complete { status: status(&text), data: answer_data(&text, kind, id) };
         }
         // An event of which a part has arrived does not count.
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    Scenario,
     hosts::{CONFIG_APPLY_MS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW_S},
     store::VERSION_ROUTE,
 };
@@ -128,6 +129,10 @@
     Fault { subject: String, from: Instant, to: Instant },
     /// All backend servers wrote nothing and went on, which is no fault.
     Silence { from: Instant, to: Instant },
+    /// A request was refused without a time after which to come back.
+    RefusedWithoutTime { id: String },
+    /// A backend server got bytes that are not those of a request or of the rest of its body.
+    WrongBytes { engine: String, bytes: String },
     /// A caller sent a request that crashes servers.
     Harmful { id: String },
     /// A backend server crashes by a request.
@@ -147,6 +152,8 @@
     BrokeOff,
     /// The server refused the request and asked the host to pause for the given time.
     RequestedPause(Instant, Duration),
+    /// The server treats the request in a way that summaries tell apart.
+    Treated(&'static str),
 }
 
 /// All observations of a run, in the order in which they were recorded.
@@ -161,6 +168,7 @@
     executions: Vec<Execution>,
     answered_by: Vec<String>,
     server_events: Vec<(String, ServerEvent)>,
+    is_refused_without_time: bool,
     /// The attempt that began the stream which the request takes up, and the number of events before.
     taken_up: Option<(String, u32)>,
 }
@@ -177,6 +185,14 @@
         }
     }
 
+    /// How servers treated the request.
+    fn treatment(&self) -> Option<&'static str> {
+        self.server_events.iter().find_map(|(_, event)| match event {
+            ServerEvent::Treated(treatment) => Some(*treatment),
+            _ => None,
+        })
+    }
+
     /// When the request arrived at servers, in order.
     fn arrivals(&self) -> impl Iterator<Item = Instant> {
         self.server_events.iter().filter_map(|(_, event)| match event {
@@ -237,8 +253,12 @@
                 Observation::AtServer { id, engine, event } => {
                     traces.entry(id).or_default().server_events.push((engine, event))
                 }
+                Observation::RefusedWithoutTime { id } => {
+                    traces.entry(id).or_default().is_refused_without_time = true;
+                }
                 Observation::DrainAnnounced { .. }
                 | Observation::Restarted { .. }
+                | Observation::WrongBytes { .. }
                 | Observation::Harmful { .. }
                 | Observation::CrashedBy { .. }
                 | Observation::Fault { .. }
@@ -437,6 +457,22 @@
         })
     }
 
+    /// Violations of what a scenario promises beyond the guarantees, one line each.
+    pub fn violations_in(&self, scenario: Scenario) -> Vec<String> {
+        if scenario != Scenario::LateReaders {
+            return Vec::new();
+        }
+        let wrong_bytes = self.0.lock().unwrap().clone().into_iter().filter_map(|o| match o {
+            Observation::WrongBytes { engine, bytes } => Some(format!("{engine} got {bytes:.80?}")),
+            _ => None,
+        });
+        let unanswered = self
+            .traces()
+            .into_iter()
+            .filter_map(|(id, trace)| Some(format!("{id}: {}", check_answered_by_sound(&trace)?)));
+        wrong_bytes.chain(unanswered).collect()
+    }
+
     /// Violations of the guarantees, one line each.
     pub fn violations(&self) -> Vec<String> {
         let traces = self.traces();
@@ -610,6 +646,7 @@
     pub fn summary(&self) -> String {
         let mut counts: BTreeMap<String, usize> = BTreeMap::new();
         for trace in self.traces().into_values() {
+            let treatment = trace.treatment().map_or_else(String::new, |treatment| format!("{treatment}, "));
             let Some(Sent { kind, .. }) = trace.sent else { continue };
             let outcome = match trace.outcome {
                 Some((Outcome::Complete { status, .. }, _)) => status.to_string(),
@@ -619,7 +656,7 @@
                 Some((Outcome::TimedOut, _)) => "timed out".into(),
                 None => "left".into(),
             };
-            *counts.entry(format!("{} {outcome}", kind.as_str())).or_default() += 1;
+            *counts.entry(format!("{treatment}{} {outcome}", kind.as_str())).or_default() += 1;
         }
         let counts = counts.into_iter().map(|(label, n)| format!("{label}: {n}"));
         let [_, (taken_up, gone_on)] = self.stream_shares(&self.traces());
@@ -634,6 +671,22 @@
     target.strip_prefix(VERSION_ROUTE)?.split('/').next()?.parse().ok()
 }
 
+/// Checks that a request to sound servers got its whole answer, or a refusal with a time after which to come back.
+fn check_answered_by_sound(trace: &RequestTrace) -> Option<String> {
+    let (sent, (outcome, _)) = (trace.sent.as_ref()?, trace.outcome.as_ref()?);
+    let is_answered = match outcome {
+        Outcome::Complete { status: 200, .. } => true,
+        Outcome::Complete { status: 401 | 404, .. } => !sent.always_allowed,
+        Outcome::Complete { status: 429 | 503, .. } => !trace.is_refused_without_time,
+        // It crossed the close of its connection.
+        Outcome::Disconnected(_) => trace.server_events.is_empty(),
+        _ => false,
+    };
+    let kind = sent.kind.as_str();
+    let treatment = trace.treatment().unwrap_or("no server");
+    (!is_answered).then(|| format!("{kind}, {treatment}: not answered by sound servers: {outcome:?}"))
+}
+
 /// Checks the outcome that a caller saw against the request and its executions.
 fn check_outcome(trace: &RequestTrace, sent: &Sent, outcome: &Outcome) -> Vec<String> {
     let mut violations = Vec::new();
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -18,14 +18,18 @@
 };
 
 use super::{
+    Scenario,
     checks::{History, Observation, STORE, STREAM_EVENTS, ServerEvent},
+    conduct::{self, Conduct},
     record_fault,
     store::{Store, server_of_version},
 };
 use crate::wire::{chunk, event_with_data, header, read_request};
 
 /// Number of servers at any time, without those that are draining.
-pub const SERVER_COUNT: usize = 4;
+const SERVER_COUNT: usize = 4;
+/// The same if the servers read late.
+const CONDUCT_SERVER_COUNT: usize = 9;
 /// Prompt part that crashes each server which begins an answer to a request with it.
 pub const HARMFUL_PART: &str = "bad";
 /// One in this many streams has neither a length nor chunks and ends with its connection.
@@ -33,7 +37,7 @@
 /// Unit of a request's execution time, which is 0 to 7 units by the hash of its identifier.
 const WORK_STEP_MS: u64 = 4;
 /// Time between two events of a stream.
-const EVENT_GAP: Duration = Duration::from_millis(6);
+pub const EVENT_GAP: Duration = Duration::from_millis(6);
 /// While servers request pauses, one in this many requests is refused with a pause.
 const PAUSE_ONE_IN: u64 = 7;
 /// Pause that servers request.
@@ -69,7 +73,7 @@
     task: JoinHandle<()>,
     crash: watch::Sender<u64>,
     /// Whether it writes nothing.
-    silent: watch::Sender<bool>,
+    silent: Arc<watch::Sender<bool>>,
 }
 
 /// All backend servers of a run.
@@ -78,32 +82,30 @@
     history: Arc<History>,
     faults: Arc<Faults>,
     started: AtomicU64,
-    /// Number of versions that serve side by side.
-    versions: u64,
+    scenario: Scenario,
     running: Mutex<Vec<Arc<Engine>>>,
     /// Servers that crash by a request.
     crashing: mpsc::UnboundedSender<String>,
 }
 
 impl Engines {
-    /// Starts the servers and registers them in the store.
-    pub async fn start(store: Store, history: Arc<History>) -> Arc<Self> {
-        Self::start_with_versions(store, history, 1).await
-    }
-
-    /// Starts the servers with a number of versions in turn.
-    pub async fn start_with_versions(store: Store, history: Arc<History>, versions: u64) -> Arc<Self> {
+    /// Starts the servers of a scenario and registers them in the store.
+    pub async fn start(scenario: Scenario, store: Store, history: Arc<History>) -> Arc<Self> {
         let (crashing, mut crashed) = mpsc::unbounded_channel::<String>();
         let engines = Arc::new(Self {
             store,
             history,
             faults: Arc::default(),
             started: AtomicU64::new(0),
-            versions,
+            scenario,
             running: Mutex::default(),
             crashing,
         });
-        for _ in 0..SERVER_COUNT {
+        let count = match scenario {
+            Scenario::LateReaders => CONDUCT_SERVER_COUNT,
+            _ => SERVER_COUNT,
+        };
+        for _ in 0..count {
             engines.add().await;
         }
         let crasher = Arc::downgrade(&engines);
@@ -121,11 +123,15 @@
     /// Starts one more server and registers it in the store.
     pub async fn add(&self) {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
-        let (id, version) = (format!("i-{number}"), format!("v{}", number % self.versions + 1));
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        // Number of versions that serve side by side.
+        let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
+        let (id, version) = (format!("i-{number}"), format!("v{}", number % versions + 1));
+        let conduct = Conduct::of(self.scenario);
+        let listener = conduct.listen();
+        let own_addr = listener.local_addr().unwrap();
         let crash = watch::Sender::new(0);
-        let gate = FaultProxy::start(listener.local_addr().unwrap(), Some(crash.subscribe())).await.unwrap();
-        let (draining, silent) = (Arc::<AtomicBool>::default(), watch::Sender::new(false));
+        let gate = FaultProxy::start(own_addr, Some(crash.subscribe())).await.unwrap();
+        let (draining, silent) = (Arc::<AtomicBool>::default(), Arc::new(watch::Sender::new(false)));
         let handler = Handler {
             id: id.clone(),
             version: version.clone(),
@@ -134,9 +140,15 @@
             faults: self.faults.clone(),
             crashing: self.crashing.clone(),
             silent: silent.subscribe(),
+            conduct,
         };
+        if conduct == Conduct::ReadsLate {
+            tokio::spawn(conduct::stand_still_at_times(Arc::downgrade(&silent), number));
+        }
+        // The gate would read what the server doesn't.
+        let addr = if conduct == Conduct::Usual { gate.addr() } else { own_addr };
         let task = tokio::spawn(accept(listener, handler, crash.subscribe()));
-        self.store.put("servers", &id, server_of_version(gate.addr(), "ready", &version));
+        self.store.put("servers", &id, server_of_version(addr, "ready", &version));
         let engine = Engine { id, version, draining, gate, task, crash, silent };
         self.running.lock().unwrap().push(Arc::new(engine));
     }
@@ -241,14 +253,15 @@
 
 /// Handles the connections of one server.
 #[derive(Clone)]
-struct Handler {
-    id: String,
+pub struct Handler {
+    pub id: String,
     version: String,
     draining: Arc<AtomicBool>,
-    history: Arc<History>,
+    pub history: Arc<History>,
     faults: Arc<Faults>,
     crashing: mpsc::UnboundedSender<String>,
     silent: watch::Receiver<bool>,
+    conduct: Conduct,
 }
 
 /// Serves connections until the task is aborted; a crash ends those that are open.
@@ -267,14 +280,15 @@
 impl Handler {
     /// Serves the requests of one connection.
     async fn serve(self, mut stream: TcpStream) {
+        if self.conduct == Conduct::ReadsLate {
+            return self.serve_late(stream).await;
+        }
         while let Some(req) = read_request(&mut stream).await {
             let id = header(&req, "attempt-id").unwrap_or_default();
             let is_draining = self.draining.load(Ordering::Relaxed);
             let extra_headers = if is_draining { "Server-Leaving: 1\r\n" } else { "" };
             let head = format!("Attempt-Id: {id}\r\nResponse-Seal: s1\r\n{extra_headers}");
-            let record_event = |event| {
-                self.history.record(Observation::AtServer { id: id.clone(), engine: self.id.clone(), event })
-            };
+            let record_event = |event| self.record_event(&id, event);
             record_event(ServerEvent::Arrived(Instant::now()));
             if is_draining {
                 record_event(ServerEvent::AnnouncedDrain);
@@ -285,21 +299,13 @@
             if self.faults.refuse_all.load(Ordering::Relaxed) {
                 return refuse(&mut stream, "503 Service Unavailable", &id, extra_headers).await;
             }
-            let id_hash = id.bytes().fold(7u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()));
+            let id_hash = hash(&id);
             if self.faults.request_pauses.load(Ordering::Relaxed) && id_hash.is_multiple_of(PAUSE_ONE_IN) {
                 record_event(ServerEvent::RequestedPause(Instant::now(), PAUSE));
                 let extra_headers = format!("{extra_headers}Retry-After: {}\r\n", PAUSE.as_secs_f64());
                 return refuse(&mut stream, "503 Service Unavailable", &id, &extra_headers).await;
             }
-            let target = req.split(' ').nth(1).unwrap_or_default().to_owned();
-            self.history.record(Observation::Executed {
-                id: id.clone(),
-                target: target.clone(),
-                workspace: header(&req, "tenant").unwrap_or_default(),
-                with_key: header(&req, "key").is_some(),
-                engine: self.id.clone(),
-                at: Instant::now(),
-            });
+            self.record_execution(&id, &req);
             tokio::time::sleep(Duration::from_millis(id_hash % 8 * WORK_STEP_MS)).await;
             if has_part(&req, HARMFUL_PART) {
                 self.history.record(Observation::CrashedBy { id, at: Instant::now() });
@@ -311,19 +317,10 @@
                 return;
             }
             self.end_of_silence().await;
-            let after = header(&req, "last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
-            let written = match target.starts_with("/stream/") || target.starts_with("/once/") {
-                true if id_hash.is_multiple_of(UNFRAMED_ONE_IN) => {
-                    self.write_unframed(stream, &head, &id, after).await;
-                    return;
-                }
-                true => self.write_events(&mut stream, &head, &id, after).await,
-                false => {
-                    let answer =
-                        format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {}\r\n\r\nown {id}", id.len() + 4);
-                    stream.write_all(answer.as_bytes()).await
-                }
-            };
+            if is_stream(&req) && id_hash.is_multiple_of(UNFRAMED_ONE_IN) {
+                return self.write_unframed(stream, &head, &id, events_before(&req)).await;
+            }
+            let written = self.write_answer(&mut stream, &req, &head, &id, EVENT_GAP).await;
             if written.is_err() {
                 return;
             }
@@ -332,6 +329,26 @@
     }
 }
 
+/// Hash of a request's identifier.
+pub fn hash(id: &str) -> u64 {
+    id.bytes().fold(7u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()))
+}
+
+/// Target of a request.
+fn target(req: &str) -> &str {
+    req.split(' ').nth(1).unwrap_or_default()
+}
+
+/// Whether a request is for a stream.
+fn is_stream(req: &str) -> bool {
+    target(req).starts_with("/stream/") || target(req).starts_with("/once/")
+}
+
+/// Number of the events of a stream that the caller has.
+fn events_before(req: &str) -> u32 {
+    header(req, "last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
 /// Whether a request's prompt has a part.
 fn has_part(req: &str, part: &str) -> bool {
     let parts = header(req, "prefix-hash").unwrap_or_default();
@@ -348,8 +365,41 @@
 }
 
 impl Handler {
+    /// Records an event of a request.
+    pub fn record_event(&self, id: &str, event: ServerEvent) {
+        self.history.record(Observation::AtServer { id: id.to_owned(), engine: self.id.clone(), event });
+    }
+
+    /// Records that the server executes a request.
+    pub fn record_execution(&self, id: &str, req: &str) {
+        self.history.record(Observation::Executed {
+            id: id.to_owned(),
+            target: target(req).to_owned(),
+            workspace: header(req, "tenant").unwrap_or_default(),
+            with_key: header(req, "key").is_some(),
+            engine: self.id.clone(),
+            at: Instant::now(),
+        });
+    }
+
+    /// Writes a complete answer, a stream with a time between its events.
+    pub async fn write_answer(
+        &self,
+        stream: &mut TcpStream,
+        req: &str,
+        head: &str,
+        id: &str,
+        event_gap: Duration,
+    ) -> std::io::Result<()> {
+        if is_stream(req) {
+            return self.write_events(stream, head, id, events_before(req), event_gap).await;
+        }
+        let answer = format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {}\r\n\r\nown {id}", id.len() + 4);
+        stream.write_all(answer.as_bytes()).await
+    }
+
     /// Waits while the server writes nothing.
-    async fn end_of_silence(&self) {
+    pub async fn end_of_silence(&self) {
         // The server is gone if its sender is.
         let _ = self.silent.clone().wait_for(|silent| !*silent).await;
     }
@@ -380,6 +430,7 @@
         head: &str,
         id: &str,
         after: u32,
+        event_gap: Duration,
     ) -> std::io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -389,7 +440,7 @@
             let data = format!("own {n} {} {id}", self.version);
             self.end_of_silence().await;
             stream.write_all(chunk(&event_with_data(n, &data)).as_bytes()).await?;
-            tokio::time::sleep(EVENT_GAP).await;
+            tokio::time::sleep(event_gap).await;
         }
         stream.write_all(b"0\r\n\r\n").await
     }
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -156,6 +156,9 @@
         Fault::StoreBusy,
     ];
 
+    /// Faults of runs in which sound servers read late, which are planned work.
+    const WITH_LATE_READERS: [Fault; 3] = [Fault::ReloadSettings, Fault::ReloadSettings, Fault::EngineDrain];
+
     /// Faults of a scenario.
     fn of(scenario: Scenario) -> &'static [Fault] {
         match scenario {
@@ -165,6 +168,7 @@
             Scenario::Versions => &Fault::WITH_VERSIONS,
             Scenario::Crashes => &Fault::WITH_CRASHES,
             Scenario::Silences => &Fault::WITH_SILENCES,
+            Scenario::LateReaders => &Fault::WITH_LATE_READERS,
         }
     }
 
--- a/tests/support/soak/operator.rs
+++ b/tests/support/soak/operator.rs
@@ -21,6 +21,8 @@
 
 /// Time between two changes, some of which come in quick succession.
 const CHANGE_GAP_MS: std::ops::Range<u64> = 40..1_500;
+/// The same while servers read late.
+const EVEN_CHANGE_GAP_MS: std::ops::Range<u64> = 800..801;
 /// Time between two probes.
 const PROBE_GAP_MS: std::ops::Range<u64> = 10..60;
 /// Number of versions before the newest one that are probed, which a host that lags behind would still serve.
@@ -37,8 +39,9 @@
     mut rng: StdRng,
 ) {
     let mut backups = VecDeque::new();
+    let gap = if scenario == Scenario::LateReaders { EVEN_CHANGE_GAP_MS } else { CHANGE_GAP_MS };
     loop {
-        tokio::time::sleep(Duration::from_millis(rng.random_range(CHANGE_GAP_MS))).await;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(gap.clone()))).await;
         backups.push_back(store.backup());
         if backups.len() > STALE_READ_LAG {
             store.serve_stale_reads_from(backups.pop_front().unwrap());
