Add servers that send bytes without end to the soak

Where servers sent bytes without end, callers got no answer, and events of other streams came seconds late. No scenario had such servers.

`endless-bytes`: two of nine servers send, until the host closes, an event in chunks of 64 bytes, informational heads, lines of a head, a whole answer, the body of a 500, or well-formed events without numbers. The bench takes one kind for each seed and compares with a run of the same seed without such bytes: processor time of all hosts at most three times as much, events of sound streams 0.5 s late at most, requests ended 0.5 s after their deadline, 260 MB a host. Callers count events of streams as they arrive, servers as they write them.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -3,7 +3,9 @@
 //! `-- soak SEED [SEEDS [HOSTS [FAULTS]]]` runs SEEDS seeds from SEED on and prints the result of each; it fails if there are
 //! violations. `-- restores ...` does the same while the store is restored from backups, `-- changes ...` while the
 //! configuration changes, `-- versions ...` while servers of two versions serve, `-- crashes ...` while requests with one prompt part crash servers,
-//! `-- silences ...` while servers fall silent, `-- late-readers ...` while servers read bodies late. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again and
+//! `-- silences ...` while servers fall silent, `-- late-readers ...` while servers read bodies late. `-- endless-bytes ...` does
+//! it while two servers send bytes without end, of another kind with each seed, and compares times and memory with the same run
+//! without such bytes. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again and
 //! prints times and memory.
 
 #[path = "../tests/support/relay.rs"]
@@ -20,7 +22,9 @@
     time::Duration,
 };
 
-use soak::{Scenario, Soak, checks::History, hosts::Hosts, store, store::Store};
+use soak::{
+    Report, Scenario, Soak, checks::History, conduct::EndlessBytes, hosts::Hosts, store, store::Store,
+};
 
 /// Defaults of the arguments: first seed, number of seeds, hosts and faults.
 const DEFAULT_ARGS: [usize; 4] = [1, 3, 6, 20];
@@ -56,6 +60,7 @@
         Some("crashes") => Scenario::Crashes,
         Some("silences") => Scenario::Silences,
         Some("late-readers") => Scenario::LateReaders,
+        Some("endless-bytes") => Scenario::EndlessBytes(&EndlessBytes::ALL),
         _ => Scenario::Failures,
     };
     run_seeds(option(0) as u64, option(1) as u64, option(2), option(3), scenario).await
@@ -75,7 +80,13 @@
             .with_hosts(hosts)
             .with_callers(CALLERS_PER_HOST * hosts)
             .with_faults(faults);
-        let report = soak.with_scenario(scenario).run().await;
+        let report = match scenario {
+            Scenario::EndlessBytes(kinds) => {
+                let kind = seed as usize % kinds.len();
+                run_with_and_without(soak, &kinds[kind..=kind]).await
+            }
+            _ => soak.with_scenario(scenario).run().await,
+        };
         println!("seed {seed}: {} violations; {}", report.violations.len(), report.outcomes);
         if !report.violations.is_empty() {
             println!("{report:#?}");
@@ -85,6 +96,15 @@
     code
 }
 
+/// Runs with servers that send bytes without end and without; returns the report of the former, with the limits of its cost.
+async fn run_with_and_without(soak: Soak, kinds: &'static [EndlessBytes]) -> Report {
+    let without = soak.with_scenario(Scenario::EndlessBytes(&[])).run().await;
+    let mut report = soak.with_scenario(Scenario::EndlessBytes(kinds)).run().await;
+    println!("{kinds:?}: {:?}; without: {:?}", report.usage, without.usage);
+    report.violations.extend(report.usage.violations(&without.usage));
+    report
+}
+
 /// Measures how soon a fleet is ready again after all of its hosts were killed.
 async fn recover(count: usize) {
     let (history, store) = (Arc::new(History::default()), Store::start().await);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,7 @@
 use soak::{
     Scenario, Soak,
     checks::{self, History, Kind, Observation, Outcome, STREAM_EVENTS, ServerEvent},
+    conduct::{ENDLESS_TEXT, EndlessBytes},
 };
 
 /// Held by each run, since runs use the same addresses.
@@ -116,6 +117,19 @@
     }
 }
 
+/// Guards against requests without an answer, and against such bytes passed on as an answer, while some servers send bytes
+/// without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_while_servers_send_without_end() {
+    let _guard = RUN_LOCK.lock().await;
+
+    let scenario = Scenario::EndlessBytes(&EndlessBytes::ALL);
+    let report = Soak::with_seed(1).with_faults(8).with_scenario(scenario).run().await;
+
+    assert!(report.violations.is_empty(), "{report:#?}");
+    assert!(report.outcomes.contains(ENDLESS_TEXT), "{report:#?}");
+}
+
 /// Guards against a check that misses requests which sound servers don't answer, refusals without a time after which to come
 /// back, and bytes that are no request.
 #[test]
@@ -140,6 +154,36 @@
     assert_eq!(late_readers(&refused), 2);
 }
 
+/// Guards against a check that misses requests without an answer or with bytes that a server sends without end, and against a
+/// measurement that misses events which are passed on late.
+#[test]
+fn requests_without_an_answer_beside_bytes_without_end_are_violations() {
+    let checked = |outcome| {
+        let history = history(Kind::PlainStream, &["i-1"], outcome);
+        let event = ServerEvent::WroteEvent(1, Instant::now());
+        history.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+        let at = Instant::now() + Duration::from_secs(1);
+        history.record(Observation::GotEvents { id: "r1".into(), count: 1, at });
+        assert!(history.longest_waits().1 >= Duration::from_secs(1));
+        history.violations_in(Scenario::EndlessBytes(&EndlessBytes::ALL)).len()
+    };
+
+    assert_eq!(checked(complete(502, &[""])), 0);
+    assert_eq!(checked(Outcome::Disconnected(vec!["own 1 v1".into()])), 0);
+    let passed_on = history(Kind::PlainStream, &["i-1"], Outcome::Disconnected(vec![ENDLESS_TEXT.into()]));
+    assert_eq!(passed_on.violations().len(), 1);
+    let event = ServerEvent::Treated(ENDLESS_TEXT);
+    passed_on.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+    assert_eq!(
+        passed_on.violations().len(),
+        0,
+        "a host can't tell such events from sound ones without numbers"
+    );
+    for outcome in [complete(500, &[ENDLESS_TEXT]), Outcome::Disconnected(Vec::new()), Outcome::TimedOut] {
+        assert_eq!(checked(outcome.clone()), 1, "{outcome:?}");
+    }
+}
+
 /// Guards against a check that misses requests that go on crashing servers, and sound streams that do not begin beside them.
 #[test]
 fn crashes_by_requests_and_sound_streams_that_do_not_begin_are_violations() {
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -33,7 +33,8 @@
 use tokio::task::JoinSet;
 
 use caller::{KEY, KEY_TO_REVOKE, call, resolve};
-use checks::{History, Kind, Observation, Outcome};
+use checks::{History, Kind, Observation, Outcome, REQUEST_DEADLINE};
+use conduct::EndlessBytes;
 use engine::Engines;
 use hosts::Hosts;
 use store::Store;
@@ -46,6 +47,13 @@
 /// Configuration version written at the end of a run, above all others.
 const FINAL_VERSION: u64 = 1_000_000;
 
+/// Most processor time of all hosts while servers send bytes without end, as a multiple of that of a run without.
+const MAX_PROCESSOR_TIME_RATIO: u32 = 3;
+/// Most memory of a host, in kilobytes.
+const MAX_MEMORY_KB: u64 = 260_000;
+/// Longest time from the writing of an event to its arrival at the caller, and of an answer after its deadline.
+const MAX_DELAY: Duration = Duration::from_millis(500);
+
 /// Options of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Soak {
@@ -74,6 +82,8 @@
     Silences,
     /// Servers read bodies late, while the configuration keeps changing.
     LateReaders,
+    /// Some servers send bytes of these kinds without end; none do if there are no kinds.
+    EndlessBytes(&'static [EndlessBytes]),
 }
 
 impl Scenario {
@@ -136,6 +146,7 @@
         let engines = Engines::start(self.scenario, store.clone(), history.clone()).await;
         let hosts = Arc::new(Hosts::start(self.hosts, store.addr(), history.clone()));
         hosts.wait_until_ready(RECOVERY_TIMEOUT).await;
+        let processor_time = hosts.processor_time();
 
         let mut callers = JoinSet::new();
         for n in 0..self.callers {
@@ -159,6 +170,7 @@
         }
         let injected =
             faults::inject_all(self.faults, self.scenario, &mut rng, &hosts, &engines, &store).await;
+        let processor_time = hosts.processor_time().saturating_sub(processor_time);
         let not_recovered = check_recovery(&hosts, &history).await;
         callers.shutdown().await;
         let not_applied = check_config_applied(&hosts, &store, &history).await;
@@ -169,7 +181,10 @@
         if !violations.is_empty() {
             hosts.keep_logs();
         }
-        Report { seed: self.seed, faults: injected, outcomes: history.summary(), violations }
+        let (longest_request, longest_event_delay) = history.longest_waits();
+        let peak_memory_kb = hosts.peak_memory_kb().into_iter().max().unwrap_or_default();
+        let usage = Usage { processor_time, peak_memory_kb, longest_request, longest_event_delay };
+        Report { seed: self.seed, faults: injected, outcomes: history.summary(), violations, usage }
     }
 }
 
@@ -184,6 +199,35 @@
     pub outcomes: String,
     /// Violations of the guarantees.
     pub violations: Vec<String>,
+    /// What the run cost.
+    pub usage: Usage,
+}
+
+/// Cost of a run, which depends on the machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Processor time of all hosts from their start to the last fault.
+    pub processor_time: Duration,
+    /// Most memory that a host has had, in kilobytes.
+    pub peak_memory_kb: u64,
+    /// Longest time of a request.
+    pub longest_request: Duration,
+    /// Longest time of an event from its server to its caller.
+    pub longest_event_delay: Duration,
+}
+
+impl Usage {
+    /// Violations of the limits of cost, in comparison with a run without bytes without end.
+    pub fn violations(&self, without: &Usage) -> Vec<String> {
+        let limits = [
+            ("processor time", self.processor_time > without.processor_time * MAX_PROCESSOR_TIME_RATIO),
+            ("memory", self.peak_memory_kb > MAX_MEMORY_KB),
+            ("request", self.longest_request > REQUEST_DEADLINE + MAX_DELAY),
+            ("delay of events", self.longest_event_delay > MAX_DELAY),
+        ];
+        let exceeded = limits.into_iter().filter(|(_, is_exceeded)| *is_exceeded);
+        exceeded.map(|(what, _)| format!("limit exceeded: {what}")).collect()
+    }
 }
 
 /// Checks that every host answers every kind of request again after the last fault.
--- a/tests/support/soak/caller.rs
+++ b/tests/support/soak/caller.rs
@@ -29,6 +29,8 @@
 pub const KEY: &str = "k1";
 /// API key that the final configuration revokes.
 pub const KEY_TO_REVOKE: &str = "k2";
+/// Number of bytes of an answer after which a caller drops those that follow.
+const MAX_ANSWER_SIZE: usize = 16 * 1_024;
 /// Additional time after the deadline until a caller gives up.
 const DEADLINE_SLACK: Duration = Duration::from_secs(2);
 /// Timeout for connecting and for short calls, and interval between lookups of addresses.
@@ -92,8 +94,8 @@
                 let prompt = Some(format!("f1:100,{prompt}:50"));
                 send(Request { prompt, ..Request::new(addr, kind, key, kind.path()) }, &history).await;
             }
-            Scenario::LateReaders => {
-                let is_long = rng.random_ratio(1, LONG_BODY_ONE_IN);
+            Scenario::LateReaders | Scenario::EndlessBytes(_) => {
+                let is_long = scenario == Scenario::LateReaders && rng.random_ratio(1, LONG_BODY_ONE_IN);
                 let body_size = if is_long { LONG_BODY } else { SHORT_BODY };
                 let moves = rng.random_ratio(1, MOVE_ONE_IN);
                 let addr = kept.as_ref().map_or(addr, |(at, _)| if moves { addr } else { *at });
@@ -230,9 +232,14 @@
     if stream.write_all(req.as_bytes()).await.is_err() {
         return Outcome::Disconnected(Vec::new());
     }
-    let mut buf = Vec::new();
+    let (mut buf, mut got) = (Vec::new(), 0);
     loop {
         let text = String::from_utf8_lossy(&buf).into_owned();
+        let whole_events = text.rsplit_once("\n\n").map_or(0, |(whole, _)| events(whole).len() as u32);
+        if kind.is_stream() && whole_events > got {
+            got = whole_events;
+            history.record(Observation::GotEvents { id: id.to_owned(), count: got, at: Instant::now() });
+        }
         if is_complete(&text) {
             if matches!(status(&text), 429 | 503) && header(&text, "retry-after").is_none() {
                 history.record(Observation::RefusedWithoutTime { id: id.to_owned() });
@@ -242,6 +249,11 @@
             }
             return Outcome::Complete { status: status(&text), data: answer_data(&text, kind, id) };
         }
+        if buf.len() > MAX_ANSWER_SIZE {
+            // The connection may also end with an error.
+            let _ = tokio::io::copy(&mut stream, &mut tokio::io::sink()).await;
+            return Outcome::Disconnected(answer_data(&text, kind, id));
+        }
         // An event of which a part has arrived does not count.
         let (whole, _) = text.rsplit_once("\n\n").unwrap_or_default();
         if leave_at.is_some_and(|count| events(whole).len() >= count as usize) {
@@ -265,7 +277,7 @@
     let own = |answer_data: &str| {
         answer_data.strip_suffix(id).map_or_else(|| answer_data.to_owned(), |d| d.trim_end().to_owned())
     };
-    match kind.is_stream() {
+    match kind.is_stream() && status(text) == 200 {
         true => events(text).into_iter().map(own).collect(),
         false => vec![own(text.split_once("\r\n\r\n").map_or("", |(_, body)| body))],
     }
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -8,6 +8,7 @@
 
 use super::{
     Scenario,
+    conduct::ENDLESS_TEXT,
     hosts::{CONFIG_APPLY_MS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW_S},
     store::VERSION_ROUTE,
 };
@@ -129,6 +130,8 @@
     Fault { subject: String, from: Instant, to: Instant },
     /// All backend servers wrote nothing and went on, which is no fault.
     Silence { from: Instant, to: Instant },
+    /// A caller got events of its stream, this many in all.
+    GotEvents { id: String, count: u32, at: Instant },
     /// A request was refused without a time after which to come back.
     RefusedWithoutTime { id: String },
     /// A backend server got bytes that are not those of a request or of the rest of its body.
@@ -154,6 +157,8 @@
     RequestedPause(Instant, Duration),
     /// The server treats the request in a way that summaries tell apart.
     Treated(&'static str),
+    /// The server writes an event with this number.
+    WroteEvent(u32, Instant),
 }
 
 /// All observations of a run, in the order in which they were recorded.
@@ -168,6 +173,8 @@
     executions: Vec<Execution>,
     answered_by: Vec<String>,
     server_events: Vec<(String, ServerEvent)>,
+    /// Numbers of events that the caller had, and when.
+    got_events: Vec<(u32, Instant)>,
     is_refused_without_time: bool,
     /// The attempt that began the stream which the request takes up, and the number of events before.
     taken_up: Option<(String, u32)>,
@@ -193,6 +200,19 @@
         })
     }
 
+    /// Longest time from the writing of an event by a server to its arrival at the caller.
+    fn longest_event_delay(&self) -> Option<Duration> {
+        let written = self.server_events.iter().filter_map(|(_, event)| match event {
+            ServerEvent::WroteEvent(n, at) => Some((*n, *at)),
+            _ => None,
+        });
+        let delays = written.filter_map(|(n, at)| {
+            let got = self.got_events.iter().find(|(count, _)| *count >= n)?.1;
+            got.checked_duration_since(at)
+        });
+        delays.max()
+    }
+
     /// When the request arrived at servers, in order.
     fn arrivals(&self) -> impl Iterator<Item = Instant> {
         self.server_events.iter().filter_map(|(_, event)| match event {
@@ -253,6 +273,9 @@
                 Observation::AtServer { id, engine, event } => {
                     traces.entry(id).or_default().server_events.push((engine, event))
                 }
+                Observation::GotEvents { id, count, at } => {
+                    traces.entry(id).or_default().got_events.push((count, at))
+                }
                 Observation::RefusedWithoutTime { id } => {
                     traces.entry(id).or_default().is_refused_without_time = true;
                 }
@@ -459,20 +482,30 @@
 
     /// Violations of what a scenario promises beyond the guarantees, one line each.
     pub fn violations_in(&self, scenario: Scenario) -> Vec<String> {
-        if scenario != Scenario::LateReaders {
-            return Vec::new();
-        }
+        let check = match scenario {
+            Scenario::LateReaders => check_answered_by_sound,
+            Scenario::EndlessBytes(_) => check_answered,
+            _ => return Vec::new(),
+        };
         let wrong_bytes = self.0.lock().unwrap().clone().into_iter().filter_map(|o| match o {
             Observation::WrongBytes { engine, bytes } => Some(format!("{engine} got {bytes:.80?}")),
             _ => None,
         });
-        let unanswered = self
-            .traces()
-            .into_iter()
-            .filter_map(|(id, trace)| Some(format!("{id}: {}", check_answered_by_sound(&trace)?)));
+        let unanswered =
+            self.traces().into_iter().filter_map(|(id, trace)| Some(format!("{id}: {}", check(&trace)?)));
         wrong_bytes.chain(unanswered).collect()
     }
 
+    /// Longest time of a request until its end, and of an event from its server to its caller; of streams, only those that no
+    /// server sent bytes without end.
+    pub fn longest_waits(&self) -> (Duration, Duration) {
+        let traces = self.traces();
+        let request = traces.values().filter_map(|t| Some(t.outcome.as_ref()?.1 - t.sent.as_ref()?.at));
+        let sound = traces.values().filter(|trace| trace.treatment() != Some(ENDLESS_TEXT));
+        let event = sound.filter_map(RequestTrace::longest_event_delay);
+        (request.max().unwrap_or_default(), event.max().unwrap_or_default())
+    }
+
     /// Violations of the guarantees, one line each.
     pub fn violations(&self) -> Vec<String> {
         let traces = self.traces();
@@ -687,6 +720,18 @@
     (!is_answered).then(|| format!("{kind}, {treatment}: not answered by sound servers: {outcome:?}"))
 }
 
+/// Checks that a request got an answer, an error or a refusal, and that none of them is made of bytes without end. A stream
+/// that has begun may break off.
+fn check_answered(trace: &RequestTrace) -> Option<String> {
+    let (sent, (outcome, _)) = (trace.sent.as_ref()?, trace.outcome.as_ref()?);
+    let is_answered = match outcome {
+        Outcome::Complete { data, .. } => !data.iter().any(|d| d.contains(ENDLESS_TEXT)),
+        Outcome::Disconnected(events) => !events.is_empty() || trace.server_events.is_empty(),
+        _ => false,
+    };
+    (!is_answered).then(|| format!("{}: no answer: {outcome:.80?}", sent.kind.as_str()))
+}
+
 /// Checks the outcome that a caller saw against the request and its executions.
 fn check_outcome(trace: &RequestTrace, sent: &Sent, outcome: &Outcome) -> Vec<String> {
     let mut violations = Vec::new();
@@ -709,7 +754,12 @@
         {
             violations.push(format!("a request that is always allowed was answered with {status}"));
         }
-        Outcome::Disconnected(data) | Outcome::Left(data) => violations.extend(check_events(data, before)),
+        Outcome::Disconnected(data) | Outcome::Left(data) => {
+            // A server may write events without numbers, which hosts pass on.
+            let is_own = |event: &&String| trace.treatment() != Some(ENDLESS_TEXT) || *event != ENDLESS_TEXT;
+            let data: Vec<_> = data.iter().filter(is_own).cloned().collect();
+            violations.extend(check_events(&data, before));
+        }
         _ => {}
     }
     violations
--- a/tests/support/soak/conduct.rs
+++ b/tests/support/soak/conduct.rs
@@ -1,4 +1,4 @@
-//! Servers that read bodies late.
+//! Servers that read bodies late, and servers that send bytes without end.
 
 use std::{
     io,
@@ -9,7 +9,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
-    io::AsyncReadExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
 };
@@ -20,8 +20,10 @@
     checks::{Observation, ServerEvent},
     engine::{Handler, hash},
 };
-use crate::wire::header;
+use crate::wire::{chunk, header};
 
+/// Number of servers that send bytes without end.
+const ENDLESS_COUNT: u64 = 2;
 /// Receive buffer of servers that read late, in bytes, a part of a long body.
 const RECEIVE_BUFFER: u32 = 16 * 1_024;
 /// Connections that wait to be accepted.
@@ -36,6 +38,13 @@
 const STANDSTILL_MS: std::ops::Range<u64> = 900..2_100;
 /// Time between two of them.
 const STANDSTILL_GAP_MS: std::ops::Range<u64> = 1_000..4_000;
+/// Size in bytes of one write of a server that sends without end.
+const WRITE_SIZE: usize = 1_024;
+/// Size in bytes of the chunks of an event without end.
+const CHUNK_SIZE: usize = 64;
+/// Text that only such bytes have.
+pub const ENDLESS_TEXT: &str = "endless";
+
 /// How a server treats its requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Conduct {
@@ -44,17 +53,27 @@
     Usual,
     /// Stands still at times before it reads a body, and answers some requests before it reads theirs.
     ReadsLate,
+    /// Sends bytes without end, of one of these kinds for each request.
+    Endless(&'static [EndlessBytes]),
 }
 
 impl Conduct {
-    /// Conduct of the servers in a scenario.
-    pub fn of(scenario: Scenario) -> Self {
+    /// Conduct of the server with a number in a scenario.
+    pub fn of(scenario: Scenario, number: u64) -> Self {
         match scenario {
             Scenario::LateReaders => Conduct::ReadsLate,
+            Scenario::EndlessBytes(kinds) if number < ENDLESS_COUNT => Conduct::Endless(kinds),
             _ => Conduct::Usual,
         }
     }
 
+    /// The bytes that a request gets instead of an answer.
+    pub fn endless(self, id: &str, is_stream: bool) -> Option<EndlessBytes> {
+        let Conduct::Endless(kinds) = self else { return None };
+        let fitting: Vec<_> = kinds.iter().filter(|kind| kind.fits(is_stream)).collect();
+        fitting.get(hash(id) as usize % fitting.len().max(1)).map(|kind| **kind)
+    }
+
     /// Listener of a server.
     pub fn listen(self) -> TcpListener {
         let socket = TcpSocket::new_v4().unwrap();
@@ -66,6 +85,81 @@
     }
 }
 
+/// Bytes that a server sends until its connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessBytes {
+    /// An event of a stream, in small chunks.
+    Event,
+    /// Informational answers.
+    Informational,
+    /// Lines of a head.
+    HeaderLines,
+    /// The body of a whole answer.
+    Answer,
+    /// The body of an error.
+    ErrorBody,
+    /// Well-formed events without numbers.
+    UnnumberedEvents,
+}
+
+impl EndlessBytes {
+    /// All kinds.
+    pub const ALL: [Self; 6] = [
+        Self::Event,
+        Self::Informational,
+        Self::HeaderLines,
+        Self::Answer,
+        Self::ErrorBody,
+        Self::UnnumberedEvents,
+    ];
+
+    /// Whether a request for a stream, or one for a whole answer, may get such bytes.
+    fn fits(self, is_stream: bool) -> bool {
+        match self {
+            Self::Event | Self::UnnumberedEvents => is_stream,
+            Self::Answer => !is_stream,
+            Self::Informational | Self::HeaderLines | Self::ErrorBody => true,
+        }
+    }
+
+    /// The first bytes, and those that follow again and again. `headers` are those of every answer.
+    fn texts(self, headers: &str) -> (String, String) {
+        let head = |status: &str, kind: &str| {
+            format!(
+                "HTTP/1.1 {status}\r\n{headers}Content-Type: {kind}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+        };
+        let body = chunk(&ENDLESS_TEXT.repeat(WRITE_SIZE / ENDLESS_TEXT.len()));
+        match self {
+            Self::Event => {
+                let first = head("200 OK", "text/event-stream") + &chunk("id: 1\ndata: ");
+                (first, chunk(&format!("{ENDLESS_TEXT:x<CHUNK_SIZE$}")))
+            }
+            Self::UnnumberedEvents => {
+                (head("200 OK", "text/event-stream"), chunk(&format!("data: {ENDLESS_TEXT}\n\n")))
+            }
+            Self::Informational => {
+                (String::new(), format!("HTTP/1.1 103 Early Hints\r\nLink: {ENDLESS_TEXT}\r\n\r\n"))
+            }
+            Self::HeaderLines => {
+                (format!("HTTP/1.1 200 OK\r\n{headers}"), format!("X-Line: {ENDLESS_TEXT}\r\n"))
+            }
+            Self::Answer => (head("200 OK", "text/plain"), body),
+            Self::ErrorBody => (head("500 Internal Server Error", "text/plain"), body),
+        }
+    }
+
+    /// Writes the bytes until the connection is closed.
+    pub async fn write(self, stream: &mut TcpStream, headers: &str) {
+        let (first, again) = self.texts(headers);
+        let again = again.repeat(WRITE_SIZE.div_ceil(again.len()));
+        let mut written = stream.write_all(first.as_bytes()).await;
+        while written.is_ok() {
+            written = stream.write_all(again.as_bytes()).await;
+        }
+    }
+}
+
 /// Makes a server stand still again and again until it is gone.
 pub async fn stand_still_at_times(silent: Weak<watch::Sender<bool>>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -28,7 +28,7 @@
 
 /// Number of servers at any time, without those that are draining.
 const SERVER_COUNT: usize = 4;
-/// The same if the servers read late.
+/// The same if some of the servers read late or send bytes without end.
 const CONDUCT_SERVER_COUNT: usize = 9;
 /// Prompt part that crashes each server which begins an answer to a request with it.
 pub const HARMFUL_PART: &str = "bad";
@@ -102,7 +102,7 @@
             crashing,
         });
         let count = match scenario {
-            Scenario::LateReaders => CONDUCT_SERVER_COUNT,
+            Scenario::LateReaders | Scenario::EndlessBytes(_) => CONDUCT_SERVER_COUNT,
             _ => SERVER_COUNT,
         };
         for _ in 0..count {
@@ -126,7 +126,7 @@
         // Number of versions that serve side by side.
         let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
         let (id, version) = (format!("i-{number}"), format!("v{}", number % versions + 1));
-        let conduct = Conduct::of(self.scenario);
+        let conduct = Conduct::of(self.scenario, number);
         let listener = conduct.listen();
         let own_addr = listener.local_addr().unwrap();
         let crash = watch::Sender::new(0);
@@ -316,6 +316,10 @@
                 record_event(ServerEvent::BrokeOff);
                 return;
             }
+            if let Some(bytes) = self.conduct.endless(&id, is_stream(&req)) {
+                record_event(ServerEvent::Treated(conduct::ENDLESS_TEXT));
+                return bytes.write(&mut stream, &head).await;
+            }
             self.end_of_silence().await;
             if is_stream(&req) && id_hash.is_multiple_of(UNFRAMED_ONE_IN) {
                 return self.write_unframed(stream, &head, &id, events_before(&req)).await;
@@ -416,6 +420,7 @@
                 return;
             }
             tokio::time::sleep(EVENT_GAP).await;
+            self.record_event(id, ServerEvent::WroteEvent(n, Instant::now()));
             text = end.to_owned();
         }
         if stream.write_all(text.as_bytes()).await.is_ok() {
@@ -439,6 +444,7 @@
         for n in after + 1..=STREAM_EVENTS {
             let data = format!("own {n} {} {id}", self.version);
             self.end_of_silence().await;
+            self.record_event(id, ServerEvent::WroteEvent(n, Instant::now()));
             stream.write_all(chunk(&event_with_data(n, &data)).as_bytes()).await?;
             tokio::time::sleep(event_gap).await;
         }
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -159,6 +159,9 @@
     /// Faults of runs in which sound servers read late, which are planned work.
     const WITH_LATE_READERS: [Fault; 3] = [Fault::ReloadSettings, Fault::ReloadSettings, Fault::EngineDrain];
 
+    /// Faults of runs in which servers send bytes without end, so that nothing else costs anything.
+    const WITH_ENDLESS_BYTES: [Fault; 1] = [Fault::ReloadSettings];
+
     /// Faults of a scenario.
     fn of(scenario: Scenario) -> &'static [Fault] {
         match scenario {
@@ -169,6 +172,7 @@
             Scenario::Crashes => &Fault::WITH_CRASHES,
             Scenario::Silences => &Fault::WITH_SILENCES,
             Scenario::LateReaders => &Fault::WITH_LATE_READERS,
+            Scenario::EndlessBytes(_) => &Fault::WITH_ENDLESS_BYTES,
         }
     }
 
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -39,6 +39,10 @@
 pub const CONFIG_APPLY_MS: u64 = 2_000;
 /// Timeout for a process to listen.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Unit of processor times in `/proc`, 1/100 s on Linux.
+const CLOCK_TICK: Duration = Duration::from_millis(10);
+/// Positions of the times in user and kernel mode in `/proc/PID/stat`, after the name of the program.
+const PROCESSOR_TIME_FIELDS: std::ops::Range<usize> = 11..13;
 /// Number of hosts in each /24 network of the loopback range.
 const HOSTS_PER_NET: usize = 250;
 
@@ -201,15 +205,24 @@
         self.keep_logs.store(true, Ordering::Relaxed);
     }
 
+    /// Processor time of all processes.
+    pub fn processor_time(&self) -> Duration {
+        let ticks = |pid: u32| -> Option<u32> {
+            let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+            let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+            Some(fields.get(PROCESSOR_TIME_FIELDS)?.iter().filter_map(|f| f.parse::<u32>().ok()).sum())
+        };
+        self.hosts.iter().filter_map(|h| ticks(h.pid()?)).sum::<u32>() * CLOCK_TICK
+    }
+
     /// Peak memory of each process, in kilobytes.
     pub fn peak_memory_kb(&self) -> Vec<u64> {
-        let pid = |h: &Host| h.child.lock().unwrap().as_ref().map(Child::id);
         let peak = |pid| {
             let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
             let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
             line.trim().split(' ').next()?.parse().ok()
         };
-        self.hosts.iter().filter_map(|h| peak(pid(h)?)).collect()
+        self.hosts.iter().filter_map(|h| peak(h.pid()?)).collect()
     }
 }
 
@@ -238,6 +251,10 @@
         *self.child.lock().unwrap() = Some(child);
     }
 
+    fn pid(&self) -> Option<u32> {
+        self.child.lock().unwrap().as_ref().map(Child::id)
+    }
+
     fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
