--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,6 +7,14 @@
 /// Maximum size of an event; a longer one means that the stream is broken.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// What each piece of an answer counts at least towards its maximum size, in bytes: reading a shorter one takes about as long.
+const MIN_PIECE_COST: usize = 64;
+
+/// What a piece of an answer counts towards its maximum size, in bytes.
+pub fn piece_cost(bytes: usize) -> usize {
+    bytes.max(MIN_PIECE_COST)
+}
+
 /// Consecutive complete events, ready to be forwarded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CompleteEvents {
@@ -21,20 +29,47 @@
 /// Buffers the bytes of a stream until they form a complete event.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
+    /// Contains no boundary.
     buf: BytesMut,
+    searched_bytes: u64,
+    /// Sum of [`piece_cost`] since the last complete event.
+    cost: usize,
+    /// Whether the bytes before the buffer end with a boundary, so that a line feed at its start is another empty line.
+    follows_boundary: bool,
 }
 
 impl Splitter {
     /// Adds bytes and removes the complete events from the buffer; `None` if there are none.
     pub fn push(&mut self, bytes: Bytes) -> Option<CompleteEvents> {
         if self.buf.is_empty() && bytes.ends_with(b"\n\n") {
+            self.follows_boundary = true;
             return Some(complete_events(bytes));
         }
+        self.cost += piece_cost(bytes.len());
+        // Its last byte may be the first one of a boundary.
+        let searched = self.buf.len().saturating_sub(1);
         self.buf.extend_from_slice(&bytes);
-        let end = self.buf.windows(2).rposition(|w| w == b"\n\n")? + 2;
+        let unsearched = &self.buf[searched..];
+        self.searched_bytes += unsearched.len() as u64;
+        let end = match unsearched.windows(2).rposition(|w| w == b"\n\n") {
+            Some(at) => searched + at + 2,
+            None if self.follows_boundary && self.buf.starts_with(b"\n") => 1,
+            None => return None,
+        };
+        (self.follows_boundary, self.cost) = (true, 0);
         Some(complete_events(self.buf.split_to(end).freeze()))
     }
 
+    /// Number of bytes that were searched for a boundary so far, those that were searched again included.
+    pub fn searched_bytes(&self) -> u64 {
+        self.searched_bytes
+    }
+
+    /// Size of the incomplete event that is buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no incomplete event is buffered.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
@@ -42,12 +77,13 @@
 
     /// Whether the buffered event exceeds the maximum size.
     pub fn is_too_long(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES
+        self.cost > MAX_EVENT_BYTES
     }
 
     /// Discards an incomplete event.
     pub fn clear(&mut self) {
         self.buf.clear();
+        (self.follows_boundary, self.cost) = (false, 0);
     }
 }
 
