--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,7 @@
 use soak::{
     Scenario, Soak,
     checks::{self, History, Kind, Observation, Outcome, STREAM_EVENTS, ServerEvent},
+    conduct::{ENDLESS_TEXT, EndlessBytes},
 };
 
 /// Held by each run, since runs use the same addresses.
@@ -101,6 +102,94 @@
     assert!(report.outcomes.contains("crashes by requests"), "{report:#?}");
 }
 
+/// Guards against requests that get no answer, and streams that are cut, at sound servers which stand still before they read a
+/// body or answer before they have read it, while the configuration keeps changing; and against other bytes where the rest of a
+/// body is due.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_servers_read_late() {
+    let _guard = RUN_LOCK.lock().await;
+
+    let report = Soak::with_seed(1).with_faults(8).with_scenario(Scenario::LateReaders).run().await;
+
+    assert!(report.violations.is_empty(), "{report:#?}");
+    for answered in ["long body, unsafe 200", "answered first, stream 200"] {
+        assert!(report.outcomes.contains(answered), "{report:#?}");
+    }
+}
+
+/// Guards against requests without an answer, and against such bytes passed on as an answer, while some servers send bytes
+/// without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_while_servers_send_without_end() {
+    let _guard = RUN_LOCK.lock().await;
+
+    let scenario = Scenario::EndlessBytes(&EndlessBytes::ALL);
+    let report = Soak::with_seed(1).with_faults(8).with_scenario(scenario).run().await;
+
+    assert!(report.violations.is_empty(), "{report:#?}");
+    assert!(report.outcomes.contains(ENDLESS_TEXT), "{report:#?}");
+}
+
+/// Guards against a check that misses requests which sound servers don't answer, refusals without a time after which to come
+/// back, and bytes that are no request.
+#[test]
+fn requests_without_an_answer_of_sound_servers_are_violations() {
+    let late_readers = |history: &History| history.violations_in(Scenario::LateReaders).len();
+    let cut = Outcome::Disconnected(vec!["own 1 v1".into()]);
+    let arrived = |outcome| {
+        let history = history(Kind::ResumableStream, &["i-1"], outcome);
+        let event = ServerEvent::Arrived(Instant::now());
+        history.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+        history
+    };
+    let refused = arrived(complete(503, &[""]));
+
+    assert_eq!(late_readers(&arrived(complete(200, &["own"]))), 0);
+    assert_eq!(late_readers(&refused), 0);
+    let late = arrived(Outcome::TimedOut);
+    for outcome in [complete(502, &[""]), complete(504, &[""]), cut.clone(), Outcome::TimedOut] {
+        assert_eq!(late_readers(&arrived(outcome.clone())), 1, "{outcome:?}");
+    }
+    let at = Instant::now() + checks::REQUEST_DEADLINE;
+    for (outcome, violations) in [(cut, 0), (complete(504, &[""]), 0), (complete(502, &[""]), 1)] {
+        late.record(Observation::Finished { id: "r1".into(), outcome: outcome.clone(), at });
+        assert_eq!(late_readers(&late), violations, "{outcome:?} at the deadline");
+    }
+    refused.record(Observation::RefusedWithoutTime { id: "r1".into() });
+    refused.record(Observation::WrongBytes { engine: "i-1".into(), bytes: "x".into() });
+    assert_eq!(late_readers(&refused), 2);
+}
+
+/// Guards against a check that misses requests without an answer or with bytes that a server sends without end, and against a
+/// measurement that misses events which are passed on late.
+#[test]
+fn requests_without_an_answer_beside_bytes_without_end_are_violations() {
+    let checked = |outcome| {
+        let history = history(Kind::PlainStream, &["i-1"], outcome);
+        let event = ServerEvent::WroteEvent(1, Instant::now());
+        history.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+        let at = Instant::now() + Duration::from_secs(1);
+        history.record(Observation::GotEvents { id: "r1".into(), count: 1, at });
+        assert!(history.longest_waits().1 >= Duration::from_secs(1));
+        history.violations_in(Scenario::EndlessBytes(&EndlessBytes::ALL)).len()
+    };
+
+    assert_eq!(checked(complete(502, &[""])), 0);
+    assert_eq!(checked(Outcome::Disconnected(vec!["own 1 v1".into()])), 0);
+    let passed_on = history(Kind::PlainStream, &["i-1"], Outcome::Disconnected(vec![ENDLESS_TEXT.into()]));
+    assert_eq!(passed_on.violations().len(), 1);
+    let event = ServerEvent::Treated(ENDLESS_TEXT);
+    passed_on.record(Observation::AtServer { id: "r1".into(), engine: "i-1".into(), event });
+    assert_eq!(
+        passed_on.violations().len(),
+        0,
+        "a host can't tell such events from sound ones without numbers"
+    );
+    for outcome in [complete(500, &[ENDLESS_TEXT]), Outcome::Disconnected(Vec::new()), Outcome::TimedOut] {
+        assert_eq!(checked(outcome.clone()), 1, "{outcome:?}");
+    }
+}
+
 /// Guards against a check that misses requests that go on crashing servers, and sound streams that do not begin beside them.
 #[test]
 fn crashes_by_requests_and_sound_streams_that_do_not_begin_are_violations() {
