Let answers of a stated length wait for room in the buffers

Cause: bytes count as buffered until they are written to the caller, and an answer that found no room for 100 ms was given up as too long, which also counted against its server. Now an answer of a stated length takes its room before it is read, and waits for it until its deadline; the server waits meanwhile, since its window closes. One that could never fit, or that states no length, is given up as before.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -42,6 +42,9 @@
 /// Maximum size of the body of a refusal after which the connection is used again, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
+/// How long an answer without a stated length waits for room in the buffers before it is given up.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A failed attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Failed {
@@ -284,6 +287,9 @@
         if let Some(bytes) = stated.filter(|bytes| *bytes > MAX_BUFFERED_BYTES as u64) {
             return Err(self.too_long(bytes as usize));
         }
+        if let Some(bytes) = stated {
+            self.reserve(bytes as usize).await?;
+        }
         let mut buf = BytesMut::new();
         let mut cost = 0;
         while let Some(frame) = body.frame().await {
@@ -293,19 +299,41 @@
             if cost > MAX_BUFFERED_BYTES {
                 return Err(self.too_long(buf.len() + data.len()));
             }
-            self.make_room(buf.len() + data.len()).await?;
+            if stated.is_none() {
+                self.make_room(buf.len() + data.len()).await?;
+            }
             buf.extend_from_slice(&data);
         }
         Ok(self.hold(buf.freeze()))
     }
 
-    /// Makes room for this many bytes of the answer.
+    /// Makes room for an answer of a stated length. The server waits meanwhile, which bounds what it can send.
+    ///
+    /// # Errors
+    /// If there is no room until the deadline, or never can be.
+    async fn reserve(&mut self, bytes: usize) -> Result<(), Failure> {
+        let (relay, time_left) = (&self.relay, self.req.time_left(now()));
+        if !relay.buffers.can_hold(bytes) {
+            return Err(self.too_long(bytes));
+        }
+        if self.room.await_resize(bytes, time_left).await {
+            return Ok(());
+        }
+        let backend = relay.backend_id(self.key);
+        relay.log_request(Level::Notable, "no_room", &self.req, |l| {
+            let l = l.text("backend", backend.as_deref().unwrap_or("gone")).number("bytes", bytes as u64);
+            l.number("buffered", relay.buffers.used() as u64).number("limit", relay.cfg.buffer_bytes as u64)
+        });
+        Err(Failure::Late)
+    }
+
+    /// Makes room for this many bytes of an answer that may have no end.
     ///
     /// # Errors
     /// If other answers take up so much that there is no room.
     pub(crate) async fn make_room(&mut self, bytes: usize) -> Result<(), Failure> {
         // Buffers grow by doubling.
-        if self.room.await_resize(bytes.next_power_of_two()).await {
+        if self.room.await_resize(bytes.next_power_of_two(), ROOM_TIMEOUT).await {
             Ok(())
         } else {
             Err(self.too_long(bytes))
--- a/src/relay/buffers.rs
+++ b/src/relay/buffers.rs
@@ -19,8 +19,6 @@
 const DEFAULT_BYTES: usize = 64 << 20;
 /// Part of the free bytes that one answer may take.
 const FREE_FRACTION: usize = 4;
-/// How long an answer waits for room before it is given up.
-const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval at which it looks for room.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -53,6 +51,11 @@
         self.0.used.load(Ordering::Relaxed)
     }
 
+    /// Whether an answer of this many bytes has room while nothing else is buffered.
+    pub fn can_hold(&self, bytes: usize) -> bool {
+        bytes <= self.0.limit.saturating_sub(bytes) / FREE_FRACTION
+    }
+
     /// Room for an answer, of no bytes yet.
     pub fn room(&self) -> Room {
         Room { buffers: self.clone(), bytes: 0 }
@@ -82,8 +85,8 @@
         resized.is_ok()
     }
 
-    /// Changes its size, and waits for room for a moment; returns whether there was room.
-    pub async fn await_resize(&mut self, bytes: usize) -> bool {
+    /// Changes its size, and waits for room at most for `timeout`; returns whether there was room.
+    pub async fn await_resize(&mut self, bytes: usize, timeout: Duration) -> bool {
         if self.resize(bytes) {
             return true;
         }
@@ -92,7 +95,7 @@
                 tokio::time::sleep(ROOM_POLL_INTERVAL).await;
             }
         };
-        tokio::time::timeout(ROOM_TIMEOUT, resizing).await.is_ok()
+        tokio::time::timeout(timeout, resizing).await.is_ok()
     }
 
     /// Bytes that keep this room until they have been written.
--- a/tests/relay_buffers.rs
+++ b/tests/relay_buffers.rs
@@ -1,5 +1,7 @@
 //! Tests of the memory that a host's buffered answers may take, without I/O.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use cranberrytally::relay::buffers::{Buffers, limit_for};
 use proptest::{collection::vec, prelude::*};
@@ -56,13 +58,14 @@
 
 /// Guards against an answer that waits for room without end while others keep it.
 #[tokio::test]
-async fn an_answer_waits_for_room_only_briefly() {
+async fn an_answer_waits_for_room_only_so_long() {
     let buffers = Buffers::new(1_000);
     let (mut first, mut second) = (buffers.room(), buffers.room());
     assert!(first.resize(200));
 
-    assert!(!second.await_resize(200).await);
-    let (_, got_room) = tokio::join!(async { drop(first) }, second.await_resize(200));
+    assert!(!second.await_resize(200, Duration::from_millis(100)).await);
+    let (_, got_room) =
+        tokio::join!(async { drop(first) }, second.await_resize(200, Duration::from_millis(100)));
 
     assert!(got_room);
 }
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -17,7 +17,7 @@
 use relay_support::RunningHost;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 use wire::{
     Host, ScriptStep, Server, chunk, event, events, is_complete, not_run, ok, request, status, stream_head,
@@ -281,3 +281,26 @@
     assert!(events > 0);
     assert!(events as f64 <= max_events + 1.0, "{events} events, at most {max_events}");
 }
+
+/// Guards against answers of a sound server that are given up because callers read others slowly.
+#[tokio::test]
+async fn callers_that_read_slowly_cost_others_no_answers() {
+    const CALLERS: usize = 12;
+    const LONG_BYTES: usize = 1 << 20;
+    let server = Server::reacting("i-1", |_, _| ScriptStep::Write(ok(&"x".repeat(LONG_BYTES)))).await;
+    let host = Host::with_buffer_bytes(8 * LONG_BYTES).await;
+    host.relay.set_configuration(wire::configuration(), "test");
+    host.set_servers(&[&server]);
+    let slow_call = async || {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4 << 10).unwrap();
+        let mut caller = socket.connect(host.addr).await.unwrap();
+        caller.write_all(request("/unsafe/x", "").as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        status(&wire::read_answer(&mut caller).await)
+    };
+
+    let statuses = futures_util::future::join_all((0..CALLERS).map(|_| slow_call())).await;
+
+    assert_eq!(statuses, [200; CALLERS]);
+}
