Clear the answer of the request before when a kept connection is used again

A caller left while its request was in transit, and the server got all of it afterwards and ran it. On a connection whose last bytes were written less than 100 ms before, the socket still took the answer to the request before for an answer to this one, so that it was closed in order rather than reset. The mark is now cleared when a request begins. Writes do not clear it, as an answer that comes early answers the whole request.

--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -135,6 +135,7 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)> {
         self.head_counter.begin();
+        self.rest.begin();
         let sent = self.tx.try_send_request(req).await;
         self.head_counter.end();
         match sent {
--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -80,18 +80,38 @@
 /// got a shorter request.
 const MAX_UNCHECKED_BYTES: u64 = 16 << 10;
 
-/// Whether a server has yet to get a part of what was written to its connection.
+/// Whether a server has yet to get a part of what was written to its connection, and whether it has begun to answer.
 #[derive(Clone, Debug, Default)]
-pub struct Rest(Arc<AtomicBool>);
+pub struct Rest(Arc<Progress>);
+
+#[derive(Debug, Default)]
+struct Progress {
+    is_due: AtomicBool,
+    /// Whether bytes have arrived since the last request began.
+    is_answered: AtomicBool,
+}
 
 impl Rest {
+    /// Records that a request is about to be sent, which nothing has answered yet.
+    pub fn begin(&self) {
+        self.0.is_answered.store(false, Ordering::Relaxed);
+    }
+
     /// Whether bytes are known to wait.
     pub fn is_due(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.is_due.load(Ordering::Relaxed)
     }
 
     fn set(&self, is_due: bool) {
-        self.0.store(is_due, Ordering::Relaxed);
+        self.0.is_due.store(is_due, Ordering::Relaxed);
+    }
+
+    fn is_answered(&self) -> bool {
+        self.0.is_answered.load(Ordering::Relaxed)
+    }
+
+    fn note_answered(&self) {
+        self.0.is_answered.store(true, Ordering::Relaxed);
     }
 }
 
@@ -115,8 +135,6 @@
     timer: Option<Pin<Box<Sleep>>>,
     /// What the last look showed.
     last_state: Option<SendState>,
-    /// Whether bytes have arrived since the first of the bytes that may not be acknowledged was written.
-    is_answered: bool,
     /// Whether answers are written to it rather than requests.
     carries_answers: bool,
     is_down: bool,
@@ -135,7 +153,6 @@
             unacked: None,
             timer: None,
             last_state: None,
-            is_answered: false,
             carries_answers: false,
             is_down: false,
         }
@@ -238,7 +255,7 @@
     }
 
     fn note_read(&mut self) {
-        self.is_answered = true;
+        self.rest.note_answered();
         if let Some(unacked) = &mut self.unacked {
             unacked.hear(now());
             if self.written - self.written_before > MAX_UNCHECKED_BYTES {
@@ -250,7 +267,7 @@
     fn note_written(&mut self, bytes: usize) {
         if self.unacked.is_none() {
             self.unacked = Some(Unacked::new(now(), self.written));
-            (self.last_state, self.is_answered, self.written_before) = (None, false, self.written);
+            (self.last_state, self.written_before) = (None, self.written);
         }
         self.written += bytes as u64;
     }
@@ -330,7 +347,7 @@
 impl Drop for ServerSocket {
     /// Takes back a request that did not arrive whole and that nobody waits for any more.
     fn drop(&mut self) {
-        let is_unanswered = self.unacked.is_some() && !self.is_answered && !self.carries_answers;
+        let is_unanswered = self.unacked.is_some() && !self.rest.is_answered() && !self.carries_answers;
         if is_unanswered && (self.read_state)(self.stream.as_fd()).is_ok_and(|state| state.unacked_bytes > 0)
         {
             self.reset_when_closed();
--- a/tests/relay_unread.rs
+++ b/tests/relay_unread.rs
@@ -347,3 +347,60 @@
     wait_until("the body to be read", || !bodies().is_empty()).await;
     assert!(bodies() == [long]);
 }
+
+/// What a server got on a connection whose caller leaves while a long request is in transit, and whether the connection was reset.
+/// It reads nothing for 2 s, before which it answers a short request if `pause` is set: the long one follows on the same
+/// connection after the pause.
+async fn read_after_the_caller_left(pause: Option<Duration>) -> (usize, bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let reading = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        if pause.is_some() {
+            let mut unread = Vec::new();
+            let head = read_head(&mut stream, &mut unread).await.unwrap();
+            let length: usize = header(&head, "content-length").unwrap().parse().unwrap();
+            while unread.len() < length {
+                stream.read_buf(&mut unread).await.unwrap();
+            }
+            stream.write_all(answer_to(&head).concat().as_bytes()).await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let mut got = Vec::new();
+        let end = tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut got)).await;
+        let is_reset = matches!(end, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionReset);
+        (got.len(), is_reset)
+    });
+    let server = LateServer { id: "i-1".into(), addr, requests: Arc::default(), connections: Arc::default() };
+    let host = host_with(&server).await;
+    let mut caller = Caller::connect(host.addr).await;
+    if let Some(pause) = pause {
+        caller.send(&request("/unsafe/x", "short")).await;
+        let got = caller.answer().await;
+        assert_eq!(status(&got), 200, "{got}");
+        tokio::time::sleep(pause).await;
+    }
+
+    caller.send(&request("/unsafe/y", &long_body())).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(caller);
+
+    reading.await.unwrap()
+}
+
+/// Guards against a server that runs a request whose caller has left, since the answer to the request before it on the same
+/// connection counts as an answer to it.
+#[tokio::test]
+async fn a_request_on_a_kept_connection_is_taken_back_when_its_caller_leaves() {
+    let pauses = [None, Some(0), Some(50), Some(150), Some(300)];
+    join_all(pauses.map(async |pause| {
+        let (got, is_reset) = read_after_the_caller_left(pause.map(Duration::from_millis)).await;
+
+        assert!(
+            is_reset && got < BODY_BYTES,
+            "after a pause of {pause:?} ms: {got} bytes, reset: {is_reset}"
+        );
+    }))
+    .await;
+}
