Do not put off looks at a connection on which bytes arrive

Each arrival moved the next look to 100 ms later. On a stream with events every 40 ms no look was ever made: the bytes of its request counted as possibly unacknowledged until its end, and its timer woke it 10 times a second. An arrival now shows only that the path is up; the first look then ends the looks if everything is acknowledged. Time by which a look is late counts from the last arrival, and the timer is created with the time that is left.

Without the change, `bytes_that_arrive_do_not_put_off_a_look` finds the look at 180 ms instead of 100 ms, and `one_look_is_made_while_events_arrive` counts 0 looks instead of 1. `a_path_that_goes_down_after_bytes_without_a_look_is_noticed` passes before and after.

--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -191,7 +191,8 @@
     /// If the path is down.
     fn poll_look(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         while let Some(look_at) = self.unacked.map(|unacked| unacked.look_at()) {
-            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(Duration::ZERO)));
+            let left = look_at.saturating_sub(now());
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(left)));
             if timer.as_mut().poll(cx).is_pending() {
                 break;
             }
--- a/src/relay/unacked.rs
+++ b/src/relay/unacked.rs
@@ -62,10 +62,9 @@
         now.saturating_sub(self.up_at)
     }
 
-    /// Records that bytes arrived from the server.
+    /// Records that bytes arrived from the server. The next look is not put off, as it may find everything acknowledged.
     pub fn hear(&mut self, now: Instant) {
         (self.up_at, self.is_extended) = (now, false);
-        self.look_at = now + LOOK_INTERVAL;
     }
 
     /// Decides what a look shows, `written` being the number of bytes written in all.
@@ -77,9 +76,10 @@
         if acked > self.acked || !awaits_acknowledgement(state) || is_answered(state) {
             self.acked = acked.max(self.acked);
             self.hear(now);
+            self.look_at = now + LOOK_INTERVAL;
             return Verdict::Wait;
         }
-        let late = now.saturating_sub(self.look_at);
+        let late = now.saturating_sub(self.look_at.max(self.up_at));
         if late > MAX_TIMER_DELAY && !self.is_extended {
             self.is_extended = true;
             self.up_at += late;
