Look at connections with mid-size requests when their answer arrives

A server with a 4 KiB buffer that answered a request of 12 kB before it read it got the next request on the same connection, which waited behind the unread body. Only after more than 16 KiB was the socket asked whether the server has everything. The limit is now 2 KiB, counted from the last look, so that an answer in many parts costs one look.

Without the change, the case of 12,000 bytes in `a_connection_carries_no_request_while_the_body_of_the_last_one_is_due` fails: both requests are on one connection.

--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -76,9 +76,10 @@
     pub peer: Option<SocketAddr>,
 }
 
-/// Number of bytes written to a socket from which on it is looked at when an answer arrives: an answer says that the server has
-/// got a shorter request.
-const MAX_UNCHECKED_BYTES: u64 = 16 << 10;
+/// Number of bytes written since the last look at a socket above which it is looked at when an answer arrives: an answer proves
+/// only that the server has got what fits into its window. The smallest receive buffer by default of Linux (`tcp_rmem`) is
+/// 4 KiB, half of which may be the kernel's own overhead.
+const MAX_UNCHECKED_BYTES: u64 = 2 << 10;
 
 /// Whether a server has yet to get a part of what was written to its connection, and whether it has begun to answer.
 #[derive(Clone, Debug, Default)]
@@ -126,8 +127,8 @@
     read_state: ReadState,
     /// Number of bytes written.
     written: u64,
-    /// Number of bytes written before those that may not be acknowledged.
-    written_before: u64,
+    /// Number of bytes written before the last look, or before those that may not be acknowledged.
+    checked: u64,
     rest: Rest,
     /// Set while written bytes may not be acknowledged.
     unacked: Option<Unacked>,
@@ -148,7 +149,7 @@
             label,
             read_state: send_state,
             written: 0,
-            written_before: 0,
+            checked: 0,
             rest: Rest::default(),
             unacked: None,
             timer: None,
@@ -214,7 +215,7 @@
                 return;
             }
         };
-        self.last_state = Some(state);
+        (self.last_state, self.checked) = (Some(state), self.written);
         self.rest.set(state.unacked_bytes > 0);
         match unacked.look(now(), &state, self.written) {
             Verdict::Acknowledged => self.unacked = None,
@@ -259,7 +260,7 @@
         self.rest.note_answered();
         if let Some(unacked) = &mut self.unacked {
             unacked.hear(now());
-            if self.written - self.written_before > MAX_UNCHECKED_BYTES {
+            if self.written - self.checked > MAX_UNCHECKED_BYTES {
                 self.look();
             }
         }
@@ -268,7 +269,7 @@
     fn note_written(&mut self, bytes: usize) {
         if self.unacked.is_none() {
             self.unacked = Some(Unacked::new(now(), self.written));
-            (self.last_state, self.written_before) = (None, self.written);
+            (self.last_state, self.checked) = (None, self.written);
         }
         self.written += bytes as u64;
     }
--- a/tests/relay_unread.rs
+++ b/tests/relay_unread.rs
@@ -30,6 +30,8 @@
 
 /// Length of a body of which only a part fits into the servers' buffers.
 const BODY_BYTES: usize = 90_000;
+/// Length of a body of which a part waits at the host though it would fit into most servers' buffers.
+const MID_BODY_BYTES: usize = 12_000;
 /// Length of the longest body, which does not fit into the host's send buffer either.
 const MAX_BODY_BYTES: usize = 6 << 20;
 /// Size of the servers' receive buffers, in bytes.
@@ -311,7 +313,7 @@
 /// server that does not get that rest.
 #[tokio::test]
 async fn a_connection_carries_no_request_while_the_body_of_the_last_one_is_due() {
-    for length in [BODY_BYTES, MAX_BODY_BYTES] {
+    for length in [MID_BODY_BYTES, BODY_BYTES, MAX_BODY_BYTES] {
         let server = LateServer::start("i-1", Late::AnswersAndPauses(READ_PAUSE)).await;
         let host = RunningHost::start("host", &[]).await;
         host.relay.set_configuration(long_bodies(), "test");
