--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -76,22 +76,43 @@
     pub peer: Option<SocketAddr>,
 }
 
-/// Number of bytes written to a socket from which on it is looked at when an answer arrives: an answer says that the server has
-/// got a shorter request.
-const MAX_UNCHECKED_BYTES: u64 = 16 << 10;
+/// Number of bytes written since the last look at a socket above which it is looked at when an answer arrives: an answer proves
+/// only that the server has got what fits into its window. The smallest receive buffer by default of Linux (`tcp_rmem`) is
+/// 4 KiB, half of which may be the kernel's own overhead.
+const MAX_UNCHECKED_BYTES: u64 = 2 << 10;
 
-/// Whether a server has yet to get a part of what was written to its connection.
+/// Whether a server has yet to get a part of what was written to its connection, and whether it has begun to answer.
 #[derive(Clone, Debug, Default)]
-pub struct Rest(Arc<AtomicBool>);
+pub struct Rest(Arc<Progress>);
+
+#[derive(Debug, Default)]
+struct Progress {
+    is_due: AtomicBool,
+    /// Whether bytes have arrived since the last request began.
+    is_answered: AtomicBool,
+}
 
 impl Rest {
+    /// Records that a request is about to be sent, which nothing has answered yet.
+    pub fn begin(&self) {
+        self.0.is_answered.store(false, Ordering::Relaxed);
+    }
+
     /// Whether bytes are known to wait.
     pub fn is_due(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.is_due.load(Ordering::Relaxed)
     }
 
     fn set(&self, is_due: bool) {
-        self.0.store(is_due, Ordering::Relaxed);
+        self.0.is_due.store(is_due, Ordering::Relaxed);
+    }
+
+    fn is_answered(&self) -> bool {
+        self.0.is_answered.load(Ordering::Relaxed)
+    }
+
+    fn note_answered(&self) {
+        self.0.is_answered.store(true, Ordering::Relaxed);
     }
 }
 
@@ -106,8 +127,8 @@
     read_state: ReadState,
     /// Number of bytes written.
     written: u64,
-    /// Number of bytes written before those that may not be acknowledged.
-    written_before: u64,
+    /// Number of bytes written before the last look, or before those that may not be acknowledged.
+    checked: u64,
     rest: Rest,
     /// Set while written bytes may not be acknowledged.
     unacked: Option<Unacked>,
@@ -115,8 +136,6 @@
     timer: Option<Pin<Box<Sleep>>>,
     /// What the last look showed.
     last_state: Option<SendState>,
-    /// Whether bytes have arrived since the first of the bytes that may not be acknowledged was written.
-    is_answered: bool,
     /// Whether answers are written to it rather than requests.
     carries_answers: bool,
     is_down: bool,
@@ -130,12 +149,11 @@
             label,
             read_state: send_state,
             written: 0,
-            written_before: 0,
+            checked: 0,
             rest: Rest::default(),
             unacked: None,
             timer: None,
             last_state: None,
-            is_answered: false,
             carries_answers: false,
             is_down: false,
         }
@@ -174,7 +192,8 @@
     /// If the path is down.
     fn poll_look(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         while let Some(look_at) = self.unacked.map(|unacked| unacked.look_at()) {
-            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(Duration::ZERO)));
+            let left = look_at.saturating_sub(now());
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(left)));
             if timer.as_mut().poll(cx).is_pending() {
                 break;
             }
@@ -196,7 +215,7 @@
                 return;
             }
         };
-        self.last_state = Some(state);
+        (self.last_state, self.checked) = (Some(state), self.written);
         self.rest.set(state.unacked_bytes > 0);
         match unacked.look(now(), &state, self.written) {
             Verdict::Acknowledged => self.unacked = None,
@@ -238,10 +257,10 @@
     }
 
     fn note_read(&mut self) {
-        self.is_answered = true;
+        self.rest.note_answered();
         if let Some(unacked) = &mut self.unacked {
             unacked.hear(now());
-            if self.written - self.written_before > MAX_UNCHECKED_BYTES {
+            if self.written - self.checked > MAX_UNCHECKED_BYTES {
                 self.look();
             }
         }
@@ -250,7 +269,7 @@
     fn note_written(&mut self, bytes: usize) {
         if self.unacked.is_none() {
             self.unacked = Some(Unacked::new(now(), self.written));
-            (self.last_state, self.is_answered, self.written_before) = (None, false, self.written);
+            (self.last_state, self.checked) = (None, self.written);
         }
         self.written += bytes as u64;
     }
@@ -330,7 +349,7 @@
 impl Drop for ServerSocket {
     /// Takes back a request that did not arrive whole and that nobody waits for any more.
     fn drop(&mut self) {
-        let is_unanswered = self.unacked.is_some() && !self.is_answered && !self.carries_answers;
+        let is_unanswered = self.unacked.is_some() && !self.rest.is_answered() && !self.carries_answers;
         if is_unanswered && (self.read_state)(self.stream.as_fd()).is_ok_and(|state| state.unacked_bytes > 0)
         {
             self.reset_when_closed();
