Record an answer whose path goes down in the middle as silent

Before the head of an answer, a path that went down failed the attempt as `silent`; after it, as `broken`, which counts as a possible crash of the server that the parts of the request caused. A body that ends with `TimedOut` now fails as `silent` too.

The cause `live_server` of a stream that is closed before its end came only from that failure, so it becomes `path_down`.

With `TimedOut` mapped as before, the new test gets (Broken, Broken) instead of (Silent, PathDown).

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -19,7 +19,7 @@
     Garbled,
     /// The answer, its head or an event of it is longer than a host accepts.
     TooLong,
-    /// The backend server sent nothing within the attempt's timeout.
+    /// Bytes sent to the backend server were not acknowledged: its machine or the path to it is down.
     Silent,
     /// The deadline of the request passed first, which says nothing about the backend server.
     Late,
--- a/src/relay/cut.rs
+++ b/src/relay/cut.rs
@@ -15,8 +15,8 @@
 /// What this host knew of the server when it closed a stream before its end; a label of counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CutCause {
-    /// The server had not broken off.
-    LiveServer,
+    /// The path to the server, or its machine, was down.
+    PathDown,
     /// The server broke off or sent bytes that are no part of the stream.
     Broken,
     /// The request's time was over.
@@ -25,12 +25,12 @@
 
 impl CutCause {
     /// Every cause.
-    pub const ALL: [CutCause; 3] = [CutCause::LiveServer, CutCause::Broken, CutCause::Deadline];
+    pub const ALL: [CutCause; 3] = [CutCause::PathDown, CutCause::Broken, CutCause::Deadline];
 
     /// Label in counters.
     pub fn as_str(self) -> &'static str {
         match self {
-            CutCause::LiveServer => "live_server",
+            CutCause::PathDown => "path_down",
             CutCause::Broken => "broken",
             CutCause::Deadline => "deadline",
         }
@@ -40,7 +40,7 @@
     pub fn of(failure: Failure) -> Self {
         match failure {
             Failure::Late => CutCause::Deadline,
-            Failure::Silent => CutCause::LiveServer,
+            Failure::Silent => CutCause::PathDown,
             _ => CutCause::Broken,
         }
     }
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -234,11 +234,13 @@
     io_error(e).is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut)
 }
 
-/// How an attempt failed whose body could not be read: a body in chunks that are none differs from one that breaks off.
-pub(super) fn body_failure(e: &hyper::Error) -> Failure {
-    use std::io::ErrorKind::{InvalidData, InvalidInput};
+/// How an attempt failed whose body could not be read: a body in chunks that are none differs from one that breaks off, and so
+/// does one whose path went down, which says nothing of the server's process.
+pub fn body_failure(e: &hyper::Error) -> Failure {
+    use std::io::ErrorKind::{InvalidData, InvalidInput, TimedOut};
     match io_error(e).map(std::io::Error::kind) {
         Some(InvalidData | InvalidInput) => Failure::Garbled,
+        Some(TimedOut) => Failure::Silent,
         _ => Failure::Broken,
     }
 }
--- a/tests/relay_unacked.rs
+++ b/tests/relay_unacked.rs
@@ -8,13 +8,21 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use cranberrytally::{
     metrics::{Counter, Metrics},
     relay::{
+        attempts::Failure,
+        cut::CutCause,
+        pool,
         server_socket::{ReadState, ServerSocket, SocketLabel},
         unacked::{LOOK_INTERVAL, MIN_UNANSWERED_PROBES, UNACKED_TIMEOUT, Unacked, Verdict},
     },
 };
+use http::Request;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use tcp_state::{SendState, send_state};
 use tokio::{
@@ -345,3 +353,19 @@
 
     assert_eq!(got.len(), LONG_BODY);
 }
+
+/// Guards against a path that goes down in the middle of an answer and is taken for a server that has crashed.
+#[tokio::test]
+async fn a_body_on_a_path_that_goes_down_fails_as_silent() {
+    let (socket, mut server, _) = connect(|_| Ok(in_flight(2))).await;
+    let (mut tx, conn) = http1::handshake(TokioIo::new(socket)).await.unwrap();
+    tokio::spawn(conn);
+    server.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart").await.unwrap();
+
+    let res = tx.send_request(Request::new(Empty::<Bytes>::new())).await.unwrap();
+    let error =
+        timeout(WAIT_TIMEOUT, res.into_body().collect()).await.expect("the path counts as up").unwrap_err();
+
+    let failure = pool::body_failure(&error);
+    assert_eq!((failure, CutCause::of(failure)), (Failure::Silent, CutCause::PathDown));
+}
