Leave sockets whose state cannot be read to the kernel

When reading the state of a socket was refused, a connection whose write had been blocked counted as having a rest due for good, each request logged a warning, and a dead path went unnoticed for 60 s. The warning is logged once a process.

The new test fails without the change: the rest is still due.

--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -10,13 +10,14 @@
     os::fd::{AsFd, BorrowedFd},
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Once,
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
 };
 
+use rustix::net::sockopt;
 use tcp_state::{SendState, send_state};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -24,7 +25,7 @@
     time::{Instant as Deadline, Sleep, sleep},
 };
 
-use super::unacked::{Unacked, Verdict};
+use super::unacked::{UNACKED_TIMEOUT, Unacked, Verdict};
 use crate::{
     logs::lines::{Level, line},
     metrics::{Counter, Metrics},
@@ -81,6 +82,13 @@
 /// 4 KiB, half of which may be the kernel's own overhead.
 const MAX_UNCHECKED_BYTES: u64 = 2 << 10;
 
+/// Time after which the kernel ends a connection whose state cannot be read. A dead path has to be noticed by the kernel alone
+/// then. It counts a closed window too, so this is twice [`UNACKED_TIMEOUT`]: servers that read late are cut off after it.
+pub const UNREADABLE_TIMEOUT: Duration = UNACKED_TIMEOUT.saturating_mul(2);
+
+/// Logs once that the state of sockets cannot be read.
+static UNREADABLE_LOGGED: Once = Once::new();
+
 /// Whether a server has yet to get a part of what was written to its connection, and whether it has begun to answer.
 #[derive(Clone, Debug, Default)]
 pub struct Rest(Arc<Progress>);
@@ -139,6 +147,8 @@
     /// Whether answers are written to it rather than requests.
     carries_answers: bool,
     is_down: bool,
+    /// Whether its state cannot be read, so that it is not looked at again.
+    is_unreadable: bool,
 }
 
 impl ServerSocket {
@@ -156,6 +166,7 @@
             last_state: None,
             carries_answers: false,
             is_down: false,
+            is_unreadable: false,
         }
     }
 
@@ -209,11 +220,7 @@
         let Some(unacked) = &mut self.unacked else { return };
         let state = match (self.read_state)(self.stream.as_fd()) {
             Ok(state) => state,
-            Err(e) => {
-                spdlog::warn!("could not read the state of a socket: {e}");
-                self.unacked = None;
-                return;
-            }
+            Err(e) => return self.note_unreadable(&e),
         };
         (self.last_state, self.checked) = (Some(state), self.written);
         self.rest.set(state.unacked_bytes > 0);
@@ -228,6 +235,17 @@
         }
     }
 
+    /// Leaves it to the kernel to notice that the path is down.
+    fn note_unreadable(&mut self, e: &io::Error) {
+        UNREADABLE_LOGGED.call_once(|| spdlog::warn!("could not read the state of a socket: {e}"));
+        (self.unacked, self.is_unreadable) = (None, true);
+        self.rest.set(false);
+        let timeout_ms = UNREADABLE_TIMEOUT.as_millis() as u32;
+        if let Err(e) = sockopt::set_tcp_user_timeout(&self.stream, timeout_ms) {
+            spdlog::warn!("could not set TCP_USER_TIMEOUT on a socket: {e}");
+        }
+    }
+
     /// Has the connection reset when it is closed, so that the kernel does not go on sending what was written.
     fn reset_when_closed(&self) {
         if let Err(e) = self.stream.set_zero_linger() {
@@ -267,7 +285,7 @@
     }
 
     fn note_written(&mut self, bytes: usize) {
-        if self.unacked.is_none() {
+        if self.unacked.is_none() && !self.is_unreadable {
             self.unacked = Some(Unacked::new(now(), self.written));
             (self.last_state, self.checked) = (None, self.written);
         }
@@ -283,7 +301,7 @@
         match &result {
             Poll::Ready(Ok(bytes)) => self.note_written(*bytes),
             Poll::Ready(Err(e)) => self.note_error(e),
-            Poll::Pending => self.rest.set(true),
+            Poll::Pending => self.rest.set(!self.is_unreadable),
         }
         match self.poll_look(cx) {
             Err(e) => Poll::Ready(Err(e)),
--- a/tests/relay_unacked.rs
+++ b/tests/relay_unacked.rs
@@ -1,6 +1,7 @@
 //! Paths to backend servers on which written bytes are not acknowledged.
 
 use std::{
+    os::fd::AsFd,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -15,7 +16,7 @@
         attempts::Failure,
         cut::CutCause,
         pool,
-        server_socket::{ReadState, ServerSocket, SocketLabel},
+        server_socket::{ReadState, ServerSocket, SocketLabel, UNREADABLE_TIMEOUT},
         unacked::{LOOK_INTERVAL, MIN_UNANSWERED_PROBES, UNACKED_TIMEOUT, Unacked, Verdict},
     },
 };
@@ -35,6 +36,8 @@
 const WRITTEN: u64 = 1_000;
 /// Number of bytes of which only a part fits into the server's buffer.
 const LONG_BODY: usize = 60_000;
+/// Number of bytes that do not fit into the buffers of both ends.
+const BLOCKING_BODY: usize = 16 << 20;
 /// Size of the server's receive buffer, in bytes.
 const RECEIVE_BUFFER: usize = 4_096;
 /// Time after which a wait on loopback fails.
@@ -369,3 +372,31 @@
     let failure = pool::body_failure(&error);
     assert_eq!((failure, CutCause::of(failure)), (Failure::Silent, CutCause::PathDown));
 }
+
+/// Guards against a connection that is taken for one with a rest due for good, and whose path may be down for a minute, since the
+/// state of its socket cannot be read.
+#[tokio::test]
+async fn a_socket_whose_state_cannot_be_read_is_left_to_the_kernel() {
+    static LOOKS: AtomicU64 = AtomicU64::new(0);
+    let (stream, mut server, label) = connected().await;
+    let kernel_socket = stream.as_fd().try_clone_to_owned().unwrap();
+    let mut socket = ServerSocket::new(stream, label).with_read_state(|_| {
+        LOOKS.fetch_add(1, Ordering::Relaxed);
+        Err(std::io::ErrorKind::Unsupported.into())
+    });
+    let rest = socket.rest();
+
+    let blocked = timeout(LOOK_INTERVAL * 4, socket.write_all(&[0; BLOCKING_BODY])).await;
+    let is_due = rest.is_due();
+    let reading = tokio::spawn(async move { server.read_to_end(&mut Vec::new()).await });
+    for _ in 0..3 {
+        let _ = timeout(LOOK_INTERVAL * 2, socket.write_all(b"more")).await;
+    }
+
+    assert!(blocked.is_err(), "the write is not blocked");
+    assert!(!is_due && !rest.is_due());
+    assert_eq!(LOOKS.load(Ordering::Relaxed), 1);
+    let user_timeout = sockopt::tcp_user_timeout(&kernel_socket).unwrap();
+    assert_eq!(u128::from(user_timeout), UNREADABLE_TIMEOUT.as_millis());
+    reading.abort();
+}
