Move the order of a host's shutdown out of the platform's adapter

Waiting for requests and then for connections is the product's own decision and stands in relay::stop now.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -37,8 +37,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Timeout of an idle connection to an auxiliary endpoint: addresses, readiness or metrics.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Interval of the checks whether a leaving host may stop.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time for the log writer's thread to write the last lines.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(25);
 
 /// Serves on the platform with the settings file at `path` until a signal stops it.
 ///
@@ -107,14 +107,9 @@
             _ = signals.hangup.recv() => reload(settings, path),
         }
     }
-    relay.leave();
-    while !relay.may_stop() {
-        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-    }
-    let all_closed = relay.close_connections().await;
+    let all_closed = relay.shut_down().await;
     line(Level::Notable, "stop", |l| l.flag("all_closed", all_closed));
-    // Gives the log writer's thread time to write the last lines.
-    tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+    tokio::time::sleep(LOG_FLUSH_TIME).await;
     Ok(())
 }
 
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -8,10 +8,20 @@
     util::{Instant, now},
 };
 
-/// Interval at which a host that closes looks for open connections.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval at which a host that shuts down looks for requests in progress and open connections.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 impl<W: Wire> Relay<W> {
+    /// Shuts down: waits for the requests in progress, and closes the connections of callers. Returns whether all of them are
+    /// closed.
+    pub async fn shut_down(&self) -> bool {
+        self.leave();
+        while !self.may_stop() {
+            tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+        }
+        self.close_connections().await
+    }
+
     /// Starts the shutdown: no new callers are sent here.
     pub fn leave(&self) {
         let mut state = self.state();
@@ -43,7 +53,7 @@
         self.stop_accepting();
         let all_closed = async {
             while self.connections() > 0 {
-                tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+                tokio::time::sleep(STOP_CHECK_INTERVAL).await;
             }
         };
         let time = self.state().leaving.map_or(Duration::ZERO, |l| l.time_to_close(now()));
