Give up an event of a stream at 256 KiB

Cause: a limit far above any event; servers put some tokens, of some bytes each, into one. A quarter of it costs a quarter.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -5,7 +5,7 @@
 use super::request::EventNumber;
 
 /// Maximum size of an event; a longer one means that the stream is broken.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// What each piece of an answer counts at least towards its maximum size, in bytes: reading a shorter one takes about as long.
 const MIN_PIECE_COST: usize = 64;
