--- a/tests/relay_events.rs
+++ b/tests/relay_events.rs
@@ -64,7 +64,7 @@
 /// Guards against an event without end in tiny pieces, each of which takes as long to read as a larger one.
 #[test]
 fn an_event_has_a_maximum_number_of_pieces() {
-    const MAX_PIECES: usize = 16 << 10;
+    const MAX_PIECES: usize = 4 << 10;
     let mut splitter = Splitter::default();
 
     for _ in 0..MAX_PIECES {
