--- a/src/relay/buffers.rs
+++ b/src/relay/buffers.rs
@@ -1,7 +1,7 @@
 //! Bounds the bytes of servers' answers that a host buffers at a time, over all its requests.
 //!
 //! One answer may take a fraction of what is free (dynamic thresholds; Choudhury and Hahne, 1998). So a few long answers
-//! take what they need, while many leave room for short ones, and none of them waits for another to end.
+//! take what they need, while many leave room for short ones. A long answer of a stated length may wait until others have been written.
 
 use std::{
     sync::{
