Count a crash by itself whose requests were sent on from another of the same moment

Crashes within 100 ms count once for a prompt part, since servers that end together do so for a common reason. A request that crashes a server, is sent on and crashes the next one within that time counted once as well, so that five bad requests and ten crashes were needed instead of three and six.

--- a/src/relay/crashes/attribution.rs
+++ b/src/relay/crashes/attribution.rs
@@ -35,7 +35,8 @@
 /// one as well, whatever causes them.
 const MIN_CONTENTS: usize = 3;
 /// Crashes within this time count as one for a prompt part: servers that end at the same moment do so for a common reason,
-/// and requests with a frequent part are at all of them.
+/// and requests with a frequent part are at all of them. A crash whose requests with the part were all sent on from an earlier
+/// one of that time counts by itself.
 const SAME_MOMENT: Duration = Duration::from_millis(100);
 
 /// A cause that crashes are put down to.
@@ -60,8 +61,8 @@
     service: u32,
     /// Positions of the crashes, in order.
     crashes: Vec<usize>,
-    /// Contents of the suspicious requests with it.
-    contents: Set<CauseKey>,
+    /// Contents of the suspicious requests with it, by crash.
+    contents: Vec<Set<CauseKey>>,
     /// Causes that all suspicious requests with it have in common, itself included.
     common: Vec<CauseKey>,
 }
@@ -170,14 +171,17 @@
                         is_content: suspect.content == Some(*key),
                         service: suspect.service,
                         crashes: Vec::new(),
-                        contents: Set::default(),
+                        contents: Vec::new(),
                         common: remaining.clone(),
                     });
                     if case.crashes.last() != Some(&position) {
                         case.crashes.push(position);
+                        case.contents.push(Set::default());
                     }
                     case.common.retain(|other| remaining.contains(other));
-                    case.contents.extend(suspect.content);
+                    if let Some(contents) = case.contents.last_mut() {
+                        contents.extend(suspect.content);
+                    }
                 }
             }
         }
@@ -213,7 +217,7 @@
         if case.is_content {
             return case.crashes.len() >= MIN_CRASHES;
         }
-        if case.contents.len() < MIN_CONTENTS {
+        if case.contents.iter().flatten().collect::<Set<_>>().len() < MIN_CONTENTS {
             return false;
         }
         let since = self.time(case.crashes.first());
@@ -225,7 +229,24 @@
             (true, _) | (_, true) => CERTAIN_CRASHES,
             (false, false) => CRASHES_WITHOUT_ANSWERS,
         };
-        moments(case.crashes.iter().map(|position| self.time(Some(position)))) >= required
+        self.moments(case) >= required
+    }
+
+    /// Number of crashes, with those of the same moment counted once unless the requests of one were sent on from another.
+    fn moments(&self, case: &Case) -> usize {
+        let mut moments = 0;
+        let mut began: Option<Instant> = None;
+        let mut seen: Set<CauseKey> = Set::default();
+        for (position, contents) in case.crashes.iter().zip(&case.contents) {
+            let at = self.time(Some(position));
+            let is_same = began.is_some_and(|first| at < first + SAME_MOMENT);
+            if !is_same {
+                (began, seen) = (Some(at), Set::default());
+            }
+            moments += usize::from(!is_same || contents.is_subset(&seen));
+            seen.extend(contents);
+        }
+        moments
     }
 
     /// Number of crashes from the first to the last that a cause is in, without those that are put down to others.
@@ -265,16 +286,3 @@
     let lacking = crashes.iter().filter(|position| !rival.contains(position)).count();
     lacking == 0 || (lacking == 1 && crashes.len() >= CRASHES_TO_LACK_ONE)
 }
-
-/// Number of crashes, with those of the same moment counted once.
-fn moments(times: impl Iterator<Item = Instant>) -> usize {
-    let mut began: Option<Instant> = None;
-    let is_new = |at: &Instant| match began {
-        Some(first) if *at < first + SAME_MOMENT => false,
-        _ => {
-            began = Some(*at);
-            true
-        }
-    };
-    times.filter(is_new).count()
-}
