Let a host sleep between decisions on crashes

Callers saw late answers at every host for as long as servers crash and ten seconds after: the task that sends messages woke itself in each round while a decision on crashes was due at some later time, since the function that makes the decision also wakes the task. Since causes are decided on again while answers begin within 10 s of a crash, that was nearly all the time, and took all the processor time that a small host has.

Now only what happens outside the task wakes it, and only if there is something to tell or a decision is due before the one that it waits for.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -198,6 +198,8 @@
     pub(crate) paces: Paces,
     pub(crate) prefill: Prefill,
     pub(crate) crashes: Crashes,
+    /// The decision on crashes that the sender of messages waits for.
+    awaited_decision: Option<Instant>,
     pub(crate) evacuations: Evacuations,
     pub(crate) epochs: EpochTracker,
     pub(crate) confirmations: Confirmations,
@@ -305,6 +307,7 @@
             paces: Paces::default(),
             prefill: Prefill::default(),
             crashes: Crashes::default(),
+            awaited_decision: None,
             evacuations: Evacuations::default(),
             epochs: EpochTracker::default(),
             confirmations: Confirmations::new(now(), cfg.in_force, cfg.evacuates),
--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -74,9 +74,7 @@
         // The content of a large request takes long to hash, and matters only if it is suspect.
         let causes = if state.crashes.has_suspicion() { Causes::of(req) } else { Causes::parts_of(req) };
         let changes = state.crashes.record_begun(now(), at, &causes);
-        if !changes.is_empty() {
-            self.on_quarantine_changes(&mut state, &changes, &req.id);
-        }
+        self.on_quarantine_changes(&state, &changes, &req.id);
     }
 
     /// Records that a request broke off at a server before its answer had begun. Returns whether it is known that the server
@@ -86,7 +84,7 @@
         let Some(server) = running_tag(&state, key) else { return true };
         let changes = state.crashes.record_broken(now(), server, Causes::of(req));
         let is_known = state.crashes.is_confirmed(server);
-        self.on_quarantine_changes(&mut state, &changes, "own connections");
+        self.on_quarantine_changes(&state, &changes, "own connections");
         is_known
     }
 
@@ -116,7 +114,7 @@
         }
         let now = now();
         let changes = state.crashes.settle(now);
-        self.on_quarantine_changes(&mut state, &changes, "crashes");
+        self.on_quarantine_changes(&state, &changes, "crashes");
         if !state.crashes.has_quarantine() {
             return Verdict::Send;
         }
@@ -164,11 +162,11 @@
             self.metrics.add(Counter::RelayCrashes, CrashNews::Heard.as_str(), 1);
             let backend = state.backends.by_tag(report.server).and_then(|key| state.backends.get(key));
             log_crash(backend.map_or("unknown", |b| &b.id), &from, report.suspects.len());
-            self.on_quarantine_changes(&mut state, &changes, "crashes");
+            self.on_quarantine_changes(&state, &changes, "crashes");
         }
         for told in &message.quarantines {
             let changes = state.crashes.hear_quarantine(now, told);
-            self.on_quarantine_changes(&mut state, &changes, &from);
+            self.on_quarantine_changes(&state, &changes, &from);
         }
     }
 
@@ -194,20 +192,24 @@
 
     /// Waits until the next decision is due; for ever if there is none.
     pub(crate) async fn await_decision(&self) {
-        let due = self.state().crashes.next_decision();
+        let due = {
+            let mut state = self.state();
+            state.awaited_decision = state.crashes.next_decision();
+            state.awaited_decision
+        };
         match due {
             Some(at) => tokio::time::sleep(at.saturating_sub(now())).await,
             None => std::future::pending().await,
         }
     }
 
-    /// Takes the messages that are due, with their receivers.
+    /// Makes the decision that is due, and takes the messages that are due, with their receivers.
     pub(crate) fn take_crash_messages(&self) -> Vec<(SocketAddr, CrashReports)> {
         let now = now();
         let mut state = self.state();
         let mut messages = Vec::new();
         let changes = state.crashes.settle(now);
-        self.on_quarantine_changes(&mut state, &changes, "crashes");
+        self.report_quarantine_changes(&changes, "crashes");
         let state = &mut *state;
         let due = state.crashes.take_due(now);
         if !due.is_empty() {
@@ -265,11 +267,21 @@
         self.on_quarantine_changes(state, changes, "crashes");
     }
 
-    /// Counts and logs changes of what is refused, and wakes the requests that may be concerned.
-    fn on_quarantine_changes(&self, state: &mut State, changes: &[Change], from: &str) {
-        if state.crashes.has_untold() || state.crashes.next_decision().is_some() || !changes.is_empty() {
+    /// Reports changes of what is refused, and wakes the sender of messages if it has something to do before the decision that
+    /// it waits for.
+    fn on_quarantine_changes(&self, state: &State, changes: &[Change], from: &str) {
+        let is_earlier = match (state.crashes.next_decision(), state.awaited_decision) {
+            (Some(next), Some(awaited)) => next < awaited,
+            (next, _) => next.is_some(),
+        };
+        if is_earlier || state.crashes.has_untold() || !changes.is_empty() {
             self.messages_due.notify_one();
         }
+        self.report_quarantine_changes(changes, from);
+    }
+
+    /// Counts and logs changes of what is refused, and wakes the requests that may be concerned.
+    fn report_quarantine_changes(&self, changes: &[Change], from: &str) {
         if changes.is_empty() {
             return;
         }
