Read what has arrived from a server before a request is given up

A content that crashes servers went on reaching them where its callers left at the moment of the crash: the host closed the connection unread, so that nothing said that the request was there, and nobody examined whether the server lives. A host that is short of processor time notices both at once, and the HTTP library drops the request when its caller's connection ends.

A request whose answer has not begun now lets its connection read what has arrived before it is closed, and a break is examined as ever, beside the caller. The examination connects with its own time limit instead of the request's, which may be over: a sound server counted as crashed then.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -13,7 +13,7 @@
 //! [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
 //! [`silence`], [`stall`], [`unacked`]. [`rounds`] counts how often the tasks wake up. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`head_limit`], [`tunnel`], [`run`],
-//! `attempt`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter
+//! `attempt`, `sent`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter
 //! implements. This file holds the state of a host; `updates` changes and logs what the host knows, and `stop` shuts the host
 //! down.
 
@@ -87,6 +87,7 @@
 pub mod rounds;
 pub mod routes;
 pub mod run;
+mod sent;
 pub mod server_socket;
 pub mod shares;
 pub mod silence;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -27,6 +27,7 @@
     pool::{self, Conn},
     request::{EventNumber, Request},
     run::{MAX_BUFFERED_BYTES, REFUSED_RETRY_PAUSE},
+    sent::Sent,
     stream::Source,
 };
 use crate::{
@@ -222,7 +223,7 @@
                 (b.id.clone(), b.version.clone(), b.addr, from)
             };
             let kept = if stale_conns < MAX_STALE_CONNECTIONS { relay.pool.take(choice.key) } else { None };
-            let mut conn = match kept {
+            let conn = match kept {
                 Some(conn) => conn,
                 None => relay.connect(choice.key, addr, req.time_left(now())).await?,
             };
@@ -234,7 +235,7 @@
             let message = relay.wire.backend_request(&req, &context);
             self.log_sent(beginning, &id, &version, stale_conns);
             let reused = conn.reused;
-            let result = self.await_head(&mut conn, message).await;
+            let (conn, result) = self.await_head(conn, message).await;
             if reused && matches!(result, Err(Failure::Unsent)) {
                 continue;
             }
@@ -265,20 +266,18 @@
         });
     }
 
-    /// Waits for the head of the answer until the deadline.
+    /// Sends the request, and waits for the head of the answer until the deadline.
     async fn await_head(
         &self,
-        conn: &mut Conn,
+        conn: Conn,
         message: http::Request<http_body_util::Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> (Conn, Result<Response<Incoming>, Failure>) {
         let started = now();
-        let result = match tokio::time::timeout(self.time_left(), conn.send(message)).await {
-            Ok(result) => result.map_err(|(failure, _)| failure),
-            Err(_) => Err(Failure::Late),
-        };
+        let sent = Sent::new(&self.relay, &self.req, self.key, self.sent, conn, message);
+        let (conn, result) = sent.head(self.time_left()).await;
         let label = result.as_ref().err().map_or("answered", |failure| failure.as_str());
         self.relay.metrics.record(Latency::Attempt, label, now() - started);
-        result
+        (conn, result)
     }
 
     /// Reads a whole body.
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -59,6 +59,9 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
+/// The head of an answer, or a failure, together with the request if no byte of it was written.
+pub type SendResult = Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)>;
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Conn {
@@ -130,25 +133,26 @@
     ///
     /// # Errors
     /// [`Failure::Unsent`], together with the request, only if no byte of it was written.
-    pub async fn send(
-        &mut self,
-        req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)> {
+    pub fn send(&mut self, req: Request<Full<Bytes>>) -> impl Future<Output = SendResult> + Send + use<> {
         self.head_counter.begin();
         self.rest.begin();
-        let sent = self.tx.try_send_request(req).await;
-        self.head_counter.end();
-        match sent {
-            Ok(res) => Ok(res),
-            Err(mut e) => match e.take_message() {
-                Some(req) => Err((Failure::Unsent, Some(req))),
-                None if e.error().is_parse_too_large() || head_limit::is_exceeded(e.error()) => {
-                    Err((Failure::TooLong, None))
-                }
-                None if e.error().is_parse() => Err((Failure::Garbled, None)),
-                None if is_timeout(e.error()) => Err((Failure::Silent, None)),
-                None => Err((Failure::Broken, None)),
-            },
+        let sending = self.tx.try_send_request(req);
+        let head_counter = self.head_counter.clone();
+        async move {
+            let sent = sending.await;
+            head_counter.end();
+            match sent {
+                Ok(res) => Ok(res),
+                Err(mut e) => match e.take_message() {
+                    Some(req) => Err((Failure::Unsent, Some(req))),
+                    None if e.error().is_parse_too_large() || head_limit::is_exceeded(e.error()) => {
+                        Err((Failure::TooLong, None))
+                    }
+                    None if e.error().is_parse() => Err((Failure::Garbled, None)),
+                    None if is_timeout(e.error()) => Err((Failure::Silent, None)),
+                    None => Err((Failure::Broken, None)),
+                },
+            }
         }
     }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -19,7 +19,7 @@
     },
     hold::Wanted,
     outcome::Outcome,
-    pool,
+    pool::{self, CONNECT_TIMEOUT},
     request::Request,
     stream,
 };
@@ -151,7 +151,7 @@
     pub(crate) async fn fail(&mut self, failed: Failed) -> Result<(), StopReason> {
         self.record_failure(&failed);
         if failed.failure == Failure::Broken {
-            examine_break(&self.relay, &self.req, failed).await;
+            self.examine_break(failed).await;
         }
         self.decide_retry(&failed)?;
         let (relay, req) = (&self.relay, &self.req);
@@ -171,12 +171,26 @@
     pub(crate) fn set_aside(&mut self, failed: Failed) {
         self.record_failure(&failed);
         if failed.failure == Failure::Broken {
-            let (relay, req) = (self.relay.clone(), self.req.clone());
-            tokio::spawn(async move { examine_break(&relay, &req, failed).await });
+            self.spawn_examination(failed);
         }
         self.log_failed(&failed, "in progress elsewhere");
     }
 
+    /// Finds out whether the server has crashed, before another attempt may follow. A caller whose deadline has passed is not kept
+    /// waiting for that.
+    async fn examine_break(&self, failed: Failed) {
+        if self.req.time_left(now()).is_zero() {
+            self.spawn_examination(failed);
+        } else {
+            examine_break(&self.relay, &self.req, failed).await;
+        }
+    }
+
+    fn spawn_examination(&self, failed: Failed) {
+        let (relay, req) = (self.relay.clone(), self.req.clone());
+        tokio::spawn(async move { examine_break(&relay, &req, failed).await });
+    }
+
     /// The servers that may get the request.
     fn placeable(&self) -> Vec<BackendKey> {
         let state = self.relay.state();
@@ -346,7 +360,7 @@
 }
 
 /// After a broken connection, finds out with a new one whether the server has crashed, and records that the request was there.
-async fn examine_break<W: Wire>(relay: &Arc<Relay<W>>, req: &Request, failed: Failed) {
+pub(crate) async fn examine_break<W: Wire>(relay: &Arc<Relay<W>>, req: &Request, failed: Failed) {
     let key = failed.key;
     let Some(addr) = relay.state().backends.get(key).map(|b| b.addr) else { return };
     if failed.may_have_crashed {
@@ -355,7 +369,7 @@
             return;
         }
     }
-    if let Ok(conn) = relay.connect(key, addr, req.time_left(now())).await {
+    if let Ok(conn) = relay.connect(key, addr, CONNECT_TIMEOUT).await {
         return relay.return_connection(key, conn, None);
     }
     relay.record_crash(key);
