--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -75,6 +75,20 @@
 impl RunningHost {
     /// Starts a host without configuration and servers.
     pub async fn start(name: &str, seeds: &[SocketAddr]) -> Self {
+        // High enough that every retry is allowed, also right after the start.
+        Self::start_with(name, seeds, |cfg| RelayConfig {
+            budget: BudgetConfig { ratio: 1e9, ..cfg.budget },
+            ..cfg
+        })
+        .await
+    }
+
+    /// Starts a host without configuration and servers, with changed settings.
+    pub async fn start_with(
+        name: &str,
+        seeds: &[SocketAddr],
+        change: impl FnOnce(RelayConfig) -> RelayConfig,
+    ) -> Self {
         // TCP and UDP must use the same port.
         let (listener, socket) = loop {
             let listener = inbound::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
@@ -87,11 +101,9 @@
         let callers_at = callers.local_addr().unwrap();
         let mut cfg = relay_config(name);
         (cfg.peer_addr, cfg.seeds) = (peers_at, seeds.to_vec());
-        // High enough that every retry is allowed, also right after the start.
-        cfg.budget.ratio = 1e9;
         cfg.me.peers = peers_at.to_string();
         cfg.me.callers = format!("{name}:80");
-        let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
+        let relay = Arc::new(Relay::new(change(cfg), PlatformWire).unwrap());
         let mut tasks = JoinSet::new();
         tasks.spawn(inbound::accept(relay.clone(), callers));
         tasks.spawn(mesh::serve_fetches(relay.clone(), listener));
