Ask for four different requests before a part that was sound is refused

A sound part that is rare was refused after five crashes with three requests, two of which were sent again and met a second crash: what is not independent counted twice. Where answers with the part began before, four different requests are needed now.

--- a/src/relay/crashes/attribution.rs
+++ b/src/relay/crashes/attribution.rs
@@ -34,6 +34,9 @@
 /// Different requests from which a prompt part is refused. A request that is sent again after a crash is often at the next
 /// one as well, whatever causes them.
 const MIN_CONTENTS: usize = 3;
+/// The same for a part whose answers began before: a sound part that is rare is at several crashes with two requests that are
+/// sent again.
+const MIN_CONTENTS_ONCE_SOUND: usize = 4;
 /// Crashes within this time count as one for a prompt part: servers that end at the same moment do so for a common reason,
 /// and requests with a frequent part are at all of them. A crash whose requests with the part were all sent on from an earlier
 /// one of that time counts by itself.
@@ -217,11 +220,12 @@
         if case.is_content {
             return case.crashes.len() >= MIN_CRASHES;
         }
-        if case.contents.iter().flatten().collect::<Set<_>>().len() < MIN_CONTENTS {
-            return false;
-        }
         let since = self.time(case.crashes.first());
         let is_new = self.begun.is_new(since, key, case.service);
+        let min_contents = if is_new { MIN_CONTENTS } else { MIN_CONTENTS_ONCE_SOUND };
+        if case.contents.iter().flatten().collect::<Set<_>>().len() < min_contents {
+            return false;
+        }
         let lacks_answers = self.begun.lacks(since, key, case.service);
         let is_in_most = case.crashes.len() * 2 >= self.unexplained_between(case);
         let required = match (is_new, lacks_answers) {
