--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,9 +12,9 @@
 //! [`evacuations`], [`revision`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`distribution`],
 //! [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
-//! [`silence`], [`stall`], [`unacked`]. [`rounds`] counts how often the tasks wake up. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`head_limit`], [`tunnel`], [`run`],
+//! [`silence`], [`stall`], [`unacked`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`head_limit`], [`tunnel`], [`run`],
 //! `attempt`, `sent`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter
-//! implements. This file holds the state of a host; `updates` changes and logs what the host knows, and `stop` shuts the host
+//! implements. [`rounds`] counts how often the background tasks wake up. This file holds the state of a host; `updates` changes and logs what the host knows, and `stop` shuts the host
 //! down.
 
 use std::{
