--- a/src/relay.rs
+++ b/src/relay.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     logs::lines::{Level, Line, line},
-    metrics::{Counter, Metrics},
+    metrics::Metrics,
     objects::bucket::TokenBucket,
     schema::fleet::{Held, Member},
     util::{Instant, lock, now, wall_ms},
@@ -503,18 +503,6 @@
         self.rounds.of(task)
     }
 
-    /// Counts the rounds of the background tasks, and logs those that wake up too often.
-    pub(crate) fn count_rounds(&self) {
-        for counted in self.rounds.count(now()).into_iter().flatten() {
-            self.metrics.add(Counter::RelayRounds, counted.task.as_str(), counted.rounds);
-            if counted.is_busy {
-                line(Level::Notable, "busy_task", |l| {
-                    l.text("task", counted.task.as_str()).number("rounds", counted.rounds)
-                });
-            }
-        }
-    }
-
     /// Takes a retry from the budget; returns false if it is exhausted.
     pub(crate) fn spend_retry(&self, req: &Request) -> bool {
         self.state().budget.spend(now(), &req.service)
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -219,7 +219,6 @@
             relay.on_resume_from_suspend(paused_for);
         }
         relay.run_housekeeping();
-        relay.count_rounds();
     }
 }
 
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -409,6 +409,20 @@
         self.expire_reach(&mut state);
         self.expire_crashes(&mut state);
         self.pool.evict(|key| state.backends.get(key).is_some_and(|b| b.accepts_work()));
+        drop(state);
+        self.count_rounds();
+    }
+
+    /// Counts the rounds of the background tasks, and logs those that wake up too often.
+    fn count_rounds(&self) {
+        for counted in self.rounds.count(now()).into_iter().flatten() {
+            self.metrics.add(Counter::RelayRounds, counted.task.as_str(), counted.rounds);
+            if counted.is_busy {
+                line(Level::Notable, "busy_task", |l| {
+                    l.text("task", counted.task.as_str()).number("rounds", counted.rounds)
+                });
+            }
+        }
     }
 
     /// Sends nothing to a server for a while that could not be reached or stopped responding.
