--- a/src/relay.rs
+++ b/src/relay.rs
@@ -13,9 +13,9 @@
 //! [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
 //! [`silence`], [`stall`], [`unacked`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`head_limit`], [`tunnel`], [`run`],
-//! `attempt`, `sent`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`Wire`] and [`follow::Store`] are the traits that an adapter
-//! implements. [`rounds`] counts how often the background tasks wake up. This file holds the state of a host; `updates` changes and logs what the host knows, and `stop` shuts the host
-//! down.
+//! `attempt`, `sent`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`rounds`] counts how often the background tasks wake up.
+//! [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a host; `updates`
+//! changes and logs what the host knows, and `stop` shuts the host down.
 
 use std::{
     net::SocketAddr,
