Share the listed backend server between the tests' fixtures

Four fixtures wrote out the same entry of a server of the service app with six slots. No assertion changes.

--- a/tests/relay_crash_evidence.rs
+++ b/tests/relay_crash_evidence.rs
@@ -13,10 +13,7 @@
     time::Duration,
 };
 
-use cranberrytally::{
-    relay::follow::BackendsUpdate,
-    schema::fleet::{Backend, Backends},
-};
+use cranberrytally::{relay::follow::BackendsUpdate, schema::fleet::Backends};
 use relay_support::RunningHost;
 use wire::{Caller, status};
 
@@ -69,14 +66,8 @@
 }
 
 fn list(servers: &[CrashingServer]) -> Backends {
-    let item = |(number, server): (usize, &CrashingServer)| Backend {
-        id: format!("i-{number}"),
-        service: "app".into(),
-        addr: server.addr.to_string(),
-        data_centre: "a".into(),
-        slots: 6,
-        ..Backend::default()
-    };
+    let item =
+        |(number, server): (usize, &CrashingServer)| wire::backend(&format!("i-{number}"), server.addr);
     Backends { revision: 1, items: servers.iter().enumerate().map(item).collect(), ..Backends::default() }
 }
 
--- a/tests/relay_recovery.rs
+++ b/tests/relay_recovery.rs
@@ -13,7 +13,7 @@
 
 use cranberrytally::{
     relay::{RelayConfig, budget::BudgetConfig, follow::BackendsUpdate},
-    schema::fleet::{Backend, Backends},
+    schema::fleet::Backends,
 };
 use relay_support::RunningHost;
 use tokio::{
@@ -99,14 +99,7 @@
 }
 
 fn list_at(hosts: &[RunningHost], revision: u64, servers: &[(String, SocketAddr)]) {
-    let item = |(id, addr): &(String, SocketAddr)| Backend {
-        id: id.clone(),
-        service: "app".into(),
-        addr: addr.to_string(),
-        data_centre: "a".into(),
-        slots: SLOTS as u32,
-        ..Backend::default()
-    };
+    let item = |(id, addr): &(String, SocketAddr)| wire::backend(id, *addr);
     let list = Backends { revision, items: servers.iter().map(item).collect(), ..Backends::default() };
     for host in hosts {
         host.relay.update_backends(BackendsUpdate::List(list.clone()), None, "test");
--- a/tests/support/crashes.rs
+++ b/tests/support/crashes.rs
@@ -13,7 +13,7 @@
 
 use cranberrytally::{
     relay::follow::BackendsUpdate,
-    schema::fleet::{Backend, Backends, Configuration},
+    schema::fleet::{Backends, Configuration},
 };
 use tokio::net::TcpStream;
 
@@ -90,14 +90,7 @@
     /// Gives the hosts the list of servers.
     pub fn list_at(&self, hosts: &[RunningHost]) {
         let running = self.running.lock().unwrap();
-        let item = |s: &Server| Backend {
-            id: s.id.clone(),
-            service: "app".into(),
-            addr: s.addr.to_string(),
-            data_centre: "a".into(),
-            slots: 6,
-            ..Backend::default()
-        };
+        let item = |s: &Server| wire::backend(&s.id, s.addr);
         let revision = 1 + self.started.load(Ordering::Relaxed) as u64;
         let list = Backends { revision, items: running.iter().map(item).collect(), ..Backends::default() };
         for host in hosts {
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -296,6 +296,18 @@
     }
 }
 
+/// Backend server of the service `app` with six slots, as the store lists it.
+pub fn backend(id: &str, addr: SocketAddr) -> Backend {
+    Backend {
+        id: id.into(),
+        service: "app".into(),
+        addr: addr.to_string(),
+        data_centre: "a".into(),
+        slots: 6,
+        ..Backend::default()
+    }
+}
+
 /// Relay host that serves callers in this process.
 pub struct Host {
     /// The relay.
@@ -360,14 +372,7 @@
 
     /// Adds a server in the host's data centre to the list.
     pub fn add_server(&self, server: &Server) {
-        let put = Backend {
-            id: server.id.clone(),
-            service: "app".into(),
-            addr: server.addr.to_string(),
-            data_centre: "a".into(),
-            slots: 6,
-            ..Backend::default()
-        };
+        let put = backend(&server.id, server.addr);
         let update = BackendsUpdate::Changes { revision: rev(2), puts: vec![put], removed: Vec::new() };
         self.relay.update_backends(update, None, "test");
     }
