Show a service without servers after a short silence of the store

Cause: the events of one answer of a watch are divided into writings and removals, and the removals are applied last, so that a server whose entry is removed and written again is lost.

--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -146,6 +146,8 @@
 
 #[derive(Default)]
 struct Objects {
+    /// Whether calls get no answer and are not done.
+    is_down: bool,
     revision: u64,
     specs: BTreeMap<(String, String), (u64, String)>,
     /// Kind, name, revision and spec of each change; no spec for a removal.
@@ -178,6 +180,20 @@
         addr
     }
 
+    /// Sets whether the store is silent: calls are neither done nor answered, and watches that wait go on waiting.
+    pub fn set_down(&self, is_down: bool) {
+        self.0.0.lock().unwrap().is_down = is_down;
+        self.0.1.notify_all();
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.0.0.lock().unwrap().is_down
+    }
+
+    pub fn contains(&self, kind: &str, name: &str) -> bool {
+        self.0.0.lock().unwrap().specs.contains_key(&(kind.to_owned(), name.to_owned()))
+    }
+
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         self.write(kind, name, Some(spec.to_owned()));
     }
@@ -202,6 +218,12 @@
     fn answer_calls(&self, stream: TcpStream, replaced: &[(SocketAddr, SocketAddr)]) -> io::Result<()> {
         let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
         while let Some(call) = read_message(&mut reader, false)? {
+            if self.is_down() {
+                while self.is_down() {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                return Ok(());
+            }
             let (status, mut body) = self.answer(&call);
             for (addr, other) in replaced {
                 body = body.replace(&format!("\"{addr}\""), &format!("\"{other}\""));
@@ -259,10 +281,11 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if !objects.is_down && (!events.is_empty() || left.is_zero()) {
                 return format!("{{\"events\":[{}],\"currentRev\":{}}}", events.join(","), objects.revision);
             }
-            objects = self.0.1.wait_timeout(objects, left).unwrap().0;
+            let wait = left.max(Duration::from_millis(5));
+            objects = self.0.1.wait_timeout(objects, wait).unwrap().0;
         }
     }
 }
