Tell the end of a backend server from the end of the host in between

Cause: a host that connects for another one copied the bytes without framing. The kernel closes the connections of a killed process as those of a server that has sent its whole answer, and the host that asked took the close of its connection for the end of the answer.

Change: the bytes of the server come in frames, and an empty frame says that the server has ended its side; a connection that ends without one counts as reset. A host says in its request that it reads frames; one of the version before gets plain bytes, and an answer without a length that comes through it counts as broken off.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,7 +12,7 @@
 //! [`evacuations`], [`revision`], [`warmup`], [`datagram`], [`followers`], [`contact`], [`read_turn`], [`distribution`],
 //! [`directory`], [`attempts`], [`peers`],
 //! [`leave`], [`events`], [`measurements`], [`pace`], [`prefill`], [`plain`], [`shares`], [`returns`], [`origins`], [`reach`],
-//! [`silence`], [`stall`], [`unacked`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`head_limit`], [`tunnel`], [`run`],
+//! [`silence`], [`stall`], [`unacked`]. The I/O is in [`inbound`], [`pool`], [`server_socket`], [`frames`], [`head_limit`], [`tunnel`], [`run`],
 //! `attempt`, `sent`, [`hold`], [`stream`], [`follow`] and [`mesh`]. [`rounds`] counts how often the background tasks wake up.
 //! [`Wire`] and [`follow::Store`] are the traits that an adapter implements. This file holds the state of a host; `updates`
 //! changes and logs what the host knows, and `stop` shuts the host down.
@@ -60,6 +60,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod followers;
+pub mod frames;
 pub mod head_limit;
 pub mod health;
 mod heartbeat;
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -247,6 +247,7 @@
             accepts_packed: true,
             connect_to: 0,
             passes_on_at: relay.cfg.me.peers.clone(),
+            accepts_frames: false,
         };
         match fetch(&relay, peer, fetch_request).await {
             Ok(fetched) if fetched.busy => {
@@ -445,7 +446,7 @@
     let fetch_request = reading.context("the peer did not send its request in time")??;
     if fetch_request.connect_to != 0 {
         drop(admitted);
-        return tunnel::serve(relay, stream, fetch_request.connect_to, &slots.tunnels).await;
+        return tunnel::serve(relay, stream, &fetch_request, &slots.tunnels).await;
     }
     let answering = answer(relay, stream, fetch_request, slots, admitted.is_some());
     timeout(TRANSFER_TIMEOUT, answering).await.context("the transfer timed out")?
--- a/src/relay/server_socket.rs
+++ b/src/relay/server_socket.rs
@@ -25,7 +25,11 @@
     time::{Instant as Deadline, Sleep, sleep},
 };
 
-use super::unacked::{UNACKED_TIMEOUT, Unacked, Verdict};
+use super::{
+    frames::{EndedByHost, Frames},
+    tunnel::TunnelOutcome,
+    unacked::{UNACKED_TIMEOUT, Unacked, Verdict},
+};
 use crate::{
     logs::lines::{Level, line},
     metrics::{Counter, Metrics},
@@ -146,6 +150,8 @@
     last_state: Option<SendState>,
     /// Whether answers are written to it rather than requests.
     carries_answers: bool,
+    /// How the server's bytes are read if they pass through another host.
+    frames: Option<Frames>,
     is_down: bool,
     /// Whether its state cannot be read, so that it is not looked at again.
     is_unreadable: bool,
@@ -165,6 +171,7 @@
             timer: None,
             last_state: None,
             carries_answers: false,
+            frames: None,
             is_down: false,
             is_unreadable: false,
         }
@@ -178,6 +185,13 @@
         socket
     }
 
+    /// Takes over a connection to a host that has connected to a server, whose bytes it passes on in `frames`.
+    pub fn with_frames(stream: TcpStream, label: SocketLabel, frames: Frames) -> Self {
+        let mut socket = Self::new(stream, label);
+        socket.frames = Some(frames);
+        socket
+    }
+
     /// Replaces the way in which the state of the socket is read.
     pub fn with_read_state(mut self, read_state: ReadState) -> Self {
         self.read_state = read_state;
@@ -266,8 +280,15 @@
         });
     }
 
-    /// Reports an end by the kernel's own timeout.
+    /// Reports an end by the kernel's own timeout, or by the other host.
     fn note_error(&mut self, e: &io::Error) {
+        if EndedByHost::is(e) {
+            self.label.metrics.add(Counter::RelayTunnels, TunnelOutcome::Ended.as_str(), 1);
+            line(Level::Notable, "ended_by_host", |l| {
+                let peer = self.label.peer.map_or(String::new(), |peer| peer.to_string());
+                l.text("backend", &self.label.backend).text("peer", &peer)
+            });
+        }
         if e.kind() == io::ErrorKind::TimedOut && !self.is_down {
             let lasted = self.unacked.take().map_or(Duration::ZERO, |unacked| unacked.lasted(now()));
             self.report_end(lasted);
@@ -317,7 +338,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
-        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+        let Self { stream, frames, .. } = &mut *self;
+        let read = match frames {
+            Some(frames) => frames.poll_read(stream, cx, buf),
+            None => Pin::new(stream).poll_read(cx, buf),
+        };
+        match read {
             Poll::Ready(Ok(())) => {
                 if buf.filled().len() > filled {
                     self.note_read();
--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -3,7 +3,7 @@
 //! A host that is cut off from a server asks another one to connect to it and then uses that connection like one of its
 //! own: it remains responsible for the request, its attempts and its deadline. The other host only copies bytes. It
 //! connects directly, so that no request passes more than two hosts, and only to servers that may get new requests by
-//! what it knows itself.
+//! what it knows itself. It sends the server's bytes in [`super::frames`], so that its own end is not taken for the server's.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -20,6 +20,7 @@
     Relay, State, Wire,
     attempts::Failure,
     backends::{BackendKey, Tag},
+    frames::{self, Frames},
     mesh,
     pool::{self, CONNECT_TIMEOUT, Conn},
     reach::{CutOff, Way},
@@ -52,6 +53,8 @@
     NotEligible,
     /// The other host did not answer.
     Failed,
+    /// The other host ended a connection before the server did.
+    Ended,
     /// This host has connected to a server for another one.
     Served,
     /// This host could not connect to a server for another one.
@@ -64,12 +67,13 @@
 
 impl TunnelOutcome {
     /// Every outcome.
-    pub const ALL: [TunnelOutcome; 9] = [
+    pub const ALL: [TunnelOutcome; 10] = [
         TunnelOutcome::Established,
         TunnelOutcome::Unreachable,
         TunnelOutcome::Declined,
         TunnelOutcome::NotEligible,
         TunnelOutcome::Failed,
+        TunnelOutcome::Ended,
         TunnelOutcome::Served,
         TunnelOutcome::ServedUnreachable,
         TunnelOutcome::ServedDeclined,
@@ -84,6 +88,7 @@
             TunnelOutcome::Declined => "declined",
             TunnelOutcome::NotEligible => "not_eligible",
             TunnelOutcome::Failed => "failed",
+            TunnelOutcome::Ended => "ended",
             TunnelOutcome::Served => "served",
             TunnelOutcome::ServedUnreachable => "served_unreachable",
             TunnelOutcome::ServedDeclined => "served_declined",
@@ -206,9 +211,10 @@
         for helper in self.helpers() {
             let asking = timeout_at(deadline, timeout(HELP_TIMEOUT, ask(helper, tag)));
             let outcome = match asking.await {
-                Ok(Ok(Ok((Connected::Established, stream)))) => {
+                Ok(Ok(Ok(Asked { connected: Connected::Established, stream, frames }))) => {
                     let label = self.socket_label(key, Some(helper)).ok_or(Failure::Connect)?;
-                    let conn = Conn::through(ServerSocket::new(stream, label), helper).await?;
+                    let socket = ServerSocket::with_frames(stream, label, frames);
+                    let conn = Conn::through(socket, helper).await?;
                     self.metrics.add(Counter::RelayTunnels, TunnelOutcome::Established.as_str(), 1);
                     line(Level::Routine, "reached_through", |l| {
                         let l = l.text("backend", &id).text("peer", &helper.to_string());
@@ -216,9 +222,9 @@
                     });
                     return Ok(conn);
                 }
-                Ok(Ok(Ok((Connected::Unreachable, _)))) => TunnelOutcome::Unreachable,
-                Ok(Ok(Ok((Connected::Declined, _)))) => TunnelOutcome::Declined,
-                Ok(Ok(Ok((Connected::NotEligible, _)))) => TunnelOutcome::NotEligible,
+                Ok(Ok(Ok(Asked { connected: Connected::Unreachable, .. }))) => TunnelOutcome::Unreachable,
+                Ok(Ok(Ok(Asked { connected: Connected::Declined, .. }))) => TunnelOutcome::Declined,
+                Ok(Ok(Ok(Asked { connected: Connected::NotEligible, .. }))) => TunnelOutcome::NotEligible,
                 Ok(Ok(Err(_)) | Err(_)) => TunnelOutcome::Failed,
                 Err(_) => break,
             };
@@ -303,8 +309,17 @@
     }
 }
 
+/// The answer of another host that was asked to connect to a server.
+struct Asked {
+    connected: Connected,
+    /// The connection to that host.
+    stream: TcpStream,
+    /// How the server's bytes arrive on it.
+    frames: Frames,
+}
+
 /// Asks another host to connect to a server.
-async fn ask(helper: SocketAddr, tag: Tag) -> Result<(Connected, TcpStream)> {
+async fn ask(helper: SocketAddr, tag: Tag) -> Result<Asked> {
     let mut stream = TcpStream::connect(helper).await.context("could not connect")?;
     pool::configure_socket(&stream, Some(pool::UNDELIVERED_TIMEOUT));
     // A host of an earlier version takes this for a fetch; it has nothing newer than these versions.
@@ -313,23 +328,25 @@
         backends: u64::MAX,
         backends_epoch: u64::MAX,
         connect_to: tag,
+        accepts_frames: true,
         ..Fetch::default()
     };
     mesh::send(&mut stream, &request).await?;
     let response: Fetched = mesh::receive(&mut stream).await?;
-    Ok((response.connected(), stream))
+    let frames = if response.framed { Frames::framed() } else { Frames::unframed() };
+    Ok(Asked { connected: response.connected(), stream, frames })
 }
 
 /// Connects to a server for another host and copies bytes both ways until one side closes.
 pub(super) async fn serve<W: Wire>(
     relay: &Arc<Relay<W>>,
     mut client: TcpStream,
-    tag: Tag,
+    request: &Fetch,
     slots: &Semaphore,
 ) -> Result<()> {
     let _in_progress = relay.track_request();
     let slot = slots.try_acquire();
-    let server = match relay.state().tunnel_target(tag) {
+    let server = match relay.state().tunnel_target(request.connect_to) {
         Ok(_) if slot.is_err() => Err(TunnelOutcome::ServedDeclined),
         target => target,
     };
@@ -339,27 +356,34 @@
     };
     let outcome = server.as_ref().err().copied().unwrap_or(TunnelOutcome::Served);
     relay.metrics.add(Counter::RelayTunnels, outcome.as_str(), 1);
-    let connected = outcome.answer().into();
-    mesh::send(&mut client, &Fetched { connected, ..Fetched::default() }).await?;
+    let framed = request.accepts_frames;
+    let answer = Fetched { connected: outcome.answer().into(), framed, ..Fetched::default() };
+    mesh::send(&mut client, &answer).await?;
     let Ok(server) = server else { return Ok(()) };
     pool::configure_socket(&client, Some(pool::UNDELIVERED_TIMEOUT));
     let label = SocketLabel { peer: client.peer_addr().ok(), ..server.label().clone() };
-    copy_until_closed(ServerSocket::with_answers(client, label), server).await
+    copy_until_closed(ServerSocket::with_answers(client, label), server, framed).await
 }
 
-/// Copies bytes both ways. Once one side closes, the other one is closed too, and reset if a side was reset, since an
-/// answer without a length that ends early would look complete.
-async fn copy_until_closed(client: ServerSocket, server: ServerSocket) -> Result<()> {
+/// Copies bytes both ways, those of the server in frames if `framed`. Once one side closes, the other one is closed too, and
+/// reset if a side was reset, since without frames an answer without a length that ends early would look complete.
+async fn copy_until_closed(client: ServerSocket, server: ServerSocket, framed: bool) -> Result<()> {
     let (mut from_client, mut to_client) = split(client);
     let (mut from_server, mut to_server) = split(server);
+    let copying_answer = async {
+        match framed {
+            true => frames::copy(&mut from_server, &mut to_client).await,
+            false => copy(&mut from_server, &mut to_client).await.map(drop),
+        }
+    };
     let copied = tokio::select! {
-        copied = copy(&mut from_client, &mut to_server) => copied,
-        copied = copy(&mut from_server, &mut to_client) => copied,
+        copied = copy(&mut from_client, &mut to_server) => copied.map(drop),
+        copied = copying_answer => copied,
     };
     if copied.is_err() {
         for socket in [from_client.unsplit(to_client), from_server.unsplit(to_server)] {
             socket.stream().set_zero_linger().context("could not reset a connection")?;
         }
     }
-    copied.map(drop).context("a side was reset")
+    copied.context("a side was reset")
 }
--- a/src/schema/fleet.rs
+++ b/src/schema/fleet.rs
@@ -541,6 +541,10 @@
     /// busy peer may then refer it to a host that does the same.
     #[prost(string, tag = "7")]
     pub passes_on_at: ::prost::alloc::string::String,
+    /// Whether the requesting host accepts the bytes of the server in `connect_to` in frames, each the number of its bytes (16
+    /// bits, little-endian) and the bytes. An empty frame says that the server has ended its side.
+    #[prost(bool, tag = "8")]
+    pub accepts_frames: bool,
 }
 /// Response with a peer's newer state.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -586,6 +590,9 @@
     /// Address of a host that is receiving the requested state and passes it on, if the peer is busy; empty for none.
     #[prost(string, tag = "13")]
     pub referral: ::prost::alloc::string::String,
+    /// Whether the bytes of the server to which the peer has connected follow in frames.
+    #[prost(bool, tag = "14")]
+    pub framed: bool,
 }
 /// List of all backend servers at one revision of the store, without repeated names.
 #[derive(serde::Serialize, serde::Deserialize)]
--- /dev/null
+++ b/tests/relay_tunnels.rs
@@ -0,0 +1,183 @@
+//! Answers of backend servers that reach a host through another one, which may end before the server does.
+
+#[path = "support/relay.rs"]
+mod relay_support;
+#[path = "support/wire.rs"]
+mod wire;
+
+use std::net::SocketAddr;
+
+use cranberrytally::{
+    metrics::Counter,
+    relay::{backends::tag, follow::BackendsUpdate},
+    schema::fleet::{Backends, Connected, Fetch, Fetched},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+
+use relay_support::RunningHost;
+use wire::{ScriptStep, Server, event, events, is_complete, read_answer, request, wait_until};
+
+/// Identifiers of the servers; a host is cut off once it has failed to connect to two.
+const SERVERS: [&str; 2] = ["i-1", "i-2"];
+
+/// Two events of a stream that has no length and ends with its connection.
+fn unframed_events() -> String {
+    let head =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s1\r\nContent-Type: text/event-stream\r\n";
+    format!("{head}\r\n{}{}", event(1), event(2))
+}
+
+/// A host that reaches no server, another one that reaches both, and the path between them.
+struct CutOff {
+    host: RunningHost,
+    helper: RunningHost,
+    /// Passes on the connections from the host to the other one. Aborting it closes them, as the end of the other host does.
+    path: JoinSet<()>,
+}
+
+impl CutOff {
+    /// Starts two hosts, of which the second one connects to `server` under all identifiers.
+    async fn start(server: &Server) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (host, helper) = hosts(listener.local_addr().unwrap(), server.addr).await;
+        let (mut path, to) = (JoinSet::new(), helper.peers_at);
+        path.spawn(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((mut from, _)) = listener.accept().await {
+                connections.spawn(async move {
+                    let mut to = TcpStream::connect(to).await.unwrap();
+                    let _ = copy_bidirectional(&mut from, &mut to).await;
+                });
+            }
+        });
+        Self { host, helper, path }
+    }
+}
+
+/// Starts a host that reaches no server, and another one that reaches both and is asked at `helper_at` to connect to them.
+async fn hosts(helper_at: SocketAddr, servers_at: SocketAddr) -> (RunningHost, RunningHost) {
+    let helper = RunningHost::start_with("helper", &[], |mut cfg| {
+        cfg.me.peers = helper_at.to_string();
+        cfg
+    })
+    .await;
+    let host = RunningHost::start("host", &[helper.peers_at]).await;
+    for running in [&host, &helper] {
+        running.relay.set_configuration(wire::configuration(), "test");
+    }
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    set_servers(&host, closed);
+    set_servers(&helper, servers_at);
+    let hear_each_other = || [&host, &helper].iter().all(|h| h.relay.addresses(2).len() == 2);
+    wait_until("the hosts to hear each other", hear_each_other).await;
+    (host, helper)
+}
+
+fn set_servers(host: &RunningHost, addr: SocketAddr) {
+    let items = SERVERS.map(|id| wire::backend(id, addr)).to_vec();
+    let list = Backends { revision: 1, items, ..Backends::default() };
+    host.relay.update_backends(BackendsUpdate::List(list), None, "test");
+}
+
+/// Requests a stream that may not be resumed.
+async fn begin_stream(host: &RunningHost) -> TcpStream {
+    let mut caller = TcpStream::connect(host.callers_at).await.unwrap();
+    caller.write_all(request("/once/x", "").as_bytes()).await.unwrap();
+    caller
+}
+
+/// Reads on until the answer so far meets a condition, or the connection ends.
+async fn read_until(caller: &mut TcpStream, mut answer: String, is_met: impl Fn(&str) -> bool) -> String {
+    while !is_met(&answer) {
+        let mut buf = Vec::new();
+        if caller.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+            break;
+        }
+        answer += &String::from_utf8(buf).unwrap();
+    }
+    answer
+}
+
+fn ended(host: &RunningHost) -> u64 {
+    host.relay.metrics().totals(Counter::RelayTunnels).get("ended").copied().unwrap_or(0)
+}
+
+/// Guards against a stream that ends as complete before its last event, because the host that passes on its bytes was killed.
+#[tokio::test]
+async fn a_stream_without_a_length_is_not_complete_when_the_other_host_ends() {
+    let server = Server::start("any", [ScriptStep::Write(unframed_events())]).await;
+    let mut fleet = CutOff::start(&server).await;
+    let mut caller = begin_stream(&fleet.host).await;
+    let begun = read_until(&mut caller, String::new(), |answer| answer.contains("data: e2")).await;
+
+    fleet.path.shutdown().await;
+    let answer = read_until(&mut caller, begun, is_complete).await;
+
+    assert_eq!((events(&answer), is_complete(&answer)), (vec!["e1", "e2"], false), "{answer}");
+    assert_eq!(ended(&fleet.host), 1);
+}
+
+/// Guards against a stream without a length that is cut off for its caller though its server has ended it.
+#[tokio::test]
+async fn a_stream_without_a_length_is_complete_when_its_server_ends_it() {
+    let server = Server::start("any", [ScriptStep::WriteAndClose(unframed_events())]).await;
+    let fleet = CutOff::start(&server).await;
+
+    let answer = read_answer(&mut begin_stream(&fleet.host).await).await;
+
+    assert_eq!((events(&answer), is_complete(&answer)), (vec!["e1", "e2"], true), "{answer}");
+    assert_eq!((ended(&fleet.host), ended(&fleet.helper)), (0, 0));
+}
+
+/// Guards against a stream that ends as complete because the connection to a host of the version before ended, which does not
+/// tell its own end from the server's.
+#[tokio::test]
+async fn a_stream_without_a_length_is_not_complete_through_a_host_of_the_version_before() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let (host, _helper) = hosts(at, at).await;
+    tokio::spawn(async move {
+        while let Ok((mut asking, _)) = listener.accept().await {
+            let length = asking.read_u32_le().await.unwrap();
+            asking.read_exact(&mut vec![0; length as usize]).await.unwrap();
+            let answer = Fetched { connected: Connected::Established.into(), ..Fetched::default() };
+            let answer = postcard::to_allocvec(&answer).unwrap();
+            // It lacks the last field.
+            let answer = &answer[..answer.len() - 1];
+            asking.write_all(&(answer.len() as u32).to_le_bytes()).await.unwrap();
+            asking.write_all(answer).await.unwrap();
+            let Some(request) = wire::read_request(&mut asking).await else { continue };
+            let id = wire::header(&request, "attempt-id").unwrap();
+            asking.write_all(unframed_events().replace("{id}", &id).as_bytes()).await.unwrap();
+        }
+    });
+
+    let answer = read_answer(&mut begin_stream(&host).await).await;
+
+    assert_eq!((events(&answer), is_complete(&answer)), (vec!["e1", "e2"], false), "{answer}");
+}
+
+/// Guards against a host of the version before that takes frames for the bytes of a server.
+#[tokio::test]
+async fn a_host_of_the_version_before_gets_no_frames() {
+    let server = Server::start("any", [ScriptStep::WriteAndClose(unframed_events())]).await;
+    let fleet = CutOff::start(&server).await;
+    let fetch = postcard::to_allocvec(&Fetch { connect_to: tag("i-1", 0), ..Fetch::default() }).unwrap();
+    let mut asking = TcpStream::connect(fleet.helper.peers_at).await.unwrap();
+    // It lacks the last field.
+    let fetch = &fetch[..fetch.len() - 1];
+    asking.write_all(&(fetch.len() as u32).to_le_bytes()).await.unwrap();
+    asking.write_all(fetch).await.unwrap();
+    let length = asking.read_u32_le().await.unwrap();
+    asking.read_exact(&mut vec![0; length as usize]).await.unwrap();
+
+    asking.write_all(request("/once/x", "").as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    asking.read_to_string(&mut answer).await.unwrap();
+
+    assert_eq!(answer, unframed_events().replace("{id}", "r1"));
+}
