Take a refusal for what it says about one sending only

Cause: an answer was matched to a request by the identifier of the caller's attempt, which all sendings of it share, and a refused request went out again on the connection that had carried it. A refusal that names no request was believed for any later request, and answers that name another request were believed about the server, 421 also about the request.

Change: a request never uses a connection again that has carried it. One that may run only once uses no connection on which the last answer named no request. An answer that names another request says nothing. Connections are kept as before.

--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -84,8 +84,14 @@
 
     fn parse_response(&self, req: &Request, head: &response::Parts) -> ResponseHead {
         let headers = &head.headers;
+        let named = text(headers, &names::ATTEMPT_ID);
+        if named.is_some_and(|id| id != &*req.id) {
+            // It tells nothing about this request, and what it tells of the server may be out of date.
+            return ResponseHead { failure: Some(Failure::Garbled), closes: true, ..Default::default() };
+        }
         ResponseHead {
-            failure: failure(req, head),
+            failure: failure(head, named.is_some()),
+            is_named: named.is_some(),
             keep_alive: text(headers, &names::KEEP_ALIVE).and_then(keep_alive_timeout),
             closes: text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
             load: text(headers, &names::SERVER_LOAD).and_then(parse_load),
@@ -134,20 +140,16 @@
     }
 }
 
-/// Why a response must not be passed on, if so. One without the server's seal was not written by the server, and one with
-/// another attempt ID belongs to an earlier request on the same connection.
-fn failure(req: &Request, head: &response::Parts) -> Option<Failure> {
-    let echoed = text(&head.headers, &names::ATTEMPT_ID);
+/// Why a response that names no other request must not be passed on, if so. One without the server's seal was not written by
+/// the server.
+fn failure(head: &response::Parts, is_named: bool) -> Option<Failure> {
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Some(Failure::Moved);
     }
-    if echoed.is_some_and(|id| id != &*req.id) {
-        return Some(Failure::Garbled);
-    }
     if head.headers.contains_key(names::NOT_EXECUTED) {
         return Some(Failure::Refused);
     }
-    let sealed = head.headers.contains_key(names::RESPONSE_SEAL) && echoed.is_some();
+    let sealed = head.headers.contains_key(names::RESPONSE_SEAL) && is_named;
     let encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     (head.status.is_success() && (!sealed || encoded)).then_some(Failure::Garbled)
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -24,7 +24,7 @@
     hold::Wanted,
     pace_reports::Prefilling,
     place::{Choice, shared},
-    pool::{self, Conn},
+    pool::{self, Conn, ConnId},
     request::{EventNumber, Request},
     run::{MAX_BUFFERED_BYTES, REFUSED_RETRY_PAUSE},
     sent::Sent,
@@ -54,6 +54,8 @@
     pub(crate) key: BackendKey,
     /// When the attempt began.
     pub(crate) sent: Instant,
+    /// The connection that carried the request last, if any did.
+    pub(crate) carrier: Option<ConnId>,
     /// Whether the request may have crashed the server: its answer was not more than beginning.
     pub(crate) may_have_crashed: bool,
     /// Whether the server sent an event.
@@ -65,6 +67,8 @@
     choice: Choice,
     /// Number of attempts before it.
     number: u32,
+    /// Connections that have carried the request before.
+    carriers: Vec<ConnId>,
     /// Event after which the server is to go on.
     after: Option<EventNumber>,
     /// Whether the answer goes on with a stream whose caller has events already, so that nothing else will do.
@@ -77,6 +81,8 @@
     req: Arc<Request>,
     pub(crate) key: BackendKey,
     pub(crate) sent: Instant,
+    /// The connection that carries the request, once one does.
+    carrier: Option<ConnId>,
     /// When the server sent the first event.
     first_event: Option<Instant>,
     /// The prompt that is being prefilled, until the first event.
@@ -137,9 +143,10 @@
         choice: Choice,
         wanted: &Wanted,
         number: u32,
+        carriers: Vec<ConnId>,
     ) -> Self {
         let (after, continues) = (wanted.after(), wanted.continues());
-        let beginning = Beginning { choice, number, after, continues };
+        let beginning = Beginning { choice, number, carriers, after, continues };
         let attempt = Attempt::start(relay, req, &beginning.choice);
         let (key, sent, heard) = (attempt.key, attempt.sent, Arc::<Heard>::default());
         let begun = Box::pin(attempt.begin(beginning, heard.clone()));
@@ -154,6 +161,7 @@
             req: req.clone(),
             key: choice.key,
             sent: now(),
+            carrier: None,
             first_event: None,
             prefill: Prefilling::start(relay, req, choice),
             has_begun: false,
@@ -198,6 +206,7 @@
         }
         relay.record_pace(req, key, &parsed);
         relay.apply_server_notices(req, key, &parsed);
+        conn.note_answer(parsed.is_named);
         if let Some(failure) = parsed.failure {
             if matches!(failure, Failure::Refused | Failure::Moved) && !parsed.closes {
                 reuse_after_refusal(relay, body, conn, key, parsed.keep_alive).await;
@@ -222,8 +231,11 @@
                 let from = choice.fetch_from.and_then(|key| state.backends.get(key)).map(|b| b.addr);
                 (b.id.clone(), b.version.clone(), b.addr, from)
             };
-            let kept = if stale_conns < MAX_STALE_CONNECTIONS { relay.pool.take(choice.key) } else { None };
-            let conn = match kept {
+            let may_keep = stale_conns < MAX_STALE_CONNECTIONS;
+            let taken = may_keep
+                .then(|| relay.pool.take(choice.key, req.route.repeatable, &beginning.carriers))
+                .flatten();
+            let conn = match taken {
                 Some(conn) => conn,
                 None => relay.connect(choice.key, addr, req.time_left(now())).await?,
             };
@@ -235,6 +247,7 @@
             let message = relay.wire.backend_request(&req, &context);
             self.log_sent(beginning, &id, &version, stale_conns);
             let reused = conn.reused;
+            self.carrier = Some(conn.id);
             let (conn, result) = self.await_head(conn, message).await;
             if reused && matches!(result, Err(Failure::Unsent)) {
                 continue;
@@ -395,6 +408,7 @@
             failure,
             key: self.key,
             sent: self.sent,
+            carrier: self.carrier,
             may_have_crashed: self.first_event.is_none_or(|first| now() < first + BEGINNING),
             has_event: self.first_event.is_some(),
         }
--- a/src/relay/hold.rs
+++ b/src/relay/hold.rs
@@ -185,7 +185,7 @@
         let number = self.tries.made();
         self.tries.begin();
         let InProgress { key, sent, heard, begun } =
-            InProgress::start(&self.relay, &self.req, choice, wanted, number);
+            InProgress::start(&self.relay, &self.req, choice, wanted, number, self.carriers.clone());
         Ok((Watched { key, sent, since: sent, heard }, begun))
     }
 
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -1,12 +1,19 @@
 //! Connections to backend servers, each with one request at a time. Idle connections are kept for less time than
 //! the server keeps them.
 //!
+//! A server may send an answer once more where the next one is due. The identifier in it tells for which request it is, but
+//! not for which sending of it, and an answer without an identifier may be for any. So a request never uses a connection again
+//! that has carried it, and one that may run only once uses none on which the last answer named no request.
+//!
 //! hyper's connections are used without its pool, because the pool repeats a request on its own if a kept
 //! connection turns out to be closed; whether a request may be sent again is decided in [`super::attempts`].
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -62,9 +69,22 @@
 /// The head of an answer, or a failure, together with the request if no byte of it was written.
 pub type SendResult = Result<Response<Incoming>, (Failure, Option<Request<Full<Bytes>>>)>;
 
+/// Identifies a connection in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnId(u64);
+
+impl ConnId {
+    fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Conn {
+    /// Identifier.
+    pub id: ConnId,
     tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     head_counter: HeadCounter,
@@ -73,6 +93,8 @@
     /// Whether it passes through another host. It is used for one request, since that host decides each time whether the
     /// server may get one.
     is_tunnel: bool,
+    /// Whether the last answer on it named no request.
+    is_last_unnamed: bool,
     /// Whether the server has yet to get a part of the request.
     rest: Rest,
 }
@@ -126,7 +148,16 @@
                 spdlog::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Self { tx, task: task.abort_handle(), head_counter, reused: false, is_tunnel: false, rest })
+        Ok(Self {
+            id: ConnId::next(),
+            tx,
+            task: task.abort_handle(),
+            head_counter,
+            reused: false,
+            is_tunnel: false,
+            is_last_unnamed: false,
+            rest,
+        })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -156,6 +187,11 @@
         }
     }
 
+    /// Records that an answer has arrived, and whether it names its request.
+    pub fn note_answer(&mut self, is_named: bool) {
+        self.is_last_unnamed = !is_named;
+    }
+
     /// Whether it can carry a request now.
     pub fn is_usable(&self) -> bool {
         self.tx.is_ready() && !self.task.is_finished() && !self.rest.is_due()
@@ -295,12 +331,14 @@
 }
 
 impl Pool {
-    /// Takes the most recently used idle connection.
-    pub fn take(&self, key: BackendKey) -> Option<Conn> {
+    /// Takes the most recently used idle connection on which the answer to a request can be told from an earlier one: none of
+    /// `carriers`, which have carried it before.
+    pub fn take(&self, key: BackendKey, repeatable: bool, carriers: &[ConnId]) -> Option<Conn> {
         let mut idle = lock(&self.idle);
         let conns = idle.get_mut(&key)?;
         let now = now();
-        let free = conns.iter().rposition(|idle| idle.is_free(now))?;
+        let is_clear = |conn: &Conn| (repeatable || !conn.is_last_unnamed) && !carriers.contains(&conn.id);
+        let free = conns.iter().rposition(|idle| idle.is_free(now) && is_clear(&idle.conn))?;
         Some(conns.remove(free).conn)
     }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -19,7 +19,7 @@
     },
     hold::Wanted,
     outcome::Outcome,
-    pool::{self, CONNECT_TIMEOUT},
+    pool::{self, CONNECT_TIMEOUT, ConnId},
     request::Request,
     stream,
 };
@@ -51,6 +51,8 @@
     pub(crate) req: Arc<Request>,
     pub(crate) tries: Attempts,
     pub(crate) tried: Vec<BackendKey>,
+    /// Connections that have carried the request.
+    pub(crate) carriers: Vec<ConnId>,
     /// Cause of crashes that the request is a trial for.
     trial: Option<CauseKey>,
     /// Version that began the stream, once the caller has an event of it: no other may go on with it.
@@ -91,7 +93,8 @@
     };
     let req = Arc::new(req);
     let tries = Attempts::new(req.route.repeatable, req.route.route.attempts, req.deadline);
-    let mut run = Run { relay, req, tries, tried: Vec::new(), trial: None, version, outcome: None };
+    let (tried, carriers) = (Vec::new(), Vec::new());
+    let mut run = Run { relay, req, tries, tried, carriers, trial: None, version, outcome: None };
     match run.relay.check_quarantine(&run.req) {
         Verdict::Send => {}
         Verdict::Try(cause) => run.begin_trial(cause),
@@ -234,9 +237,10 @@
 
     /// Counts a failed attempt and updates the health of its server.
     fn record_failure(&mut self, failed: &Failed) {
-        let Failed { failure, key, sent, .. } = *failed;
+        let Failed { failure, key, sent, carrier, .. } = *failed;
         self.tries.record_failure(failure);
         self.tried.push(key);
+        self.carriers.extend(carrier);
         let now = now();
         match failure {
             Failure::Moved => self.relay.mark_backend_gone(key, "another server answers at its address"),
--- a/src/relay/sent.rs
+++ b/src/relay/sent.rs
@@ -71,7 +71,8 @@
             let result = read_arrived(&mut head).await;
             conn.close();
             if let Some(Err((failure @ Failure::Broken, _))) = result {
-                let failed = Failed { failure, key, sent, may_have_crashed: true, has_event: false };
+                let failed =
+                    Failed { failure, key, sent, carrier: None, may_have_crashed: true, has_event: false };
                 examine_break(&relay, &req, failed).await;
             }
         });
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -53,10 +53,12 @@
 }
 
 /// The parsed head of a backend server's response.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Why the response must not be passed on, if so.
     pub failure: Option<Failure>,
+    /// Whether the response names the request that it answers.
+    pub is_named: bool,
     /// How long the server keeps an idle connection, if it says so.
     pub keep_alive: Option<Duration>,
     /// Whether the server closes the connection after this response.
