Apply the events of a server's entry in the store's order

Cause: the adapter to the store divided the events of one answer of a watch into writings and removals, and the removals were applied last. A server whose entry lapses and is written again within one answer counted as removed. The stand-in of the store gave only the last event of an entry, so that no test met two.

Change: events stay a list in the store's order and are applied in it. A removal that the same start of a used server follows up with a writing leaves the server its key, its connections and what is known of its prompts. The stand-in gives all events.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     relay::{
+        backends::BackendEvent,
         evacuations,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
         pool::{self, Conn},
@@ -284,9 +285,10 @@
             return Ok(BackendsUpdate::List(Backends { epoch, revision, items }));
         };
         let (revision, events) = self.watch::<RawBackend>(BACKENDS_KIND, after, call).await?;
-        let (deleted, present): (Vec<_>, Vec<_>) = events.into_iter().partition(|e| e.deleted);
-        let removed = deleted.into_iter().map(|e| e.object.metadata.name).collect();
-        let puts = present.into_iter().map(|e| backend(e.object)).collect();
-        Ok(BackendsUpdate::Changes { revision, puts, removed })
+        let event = |e: Change<RawBackend>| match e.deleted {
+            true => BackendEvent::Removed(e.object.metadata.name),
+            false => BackendEvent::Written(backend(e.object)),
+        };
+        Ok(BackendsUpdate::Events { revision, events: events.into_iter().map(event).collect() })
     }
 }
--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -188,6 +188,41 @@
     }
 }
 
+/// An event of a server's entry in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BackendEvent {
+    /// The entry was written.
+    Written(fleet::Backend),
+    /// The entry of the server with this identifier was removed.
+    Removed(String),
+}
+
+impl BackendEvent {
+    /// Identifier of the server.
+    pub fn id(&self) -> &str {
+        match self {
+            BackendEvent::Written(item) => &item.id,
+            BackendEvent::Removed(id) => id,
+        }
+    }
+
+    /// The entry, if it was written.
+    pub fn written(&self) -> Option<&fleet::Backend> {
+        match self {
+            BackendEvent::Written(item) => Some(item),
+            BackendEvent::Removed(_) => None,
+        }
+    }
+
+    /// The entry, if it was written.
+    pub fn written_mut(&mut self) -> Option<&mut fleet::Backend> {
+        match self {
+            BackendEvent::Written(item) => Some(item),
+            BackendEvent::Removed(_) => None,
+        }
+    }
+}
+
 /// Tag of an incarnation of a backend server.
 pub fn tag(id: &str, born: StartMs) -> Tag {
     hash((id, born)) as Tag
@@ -237,7 +272,7 @@
         grace: Option<Duration>,
     ) -> Vec<(BackendKey, Change)> {
         if list.as_of() < self.revision {
-            return self.apply_leaving_entries(now, &list.items);
+            return self.apply_leaving_entries(now, list.items.iter());
         }
         let has_store_list = self.revision.is_known() && self.revision != Revision::STALE_READ;
         let restored = has_store_list && list.epoch > self.revision.epoch;
@@ -253,8 +288,7 @@
         changes
     }
 
-    /// Applies changes that lead to `revision`; from changes with an older revision than the known one, only
-    /// leaving servers are taken.
+    /// Applies changes that lead to `revision`, as another host tells them: each server is either in `puts` or in `removed`.
     pub fn apply_changes(
         &mut self,
         now: Instant,
@@ -262,18 +296,38 @@
         puts: &[fleet::Backend],
         removed: &[String],
         grace: Option<Duration>,
+    ) -> Vec<(BackendKey, Change)> {
+        let removed = removed.iter().cloned().map(BackendEvent::Removed);
+        let events: Vec<_> = removed.chain(puts.iter().cloned().map(BackendEvent::Written)).collect();
+        self.apply_events(now, revision, &events, grace)
+    }
+
+    /// Applies events that lead to `revision`, in their order; from events with an older revision than the known one, only
+    /// leaving servers are taken.
+    pub fn apply_events(
+        &mut self,
+        now: Instant,
+        revision: Revision,
+        events: &[BackendEvent],
+        grace: Option<Duration>,
     ) -> Vec<(BackendKey, Change)> {
         if revision < self.revision {
-            return self.apply_leaving_entries(now, puts);
+            return self.apply_leaving_entries(now, events.iter().filter_map(BackendEvent::written));
         }
         self.revision = revision;
-        let ids = puts.iter().map(|p| &p.id).chain(removed);
-        self.log.extend(ids.map(|id| (revision, id.as_str().into())));
+        self.log.extend(events.iter().map(|event| (revision, event.id().into())));
         while self.log.len() > MAX_LOG_ENTRIES {
             self.logged_from = self.log.pop_front().map_or(revision, |(dropped, _)| dropped);
         }
-        let mut changes: Vec<_> = puts.iter().flat_map(|item| self.put(now, item, true)).collect();
-        changes.extend(removed.iter().filter_map(|id| self.remove(now, id, grace)));
+        let written_next = written_next(events);
+        let mut changes = Vec::new();
+        for (event, written_next) in events.iter().zip(written_next) {
+            match event {
+                BackendEvent::Written(item) => changes.extend(self.put(now, item, true)),
+                BackendEvent::Removed(_) if written_next.is_some_and(|item| self.is_used_as(item)) => {}
+                BackendEvent::Removed(id) => changes.extend(self.remove(now, id, grace)),
+            }
+        }
         self.update_digest();
         changes
     }
@@ -381,3 +435,16 @@
         self.digest = listed.fold(0, |sum, (_, b)| sum ^ entry(b) as u32);
     }
 }
+
+/// For each event the next writing of the same entry, if one follows.
+fn written_next(events: &[BackendEvent]) -> Vec<Option<&fleet::Backend>> {
+    let mut next: Map<&str, &fleet::Backend> = Map::default();
+    let mut written_next = vec![None; events.len()];
+    for (at, event) in events.iter().enumerate().rev() {
+        written_next[at] = next.get(event.id()).copied();
+        if let Some(item) = event.written() {
+            next.insert(&item.id, item);
+        }
+    }
+    written_next
+}
--- a/src/relay/backends/apply.rs
+++ b/src/relay/backends/apply.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Whether an entry describes an incarnation that gets new requests: its entry had lapsed, and the server is alive.
+    pub(super) fn is_used_as(&self, item: &fleet::Backend) -> bool {
+        let backend = self.by_id.get(item.id.as_str()).map(|key| &self.arena[*key]);
+        backend.is_some_and(|b| b.accepts_work() && b.compare(item) == Comparison::Same)
+    }
+
     /// Stops sending new requests to a server whose entry was written by another party.
     fn mark_unreadable(&mut self, key: BackendKey) -> Option<(BackendKey, Change)> {
         let backend = &mut self.arena[key];
--- a/src/relay/backends/leaving.rs
+++ b/src/relay/backends/leaving.rs
@@ -56,12 +56,12 @@
 
     /// Applies only the leaving flags of entries of an older revision: a server that has left stays so whatever the
     /// store has listed since.
-    pub(super) fn apply_leaving_entries(
+    pub(super) fn apply_leaving_entries<'a>(
         &mut self,
         now: Instant,
-        items: &[fleet::Backend],
+        items: impl Iterator<Item = &'a fleet::Backend>,
     ) -> Vec<(BackendKey, Change)> {
-        let leaving = items.iter().filter(|item| item.leaving).map(|item| tag(&item.id, item.born));
+        let leaving = items.filter(|item| item.leaving).map(|item| tag(&item.id, item.born));
         let leaving: Vec<_> = leaving.collect();
         self.apply_leaving(now, &leaving)
     }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -22,6 +22,7 @@
 
 use super::{
     Relay, Wire,
+    backends::BackendEvent,
     confirm::Topic,
     contact::StoreRetry,
     followers::FollowState,
@@ -79,7 +80,14 @@
 pub enum BackendsUpdate {
     /// The full list.
     List(Backends),
-    /// Changes since an earlier revision.
+    /// Events since an earlier revision, in the store's order: an entry may be written and removed several times.
+    Events {
+        /// Revision that the events lead to.
+        revision: Revision,
+        /// The events.
+        events: Vec<BackendEvent>,
+    },
+    /// What has changed since an earlier revision, as another host tells it. Each server is in one of the lists.
     Changes {
         /// Revision that the changes lead to.
         revision: Revision,
@@ -95,10 +103,15 @@
     pub fn revision(&self) -> Revision {
         match self {
             BackendsUpdate::List(list) => list.as_of(),
-            BackendsUpdate::Changes { revision, .. } => *revision,
+            BackendsUpdate::Events { revision, .. } | BackendsUpdate::Changes { revision, .. } => *revision,
         }
     }
 
+    /// Whether it has events.
+    fn has_events(&self) -> bool {
+        matches!(self, BackendsUpdate::Events { events, .. } if !events.is_empty())
+    }
+
     /// Marks a list as a stale read, which any later list replaces and from which no watch continues.
     fn mark_as_stale_read(&mut self) {
         if let BackendsUpdate::List(list) = self {
@@ -108,11 +121,14 @@
 
     /// Clears entries with a start time after `latest`, in milliseconds since 1970, so that they count as unreadable.
     fn blank_starts_after(&mut self, latest: u64) {
-        let items = match self {
-            BackendsUpdate::List(list) => &mut list.items,
-            BackendsUpdate::Changes { puts, .. } => puts,
+        let items: Vec<_> = match self {
+            BackendsUpdate::List(list) => list.items.iter_mut().collect(),
+            BackendsUpdate::Events { events, .. } => {
+                events.iter_mut().filter_map(BackendEvent::written_mut).collect()
+            }
+            BackendsUpdate::Changes { puts, .. } => puts.iter_mut().collect(),
         };
-        for item in items.iter_mut().filter(|item| item.born > latest) {
+        for item in items.into_iter().filter(|item| item.born > latest) {
             *item = Backend { id: std::mem::take(&mut item.id), ..Backend::default() };
         }
     }
@@ -245,8 +261,7 @@
                     update.mark_as_stale_read();
                 }
                 let grace = record_answer_and_log(&mut retry);
-                let changed = matches!(&update, BackendsUpdate::Changes { puts, removed, .. }
-                    if !puts.is_empty() || !removed.is_empty());
+                let changed = update.has_events();
                 let ended_early = after.is_some() && now() < sent_at + COALESCE_DELAY;
                 let revision = Some(update.revision()).filter(|_| !stale_ok);
                 relay.update_backends(update, grace, "store");
@@ -382,6 +397,9 @@
         }
         let changes = match update {
             BackendsUpdate::List(list) => state.backends.apply_list(now, &list, grace),
+            BackendsUpdate::Events { revision, events } => {
+                state.backends.apply_events(now, revision, &events, grace)
+            }
             BackendsUpdate::Changes { revision, puts, removed } => {
                 state.backends.apply_changes(now, revision, &puts, &removed, grace)
             }
--- a/src/relay/follow/confirm.rs
+++ b/src/relay/follow/confirm.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{BackendsUpdate, Call, Store, StoreCall, StoreError};
+use super::{Call, Store, StoreCall, StoreError};
 use crate::{
     logs::lines::{Level, line},
     relay::{
@@ -112,11 +112,9 @@
         Err(e) => return Err(e),
     };
     let revision = update.revision();
-    let has_changes = matches!(&update, BackendsUpdate::Changes { puts, removed, .. }
-        if !puts.is_empty() || !removed.is_empty());
     // If a watch is pending, the follower task has to apply the changes: only it knows of an outage in which entries
     // may have expired.
-    if has_changes && relay.state().confirmations.is_watching(Topic::Backends) {
+    if update.has_events() && relay.state().confirmations.is_watching(Topic::Backends) {
         relay.cancel_stalled_watch(Topic::Backends, revision).await;
         return Ok(());
     }
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -10,6 +10,7 @@
 use cranberrytally::{
     platform::store::{StoreClient, epoch_header::HeaderHistory},
     relay::{
+        backends::BackendEvent,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
         origins::MixedService,
         revision::Revision,
@@ -134,9 +135,11 @@
 
     let update = store.backends(call(Some(530))).await.unwrap();
 
-    let BackendsUpdate::Changes { revision, puts, removed } = update else { panic!("{update:?}") };
-    assert_eq!((revision, puts.len(), removed), (rev(533), 1, vec!["i-3".to_owned()]));
-    assert!(puts[0].leaving);
+    let BackendsUpdate::Events { revision, events } = update else { panic!("{update:?}") };
+    let [BackendEvent::Written(draining), BackendEvent::Removed(gone)] = &events[..] else {
+        panic!("{events:?}")
+    };
+    assert_eq!((revision, draining.leaving, gone.as_str()), (rev(533), true, "i-3"));
     assert!(target(&server.requests()[0]).starts_with("/objects/servers?watch=530&waitMs="));
 }
 
@@ -350,11 +353,10 @@
         let changed = store.backends(call(Some(1))).await.unwrap();
 
         let BackendsUpdate::List(list) = listed else { panic!("{listed:?}") };
-        let BackendsUpdate::Changes { puts, .. } = changed else { panic!("{changed:?}") };
-        let ids = |items: &[cranberrytally::schema::fleet::Backend]| {
-            items.iter().map(|i| i.id.clone()).collect::<Vec<_>>()
-        };
-        assert_eq!((ids(&list.items), ids(&puts)), (vec!["i-1".into()], vec!["i-1".into()]), "{junk}");
+        let BackendsUpdate::Events { events, .. } = changed else { panic!("{changed:?}") };
+        let listed: Vec<_> = list.items.iter().map(|i| i.id.as_str()).collect();
+        let written: Vec<_> = events.iter().filter_map(|e| Some(e.written()?.id.as_str())).collect();
+        assert_eq!((listed, written), (vec!["i-1"], vec!["i-1"]), "{junk}");
     }
 }
 
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cranberrytally::{
-    relay::backends::{Backends, Change},
+    relay::backends::{BackendEvent, Backends, Change},
     schema::fleet::{Backend, Backends as List},
 };
 use proptest::prelude::*;
@@ -348,3 +348,73 @@
     assert!(one.len() <= 64 && other.len() <= 64, "{one} {other}");
     assert_ne!(one, other);
 }
+
+/// An event in which an entry of the server `x` is written.
+fn written(item: Backend) -> BackendEvent {
+    BackendEvent::Written(item)
+}
+
+/// The event in which the entry of the server `x` is removed.
+fn removed() -> BackendEvent {
+    BackendEvent::Removed("x".into())
+}
+
+/// Guards against a server that gets no work again, since its entry lapses and is written again in one answer of a watch. It keeps
+/// its key, and with it its connections and what is known of its prompts.
+#[test]
+fn a_server_whose_entry_lapses_and_is_written_again_in_one_answer_stays_in_use() {
+    for (before, after) in [(born(0), born(0)), (born(100), born(100))] {
+        let mut backends = backends_with(vec![before]);
+        let (key, digest) = (backends.available("s").next().unwrap().0, backends.digest());
+        let events = [removed(), written(after.clone()), removed(), written(after)];
+
+        let changes = backends.apply_events(ms(10), rev(9), &events, None);
+
+        assert_eq!(changes, []);
+        assert_eq!(backends.available("s").map(|(key, _)| key).collect::<Vec<_>>(), [key]);
+        assert_eq!(backends.digest(), digest);
+        let told = backends.changes_since(ms(10), rev(1)).unwrap();
+        assert_eq!((told.puts.len(), told.removed.len()), (1, 0));
+    }
+}
+
+/// Guards against events of one answer that are applied in another order than the store's.
+#[test]
+fn the_last_event_of_an_entry_counts() {
+    let draining = Backend { leaving: true, ..born(100) };
+    let cases: [(&str, Vec<BackendEvent>, usize); 5] = [
+        ("written and removed", vec![written(born(100)), removed()], 0),
+        ("removed, written and removed", vec![removed(), written(born(100)), removed()], 0),
+        ("removed and started again", vec![removed(), written(born(200))], 1),
+        ("removed and written by the one before", vec![removed(), written(born(50))], 0),
+        ("draining, removed and written", vec![written(draining), removed(), written(born(100))], 0),
+    ];
+    for (name, events, available) in cases {
+        let mut backends = backends_with(vec![born(100)]);
+
+        backends.apply_events(ms(10), rev(9), &events, None);
+
+        assert_eq!(backends.available("s").count(), available, "{name}");
+    }
+}
+
+proptest! {
+    /// Guards against servers whose use depends on how the store divides events among its answers.
+    #[test]
+    fn events_have_the_same_result_in_one_answer_and_in_several(kinds in prop::collection::vec(0..4u8, 1..8)) {
+        let event = |kind: &u8| match kind {
+            0 => removed(),
+            1 => written(Backend { leaving: true, ..born(100) }),
+            n => written(born(u64::from(*n) * 100 - 100)),
+        };
+        let events: Vec<_> = kinds.iter().map(event).collect();
+        let (mut at_once, mut one_by_one) = (backends_with(vec![born(100)]), backends_with(vec![born(100)]));
+
+        at_once.apply_events(ms(10), rev(20), &events, None);
+        for (n, event) in events.iter().enumerate() {
+            one_by_one.apply_events(ms(10), rev(2 + n as u64), std::slice::from_ref(event), None);
+        }
+
+        prop_assert_eq!(at_once.digest(), one_by_one.digest());
+    }
+}
--- a/tests/relay_confirmed.rs
+++ b/tests/relay_confirmed.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use cranberrytally::{platform::store::StoreClient, relay::follow::follow_backends};
 use soak::{
     caller::{KEY, call},
     checks::{History, Kind, Outcome},
@@ -51,3 +52,25 @@
 
     assert!(serves_added(&hosts, 0, &history).await);
 }
+
+/// Guards against a service without servers for good, after their entries lapsed in an outage of the store and were written again
+/// within one answer of a watch.
+#[tokio::test]
+async fn a_server_whose_entry_lapses_and_is_written_again_stays_in_use() {
+    let store = Store::start().await;
+    let write = |id| store.put("servers", id, store::server(([127, 0, 0, 1], 1).into(), "ready"));
+    write("i-1");
+    let (relay, _) = relay_support::host("host-1", &[]).await;
+    let following = tokio::spawn(follow_backends(relay.clone(), StoreClient::new(store.addr())));
+    wire::wait_until("the server in a copy of the store", || relay.server_count("app") == 1).await;
+    write("i-2");
+    wire::wait_until("the one that is no longer copied", || relay.server_count("app") == 2).await;
+
+    // The store answers no call in between.
+    store.remove("servers", "i-1");
+    write("i-1");
+    write("i-3");
+
+    wire::wait_until("all servers", || relay.server_count("app") == 3).await;
+    following.abort();
+}
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -348,9 +348,7 @@
 
     async fn backends(&mut self, call: Call) -> Result<BackendsUpdate, StoreError> {
         match call.after {
-            Some(after) => {
-                Ok(BackendsUpdate::Changes { revision: after, puts: Vec::new(), removed: Vec::new() })
-            }
+            Some(after) => Ok(BackendsUpdate::Events { revision: after, events: Vec::new() }),
             None => Ok(BackendsUpdate::List(list(5, &["a"]))),
         }
     }
--- a/tests/support/soak/store.rs
+++ b/tests/support/soak/store.rs
@@ -229,15 +229,13 @@
         self.revision.send_replace(revision);
     }
 
-    /// The latest change of each object of a kind after a revision.
-    fn latest_changes(&self, kind: &str, after: u64) -> Vec<Arc<Change>> {
+    /// The changes of objects of a kind after a revision, in order.
+    fn changes_after(&self, kind: &str, after: u64) -> Vec<Arc<Change>> {
         let state = self.state.lock().unwrap();
         let newer = state.log.iter().rev().take_while(|e| e.revision > after).filter(|e| e.kind == kind);
-        let mut latest_changes: BTreeMap<&str, &Arc<Change>> = BTreeMap::new();
-        for change in newer {
-            latest_changes.entry(&change.name).or_insert(change);
-        }
-        latest_changes.into_values().cloned().collect()
+        let mut changes: Vec<_> = newer.cloned().collect();
+        changes.reverse();
+        changes
     }
 
     /// Whether an object exists.
@@ -322,7 +320,7 @@
     async fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> Response<Full<Bytes>> {
         let mut changed = self.revision.subscribe();
         let until_changed = async {
-            while after <= self.last_revision() && self.latest_changes(kind, after).is_empty() {
+            while after <= self.last_revision() && self.changes_after(kind, after).is_empty() {
                 let _ = changed.changed().await;
                 if self.watches_unanswered.load(Ordering::Relaxed) {
                     std::future::pending::<()>().await;
@@ -339,11 +337,9 @@
         if after > revision {
             return respond(410, json!({}));
         }
-        let latest_changes = self.latest_changes(kind, after);
-        let events: Vec<_> = latest_changes
-            .iter()
-            .map(|e| json!({ "object": e.object(), "deleted": e.spec.is_none() }))
-            .collect();
+        let changes = self.changes_after(kind, after);
+        let events: Vec<_> =
+            changes.iter().map(|e| json!({ "object": e.object(), "deleted": e.spec.is_none() })).collect();
         respond(200, json!({ "events": events, "currentRev": revision }))
     }
 }
