Save in the store which version began each stream while several versions serve

Cause: a host tells other hosts which version began a stream, and all of them are killed together.

Change: while several versions serve, one host saves the keys of streams and their versions in the store, of the whole fleet in a small one, of its data centre in a large one. A host reads them when a caller takes up a stream that neither it nor the hosts it asks know.

The new test in tests/relay_streams.rs fails without the reading task.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,13 +6,17 @@
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use serde::de::{DeserializeOwned, IgnoredAny};
+use serde::{
+    Serialize,
+    de::{DeserializeOwned, IgnoredAny},
+};
 
 use crate::{
     relay::{
         backends::BackendEvent,
         evacuations,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
+        origins::saved::SavedStreams,
         pool::{self, Conn},
         revision::{Epoch, Revision},
     },
@@ -53,6 +57,9 @@
 /// Kind of this system's own objects: some hosts of each data centre, under the name of the data centre.
 const HOSTS: &str = "hosts";
 
+/// Kind of this system's own objects: streams of a data centre and the versions that began them.
+const STREAMS_KIND: &str = "streams";
+
 /// A response of the store.
 struct StoreResponse {
     status: u16,
@@ -193,6 +200,20 @@
         Ok((Revision::new(epoch, all.current_rev), all.items))
     }
 
+    /// Writes one of this system's own objects, or creates it. Another host may create it meanwhile, with much the same content.
+    async fn put(&mut self, kind: &str, name: &str, spec: &impl Serialize) -> Result<(), StoreError> {
+        let object = serde_json::json!({ "metadata": { "name": name }, "spec": spec });
+        let body = Bytes::from(object.to_string());
+        let name: String = form_urlencoded::byte_serialize(name.as_bytes()).collect();
+        let (all, one) = (format!("/objects/{kind}"), format!("/objects/{kind}/{name}"));
+        let mut status =
+            self.send(Method::PUT, &one, body.clone(), ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?.status;
+        if status == 404 {
+            status = self.send(Method::POST, &all, body, ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?.status;
+        }
+        matches!(status, 200..=299 | 409).then_some(()).ok_or(status_error(status))
+    }
+
     async fn watch<T: DeserializeOwned>(
         &mut self,
         kind: &str,
@@ -222,17 +243,7 @@
 
 impl Store for StoreClient {
     async fn register_hosts(&mut self, data_centre: &str, hosts: &Hosts) -> Result<(), StoreError> {
-        let object = serde_json::json!({ "metadata": { "name": data_centre }, "spec": hosts });
-        let body = Bytes::from(object.to_string());
-        let name: String = form_urlencoded::byte_serialize(data_centre.as_bytes()).collect();
-        let (kind, named) = (format!("/objects/{HOSTS}"), format!("/objects/{HOSTS}/{name}"));
-        let mut status =
-            self.send(Method::PUT, &named, body.clone(), ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?.status;
-        if status == 404 {
-            status = self.send(Method::POST, &kind, body, ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?.status;
-        }
-        // Another host of the data centre may have created the entry meanwhile, with much the same content.
-        matches!(status, 200..=299 | 409).then_some(()).ok_or(status_error(status))
+        self.put(HOSTS, data_centre, hosts).await
     }
 
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
@@ -243,6 +254,23 @@
         Ok(Hosts::combine(page.items.into_iter().filter_map(|o| o.spec)))
     }
 
+    async fn save_streams(&mut self, name: &str, streams: &SavedStreams) -> Result<(), StoreError> {
+        self.put(STREAMS_KIND, name, streams).await
+    }
+
+    async fn saved_streams(&mut self, stale_ok: bool) -> Result<Vec<SavedStreams>, StoreError> {
+        let call = Call {
+            after: None,
+            epoch: Epoch::default(),
+            timeout: ANSWER_TIMEOUT,
+            allow_large: true,
+            stale_ok,
+            no_wait: false,
+        };
+        let (_, items) = self.list(STREAMS_KIND, call, MAX_PAGE_BYTES).await?;
+        Ok(items.into_iter().filter_map(|o| o.spec).collect())
+    }
+
     async fn configuration(&mut self, call: Call) -> Result<(Revision, Option<Configuration>), StoreError> {
         let (revision, objects) = match call.after {
             None => {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -118,7 +118,7 @@
 use hot_servers::HotServers;
 use leave::Leaving;
 use measurements::Measurements;
-use origins::{Origins, questions::Questions};
+use origins::{Origins, questions::Questions, saved::Part};
 use pace::Paces;
 
 use peers::{LocalVersions, Peers};
@@ -217,6 +217,12 @@
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
     pub(crate) outbox: Outbox,
+    /// The host that saves this one's streams in the store.
+    pub(crate) saver: SocketAddr,
+    /// The part of them that is saved next, if this host does.
+    pub(crate) saved_part: Part,
+    /// When this host last read what all hosts have saved.
+    pub(crate) saved_read_at: Option<Instant>,
     /// Hosts that are to be told of all causes of crashes.
     newcomers: Vec<SocketAddr>,
     /// What may be spent on telling of requests that were at crashes, in bytes.
@@ -263,6 +269,8 @@
     pub(crate) reports_due: Notify,
     /// Wakes requests that wait for what other hosts say about their streams.
     pub(crate) origin_heard: Notify,
+    /// Wakes the reader of the streams that are saved in the store.
+    pub(crate) saved_wanted: Notify,
     /// Wakes requests that wait for their answers when a cause of crashes is refused.
     pub(crate) quarantine_changed: Notify,
     /// Wakes the fetcher when another host has been ahead for long enough.
@@ -322,6 +330,9 @@
             origins: Origins::new(now()),
             questions: Questions::default(),
             outbox: Outbox::default(),
+            saver: cfg.peer_addr,
+            saved_part: Part::default(),
+            saved_read_at: None,
             newcomers: Vec::new(),
             report_bytes: TokenBucket::new(
                 crash_reports::REPORT_BYTES_PER_SECOND,
@@ -358,6 +369,7 @@
             messages_due: Notify::new(),
             reports_due: Notify::new(),
             origin_heard: Notify::new(),
+            saved_wanted: Notify::new(),
             quarantine_changed: Notify::new(),
             suspend_ended: Notify::new(),
             store_restored: Notify::new(),
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -40,10 +40,20 @@
             Some(stream) => self.ask_about(stream, &services).await,
             None => Certainty::Unsure,
         };
-        let (state, now) = (self.state(), now());
-        let list_is_current = state.list_is_current(now, self.cfg.in_force);
-        let found = state.origins.continuation(now, stream, &services, list_is_current, certainty);
-        drop(state);
+        let locate = || {
+            let (state, now) = (self.state(), now());
+            let list_is_current = state.list_is_current(now, self.cfg.in_force);
+            state.origins.continuation(now, stream, &services, list_is_current, certainty)
+        };
+        let mut found = locate();
+        let is_mixed = || services.iter().any(|service| self.state().origins.is_mixed(service));
+        if found == Err(Discontinued::Unknown)
+            && stream.is_some_and(|stream| is_unknown(&stream))
+            && is_mixed()
+        {
+            self.await_saved().await;
+            found = locate();
+        }
         found.map_err(|reason| {
             self.record_discontinued(req, reason);
             reason.error_kind()
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -2,7 +2,8 @@
 //!
 //! A host that is killed takes its knowledge with it, and a caller takes its stream up at any other one. So each first event
 //! is told to a few hosts, which any host can compute from the stream's key. Nothing is told while only one version of a
-//! service may have begun streams that are still open; once there is another one, each host tells of those that it has.
+//! service may have begun streams that are still open; once there is another one, each host tells of those that it has. One host,
+//! in a large fleet one of each data centre, is told of all streams and saves them in the store, in case all hosts are killed.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -52,17 +53,20 @@
     NotKnown,
     /// A stream was not told, since too many were waiting.
     Dropped,
+    /// A stream is not saved in the store, since too many began.
+    Unsaved,
 }
 
 impl OriginTraffic {
     /// Every kind.
-    pub const ALL: [OriginTraffic; 6] = [
+    pub const ALL: [OriginTraffic; 7] = [
         OriginTraffic::Told,
         OriginTraffic::Heard,
         OriginTraffic::Asked,
         OriginTraffic::Answered,
         OriginTraffic::NotKnown,
         OriginTraffic::Dropped,
+        OriginTraffic::Unsaved,
     ];
 
     /// Label in counters.
@@ -74,6 +78,7 @@
             OriginTraffic::Answered => "answered",
             OriginTraffic::NotKnown => "not_known",
             OriginTraffic::Dropped => "dropped",
+            OriginTraffic::Unsaved => "unsaved",
         }
     }
 }
@@ -97,14 +102,17 @@
 }
 
 impl<W: Wire> Relay<W> {
-    /// Queues streams to be told to the hosts that remember them.
+    /// Queues streams to be told to the hosts that remember them, and to be saved in the store.
     pub(super) fn tell_streams(
         &self,
         state: &mut State,
         streams: impl IntoIterator<Item = (StreamKey, VersionTag)>,
     ) {
+        for (stream, version) in streams {
+            self.add_unsaved(state, stream, version);
+            state.outbox.streams.push((stream, version));
+        }
         let outbox = &mut state.outbox;
-        outbox.streams.extend(streams);
         let excess = outbox.streams.len().saturating_sub(MAX_QUEUED);
         if excess > 0 {
             outbox.streams.drain(..excess);
@@ -172,6 +180,7 @@
         let state = &mut *state;
         for told in &message.told {
             state.origins.hear(StreamKey(told.stream), told.version);
+            self.add_unsaved(state, StreamKey(told.stream), told.version);
         }
         for unknown in &message.unknown {
             state.questions.hear(from, StreamKey(unknown.stream), Certainty::from_wire(unknown.version));
@@ -207,18 +216,25 @@
     pub(crate) fn take_origin_messages(&self) -> Vec<(SocketAddr, StreamOrigins)> {
         let now = now();
         let mut state = self.state();
-        let State { outbox, peers, .. } = &mut *state;
+        let State { outbox, peers, saver, .. } = &mut *state;
+        let saver = Some(*saver).filter(|saver| *saver != self.cfg.peer_addr);
         for (stream, version) in std::mem::take(&mut outbox.streams) {
             let replicas =
                 peers.replicas(now, stream.0, MAX_COPIES).into_iter().filter(|replica| replica.alive);
+            let mut untold = saver;
+            let mut tell = |to: SocketAddr| {
+                let message = outbox.messages.entry(to).or_default();
+                message.told.push(StreamOrigin { stream: stream.0, version });
+                self.metrics.add(Counter::RelayOrigins, OriginTraffic::Told.as_str(), 1);
+            };
             for (copies, replica) in replicas.enumerate() {
                 if copies >= MIN_COPIES && !outbox.extra.take_many(now, COPY_BYTES) {
                     break;
                 }
-                let message = outbox.messages.entry(replica.addr).or_default();
-                message.told.push(StreamOrigin { stream: stream.0, version });
-                self.metrics.add(Counter::RelayOrigins, OriginTraffic::Told.as_str(), 1);
+                untold = untold.filter(|saver| *saver != replica.addr);
+                tell(replica.addr);
             }
+            untold.into_iter().for_each(tell);
         }
         let messages = std::mem::take(&mut outbox.messages);
         messages.into_iter().flat_map(|(to, message)| split(message).map(move |part| (to, part))).collect()
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -13,12 +13,14 @@
 mod evacuations;
 mod hosts;
 mod start;
+mod streams;
 
 pub use call::{Call, StoreCall};
 pub use confirm::keep_confirmed;
 pub use evacuations::follow_evacuations;
 pub use hosts::{Hosts, sync_hosts};
 use start::{LONG_LIST_BYTES, size_to_spread, until_known, wait_for_turn};
+pub use streams::{read_saved_streams, save_streams};
 
 use super::{
     Relay, Wire,
@@ -26,6 +28,7 @@
     confirm::Topic,
     contact::StoreRetry,
     followers::FollowState,
+    origins::saved::SavedStreams,
     revision::{Epoch, Revision},
 };
 use crate::{
@@ -161,6 +164,19 @@
 
     /// The registered hosts, some of which may be long gone.
     fn hosts(&mut self) -> impl Future<Output = Result<Hosts, StoreError>> + Send;
+
+    /// Saves streams under a name, in place of those saved under it before.
+    fn save_streams(
+        &mut self,
+        name: &str,
+        streams: &SavedStreams,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// All saved streams; they may be some seconds old if `stale_ok`, which costs a tenth.
+    fn saved_streams(
+        &mut self,
+        stale_ok: bool,
+    ) -> impl Future<Output = Result<Vec<SavedStreams>, StoreError>> + Send;
 }
 
 /// Starts the tasks that follow the store, each with a client of its own.
@@ -170,6 +186,8 @@
     tokio::spawn(follow_evacuations(relay.clone(), store()));
     tokio::spawn(keep_confirmed(relay.clone(), store()));
     tokio::spawn(sync_hosts(relay.clone(), store()));
+    tokio::spawn(save_streams(relay.clone(), store()));
+    tokio::spawn(read_saved_streams(relay.clone(), store()));
 }
 
 /// Follows the configuration until the task is cancelled.
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -63,11 +63,15 @@
     Hosts,
     /// Registration of hosts.
     Register,
+    /// List of the saved streams.
+    Streams,
+    /// Streams that this host saves.
+    SaveStreams,
 }
 
 impl StoreCall {
     /// Every kind of call.
-    pub const ALL: [StoreCall; 14] = [
+    pub const ALL: [StoreCall; 16] = [
         StoreCall::ConfigurationCopy,
         StoreCall::ConfigurationList,
         StoreCall::ConfigurationWatch,
@@ -82,6 +86,8 @@
         StoreCall::EvacuationsCheck,
         StoreCall::Hosts,
         StoreCall::Register,
+        StoreCall::Streams,
+        StoreCall::SaveStreams,
     ];
 
     /// Name in logs and counters.
@@ -101,6 +107,8 @@
             StoreCall::EvacuationsCheck => "evacuations_check",
             StoreCall::Hosts => "hosts",
             StoreCall::Register => "enter",
+            StoreCall::Streams => "streams",
+            StoreCall::SaveStreams => "save_streams",
         }
     }
 
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -11,6 +11,7 @@
 use crate::util::{Instant, hash};
 
 pub mod questions;
+pub mod saved;
 pub mod served;
 pub mod table;
 
--- a/src/relay/peers/duty.rs
+++ b/src/relay/peers/duty.rs
@@ -123,6 +123,15 @@
         direct.into_iter().filter_map(|p| p.member.as_ref()).filter(of_centre).take(max).cloned().collect()
     }
 
+    /// The host that saves this one's streams in the store: the ready one with the lowest address, of all in a small fleet, of the
+    /// data centre in a large one.
+    pub fn saver(&self, me: SocketAddr) -> SocketAddr {
+        let is_small = self.is_small();
+        let counts = |m: &Member| is_small || m.data_centre == self.data_centre;
+        let ready = self.peers.iter().filter(|(_, p)| p.ready && p.member.as_ref().is_some_and(counts));
+        ready.map(|(addr, _)| *addr).fold(me, SocketAddr::min)
+    }
+
     /// Whether this host is among the first `n` of the fleet for a backend server by rendezvous hashing. Lost
     /// hosts count for as long as they are remembered: they may be partitioned and still running.
     pub fn is_top_ranked(&self, tag: Tag, n: usize) -> bool {
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -398,6 +398,7 @@
         let ended = state.evacuations.expire(now);
         self.on_evacuation_changes(&mut state, &ended, "not written again after a restore");
         self.observe_versions(&mut state, now);
+        state.saver = state.peers.saver(self.cfg.peer_addr);
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
         let timeout = state.peers.summary_timeout();
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -10,6 +10,7 @@
         contact::StoreRetry,
         evacuations::Update,
         follow::{self, BackendsUpdate, Call, Hosts, Store, StoreError},
+        origins::saved::SavedStreams,
         pool,
         revision::Revision,
     },
@@ -161,6 +162,14 @@
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         Ok(Hosts { count: 100, ..Hosts::default() })
     }
+
+    async fn save_streams(&mut self, _: &str, _: &SavedStreams) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+        Ok(Vec::new())
+    }
 }
 
 /// After an outage the store answers again, but a watch would show that only at the next change, seconds later, and a
@@ -231,6 +240,14 @@
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         Ok(Hosts { count: 100, ..Hosts::default() })
     }
+
+    async fn save_streams(&mut self, _: &str, _: &SavedStreams) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+        Ok(Vec::new())
+    }
 }
 
 /// Three hundred hosts start at once in front of ten thousand servers. If each read the whole list, the store would
@@ -290,6 +307,14 @@
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         Ok(Hosts { count: 100, ..Hosts::default() })
     }
+
+    async fn save_streams(&mut self, _: &str, _: &SavedStreams) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+        Ok(Vec::new())
+    }
 }
 
 /// All hosts start at once with a configuration of thousands of routes. Seeds read it. Another host reads it only if it
@@ -364,6 +389,14 @@
     async fn hosts(&mut self) -> Result<Hosts, StoreError> {
         Ok(Hosts::default())
     }
+
+    async fn save_streams(&mut self, _: &str, _: &SavedStreams) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+        Ok(Vec::new())
+    }
 }
 
 /// A route and its key were added a second ago, and a host starts. Its stale read may lack them: until it follows the
--- a/tests/relay_origins.rs
+++ b/tests/relay_origins.rs
@@ -1,13 +1,19 @@
 //! The decision where a stream goes on: its parts, and a search over begins, breaks, kills, lost and late messages, cuts and
 //! version changes of several hosts.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use cranberrytally::{
     relay::{
         origins::{
             Continuation, Discontinued, MixedService, Origins, StreamKey,
             questions::{Certainty, Questions},
+            saved::{PARTS, Part, SavedStreams},
             service_tag,
             table::{Known, Table},
             version_tag,
@@ -439,3 +445,63 @@
         }
     }
 }
+
+/// Lifetime of a stream in the tests of saved streams, so that a part lasts for a second.
+const PARTS_LIFETIME: Duration = Duration::from_secs(PARTS - 1);
+
+/// Guards against streams that are forgotten before they are too old to be taken up, because a part is replaced too soon, also by
+/// another host that goes on in its place.
+#[test]
+fn saved_streams_last_for_their_lifetime_across_hosts() {
+    let (mut saved, mut part) = (BTreeMap::new(), Part::default());
+    let lifetime_ms = PARTS_LIFETIME.as_millis() as u64;
+    for at in (0..3 * lifetime_ms).step_by(500) {
+        let now = ms(1_000_000_000 + at);
+        if at % 7_000 == 0 {
+            part = Part::default();
+        }
+        assert!(part.add(now, PARTS_LIFETIME, StreamKey(at), 7));
+        saved.extend(part.take_unsaved("a"));
+
+        let known: BTreeSet<_> =
+            saved.values().flat_map(SavedStreams::unpack).map(|(key, _)| key.0).collect();
+        let young = (at.saturating_sub(lifetime_ms) / 500 * 500..=at).step_by(500);
+        assert_eq!(young.filter(|key| !known.contains(key)).collect::<Vec<_>>(), Vec::<u64>::new());
+    }
+    assert_eq!(saved.len() as u64, PARTS);
+}
+
+/// Guards against streams that are not saved because the store failed just when their period ended.
+#[test]
+fn streams_that_could_not_be_saved_are_saved_later() {
+    let (mut part, start) = (Part::default(), Duration::from_secs(1_000_000));
+    part.add(start, PARTS_LIFETIME, StreamKey(1), 7);
+    part.take_unsaved("a");
+    part.note_failed();
+
+    part.add(start + Duration::from_millis(1_500), PARTS_LIFETIME, StreamKey(2), 8);
+    let (_, saved) = part.take_unsaved("a").unwrap();
+
+    assert_eq!(saved.unpack().collect::<BTreeSet<_>>(), [(StreamKey(1), 7), (StreamKey(2), 8)].into());
+    assert!(part.take_unsaved("a").is_none());
+}
+
+/// Guards against streams that another writer made up, or bytes that stop a host that reads them.
+#[test]
+fn saved_streams_that_cannot_be_read_are_left_out() {
+    let texts = [
+        r#"{}"#,
+        r#"{"begun":[]}"#,
+        r#"{"begun":[{"version":7,"streams":"xyz"}]}"#,
+        r#"{"begun":[{"version":7,"streams":"zzzzzzzzzzzzzzzz"}]}"#,
+        "{\"begun\":[{\"version\":7,\"streams\":\"äöüäöüäöüäöüäöü\"}]}",
+    ];
+    for text in texts {
+        let saved: SavedStreams = serde_json::from_str(text).unwrap();
+
+        assert_eq!(saved.unpack().count(), 0, "{text}");
+    }
+    let half = r#"{"begun":[{"version":7,"streams":"000000000000000f00000000"}]}"#;
+    let saved: SavedStreams = serde_json::from_str(half).unwrap();
+    assert_eq!(saved.unpack().collect::<Vec<_>>(), [(StreamKey(15), 7)]);
+}
--- a/tests/relay_start.rs
+++ b/tests/relay_start.rs
@@ -9,6 +9,7 @@
         backends::packed,
         evacuations::Update,
         follow::{self, BackendsUpdate, Call, Hosts, Store, StoreError},
+        origins::saved::SavedStreams,
         read_turn::{ReadTurn, must_spread},
         revision::Revision,
     },
@@ -156,6 +157,14 @@
         self.calls.send(None).unwrap();
         Ok(self.hosts.clone())
     }
+
+    async fn save_streams(&mut self, _: &str, _: &SavedStreams) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+        Ok(Vec::new())
+    }
 }
 
 /// So many hosts that the turn of one of them does not come in a test.
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -12,7 +12,10 @@
 use cranberrytally::{
     metrics::Counter,
     platform::store::StoreClient,
-    relay::follow::{self, BackendsUpdate},
+    relay::{
+        follow::{self, BackendsUpdate},
+        origins::saved::PARTS,
+    },
     schema::fleet::{Backend, Backends, Workspace},
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream};
@@ -272,6 +275,31 @@
     assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "{answer}");
 }
 
+/// Guards against streams that cannot go on, because all hosts were killed while several versions served.
+#[tokio::test]
+async fn a_stream_goes_on_at_the_version_that_began_it_after_all_hosts_were_killed() {
+    let (first, other, same) = (breaking("i-1").await, continuing("i-2").await, continuing("i-3").await);
+    let store = Store::start().await;
+    let mut hosts = fleet(1, &[(&first, "v1", "a"), (&other, "v2", "b")]).await;
+    let saving = tokio::spawn(follow::save_streams(hosts[0].relay.clone(), StoreClient::new(store.addr())));
+    let broken = call(&hosts[0], &request("/stream/x", ""), "r1").await;
+    let is_saved = || (0..PARTS).any(|part| store.contains("streams", &format!("a-{part}")));
+    wire::wait_until("the stream to be saved", is_saved).await;
+    saving.abort();
+    hosts.clear();
+
+    let hosts = fleet(1, &[(&other, "v2", "a"), (&same, "v1", "b")]).await;
+    let reading =
+        tokio::spawn(follow::read_saved_streams(hosts[0].relay.clone(), StoreClient::new(store.addr())));
+    let taken_up = call(&hosts[0], &resumption("r1"), "r2").await;
+    let unknown = call(&hosts[0], &resumption("nobody"), "r3").await;
+
+    reading.abort();
+    assert_eq!((events(&broken), is_complete(&broken)), (vec!["e1", "e2"], false), "{broken}");
+    assert_eq!((resumed_at(&other), events(&taken_up)), (0, vec!["e3", "e4"]), "{taken_up}");
+    assert!(unknown.contains("stream_version_unknown"), "{unknown}");
+}
+
 /// Guards against a registration of hosts that does not say that several versions serve.
 #[tokio::test]
 async fn hosts_register_services_with_several_versions() {
