Let the task that saves streams sleep while there are none

The task woke 20 times a second on each host of a small fleet, also while one version serves and nothing is saved.

Change: it waits until a stream is to be saved, and pauses for a second after a call that the store did not answer.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -269,6 +269,8 @@
     pub(crate) reports_due: Notify,
     /// Wakes requests that wait for what other hosts say about their streams.
     pub(crate) origin_heard: Notify,
+    /// Wakes the task that saves streams in the store.
+    pub(crate) unsaved: Notify,
     /// Wakes the reader of the streams that are saved in the store.
     pub(crate) saved_wanted: Notify,
     /// Wakes requests that wait for their answers when a cause of crashes is refused.
@@ -369,6 +371,7 @@
             messages_due: Notify::new(),
             reports_due: Notify::new(),
             origin_heard: Notify::new(),
+            unsaved: Notify::new(),
             saved_wanted: Notify::new(),
             quarantine_changed: Notify::new(),
             suspend_ended: Notify::new(),
--- a/src/relay/follow/streams.rs
+++ b/src/relay/follow/streams.rs
@@ -20,6 +20,8 @@
 /// Streams that begin meanwhile are unknown after a kill of all hosts.
 const SMALL_FLEET_SAVE_INTERVAL: Duration = Duration::from_millis(50);
 const LARGE_FLEET_SAVE_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a call that the store did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Time between two reads of what all hosts have saved.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 /// How long a request waits for the first read: some round trips to the store.
@@ -30,6 +32,7 @@
 /// Saves streams while several versions serve, until the task is cancelled.
 pub async fn save_streams<W: Wire>(relay: Arc<Relay<W>>, mut store: impl Store) {
     loop {
+        relay.unsaved.notified().await;
         tokio::time::sleep(relay.save_interval()).await;
         let unsaved = relay.state().saved_part.take_unsaved(&relay.cfg.me.data_centre);
         let Some((name, streams)) = unsaved else { continue };
@@ -37,6 +40,8 @@
         if let Err(e) = relay.call_store(StoreCall::SaveStreams, None, saving).await {
             line(Level::Notable, "streams_not_saved", |l| l.text("why", &format!("{e:?}")));
             relay.state().saved_part.note_failed();
+            tokio::time::sleep(FAILURE_PAUSE).await;
+            relay.unsaved.notify_one();
         }
     }
 }
@@ -69,9 +74,12 @@
     /// Adds a stream to those that are to be saved, if this host saves them.
     pub(crate) fn add_unsaved(&self, state: &mut State, stream: StreamKey, version: VersionTag) {
         let (time, lifetime) = (Duration::from_millis(wall_ms()), state.origins.lifetime());
-        let saves = state.saver == self.cfg.peer_addr;
-        if saves && !state.saved_part.add(time, lifetime, stream, version) {
-            self.metrics.add(Counter::RelayOrigins, OriginTraffic::Unsaved.as_str(), 1);
+        if state.saver != self.cfg.peer_addr {
+            return;
+        }
+        match state.saved_part.add(time, lifetime, stream, version) {
+            true => self.unsaved.notify_one(),
+            false => self.metrics.add(Counter::RelayOrigins, OriginTraffic::Unsaved.as_str(), 1),
         }
     }
 
