Move the connection to the store out of the adapter

Change: opening, using and keeping the connection is follow::StoreConnection; the list of saved streams takes the options of any other call, so that it is read as of the store's epoch.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,8 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, header};
-use http_body_util::Full;
+use http::{Method, Response, header};
 use hyper::body::Incoming;
 use serde::{
     Serialize,
@@ -15,9 +14,9 @@
     relay::{
         backends::BackendEvent,
         evacuations,
-        follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
+        follow::{BackendsUpdate, Call, Hosts, Store, StoreConnection, StoreError},
         origins::saved::SavedStreams,
-        pool::{self, Conn},
+        pool,
         revision::{Epoch, Revision},
     },
     schema::fleet::{Backends, Configuration, Evacuations},
@@ -39,8 +38,6 @@
 /// Maximum time without progress in a response body. While bytes arrive, however slowly, a second call would only compete for
 /// the same bandwidth.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Timeout of connecting to the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a page of a list, in bytes.
 const MAX_PAGE_BYTES: usize = 8 << 20;
 /// Maximum number of pages of a list, of about 500 objects each.
@@ -71,20 +68,19 @@
 /// Client of the store with one connection, for one call at a time.
 #[derive(Debug)]
 pub struct StoreClient {
-    addr: SocketAddr,
-    conn: Option<Conn>,
+    connection: StoreConnection,
     epoch_header: Arc<EpochHeader>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `addr`; it connects on the first call.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, conn: None, epoch_header: Arc::default() }
+        Self { connection: StoreConnection::new(addr), epoch_header: Arc::default() }
     }
 
     /// Creates another client of the same store, with a connection of its own.
     pub fn sibling(&self) -> Self {
-        Self { addr: self.addr, conn: None, epoch_header: self.epoch_header.clone() }
+        Self { connection: self.connection.sibling(), epoch_header: self.epoch_header.clone() }
     }
 
     /// Makes one call for a response of at most `max_bytes`; returns it with its epoch, or `known_epoch` if it has none. A
@@ -117,7 +113,7 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<StoreResponse, StoreError> {
-        let started = tokio::time::timeout(timeout, self.send_head(method, target, body)).await;
+        let started = tokio::time::timeout(timeout, self.connection.send(method, target, body)).await;
         let (conn, res) = started.map_err(|_| StoreError::TimedOut)??;
         if let Some(bytes) = number(&res, header::CONTENT_LENGTH).filter(|bytes| *bytes > max_bytes as u64) {
             conn.close();
@@ -127,43 +123,10 @@
         self.epoch_header.observe(epoch.is_some());
         let body = pool::read_body(res.into_body(), MAX_PAGE_BYTES, BODY_STALL_TIMEOUT).await;
         let body = body.map_err(|e| StoreError::Unavailable(format!("response body failed: {e:#}")))?;
-        self.conn = Some(conn);
+        self.connection.keep(conn);
         Ok(StoreResponse { status, epoch, body })
     }
 
-    /// Sends a request and waits for the head of the response.
-    async fn send_head(
-        &mut self,
-        method: Method,
-        target: &str,
-        body: Bytes,
-    ) -> Result<(Conn, Response<Incoming>), StoreError> {
-        let mut conn = match self.conn.take().filter(Conn::is_usable) {
-            Some(conn) => conn,
-            None => {
-                let connected = Conn::connect_with_keepalive(self.addr, CONNECT_TIMEOUT).await;
-                connected.map_err(|_| StoreError::Unavailable("could not connect to the store".into()))?
-            }
-        };
-        let res = conn.send(self.request(method, target, body)).await;
-        let res = res.map_err(|(failure, _)| StoreError::Unavailable(failure.as_str().into()))?;
-        Ok((conn, res))
-    }
-
-    fn request(&self, method: Method, target: &str, body: Bytes) -> Request<Full<Bytes>> {
-        let written = !body.is_empty();
-        let mut req = Request::new(Full::new(body));
-        *req.method_mut() = method;
-        *req.uri_mut() = target.parse().unwrap_or_default();
-        if let Ok(host) = HeaderValue::from_str(&self.addr.to_string()) {
-            req.headers_mut().insert(header::HOST, host);
-        }
-        if written {
-            req.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        }
-        req
-    }
-
     /// Reads a list whose first page has at most `max_bytes`.
     async fn list<T: DeserializeOwned>(
         &mut self,
@@ -258,15 +221,7 @@
         self.put(STREAMS_KIND, name, streams).await
     }
 
-    async fn saved_streams(&mut self, stale_ok: bool) -> Result<Vec<SavedStreams>, StoreError> {
-        let call = Call {
-            after: None,
-            epoch: Epoch::default(),
-            timeout: ANSWER_TIMEOUT,
-            allow_large: true,
-            stale_ok,
-            no_wait: false,
-        };
+    async fn saved_streams(&mut self, call: Call) -> Result<Vec<SavedStreams>, StoreError> {
         let (_, items) = self.list(STREAMS_KIND, call, MAX_PAGE_BYTES).await?;
         Ok(items.into_iter().filter_map(|o| o.spec).collect())
     }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -10,6 +10,7 @@
 
 mod call;
 mod confirm;
+mod connection;
 mod evacuations;
 mod hosts;
 mod start;
@@ -17,6 +18,7 @@
 
 pub use call::{Call, StoreCall};
 pub use confirm::keep_confirmed;
+pub use connection::StoreConnection;
 pub use evacuations::follow_evacuations;
 pub use hosts::{Hosts, sync_hosts};
 use start::{LONG_LIST_BYTES, size_to_spread, until_known, wait_for_turn};
@@ -172,10 +174,10 @@
         streams: &SavedStreams,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// All saved streams; they may be some seconds old if `stale_ok`, which costs a tenth.
+    /// Lists all saved streams.
     fn saved_streams(
         &mut self,
-        stale_ok: bool,
+        call: Call,
     ) -> impl Future<Output = Result<Vec<SavedStreams>, StoreError>> + Send;
 }
 
--- a/src/relay/follow/streams.rs
+++ b/src/relay/follow/streams.rs
@@ -4,12 +4,13 @@
 
 use futures_util::FutureExt;
 
-use super::{Store, StoreCall};
+use super::{Call, Store, StoreCall};
 use crate::{
     logs::lines::{Level, line},
     metrics::Counter,
     relay::{
         Relay, State, Wire,
+        contact::StoreRetry,
         exchange::OriginTraffic,
         origins::{StreamKey, VersionTag, saved::SavedStreams},
     },
@@ -51,7 +52,8 @@
     loop {
         relay.saved_wanted.notified().await;
         let stale_ok = relay.known_hosts(&relay.state()) >= MIN_HOSTS_FOR_COPY;
-        match relay.call_store(StoreCall::Streams, None, store.saved_streams(stale_ok)).await {
+        let call = Call { stale_ok, ..relay.new_call(&StoreRetry::new("streams")) };
+        match relay.call_store(StoreCall::Streams, None, store.saved_streams(call)).await {
             Ok(saved) => relay.learn_saved(&saved),
             Err(e) => line(Level::Notable, "streams_not_read", |l| l.text("why", &format!("{e:?}"))),
         }
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -167,7 +167,7 @@
         Ok(())
     }
 
-    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+    async fn saved_streams(&mut self, _: Call) -> Result<Vec<SavedStreams>, StoreError> {
         Ok(Vec::new())
     }
 }
@@ -245,7 +245,7 @@
         Ok(())
     }
 
-    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+    async fn saved_streams(&mut self, _: Call) -> Result<Vec<SavedStreams>, StoreError> {
         Ok(Vec::new())
     }
 }
@@ -312,7 +312,7 @@
         Ok(())
     }
 
-    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+    async fn saved_streams(&mut self, _: Call) -> Result<Vec<SavedStreams>, StoreError> {
         Ok(Vec::new())
     }
 }
@@ -394,7 +394,7 @@
         Ok(())
     }
 
-    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+    async fn saved_streams(&mut self, _: Call) -> Result<Vec<SavedStreams>, StoreError> {
         Ok(Vec::new())
     }
 }
--- a/tests/relay_start.rs
+++ b/tests/relay_start.rs
@@ -162,7 +162,7 @@
         Ok(())
     }
 
-    async fn saved_streams(&mut self, _: bool) -> Result<Vec<SavedStreams>, StoreError> {
+    async fn saved_streams(&mut self, _: Call) -> Result<Vec<SavedStreams>, StoreError> {
         Ok(Vec::new())
     }
 }
