Read the saved streams wherever no host knows a stream

Cause: a host read the saved streams only where it knew that a service has several versions. A host that has just started does not, and a route to several services needs none; in both cases it knows too little to let a stream go on.

Change: it reads whenever neither it nor the hosts it asks know a stream and the stream must not go on for that, once in five seconds at most, as before.

Result: the new test in tests/relay_streams.rs fails without it (503 stream_version_unknown).

--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -46,11 +46,7 @@
             state.origins.continuation(now, stream, &services, list_is_current, certainty)
         };
         let mut found = locate();
-        let is_mixed = || services.iter().any(|service| self.state().origins.is_mixed(service));
-        if found == Err(Discontinued::Unknown)
-            && stream.is_some_and(|stream| is_unknown(&stream))
-            && is_mixed()
-        {
+        if found == Err(Discontinued::Unknown) && stream.is_some_and(|stream| is_unknown(&stream)) {
             self.await_saved().await;
             found = locate();
         }
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -16,7 +16,7 @@
         follow::{self, BackendsUpdate},
         origins::saved::PARTS,
     },
-    schema::fleet::{Backend, Backends, Workspace},
+    schema::fleet::{Backend, Backends, Share, Workspace},
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
@@ -300,6 +300,42 @@
     assert!(unknown.contains("stream_version_unknown"), "{unknown}");
 }
 
+/// Guards against saved streams that are not read, because each service of their route has one version only.
+#[tokio::test]
+async fn a_stream_of_a_route_to_two_services_goes_on_at_its_own_after_all_hosts_were_killed() {
+    let (first, other, same) = (breaking("i-1").await, continuing("i-2").await, continuing("i-3").await);
+    let store = Store::start().await;
+    let start = async |server: &Server| {
+        let mut cfg = wire::configuration();
+        for route in &mut cfg.routes {
+            route.shares[0].weight = 1_000_000;
+            route.shares.push(Share { service: "canary".into(), weight: 1 });
+        }
+        let host = RunningHost::start("host-0", &[]).await;
+        host.relay.set_configuration(cfg, "test");
+        let canary = Backend { service: "canary".into(), ..listed(&(&other, "v1", "b")) };
+        let items = vec![listed(&(server, "v1", "a")), canary];
+        let list = Backends { revision: 1, items, ..Backends::default() };
+        host.relay.update_backends(BackendsUpdate::List(list), None, "test");
+        host
+    };
+    let host = start(&first).await;
+    let saving = tokio::spawn(follow::save_streams(host.relay.clone(), StoreClient::new(store.addr())));
+    call(&host, &request("/stream/x", ""), "r1").await;
+    let is_saved = || (0..PARTS).any(|part| store.contains("streams", &format!("a-{part}")));
+    wire::wait_until("the stream to be saved", is_saved).await;
+    saving.abort();
+    drop(host);
+
+    let host = start(&same).await;
+    let reading =
+        tokio::spawn(follow::read_saved_streams(host.relay.clone(), StoreClient::new(store.addr())));
+    let taken_up = call(&host, &resumption("r1"), "r2").await;
+
+    reading.abort();
+    assert_eq!((resumed_at(&other), events(&taken_up)), (0, vec!["e3", "e4"]), "{taken_up}");
+}
+
 /// Guards against a registration of hosts that does not say that several versions serve.
 #[tokio::test]
 async fn hosts_register_services_with_several_versions() {
