Log and count streams that go on though no host knows them

A stream whose version nobody remembers goes on where a host takes one version for certain. Nothing told such a stream from one that is known: the lines `sent` of both are alike. `stream_assumed` says what other hosts said, how old the confirmation of the list of servers is and for how long the host cannot have missed a version; `relay_stream_origins_total` counts them as `assumed`. These fields tell a stale confirmation (list_age_ms) from a gap that was not noticed (seen_ms) and from another host's word (others).

--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -4,6 +4,8 @@
 use super::{
     Relay, State, Wire,
     backends::BackendKey,
+    confirm::Topic,
+    exchange::OriginTraffic,
     origins::{Continuation, Discontinued, StreamKey, questions::Certainty},
     request::Request,
     routes::{CompiledRoute, Routes},
@@ -50,12 +52,33 @@
             self.await_saved().await;
             found = locate();
         }
+        if let (Ok(at), Some(stream)) = (&found, stream)
+            && is_unknown(&stream)
+        {
+            self.record_assumed(req, at, certainty);
+        }
         found.map_err(|reason| {
             self.record_discontinued(req, reason);
             reason.error_kind()
         })
     }
 
+    /// Counts and logs a stream that goes on though no host knows it, with what that relies on.
+    fn record_assumed(&self, req: &Request, at: &Continuation, certainty: Certainty) {
+        self.metrics.add(Counter::RelayOrigins, OriginTraffic::Assumed.as_str(), 1);
+        let (state, now) = (self.state(), now());
+        let list_age = state.confirmations.age(now, Topic::Backends);
+        let seen_for = state.origins.seen_for(now);
+        let is_alone = state.peers.is_alone(now);
+        drop(state);
+        self.log_request(Level::Notable, "stream_assumed", req, |l| {
+            let l = l.text("service", &at.service).text("server_version", &at.version);
+            let l = l.text("first_attempt", req.stream_id()).text("others", certainty.as_str());
+            let l = l.flag("alone", is_alone).ms("list_age_ms", list_age).ms("seen_ms", seen_for);
+            l.ms("after_ms", now - req.arrived)
+        });
+    }
+
     /// Records that the caller of a request gets events from a server.
     pub(crate) fn begin_stream(&self, req: &Request, key: BackendKey) {
         let mut state = self.state();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -55,11 +55,13 @@
     Dropped,
     /// A stream is not saved in the store, since too many began.
     Unsaved,
+    /// A stream goes on that no host knows, since only one version can have begun it.
+    Assumed,
 }
 
 impl OriginTraffic {
     /// Every kind.
-    pub const ALL: [OriginTraffic; 7] = [
+    pub const ALL: [OriginTraffic; 8] = [
         OriginTraffic::Told,
         OriginTraffic::Heard,
         OriginTraffic::Asked,
@@ -67,6 +69,7 @@
         OriginTraffic::NotKnown,
         OriginTraffic::Dropped,
         OriginTraffic::Unsaved,
+        OriginTraffic::Assumed,
     ];
 
     /// Label in counters.
@@ -79,6 +82,7 @@
             OriginTraffic::NotKnown => "not_known",
             OriginTraffic::Dropped => "dropped",
             OriginTraffic::Unsaved => "unsaved",
+            OriginTraffic::Assumed => "assumed",
         }
     }
 }
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -256,6 +256,11 @@
         self.seen_since = now;
     }
 
+    /// For how long no version can have come and gone without this host's having seen it.
+    pub fn seen_for(&self, now: Instant) -> Duration {
+        now.saturating_sub(self.seen_since)
+    }
+
     /// Whether this host has seen all versions that may have begun streams which are still open.
     fn has_seen_all(&self, now: Instant) -> bool {
         self.seen_since + self.lifetime <= now
--- a/src/relay/origins/questions.rs
+++ b/src/relay/origins/questions.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Certainty::Unsure => "unsure",
+            Certainty::Only(_) => "only",
+            Certainty::Several => "several",
+        }
+    }
+
     /// Combines what two hosts say. Hosts that name different versions make it uncertain.
     fn and(self, other: Self) -> Self {
         match (self, other) {
