Let an unknown stream go on only after a read of the store that began since

What callers saw: a stream that had begun at a server of a new version went on at one of another version. The host at which it was taken up did not hear the hosts that knew it, and had confirmed its own list of servers less than the propagation bound (2 s) before.

Cause: `Origins::sole` took the silence of all who would know, together with a confirmation that allows some time, for knowledge of a stream that began within that time. A host on the same side of a cut that said `Only` had no better ground. Class: a time of staleness is allowed for what must hold at the moment of the decision.

Evidence: `a_stream_does_not_go_on_at_a_host_that_has_not_heard_of_its_version` fails on the code before with an answer of 200 that goes on at event 3 at the server of v1. Two hosts that do not hear each other, one store, a watch that has not returned: no kill, no stop.

Fix: a server registers before it gets requests. So a host that takes up a stream nobody knows reads from the store which versions have servers, in a call that begins after the stream was taken up, and goes on only if there is still one; one call serves all streams that wait. Entries that were written and removed in one batch of events count as well.

The cases of `an_unknown_stream_goes_on_only_at_the_only_version_that_can_have_begun_it` that allowed a stream on the word of another host alone now ask for a refusal; the test in which nobody knows a stream has a store, and a store that does not answer. Price: one call for the streams that wait together; none for streams that a host knows, or where several versions are known.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -111,7 +111,7 @@
 use crashes::Crashes;
 use evacuations::Evacuations;
 use exchange::Outbox;
-use follow::Hosts;
+use follow::{Hosts, VersionsRead};
 use followers::FollowState;
 use health::Health;
 use holders::Holders;
@@ -223,6 +223,8 @@
     pub(crate) saved_part: Part,
     /// When this host last read what all hosts have saved.
     pub(crate) saved_read_at: Option<Instant>,
+    /// When it last read which versions have servers.
+    pub(crate) versions_read: VersionsRead,
     /// Hosts that are to be told of all causes of crashes.
     newcomers: Vec<SocketAddr>,
     /// What may be spent on telling of requests that were at crashes, in bytes.
@@ -273,6 +275,8 @@
     pub(crate) unsaved: Notify,
     /// Wakes the reader of the streams that are saved in the store.
     pub(crate) saved_wanted: Notify,
+    /// Wakes the reader of the versions that have servers.
+    pub(crate) versions_wanted: Notify,
     /// Wakes requests that wait for their answers when a cause of crashes is refused.
     pub(crate) quarantine_changed: Notify,
     /// Wakes the fetcher when another host has been ahead for long enough.
@@ -335,6 +339,7 @@
             saver: cfg.peer_addr,
             saved_part: Part::default(),
             saved_read_at: None,
+            versions_read: VersionsRead::default(),
             newcomers: Vec::new(),
             report_bytes: TokenBucket::new(
                 crash_reports::REPORT_BYTES_PER_SECOND,
@@ -373,6 +378,7 @@
             origin_heard: Notify::new(),
             unsaved: Notify::new(),
             saved_wanted: Notify::new(),
+            versions_wanted: Notify::new(),
             quarantine_changed: Notify::new(),
             suspend_ended: Notify::new(),
             store_restored: Notify::new(),
--- a/src/relay/backends/versions.rs
+++ b/src/relay/backends/versions.rs
@@ -12,7 +12,7 @@
 const MAX_VERSION_BYTES: usize = 64;
 
 /// A version as it is kept: shortened if it is very long.
-pub(super) fn bounded(version: &str) -> Arc<str> {
+pub(in crate::relay) fn bounded(version: &str) -> Arc<str> {
     if version.len() <= MAX_VERSION_BYTES {
         return version.into();
     }
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -1,9 +1,11 @@
 //! Keeps account of the streams that this host passes on, and decides where one goes on that broke off or that a caller
 //! takes up.
 
+use std::{net::SocketAddr, sync::Arc};
+
 use super::{
     Relay, State, Wire,
-    backends::BackendKey,
+    backends::{BackendKey, versions},
     confirm::Topic,
     exchange::OriginTraffic,
     origins::{Continuation, Discontinued, StreamKey, questions::Certainty},
@@ -14,6 +16,7 @@
     error::ErrorKind,
     logs::lines::{Level, line},
     metrics::{Counter, Gauge},
+    schema::fleet::Backend,
     util::{Instant, Map, now},
 };
 
@@ -23,9 +26,10 @@
     fn error_kind(self) -> ErrorKind {
         match self {
             Discontinued::Gone | Discontinued::NotEligible => ErrorKind::StreamVersionGone,
-            Discontinued::Unknown | Discontinued::Conflicting | Discontinued::OtherService => {
-                ErrorKind::StreamVersionUnknown
-            }
+            Discontinued::Unknown
+            | Discontinued::Unconfirmed
+            | Discontinued::Conflicting
+            | Discontinued::OtherService => ErrorKind::StreamVersionUnknown,
         }
     }
 }
@@ -36,6 +40,7 @@
     /// # Errors
     /// The kind of error if it must not go on.
     pub(crate) async fn find_continuation(&self, req: &Request) -> Result<Continuation, ErrorKind> {
+        let taken_up = now();
         let (stream, services) = (stream_key(req), req.route.services());
         let is_unknown = |stream: &StreamKey| self.state().origins.known(*stream).is_none();
         let certainty = match stream.filter(is_unknown) {
@@ -44,10 +49,14 @@
         };
         let locate = || {
             let (state, now) = (self.state(), now());
-            let list_is_current = state.list_is_current(now, self.cfg.in_force);
-            state.origins.continuation(now, stream, &services, list_is_current, certainty)
+            let is_read = state.versions_read.began_since(taken_up);
+            state.origins.continuation(now, stream, &services, is_read, certainty)
         };
         let mut found = locate();
+        if found == Err(Discontinued::Unconfirmed) {
+            self.await_versions(taken_up).await;
+            found = locate();
+        }
         if found == Err(Discontinued::Unknown) && stream.is_some_and(|stream| is_unknown(&stream)) {
             self.await_saved().await;
             found = locate();
@@ -135,15 +144,22 @@
         }
     }
 
-    /// Notes which versions the servers have that are known now, and logs changes.
-    pub(super) fn observe_versions(&self, state: &mut State, now: Instant) {
+    /// Notes which versions the servers have that are known now, and those whose entries are given; logs changes.
+    pub(super) fn observe_versions<'a>(
+        &self,
+        state: &mut State,
+        now: Instant,
+        entries: impl Iterator<Item = &'a Backend>,
+    ) {
         let list_is_current = state.list_is_current(now, self.cfg.in_force);
         if state.list_was_current && !list_is_current && state.peers.is_alone(now) {
             state.origins.record_gap(now);
         }
         state.list_was_current |= list_is_current;
+        let entries: Vec<_> = entries.filter_map(version_of).collect();
         let servers = state.backends.iter().map(|(_, b)| (&b.service, &b.version));
-        let changed = state.origins.observe(now, servers);
+        let told = entries.iter().map(|(service, version)| (service, version));
+        let changed = state.origins.observe(now, servers.chain(told));
         for service in &changed {
             let names: Vec<_> = state.origins.served().versions(service).map(|v| &**v).collect();
             line(Level::Notable, "versions", |l| {
@@ -176,6 +192,12 @@
     }
 }
 
+/// Service and version that an entry tells, if it names a server.
+fn version_of(entry: &Backend) -> Option<(Arc<str>, Arc<str>)> {
+    let is_usable = entry.addr.parse::<SocketAddr>().is_ok();
+    is_usable.then(|| (entry.service.as_str().into(), versions::bounded(&entry.version)))
+}
+
 /// What a route matches, which identifies it in two configurations.
 fn match_of(route: &CompiledRoute) -> (&str, &str) {
     (&route.route.host, &route.route.prefix)
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -15,6 +15,7 @@
 mod hosts;
 mod start;
 mod streams;
+mod versions;
 
 pub use call::{Call, StoreCall};
 pub use confirm::keep_confirmed;
@@ -23,6 +24,8 @@
 pub use hosts::{Hosts, sync_hosts};
 use start::{LONG_LIST_BYTES, size_to_spread, until_known, wait_for_turn};
 pub use streams::{read_saved_streams, save_streams};
+pub(crate) use versions::VersionsRead;
+pub use versions::read_versions;
 
 use super::{
     Relay, Wire,
@@ -190,6 +193,7 @@
     tokio::spawn(sync_hosts(relay.clone(), store()));
     tokio::spawn(save_streams(relay.clone(), store()));
     tokio::spawn(read_saved_streams(relay.clone(), store()));
+    tokio::spawn(read_versions(relay.clone(), store()));
 }
 
 /// Follows the configuration until the task is cancelled.
@@ -415,17 +419,19 @@
                 l.number("known", known.number).number("known_epoch", known.epoch)
             });
         }
-        let changes = match update {
-            BackendsUpdate::List(list) => state.backends.apply_list(now, &list, grace),
+        let changes = match &update {
+            BackendsUpdate::List(list) => state.backends.apply_list(now, list, grace),
             BackendsUpdate::Events { revision, events } => {
-                state.backends.apply_events(now, revision, &events, grace)
+                state.backends.apply_events(now, *revision, events, grace)
             }
             BackendsUpdate::Changes { revision, puts, removed } => {
-                state.backends.apply_changes(now, revision, &puts, &removed, grace)
+                state.backends.apply_changes(now, *revision, puts, removed, grace)
             }
         };
         self.on_backend_changes(&mut state, &changes, from);
-        self.observe_versions(&mut state, now);
+        // A server may have been written and removed in the same events.
+        let written = update.has_events().then(|| update.entries()).into_iter().flatten();
+        self.observe_versions(&mut state, now, written);
     }
 }
 
--- a/src/relay/follow/call.rs
+++ b/src/relay/follow/call.rs
@@ -67,11 +67,13 @@
     Streams,
     /// Streams that this host saves.
     SaveStreams,
+    /// Check for versions of the backend servers that this host does not know.
+    Versions,
 }
 
 impl StoreCall {
     /// Every kind of call.
-    pub const ALL: [StoreCall; 16] = [
+    pub const ALL: [StoreCall; 17] = [
         StoreCall::ConfigurationCopy,
         StoreCall::ConfigurationList,
         StoreCall::ConfigurationWatch,
@@ -88,6 +90,7 @@
         StoreCall::Register,
         StoreCall::Streams,
         StoreCall::SaveStreams,
+        StoreCall::Versions,
     ];
 
     /// Name in logs and counters.
@@ -109,6 +112,7 @@
             StoreCall::Register => "enter",
             StoreCall::Streams => "streams",
             StoreCall::SaveStreams => "save_streams",
+            StoreCall::Versions => "versions",
         }
     }
 
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -75,6 +75,9 @@
 pub enum Discontinued {
     /// Nobody knows which version began it, and more than one may have.
     Unknown,
+    /// Nobody knows which version began it. As far as is known only one can have, but this host has not read since the stream was
+    /// taken up which versions have servers.
+    Unconfirmed,
     /// Two streams with different versions have its identifier.
     Conflicting,
     /// Its route no longer leads to the service that began it.
@@ -87,8 +90,9 @@
 
 impl Discontinued {
     /// Every reason.
-    pub const ALL: [Discontinued; 5] = [
+    pub const ALL: [Discontinued; 6] = [
         Discontinued::Unknown,
+        Discontinued::Unconfirmed,
         Discontinued::Conflicting,
         Discontinued::OtherService,
         Discontinued::Gone,
@@ -99,6 +103,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Discontinued::Unknown => "unknown",
+            Discontinued::Unconfirmed => "unconfirmed",
             Discontinued::Conflicting => "conflicting",
             Discontinued::OtherService => "other_service",
             Discontinued::Gone => "gone",
@@ -230,8 +235,8 @@
         only.map_or(Certainty::Unsure, |version| Certainty::Only(version_tag(service, version)))
     }
 
-    /// Decides at which service and version a stream may go on whose route leads to `services`. `certainty` is what other hosts
-    /// say that do not know it.
+    /// Decides at which service and version a stream may go on whose route leads to `services`. `is_read` says whether this host has
+    /// read, since the stream was taken up, which versions have servers; `certainty` is what other hosts say that do not know it.
     ///
     /// # Errors
     /// Why it must not go on.
@@ -240,13 +245,16 @@
         now: Instant,
         stream: Option<StreamKey>,
         services: &[&str],
-        list_is_current: bool,
+        is_read: bool,
         certainty: Certainty,
     ) -> Result<Continuation, Discontinued> {
         match stream.and_then(|stream| self.known(stream)) {
             Some(Known::Version(tag)) => self.locate(tag, services),
             Some(Known::Conflicting) => Err(Discontinued::Conflicting),
-            None => self.sole(now, services, list_is_current, certainty).ok_or(Discontinued::Unknown),
+            None => {
+                let sole = self.sole(now, services, certainty).ok_or(Discontinued::Unknown)?;
+                if is_read { Ok(sole) } else { Err(Discontinued::Unconfirmed) }
+            }
         }
     }
 
@@ -282,22 +290,14 @@
         }
     }
 
-    /// The only version that can have begun a stream whose route leads to `services`, if there is just one. A host that
-    /// may have missed a version relies on one that is certain.
-    fn sole(
-        &self,
-        now: Instant,
-        services: &[&str],
-        list_is_current: bool,
-        certainty: Certainty,
-    ) -> Option<Continuation> {
+    /// The only version that can have begun a stream whose route leads to `services` as far as is known, if there is just one.
+    /// A host that may have missed a version relies on one that is certain.
+    fn sole(&self, now: Instant, services: &[&str], certainty: Certainty) -> Option<Continuation> {
         let [service] = services else { return None };
         let version = self.served.only_version(service).filter(|_| !self.served.is_doubtful(service))?;
         let is_certain = match certainty {
             // A host that has just started knows from the store whether several versions served before.
-            Certainty::Unsure => {
-                list_is_current && (self.has_seen_all(now) || self.seen_since == self.started)
-            }
+            Certainty::Unsure => self.has_seen_all(now) || self.seen_since == self.started,
             Certainty::Only(tag) => tag == version_tag(service, version),
             Certainty::Several => false,
         };
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -1,7 +1,7 @@
 //! Applies changes to this host's view of the configuration, the backend servers, the evacuations and the other hosts,
 //! and logs each change.
 
-use std::{sync::Arc, time::Duration};
+use std::{iter, sync::Arc, time::Duration};
 
 use super::{
     Relay, ResponseHead, State, Wire,
@@ -397,7 +397,7 @@
         }
         let ended = state.evacuations.expire(now);
         self.on_evacuation_changes(&mut state, &ended, "not written again after a restore");
-        self.observe_versions(&mut state, now);
+        self.observe_versions(&mut state, now, iter::empty());
         state.saver = state.peers.saver(self.cfg.peer_addr);
         state.brittle.expire(now).iter().for_each(log_brittle);
         state.warmup.expire(now);
--- a/tests/relay_origins.rs
+++ b/tests/relay_origins.rs
@@ -66,18 +66,20 @@
     let (one, two) = (origins(&["v1"]), origins(&["v1", "v2"]));
     let v1 = Certainty::Only(version_tag(SERVICE, "v1"));
     let v2 = Certainty::Only(version_tag(SERVICE, "v2"));
+    let (unknown, unconfirmed) = (Err(Discontinued::Unknown), Err(Discontinued::Unconfirmed));
     let cases = [
-        ("one version", &one, true, Certainty::Unsure, Some("v1")),
-        ("one version, an old list", &one, false, Certainty::Unsure, None),
-        ("one version, an old list, and another host is certain", &one, false, v1, Some("v1")),
-        ("another host is certain of another version", &one, true, v2, None),
-        ("another host has seen several", &one, true, Certainty::Several, None),
-        ("two versions", &two, true, v1, None),
+        ("one version", &one, true, Certainty::Unsure, Ok(at("v1"))),
+        ("one version, and another host is certain", &one, true, v1, Ok(at("v1"))),
+        ("one version, not read since", &one, false, Certainty::Unsure, unconfirmed.clone()),
+        ("one version, not read since, and another host is certain", &one, false, v1, unconfirmed),
+        ("another host is certain of another version", &one, true, v2, unknown.clone()),
+        ("another host has seen several", &one, true, Certainty::Several, unknown.clone()),
+        ("two versions", &two, true, v1, unknown),
     ];
-    for (name, origins, list_is_current, certainty, expected) in cases {
-        let found = origins.continuation(ms(0), Some(stream(1)), &[SERVICE], list_is_current, certainty);
+    for (name, origins, is_read, certainty, expected) in cases {
+        let found = origins.continuation(ms(0), Some(stream(1)), &[SERVICE], is_read, certainty);
 
-        assert_eq!(found, expected.map(at).ok_or(Discontinued::Unknown), "{name}");
+        assert_eq!(found, expected, "{name}");
     }
 }
 
@@ -373,9 +375,13 @@
                 ),
             }
         }
-        let is_current = self.now <= self.hosts[host].read_at + MAX_LIST_AGE;
+        let is_read = self.hosts[host].reaches_store;
+        if is_read {
+            let registered: Vec<_> = self.versions.iter().map(|(version, _)| *version).collect();
+            observe(&mut self.hosts[host].origins, self.now, &registered);
+        }
         let origins = &self.hosts[host].origins;
-        let found = origins.continuation(self.now, Some(key), &[SERVICE], is_current, certainty.close(key));
+        let found = origins.continuation(self.now, Some(key), &[SERVICE], is_read, certainty.close(key));
         match found {
             Ok(found) => {
                 assert_eq!(&*found.version, version, "a stream goes on at another version");
@@ -388,6 +394,7 @@
             Err(Discontinued::Unknown) => {
                 assert_eq!(origins.known(key), None, "a stream that is known does not go on");
             }
+            Err(Discontinued::Unconfirmed) => assert!(!is_read, "a host that has read is not certain"),
             Err(reason) => assert_eq!(reason, Discontinued::Gone, "a version that no list has had lately"),
         }
     }
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -173,11 +173,20 @@
 #[tokio::test]
 async fn a_stream_that_nobody_knows_goes_on_while_one_version_serves() {
     let server = continuing("i-1").await;
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(server.addr, "ready", "v1"));
     let hosts = fleet(2, &[(&server, "v1", "a")]).await;
+    let reading = tokio::spawn(follow::read_versions(hosts[1].relay.clone(), StoreClient::new(store.addr())));
 
     let answer = call(&hosts[1], &resumption("nobody"), "r2").await;
+    store.set_busy(true);
+    let refused = call(&hosts[1], &resumption("nobody either"), "r3").await;
 
+    reading.abort();
     assert_eq!(events(&answer), ["e3", "e4"], "{answer}");
+    assert!(refused.contains("stream_version_unknown"), "the store does not answer: {refused}");
+    let stopped = hosts[1].relay.metrics().totals(Counter::RelayStreamsStopped);
+    assert_eq!(stopped.get("unconfirmed"), Some(&1), "{stopped:?}");
 }
 
 /// Guards against a stream that goes on at another version because no server of its own is left, and against an answer that
@@ -359,6 +368,32 @@
     following.abort();
 }
 
+/// Guards against a stream of a new version that goes on at another one: the host at which it is taken up hears no host that knows
+/// the stream, and its own watch of the store has not returned yet.
+#[tokio::test]
+async fn a_stream_does_not_go_on_at_a_host_that_has_not_heard_of_its_version() {
+    let (old, new) = (continuing("i-1").await, breaking("i-2").await);
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(old.addr, "ready", "v1"));
+    store.set_watches_unanswered(true);
+    // The two hosts do not hear each other.
+    let knowing = fleet(1, &[(&new, "v2", "a")]).await;
+    let other = RunningHost::start("host-1", &[]).await;
+    other.relay.set_configuration(wire::configuration(), "test");
+    follow::start_tasks(&other.relay, || StoreClient::new(store.addr()));
+    wire::wait_until("the server", || other.relay.server_count("app") == 1).await;
+    let certain = call(&other, &resumption("nobody"), "r0").await;
+    store.put("servers", "i-2", server_of_version(new.addr, "ready", "v2"));
+    let broken = call(&knowing[0], &request("/stream/x", ""), "r1").await;
+
+    let taken_up = call(&other, &resumption("r1"), "r2").await;
+
+    assert_eq!(events(&certain), ["e3", "e4"], "{certain}");
+    assert_eq!((events(&broken), is_complete(&broken)), (vec!["e1", "e2"], false), "{broken}");
+    assert_eq!((status(&taken_up), resumed_at(&old)), (503, 1), "{taken_up}");
+    assert!(header(&taken_up, "retry-after").is_some(), "{taken_up}");
+}
+
 /// Number of streams that a host was told of.
 fn heard(host: &RunningHost) -> u64 {
     host.relay.metrics().totals(Counter::RelayOrigins).get("heard").copied().unwrap_or(0)
