Keep registered versions that a host has not seen when it registers hosts

What callers would see: after a kill of all hosts a stream goes on at another version. A host that had started or been out of step shortly before had registered the hosts of its data centre anew, and with them that a single version serves.

Cause: a registration replaces the one before, and a host writes only the versions that it has seen itself.

Fix: a host that has not seen all versions of the last lifetime of a stream reads the registration before it writes its own. Price: one read for each such write, none once the host has run for that long.

--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -10,6 +10,7 @@
     logs::lines::{Level, line},
     relay::{Relay, Wire, origins::MixedService},
     schema::fleet::Member,
+    util::now,
 };
 
 /// Interval at which a host checks whether it hears any other host, and whether the registration is up to date.
@@ -84,7 +85,18 @@
                 Err(e) => log_hosts_failure(&e),
             }
         }
-        let Some(hosts) = relay.hosts_to_register(&registered) else { continue };
+        let Some(mut hosts) = relay.hosts_to_register(&registered) else { continue };
+        // What a host has not seen must not disappear from the registration.
+        if !relay.has_seen_all_versions() {
+            match relay.call_store(StoreCall::Hosts, None, store.hosts()).await {
+                Ok(known) => relay.learn_registered(&known),
+                Err(e) => {
+                    log_hosts_failure(&e);
+                    continue;
+                }
+            }
+            hosts = relay.hosts_to_register(&registered).unwrap_or(hosts);
+        }
         match relay.call_store(StoreCall::Register, None, store.register_hosts(&centre, &hosts)).await {
             Ok(()) => registered = hosts,
             Err(e) => log_hosts_failure(&e),
@@ -92,6 +104,13 @@
     }
 }
 
+impl<W: Wire> Relay<W> {
+    /// Whether this host has seen all versions of servers that may have begun streams which are still open.
+    fn has_seen_all_versions(&self) -> bool {
+        self.state().origins.has_seen_all(now())
+    }
+}
+
 pub(super) fn log_hosts_failure(e: &StoreError) {
     line(Level::Notable, "hosts_failed", |l| l.text("why", &format!("{e:?}")));
 }
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -572,8 +572,7 @@
     /// Takes in what the registration of hosts in the store says.
     pub(crate) fn learn_registered(&self, hosts: &Hosts) {
         self.add_hosts(&hosts.sample);
-        let started = self.started;
-        self.state().origins.doubt(started, hosts.mixed.iter().map(|mixed| &*mixed.service));
+        self.state().origins.learn_registered(hosts.mixed.iter().map(|mixed| &*mixed.service));
     }
 
     /// Adds hosts that are registered in the store as candidate peers.
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -13,6 +13,7 @@
     metrics::Counter,
     platform::store::StoreClient,
     relay::{
+        RelayConfig,
         follow::{self, BackendsUpdate},
         origins::saved::PARTS,
     },
@@ -394,6 +395,37 @@
     assert!(header(&taken_up, "retry-after").is_some(), "{taken_up}");
 }
 
+/// Guards against a registration that is overwritten by a host which has just started and has not seen the versions that it names.
+#[tokio::test]
+async fn a_registration_keeps_the_versions_that_a_new_host_has_not_seen() {
+    let server = continuing("i-1").await;
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(server.addr, "ready", "v2"));
+    let registered = serde_json::json!({ "members": [], "count": 1, "mixed": [{ "service": "app" }] });
+    store.put("hosts", "a", registered);
+    // Seeds do not read the registration when they start.
+    let as_seed = |cfg: RelayConfig| RelayConfig { seeds: vec![cfg.peer_addr], ..cfg };
+    let host = RunningHost::start_with("host-1", &[], as_seed).await;
+    let other = RunningHost::start("host-2", &[host.peers_at]).await;
+    wire::wait_until("the hosts to hear each other", || !host.relay.is_alone() && !other.relay.is_alone())
+        .await;
+    host.relay.set_configuration(wire::configuration(), "test");
+    let client = || StoreClient::new(store.addr());
+    let following = tokio::spawn(follow::follow_backends(host.relay.clone(), client()));
+    let registering = tokio::spawn(follow::sync_hosts(host.relay.clone(), client()));
+    let is_registered = || {
+        // A host follows the store from the first change on that it sees once it knows the fleet.
+        store.put("servers", "i-1", server_of_version(server.addr, "ready", "v2"));
+        store.spec("hosts", "a").is_some_and(|spec| spec["members"][0].is_object())
+    };
+
+    wire::wait_until("the registration of the host", is_registered).await;
+
+    (following.abort(), registering.abort());
+    let mixed = store.spec("hosts", "a").map(|spec| spec["mixed"][0]["service"].clone());
+    assert_eq!(mixed, Some("app".into()));
+}
+
 /// Number of streams that a host was told of.
 fn heard(host: &RunningHost) -> u64 {
     host.relay.metrics().totals(Counter::RelayOrigins).get("heard").copied().unwrap_or(0)
