Take a watch's answer for as old as the watch

What users would see: a change of the configuration or of a server that is not in force in time at a host that stood still, or whose link stood still, because it takes its state for confirmed just now and does not ask the store.

Cause: the answer to a watch confirmed the state as of the moment at which it was read. It may have waited in a buffer of this host or on its way for as long as the watch lasted. Class: the arrival of a message is taken for the time of what it says.

Fix: each answer confirms the state as of the sending of its call.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -231,7 +231,7 @@
                 if let Some(cfg) = cfg {
                     relay.set_configuration(cfg, "store");
                 }
-                relay.record_answer(Topic::Configuration, call, sent_at, revision);
+                relay.record_answer(Topic::Configuration, sent_at, revision);
                 if changed || ended_early {
                     tokio::time::sleep(COALESCE_DELAY).await;
                 }
@@ -289,7 +289,7 @@
                 let ended_early = after.is_some() && now() < sent_at + COALESCE_DELAY;
                 let revision = Some(update.revision()).filter(|_| !stale_ok);
                 relay.update_backends(update, grace, "store");
-                relay.record_answer(Topic::Backends, call, sent_at, revision);
+                relay.record_answer(Topic::Backends, sent_at, revision);
                 relay.set_follow_state(FollowState::Follows);
                 if changed || ended_early {
                     tokio::time::sleep(relay.coalesce_delay()).await;
@@ -353,12 +353,11 @@
     }
 
     /// Records that the store answered a call that was sent at `sent_at`, as of `revision`, which is `None` for a stale
-    /// read. The answer to a watch is current as of its end.
-    fn record_answer(&self, topic: Topic, call: Call, sent_at: Instant, revision: Option<Revision>) {
+    /// read. Also the answer to a watch may have been on its way, or have waited at this host, since soon after that.
+    fn record_answer(&self, topic: Topic, sent_at: Instant, revision: Option<Revision>) {
         let Some(revision) = revision else { return };
-        let at = if call.after.is_some() && !call.no_wait { now() } else { sent_at };
         let confirmations = &mut self.state().confirmations;
-        confirmations.confirm(topic, at);
+        confirmations.confirm(topic, sent_at);
         confirmations.record_revision(topic, Some(revision));
     }
 
--- a/src/relay/follow/confirm.rs
+++ b/src/relay/follow/confirm.rs
@@ -75,7 +75,7 @@
                 if let Some(cfg) = cfg {
                     relay.set_configuration(cfg, "store");
                 }
-                relay.record_answer(Topic::Configuration, call, sent_at, Some(revision));
+                relay.record_answer(Topic::Configuration, sent_at, Some(revision));
                 if changed {
                     relay.cancel_stalled_watch(Topic::Configuration, revision).await;
                 }
@@ -119,7 +119,7 @@
         return Ok(());
     }
     relay.update_backends(update, None, "store");
-    relay.record_answer(Topic::Backends, call, sent_at, Some(revision));
+    relay.record_answer(Topic::Backends, sent_at, Some(revision));
     Ok(())
 }
 
@@ -137,7 +137,7 @@
         Ok(update) => {
             let (revision, has_changes) = (update.revision(), has_changes(&update));
             relay.update_evacuations(&update, "store");
-            relay.record_answer(Topic::Evacuations, call, sent_at, Some(revision));
+            relay.record_answer(Topic::Evacuations, sent_at, Some(revision));
             if has_changes {
                 relay.cancel_stalled_watch(Topic::Evacuations, revision).await;
             }
--- a/src/relay/follow/evacuations.rs
+++ b/src/relay/follow/evacuations.rs
@@ -46,7 +46,7 @@
                 record_answer_and_log(&mut retry);
                 relay.update_evacuations(&update, "store");
                 let revision = Some(update.revision()).filter(|_| !stale_ok);
-                relay.record_answer(Topic::Evacuations, call, sent_at, revision);
+                relay.record_answer(Topic::Evacuations, sent_at, revision);
                 if after.is_some() && now() < sent_at + COALESCE_DELAY {
                     tokio::time::sleep(COALESCE_DELAY).await;
                 }
--- a/tests/relay_confirmed.rs
+++ b/tests/relay_confirmed.rs
@@ -5,7 +5,14 @@
     time::{Duration, Instant},
 };
 
-use cranberrytally::{platform::store::StoreClient, relay::follow::follow_backends};
+use cranberrytally::{
+    metrics::Counter,
+    platform::{PlatformWire, store::StoreClient},
+    relay::{
+        Relay,
+        follow::{follow_backends, follow_configuration},
+    },
+};
 use soak::{
     caller::{KEY, call},
     checks::{History, Kind, Outcome},
@@ -53,6 +60,32 @@
     assert!(serves_added(&hosts, 0, &history).await);
 }
 
+/// Guards against a configuration that counts as the newest because an old answer, which waited at this host or on its way, was read
+/// just now.
+#[tokio::test]
+async fn the_answer_to_a_watch_confirms_no_more_than_that_the_watch_was_sent() {
+    let store = Store::start().await;
+    store.put("config", "main", store::configuration(1, false));
+    let (relay, _) = relay_support::host("host-1", &[]).await;
+    let following = tokio::spawn(follow_configuration(relay.clone(), StoreClient::new(store.addr())));
+    wire::wait_until("a watch", || watches(&relay) > 0).await;
+    let watched = Instant::now();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    store.put("config", "main", store::configuration(2, false));
+    wire::wait_until("the configuration", || relay.routes().is_some_and(|r| r.version() == 2)).await;
+
+    let least = watched.elapsed();
+    assert!(relay.configuration_age() >= least, "{:?}, {least:?}", relay.configuration_age());
+    following.abort();
+}
+
+/// Number of watches of the configuration that a host has sent.
+fn watches(relay: &Relay<PlatformWire>) -> u64 {
+    let calls = relay.metrics().totals(Counter::RelayStoreCalls);
+    calls.get("configuration_watch").copied().unwrap_or(0)
+}
+
 /// Guards against a service without servers for good, after their entries lapsed in an outage of the store and were written again
 /// within one answer of a watch.
 #[tokio::test]
