Let a seed read the registration before an unknown stream goes on

What callers would see: all hosts are killed after the last server of a version has left; a stream of that version is taken up at a seed that is back first and goes on at another one.

Cause: a host that has just started relies on the registration of hosts in the store, but seeds do not read it when they start.

Evidence: `a_host_that_starts_alone_learns_from_the_store_that_several_versions_served` now has a seed too, and fails there on the code before (200).

Fix: a host that has not seen all versions of the last lifetime reads the registration, if it has not, before it reads which versions have servers.

--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -106,7 +106,7 @@
 
 impl<W: Wire> Relay<W> {
     /// Whether this host has seen all versions of servers that may have begun streams which are still open.
-    fn has_seen_all_versions(&self) -> bool {
+    pub(super) fn has_seen_all_versions(&self) -> bool {
         self.state().origins.has_seen_all(now())
     }
 }
--- a/src/relay/follow/versions.rs
+++ b/src/relay/follow/versions.rs
@@ -73,8 +73,16 @@
     }
 }
 
-/// Reads what has changed since the known list, or all of it where that is not known.
+/// Reads which versions have servers, and at a host that has started without it the registration of hosts, which names those that had.
 async fn read<W: Wire>(relay: &Relay<W>, store: &mut impl Store) -> Result<(), StoreError> {
+    if !relay.has_seen_all_versions() && relay.registered_hosts(store).await.is_none() {
+        return Err(StoreError::Unavailable("no registration of hosts".into()));
+    }
+    read_servers(relay, store).await
+}
+
+/// Reads what has changed since the known list, or all of it where that is not known.
+async fn read_servers<W: Wire>(relay: &Relay<W>, store: &mut impl Store) -> Result<(), StoreError> {
     let known = relay.state().backends.revision();
     let mut after = Some(known).filter(|known| known.is_known() && *known != Revision::STALE_READ);
     for _ in 0..MAX_CALLS {
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -274,15 +274,21 @@
         "a",
         serde_json::json!({ "members": [], "count": 1, "mixed": [{ "service": "app" }] }),
     );
-    let host = RunningHost::start("host-1", &[]).await;
-    host.relay.set_configuration(wire::configuration(), "test");
-    let following = tokio::spawn(follow::follow_backends(host.relay.clone(), StoreClient::new(store.addr())));
-    wire::wait_until("the server", || host.relay.server_count("app") == 1).await;
+    for is_seed in [false, true] {
+        let seeds = |cfg: &RelayConfig| if is_seed { vec![cfg.peer_addr] } else { Vec::new() };
+        let change = |cfg: RelayConfig| RelayConfig { seeds: seeds(&cfg), ..cfg };
+        let host = RunningHost::start_with("host-1", &[], change).await;
+        host.relay.set_configuration(wire::configuration(), "test");
+        let client = || StoreClient::new(store.addr());
+        let following = tokio::spawn(follow::follow_backends(host.relay.clone(), client()));
+        let reading = tokio::spawn(follow::read_versions(host.relay.clone(), client()));
+        wire::wait_until("the server", || host.relay.server_count("app") == 1).await;
 
-    let answer = call(&host, &resumption("nobody"), "r2").await;
+        let answer = call(&host, &resumption("nobody"), "r2").await;
 
-    following.abort();
-    assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "{answer}");
+        (following.abort(), reading.abort());
+        assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "seed: {is_seed}, {answer}");
+    }
 }
 
 /// Guards against streams that cannot go on, because all hosts were killed while several versions served.
