Read past objects of the platform that cannot be read

Cause: a list was decoded as a whole, and a watch ended at the first event that could not be decoded. Opened again, it began with the same event. One object nested deeper than 128 levels, with a number out of range or with an unknown field in its metadata was enough.

Evidence, before the change: an_unreadable_object_ends_neither_a_list_nor_a_watch failed in the watch with "called `Result::unwrap()` on an `Err` value: could not parse an event / missing field `version`" (the first odd line of the watch; the nested ones come after it).

Change: objects are decoded one by one. One that names itself is passed on with a null spec, which no kind accepts, so that the store keeps its last valid state in force and lists it as invalid, and the version advances. One that doesn't is left out, and so is an event that does not tell its object; the log has a line for each, once for the same bytes.

Class: one odd object among many that hides the others. Not changed: a read of a single object, and an event of more than 4 MiB.

--- a/src/objects.rs
+++ b/src/objects.rs
@@ -25,11 +25,13 @@
 pub mod backoff;
 pub mod bucket;
 pub mod calls;
+mod decode;
 mod transport;
 mod watch;
 mod write;
 
 use calls::{Class, Counts, Limiter, Rates};
+use decode::Decoder;
 use transport::NotSent;
 pub use watch::{NextEvent, OpenedWatch, Watch};
 pub use write::{PendingWrite, Step};
@@ -118,6 +120,7 @@
     base: String,
     limiter: Arc<Mutex<Limiter>>,
     counts: Arc<Counts>,
+    decoder: Arc<Decoder>,
 }
 
 impl Platform {
@@ -133,6 +136,7 @@
             base: format!("http://{addr}{PREFIX}"),
             limiter: Arc::new(Mutex::new(Limiter::new(rates))),
             counts: Arc::default(),
+            decoder: Arc::default(),
         }
     }
 
@@ -151,7 +155,7 @@
         &self.counts
     }
 
-    /// Lists the objects of all configuration kinds.
+    /// Lists the objects of all configuration kinds. An unreadable one has a null spec.
     ///
     /// # Errors
     /// If the call fails or the platform returns no list.
@@ -159,7 +163,7 @@
         self.list_at(&format!("{}/{}", self.base, Collection::Configuration.as_str())).await
     }
 
-    /// Lists the objects of one kind.
+    /// Lists the objects of one kind. An unreadable one has a null spec.
     ///
     /// # Errors
     /// If the call fails or the platform returns no list.
@@ -170,7 +174,7 @@
     async fn list_at(&self, url: &str) -> Result<List> {
         let reply = self.call(Class::Read, Method::GET, url, Bytes::new(), LIST_TIMEOUT).await?;
         ensure!(reply.status == 200, "the platform responded with status {}", reply.status);
-        serde_json::from_slice(&reply.body).context("could not parse the list")
+        self.decoder.list(&reply.body).context("could not parse the list")
     }
 
     /// Reads one object; `None` if it does not exist.
@@ -255,7 +259,7 @@
         let url = format!("{}/watch/{}?from={version}", self.base, Collection::Configuration.as_str());
         let res = self.send(Class::Watch, Method::GET, &url, Bytes::new(), CALL_TIMEOUT).await?;
         match res.status().as_u16() {
-            200 => Ok(OpenedWatch::Open(Watch::new(res.into_body()))),
+            200 => Ok(OpenedWatch::Open(Watch::new(res.into_body(), self.decoder.clone()))),
             410 => Ok(OpenedWatch::Expired),
             status => bail!("the platform responded with status {status}"),
         }
--- a/src/objects/watch.rs
+++ b/src/objects/watch.rs
@@ -1,13 +1,13 @@
 //! Watch on a collection: a response stream with one JSON event per line.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Result, bail};
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::Event;
+use super::{Event, decode::Decoder};
 
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
@@ -16,6 +16,7 @@
 pub struct Watch {
     body: Incoming,
     buf: BytesMut,
+    decoder: Arc<Decoder>,
 }
 
 /// Result of opening a watch.
@@ -39,19 +40,22 @@
 }
 
 impl Watch {
-    pub(super) fn new(body: Incoming) -> Self {
-        Self { body, buf: BytesMut::new() }
+    pub(super) fn new(body: Incoming, decoder: Arc<Decoder>) -> Self {
+        Self { body, buf: BytesMut::new(), decoder }
     }
 
-    /// Returns the next event; `None` if the watch has ended.
+    /// Returns the next event; `None` if the watch has ended. An unreadable object has a null spec, and an event that does
+    /// not tell which object has changed is skipped.
     ///
     /// # Errors
-    /// If an event is invalid or too long.
+    /// If an event is too long.
     pub async fn next(&mut self) -> Result<Option<Event>> {
         loop {
             if let Some(at) = self.buf.iter().position(|&b| b == b'\n') {
                 let line = self.buf.split_to(at + 1);
-                return Ok(Some(serde_json::from_slice(&line).context("could not parse an event")?));
+                // Opened again, the watch would begin with the same event.
+                let Some(event) = self.decoder.event(&line) else { continue };
+                return Ok(Some(event));
             }
             if self.buf.len() > MAX_EVENT_BYTES {
                 bail!("an event is longer than {MAX_EVENT_BYTES} bytes");
@@ -69,7 +73,7 @@
     /// it.
     ///
     /// # Errors
-    /// If an event is invalid or too long.
+    /// If an event is too long.
     pub async fn next_within(&mut self, idle: Duration) -> Result<NextEvent> {
         let next = tokio::time::timeout(idle, self.next()).await;
         Ok(match next {
