Use no entry of a server whose values no server has

Two entries with 2^32-1 slots for a service in use: each request of that service ended without an answer in a debug build (in a release build the sum of the slots wraps; by reading, admission then works with a wrong capacity, and nearly all requests are tried at the odd entries first).

Cause: an entry counted as sound if its address could be parsed. Slots were added in 32 bits without a check; port 0 and 0.0.0.0 parse; and identifiers of any length are kept in the log of changes for other hosts, also those of entries that are not used, where 512 of 100 kB exceed the 4 MiB of a message between hosts.

Change: one function decides whether an entry can be used: an address that can be connected to, at most 100,000 slots (the bound of the operators' own objects), an identifier, service and data centre of at most 253 bytes. Any other entry gets no requests, as one that cannot be read; under the name of a server in use, that server is back with its next own entry. Longer identifiers are not logged as changes. The sum of slots saturates. The log line tells the reason, and no more than 253 bytes of the entry's text.

Class: numbers and names of another writer that are believed because they can be decoded.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -33,6 +33,7 @@
 pub mod versions;
 
 use ended::Ended;
+use entry::MAX_NAME_BYTES;
 
 /// Identifies an incarnation of a backend server in messages between hosts.
 pub type Tag = u32;
@@ -315,7 +316,9 @@
             return self.apply_leaving_entries(now, events.iter().filter_map(BackendEvent::written));
         }
         self.revision = revision;
-        self.log.extend(events.iter().map(|event| (revision, event.id().into())));
+        // Servers with longer identifiers are unknown to all hosts, and their names would fill the answers to other hosts.
+        let usable = events.iter().filter(|event| event.id().len() <= MAX_NAME_BYTES);
+        self.log.extend(usable.map(|event| (revision, event.id().into())));
         while self.log.len() > MAX_LOG_ENTRIES {
             self.logged_from = self.log.pop_front().map_or(revision, |(dropped, _)| dropped);
         }
--- a/src/relay/backends/apply.rs
+++ b/src/relay/backends/apply.rs
@@ -2,7 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Backend, BackendKey, Backends, Change, State, ended::History, entry::Comparison, tag, versions};
+use super::{
+    Backend, BackendKey, Backends, Change, State,
+    ended::History,
+    entry::{Comparison, MAX_NAME_BYTES, Unusable, usable_addr},
+    tag, versions,
+};
 use crate::{schema::fleet, util::Instant};
 
 /// How long an entry that had been removed must be listed by a restored store before its server counts as alive
@@ -20,6 +25,11 @@
     State::Unconfirmed { until: now + reported.unwrap_or(UNCONFIRMED_PERIOD).min(UNCONFIRMED_PERIOD) }
 }
 
+/// The beginning of another writer's text, for a log line.
+fn shortened(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_NAME_BYTES)]
+}
+
 impl Backends {
     /// Applies an entry; a restart produces two changes. An entry that was `written` since the known revision,
     /// rather than only listed, proves that its server is alive.
@@ -130,9 +140,12 @@
         if history == History::Earlier {
             return None;
         }
-        let Ok(addr) = item.addr.parse() else {
-            self.log_unreadable(id, &item.addr);
-            return None;
+        let addr = match usable_addr(item) {
+            Ok(addr) => addr,
+            Err(why) => {
+                self.log_unusable(id, &item.addr, why);
+                return None;
+            }
         };
         self.unreadable.remove(&id);
         let tag = tag(&id, item.born);
@@ -169,13 +182,14 @@
         Some((key, change))
     }
 
-    /// Logs an entry that cannot be read, once per identifier until it can be read.
-    fn log_unreadable(&mut self, id: Arc<str>, addr: &str) {
+    /// Logs an entry that cannot be used, once per identifier until it can be used.
+    fn log_unusable(&mut self, id: Arc<str>, addr: &str, why: Unusable) {
         if self.unreadable.len() >= MAX_UNREADABLE {
             self.unreadable.clear();
         }
         if self.unreadable.insert(id.clone()) {
-            spdlog::warn!("entry of backend server {id} is unusable: invalid address {addr:?}");
+            let (id, addr) = (shortened(&id), shortened(addr));
+            spdlog::warn!("entry of backend server {id} is unusable: {}, address {addr:?}", why.as_str());
         }
     }
 
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -328,7 +328,7 @@
             }
             total.own += b.in_progress;
             total.all += self.load(b);
-            total.slots += b.slots;
+            total.slots = total.slots.saturating_add(b.slots);
         }
         total
     }
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -242,6 +242,46 @@
     }
 }
 
+/// Guards against entries of another writer with values that no server has: they get requests, and their names fill the answers to
+/// other hosts. A server that is used is back as soon as it has written its own entry again.
+#[test]
+fn an_entry_with_impossible_values_is_not_used() {
+    let long = "x".repeat(100_000);
+    let odd = |id: &str| {
+        [
+            Backend { slots: u32::MAX, ..listed(id, false) },
+            Backend { addr: "10.0.0.7:0".into(), ..listed(id, false) },
+            Backend { addr: "10.0.0.7:99999".into(), ..listed(id, false) },
+            Backend { addr: "0.0.0.0:80".into(), ..listed(id, false) },
+            Backend { service: long.clone(), ..listed(id, false) },
+            Backend { data_centre: long.clone(), ..listed(id, false) },
+        ]
+    };
+    let new = odd("yyy").into_iter().chain([listed(&long, false)]);
+    for entry in new {
+        let mut backends = backends_with(vec![listed("x", false)]);
+
+        backends.apply_changes(ms(10), rev(2), std::slice::from_ref(&entry), &[], None);
+        backends.apply_changes(ms(20), rev(3), &[], std::slice::from_ref(&entry.id), None);
+        backends.apply_changes(ms(30), rev(4), &[entry, listed("yy", false)], &[], None);
+
+        let mut ids: Vec<_> = backends.iter().map(|(_, b)| b.id.to_string()).collect();
+        ids.sort();
+        assert_eq!(ids, ["x", "yy"]);
+        let changes = backends.changes_since(ms(40), rev(1)).unwrap();
+        assert!(postcard::to_allocvec(&changes).unwrap().len() < 1_000, "{} names", changes.removed.len());
+    }
+    for entry in odd("x") {
+        let mut backends = backends_with(vec![listed("x", false)]);
+        let (key, _) = backends.available("s").next().unwrap();
+
+        let lost = backends.apply_changes(ms(10), rev(2), &[entry], &[], None);
+        let back = backends.apply_changes(ms(900), rev(3), &[listed("x", false)], &[], None);
+
+        assert_eq!((lost, back), (vec![(key, Change::Unreadable)], vec![(key, Change::Seen)]));
+    }
+}
+
 /// A host that lists servers with an unreadable entry passes that on, so that other hosts stop using the server
 /// too.
 #[test]
--- a/tests/relay_input.rs
+++ b/tests/relay_input.rs
@@ -174,6 +174,34 @@
     assert_eq!(status(&host.call(&request("/unsafe/x", "")).await), 200);
 }
 
+/// Guards against requests that fail because the slots of odd entries overflow their sum, or take all requests to where no
+/// server is.
+#[tokio::test]
+async fn entries_with_impossibly_many_slots_take_no_requests() {
+    let server = server().await;
+    let host = Host::with_servers(&[&server]).await;
+    let odd = |id: &str| cranberrytally::schema::fleet::Backend {
+        id: id.into(),
+        service: "app".into(),
+        addr: "127.0.0.1:9".into(),
+        data_centre: "a".into(),
+        slots: u32::MAX,
+        ..Default::default()
+    };
+    let puts = vec![odd("odd-1"), odd("odd-2")];
+
+    host.relay.update_backends(
+        BackendsUpdate::Changes { revision: rev(2), puts, removed: Vec::new() },
+        None,
+        "test",
+    );
+
+    for _ in 0..10 {
+        assert_eq!(status(&host.call(&request("/unsafe/x", "")).await), 200);
+    }
+    assert_eq!(host.relay.server_count("app"), 1);
+}
+
 /// Another party writes an entry with a start time far in the future. If it were accepted, the server's own entries
 /// would be ignored forever; instead, the server is not used until it has written its own entry again.
 #[tokio::test]
