Take over the slots and data centre of a server's later entries

A server whose first entry was an odd one, with other slots or another data centre, kept these until it ended, and got too much or too little work.

Cause: an entry of the known incarnation changed only its state, version and cold period.

Evidence, before the change: a_server_has_the_slots_and_data_centre_of_its_latest_entry failed with left: (0, "elsewhere"), right: (6, "a").

Change: both are taken from each entry of the same incarnation.

Class: the first of several writings is kept though the store has a later one.

--- a/src/relay/backends/apply.rs
+++ b/src/relay/backends/apply.rs
@@ -93,6 +93,10 @@
         if !item.version.is_empty() {
             backend.version = versions::bounded(&item.version);
         }
+        backend.slots = item.slots;
+        if *backend.data_centre != *item.data_centre {
+            backend.data_centre = item.data_centre.as_str().into();
+        }
         if written {
             backend.restart_suspected = None;
         }
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -282,6 +282,18 @@
     }
 }
 
+/// Guards against a server that keeps the slots and the data centre of an odd first entry after it has written its own.
+#[test]
+fn a_server_has_the_slots_and_data_centre_of_its_latest_entry() {
+    let first = Backend { slots: 0, data_centre: "elsewhere".into(), ..listed("x", false) };
+    let mut backends = backends_with(vec![first]);
+
+    backends.apply_changes(ms(10), rev(2), &[listed("x", false)], &[], None);
+
+    let (_, server) = backends.available("s").next().unwrap();
+    assert_eq!((server.slots, &*server.data_centre), (6, "a"));
+}
+
 /// A host that lists servers with an unreadable entry passes that on, so that other hosts stop using the server
 /// too.
 #[test]
