Believe a server without a start time after an entry that has one

Where servers write no start time, one odd entry with a start time under the name of a server took it out of use until it ended: the entry counted as a later start, and all own entries, which have none, as those of another party.

Cause: the rule that a server whose entries have a start time always writes it was applied to a start time that another party had written.

Evidence, before the change: a_server_without_start_time_survives_an_entry_that_has_one failed with left: [], right: ["10.0.0.1:1001"].

Change: an entry with a start time, but with another address or service than a server without one, was written by another party. With the same address and service it may be a start after an upgrade and is taken over, but marked as doubtful: entries without a start time and with the same address and service describe the same incarnation then. Its start time never goes back.

Class: one odd entry that decides what counts as the server's own. Not changed: among servers with start times, an entry with a later one, up to an hour ahead, hides the server's own entries; two tests demand that an earlier start never replaces a later one.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -116,6 +116,8 @@
     reported_cold: bool,
     /// When it last may have started again without its entry telling so.
     restart_suspected: Option<Instant>,
+    /// Whether its start time may have been added by another party: the server had none in its entries before.
+    start_is_doubtful: bool,
 }
 
 impl Backend {
--- a/src/relay/backends/apply.rs
+++ b/src/relay/backends/apply.rs
@@ -53,8 +53,13 @@
             }
             Comparison::Foreign => Vec::from_iter(self.mark_unreadable(key)),
             Comparison::Later => {
+                let had_start = self.arena[key].born > 0 && !self.arena[key].start_is_doubtful;
                 self.drop_entry(now, key);
-                [(key, Change::Restarted)].into_iter().chain(self.add(now, item, written)).collect()
+                let added = self.add(now, item, written);
+                if let Some((new, _)) = added {
+                    self.arena[new].start_is_doubtful = !had_start;
+                }
+                [(key, Change::Restarted)].into_iter().chain(added).collect()
             }
         }
     }
@@ -179,6 +184,7 @@
             cold_until: Instant::ZERO,
             reported_cold: false,
             restart_suspected: None,
+            start_is_doubtful: false,
         });
         self.arena[key].update_cold(now, item.cold_ms);
         self.by_id.insert(id, key);
--- a/src/relay/backends/entry.rs
+++ b/src/relay/backends/entry.rs
@@ -72,8 +72,10 @@
         let addr = usable_addr(item);
         let own = addr == Ok(self.addr) && item.service == *self.service;
         match item.born.cmp(&self.born) {
-            // A server whose entries have a start time always writes it.
+            // A server whose entries have a start time always writes it, and one whose entries have none does not.
+            _ if item.born == 0 && self.born > 0 && own && self.start_is_doubtful => Comparison::Same,
             _ if item.born == 0 && self.born > 0 => Comparison::Foreign,
+            _ if item.born > 0 && self.born == 0 && !own => Comparison::Foreign,
             Ordering::Less => Comparison::Earlier,
             Ordering::Greater if addr.is_ok() => Comparison::Later,
             Ordering::Equal if own => Comparison::Same,
--- a/tests/relay_backends.rs
+++ b/tests/relay_backends.rs
@@ -282,6 +282,25 @@
     }
 }
 
+/// Guards against a server without a start time that is out for ever after another writer gave its entry one: its own entry,
+/// which follows, has none.
+#[test]
+fn a_server_without_start_time_survives_an_entry_that_has_one() {
+    for (addr, service) in [("10.0.0.1:1001", "s"), ("10.0.0.7:1", "s"), ("10.0.0.1:1001", "other")] {
+        for start in [1, 1_700_000_000_000, u64::MAX] {
+            let own = listed("x", false);
+            let entry = Backend { born: start, addr: addr.into(), service: service.into(), ..own.clone() };
+            let mut backends = backends_with(vec![own.clone()]);
+
+            backends.apply_changes(ms(10), rev(2), &[entry], &[], None);
+            backends.apply_changes(ms(900), rev(3), &[own], &[], None);
+
+            let used: Vec<_> = backends.available("s").map(|(_, b)| b.addr.to_string()).collect();
+            assert_eq!(used, ["10.0.0.1:1001"], "{addr} {service} {start}");
+        }
+    }
+}
+
 /// Guards against a server that keeps the slots and the data centre of an odd first entry after it has written its own.
 #[test]
 fn a_server_has_the_slots_and_data_centre_of_its_latest_entry() {
