Add up the load that a server reports without an overflow

An answer of a server whose reported running and waiting requests add up to more than 2^32-1 ends the task that reads it in a debug build; in a release build the sum wraps, and a full service counts as idle.

Cause: two numbers of 32 bits from a header were added before their conversion.

Evidence, before the change: a_load_report_out_of_range_counts_as_full failed with "panicked at src/relay/admission.rs:304:30: attempt to add with overflow".

Change: they are converted first.

Class: arithmetic on numbers of another party, as the sum of slots.

Result: the test passes; relay_overload 9 of 9 passed.

--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -301,7 +301,7 @@
 impl Admission {
     /// Records the load reported by a server of a service.
     pub fn record_load(&mut self, now: Instant, service: &Arc<str>, report: ReportedLoad) {
-        let load = f64::from(report.running + report.waiting) / f64::from(report.slots.max(1));
+        let load = (f64::from(report.running) + f64::from(report.waiting)) / f64::from(report.slots.max(1));
         let service = self.service(now, service);
         if !std::mem::replace(&mut service.reports_load, true) {
             service.limit.value = service.limit.value.min(INITIAL_LIMIT_REPORTED);
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -192,3 +192,15 @@
     assert!(soon.is_err());
     assert_eq!(later, Ok(()));
 }
+
+/// Guards against a server whose reported load is out of range: its sum overflows, and the service would count as idle.
+#[test]
+fn a_load_report_out_of_range_counts_as_full() {
+    let service: Arc<str> = "s".into();
+    let mut admission = Admission::default();
+
+    admission.record_load(ms(0), &service, ReportedLoad { running: u32::MAX, waiting: u32::MAX, slots: 64 });
+
+    let refused = admission.admit(ms(50), &service, ask(ms(9_000), 10), [0.0, 0.5]).unwrap_err();
+    assert!(refused.occupancy > 1e6, "{refused:?}");
+}
