Keep heartbeats within their datagram whatever is evacuated

Cause: each heartbeat carries the names of the evacuated data centres, which are the names of the store's objects of that kind, and these can't be left out when a heartbeat is shortened. One object with a name of more than some 1,000 bytes, or dozens with short ones, make all heartbeats of all hosts larger than what is received, or than a datagram can be. Besides, only the first 64 of the store's list counted, so that odd objects could hide a real evacuation.

Evidence, before the change: odd_names_do_not_keep_heartbeats_from_other_hosts failed with a heartbeat of "101446 bytes". The part of the test with 500 short names was not reached in that run.

Change: hosts tell each other at most 64 names and 512 bytes, the shortest first, in a fixed order; a log line tells how many are left out. A host that reads the store's list takes all of it; the bound of 64 holds for lists of other hosts.

Class: text of another writer in a message with a maximum size. What is left: more than 512 bytes of odd names shorter than the real ones keep these from hosts that do not read the store themselves.

Result: the test passes, with two long names and with 500 short ones; relay_evacuations 7 of 7, relay_datagrams 6, relay_restore 16 passed.

--- a/src/relay/evacuations.rs
+++ b/src/relay/evacuations.rs
@@ -17,6 +17,11 @@
 
 /// Maximum number of evacuated data centres accepted from a peer; a longer list is not genuine.
 const MAX_EVACUATIONS: usize = 64;
+/// Maximum number of bytes of the names that are told to other hosts. A heartbeat of 1,400 bytes has to have room for them, and the
+/// names of all data centres of a fleet take less.
+const MAX_TOLD_BYTES: usize = 512;
+/// Bytes that a name takes in a heartbeat in addition to its own: its length, and the time for which it is retained.
+const BYTES_BESIDE_NAME: usize = 7;
 
 /// How long an evacuation that is missing from a restored store stays in force.
 const RESTORE_GRACE: Duration = Duration::from_secs(30);
@@ -86,6 +91,8 @@
     data_centres: Set<Arc<str>>,
     /// Those that a restored store lacks, and until when they stay evacuated.
     retained: Map<Arc<str>, Instant>,
+    /// Number of names that are not told to other hosts.
+    untold: usize,
 }
 
 impl Evacuations {
@@ -115,7 +122,7 @@
     /// Applies an update from the store; one that is not newer than the known set changes nothing.
     pub fn update(&mut self, now: Instant, update: &Update) -> Vec<Change> {
         match update {
-            Update::List(list) => self.merge(now, list),
+            Update::List(list) => self.merge_up_to(usize::MAX, now, list),
             Update::Changes { revision, changes } => {
                 let mut data_centres = self.data_centres.clone();
                 for (name, evacuated) in changes {
@@ -137,9 +144,14 @@
 
     /// Merges the set that another host holds; the one with the later revision wins.
     pub fn merge(&mut self, now: Instant, received: &fleet::Evacuations) -> Vec<Change> {
+        self.merge_up_to(MAX_EVACUATIONS, now, received)
+    }
+
+    /// Merges a set, up to a number of data centres.
+    fn merge_up_to(&mut self, max: usize, now: Instant, received: &fleet::Evacuations) -> Vec<Change> {
         let before = self.evacuated();
         if received.as_of() > self.revision {
-            let named = received.data_centres.iter().take(MAX_EVACUATIONS);
+            let named = received.data_centres.iter().take(max);
             self.replace(now, received.as_of(), named.map(|name| name.as_str().into()).collect());
             for kept in received.kept.iter().take(MAX_EVACUATIONS) {
                 if !self.contains(&kept.data_centre) {
@@ -161,17 +173,45 @@
         self.diff_from(&before)
     }
 
-    /// The set to send to other hosts, once it is known.
+    /// The set to send to other hosts, once it is known. Names that would keep a heartbeat from fitting its datagram are left out.
     pub fn snapshot(&self, now: Instant) -> Option<fleet::Evacuations> {
-        let left_ms = |until: &Instant| until.saturating_sub(now).as_millis() as u32;
-        let kept = self
-            .retained
-            .iter()
-            .map(|(name, until)| fleet::Kept { data_centre: name.to_string(), left_ms: left_ms(until) });
-        let kept = kept.collect();
-        let data_centres = self.data_centres.iter().map(|name| name.to_string()).collect();
-        let Revision { epoch, number } = self.revision;
-        self.is_known().then_some(fleet::Evacuations { epoch, revision: number, data_centres, kept })
+        let mut told = fleet::Evacuations {
+            epoch: self.revision.epoch,
+            revision: self.revision.number,
+            ..fleet::Evacuations::default()
+        };
+        for name in self.told() {
+            match self.retained.get(name) {
+                Some(until) => told.kept.push(fleet::Kept {
+                    data_centre: name.to_string(),
+                    left_ms: until.saturating_sub(now).as_millis() as u32,
+                }),
+                None => told.data_centres.push(name.to_string()),
+            }
+        }
+        self.is_known().then_some(told)
+    }
+
+    /// The names that are told to other hosts. The shortest come first: other writers may add any number of names of any length.
+    fn told(&self) -> impl Iterator<Item = &Arc<str>> {
+        let mut names: Vec<_> = self.data_centres.iter().chain(self.retained.keys()).collect();
+        names.sort_unstable_by_key(|name| (name.len(), *name));
+        let mut bytes = 0;
+        let has_room = move |name: &&Arc<str>| {
+            bytes += name.len() + BYTES_BESIDE_NAME;
+            bytes <= MAX_TOLD_BYTES
+        };
+        names.into_iter().take(MAX_EVACUATIONS).take_while(has_room)
+    }
+
+    /// Logs how many names are not told to other hosts, if that has changed.
+    fn report_untold(&mut self) {
+        let untold = self.data_centres.len() + self.retained.len() - self.told().count();
+        if std::mem::replace(&mut self.untold, untold) != untold {
+            spdlog::warn!(
+                "{untold} evacuated data centres are not told to other hosts: their names are too long or too many"
+            );
+        }
     }
 
     /// All evacuated data centres, listed and retained.
@@ -199,5 +239,6 @@
             self.retained.extend(old.into_iter().map(|name| (name, now + RESTORE_GRACE)));
         }
         self.retained.retain(|name, _| !self.data_centres.contains(name));
+        self.report_untold();
     }
 }
--- a/tests/relay_evacuations.rs
+++ b/tests/relay_evacuations.rs
@@ -9,6 +9,7 @@
 
 use cranberrytally::{
     relay::{
+        datagram,
         evacuations::{Change, Evacuations, Update},
         revision::Revision,
     },
@@ -49,6 +50,28 @@
     assert!(known.contains("a") && !known.contains("b"));
 }
 
+/// Guards against heartbeats that no host receives any more because another writer's names, long or many, are among the evacuated
+/// data centres; those of real ones are still told.
+#[test]
+fn odd_names_do_not_keep_heartbeats_from_other_hosts() {
+    let long = ["x".repeat(100_000), "y".repeat(1_400)];
+    let many: Vec<_> = (0..500).map(|i| format!("another-writer-{i}")).collect();
+    for odd in [&long[..], &many] {
+        let names: Vec<_> = odd.iter().map(|name| &**name).chain(["akl-a", "akl-b"]).collect();
+        let mut known = Evacuations::default();
+        known.update(NOW, &Update::List(evacuations(5, &names)));
+        known.update(NOW, &Update::List(fleet::Evacuations { epoch: 1, ..evacuations(6, &names[1..]) }));
+
+        let beat = fleet::Beat { start: 1_000, evacuations: known.snapshot(NOW), ..fleet::Beat::default() };
+        let message = datagram::encode(&beat).unwrap();
+
+        assert!(known.contains("akl-a") && known.contains(names[0]));
+        assert!(message.len() <= 1_000, "{} bytes, with room for the rest of a heartbeat", message.len());
+        let told = datagram::decode(&message, 1_000).unwrap().evacuations.unwrap();
+        assert!(["akl-a", "akl-b"].iter().all(|name| told.data_centres.iter().any(|told| told == name)));
+    }
+}
+
 proptest! {
     /// Hosts receive the store's updates in any order, some twice and some never, from the store and from each other.
     /// Each host holds the set of the latest revision that it has received, never a mixture.
