Test that an odd object of any kind of the store hides no other

Cause: reports of hosts that stop following the store after another writer's object, and no test of it but for servers.

Change: one test with 19 odd objects (20,000 levels of nesting in the spec, in nine fields, in metadata, in an unknown field or as the name; 1e999 and 400 digits; fields twice; a name of 100 kB) beside a sound one of the configuration, the servers, the evacuations, the registered hosts and the saved streams, in lists and, where there are any, in answers of watches.

--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -11,8 +11,9 @@
     platform::store::{StoreClient, epoch_header::HeaderHistory},
     relay::{
         backends::BackendEvent,
+        evacuations::Update,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
-        origins::MixedService,
+        origins::{MixedService, saved::SavedStreams},
         revision::Revision,
     },
     schema::fleet::{Member, Repeat},
@@ -21,6 +22,9 @@
 use tokio::io::AsyncWriteExt;
 use wire::{ScriptStep, Server};
 
+/// Levels of nesting of a deeply nested value.
+const NESTING_LEVELS: usize = 20_000;
+
 /// A call for the changes after a revision, or for the whole list.
 fn call(after: Option<u64>) -> Call {
     Call {
@@ -360,6 +364,81 @@
     }
 }
 
+/// Objects of another writer under a name, with a spec of the same kind around them: nested deeply, with numbers out of range,
+/// with fields twice, or with metadata that is not understood.
+fn odd_objects(name: &str) -> Vec<String> {
+    let nested = "[".repeat(NESTING_LEVELS) + &"]".repeat(NESTING_LEVELS);
+    let with_spec = |spec: &str| format!(r#"{{"metadata":{{"name":"{name}","revision":3}},"spec":{spec}}}"#);
+    let specs = ["address", "version", "slots", "born", "members", "count", "begun", "routes", "later"];
+    let mut odd: Vec<_> =
+        specs.iter().map(|field| with_spec(&format!(r#"{{"{field}":{nested}}}"#))).collect();
+    odd.extend(
+        [&*nested, "1e999", &"9".repeat(400), r#"{"slots":4294967296}"#, r#"{"slots":1,"slots":2}"#]
+            .map(with_spec),
+    );
+    odd.push(format!(r#"{{"metadata":{{"name":"{name}","later":{nested}}},"spec":null}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":"{name}","revision":1e999}},"later":{nested},"spec":7}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":{nested}}},"spec":{{}}}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":"{name}"}},"spec":{{}},"spec":{{}}}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":"{}"}},"spec":{{}}}}"#, "x".repeat(100_000)));
+    odd
+}
+
+/// Guards against an odd object of any kind that hides the sound ones beside it, in a list or in the answer of a watch.
+#[tokio::test]
+async fn an_odd_object_of_any_kind_hides_no_other() {
+    for odd in odd_objects("odd") {
+        let config = configuration(CONFIGURATION);
+        let hosts = r#"{"metadata":{"name":"a"},"spec":{"members":[],"count":3}}"#;
+        let streams =
+            r#"{"metadata":{"name":"a-1"},"spec":{"begun":[{"version":5,"streams":"00000000000000ff"}]}}"#;
+        let evacuated = r#"{"metadata":{"name":"b"},"spec":{}}"#;
+        let list = |sound: &str| {
+            reply("200 OK", &format!(r#"{{"items":[{odd},{sound}],"hasMore":false,"currentRev":9}}"#))
+        };
+        let events = |sound: &str| {
+            let body = format!(r#"{{"events":[{{"object":{odd}}},{{"object":{sound}}}],"currentRev":9}}"#);
+            reply("200 OK", &body)
+        };
+        let sound = server("i-1", "ready");
+        let script = vec![
+            list(&config),
+            events(&config),
+            list(&sound),
+            events(&sound),
+            list(evacuated),
+            events(evacuated),
+            list(hosts),
+            list(streams),
+        ];
+        let (mut store, _) = store(script).await;
+
+        let configurations =
+            [store.configuration(call(None)).await, store.configuration(call(Some(1))).await];
+        let servers = [store.backends(call(None)).await, store.backends(call(Some(1))).await];
+        let evacuations = [store.evacuations(call(None)).await, store.evacuations(call(Some(1))).await];
+        let hosts = store.hosts().await;
+        let streams = store.saved_streams(call(None)).await;
+
+        let start = &odd[..odd.len().min(100)];
+        for configuration in configurations {
+            assert_eq!(configuration.unwrap().1.map(|cfg| cfg.version), Some(7), "{start}");
+        }
+        let [Ok(BackendsUpdate::List(listed)), Ok(BackendsUpdate::Events { events, .. })] = servers else {
+            panic!("{start}: {servers:?}")
+        };
+        let is_sound = |b: &&cranberrytally::schema::fleet::Backend| b.addr == "10.0.0.9:80";
+        assert_eq!(listed.items.iter().filter(is_sound).count(), 1, "{start}");
+        assert_eq!(events.iter().filter_map(BackendEvent::written).filter(is_sound).count(), 1, "{start}");
+        let [Ok(Update::List(list)), Ok(Update::Changes { changes, .. })] = evacuations else {
+            panic!("{start}: {evacuations:?}")
+        };
+        assert!(list.data_centres.contains(&"b".into()) && changes.contains(&("b".into(), true)), "{start}");
+        assert_eq!(hosts.unwrap().count, 3, "{start}");
+        assert_eq!(streams.unwrap().iter().flat_map(SavedStreams::unpack).count(), 1, "{start}");
+    }
+}
+
 /// The store has another object of the configuration's kind, with a higher version. It must be ignored.
 #[tokio::test]
 async fn only_the_operators_object_is_the_configuration() {
