Use no registration of hosts with numbers that no fleet has

Two registrations whose counts add up to more than 64 bits ended the task that reads them in a debug build; by reading, one with a count in the billions makes a starting host wait for its turn to read the store as if there were as many hosts, and share its retries with them until it ends, and one with thousands of members takes the place of the hosts that are alive.

Cause: counts of the store were added and multiplied as they are, and the sample had no bound.

Evidence, before the change: a_registration_of_impossibly_many_hosts_is_left_out failed with "panicked at src/relay/follow/hosts.rs:44:13: attempt to add with overflow".

Change: a registration of more than 10,000 hosts, a million servers or routes, 64 members in the sample or a field of more than 253 bytes is left out with a log line; the sum saturates.

Class: arithmetic on numbers of another party, as the sum of slots.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -214,7 +214,7 @@
         let target = format!("/objects/{HOSTS}?staleOk=1");
         let (_, page): (_, Page<Hosts>) =
             self.call(&target, ANSWER_TIMEOUT, MAX_PAGE_BYTES, Epoch::default()).await?;
-        Ok(Hosts::combine(page.items.into_iter().filter_map(|o| o.spec)))
+        Ok(Hosts::combine(page.items.into_iter().filter_map(|o| Hosts::usable(&o.metadata.name, o.spec))))
     }
 
     async fn save_streams(&mut self, name: &str, streams: &SavedStreams) -> Result<(), StoreError> {
--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -15,6 +15,16 @@
 /// Interval at which a host checks whether it hears any other host, and whether the registration is up to date.
 const CHECK_INTERVAL: Duration = Duration::from_millis(3_000);
 
+/// Maximum number of hosts of a data centre: ten times as many as in twice the largest fleet planned for. A registration of more
+/// was written by another party.
+const MAX_HOSTS: usize = 10_000;
+/// Maximum number of backend servers, and of routes and workspaces, in a registration.
+const MAX_SERVERS_OR_ROUTES: usize = 1_000_000;
+/// Maximum number of hosts in the sample of a data centre. More would take the place of the hosts that are alive.
+const MAX_SAMPLE: usize = 64;
+/// Maximum length of each field of a host's description, in bytes. Hosts send these to each other.
+const MAX_FIELD_BYTES: usize = 253;
+
 /// The hosts registered in the store, and the size of the state that each of them needs.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Hosts {
@@ -37,11 +47,30 @@
 }
 
 impl Hosts {
+    /// The registration under a name, unless it cannot be read or no fleet can have written it.
+    pub fn usable(name: &str, registration: Option<Hosts>) -> Option<Hosts> {
+        let hosts = registration.filter(Hosts::is_plausible);
+        if hosts.is_none() {
+            let name = &name[..name.floor_char_boundary(MAX_FIELD_BYTES)];
+            spdlog::warn!("the registration of the hosts of {name} is unusable");
+        }
+        hosts
+    }
+
+    fn is_plausible(&self) -> bool {
+        let is_short = |field: &&String| field.len() <= MAX_FIELD_BYTES;
+        let fields = self.sample.iter().flat_map(|m| [&m.name, &m.callers, &m.peers, &m.data_centre]);
+        self.count <= MAX_HOSTS
+            && self.servers.max(self.routes) <= MAX_SERVERS_OR_ROUTES
+            && self.sample.len() <= MAX_SAMPLE
+            && fields.into_iter().all(|field| is_short(&field))
+    }
+
     /// Combines the registrations of all data centres.
     pub fn combine(registrations: impl IntoIterator<Item = Hosts>) -> Self {
         registrations.into_iter().fold(Self::default(), |mut all, of_centre| {
             all.sample.extend(of_centre.sample);
-            all.count += of_centre.count;
+            all.count = all.count.saturating_add(of_centre.count);
             all.servers = all.servers.max(of_centre.servers);
             all.routes = all.routes.max(of_centre.routes);
             all.mixed.extend(of_centre.mixed);
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -544,6 +544,26 @@
     assert_eq!(target(&server.requests()[0]), "/objects/hosts?staleOk=1");
 }
 
+/// Guards against a registration with numbers that no fleet has: their sum overflows, and a starting host would wait for the
+/// turns of as many hosts and share its retries with them.
+#[tokio::test]
+async fn a_registration_of_impossibly_many_hosts_is_left_out() {
+    for odd in [
+        r#""count":18446744073709551615"#,
+        r#""count":3,"servers":18446744073709551615"#,
+        r#""count":3,"routes":4294967295"#,
+    ] {
+        let sound = r#"{"metadata":{"name":"a"},"spec":{"members":[],"count":59,"servers":900,"routes":70}}"#;
+        let odd = format!(r#"{{"metadata":{{"name":"b"}},"spec":{{"members":[],{odd}}}}}"#);
+        let page = format!(r#"{{"items":[{odd},{sound},{odd}],"hasMore":false,"currentRev":9}}"#);
+        let (mut store, _) = store(vec![reply("200 OK", &page)]).await;
+
+        let hosts = store.hosts().await.unwrap();
+
+        assert_eq!((hosts.count, hosts.servers, hosts.routes), (59, 900, 70), "{odd}");
+    }
+}
+
 /// After the store was restored, a watch must not continue from an old revision, and a list must not mix two epochs.
 #[tokio::test]
 async fn responses_of_another_epoch_are_rejected() {
