Log a configuration that cannot be read, and read deeply nested ones

A valid configuration with more than 128 levels of nesting in a service's `engine`, of which only its presence counts, was not followed, and nothing above debug level told so.

Cause: the field was decoded in full, and a configuration that can't be decoded was left out without a log line of its own.

Evidence, before the change: an_unreadable_configuration_is_left_out_and_a_later_one_is_read failed at the sound one: "called `Option::unwrap()` on a `None` value".

Change: the field is skipped, and a warning tells that the configuration in force stays.

Class: a value that isn't used decides whether the rest is.

Result: the test passes with six unreadable configurations, each followed by a sound one; platform_store 24 of 24 passed.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -239,6 +239,11 @@
             }
         };
         let named = objects.into_iter().filter(|o| o.metadata.name == CONFIGURATION_NAME);
+        let named = named.inspect(|o| {
+            if o.spec.is_none() {
+                spdlog::warn!("the configuration in the store can't be read; the one in force stays");
+            }
+        });
         let newest = named.filter_map(|o| o.spec).max_by_key(|raw: &RawConfiguration| raw.version);
         Ok((revision, newest.map(Configuration::from)))
     }
--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -167,7 +167,7 @@
     #[serde(default)]
     cold_per_s: f64,
     /// Present if its servers are model engines.
-    engine: Option<serde_json::Value>,
+    engine: Option<serde::de::IgnoredAny>,
 }
 
 #[derive(Deserialize)]
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -439,6 +439,30 @@
     }
 }
 
+/// Guards against a configuration that replaces the one in force though it cannot be read, and against a later sound one, with
+/// deeply nested fields that are not used, that is not followed.
+#[tokio::test]
+async fn an_unreadable_configuration_is_left_out_and_a_later_one_is_read() {
+    let nested = "[".repeat(NESTING_LEVELS) + &"]".repeat(NESTING_LEVELS);
+    let events = |spec: &str| {
+        let event = format!(r#"{{"object":{},"deleted":false}}"#, configuration(spec));
+        reply("200 OK", &format!(r#"{{"events":[{event}],"currentRev":9}}"#))
+    };
+    let later = CONFIGURATION.replace(r#""slots":64"#, &format!(r#""slots":{nested}"#));
+    let unreadable = ["7", "null", &nested, "{}", r#"{"version":1e999}"#, r#"{"version":8,"routes":[{}]}"#];
+    for spec in unreadable {
+        let (mut store, _) = store(vec![events(spec), events(&later)]).await;
+
+        let odd = store.configuration(call(Some(1))).await.unwrap();
+        let sound = store.configuration(call(Some(2))).await.unwrap();
+
+        let start = &spec[..spec.len().min(100)];
+        assert_eq!((odd.0, odd.1.is_none()), (rev(9), true), "{start}");
+        let services: Vec<_> = sound.1.unwrap().services.iter().map(|s| s.caches_prompts).collect();
+        assert_eq!(services, [true, false], "{start}");
+    }
+}
+
 /// The store has another object of the configuration's kind, with a higher version. It must be ignored.
 #[tokio::test]
 async fn only_the_operators_object_is_the_configuration() {
