Use no entry that declares its server cold for hours

An odd entry under the name of a server in use, sound but for a cold period far too long, kept the server cold for a minute, whatever the server itself wrote afterwards; while others were warm it got little work.

Cause: a cold period of any length was cut to a minute and believed.

Evidence, before the change: an_invalid_entry_gets_no_address, with further cases, failed for "coldRemainingMs":1e300 with left: (101, []), right: (101, ["i-0"]). The cases 1e999, a sequence or a start of 2^64 and 2^32 slots are new as well; 1e999 passed before, the rest come after the failure.

Change: an entry with a cold period of more than an hour counts as one that can't be decoded. The server is back with its next own entry. Up to an hour it is cut to a minute as before.

Class: numbers of another writer that are believed because they can be decoded.

Result: the test passes with all 25 cases; platform_store 24 of 24, platform_names 2 of 2 passed.

--- a/src/platform/store/forms.rs
+++ b/src/platform/store/forms.rs
@@ -83,6 +83,9 @@
     Ok(serde_json::from_str(value.get()).inspect_err(|e| spdlog::debug!("invalid store object: {e}")).ok())
 }
 
+/// Maximum time for which a server is slow after its start, in milliseconds. An entry with a longer one was written by another party.
+const MAX_COLD_MS: f64 = 3_600_000.0;
+
 /// A backend server's entry. Unused fields are declared so that their types are checked.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -266,10 +269,13 @@
     }
 }
 
-/// Converts an entry; one that can't be decoded gets no address, so that it is never used.
+/// Converts an entry; one that can't be decoded or that no server can have written gets no address, so that it is never used.
 pub(super) fn backend(object: Object<RawBackend>) -> fleet::Backend {
     let id = object.metadata.name;
-    let Some(raw) = object.spec else { return fleet::Backend { id, ..Default::default() } };
+    let is_plausible = |raw: &RawBackend| raw.cold_remaining_ms.unwrap_or(0.0) <= MAX_COLD_MS;
+    let Some(raw) = object.spec.filter(is_plausible) else {
+        return fleet::Backend { id, ..Default::default() };
+    };
     fleet::Backend {
         id,
         service: raw.service,
