--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -214,7 +214,7 @@
         let target = format!("/objects/{HOSTS}?staleOk=1");
         let (_, page): (_, Page<Hosts>) =
             self.call(&target, ANSWER_TIMEOUT, MAX_PAGE_BYTES, Epoch::default()).await?;
-        Ok(Hosts::combine(page.items.into_iter().filter_map(|o| o.spec)))
+        Ok(Hosts::combine(page.items.into_iter().filter_map(|o| Hosts::usable(&o.metadata.name, o.spec))))
     }
 
     async fn save_streams(&mut self, name: &str, streams: &SavedStreams) -> Result<(), StoreError> {
@@ -239,6 +239,11 @@
             }
         };
         let named = objects.into_iter().filter(|o| o.metadata.name == CONFIGURATION_NAME);
+        let named = named.inspect(|o| {
+            if o.spec.is_none() {
+                spdlog::warn!("the configuration in the store can't be read; the one in force stays");
+            }
+        });
         let newest = named.filter_map(|o| o.spec).max_by_key(|raw: &RawConfiguration| raw.version);
         Ok((revision, newest.map(Configuration::from)))
     }
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -11,8 +11,9 @@
     platform::store::{StoreClient, epoch_header::HeaderHistory},
     relay::{
         backends::BackendEvent,
+        evacuations::Update,
         follow::{BackendsUpdate, Call, Hosts, Store, StoreError},
-        origins::MixedService,
+        origins::{MixedService, saved::SavedStreams},
         revision::Revision,
     },
     schema::fleet::{Member, Repeat},
@@ -21,6 +22,9 @@
 use tokio::io::AsyncWriteExt;
 use wire::{ScriptStep, Server};
 
+/// Levels of nesting of a deeply nested value.
+const NESTING_LEVELS: usize = 20_000;
+
 /// A call for the changes after a revision, or for the whole list.
 fn call(after: Option<u64>) -> Call {
     Call {
@@ -305,6 +309,13 @@
         ("version", Some("1")),
         ("sequence", Some(r#""4""#)),
         ("coldRemainingMs", Some("true")),
+        ("coldRemainingMs", Some("1e999")),
+        ("coldRemainingMs", Some("1e300")),
+        ("coldRemainingMs", Some("4294967295")),
+        ("sequence", Some("18446744073709551616")),
+        ("slots", Some("4294967296")),
+        ("slots", Some("1e999")),
+        ("born", Some("18446744073709551616")),
         ("born", Some(r#""1700000000000""#)),
         ("born", Some("1700000000000.5")),
         ("born", Some("-1")),
@@ -360,6 +371,105 @@
     }
 }
 
+/// Objects of another writer under a name, with a spec of the same kind around them: nested deeply, with numbers out of range,
+/// with fields twice, or with metadata that is not understood.
+fn odd_objects(name: &str) -> Vec<String> {
+    let nested = "[".repeat(NESTING_LEVELS) + &"]".repeat(NESTING_LEVELS);
+    let with_spec = |spec: &str| format!(r#"{{"metadata":{{"name":"{name}","revision":3}},"spec":{spec}}}"#);
+    let specs = ["address", "version", "slots", "born", "members", "count", "begun", "routes", "later"];
+    let mut odd: Vec<_> =
+        specs.iter().map(|field| with_spec(&format!(r#"{{"{field}":{nested}}}"#))).collect();
+    odd.extend(
+        [&*nested, "1e999", &"9".repeat(400), r#"{"slots":4294967296}"#, r#"{"slots":1,"slots":2}"#]
+            .map(with_spec),
+    );
+    odd.push(format!(r#"{{"metadata":{{"name":"{name}","later":{nested}}},"spec":null}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":"{name}","revision":1e999}},"later":{nested},"spec":7}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":{nested}}},"spec":{{}}}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":"{name}"}},"spec":{{}},"spec":{{}}}}"#));
+    odd.push(format!(r#"{{"metadata":{{"name":"{}"}},"spec":{{}}}}"#, "x".repeat(100_000)));
+    odd
+}
+
+/// Guards against an odd object of any kind that hides the sound ones beside it, in a list or in the answer of a watch.
+#[tokio::test]
+async fn an_odd_object_of_any_kind_hides_no_other() {
+    for odd in odd_objects("odd") {
+        let config = configuration(CONFIGURATION);
+        let hosts = r#"{"metadata":{"name":"a"},"spec":{"members":[],"count":3}}"#;
+        let streams =
+            r#"{"metadata":{"name":"a-1"},"spec":{"begun":[{"version":5,"streams":"00000000000000ff"}]}}"#;
+        let evacuated = r#"{"metadata":{"name":"b"},"spec":{}}"#;
+        let list = |sound: &str| {
+            reply("200 OK", &format!(r#"{{"items":[{odd},{sound}],"hasMore":false,"currentRev":9}}"#))
+        };
+        let events = |sound: &str| {
+            let body = format!(r#"{{"events":[{{"object":{odd}}},{{"object":{sound}}}],"currentRev":9}}"#);
+            reply("200 OK", &body)
+        };
+        let sound = server("i-1", "ready");
+        let script = vec![
+            list(&config),
+            events(&config),
+            list(&sound),
+            events(&sound),
+            list(evacuated),
+            events(evacuated),
+            list(hosts),
+            list(streams),
+        ];
+        let (mut store, _) = store(script).await;
+
+        let configurations =
+            [store.configuration(call(None)).await, store.configuration(call(Some(1))).await];
+        let servers = [store.backends(call(None)).await, store.backends(call(Some(1))).await];
+        let evacuations = [store.evacuations(call(None)).await, store.evacuations(call(Some(1))).await];
+        let hosts = store.hosts().await;
+        let streams = store.saved_streams(call(None)).await;
+
+        let start = &odd[..odd.len().min(100)];
+        for configuration in configurations {
+            assert_eq!(configuration.unwrap().1.map(|cfg| cfg.version), Some(7), "{start}");
+        }
+        let [Ok(BackendsUpdate::List(listed)), Ok(BackendsUpdate::Events { events, .. })] = servers else {
+            panic!("{start}: {servers:?}")
+        };
+        let is_sound = |b: &&cranberrytally::schema::fleet::Backend| b.addr == "10.0.0.9:80";
+        assert_eq!(listed.items.iter().filter(is_sound).count(), 1, "{start}");
+        assert_eq!(events.iter().filter_map(BackendEvent::written).filter(is_sound).count(), 1, "{start}");
+        let [Ok(Update::List(list)), Ok(Update::Changes { changes, .. })] = evacuations else {
+            panic!("{start}: {evacuations:?}")
+        };
+        assert!(list.data_centres.contains(&"b".into()) && changes.contains(&("b".into(), true)), "{start}");
+        assert_eq!(hosts.unwrap().count, 3, "{start}");
+        assert_eq!(streams.unwrap().iter().flat_map(SavedStreams::unpack).count(), 1, "{start}");
+    }
+}
+
+/// Guards against a configuration that replaces the one in force though it cannot be read, and against a later sound one, with
+/// deeply nested fields that are not used, that is not followed.
+#[tokio::test]
+async fn an_unreadable_configuration_is_left_out_and_a_later_one_is_read() {
+    let nested = "[".repeat(NESTING_LEVELS) + &"]".repeat(NESTING_LEVELS);
+    let events = |spec: &str| {
+        let event = format!(r#"{{"object":{},"deleted":false}}"#, configuration(spec));
+        reply("200 OK", &format!(r#"{{"events":[{event}],"currentRev":9}}"#))
+    };
+    let later = CONFIGURATION.replace(r#""slots":64"#, &format!(r#""slots":{nested}"#));
+    let unreadable = ["7", "null", &nested, "{}", r#"{"version":1e999}"#, r#"{"version":8,"routes":[{}]}"#];
+    for spec in unreadable {
+        let (mut store, _) = store(vec![events(spec), events(&later)]).await;
+
+        let odd = store.configuration(call(Some(1))).await.unwrap();
+        let sound = store.configuration(call(Some(2))).await.unwrap();
+
+        let start = &spec[..spec.len().min(100)];
+        assert_eq!((odd.0, odd.1.is_none()), (rev(9), true), "{start}");
+        let services: Vec<_> = sound.1.unwrap().services.iter().map(|s| s.caches_prompts).collect();
+        assert_eq!(services, [true, false], "{start}");
+    }
+}
+
 /// The store has another object of the configuration's kind, with a higher version. It must be ignored.
 #[tokio::test]
 async fn only_the_operators_object_is_the_configuration() {
@@ -465,6 +575,26 @@
     assert_eq!(target(&server.requests()[0]), "/objects/hosts?staleOk=1");
 }
 
+/// Guards against a registration with numbers that no fleet has: their sum overflows, and a starting host would wait for the
+/// turns of as many hosts and share its retries with them.
+#[tokio::test]
+async fn a_registration_of_impossibly_many_hosts_is_left_out() {
+    for odd in [
+        r#""count":18446744073709551615"#,
+        r#""count":3,"servers":18446744073709551615"#,
+        r#""count":3,"routes":4294967295"#,
+    ] {
+        let sound = r#"{"metadata":{"name":"a"},"spec":{"members":[],"count":59,"servers":900,"routes":70}}"#;
+        let odd = format!(r#"{{"metadata":{{"name":"b"}},"spec":{{"members":[],{odd}}}}}"#);
+        let page = format!(r#"{{"items":[{odd},{sound},{odd}],"hasMore":false,"currentRev":9}}"#);
+        let (mut store, _) = store(vec![reply("200 OK", &page)]).await;
+
+        let hosts = store.hosts().await.unwrap();
+
+        assert_eq!((hosts.count, hosts.servers, hosts.routes), (59, 900, 70), "{odd}");
+    }
+}
+
 /// After the store was restored, a watch must not continue from an old revision, and a list must not mix two epochs.
 #[tokio::test]
 async fn responses_of_another_epoch_are_rejected() {
