Count no version of an entry that names no server to use

An entry with port 0, too many slots or a name that is too long is not used, so that no stream can have begun at its version. It counted as a version that serves, and made streams that nobody knows be refused for as long as it stood in the list. The same rule now decides both.

--- a/src/relay/backends.rs
+++ b/src/relay/backends.rs
@@ -26,7 +26,7 @@
 
 mod apply;
 mod ended;
-mod entry;
+pub(super) mod entry;
 mod leaving;
 pub mod packed;
 mod snapshot;
--- a/src/relay/backends/entry.rs
+++ b/src/relay/backends/entry.rs
@@ -14,7 +14,7 @@
 
 /// Why an entry cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Unusable {
+pub(in crate::relay) enum Unusable {
     /// Its address is not one that can be connected to.
     Address,
     /// It declares more slots than any server has.
@@ -38,7 +38,7 @@
 ///
 /// # Errors
 /// When the entry cannot be used.
-pub(super) fn usable_addr(item: &fleet::Backend) -> Result<SocketAddr, Unusable> {
+pub(in crate::relay) fn usable_addr(item: &fleet::Backend) -> Result<SocketAddr, Unusable> {
     let addr: SocketAddr = item.addr.parse().map_err(|_| Unusable::Address)?;
     if addr.port() == 0 || addr.ip().is_unspecified() || addr.ip().is_multicast() {
         return Err(Unusable::Address);
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -1,11 +1,11 @@
 //! Keeps account of the streams that this host passes on, and decides where one goes on that broke off or that a caller
 //! takes up.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use super::{
     Relay, State, Wire,
-    backends::{BackendKey, versions},
+    backends::{BackendKey, entry::usable_addr, versions},
     confirm::Topic,
     exchange::OriginTraffic,
     origins::{Continuation, Discontinued, StreamKey, questions::Certainty},
@@ -189,8 +189,7 @@
 
 /// Service and version that an entry tells, if it names a server.
 fn version_of(entry: &Backend) -> Option<(Arc<str>, Arc<str>)> {
-    let is_usable = entry.addr.parse::<SocketAddr>().is_ok();
-    is_usable.then(|| (entry.service.as_str().into(), versions::bounded(&entry.version)))
+    usable_addr(entry).is_ok().then(|| (entry.service.as_str().into(), versions::bounded(&entry.version)))
 }
 
 /// What a route matches, which identifies it in two configurations.
