--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -127,7 +127,7 @@
     /// Takes account of the routes of a new configuration. Streams of routes that lead to other services than before are told
     /// to other hosts, which would take them for streams of the new ones.
     pub(super) fn observe_routes(&self, state: &mut State, old: Option<&Routes>, new: &Routes) {
-        state.origins.set_timeout(now(), new.longest_stream());
+        state.origins.set_timeout(new.longest_stream());
         let Some(old) = old else { return };
         let before: Map<_, _> = old.streams().map(|route| (match_of(route), route)).collect();
         let mut is_rerouted = false;
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -119,8 +119,6 @@
     /// Since when no version can have come and gone without this host's having it seen.
     seen_since: Instant,
     lifetime: Duration,
-    /// A longer lifetime that streams still have which began before it was shortened, and until when.
-    longer: Option<(Duration, Instant)>,
     table: Table,
     served: Served,
 }
@@ -132,29 +130,20 @@
             started,
             seen_since: started,
             lifetime: DEFAULT_LIFETIME,
-            longer: None,
             table: Table::new(started),
             served: Served::default(),
         }
     }
 
-    /// Sets the longest timeout of a stream, after which callers no longer take it up. Streams that have begun keep a longer one.
-    pub fn set_timeout(&mut self, now: Instant, longest: Duration) {
+    /// Sets the longest timeout of a stream, after which callers no longer take it up.
+    pub fn set_timeout(&mut self, longest: Duration) {
         let (min, max) = LIFETIME_LIMITS;
-        let before = std::mem::replace(&mut self.lifetime, (longest + RETRY_MARGIN).clamp(min, max));
-        self.expire_longer(now);
-        if before > self.lifetime && self.longer.is_none_or(|(longer, _)| longer <= before) {
-            self.longer = Some((before, now + before));
-        }
-    }
-
-    fn expire_longer(&mut self, now: Instant) {
-        self.longer = self.longer.filter(|(longer, until)| *longer > self.lifetime && *until > now);
+        self.lifetime = (longest + RETRY_MARGIN).clamp(min, max);
     }
 
     /// How long after its first event a stream may be taken up.
     pub fn lifetime(&self) -> Duration {
-        self.longer.map_or(self.lifetime, |(longer, _)| longer)
+        self.lifetime
     }
 
     /// The versions that may have begun streams.
@@ -168,16 +157,14 @@
         now: Instant,
         servers: impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
     ) -> Vec<Arc<str>> {
-        self.expire_longer(now);
-        self.table.expire(now, self.lifetime());
-        self.served.observe(now, self.lifetime(), servers)
+        self.table.expire(now, self.lifetime);
+        self.served.observe(now, self.lifetime, servers)
     }
 
     /// Records that streams which began up to `until` may be taken up on the routes of these services though they began at
     /// another service, before the route was changed, or at a version that this host has never seen.
     pub fn doubt<'a>(&mut self, until: Instant, services: impl Iterator<Item = &'a str>) {
-        let until = until + self.lifetime();
-        services.for_each(|service| self.served.doubt_until(until, service));
+        services.for_each(|service| self.served.doubt_until(until + self.lifetime, service));
     }
 
     /// Records the services of which several versions may have begun streams, as hosts have registered them in the store. It fills in
@@ -292,7 +279,7 @@
 
     /// Whether this host has seen all versions that may have begun streams which are still open.
     pub fn has_seen_all(&self, now: Instant) -> bool {
-        self.seen_since + self.lifetime() <= now
+        self.seen_since + self.lifetime <= now
     }
 
     /// Whether a stream of this version may go on at another server of the same version. Servers that tell no version may
