Hold a stream that is taken up to the event after the last one

Callers: a stream that a caller takes up could go on at any event. Where a server ignores Last-Event-Id, counts anew after a restart or goes on one event too far, the caller gets pieces twice or misses some, with a complete answer (ORDER). That needs a faulty server; none was seen.

Cause: the host compared the first event with the one before only where it resumes a stream itself, in the same answer. Where the caller had asked for the resumption it passed on whatever came. And the comparison added one to the last number, which overflows at the highest one.

Change: the first events of any attempt that goes on after an event must directly follow it, whoever asked for it. Otherwise the attempt has failed, as a stream that goes on in the same answer did before, and another server gets it; without one the caller gets 502, which promises nothing. It works because the check stands where all attempts begin.

Class: a check of what a server sends that depends on who asked for it.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -182,8 +182,7 @@
             return Ok(Begun::Other(Box::new(answered)));
         }
         let mut source = Box::new(Source::new(answered));
-        let follows = beginning.after.filter(|_| beginning.continues);
-        match source.read(follows).await {
+        match source.read(beginning.after).await {
             Ok(first) => Ok(Begun::Stream(source, first)),
             Err(failure) => Err(source.failed(failure)),
         }
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -26,6 +26,13 @@
     pub last: Option<EventNumber>,
 }
 
+impl CompleteEvents {
+    /// Whether the first of them directly follows this one; any does if nothing precedes them.
+    pub fn follow(&self, last: Option<EventNumber>) -> bool {
+        last.is_none() || self.first.and_then(|first| first.checked_sub(1)) == last
+    }
+}
+
 /// Buffers the bytes of a stream until they form a complete event.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -101,8 +101,7 @@
             if let Some(mut events) = self.splitter.push(data) {
                 attempt.note_event();
                 events.bytes = attempt.hold(events.bytes);
-                let is_next = follows.is_none() || events.first == follows.map(|n| n + 1);
-                return if is_next { Ok(Some(events)) } else { Err(Failure::Garbled) };
+                return if events.follow(follows) { Ok(Some(events)) } else { Err(Failure::Garbled) };
             }
             if self.splitter.is_too_long() {
                 return Err(attempt.too_long(self.splitter.buffered_bytes()));
--- a/tests/relay_stream_order.rs
+++ b/tests/relay_stream_order.rs
@@ -6,7 +6,7 @@
 mod wire;
 
 use wire::{
-    Host, ScriptStep, Server, chunk, event, event_with_data, events, header, is_complete, request,
+    Host, ScriptStep, Server, chunk, event, event_with_data, events, header, is_complete, request, status,
     stream_head,
 };
 
@@ -15,6 +15,11 @@
     stream_head() + &texts.iter().map(|text| chunk(text)).collect::<String>() + "0\r\n\r\n"
 }
 
+/// Request that takes a stream up after an event.
+fn resumption(after: u64) -> String {
+    request("/stream/x", "").replace("Key:", &format!("Last-Event-Id: {after}\r\nKey:"))
+}
+
 /// Event after which each request at a server goes on.
 fn resumed_after(server: &Server) -> Vec<Option<String>> {
     server.requests().iter().map(|r| header(r, "last-event-id")).collect()
@@ -68,6 +73,35 @@
     }
 }
 
+/// Guards against a stream that a caller takes up and that goes on at another event than the next one: the caller would miss
+/// events or get some twice.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_goes_on_at_the_next_event_only() {
+    for number in [1, 2, 4, 30] {
+        let wrong = whole(&[event(number), event(number + 1)]);
+        let first = Server::start("i-1", [ScriptStep::Write(wrong.clone())]).await;
+        let sound = Server::start("i-2", [ScriptStep::Write(whole(&[event(3), event(4)]))]).await;
+        let other = Server::start("i-3", [ScriptStep::Write(wrong)]).await;
+
+        let helped = Host::with_servers(&[&first, &sound]).await.call(&resumption(2)).await;
+        let refused = Host::with_servers(&[&first, &other]).await.call(&resumption(2)).await;
+
+        assert_eq!((events(&helped), is_complete(&helped)), (vec!["e3", "e4"], true), "{number}: {helped}");
+        assert_eq!((status(&refused), events(&refused)), (502, vec![]), "{number}: {refused}");
+    }
+}
+
+/// Guards against a host that ends at the highest number that an event can have.
+#[tokio::test]
+async fn nothing_follows_the_highest_number() {
+    let server = Server::start("i-1", [ScriptStep::Write(whole(&[event(0), event(1)]))]).await;
+    let host = Host::with_servers(&[&server]).await;
+
+    let answer = host.call(&resumption(u64::MAX)).await;
+
+    assert_eq!((status(&answer), events(&answer)), (502, vec![]), "{answer}");
+}
+
 /// Guards against a stream that is cut though its last event has arrived, since nothing is left for another server.
 #[tokio::test]
 async fn a_stream_that_breaks_off_after_its_last_event_ends_with_an_empty_rest() {
