End an attempt at a stream whose numbers do not increase

Callers: events 1, 2, 1 or 1, 2, 2 of one server reached the caller as they came, with a complete answer (ORDER: a piece twice, a number that goes back). That needs a server that counts anew or sends something again in one answer; none was seen.

Cause: numbers were compared only where a stream goes on at another server. Within the answer of one server nothing looked at them.

Change: the numbers of an attempt must increase, within the events that arrive together and from one read to the next. Otherwise the attempt has failed before these events are passed on, and the stream goes on elsewhere after the last one that was, or is cut. It works because nothing is passed on before its numbers are compared. Events without a number are not compared, and a gap is not taken for a fault: the protocol says that numbers increase, not that each one comes.

Class: a server is trusted for what its own answer can show.

Result: five such streams arrive as e1 to e4, each event once.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -24,6 +24,8 @@
     pub first: Option<EventNumber>,
     /// Number of the last event that has one.
     pub last: Option<EventNumber>,
+    /// Whether each number is higher than the one before.
+    pub are_in_order: bool,
 }
 
 impl CompleteEvents {
@@ -31,6 +33,12 @@
     pub fn follow(&self, last: Option<EventNumber>) -> bool {
         last.is_none() || self.first.and_then(|first| first.checked_sub(1)) == last
     }
+
+    /// Whether their numbers increase, from this one on.
+    pub fn increase(&self, last: Option<EventNumber>) -> bool {
+        let is_higher = |first| last.is_none_or(|last| last < first);
+        self.are_in_order && self.first.is_none_or(is_higher)
+    }
 }
 
 /// Buffers the bytes of a stream until they form a complete event.
@@ -95,9 +103,12 @@
 }
 
 fn complete_events(bytes: Bytes) -> CompleteEvents {
-    let numbers = || bytes.split(|b| *b == b'\n').filter_map(event_number);
-    let (first, last) = (numbers().next(), numbers().next_back());
-    CompleteEvents { first, last, bytes }
+    let (mut first, mut last, mut are_in_order) = (None, None, true);
+    for number in bytes.split(|b| *b == b'\n').filter_map(event_number) {
+        are_in_order &= last.is_none_or(|last| last < number);
+        (first, last) = (first.or(Some(number)), Some(number));
+    }
+    CompleteEvents { first, last, are_in_order, bytes }
 }
 
 fn event_number(line: &[u8]) -> Option<EventNumber> {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -65,18 +65,20 @@
 pub(crate) struct Source<W: Wire> {
     answered: Answered<W>,
     splitter: Splitter,
+    /// Number of the last event that it has sent.
+    last: Option<EventNumber>,
     reads: TokenBucket,
 }
 
 impl<W: Wire> Source<W> {
     pub(crate) fn new(answered: Answered<W>) -> Self {
         let reads = TokenBucket::new(READS_PER_SECOND, READ_BURST);
-        Self { answered, splitter: Splitter::default(), reads }
+        Self { answered, splitter: Splitter::default(), last: None, reads }
     }
 
     /// Reads until there is at least one complete event, at most until the deadline; `None` at the end of the stream. The first
-    /// event of a stream that goes on must directly follow the event `follows`; otherwise the caller would miss events or get
-    /// some twice.
+    /// event of a stream that goes on must directly follow the event `follows`, and numbers must increase; otherwise the caller
+    /// would miss events or get some twice.
     pub(crate) async fn read(
         &mut self,
         follows: Option<EventNumber>,
@@ -101,7 +103,11 @@
             if let Some(mut events) = self.splitter.push(data) {
                 attempt.note_event();
                 events.bytes = attempt.hold(events.bytes);
-                return if events.follow(follows) { Ok(Some(events)) } else { Err(Failure::Garbled) };
+                if !events.follow(follows) || !events.increase(self.last) {
+                    return Err(Failure::Garbled);
+                }
+                self.last = events.last.or(self.last);
+                return Ok(Some(events));
             }
             if self.splitter.is_too_long() {
                 return Err(attempt.too_long(self.splitter.buffered_bytes()));
--- a/tests/relay_stream_order.rs
+++ b/tests/relay_stream_order.rs
@@ -20,6 +20,15 @@
     request("/stream/x", "").replace("Key:", &format!("Last-Event-Id: {after}\r\nKey:"))
 }
 
+/// Server that goes on after the event that it is asked for, up to the event `last`.
+async fn counting(id: &str, last: u32) -> Server {
+    Server::reacting(id, move |req, _| {
+        let after: u32 = header(req, "last-event-id").map_or(0, |after| after.parse().unwrap());
+        ScriptStep::Write(whole(&(after + 1..=last).map(event).collect::<Vec<_>>()))
+    })
+    .await
+}
+
 /// Event after which each request at a server goes on.
 fn resumed_after(server: &Server) -> Vec<Option<String>> {
     server.requests().iter().map(|r| header(r, "last-event-id")).collect()
@@ -102,6 +111,28 @@
     assert_eq!((status(&answer), events(&answer)), (502, vec![]), "{answer}");
 }
 
+/// Guards against events that come twice or in another order, since a server counts anew or sends some again.
+#[tokio::test]
+async fn a_stream_whose_numbers_do_not_increase_goes_on_elsewhere() {
+    let again = [
+        vec![event(1), event(2), event(1)],
+        vec![event(1), event(2), event(2)],
+        vec![event(1), event(2), event(2) + &event(3)],
+        vec![event(1), event(2), event(3) + &event(3)],
+        vec![event(1), event(2), event(3) + &event(1)],
+    ];
+    for texts in again {
+        let first = Server::start("i-1", [ScriptStep::Write(whole(&texts))]).await;
+        let second = counting("i-2", 4).await;
+        let host = Host::with_servers(&[&first, &second]).await;
+
+        let answer = host.call(&request("/stream/x", "")).await;
+
+        assert_eq!(events(&answer), ["e1", "e2", "e3", "e4"], "{texts:?}");
+        assert!(is_complete(&answer), "{texts:?}: {answer}");
+    }
+}
+
 /// Guards against a stream that is cut though its last event has arrived, since nothing is left for another server.
 #[tokio::test]
 async fn a_stream_that_breaks_off_after_its_last_event_ends_with_an_empty_rest() {
