Take an empty answer for the rest of a stream only if it is a stream

Cause: on a stream's route every success counted as a stream, and one without bytes as a stream that is over.

Change: where a stream goes on, in the same answer or in a caller's next attempt, an answer without an event counts only with status 200 and type text/event-stream. Otherwise the attempt has failed, and another server gets the request, the stream is cut or the caller gets 502. An empty stream of events still ends a stream whose last event has arrived (a_stream_that_breaks_off_after_its_last_event_ends_with_an_empty_rest); whether it is right can't be seen, since nothing tells the number of events.

Class: the absence of something is taken for an end without asking who says so.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{Response, response};
+use http::{Response, StatusCode, header::CONTENT_TYPE, response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -46,6 +46,9 @@
 /// How long an answer without a stated length waits for room in the buffers before it is given up.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A failed attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Failed {
@@ -181,8 +184,10 @@
         if !is_stream {
             return Ok(Begun::Other(Box::new(answered)));
         }
+        let may_be_empty = beginning.after.is_none() || is_event_stream(&answered.head);
         let mut source = Box::new(Source::new(answered));
         match source.read(beginning.after).await {
+            Ok(None) if !may_be_empty => Err(source.failed(Failure::Garbled)),
             Ok(first) => Ok(Begun::Stream(source, first)),
             Err(failure) => Err(source.failed(failure)),
         }
@@ -414,6 +419,13 @@
     }
 }
 
+/// Whether an answer says that it is a stream of events.
+fn is_event_stream(head: &response::Parts) -> bool {
+    let media_type = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let essence = media_type.and_then(|v| v.split(';').next()).map(str::trim);
+    head.status == StatusCode::OK && essence.is_some_and(|v| v.eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Returns the connection of a refusal to the pool once the body is read.
 async fn reuse_after_refusal<W: Wire>(
     relay: &Relay<W>,
--- a/tests/relay_stream_order.rs
+++ b/tests/relay_stream_order.rs
@@ -133,6 +133,31 @@
     }
 }
 
+/// Guards against a stream that is complete before its last event, since a server answers its resumption with nothing that is a
+/// stream.
+#[tokio::test]
+async fn a_stream_does_not_end_with_an_empty_answer_that_is_none() {
+    let head = "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Seal: s1\r\n";
+    let none = [
+        head.replace("{status}", "204 No Content") + "\r\n",
+        head.replace("{status}", "202 Accepted") + "Content-Length: 0\r\n\r\n",
+        head.replace("{status}", "200 OK") + "Content-Length: 0\r\n\r\n",
+        head.replace("{status}", "200 OK") + "Content-Type: text/plain\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for answer_without_events in none {
+        let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
+        let first = Server::start("i-1", [ScriptStep::WriteAndReset(begun)]).await;
+        let empty = Server::start("i-2", [ScriptStep::Write(answer_without_events.clone())]).await;
+
+        let answer = Host::with_servers(&[&first, &empty]).await.call(&request("/stream/x", "")).await;
+
+        assert_eq!(events(&answer), ["e1", "e2"], "{answer_without_events}");
+        assert!(!is_complete(&answer), "{answer_without_events}: {answer}");
+        let taken_up = Host::with_servers(&[&empty]).await.call(&resumption(2)).await;
+        assert_eq!(status(&taken_up), 502, "{answer_without_events}: {taken_up}");
+    }
+}
+
 /// Guards against a stream that is cut though its last event has arrived, since nothing is left for another server.
 #[tokio::test]
 async fn a_stream_that_breaks_off_after_its_last_event_ends_with_an_empty_rest() {
