Test that a forgotten or ambiguous stream goes on nowhere

Callers: a stream could go on at another version since the host that passed it on has evicted it, since it was dropped from the queue of what is told, or since its attempt's identifier was used again for a stream of another version.

None of them happens while several versions count. Of 200,000 streams the first is evicted and then unknown; an unknown one goes on nowhere, whatever other hosts say (nothing, only v1, only v2, several), and this host says "several" of it; one that began at two versions is conflicting. The end of a stream does not forget it. Why: an unknown stream is judged by the versions that count, of which there are two, not by the table. Not covered: one identifier used twice at the same version, where the streams can't be told apart.

--- a/tests/relay_stream_order.rs
+++ b/tests/relay_stream_order.rs
@@ -5,6 +5,12 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use std::{sync::Arc, time::Duration};
+
+use cranberrytally::relay::origins::{
+    Continuation, Discontinued, Origins, StreamKey, questions::Certainty, service_tag, version_tag,
+};
+
 use wire::{
     Host, ScriptStep, Server, chunk, event, event_with_data, events, header, is_complete, request, status,
     stream_head,
@@ -170,3 +176,60 @@
 
     assert_eq!((events(&answer), is_complete(&answer)), (vec!["e1", "e2"], true), "{answer}");
 }
+
+/// A host that has seen servers of these versions of the service `app` all the time.
+fn origins(timeout: Duration, versions: &[&str]) -> Origins {
+    let mut origins = Origins::new(Duration::ZERO);
+    origins.set_timeout(timeout);
+    observe(&mut origins, Duration::ZERO, versions);
+    origins
+}
+
+fn observe(origins: &mut Origins, now: Duration, versions: &[&str]) {
+    let servers: Vec<(Arc<str>, Arc<str>)> = versions.iter().map(|v| ("app".into(), (*v).into())).collect();
+    origins.observe(now, servers.iter().map(|(service, version)| (service, version)));
+}
+
+fn stream(n: u64) -> StreamKey {
+    StreamKey::new("travel", &n.to_string()).unwrap()
+}
+
+fn begin(origins: &mut Origins, n: u64, version: &str) {
+    origins.begin(stream(n), &Continuation { service: "app".into(), version: version.into() }, 1);
+}
+
+/// Where the stream `n` goes on, whose route leads to `app`, if other hosts say this.
+fn goes_on(
+    origins: &Origins,
+    now: Duration,
+    n: u64,
+    certainty: Certainty,
+) -> Result<Continuation, Discontinued> {
+    origins.continuation(now, Some(stream(n)), &["app"], true, certainty)
+}
+
+/// Guards against a stream that goes on at another version since it was evicted, was never told, or has the identifier of another
+/// one.
+#[test]
+fn a_stream_that_was_forgotten_or_is_ambiguous_goes_on_nowhere() {
+    let secs = Duration::from_secs;
+    let mut origins = origins(secs(10), &["v1", "v2"]);
+    begin(&mut origins, 1, "v1");
+    let known = goes_on(&origins, secs(1), 1, Certainty::Unsure);
+    origins.end(stream(1));
+    let ended = goes_on(&origins, secs(1), 1, Certainty::Unsure);
+    (2..200_000).for_each(|n| begin(&mut origins, n, "v2"));
+    begin(&mut origins, 199_999, "v1");
+
+    let [v1, v2] = ["v1", "v2"].map(|version| Certainty::Only(version_tag("app", version)));
+    assert_eq!(known.as_ref().map(|at| &*at.version), Ok("v1"));
+    assert_eq!(ended, known, "a caller may not have got the end");
+    for certainty in [Certainty::Unsure, v1, v2, Certainty::Several] {
+        let forgotten = goes_on(&origins, secs(1), 1, certainty);
+        let never_told = goes_on(&origins, secs(1), 200_000, certainty);
+        let ambiguous = goes_on(&origins, secs(1), 199_999, certainty);
+        assert_eq!((forgotten, never_told), (Err(Discontinued::Unknown), Err(Discontinued::Unknown)));
+        assert_eq!(ambiguous, Err(Discontinued::Conflicting));
+    }
+    assert_eq!(origins.certainty(secs(1), service_tag("app"), true), Certainty::Several);
+}
