Let a version and doubt count for the timeouts of the streams they are about

Callers: a stream that they take up goes on at another version (ORDER) after a configuration has shortened the longest timeout of streams, or at a host that has started a while ago, where timeouts are longer than 10 s.

Cause: the lifetime of streams is that of the configuration in force. (1) When the longest timeout is shortened, a version whose last server left under the longer one is dropped at once, while its streams may still be taken up; the version that is left then counts as the only one. (2) Doubt is given its end when it is recorded. A host that starts reads the registration of hosts, which says that several versions served, before it knows the configuration, so that doubt ends after 15 s (the lifetime without a configuration), though streams may last for longer.

Change: a shorter lifetime applies once the longer one has passed since it was set (anew whenever it is shortened again), and doubt is kept as the time up to which streams may have begun, to which the lifetime is added when it is compared. Cost: versions count, and streams are told, for one longer lifetime more after timeouts are shortened.

Class: a bound that is valid for new things is applied to those that began under another one.

--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -119,6 +119,10 @@
     /// Since when no version can have come and gone without this host's having it seen.
     seen_since: Instant,
     lifetime: Duration,
+    /// The lifetime by the timeouts in force, which is shorter while streams may be open that began under longer ones.
+    lifetime_in_force: Duration,
+    /// Since when it is shorter, once that was noticed.
+    shorter_since: Option<Instant>,
     table: Table,
     served: Served,
 }
@@ -130,15 +134,35 @@
             started,
             seen_since: started,
             lifetime: DEFAULT_LIFETIME,
+            lifetime_in_force: DEFAULT_LIFETIME,
+            shorter_since: None,
             table: Table::new(started),
             served: Served::default(),
         }
     }
 
-    /// Sets the longest timeout of a stream, after which callers no longer take it up.
+    /// Sets the longest timeout of a stream, after which callers no longer take it up. Streams that began under a longer one
+    /// may be taken up as before.
     pub fn set_timeout(&mut self, longest: Duration) {
         let (min, max) = LIFETIME_LIMITS;
-        self.lifetime = (longest + RETRY_MARGIN).clamp(min, max);
+        let lifetime = (longest + RETRY_MARGIN).clamp(min, max);
+        if lifetime < self.lifetime_in_force {
+            self.shorter_since = None;
+        }
+        self.lifetime_in_force = lifetime;
+        self.lifetime = self.lifetime.max(lifetime);
+    }
+
+    /// Shortens the lifetime of streams once none can be open that began under longer timeouts.
+    fn shorten_lifetime(&mut self, now: Instant) {
+        if self.lifetime_in_force == self.lifetime {
+            self.shorter_since = None;
+            return;
+        }
+        let since = *self.shorter_since.get_or_insert(now);
+        if since + self.lifetime <= now {
+            (self.lifetime, self.shorter_since) = (self.lifetime_in_force, None);
+        }
     }
 
     /// How long after its first event a stream may be taken up.
@@ -157,6 +181,7 @@
         now: Instant,
         servers: impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
     ) -> Vec<Arc<str>> {
+        self.shorten_lifetime(now);
         self.table.expire(now, self.lifetime);
         self.served.observe(now, self.lifetime, servers)
     }
@@ -164,7 +189,7 @@
     /// Records that streams which began up to `until` may be taken up on the routes of these services though they began at
     /// another service, before the route was changed, or at a version that this host has never seen.
     pub fn doubt<'a>(&mut self, until: Instant, services: impl Iterator<Item = &'a str>) {
-        services.for_each(|service| self.served.doubt_until(until + self.lifetime, service));
+        services.for_each(|service| self.served.doubt_until(until, service));
     }
 
     /// Records the services of which several versions may have begun streams, as hosts have registered them in the store. It fills in
--- a/src/relay/origins/served.rs
+++ b/src/relay/origins/served.rs
@@ -16,7 +16,8 @@
 #[derive(Clone, Debug, Default)]
 struct Service {
     versions: Vec<Version>,
-    /// Until when streams that another service or a version which is no longer known began may be taken up on its routes.
+    /// Until when streams may have begun at another service, or at a version which is no longer known, that are taken up on its
+    /// routes.
     doubt_until: Option<Instant>,
 }
 
@@ -52,7 +53,7 @@
         for (name, service) in &mut self.services {
             let before = service.versions.len();
             service.versions.retain(|v| v.seen + lifetime >= now);
-            service.doubt_until = service.doubt_until.filter(|until| *until > now);
+            service.doubt_until = service.doubt_until.filter(|until| *until + lifetime > now);
             if service.versions.len() != before {
                 changed.push(name.clone());
             }
--- a/tests/relay_stream_order.rs
+++ b/tests/relay_stream_order.rs
@@ -233,3 +233,38 @@
     }
     assert_eq!(origins.certainty(secs(1), service_tag("app"), true), Certainty::Several);
 }
+
+/// Guards against a stream that goes on at another version since the timeouts were shortened after it began.
+#[test]
+fn a_version_counts_for_the_timeouts_under_which_its_streams_began() {
+    let secs = Duration::from_secs;
+    let mut origins = origins(secs(30), &["v1"]);
+    observe(&mut origins, secs(1), &["v1", "v2"]);
+    observe(&mut origins, secs(2), &["v2"]);
+    origins.set_timeout(secs(5));
+
+    let mut went_on = Vec::new();
+    for at in 2..60 {
+        observe(&mut origins, secs(at), &["v2"]);
+        went_on.extend(goes_on(&origins, secs(at), 1, Certainty::Unsure).is_ok().then_some(at));
+    }
+
+    assert!(went_on.first().is_some_and(|at| (31..=40).contains(at)), "{went_on:?}");
+}
+
+/// Guards against doubt that ends early at a host that has just started, which learns of it before it knows the timeouts.
+#[test]
+fn doubt_lasts_for_the_timeouts_that_are_learned_after_it() {
+    let secs = Duration::from_secs;
+    let mut origins = Origins::new(Duration::ZERO);
+    origins.doubt(Duration::ZERO, ["app"].into_iter());
+    origins.set_timeout(secs(30));
+
+    let mut went_on = Vec::new();
+    for at in 0..60 {
+        observe(&mut origins, secs(at), &["v2"]);
+        went_on.extend(goes_on(&origins, secs(at), 1, Certainty::Unsure).is_ok().then_some(at));
+    }
+
+    assert!(went_on.first().is_some_and(|at| (30..=40).contains(at)), "{went_on:?}");
+}
