Doubt streams whose paths belong to another route than before

Callers: a stream that nobody knows goes on at another service (ORDER: pieces of two runs), since its path belongs to another route now: one for a part of the paths was added or removed, or a route was removed and its paths were given to another one by a later configuration.

Cause: a new configuration was compared with the old one by prefix. A route whose prefix is in one of the two only was skipped, though the longest prefix decides, so that it takes over the paths of the one around it, or leaves them to it.

Evidence: five of the eleven cases of the new test fail on the code before with status 200 where 503 is due: a part is added for another service, a part of another service is removed, a route is removed and added for another service, removed and a part of it added, removed and one around it added. The others pass there.

Change: for each route that differs, that is in one of the two only, or that was removed within the lifetime of streams, the services to which its paths led before and lead now are compared, by the rule that routes requests. It works because a path's route changes only if one of these does.

Class: two configurations are compared by their text instead of by what they do with a request.

Not measured: the time that a configuration of thousands of routes takes. By reading, routes that don't differ are looked up in a map, as before.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -83,6 +83,7 @@
 pub mod reach;
 pub mod read_turn;
 pub mod request;
+pub mod rerouted;
 pub mod returns;
 pub mod revision;
 pub mod rounds;
@@ -127,6 +128,7 @@
 use prefill::Prefill;
 use reach::Reach;
 use request::Request;
+use rerouted::Rerouted;
 use returns::Returns;
 use revision::{EpochTracker, Revision};
 use rounds::{Rounds, Task};
@@ -214,6 +216,7 @@
     pub(crate) shares: Shares,
     pub(crate) returns: Returns,
     pub(crate) origins: Origins,
+    pub(crate) rerouted: Rerouted,
     /// Questions to other hosts about streams.
     pub(crate) questions: Questions,
     pub(crate) outbox: Outbox,
@@ -332,6 +335,7 @@
             shares: Shares::default(),
             returns: Returns::default(),
             origins: Origins::new(now()),
+            rerouted: Rerouted::default(),
             questions: Questions::default(),
             outbox: Outbox::default(),
             saver: cfg.peer_addr,
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -10,14 +10,14 @@
     exchange::OriginTraffic,
     origins::{Continuation, Discontinued, StreamKey, questions::Certainty},
     request::Request,
-    routes::{CompiledRoute, Routes},
+    routes::Routes,
 };
 use crate::{
     error::ErrorKind,
     logs::lines::{Level, line},
     metrics::{Counter, Gauge},
     schema::fleet::Backend,
-    util::{Instant, Map, now},
+    util::{Instant, now},
 };
 
 impl Discontinued {
@@ -129,17 +129,10 @@
     pub(super) fn observe_routes(&self, state: &mut State, old: Option<&Routes>, new: &Routes) {
         state.origins.set_timeout(new.longest_stream());
         let Some(old) = old else { return };
-        let before: Map<_, _> = old.streams().map(|route| (match_of(route), route)).collect();
-        let mut is_rerouted = false;
-        for route in new.streams() {
-            let Some(before) = before.get(&match_of(route)) else { continue };
-            let (before, after) = (before.services(), route.services());
-            if before != after {
-                is_rerouted = true;
-                state.origins.doubt(now(), before.into_iter().chain(after));
-            }
-        }
-        if is_rerouted {
+        let (now, lifetime) = (now(), state.origins.lifetime());
+        let doubtful = state.rerouted.observe(now, lifetime, old, new);
+        if !doubtful.is_empty() {
+            state.origins.doubt(now, doubtful.iter().map(|service| &**service));
             self.tell_open_streams(state);
         }
     }
@@ -191,12 +184,6 @@
 fn version_of(entry: &Backend) -> Option<(Arc<str>, Arc<str>)> {
     usable_addr(entry).is_ok().then(|| (entry.service.as_str().into(), versions::bounded(&entry.version)))
 }
-
-/// What a route matches, which identifies it in two configurations.
-fn match_of(route: &CompiledRoute) -> (&str, &str) {
-    (&route.route.host, &route.route.prefix)
-}
-
 /// Identifies the stream that a request begins or takes up; `None` if its caller does not name the latter.
 fn stream_key(req: &Request) -> Option<StreamKey> {
     let workspace = req.caller.as_ref().map_or("", |caller| &*caller.workspace);
--- a/tests/relay_stream_order.rs
+++ b/tests/relay_stream_order.rs
@@ -7,13 +7,19 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cranberrytally::relay::origins::{
-    Continuation, Discontinued, Origins, StreamKey, questions::Certainty, service_tag, version_tag,
+use cranberrytally::{
+    relay::{
+        follow::BackendsUpdate,
+        origins::{
+            Continuation, Discontinued, Origins, StreamKey, questions::Certainty, service_tag, version_tag,
+        },
+    },
+    schema::fleet::{Backend, Backends, Configuration},
 };
 
 use wire::{
-    Host, ScriptStep, Server, chunk, event, event_with_data, events, header, is_complete, request, status,
-    stream_head,
+    Host, ScriptStep, Server, chunk, configuration, event, event_with_data, events, header, is_complete,
+    request, status, stream_head,
 };
 
 /// Chunked stream of these texts, one chunk each, with its end.
@@ -268,3 +274,62 @@
 
     assert!(went_on.first().is_some_and(|at| (30..=40).contains(at)), "{went_on:?}");
 }
+
+/// Routes of streams in one configuration after the other, by prefix and service.
+type Steps<'a> = &'a [&'a [(&'a str, &'a str)]];
+
+fn configurations(steps: Steps<'_>) -> Vec<Configuration> {
+    let stream = configuration().routes[2].clone();
+    let route = |(prefix, service): &(&str, &str)| {
+        let mut route = stream.clone();
+        (route.prefix, route.shares[0].service) = ((*prefix).into(), (*service).into());
+        route
+    };
+    let configuration = |(version, routes): (u64, &&[(&str, &str)])| Configuration {
+        version,
+        routes: routes.iter().map(route).collect(),
+        ..configuration()
+    };
+    (1..).zip(steps).map(configuration).collect()
+}
+
+/// Guards against a stream that goes on at another service, since its path belongs to another route now, or to one that was removed
+/// and added again.
+#[tokio::test]
+async fn a_stream_does_not_go_on_where_another_route_leads() {
+    let [app, moved] = [counting("i-1", 9).await, counting("i-2", 9).await];
+    let (all, all_moved) = (("/stream/", "app"), ("/stream/", "moved"));
+    let (part, part_moved, other) = (("/stream/x/", "app"), ("/stream/x/", "moved"), ("/once/", "app"));
+    let cases: [(&str, Steps<'_>, bool); 11] = [
+        ("stays", &[&[all], &[all, other]], true),
+        ("is added for the same service", &[&[all], &[all, part]], true),
+        ("is added for another service", &[&[all], &[all, part_moved]], false),
+        ("is moved to the service around it", &[&[all, part_moved], &[all, part]], false),
+        ("is removed from within the same service", &[&[all, part], &[all]], true),
+        ("is removed from within another service", &[&[all, part_moved], &[all]], false),
+        ("is removed and added", &[&[all], &[other], &[all, other]], true),
+        ("is removed and added for another service", &[&[all], &[other], &[all_moved, other]], false),
+        ("is removed, and a part of it is added", &[&[all], &[other], &[part_moved, other]], false),
+        ("is removed, and one around it is added", &[&[part], &[other], &[all_moved, other]], false),
+        ("is moved around one that stays", &[&[all, part], &[all_moved, part]], false),
+    ];
+    for (name, steps, expected) in cases {
+        let host = Host::without_configuration().await;
+        let listed = |server: &Server, service: &str| Backend {
+            service: service.into(),
+            version: "v1".into(),
+            ..wire::backend(&server.id, server.addr)
+        };
+        let items = vec![listed(&app, "app"), listed(&moved, "moved")];
+        let list = Backends { revision: 1, items, ..Backends::default() };
+        host.relay.update_backends(BackendsUpdate::List(list), None, "test");
+        for cfg in configurations(steps) {
+            host.relay.set_configuration(cfg, "test");
+        }
+
+        let answer = host.call(&resumption(2).replace("/stream/x", "/stream/x/y")).await;
+
+        assert_eq!(status(&answer) == 200, expected, "a route that {name}: {answer}");
+        assert!(expected || answer.contains("stream_version_unknown"), "a route that {name}: {answer}");
+    }
+}
