Test answers that end at any byte beyond another host

Cause: only streams without a length were tested beyond another host, and only with all of their events sent.

Change: an answer with a length, one in chunks and one without either are cut at every byte, closed and reset, by a server beyond a host with frames; and at every byte of what a host passes on, with frames and as the version before sends them, by that host. The stand-in of the older host moved into a fixture; its test is as before.

--- a/tests/relay_tunnels.rs
+++ b/tests/relay_tunnels.rs
@@ -5,7 +5,10 @@
 #[path = "support/wire.rs"]
 mod wire;
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use cranberrytally::{
     metrics::Counter,
@@ -19,7 +22,10 @@
 };
 
 use relay_support::RunningHost;
-use wire::{ScriptStep, Server, event, events, is_complete, read_answer, request, wait_until};
+use wire::{
+    ScriptStep, Server, chunk, event, events, is_complete, ok, read_answer, request, status, stream_head,
+    wait_until,
+};
 
 /// Identifiers of the servers; a host is cut off once it has failed to connect to two.
 const SERVERS: [&str; 2] = ["i-1", "i-2"];
@@ -83,6 +89,27 @@
     host.relay.update_backends(BackendsUpdate::List(list), None, "test");
 }
 
+/// Answers as a host that has connected to a server, in frames or as a host of the version before, which has none: writes the bytes
+/// that are set last after each request, and closes or resets the connection.
+async fn serve_as_helper(listener: TcpListener, framed: bool, next: Arc<Mutex<(Vec<u8>, bool)>>) {
+    while let Ok((mut asking, _)) = listener.accept().await {
+        let length = asking.read_u32_le().await.unwrap();
+        asking.read_exact(&mut vec![0; length as usize]).await.unwrap();
+        let answer = Fetched { connected: Connected::Established.into(), framed, ..Fetched::default() };
+        let answer = postcard::to_allocvec(&answer).unwrap();
+        // Without frames it lacks the last field.
+        let answer = &answer[..answer.len() - usize::from(!framed)];
+        asking.write_all(&(answer.len() as u32).to_le_bytes()).await.unwrap();
+        asking.write_all(answer).await.unwrap();
+        let Some(_) = wire::read_request(&mut asking).await else { continue };
+        let (written, is_reset) = next.lock().unwrap().clone();
+        asking.write_all(&written).await.unwrap();
+        if is_reset {
+            asking.set_zero_linger().unwrap();
+        }
+    }
+}
+
 /// Requests a stream that may not be resumed.
 async fn begin_stream(host: &RunningHost) -> TcpStream {
     let mut caller = TcpStream::connect(host.callers_at).await.unwrap();
@@ -140,21 +167,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
     let (host, _helper) = hosts(at, at).await;
-    tokio::spawn(async move {
-        while let Ok((mut asking, _)) = listener.accept().await {
-            let length = asking.read_u32_le().await.unwrap();
-            asking.read_exact(&mut vec![0; length as usize]).await.unwrap();
-            let answer = Fetched { connected: Connected::Established.into(), ..Fetched::default() };
-            let answer = postcard::to_allocvec(&answer).unwrap();
-            // It lacks the last field.
-            let answer = &answer[..answer.len() - 1];
-            asking.write_all(&(answer.len() as u32).to_le_bytes()).await.unwrap();
-            asking.write_all(answer).await.unwrap();
-            let Some(request) = wire::read_request(&mut asking).await else { continue };
-            let id = wire::header(&request, "attempt-id").unwrap();
-            asking.write_all(unframed_events().replace("{id}", &id).as_bytes()).await.unwrap();
-        }
-    });
+    let written = unframed_events().replace("{id}", "r1").into_bytes();
+    tokio::spawn(serve_as_helper(listener, false, Arc::new(Mutex::new((written, false)))));
 
     let answer = read_answer(&mut begin_stream(&host).await).await;
 
@@ -181,3 +195,107 @@
 
     assert_eq!(answer, unframed_events().replace("{id}", "r1"));
 }
+
+/// Answers by path, as head and body, and whether they end with their connection.
+fn answers() -> [(&'static str, String, String, bool); 3] {
+    let split = |text: String| {
+        let (head, body) = text.split_once("\r\n\r\n").unwrap();
+        (format!("{head}\r\n\r\n"), body.to_owned())
+    };
+    let (stated, stated_body) = split(ok("a body"));
+    let chunks = chunk(&event(1)) + &chunk(&event(2)) + "0\r\n\r\n";
+    let (unframed, unframed_body) = split(unframed_events().replace("text/event-stream", "text/plain"));
+    [
+        ("/unsafe/x", stated, stated_body, false),
+        ("/once/x", stream_head(), chunks, false),
+        ("/unsafe/x", unframed, unframed_body, true),
+    ]
+}
+
+/// Frame that says that the server has ended its side.
+const FRAME_END: [u8; 2] = [0, 0];
+
+/// The bytes of a server as another host passes them on, with each line in a frame of its own and the server's end if `framed`.
+fn passed_on(text: &str, framed: bool) -> Vec<u8> {
+    let text = text.replace("{id}", &id_of(0));
+    if !framed {
+        return text.into_bytes();
+    }
+    let frame = |line: &str| [&(line.len() as u16).to_le_bytes(), line.as_bytes()].concat();
+    text.split_inclusive('\n').flat_map(frame).chain(FRAME_END).collect()
+}
+
+/// Sends a request whose content and identifier no other one has; returns the status and whether the answer is whole.
+async fn call(host: &RunningHost, path: &str, number: usize) -> (u16, bool) {
+    let mut caller = TcpStream::connect(host.callers_at).await.unwrap();
+    let message = request(path, &number.to_string()).replace("r1", &id_of(number));
+    caller.write_all(message.as_bytes()).await.unwrap();
+    let answer = read_answer(&mut caller).await;
+    (status(&answer), is_complete(&answer))
+}
+
+fn id_of(number: usize) -> String {
+    format!("r{number:08}")
+}
+
+/// Guards against an answer that its server ends early, in its head or its body, and that is whole for a caller whose host reaches the
+/// server through another one.
+#[tokio::test]
+async fn an_answer_that_ends_at_any_byte_beyond_another_host_is_not_whole() {
+    let next = Arc::new(Mutex::new(ScriptStep::Hang));
+    let step = next.clone();
+    let server = Server::reacting("any", move |_, _| step.lock().unwrap().clone()).await;
+    let fleet = CutOff::start(&server).await;
+    let mut number = 0;
+    for (path, head, body, is_unframed) in answers() {
+        let length = (head.clone() + &body).replace("{id}", &id_of(0)).len();
+        for (at, is_reset) in (0..length).flat_map(|at| [(at, false), (at, true)]) {
+            number += 1;
+            let begun = (head.clone() + &body).replace("{id}", &id_of(number))[..at].to_owned();
+            *next.lock().unwrap() = match is_reset {
+                true => ScriptStep::WriteAndReset(begun),
+                false => ScriptStep::WriteAndClose(begun),
+            };
+
+            let (status, is_whole) = call(&fleet.host, path, number).await;
+
+            let may_be_whole = is_unframed && !is_reset && at + body.len() >= length;
+            let is_success = is_whole && status == 200;
+            assert_eq!(is_success, may_be_whole, "{path} at {at} of {length}, reset: {is_reset}: {status}");
+        }
+    }
+    assert_eq!(server.requests().len(), number);
+}
+
+/// Guards against an answer that is whole for a caller though the other host, with frames or of the version before, ended at any byte
+/// of what it passed on.
+#[tokio::test]
+async fn an_answer_that_ends_at_any_byte_with_the_other_host_is_not_whole() {
+    let mut number = 0;
+    for framed in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let (host, _helper) = hosts(at, at).await;
+        let next = Arc::default();
+        tokio::spawn(serve_as_helper(listener, framed, Arc::clone(&next)));
+        for (path, head, body, is_unframed) in answers() {
+            let whole = head + &body;
+            let length = passed_on(&whole, framed).len();
+            for (at, is_reset) in (0..length).flat_map(|at| [(at, false), (at, true)]) {
+                number += 1;
+                let written = passed_on(&whole.replace("{id}", &id_of(number)), framed)[..at].to_vec();
+                *next.lock().unwrap() = (written, is_reset);
+
+                let (status, is_whole) = call(&host, path, number).await;
+
+                // An answer with a length or chunks needs no word of the other host on its end.
+                let may_be_whole = framed && !is_unframed && at + FRAME_END.len() >= length;
+                let is_success = is_whole && status == 200;
+                let case = format!("{path} at {at} of {length}, framed: {framed}, reset: {is_reset}");
+                assert!([200, 502].contains(&status), "{case}: {status}");
+                // A reset may take back what was written before it.
+                assert!(is_success == may_be_whole || is_reset && !is_success, "{case}: {status}");
+            }
+        }
+    }
+}
