Reject an answer whose head took in another one

What callers saw: a 200 with the signature of an answer that the server had given as a 500, and the reverse.

Cause: a server's late answer may break off in its status line, or in a header before the identifier, on a connection that is kept. The next answer on it goes on in the same line: `HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error`. hyper's client takes the rest for the reason phrase or the header's value, and the headers that follow are those of the request.

Change: a head with a status line inside its reason phrase or a header's value is no answer; its attempt fails as garbled and its connection is closed. Where a header's name is cut, hyper rejects the head already.

Class: an answer that is put together from two. Identifiers were checked, but a status line that breaks off comes before them.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -38,6 +38,7 @@
 
 pub mod admission;
 pub mod answer;
+mod answer_head;
 mod attempt;
 pub mod attempts;
 pub mod backends;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -34,6 +34,7 @@
 };
 
 use super::{
+    answer_head,
     attempts::Failure,
     backends::BackendKey,
     head_limit::{self, HeadCounter, HeadLimited},
@@ -173,7 +174,8 @@
             let sent = sending.await;
             head_counter.end();
             match sent {
-                Ok(res) => Ok(res),
+                Ok(res) if answer_head::is_one_head(&res) => Ok(res),
+                Ok(_) => Err((Failure::Garbled, None)),
                 Err(mut e) => match e.take_message() {
                     Some(req) => Err((Failure::Unsent, Some(req))),
                     None if e.error().is_parse_too_large() || head_limit::is_exceeded(e.error()) => {
--- a/tests/relay_cut_answers.rs
+++ b/tests/relay_cut_answers.rs
@@ -183,3 +183,30 @@
         }
     }
 }
+
+/// Guards against an answer with the status of another one, whose head broke off on the same connection in front of it.
+#[test]
+fn a_head_that_another_head_follows_gives_the_answer_no_status() {
+    for (late, own) in [("200 OK", "500 Internal Server Error"), ("500 Internal Server Error", "200 OK")] {
+        let headers = "Content-Type: text/plain\r\nAttempt-Id: r1\r\nResponse-Seal: s0\r\n\r\n";
+        follow_everywhere(&format!("HTTP/1.1 {late}\r\n{headers}"), own);
+    }
+}
+
+/// Lets a server write a head up to each byte, and then its answer with a status.
+#[tokio::main(flavor = "current_thread")]
+async fn follow_everywhere(late: &str, own: &str) {
+    let own = answer(own, "whole").replace("{id}", REQUEST);
+    for length in 1..late.len() {
+        let script = [ScriptStep::Write(ok("first")), ScriptStep::Write(late[..length].to_owned() + &own)];
+        let server = Server::start("i-1", script).await;
+        let host = Host::with_servers(&[&server]).await;
+        host.call(&request("/unsafe/x", "")).await;
+        wait_until("the connection to be kept", || host.relay.idle_connections() == 1).await;
+
+        let got = host.call(&request("/unsafe/x", "").replace("r1", REQUEST)).await;
+
+        assert_eq!(status(&got), 502, "{length} bytes of {late:?}: {got:?}");
+        assert_eq!(wire::header(&got, "response-seal"), None, "{got:?}");
+    }
+}
