Reject a switch of protocols that nobody asked for

What callers saw: a 101 with the server's signature, after which nothing on the connection is an answer.

Cause: hyper's client skips informational answers but for 101, which the adapter took for an answer that is no success.

Evidence: the new case of relay_faults failed on the code before with `HTTP/1.1 101 Switching Protocols, attempt-id: r1, response-seal: s1` at the caller.

Change: a final head with an informational status is no answer; the attempt fails as garbled.

Class: a head that is complete and no answer.

Result: the case passes; the other cases of relay_faults are unchanged.

--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -6,9 +6,15 @@
 /// How a status line begins; a digit, a space and the status follow.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 
+/// Whether a head can be passed on or read further.
+pub(super) fn is_sound<B>(res: &Response<B>) -> bool {
+    // hyper's client skips all informational answers but a switch of protocols, which no request asks for.
+    !res.status().is_informational() && is_one_head(res)
+}
+
 /// Whether the head belongs to one answer: a head that broke off takes the next one on its connection into its status line or a
 /// header, so that its status counts for the next answer.
-pub(super) fn is_one_head<B>(res: &Response<B>) -> bool {
+fn is_one_head<B>(res: &Response<B>) -> bool {
     let reason = res.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
     let values = res.headers().values().map(|value| value.as_bytes());
     !reason.into_iter().chain(values).any(contains_status_line)
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -174,7 +174,7 @@
             let sent = sending.await;
             head_counter.end();
             match sent {
-                Ok(res) if answer_head::is_one_head(&res) => Ok(res),
+                Ok(res) if answer_head::is_sound(&res) => Ok(res),
                 Ok(_) => Err((Failure::Garbled, None)),
                 Err(mut e) => match e.take_message() {
                     Some(req) => Err((Failure::Unsent, Some(req))),
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -30,6 +30,7 @@
         |name, act, unsafe_is_retried, unsafe_status| Case { name, act, unsafe_is_retried, unsafe_status };
     let foreign = ok("other").replace("{id}", "r0");
     let unsigned = ok("unsigned").replace("Response-Seal: s1\r\n", "");
+    let switched = answer("101 Switching Protocols", "");
     let moved = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-x\r\nContent-Length: 0\r\n\r\n";
     vec![
         case("says that it did not run the request", ScriptStep::Write(not_run()), true, 200),
@@ -39,6 +40,7 @@
         case("cuts the body", ScriptStep::WriteAndClose(ok("whole").replace("whole", "wh")), false, 502),
         case("answers another request", ScriptStep::Write(foreign), false, 502),
         case("answers without its signature", ScriptStep::Write(unsigned), false, 502),
+        case("switches protocols though nobody asked for it", ScriptStep::Write(switched), false, 502),
         case(
             "writes bytes that are no answer",
             ScriptStep::WriteAndClose("garbage\r\n\r\n".into()),
