--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -31,6 +31,7 @@
     let foreign = ok("other").replace("{id}", "r0");
     let unsigned = ok("unsigned").replace("Response-Seal: s1\r\n", "");
     let switched = answer("101 Switching Protocols", "");
+    let encoded = ok("encoded").replace("Content-Length: 7", "Transfer-Encoding: gzip");
     let moved = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-x\r\nContent-Length: 0\r\n\r\n";
     vec![
         case("says that it did not run the request", ScriptStep::Write(not_run()), true, 200),
@@ -41,6 +42,7 @@
         case("answers another request", ScriptStep::Write(foreign), false, 502),
         case("answers without its signature", ScriptStep::Write(unsigned), false, 502),
         case("switches protocols though nobody asked for it", ScriptStep::Write(switched), false, 502),
+        case("encodes its answer for the connection", ScriptStep::WriteAndClose(encoded), false, 502),
         case(
             "writes bytes that are no answer",
             ScriptStep::WriteAndClose("garbage\r\n\r\n".into()),
