Test responses of the store that end at any byte

Cause: only responses that were lost as a whole were tested.

Result: none counts as a list, as changes or as a write that was done. No fault was found, so the tests never failed on this code.

--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -519,3 +519,56 @@
     assert_eq!(logged, [Some(0), None, None, Some(3), None, Some(2)]);
     assert_eq!(HeaderHistory::default().observe(true), None);
 }
+
+/// Guards against a list or a watch of which a part is taken for the whole, because the store's response ends early at any byte.
+#[test]
+fn a_response_that_ends_at_any_byte_is_no_list() {
+    let page = format!(r#"{{"items":[{}],"hasMore":false,"currentRev":9}}"#, server("i-1", "ready"));
+    let event = format!(r#"{{"object":{},"deleted":false}}"#, server("i-1", "ready"));
+    let events = format!(r#"{{"events":[{event}],"currentRev":9}}"#);
+    for (after, body) in [(None, page), (Some(3), events)] {
+        let (start, end) = body.split_at(100);
+        let chunks = wire::chunk(start) + &wire::chunk(end) + "0\r\n\r\n";
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+        let stated = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+        for whole in
+            [stated, format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunks}"), format!("{head}\r\n{body}")]
+        {
+            cut_everywhere(&whole, after);
+        }
+    }
+}
+
+/// Lets the store end a response at each byte, by a close and by a reset.
+#[tokio::main(flavor = "current_thread")]
+async fn cut_everywhere(whole: &str, after: Option<u64>) {
+    for length in 0..whole.len() {
+        let begun = whole[..length].to_owned();
+        for step in [ScriptStep::WriteAndClose(begun.clone()), ScriptStep::WriteAndReset(begun.clone())] {
+            let (mut store, server) = store(vec![step.clone()]).await;
+
+            let update = store.backends(call(after)).await;
+
+            assert!(update.is_err(), "{step:?}: {update:?}");
+            assert_eq!(server.requests().len(), 1);
+        }
+    }
+}
+
+/// Guards against a write of which the store's response ends early, at any byte, and that counts as done.
+#[test]
+fn a_response_that_ends_at_any_byte_confirms_no_write() {
+    #[tokio::main(flavor = "current_thread")]
+    async fn write_everywhere(whole: &str) {
+        for length in 0..whole.len() {
+            let (mut store, _server) = store(vec![ScriptStep::WriteAndClose(whole[..length].into())]).await;
+
+            let written = store.register_hosts("a", &Hosts::default()).await;
+
+            assert!(written.is_err(), "{length} bytes of {whole:?}");
+        }
+    }
+
+    write_everywhere("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}");
+    write_everywhere("HTTP/1.1 409 Conflict\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+}
