Reset a cut stream for callers of HTTP/1.0

What callers saw: events of a stream that its server had broken off, and a regular end, if they speak HTTP/1.0. The platform's callers speak HTTP/1.1.

Cause: such a caller gets neither a length nor chunks, so that the end of its connection is the end of the stream, and a host closes the connection of a stream that it cuts like any other.

Change: the connection is reset if the last request on it was one of an older protocol and its answer was cut. Callers of HTTP/1.1 see the lack of the last chunk, and get all events before it.

Class: an answer without a framing that is closed by somebody else than its server. A host that is killed still ends such an answer regularly.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -1,11 +1,22 @@
 //! Serves the connections of callers: reads a request, matches it against the configuration, and passes it to
 //! [`super::run`].
 
-use std::{convert::Infallible, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request as HttpRequest, Response, header, request};
+use http::{
+    HeaderName, HeaderValue, Request as HttpRequest, Response, Version as HttpVersion, header, request,
+};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
@@ -131,7 +142,9 @@
     // Callers on unreliable links may be unreachable for seconds and still get their answer, so no timeout is set.
     pool::configure_socket(&stream, None);
     let limits = relay.caller_limits();
-    let service = service_fn(|req| {
+    let accepts_chunks = AtomicBool::new(true);
+    let service = service_fn(|req: HttpRequest<Incoming>| {
+        accepts_chunks.store(req.version() >= HttpVersion::HTTP_11, Ordering::Relaxed);
         let relay = relay.clone();
         async move { Ok::<_, Infallible>(answer(relay, req).await) }
     });
@@ -163,6 +176,7 @@
     let is_late = result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun();
     // A request that arrives at a connection that was idle is left unread, so that its caller knows that it did not run.
     let may_read_answer = is_late || (result.is_ok() && !timer.is_waiting());
+    let is_cut = result.as_ref().is_err_and(hyper::Error::is_user);
     if let Err(e) = result {
         spdlog::debug!("connection of {from} ended: {e}");
     }
@@ -173,6 +187,13 @@
             spdlog::debug!("could not refuse a late request of {from}: {e}");
         }
     }
+    // Without chunks, only a reset tells a stream that was cut from a whole one.
+    if is_cut
+        && !accepts_chunks.load(Ordering::Relaxed)
+        && let Err(e) = stream.set_zero_linger()
+    {
+        spdlog::warn!("could not reset the connection of {from}: {e}");
+    }
     drop(counted);
     if may_read_answer {
         linger::close(stream).await;
--- a/tests/relay_cut_answers.rs
+++ b/tests/relay_cut_answers.rs
@@ -5,6 +5,10 @@
 #[path = "support/wire.rs"]
 mod wire;
 
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use wire::{
     Host, ScriptStep, Server, answer, chunk, event, is_complete, not_run, ok, request, status, stream_head,
     wait_until,
@@ -210,3 +214,20 @@
         assert_eq!(wire::header(&got, "response-seal"), None, "{got:?}");
     }
 }
+
+/// Guards against a stream that is closed before its end and passes for whole for a caller of HTTP/1.0, who gets neither a length nor
+/// chunks.
+#[tokio::test]
+async fn a_stream_that_is_cut_is_reset_for_a_caller_of_an_older_protocol() {
+    for (end, is_whole) in [(END_OF_CHUNKS, true), ("", false)] {
+        let text = stream_head() + &chunk(&event(1)) + end;
+        let server = Server::start("i-1", [ScriptStep::WriteAndClose(text)]).await;
+        let host = Host::with_servers(&[&server]).await;
+        let mut caller = TcpStream::connect(host.addr).await.unwrap();
+
+        caller.write_all(request("/once/x", "").replace("HTTP/1.1", "HTTP/1.0").as_bytes()).await.unwrap();
+        let ended = caller.read_to_end(&mut Vec::new()).await;
+
+        assert_eq!(ended.is_ok(), is_whole, "{ended:?}");
+    }
+}
