Test answers between hosts that end at any byte

Cause: only a list of 10,000 servers that stopped in its middle was tested.

Change: sixteen hosts share the cuts of a small list at every byte of its length and its content. After each, a host still asks for all; the whole answer is applied then.

--- a/tests/relay_distribution.rs
+++ b/tests/relay_distribution.rs
@@ -16,6 +16,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    task::JoinSet,
     time::timeout,
 };
 
@@ -27,6 +28,8 @@
 const GIVE_UP: Duration = Duration::from_secs(30);
 /// Interval at which a slow connection carries some bytes, well below the time after which a host takes it for stalled.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of hosts that share the cuts of an answer, since each waits after a failure.
+const HOSTS: usize = 16;
 /// Address of a host that passes on what it receives.
 const RECEIVER: &str = "127.0.0.1:9";
 
@@ -332,3 +335,36 @@
     assert_eq!([1, 2, 3, 10, 24].map(|slots| answers(slots, true)), [3, 3, 3, 10, 24]);
     assert_eq!([1, 2, 3, 10, 24].map(|slots| answers(slots, false)), [1, 2, 3, 10, 24]);
 }
+
+/// Guards against a part of another host's answer that counts as the whole, since fields that a host of an earlier version lacks may be
+/// missing at its end.
+#[tokio::test]
+async fn an_answer_that_ends_at_any_byte_changes_nothing() {
+    let message = postcard::to_allocvec(&Fetched { backends: Some(list(2)), ..Fetched::default() }).unwrap();
+    let whole = [&(message.len() as u32).to_le_bytes()[..], &message[..]].concat();
+    let mut hosts = JoinSet::new();
+    for first in 0..HOSTS {
+        hosts.spawn(cut_everywhere(whole.clone(), first));
+    }
+
+    let cuts: usize = hosts.join_all().await.into_iter().sum();
+
+    assert_eq!(cuts, whole.len());
+}
+
+/// Sends a host an answer up to each [`HOSTS`]th byte, and then all of it; returns how often it was cut.
+async fn cut_everywhere(whole: Vec<u8>, first: usize) -> usize {
+    let mut source = Source::start().await;
+    let (_host, at) = host("host-1", &[]).await;
+    let ends: Vec<_> = (first..whole.len()).step_by(HOSTS).collect();
+    for end in &ends {
+        let (mut stream, asked) = source.await_question(at).await;
+        assert_eq!(asked.backends, 0, "after a cut before {end} of {} bytes", whole.len());
+        stream.write_all(&whole[..*end]).await.unwrap();
+    }
+    let (mut stream, asked) = source.await_question(at).await;
+    assert_eq!(asked.backends, 0, "after the last cut");
+    stream.write_all(&whole).await.unwrap();
+    assert_eq!(await_list(at).await, list(2));
+    ends.len()
+}
