Read the registration of hosts other than from a copy where it decides on a stream

What callers would see: a stream goes on at another version at a host that has just started, or is registered as one of a single version, though another host has registered both a moment before.

Cause: the registration was read from a copy of the store, which may be seconds old, also where a host relies on it for versions that it has not seen. Found by reading, in the review; the store's own stand-in serves copies only where a test sets one.

Fix: what sizes a start still takes a copy; the read before an unknown stream goes on, once in a host's life, and the one before a host registers do not.

Hosts of tests that are given their state have a store in which nothing has changed, so that streams which nobody knows go on there.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -209,9 +209,8 @@
         self.put(HOSTS, data_centre, hosts).await
     }
 
-    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
-        // Stale entries are sufficient: a host that has left just does not respond.
-        let target = format!("/objects/{HOSTS}?staleOk=1");
+    async fn hosts(&mut self, stale_ok: bool) -> Result<Hosts, StoreError> {
+        let target = format!("/objects/{HOSTS}{}", if stale_ok { "?staleOk=1" } else { "" });
         let (_, page): (_, Page<Hosts>) =
             self.call(&target, ANSWER_TIMEOUT, MAX_PAGE_BYTES, Epoch::default()).await?;
         Ok(Hosts::combine(page.items.into_iter().filter_map(|o| Hosts::usable(&o.metadata.name, o.spec))))
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -227,6 +227,8 @@
     pub(crate) saved_part: Part,
     /// When this host last read what all hosts have saved.
     pub(crate) saved_read_at: Option<Instant>,
+    /// Whether it has read the registration of hosts since it started, other than from a copy.
+    pub(crate) registration_read: bool,
     /// When it last read which versions have servers.
     pub(crate) versions_read: VersionsRead,
     /// Hosts that are to be told of all causes of crashes.
@@ -342,6 +344,7 @@
             saver: cfg.peer_addr,
             saved_part: Part::default(),
             saved_read_at: None,
+            registration_read: false,
             versions_read: VersionsRead::default(),
             newcomers: Vec::new(),
             report_bytes: TokenBucket::new(
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -184,6 +184,7 @@
 fn version_of(entry: &Backend) -> Option<(Arc<str>, Arc<str>)> {
     usable_addr(entry).is_ok().then(|| (entry.service.as_str().into(), versions::bounded(&entry.version)))
 }
+
 /// Identifies the stream that a request begins or takes up; `None` if its caller does not name the latter.
 fn stream_key(req: &Request) -> Option<StreamKey> {
     let workspace = req.caller.as_ref().map_or("", |caller| &*caller.workspace);
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -167,8 +167,8 @@
         hosts: &Hosts,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// The registered hosts, some of which may be long gone.
-    fn hosts(&mut self) -> impl Future<Output = Result<Hosts, StoreError>> + Send;
+    /// The registered hosts, some of which may be long gone; `stale_ok` allows a registration that is some seconds old.
+    fn hosts(&mut self, stale_ok: bool) -> impl Future<Output = Result<Hosts, StoreError>> + Send;
 
     /// Saves streams under a name, in place of those saved under it before.
     fn save_streams(
--- a/src/relay/follow/hosts.rs
+++ b/src/relay/follow/hosts.rs
@@ -104,7 +104,7 @@
             registered = Hosts::default();
         }
         if relay.is_alone() {
-            match relay.call_store(StoreCall::Hosts, None, store.hosts()).await {
+            match relay.call_store(StoreCall::Hosts, None, store.hosts(true)).await {
                 Ok(mut hosts) => {
                     relay.learn_registered(&hosts);
                     let _already_read = relay.registered.set(hosts.clone());
@@ -117,12 +117,9 @@
         let Some(mut hosts) = relay.hosts_to_register(&registered) else { continue };
         // What a host has not seen must not disappear from the registration.
         if !relay.has_seen_all_versions() {
-            match relay.call_store(StoreCall::Hosts, None, store.hosts()).await {
-                Ok(known) => relay.learn_registered(&known),
-                Err(e) => {
-                    log_hosts_failure(&e);
-                    continue;
-                }
+            if let Err(e) = relay.read_registration(&mut store).await {
+                log_hosts_failure(&e);
+                continue;
             }
             hosts = relay.hosts_to_register(&registered).unwrap_or(hosts);
         }
@@ -134,6 +131,14 @@
 }
 
 impl<W: Wire> Relay<W> {
+    /// Reads which services were registered with several versions.
+    pub(super) async fn read_registration(&self, store: &mut impl Store) -> Result<(), StoreError> {
+        let hosts = self.call_store(StoreCall::Hosts, None, store.hosts(false)).await?;
+        self.learn_registered(&hosts);
+        self.state().registration_read = true;
+        Ok(())
+    }
+
     /// Whether this host has seen all versions of servers that may have begun streams which are still open.
     pub(super) fn has_seen_all_versions(&self) -> bool {
         self.state().origins.has_seen_all(now())
--- a/src/relay/follow/start.rs
+++ b/src/relay/follow/start.rs
@@ -26,9 +26,10 @@
 
 impl<W: Wire> Relay<W> {
     /// The hosts registered in the store, which are read once after the start; `None` if the read failed.
-    pub(super) async fn registered_hosts(&self, store: &mut impl Store) -> Option<&Hosts> {
+    async fn registered_hosts(&self, store: &mut impl Store) -> Option<&Hosts> {
         let read = async || {
-            let hosts = self.call_store(StoreCall::Hosts, None, store.hosts()).await?;
+            // Stale entries are sufficient: a host that has left just does not respond.
+            let hosts = self.call_store(StoreCall::Hosts, None, store.hosts(true)).await?;
             self.learn_registered(&hosts);
             Ok(hosts)
         };
--- a/src/relay/follow/versions.rs
+++ b/src/relay/follow/versions.rs
@@ -73,10 +73,11 @@
     }
 }
 
-/// Reads which versions have servers, and at a host that has started without it the registration of hosts, which names those that had.
+/// Reads which versions have servers, and whether the routes still lead to these services. A host that has just started reads which
+/// versions had servers before.
 async fn read<W: Wire>(relay: &Relay<W>, store: &mut impl Store) -> Result<(), StoreError> {
-    if !relay.has_seen_all_versions() && relay.registered_hosts(store).await.is_none() {
-        return Err(StoreError::Unavailable("no registration of hosts".into()));
+    if !relay.has_seen_all_versions() && !relay.state().registration_read {
+        relay.read_registration(store).await?;
     }
     read_servers(relay, store).await
 }
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -424,7 +424,7 @@
             [store.configuration(call(None)).await, store.configuration(call(Some(1))).await];
         let servers = [store.backends(call(None)).await, store.backends(call(Some(1))).await];
         let evacuations = [store.evacuations(call(None)).await, store.evacuations(call(Some(1))).await];
-        let hosts = store.hosts().await;
+        let hosts = store.hosts(true).await;
         let streams = store.saved_streams(call(None)).await;
 
         let start = &odd[..odd.len().min(100)];
@@ -569,7 +569,7 @@
     );
     let (mut store, server) = store(vec![reply("200 OK", &page)]).await;
 
-    let hosts = store.hosts().await.unwrap();
+    let hosts = store.hosts(true).await.unwrap();
 
     assert_eq!(hosts, Hosts { sample: vec![member()], count: 59, servers: 900, routes: 70, mixed: mixed() });
     assert_eq!(target(&server.requests()[0]), "/objects/hosts?staleOk=1");
@@ -589,7 +589,7 @@
         let page = format!(r#"{{"items":[{odd},{sound},{odd}],"hasMore":false,"currentRev":9}}"#);
         let (mut store, _) = store(vec![reply("200 OK", &page)]).await;
 
-        let hosts = store.hosts().await.unwrap();
+        let hosts = store.hosts(true).await.unwrap();
 
         assert_eq!((hosts.count, hosts.servers, hosts.routes), (59, 900, 70), "{odd}");
     }
--- a/tests/relay_contact.rs
+++ b/tests/relay_contact.rs
@@ -159,7 +159,7 @@
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+    async fn hosts(&mut self, _: bool) -> Result<Hosts, StoreError> {
         Ok(Hosts { count: 100, ..Hosts::default() })
     }
 
@@ -237,7 +237,7 @@
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+    async fn hosts(&mut self, _: bool) -> Result<Hosts, StoreError> {
         Ok(Hosts { count: 100, ..Hosts::default() })
     }
 
@@ -304,7 +304,7 @@
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+    async fn hosts(&mut self, _: bool) -> Result<Hosts, StoreError> {
         Ok(Hosts { count: 100, ..Hosts::default() })
     }
 
@@ -386,7 +386,7 @@
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+    async fn hosts(&mut self, _: bool) -> Result<Hosts, StoreError> {
         Ok(Hosts::default())
     }
 
--- a/tests/relay_start.rs
+++ b/tests/relay_start.rs
@@ -153,7 +153,7 @@
         Ok(())
     }
 
-    async fn hosts(&mut self) -> Result<Hosts, StoreError> {
+    async fn hosts(&mut self, _: bool) -> Result<Hosts, StoreError> {
         self.calls.send(None).unwrap();
         Ok(self.hosts.clone())
     }
--- a/tests/support/wire.rs
+++ b/tests/support/wire.rs
@@ -3,6 +3,9 @@
 
 #![allow(dead_code)]
 
+#[path = "unchanged_store.rs"]
+mod unchanged_store;
+
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -11,7 +14,12 @@
 
 use cranberrytally::{
     platform::PlatformWire,
-    relay::{Relay, RelayConfig, budget::BudgetConfig, follow::BackendsUpdate, inbound},
+    relay::{
+        Relay, RelayConfig,
+        budget::BudgetConfig,
+        follow::{self, BackendsUpdate},
+        inbound,
+    },
     schema::fleet::{
         Backend, Backends, CallerLimits, Configuration, Repeat, Route, Service, Share, Workspace,
     },
@@ -25,6 +33,7 @@
 };
 
 use crate::relay_support::{relay_config, rev};
+use unchanged_store::UnchangedStore;
 
 /// Timeout of each wait on loopback; reached only when a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -340,6 +349,7 @@
         let addr = listener.local_addr().unwrap();
         let relay = Arc::new(Relay::new(cfg, PlatformWire).unwrap());
         tokio::spawn(inbound::accept(relay.clone(), listener));
+        tokio::spawn(follow::read_versions(relay.clone(), UnchangedStore));
         Self { relay, addr }
     }
 
