Note a gap also where a list is confirmed by its digest or read for a stream

What callers would see: a stream of a version that came and went while a host was out of step goes on at another version there.

Cause: two paths take a later list of servers for the known one without noting that changes in between were not seen: another host that has the same list at a later revision confirms it, and the read for an unknown stream lists everything where the store has dropped its history. Found by reading, in the review; the class is that of a list that takes the place of one that was out of date.

Fix: both note the gap by the age of the last confirmation, as other lists do. No test of its own: the decision is in the search of tests/relay_origins.rs.

--- a/src/relay/follow/versions.rs
+++ b/src/relay/follow/versions.rs
@@ -123,8 +123,11 @@
 impl<W: Wire> Relay<W> {
     /// Notes which versions the entries of an update tell.
     fn observe_entries(&self, update: &BackendsUpdate) {
-        let mut state = self.state();
-        self.observe_versions(&mut state, now(), update.entries());
+        let (now, mut state) = (now(), self.state());
+        if matches!(update, BackendsUpdate::List(_)) && state.backends.revision().is_known() {
+            self.record_new_list(&mut state, now);
+        }
+        self.observe_versions(&mut state, now, update.entries());
     }
 
     /// Waits until this host has read, since a time, which versions have servers, unless the store does not answer.
--- a/src/relay/heartbeat.rs
+++ b/src/relay/heartbeat.rs
@@ -174,6 +174,9 @@
         if state.peers.has_fetch_source(now, own) {
             self.fetch_due.notify_one();
         }
+        if has_other_revision(beat, own) {
+            self.record_new_list(&mut state, now);
+        }
         if merge_confirmations(&mut state, now.saturating_sub(heard.delay), beat, own) {
             self.beat_due.notify_one();
         }
@@ -248,6 +251,11 @@
     advanced && beat.centre.is_some()
 }
 
+/// Whether another host has the same list of servers at a later revision, between which servers may have come and gone.
+fn has_other_revision(beat: &Beat, own: LocalVersions) -> bool {
+    own.backends.is_known() && beat.backends_as_of() > own.backends && beat.backends_digest == own.digest
+}
+
 /// Removes the state of a heartbeat that carries an implausible epoch: its sender would seem to be ahead forever.
 fn without_implausible_state<'a>(state: &State, beat: &'a Beat) -> Cow<'a, Beat> {
     let is_plausible = |epoch| state.epochs.is_plausible(epoch);
