Check the configuration before an unknown stream goes on

What callers would see: a stream that began at the service to which its route leads now goes on at the one to which it led before, at a host that has not heard of the change.

Cause: the class of the servers' versions. A host decides by routes that are as old as the propagation bound allows about a stream that may have begun since they changed.

Fix: the read that comes before an unknown stream goes on begins with a check of the configuration. A newer one comes into force and puts the services of routes that it moved in doubt, so that the stream is refused. Price: one more call for the streams that wait together.

--- a/src/relay/follow/confirm.rs
+++ b/src/relay/follow/confirm.rs
@@ -60,7 +60,7 @@
 }
 
 /// Checks the configuration; returns the revision of the store.
-async fn check_configuration<W: Wire>(
+pub(super) async fn check_configuration<W: Wire>(
     relay: &Relay<W>,
     store: &mut impl Store,
     sent_at: Instant,
--- a/src/relay/follow/versions.rs
+++ b/src/relay/follow/versions.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::{BackendsUpdate, Call, Store, StoreCall, StoreError};
+use super::{BackendsUpdate, Call, Store, StoreCall, StoreError, confirm::check_configuration};
 use crate::{
     logs::lines::{Level, line},
     relay::{Relay, Wire, backends::BackendEvent, revision::Revision},
@@ -79,6 +79,7 @@
     if !relay.has_seen_all_versions() && !relay.state().registration_read {
         relay.read_registration(store).await?;
     }
+    check_configuration(relay, store, now()).await?;
     read_servers(relay, store).await
 }
 
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -432,6 +432,26 @@
     assert_eq!(mixed, Some("app".into()));
 }
 
+/// Guards against a stream that goes on at a service to which its route no longer leads, at a host that has not heard of the newest
+/// configuration.
+#[tokio::test]
+async fn a_stream_does_not_go_on_by_routes_that_the_store_has_replaced() {
+    let server = continuing("i-1").await;
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(server.addr, "ready", "v1"));
+    let mut moved = soak::store::configuration(2, false);
+    moved["routes"].as_array_mut().unwrap().iter_mut().for_each(|route| route["service"] = "moved".into());
+    store.put("config", "main", moved);
+    let hosts = fleet(1, &[(&server, "v1", "a")]).await;
+    let relay = &hosts[0].relay;
+    let reading = tokio::spawn(follow::read_versions(relay.clone(), StoreClient::new(store.addr())));
+
+    let answer = call(&hosts[0], &resumption("nobody"), "r2").await;
+
+    reading.abort();
+    assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "{answer}");
+}
+
 /// Number of streams that a host was told of.
 fn heard(host: &RunningHost) -> u64 {
     host.relay.metrics().totals(Counter::RelayOrigins).get("heard").copied().unwrap_or(0)
