Let no unknown stream go on while entries of servers may be missing after an outage

What callers would see: right after an outage of the store a stream goes on at the only version that is listed, though servers of the version that began it live: their entries lapsed in the outage and are written again within two seconds.

Cause: a read that began after the stream was taken up was taken for complete. After an outage it is not, at a host that has not seen all versions of the last lifetime of a stream.

Evidence: `a_stream_does_not_go_on_while_entries_may_be_missing_after_an_outage` goes on without the change.

Fix: the grace period after an outage, for which missing servers stay in use, also holds back the decision, where this host has not seen all versions itself. A host whose start falls between the store's return and that of the entries sees no outage; that case is left.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -229,6 +229,8 @@
     pub(crate) saved_read_at: Option<Instant>,
     /// Whether it has read the registration of hosts since it started, other than from a copy.
     pub(crate) registration_read: bool,
+    /// Until when entries of servers may be missing that live, since they lapsed while the store did not answer.
+    pub(crate) entries_missing_until: Instant,
     /// When it last read which versions have servers.
     pub(crate) versions_read: VersionsRead,
     /// Hosts that are to be told of all causes of crashes.
@@ -345,6 +347,7 @@
             saved_part: Part::default(),
             saved_read_at: None,
             registration_read: false,
+            entries_missing_until: now(),
             versions_read: VersionsRead::default(),
             newcomers: Vec::new(),
             report_bytes: TokenBucket::new(
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -49,7 +49,7 @@
         };
         let locate = || {
             let (state, now) = (self.state(), now());
-            let is_read = state.versions_read.began_since(taken_up);
+            let is_read = state.versions_read.began_since(taken_up) && state.lists_all_versions(now);
             state.origins.continuation(now, stream, &services, is_read, certainty)
         };
         let mut found = locate();
@@ -173,6 +173,11 @@
 }
 
 impl State {
+    /// Whether a list of servers has all versions that serve, together with those that this host has seen.
+    fn lists_all_versions(&self, now: Instant) -> bool {
+        self.entries_missing_until <= now || self.origins.has_seen_all(now)
+    }
+
     /// Service and version of a server.
     fn running_at(&self, key: BackendKey) -> Option<Continuation> {
         let b = self.backends.get(key)?;
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -418,6 +418,9 @@
                 l.number("known", known.number).number("known_epoch", known.epoch)
             });
         }
+        if let Some(grace) = grace {
+            state.entries_missing_until = state.entries_missing_until.max(now + grace);
+        }
         if !matches!(update, BackendsUpdate::Events { .. }) && received > known && known.is_known() {
             self.record_new_list(&mut state, now);
         }
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -7,7 +7,7 @@
 #[path = "support/wire.rs"]
 mod wire;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cranberrytally::{
     metrics::Counter,
@@ -28,6 +28,11 @@
 /// A server with the version of its software and its data centre. Servers in the hosts' own, `a`, are preferred.
 type Listed<'a> = (&'a Server, &'a str, &'a str);
 
+/// An outage of the store in which entries of servers may lapse.
+const OUTAGE: Duration = Duration::from_millis(700);
+/// Time within which live servers write such entries again.
+const RETURN_TIME: Duration = Duration::from_millis(1_700);
+
 /// Server that breaks off after its second event.
 async fn breaking(id: &str) -> Server {
     let begun = stream_head() + &chunk(&event(1)) + &chunk(&event(2));
@@ -452,6 +457,30 @@
     assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "{answer}");
 }
 
+/// Guards against a stream that goes on at the only version that is listed right after an outage of the store, in which entries of
+/// servers of another version have lapsed: they are written again within two seconds.
+#[tokio::test]
+async fn a_stream_does_not_go_on_while_entries_may_be_missing_after_an_outage() {
+    let server = continuing("i-1").await;
+    let store = Store::start().await;
+    store.put("servers", "i-1", server_of_version(server.addr, "ready", "v1"));
+    store.set_busy(true);
+    let host = RunningHost::start("host-1", &[]).await;
+    host.relay.set_configuration(wire::configuration(), "test");
+    let client = || StoreClient::new(store.addr());
+    let following = tokio::spawn(follow::follow_backends(host.relay.clone(), client()));
+    let reading = tokio::spawn(follow::read_versions(host.relay.clone(), client()));
+    tokio::time::sleep(OUTAGE).await;
+    let back = Instant::now();
+    store.set_busy(false);
+    wire::wait_until("the server", || host.relay.server_count("app") == 1).await;
+
+    let answer = call(&host, &resumption("nobody"), "r2").await;
+
+    (following.abort(), reading.abort());
+    assert!(status(&answer) == 503 || back.elapsed() > RETURN_TIME, "{answer}");
+}
+
 /// Number of streams that a host was told of.
 fn heard(host: &RunningHost) -> u64 {
     host.relay.metrics().totals(Counter::RelayOrigins).get("heard").copied().unwrap_or(0)
