Test watches of the platform's interface that end at any byte

Cause: no test ended a watch in the middle of a change.

Change: a watch of two changes is cut at every byte, closed and reset, with a length, in chunks and with neither.

Result: a change counts once its line has arrived whole, and the end is the end of the watch.

--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -16,7 +16,7 @@
 use cranberrytally::{
     client::Client,
     engine::{ChatCall, EngineClient, answer::AnswerStream},
-    objects::{Platform, WriteOutcome},
+    objects::{OpenedWatch, Platform, WriteOutcome},
 };
 use fixture::object;
 use tokio::{io::AsyncWriteExt, net::TcpStream};
@@ -145,3 +145,28 @@
     routers.into_iter().for_each(|router| router.close());
     store.close();
 }
+
+/// Guards against a change that breaks off and is applied, or ends a watch with another error than its end.
+#[tokio::test]
+async fn a_change_that_breaks_off_is_none() {
+    let obj = object("Engine", "engine-1", "model", serde_json::json!({ "address": "127.0.0.1:1" }));
+    let line = serde_json::json!({ "version": 4, "deleted": false, "object": obj }).to_string() + "\n";
+    for answer in framings("application/json", &line.repeat(2)) {
+        for (length, is_reset, step) in cuts(&answer) {
+            let server = Server::start("platform", [step]).await;
+
+            let mut changes = 0;
+            if let Ok(OpenedWatch::Open(mut watch)) = Platform::new(server.addr).watch(3).await {
+                while let Some(change) = watch.next().await.unwrap() {
+                    assert_eq!(change.object, obj);
+                    changes += 1;
+                }
+            }
+
+            let body = length.checked_sub(answer.0.len()).map_or("", |length| &answer.1[..length]);
+            let arrived = body.matches("}\n").count();
+            let case = format!("{length} bytes of {answer:?}, reset: {is_reset}: {changes}");
+            assert!(changes == arrived || is_reset && changes < arrived, "{case}");
+        }
+    }
+}
