Keep a signature that is listed as a header of the connection

What callers saw: a 200 without the signature of its server.

Cause: headers that an answer's `connection` header lists are dropped on the way to the caller, whatever they are. The signature was checked before.

Evidence: the new test failed on the code before: no signature at the caller, `s1` at the server.

Change: the signature is never dropped. Other listed headers are, as before.

Class: what is checked at the head of an answer and lost on the way.

--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -202,7 +202,7 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// Removes hop-by-hop headers, including those that the `connection` header lists.
+/// Removes hop-by-hop headers, including those that the `connection` header lists; a server's signature is none.
 fn remove_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<_> = headers
         .get_all(header::CONNECTION)
@@ -210,6 +210,7 @@
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
         .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .filter(|name| *name != names::RESPONSE_SEAL)
         .collect();
     names::HOP_BY_HOP.iter().chain(&listed).for_each(|name| remove_all(headers, name));
 }
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -303,3 +303,17 @@
     assert_eq!((status(&fine), fine.ends_with("fine")), (200, true), "{fine}");
     assert_eq!(status(&broken), 502, "{broken}");
 }
+
+/// Guards against a success that loses its server's signature, because the server lists it among the headers of the connection.
+#[tokio::test]
+async fn a_signature_is_passed_on_though_it_is_listed_as_one_of_the_connection() {
+    let listed = ok("fine").replacen("\r\n", "\r\nConnection: Response-Seal, X-Hop\r\nX-Hop: 1\r\n", 1);
+    let server = Server::start("i-1", [ScriptStep::Write(listed)]).await;
+    let host = Host::with_servers(&[&server]).await;
+
+    let answer = host.call(&request("/unsafe/x", "")).await;
+
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert_eq!(wire::header(&answer, "response-seal").as_deref(), Some("s1"), "{answer}");
+    assert_eq!(wire::header(&answer, "x-hop"), None, "{answer}");
+}
