Let a host listen for other hosts at another address than it tells them

Cause: a host binds the address that it announces, so that nothing can stand between two hosts that run as processes.

Change: `listen.peers` in the users' settings is the address on which a host listens for other hosts and from which it sends datagrams; without it, it is the announced one, as before. The users' platform does not set it.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -29,6 +29,8 @@
     /// Address of the platform's store.
     pub store: SocketAddr,
     peer_port: u16,
+    /// Address on which this host listens for other hosts, if it is not the one that it tells them.
+    peers: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     budget: BudgetConfig,
     grace: Duration,
@@ -66,6 +68,7 @@
     front: SocketAddr,
     ready: SocketAddr,
     directory: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
 }
 
 #[derive(Deserialize)]
@@ -113,6 +116,7 @@
             directory: raw.listen.directory,
             store: raw.store.address,
             peer_port: raw.internal_port_range.0,
+            peers: raw.listen.peers,
             seeds: raw.seeds,
             budget: BudgetConfig {
                 ratio: bounds.retry_budget_ratio,
@@ -127,6 +131,11 @@
         })
     }
 
+    /// Address on which this host listens for other hosts.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers.unwrap_or_else(|| self.relay().peer_addr)
+    }
+
     /// Converts the settings to the relay's configuration.
     pub fn relay(&self) -> RelayConfig {
         // All hosts use the same ports, so a seed's peer address follows from its caller address.
