Add a soak in which hosts are cut off from each other while versions join

What callers saw: streams that had begun at servers of a new version went on at another version, at a host that was out of step with the others (ORDER).

Hosts are processes that reach each other through forwarders of their datagrams and connections (soak/network.rs); a cut drops datagrams and holds connections up in both directions, while callers, the store and the servers reach all hosts. Faults: one host or two are cut off for 1.3 to 3.5 s, or one is stopped (SIGSTOP) for as long and the others are killed before it goes on. Meanwhile two servers of a new version join, their connections are reset again and again, and callers leave and take streams up at any host; after that the version replaces the oldest servers or goes again. Reports tell what became of the streams that were taken up, and violations name attempts and hosts.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! `-- soak SEED [SEEDS [HOSTS [FAULTS]]]` runs SEEDS seeds from SEED on and prints the result of each; it fails if there are
 //! violations. `-- restores ...` does the same while the store is restored from backups, `-- changes ...` while the
-//! configuration changes, `-- versions ...` while servers of two versions serve, `-- crashes ...` while requests with one prompt part crash servers,
+//! configuration changes, `-- versions ...` while servers of two versions serve, `-- cuts ...` while servers of new
+//! versions join and hosts are cut off from each other or stand still, `-- crashes ...` while requests with one prompt part crash servers,
 //! `-- silences ...` while servers fall silent, `-- late-readers ...` while servers read bodies late. `-- endless-bytes ...` does
 //! it while two servers send bytes without end, of another kind with each seed, and compares times and memory with the same run
 //! without such bytes. `-- recover HOSTS...` starts fleets of the given sizes, kills all hosts of each, starts them again and
@@ -57,6 +58,7 @@
         Some("restores") => Scenario::Restores,
         Some("changes") => Scenario::Changes,
         Some("versions") => Scenario::Versions,
+        Some("cuts") => Scenario::Cuts,
         Some("crashes") => Scenario::Crashes,
         Some("silences") => Scenario::Silences,
         Some("late-readers") => Scenario::LateReaders,
@@ -87,7 +89,8 @@
             }
             _ => soak.with_scenario(scenario).run().await,
         };
-        println!("seed {seed}: {} violations; {}", report.violations.len(), report.outcomes);
+        let (violations, faults) = (report.violations.len(), report.faults.join(", "));
+        println!("seed {seed}: {violations} violations; {}; faults: {faults}", report.outcomes);
         if !report.violations.is_empty() {
             println!("{report:#?}");
             code = ExitCode::FAILURE;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -17,6 +17,9 @@
     conduct::{ENDLESS_TEXT, EndlessBytes},
 };
 
+/// Seeds of which the fault is each of the cuts, and a host that stands still.
+const CUT_SEEDS: [u64; 4] = [13, 14, 17, 11];
+
 /// Held by each run, since runs use the same addresses.
 static RUN_LOCK: Mutex<()> = Mutex::const_new(());
 
@@ -78,6 +81,21 @@
     }
 }
 
+/// Guards against a stream with events of two versions, where servers of a new version join while one host or two are cut off
+/// from all others, or stand still and are alone afterwards, and callers take up broken streams at them.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_hosts_are_cut_off() {
+    let _guard = RUN_LOCK.lock().await;
+    // One fault each, since hosts know of several versions after the first one.
+    for seed in CUT_SEEDS {
+        let soak = Soak::with_seed(seed).with_hosts(6).with_callers(24).with_faults(1);
+        let report = soak.with_scenario(Scenario::Cuts).run().await;
+
+        assert!(report.violations.is_empty(), "{report:#?}");
+        assert!(report.outcomes.contains("taken up at a host out of contact, went on"), "{report:#?}");
+    }
+}
+
 /// Guards against answers that end before their deadline at servers which fall silent for a moment and go on, while the
 /// configuration keeps changing, servers drain, and hosts are stopped.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/soak.rs
+++ b/tests/support/soak.rs
@@ -18,6 +18,8 @@
 pub mod faults;
 #[path = "soak/hosts.rs"]
 pub mod hosts;
+#[path = "soak/network.rs"]
+pub mod network;
 #[path = "soak/operator.rs"]
 pub mod operator;
 #[path = "soak/store.rs"]
@@ -76,6 +78,8 @@
     Changes,
     /// Servers of two software versions serve side by side, and callers take up streams that break off.
     Versions,
+    /// Servers of new versions join and go while hosts are cut off from the others or stand still.
+    Cuts,
     /// Requests with one prompt part crash the servers that run them, beside servers that crash for other reasons.
     Crashes,
     /// Servers fall silent and go on, while the configuration keeps changing.
@@ -144,7 +148,9 @@
         let store = Store::start().await;
         store.put("config", "main", self.scenario.configuration(1));
         let engines = Engines::start(self.scenario, store.clone(), history.clone()).await;
-        let hosts = Arc::new(Hosts::start(self.hosts, store.addr(), history.clone()));
+        let start_hosts =
+            if self.scenario == Scenario::Cuts { Hosts::start_with_network } else { Hosts::start };
+        let hosts = Arc::new(start_hosts(self.hosts, store.addr(), history.clone()));
         hosts.wait_until_ready(RECOVERY_TIMEOUT).await;
         let processor_time = hosts.processor_time();
 
--- a/tests/support/soak/caller.rs
+++ b/tests/support/soak/caller.rs
@@ -38,6 +38,10 @@
 
 /// Number of times that a caller takes up a broken stream.
 const MAX_TAKE_UPS: usize = 3;
+/// Time without any answer after which callers look for another host where hosts are cut off or stand still.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// Number of times that a caller looks for a host which takes connections.
+const MAX_REFUSED_CONNECTIONS: usize = 16;
 /// In runs with requests that crash servers, one in this many does.
 const HARMFUL_ONE_IN: u32 = 12;
 /// While servers read late, one in this many requests has a long body, and one in this many goes to another host.
@@ -81,11 +85,14 @@
         }
         let addr = host_addrs[rng.random_range(0..host_addrs.len())];
         let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
-        let kind = if scenario == Scenario::Crashes { Kind::ResumableStream } else { kind };
+        let kind =
+            if matches!(scenario, Scenario::Crashes | Scenario::Cuts) { Kind::ResumableStream } else { kind };
         let key = if n.is_multiple_of(2) { KEY } else { KEY_TO_REVOKE };
         match scenario {
-            Scenario::Versions if kind == Kind::ResumableStream => {
-                call_until_complete(&host_addrs, key, &history, &mut rng).await;
+            Scenario::Versions | Scenario::Cuts if kind == Kind::ResumableStream => {
+                let patience =
+                    if scenario == Scenario::Cuts { PATIENCE } else { REQUEST_DEADLINE + DEADLINE_SLACK };
+                call_until_complete(&host_addrs, key, patience, &history, &mut rng).await;
             }
             Scenario::Crashes => {
                 let is_harmful = rng.random_ratio(1, HARMFUL_ONE_IN);
@@ -111,18 +118,33 @@
 }
 
 /// Requests a stream and takes it up at any host when it breaks off; sometimes leaves it in the middle to do so.
-async fn call_until_complete(addrs: &[SocketAddr], key: &str, history: &History, rng: &mut StdRng) {
-    let mut taken_up: Option<TakenUp> = None;
-    for _ in 0..=MAX_TAKE_UPS {
+async fn call_until_complete(
+    addrs: &[SocketAddr],
+    key: &str,
+    patience: Duration,
+    history: &History,
+    rng: &mut StdRng,
+) {
+    let (mut taken_up, mut attempts, mut refused): (Option<TakenUp>, _, _) = (None, 0, 0);
+    while attempts <= MAX_TAKE_UPS && refused <= MAX_REFUSED_CONNECTIONS {
         let after = taken_up.as_ref().map_or(0, |taken_up| taken_up.after);
         let leaves = taken_up.is_none() && rng.random_ratio(1, LEAVE_ONE_IN);
         let leave_at = leaves.then(|| rng.random_range(1..STREAM_EVENTS));
         let addr = addrs[rng.random_range(0..addrs.len())];
         let kind = Kind::ResumableStream;
-        let request =
-            Request { taken_up: taken_up.clone(), leave_at, ..Request::new(addr, kind, key, kind.path()) };
+        let request = Request {
+            taken_up: taken_up.clone(),
+            leave_at,
+            patience,
+            ..Request::new(addr, kind, key, kind.path())
+        };
         let (id, target, outcome) = send(request, history).await;
+        match outcome {
+            Outcome::ConnectFailed => refused += 1,
+            _ => attempts += 1,
+        }
         let events = match outcome {
+            Outcome::ConnectFailed if taken_up.is_some() => 0,
             Outcome::Disconnected(data) | Outcome::Left(data) => data.len() as u32,
             Outcome::Complete { status: 503, .. } => 0,
             _ => return,
@@ -142,6 +164,8 @@
     taken_up: Option<TakenUp>,
     /// Number of events after which the caller leaves.
     leave_at: Option<u32>,
+    /// Time without any answer after which the caller leaves.
+    patience: Duration,
     /// Shared parts of the prompt; a part of the request's own follows.
     prompt: Option<String>,
     /// Size of the body in bytes.
@@ -154,7 +178,8 @@
     /// A request with a short body over a new connection.
     fn new(addr: SocketAddr, kind: Kind, key: &'a str, path: &'a str) -> Self {
         let (taken_up, leave_at, prompt, kept) = (None, None, None, None);
-        Self { addr, kind, key, path, taken_up, leave_at, prompt, body_size: SHORT_BODY, kept }
+        let patience = REQUEST_DEADLINE + DEADLINE_SLACK;
+        Self { addr, kind, key, path, taken_up, leave_at, patience, prompt, body_size: SHORT_BODY, kept }
     }
 }
 
@@ -171,7 +196,7 @@
 
 /// Sends one request and records its outcome; returns its identifier and its target with it.
 async fn send(request: Request<'_>, history: &History) -> (String, String, Outcome) {
-    let Request { addr, kind, key, path, taken_up, leave_at, prompt, body_size, kept } = request;
+    let Request { addr, kind, key, path, taken_up, leave_at, patience, prompt, body_size, kept } = request;
     let id = format!("r{:06}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
     let target = taken_up.as_ref().map_or_else(|| format!("{path}{id}"), |taken_up| taken_up.target.clone());
     let resumes = taken_up.as_ref().map_or_else(String::new, |taken_up| {
@@ -206,7 +231,8 @@
         body.len()
     );
     let mut discarded = None;
-    let exchange = exchange(addr, &req, kind, &id, leave_at, kept.unwrap_or(&mut discarded), history);
+    let exchange =
+        exchange(addr, &req, kind, &id, (leave_at, patience), kept.unwrap_or(&mut discarded), history);
     let outcome = timeout(REQUEST_DEADLINE + DEADLINE_SLACK, exchange).await.unwrap_or(Outcome::TimedOut);
     history.record(Observation::Finished { id: id.clone(), outcome: outcome.clone(), at: Instant::now() });
     (id, target, outcome)
@@ -218,7 +244,7 @@
     req: &str,
     kind: Kind,
     id: &str,
-    leave_at: Option<u32>,
+    (leave_at, patience): (Option<u32>, Duration),
     kept: &mut Option<(SocketAddr, TcpStream)>,
     history: &History,
 ) -> Outcome {
@@ -259,8 +285,10 @@
         if leave_at.is_some_and(|count| events(whole).len() >= count as usize) {
             return Outcome::Left(answer_data(whole, kind, id));
         }
-        match stream.read_buf(&mut buf).await {
-            Ok(n) if n > 0 => {}
+        let waits = if buf.is_empty() { patience } else { REQUEST_DEADLINE + DEADLINE_SLACK };
+        match timeout(waits, stream.read_buf(&mut buf)).await {
+            Err(_) => return Outcome::Left(answer_data(whole, kind, id)),
+            Ok(Ok(n)) if n > 0 => {}
             _ => {
                 return Outcome::Disconnected(if kind.is_stream() {
                     answer_data(&text, kind, id)
--- a/tests/support/soak/checks.rs
+++ b/tests/support/soak/checks.rs
@@ -675,6 +675,23 @@
             && !(broke_off || servers_failed || failed(&sent.host))
     }
 
+    /// Number of attempts to take up a stream, by whether their host was in contact and by what became of them.
+    fn taken_up_summary(&self) -> Vec<String> {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for trace in self.traces().into_values().filter(|trace| trace.taken_up.is_some()) {
+            let (Some(sent), Some((outcome, _))) = (&trace.sent, &trace.outcome) else { continue };
+            let result = match outcome {
+                _ if !trace.events().is_empty() => "went on".into(),
+                Outcome::Complete { status: 200, .. } => "was complete".into(),
+                Outcome::Complete { data, .. } => format!("refused {}", data.join("")),
+                _ => "no answer".into(),
+            };
+            let contact = if self.was_out_of_contact(&sent.host, sent.at) { "out of" } else { "in" };
+            *counts.entry(format!("taken up at a host {contact} contact, {result}")).or_default() += 1;
+        }
+        counts.into_iter().map(|(label, n)| format!("{label}: {n}")).collect()
+    }
+
     /// Number of requests by kind and outcome.
     pub fn summary(&self) -> String {
         let mut counts: BTreeMap<String, usize> = BTreeMap::new();
@@ -695,7 +712,12 @@
         let [_, (taken_up, gone_on)] = self.stream_shares(&self.traces());
         let taken_up =
             (taken_up > 0).then(|| format!("streams taken up that went on: {gone_on} of {taken_up}"));
-        counts.chain(taken_up).chain(self.crash_summary()).collect::<Vec<_>>().join(", ")
+        counts
+            .chain(taken_up)
+            .chain(self.taken_up_summary())
+            .chain(self.crash_summary())
+            .collect::<Vec<_>>()
+            .join(", ")
     }
 }
 
@@ -785,14 +807,18 @@
     data.split(' ').nth(2).unwrap_or_default()
 }
 
-/// Checks that no stream has events of two versions over the attempts of its caller.
+/// Checks that no stream has events of two versions over the attempts of its caller; names the attempts with their hosts.
 fn check_stream_versions(traces: &BTreeMap<String, RequestTrace>) -> Vec<String> {
-    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    let mut streams: BTreeMap<&str, Vec<(&str, &str, &str)>> = BTreeMap::new();
     for (id, trace) in traces {
+        let Some(sent) = trace.sent.as_ref().filter(|sent| sent.kind.is_stream()) else { continue };
         let first = trace.taken_up.as_ref().map_or(id.as_str(), |(first, _)| first);
-        let seen = trace.events().iter().filter(|_| trace.sent.as_ref().is_some_and(|s| s.kind.is_stream()));
-        versions.entry(first).or_default().extend(seen.map(|data| event_version(data)));
-    }
-    let several = versions.into_iter().filter(|(_, versions)| versions.len() > 1);
-    several.map(|(first, versions)| format!("{first}: the stream has events of {versions:?}")).collect()
+        let mut versions: Vec<_> = trace.events().iter().map(|data| event_version(data)).collect();
+        versions.dedup();
+        let attempts = versions.into_iter().map(|version| (id.as_str(), sent.host.as_str(), version));
+        streams.entry(first).or_default().extend(attempts);
+    }
+    streams.retain(|_, attempts| attempts.iter().any(|(.., version)| *version != attempts[0].2));
+    let joined = streams.into_iter();
+    joined.map(|(first, attempts)| format!("{first}: the stream has events of {attempts:?}")).collect()
 }
--- a/tests/support/soak/engine.rs
+++ b/tests/support/soak/engine.rs
@@ -10,6 +10,7 @@
 };
 
 use cranberrytally::standin::gate::{FaultProxy, Mode};
+use rand::{Rng, rngs::StdRng};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -50,6 +51,12 @@
 const MAX_SILENCE: Duration = Duration::from_millis(1_900);
 /// Time after a silence before the next one, so that two of them are not one that outlasts requests.
 const SILENCE_GAP: Duration = Duration::from_millis(1_000);
+/// Number of servers of a new version that join together.
+const RELEASED_COUNT: usize = 2;
+/// Time between two resets of their connections.
+const RESET_GAP_MS: std::ops::Range<u64> = 50..400;
+/// One in this many new versions goes again.
+const WITHDRAW_ONE_IN: u32 = 3;
 /// Time for which a draining server keeps serving, so that requests wrongly sent to it are observed.
 const DRAIN_LINGER: Duration = Duration::from_millis(8_000);
 
@@ -82,6 +89,8 @@
     history: Arc<History>,
     faults: Arc<Faults>,
     started: AtomicU64,
+    /// Version of new servers, where not several serve side by side all the time.
+    version: AtomicU64,
     scenario: Scenario,
     running: Mutex<Vec<Arc<Engine>>>,
     /// Servers that crash by a request.
@@ -97,6 +106,7 @@
             history,
             faults: Arc::default(),
             started: AtomicU64::new(0),
+            version: AtomicU64::new(1),
             scenario,
             running: Mutex::default(),
             crashing,
@@ -123,9 +133,16 @@
     /// Starts one more server and registers it in the store.
     pub async fn add(&self) {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
-        // Number of versions that serve side by side.
-        let versions = if self.scenario == Scenario::Versions { 2 } else { 1 };
-        let (id, version) = (format!("i-{number}"), format!("v{}", number % versions + 1));
+        let version = match self.scenario {
+            Scenario::Versions => number % 2 + 1,
+            _ => self.version.load(Ordering::Relaxed),
+        };
+        self.add_of_version(number, version).await;
+    }
+
+    /// Starts a server of a version and registers it in the store.
+    async fn add_of_version(&self, number: u64, version: u64) -> Arc<Engine> {
+        let (id, version) = (format!("i-{number}"), format!("v{version}"));
         let conduct = Conduct::of(self.scenario, number);
         let listener = conduct.listen();
         let own_addr = listener.local_addr().unwrap();
@@ -150,7 +167,35 @@
         let task = tokio::spawn(accept(listener, handler, crash.subscribe()));
         self.store.put("servers", &id, server_of_version(addr, "ready", &version));
         let engine = Engine { id, version, draining, gate, task, crash, silent };
-        self.running.lock().unwrap().push(Arc::new(engine));
+        let engine = Arc::new(engine);
+        self.running.lock().unwrap().push(engine.clone());
+        engine
+    }
+
+    /// Servers of a new version join, and their connections are reset again and again. After that they replace the oldest
+    /// servers, or go without having done so.
+    pub async fn release(&self, duration: Duration, mut rng: StdRng) {
+        let (from, version) = (Instant::now(), self.started.load(Ordering::Relaxed));
+        let mut joined = Vec::new();
+        for _ in 0..RELEASED_COUNT {
+            let number = self.started.fetch_add(1, Ordering::Relaxed);
+            joined.push(self.add_of_version(number, version).await);
+        }
+        while from.elapsed() < duration {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(RESET_GAP_MS))).await;
+            joined.iter().for_each(|engine| engine.gate.cut_connections());
+        }
+        joined.iter().for_each(|engine| record_fault(&self.history, &engine.id, from));
+        if rng.random_ratio(1, WITHDRAW_ONE_IN) {
+            for engine in joined {
+                self.running.lock().unwrap().retain(|other| other.id != engine.id);
+                self.end(&engine).await;
+                self.store.remove("servers", &engine.id);
+            }
+            return;
+        }
+        self.version.store(version, Ordering::Relaxed);
+        (0..RELEASED_COUNT).for_each(|_| self.retire(self.remove(0)));
     }
 
     /// Identifiers and addresses of the servers.
@@ -173,14 +218,20 @@
 
     /// Crashes a server with all its requests. Another one replaces it at once; its entry is removed a second later.
     pub async fn crash(&self, n: usize) {
-        let (engine, from) = (self.remove(n), Instant::now());
+        let engine = self.remove(n);
+        self.end(&engine).await;
+        self.add().await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        self.store.remove("servers", &engine.id);
+    }
+
+    /// Ends a server with all its requests.
+    async fn end(&self, engine: &Engine) {
+        let from = Instant::now();
         engine.gate.set_mode(Mode::Refuse).await.unwrap();
         engine.crash.send_modify(|n| *n += 1);
         engine.task.abort();
         record_fault(&self.history, &engine.id, from);
-        self.add().await;
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        self.store.remove("servers", &engine.id);
     }
 
     /// Makes a server accept new connections without passing any bytes on them.
@@ -209,6 +260,11 @@
     pub async fn drain(&self, n: usize) {
         let engine = self.remove(n);
         self.add().await;
+        self.retire(engine);
+    }
+
+    /// Lets a server drain.
+    fn retire(&self, engine: Arc<Engine>) {
         engine.draining.store(true, Ordering::Relaxed);
         let entry = server_of_version(engine.gate.addr(), "draining", &engine.version);
         self.store.put("servers", &engine.id, entry);
--- a/tests/support/soak/faults.rs
+++ b/tests/support/soak/faults.rs
@@ -20,6 +20,12 @@
 const LONG_OUTAGE: Duration = Duration::from_secs(5);
 /// Time for which the store refuses connections before it is restored from a backup.
 const RESTORE_DOWNTIME: Duration = Duration::from_millis(300);
+/// Shortest time for which a host is cut off or stands still while servers join.
+const MIN_CUT_DURATION: Duration = Duration::from_millis(1_000);
+/// Time from the beginning of such a fault until servers join.
+const JOIN_DELAY_MS: std::ops::Range<u64> = 0..200;
+/// Time before a host goes on at which all others are killed.
+const KILL_LEAD: Duration = Duration::from_millis(50);
 /// Time before each write that is replayed after a restore.
 const REPLAY_GAP_MS: std::ops::Range<u64> = 50..500;
 
@@ -32,6 +38,12 @@
     KillAllHosts,
     /// A host's process is suspended.
     SuspendHost,
+    /// A host is cut off from all others while servers of a new version join.
+    CutHost,
+    /// Two hosts are cut off together while servers of a new version join.
+    CutTwoHosts,
+    /// A host stands still while servers of a new version join, and all others are killed before it goes on.
+    StandStill,
     /// A host is stopped gracefully.
     StopHost,
     /// A host is signalled to reload its settings file.
@@ -131,6 +143,16 @@
         Fault::EngineDrain,
     ];
 
+    /// Faults of runs in which hosts are cut off from each other; repeated entries are more likely.
+    const WITH_CUTS: [Fault; 6] = [
+        Fault::CutHost,
+        Fault::CutHost,
+        Fault::CutTwoHosts,
+        Fault::StandStill,
+        Fault::KillHost,
+        Fault::EngineCrash,
+    ];
+
     /// Faults of runs in which requests crash servers; repeated entries are more likely.
     const WITH_CRASHES: [Fault; 9] = [
         Fault::KillHost,
@@ -169,6 +191,7 @@
             Scenario::Restores => &Fault::WITH_RESTORES,
             Scenario::Changes => &Fault::WITH_CHANGES,
             Scenario::Versions => &Fault::WITH_VERSIONS,
+            Scenario::Cuts => &Fault::WITH_CUTS,
             Scenario::Crashes => &Fault::WITH_CRASHES,
             Scenario::Silences => &Fault::WITH_SILENCES,
             Scenario::LateReaders => &Fault::WITH_LATE_READERS,
@@ -185,7 +208,12 @@
                 | Fault::SuspendHost
                 | Fault::StopHost
                 | Fault::ReloadSettings
-        )
+        ) || self.joins_servers()
+    }
+
+    /// Whether servers of a new version join while hosts are affected.
+    fn joins_servers(self) -> bool {
+        matches!(self, Fault::CutHost | Fault::CutTwoHosts | Fault::StandStill)
     }
 
     /// Whether the fault affects the store.
@@ -239,6 +267,10 @@
                     let in_two_epochs = matches!(fault, Fault::StoreInTwoEpochs);
                     restore(&store, &engines, duration, in_two_epochs, StdRng::seed_from_u64(seed)).await;
                 }
+                _ if fault.joins_servers() => {
+                    inject_with_release(fault, n, duration, &hosts, &engines, StdRng::seed_from_u64(seed))
+                        .await;
+                }
                 _ => inject(fault, n, duration, &hosts, &engines, &store).await,
             }
             if matches!(
@@ -287,6 +319,43 @@
         Fault::StoreRestored | Fault::StoreInTwoEpochs => {
             unreachable!("restores are injected with a random generator for the order of the replayed writes")
         }
+        Fault::CutHost | Fault::CutTwoHosts | Fault::StandStill => {
+            unreachable!("they are injected with a random generator for the servers that join")
+        }
+    }
+}
+
+/// Injects a fault of hosts during which servers of a new version join, and waits until it has ended.
+async fn inject_with_release(
+    fault: Fault,
+    n: usize,
+    duration: Duration,
+    hosts: &Hosts,
+    engines: &Engines,
+    mut rng: StdRng,
+) {
+    let duration = duration + MIN_CUT_DURATION;
+    let delay = Duration::from_millis(rng.random_range(JOIN_DELAY_MS));
+    let down = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    let group = [n, (n + 1) % hosts.len()];
+    let release = async {
+        tokio::time::sleep(delay).await;
+        engines.release(duration, rng).await;
+    };
+    match fault {
+        Fault::CutHost => {
+            tokio::join!(release, hosts.cut_off(&group[..1], duration));
+        }
+        Fault::CutTwoHosts => {
+            tokio::join!(release, hosts.cut_off(&group, duration));
+        }
+        _ => {
+            let kill = async {
+                tokio::time::sleep(duration.saturating_sub(KILL_LEAD)).await;
+                hosts.kill_others(n, down).await;
+            };
+            tokio::join!(release, hosts.suspend(n, duration), kill);
+        }
     }
 }
 
--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -18,6 +18,7 @@
 
 use super::{
     checks::{History, Observation},
+    network::{Attached, Network},
     record_fault,
 };
 
@@ -29,6 +30,8 @@
 const DIRECTORY_PORT: u16 = 8_224;
 /// First port of the range for traffic between hosts.
 const PEER_PORT: u16 = 7_340;
+/// Port on which a host listens for other hosts that reach it through a network.
+const LOCAL_PEER_PORT: u16 = PEER_PORT + 15;
 /// Grace period of a graceful stop.
 const STOP_GRACE_S: u64 = 8;
 /// Retries per request that the fleet may make, those beyond that in a window, and the length of the window in seconds.
@@ -60,6 +63,8 @@
     history: Arc<History>,
     failed_stops: Mutex<Vec<String>>,
     keep_logs: AtomicBool,
+    /// The network between the hosts, if they do not reach each other directly.
+    network: Option<Network>,
 }
 
 impl Hosts {
@@ -68,19 +73,33 @@
         Self::start_with_stores(&vec![store; count], history)
     }
 
+    /// Starts a number of hosts that reach each other through a network that can be cut.
+    pub fn start_with_network(count: usize, store: SocketAddr, history: Arc<History>) -> Self {
+        Self::start_all(&vec![store; count], history, true)
+    }
+
     /// Starts a host for each of the stores, which may list different addresses for the same servers.
     pub fn start_with_stores(stores: &[SocketAddr], history: Arc<History>) -> Self {
+        Self::start_all(stores, history, false)
+    }
+
+    fn start_all(stores: &[SocketAddr], history: Arc<History>, has_network: bool) -> Self {
         let count = stores.len();
         let net = free_net();
         let ip = |n: usize| {
             IpAddr::from(Ipv4Addr::new(127, net, (n / HOSTS_PER_NET) as u8, (n % HOSTS_PER_NET + 1) as u8))
         };
         let seeds: Vec<_> = (0..count.min(3)).map(|n| SocketAddr::new(ip(n), 8_229)).collect();
+        let attached = |n| Attached {
+            announced: SocketAddr::new(ip(n), PEER_PORT),
+            local: SocketAddr::new(ip(n), LOCAL_PEER_PORT),
+        };
+        let network = has_network.then(|| Network::start((0..count).map(attached).collect()));
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let hosts = (0..count).map(|n| {
             let stem = format!("soak-{}-{net}-{n}", std::process::id());
             let (settings_path, log) = (dir.join(format!("{stem}.json")), dir.join(format!("{stem}.log")));
-            fs::write(&settings_path, settings_json(n, ip(n), stores[n], &seeds)).unwrap();
+            fs::write(&settings_path, settings_json(n, ip(n), stores[n], &seeds, has_network)).unwrap();
             Host { ip: ip(n), settings_path, log, child: Mutex::new(None) }
         });
         let hosts = Self {
@@ -88,6 +107,7 @@
             history,
             failed_stops: Mutex::default(),
             keep_logs: AtomicBool::new(false),
+            network,
         };
         hosts.hosts.iter().for_each(Host::start);
         hosts
@@ -143,6 +163,25 @@
         self.hosts.iter().for_each(|h| record_fault(&self.history, &h.ip.to_string(), from));
     }
 
+    /// Kills all hosts but one at the same time and starts them again.
+    pub async fn kill_others(&self, n: usize, down: Duration) {
+        let from = Instant::now();
+        let others = || self.hosts.iter().enumerate().filter(|(other, _)| *other != n).map(|(_, host)| host);
+        others().for_each(Host::kill);
+        tokio::time::sleep(down).await;
+        others().for_each(Host::start);
+        others().for_each(|host| record_fault(&self.history, &host.ip.to_string(), from));
+    }
+
+    /// Cuts hosts off from all others for some time, while callers, the store and the backend servers reach them.
+    pub async fn cut_off(&self, group: &[usize], duration: Duration) {
+        let (network, from) = (self.network.as_ref().expect("the hosts have no network"), Instant::now());
+        network.cut_off(group);
+        tokio::time::sleep(duration).await;
+        network.cut_off(&[]);
+        group.iter().for_each(|n| record_fault(&self.history, &self.hosts[*n].ip.to_string(), from));
+    }
+
     /// Suspends a host's process for some time.
     pub async fn suspend(&self, n: usize, duration: Duration) {
         let (host, from) = (&self.hosts[n], Instant::now());
@@ -287,16 +326,20 @@
 fn free_net() -> u8 {
     let first = (std::process::id() % 100) as u8;
     let mut nets = (0..100).map(|n| 100 + (first + n) % 100);
-    let is_free = |net: &u8| TcpListener::bind((Ipv4Addr::new(127, *net, 0, 1), PEER_PORT)).is_ok();
+    let is_free = |net: &u8| {
+        let addr = (Ipv4Addr::new(127, *net, 0, 1), PEER_PORT);
+        TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
+    };
     nets.find(is_free).expect("all loopback networks are in use")
 }
 
 /// Content of a host's settings file.
-fn settings_json(n: usize, ip: IpAddr, store: SocketAddr, seeds: &[SocketAddr]) -> String {
+fn settings_json(n: usize, ip: IpAddr, store: SocketAddr, seeds: &[SocketAddr], has_network: bool) -> String {
     let at = |port: u16| SocketAddr::new(ip, port).to_string();
     let zone = ["a", "b", "c"][n % 3];
+    let peers = has_network.then(|| at(LOCAL_PEER_PORT));
     json!({ "node": format!("host-{n}"), "zone": zone, "ip": ip.to_string(), "later": {},
-        "listen": { "front": at(CALLER_PORT), "ready": at(READINESS_PORT), "control": at(8_229), "directory": at(DIRECTORY_PORT) },
+        "listen": { "front": at(CALLER_PORT), "ready": at(READINESS_PORT), "control": at(8_229), "directory": at(DIRECTORY_PORT), "peers": peers },
         "internalPortRange": [PEER_PORT, PEER_PORT + 15], "seeds": seeds,
         "bounds": { "graceS": STOP_GRACE_S, "configApplyMs": CONFIG_APPLY_MS, "drainMs": CONFIG_APPLY_MS, "retryBudgetRatio": RETRY_RATIO, "budgetWindowS": RETRY_WINDOW_S, "retryBudgetExtra": RETRY_EXTRA },
         "platformConfig": { "address": store.to_string() } })
