--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -291,7 +291,8 @@
 
         let answer = call(&host, &resumption("nobody"), "r2").await;
 
-        (following.abort(), reading.abort());
+        following.abort();
+        reading.abort();
         assert_eq!((status(&answer), resumed_at(&server)), (503, 0), "seed: {is_seed}, {answer}");
     }
 }
@@ -432,7 +433,8 @@
 
     wire::wait_until("the registration of the host", is_registered).await;
 
-    (following.abort(), registering.abort());
+    following.abort();
+    registering.abort();
     let mixed = store.spec("hosts", "a").map(|spec| spec["mixed"][0]["service"].clone());
     assert_eq!(mixed, Some("app".into()));
 }
@@ -477,7 +479,8 @@
 
     let answer = call(&host, &resumption("nobody"), "r2").await;
 
-    (following.abort(), reading.abort());
+    following.abort();
+    reading.abort();
     assert!(status(&answer) == 503 || back.elapsed() > RETURN_TIME, "{answer}");
 }
 
