Keep the unreachable ports of the tests of unread bodies bound

a_server_gets_the_rest_of_a_body_through_another_host failed once with 502 beside other tests. No check is changed.

--- a/tests/relay_unread.rs
+++ b/tests/relay_unread.rs
@@ -21,7 +21,7 @@
 use rustix::net::sockopt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 use wire::{
     Caller, Host, chunk, configuration, event, events, header, is_complete, ok, request, status, stream_head,
@@ -199,23 +199,27 @@
     host
 }
 
-/// An address at which nothing listens.
-async fn closed_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+/// A port at which nothing listens. It stays bound while the socket is kept, so that nothing else can get it, not even the near end of a
+/// connection to it.
+fn closed_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket
 }
 
-/// Starts a host that reaches two servers only through another one.
-async fn cut_off_host(servers: [&LateServer; 2]) -> (RunningHost, RunningHost) {
+/// Starts a host that reaches two servers only through another one while the ports are kept.
+async fn cut_off_host(servers: [&LateServer; 2]) -> (RunningHost, RunningHost, [TcpSocket; 2]) {
     let helper = RunningHost::start("helper", &[]).await;
     let host = RunningHost::start("host", &[helper.peers_at]).await;
-    let gates = [closed_port().await, closed_port().await];
+    let ports = [closed_port(), closed_port()];
+    let gates = ports.each_ref().map(|port| port.local_addr().unwrap());
     helper.relay.update_backends(listed_at(&servers.map(|s| (s, s.addr))), None, "test");
     host.relay.update_backends(listed_at(&[(servers[0], gates[0]), (servers[1], gates[1])]), None, "test");
     for relay in [&helper.relay, &host.relay] {
         relay.set_configuration(long_bodies(), "test");
     }
     wait_until("the hosts to know each other", || host.relay.addresses(2).len() == 2).await;
-    (host, helper)
+    (host, helper, ports)
 }
 
 async fn call(at: SocketAddr, path: &str, body: &str) -> String {
@@ -280,7 +284,7 @@
     for late in [Late::AnswersFirst, Late::StandsStill(Duration::from_millis(1_200))] {
         let first = LateServer::start("i-1", late).await;
         let second = LateServer::start("i-2", late).await;
-        let (host, helper) = cut_off_host([&first, &second]).await;
+        let (host, helper, _ports) = cut_off_host([&first, &second]).await;
 
         for path in ["/unsafe/x", "/once/x"] {
             let got = call(host.callers_at, path, &long_body()).await;
@@ -339,7 +343,7 @@
 async fn a_server_gets_the_rest_of_a_body_through_another_host() {
     let late = Late::AnswersAndPauses(READ_PAUSE);
     let (first, second) = (LateServer::start("i-1", late).await, LateServer::start("i-2", late).await);
-    let (host, _helper) = cut_off_host([&first, &second]).await;
+    let (host, _helper, _ports) = cut_off_host([&first, &second]).await;
     let long = body(MAX_BODY_BYTES);
 
     let got = call(host.callers_at, "/unsafe/x", &long).await;
