--- a/src/platform.rs
+++ b/src/platform.rs
@@ -78,7 +78,7 @@
 }
 
 async fn start_tasks(settings: &Settings, relay: &Arc<Relay<PlatformWire>>) -> Result<()> {
-    let peer_addr = settings.peers();
+    let peer_addr = settings.peers;
     let socket = UdpSocket::bind(peer_addr).await.with_context(|| format!("could not bind {peer_addr}"))?;
     tokio::spawn(inbound::accept(relay.clone(), inbound::listen(settings.callers).await?));
     tokio::spawn(serve_auxiliary(relay.clone(), inbound::listen(settings.ready).await?));
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -29,8 +29,8 @@
     /// Address of the platform's store.
     pub store: SocketAddr,
     peer_port: u16,
-    /// Address on which this host listens for other hosts, if it is not the one that it tells them.
-    peers: Option<SocketAddr>,
+    /// Address on which this host listens for other hosts.
+    pub peers: SocketAddr,
     seeds: Vec<SocketAddr>,
     budget: BudgetConfig,
     grace: Duration,
@@ -107,7 +107,7 @@
     /// If it is not valid JSON or lacks a required field.
     pub fn parse(text: &str) -> Result<Self> {
         let raw: Raw = serde_json::from_str(text).context("could not parse the settings")?;
-        let bounds = &raw.bounds;
+        let (bounds, peer_port) = (&raw.bounds, raw.internal_port_range.0);
         Ok(Self {
             name: raw.node,
             data_centre: raw.zone,
@@ -115,8 +115,8 @@
             ready: raw.listen.ready,
             directory: raw.listen.directory,
             store: raw.store.address,
-            peer_port: raw.internal_port_range.0,
-            peers: raw.listen.peers,
+            peer_port,
+            peers: raw.listen.peers.unwrap_or(SocketAddr::new(raw.listen.front.ip(), peer_port)),
             seeds: raw.seeds,
             budget: BudgetConfig {
                 ratio: bounds.retry_budget_ratio,
@@ -131,11 +131,6 @@
         })
     }
 
-    /// Address on which this host listens for other hosts.
-    pub fn peers(&self) -> SocketAddr {
-        self.peers.unwrap_or_else(|| self.relay().peer_addr)
-    }
-
     /// Converts the settings to the relay's configuration.
     pub fn relay(&self) -> RelayConfig {
         // All hosts use the same ports, so a seed's peer address follows from its caller address.
