Begin at different networks in runs of the soak that start together

All runs of a process looked for a free loopback network from the same one on, and none is in use until its hosts listen, so that two could take the same. Now each run of a process begins one further. By reading; the two scenarios with versions pass side by side with it. No check is changed.

--- a/tests/support/soak/hosts.rs
+++ b/tests/support/soak/hosts.rs
@@ -7,7 +7,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -324,7 +324,10 @@
 
 /// Finds a loopback network, by its second octet, that no other run uses.
 fn free_net() -> u8 {
-    let first = (std::process::id() % 100) as u8;
+    // Runs of this process that start together begin at different networks: none is in use until its hosts listen.
+    static RUNS: AtomicU32 = AtomicU32::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let first = (std::process::id().wrapping_add(run) % 100) as u8;
     let mut nets = (0..100).map(|n| 100 + (first + n) % 100);
     let is_free = |net: &u8| {
         let addr = (Ipv4Addr::new(127, *net, 0, 1), PEER_PORT);
