Bound the bytes of bodies that a host holds together

Callers saw a host end by memory when many of them sent long bodies: each body was bounded by the configuration and by 10 s without progress, all together by nothing, and a buffer that grows by doubling took up to twice its bytes.

The bodies of all requests share a fifth of the machine's memory, from the first byte until the request that carries them is done. A body of a stated length takes its room before it is read, one in chunks as its buffer doubles. A body may take half of what the others leave free, so a single one may take half of all (6.4 MiB with 64 MiB of memory), and many long ones leave room for short ones. When one finds no room, bodies that have not received 8 KiB for a second give way if that helps. What finds no room is refused at once with 503 `no_room`, not run, to come back after a second. `limits.bodiesMb` sets the memory for bodies.

--- a/src/error.rs
+++ b/src/error.rs
@@ -61,6 +61,8 @@
     WarmingUp,
     /// Every eligible engine has asked routers to pause new requests.
     Paused,
+    /// There is no room for the request's body.
+    NoRoom,
     /// The router has no configuration yet.
     NotReady,
     /// The router is shutting down and accepts no new requests.
@@ -134,7 +136,7 @@
 
 impl ErrorKind {
     /// All kinds.
-    pub const ALL: [ErrorKind; 43] = [
+    pub const ALL: [ErrorKind; 44] = [
         ErrorKind::BadRequest,
         ErrorKind::HeadTooLarge,
         ErrorKind::BodyTooLarge,
@@ -151,6 +153,7 @@
         ErrorKind::Evacuated,
         ErrorKind::WarmingUp,
         ErrorKind::Paused,
+        ErrorKind::NoRoom,
         ErrorKind::NotReady,
         ErrorKind::Leaving,
         ErrorKind::DeadlineUnmeetable,
@@ -233,6 +236,9 @@
                 Some(1),
                 "Every eligible engine has just started and bears no more requests",
             ),
+            ErrorKind::NoRoom => {
+                row(503, "no_room", Ran::No, Some(1), "Too many bytes of other requests are held")
+            }
             ErrorKind::NotReady => {
                 row(503, "not_ready", Ran::No, Some(1), "The router has no configuration yet")
             }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,7 +6,10 @@
 use serde::Deserialize;
 
 use crate::{
-    relay::{RelayConfig, budget::BudgetConfig, buffers, confirm, leave::LeaveConfig, place::Bound},
+    relay::{
+        RelayConfig, budget::BudgetConfig, buffers, capacity::Capacity, confirm, leave::LeaveConfig,
+        place::Bound,
+    },
     schema::fleet::Member,
 };
 
@@ -38,6 +41,7 @@
     in_force: Duration,
     concurrent_fetches: usize,
     buffer_bytes: usize,
+    capacity: Capacity,
 }
 
 #[derive(Deserialize)]
@@ -61,6 +65,16 @@
 struct RawLimits {
     link_mbps: f64,
     memory_mb: f64,
+    /// Memory for bodies of requests, in MiB, if it is not to follow from the machine's.
+    bodies_mb: Option<f64>,
+}
+
+impl RawLimits {
+    fn capacity(&self) -> Capacity {
+        let derived = Capacity::of(self.memory_mb);
+        let bodies = self.bodies_mb.filter(|mb| *mb > 0.0).map(|mb| (mb * (1 << 20) as f64) as usize);
+        Capacity { body_bytes: bodies.unwrap_or(derived.body_bytes) }
+    }
 }
 
 #[derive(Deserialize)]
@@ -128,6 +142,7 @@
             in_force: confirm::bound_from([bounds.config_apply_ms, bounds.drain_ms, bounds.evacuation_ms]),
             concurrent_fetches: RelayConfig::concurrent_fetches(raw.limits.link_mbps),
             buffer_bytes: buffers::limit_for(raw.limits.memory_mb),
+            capacity: raw.limits.capacity(),
         })
     }
 
@@ -152,6 +167,7 @@
             in_force: self.in_force,
             concurrent_fetches: self.concurrent_fetches,
             buffer_bytes: self.buffer_bytes,
+            capacity: self.capacity,
             limits_plain_together: false,
             places_by_pace: false,
         }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -42,9 +42,11 @@
 mod attempt;
 pub mod attempts;
 pub mod backends;
+pub mod bodies;
 pub mod brittle;
 pub mod budget;
 pub mod buffers;
+pub mod capacity;
 mod choose;
 pub mod configurations;
 pub mod confirm;
@@ -105,9 +107,11 @@
 
 use admission::Admission;
 use backends::{BackendKey, Backends};
+use bodies::Bodies;
 use brittle::Brittle;
 use budget::{BudgetConfig, FleetBudget};
 use buffers::Buffers;
+use capacity::Capacity;
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
 use crashes::Crashes;
@@ -163,6 +167,8 @@
     pub concurrent_fetches: usize,
     /// Maximum number of bytes of servers' answers that are buffered at a time.
     pub buffer_bytes: usize,
+    /// What this host may hold for its callers.
+    pub capacity: Capacity,
     /// Whether hosts learn the limits of services whose servers report no load together, rather than each alone.
     pub limits_plain_together: bool,
     /// Whether the pace that servers report decides where requests go.
@@ -266,6 +272,7 @@
     pub(crate) wire: W,
     pub(crate) pool: Pool,
     pub(crate) buffers: Buffers,
+    pub(crate) bodies: Bodies,
     pub(crate) metrics: Arc<Metrics>,
     /// Wakes the heartbeat sender to send to all targets at once.
     pub(crate) beat_due: Notify,
@@ -368,6 +375,7 @@
             rng: SmallRng::from_os_rng(),
         };
         let buffers = Buffers::new(cfg.buffer_bytes);
+        let bodies = Bodies::new(cfg.capacity.body_bytes);
         let (pool, beat_due, fetch_due) = (Pool::default(), Notify::new(), Notify::new());
         let gossip_due = Notify::new();
         let closing = watch::Sender::new(false);
@@ -377,6 +385,7 @@
             wire,
             pool,
             buffers,
+            bodies,
             metrics,
             beat_due,
             gossip_due,
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -17,13 +17,18 @@
 use http::{
     HeaderName, HeaderValue, Request as HttpRequest, Response, Version as HttpVersion, header, request,
 };
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
     Refusal, Relay, Wire,
     answer::AnswerBody,
+    bodies::GIVE_WAY_TIME,
     outcome::Outcome,
     pool,
     request::{EventNumber, Part, Request},
@@ -54,6 +59,8 @@
 /// one. The store is then down as well, and a caller that retries at once uses up its only retry: of 159 requests that
 /// were refused in such an outage with 50 ms, 111 are served with a second.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Retry delay for callers whose bodies find no room: bodies that make no progress have given way by then.
+const NO_ROOM_RETRY_AFTER: Duration = GIVE_WAY_TIME;
 /// Time since the start after which a missing configuration is no longer due to the start, which takes 20 ms.
 const STARTUP_PERIOD: Duration = Duration::from_millis(300);
 /// How long a request waits for a host that has just started to learn its configuration: an eighth of the tightest
@@ -219,7 +226,11 @@
     line(Level::Notable, "refused", |l| {
         let l = l.text("request", id).text("kind", kind.answer().code);
         let l = l.number("version", relay.routes().map_or(0, |r| r.version()));
-        l.ms("confirmed_ms", relay.configuration_age())
+        let l = l.ms("confirmed_ms", relay.configuration_age());
+        match kind {
+            ErrorKind::NoRoom => l.number("bodies", relay.bodies.used() as u64),
+            _ => l,
+        }
     });
     relay.metrics.add(Counter::RelayRequests, Outcome::Refused.as_str(), 1);
     relay.metrics.add(Counter::RelayRefusals, kind.answer().code, 1);
@@ -229,6 +240,9 @@
 
 /// The retry delay for a caller that is refused before an attempt.
 fn retry_after_for<W: Wire>(relay: &Relay<W>, kind: ErrorKind) -> Duration {
+    if kind == ErrorKind::NoRoom {
+        return NO_ROOM_RETRY_AFTER;
+    }
     if kind == ErrorKind::NotReady && relay.is_alone_without_configuration(STARTUP_PERIOD) {
         return NO_CONFIGURATION_RETRY_AFTER;
     }
@@ -265,7 +279,7 @@
         }
         Err(_) => arrived + REFUSED_BODY_TIMEOUT,
     };
-    let body = read_body(body, &head, limits.body_bytes as usize, deadline).await;
+    let body = read_body(relay, body, &head, deadline).await;
     let body = body.map_err(|kind| (id.clone(), kind))?;
     let Matched { version, route, caller } = matched.map_err(|kind| (id.clone(), kind))?;
     let Some(service) = route.service(relay.draw()) else { return Err((id, ErrorKind::NoEngine)) };
@@ -333,17 +347,26 @@
 }
 
 /// Reads the body of a request whose time ends at `until`.
-async fn read_body(
+async fn read_body<W: Wire>(
+    relay: &Relay<W>,
     body: Incoming,
     head: &request::Parts,
-    max_bytes: usize,
     until: Instant,
 ) -> Result<Bytes, ErrorKind> {
-    let length =
-        head.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let max_bytes = relay.caller_limits().body_bytes as usize;
+    let length = stated_length(head);
     if length.is_some_and(|n| n > max_bytes) {
         return Err(ErrorKind::BodyTooLarge);
     }
     let time = until.saturating_sub(now());
-    body::read(body, BodyLimits { max_bytes, time, stall: BODY_STALL_TIMEOUT }).await
+    let limits = BodyLimits { max_bytes, time, stall: BODY_STALL_TIMEOUT };
+    body::read(body, length, limits, relay.bodies.room(now())).await
+}
+
+/// The length of a body, if its head states it.
+fn stated_length(head: &request::Parts) -> Option<usize> {
+    head.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/tests/relay_buffers.rs
+++ b/tests/relay_buffers.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrytally::relay::buffers::{Buffers, limit_for};
+use cranberrytally::relay::{
+    bodies::{Bodies, GIVE_WAY_TIME},
+    buffers::{Buffers, limit_for},
+};
 use proptest::{collection::vec, prelude::*};
 
 const LIMIT_BYTES: usize = 64 << 20;
@@ -99,3 +102,46 @@
         }
     }
 }
+
+/// Guards against bodies that leave no room for a short one, and against one that may not take half of the bytes alone.
+#[test]
+fn long_bodies_leave_room_for_short_ones() {
+    let bodies = Bodies::new(1_000);
+    let mut first = bodies.room(Duration::ZERO);
+
+    let too_long = first.extend_to(501, Duration::ZERO);
+    let longest = first.extend_to(500, Duration::ZERO);
+    let mut others: Vec<_> = (0..20).map(|_| bodies.room(Duration::ZERO)).collect();
+    let taken: Vec<_> = others.iter_mut().map(|room| room.extend_to(100, Duration::ZERO)).collect();
+    let mut short = bodies.room(Duration::ZERO);
+
+    assert_eq!((too_long, longest), (false, true));
+    assert_eq!(taken.iter().filter(|has_room| **has_room).count(), 4);
+    assert!(short.extend_to(50, Duration::ZERO));
+    drop((first, others, short));
+    assert_eq!(bodies.used(), 0);
+}
+
+/// Guards against bodies that stand still and keep their room from others again and again, and against those that are ended
+/// though it helps nobody, or make progress.
+#[tokio::test]
+async fn bodies_without_progress_give_way() {
+    let bodies = Bodies::new(1_000);
+    let mut held: Vec<_> = (0..3).map(|_| bodies.room(Duration::ZERO)).collect();
+    let has_room: Vec<_> = held.iter_mut().map(|room| room.extend_to(250, Duration::ZERO)).collect();
+    let complete = held.pop().unwrap().hold(vec![0; 250]).unwrap();
+    held[1].progress(GIVE_WAY_TIME);
+
+    let mut next = bodies.room(Duration::ZERO);
+    let early = next.extend_to(200, GIVE_WAY_TIME / 2);
+    let too_long = next.extend_to(450, GIVE_WAY_TIME);
+    let after_way = next.extend_to(200, GIVE_WAY_TIME);
+
+    assert_eq!((has_room, early, too_long, after_way), (vec![true; 3], false, false, true));
+    held[0].given_way().await;
+    assert_eq!(bodies.used(), 250 + 250 + 200);
+    assert!(!held[0].extend_to(10, GIVE_WAY_TIME) && held[1].extend_to(275, GIVE_WAY_TIME));
+    assert!(held.remove(0).hold(vec![0; 250]).is_none());
+    drop((held, complete, next));
+    assert_eq!(bodies.used(), 0);
+}
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -11,9 +11,12 @@
 use cranberrytally::{
     error::ErrorKind,
     metrics::Counter,
-    relay::inbound::{
-        body::{self, BodyLimits},
-        head_timer::HeadWait,
+    relay::{
+        bodies::{Bodies, BodyRoom},
+        inbound::{
+            body::{self, BodyLimits},
+            head_timer::HeadWait,
+        },
     },
     schema::fleet::{CallerLimits, Configuration},
 };
@@ -183,6 +186,11 @@
     }
 }
 
+/// Room for a body while there is no other.
+fn room() -> BodyRoom {
+    Bodies::new(1 << 20).room(Duration::ZERO)
+}
+
 /// A body of parts that arrive in these intervals.
 fn slow_body(intervals: &[Duration]) -> impl Body<Data = Bytes, Error = std::io::Error> + use<> {
     let parts = stream::iter(intervals.to_vec()).then(|interval| async move {
@@ -199,10 +207,10 @@
     let limits = BodyLimits { max_bytes: 100, time: Duration::from_secs(60), stall: Duration::from_secs(1) };
     let steady = [Duration::from_millis(100); 20];
 
-    let whole = body::read(slow_body(&steady), limits).await;
-    let stalled = body::read(slow_body(&[Duration::from_secs(60)]), limits).await;
+    let whole = body::read(slow_body(&steady), None, limits, room()).await;
+    let stalled = body::read(slow_body(&[Duration::from_secs(60)]), None, limits, room()).await;
     let late = BodyLimits { time: Duration::from_millis(500), ..limits };
-    let late = body::read(slow_body(&steady), late).await;
+    let late = body::read(slow_body(&steady), None, late, room()).await;
 
     assert_eq!(whole.map(|whole| whole.len()), Ok(20));
     assert_eq!((stalled, late), (Err(ErrorKind::BodyTimeout), Err(ErrorKind::BodyTimeout)));
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -7,7 +7,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        Arc, LazyLock, Mutex, MutexGuard,
+        Arc, LazyLock,
         atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -17,6 +17,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::{Mutex, MutexGuard},
     task::JoinSet,
     time::{Instant, timeout},
 };
@@ -42,7 +43,7 @@
 /// Timeout of each wait, reached only when a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 /// Bytes that crowds send.
 static FILL: LazyLock<Vec<u8>> = LazyLock::new(|| vec![b'x'; MAX_BODY_BYTES]);
@@ -70,7 +71,7 @@
 impl Host {
     /// Starts a host and waits until it serves.
     pub async fn start() -> Self {
-        let guard = ONE_AT_A_TIME.lock().unwrap_or_else(|failed| failed.into_inner());
+        let guard = ONE_AT_A_TIME.lock().await;
         let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(127, 210, (std::process::id() % 250) as u8, number).into();
         let store = Store::start().await;
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -7,8 +7,8 @@
 use cranberrytally::{
     platform::PlatformWire,
     relay::{
-        Relay, RelayConfig, budget::BudgetConfig, buffers, inbound, leave::LeaveConfig, mesh, place::Bound,
-        revision::Revision,
+        Relay, RelayConfig, budget::BudgetConfig, buffers, capacity::Capacity, inbound, leave::LeaveConfig,
+        mesh, place::Bound, revision::Revision,
     },
     schema::fleet::{Backend, Member},
 };
@@ -37,6 +37,7 @@
         in_force: Duration::from_secs(2),
         concurrent_fetches: 1,
         buffer_bytes: buffers::limit_for(0.0),
+        capacity: Capacity::of(0.0),
         limits_plain_together: true,
         places_by_pace: true,
     }
