Refuse requests by their heads without keeping their bodies

Callers without a key or a route, or at a host that leaves, had their whole body read and kept before they were refused: what can only be refused took memory, and the refusal waited for up to 10 s for a body that did not come (408 in the end). A body over the limit or without room was refused while it arrived, on a connection whose head did not say that it closes.

The head decides before the body is read. A body of at most 64 KiB is read and dropped within a second, so that its connection carries the next request; of a longer one, or where the caller waits for leave to send, nothing is read, and the refusal says that the connection closes. What still arrives there is dropped for as long as it goes on, 10 s and the largest body at most, since a reset would take the refusal away from a caller that is still sending; a second was too short for a slow link.

relay_input a_refusal_known_from_the_head_does_not_wait_for_the_body covers route, key, `Expect: 100-continue`, kept connections and a body that stops short of its end.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -73,8 +73,10 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum time without progress in a body; callers on unreliable links may be unreachable for seconds.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum time for the body of a request that is refused once it is read.
-const REFUSED_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest body of a refused request that is read and dropped, so that its connection can carry another request, in bytes.
+const MAX_DROPPED_BODY_BYTES: usize = 64 << 10;
+/// Maximum time for that; the refusal waits for it.
+const DROPPED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The parsed head of a caller's request.
 #[derive(Clone, Debug, Default)]
@@ -203,19 +205,19 @@
     }
     drop(counted);
     if may_read_answer {
-        linger::close(stream).await;
+        linger::close(stream, MAX_DROPPED_BODY_BYTES + relay.caller_limits().body_bytes as usize).await;
     }
 }
 
 async fn answer<W: Wire>(relay: Arc<Relay<W>>, req: HttpRequest<Incoming>) -> Response<AnswerBody> {
-    let mut response = match read_request(&relay, req).await {
+    let (mut response, is_last) = match read_request(&relay, req).await {
         Ok(req) => {
             let _entered = relay.track_request();
-            run::run(relay.clone(), req).await
+            (run::run(relay.clone(), req).await, false)
         }
-        Err((id, kind)) => refuse(&relay, &id, kind),
+        Err(refused) => (refuse(&relay, &refused.id, refused.kind), refused.is_unread),
     };
-    if relay.is_leaving() {
+    if is_last || relay.is_leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -258,11 +260,16 @@
     }
 }
 
+/// A request that is refused before an attempt.
+struct Refused {
+    id: Arc<str>,
+    kind: ErrorKind,
+    /// Whether a part of the body has not been read.
+    is_unread: bool,
+}
+
 /// Reads a request and decides whether this host accepts it.
-async fn read_request<W: Wire>(
-    relay: &Relay<W>,
-    req: HttpRequest<Incoming>,
-) -> Result<Request, (Arc<str>, ErrorKind)> {
+async fn read_request<W: Wire>(relay: &Relay<W>, req: HttpRequest<Incoming>) -> Result<Request, Refused> {
     let arrived = now();
     let (head, body) = req.into_parts();
     let parsed = relay.wire.parse_request(&head);
@@ -271,24 +278,24 @@
         wait_for_configuration(relay).await;
     }
     let limits = relay.caller_limits();
-    let matched = check_size(&head, limits).and_then(|()| find_route(relay, &parsed, &head));
-    let deadline = match &matched {
-        Ok(matched) => {
-            let timeout = Duration::from_millis(matched.route.route.timeout_ms.into());
-            arrived + parsed.timeout.map_or(timeout, |waits| waits.min(timeout))
+    let matched = check_size(&head, limits).and_then(|()| accept_head(relay, &parsed, &head, arrived));
+    let Accepted { matched: Matched { version, route, caller }, service, deadline } = match matched {
+        Ok(accepted) => accepted,
+        Err(kind) => {
+            let is_unread = !drop_body(body, &head).await;
+            return Err(Refused { id, kind, is_unread });
         }
-        Err(_) => arrived + REFUSED_BODY_TIMEOUT,
     };
-    let body = read_body(relay, body, &head, deadline).await;
-    let body = body.map_err(|kind| (id.clone(), kind))?;
-    let Matched { version, route, caller } = matched.map_err(|kind| (id.clone(), kind))?;
-    let Some(service) = route.service(relay.draw()) else { return Err((id, ErrorKind::NoEngine)) };
+    let body = match read_body(relay, body, &head, deadline).await {
+        Ok(body) => body,
+        Err(kind) => return Err(Refused { id, kind, is_unread: true }),
+    };
     if !relay.accepts(deadline) {
-        return Err((id, ErrorKind::Leaving));
+        return Err(Refused { id, kind: ErrorKind::Leaving, is_unread: false });
     }
     let request = Request {
         id,
-        service: service.into(),
+        service,
         caller,
         method: head.method.clone(),
         target: head.uri.clone(),
@@ -323,6 +330,30 @@
     caller: Option<Arc<Caller>>,
 }
 
+/// What the head of an accepted request determines.
+struct Accepted {
+    matched: Matched,
+    service: Arc<str>,
+    deadline: Instant,
+}
+
+/// Decides by its head whether this host accepts a request.
+fn accept_head<W: Wire>(
+    relay: &Relay<W>,
+    parsed: &RequestHead,
+    head: &request::Parts,
+    arrived: Instant,
+) -> Result<Accepted, ErrorKind> {
+    let matched = find_route(relay, parsed, head)?;
+    let timeout = Duration::from_millis(matched.route.route.timeout_ms.into());
+    let deadline = arrived + parsed.timeout.map_or(timeout, |waits| waits.min(timeout));
+    let service = matched.route.service(relay.draw()).ok_or(ErrorKind::NoEngine)?.into();
+    match relay.accepts(deadline) {
+        true => Ok(Accepted { matched, service, deadline }),
+        false => Err(ErrorKind::Leaving),
+    }
+}
+
 /// Finds the route and the caller. A host that may have missed a configuration change does not claim that an unknown
 /// route or key does not exist; it refuses the request, which has provably not run.
 fn find_route<W: Wire>(
@@ -366,6 +397,16 @@
     body::read(body, length, limits, relay.bodies.room(now())).await
 }
 
+/// Reads the body of a refused request and drops it, unless it is long or its caller waits for leave to send it. Returns
+/// whether it was complete.
+async fn drop_body(body: Incoming, head: &request::Parts) -> bool {
+    let is_long = stated_length(head).is_some_and(|bytes| bytes > MAX_DROPPED_BODY_BYTES);
+    if is_long || head.headers.contains_key(header::EXPECT) {
+        return body.is_end_stream();
+    }
+    body::drop_rest(body, MAX_DROPPED_BODY_BYTES, DROPPED_BODY_TIMEOUT).await
+}
+
 /// The length of a body, if its head states it.
 fn stated_length(head: &request::Parts) -> Option<usize> {
     head.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
--- a/src/relay/inbound/body.rs
+++ b/src/relay/inbound/body.rs
@@ -80,3 +80,23 @@
     buf.reserve_exact(capacity - buf.len());
     Ok(())
 }
+
+/// Reads the body of a request that is refused, and drops it. Returns whether it was complete, so that the connection can
+/// carry another request.
+pub async fn drop_rest(
+    body: impl Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>>,
+    max_bytes: usize,
+    time: Duration,
+) -> bool {
+    let mut body = std::pin::pin!(Limited::new(body, max_bytes));
+    let dropping = async {
+        loop {
+            match body.frame().await {
+                Some(Ok(_)) => {}
+                Some(Err(_)) => return false,
+                None => return true,
+            }
+        }
+    };
+    timeout(time, dropping).await.unwrap_or(false)
+}
--- a/tests/relay_input.rs
+++ b/tests/relay_input.rs
@@ -282,3 +282,36 @@
     }
     assert!(Settings::parse("no JSON").is_err());
 }
+
+/// Guards against a refusal that is known from the head and waits for the body, is lost since the rest of the body resets the
+/// connection, or is preceded by the leave to send the body.
+#[tokio::test]
+async fn a_refusal_known_from_the_head_does_not_wait_for_the_body() {
+    let server = server().await;
+    let host = Host::with_servers(&[&server]).await;
+    let body = "x".repeat(300_000);
+    let no_route = request("/nowhere/x", &body);
+    let no_key = request("/unsafe/x", &body).replace("Key: k1\r\n", "");
+    let waiting = no_route.replace("Key: k1", "Expect: 100-continue\r\nKey: k1").replace(&body, "");
+    let short = request("/nowhere/x", "body");
+
+    for (req, expected) in [(&no_route, 404), (&no_key, 401), (&waiting, 404)] {
+        let (first, rest) = req.split_at(req.len().min(1_000));
+        let mut caller = host.connect().await;
+        caller.send(first).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        caller.send(rest).await;
+        let answer = caller.answer().await;
+
+        assert_eq!((status(&answer), header(&answer, "connection").as_deref()), (expected, Some("close")));
+    }
+    let mut kept = host.connect().await;
+    for _ in 0..2 {
+        kept.send(&short).await;
+        assert_eq!(status(&kept.answer().await), 404);
+    }
+    let mut unfinished = host.connect().await;
+    unfinished.send(&short[..short.len() - 1]).await;
+    assert_eq!(status(&unfinished.answer().await), 404);
+    assert_eq!(server.requests().len(), 0);
+}
