Limit the receive buffers of connections, and hyper's

Bytes that a socket has received and the process has not read count for the memory of its machine. The kernel lets a receive buffer grow to megabytes where a sender is fast and the host slow, for example with chunks of one byte; hyper's buffer of a connection grows to 400 KiB.

A connection of a caller or to a server gets a receive buffer of the memory for them (1/64) divided by the number of connections, 24 to 128 KiB, so that few callers on long paths still have a large window. Reads of callers' connections are shorter than hyper's first buffer, which therefore does not grow, and its limit is that of a head.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -73,7 +73,7 @@
     fn capacity(&self) -> Capacity {
         let derived = Capacity::of(self.memory_mb);
         let bodies = self.bodies_mb.filter(|mb| *mb > 0.0).map(|mb| (mb * (1 << 20) as f64) as usize);
-        Capacity { body_bytes: bodies.unwrap_or(derived.body_bytes) }
+        Capacity { body_bytes: bodies.unwrap_or(derived.body_bytes), ..derived }
     }
 }
 
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -150,6 +150,7 @@
 async fn serve<W: Wire>(relay: Arc<Relay<W>>, stream: TcpStream, from: SocketAddr) {
     // Callers on unreliable links may be unreachable for seconds and still get their answer, so no timeout is set.
     pool::configure_socket(&stream, None);
+    pool::limit_receive_buffer(&stream, relay.cfg.capacity.receive_buffer(relay.connections()));
     let limits = relay.caller_limits();
     let accepts_chunks = AtomicBool::new(true);
     let service = service_fn(|req: HttpRequest<Incoming>| {
@@ -165,6 +166,7 @@
         .timer(timer.clone())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.into()))
         .max_header_size(MAX_HEAD_BYTES.max(limits.head_bytes as usize))
+        .max_buf_size(MAX_HEAD_BYTES.max(limits.head_bytes as usize))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(timer.observe(stream)), service);
     let mut conn = conn;
--- a/src/relay/inbound/head_timer.rs
+++ b/src/relay/inbound/head_timer.rs
@@ -12,7 +12,7 @@
 
 use hyper::rt::{Sleep, Timer};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take},
     net::TcpStream,
 };
 
@@ -21,6 +21,9 @@
     util::{Instant, lock, now},
 };
 
+/// Largest read, in bytes. hyper doubles its buffer of 8 KiB when a read fills it.
+const MAX_READ_BYTES: u64 = (8 << 10) - 1;
+
 /// The wait for a head.
 #[derive(Clone, Copy, Debug)]
 pub struct HeadWait {
@@ -98,7 +101,7 @@
 
     /// Lets the timer see when bytes arrive on the connection.
     pub(super) fn observe(&self, stream: TcpStream) -> ObservedStream {
-        ObservedStream { stream, wait: self.wait.clone() }
+        ObservedStream { stream: stream.take(MAX_READ_BYTES), wait: self.wait.clone() }
     }
 
     /// Whether a part of a head has arrived in the current wait.
@@ -168,13 +171,13 @@
 /// A caller's connection that tells its timer when bytes arrive.
 #[derive(Debug)]
 pub(super) struct ObservedStream {
-    stream: TcpStream,
+    stream: Take<TcpStream>,
     wait: Arc<Mutex<HeadWait>>,
 }
 
 impl ObservedStream {
     pub(super) fn into_inner(self) -> TcpStream {
-        self.stream
+        self.stream.into_inner()
     }
 }
 
@@ -185,6 +188,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let before = buf.filled().len();
+        self.stream.set_limit(MAX_READ_BYTES);
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if buf.filled().len() > before {
             lock(&self.wait).hear(now());
@@ -199,15 +203,15 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(self.stream.get_mut()).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(self.stream.get_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(self.stream.get_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -215,10 +219,10 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(self.stream.get_mut()).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 }
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -48,6 +48,9 @@
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 /// Maximum size of a request of another host, or of the answer to one to connect, in bytes; both are a few numbers.
 const MAX_SHORT_MESSAGE_BYTES: usize = 4 << 10;
+/// Receive buffer of a connection that another host opens, in bytes. Most carry such a message, some the requests and answers of
+/// one request.
+const PEER_RECEIVE_BYTES: usize = 32 << 10;
 /// Delay of the housekeeping above which the host must have been suspended; nothing else delays it for so long.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(1_500);
 /// Timeout for the start of the answer to a fetch; after it the same peer or another one is asked.
@@ -441,6 +444,7 @@
     admitted: Option<OwnedSemaphorePermit>,
 ) -> Result<()> {
     pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
+    pool::limit_receive_buffer(&stream, PEER_RECEIVE_BYTES);
     // A host whose bytes are lost on the way must not occupy a slot for longer.
     let reading = timeout(FETCH_TIMEOUT, receive::<Fetch>(&mut stream)).await;
     let fetch_request = reading.context("the peer did not send its request in time")??;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -101,7 +101,7 @@
 }
 
 impl Conn {
-    /// Connects to a backend server.
+    /// Connects to a backend server with a receive buffer of this many bytes.
     ///
     /// # Errors
     /// If no connection was established, so that nothing was sent.
@@ -109,8 +109,11 @@
         addr: SocketAddr,
         timeout: Duration,
         label: SocketLabel,
+        receive_buffer: usize,
     ) -> Result<Self, Failure> {
-        let socket = ServerSocket::new(connect_tcp(addr, timeout).await?, label);
+        let stream = connect_tcp(addr, timeout).await?;
+        limit_receive_buffer(&stream, receive_buffer);
+        let socket = ServerSocket::new(stream, label);
         let rest = socket.rest();
         Self::handshake(socket, rest, addr).await
     }
@@ -303,6 +306,13 @@
     }
 }
 
+/// Limits the bytes that the kernel receives before they are read.
+pub(crate) fn limit_receive_buffer(stream: &TcpStream, bytes: usize) {
+    if let Err(e) = sockopt::set_socket_recv_buffer_size(stream, bytes) {
+        spdlog::warn!("could not set SO_RCVBUF on a socket: {e}");
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -138,7 +138,7 @@
         left: Duration,
     ) -> Result<Conn, Failure> {
         let result = match self.socket_label(key, None) {
-            Some(label) => Conn::connect(addr, left, label).await,
+            Some(label) => Conn::connect(addr, left, label, self.server_receive_buffer()).await,
             None => Err(Failure::Connect),
         };
         // A caller's deadline that ends the attempt early says nothing about the server.
@@ -148,6 +148,11 @@
         result
     }
 
+    /// Size of the receive buffer of a connection to a server, which grows no further while its answer waits to be read.
+    fn server_receive_buffer(&self) -> usize {
+        self.cfg.capacity.receive_buffer(self.state().in_progress)
+    }
+
     /// What a socket connects to; `None` if the server is no longer listed.
     fn socket_label(&self, key: BackendKey, peer: Option<SocketAddr>) -> Option<SocketLabel> {
         let backend = self.state().backends.get(key)?.id.clone();
@@ -173,6 +178,7 @@
         let result = pool::connect_tcp(addr, CONNECT_TIMEOUT).await;
         self.record_direct(key, result.is_ok());
         let stream = result.map_err(|_| TunnelOutcome::ServedUnreachable)?;
+        pool::limit_receive_buffer(&stream, self.server_receive_buffer());
         let label = self.socket_label(key, None).ok_or(TunnelOutcome::ServedNotEligible)?;
         Ok(ServerSocket::new(stream, label))
     }
