Bound the connections to each port of a host

Callers that opened connections and sent nothing took all descriptors of a host, so that it could no longer connect to servers, other hosts and the store: every connection was accepted, and at EMFILE accepting and connecting failed alike.

Each kind of port has a bound from the descriptors that are not reserved for files: callers a quarter of them, or what fits a quarter of the memory at 48 KiB each, the ports for addresses, readiness and metrics together a sixteenth, other hosts a sixteenth. Half is left for connections to servers, since a request may hold one while its last one is being closed. At the bound the connection that has been idle longest gives way, then one whose caller has not sent or read for a second in the middle of a request or an answer, then the body that has been arriving longest; a request of which a part had arrived is refused with 503, not run. If all are in use, a new connection waits for up to two seconds, and connections that have their answer are closed for those that wait. Counter `relay_connections_closed_total`, line `connections_full`, gauge `relay_held`, setting `limits.callerConnections`; line `bodies_exceed_memory` where the configuration allows bodies that never have room.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -85,6 +85,8 @@
     RelayUnacked,
     /// Rounds of the background tasks of the relay, by task.
     RelayRounds,
+    /// Connections that were closed since their port had as many as allowed, by what they did.
+    RelayConnections,
 }
 
 /// A gauge of the relay.
@@ -96,11 +98,14 @@
     RelayVersions,
     /// Causes of crashes whose requests are refused.
     RelayQuarantined,
+    /// What callers and servers make the host hold, by kind.
+    RelayHeld,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 3] = [Gauge::RelayUnconfirmed, Gauge::RelayVersions, Gauge::RelayQuarantined];
+    pub const ALL: [Gauge; 4] =
+        [Gauge::RelayUnconfirmed, Gauge::RelayVersions, Gauge::RelayQuarantined, Gauge::RelayHeld];
 
     /// Returns the name, label and description; this is the table of gauges.
     pub fn spec(self) -> MetricSpec {
@@ -120,6 +125,11 @@
                 label: "state",
                 description: "contents and prompt parts whose requests are refused since they crash servers",
             },
+            Gauge::RelayHeld => MetricSpec {
+                name: "relay_held",
+                label: "kind",
+                description: "connections, and bytes of bodies and answers, that the host holds",
+            },
         }
     }
 }
@@ -172,7 +182,7 @@
 
 impl Counter {
     /// Every counter.
-    pub const ALL: [Counter; 35] = [
+    pub const ALL: [Counter; 36] = [
         Counter::Requests,
         Counter::Refusals,
         Counter::Retries,
@@ -208,6 +218,7 @@
         Counter::RelaySilences,
         Counter::RelayUnacked,
         Counter::RelayRounds,
+        Counter::RelayConnections,
     ];
 
     /// Returns the name, label and description; this is the table of counters.
@@ -301,6 +312,11 @@
                 row("relay_unacked", "cause", "connections ended with unacknowledged bytes, by their state")
             }
             Counter::RelayRounds => row("relay_rounds", "task", "rounds of the background tasks"),
+            Counter::RelayConnections => row(
+                "relay_connections_closed",
+                "connection",
+                "connections closed at the bound on connections, by what they did",
+            ),
         }
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,16 +8,23 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::{TcpListener, TcpStream, UdpSocket},
     signal::unix::{Signal, SignalKind, signal},
 };
 
 use crate::{
     logs::lines::{self, Level, line},
-    relay::{Relay, follow, inbound, mesh},
+    relay::{
+        Relay,
+        connections::Connection,
+        follow,
+        inbound::{self, head_timer::HeadTimer},
+        mesh, pool,
+    },
+    schema::fleet::CallerLimits,
 };
 
 mod names;
@@ -35,8 +42,15 @@
 /// Port of the metrics endpoint, as declared in deploy/system.toml.
 const METRICS_PORT: u16 = 9464;
 const METRICS_PATH: &str = "/metrics";
-/// Timeout of an idle connection to an auxiliary endpoint: addresses, readiness or metrics.
-const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Limits of requests and connections to an auxiliary endpoint: addresses, readiness or metrics.
+const AUXILIARY_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: AUXILIARY_BUFFER_BYTES as u32,
+    body_bytes: 0,
+    head_ms: 10_000,
+    idle_ms: 10_000,
+};
+/// Receive buffer, and maximum size of the other buffers, of a connection to an auxiliary endpoint, in bytes.
+const AUXILIARY_BUFFER_BYTES: usize = 24 << 10;
 /// Time for the log writer's thread to write the last lines.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(25);
 
@@ -121,28 +135,44 @@
     }
 }
 
-/// Serves the auxiliary endpoints: addresses for callers, readiness and metrics.
+/// Serves an auxiliary endpoint: addresses for callers, readiness or metrics.
 async fn serve_auxiliary(relay: Arc<Relay<PlatformWire>>, listener: TcpListener) {
-    inbound::accept_all(listener, "an auxiliary connection", |stream, _| {
-        let relay = relay.clone();
-        tokio::spawn(async move {
-            let service = service_fn(|req| {
-                let res = auxiliary_response(&relay, &req);
-                async move { Ok::<_, Infallible>(res) }
-            });
-            let conn = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(AUXILIARY_IDLE_TIMEOUT)
-                .auto_date_header(false)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = conn.await {
-                spdlog::debug!("auxiliary connection failed: {e}");
-            }
-        });
+    const KIND: &str = "an auxiliary connection";
+    inbound::accept_all(listener, KIND, |stream, _| {
+        let timer = HeadTimer::new(|| AUXILIARY_LIMITS);
+        let Some(admitted) = inbound::admit(&relay, &relay.auxiliary, KIND, &timer) else { return };
+        tokio::spawn(serve_auxiliary_connection(relay.clone(), stream, timer, admitted));
     })
     .await;
 }
 
+async fn serve_auxiliary_connection(
+    relay: Arc<Relay<PlatformWire>>,
+    stream: TcpStream,
+    timer: HeadTimer,
+    admitted: Connection,
+) {
+    pool::limit_receive_buffer(&stream, AUXILIARY_BUFFER_BYTES);
+    let service = service_fn(|req| {
+        let res = auxiliary_response(&relay, &req);
+        async move { Ok::<_, Infallible>(res) }
+    });
+    let conn = http1::Builder::new()
+        .timer(timer.clone())
+        .header_read_timeout(Duration::from_millis(AUXILIARY_LIMITS.idle_ms.into()))
+        .max_buf_size(AUXILIARY_BUFFER_BYTES)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(timer.observe(stream)), service);
+    tokio::select! {
+        result = conn => {
+            if let Err(e) = result {
+                spdlog::debug!("auxiliary connection failed: {e}");
+            }
+        }
+        () = admitted.given_way(timer.wait()) => {}
+    }
+}
+
 /// Answer to a request for addresses.
 #[derive(Serialize)]
 struct Resolved {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -65,15 +65,22 @@
 struct RawLimits {
     link_mbps: f64,
     memory_mb: f64,
+    max_fds: usize,
+    /// Connections of callers, if they are not to follow from memory and descriptors.
+    caller_connections: Option<usize>,
     /// Memory for bodies of requests, in MiB, if it is not to follow from the machine's.
     bodies_mb: Option<f64>,
 }
 
 impl RawLimits {
     fn capacity(&self) -> Capacity {
-        let derived = Capacity::of(self.memory_mb);
+        let derived = Capacity::of(self.memory_mb, self.max_fds);
         let bodies = self.bodies_mb.filter(|mb| *mb > 0.0).map(|mb| (mb * (1 << 20) as f64) as usize);
-        Capacity { body_bytes: bodies.unwrap_or(derived.body_bytes), ..derived }
+        Capacity {
+            body_bytes: bodies.unwrap_or(derived.body_bytes),
+            caller_connections: self.caller_connections.unwrap_or(derived.caller_connections),
+            ..derived
+        }
     }
 }
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -50,6 +50,7 @@
 mod choose;
 pub mod configurations;
 pub mod confirm;
+pub mod connections;
 pub mod contact;
 mod continuation;
 pub mod crash_reports;
@@ -114,6 +115,7 @@
 use capacity::Capacity;
 use configurations::ConfigurationHistory;
 use confirm::{Confirmations, Topic};
+use connections::Connections;
 use crashes::Crashes;
 use evacuations::Evacuations;
 use exchange::Outbox;
@@ -273,6 +275,12 @@
     pub(crate) pool: Pool,
     pub(crate) buffers: Buffers,
     pub(crate) bodies: Bodies,
+    /// Connections of callers.
+    pub(crate) callers: Connections,
+    /// Connections to the ports for addresses, readiness and metrics.
+    pub(crate) auxiliary: Connections,
+    /// Connections of other hosts.
+    pub(crate) peer_connections: Connections,
     pub(crate) metrics: Arc<Metrics>,
     /// Wakes the heartbeat sender to send to all targets at once.
     pub(crate) beat_due: Notify,
@@ -375,7 +383,7 @@
             rng: SmallRng::from_os_rng(),
         };
         let buffers = Buffers::new(cfg.buffer_bytes);
-        let bodies = Bodies::new(cfg.capacity.body_bytes);
+        let capacity = cfg.capacity;
         let (pool, beat_due, fetch_due) = (Pool::default(), Notify::new(), Notify::new());
         let gossip_due = Notify::new();
         let closing = watch::Sender::new(false);
@@ -385,7 +393,10 @@
             wire,
             pool,
             buffers,
-            bodies,
+            bodies: Bodies::new(capacity.body_bytes),
+            callers: Connections::new(capacity.caller_connections),
+            auxiliary: Connections::new(capacity.auxiliary_connections),
+            peer_connections: Connections::new(capacity.peer_connections),
             metrics,
             beat_due,
             gossip_due,
--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -17,6 +17,25 @@
 /// stops senders whose segments are as long as those of the loopback interface.
 const RECEIVE_BUFFER_BYTES: RangeInclusive<usize> = 24 << 10..=128 << 10;
 
+/// Part of a host's memory that connections may take, beside bodies and answers.
+const CONNECTION_FRACTION: usize = 4;
+/// Memory of one connection, in bytes: its task, the buffer for a head, and a receive buffer that is about half full.
+const CONNECTION_BYTES: usize = 48 << 10;
+/// Memory for connections of a host whose memory is unknown, in bytes.
+const DEFAULT_CONNECTION_BYTES: usize = 64 << 20;
+/// Descriptors of a host that does not know them.
+const DEFAULT_DESCRIPTORS: usize = 1_024;
+/// Descriptors that are reserved for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Sixteenths of the other descriptors: connections of callers, those to the ports for addresses, readiness and metrics, and
+/// those of other hosts. The rest is for servers, other hosts and the store: a request may hold a connection to a server while its
+/// last one is being closed.
+const CALLER_SIXTEENTHS: usize = 4;
+const AUXILIARY_SIXTEENTHS: usize = 1;
+const PEER_SIXTEENTHS: usize = 1;
+/// Smallest number of connections of a kind.
+const MIN_CONNECTIONS: usize = 16;
+
 /// Limits of what a host holds for its callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
@@ -24,15 +43,29 @@
     pub body_bytes: usize,
     /// Bytes that receive buffers divide among them.
     pub receive_bytes: usize,
+    /// Connections of callers.
+    pub caller_connections: usize,
+    /// Connections to the ports for addresses, readiness and metrics together.
+    pub auxiliary_connections: usize,
+    /// Connections of other hosts.
+    pub peer_connections: usize,
 }
 
 impl Capacity {
-    /// The capacity of a machine with this memory in MiB, 0 if it is unknown.
-    pub fn of(memory_mb: f64) -> Self {
+    /// The capacity of a machine with this memory in MiB and this many descriptors for a process, 0 if they are unknown.
+    pub fn of(memory_mb: f64, descriptors: usize) -> Self {
         let memory = (memory_mb >= 1.0).then(|| (memory_mb as usize).saturating_mul(1 << 20));
+        let part = |fraction, default| memory.map_or(default, |bytes| bytes / fraction);
+        let descriptors = if descriptors == 0 { DEFAULT_DESCRIPTORS } else { descriptors };
+        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let connections = |sixteenths: usize| (sockets * sixteenths / 16).max(MIN_CONNECTIONS);
+        let that_fit = part(CONNECTION_FRACTION, DEFAULT_CONNECTION_BYTES) / CONNECTION_BYTES;
         Self {
-            body_bytes: memory.map_or(DEFAULT_BODY_BYTES, |bytes| bytes / BODY_FRACTION),
-            receive_bytes: memory.map_or(DEFAULT_RECEIVE_BYTES, |bytes| bytes / RECEIVE_FRACTION),
+            body_bytes: part(BODY_FRACTION, DEFAULT_BODY_BYTES),
+            receive_bytes: part(RECEIVE_FRACTION, DEFAULT_RECEIVE_BYTES),
+            caller_connections: connections(CALLER_SIXTEENTHS).min(that_fit).max(MIN_CONNECTIONS),
+            auxiliary_connections: connections(AUXILIARY_SIXTEENTHS),
+            peer_connections: connections(PEER_SIXTEENTHS),
         }
     }
 
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -29,6 +29,7 @@
     Refusal, Relay, Wire,
     answer::AnswerBody,
     bodies::GIVE_WAY_TIME,
+    connections::{Admission, Connection, Connections},
     outcome::Outcome,
     pool,
     request::{EventNumber, Part, Request},
@@ -146,21 +147,62 @@
     }
 }
 
+/// Records how a connection to a port was admitted. `peer_kind` names the kind of peer in log lines.
+fn record_admission<W: Wire>(
+    relay: &Relay<W>,
+    connections: &Connections,
+    peer_kind: &str,
+    admission: Admission,
+) {
+    let closed = match admission {
+        Admission::Free => return,
+        Admission::InPlaceOf(rest) => rest.as_str(),
+        Admission::Refused => "refused",
+    };
+    relay.metrics.add(Counter::RelayConnections, closed, 1);
+    line(Level::Notable, "connections_full", |l| {
+        l.text("of", peer_kind).text("closed", closed).number("open", connections.count() as u64)
+    });
+}
+
+/// Admits a connection to a port if there is room for it.
+pub(crate) fn admit<W: Wire>(
+    relay: &Relay<W>,
+    connections: &Connections,
+    peer_kind: &str,
+    timer: &HeadTimer,
+) -> Option<Connection> {
+    let (admission, connection) = connections.admit(timer.wait().clone(), now());
+    record_admission(relay, connections, peer_kind, admission);
+    connection
+}
+
+/// How serving a connection ends.
+enum End {
+    /// With this result of the HTTP library.
+    Served(hyper::Result<()>),
+    /// Since a new connection takes its place.
+    GivenWay,
+}
+
 /// Serves one connection of a caller.
 async fn serve<W: Wire>(relay: Arc<Relay<W>>, stream: TcpStream, from: SocketAddr) {
+    let timer = HeadTimer::new({
+        let relay = relay.clone();
+        move || relay.caller_limits()
+    });
+    let (admission, admitted) = relay.callers.admit_soon(timer.wait()).await;
+    record_admission(&relay, &relay.callers, "a caller", admission);
+    let Some(admitted) = admitted else { return };
     // Callers on unreliable links may be unreachable for seconds and still get their answer, so no timeout is set.
     pool::configure_socket(&stream, None);
-    pool::limit_receive_buffer(&stream, relay.cfg.capacity.receive_buffer(relay.connections()));
+    pool::limit_receive_buffer(&stream, relay.cfg.capacity.receive_buffer(relay.callers.count()));
     let limits = relay.caller_limits();
     let accepts_chunks = AtomicBool::new(true);
     let service = service_fn(|req: HttpRequest<Incoming>| {
         accepts_chunks.store(req.version() >= HttpVersion::HTTP_11, Ordering::Relaxed);
-        let relay = relay.clone();
-        async move { Ok::<_, Infallible>(answer(relay, req).await) }
-    });
-    let timer = HeadTimer::new({
-        let relay = relay.clone();
-        move || relay.caller_limits()
+        let (relay, timer) = (relay.clone(), timer.clone());
+        async move { Ok::<_, Infallible>(answer(relay, req, &timer).await) }
     });
     let conn = http1::Builder::new()
         .timer(timer.clone())
@@ -172,31 +214,42 @@
     let mut conn = conn;
     let mut closing = relay.closing.subscribe();
     let counted = relay.track_connection();
+    let given_way = admitted.given_way(timer.wait());
+    let mut given_way = std::pin::pin!(given_way);
     let ended = tokio::select! {
-        result = &mut conn => Some(result),
+        result = &mut conn => Some(End::Served(result)),
+        () = &mut given_way => Some(End::GivenWay),
         // The guard must be dropped: it would hold the lock of the channel while the connection closes.
         () = async { drop(closing.wait_for(|closing| *closing).await) } => None,
     };
-    let result = match ended {
-        Some(result) => result,
+    let end = match ended {
+        Some(end) => end,
         None => {
             Pin::new(&mut conn).graceful_shutdown();
-            (&mut conn).await
+            tokio::select! {
+                result = &mut conn => End::Served(result),
+                () = &mut given_way => End::GivenWay,
+            }
         }
     };
-    let is_late = result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun();
+    let refusal = refusal_after(&end, &timer);
     // A request that arrives at a connection that was idle is left unread, so that its caller knows that it did not run.
-    let may_read_answer = is_late || (result.is_ok() && !timer.is_waiting());
-    let is_cut = result.as_ref().is_err_and(hyper::Error::is_user);
-    if let Err(e) = result {
+    let may_read_answer = match &end {
+        End::Served(result) => refusal.is_some() || (result.is_ok() && !timer.is_waiting()),
+        End::GivenWay => false,
+    };
+    let is_cut = match &end {
+        End::Served(result) => result.as_ref().is_err_and(hyper::Error::is_user),
+        End::GivenWay => timer.is_writing(),
+    };
+    if let End::Served(Err(e)) = end {
         spdlog::debug!("connection of {from} ended: {e}");
     }
     let mut stream = conn.into_parts().io.into_inner().into_inner();
-    if is_late {
-        let refusal = refuse(&relay, "", ErrorKind::HeadTimeout);
-        if let Err(e) = late_head::refuse(&mut stream, refusal).await {
-            spdlog::debug!("could not refuse a late request of {from}: {e}");
-        }
+    if let Some(kind) = refusal
+        && let Err(e) = late_head::refuse(&mut stream, refuse(&relay, "", kind)).await
+    {
+        spdlog::debug!("could not refuse a late request of {from}: {e}");
     }
     // Without chunks, only a reset tells a stream that was cut from a whole one.
     if is_cut
@@ -207,19 +260,40 @@
     }
     drop(counted);
     if may_read_answer {
-        linger::close(stream, MAX_DROPPED_BODY_BYTES + relay.caller_limits().body_bytes as usize).await;
+        timer.close();
+        let closing =
+            linger::close(stream, MAX_DROPPED_BODY_BYTES + relay.caller_limits().body_bytes as usize);
+        tokio::select! {
+            () = closing => {}
+            () = given_way => {}
+        }
+    }
+}
+
+/// Why the request that a connection was receiving when it ended is refused, if it was and has no answer yet.
+fn refusal_after(end: &End, timer: &HeadTimer) -> Option<ErrorKind> {
+    match end {
+        End::Served(result) if result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun() => {
+            Some(ErrorKind::HeadTimeout)
+        }
+        End::Served(_) => None,
+        End::GivenWay => timer.is_receiving().then_some(ErrorKind::NoRoom),
     }
 }
 
-async fn answer<W: Wire>(relay: Arc<Relay<W>>, req: HttpRequest<Incoming>) -> Response<AnswerBody> {
-    let (mut response, is_last) = match read_request(&relay, req).await {
+async fn answer<W: Wire>(
+    relay: Arc<Relay<W>>,
+    req: HttpRequest<Incoming>,
+    timer: &HeadTimer,
+) -> Response<AnswerBody> {
+    let (mut response, is_last) = match read_request(&relay, req, timer).await {
         Ok(req) => {
             let _entered = relay.track_request();
             (run::run(relay.clone(), req).await, false)
         }
         Err(refused) => (refuse(&relay, &refused.id, refused.kind), refused.is_unread),
     };
-    if is_last || relay.is_leaving() {
+    if is_last || relay.is_leaving() || relay.callers.is_awaited() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -271,7 +345,11 @@
 }
 
 /// Reads a request and decides whether this host accepts it.
-async fn read_request<W: Wire>(relay: &Relay<W>, req: HttpRequest<Incoming>) -> Result<Request, Refused> {
+async fn read_request<W: Wire>(
+    relay: &Relay<W>,
+    req: HttpRequest<Incoming>,
+    timer: &HeadTimer,
+) -> Result<Request, Refused> {
     let arrived = now();
     let (head, body) = req.into_parts();
     let parsed = relay.wire.parse_request(&head);
@@ -288,7 +366,10 @@
             return Err(Refused { id, kind, is_unread });
         }
     };
-    let body = match read_body(relay, body, &head, deadline).await {
+    timer.begin_body();
+    let body = read_body(relay, body, &head, deadline).await;
+    timer.end();
+    let body = match body {
         Ok(body) => body,
         Err(kind) => return Err(Refused { id, kind, is_unread: true }),
     };
--- a/src/relay/mesh.rs
+++ b/src/relay/mesh.rs
@@ -25,7 +25,7 @@
     },
     follow::BackendsUpdate,
     hot_servers,
-    inbound::accept_all,
+    inbound::{self, accept_all, head_timer::HeadTimer},
     peers::{LocalVersions, Scope},
     pool,
     revision::Revision,
@@ -35,7 +35,7 @@
 use crate::{
     logs::lines::{Level, line},
     metrics::Counter,
-    schema::fleet::{BackendChanges, Beat, Fetch, Fetched},
+    schema::fleet::{BackendChanges, Beat, CallerLimits, Fetch, Fetched},
     util::{lock, now, wall_ms},
 };
 
@@ -51,6 +51,13 @@
 /// Receive buffer of a connection that another host opens, in bytes. Most carry such a message, some the requests and answers of
 /// one request.
 const PEER_RECEIVE_BYTES: usize = 32 << 10;
+/// Limits of a connection that another host opens, until its message has arrived.
+const PEER_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: MAX_SHORT_MESSAGE_BYTES as u32,
+    body_bytes: 0,
+    head_ms: FETCH_TIMEOUT.as_millis() as u32,
+    idle_ms: FETCH_TIMEOUT.as_millis() as u32,
+};
 /// Delay of the housekeeping above which the host must have been suspended; nothing else delays it for so long.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(1_500);
 /// Timeout for the start of the answer to a fetch; after it the same peer or another one is asked.
@@ -425,11 +432,20 @@
 pub async fn serve_fetches<W: Wire>(relay: Arc<Relay<W>>, listener: TcpListener) {
     let slots = Arc::new(FetchSlots::new(relay.cfg.concurrent_fetches));
     accept_all(listener, "a fetch", |stream, from| {
+        let timer = HeadTimer::new(|| PEER_LIMITS);
+        let Some(connection) = inbound::admit(&relay, &relay.peer_connections, "a fetch", &timer) else {
+            return;
+        };
         let (relay, slots) = (relay.clone(), slots.clone());
         let admitted = slots.admitted.clone().try_acquire_owned().ok();
         tokio::spawn(async move {
-            if let Err(e) = serve_peer(&relay, stream, &slots, admitted).await {
-                spdlog::debug!("could not answer {from}: {e:#}");
+            tokio::select! {
+                result = serve_peer(&relay, stream, &slots, admitted, &timer) => {
+                    if let Err(e) = result {
+                        spdlog::debug!("could not answer {from}: {e:#}");
+                    }
+                }
+                () = connection.given_way(timer.wait()) => {}
             }
         });
     })
@@ -442,12 +458,14 @@
     mut stream: TcpStream,
     slots: &FetchSlots,
     admitted: Option<OwnedSemaphorePermit>,
+    timer: &HeadTimer,
 ) -> Result<()> {
     pool::configure_socket(&stream, Some(FETCH_TIMEOUT));
     pool::limit_receive_buffer(&stream, PEER_RECEIVE_BYTES);
     // A host whose bytes are lost on the way must not occupy a slot for longer.
     let reading = timeout(FETCH_TIMEOUT, receive::<Fetch>(&mut stream)).await;
     let fetch_request = reading.context("the peer did not send its request in time")??;
+    timer.end();
     if fetch_request.connect_to != 0 {
         drop(admitted);
         return tunnel::serve(relay, stream, &fetch_request, &slots.tunnels).await;
--- a/src/relay/updates.rs
+++ b/src/relay/updates.rs
@@ -142,6 +142,12 @@
             let l = l.number("version", cfg.version).text("from", from);
             l.number("routes", cfg.routes.len() as u64).number("workspaces", cfg.workspaces.len() as u64)
         });
+        let (allowed, longest) = (cfg.limits.map_or(0, |l| l.body_bytes as usize), self.bodies.longest());
+        if allowed > longest {
+            line(Level::Notable, "bodies_exceed_memory", |l| {
+                l.number("body_bytes", allowed as u64).number("longest", longest as u64)
+            });
+        }
         let cfg = Arc::new(cfg);
         state.configurations.push(cfg.clone());
         state.configured_at = now();
@@ -274,6 +280,19 @@
         self.pool.clear(key);
     }
 
+    /// Exports what callers and servers make this host hold.
+    fn report_held(&self) {
+        let connections = [
+            ("caller_connections", self.callers.count()),
+            ("auxiliary_connections", self.auxiliary.count()),
+            ("peer_connections", self.peer_connections.count()),
+        ];
+        let bytes = [("body_bytes", self.bodies.used()), ("answer_bytes", self.buffers.used())];
+        for (kind, held) in connections.into_iter().chain(bytes) {
+            self.metrics.set(Gauge::RelayHeld, kind, held as f64);
+        }
+    }
+
     /// Exports the confirmation age of each topic, and logs topics that became stale or were confirmed again.
     fn report_confirmations(&self, state: &mut State, now: Instant) {
         for topic in state.confirmations.topics() {
@@ -380,6 +399,7 @@
     pub(crate) fn run_housekeeping(&self) {
         let now = now();
         let mut state = self.state();
+        self.report_held();
         self.report_confirmations(&mut state, now);
         self.report_not_ready(&mut state, now);
         self.report_budget(&mut state, now);
--- a/tests/relay_buffers.rs
+++ b/tests/relay_buffers.rs
@@ -1,11 +1,21 @@
 //! Tests of the memory that a host's buffered answers may take, without I/O.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use cranberrytally::relay::{
-    bodies::{Bodies, GIVE_WAY_TIME},
-    buffers::{Buffers, limit_for},
+use cranberrytally::{
+    relay::{
+        bodies::{Bodies, GIVE_WAY_TIME, PROGRESS_BYTES},
+        buffers::{Buffers, limit_for},
+        capacity::Capacity,
+        connections::{Admission, Connections},
+        inbound::head_timer::{HeadWait, Rest},
+    },
+    schema::fleet::CallerLimits,
+    util::now,
 };
 use proptest::{collection::vec, prelude::*};
 
@@ -145,3 +155,64 @@
     drop((held, complete, next));
     assert_eq!(bodies.used(), 0);
 }
+
+const WAIT_LIMITS: CallerLimits =
+    CallerLimits { head_bytes: 1_000, body_bytes: 1_000, head_ms: 5_000, idle_ms: 5_000 };
+
+/// Guards against a connection in use that is closed for a new one, against the wrong order of those that rest, and against a
+/// new one that is refused though another ends soon.
+#[tokio::test]
+async fn connections_give_way_by_how_they_rest() {
+    let start = now();
+    let at = move |n: u64| start + GIVE_WAY_TIME / 8 * n as u32;
+    let waits: Vec<_> = (0..5).map(|n| Arc::new(Mutex::new(HeadWait::new(at(n), WAIT_LIMITS)))).collect();
+    let connections = Connections::new(waits.len());
+    let mut open: Vec<_> =
+        waits.iter().map(|wait| connections.admit(wait.clone(), start).1.unwrap()).collect();
+    let change = |n: usize, f: &dyn Fn(&mut HeadWait)| f(&mut waits[n].lock().unwrap());
+    change(0, &|wait| wait.end());
+    change(1, &|wait| wait.begin_body(at(1)));
+    change(1, &|wait| wait.hear(at(8), PROGRESS_BYTES));
+    change(2, &|wait| wait.hear(at(4), 1));
+    change(3, &|wait| wait.begin(at(7)));
+
+    let new = move || Arc::new(Mutex::new(HeadWait::new(at(9), WAIT_LIMITS)));
+    let mut admit = |at: Duration| {
+        let wait = new();
+        wait.lock().unwrap().end();
+        let (admission, connection) = connections.admit(wait, at);
+        open.extend(connection);
+        admission
+    };
+    let early = [admit(at(9)), admit(at(9)), admit(at(9))];
+    let late = [admit(at(12)), admit(at(12))];
+    let waiting = tokio::spawn({
+        let connections = connections.clone();
+        async move { connections.admit_soon(&new()).await.0 }
+    });
+    while !connections.is_awaited() {
+        tokio::task::yield_now().await;
+    }
+    open.remove(0);
+
+    let in_place_of = Admission::InPlaceOf;
+    assert_eq!(early, [in_place_of(Rest::Idle), in_place_of(Rest::Idle), in_place_of(Rest::Receiving)]);
+    assert_eq!(late, [in_place_of(Rest::Stalled), Admission::Refused]);
+    assert_eq!(waiting.await.unwrap(), Admission::Free);
+    assert_eq!(connections.count(), waits.len() - 1);
+}
+
+/// Guards against parts that exceed the memory of a host together, and against a body of the largest size that never has room.
+#[test]
+fn what_a_host_may_hold_fits_its_memory() {
+    for (memory_mb, descriptors) in [(64, 700), (160, 4_100), (260, 4_100), (512, 8_192), (1_024, 16_384)] {
+        let capacity = Capacity::of(memory_mb as f64, descriptors);
+        let answers = limit_for(memory_mb as f64);
+        let connections = capacity.caller_connections * (48 << 10);
+        let held = capacity.body_bytes + answers + connections;
+
+        assert!(held <= (memory_mb << 20) * 3 / 4, "{memory_mb} MiB: {held}");
+        assert!(Bodies::new(capacity.body_bytes).longest() >= MAX_ANSWER_BYTES, "{memory_mb} MiB");
+        assert!(capacity.caller_connections * 2 <= descriptors - 200, "{descriptors} descriptors");
+    }
+}
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -387,8 +387,8 @@
     wait.extend(limits(500, 200));
     assert_eq!(wait.deadline(), at(2_000));
 
-    wait.hear(at(1_900));
-    wait.hear(at(2_100));
+    wait.hear(at(1_900), 1);
+    wait.hear(at(2_100), 1);
     assert_eq!(wait.deadline(), at(2_200));
 
     wait.begin(at(3_000));
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -37,7 +37,7 @@
         in_force: Duration::from_secs(2),
         concurrent_fetches: 1,
         buffer_bytes: buffers::limit_for(0.0),
-        capacity: Capacity::of(0.0),
+        capacity: Capacity::of(0.0, 0),
         limits_plain_together: true,
         places_by_pace: true,
     }
