Bound the bytes of bodies that `serve` holds together

The product's own interface had the same fault as the hosts on the users' platform: each body was bounded by `limits.body_bytes` and 10 s, all together by nothing, so that callers who send many of them end a router by memory.

The bodies of all requests share `limits.bodies_bytes` (64 MiB, at least twice `limits.body_bytes`) by the rule of the hosts: one may take half of what the others leave free, one that has not received 8 KiB for a second gives way, and what finds no room is refused with 503 `no_room`, not run.

http many_bodies_share_the_memory_for_them: four bodies of the largest size where there is room for one; on the code before there is no such refusal. Connections to `serve` are still unbounded but for the time limits of heads and bodies.

--- a/src/config.rs
+++ b/src/config.rs
@@ -36,6 +36,8 @@
     pub http_threads: usize,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size of the bodies of all requests in bytes.
+    pub max_bodies_bytes: usize,
     /// Timeout for receiving a request body.
     pub body_timeout: Duration,
     /// Timeout for receiving a request head.
@@ -97,6 +99,7 @@
             shared_key: raw.shared_key.into(),
             http_threads: number_or_default("http_threads", raw.http_threads) as usize,
             max_body_bytes: number_or_default("limits.body_bytes", limits.body_bytes) as usize,
+            max_bodies_bytes: number_or_default("limits.bodies_bytes", limits.bodies_bytes) as usize,
             body_timeout: millis_or_default("limits.body_ms", limits.body_ms),
             head_timeout: millis_or_default("limits.head_ms", limits.head_ms),
             log_level: word_or_default("log.level", log.level),
--- a/src/config/fields.rs
+++ b/src/config/fields.rs
@@ -50,6 +50,12 @@
         ValueType::Number(1 << 20, 1 << 10, 64 << 20),
         "largest request body",
     ),
+    field(
+        "limits.bodies_bytes",
+        "bytes",
+        ValueType::Number(64 << 20, 1 << 20, 64 << 30),
+        "bytes of the bodies of all requests, at least twice limits.body_bytes",
+    ),
     field(
         "limits.body_ms",
         "ms",
--- a/src/http.rs
+++ b/src/http.rs
@@ -15,7 +15,7 @@
 };
 
 use anyhow::{Context as _, Result};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use rustix::net::sockopt::set_tcp_nodelay;
 use tokio::runtime::Handle;
@@ -26,7 +26,11 @@
     service::fn_service,
 };
 
-use crate::error::ErrorKind;
+use crate::{
+    bodies::{Bodies, BodyRoom, PROGRESS_BYTES},
+    error::ErrorKind,
+    util::now,
+};
 
 mod body;
 
@@ -99,6 +103,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     body_bytes: usize,
+    bodies_bytes: usize,
     body_timeout: Duration,
     head_timeout: Duration,
 }
@@ -107,6 +112,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 1 << 20,
+            bodies_bytes: 64 << 20,
             body_timeout: Duration::from_secs(10),
             head_timeout: Duration::from_secs(5),
         }
@@ -119,6 +125,11 @@
         Self { body_bytes, ..self }
     }
 
+    /// Sets the maximum size of all bodies in bytes, at least twice that of one.
+    pub fn with_max_bodies_bytes(self, bodies_bytes: usize) -> Self {
+        Self { bodies_bytes, ..self }
+    }
+
     /// Sets the timeout for receiving a body.
     pub fn with_body_timeout(self, body_timeout: Duration) -> Self {
         Self { body_timeout, ..self }
@@ -169,9 +180,12 @@
         let rt = Handle::current();
         let in_progress = Arc::new(AtomicUsize::new(0));
         let counter = in_progress.clone();
+        // A single body of the largest size has room.
+        let longest = limits.body_bytes.saturating_mul(2);
+        let bodies = Bodies::new(limits.bodies_bytes.max(longest));
         let service = fn_service(async move |req: Request<RequestExt<RequestBody>>| {
             let guard = InProgressGuard::new(&counter);
-            Ok::<_, Infallible>(handle_request(req, limits, handler.clone(), &rt, guard).await)
+            Ok::<_, Infallible>(handle_request(req, limits, &bodies, handler.clone(), &rt, guard).await)
         });
         let mut server = HttpServer::serve(service)
             .disable_signal()
@@ -224,6 +238,7 @@
 async fn handle_request(
     req: Request<RequestExt<RequestBody>>,
     limits: Limits,
+    bodies: &Bodies,
     handler: Arc<impl Handler>,
     rt: &Handle,
     guard: InProgressGuard,
@@ -231,7 +246,7 @@
     let (head, ext) = req.into_parts();
     let peer = *ext.socket_addr();
     let (_, body) = ext.replace_body(());
-    let body = match read_body(body, limits).await {
+    let body = match read_body(body, limits, bodies).await {
         Ok(body) => body,
         Err(kind) => return into_response(handler.refuse_body(&Request::from_parts(head, ()), kind), guard),
     };
@@ -243,8 +258,10 @@
     }
 }
 
-async fn read_body(body: RequestBody, limits: Limits) -> Result<Bytes, ErrorKind> {
-    match tokio::time::timeout(limits.body_timeout, collect_body(body, limits.body_bytes)).await {
+async fn read_body(body: RequestBody, limits: Limits, bodies: &Bodies) -> Result<Bytes, ErrorKind> {
+    let room = bodies.room(now());
+    let collecting = collect_body(body, limits.body_bytes, room);
+    match tokio::time::timeout(limits.body_timeout, collecting).await {
         Ok(result) => result,
         Err(_) => Err(ErrorKind::BodyTimeout),
     }
@@ -254,7 +271,7 @@
 ///
 /// If a connection closes early, the library ends the body as if it were complete, so that an incomplete request would
 /// be executed. Only the declared length reveals the missing part; a chunked body declares none and is rejected.
-async fn collect_body(body: RequestBody, max_bytes: usize) -> Result<Bytes, ErrorKind> {
+async fn collect_body(body: RequestBody, max_bytes: usize, mut room: BodyRoom) -> Result<Bytes, ErrorKind> {
     let declared_len = match body.size_hint() {
         SizeHint::Exact(len) => len,
         SizeHint::None => 0,
@@ -264,12 +281,30 @@
         return Err(ErrorKind::BodyTooLarge);
     }
     let mut body = std::pin::pin!(body);
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.as_mut().frame().await {
+    if !room.extend_to(declared_len as usize, now()) {
+        return Err(ErrorKind::NoRoom);
+    }
+    let mut buf = Vec::with_capacity(declared_len as usize);
+    let mut next_progress = PROGRESS_BYTES;
+    loop {
+        let mut body = body.as_mut();
+        let frame = tokio::select! {
+            biased;
+            () = room.given_way() => return Err(ErrorKind::NoRoom),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { break };
         let Ok(Frame::Data(data)) = frame else { return Err(ErrorKind::BadRequest) };
         buf.extend_from_slice(&data);
+        if buf.len() >= next_progress {
+            next_progress = buf.len() + PROGRESS_BYTES;
+            room.progress(now());
+        }
+    }
+    if buf.len() as u64 != declared_len {
+        return Err(ErrorKind::BadRequest);
     }
-    if buf.len() as u64 != declared_len { Err(ErrorKind::BadRequest) } else { Ok(buf.freeze()) }
+    room.hold(buf).ok_or(ErrorKind::NoRoom)
 }
 
 fn into_response(reply: Reply, guard: InProgressGuard) -> Response<BoxBody> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! call them and perform the actions.
 
 pub mod admit;
+pub mod bodies;
 pub mod catalog;
 pub mod claim;
 pub mod client;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -29,6 +29,7 @@
 use tokio::sync::{Notify, OnceCell, watch};
 
 use crate::{
+    bodies::Bodies,
     logs::lines::{Level, Line, line},
     metrics::Metrics,
     objects::bucket::TokenBucket,
@@ -42,7 +43,6 @@
 mod attempt;
 pub mod attempts;
 pub mod backends;
-pub mod bodies;
 pub mod brittle;
 pub mod budget;
 pub mod buffers;
@@ -108,7 +108,6 @@
 
 use admission::Admission;
 use backends::{BackendKey, Backends};
-use bodies::Bodies;
 use brittle::Brittle;
 use budget::{BudgetConfig, FleetBudget};
 use buffers::Buffers;
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -28,7 +28,6 @@
 use super::{
     Refusal, Relay, Wire,
     answer::AnswerBody,
-    bodies::GIVE_WAY_TIME,
     connections::{Admission, Connection, Connections},
     outcome::Outcome,
     pool,
@@ -37,6 +36,7 @@
     run,
 };
 use crate::{
+    bodies::GIVE_WAY_TIME,
     error::{ErrorKind, Ran},
     logs::lines::{Level, line},
     metrics::Counter,
--- a/src/relay/inbound/body.rs
+++ b/src/relay/inbound/body.rs
@@ -8,8 +8,8 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
+    bodies::{BodyRoom, PROGRESS_BYTES},
     error::ErrorKind,
-    relay::bodies::{BodyRoom, PROGRESS_BYTES},
     util::now,
 };
 
--- a/src/relay/inbound/head_timer.rs
+++ b/src/relay/inbound/head_timer.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    relay::bodies,
+    bodies::{self, GIVE_WAY_TIME},
     schema::fleet::CallerLimits,
     util::{Instant, lock, now},
 };
@@ -25,9 +25,6 @@
 /// Largest read, in bytes. hyper doubles its buffer of 8 KiB when a read fills it.
 const MAX_READ_BYTES: u64 = (8 << 10) - 1;
 
-/// Time without progress after which a connection in the middle of a head, a body or an answer gives way to a new one.
-const GIVE_WAY_TIME: Duration = bodies::GIVE_WAY_TIME;
-
 /// How a connection rests that may give way to a new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rest {
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -61,6 +61,9 @@
     /// Timeout for receiving a request head, in milliseconds.
     #[prost(uint64, optional, tag = "3")]
     pub head_ms: ::core::option::Option<u64>,
+    /// Bytes of the bodies of all requests.
+    #[prost(uint64, optional, tag = "4")]
+    pub bodies_bytes: ::core::option::Option<u64>,
 }
 /// Level and format of the log.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -80,6 +80,7 @@
         let gateway = Arc::new(gateway.with_entry_ttl(cfg.answer_keep));
         let limits = Limits::default()
             .with_max_body_bytes(cfg.max_body_bytes)
+            .with_max_bodies_bytes(cfg.max_bodies_bytes)
             .with_body_timeout(cfg.body_timeout)
             .with_head_timeout(cfg.head_timeout);
         let (peer_listener, socket, peer_addr) = listen_for_peers(cfg)?;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -72,7 +72,12 @@
 fn the_table_lists_exactly_the_fields_of_the_schema() {
     let full = raw::Settings {
         http_threads: Some(1),
-        limits: Some(raw::Limits { body_bytes: Some(1), body_ms: Some(1), head_ms: Some(1) }),
+        limits: Some(raw::Limits {
+            body_bytes: Some(1),
+            body_ms: Some(1),
+            head_ms: Some(1),
+            bodies_bytes: Some(1),
+        }),
         log: Some(raw::Log { level: Some("info".into()), format: Some("text".into()) }),
         gossip: Some(raw::Gossip { bytes_per_second: Some(1), probe_bytes_per_second: Some(1) }),
         drain: Some(raw::Drain { answer_keep_ms: Some(1), longest_ms: Some(1) }),
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -16,6 +16,8 @@
 
 const MAX_BODY_BYTES: usize = 64;
 const BODY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout that no test reaches.
+const LONG_TIMEOUT: Duration = Duration::from_secs(60);
 
 #[derive(Default)]
 struct Echo {
@@ -52,14 +54,19 @@
 }
 
 fn start() -> Fixture {
+    start_with(BODY_TIMEOUT)
+}
+
+fn start_with(timeout: Duration) -> Fixture {
     let rt = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
     let _guard = rt.enter();
     let echo = Arc::new(Echo::default());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let limits = Limits::default()
         .with_max_body_bytes(MAX_BODY_BYTES)
-        .with_body_timeout(BODY_TIMEOUT)
-        .with_head_timeout(BODY_TIMEOUT);
+        .with_max_bodies_bytes(2 * MAX_BODY_BYTES)
+        .with_body_timeout(timeout)
+        .with_head_timeout(timeout);
     let server = Server::start(listener, 1, limits, echo.clone()).unwrap();
     drop(_guard);
     Fixture { echo, server, _rt: rt }
@@ -176,3 +183,34 @@
     }
     fixture.server.close();
 }
+
+/// Guards against bodies that take up the memory together: many of the largest size that stop short of their end.
+#[test]
+fn many_bodies_share_the_memory_for_them() {
+    let fixture = start_with(LONG_TIMEOUT);
+    let addr = fixture.server.addr();
+    let head = |bytes: usize| {
+        format!("POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {bytes}\r\n\r\n")
+    };
+    let (tx, answers) = std::sync::mpsc::channel();
+    let held: Vec<_> = (0..4).map(|_| TcpStream::connect(addr).unwrap()).collect();
+    for stream in &held {
+        let (mut stream, tx) = (stream.try_clone().unwrap(), tx.clone());
+        stream.write_all(head(MAX_BODY_BYTES).as_bytes()).unwrap();
+        std::thread::spawn(move || {
+            let mut response = Vec::new();
+            let _ = stream.read_to_end(&mut response);
+            let _ = tx.send(String::from_utf8_lossy(&response).into_owned());
+        });
+    }
+
+    let refused: Vec<_> = answers.iter().take(3).collect();
+    let short = send_raw(addr, (head(4) + "body").as_bytes(), false);
+    held.iter().for_each(|stream| stream.shutdown(Shutdown::Both).unwrap_or_default());
+    let longest = head(MAX_BODY_BYTES) + &"x".repeat(MAX_BODY_BYTES);
+    while !send_raw(addr, longest.as_bytes(), false).starts_with("HTTP/1.1 200") {}
+
+    assert!(refused.iter().all(|a| a.starts_with("HTTP/1.1 503") && a.contains("no_room")), "{refused:?}");
+    assert!(short.starts_with("HTTP/1.1 200"), "{short}");
+    fixture.server.close();
+}
--- a/tests/relay_buffers.rs
+++ b/tests/relay_buffers.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use cranberrytally::{
+    bodies::{Bodies, GIVE_WAY_TIME, PROGRESS_BYTES},
     relay::{
-        bodies::{Bodies, GIVE_WAY_TIME, PROGRESS_BYTES},
         buffers::{Buffers, limit_for},
         capacity::Capacity,
         connections::{Admission, Connections},
--- a/tests/relay_time_limits.rs
+++ b/tests/relay_time_limits.rs
@@ -9,14 +9,12 @@
 
 use bytes::Bytes;
 use cranberrytally::{
+    bodies::{Bodies, BodyRoom},
     error::ErrorKind,
     metrics::Counter,
-    relay::{
-        bodies::{Bodies, BodyRoom},
-        inbound::{
-            body::{self, BodyLimits},
-            head_timer::HeadWait,
-        },
+    relay::inbound::{
+        body::{self, BodyLimits},
+        head_timer::HeadWait,
     },
     schema::fleet::{CallerLimits, Configuration},
 };
