Split the end of a caller's connection from serving it

`serve` decided in one function how a connection ends and carried it out. What is left to do (a refusal, a reset, whether the caller may yet read) is decided by `LastSteps` and taken there. A new connection at the bound waits for a second instead of two: those that stood still when it came give way by then, and callers give up a connection that is not read for that long.

relay_crowds, relay_buffers, relay_input, relay_time_limits, relay_process and shutdown pass.

--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -12,10 +12,13 @@
 use tokio::{sync::Notify, time::timeout};
 
 use super::inbound::head_timer::{HeadWait, Rest};
-use crate::util::{Instant, Map, lock, now};
+use crate::{
+    bodies::GIVE_WAY_TIME,
+    util::{Instant, Map, lock, now},
+};
 
-/// Maximum time for which a new connection waits at the bound.
-const WAIT_TIME: Duration = Duration::from_secs(2);
+/// Maximum time for which a new connection waits at the bound. Those that stood still when it came give way by then.
+const WAIT_TIME: Duration = GIVE_WAY_TIME;
 /// Interval at which it looks for a connection that rests.
 const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Part of the connections that may wait at a time.
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -3,6 +3,7 @@
 
 use std::{
     convert::Infallible,
+    io,
     net::SocketAddr,
     pin::Pin,
     sync::{
@@ -204,80 +205,82 @@
         let (relay, timer) = (relay.clone(), timer.clone());
         async move { Ok::<_, Infallible>(answer(relay, req, &timer).await) }
     });
-    let conn = http1::Builder::new()
+    let mut conn = http1::Builder::new()
         .timer(timer.clone())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.into()))
         .max_header_size(MAX_HEAD_BYTES.max(limits.head_bytes as usize))
         .max_buf_size(MAX_HEAD_BYTES.max(limits.head_bytes as usize))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(timer.observe(stream)), service);
-    let mut conn = conn;
     let mut closing = relay.closing.subscribe();
     let counted = relay.track_connection();
-    let given_way = admitted.given_way(timer.wait());
-    let mut given_way = std::pin::pin!(given_way);
-    let ended = tokio::select! {
-        result = &mut conn => Some(End::Served(result)),
-        () = &mut given_way => Some(End::GivenWay),
-        // The guard must be dropped: it would hold the lock of the channel while the connection closes.
-        () = async { drop(closing.wait_for(|closing| *closing).await) } => None,
-    };
-    let end = match ended {
-        Some(end) => end,
-        None => {
-            Pin::new(&mut conn).graceful_shutdown();
-            tokio::select! {
-                result = &mut conn => End::Served(result),
-                () = &mut given_way => End::GivenWay,
-            }
+    let mut given_way = std::pin::pin!(admitted.given_way(timer.wait()));
+    let mut is_closing = false;
+    let end = loop {
+        tokio::select! {
+            result = &mut conn => break End::Served(result),
+            () = &mut given_way => break End::GivenWay,
+            // The guard must be dropped: it would hold the lock of the channel while the connection closes.
+            () = async { drop(closing.wait_for(|closing| *closing).await) }, if !is_closing => {}
         }
+        is_closing = true;
+        Pin::new(&mut conn).graceful_shutdown();
     };
-    let refusal = refusal_after(&end, &timer);
-    // A request that arrives at a connection that was idle is left unread, so that its caller knows that it did not run.
-    let may_read_answer = match &end {
-        End::Served(result) => refusal.is_some() || (result.is_ok() && !timer.is_waiting()),
-        End::GivenWay => false,
-    };
-    let is_cut = match &end {
-        End::Served(result) => result.as_ref().is_err_and(hyper::Error::is_user),
-        End::GivenWay => timer.is_writing(),
-    };
-    if let End::Served(Err(e)) = end {
+    if let End::Served(Err(e)) = &end {
         spdlog::debug!("connection of {from} ended: {e}");
     }
+    let last_steps = LastSteps::after(&end, &timer, accepts_chunks.load(Ordering::Relaxed));
     let mut stream = conn.into_parts().io.into_inner().into_inner();
-    if let Some(kind) = refusal
-        && let Err(e) = late_head::refuse(&mut stream, refuse(&relay, "", kind)).await
-    {
-        spdlog::debug!("could not refuse a late request of {from}: {e}");
-    }
-    // Without chunks, only a reset tells a stream that was cut from a whole one.
-    if is_cut
-        && !accepts_chunks.load(Ordering::Relaxed)
-        && let Err(e) = stream.set_zero_linger()
-    {
-        spdlog::warn!("could not reset the connection of {from}: {e}");
+    if let Err(e) = last_steps.take(&relay, &mut stream).await {
+        spdlog::debug!("could not end the connection of {from} as intended: {e}");
     }
     drop(counted);
-    if may_read_answer {
+    if last_steps.may_read_answer {
         timer.close();
-        let closing =
-            linger::close(stream, MAX_DROPPED_BODY_BYTES + relay.caller_limits().body_bytes as usize);
+        let max_bytes = MAX_DROPPED_BODY_BYTES + relay.caller_limits().body_bytes as usize;
         tokio::select! {
-            () = closing => {}
+            () = linger::close(stream, max_bytes) => {}
             () = given_way => {}
         }
     }
 }
 
-/// Why the request that a connection was receiving when it ended is refused, if it was and has no answer yet.
-fn refusal_after(end: &End, timer: &HeadTimer) -> Option<ErrorKind> {
-    match end {
-        End::Served(result) if result.as_ref().is_err_and(|e| e.is_timeout()) && timer.has_begun() => {
-            Some(ErrorKind::HeadTimeout)
+/// What is left to do on a connection that is no longer served.
+struct LastSteps {
+    /// Why the request that was being received is refused, if it has no answer yet.
+    refusal: Option<ErrorKind>,
+    /// Whether the connection is reset, since only that tells its caller that the answer is incomplete.
+    resets: bool,
+    /// Whether the caller may yet read its last answer.
+    may_read_answer: bool,
+}
+
+impl LastSteps {
+    fn after(end: &End, timer: &HeadTimer, accepts_chunks: bool) -> Self {
+        match end {
+            End::Served(result) => {
+                let is_late = result.as_ref().is_err_and(hyper::Error::is_timeout) && timer.has_begun();
+                Self {
+                    refusal: is_late.then_some(ErrorKind::HeadTimeout),
+                    resets: result.as_ref().is_err_and(hyper::Error::is_user) && !accepts_chunks,
+                    // A request that arrives at a connection that was idle is left unread, so that its caller knows that it
+                    // did not run.
+                    may_read_answer: is_late || (result.is_ok() && !timer.is_waiting()),
+                }
+            }
+            End::GivenWay => Self {
+                refusal: timer.is_receiving().then_some(ErrorKind::NoRoom),
+                resets: timer.is_writing() && !accepts_chunks,
+                may_read_answer: false,
+            },
+        }
+    }
+
+    async fn take<W: Wire>(&self, relay: &Relay<W>, stream: &mut TcpStream) -> io::Result<()> {
+        if let Some(kind) = self.refusal {
+            late_head::refuse(stream, refuse(relay, "", kind)).await?;
         }
-        End::Served(_) => None,
-        End::GivenWay => timer.is_receiving().then_some(ErrorKind::NoRoom),
+        if self.resets { stream.set_zero_linger() } else { Ok(()) }
     }
 }
 
--- a/src/relay/inbound/late_head.rs
+++ b/src/relay/inbound/late_head.rs
@@ -1,4 +1,4 @@
-//! The refusal of a request whose head takes too long. The HTTP library would close the connection without an answer.
+//! The refusal of a request that has not arrived completely. The HTTP library would close the connection without an answer.
 
 use std::{io, time::Duration};
 
