Let connections, their receive buffers and all else fit the memory together

The receive buffers of a request's two sockets were not in the sum: the window that a connection gets before its buffer is set lets 66 KB arrive unread, and 853 connections at a host of 160 MiB could hold 50 MiB more than it has.

Sockets that listen have the smallest receive buffer, so that accepted ones begin with it, and connections to servers get theirs before they connect.

--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -10,19 +10,22 @@
 const DEFAULT_BODY_BYTES: usize = 64 << 20;
 
 /// Part of a host's memory that is divided among the receive buffers of its connections.
-const RECEIVE_FRACTION: usize = 64;
+const RECEIVE_FRACTION: usize = 128;
 /// Memory for receive buffers of a host whose memory is unknown, in bytes.
-const DEFAULT_RECEIVE_BYTES: usize = 4 << 20;
-/// Smallest and largest receive buffer of a connection, in bytes. The kernel may hold twice as much. Less than the smallest size
+const DEFAULT_RECEIVE_BYTES: usize = 2 << 20;
+/// Smallest receive buffer of a connection, and that of a connection that is not accepted yet, in bytes.
+pub const MIN_RECEIVE_BUFFER_BYTES: usize = 24 << 10;
+/// Smallest and largest receive buffer of a connection, in bytes. The kernel holds up to twice as much. Less than the smallest size
 /// stops senders whose segments are as long as those of the loopback interface.
-const RECEIVE_BUFFER_BYTES: RangeInclusive<usize> = 24 << 10..=128 << 10;
+const RECEIVE_BUFFER_BYTES: RangeInclusive<usize> = MIN_RECEIVE_BUFFER_BYTES..=128 << 10;
 
-/// Part of a host's memory that connections may take, beside bodies and answers.
-const CONNECTION_FRACTION: usize = 4;
-/// Memory of one connection, in bytes: its task, the buffer for a head, and a receive buffer that is about half full.
-const CONNECTION_BYTES: usize = 48 << 10;
+/// Fifths of a host's memory that connections may take, beside bodies and answers.
+const CONNECTION_FIFTHS: usize = 2;
+/// Memory of one connection, in bytes: its task, the buffer for a head, and the full receive buffers of its socket and of that to
+/// the server of its request.
+const CONNECTION_BYTES: usize = 112 << 10;
 /// Memory for connections of a host whose memory is unknown, in bytes.
-const DEFAULT_CONNECTION_BYTES: usize = 64 << 20;
+const DEFAULT_CONNECTION_BYTES: usize = 128 << 20;
 /// Descriptors of a host that does not know them.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
 /// Descriptors that are reserved for files.
@@ -59,7 +62,8 @@
         let descriptors = if descriptors == 0 { DEFAULT_DESCRIPTORS } else { descriptors };
         let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
         let connections = |sixteenths: usize| (sockets * sixteenths / 16).max(MIN_CONNECTIONS);
-        let that_fit = part(CONNECTION_FRACTION, DEFAULT_CONNECTION_BYTES) / CONNECTION_BYTES;
+        let connection_bytes = memory.map_or(DEFAULT_CONNECTION_BYTES, |bytes| bytes / 5 * CONNECTION_FIFTHS);
+        let that_fit = connection_bytes / CONNECTION_BYTES;
         Self {
             body_bytes: part(BODY_FRACTION, DEFAULT_BODY_BYTES),
             receive_bytes: part(RECEIVE_FRACTION, DEFAULT_RECEIVE_BYTES),
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -29,6 +29,7 @@
 use super::{
     Refusal, Relay, Wire,
     answer::AnswerBody,
+    capacity::MIN_RECEIVE_BUFFER_BYTES,
     connections::{Admission, Connection, Connections},
     outcome::Outcome,
     pool,
@@ -138,7 +139,9 @@
 /// # Errors
 /// When the address can't be bound.
 pub async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.with_context(|| format!("could not listen on {addr}"))
+    let listener = TcpListener::bind(addr).await.with_context(|| format!("could not listen on {addr}"))?;
+    pool::limit_receive_buffer(&listener, MIN_RECEIVE_BUFFER_BYTES);
+    Ok(listener)
 }
 
 impl<W: Wire> Relay<W> {
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -10,6 +10,7 @@
 
 use std::{
     net::SocketAddr,
+    os::fd::AsFd,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -29,7 +30,7 @@
 use rustix::net::sockopt;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     task::AbortHandle,
 };
 
@@ -111,8 +112,7 @@
         label: SocketLabel,
         receive_buffer: usize,
     ) -> Result<Self, Failure> {
-        let stream = connect_tcp(addr, timeout).await?;
-        limit_receive_buffer(&stream, receive_buffer);
+        let stream = connect_tcp(addr, timeout, Some(receive_buffer)).await?;
         let socket = ServerSocket::new(stream, label);
         let rest = socket.rest();
         Self::handshake(socket, rest, addr).await
@@ -222,8 +222,20 @@
     }
 }
 
-pub(super) async fn connect_tcp(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(timeout), TcpStream::connect(addr));
+/// Connects, with a receive buffer of this many bytes if one is given.
+pub(super) async fn connect_tcp(
+    addr: SocketAddr,
+    timeout: Duration,
+    receive_buffer: Option<usize>,
+) -> Result<TcpStream, Failure> {
+    let connecting = async {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if let Some(bytes) = receive_buffer {
+            limit_receive_buffer(&socket, bytes);
+        }
+        socket.connect(addr).await
+    };
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(timeout), connecting);
     let Ok(Ok(stream)) = connecting.await else { return Err(Failure::Connect) };
     configure_socket(&stream, Some(UNDELIVERED_TIMEOUT));
     Ok(stream)
@@ -234,7 +246,7 @@
 /// # Errors
 /// If no connection was established.
 pub async fn connect_with_probes(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Failure> {
-    let stream = connect_tcp(addr, timeout).await?;
+    let stream = connect_tcp(addr, timeout, None).await?;
     if let Err(e) = enable_keepalive(&stream) {
         spdlog::warn!("could not enable TCP keepalive: {e}");
     }
@@ -306,9 +318,9 @@
     }
 }
 
-/// Limits the bytes that the kernel receives before they are read.
-pub(crate) fn limit_receive_buffer(stream: &TcpStream, bytes: usize) {
-    if let Err(e) = sockopt::set_socket_recv_buffer_size(stream, bytes) {
+/// Limits the bytes that the kernel receives before they are read; connections inherit it from the socket that listens.
+pub(crate) fn limit_receive_buffer(socket: impl AsFd, bytes: usize) {
+    if let Err(e) = sockopt::set_socket_recv_buffer_size(socket, bytes) {
         spdlog::warn!("could not set SO_RCVBUF on a socket: {e}");
     }
 }
--- a/src/relay/tunnel.rs
+++ b/src/relay/tunnel.rs
@@ -175,10 +175,9 @@
         key: BackendKey,
         addr: SocketAddr,
     ) -> Result<ServerSocket, TunnelOutcome> {
-        let result = pool::connect_tcp(addr, CONNECT_TIMEOUT).await;
+        let result = pool::connect_tcp(addr, CONNECT_TIMEOUT, Some(self.server_receive_buffer())).await;
         self.record_direct(key, result.is_ok());
         let stream = result.map_err(|_| TunnelOutcome::ServedUnreachable)?;
-        pool::limit_receive_buffer(&stream, self.server_receive_buffer());
         let label = self.socket_label(key, None).ok_or(TunnelOutcome::ServedNotEligible)?;
         Ok(ServerSocket::new(stream, label))
     }
