Serve auxiliary endpoints outside the adapter, and reject limits that serve nobody

They are served in `relay::inbound::auxiliary`, which knows no name of the platform.

`limits.callerConnections` 0 refused every caller; it and `limits.bodiesMb` under 1 are errors now. A connection that is used again between the decision that it gives way and its end counts again, rather than being served beside the bound.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,30 +1,26 @@
 //! Adapter to the users' platform: translates settings, requests, backend servers' answers and the store's objects to and
 //! from the product's types, without any decisions of its own. The names of the platform's interfaces occur only here.
 
-use std::{convert::Infallible, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::{
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::UdpSocket,
     signal::unix::{Signal, SignalKind, signal},
 };
 
 use crate::{
     logs::lines::{self, Level, line},
     relay::{
-        Relay,
-        connections::Connection,
-        follow,
-        inbound::{self, head_timer::HeadTimer},
-        mesh, pool,
+        Relay, follow,
+        inbound::{self, auxiliary},
+        mesh,
     },
-    schema::fleet::CallerLimits,
 };
 
 mod names;
@@ -42,15 +38,6 @@
 /// Port of the metrics endpoint, as declared in deploy/system.toml.
 const METRICS_PORT: u16 = 9464;
 const METRICS_PATH: &str = "/metrics";
-/// Limits of requests and connections to an auxiliary endpoint: addresses, readiness or metrics.
-const AUXILIARY_LIMITS: CallerLimits = CallerLimits {
-    head_bytes: AUXILIARY_BUFFER_BYTES as u32,
-    body_bytes: 0,
-    head_ms: 10_000,
-    idle_ms: 10_000,
-};
-/// Receive buffer, and maximum size of the other buffers, of a connection to an auxiliary endpoint, in bytes.
-const AUXILIARY_BUFFER_BYTES: usize = 24 << 10;
 /// Time for the log writer's thread to write the last lines.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(25);
 
@@ -95,11 +82,11 @@
     let peer_addr = settings.peers;
     let socket = UdpSocket::bind(peer_addr).await.with_context(|| format!("could not bind {peer_addr}"))?;
     tokio::spawn(inbound::accept(relay.clone(), inbound::listen(settings.callers).await?));
-    tokio::spawn(serve_auxiliary(relay.clone(), inbound::listen(settings.ready).await?));
+    tokio::spawn(auxiliary::serve(relay.clone(), inbound::listen(settings.ready).await?, auxiliary_response));
     let metrics = SocketAddr::new(settings.callers.ip(), METRICS_PORT);
-    tokio::spawn(serve_auxiliary(relay.clone(), inbound::listen(metrics).await?));
+    tokio::spawn(auxiliary::serve(relay.clone(), inbound::listen(metrics).await?, auxiliary_response));
     if let Some(directory) = settings.directory {
-        tokio::spawn(serve_auxiliary(relay.clone(), inbound::listen(directory).await?));
+        tokio::spawn(auxiliary::serve(relay.clone(), inbound::listen(directory).await?, auxiliary_response));
     }
     tokio::spawn(mesh::serve_fetches(relay.clone(), inbound::listen(peer_addr).await?));
     mesh::start_tasks(relay, Arc::new(socket));
@@ -135,44 +122,6 @@
     }
 }
 
-/// Serves an auxiliary endpoint: addresses for callers, readiness or metrics.
-async fn serve_auxiliary(relay: Arc<Relay<PlatformWire>>, listener: TcpListener) {
-    const KIND: &str = "an auxiliary connection";
-    inbound::accept_all(listener, KIND, |stream, _| {
-        let timer = HeadTimer::new(|| AUXILIARY_LIMITS);
-        let Some(admitted) = inbound::admit(&relay, &relay.auxiliary, KIND, &timer) else { return };
-        tokio::spawn(serve_auxiliary_connection(relay.clone(), stream, timer, admitted));
-    })
-    .await;
-}
-
-async fn serve_auxiliary_connection(
-    relay: Arc<Relay<PlatformWire>>,
-    stream: TcpStream,
-    timer: HeadTimer,
-    admitted: Connection,
-) {
-    pool::limit_receive_buffer(&stream, AUXILIARY_BUFFER_BYTES);
-    let service = service_fn(|req| {
-        let res = auxiliary_response(&relay, &req);
-        async move { Ok::<_, Infallible>(res) }
-    });
-    let conn = http1::Builder::new()
-        .timer(timer.clone())
-        .header_read_timeout(Duration::from_millis(AUXILIARY_LIMITS.idle_ms.into()))
-        .max_buf_size(AUXILIARY_BUFFER_BYTES)
-        .auto_date_header(false)
-        .serve_connection(TokioIo::new(timer.observe(stream)), service);
-    tokio::select! {
-        result = conn => {
-            if let Err(e) = result {
-                spdlog::debug!("auxiliary connection failed: {e}");
-            }
-        }
-        () = admitted.given_way(timer.wait()) => {}
-    }
-}
-
 /// Answer to a request for addresses.
 #[derive(Serialize)]
 struct Resolved {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -73,14 +73,10 @@
 }
 
 impl RawLimits {
-    fn capacity(&self) -> Capacity {
-        let derived = Capacity::of(self.memory_mb, self.max_fds);
-        let bodies = self.bodies_mb.filter(|mb| *mb > 0.0).map(|mb| (mb * (1 << 20) as f64) as usize);
-        Capacity {
-            body_bytes: bodies.unwrap_or(derived.body_bytes),
-            caller_connections: self.caller_connections.unwrap_or(derived.caller_connections),
-            ..derived
-        }
+    fn capacity(&self) -> Result<Capacity> {
+        let capacity = Capacity::of(self.memory_mb, self.max_fds).with_bodies_mb(self.bodies_mb);
+        let capacity = capacity.context("limits.bodiesMb")?.with_caller_connections(self.caller_connections);
+        capacity.context("limits.callerConnections")
     }
 }
 
@@ -149,7 +145,7 @@
             in_force: confirm::bound_from([bounds.config_apply_ms, bounds.drain_ms, bounds.evacuation_ms]),
             concurrent_fetches: RelayConfig::concurrent_fetches(raw.limits.link_mbps),
             buffer_bytes: buffers::limit_for(raw.limits.memory_mb),
-            capacity: raw.limits.capacity(),
+            capacity: raw.limits.capacity()?,
         })
     }
 
--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -4,6 +4,8 @@
 
 use std::ops::RangeInclusive;
 
+use anyhow::{Result, ensure};
+
 /// Part of a host's memory that bodies of requests may take.
 const BODY_FRACTION: usize = 5;
 /// Memory for bodies of a host whose memory is unknown, in bytes.
@@ -73,6 +75,25 @@
         }
     }
 
+    /// Sets the memory for bodies in MiB, if it is given.
+    ///
+    /// # Errors
+    /// If it is less than 1.
+    pub fn with_bodies_mb(self, mb: Option<f64>) -> Result<Self> {
+        let Some(mb) = mb else { return Ok(self) };
+        ensure!(mb >= 1.0, "{mb} is less than 1");
+        Ok(Self { body_bytes: (mb * f64::from(1 << 20)) as usize, ..self })
+    }
+
+    /// Sets the connections of callers, if they are given.
+    ///
+    /// # Errors
+    /// If it is 0.
+    pub fn with_caller_connections(self, connections: Option<usize>) -> Result<Self> {
+        ensure!(connections != Some(0), "0 is less than 1");
+        Ok(Self { caller_connections: connections.unwrap_or(self.caller_connections), ..self })
+    }
+
     /// Size of the receive buffer of a connection that is opened beside this many others, in bytes. So a few connections get
     /// large buffers, and the sum of many grows with the logarithm of their number down to the smallest size.
     pub fn receive_buffer(&self, open: usize) -> usize {
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -162,13 +162,16 @@
 }
 
 impl Connection {
-    /// Waits until the connection has to give way to a new one and still rests.
-    pub async fn given_way(&self, wait: &Mutex<HeadWait>) {
+    /// Waits until the connection has to give way to a new one and still rests. One that has been used again meanwhile counts
+    /// again, beyond the bound.
+    pub async fn given_way(&self, wait: &Arc<Mutex<HeadWait>>) {
         loop {
             self.gives_way.notified().await;
             if lock(wait).rest(now()).is_some() {
                 return;
             }
+            let known = Known { wait: wait.clone(), gives_way: self.gives_way.clone() };
+            lock(&self.open).connections.insert(self.id, known);
         }
     }
 }
--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -46,6 +46,7 @@
     util::{Instant, now},
 };
 
+pub(crate) mod auxiliary;
 pub mod body;
 pub mod head_timer;
 mod late_head;
--- a/tests/relay_input.rs
+++ b/tests/relay_input.rs
@@ -280,6 +280,14 @@
 
         assert!(e.contains(field), "{field}: {e}");
     }
+    for limits in [r#""bodiesMb": 0.5"#, r#""callerConnections": 0"#] {
+        let text = SETTINGS.replace(r#""node""#, &format!(r#""limits": {{{limits}}}, "node""#));
+        let e = format!("{:#}", Settings::parse(&text).unwrap_err());
+        assert!(e.contains(limits.split('"').nth(1).unwrap()), "{limits}: {e}");
+    }
+    let text = SETTINGS.replace(r#""node""#, r#""limits": {"bodiesMb": 2, "callerConnections": 7}, "node""#);
+    let capacity = Settings::parse(&text).unwrap().relay().capacity;
+    assert_eq!((capacity.body_bytes, capacity.caller_connections), (2 << 20, 7));
     assert!(Settings::parse("no JSON").is_err());
 }
 
