Keep the answer that a caller still reads when a new connection needs room

hyper awaits the next head as soon as it has taken over an answer, also while a slow caller has yet to read it. Such a connection counted as idle, so at the bound on connections it was the first to be closed, and its caller lost the rest of an answer that was ready. A request of which a part had arrived behind that answer would have been refused in the middle of it.

A connection with an unread answer rests only once its caller has not read for a second, and nothing is written behind an incomplete answer. relay_buffers a_connection_whose_answer_is_being_read_is_not_idle fails before (idle at once). Found by reading; below the bound nothing changes.

--- a/src/relay/inbound.rs
+++ b/src/relay/inbound.rs
@@ -273,7 +273,8 @@
                 }
             }
             End::GivenWay => Self {
-                refusal: timer.is_receiving().then_some(ErrorKind::NoRoom),
+                // A refusal in the middle of an answer would be taken for a part of it.
+                refusal: (timer.is_receiving() && !timer.is_writing()).then_some(ErrorKind::NoRoom),
                 resets: timer.is_writing() && !accepts_chunks,
                 may_read_answer: false,
             },
--- a/src/relay/inbound/head_timer.rs
+++ b/src/relay/inbound/head_timer.rs
@@ -127,10 +127,13 @@
     pub fn rest(&self, now: Instant) -> Option<(Rest, Instant)> {
         let is_long = |since: &Instant| now.saturating_sub(*since) >= GIVE_WAY_TIME;
         let (stalled_since, receiving_since) = match (self.phase, self.first_byte) {
-            (Phase::Closing, _) | (Phase::Head, None) => return Some((Rest::Idle, self.since)),
+            (Phase::Closing, _) => return Some((Rest::Idle, self.since)),
+            // The next head is awaited before the last answer has been read.
+            (Phase::Head | Phase::Busy, _) if self.unread_since.is_some() => (self.unread_since, None),
+            (Phase::Head, None) => return Some((Rest::Idle, self.since)),
             (Phase::Head, first) => (first, None),
             (Phase::Body { progressed_at, began, .. }, _) => (Some(progressed_at), Some(began)),
-            (Phase::Busy, _) => (self.unread_since, None),
+            (Phase::Busy, _) => return None,
         };
         let stalled = stalled_since.filter(is_long).map(|since| (Rest::Stalled, since));
         stalled.or_else(|| receiving_since.filter(is_long).map(|since| (Rest::Receiving, since)))
--- a/tests/relay_buffers.rs
+++ b/tests/relay_buffers.rs
@@ -202,6 +202,21 @@
     assert_eq!(connections.count(), waits.len() - 1);
 }
 
+/// Guards against an answer that is cut at the bound while its caller reads it, since the next head is awaited already.
+#[test]
+fn a_connection_whose_answer_is_being_read_is_not_idle() {
+    let mut wait = HeadWait::new(Duration::ZERO, WAIT_LIMITS);
+    wait.end();
+    wait.note_written(Duration::ZERO, false);
+    wait.begin(Duration::ZERO);
+
+    let unread = [GIVE_WAY_TIME / 2, GIVE_WAY_TIME].map(|now| wait.rest(now));
+    wait.note_written(GIVE_WAY_TIME, true);
+
+    assert_eq!(unread, [None, Some((Rest::Stalled, Duration::ZERO))]);
+    assert_eq!(wait.rest(GIVE_WAY_TIME), Some((Rest::Idle, Duration::ZERO)));
+}
+
 /// Guards against parts that exceed the memory of a host together, and against a body of the largest size that never has room.
 #[test]
 fn what_a_host_may_hold_fits_its_memory() {
